--- /dev/null
+++ b/crates/coord/src/records.rs
@@ -0,0 +1,87 @@
+//! Records as they stand in the log: one JSON object per append, holding a group of records.
+
+use serde::Deserialize;
+use serde::Serialize;
+use smol_str::SmolStr;
+use syc_config::Document;
+use syc_types::JobId;
+use syc_types::JobSpec;
+use syc_types::Revision;
+use syc_types::TaskOutcome;
+use syc_types::TaskRef;
+use uuid::Uuid;
+
+/// What one append holds.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Group {
+    /// The records, in order.
+    pub records: Vec<Record>,
+}
+
+/// One record, with an id by which it can be found when the log's answer was lost.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Record {
+    /// Identifies the record; a second record of the same id changes nothing.
+    pub id: Uuid,
+    /// What it says.
+    #[serde(flatten)]
+    pub content: Content,
+}
+
+/// What a record says.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(tag = "record", rename_all = "snake_case")]
+pub enum Content {
+    /// A document was published; the log's order decides whether it is accepted.
+    Config(ConfigRecord),
+    /// A job was accepted.
+    JobAccepted {
+        /// The job.
+        job_id: JobId,
+        /// Its declaration.
+        spec: JobSpec,
+    },
+    /// A non-idempotent task is about to be started.
+    Intent {
+        /// The task.
+        task: TaskRef,
+    },
+    /// A task ended.
+    TaskEnded {
+        /// The task.
+        task: TaskRef,
+        /// How it ended.
+        outcome: TaskOutcome,
+    },
+}
+
+/// A published document.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct ConfigRecord {
+    /// Who published it.
+    pub author: SmolStr,
+    /// The revision that the author had seen of this scope; 0 for none.
+    pub base: Revision,
+    /// The document.
+    pub document: Document,
+}
+
+impl Group {
+    /// Encodes the group for the log.
+    ///
+    /// # Errors
+    ///
+    /// Fails where a value has no JSON form.
+    pub fn to_bytes(&self) -> Result<Vec<u8>, serde_json::Error> {
+        serde_json::to_vec(self)
+    }
+
+    /// Decodes what stands in the log.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the bytes are no group of records of this version.
+    pub fn from_bytes(bytes: &[u8]) -> Result<Self, serde_json::Error> {
+        serde_json::from_slice(bytes)
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/control.rs
@@ -0,0 +1,153 @@
+//! The operators' address: configuration and status.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix_http::HttpMessage;
+use actix_http::Method;
+use actix_http::Request;
+use actix_http::Response;
+use actix_http::StatusCode;
+use actix_http::body::BoxBody;
+use serde_json::json as json_value;
+use subtle::ConstantTimeEq;
+use syc_api::ConfigEntry;
+use syc_api::ErrorBody;
+use syc_api::PublishAnswer;
+use syc_api::PublishBody;
+use syc_api::TOKEN_HEADER;
+use syc_coord::Verdict;
+use syc_coord::records::ConfigRecord;
+use syc_coord::records::Content;
+use syc_coord::records::Record;
+use syc_platform::AppendError;
+
+use crate::http_body::json;
+use crate::http_body::read_json;
+use crate::http_body::refusal;
+use crate::node::Node;
+
+/// Largest document that can be published.
+const DOCUMENT_LIMIT_BYTES: usize = 4 * 1024 * 1024;
+
+/// Time that a publication waits for its verdict.
+const VERDICT_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Answers one request of an operator's tool.
+pub async fn answer(node: Rc<Node>, mut request: Request) -> Response<BoxBody> {
+    let path = request.path().to_owned();
+    match (request.method().clone(), path.as_str()) {
+        (Method::GET, "/v1/status") => status(&node),
+        (Method::GET, "/v1/config") => config(&node),
+        (Method::POST, "/v1/config") if allowed(&node, &request) => {
+            publish(&node, &mut request).await
+        }
+        (Method::POST, _) if !allowed(&node, &request) => {
+            let body = ErrorBody::not_run("not_allowed", "the control token is wrong", None);
+            refusal(StatusCode::FORBIDDEN, &body)
+        }
+        _ => {
+            let body = ErrorBody::not_run("not_found", "there is nothing at this path", None);
+            refusal(StatusCode::NOT_FOUND, &body)
+        }
+    }
+}
+
+fn allowed(node: &Rc<Node>, request: &Request) -> bool {
+    let expected = node.settings.control_token.as_bytes();
+    let shown = request.headers().get(TOKEN_HEADER);
+    let shown = shown.map_or(&b""[..], |value| value.as_bytes());
+    !expected.is_empty() && bool::from(expected.ct_eq(shown))
+}
+
+fn status(node: &Rc<Node>) -> Response<BoxBody> {
+    let view = node.view.borrow();
+    let mut members = Vec::new();
+    for member in &view.members {
+        members.push(json_value!({
+            "id": member.id,
+            "zone": member.zone,
+            "peer_address": member.peer_address,
+        }));
+    }
+    let jobs = node.jobs.borrow();
+    let open_jobs = jobs.iter().filter(|job| !job.ended()).count();
+    let ledger = node.owner.ledger.borrow();
+    let body = json_value!({
+        "member": node.id,
+        "epoch": view.epoch,
+        "members": members,
+        "caught_up": node.caught_up.get(),
+        "draining": node.draining.get(),
+        "log_next": node.log_next.get(),
+        "appends": node.log_writer.appends(),
+        "requests_in_progress": node.requests.in_progress.get(),
+        "requests_waiting": node.requests.waiting.get(),
+        "open_jobs": open_jobs,
+        "owned_workers": ledger.workers().count(),
+    });
+    json(StatusCode::OK, &body)
+}
+
+fn config(node: &Rc<Node>) -> Response<BoxBody> {
+    let config = node.config.borrow();
+    let mut entries = Vec::new();
+    for (scope, in_force) in config.documents() {
+        entries.push(ConfigEntry {
+            scope: scope.clone(),
+            revision: in_force.revision,
+            author: in_force.author.clone(),
+            document: in_force.document.clone(),
+        });
+    }
+    json(StatusCode::OK, &entries)
+}
+
+async fn publish(node: &Rc<Node>, request: &mut Request) -> Response<BoxBody> {
+    let body = match read_json::<PublishBody>(request, DOCUMENT_LIMIT_BYTES).await {
+        Ok(body) => body,
+        Err(error) => return refusal(StatusCode::BAD_REQUEST, &error),
+    };
+    let id = body.id;
+    let record = Record {
+        id,
+        content: Content::Config(ConfigRecord {
+            author: body.author,
+            base: body.base,
+            document: body.document,
+        }),
+    };
+    match node.log_writer.append_record(record).await {
+        Ok(_) | Err(AppendError::InDoubt(_)) => {}
+        Err(AppendError::Refused(reason)) => {
+            let body = ErrorBody::not_run("log_unavailable", &reason, Some(1_000));
+            return refusal(StatusCode::SERVICE_UNAVAILABLE, &body);
+        }
+    }
+    node.log_wake.notify_one();
+    let verdict = tokio::time::timeout(VERDICT_TIMEOUT, verdict(node, id)).await;
+    match verdict {
+        Ok(Verdict::Accepted(revision)) => json(StatusCode::OK, &PublishAnswer { revision }),
+        Ok(Verdict::Conflict(current)) => {
+            let message = format!("revision {} is in force", current.0);
+            let body = ErrorBody::not_run("conflict", &message, None);
+            refusal(StatusCode::CONFLICT, &body)
+        }
+        Err(_elapsed) => {
+            let message = "no verdict yet; publish again with the same id";
+            let body = ErrorBody::unknown("verdict_pending", message);
+            refusal(StatusCode::GATEWAY_TIMEOUT, &body)
+        }
+    }
+}
+
+async fn verdict(node: &Rc<Node>, id: uuid::Uuid) -> Verdict {
+    loop {
+        let applied = node.log_applied.notified();
+        let known = node.config.borrow().verdict(id).cloned();
+        if let Some(verdict) = known {
+            return verdict;
+        }
+        applied.await;
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/daemon.rs
@@ -0,0 +1,219 @@
+//! Starting and stopping a daemon.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::rc::Rc;
+use std::time::Duration;
+
+use smol_str::SmolStr;
+use syc_config::Settings;
+use syc_member::Member;
+use syc_member::View;
+use syc_net::HttpListener;
+use syc_net::HttpOptions;
+use syc_net::PeerClient;
+use syc_net::PeerOptions;
+use syc_net::serve_peers;
+use syc_obs::catalogue;
+use syc_obs::emit;
+use syc_platform::http::HttpPlatform;
+use syc_platform::http::HttpPlatformOptions;
+use syc_types::Epoch;
+use syc_types::MemberId;
+use syc_types::Zone;
+use thiserror::Error;
+
+use crate::callers;
+use crate::control;
+use crate::follower;
+use crate::home;
+use crate::log_writer::LogWriter;
+use crate::node::Node;
+use crate::node::NodeParts;
+use crate::peers;
+
+/// How often a planned stop looks whether requests are still in progress.
+const DRAIN_CHECK: Duration = Duration::from_millis(20);
+
+/// Says why a daemon did not start.
+#[derive(Debug, Error)]
+pub enum StartError {
+    /// An address can't be listened on.
+    #[error("can't listen on {address}")]
+    Listen {
+        /// The address.
+        address: SmolStr,
+        /// The system's reason.
+        source: std::io::Error,
+    },
+}
+
+/// The open sockets of a daemon.
+#[derive(Debug)]
+pub struct Listeners {
+    callers: TcpListener,
+    peers: TcpListener,
+    control: TcpListener,
+}
+
+impl Listeners {
+    /// Opens the sockets that the settings name; port 0 lets the system choose.
+    ///
+    /// # Errors
+    ///
+    /// Fails where an address can't be listened on.
+    pub fn bind(settings: &Settings) -> Result<Self, StartError> {
+        Ok(Self {
+            callers: bind(&settings.listen.callers)?,
+            peers: bind(&settings.listen.peers)?,
+            control: bind(&settings.listen.control)?,
+        })
+    }
+
+    /// Returns the settings with the addresses that are really listened on.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the system does not tell an address.
+    pub fn resolve(&self, mut settings: Settings) -> std::io::Result<Settings> {
+        let text = |address: SocketAddr| SmolStr::new(address.to_string());
+        settings.listen.callers = text(self.callers.local_addr()?);
+        settings.listen.peers = text(self.peers.local_addr()?);
+        settings.listen.control = text(self.control.local_addr()?);
+        Ok(settings)
+    }
+}
+
+fn bind(address: &SmolStr) -> Result<TcpListener, StartError> {
+    TcpListener::bind(address.as_str()).map_err(|source| StartError::Listen {
+        address: address.clone(),
+        source,
+    })
+}
+
+/// A running daemon.
+#[derive(Debug)]
+pub struct Daemon {
+    node: Rc<Node>,
+    callers: HttpListener,
+    _control: HttpListener,
+    tasks: Vec<actix_rt::task::JoinHandle<()>>,
+}
+
+impl Daemon {
+    /// Starts a daemon on the current arbiter.
+    ///
+    /// # Errors
+    ///
+    /// Fails where a socket can't be handed to the runtime.
+    pub fn start(settings: Settings, listeners: Listeners) -> Result<Self, StartError> {
+        let node = make_node(settings);
+        let listen = node.settings.listen.clone();
+        let failed = |address: SmolStr| |source| StartError::Listen { address, source };
+
+        let state = Rc::clone(&node);
+        let options = HttpOptions {
+            connections: node.settings.limits.connections,
+            ..HttpOptions::default()
+        };
+        let callers = HttpListener::start(listeners.callers, options, move |request| {
+            callers::answer(Rc::clone(&state), request)
+        })
+        .map_err(failed(listen.callers))?;
+
+        let state = Rc::clone(&node);
+        let options = HttpOptions::default();
+        let control = HttpListener::start(listeners.control, options, move |request| {
+            control::answer(Rc::clone(&state), request)
+        })
+        .map_err(failed(listen.control))?;
+
+        let state = Rc::clone(&node);
+        let serving = serve_peers(listeners.peers, move |payload| {
+            peers::answer(Rc::clone(&state), payload)
+        });
+        let tasks = vec![
+            actix_rt::spawn(async move {
+                let _stopped = serving.await;
+            }),
+            actix_rt::spawn(follower::run(Rc::clone(&node))),
+            actix_rt::spawn(home::run(Rc::clone(&node))),
+        ];
+        emit(catalogue::STARTED, format_args!("member={}", node.id));
+        Ok(Self {
+            node,
+            callers,
+            _control: control,
+            tasks,
+        })
+    }
+
+    /// Says whether it has caught up with the log and takes work.
+    #[must_use]
+    pub fn ready(&self) -> bool {
+        self.node.caught_up.get()
+    }
+
+    /// Stops as planned: tells the balancer, takes nothing new, and waits for what is in progress.
+    pub async fn stop(self) {
+        let timing = self.node.settings.timing;
+        emit(catalogue::DRAINING, format_args!("member={}", self.node.id));
+        self.node.draining.set(true);
+        actix_rt::time::sleep(Duration::from_millis(timing.drain_notice_ms)).await;
+        self.callers.stop_accepting();
+        let limit = Duration::from_millis(timing.drain_limit_ms);
+        if tokio::time::timeout(limit, self.drained()).await.is_err() {
+            let left = self.node.requests.in_progress.get();
+            emit(catalogue::DRAIN_LIMIT, format_args!("requests={left}"));
+        }
+        for task in &self.tasks {
+            task.abort();
+        }
+        emit(catalogue::STOPPED, format_args!("member={}", self.node.id));
+    }
+
+    async fn drained(&self) {
+        while self.node.requests.in_progress.get() > 0 {
+            actix_rt::time::sleep(DRAIN_CHECK).await;
+        }
+        // The last answers leave the sockets.
+        actix_rt::time::sleep(DRAIN_CHECK).await;
+    }
+}
+
+fn make_node(settings: Settings) -> Rc<Node> {
+    let id = MemberId::new(settings.name.clone());
+    let mut members = vec![Member {
+        id: id.clone(),
+        peer_address: settings.listen.peers.clone(),
+        zone: Zone::new(settings.zone.clone()),
+    }];
+    let mut peers = HashMap::new();
+    for peer in &settings.peers {
+        let member = MemberId::new(peer.name.clone());
+        members.push(Member {
+            id: member.clone(),
+            peer_address: peer.address.clone(),
+            zone: Zone::new(peer.zone.clone()),
+        });
+        let Ok(address) = peer.address.parse() else {
+            continue;
+        };
+        peers.insert(member, PeerClient::new(address, PeerOptions::default()));
+    }
+    let platform = HttpPlatform::new(
+        &settings.platform.log,
+        &settings.platform.vms,
+        HttpPlatformOptions::default(),
+    );
+    let log_writer = LogWriter::start(platform.clone(), settings.timing.group_commit_ms);
+    Node::new(NodeParts {
+        settings,
+        id,
+        view: View::new(Epoch(1), members),
+        peers,
+        platform,
+        log_writer,
+    })
+}
--- /dev/null
+++ b/crates/daemon/src/lib.rs
@@ -0,0 +1,20 @@
+//! The daemon: it carries out what the decision crates decide.
+//!
+//! Every entry VM runs one, and all are equal. A daemon lives on one actix arbiter; nothing in it
+//! is shared between threads.
+
+mod callers;
+mod control;
+mod daemon;
+mod follower;
+mod home;
+mod http_body;
+mod log_writer;
+mod node;
+mod owner;
+mod peers;
+mod requests;
+
+pub use daemon::Daemon;
+pub use daemon::Listeners;
+pub use daemon::StartError;
--- /dev/null
+++ b/crates/daemon/src/main.rs
@@ -0,0 +1,127 @@
+//! `sycamorespurd`: reads its settings, runs one daemon, and stops gracefully on SIGTERM.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use lexopt::Arg;
+use miette::Report;
+use mimalloc::MiMalloc;
+use syc_config::parse_settings;
+use syc_daemon::Daemon;
+use syc_daemon::Listeners;
+use tokio::signal::unix::SignalKind;
+use tokio::signal::unix::signal;
+
+#[global_allocator]
+static ALLOCATOR: MiMalloc = MiMalloc;
+
+/// Exit code of a wrong command line.
+const EXIT_USAGE: u8 = 2;
+
+/// Exit code of wrong settings.
+const EXIT_SETTINGS: u8 = 3;
+
+/// Exit code of an address that can't be listened on.
+const EXIT_LISTEN: u8 = 4;
+
+const HELP: &str = "\
+Usage: sycamorespurd --settings FILE [--check]
+
+  --settings FILE  the daemon's settings, in JSON
+  --check          check the settings and exit
+  --help           show this text
+  --version        show the version
+
+Exit codes: 0 stopped as planned, 2 wrong command line, 3 wrong settings,
+4 an address can't be listened on.";
+
+#[derive(Debug, Default)]
+struct Arguments {
+    settings: Option<PathBuf>,
+    check: bool,
+}
+
+fn main() -> ExitCode {
+    match parse_arguments() {
+        Ok(Some(arguments)) => start(&arguments),
+        Ok(None) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("{error}\n\n{HELP}");
+            ExitCode::from(EXIT_USAGE)
+        }
+    }
+}
+
+fn parse_arguments() -> Result<Option<Arguments>, lexopt::Error> {
+    let mut arguments = Arguments::default();
+    let mut parser = lexopt::Parser::from_env();
+    while let Some(argument) = parser.next()? {
+        match argument {
+            Arg::Long("settings") => arguments.settings = Some(parser.value()?.into()),
+            Arg::Long("check") => arguments.check = true,
+            Arg::Long("help") => {
+                println!("{HELP}");
+                return Ok(None);
+            }
+            Arg::Long("version") => {
+                println!("sycamorespurd {}", env!("CARGO_PKG_VERSION"));
+                return Ok(None);
+            }
+            other => return Err(other.unexpected()),
+        }
+    }
+    Ok(Some(arguments))
+}
+
+fn start(arguments: &Arguments) -> ExitCode {
+    let Some(path) = &arguments.settings else {
+        eprintln!("--settings is missing\n\n{HELP}");
+        return ExitCode::from(EXIT_USAGE);
+    };
+    let name = path.display().to_string();
+    let text = match std::fs::read_to_string(path) {
+        Ok(text) => text,
+        Err(error) => {
+            eprintln!("can't read {name}: {error}");
+            return ExitCode::from(EXIT_SETTINGS);
+        }
+    };
+    let settings = match parse_settings(&name, &text) {
+        Ok(settings) => settings,
+        Err(findings) => {
+            eprintln!("{:?}", Report::new(findings));
+            return ExitCode::from(EXIT_SETTINGS);
+        }
+    };
+    if arguments.check {
+        return ExitCode::SUCCESS;
+    }
+    let listeners = match Listeners::bind(&settings) {
+        Ok(listeners) => listeners,
+        Err(error) => {
+            eprintln!("{:?}", Report::msg(error));
+            return ExitCode::from(EXIT_LISTEN);
+        }
+    };
+    actix_rt::System::new().block_on(run(settings, listeners))
+}
+
+async fn run(settings: syc_config::Settings, listeners: Listeners) -> ExitCode {
+    let daemon = match Daemon::start(settings, listeners) {
+        Ok(daemon) => daemon,
+        Err(error) => {
+            eprintln!("{error}");
+            return ExitCode::from(EXIT_LISTEN);
+        }
+    };
+    let terminate = signal(SignalKind::terminate());
+    let interrupt = signal(SignalKind::interrupt());
+    if let (Ok(mut terminate), Ok(mut interrupt)) = (terminate, interrupt) {
+        tokio::select! {
+            _ = terminate.recv() => {}
+            _ = interrupt.recv() => {}
+        }
+    }
+    daemon.stop().await;
+    ExitCode::SUCCESS
+}
--- /dev/null
+++ b/crates/daemon/src/node.rs
@@ -0,0 +1,146 @@
+//! The state of one daemon, shared by its tasks on one arbiter.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Instant;
+
+use syc_config::Document;
+use syc_config::Settings;
+use syc_coord::ConfigStore;
+use syc_coord::Jobs;
+use syc_member::View;
+use syc_net::PeerClient;
+use syc_platform::http::HttpPlatform;
+use syc_route::EndpointInfo;
+use syc_route::Endpoints;
+use syc_types::MemberId;
+use syc_types::Millis;
+use syc_types::ServiceName;
+use syc_types::Zone;
+use tokio::sync::Notify;
+
+use crate::log_writer::LogWriter;
+use crate::owner::Owner;
+use crate::requests::Requests;
+
+/// One daemon's state.
+#[derive(Debug)]
+pub struct Node {
+    /// What it was told at its start.
+    pub settings: Settings,
+    /// Its own incarnation.
+    pub id: MemberId,
+    /// Its availability zone.
+    pub zone: Zone,
+    /// The platform.
+    pub platform: HttpPlatform,
+    /// The current view.
+    pub view: RefCell<View>,
+    /// Links to the other members.
+    pub peers: HashMap<MemberId, PeerClient>,
+    /// Appends to the log.
+    pub log_writer: LogWriter,
+    /// Offset of the next entry to read from the log.
+    pub log_next: Cell<u64>,
+    /// Wakes the follower before its interval is over.
+    pub log_wake: Notify,
+    /// Tells that records were applied.
+    pub log_applied: Notify,
+    /// Whether the log has been read to its end once.
+    pub caught_up: Cell<bool>,
+    /// The configuration.
+    pub config: RefCell<ConfigStore>,
+    /// The jobs.
+    pub jobs: RefCell<Jobs>,
+    /// Wakes the placing of pending tasks.
+    pub jobs_wake: Notify,
+    /// Grants on the workers that this daemon owns.
+    pub owner: Owner,
+    /// The request path's state.
+    pub requests: Requests,
+    /// Whether a planned stop has begun.
+    pub draining: Cell<bool>,
+    started: Instant,
+}
+
+/// What a node is made of.
+#[derive(Debug)]
+pub struct NodeParts {
+    /// What it was told at its start.
+    pub settings: Settings,
+    /// Its own incarnation.
+    pub id: MemberId,
+    /// The current view.
+    pub view: View,
+    /// Links to the other members.
+    pub peers: HashMap<MemberId, PeerClient>,
+    /// The platform.
+    pub platform: HttpPlatform,
+    /// Appends to the log.
+    pub log_writer: LogWriter,
+}
+
+impl Node {
+    /// Puts a node together.
+    pub fn new(parts: NodeParts) -> Rc<Self> {
+        let zone = Zone::new(parts.settings.zone.clone());
+        let once_window_ms = parts.settings.timing.once_window_ms;
+        Rc::new(Self {
+            id: parts.id,
+            zone,
+            platform: parts.platform,
+            view: RefCell::new(parts.view),
+            peers: parts.peers,
+            log_writer: parts.log_writer,
+            log_next: Cell::new(0),
+            log_wake: Notify::new(),
+            log_applied: Notify::new(),
+            caught_up: Cell::new(false),
+            config: RefCell::default(),
+            jobs: RefCell::default(),
+            jobs_wake: Notify::new(),
+            owner: Owner::default(),
+            requests: Requests::new(once_window_ms),
+            draining: Cell::new(false),
+            started: Instant::now(),
+            settings: parts.settings,
+        })
+    }
+
+    /// Returns the time since the start, on the monotonic clock.
+    pub fn now(&self) -> Millis {
+        let elapsed_ms = self.started.elapsed().as_millis();
+        Millis(u64::try_from(elapsed_ms).unwrap_or(u64::MAX))
+    }
+
+    /// Takes over a document that came into force.
+    pub fn apply_document(self: &Rc<Self>, document: &Document) {
+        let Document::Inventory(inventory) = document else {
+            return;
+        };
+        self.apply_services(inventory);
+        crate::owner::apply_workers(self, &inventory.workers);
+        self.jobs_wake.notify_one();
+    }
+
+    fn apply_services(&self, inventory: &syc_config::Inventory) {
+        let mut services = self.requests.services.borrow_mut();
+        for service in &inventory.services {
+            let endpoints = services.entry(service.name.clone()).or_default();
+            for endpoint in &service.endpoints {
+                endpoints.upsert(EndpointInfo {
+                    id: endpoint.id.clone(),
+                    address: endpoint.address.clone(),
+                    zone: endpoint.zone.clone(),
+                    slots: service.slots,
+                });
+            }
+        }
+        self.requests.freed.notify_waiters();
+    }
+}
+
+/// The endpoints of each service.
+pub type Services = HashMap<ServiceName, Endpoints>;
--- /dev/null
+++ b/crates/daemon/src/peers.rs
@@ -0,0 +1,95 @@
+//! Calls to the other members, and the answers to theirs.
+
+use std::rc::Rc;
+
+use bytes::Bytes;
+use syc_net::CallError;
+use syc_obs::catalogue;
+use syc_obs::emit;
+use syc_types::JobSpec;
+use syc_types::MemberId;
+use syc_wire::Ack;
+use syc_wire::Body;
+use syc_wire::DecodeError;
+use syc_wire::Message;
+use syc_wire::job::job_id;
+
+use crate::home;
+use crate::node::Node;
+use crate::owner;
+use crate::owner::StartOrder;
+use crate::requests;
+
+/// Calls a member and waits for its reply.
+pub async fn call(
+    node: &Rc<Node>,
+    member: &MemberId,
+    body: Body,
+    timeout_ms: u64,
+) -> Result<Body, CallError> {
+    let Some(peer) = node.peers.get(member) else {
+        return Err(CallError::NotSent);
+    };
+    let epoch = node.view.borrow().epoch.0;
+    let payload = Message::new(epoch, body).to_bytes();
+    let reply = peer.call(&payload, timeout_ms).await;
+    if let Err(error) = reply {
+        emit(
+            catalogue::PEER_SILENT,
+            format_args!("peer={member} {error}"),
+        );
+    }
+    let decoded = Message::from_bytes(reply?);
+    decoded
+        .map(|(_epoch, body)| body)
+        .map_err(|_malformed| CallError::NoReply)
+}
+
+/// Answers a call of another member; a malformed one gets a refusal.
+pub async fn answer(node: Rc<Node>, payload: Bytes) -> Bytes {
+    let reply = match Message::from_bytes(payload) {
+        Ok((_epoch, body)) => dispatch(&node, body).await,
+        Err(error) => Err(error),
+    };
+    let body = reply.unwrap_or(Body::Ack(Ack { accepted: false }));
+    let epoch = node.view.borrow().epoch.0;
+    Message::new(epoch, body).to_bytes()
+}
+
+async fn dispatch(node: &Rc<Node>, body: Body) -> Result<Body, DecodeError> {
+    let reply = match body {
+        Body::Submit(submit) => {
+            let id = job_id(&submit.job_id)?;
+            let spec = JobSpec::try_from(submit.spec)?;
+            let outcome = home::accept(node, id, &spec).await;
+            Body::SubmitReply(home::submit_reply(outcome))
+        }
+        Body::Offer(offer) => {
+            let order = StartOrder {
+                job_id: job_id(&offer.job_id)?,
+                spec: offer.spec.try_into()?,
+                indexes: offer.indexes,
+                attempt: offer.attempt,
+            };
+            let outcome = owner::start_tasks(node, &order).await;
+            Body::OfferReply(home::offer_reply(outcome))
+        }
+        Body::TaskDone(done) => {
+            let (task, outcome) = done.try_into()?;
+            let accepted = home::keep_end(node, task, &outcome).await;
+            Body::Ack(Ack { accepted })
+        }
+        Body::JobQuery(query) => {
+            let id = job_id(&query.job_id)?;
+            let json = home::state_json(node, id).unwrap_or_default();
+            Body::JobState(syc_wire::JobState { json })
+        }
+        Body::RunRequest(run) => Body::RunReply(requests::run_for_peer(node, run).await?),
+        Body::SubmitReply(_)
+        | Body::OfferReply(_)
+        | Body::Ack(_)
+        | Body::JobState(_)
+        | Body::RunReply(_) => Body::Ack(Ack { accepted: false }),
+    };
+    Ok(reply)
+}
--- /dev/null
+++ b/crates/daemon/tests/daemon/bed.rs
@@ -0,0 +1,300 @@
+//! Daemons and stand-ins for the tests of this binary.
+
+use std::time::Duration;
+
+use awc::Client;
+use smol_str::SmolStr;
+use smol_str::format_smolstr;
+use syc_config::Document;
+use syc_config::EndpointDoc;
+use syc_config::Inventory;
+use syc_config::Listen;
+use syc_config::PeerSettings;
+use syc_config::PlatformSettings;
+use syc_config::ServiceDoc;
+use syc_config::Settings;
+use syc_config::Timing;
+use syc_config::WorkerDoc;
+use syc_daemon::Daemon;
+use syc_daemon::Listeners;
+use syc_standin::EndpointOptions;
+use syc_standin::EndpointStandIn;
+use syc_standin::Executions;
+use syc_standin::LogStandIn;
+use syc_standin::VmListStandIn;
+use syc_standin::WorkerOptions;
+use syc_standin::WorkerStandIn;
+use syc_types::EndpointId;
+use syc_types::RackId;
+use syc_types::Resources;
+use syc_types::ServiceName;
+use syc_types::TaskRef;
+use syc_types::WorkerId;
+use syc_types::Zone;
+use uuid::Uuid;
+
+/// The control token of every daemon here.
+pub const TOKEN: &str = "bed";
+
+/// The service of every inventory here.
+pub const SERVICE: &str = "intake";
+
+/// How often something awaited is looked at.
+const CHECK: Duration = Duration::from_millis(10);
+
+/// How often it is looked at before the test gives up.
+const CHECKS: usize = 1_500;
+
+/// What a bed consists of.
+#[derive(Debug, Clone)]
+pub struct BedOptions {
+    pub daemons: usize,
+    pub endpoints: usize,
+    pub workers: usize,
+    pub endpoint: EndpointOptions,
+    pub worker: WorkerOptions,
+    pub timing: Timing,
+}
+
+impl Default for BedOptions {
+    fn default() -> Self {
+        Self {
+            daemons: 1,
+            endpoints: 2,
+            workers: 2,
+            endpoint: EndpointOptions::default(),
+            worker: WorkerOptions {
+                capacity: Resources {
+                    cpu_millis: 4_000,
+                    memory_bytes: 1 << 30,
+                    accelerators: 0,
+                },
+                ..WorkerOptions::default()
+            },
+            timing: Timing {
+                log_poll_ms: 50,
+                worker_poll_ms: 1_000,
+                lease_ms: 5_000,
+                drain_notice_ms: 10,
+                ..Timing::default()
+            },
+        }
+    }
+}
+
+/// Daemons and stand-ins that run.
+#[expect(dead_code, reason = "some stand-ins are only kept running")]
+pub struct Bed {
+    pub log: LogStandIn,
+    pub vms: VmListStandIn,
+    pub endpoints: Vec<EndpointStandIn>,
+    pub workers: Vec<WorkerStandIn>,
+    pub requests: Executions<String>,
+    pub tasks: Executions<TaskRef>,
+    pub settings: Vec<Settings>,
+    pub daemons: Vec<Option<Daemon>>,
+    pub client: Client,
+}
+
+impl Bed {
+    /// Starts everything and publishes the inventory.
+    pub async fn start(options: BedOptions) -> Self {
+        let bed = Self::start_unconfigured(&options);
+        for number in 0..options.daemons {
+            bed.await_ready(number).await;
+        }
+        let inventory = bed.inventory(&options);
+        let (status, text) = bed.publish(0, 0, Document::Inventory(inventory)).await;
+        assert_eq!(status, 200, "{text}");
+        for number in 0..options.daemons {
+            bed.await_config(number, 1).await;
+        }
+        bed
+    }
+
+    /// Starts everything without any configuration.
+    pub fn start_unconfigured(options: &BedOptions) -> Self {
+        let log = LogStandIn::start().expect("log");
+        let requests = Executions::default();
+        let tasks = Executions::default();
+        let mut names = Vec::new();
+        let mut endpoints = Vec::new();
+        for number in 0..options.endpoints {
+            names.push(format_smolstr!("endpoint-{number}"));
+            let started = EndpointStandIn::start(options.endpoint.clone(), requests.clone());
+            endpoints.push(started.expect("endpoint"));
+        }
+        let mut workers = Vec::new();
+        for number in 0..options.workers {
+            names.push(format_smolstr!("worker-{number}"));
+            let started = WorkerStandIn::start(options.worker, tasks.clone());
+            workers.push(started.expect("worker"));
+        }
+        for number in 0..options.daemons {
+            names.push(format_smolstr!("entry-{number}"));
+        }
+        let vms = VmListStandIn::start(names, 0).expect("vms");
+        let platform = PlatformSettings {
+            log: log.address().into(),
+            vms: vms.address().into(),
+        };
+        let (settings, daemons) = start_daemons(options, &platform);
+        Self {
+            log,
+            vms,
+            endpoints,
+            workers,
+            requests,
+            tasks,
+            settings,
+            daemons,
+            client: Client::builder().disable_timeout().finish(),
+        }
+    }
+
+    /// Returns the inventory of the stand-ins.
+    pub fn inventory(&self, options: &BedOptions) -> Inventory {
+        let mut workers = Vec::new();
+        for (number, worker) in self.workers.iter().enumerate() {
+            workers.push(WorkerDoc {
+                id: WorkerId::new(format_smolstr!("worker-{number}")),
+                address: worker.address().into(),
+                zone: Zone::new("a"),
+                rack: RackId::new(format_smolstr!("rack-{number}")),
+                capacity: options.worker.capacity,
+            });
+        }
+        let mut endpoints = Vec::new();
+        for (number, endpoint) in self.endpoints.iter().enumerate() {
+            endpoints.push(EndpointDoc {
+                id: EndpointId::new(format_smolstr!("endpoint-{number}")),
+                address: endpoint.address().into(),
+                zone: Zone::new("a"),
+            });
+        }
+        Inventory {
+            name: "register".into(),
+            workers,
+            services: vec![ServiceDoc {
+                name: ServiceName::new(SERVICE),
+                slots: options.endpoint.slots,
+                endpoints,
+            }],
+        }
+    }
+
+    /// Returns a URL on a daemon's address for callers.
+    pub fn callers_url(&self, daemon: usize, path: &str) -> String {
+        format!("http://{}{path}", self.settings[daemon].listen.callers)
+    }
+
+    /// Returns a URL on a daemon's address for operators.
+    pub fn control_url(&self, daemon: usize, path: &str) -> String {
+        format!("http://{}{path}", self.settings[daemon].listen.control)
+    }
+
+    /// Publishes a document; returns status and body.
+    pub async fn publish(&self, daemon: usize, base: u64, document: Document) -> (u16, String) {
+        let body = serde_json::json!({
+            "id": Uuid::now_v7(),
+            "author": "bed",
+            "base": base,
+            "document": document,
+        });
+        let request = self.client.post(self.control_url(daemon, "/v1/config"));
+        let request = request.insert_header((syc_api::TOKEN_HEADER, TOKEN));
+        let mut answer = request.send_json(&body).await.expect("answer");
+        let text = answer.body().await.expect("body");
+        let text = String::from_utf8_lossy(&text).into_owned();
+        (answer.status().as_u16(), text)
+    }
+
+    /// Reads JSON from a URL.
+    pub async fn get_json(&self, url: String) -> serde_json::Value {
+        let answer = self.client.get(url).send().await;
+        let mut answer = answer.expect("answer");
+        answer.json().await.expect("JSON")
+    }
+
+    /// Waits until a daemon is ready.
+    pub async fn await_ready(&self, daemon: usize) {
+        let url = self.callers_url(daemon, "/ready");
+        for _ in 0..CHECKS {
+            let answer = self.client.get(&url).send().await;
+            if answer.is_ok_and(|answer| answer.status().is_success()) {
+                return;
+            }
+            actix_rt::time::sleep(CHECK).await;
+        }
+        panic!("daemon {daemon} is not ready");
+    }
+
+    /// Waits until a daemon has so many documents in force.
+    pub async fn await_config(&self, daemon: usize, documents: usize) {
+        for _ in 0..CHECKS {
+            let url = self.control_url(daemon, "/v1/config");
+            let entries = self.get_json(url).await;
+            if entries.as_array().is_some_and(|all| all.len() >= documents) {
+                return;
+            }
+            actix_rt::time::sleep(CHECK).await;
+        }
+        panic!("daemon {daemon} lacks configuration");
+    }
+
+    /// Waits until a job has ended and returns its state.
+    pub async fn await_job(&self, daemon: usize, id: Uuid) -> serde_json::Value {
+        for _ in 0..CHECKS {
+            let url = self.callers_url(daemon, &format!("/v1/jobs/{id}"));
+            let state = self.get_json(url).await;
+            let tasks = state["tasks"].as_array().cloned().unwrap_or_default();
+            if !tasks.is_empty() && tasks.iter().all(|task| task["ended"].is_object()) {
+                return state;
+            }
+            actix_rt::time::sleep(CHECK).await;
+        }
+        panic!("job {id} does not end");
+    }
+}
+
+fn start_daemons(
+    options: &BedOptions,
+    platform: &PlatformSettings,
+) -> (Vec<Settings>, Vec<Option<Daemon>>) {
+    let any = SmolStr::new("127.0.0.1:0");
+    let mut bound = Vec::new();
+    for number in 0..options.daemons {
+        let settings = Settings {
+            name: format_smolstr!("entry-{number}"),
+            zone: "a".into(),
+            listen: Listen {
+                callers: any.clone(),
+                peers: any.clone(),
+                control: any.clone(),
+            },
+            platform: platform.clone(),
+            timing: options.timing,
+            control_token: TOKEN.into(),
+            ..Settings::default()
+        };
+        let listeners = Listeners::bind(&settings).expect("sockets");
+        bound.push((listeners.resolve(settings).expect("addresses"), listeners));
+    }
+    let mut peers = Vec::new();
+    for (settings, _) in &bound {
+        peers.push(PeerSettings {
+            name: settings.name.clone(),
+            zone: settings.zone.clone(),
+            address: settings.listen.peers.clone(),
+        });
+    }
+    let mut all = Vec::new();
+    let mut daemons = Vec::new();
+    for (mut settings, listeners) in bound {
+        let others = peers.iter().filter(|peer| peer.name != settings.name);
+        settings.peers = others.cloned().collect();
+        all.push(settings.clone());
+        daemons.push(Some(Daemon::start(settings, listeners).expect("daemon")));
+    }
+    (all, daemons)
+}
--- /dev/null
+++ b/crates/daemon/tests/daemon/main.rs
@@ -0,0 +1,4 @@
+//! The daemon against stand-ins, everything on one arbiter and on ports that the system chooses.
+
+mod bed;
+mod path;
--- /dev/null
+++ b/crates/net/src/lib.rs
@@ -0,0 +1,13 @@
+//! Transport: framed links between daemons and the HTTP listener.
+//!
+//! This layer moves bytes. It knows neither the messages inside the frames nor the requests.
+
+pub mod http;
+pub mod peer;
+
+pub use http::HttpListener;
+pub use http::HttpOptions;
+pub use peer::CallError;
+pub use peer::PeerClient;
+pub use peer::PeerOptions;
+pub use peer::serve_peers;
--- /dev/null
+++ b/crates/net/src/peer.rs
@@ -0,0 +1,244 @@
+//! Calls between daemons: length-delimited frames with a correlation id, many calls on one link.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Buf;
+use bytes::BufMut;
+use bytes::Bytes;
+use bytes::BytesMut;
+use futures_util::SinkExt;
+use futures_util::StreamExt;
+use thiserror::Error;
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+use tokio_util::codec::Framed;
+use tokio_util::codec::LengthDelimitedCodec;
+
+/// Bytes of the correlation id in front of each payload.
+const CORRELATION_BYTES: usize = 8;
+
+/// Largest frame that is accepted.
+const FRAME_LIMIT_BYTES: usize = 8 * 1024 * 1024;
+
+/// Bounds of a [`PeerClient`].
+#[derive(Debug, Clone, Copy)]
+pub struct PeerOptions {
+    /// Time that a connection attempt may take.
+    pub connect_timeout_ms: u64,
+    /// Most frames that may wait to be written.
+    pub queue_frames: usize,
+}
+
+impl Default for PeerOptions {
+    fn default() -> Self {
+        Self {
+            connect_timeout_ms: 1_000,
+            queue_frames: 1_024,
+        }
+    }
+}
+
+/// Says why a call has no reply.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
+pub enum CallError {
+    /// The peer never got the call.
+    #[error("the call was not sent")]
+    NotSent,
+    /// The peer may have got the call; its reply did not come.
+    #[error("the reply was lost or late")]
+    NoReply,
+}
+
+type Waiting = Rc<RefCell<HashMap<u64, oneshot::Sender<Bytes>>>>;
+
+#[derive(Debug)]
+struct Link {
+    outgoing: mpsc::Sender<Bytes>,
+    waiting: Waiting,
+}
+
+/// Calls one peer over a link that is opened when first needed.
+#[derive(Debug)]
+pub struct PeerClient {
+    address: SocketAddr,
+    options: PeerOptions,
+    link: RefCell<Option<Link>>,
+    next_id: Cell<u64>,
+    bytes: Rc<Cell<u64>>,
+}
+
+impl PeerClient {
+    /// Makes a client for the peer at `address`; nothing is connected yet.
+    #[must_use]
+    pub fn new(address: SocketAddr, options: PeerOptions) -> Self {
+        Self {
+            address,
+            options,
+            link: RefCell::new(None),
+            next_id: Cell::new(1),
+            bytes: Rc::new(Cell::new(0)),
+        }
+    }
+
+    /// Returns the payload bytes sent and received so far.
+    #[must_use]
+    pub fn transferred_bytes(&self) -> u64 {
+        self.bytes.get()
+    }
+
+    /// Sends `payload` and waits for the reply, at most `timeout_ms`.
+    ///
+    /// # Errors
+    ///
+    /// Fails with [`CallError::NotSent`] only where the peer can't have got the call.
+    pub async fn call(&self, payload: &[u8], timeout_ms: u64) -> Result<Bytes, CallError> {
+        let (outgoing, waiting) = self.connect().await?;
+        let id = self.next_id.get();
+        self.next_id.set(id + 1);
+        let (sender, receiver) = oneshot::channel();
+        waiting.borrow_mut().insert(id, sender);
+        if outgoing.try_send(frame(id, payload)).is_err() {
+            waiting.borrow_mut().remove(&id);
+            return Err(CallError::NotSent);
+        }
+        self.count(payload.len());
+        let reply = tokio::time::timeout(Duration::from_millis(timeout_ms), receiver).await;
+        waiting.borrow_mut().remove(&id);
+        match reply {
+            Ok(Ok(bytes)) => {
+                self.count(bytes.len());
+                Ok(bytes)
+            }
+            Ok(Err(_)) | Err(_) => Err(CallError::NoReply),
+        }
+    }
+
+    fn count(&self, payload_bytes: usize) {
+        let framed = payload_bytes + CORRELATION_BYTES + 4;
+        self.bytes.set(self.bytes.get() + framed as u64);
+    }
+
+    async fn connect(&self) -> Result<(mpsc::Sender<Bytes>, Waiting), CallError> {
+        if let Some(link) = self.link.borrow().as_ref()
+            && !link.outgoing.is_closed()
+        {
+            return Ok((link.outgoing.clone(), Rc::clone(&link.waiting)));
+        }
+        let limit = Duration::from_millis(self.options.connect_timeout_ms);
+        let connected = tokio::time::timeout(limit, TcpStream::connect(self.address)).await;
+        let Ok(Ok(stream)) = connected else {
+            return Err(CallError::NotSent);
+        };
+        let _ = stream.set_nodelay(true);
+        let (outgoing, frames) = mpsc::channel(self.options.queue_frames);
+        let waiting = Waiting::default();
+        actix_rt::spawn(run_link(stream, frames, Rc::clone(&waiting)));
+        *self.link.borrow_mut() = Some(Link {
+            outgoing: outgoing.clone(),
+            waiting: Rc::clone(&waiting),
+        });
+        Ok((outgoing, waiting))
+    }
+}
+
+async fn run_link(stream: TcpStream, mut frames: mpsc::Receiver<Bytes>, waiting: Waiting) {
+    let mut link = Framed::new(stream, codec());
+    loop {
+        tokio::select! {
+            frame = frames.recv() => {
+                let Some(frame) = frame else { break };
+                if link.send(frame).await.is_err() {
+                    break;
+                }
+            }
+            received = link.next() => {
+                let Some(Ok(frame)) = received else { break };
+                let Some((id, payload)) = split(frame) else { break };
+                let sender = waiting.borrow_mut().remove(&id);
+                if let Some(sender) = sender {
+                    let _ = sender.send(payload);
+                }
+            }
+        }
+    }
+    // Dropping the senders tells every waiting call that its reply is lost.
+    frames.close();
+    waiting.borrow_mut().clear();
+}
+
+/// Accepts links on `listener` and answers each call by `handler`, until the task is dropped.
+///
+/// # Errors
+///
+/// Fails where the listener can't be handed to the runtime.
+pub async fn serve_peers<F, R>(listener: TcpListener, handler: F) -> std::io::Result<()>
+where
+    F: Fn(Bytes) -> R + Clone + 'static,
+    R: Future<Output = Bytes> + 'static,
+{
+    listener.set_nonblocking(true)?;
+    let listener = tokio::net::TcpListener::from_std(listener)?;
+    loop {
+        let Ok((stream, _address)) = listener.accept().await else {
+            actix_rt::time::sleep(Duration::from_millis(10)).await;
+            continue;
+        };
+        let _ = stream.set_nodelay(true);
+        actix_rt::spawn(serve_link(stream, handler.clone()));
+    }
+}
+
+async fn serve_link<F, R>(stream: TcpStream, handler: F)
+where
+    F: Fn(Bytes) -> R + Clone + 'static,
+    R: Future<Output = Bytes> + 'static,
+{
+    let (mut sink, mut source) = Framed::new(stream, codec()).split();
+    let (replies, mut outgoing) = mpsc::unbounded_channel::<Bytes>();
+    let writer = actix_rt::spawn(async move {
+        while let Some(reply) = outgoing.recv().await {
+            if sink.send(reply).await.is_err() {
+                break;
+            }
+        }
+    });
+    while let Some(Ok(received)) = source.next().await {
+        let Some((id, payload)) = split(received) else {
+            break;
+        };
+        let replies = replies.clone();
+        let answered = handler(payload);
+        actix_rt::spawn(async move {
+            let _ = replies.send(frame(id, &answered.await));
+        });
+    }
+    writer.abort();
+}
+
+fn codec() -> LengthDelimitedCodec {
+    LengthDelimitedCodec::builder()
+        .max_frame_length(FRAME_LIMIT_BYTES)
+        .new_codec()
+}
+
+fn frame(id: u64, payload: &[u8]) -> Bytes {
+    let mut frame = BytesMut::with_capacity(CORRELATION_BYTES + payload.len());
+    frame.put_u64(id);
+    frame.put_slice(payload);
+    frame.freeze()
+}
+
+fn split(mut frame: BytesMut) -> Option<(u64, Bytes)> {
+    if frame.len() < CORRELATION_BYTES {
+        return None;
+    }
+    let id = frame.get_u64();
+    Some((id, frame.freeze()))
+}
--- /dev/null
+++ b/crates/obs/src/events.rs
@@ -0,0 +1,77 @@
+//! The numbered log events; `docs/EVENTS.md` is their catalogue.
+
+use std::fmt;
+
+use spdlog::Level;
+
+/// One kind of log event.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Event {
+    /// Its number, which never changes its meaning.
+    pub code: u16,
+    /// How much it matters.
+    pub level: Level,
+    /// What happened.
+    pub text: &'static str,
+}
+
+/// Writes an event to the log with what is particular to this time.
+pub fn emit(event: Event, detail: fmt::Arguments<'_>) {
+    spdlog::log!(
+        event.level,
+        "SYC{:04} {}: {}",
+        event.code,
+        event.text,
+        detail
+    );
+}
+
+macro_rules! events {
+    ($($(#[$doc:meta])* $name:ident = $code:literal, $level:ident, $text:literal;)*) => {
+        /// The events themselves.
+        pub mod catalogue {
+            use super::Event;
+            use super::Level;
+
+            $($(#[$doc])* pub const $name: Event = Event {
+                code: $code,
+                level: Level::$level,
+                text: $text,
+            };)*
+        }
+
+        /// Every event, by number.
+        pub const ALL: &[Event] = &[$(catalogue::$name),*];
+    };
+}
+
+events! {
+    /// The daemon listens on all its addresses.
+    STARTED = 100, Info, "daemon started";
+    /// A planned stop began.
+    DRAINING = 101, Info, "planned stop began";
+    /// The daemon ended in an orderly way.
+    STOPPED = 102, Info, "daemon stopped";
+    /// A planned stop took longer than its limit.
+    DRAIN_LIMIT = 103, Warn, "planned stop gave up on requests in progress";
+    /// A configuration document came into force.
+    CONFIG_APPLIED = 200, Info, "configuration in force";
+    /// A published document was refused by the log's order.
+    CONFIG_REFUSED = 201, Warn, "configuration refused";
+    /// A record of the log can't be read.
+    RECORD_UNREADABLE = 202, Error, "unreadable log record skipped";
+    /// The log does not answer.
+    LOG_UNAVAILABLE = 300, Warn, "log unavailable";
+    /// The log answers again.
+    LOG_AVAILABLE = 301, Info, "log available again";
+    /// An append's fate is not known.
+    APPEND_IN_DOUBT = 302, Warn, "append in doubt";
+    /// A job was accepted.
+    JOB_ACCEPTED = 400, Info, "job accepted";
+    /// A job ended.
+    JOB_ENDED = 401, Info, "job ended";
+    /// A worker did not do as commanded.
+    WORKER_FAULT = 402, Warn, "worker did not do as commanded";
+    /// A peer did not answer.
+    PEER_SILENT = 500, Warn, "peer did not answer";
+}
--- /dev/null
+++ b/crates/platform/src/types.rs
@@ -0,0 +1,188 @@
+//! What the platform's services exchange, in their published JSON form.
+
+use bytes::Bytes;
+use serde::Deserialize;
+use serde::Serialize;
+use smol_str::SmolStr;
+use syc_types::Epoch;
+use syc_types::Resources;
+use syc_types::TaskOutcome;
+use syc_types::TaskRef;
+
+/// Header that names the request towards an endpoint.
+pub const REQUEST_ID_HEADER: &str = "x-request-id";
+
+/// Header by which an endpoint says that it did not act on the request.
+pub const NOT_RUN_HEADER: &str = "x-not-run";
+
+/// Value of [`NOT_RUN_HEADER`] of an endpoint that is leaving.
+pub const NOT_RUN_DRAINING: &str = "draining";
+
+/// One entry of the log.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LogEntry {
+    /// Position in the log.
+    pub offset: u64,
+    /// When the log took it, in its own milliseconds.
+    pub at_ms: u64,
+    /// The entry's bytes, in base64.
+    pub data: String,
+}
+
+/// Entries read from the log.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LogPage {
+    /// The entries, by offset.
+    pub entries: Vec<LogEntry>,
+    /// The offset that the next append will get.
+    pub end: u64,
+    /// The oldest offset that can still be read.
+    pub oldest: u64,
+}
+
+/// The log's answer to an append.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Appended {
+    /// Offset of the new entry.
+    pub offset: u64,
+}
+
+/// What the platform says of a VM.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum VmState {
+    /// The VM is there.
+    Live,
+    /// The VM will be gone soon.
+    Leaving,
+}
+
+/// One VM of the platform's list.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Vm {
+    /// The VM's name; endpoints and workers carry the name of their VM.
+    pub name: SmolStr,
+    /// Whether it stays.
+    pub state: VmState,
+}
+
+/// Starts a task on a worker.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StartTask {
+    /// The task.
+    pub task: TaskRef,
+    /// Which attempt at the task this is.
+    pub attempt: u32,
+    /// The commanding owner's epoch.
+    pub epoch: Epoch,
+    /// Time after which the task stops unless its lease is renewed.
+    pub lease_ms: u64,
+    /// What the task is granted.
+    pub resources: Resources,
+    /// Declared run time; 0 for a task that runs until it is stopped.
+    pub run_time_ms: u64,
+    /// What the task works on.
+    pub payload: SmolStr,
+}
+
+/// Renews the leases of a worker's tasks and asks for news.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PollRequest {
+    /// The polling owner's epoch.
+    pub epoch: Epoch,
+    /// New length of every lease on the worker.
+    pub lease_ms: u64,
+    /// Time that the worker may hold the answer while nothing ends.
+    pub wait_ms: u64,
+    /// Results that are safe and may be forgotten.
+    pub acknowledged: Vec<TaskRef>,
+}
+
+/// A task that runs on a worker.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RunningTask {
+    /// The task.
+    pub task: TaskRef,
+    /// Which attempt it is.
+    pub attempt: u32,
+    /// What it was granted.
+    pub granted: Resources,
+    /// What it used when last looked at.
+    pub used: Resources,
+}
+
+/// A task that ended on a worker and is not yet acknowledged.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FinishedTask {
+    /// The task.
+    pub task: TaskRef,
+    /// Which attempt it was.
+    pub attempt: u32,
+    /// How it ended.
+    pub outcome: TaskOutcome,
+    /// How long it ran.
+    pub ran_ms: u64,
+}
+
+/// A worker's news.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PollReply {
+    /// Everything that runs.
+    pub running: Vec<RunningTask>,
+    /// Everything that ended and is not acknowledged.
+    pub finished: Vec<FinishedTask>,
+}
+
+/// What to do with a task.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum TaskAction {
+    /// End it.
+    Stop,
+    /// Save its progress and end it.
+    Checkpoint,
+    /// Slow it down.
+    Throttle,
+}
+
+/// Commands something of a task.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TaskCommand {
+    /// The task.
+    pub task: TaskRef,
+    /// The commanding owner's epoch.
+    pub epoch: Epoch,
+    /// What to do.
+    pub action: TaskAction,
+}
+
+/// A worker's refusal.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WorkerRefusal {
+    /// The latest epoch that the worker has seen.
+    pub epoch: Epoch,
+    /// Why it refused.
+    pub reason: SmolStr,
+}
+
+/// A request on its way to an endpoint.
+#[derive(Debug, Clone)]
+pub struct EndpointCall {
+    /// The path below the service.
+    pub path: String,
+    /// The request's id as text.
+    pub request_id: String,
+    /// The request's body.
+    pub body: Bytes,
+    /// Time that the answer may take.
+    pub timeout_ms: u64,
+}
+
+/// An endpoint's whole answer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct EndpointAnswer {
+    /// Status code.
+    pub status: u16,
+    /// The whole body.
+    pub body: Bytes,
+}
--- /dev/null
+++ b/crates/standin/src/worker.rs
@@ -0,0 +1,381 @@
+//! A worker: capacity, tasks under leases, usage with a lag, checkpoint, throttle and stop.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+use std::time::Instant;
+
+use actix_http::Request;
+use actix_http::Response;
+use actix_http::StatusCode;
+use actix_http::body::BoxBody;
+use smol_str::SmolStr;
+use smol_str::format_smolstr;
+use syc_net::HttpListener;
+use syc_platform::types::FinishedTask;
+use syc_platform::types::PollReply;
+use syc_platform::types::PollRequest;
+use syc_platform::types::RunningTask;
+use syc_platform::types::StartTask;
+use syc_platform::types::TaskAction;
+use syc_platform::types::TaskCommand;
+use syc_platform::types::WorkerRefusal;
+use syc_types::Epoch;
+use syc_types::Resources;
+use syc_types::TaskOutcome;
+use syc_types::TaskRef;
+use tokio::sync::Notify;
+
+use crate::executions::Executions;
+use crate::executions::lock;
+use crate::reply;
+
+/// How much longer a throttled task takes.
+const THROTTLE_FACTOR: u32 = 2;
+
+/// What a worker is like.
+#[derive(Debug, Clone, Copy)]
+pub struct WorkerOptions {
+    /// What it has.
+    pub capacity: Resources,
+    /// Age of the usage that it reports.
+    pub usage_lag_ms: u64,
+    /// Whether every task that it starts fails at once.
+    pub fails_all: bool,
+}
+
+impl Default for WorkerOptions {
+    fn default() -> Self {
+        Self {
+            capacity: Resources::ZERO,
+            usage_lag_ms: 500,
+            fails_all: false,
+        }
+    }
+}
+
+/// What a worker saw.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct WorkerCounts {
+    /// What its tasks were granted when that was most.
+    pub peak_granted: Resources,
+    /// Starts that would have given it more than it has.
+    pub over_given: u64,
+    /// Commands of an epoch that is past.
+    pub stale_commands: u64,
+    /// Tasks that it stopped because their lease lapsed.
+    pub lapsed: u64,
+    /// Bytes of memory times milliseconds that its tasks held.
+    pub memory_byte_ms: u128,
+    /// Thousandths of a core times milliseconds that its tasks held.
+    pub cpu_milli_ms: u128,
+}
+
+#[derive(Debug)]
+struct Running {
+    start: StartTask,
+    began: Instant,
+    ends: Option<Instant>,
+    lease_until: Instant,
+}
+
+#[derive(Debug)]
+struct State {
+    options: WorkerOptions,
+    epoch: Epoch,
+    running: HashMap<TaskRef, Running>,
+    finished: HashMap<TaskRef, FinishedTask>,
+    counts: WorkerCounts,
+    executions: Executions<TaskRef>,
+}
+
+/// A worker on a loopback port.
+#[derive(Debug)]
+pub struct WorkerStandIn {
+    address: String,
+    state: Arc<Mutex<State>>,
+    changed: Arc<Notify>,
+    _listener: HttpListener,
+    ticking: actix_rt::task::JoinHandle<()>,
+}
+
+impl WorkerStandIn {
+    /// Starts it on the current arbiter.
+    ///
+    /// # Errors
+    ///
+    /// Fails where no socket can be opened.
+    pub fn start(options: WorkerOptions, executions: Executions<TaskRef>) -> std::io::Result<Self> {
+        let state = Arc::new(Mutex::new(State {
+            options,
+            epoch: Epoch(0),
+            running: HashMap::new(),
+            finished: HashMap::new(),
+            counts: WorkerCounts::default(),
+            executions,
+        }));
+        let changed = Arc::new(Notify::new());
+        let shared = Arc::clone(&state);
+        let notify = Arc::clone(&changed);
+        let (listener, address) = reply::listen(move |request| {
+            answer(Arc::clone(&shared), Arc::clone(&notify), request)
+        })?;
+        let ticking = actix_rt::spawn(tick(Arc::clone(&state), Arc::clone(&changed)));
+        Ok(Self {
+            address,
+            state,
+            changed,
+            _listener: listener,
+            ticking,
+        })
+    }
+
+    /// Returns its address.
+    #[must_use]
+    pub fn address(&self) -> &str {
+        &self.address
+    }
+
+    /// Returns what it saw.
+    #[must_use]
+    pub fn counts(&self) -> WorkerCounts {
+        lock(&self.state).counts
+    }
+
+    /// Returns the number of tasks that run.
+    #[must_use]
+    pub fn running(&self) -> usize {
+        lock(&self.state).running.len()
+    }
+
+    /// Makes it fail every task from now on, or work again.
+    pub fn set_fails_all(&self, fails_all: bool) {
+        lock(&self.state).options.fails_all = fails_all;
+        self.changed.notify_waiters();
+    }
+}
+
+impl Drop for WorkerStandIn {
+    fn drop(&mut self) {
+        self.ticking.abort();
+    }
+}
+
+async fn tick(state: Arc<Mutex<State>>, changed: Arc<Notify>) {
+    loop {
+        actix_rt::time::sleep(Duration::from_millis(5)).await;
+        if lock(&state).end_due(Instant::now()) {
+            changed.notify_waiters();
+        }
+    }
+}
+
+async fn answer(
+    state: Arc<Mutex<State>>,
+    changed: Arc<Notify>,
+    mut request: Request,
+) -> Response<BoxBody> {
+    let path = request.path().to_owned();
+    let bad = || reply::empty(StatusCode::BAD_REQUEST);
+    match path.as_str() {
+        "/tasks" => match reply::read::<StartTask>(&mut request).await {
+            Some(start) => lock(&state).start(start),
+            None => bad(),
+        },
+        "/command" => match reply::read::<TaskCommand>(&mut request).await {
+            Some(command) => {
+                let response = lock(&state).command(&command);
+                changed.notify_waiters();
+                response
+            }
+            None => bad(),
+        },
+        "/poll" => match reply::read::<PollRequest>(&mut request).await {
+            Some(poll) => poll_tasks(&state, &changed, &poll).await,
+            None => bad(),
+        },
+        _ => reply::empty(StatusCode::NOT_FOUND),
+    }
+}
+
+async fn poll_tasks(
+    state: &Arc<Mutex<State>>,
+    changed: &Arc<Notify>,
+    poll: &PollRequest,
+) -> Response<BoxBody> {
+    let until = Instant::now() + Duration::from_millis(poll.wait_ms);
+    if let Some(refused) = lock(state).renew(poll) {
+        return refused;
+    }
+    loop {
+        let news = changed.notified();
+        let now = Instant::now();
+        let reply_now = {
+            let state = lock(state);
+            !state.finished.is_empty() || now >= until
+        };
+        if reply_now {
+            return reply::json(StatusCode::OK, &lock(state).report(now));
+        }
+        let _ = tokio::time::timeout(until - now, news).await;
+    }
+}
+
+impl State {
+    fn granted(&self) -> Resources {
+        let mut sum = Resources::ZERO;
+        for running in self.running.values() {
+            sum = sum.checked_add(&running.start.resources).unwrap_or(sum);
+        }
+        sum
+    }
+
+    fn stale(&mut self, epoch: Epoch) -> Option<Response<BoxBody>> {
+        if epoch >= self.epoch {
+            self.epoch = epoch;
+            return None;
+        }
+        self.counts.stale_commands += 1;
+        Some(self.refuse(StatusCode::PRECONDITION_FAILED, "stale epoch"))
+    }
+
+    fn refuse(&self, status: StatusCode, reason: &str) -> Response<BoxBody> {
+        let refusal = WorkerRefusal {
+            epoch: self.epoch,
+            reason: SmolStr::new(reason),
+        };
+        reply::json(status, &refusal)
+    }
+
+    fn start(&mut self, start: StartTask) -> Response<BoxBody> {
+        if let Some(refused) = self.stale(start.epoch) {
+            return refused;
+        }
+        if self.running.contains_key(&start.task) {
+            return reply::empty(StatusCode::OK);
+        }
+        let total = self.granted().checked_add(&start.resources);
+        let Ok(total) = total else {
+            return self.refuse(StatusCode::CONFLICT, "over capacity");
+        };
+        if !total.fits_in(&self.options.capacity) {
+            self.counts.over_given += 1;
+            return self.refuse(StatusCode::CONFLICT, "over capacity");
+        }
+        let peak = &mut self.counts.peak_granted;
+        peak.cpu_millis = peak.cpu_millis.max(total.cpu_millis);
+        peak.memory_bytes = peak.memory_bytes.max(total.memory_bytes);
+        peak.accelerators = peak.accelerators.max(total.accelerators);
+        let now = Instant::now();
+        let run_time = Duration::from_millis(start.run_time_ms);
+        self.executions.begin(start.task);
+        self.running.insert(
+            start.task,
+            Running {
+                began: now,
+                ends: (start.run_time_ms > 0).then(|| now + run_time),
+                lease_until: now + Duration::from_millis(start.lease_ms),
+                start,
+            },
+        );
+        reply::empty(StatusCode::OK)
+    }
+
+    fn command(&mut self, command: &TaskCommand) -> Response<BoxBody> {
+        if let Some(refused) = self.stale(command.epoch) {
+            return refused;
+        }
+        match command.action {
+            TaskAction::Stop | TaskAction::Checkpoint => {
+                self.end(command.task, Instant::now(), Some(TaskOutcome::Cancelled));
+            }
+            TaskAction::Throttle => {
+                if let Some(running) = self.running.get_mut(&command.task) {
+                    let now = Instant::now();
+                    let slower = |ends: Instant| now + (ends - now) * THROTTLE_FACTOR;
+                    running.ends = running.ends.map(slower);
+                }
+            }
+        }
+        reply::empty(StatusCode::OK)
+    }
+
+    fn renew(&mut self, poll: &PollRequest) -> Option<Response<BoxBody>> {
+        if let Some(refused) = self.stale(poll.epoch) {
+            return Some(refused);
+        }
+        let until = Instant::now() + Duration::from_millis(poll.lease_ms);
+        for running in self.running.values_mut() {
+            running.lease_until = until;
+        }
+        for task in &poll.acknowledged {
+            self.finished.remove(task);
+        }
+        None
+    }
+
+    fn report(&self, now: Instant) -> PollReply {
+        let lag = Duration::from_millis(self.options.usage_lag_ms);
+        let mut report = PollReply::default();
+        for (task, running) in &self.running {
+            let seen = now.duration_since(running.began) >= lag;
+            report.running.push(RunningTask {
+                task: *task,
+                attempt: running.start.attempt,
+                granted: running.start.resources,
+                used: if seen {
+                    running.start.resources
+                } else {
+                    Resources::ZERO
+                },
+            });
+        }
+        report.finished = self.finished.values().cloned().collect();
+        report
+    }
+
+    fn end_due(&mut self, now: Instant) -> bool {
+        let mut due = Vec::new();
+        for (task, running) in &self.running {
+            if running.lease_until <= now {
+                due.push((*task, None));
+            } else if self.options.fails_all {
+                let reason = SmolStr::new("worker fails everything");
+                due.push((*task, Some(TaskOutcome::Failed(reason))));
+            } else if running.ends.is_some_and(|ends| ends <= now) {
+                let result = format_smolstr!("result:{}", running.start.payload);
+                due.push((*task, Some(TaskOutcome::Done(result))));
+            }
+        }
+        let any = !due.is_empty();
+        for (task, outcome) in due {
+            if outcome.is_none() {
+                self.counts.lapsed += 1;
+            }
+            self.end(task, now, outcome);
+        }
+        any
+    }
+
+    fn end(&mut self, task: TaskRef, now: Instant, outcome: Option<TaskOutcome>) {
+        let Some(running) = self.running.remove(&task) else {
+            return;
+        };
+        self.executions.end(&task);
+        let ran = now.duration_since(running.began).as_millis();
+        let held = running.start.resources;
+        self.counts.memory_byte_ms += u128::from(held.memory_bytes) * ran;
+        self.counts.cpu_milli_ms += u128::from(held.cpu_millis) * ran;
+        let Some(outcome) = outcome else { return };
+        self.finished.insert(
+            task,
+            FinishedTask {
+                task,
+                attempt: running.start.attempt,
+                outcome,
+                ran_ms: u64::try_from(ran).unwrap_or(u64::MAX),
+            },
+        );
+    }
+}
--- /dev/null
+++ b/crates/types/src/resources.rs
@@ -0,0 +1,87 @@
+//! Amounts of processor, memory and accelerators, in integers with checked arithmetic.
+
+use serde::Deserialize;
+use serde::Serialize;
+use thiserror::Error;
+
+/// An amount of each kind of resource that workers have and tasks ask for.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Resources {
+    /// Processor time, in thousandths of a core.
+    pub cpu_millis: u64,
+    /// Memory, in bytes.
+    pub memory_bytes: u64,
+    /// Whole accelerators.
+    #[serde(default)]
+    pub accelerators: u32,
+}
+
+/// Says why an amount could not be computed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
+pub enum ResourceError {
+    /// The sum does not fit its integer.
+    #[error("resource amount overflows")]
+    Overflow,
+    /// More was taken away than there was.
+    #[error("resource amount falls below zero")]
+    Underflow,
+}
+
+impl Resources {
+    /// Nothing of any kind.
+    pub const ZERO: Self = Self {
+        cpu_millis: 0,
+        memory_bytes: 0,
+        accelerators: 0,
+    };
+
+    /// Says whether this amount fits in `room` in every kind.
+    #[must_use]
+    pub fn fits_in(&self, room: &Self) -> bool {
+        self.cpu_millis <= room.cpu_millis
+            && self.memory_bytes <= room.memory_bytes
+            && self.accelerators <= room.accelerators
+    }
+
+    /// Adds `other`.
+    ///
+    /// # Errors
+    ///
+    /// Fails with [`ResourceError::Overflow`] where a kind does not fit its integer.
+    pub fn checked_add(&self, other: &Self) -> Result<Self, ResourceError> {
+        let sum = || {
+            Some(Self {
+                cpu_millis: self.cpu_millis.checked_add(other.cpu_millis)?,
+                memory_bytes: self.memory_bytes.checked_add(other.memory_bytes)?,
+                accelerators: self.accelerators.checked_add(other.accelerators)?,
+            })
+        };
+        sum().ok_or(ResourceError::Overflow)
+    }
+
+    /// Subtracts `other`.
+    ///
+    /// # Errors
+    ///
+    /// Fails with [`ResourceError::Underflow`] where a kind has less than is taken away.
+    pub fn checked_sub(&self, other: &Self) -> Result<Self, ResourceError> {
+        let difference = || {
+            Some(Self {
+                cpu_millis: self.cpu_millis.checked_sub(other.cpu_millis)?,
+                memory_bytes: self.memory_bytes.checked_sub(other.memory_bytes)?,
+                accelerators: self.accelerators.checked_sub(other.accelerators)?,
+            })
+        };
+        difference().ok_or(ResourceError::Underflow)
+    }
+
+    /// Subtracts `other`, stopping at zero in each kind.
+    #[must_use]
+    pub fn saturating_sub(&self, other: &Self) -> Self {
+        Self {
+            cpu_millis: self.cpu_millis.saturating_sub(other.cpu_millis),
+            memory_bytes: self.memory_bytes.saturating_sub(other.memory_bytes),
+            accelerators: self.accelerators.saturating_sub(other.accelerators),
+        }
+    }
+}
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,25 @@
+//! Wire types of the protocol between the daemons.
+//!
+//! The types here are what is encoded; `From` and `TryFrom` lead to and from the types that the
+//! decisions use, so that a change of either does not silently change the other. They are derived
+//! by hand with `prost`, so the build needs no generator.
+
+mod error;
+pub mod job;
+mod message;
+mod request;
+
+pub use error::DecodeError;
+pub use job::JobQuery;
+pub use job::JobState;
+pub use job::Offer;
+pub use job::OfferReply;
+pub use job::Submit;
+pub use job::SubmitReply;
+pub use job::TaskDone;
+pub use job::WireSpec;
+pub use message::Ack;
+pub use message::Body;
+pub use message::Message;
+pub use request::RunReply;
+pub use request::RunRequest;
--- /dev/null
+++ b/crates/wire/src/message.rs
@@ -0,0 +1,97 @@
+//! The envelope that every exchange between daemons travels in.
+
+use bytes::Bytes;
+use prost::Message as _;
+
+use crate::DecodeError;
+use crate::job::JobQuery;
+use crate::job::JobState;
+use crate::job::Offer;
+use crate::job::OfferReply;
+use crate::job::Submit;
+use crate::job::SubmitReply;
+use crate::job::TaskDone;
+use crate::request::RunReply;
+use crate::request::RunRequest;
+
+/// One message, a call or its reply.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Message {
+    /// The epoch in which the sender acts.
+    #[prost(uint64, tag = "1")]
+    pub epoch: u64,
+    /// What is asked or answered.
+    #[prost(oneof = "Body", tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11")]
+    pub body: Option<Body>,
+}
+
+/// The content of a message.
+#[derive(Clone, PartialEq, prost::Oneof)]
+pub enum Body {
+    /// Accept a job (to its home).
+    #[prost(message, tag = "2")]
+    Submit(Submit),
+    /// Answer to [`Body::Submit`].
+    #[prost(message, tag = "3")]
+    SubmitReply(SubmitReply),
+    /// Place tasks (home to owner).
+    #[prost(message, tag = "4")]
+    Offer(Offer),
+    /// Answer to [`Body::Offer`].
+    #[prost(message, tag = "5")]
+    OfferReply(OfferReply),
+    /// A task ended (owner to home).
+    #[prost(message, tag = "6")]
+    TaskDone(TaskDone),
+    /// Received and kept.
+    #[prost(message, tag = "7")]
+    Ack(Ack),
+    /// Ask for a job's state (to its home).
+    #[prost(message, tag = "8")]
+    JobQuery(JobQuery),
+    /// Answer to [`Body::JobQuery`].
+    #[prost(message, tag = "9")]
+    JobState(JobState),
+    /// Run a non-idempotent request (to its home).
+    #[prost(message, tag = "10")]
+    RunRequest(RunRequest),
+    /// Answer to [`Body::RunRequest`].
+    #[prost(message, tag = "11")]
+    RunReply(RunReply),
+}
+
+/// An empty acknowledgement.
+#[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
+pub struct Ack {
+    /// Whether the sender may forget what it sent.
+    #[prost(bool, tag = "1")]
+    pub accepted: bool,
+}
+
+impl Message {
+    /// Makes a message.
+    #[must_use]
+    pub const fn new(epoch: u64, body: Body) -> Self {
+        Self {
+            epoch,
+            body: Some(body),
+        }
+    }
+
+    /// Encodes the message.
+    #[must_use]
+    pub fn to_bytes(&self) -> Bytes {
+        self.encode_to_vec().into()
+    }
+
+    /// Decodes a message and requires a known body.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the bytes are no message, or one without a body of this version.
+    pub fn from_bytes(bytes: Bytes) -> Result<(u64, Body), DecodeError> {
+        let message = Self::decode(bytes)?;
+        let body = message.body.ok_or(DecodeError::NoBody)?;
+        Ok((message.epoch, body))
+    }
+}
