Give each kind of record one module that applies it

Cause: the follower decided what every record means, so that work on views, homes and publishing would meet in one file. Change: records carry the writer's time; view, audit, cancellation and tombstone records exist; `publish`, `members` and `home` each apply their own. `members::may_act` is asked before a start and an acceptance.

--- a/crates/coord/src/records.rs
+++ b/crates/coord/src/records.rs
@@ -4,6 +4,8 @@
 use serde::Serialize;
 use smol_str::SmolStr;
 use syc_config::Document;
+use syc_member::Member;
+use syc_types::Epoch;
 use syc_types::JobId;
 use syc_types::JobSpec;
 use syc_types::Revision;
@@ -23,6 +25,9 @@
 pub struct Record {
     /// Identifies the record; a second record of the same id changes nothing.
     pub id: Uuid,
+    /// When it was written, on the writer's wall clock, in Unix milliseconds; for people only.
+    #[serde(default)]
+    pub at_ms: u64,
     /// What it says.
     #[serde(flatten)]
     pub content: Content,
@@ -46,6 +51,20 @@
         /// The task.
         task: TaskRef,
     },
+    /// A job is to be ended, whatever its state.
+    JobCancelled {
+        /// The job.
+        job_id: JobId,
+    },
+    /// The member list changes, if `base` is the epoch in force when the log's order reaches it.
+    View(ViewRecord),
+    /// An operator did something that is no configuration.
+    Audit(AuditRecord),
+    /// The record of this id is not to count, should it still appear.
+    Tombstone {
+        /// The record's id.
+        of: Uuid,
+    },
     /// A task ended.
     TaskEnded {
         /// The task.
@@ -66,6 +85,26 @@
     pub document: Document,
 }
 
+/// A change of the member list.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ViewRecord {
+    /// The epoch that the proposer had seen; the new one is the next.
+    pub base: Epoch,
+    /// The members of the new view.
+    pub members: Vec<Member>,
+}
+
+/// Something that an operator did.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AuditRecord {
+    /// Who did it.
+    pub actor: SmolStr,
+    /// What was done, as a stable code.
+    pub action: SmolStr,
+    /// To what, and what came of it.
+    pub detail: SmolStr,
+}
+
 impl Group {
     /// Encodes the group for the log.
     ///
--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -1,7 +1,6 @@
 //! The operators' address: configuration and status.
 
 use std::rc::Rc;
-use std::time::Duration;
 
 use actix_http::HttpMessage;
 use actix_http::Method;
@@ -13,26 +12,19 @@
 use subtle::ConstantTimeEq;
 use syc_api::ConfigEntry;
 use syc_api::ErrorBody;
-use syc_api::PublishAnswer;
+use syc_api::Outcome;
 use syc_api::PublishBody;
 use syc_api::TOKEN_HEADER;
-use syc_coord::Verdict;
-use syc_coord::records::ConfigRecord;
-use syc_coord::records::Content;
-use syc_coord::records::Record;
-use syc_platform::AppendError;
 
 use crate::http_body::json;
 use crate::http_body::read_json;
 use crate::http_body::refusal;
 use crate::node::Node;
+use crate::publish;
 
 /// Largest document that can be published.
 const DOCUMENT_LIMIT_BYTES: usize = 4 * 1024 * 1024;
 
-/// Time that a publication waits for its verdict.
-const VERDICT_TIMEOUT: Duration = Duration::from_secs(5);
-
 /// Answers one request of an operator's tool.
 pub async fn answer(node: Rc<Node>, mut request: Request) -> Response<BoxBody> {
     let path = request.path().to_owned();
@@ -108,46 +100,15 @@
         Ok(body) => body,
         Err(error) => return refusal(StatusCode::BAD_REQUEST, &error),
     };
-    let id = body.id;
-    let record = Record {
-        id,
-        content: Content::Config(ConfigRecord {
-            author: body.author,
-            base: body.base,
-            document: body.document,
-        }),
-    };
-    match node.log_writer.append_record(record).await {
-        Ok(_) | Err(AppendError::InDoubt(_)) => {}
-        Err(AppendError::Refused(reason)) => {
-            let body = ErrorBody::not_run("log_unavailable", &reason, Some(1_000));
-            return refusal(StatusCode::SERVICE_UNAVAILABLE, &body);
-        }
-    }
-    node.log_wake.notify_one();
-    let verdict = tokio::time::timeout(VERDICT_TIMEOUT, verdict(node, id)).await;
-    match verdict {
-        Ok(Verdict::Accepted(revision)) => json(StatusCode::OK, &PublishAnswer { revision }),
-        Ok(Verdict::Conflict(current)) => {
-            let message = format!("revision {} is in force", current.0);
-            let body = ErrorBody::not_run("conflict", &message, None);
-            refusal(StatusCode::CONFLICT, &body)
-        }
-        Err(_elapsed) => {
-            let message = "no verdict yet; publish again with the same id";
-            let body = ErrorBody::unknown("verdict_pending", message);
-            refusal(StatusCode::GATEWAY_TIMEOUT, &body)
-        }
-    }
-}
-
-async fn verdict(node: &Rc<Node>, id: uuid::Uuid) -> Verdict {
-    loop {
-        let applied = node.log_applied.notified();
-        let known = node.config.borrow().verdict(id).cloned();
-        if let Some(verdict) = known {
-            return verdict;
+    match publish::publish(node, body).await {
+        Ok(answer) => json(StatusCode::OK, &answer),
+        Err(error) => {
+            let status = match (error.outcome, error.code.as_str()) {
+                (_, "conflict") => StatusCode::CONFLICT,
+                (Outcome::NotRun, _) => StatusCode::SERVICE_UNAVAILABLE,
+                (Outcome::Unknown, _) => StatusCode::GATEWAY_TIMEOUT,
+            };
+            refusal(status, &error)
         }
-        applied.await;
     }
 }
--- a/crates/daemon/src/follower.rs
+++ b/crates/daemon/src/follower.rs
@@ -5,8 +5,6 @@
 
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
-use syc_coord::TaskState;
-use syc_coord::Verdict;
 use syc_coord::records::Content;
 use syc_coord::records::Group;
 use syc_coord::records::Record;
@@ -16,7 +14,10 @@
 use syc_platform::ReadError;
 use syc_platform::types::LogEntry;
 
+use crate::home;
+use crate::members;
 use crate::node::Node;
+use crate::publish;
 
 /// Most entries of one read.
 const PAGE_ENTRIES: u32 = 256;
@@ -86,36 +87,12 @@
 
 fn apply_record(node: &Rc<Node>, offset: u64, record: &Record) {
     match &record.content {
-        Content::Config(config) => {
-            let known = node.config.borrow().verdict(record.id).is_some();
-            let verdict = node.config.borrow_mut().apply(record.id, offset, config);
-            if known {
-                return;
-            }
-            let scope = config.document.scope();
-            match verdict {
-                Verdict::Accepted(revision) => {
-                    emit(
-                        catalogue::CONFIG_APPLIED,
-                        format_args!("scope={scope} revision={}", revision.0),
-                    );
-                    node.apply_document(&config.document);
-                }
-                Verdict::Conflict(current) => emit(
-                    catalogue::CONFIG_REFUSED,
-                    format_args!("scope={scope} base={} current={}", config.base.0, current.0),
-                ),
-            }
-        }
-        Content::JobAccepted { job_id, spec } => {
-            if node.jobs.borrow_mut().accept(*job_id, spec) {
-                node.jobs_wake.notify_one();
-            }
-        }
+        Content::Config(config) => publish::apply(node, record.id, offset, config),
+        Content::JobAccepted { job_id, spec } => home::apply_accepted(node, *job_id, spec),
         Content::Intent { task } => node.jobs.borrow_mut().intend(*task),
-        Content::TaskEnded { task, outcome } => {
-            let state = TaskState::Ended(outcome.clone());
-            node.jobs.borrow_mut().set(*task, state);
-        }
+        Content::TaskEnded { task, outcome } => home::apply_ended(node, *task, outcome),
+        Content::JobCancelled { job_id } => home::apply_cancelled(node, *job_id),
+        Content::View(view) => members::apply_view(node, view),
+        Content::Audit(_) | Content::Tombstone { .. } => {}
     }
 }
--- a/crates/daemon/src/home.rs
+++ b/crates/daemon/src/home.rs
@@ -25,6 +25,7 @@
 use syc_wire::SubmitReply;
 use syc_wire::TaskDone;
 
+use crate::members;
 use crate::node::Node;
 use crate::owner;
 use crate::owner::StartOrder;
@@ -99,6 +100,10 @@
 
 /// Accepts a job here: its record goes into the log first.
 pub async fn accept(node: &Rc<Node>, job_id: JobId, spec: &JobSpec) -> Result<(), ErrorBody> {
+    if !members::may_act(node) {
+        let message = "the team's home may not act now";
+        return Err(ErrorBody::not_run("not_acting", message, Some(1_000)));
+    }
     if node.jobs.borrow().get(job_id).is_some() {
         return Ok(());
     }
@@ -120,6 +125,34 @@
     }
 }
 
+/// Applies an acceptance that the log's order has reached.
+pub fn apply_accepted(node: &Rc<Node>, job_id: JobId, spec: &JobSpec) {
+    if node.jobs.borrow_mut().accept(job_id, spec) {
+        node.jobs_wake.notify_one();
+    }
+}
+
+/// Applies the end of a task that the log's order has reached.
+pub fn apply_ended(node: &Rc<Node>, task: TaskRef, outcome: &TaskOutcome) {
+    let state = TaskState::Ended(outcome.clone());
+    node.jobs.borrow_mut().set(task, state);
+}
+
+/// Applies a cancellation that the log's order has reached: tasks that wait end at once.
+pub fn apply_cancelled(node: &Rc<Node>, job_id: JobId) {
+    let mut jobs = node.jobs.borrow_mut();
+    let pending = jobs.get(job_id).map(Job::pending).unwrap_or_default();
+    for index in pending {
+        let task = TaskRef { job_id, index };
+        jobs.set(task, TaskState::Ended(TaskOutcome::Cancelled));
+    }
+}
+
+/// Looks again at what this daemon is the home of, after a change of the view.
+pub fn view_changed(node: &Rc<Node>) {
+    node.jobs_wake.notify_one();
+}
+
 /// Places pending tasks until the arbiter ends.
 pub async fn run(node: Rc<Node>) {
     loop {
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -10,9 +10,11 @@
 mod home;
 mod http_body;
 mod log_writer;
+mod members;
 mod node;
 mod owner;
 mod peers;
+mod publish;
 mod requests;
 
 pub use daemon::Daemon;
--- a/crates/daemon/src/log_writer.rs
+++ b/crates/daemon/src/log_writer.rs
@@ -3,6 +3,8 @@
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
 
 use bytes::Bytes;
 use syc_coord::records::Content;
@@ -47,8 +49,7 @@
 
     /// Appends a record with a new id and returns its offset.
     pub async fn append(&self, content: Content) -> Result<u64, AppendError> {
-        let id = Uuid::now_v7();
-        self.append_record(Record { id, content }).await
+        self.append_record(record(Uuid::now_v7(), content)).await
     }
 
     /// Appends a record and returns its offset.
@@ -64,6 +65,17 @@
     }
 }
 
+/// Makes a record that is written now.
+pub fn record(id: Uuid, content: Content) -> Record {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
+    let at_ms = since_epoch.map_or(0, |elapsed| elapsed.as_millis());
+    Record {
+        id,
+        at_ms: u64::try_from(at_ms).unwrap_or(u64::MAX),
+        content,
+    }
+}
+
 async fn run<L>(
     log: L,
     mut queue: mpsc::UnboundedReceiver<(Record, Reply)>,
--- a/crates/daemon/src/owner.rs
+++ b/crates/daemon/src/owner.rs
@@ -8,6 +8,7 @@
 
 use futures_util::future::join_all;
 use smol_str::SmolStr;
+use syc_config::Document;
 use syc_config::WorkerDoc;
 use syc_obs::catalogue;
 use syc_obs::emit;
@@ -25,6 +26,7 @@
 use syc_types::WorkerId;
 
 use crate::home;
+use crate::members;
 use crate::node::Node;
 
 /// Pause after a worker that can't be polled.
@@ -77,8 +79,22 @@
     }
 }
 
+/// Takes over the racks that the new view gives to this daemon.
+pub fn view_changed(node: &Rc<Node>) {
+    let mut workers = Vec::new();
+    for (_, in_force) in node.config.borrow().documents() {
+        if let Document::Inventory(inventory) = &in_force.document {
+            workers.extend(inventory.workers.iter().cloned());
+        }
+    }
+    apply_workers(node, &workers);
+}
+
 /// Starts all tasks of an order, or none; returns the worker of each.
 pub async fn start_tasks(node: &Rc<Node>, order: &StartOrder) -> Result<Vec<WorkerId>, SmolStr> {
+    if !members::may_act(node) {
+        return Err(SmolStr::new("not_acting"));
+    }
     let keys = grant_all(node, order)?;
     node.owner
         .specs
--- a/crates/member/src/view.rs
+++ b/crates/member/src/view.rs
@@ -1,5 +1,7 @@
 //! The ordered member list with its epoch, and ownership as a function of it.
 
+use serde::Deserialize;
+use serde::Serialize;
 use smol_str::SmolStr;
 use syc_types::Epoch;
 use syc_types::MemberId;
@@ -10,7 +12,7 @@
 use syc_types::hash;
 
 /// One daemon in the view.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Member {
     /// The daemon's incarnation.
     pub id: MemberId,
