Define the messages between homes and owners

Cause: homes and owners are to be built side by side and must agree. Change: reservations with commit, stops, the question of a new home and its answer with `settled`, the owner's load, and the attempt in a task's end. Owners refuse what they do not serve yet.

--- a/crates/daemon/src/home.rs
+++ b/crates/daemon/src/home.rs
@@ -268,6 +268,8 @@
         spec: (&order.spec).into(),
         indexes: order.indexes.clone(),
         attempt: order.attempt,
+        wait_ms: 0,
+        hold_ms: 0,
     });
     let reply = peers::call(node, owner, body, OFFER_TIMEOUT_MS).await;
     let Ok(Body::OfferReply(reply)) = reply else {
@@ -294,6 +296,7 @@
     node: &Rc<Node>,
     team: &TeamId,
     task: TaskRef,
+    attempt: u32,
     outcome: &TaskOutcome,
 ) -> bool {
     let Ok(home) = home_of(node, team) else {
@@ -302,7 +305,7 @@
     if home == node.id {
         return keep_end(node, task, outcome).await;
     }
-    let body = Body::TaskDone(TaskDone::new(task, outcome));
+    let body = Body::TaskDone(TaskDone::new(task, attempt, outcome));
     let reply = peers::call(node, &home, body, REPORT_TIMEOUT_MS).await;
     matches!(reply, Ok(Body::Ack(ack)) if ack.accepted)
 }
--- a/crates/daemon/src/owner.rs
+++ b/crates/daemon/src/owner.rs
@@ -225,6 +225,6 @@
     let team = spec.map(|spec| spec.team)?;
     // The capacity is free as soon as the task has ended, whatever becomes of its result.
     node.owner.ledger.borrow_mut().release(end.task);
-    let kept = home::report_end(node, &team, end.task, &end.outcome).await;
+    let kept = home::report_end(node, &team, end.task, end.attempt, &end.outcome).await;
     kept.then_some(end.task)
 }
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -85,6 +85,10 @@
             Body::JobState(syc_wire::JobState { json })
         }
         Body::RunRequest(run) => Body::RunReply(requests::run_for_peer(node, run).await?),
+        // Not yet served; the caller sees a refusal.
+        Body::HeldTasks(_) | Body::StopTasks(_) | Body::WhatRuns(_) | Body::RunningTasks(_) => {
+            Body::Ack(Ack { accepted: false })
+        }
         Body::SubmitReply(_)
         | Body::OfferReply(_)
         | Body::Ack(_)
--- a/crates/wire/src/job.rs
+++ b/crates/wire/src/job.rs
@@ -151,6 +151,91 @@
     /// Which attempt this is, from 1.
     #[prost(uint32, tag = "4")]
     pub attempt: u32,
+    /// Time that the owner may keep the tasks in its queue before it says that there is no room.
+    #[prost(uint64, tag = "5")]
+    pub wait_ms: u64,
+    /// Only reserve; [`HeldTasks`] follows, or the reservation lapses after this time. 0: start.
+    #[prost(uint64, tag = "6")]
+    pub hold_ms: u64,
+}
+
+/// Tells an owner to start tasks that it holds reservations for, or to give those up.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct HeldTasks {
+    /// The job's id, 16 bytes.
+    #[prost(bytes = "vec", tag = "1")]
+    pub job_id: Vec<u8>,
+    /// The attempt that the reservations are for.
+    #[prost(uint32, tag = "2")]
+    pub attempt: u32,
+    /// True to start, false to give up.
+    #[prost(bool, tag = "3")]
+    pub commit: bool,
+}
+
+/// Tells an owner to end tasks, running or queued.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct StopTasks {
+    /// The job's id, 16 bytes.
+    #[prost(bytes = "vec", tag = "1")]
+    pub job_id: Vec<u8>,
+    /// The tasks.
+    #[prost(uint32, repeated, tag = "2")]
+    pub indexes: Vec<u32>,
+}
+
+/// Asks an owner for the tasks of a team that it knows of; a new home asks every owner.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct WhatRuns {
+    /// The team.
+    #[prost(string, tag = "1")]
+    pub team: String,
+}
+
+/// Answer to [`WhatRuns`].
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct RunningTasks {
+    /// Whether every worker has told what it runs, or its leases have surely lapsed. A task that
+    /// no settled owner knows of runs nowhere.
+    #[prost(bool, tag = "1")]
+    pub settled: bool,
+    /// The tasks that run, or whose end is not yet kept.
+    #[prost(message, repeated, tag = "2")]
+    pub tasks: Vec<RunningTask>,
+}
+
+/// One task of [`RunningTasks`].
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct RunningTask {
+    /// The job's id, 16 bytes.
+    #[prost(bytes = "vec", tag = "1")]
+    pub job_id: Vec<u8>,
+    /// The task's position in the job.
+    #[prost(uint32, tag = "2")]
+    pub index: u32,
+    /// Which attempt runs.
+    #[prost(uint32, tag = "3")]
+    pub attempt: u32,
+    /// The worker.
+    #[prost(string, tag = "4")]
+    pub worker: String,
+}
+
+/// What an owner has to give; it travels in heartbeats.
+#[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
+pub struct OwnerLoad {
+    /// Thousandths of a core that no task holds, over all owned workers.
+    #[prost(uint64, tag = "1")]
+    pub free_cpu_millis: u64,
+    /// Bytes of memory that no task holds.
+    #[prost(uint64, tag = "2")]
+    pub free_memory_bytes: u64,
+    /// Accelerators that no task holds.
+    #[prost(uint64, tag = "3")]
+    pub free_accelerators: u64,
+    /// Tasks in the owner's queue.
+    #[prost(uint64, tag = "4")]
+    pub queued_tasks: u64,
 }
 
 /// Says which tasks an owner started.
@@ -173,18 +258,21 @@
     /// The task's position in the job.
     #[prost(uint32, tag = "2")]
     pub index: u32,
-    /// 0 done, 1 failed, 2 cancelled, 3 unknown.
+    /// 0 done, 1 failed, 2 cancelled, 3 unknown (the attempt has surely ended).
     #[prost(uint32, tag = "3")]
     pub outcome: u32,
     /// The result, or the reason of a failure.
     #[prost(string, tag = "4")]
     pub text: String,
+    /// Which attempt ended; the end of an earlier one changes nothing.
+    #[prost(uint32, tag = "5")]
+    pub attempt: u32,
 }
 
 impl TaskDone {
     /// Makes the message for the end of `task`.
     #[must_use]
-    pub fn new(task: TaskRef, outcome: &TaskOutcome) -> Self {
+    pub fn new(task: TaskRef, attempt: u32, outcome: &TaskOutcome) -> Self {
         let (code, text) = match outcome {
             TaskOutcome::Done(text) => (0, text.to_string()),
             TaskOutcome::Failed(text) => (1, text.to_string()),
@@ -196,6 +284,7 @@
             index: task.index,
             outcome: code,
             text,
+            attempt,
         }
     }
 }
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -4,13 +4,17 @@
 use prost::Message as _;
 
 use crate::DecodeError;
+use crate::job::HeldTasks;
 use crate::job::JobQuery;
 use crate::job::JobState;
 use crate::job::Offer;
 use crate::job::OfferReply;
+use crate::job::RunningTasks;
+use crate::job::StopTasks;
 use crate::job::Submit;
 use crate::job::SubmitReply;
 use crate::job::TaskDone;
+use crate::job::WhatRuns;
 use crate::request::RunReply;
 use crate::request::RunRequest;
 
@@ -21,7 +25,10 @@
     #[prost(uint64, tag = "1")]
     pub epoch: u64,
     /// What is asked or answered.
-    #[prost(oneof = "Body", tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11")]
+    #[prost(
+        oneof = "Body",
+        tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 20, 21, 22, 23"
+    )]
     pub body: Option<Body>,
 }
 
@@ -55,6 +62,18 @@
     /// Run a non-idempotent request (to its home).
     #[prost(message, tag = "10")]
     RunRequest(RunRequest),
+    /// Start or give up reserved tasks (home to owner).
+    #[prost(message, tag = "20")]
+    HeldTasks(HeldTasks),
+    /// End tasks (home to owner).
+    #[prost(message, tag = "21")]
+    StopTasks(StopTasks),
+    /// Ask what runs (home to owner).
+    #[prost(message, tag = "22")]
+    WhatRuns(WhatRuns),
+    /// Answer to [`Body::WhatRuns`].
+    #[prost(message, tag = "23")]
+    RunningTasks(RunningTasks),
     /// Answer to [`Body::RunRequest`].
     #[prost(message, tag = "11")]
     RunReply(RunReply),
