Describe a cell of stand-ins in one place

Cause: the try-out and the benches each built stand-ins, inventory and peer settings by the same steps. Change: `syc-standin::Cell` does it for both.

--- a/crates/bench/src/bin/syc-faults/main.rs
+++ b/crates/bench/src/bin/syc-faults/main.rs
@@ -41,7 +41,7 @@
 struct Options {
     daemon: PathBuf,
     seconds: u64,
-    daemons: u32,
+    daemons: usize,
     only: Option<String>,
     keep_logs: bool,
 }
--- a/crates/bench/src/bin/syc-faults/schedule.rs
+++ b/crates/bench/src/bin/syc-faults/schedule.rs
@@ -67,16 +67,16 @@
             actix_rt::time::sleep(AWAY).await;
         }
         "outage" => {
-            cluster.log.set_faults(LogFaults {
+            cluster.cell.log.set_faults(LogFaults {
                 outage: true,
                 ..LogFaults::default()
             });
             actix_rt::time::sleep(OUTAGE).await;
-            cluster.log.set_faults(LogFaults::default());
+            cluster.cell.log.set_faults(LogFaults::default());
             actix_rt::time::sleep(OUTAGE / 2).await;
         }
         "lost-answers" => {
-            cluster.log.set_faults(LogFaults {
+            cluster.cell.log.set_faults(LogFaults {
                 lose_answers: LOST_ANSWERS,
                 ..LogFaults::default()
             });
--- a/crates/bench/src/bin/syc-faults/tally.rs
+++ b/crates/bench/src/bin/syc-faults/tally.rs
@@ -46,7 +46,7 @@
         }
         rows.push((kind, row));
     }
-    let workers = cluster.workers.iter().map(WorkerStandIn::counts);
+    let workers = cluster.cell.workers.iter().map(WorkerStandIn::counts);
     let (mut over_given, mut stale_commands) = (0, 0);
     for counts in workers {
         over_given += counts.over_given;
@@ -83,7 +83,7 @@
 fn executions(cluster: &Cluster, sent: &Sent) -> (bool, bool) {
     match sent.kind {
         Kind::Idempotent | Kind::Once => {
-            let counts = cluster.requests.of(&sent.id.to_string());
+            let counts = cluster.cell.requests.of(&sent.id.to_string());
             let doubled = sent.kind == Kind::Once && counts.begun > 1;
             (counts.begun > 0, doubled)
         }
@@ -91,7 +91,7 @@
             let (mut begun, mut doubled) = (false, false);
             for index in 0..sent.tasks {
                 let job_id = JobId(sent.id);
-                let counts = cluster.tasks.of(&TaskRef { job_id, index });
+                let counts = cluster.cell.tasks.of(&TaskRef { job_id, index });
                 begun |= counts.begun > 0;
                 doubled |= counts.most_at_once > 1;
                 doubled |= sent.kind == Kind::OnceBatch && counts.begun > 1;
--- a/crates/bench/src/bin/syc-slopes/point.rs
+++ b/crates/bench/src/bin/syc-slopes/point.rs
@@ -60,8 +60,8 @@
 /// Sets a cluster up, waits for it to settle and measures it.
 pub async fn measure(daemon: &Path, load: Load, window_s: u64) -> Result<Point> {
     let options = ClusterOptions {
-        daemons: load.daemons,
-        workers: load.workers,
+        daemons: load.daemons as usize,
+        workers: load.workers as usize,
         ..ClusterOptions::default()
     };
     let cluster = Cluster::start(daemon, &options).await?;
--- a/crates/bench/src/cluster.rs
+++ b/crates/bench/src/cluster.rs
@@ -17,30 +17,18 @@
 use smol_str::SmolStr;
 use smol_str::format_smolstr;
 use syc_config::Document;
-use syc_config::EndpointDoc;
-use syc_config::Inventory;
 use syc_config::Listen;
-use syc_config::PeerSettings;
-use syc_config::PlatformSettings;
-use syc_config::ServiceDoc;
 use syc_config::Settings;
 use syc_config::Timing;
-use syc_config::WorkerDoc;
-use syc_standin::EndpointOptions;
-use syc_standin::EndpointStandIn;
-use syc_standin::Executions;
-use syc_standin::LogStandIn;
-use syc_standin::VmListStandIn;
+use syc_standin::Cell;
+use syc_standin::CellOptions;
 use syc_standin::WorkerOptions;
 use syc_standin::WorkerStandIn;
-use syc_types::EndpointId;
+use syc_standin::introduce;
 use syc_types::JobSpec;
-use syc_types::RackId;
 use syc_types::Resources;
 use syc_types::ServiceName;
-use syc_types::TaskRef;
 use syc_types::TeamId;
-use syc_types::WorkerId;
 use syc_types::Zone;
 use uuid::Uuid;
 
@@ -56,9 +44,6 @@
 /// Availability zones that everything is spread over.
 const ZONES: usize = 5;
 
-/// Workers of a rack.
-const RACK_WORKERS: u32 = 8;
-
 /// Tasks of one job that fills the cluster.
 const FILL_TASKS: u32 = 50;
 
@@ -85,11 +70,11 @@
 #[derive(Debug, Clone)]
 pub struct ClusterOptions {
     /// Entry VMs.
-    pub daemons: u32,
+    pub daemons: usize,
     /// Workers in the cell.
-    pub workers: u32,
+    pub workers: usize,
     /// Endpoints of the service [`SERVICE`].
-    pub endpoints: u32,
+    pub endpoints: usize,
     /// Intervals and timeouts of every daemon.
     pub timing: Timing,
     /// Lag of the VM list.
@@ -111,18 +96,8 @@
 /// A running cluster; dropping it ends the daemons.
 #[derive(Debug)]
 pub struct Cluster {
-    /// The platform's log.
-    pub log: LogStandIn,
-    /// The workers.
-    pub workers: Vec<WorkerStandIn>,
-    /// The endpoints.
-    pub endpoints: Vec<EndpointStandIn>,
-    /// The VM list.
-    pub vms: VmListStandIn,
-    /// Executions of requests, by request id.
-    pub requests: Executions<String>,
-    /// Executions of tasks.
-    pub tasks: Executions<TaskRef>,
+    /// The platform, the workers and the endpoints.
+    pub cell: Cell,
     /// Settings of each daemon.
     pub settings: Vec<Settings>,
     daemon: PathBuf,
@@ -138,35 +113,12 @@
     ///
     /// Fails where a process or socket can't be had, or a daemon does not get ready.
     pub async fn start(daemon: &Path, options: &ClusterOptions) -> Result<Self> {
-        let log = LogStandIn::start().into_diagnostic()?;
-        let tasks = Executions::default();
-        let mut workers = Vec::new();
-        for _ in 0..options.workers {
-            let options = WorkerOptions {
-                capacity: CAPACITY,
-                ..WorkerOptions::default()
-            };
-            let worker = WorkerStandIn::start(options, tasks.clone());
-            workers.push(worker.into_diagnostic()?);
-        }
-        let requests = Executions::default();
-        let mut endpoints = Vec::new();
-        for _ in 0..options.endpoints {
-            let endpoint = EndpointStandIn::start(EndpointOptions::default(), requests.clone());
-            endpoints.push(endpoint.into_diagnostic()?);
-        }
-        let vms = VmListStandIn::start(vm_names(options), options.vm_lag_ms);
-        let vms = vms.into_diagnostic()?;
-        let settings = all_settings(options, log.address(), vms.address())?;
+        let cell = Cell::start(cell_options(options)).into_diagnostic()?;
+        let settings = all_settings(&cell, options)?;
         let directory = std::env::temp_dir().join(format!("syc-bench-{}", Uuid::now_v7()));
         std::fs::create_dir_all(&directory).into_diagnostic()?;
         let mut cluster = Self {
-            log,
-            workers,
-            endpoints,
-            vms,
-            requests,
-            tasks,
+            cell,
             settings,
             daemon: daemon.to_owned(),
             daemons: Vec::new(),
@@ -238,13 +190,13 @@
     /// Returns the appends to the log so far.
     #[must_use]
     pub fn appends(&self) -> u64 {
-        self.log.appends()
+        self.cell.log.appends()
     }
 
     /// Returns the number of tasks that run now.
     #[must_use]
     pub fn running(&self) -> u32 {
-        let running = self.workers.iter().map(WorkerStandIn::running);
+        let running = self.cell.workers.iter().map(WorkerStandIn::running);
         u32::try_from(running.sum::<usize>()).unwrap_or(u32::MAX)
     }
 
@@ -322,7 +274,7 @@
             "id": Uuid::now_v7(),
             "author": "slopes",
             "base": 0,
-            "document": Document::Inventory(self.inventory()),
+            "document": Document::Inventory(self.cell.inventory()),
         });
         let request = client.post(format!("http://{control}/v1/config"));
         let request = request.insert_header((syc_api::TOKEN_HEADER, CONTROL_TOKEN));
@@ -335,41 +287,6 @@
         actix_rt::time::sleep(Duration::from_secs(2)).await;
         Ok(())
     }
-
-    fn inventory(&self) -> Inventory {
-        let mut workers = Vec::new();
-        for (number, worker) in (0_u32..).zip(&self.workers) {
-            let rack = number / RACK_WORKERS;
-            workers.push(WorkerDoc {
-                id: WorkerId::new(format_smolstr!("worker-{number}")),
-                address: worker.address().into(),
-                zone: Zone::new(format_smolstr!("zone-{}", rack as usize % ZONES)),
-                rack: RackId::new(format_smolstr!("rack-{rack}")),
-                capacity: CAPACITY,
-            });
-        }
-        Inventory {
-            name: "register".into(),
-            workers,
-            services: vec![self.service()],
-        }
-    }
-
-    fn service(&self) -> ServiceDoc {
-        let mut endpoints = Vec::new();
-        for (number, endpoint) in self.endpoints.iter().enumerate() {
-            endpoints.push(EndpointDoc {
-                id: EndpointId::new(format_smolstr!("endpoint-{number}")),
-                address: endpoint.address().into(),
-                zone: Zone::new(format_smolstr!("zone-{}", number % ZONES)),
-            });
-        }
-        ServiceDoc {
-            name: ServiceName::new(SERVICE),
-            slots: EndpointOptions::default().slots,
-            endpoints,
-        }
-    }
 }
 
 impl Drop for Cluster {
@@ -384,11 +301,21 @@
     }
 }
 
-fn vm_names(options: &ClusterOptions) -> Vec<SmolStr> {
-    let entries = (0..options.daemons).map(|number| format_smolstr!("entry-{number}"));
-    let workers = (0..options.workers).map(|number| format_smolstr!("worker-{number}"));
-    let endpoints = (0..options.endpoints).map(|number| format_smolstr!("endpoint-{number}"));
-    entries.chain(workers).chain(endpoints).collect()
+fn cell_options(options: &ClusterOptions) -> CellOptions {
+    let zones = (0..ZONES).map(|number| Zone::new(format_smolstr!("zone-{number}")));
+    CellOptions {
+        zones: zones.collect(),
+        service: ServiceName::new(SERVICE),
+        entry_vms: options.daemons,
+        endpoints: options.endpoints,
+        workers: options.workers,
+        worker: WorkerOptions {
+            capacity: CAPACITY,
+            ..WorkerOptions::default()
+        },
+        vm_lag_ms: options.vm_lag_ms,
+        ..CellOptions::default()
+    }
 }
 
 fn small_job() -> JobSpec {
@@ -403,38 +330,21 @@
     }
 }
 
-fn all_settings(options: &ClusterOptions, log: &str, vms: &str) -> Result<Vec<Settings>> {
+fn all_settings(cell: &Cell, options: &ClusterOptions) -> Result<Vec<Settings>> {
     let mut all = Vec::new();
     for number in 0..options.daemons {
         all.push(Settings {
-            name: format_smolstr!("entry-{number}"),
-            zone: format_smolstr!("zone-{}", number as usize % ZONES),
             listen: Listen {
                 callers: free_address()?,
                 peers: free_address()?,
                 control: free_address()?,
             },
-            platform: PlatformSettings {
-                log: log.into(),
-                vms: vms.into(),
-            },
             timing: options.timing,
             control_token: CONTROL_TOKEN.into(),
-            ..Settings::default()
+            ..cell.settings(number)
         });
     }
-    let mut peers = Vec::new();
-    for settings in &all {
-        peers.push(PeerSettings {
-            name: settings.name.clone(),
-            zone: settings.zone.clone(),
-            address: settings.listen.peers.clone(),
-        });
-    }
-    for settings in &mut all {
-        let others = peers.iter().filter(|peer| peer.name != settings.name);
-        settings.peers = others.cloned().collect();
-    }
+    introduce(&mut all);
     Ok(all)
 }
 
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -4,6 +4,7 @@
 //! adapters of `syc-platform`, and count what must never happen. Faults are switched on by the
 //! handle of each; nothing in them is random.
 
+mod cell;
 mod endpoint;
 mod executions;
 mod log;
@@ -11,6 +12,9 @@
 mod vms;
 mod worker;
 
+pub use cell::Cell;
+pub use cell::CellOptions;
+pub use cell::introduce;
 pub use endpoint::EndpointCounts;
 pub use endpoint::EndpointOptions;
 pub use endpoint::EndpointStandIn;
--- a/crates/tryout/src/cluster.rs
+++ b/crates/tryout/src/cluster.rs
@@ -9,31 +9,18 @@
 use miette::Result;
 use miette::miette;
 use smol_str::SmolStr;
-use smol_str::format_smolstr;
 use syc_config::Document;
-use syc_config::EndpointDoc;
-use syc_config::Inventory;
 use syc_config::Listen;
-use syc_config::PeerSettings;
-use syc_config::PlatformSettings;
-use syc_config::ServiceDoc;
 use syc_config::Settings;
 use syc_config::Timing;
-use syc_config::WorkerDoc;
 use syc_daemon::Daemon;
 use syc_daemon::Listeners;
+use syc_standin::Cell;
+use syc_standin::CellOptions;
 use syc_standin::EndpointOptions;
-use syc_standin::EndpointStandIn;
-use syc_standin::Executions;
-use syc_standin::LogStandIn;
-use syc_standin::VmListStandIn;
 use syc_standin::WorkerOptions;
-use syc_standin::WorkerStandIn;
-use syc_types::EndpointId;
-use syc_types::RackId;
+use syc_standin::introduce;
 use syc_types::ServiceName;
-use syc_types::TaskRef;
-use syc_types::WorkerId;
 use syc_types::Zone;
 use tokio::sync::oneshot;
 use uuid::Uuid;
@@ -56,20 +43,11 @@
 /// A running cluster.
 #[derive(Debug)]
 pub struct Cluster {
-    /// The platform's log.
-    pub log: LogStandIn,
-    /// The workers.
-    pub workers: Vec<WorkerStandIn>,
-    /// The endpoints.
-    pub endpoints: Vec<EndpointStandIn>,
-    /// Executions of requests, by request id.
-    pub requests: Executions<String>,
-    /// Executions of tasks.
-    pub tasks: Executions<TaskRef>,
+    /// The platform, the workers and the endpoints.
+    pub cell: Cell,
     /// The daemons' addresses for callers.
     pub callers: Vec<SmolStr>,
     daemons: Vec<RunningDaemon>,
-    _vms: VmListStandIn,
 }
 
 #[derive(Debug)]
@@ -81,22 +59,8 @@
 
 /// Starts the stand-ins and the daemons, and publishes the inventory.
 pub async fn start(deployment: &Deployment) -> Result<Cluster> {
-    let requests = Executions::default();
-    let tasks = Executions::default();
-    let log = LogStandIn::start().into_diagnostic()?;
-    let endpoints = start_endpoints(deployment, &requests)?;
-    let workers = start_workers(deployment, &tasks)?;
-    let inventory = inventory(deployment, &endpoints, &workers);
-    let names = inventory
-        .workers
-        .iter()
-        .map(|worker| SmolStr::new(worker.id.as_str()));
-    let vms = VmListStandIn::start(names, 500).into_diagnostic()?;
-    let platform = PlatformSettings {
-        log: log.address().into(),
-        vms: vms.address().into(),
-    };
-    let (daemons, settings) = start_daemons(deployment, &platform)?;
+    let cell = start_cell(deployment).into_diagnostic()?;
+    let (daemons, settings) = start_daemons(&cell)?;
     let callers: Vec<_> = settings
         .iter()
         .map(|settings| settings.listen.callers.clone())
@@ -105,19 +69,14 @@
         await_ready(address).await?;
     }
     let control = &settings[0].listen.control;
-    publish(control, Document::Inventory(inventory)).await?;
+    publish(control, Document::Inventory(cell.inventory())).await?;
     for settings in &settings {
         await_config(&settings.listen.control).await?;
     }
     Ok(Cluster {
-        log,
-        workers,
-        endpoints,
-        requests,
-        tasks,
+        cell,
         callers,
         daemons,
-        _vms: vms,
     })
 }
 
@@ -132,27 +91,31 @@
     }
 }
 
-fn start_endpoints(
-    deployment: &Deployment,
-    executions: &Executions<String>,
-) -> Result<Vec<EndpointStandIn>> {
+fn start_cell(deployment: &Deployment) -> std::io::Result<Cell> {
     let mut work_ms_by_path = HashMap::new();
     for workload in &deployment.workloads {
         if let Work::Request { work_ms, .. } = workload.work {
             work_ms_by_path.insert(path_of(workload.name), work_ms);
         }
     }
-    let mut started = Vec::new();
-    for _ in 0..deployment.endpoints {
-        let options = EndpointOptions {
+    Cell::start(CellOptions {
+        zones: deployment.zones.iter().copied().map(Zone::new).collect(),
+        service: ServiceName::new(deployment.service),
+        entry_vms: DAEMONS,
+        endpoints: deployment.endpoints,
+        endpoint: EndpointOptions {
             slots: deployment.slots,
-            work_ms_by_path: work_ms_by_path.clone(),
+            work_ms_by_path,
             ..EndpointOptions::default()
-        };
-        let endpoint = EndpointStandIn::start(options, executions.clone());
-        started.push(endpoint.into_diagnostic()?);
-    }
-    Ok(started)
+        },
+        workers: deployment.workers,
+        rack_workers: deployment.rack_workers,
+        worker: WorkerOptions {
+            capacity: deployment.worker_capacity,
+            ..WorkerOptions::default()
+        },
+        ..CellOptions::default()
+    })
 }
 
 /// Returns the path under which a workload's requests are sent.
@@ -160,99 +123,32 @@
     workload.replace(' ', "-")
 }
 
-fn start_workers(
-    deployment: &Deployment,
-    executions: &Executions<TaskRef>,
-) -> Result<Vec<WorkerStandIn>> {
-    let mut started = Vec::new();
-    for _ in 0..deployment.workers {
-        let options = WorkerOptions {
-            capacity: deployment.worker_capacity,
-            ..WorkerOptions::default()
-        };
-        let worker = WorkerStandIn::start(options, executions.clone());
-        started.push(worker.into_diagnostic()?);
-    }
-    Ok(started)
-}
-
-fn inventory(
-    deployment: &Deployment,
-    endpoints: &[EndpointStandIn],
-    workers: &[WorkerStandIn],
-) -> Inventory {
-    let zone = |number: usize| Zone::new(deployment.zones[number % deployment.zones.len()]);
-    let mut worker_docs = Vec::new();
-    for (number, worker) in workers.iter().enumerate() {
-        let rack = number / deployment.rack_workers as usize;
-        worker_docs.push(WorkerDoc {
-            id: WorkerId::new(format_smolstr!("worker-{number}")),
-            address: worker.address().into(),
-            zone: zone(rack),
-            rack: RackId::new(format_smolstr!("rack-{rack}")),
-            capacity: deployment.worker_capacity,
-        });
-    }
-    let mut endpoint_docs = Vec::new();
-    for (number, endpoint) in endpoints.iter().enumerate() {
-        endpoint_docs.push(EndpointDoc {
-            id: EndpointId::new(format_smolstr!("endpoint-{number}")),
-            address: endpoint.address().into(),
-            zone: zone(number),
-        });
-    }
-    Inventory {
-        name: "register".into(),
-        workers: worker_docs,
-        services: vec![ServiceDoc {
-            name: ServiceName::new(deployment.service),
-            slots: deployment.slots,
-            endpoints: endpoint_docs,
-        }],
-    }
-}
-
-fn start_daemons(
-    deployment: &Deployment,
-    platform: &PlatformSettings,
-) -> Result<(Vec<RunningDaemon>, Vec<Settings>)> {
+fn start_daemons(cell: &Cell) -> Result<(Vec<RunningDaemon>, Vec<Settings>)> {
     let mut bound = Vec::new();
     for number in 0..DAEMONS {
-        let settings = settings(deployment, number, platform);
+        let settings = settings(cell, number);
         let listeners = Listeners::bind(&settings).into_diagnostic()?;
         let settings = listeners.resolve(settings).into_diagnostic()?;
         bound.push((settings, listeners));
     }
-    let mut peers = Vec::new();
-    for (settings, _) in &bound {
-        peers.push(PeerSettings {
-            name: settings.name.clone(),
-            zone: settings.zone.clone(),
-            address: settings.listen.peers.clone(),
-        });
-    }
+    introduce(bound.iter_mut().map(|(settings, _)| settings));
     let mut daemons = Vec::new();
     let mut all_settings = Vec::new();
-    for (mut settings, listeners) in bound {
-        let others = peers.iter().filter(|peer| peer.name != settings.name);
-        settings.peers = others.cloned().collect();
+    for (settings, listeners) in bound {
         all_settings.push(settings.clone());
         daemons.push(spawn_daemon(settings, listeners));
     }
     Ok((daemons, all_settings))
 }
 
-fn settings(deployment: &Deployment, number: usize, platform: &PlatformSettings) -> Settings {
+fn settings(cell: &Cell, number: usize) -> Settings {
     let any = SmolStr::new("127.0.0.1:0");
     Settings {
-        name: format_smolstr!("entry-{number}"),
-        zone: SmolStr::new(deployment.zones[number % deployment.zones.len()]),
         listen: Listen {
             callers: any.clone(),
             peers: any.clone(),
             control: any,
         },
-        platform: platform.clone(),
         timing: Timing {
             log_poll_ms: 200,
             worker_poll_ms: 2_000,
@@ -261,7 +157,7 @@
             ..Timing::default()
         },
         control_token: CONTROL_TOKEN.into(),
-        ..Settings::default()
+        ..cell.settings(number)
     }
 }
 
--- a/crates/tryout/src/deployment.rs
+++ b/crates/tryout/src/deployment.rs
@@ -18,13 +18,13 @@
     /// The service that its callers ask.
     pub service: &'static str,
     /// Instances of the service.
-    pub endpoints: u32,
+    pub endpoints: usize,
     /// Slots of each instance.
     pub slots: u32,
     /// Its workers.
-    pub workers: u32,
+    pub workers: usize,
     /// Workers of a rack.
-    pub rack_workers: u32,
+    pub rack_workers: usize,
     /// What each worker has.
     pub worker_capacity: Resources,
     /// Its workloads.
--- a/crates/tryout/src/load.rs
+++ b/crates/tryout/src/load.rs
@@ -45,7 +45,7 @@
 /// Runs a deployment for a time and reports on it.
 pub async fn drive(deployment: &Deployment, seconds: u64) -> Result<Report> {
     let mut cluster = cluster::start(deployment).await?;
-    let appends_before = cluster.log.appends();
+    let appends_before = cluster.cell.log.appends();
     let began = Instant::now();
     let rows = {
         let drivers = deployment
@@ -71,17 +71,17 @@
     let elapsed_s = elapsed.as_secs_f64();
     let mut cpu_milli_ms = 0;
     let mut over_given = 0;
-    for worker in &cluster.workers {
+    for worker in &cluster.cell.workers {
         let counts = worker.counts();
         cpu_milli_ms += counts.cpu_milli_ms;
         over_given += counts.over_given;
     }
     let mut slot_overruns = 0;
-    for endpoint in &cluster.endpoints {
+    for endpoint in &cluster.cell.endpoints {
         slot_overruns += endpoint.counts().overruns;
     }
-    let all_cpu = f64::from(deployment.workers) * to_f64(deployment.worker_capacity.cpu_millis);
-    let appends = cluster.log.appends() - appends_before;
+    let all_cpu = to_f64(deployment.worker_capacity.cpu_millis) * to_f64(deployment.workers as u64);
+    let appends = cluster.cell.log.appends() - appends_before;
     Report {
         deployment: deployment.name,
         rows,
@@ -164,12 +164,12 @@
 fn doubled(cluster: &Cluster, workload: &Workload, id: Uuid) -> bool {
     match &workload.work {
         Work::Request { idempotent, .. } => {
-            let counts = cluster.requests.of(&id.to_string());
+            let counts = cluster.cell.requests.of(&id.to_string());
             !idempotent && counts.begun > 1
         }
         Work::Job(spec) => (0..spec.tasks).any(|index| {
             let job_id = JobId(id);
-            let counts = cluster.tasks.of(&TaskRef { job_id, index });
+            let counts = cluster.cell.tasks.of(&TaskRef { job_id, index });
             counts.most_at_once > 1 || (!spec.idempotent && counts.begun > 1)
         }),
     }
