Choose endpoints in constant time, eject failing ones, leave leaving ones

The choice scanned every endpoint, knew nothing of failures, and took all slots of an endpoint as its own although other entry VMs use them too.

Endpoints that can take a request now stand in tiers (own zone first, the entry VM's share of the slots before borrowed ones); two random ones of the best tier are compared by requests in flight and latency. The limit of borrowing is learned from busy refusals. Lost, failed and hanging answers eject an endpoint, refused connections at once; it returns with one request at a time; half of the endpoints always stay in use. A drain answer, the VM list and refused connections stop new requests at once.

--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -16,6 +16,7 @@
 mod peers;
 mod publish;
 mod requests;
+mod requests_services;
 
 pub use daemon::Daemon;
 pub use daemon::Listeners;
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -13,7 +13,6 @@
 use syc_member::View;
 use syc_net::PeerClient;
 use syc_platform::http::HttpPlatform;
-use syc_route::EndpointInfo;
 use syc_route::Endpoints;
 use syc_types::MemberId;
 use syc_types::Millis;
@@ -120,26 +119,10 @@
         let Document::Inventory(inventory) = document else {
             return;
         };
-        self.apply_services(inventory);
+        crate::requests_services::apply_inventory(self, inventory);
         crate::owner::apply_workers(self, &inventory.workers);
         self.jobs_wake.notify_one();
     }
-
-    fn apply_services(&self, inventory: &syc_config::Inventory) {
-        let mut services = self.requests.services.borrow_mut();
-        for service in &inventory.services {
-            let endpoints = services.entry(service.name.clone()).or_default();
-            for endpoint in &service.endpoints {
-                endpoints.upsert(EndpointInfo {
-                    id: endpoint.id.clone(),
-                    address: endpoint.address.clone(),
-                    zone: endpoint.zone.clone(),
-                    slots: service.slots,
-                });
-            }
-        }
-        self.requests.freed.notify_waiters();
-    }
 }
 
 /// The endpoints of each service.
--- a/crates/daemon/src/requests.rs
+++ b/crates/daemon/src/requests.rs
@@ -4,8 +4,11 @@
 use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
+use std::time::Instant;
 
 use bytes::Bytes;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
 use syc_api::ErrorBody;
 use syc_api::Outcome;
 use syc_platform::EndpointError;
@@ -13,6 +16,7 @@
 use syc_platform::types::EndpointAnswer;
 use syc_platform::types::EndpointCall;
 use syc_route::EndpointKey;
+use syc_route::Finish;
 use syc_route::Kept;
 use syc_route::Once;
 use syc_route::OnceAnswer;
@@ -49,6 +53,7 @@
     pub waiting: Cell<usize>,
     /// Requests in progress.
     pub in_progress: Cell<usize>,
+    random: RefCell<SmallRng>,
     once: RefCell<Once<EndpointAnswer>>,
     once_ended: Notify,
 }
@@ -61,6 +66,7 @@
             freed: Notify::new(),
             waiting: Cell::new(0),
             in_progress: Cell::new(0),
+            random: RefCell::new(SmallRng::from_os_rng()),
             once: RefCell::new(Once::new(once_window_ms)),
             once_ended: Notify::new(),
         }
@@ -271,8 +277,10 @@
             body: request.body.clone(),
             timeout_ms: request.deadline.since(node.now()),
         };
+        let sent_at = Instant::now();
         let answer = node.platform.send(&address, call).await;
-        give_slot(node, &request.service, key);
+        let finish = finish_of(&answer, sent_at.elapsed());
+        give_slot(node, &request.service, key, finish);
         match answer {
             Ok(answer) => return Ok(answer),
             Err(EndpointError::NotSent(_) | EndpointError::Refused { .. }) => {}
@@ -327,7 +335,8 @@
         let message = "no such service is in force here";
         return Err(ErrorBody::not_run("no_service", message, Some(1_000)));
     };
-    let Some(key) = endpoints.choose(&node.zone) else {
+    let random = &mut *node.requests.random.borrow_mut();
+    let Some(key) = endpoints.choose(&[], node.now(), random) else {
         return Ok(None);
     };
     let address = endpoints.info(key).map(|info| info.address.to_string());
@@ -335,9 +344,25 @@
     Ok(address.map(|address| (key, address)))
 }
 
-fn give_slot(node: &Rc<Node>, service: &ServiceName, key: EndpointKey) {
+fn finish_of(answer: &Result<EndpointAnswer, EndpointError>, took: Duration) -> Finish {
+    match answer {
+        Ok(answer) if answer.status >= 500 => Finish::Failed,
+        Ok(_) => Finish::Answered {
+            latency_us: u64::try_from(took.as_micros()).unwrap_or(u64::MAX),
+        },
+        Err(EndpointError::NotSent(_)) => Finish::NotSent,
+        Err(EndpointError::Refused { draining: true }) => Finish::Draining,
+        Err(EndpointError::Refused { draining: false }) => Finish::Busy,
+        Err(EndpointError::InDoubt(_)) => Finish::Lost,
+        Err(EndpointError::TimedOut) => Finish::TimedOut {
+            waited_ms: u64::try_from(took.as_millis()).unwrap_or(u64::MAX),
+        },
+    }
+}
+
+fn give_slot(node: &Rc<Node>, service: &ServiceName, key: EndpointKey, finish: Finish) {
     if let Some(endpoints) = node.requests.services.borrow_mut().get_mut(service) {
-        endpoints.end(key);
+        endpoints.finish(key, finish, node.now());
     }
     node.requests.freed.notify_one();
 }
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -1,11 +1,21 @@
 //! Routing decisions for callers' requests: which endpoint, and what may be repeated.
 
 mod endpoints;
+mod free;
+mod health;
 mod once;
+mod policy;
 
 pub use endpoints::EndpointInfo;
 pub use endpoints::EndpointKey;
 pub use endpoints::Endpoints;
+pub use health::Finish;
+pub use health::HealthOptions;
 pub use once::Kept;
 pub use once::Once;
 pub use once::OnceAnswer;
+pub use policy::AdaptiveLimit;
+pub use policy::DividedSlots;
+pub use policy::SlotFacts;
+pub use policy::SlotPolicy;
+pub use policy::TwoChoices;
