Let requests wait in a bounded queue that gives up early

Waiting requests were first come, first served without classes, and a request that would never get a slot was told so only at its deadline.

Requests now stand by arrival time, later classes by a delay that age overcomes, so urgent ones go first and patient ones still finish. Callers and teams have limits. A request is refused at once, with a spread return time, where its expected wait at the measured pace passes the latest useful start; the same is reviewed while it waits.

--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -5,6 +5,8 @@
 mod health;
 mod once;
 mod policy;
+mod queue;
+mod wait;
 
 pub use endpoints::EndpointInfo;
 pub use endpoints::EndpointKey;
@@ -19,3 +21,9 @@
 pub use policy::SlotFacts;
 pub use policy::SlotPolicy;
 pub use policy::TwoChoices;
+pub use queue::Arrival;
+pub use queue::Queue;
+pub use queue::QueueKey;
+pub use queue::QueueOptions;
+pub use queue::Shed;
+pub use queue::ShedReason;
