Keep retries within a budget and certainty

A request without an answer was sent to up to three endpoints whatever the load was. Retries of lost answers and unreached endpoints now earn a tenth of the first sendings; refusals by a busy endpoint wait for a slot again. A non-idempotent request goes elsewhere only where the endpoint surely did not act, and 'not run' is said only if no earlier sending is in doubt.

--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -6,6 +6,7 @@
 mod once;
 mod policy;
 mod queue;
+mod retry;
 mod wait;
 
 pub use endpoints::EndpointInfo;
@@ -27,3 +28,8 @@
 pub use queue::QueueOptions;
 pub use queue::Shed;
 pub use queue::ShedReason;
+pub use retry::Next;
+pub use retry::RetryBudget;
+pub use retry::RetryOptions;
+pub use retry::Sending;
+pub use retry::surely_not_run;
