--- a/crates/config/src/documents.rs
+++ b/crates/config/src/documents.rs
@@ -1,12 +1,13 @@
 //! Configuration documents, one per scope, so that teams do not collide.
 
-use std::collections::HashSet;
-
+use schemars::JsonSchema;
 use serde::Deserialize;
 use serde::Serialize;
 use smol_str::SmolStr;
 use smol_str::format_smolstr;
+use syc_types::Class;
 use syc_types::EndpointId;
+use syc_types::JobKind;
 use syc_types::RackId;
 use syc_types::Resources;
 use syc_types::ServiceName;
@@ -14,31 +15,6 @@
 use syc_types::WorkerId;
 use syc_types::Zone;
 
-use crate::Findings;
-use crate::parse::Checked;
-use crate::parse::check_address;
-
-const FIELDS: &[&str] = &[
-    "kind",
-    "name",
-    "workers",
-    "services",
-    "id",
-    "address",
-    "zone",
-    "rack",
-    "capacity",
-    "cpu_millis",
-    "memory_bytes",
-    "accelerators",
-    "slots",
-    "endpoints",
-    "weight",
-    "quota",
-    "waiting_weight",
-    "packing_weight",
-];
-
 /// A published document.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(tag = "kind", rename_all = "snake_case")]
@@ -49,6 +25,8 @@
     Team(Team),
     /// What placement weighs.
     Policy(Policy),
+    /// Exceptions on top of the inventory.
+    Rules(Rules),
 }
 
 impl Document {
@@ -59,12 +37,14 @@
             Self::Inventory(inventory) => format_smolstr!("inventory/{}", inventory.name),
             Self::Team(team) => format_smolstr!("team/{}", team.name),
             Self::Policy(policy) => format_smolstr!("policy/{}", policy.name),
+            Self::Rules(rules) => format_smolstr!("rules/{}", rules.name),
         }
     }
 }
 
 /// Workers and services, as an asset register lists them.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[schemars(deny_unknown_fields)]
 pub struct Inventory {
     /// Name of the part of the register.
     pub name: SmolStr,
@@ -77,7 +57,8 @@
 }
 
 /// A worker in the inventory.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[schemars(deny_unknown_fields)]
 pub struct WorkerDoc {
     /// Name of the worker and its VM.
     pub id: WorkerId,
@@ -92,7 +73,8 @@
 }
 
 /// A service in the inventory.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[schemars(deny_unknown_fields)]
 pub struct ServiceDoc {
     /// Name of the service.
     pub name: ServiceName,
@@ -103,7 +85,8 @@
 }
 
 /// An instance of a service in the inventory.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[schemars(deny_unknown_fields)]
 pub struct EndpointDoc {
     /// Name of the endpoint and its VM.
     pub id: EndpointId,
@@ -114,7 +97,8 @@
 }
 
 /// A team's share of the pool.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[schemars(deny_unknown_fields)]
 pub struct Team {
     /// Name of the team.
     pub name: TeamId,
@@ -124,10 +108,40 @@
     /// The most that its running tasks may hold together; unlimited where missing.
     #[serde(default)]
     pub quota: Option<Resources>,
+    /// Limits that are counted, not measured.
+    #[serde(default)]
+    pub limits: TeamLimits,
+}
+
+impl Default for Team {
+    fn default() -> Self {
+        Self {
+            name: TeamId::new(""),
+            weight: one(),
+            quota: None,
+            limits: TeamLimits::default(),
+        }
+    }
+}
+
+/// Limits of a team; each is unlimited where missing.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[schemars(deny_unknown_fields)]
+pub struct TeamLimits {
+    /// Tasks that run at once.
+    #[serde(default)]
+    pub running_tasks: Option<u32>,
+    /// Requests in progress at each entry VM for the whole team.
+    #[serde(default)]
+    pub requests_in_flight: Option<u32>,
+    /// Requests in progress at each entry VM for each of its callers.
+    #[serde(default)]
+    pub caller_requests_in_flight: Option<u32>,
 }
 
 /// What placement weighs.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[schemars(deny_unknown_fields)]
 pub struct Policy {
     /// Name of the policy; `default` is the one in force.
     pub name: SmolStr,
@@ -137,92 +151,92 @@
     /// Weight of packing.
     #[serde(default = "one")]
     pub packing_weight: u32,
+    /// What differs by class of work.
+    #[serde(default)]
+    pub classes: Vec<ClassPolicy>,
+    /// What differs by kind of job.
+    #[serde(default)]
+    pub kinds: Vec<KindPolicy>,
 }
 
-const fn one() -> u32 {
-    1
+impl Default for Policy {
+    fn default() -> Self {
+        Self {
+            name: SmolStr::default(),
+            waiting_weight: one(),
+            packing_weight: one(),
+            classes: Vec::new(),
+            kinds: Vec::new(),
+        }
+    }
 }
 
-#[derive(Deserialize)]
-#[serde(rename_all = "snake_case")]
-enum Kind {
-    Inventory,
-    Team,
-    Policy,
+/// Policy of a class of work.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[schemars(deny_unknown_fields)]
+pub struct ClassPolicy {
+    /// The class.
+    pub class: Class,
+    /// Waiting time that the class should stay under.
+    pub start_target_ms: u64,
 }
 
-#[derive(Deserialize)]
-struct Head {
-    kind: Kind,
+/// Policy of a kind of job.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[schemars(deny_unknown_fields)]
+pub struct KindPolicy {
+    /// The kind.
+    pub kind: JobKind,
+    /// How its tasks are laid out.
+    pub layout: Layout,
 }
 
-/// Reads and checks a document; `name` is what findings call the text.
-///
-/// # Errors
-///
-/// Fails with every finding, in the order of the text.
-pub fn parse_document(name: &str, text: &str) -> Result<Document, Findings> {
-    let head = Checked::new(name, text).read_part::<Head>()?;
-    let mut checked = Checked::new(name, text);
-    let document = match head.kind {
-        Kind::Inventory => {
-            let inventory = checked.read::<Inventory>(FIELDS)?;
-            check_inventory(&inventory, &mut checked);
-            Document::Inventory(inventory)
-        }
-        Kind::Team => {
-            let team = checked.read::<Team>(FIELDS)?;
-            check_name(team.name.as_str(), &mut checked);
-            check_weight("weight", team.weight, &mut checked);
-            Document::Team(team)
-        }
-        Kind::Policy => {
-            let policy = checked.read::<Policy>(FIELDS)?;
-            check_name(&policy.name, &mut checked);
-            Document::Policy(policy)
-        }
-    };
-    checked.finish()?;
-    Ok(document)
+/// How tasks are laid out over workers.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(rename_all = "snake_case")]
+pub enum Layout {
+    /// Fill workers that are in use first.
+    #[default]
+    Pack,
+    /// Use as many racks as there are.
+    Spread,
 }
 
-fn check_name(name: &str, checked: &mut Checked<'_>) {
-    if name.is_empty() {
-        checked.add("name", "must not be empty".to_owned());
-    }
+/// Exceptions on top of the inventory.
+///
+/// Each set has a name and a scope of its own; all sets in force count together.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[schemars(deny_unknown_fields)]
+pub struct Rules {
+    /// Name of the set.
+    pub name: SmolStr,
+    /// Why the set exists, for people.
+    #[serde(default)]
+    pub reason: SmolStr,
+    /// Workers that get nothing new.
+    #[serde(default)]
+    pub exclude_workers: Vec<WorkerId>,
+    /// Racks whose workers get nothing new.
+    #[serde(default)]
+    pub exclude_racks: Vec<RackId>,
+    /// Workers that are used in part only.
+    #[serde(default)]
+    pub capacities: Vec<CapacityRule>,
+    /// VMs to be emptied: worker or endpoint, it gets nothing new.
+    #[serde(default)]
+    pub drain_vms: Vec<SmolStr>,
 }
 
-fn check_weight(path: &str, weight: u32, checked: &mut Checked<'_>) {
-    if weight == 0 {
-        checked.add(path, "must be at least 1".to_owned());
-    }
+/// A limit on what is used of a worker.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[schemars(deny_unknown_fields)]
+pub struct CapacityRule {
+    /// The worker.
+    pub worker: WorkerId,
+    /// The most to be used; never more than the inventory says.
+    pub capacity: Resources,
 }
 
-fn check_inventory(inventory: &Inventory, checked: &mut Checked<'_>) {
-    check_name(&inventory.name, checked);
-    let mut names = HashSet::new();
-    for (index, worker) in inventory.workers.iter().enumerate() {
-        let path = format!("workers.{index}");
-        if !names.insert(worker.id.as_str()) {
-            let message = format!("`{}` is listed twice", worker.id);
-            checked.add(&format!("{path}.id"), message);
-        }
-        if worker.capacity == Resources::ZERO {
-            let message = "a worker must have something".to_owned();
-            checked.add(&format!("{path}.capacity"), message);
-        }
-        check_address(&format!("{path}.address"), &worker.address, checked);
-    }
-    for (index, service) in inventory.services.iter().enumerate() {
-        let path = format!("services.{index}");
-        check_weight(&format!("{path}.slots"), service.slots, checked);
-        for (place, endpoint) in service.endpoints.iter().enumerate() {
-            let path = format!("{path}.endpoints.{place}");
-            if !names.insert(endpoint.id.as_str()) {
-                let message = format!("`{}` is listed twice", endpoint.id);
-                checked.add(&format!("{path}.id"), message);
-            }
-            check_address(&format!("{path}.address"), &endpoint.address, checked);
-        }
-    }
+const fn one() -> u32 {
+    1
 }
--- a/crates/config/src/parse.rs
+++ b/crates/config/src/parse.rs
@@ -4,10 +4,13 @@
 
 use jsonc_parser::CollectOptions;
 use jsonc_parser::ParseOptions;
-use jsonc_parser::ast::Value;
+use jsonc_parser::ast::Value as Node;
 use jsonc_parser::common::Range;
 use jsonc_parser::common::Ranged;
+use jsonschema::ValidationError;
+use jsonschema::error::ValidationErrorKind;
 use serde::de::DeserializeOwned;
+use serde_json::Value;
 
 use crate::Finding;
 use crate::Findings;
@@ -32,11 +35,8 @@
         }
     }
 
-    /// Reads a part of the text; fields that `T` does not have are passed over.
-    pub(crate) fn read_part<T>(&mut self) -> Result<T, Findings>
-    where
-        T: DeserializeOwned,
-    {
+    /// Reads the text as JSON of any shape.
+    pub(crate) fn read_any(&mut self) -> Result<Value, Findings> {
         let read = serde_json::from_str(self.text);
         read.map_err(|source| {
             self.add_at("", source.line(), source.column(), source.to_string());
@@ -44,32 +44,57 @@
         })
     }
 
-    /// Reads the text as a `T`; unknown fields become findings.
-    pub(crate) fn read<T>(&mut self, known_fields: &[&str]) -> Result<T, Findings>
+    /// Reads the text as a `T`; every fault against the schema becomes a finding.
+    ///
+    /// Faults that leave a `T` behind, such as an unknown field, are kept until the end, so that
+    /// the checks of meaning run as well.
+    pub(crate) fn read<T>(&mut self, schema: &Value) -> Result<T, Findings>
     where
         T: DeserializeOwned,
     {
-        let mut unknown = Vec::new();
-        let mut track = serde_path_to_error::Track::new();
+        let value = self.read_any()?;
+        self.check_schema(&value, schema);
         let mut json = serde_json::Deserializer::from_str(self.text);
-        let tracked = serde_path_to_error::Deserializer::new(&mut json, &mut track);
-        let read = serde_ignored::deserialize(tracked, |path| unknown.push(path.to_string()));
-        let read = read.and_then(|value: T| json.end().map(|()| value));
-        for path in unknown {
-            // The tag that chose `T` is no field of it.
-            if path == "kind" {
-                continue;
+        serde_path_to_error::deserialize(&mut json).map_err(|source| {
+            // The schema has said it already, and better.
+            if self.list.is_empty() {
+                let path = source.path().to_string();
+                let inner = source.into_inner();
+                self.add_at(&path, inner.line(), inner.column(), inner.to_string());
             }
-            let message = unknown_field(&path, known_fields);
-            self.add(&path, message);
+            self.take()
+        })
+    }
+
+    fn check_schema(&mut self, value: &Value, schema: &Value) {
+        let validator = match jsonschema::validator_for(schema) {
+            Ok(validator) => validator,
+            Err(error) => {
+                self.add("", format!("the schema itself is wrong: {error}"));
+                return;
+            }
+        };
+        let mut known = Vec::new();
+        collect_names(schema, &mut known);
+        for error in validator.iter_errors(value) {
+            self.add_fault(&error, &known);
         }
-        match read {
-            Ok(value) => Ok(value),
-            Err(source) => {
-                let path = track.path().to_string();
-                self.add_at(&path, source.line(), source.column(), source.to_string());
-                Err(self.take())
+    }
+
+    fn add_fault(&mut self, error: &ValidationError<'_>, known: &[&str]) {
+        let path = error.instance_path.as_str();
+        let path = path.trim_start_matches('/').replace('/', ".");
+        match &error.kind {
+            ValidationErrorKind::AdditionalProperties { unexpected } => {
+                for name in unexpected {
+                    self.add(&join(&path, name), unknown_field(name, known));
+                }
+            }
+            ValidationErrorKind::Required { property } => {
+                let name = property.as_str().unwrap_or_default();
+                self.add(&join(&path, name), "is missing".to_owned());
             }
+            _ => self.add(&path, error.to_string()),
         }
     }
 
@@ -87,20 +112,8 @@
         });
     }
 
-    /// Returns the findings, if there are any.
-    pub(crate) fn finish(&mut self) -> Result<(), Findings> {
-        if self.list.is_empty() {
-            return Ok(());
-        }
-        Err(self.take())
-    }
-
-    fn take(&mut self) -> Findings {
-        self.list.sort_by_key(|finding| finding.offset_bytes);
-        Findings::new(self.name, self.text, std::mem::take(&mut self.list))
-    }
-
-    fn add_at(&mut self, path: &str, line: usize, column: usize, message: String) {
+    /// Adds a fault at a line and a column, both from 1.
+    pub(crate) fn add_at(&mut self, path: &str, line: usize, column: usize, message: String) {
         let before: usize = self
             .text
             .split_inclusive('\n')
@@ -118,6 +131,19 @@
         });
     }
 
+    /// Returns the findings, if there are any.
+    pub(crate) fn finish(&mut self) -> Result<(), Findings> {
+        if self.list.is_empty() {
+            return Ok(());
+        }
+        Err(self.take())
+    }
+
+    pub(crate) fn take(&mut self) -> Findings {
+        self.list.sort_by_key(|finding| finding.offset_bytes);
+        Findings::new(self.name, self.text, std::mem::take(&mut self.list))
+    }
+
     fn range_of(&self, path: &str) -> Range {
         let parsed = jsonc_parser::parse_to_ast(
             self.text,
@@ -133,26 +159,10 @@
         };
         let mut range = whole;
         for step in path.split('.') {
-            let next = match value {
-                Value::Object(object) => object
-                    .properties
-                    .iter()
-                    .find(|property| property.name.as_str() == step)
-                    .map(|property| (&property.value, property.name.range())),
-                Value::Array(array) => step
-                    .parse::<usize>()
-                    .ok()
-                    .and_then(|index| array.elements.get(index))
-                    .map(|element| (element, element.range())),
-                _ => None,
-            };
             // A missing field is reported at the object that lacks it.
-            let Some((inner, place)) = next else {
+            let Some((inner, place)) = step_into(value, step) else {
                 return if range.end == 0 {
-                    Range {
-                        start: value.range().start,
-                        end: value.range().start + 1,
-                    }
+                    first_character(value.range())
                 } else {
                     range
                 };
@@ -171,6 +181,35 @@
     }
 }
 
+fn step_into<'n, 't>(value: &'n Node<'t>, step: &str) -> Option<(&'n Node<'t>, Range)> {
+    match value {
+        Node::Object(object) => object
+            .properties
+            .iter()
+            .find(|property| property.name.as_str() == step)
+            .map(|property| (&property.value, property.name.range())),
+        Node::Array(array) => {
+            let element = array.elements.get(step.parse::<usize>().ok()?)?;
+            Some((element, element.range()))
+        }
+        _ => None,
+    }
+}
+
+fn first_character(range: Range) -> Range {
+    Range {
+        start: range.start,
+        end: range.start + 1,
+    }
+}
+
+fn join(path: &str, name: &str) -> String {
+    if path.is_empty() {
+        return name.to_owned();
+    }
+    format!("{path}.{name}")
+}
+
 /// Adds a finding unless `address` is of the form `ip:port`.
 pub(crate) fn check_address(path: &str, address: &str, checked: &mut Checked<'_>) {
     if address.parse::<SocketAddr>().is_err() {
@@ -178,9 +217,21 @@
     }
 }
 
-fn unknown_field(path: &str, known_fields: &[&str]) -> String {
-    let name = path.rsplit('.').next().unwrap_or(path);
-    let nearest = known_fields
+/// Collects the names of all fields that a schema knows.
+fn collect_names<'s>(schema: &'s Value, names: &mut Vec<&'s str>) {
+    let Some(object) = schema.as_object() else {
+        return;
+    };
+    if let Some(properties) = object.get("properties").and_then(Value::as_object) {
+        names.extend(properties.keys().map(String::as_str));
+    }
+    for inner in object.values() {
+        collect_names(inner, names);
+    }
+}
+
+fn unknown_field(name: &str, known: &[&str]) -> String {
+    let nearest = known
         .iter()
         .map(|known| (strsim::jaro_winkler(name, known), known))
         .filter(|(likeness, _)| *likeness >= LIKENESS_FLOOR)
--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -1,5 +1,6 @@
 //! What a daemon is told when it starts.
 
+use schemars::JsonSchema;
 use serde::Deserialize;
 use serde::Serialize;
 use smol_str::SmolStr;
@@ -8,37 +9,10 @@
 use crate::parse::Checked;
 use crate::parse::check_address;
 
-const FIELDS: &[&str] = &[
-    "name",
-    "zone",
-    "listen",
-    "callers",
-    "peers",
-    "control",
-    "address",
-    "platform",
-    "log",
-    "vms",
-    "limits",
-    "connections",
-    "body_bytes",
-    "queue_requests",
-    "timing",
-    "log_poll_ms",
-    "vm_poll_ms",
-    "lease_ms",
-    "worker_poll_ms",
-    "request_timeout_ms",
-    "once_window_ms",
-    "group_commit_ms",
-    "drain_notice_ms",
-    "drain_limit_ms",
-    "control_token",
-];
-
 /// Settings of one daemon.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
 #[serde(default)]
+#[schemars(deny_unknown_fields)]
 pub struct Settings {
     /// Name of the entry VM.
     pub name: SmolStr,
@@ -56,11 +30,30 @@
     pub timing: Timing,
     /// What an operator's tool must show on the control address; empty refuses all changes.
     pub control_token: SmolStr,
+    /// The least level that is logged to the standard error stream; the environment variable
+    /// `SYC_LOG` goes first.
+    pub log_level: LogLevel,
+}
+
+/// How much a log event matters.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(rename_all = "snake_case")]
+pub enum LogLevel {
+    /// Something is broken and needs a person.
+    Error,
+    /// Something went wrong, and the daemon goes on.
+    Warn,
+    /// What an operator wants to follow.
+    #[default]
+    Info,
+    /// For the search for a fault.
+    Debug,
 }
 
 /// Addresses that a daemon listens on, `ip:port`.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
 #[serde(default)]
+#[schemars(deny_unknown_fields)]
 pub struct Listen {
     /// For callers.
     pub callers: SmolStr,
@@ -71,8 +64,9 @@
 }
 
 /// Another entry VM.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
 #[serde(default)]
+#[schemars(deny_unknown_fields)]
 pub struct PeerSettings {
     /// Its name.
     pub name: SmolStr,
@@ -83,8 +77,9 @@
 }
 
 /// Addresses of the platform's services, `ip:port`.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
 #[serde(default)]
+#[schemars(deny_unknown_fields)]
 pub struct PlatformSettings {
     /// The log.
     pub log: SmolStr,
@@ -93,8 +88,9 @@
 }
 
 /// Bounds of what a daemon takes in.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
 #[serde(default)]
+#[schemars(deny_unknown_fields)]
 pub struct Limits {
     /// Open connections of callers.
     pub connections: usize,
@@ -115,8 +111,9 @@
 }
 
 /// Intervals and timeouts.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
 #[serde(default)]
+#[schemars(deny_unknown_fields)]
 pub struct Timing {
     /// Interval of reading the log.
     pub log_poll_ms: u64,
@@ -161,7 +158,7 @@
 /// Fails with every finding, in the order of the text.
 pub fn parse_settings(name: &str, text: &str) -> Result<Settings, Findings> {
     let mut checked = Checked::new(name, text);
-    let settings = checked.read::<Settings>(FIELDS)?;
+    let settings = checked.read::<Settings>(&crate::schema::settings())?;
     check_names(&settings, &mut checked);
     check_addresses(&settings, &mut checked);
     check_timing(&settings.timing, &mut checked);
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -7,7 +7,9 @@
 use std::time::Instant;
 
 use syc_config::Document;
+use syc_config::Inventory;
 use syc_config::Settings;
+use syc_config::effective_inventory;
 use syc_coord::ConfigStore;
 use syc_coord::Jobs;
 use syc_member::View;
@@ -117,15 +119,22 @@
 
     /// Takes over a document that came into force.
     pub fn apply_document(self: &Rc<Self>, document: &Document) {
-        let Document::Inventory(inventory) = document else {
+        if !matches!(document, Document::Inventory(_) | Document::Rules(_)) {
             return;
-        };
+        }
+        let inventory = &self.effective_inventory();
         self.apply_services(inventory);
         crate::owner::apply_workers(self, &inventory.workers);
         self.jobs_wake.notify_one();
     }
 
-    fn apply_services(&self, inventory: &syc_config::Inventory) {
+    /// Returns the inventory in force with all rules applied.
+    pub fn effective_inventory(&self) -> Inventory {
+        let config = self.config.borrow();
+        effective_inventory(config.documents().map(|(_, in_force)| &in_force.document))
+    }
+
+    fn apply_services(&self, inventory: &Inventory) {
         let mut services = self.requests.services.borrow_mut();
         for service in &inventory.services {
             let endpoints = services.entry(service.name.clone()).or_default();
--- a/crates/daemon/src/owner.rs
+++ b/crates/daemon/src/owner.rs
@@ -8,7 +8,6 @@
 
 use futures_util::future::join_all;
 use smol_str::SmolStr;
-use syc_config::Document;
 use syc_config::WorkerDoc;
 use syc_obs::catalogue;
 use syc_obs::emit;
@@ -81,13 +80,7 @@
 
 /// Takes over the racks that the new view gives to this daemon.
 pub fn view_changed(node: &Rc<Node>) {
-    let mut workers = Vec::new();
-    for (_, in_force) in node.config.borrow().documents() {
-        if let Document::Inventory(inventory) = &in_force.document {
-            workers.extend(inventory.workers.iter().cloned());
-        }
-    }
-    apply_workers(node, &workers);
+    apply_workers(node, &node.effective_inventory().workers);
 }
 
 /// Starts all tasks of an order, or none; returns the worker of each.
--- a/crates/daemon/tests/daemon/path.rs
+++ b/crates/daemon/tests/daemon/path.rs
@@ -78,7 +78,7 @@
         Document::Team(Team {
             name: TeamId::new("freight"),
             weight,
-            quota: None,
+            ..Team::default()
         })
     };
     let (first, _) = bed.publish(0, 0, team(1)).await;
--- a/crates/types/src/ids.rs
+++ b/crates/types/src/ids.rs
@@ -2,6 +2,7 @@
 
 use std::fmt;
 
+use schemars::JsonSchema;
 use serde::Deserialize;
 use serde::Serialize;
 use smol_str::SmolStr;
@@ -10,8 +11,11 @@
 macro_rules! name_type {
     ($(#[$doc:meta])* $name:ident) => {
         $(#[$doc])*
-        #[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+        #[derive(
+            Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize, JsonSchema,
+        )]
         #[serde(transparent)]
+        #[schemars(inline)]
         pub struct $name(SmolStr);
 
         impl $name {
--- a/crates/types/src/job.rs
+++ b/crates/types/src/job.rs
@@ -1,5 +1,6 @@
 //! What a submitter asks for: jobs, their kinds and classes, and how a task may end.
 
+use schemars::JsonSchema;
 use serde::Deserialize;
 use serde::Serialize;
 use smol_str::SmolStr;
@@ -9,7 +10,18 @@
 
 /// How urgent a job or a request is.
 #[derive(
-    Debug, Clone, Copy, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize,
+    Debug,
+    Clone,
+    Copy,
+    Default,
+    PartialEq,
+    Eq,
+    Hash,
+    PartialOrd,
+    Ord,
+    Serialize,
+    Deserialize,
+    JsonSchema,
 )]
 #[serde(rename_all = "snake_case")]
 pub enum Class {
@@ -23,7 +35,7 @@
 }
 
 /// The shape of a job, which decides its placement policy.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash, Serialize, Deserialize, JsonSchema)]
 #[serde(rename_all = "snake_case")]
 pub enum JobKind {
     /// Tasks that end by themselves and may start one by one.
@@ -36,7 +48,7 @@
 }
 
 /// What a submitter declares about a job.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields, default)]
 pub struct JobSpec {
     /// The team that pays for the job.
--- a/crates/types/src/resources.rs
+++ b/crates/types/src/resources.rs
@@ -1,11 +1,13 @@
 //! Amounts of processor, memory and accelerators, in integers with checked arithmetic.
 
+use schemars::JsonSchema;
 use serde::Deserialize;
 use serde::Serialize;
 use thiserror::Error;
 
 /// An amount of each kind of resource that workers have and tasks ask for.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash, Serialize, Deserialize, JsonSchema)]
+#[schemars(deny_unknown_fields)]
 pub struct Resources {
     /// Processor time, in thousandths of a core.
     pub cpu_millis: u64,
