Choose workers by an index over their free amounts

Cause: each choice looked at every worker, and the ledger could not close, retire or forget a worker, nor keep headroom for urgent tasks.

A worker whose inventory entry shrank below its grants grants nothing, not even a task that asks for nothing, which the differential test found.

--- a/crates/place/src/error.rs
+++ b/crates/place/src/error.rs
@@ -9,6 +9,9 @@
     /// The ledger has no such worker.
     #[error("no such worker")]
     NoWorker,
+    /// The worker may not grant now.
+    #[error("the worker is closed")]
+    Closed,
     /// The worker has less room than is asked for.
     #[error("the worker has no room")]
     NoRoom,
--- a/crates/place/src/ledger.rs
+++ b/crates/place/src/ledger.rs
@@ -1,5 +1,6 @@
 //! The only record of what an owner has granted on its workers.
 
+use std::collections::BTreeMap;
 use std::collections::HashMap;
 
 use slotmap::SlotMap;
@@ -12,6 +13,7 @@
 use syc_types::Zone;
 
 use crate::GrantError;
+use crate::index::RoomIndex;
 
 new_key_type! {
     /// Refers to a worker in one [`Ledger`].
@@ -33,6 +35,16 @@
     pub capacity: Resources,
 }
 
+/// Which part of a worker's room a task may use.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash)]
+pub enum Tier {
+    /// All but the headroom.
+    #[default]
+    Ordinary,
+    /// The headroom as well.
+    Urgent,
+}
+
 /// What a task holds.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Grant {
@@ -40,47 +52,181 @@
     pub worker: WorkerKey,
     /// How much.
     pub resources: Resources,
+    /// Which part of the room it came from.
+    pub tier: Tier,
 }
 
 #[derive(Debug, Clone)]
 struct Entry {
     info: WorkerInfo,
-    granted: Resources,
+    ordinary: Resources,
+    urgent: Resources,
+    stray: Resources,
+    open: bool,
+    removed: bool,
+    grants: u32,
 }
 
 /// Capacities and grants of the workers of one owner.
 ///
 /// The sum of the grants on a worker never exceeds its capacity, except where the inventory shrinks
-/// a worker below what it has granted; then it grants nothing until enough has ended.
+/// a worker below what it has granted, or a worker reports tasks that the ledger did not grant; then
+/// it grants nothing until enough has ended.
 #[derive(Debug, Clone, Default)]
 pub struct Ledger {
     workers: SlotMap<WorkerKey, Entry>,
     by_id: HashMap<WorkerId, WorkerKey>,
     grants: HashMap<TaskRef, Grant>,
+    headroom_permille: u64,
+    zones: BTreeMap<Zone, ZoneIndex>,
+}
+
+#[derive(Debug, Clone, Default)]
+pub(crate) struct ZoneIndex {
+    ordinary: RoomIndex,
+    urgent: RoomIndex,
+}
+
+impl ZoneIndex {
+    pub(crate) const fn of(&self, tier: Tier) -> &RoomIndex {
+        match tier {
+            Tier::Ordinary => &self.ordinary,
+            Tier::Urgent => &self.urgent,
+        }
+    }
+}
+
+impl Entry {
+    fn total(&self) -> Resources {
+        sum(&sum(&self.ordinary, &self.urgent), &self.stray)
+    }
+
+    /// Says whether it may grant anything, even a task that asks for nothing.
+    fn grants_now(&self) -> bool {
+        self.open && !self.removed && self.total().fits_in(&self.info.capacity)
+    }
+
+    fn room(&self, tier: Tier, headroom_permille: u64) -> Resources {
+        let free = self.info.capacity.saturating_sub(&self.total());
+        if tier == Tier::Urgent {
+            return free;
+        }
+        let kept = headroom(&self.info.capacity, headroom_permille);
+        free.saturating_sub(&kept.saturating_sub(&self.urgent))
+    }
+}
+
+fn sum(a: &Resources, b: &Resources) -> Resources {
+    Resources {
+        cpu_millis: a.cpu_millis.saturating_add(b.cpu_millis),
+        memory_bytes: a.memory_bytes.saturating_add(b.memory_bytes),
+        accelerators: a.accelerators.saturating_add(b.accelerators),
+    }
+}
+
+fn headroom(capacity: &Resources, permille: u64) -> Resources {
+    Resources {
+        cpu_millis: capacity.cpu_millis / 1_000 * permille,
+        memory_bytes: capacity.memory_bytes / 1_000 * permille,
+        accelerators: 0,
+    }
 }
 
 impl Ledger {
-    /// Makes an empty ledger.
+    /// Makes an empty ledger without headroom.
     #[must_use]
     pub fn new() -> Self {
         Self::default()
     }
 
+    /// Sets the share of each worker that is kept for urgent tasks, in thousandths.
+    pub fn set_headroom(&mut self, permille: u32) {
+        let keys: Vec<_> = self.workers.keys().collect();
+        for &key in &keys {
+            self.unindex(key);
+        }
+        self.headroom_permille = u64::from(permille.min(1_000));
+        for &key in &keys {
+            self.index(key);
+        }
+    }
+
     /// Adds a worker, or takes over the new facts of one that is there.
     pub fn upsert_worker(&mut self, info: WorkerInfo) -> WorkerKey {
         if let Some(&key) = self.by_id.get(&info.id) {
+            self.unindex(key);
             self.workers[key].info = info;
+            self.workers[key].removed = false;
+            self.index(key);
             return key;
         }
         let id = info.id.clone();
         let key = self.workers.insert(Entry {
             info,
-            granted: Resources::ZERO,
+            ordinary: Resources::ZERO,
+            urgent: Resources::ZERO,
+            stray: Resources::ZERO,
+            open: true,
+            removed: false,
+            grants: 0,
         });
         self.by_id.insert(id, key);
+        self.index(key);
         key
     }
 
+    /// Lets a worker grant, or not; its grants stay as they are.
+    pub fn set_open(&mut self, key: WorkerKey, open: bool) {
+        if self.workers.get(key).is_none_or(|entry| entry.open == open) {
+            return;
+        }
+        self.unindex(key);
+        self.workers[key].open = open;
+        self.index(key);
+    }
+
+    /// Says whether a worker may grant: it is open, in the inventory, and not over its capacity.
+    #[must_use]
+    pub fn is_open(&self, key: WorkerKey) -> bool {
+        self.workers.get(key).is_some_and(Entry::grants_now)
+    }
+
+    /// Marks a worker as no longer in the inventory: it grants nothing, and its grants stay until
+    /// they end.
+    pub fn retire_worker(&mut self, key: WorkerKey) {
+        if !self.workers.contains_key(key) {
+            return;
+        }
+        self.unindex(key);
+        self.workers[key].removed = true;
+    }
+
+    /// Forgets a worker and returns the tasks that held grants on it.
+    pub fn remove_worker(&mut self, key: WorkerKey) -> Vec<TaskRef> {
+        self.unindex(key);
+        let Some(entry) = self.workers.remove(key) else {
+            return Vec::new();
+        };
+        self.by_id.remove(&entry.info.id);
+        let mut tasks = Vec::new();
+        for (task, grant) in &self.grants {
+            if grant.worker == key {
+                tasks.push(*task);
+            }
+        }
+        tasks.sort_unstable();
+        for task in &tasks {
+            self.grants.remove(task);
+        }
+        tasks
+    }
+
+    /// Finds a worker by its name.
+    #[must_use]
+    pub fn key_of(&self, id: &WorkerId) -> Option<WorkerKey> {
+        self.by_id.get(id).copied()
+    }
+
     /// Returns the facts of a worker.
     #[must_use]
     pub fn worker(&self, key: WorkerKey) -> Option<&WorkerInfo> {
@@ -92,17 +238,29 @@
         self.workers.iter().map(|(key, entry)| (key, &entry.info))
     }
 
-    /// Returns what a worker has granted.
+    /// Returns the number of grants on a worker.
+    #[must_use]
+    pub fn grant_count(&self, key: WorkerKey) -> u32 {
+        self.workers.get(key).map_or(0, |entry| entry.grants)
+    }
+
+    /// Returns what a worker has granted, with what it runs without a grant.
     #[must_use]
     pub fn granted(&self, key: WorkerKey) -> Option<Resources> {
-        self.workers.get(key).map(|entry| entry.granted)
+        self.workers.get(key).map(Entry::total)
     }
 
-    /// Returns what a worker can still grant.
+    /// Returns what a worker can still grant to urgent tasks, which is all that no task holds.
     #[must_use]
     pub fn room(&self, key: WorkerKey) -> Option<Resources> {
+        self.room_for(key, Tier::Urgent)
+    }
+
+    /// Returns what a worker can still grant to tasks of a tier.
+    #[must_use]
+    pub fn room_for(&self, key: WorkerKey, tier: Tier) -> Option<Resources> {
         let entry = self.workers.get(key)?;
-        Some(entry.info.capacity.saturating_sub(&entry.granted))
+        Some(entry.room(tier, self.headroom_permille))
     }
 
     /// Returns the grant of a task.
@@ -111,58 +269,158 @@
         self.grants.get(&task).copied()
     }
 
-    /// Picks the worker on which `resources` leave the least room (best fit).
-    #[must_use]
-    pub fn best_fit(&self, resources: &Resources) -> Option<WorkerKey> {
-        let mut best = None;
-        for (key, entry) in &self.workers {
-            let room = entry.info.capacity.saturating_sub(&entry.granted);
-            if !resources.fits_in(&room) {
-                continue;
-            }
-            let left = room.saturating_sub(resources);
-            let rank = (left.cpu_millis, left.memory_bytes, left.accelerators);
-            if best.is_none_or(|(least, _)| rank < least) {
-                best = Some((rank, key));
-            }
-        }
-        best.map(|(_, key)| key)
+    /// Returns every grant.
+    pub fn grants(&self) -> impl Iterator<Item = (TaskRef, Grant)> + '_ {
+        self.grants.iter().map(|(task, grant)| (*task, *grant))
     }
 
-    /// Grants `resources` on a worker to a task.
+    pub(crate) const fn zones(&self) -> &BTreeMap<Zone, ZoneIndex> {
+        &self.zones
+    }
+
+    /// Grants `resources` on a worker to a task, out of all the worker's room.
     ///
     /// # Errors
     ///
-    /// Fails, and changes nothing, where the worker is unknown, has no room, or the task holds a
-    /// grant already.
+    /// Fails, and changes nothing, where the worker is unknown, is closed, has no room, or the task
+    /// holds a grant already.
     pub fn grant(
         &mut self,
         task: TaskRef,
         worker: WorkerKey,
         resources: Resources,
+    ) -> Result<(), GrantError> {
+        self.grant_in(task, worker, resources, Tier::Urgent)
+    }
+
+    /// Grants `resources` on a worker to a task, out of the room of its tier.
+    ///
+    /// # Errors
+    ///
+    /// Fails as [`Ledger::grant`] does.
+    pub fn grant_in(
+        &mut self,
+        task: TaskRef,
+        worker: WorkerKey,
+        resources: Resources,
+        tier: Tier,
     ) -> Result<(), GrantError> {
         if self.grants.contains_key(&task) {
             return Err(GrantError::Duplicate(task));
         }
-        let entry = self.workers.get_mut(worker).ok_or(GrantError::NoWorker)?;
-        let total = entry
-            .granted
-            .checked_add(&resources)
-            .map_err(|_overflow| GrantError::NoRoom)?;
-        if !total.fits_in(&entry.info.capacity) {
+        let entry = self.workers.get(worker).ok_or(GrantError::NoWorker)?;
+        if !entry.open || entry.removed {
+            return Err(GrantError::Closed);
+        }
+        if !entry.grants_now() || !resources.fits_in(&entry.room(tier, self.headroom_permille)) {
             return Err(GrantError::NoRoom);
         }
-        entry.granted = total;
-        self.grants.insert(task, Grant { worker, resources });
+        let grant = Grant {
+            worker,
+            resources,
+            tier,
+        };
+        self.record(task, grant);
+        Ok(())
+    }
+
+    /// Records that a task runs on a worker, whether or not there is room for it.
+    ///
+    /// # Errors
+    ///
+    /// Fails, and changes nothing, where the worker is unknown or the task holds a grant already.
+    pub fn adopt(
+        &mut self,
+        task: TaskRef,
+        worker: WorkerKey,
+        resources: Resources,
+        tier: Tier,
+    ) -> Result<(), GrantError> {
+        if self.grants.contains_key(&task) {
+            return Err(GrantError::Duplicate(task));
+        }
+        if !self.workers.contains_key(worker) {
+            return Err(GrantError::NoWorker);
+        }
+        let grant = Grant {
+            worker,
+            resources,
+            tier,
+        };
+        self.record(task, grant);
         Ok(())
     }
 
+    /// Sets what a worker runs without a grant; it is taken off the worker's room.
+    pub fn set_stray(&mut self, key: WorkerKey, resources: Resources) {
+        let entry = self.workers.get(key);
+        if entry.is_none_or(|entry| entry.stray == resources) {
+            return;
+        }
+        self.unindex(key);
+        self.workers[key].stray = resources;
+        self.index(key);
+    }
+
     /// Ends the grant of a task and returns it.
     pub fn release(&mut self, task: TaskRef) -> Option<Grant> {
         let grant = self.grants.remove(&task)?;
+        self.unindex(grant.worker);
         if let Some(entry) = self.workers.get_mut(grant.worker) {
-            entry.granted = entry.granted.saturating_sub(&grant.resources);
+            let held = entry.held(grant.tier);
+            *held = held.saturating_sub(&grant.resources);
+            entry.grants -= 1;
         }
+        self.index(grant.worker);
         Some(grant)
     }
+
+    fn record(&mut self, task: TaskRef, grant: Grant) {
+        self.unindex(grant.worker);
+        let entry = &mut self.workers[grant.worker];
+        let held = entry.held(grant.tier);
+        *held = sum(held, &grant.resources);
+        entry.grants += 1;
+        self.grants.insert(task, grant);
+        self.index(grant.worker);
+    }
+
+    fn index(&mut self, key: WorkerKey) {
+        let Some(entry) = self.workers.get(key) else {
+            return;
+        };
+        if !entry.grants_now() {
+            return;
+        }
+        let zone = match self.zones.get_mut(&entry.info.zone) {
+            Some(zone) => zone,
+            None => self.zones.entry(entry.info.zone.clone()).or_default(),
+        };
+        let share = self.headroom_permille;
+        zone.ordinary
+            .insert(key, &entry.room(Tier::Ordinary, share));
+        zone.urgent.insert(key, &entry.room(Tier::Urgent, share));
+    }
+
+    fn unindex(&mut self, key: WorkerKey) {
+        let Some(entry) = self.workers.get(key) else {
+            return;
+        };
+        let Some(zone) = self.zones.get_mut(&entry.info.zone) else {
+            return;
+        };
+        let share = self.headroom_permille;
+        zone.ordinary
+            .remove(key, &entry.room(Tier::Ordinary, share));
+        zone.urgent.remove(key, &entry.room(Tier::Urgent, share));
+    }
+}
+
+impl Entry {
+    const fn held(&mut self, tier: Tier) -> &mut Resources {
+        match tier {
+            Tier::Ordinary => &mut self.ordinary,
+            Tier::Urgent => &mut self.urgent,
+        }
+    }
 }
