--- a/crates/member/src/view.rs
+++ b/crates/member/src/view.rs
@@ -22,8 +22,28 @@
     pub zone: Zone,
 }
 
+/// Something that exactly one member of a view holds.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Key<'a> {
+    /// The capacity ledger of a rack.
+    Rack(&'a RackId),
+    /// The queue and job states of a team.
+    Team(&'a TeamId),
+    /// The state and kept answer of a request.
+    Request(RequestId),
+}
+
+/// The current view, and the former ones whose members may still act.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct Views {
+    /// The current view.
+    pub current: View,
+    /// The former views that are not settled, by epoch.
+    pub former: Vec<View>,
+}
+
 /// The member list that a record of the log made current.
-#[derive(Debug, Clone, PartialEq, Eq, Default)]
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub struct View {
     /// The view's number.
     pub epoch: Epoch,
@@ -54,24 +74,31 @@
     /// Returns the owner of a rack's capacity ledger.
     #[must_use]
     pub fn rack_owner(&self, rack: &RackId) -> Option<&Member> {
-        self.holder(&format!("rack/{rack}"))
+        self.holder(Key::Rack(rack))
     }
 
     /// Returns the home of a team's queue and job states.
     #[must_use]
     pub fn team_home(&self, team: &TeamId) -> Option<&Member> {
-        self.holder(&format!("team/{team}"))
+        self.holder(Key::Team(team))
     }
 
     /// Returns the home of a request's state and kept answer.
     #[must_use]
     pub fn request_home(&self, request: RequestId) -> Option<&Member> {
-        self.holder(&format!("request/{request}"))
+        self.holder(Key::Request(request))
     }
 
-    fn holder(&self, key: &str) -> Option<&Member> {
+    /// Returns the member that holds `key` in this view.
+    #[must_use]
+    pub fn holder(&self, key: Key<'_>) -> Option<&Member> {
+        let text = match key {
+            Key::Rack(rack) => format!("rack/{rack}"),
+            Key::Team(team) => format!("team/{team}"),
+            Key::Request(request) => format!("request/{request}"),
+        };
         let names = self.members.iter().map(|member| member.id.as_str());
-        let winner = hash::rendezvous(key, names)?;
+        let winner = hash::rendezvous(&text, names)?;
         self.members
             .iter()
             .find(|member| member.id.as_str() == winner)
--- /dev/null
+++ b/crates/member/tests/member/main.rs
@@ -0,0 +1,5 @@
+//! Membership on injected clocks and an in-process network.
+
+mod cluster;
+mod focused;
+mod schedules;
