Run membership in the daemon

Every daemon held a fixed view made of its settings and acted at once. It now starts as a new incarnation without a view, exchanges heartbeats over the peer links, proposes views in the log, follows them with its links, and acts only under a lease of authority. It is ready once it is in a view, has read the log and holds its lease; a planned stop leaves the view and hands over first.

--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -133,6 +133,16 @@
     pub drain_notice_ms: u64,
     /// Longest time that a planned stop waits for requests in progress.
     pub drain_limit_ms: u64,
+    /// Interval of heartbeats between entry VMs.
+    pub heartbeat_ms: u64,
+    /// Length of the lease under which an entry VM acts as owner and home.
+    pub authority_ms: u64,
+    /// Bound on what two clocks may differ over one such lease.
+    pub drift_ms: u64,
+    /// Silence after which an entry VM is suspected.
+    pub suspect_ms: u64,
+    /// Longest time that the VM list may lag.
+    pub vm_lag_ms: u64,
 }
 
 impl Default for Timing {
@@ -147,6 +157,11 @@
             group_commit_ms: 5,
             drain_notice_ms: 2_000,
             drain_limit_ms: 30_000,
+            heartbeat_ms: 1_000,
+            authority_ms: 3_000,
+            drift_ms: 100,
+            suspect_ms: 3_200,
+            vm_lag_ms: 60_000,
         }
     }
 }
@@ -210,8 +225,29 @@
         );
         checked.add("timing.lease_ms", message);
     }
+    check_membership_timing(timing, checked);
     if timing.log_poll_ms == 0 {
         let message = "must be at least 1".to_owned();
         checked.add("timing.log_poll_ms", message);
     }
 }
+
+fn check_membership_timing(timing: &Timing, checked: &mut Checked<'_>) {
+    if timing.heartbeat_ms == 0 {
+        let message = "must be at least 1".to_owned();
+        checked.add("timing.heartbeat_ms", message);
+    }
+    let beats_ms = timing.heartbeat_ms.saturating_mul(2);
+    let used_ms = timing.authority_ms.saturating_sub(timing.drift_ms);
+    if used_ms < beats_ms {
+        let message = format!(
+            "less the drift of {} ms it must outlast two heartbeats, {beats_ms} ms",
+            timing.drift_ms
+        );
+        checked.add("timing.authority_ms", message);
+    }
+    if timing.suspect_ms < beats_ms {
+        let message = format!("must be at least two heartbeats, {beats_ms} ms");
+        checked.add("timing.suspect_ms", message);
+    }
+}
--- a/crates/config/tests/settings.rs
+++ b/crates/config/tests/settings.rs
@@ -39,3 +39,12 @@
     let first = &findings.list()[0];
     assert_eq!((first.path.as_str(), first.line), ("name", 2));
 }
+
+#[test]
+fn a_lease_of_authority_must_outlast_two_heartbeats() {
+    let timing = r#""zone": "a", "timing": {"heartbeat_ms": 1500, "suspect_ms": 2000},"#;
+    let text = GOOD.replace("\"zone\": \"a\",", timing);
+    let findings = parse_settings("bad.json", &text).expect_err("findings");
+    let paths: Vec<_> = findings.list().iter().map(|f| f.path.as_str()).collect();
+    assert_eq!(paths, ["timing.authority_ms", "timing.suspect_ms"]);
+}
--- a/crates/daemon/src/callers.rs
+++ b/crates/daemon/src/callers.rs
@@ -26,6 +26,7 @@
 use crate::http_body::read_body;
 use crate::http_body::read_json;
 use crate::http_body::refusal;
+use crate::members;
 use crate::node::Node;
 use crate::requests;
 use crate::requests::CallerRequest;
@@ -63,8 +64,7 @@
 }
 
 fn ready(node: &Rc<Node>) -> Response<BoxBody> {
-    let ready = node.caught_up.get() && !node.draining.get();
-    let status = if ready {
+    let status = if members::ready(node) {
         StatusCode::OK
     } else {
         StatusCode::SERVICE_UNAVAILABLE
--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -19,6 +19,7 @@
 use crate::http_body::json;
 use crate::http_body::read_json;
 use crate::http_body::refusal;
+use crate::members;
 use crate::node::Node;
 use crate::publish;
 
@@ -54,9 +55,9 @@
 
 fn status(node: &Rc<Node>) -> Response<BoxBody> {
     let view = node.view.borrow();
-    let mut members = Vec::new();
+    let mut listed = Vec::new();
     for member in &view.members {
-        members.push(json_value!({
+        listed.push(json_value!({
             "id": member.id,
             "zone": member.zone,
             "peer_address": member.peer_address,
@@ -65,10 +66,21 @@
     let jobs = node.jobs.borrow();
     let open_jobs = jobs.iter().filter(|job| !job.ended()).count();
     let ledger = node.owner.ledger.borrow();
+    let mut loads = Vec::new();
+    for (id, load) in members::loads(node) {
+        loads.push(json_value!({
+            "id": id,
+            "free_cpu_millis": load.free_cpu_millis,
+            "queued_tasks": load.queued_tasks,
+        }));
+    }
     let body = json_value!({
         "member": node.id,
+        "may_act": members::may_act(node),
+        "heard": loads,
+        "heartbeat_bytes": node.members.heartbeat_bytes.get(),
         "epoch": view.epoch,
-        "members": members,
+        "members": listed,
         "caught_up": node.caught_up.get(),
         "draining": node.draining.get(),
         "log_next": node.log_next.get(),
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -1,6 +1,5 @@
 //! Starting and stopping a daemon.
 
-use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::rc::Rc;
@@ -8,20 +7,13 @@
 
 use smol_str::SmolStr;
 use syc_config::Settings;
-use syc_member::Member;
-use syc_member::View;
 use syc_net::HttpListener;
 use syc_net::HttpOptions;
-use syc_net::PeerClient;
-use syc_net::PeerOptions;
 use syc_net::serve_peers;
 use syc_obs::catalogue;
 use syc_obs::emit;
 use syc_platform::http::HttpPlatform;
 use syc_platform::http::HttpPlatformOptions;
-use syc_types::Epoch;
-use syc_types::MemberId;
-use syc_types::Zone;
 use thiserror::Error;
 
 use crate::callers;
@@ -29,6 +21,9 @@
 use crate::follower;
 use crate::home;
 use crate::log_writer::LogWriter;
+use crate::members;
+use crate::members::Members;
+use crate::members_run;
 use crate::node::Node;
 use crate::node::NodeParts;
 use crate::peers;
@@ -139,6 +134,8 @@
             }),
             actix_rt::spawn(follower::run(Rc::clone(&node))),
             actix_rt::spawn(home::run(Rc::clone(&node))),
+            actix_rt::spawn(members_run::run(Rc::clone(&node))),
+            actix_rt::spawn(members_run::watch_vms(Rc::clone(&node))),
         ];
         emit(catalogue::STARTED, format_args!("member={}", node.id));
         Ok(Self {
@@ -149,10 +146,10 @@
         })
     }
 
-    /// Says whether it has caught up with the log and takes work.
+    /// Says whether it is a member that has the configuration and takes work.
     #[must_use]
     pub fn ready(&self) -> bool {
-        self.node.caught_up.get()
+        members::ready(&self.node)
     }
 
     /// Stops as planned: tells the balancer, takes nothing new, and waits for what is in progress.
@@ -161,6 +158,7 @@
         emit(catalogue::DRAINING, format_args!("member={}", self.node.id));
         self.node.draining.set(true);
         actix_rt::time::sleep(Duration::from_millis(timing.drain_notice_ms)).await;
+        members::leave(&self.node).await;
         self.callers.stop_accepting();
         let limit = Duration::from_millis(timing.drain_limit_ms);
         if tokio::time::timeout(limit, self.drained()).await.is_err() {
@@ -183,25 +181,8 @@
 }
 
 fn make_node(settings: Settings) -> Rc<Node> {
-    let id = MemberId::new(settings.name.clone());
-    let mut members = vec![Member {
-        id: id.clone(),
-        peer_address: settings.listen.peers.clone(),
-        zone: Zone::new(settings.zone.clone()),
-    }];
-    let mut peers = HashMap::new();
-    for peer in &settings.peers {
-        let member = MemberId::new(peer.name.clone());
-        members.push(Member {
-            id: member.clone(),
-            peer_address: peer.address.clone(),
-            zone: Zone::new(peer.zone.clone()),
-        });
-        let Ok(address) = peer.address.parse() else {
-            continue;
-        };
-        peers.insert(member, PeerClient::new(address, PeerOptions::default()));
-    }
+    let members = Members::new(&settings);
+    let id = members.state.borrow().me().id.clone();
     let platform = HttpPlatform::new(
         &settings.platform.log,
         &settings.platform.vms,
@@ -211,8 +192,7 @@
     Node::new(NodeParts {
         settings,
         id,
-        view: View::new(Epoch(1), members),
-        peers,
+        members,
         platform,
         log_writer,
     })
--- a/crates/daemon/src/follower.rs
+++ b/crates/daemon/src/follower.rs
@@ -33,7 +33,9 @@
                     emit(catalogue::LOG_AVAILABLE, format_args!("reading again"));
                 }
                 available = true;
-                node.caught_up.set(true);
+                if !node.caught_up.replace(true) {
+                    members::caught_up(&node);
+                }
             }
             Err(error) => {
                 if available {
--- a/crates/daemon/src/home.rs
+++ b/crates/daemon/src/home.rs
@@ -8,6 +8,7 @@
 use syc_coord::Job;
 use syc_coord::TaskState;
 use syc_coord::records::Content;
+use syc_member::Key;
 use syc_obs::catalogue;
 use syc_obs::emit;
 use syc_platform::AppendError;
@@ -100,7 +101,7 @@
 
 /// Accepts a job here: its record goes into the log first.
 pub async fn accept(node: &Rc<Node>, job_id: JobId, spec: &JobSpec) -> Result<(), ErrorBody> {
-    if !members::may_act(node) {
+    if !members::may_act_for(node, Key::Team(&spec.team)) {
         let message = "the team's home may not act now";
         return Err(ErrorBody::not_run("not_acting", message, Some(1_000)));
     }
@@ -350,7 +351,7 @@
     };
     let asked = match team {
         Some(team) => vec![home_of(node, &team).ok()?],
-        None => node.peers.keys().cloned().collect(),
+        None => members::others(node),
     };
     for member in asked {
         if member == node.id {
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -11,6 +11,7 @@
 mod http_body;
 mod log_writer;
 mod members;
+mod members_run;
 mod node;
 mod owner;
 mod peers;
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -13,7 +13,6 @@
 use syc_coord::ConfigStore;
 use syc_coord::Jobs;
 use syc_member::View;
-use syc_net::PeerClient;
 use syc_platform::http::HttpPlatform;
 use syc_route::Endpoints;
 use syc_types::MemberId;
@@ -23,6 +22,7 @@
 use tokio::sync::Notify;
 
 use crate::log_writer::LogWriter;
+use crate::members::Members;
 use crate::owner::Owner;
 use crate::requests::Requests;
 
@@ -39,8 +39,8 @@
     pub platform: HttpPlatform,
     /// The current view.
     pub view: RefCell<View>,
-    /// Links to the other members.
-    pub peers: HashMap<MemberId, PeerClient>,
+    /// Its membership and the links to the other members.
+    pub members: Members,
     /// Appends to the log.
     pub log_writer: LogWriter,
     /// Offset of the next entry to read from the log.
@@ -73,10 +73,8 @@
     pub settings: Settings,
     /// Its own incarnation.
     pub id: MemberId,
-    /// The current view.
-    pub view: View,
-    /// Links to the other members.
-    pub peers: HashMap<MemberId, PeerClient>,
+    /// Its membership.
+    pub members: Members,
     /// The platform.
     pub platform: HttpPlatform,
     /// Appends to the log.
@@ -92,8 +90,8 @@
             id: parts.id,
             zone,
             platform: parts.platform,
-            view: RefCell::new(parts.view),
-            peers: parts.peers,
+            view: RefCell::default(),
+            members: parts.members,
             log_writer: parts.log_writer,
             log_next: Cell::new(0),
             log_wake: Notify::new(),
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -15,6 +15,7 @@
 use syc_wire::job::job_id;
 
 use crate::home;
+use crate::members_run;
 use crate::node::Node;
 use crate::owner;
 use crate::owner::StartOrder;
@@ -27,7 +28,13 @@
     body: Body,
     timeout_ms: u64,
 ) -> Result<Body, CallError> {
-    let Some(peer) = node.peers.get(member) else {
+    let address = {
+        let view = node.view.borrow();
+        view.member(member)
+            .map(|member| member.peer_address.clone())
+    };
+    let link = address.and_then(|address| node.members.link(&address));
+    let Some(peer) = link else {
         return Err(CallError::NotSent);
     };
     let epoch = node.view.borrow().epoch.0;
@@ -48,6 +55,10 @@
 /// Answers a call of another member; a malformed one gets a refusal.
 pub async fn answer(node: Rc<Node>, payload: Bytes) -> Bytes {
     let reply = match Message::from_bytes(payload) {
+        Ok((epoch, Body::Heartbeat(heartbeat))) => {
+            let (epoch, ack) = members_run::receive(&node, epoch, heartbeat);
+            return Message::new(epoch, Body::HeartbeatAck(ack)).to_bytes();
+        }
         Ok((_epoch, body)) => dispatch(&node, body).await,
         Err(error) => Err(error),
     };
@@ -85,11 +96,15 @@
             Body::JobState(syc_wire::JobState { json })
         }
         Body::RunRequest(run) => Body::RunReply(requests::run_for_peer(node, run).await?),
+        Body::ViewQuery(_) => Body::ViewState(members_run::view_state(node)),
         // Not yet served; the caller sees a refusal.
         Body::HeldTasks(_) | Body::StopTasks(_) | Body::WhatRuns(_) | Body::RunningTasks(_) => {
             Body::Ack(Ack { accepted: false })
         }
-        Body::SubmitReply(_)
+        Body::Heartbeat(_)
+        | Body::HeartbeatAck(_)
+        | Body::ViewState(_)
+        | Body::SubmitReply(_)
         | Body::OfferReply(_)
         | Body::Ack(_)
         | Body::JobState(_)
--- a/crates/member/tests/member/schedules.rs
+++ b/crates/member/tests/member/schedules.rs
@@ -195,7 +195,7 @@
 }
 
 #[test]
-#[ignore = "a minute in a release build: cargo test --release -p syc-member -- --ignored"]
+#[ignore = "minutes in a release build: cargo test --release -p syc-member -- --ignored"]
 fn nothing_has_two_holders_under_many_generated_faults() {
     check_schedules(2_000);
 }
--- a/crates/net/src/peer.rs
+++ b/crates/net/src/peer.rs
@@ -93,6 +93,11 @@
         self.bytes.get()
     }
 
+    /// Gives the open link up, so that the next call opens another; calls in progress go on.
+    pub fn reset(&self) {
+        self.link.borrow_mut().take();
+    }
+
     /// Sends `payload` and waits for the reply, at most `timeout_ms`.
     ///
     /// # Errors
--- a/crates/obs/src/events.rs
+++ b/crates/obs/src/events.rs
@@ -74,4 +74,14 @@
     WORKER_FAULT = 402, Warn, "worker did not do as commanded";
     /// A peer did not answer.
     PEER_SILENT = 500, Warn, "peer did not answer";
+    /// Another view of the entry VMs is current.
+    VIEW_CHANGED = 501, Info, "view changed";
+    /// This daemon appends a new view to the log.
+    VIEW_PROPOSED = 502, Info, "view proposed";
+    /// This daemon acts as owner and home from now on.
+    ACTING = 503, Info, "acting as owner and home";
+    /// This daemon acts no more as owner and home, for now.
+    NOT_ACTING = 504, Warn, "not acting as owner and home";
+    /// The wall clock and the monotonic clock went apart.
+    CLOCK_JUMPED = 505, Warn, "clock jumped, leases dropped";
 }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod error;
 pub mod job;
+pub mod member;
 mod message;
 mod request;
 
@@ -24,6 +25,10 @@
 pub use job::TaskDone;
 pub use job::WhatRuns;
 pub use job::WireSpec;
+pub use member::Heartbeat;
+pub use member::HeartbeatAck;
+pub use member::ViewQuery;
+pub use member::ViewState;
 pub use message::Ack;
 pub use message::Body;
 pub use message::Message;
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -15,6 +15,10 @@
 use crate::job::SubmitReply;
 use crate::job::TaskDone;
 use crate::job::WhatRuns;
+use crate::member::Heartbeat;
+use crate::member::HeartbeatAck;
+use crate::member::ViewQuery;
+use crate::member::ViewState;
 use crate::request::RunReply;
 use crate::request::RunRequest;
 
@@ -27,7 +31,7 @@
     /// What is asked or answered.
     #[prost(
         oneof = "Body",
-        tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 20, 21, 22, 23"
+        tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 20, 21, 22, 23, 30, 31, 32, 33"
     )]
     pub body: Option<Body>,
 }
@@ -74,6 +78,18 @@
     /// Answer to [`Body::WhatRuns`].
     #[prost(message, tag = "23")]
     RunningTasks(RunningTasks),
+    /// The sender is there.
+    #[prost(message, tag = "30")]
+    Heartbeat(Heartbeat),
+    /// Answer to [`Body::Heartbeat`].
+    #[prost(message, tag = "31")]
+    HeartbeatAck(HeartbeatAck),
+    /// Ask for the views.
+    #[prost(message, tag = "32")]
+    ViewQuery(ViewQuery),
+    /// Answer to [`Body::ViewQuery`].
+    #[prost(message, tag = "33")]
+    ViewState(ViewState),
     /// Answer to [`Body::RunRequest`].
     #[prost(message, tag = "11")]
     RunReply(RunReply),
