Settle appends in doubt and outlast the log's retention

Cause: a lost answer of the log was told to the caller as unknown, every record cost its own 5 ms group whatever the rate, and a reader whose offset was trimmed skipped on to the oldest entry without a word.

Change: the writer decides when to append in coord::append_batch (group commit, a cap on appends, back-off with jitter passed in). An append in doubt is settled by reading on from before it; where the end is reached without it, a tombstone is appended, and the order of the two decides, for the writer and for every reader alike. Only then does a caller hear that its record was not run; a bounded wait ends as unknown only while the append is still in doubt. A publication has an id of its own, apart from its records, so that a void record does not void the next retry.

Ended jobs, verdicts and tombstones are bounded.

The log stand-in learns to cut answers and to write late.

--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -98,6 +98,10 @@
     pub body_bytes: usize,
     /// Requests that wait for an endpoint.
     pub queue_requests: usize,
+    /// Appends a second to the log that this daemon may sustain.
+    pub appends_per_s: u64,
+    /// Entries of the log after which a snapshot is written; far fewer than the log keeps.
+    pub snapshot_entries: u64,
 }
 
 impl Default for Limits {
@@ -106,6 +110,8 @@
             connections: 4_096,
             body_bytes: 1024 * 1024,
             queue_requests: 1_024,
+            appends_per_s: 2,
+            snapshot_entries: 20_000,
         }
     }
 }
@@ -129,6 +135,12 @@
     pub once_window_ms: u64,
     /// Time that a record waits for others before it is appended.
     pub group_commit_ms: u64,
+    /// Time that a caller waits for its record to be in the log.
+    pub append_wait_ms: u64,
+    /// Time after which a snapshot is written; far shorter than the log's retention.
+    pub snapshot_age_ms: u64,
+    /// Time that an ended job and its results are kept.
+    pub ended_jobs_ms: u64,
     /// Time between telling the balancer and refusing connections.
     pub drain_notice_ms: u64,
     /// Longest time that a planned stop waits for requests in progress.
@@ -145,6 +157,9 @@
             request_timeout_ms: 10_000,
             once_window_ms: 600_000,
             group_commit_ms: 5,
+            append_wait_ms: 4_000,
+            snapshot_age_ms: 3_600_000,
+            ended_jobs_ms: 600_000,
             drain_notice_ms: 2_000,
             drain_limit_ms: 30_000,
         }
--- a/crates/coord/src/config_store.rs
+++ b/crates/coord/src/config_store.rs
@@ -2,7 +2,10 @@
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
+use std::collections::VecDeque;
 
+use serde::Deserialize;
+use serde::Serialize;
 use smol_str::SmolStr;
 use syc_config::Document;
 use syc_types::Revision;
@@ -10,8 +13,12 @@
 
 use crate::records::ConfigRecord;
 
+/// Most verdicts that are kept; about three days of an operator's changes.
+const VERDICTS_KEPT: usize = 4_096;
+
 /// What became of a published document.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
 pub enum Verdict {
     /// It is in force as this revision.
     Accepted(Revision),
@@ -20,7 +27,7 @@
 }
 
 /// A document in force.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct InForce {
     /// Its revision in its scope.
     pub revision: Revision,
@@ -32,17 +39,18 @@
     pub document: Document,
 }
 
-/// The documents in force, by scope.
-#[derive(Debug, Clone, Default)]
+/// The documents in force, by scope, and the latest verdicts.
+#[derive(Debug, Clone, Default, PartialEq)]
 pub struct ConfigStore {
     documents: BTreeMap<SmolStr, InForce>,
     verdicts: HashMap<Uuid, Verdict>,
+    order: VecDeque<Uuid>,
 }
 
 impl ConfigStore {
-    /// Applies a record that stands at `offset`; a repeated id gets its first verdict again.
-    pub fn apply(&mut self, id: Uuid, offset: u64, record: &ConfigRecord) -> Verdict {
-        if let Some(verdict) = self.verdicts.get(&id) {
+    /// Applies a record that stands at `offset`; a repeated publication gets its first verdict.
+    pub fn apply(&mut self, offset: u64, record: &ConfigRecord) -> Verdict {
+        if let Some(verdict) = self.verdicts.get(&record.publication) {
             return verdict.clone();
         }
         let scope = record.document.scope();
@@ -60,10 +68,34 @@
         } else {
             Verdict::Conflict(current)
         };
-        self.verdicts.insert(id, verdict.clone());
+        self.restore_verdict(record.publication, verdict.clone());
         verdict
     }
 
+    /// Takes over a document from a snapshot or a peer, unless a later revision is in force.
+    /// Returns whether it came into force.
+    pub fn restore(&mut self, in_force: InForce) -> bool {
+        let scope = in_force.document.scope();
+        if self.revision(&scope) >= in_force.revision {
+            return false;
+        }
+        self.documents.insert(scope, in_force);
+        true
+    }
+
+    /// Takes over a verdict; the oldest is forgotten where there are too many.
+    pub fn restore_verdict(&mut self, publication: Uuid, verdict: Verdict) {
+        if self.verdicts.insert(publication, verdict).is_some() {
+            return;
+        }
+        self.order.push_back(publication);
+        if self.order.len() > VERDICTS_KEPT
+            && let Some(oldest) = self.order.pop_front()
+        {
+            self.verdicts.remove(&oldest);
+        }
+    }
+
     /// Returns the revision in force of a scope, 0 for none.
     #[must_use]
     pub fn revision(&self, scope: &str) -> Revision {
@@ -72,14 +104,20 @@
             .map_or(Revision(0), |in_force| in_force.revision)
     }
 
-    /// Returns the verdict on a record that was applied.
+    /// Returns the verdict on a publication that was applied and is not yet forgotten.
     #[must_use]
-    pub fn verdict(&self, id: Uuid) -> Option<&Verdict> {
-        self.verdicts.get(&id)
+    pub fn verdict(&self, publication: Uuid) -> Option<&Verdict> {
+        self.verdicts.get(&publication)
     }
 
     /// Returns every document in force, by scope.
     pub fn documents(&self) -> impl Iterator<Item = (&SmolStr, &InForce)> {
         self.documents.iter()
     }
+
+    /// Returns the kept verdicts, the oldest first.
+    pub fn verdicts(&self) -> impl Iterator<Item = (Uuid, &Verdict)> {
+        let kept = |id: &Uuid| self.verdicts.get(id).map(|verdict| (*id, verdict));
+        self.order.iter().filter_map(kept)
+    }
 }
--- a/crates/coord/src/jobs.rs
+++ b/crates/coord/src/jobs.rs
@@ -1,5 +1,6 @@
 //! Job states as the log's records and the owners' reports make them.
 
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 
 use serde::Serialize;
@@ -35,9 +36,25 @@
     /// Whether a start of each task may have happened already.
     #[serde(skip)]
     pub intents: Vec<bool>,
+    /// When its last task ended, in the log's own milliseconds.
+    #[serde(skip)]
+    pub ended_at_ms: Option<u64>,
 }
 
 impl Job {
+    /// Makes a job none of whose tasks has started.
+    #[must_use]
+    pub fn new(id: JobId, spec: JobSpec) -> Self {
+        let count = spec.tasks as usize;
+        Self {
+            id,
+            spec,
+            tasks: vec![TaskState::Pending; count],
+            intents: vec![false; count],
+            ended_at_ms: None,
+        }
+    }
+
     /// Says whether every task has ended.
     #[must_use]
     pub fn ended(&self) -> bool {
@@ -45,12 +62,12 @@
         tasks.all(|task| matches!(task, TaskState::Ended(_)))
     }
 
-    /// Returns the indexes of the tasks that wait for a place.
+    /// Returns the indexes of the tasks that have not ended.
     #[must_use]
-    pub fn pending(&self) -> Vec<u32> {
+    pub fn open(&self) -> Vec<u32> {
         let indexed = (0..).zip(&self.tasks);
         indexed
-            .filter(|(_, task)| **task == TaskState::Pending)
+            .filter(|(_, task)| !matches!(task, TaskState::Ended(_)))
             .map(|(index, _)| index)
             .collect()
     }
@@ -60,6 +77,8 @@
 #[derive(Debug, Clone, Default)]
 pub struct Jobs {
     jobs: HashMap<JobId, Job>,
+    // Ended jobs by the log's time of their end.
+    ended: BTreeSet<(u64, JobId)>,
 }
 
 impl Jobs {
@@ -68,14 +87,7 @@
         if self.jobs.contains_key(&id) {
             return false;
         }
-        let count = spec.tasks as usize;
-        let job = Job {
-            id,
-            spec: spec.clone(),
-            tasks: vec![TaskState::Pending; count],
-            intents: vec![false; count],
-        };
-        self.jobs.insert(id, job);
+        self.jobs.insert(id, Job::new(id, spec.clone()));
         true
     }
 
@@ -104,6 +116,47 @@
         true
     }
 
+    /// Ends every task that has not ended, as cancelled; returns their indexes.
+    pub fn cancel(&mut self, id: JobId) -> Vec<u32> {
+        let open = self.jobs.get(&id).map(Job::open).unwrap_or_default();
+        for &index in &open {
+            let task = TaskRef { job_id: id, index };
+            self.set(task, TaskState::Ended(TaskOutcome::Cancelled));
+        }
+        open
+    }
+
+    /// Notes the log's time at which a job ended, if it has.
+    pub fn note_end(&mut self, id: JobId, at_ms: u64) {
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        if job.ended_at_ms.is_some() || !job.ended() {
+            return;
+        }
+        job.ended_at_ms = Some(at_ms);
+        self.ended.insert((at_ms, id));
+    }
+
+    /// Forgets the jobs that ended before `at_ms` on the log's clock.
+    pub fn forget_before(&mut self, at_ms: u64) {
+        while let Some(&(ended_at_ms, id)) = self.ended.first() {
+            if ended_at_ms >= at_ms {
+                return;
+            }
+            self.ended.pop_first();
+            self.jobs.remove(&id);
+        }
+    }
+
+    /// Takes over a job from a snapshot or a peer, in place of what is known of it.
+    pub fn restore(&mut self, job: Job) {
+        if let Some(at_ms) = job.ended_at_ms {
+            self.ended.insert((at_ms, job.id));
+        }
+        self.jobs.insert(job.id, job);
+    }
+
     /// Returns a job.
     #[must_use]
     pub fn get(&self, id: JobId) -> Option<&Job> {
--- /dev/null
+++ b/crates/coord/src/log_state.rs
@@ -0,0 +1,20 @@
+//! What the records of the log have made, as far as it was read.
+
+use syc_member::View;
+
+use crate::ConfigStore;
+use crate::Jobs;
+use crate::Tombstones;
+
+/// The parts of a daemon's state that follow from the log alone.
+#[derive(Debug, Clone, Copy)]
+pub struct LogState<'a> {
+    /// The configuration.
+    pub config: &'a ConfigStore,
+    /// The jobs.
+    pub jobs: &'a Jobs,
+    /// The current view.
+    pub view: &'a View,
+    /// The records that never count.
+    pub tombstones: &'a Tombstones,
+}
--- a/crates/coord/src/records.rs
+++ b/crates/coord/src/records.rs
@@ -13,6 +13,8 @@
 use syc_types::TaskRef;
 use uuid::Uuid;
 
+use crate::snapshot::SnapshotPart;
+
 /// What one append holds.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Group {
@@ -65,6 +67,8 @@
         /// The record's id.
         of: Uuid,
     },
+    /// A part of what was live when the log had been applied up to some offset.
+    Snapshot(SnapshotPart),
     /// A task ended.
     TaskEnded {
         /// The task.
@@ -77,6 +81,9 @@
 /// A published document.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct ConfigRecord {
+    /// Identifies the publication over every retry, through whichever daemon; each retry is a
+    /// record of its own.
+    pub publication: Uuid,
     /// Who published it.
     pub author: SmolStr,
     /// The revision that the author had seen of this scope; 0 for none.
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -8,6 +8,7 @@
 
 use smol_str::SmolStr;
 use syc_config::Settings;
+use syc_coord::AppendOptions;
 use syc_member::Member;
 use syc_member::View;
 use syc_net::HttpListener;
@@ -207,7 +208,15 @@
         &settings.platform.vms,
         HttpPlatformOptions::default(),
     );
-    let log_writer = LogWriter::start(platform.clone(), settings.timing.group_commit_ms);
+    let log_writer = LogWriter::start(
+        platform.clone(),
+        AppendOptions {
+            prompt_delay_ms: settings.timing.group_commit_ms,
+            appends_per_s: settings.limits.appends_per_s,
+            ..AppendOptions::default()
+        },
+        settings.timing.append_wait_ms,
+    );
     Node::new(NodeParts {
         settings,
         id,
--- a/crates/daemon/src/home.rs
+++ b/crates/daemon/src/home.rs
@@ -140,12 +140,15 @@
 
 /// Applies a cancellation that the log's order has reached: tasks that wait end at once.
 pub fn apply_cancelled(node: &Rc<Node>, job_id: JobId) {
-    let mut jobs = node.jobs.borrow_mut();
-    let pending = jobs.get(job_id).map(Job::pending).unwrap_or_default();
-    for index in pending {
-        let task = TaskRef { job_id, index };
-        jobs.set(task, TaskState::Ended(TaskOutcome::Cancelled));
+    node.jobs.borrow_mut().cancel(job_id);
+}
+
+/// Takes over the jobs of a snapshot.
+pub fn restore_jobs(node: &Rc<Node>, restored: Vec<Job>) {
+    for job in restored {
+        node.jobs.borrow_mut().restore(job);
     }
+    node.jobs_wake.notify_one();
 }
 
 /// Looks again at what this daemon is the home of, after a change of the view.
@@ -179,7 +182,7 @@
         if home.is_none_or(|member| member.id != node.id) {
             continue;
         }
-        let pending = job.pending();
+        let pending = pending(job);
         if pending.is_empty() {
             continue;
         }
@@ -195,6 +198,12 @@
     found
 }
 
+fn pending(job: &Job) -> Vec<u32> {
+    let open = job.open().into_iter();
+    let waits = |index: &u32| job.tasks.get(*index as usize) == Some(&TaskState::Pending);
+    open.filter(waits).collect()
+}
+
 async fn place(node: Rc<Node>, job: Job, indexes: Vec<u32>) {
     if !job.spec.idempotent && !record_intents(&node, &job, &indexes).await {
         retry_later(&node, job.id, &indexes).await;
--- a/crates/daemon/src/members.rs
+++ b/crates/daemon/src/members.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 
 use syc_coord::records::ViewRecord;
+use syc_member::Member;
 use syc_member::View;
 use syc_types::Epoch;
 
@@ -28,3 +29,13 @@
     owner::view_changed(node);
     home::view_changed(node);
 }
+
+/// Takes over the view of a snapshot, unless a later one is known.
+pub fn restore_view(node: &Rc<Node>, epoch: Epoch, members: &[Member]) {
+    if epoch <= node.view.borrow().epoch {
+        return;
+    }
+    *node.view.borrow_mut() = View::new(epoch, members.to_vec());
+    owner::view_changed(node);
+    home::view_changed(node);
+}
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -3,6 +3,7 @@
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::HashMap;
+use std::collections::VecDeque;
 use std::rc::Rc;
 use std::time::Instant;
 
@@ -12,6 +13,9 @@
 use syc_config::effective_inventory;
 use syc_coord::ConfigStore;
 use syc_coord::Jobs;
+use syc_coord::Tombstones;
+use syc_coord::snapshot::SnapshotPart;
+use syc_coord::snapshot::SnapshotProgress;
 use syc_member::View;
 use syc_net::PeerClient;
 use syc_platform::http::HttpPlatform;
@@ -49,6 +53,18 @@
     pub log_wake: Notify,
     /// Tells that records were applied.
     pub log_applied: Notify,
+    /// Offset up to which some peer has read the log.
+    pub log_peers: Cell<u64>,
+    /// Records that never count.
+    pub tombstones: RefCell<Tombstones>,
+    /// Parts of snapshots that were read.
+    pub snapshots: RefCell<SnapshotProgress>,
+    /// What the last complete snapshot covers, and when it was read.
+    pub last_snapshot: Cell<(u64, Millis)>,
+    /// Whether this daemon is writing a snapshot.
+    pub writing_snapshot: Cell<bool>,
+    /// Snapshots that peers are fetching.
+    pub peer_snapshots: RefCell<VecDeque<Vec<SnapshotPart>>>,
     /// Whether the log has been read to its end once.
     pub caught_up: Cell<bool>,
     /// The configuration.
@@ -96,6 +112,12 @@
             peers: parts.peers,
             log_writer: parts.log_writer,
             log_next: Cell::new(0),
+            log_peers: Cell::new(0),
+            tombstones: RefCell::default(),
+            snapshots: RefCell::default(),
+            last_snapshot: Cell::default(),
+            writing_snapshot: Cell::new(false),
+            peer_snapshots: RefCell::default(),
             log_wake: Notify::new(),
             log_applied: Notify::new(),
             caught_up: Cell::new(false),
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -14,6 +14,7 @@
 use syc_wire::Message;
 use syc_wire::job::job_id;
 
+use crate::follower_peers;
 use crate::home;
 use crate::node::Node;
 use crate::owner;
@@ -85,6 +86,7 @@
             Body::JobState(syc_wire::JobState { json })
         }
         Body::RunRequest(run) => Body::RunReply(requests::run_for_peer(node, run).await?),
+        Body::StateQuery(query) => Body::StatePart(follower_peers::answer(node, &query)),
         // Not yet served; the caller sees a refusal.
         Body::HeldTasks(_) | Body::StopTasks(_) | Body::WhatRuns(_) | Body::RunningTasks(_) => {
             Body::Ack(Ack { accepted: false })
@@ -93,6 +95,7 @@
         | Body::OfferReply(_)
         | Body::Ack(_)
         | Body::JobState(_)
+        | Body::StatePart(_)
         | Body::RunReply(_) => Body::Ack(Ack { accepted: false }),
     };
     Ok(reply)
--- a/crates/daemon/src/publish.rs
+++ b/crates/daemon/src/publish.rs
@@ -14,7 +14,6 @@
 use syc_platform::AppendError;
 use uuid::Uuid;
 
-use crate::log_writer::record;
 use crate::node::Node;
 
 /// Time that a publication waits for its verdict.
@@ -23,12 +22,17 @@
 /// Publishes a document and waits for the verdict on it.
 pub async fn publish(node: &Rc<Node>, body: PublishBody) -> Result<PublishAnswer, ErrorBody> {
     let id = body.id;
+    let known = node.config.borrow().verdict(id).cloned();
+    if let Some(verdict) = known {
+        return answer(&verdict);
+    }
     let content = Content::Config(ConfigRecord {
+        publication: id,
         author: body.author,
         base: body.base,
         document: body.document,
     });
-    match node.log_writer.append_record(record(id, content)).await {
+    match node.log_writer.append(content).await {
         Ok(_) | Err(AppendError::InDoubt(_)) => {}
         Err(AppendError::Refused(reason)) => {
             let error = ErrorBody::not_run("log_unavailable", &reason, Some(1_000));
@@ -37,11 +41,7 @@
     }
     node.log_wake.notify_one();
     match tokio::time::timeout(VERDICT_TIMEOUT, verdict(node, id)).await {
-        Ok(Verdict::Accepted(revision)) => Ok(PublishAnswer { revision }),
-        Ok(Verdict::Conflict(current)) => {
-            let message = format!("revision {} is in force", current.0);
-            Err(ErrorBody::not_run("conflict", &message, None))
-        }
+        Ok(verdict) => answer(&verdict),
         Err(_elapsed) => {
             let message = "no verdict yet; publish again with the same id";
             Err(ErrorBody::unknown("verdict_pending", message))
@@ -49,6 +49,18 @@
     }
 }
 
+fn answer(verdict: &Verdict) -> Result<PublishAnswer, ErrorBody> {
+    match verdict {
+        Verdict::Accepted(revision) => Ok(PublishAnswer {
+            revision: *revision,
+        }),
+        Verdict::Conflict(current) => {
+            let message = format!("revision {} is in force", current.0);
+            Err(ErrorBody::not_run("conflict", &message, None))
+        }
+    }
+}
+
 async fn verdict(node: &Rc<Node>, id: Uuid) -> Verdict {
     loop {
         let applied = node.log_applied.notified();
@@ -61,9 +73,9 @@
 }
 
 /// Applies a publication that the log's order has reached.
-pub fn apply(node: &Rc<Node>, id: Uuid, offset: u64, config: &ConfigRecord) {
-    let known = node.config.borrow().verdict(id).is_some();
-    let verdict = node.config.borrow_mut().apply(id, offset, config);
+pub fn apply(node: &Rc<Node>, offset: u64, config: &ConfigRecord) {
+    let known = node.config.borrow().verdict(config.publication).is_some();
+    let verdict = node.config.borrow_mut().apply(offset, config);
     if known {
         return;
     }
--- a/crates/daemon/tests/daemon/main.rs
+++ b/crates/daemon/tests/daemon/main.rs
@@ -1,4 +1,6 @@
 //! The daemon against stand-ins, everything on one arbiter and on ports that the system chooses.
 
 mod bed;
+mod log;
 mod path;
+mod publish;
--- a/crates/obs/src/events.rs
+++ b/crates/obs/src/events.rs
@@ -66,6 +66,12 @@
     LOG_AVAILABLE = 301, Info, "log available again";
     /// An append's fate is not known.
     APPEND_IN_DOUBT = 302, Warn, "append in doubt";
+    /// The state was taken from a snapshot, of the log or of a peer.
+    SNAPSHOT_READ = 303, Info, "state taken from a snapshot";
+    /// A snapshot was appended.
+    SNAPSHOT_WRITTEN = 304, Info, "snapshot appended";
+    /// Entries are gone from the log, and no snapshot tells what they made.
+    SNAPSHOT_MISSING = 305, Error, "no snapshot covers the entries that are gone";
     /// A job was accepted.
     JOB_ACCEPTED = 400, Info, "job accepted";
     /// A job ended.
--- a/crates/standin/src/reply.rs
+++ b/crates/standin/src/reply.rs
@@ -6,6 +6,7 @@
 use actix_http::Response;
 use actix_http::StatusCode;
 use actix_http::body::BoxBody;
+use actix_http::body::SizedStream;
 use bytes::Bytes;
 use bytes::BytesMut;
 use futures_util::StreamExt;
@@ -58,3 +59,11 @@
     let listener = HttpListener::start(socket, HttpOptions::default(), handler)?;
     Ok((listener, address))
 }
+
+/// Makes an answer whose connection is cut before its body is whole.
+pub fn cut() -> Response<BoxBody> {
+    let broken = std::io::Error::from(std::io::ErrorKind::ConnectionReset);
+    let chunks = futures_util::stream::iter([Err::<Bytes, _>(broken)]);
+    let body = SizedStream::new(64, chunks);
+    Response::with_body(StatusCode::OK, BoxBody::new(body))
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod job;
 mod message;
 mod request;
+mod state;
 
 pub use error::DecodeError;
 pub use job::HeldTasks;
@@ -29,3 +30,5 @@
 pub use message::Message;
 pub use request::RunReply;
 pub use request::RunRequest;
+pub use state::StatePart;
+pub use state::StateQuery;
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -17,6 +17,8 @@
 use crate::job::WhatRuns;
 use crate::request::RunReply;
 use crate::request::RunRequest;
+use crate::state::StatePart;
+use crate::state::StateQuery;
 
 /// One message, a call or its reply.
 #[derive(Clone, PartialEq, prost::Message)]
@@ -27,7 +29,7 @@
     /// What is asked or answered.
     #[prost(
         oneof = "Body",
-        tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 20, 21, 22, 23"
+        tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 20, 21, 22, 23, 50, 51"
     )]
     pub body: Option<Body>,
 }
@@ -77,6 +79,12 @@
     /// Answer to [`Body::RunRequest`].
     #[prost(message, tag = "11")]
     RunReply(RunReply),
+    /// Fetch a part of a peer's state.
+    #[prost(message, tag = "50")]
+    StateQuery(StateQuery),
+    /// Answer to [`Body::StateQuery`].
+    #[prost(message, tag = "51")]
+    StatePart(StatePart),
 }
 
 /// An empty acknowledgement.
--- /dev/null
+++ b/crates/wire/src/state.rs
@@ -0,0 +1,21 @@
+//! Messages by which a daemon takes its state from a peer while the log can't give it.
+
+/// Asks a peer for one part of its state.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct StateQuery {
+    /// The snapshot that the part belongs to, 16 bytes; empty for a new one.
+    #[prost(bytes = "vec", tag = "1")]
+    pub snapshot: Vec<u8>,
+    /// Position of the part, from 0.
+    #[prost(uint32, tag = "2")]
+    pub part: u32,
+}
+
+/// One part of a peer's state.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct StatePart {
+    /// The part in the JSON form of the log's snapshots; empty where the peer has not caught up
+    /// itself, or no longer has the snapshot.
+    #[prost(string, tag = "1")]
+    pub json: String,
+}
