--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -98,7 +98,7 @@
     pub body_bytes: usize,
     /// Requests that wait for an endpoint.
     pub queue_requests: usize,
-    /// Appends a second to the log that this daemon may sustain.
+    /// Appends a second to the log that all entry VMs together may sustain.
     pub appends_per_s: u64,
     /// Entries of the log after which a snapshot is written; far fewer than the log keeps.
     pub snapshot_entries: u64,
@@ -110,7 +110,7 @@
             connections: 4_096,
             body_bytes: 1024 * 1024,
             queue_requests: 1_024,
-            appends_per_s: 2,
+            appends_per_s: 18,
             snapshot_entries: 20_000,
         }
     }
--- a/crates/coord/src/append_batch.rs
+++ b/crates/coord/src/append_batch.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashSet;
 
+use syc_types::Class;
 use syc_types::Millis;
 use uuid::Uuid;
 
@@ -40,7 +41,7 @@
             group_records: 512,
             group_bytes: 256 * 1024,
             appends_per_s: 2,
-            burst: 20,
+            burst: 32,
             backoff_min_ms: 100,
             backoff_max_ms: 5_000,
         }
@@ -50,6 +51,8 @@
 /// Whether somebody waits for a record.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Urgency {
+    /// An urgent job waits; it may use the reserve of appends.
+    Urgent,
     /// A caller or an operator waits, or a start.
     Prompt,
     /// Nothing waits but memory.
@@ -62,6 +65,9 @@
     pub const fn of(content: &Content) -> Self {
         match content {
             Content::TaskEnded { .. } | Content::Audit(_) | Content::Snapshot(_) => Self::Relaxed,
+            Content::JobAccepted { spec, .. } if matches!(spec.class, Class::Urgent) => {
+                Self::Urgent
+            }
             _ => Self::Prompt,
         }
     }
@@ -74,6 +80,8 @@
     pub records: usize,
     /// Their size.
     pub bytes: usize,
+    /// Since when the oldest urgent record waits.
+    pub urgent_since: Option<Millis>,
     /// Since when the oldest prompt record waits.
     pub prompt_since: Option<Millis>,
     /// Since when the oldest relaxed record waits.
@@ -103,6 +111,13 @@
         }
     }
 
+    /// Sets the appends a second that this daemon may sustain from now on.
+    pub fn set_rate(&mut self, appends_per_s: u64, now: Millis) {
+        self.tokens_milli = self.tokens_at(now);
+        self.refilled = now;
+        self.options.appends_per_s = appends_per_s.max(1);
+    }
+
     /// Returns when the waiting records are due, `None` where there are none.
     #[must_use]
     pub fn due(&self, waiting: &Waiting, now: Millis) -> Option<Millis> {
@@ -110,24 +125,46 @@
             return None;
         }
         let tokens_milli = self.tokens_at(now);
-        let missing = APPEND_MILLI.saturating_sub(tokens_milli);
-        let token_at = now.plus(missing.div_ceil(self.options.appends_per_s.max(1)));
-        let earliest = token_at.max(self.not_before);
+        let urgent = waiting.urgent_since.map(|at| {
+            let due = at.plus(self.options.prompt_delay_ms);
+            due.max(self.token_at(tokens_milli, APPEND_MILLI, now))
+        });
+        let reserved = self.token_at(tokens_milli, APPEND_MILLI + self.reserve_milli(), now);
         let full = waiting.records >= self.options.group_records
             || waiting.bytes >= self.options.group_bytes;
-        if full {
-            return Some(earliest);
-        }
+        let other = if full {
+            Some(now)
+        } else {
+            self.other_due(waiting, tokens_milli)
+        };
+        let other = other.map(|at| at.max(reserved));
+        let due = match (urgent, other) {
+            (Some(urgent), Some(other)) => urgent.min(other),
+            (Some(at), None) | (None, Some(at)) => at,
+            (None, None) => now,
+        };
+        Some(due.max(self.not_before))
+    }
+
+    fn other_due(&self, waiting: &Waiting, tokens_milli: u64) -> Option<Millis> {
         let prompt_delay_ms = self.prompt_delay_ms(tokens_milli);
         let prompt = waiting.prompt_since.map(|at| at.plus(prompt_delay_ms));
         let relaxed_delay_ms = self.options.relaxed_delay_ms.max(prompt_delay_ms);
         let relaxed = waiting.relaxed_since.map(|at| at.plus(relaxed_delay_ms));
-        let due = match (prompt, relaxed) {
-            (Some(prompt), Some(relaxed)) => prompt.min(relaxed),
-            (Some(at), None) | (None, Some(at)) => at,
-            (None, None) => now,
-        };
-        Some(due.max(earliest))
+        match (prompt, relaxed) {
+            (Some(prompt), Some(relaxed)) => Some(prompt.min(relaxed)),
+            (at, None) | (None, at) => at,
+        }
+    }
+
+    fn token_at(&self, tokens_milli: u64, needed_milli: u64, now: Millis) -> Millis {
+        let missing = needed_milli.saturating_sub(tokens_milli);
+        now.plus(missing.div_ceil(self.options.appends_per_s.max(1)))
+    }
+
+    // What is left to records that are urgent.
+    const fn reserve_milli(&self) -> u64 {
+        self.options.burst * APPEND_MILLI / 4
     }
 
     /// Takes note that an append is made now.
@@ -159,12 +196,13 @@
         self.tokens_milli.saturating_add(earned).min(most)
     }
 
-    // From the least delay at half of the burst to the sustained interval at none.
+    // From the least delay at half of the burst to the sustained interval at the reserve.
     fn prompt_delay_ms(&self, tokens_milli: u64) -> u64 {
         let half = self.options.burst * APPEND_MILLI / 2;
+        let range = half - self.reserve_milli();
         let interval_ms = 1_000 / self.options.appends_per_s.max(1);
-        let used = half.saturating_sub(tokens_milli);
-        let grown = interval_ms * used / half.max(1);
+        let used = half.saturating_sub(tokens_milli).min(range);
+        let grown = interval_ms * used / range.max(1);
         grown.max(self.options.prompt_delay_ms)
     }
 }
--- /dev/null
+++ b/crates/coord/src/home/offers.rs
@@ -0,0 +1,411 @@
+//! Which tasks are offered next, and to whom: classes in order, the teams of a class in turn.
+
+use syc_types::Class;
+use syc_types::JobId;
+use syc_types::JobKind;
+use syc_types::JobSpec;
+use syc_types::MemberId;
+use syc_types::Millis;
+use syc_types::Resources;
+use syc_types::TaskRef;
+use syc_types::TeamId;
+use syc_types::hash;
+
+use super::Action;
+use super::Home;
+use super::Part;
+use super::Phase;
+use super::Placement;
+use super::StartOutcome;
+use super::Unit;
+use super::queue::class_index;
+use crate::Job;
+use crate::Jobs;
+
+/// Pause of a start that waits for the log.
+const LOG_PAUSE_MS: u64 = 500;
+
+/// What an owner last said it has to give.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct OwnerRoom {
+    /// The owner.
+    pub owner: MemberId,
+    /// What no task holds, over all its workers.
+    pub free: Resources,
+    /// Tasks in its queue.
+    pub queued_tasks: u64,
+}
+
+impl Home {
+    /// Returns what is to be done now. `log_up` says whether intents can be recorded.
+    pub fn actions(
+        &mut self,
+        jobs: &Jobs,
+        rooms: &[OwnerRoom],
+        log_up: bool,
+        now: Millis,
+    ) -> Vec<Action> {
+        let mut actions = Vec::new();
+        for (task, outcome) in std::mem::take(&mut self.ends) {
+            actions.push(Action::RecordEnd { task, outcome });
+        }
+        self.asks(now, &mut actions);
+        self.due_stops(now, &mut actions);
+        let names: Vec<_> = self.teams.keys().cloned().collect();
+        for name in names {
+            if let Some(team) = self.teams.get_mut(&name) {
+                team.queue.advance(now);
+            }
+            self.rotate_in(&name);
+        }
+        for class in [Class::Urgent, Class::Normal, Class::Patient] {
+            while self.may_offer(class)
+                && let Some((team, unit)) = self.next_unit(class)
+            {
+                actions.extend(self.offer(&team, unit, jobs, rooms, log_up, now));
+            }
+        }
+        actions
+    }
+
+    /// Returns when [`Home::actions`] is to be asked again, if nothing else happens.
+    #[must_use]
+    pub fn next_at(&self) -> Option<Millis> {
+        let mut next = self.next_stop_at();
+        for team in self.teams.values() {
+            let asked = team.round.as_ref().and_then(super::Round::next_at);
+            for at in [team.queue.next_at(), asked].into_iter().flatten() {
+                next = Some(next.map_or(at, |next| next.min(at)));
+            }
+        }
+        next
+    }
+
+    const fn may_offer(&self, class: Class) -> bool {
+        if matches!(class, Class::Urgent) {
+            return self.placing < self.options.offers * 2;
+        }
+        self.placing - self.placing_urgent < self.options.offers
+    }
+
+    fn next_unit(&mut self, class: Class) -> Option<(TeamId, Unit)> {
+        let class = class_index(class);
+        loop {
+            let name = self.rotation[class].pop_front()?;
+            let Some(team) = self.teams.get_mut(&name) else {
+                continue;
+            };
+            let unit = team.queue.pop(class);
+            if team.queue.has(class) {
+                self.rotation[class].push_back(name.clone());
+            }
+            if let Some(unit) = unit {
+                return Some((name, unit));
+            }
+        }
+    }
+
+    fn offer(
+        &mut self,
+        team: &TeamId,
+        mut unit: Unit,
+        jobs: &Jobs,
+        rooms: &[OwnerRoom],
+        log_up: bool,
+        now: Millis,
+    ) -> Option<Action> {
+        let job = jobs.get(unit.job_id)?;
+        let task = |index| TaskRef {
+            job_id: job.id,
+            index,
+        };
+        unit.indexes
+            .retain(|index| self.offerable(team, task(*index), unit.pinned.as_ref()));
+        if unit.indexes.is_empty() {
+            return None;
+        }
+        let state = self.teams.get_mut(team)?;
+        if !log_up && !job.spec.idempotent {
+            state.queue.push_at(now.plus(LOG_PAUSE_MS), unit);
+            return None;
+        }
+        if unit.pinned.is_none() && !state.has_quota(&job.spec, unit.indexes.len()) {
+            state.queue.block(unit);
+            return None;
+        }
+        let parts = self.parts_for(&unit, &job.spec, rooms)?;
+        let attempts = unit.indexes.iter().filter_map(|&index| {
+            let task = self.task(team, task(index));
+            task.map(|task| task.attempt)
+        });
+        let attempt = attempts.max()?;
+        for &index in &unit.indexes {
+            self.set_phase(team, task(index), Phase::Placing { stale: false });
+            if let Some(state) = self.task_mut(team, task(index)) {
+                state.attempt = attempt;
+            }
+        }
+        self.placing += 1;
+        self.placing_urgent += usize::from(unit.class == Class::Urgent);
+        Some(Action::Place(Placement {
+            job_id: job.id,
+            attempt,
+            tries: unit.tries,
+            urgent: unit.class == Class::Urgent,
+            pinned: unit.pinned.is_some(),
+            parts,
+        }))
+    }
+
+    fn offerable(&self, team: &TeamId, task: TaskRef, pinned: Option<&MemberId>) -> bool {
+        let Some(task) = self.task(team, task) else {
+            return false;
+        };
+        match (&task.phase, pinned) {
+            (Phase::Waiting, None) => !task.cancelled,
+            (Phase::Doubtful { owner }, Some(pinned)) => owner == pinned && !task.cancelled,
+            _ => false,
+        }
+    }
+
+    fn parts_for(&self, unit: &Unit, spec: &JobSpec, rooms: &[OwnerRoom]) -> Option<Vec<Part>> {
+        if let Some(owner) = &unit.pinned {
+            return Some(vec![Part {
+                owner: owner.clone(),
+                indexes: unit.indexes.clone(),
+            }]);
+        }
+        let tries = unit.tries as usize;
+        let several = unit.indexes.len() > 1;
+        if several
+            && tries % 2 == 1
+            && let Some(parts) = split(&unit.indexes, &spec.resources, rooms)
+        {
+            return Some(parts);
+        }
+        let ranked = rank_owners(unit.job_id, &unit.indexes, spec, &self.members, rooms);
+        let step = if several { tries / 2 } else { tries };
+        let owner = ranked.get(step % ranked.len().max(1))?.clone();
+        Some(vec![Part {
+            owner,
+            indexes: unit.indexes.clone(),
+        }])
+    }
+
+    /// Takes in what came of the start of each task of a placement.
+    pub fn placed(
+        &mut self,
+        placement: &Placement,
+        outcomes: &[(u32, StartOutcome)],
+        jobs: &Jobs,
+        now: Millis,
+    ) {
+        self.placing = self.placing.saturating_sub(1);
+        let urgent = usize::from(placement.urgent);
+        self.placing_urgent = self.placing_urgent.saturating_sub(urgent);
+        let Some(job) = jobs.get(placement.job_id) else {
+            return;
+        };
+        let mut refused = Vec::new();
+        for (index, outcome) in outcomes {
+            let task = TaskRef {
+                job_id: job.id,
+                index: *index,
+            };
+            if self.started(&job.spec.team, task, placement, outcome, now) {
+                refused.push(*index);
+            }
+        }
+        let whole = refused.len() == outcomes.len();
+        self.offer_again(job, placement.tries, refused, whole, now);
+    }
+
+    // Returns whether the task waits again.
+    fn started(
+        &mut self,
+        team: &TeamId,
+        task: TaskRef,
+        placement: &Placement,
+        outcome: &StartOutcome,
+        now: Millis,
+    ) -> bool {
+        let Some(state) = self.task(team, task) else {
+            return false;
+        };
+        let Phase::Placing { stale } = state.phase else {
+            return false;
+        };
+        if state.attempt != placement.attempt {
+            // This attempt has ended already, and the next is being placed.
+            return false;
+        }
+        let cancelled = state.cancelled;
+        match outcome {
+            StartOutcome::NotStarted if placement.pinned => {
+                self.unsettle(team, task);
+                false
+            }
+            StartOutcome::NotStarted if cancelled => {
+                self.remove_task(team, task);
+                false
+            }
+            StartOutcome::NotStarted => {
+                self.set_phase(team, task, Phase::Waiting);
+                true
+            }
+            StartOutcome::Started { owner, worker } => {
+                let next = self.teams.get_mut(team).filter(|_| stale);
+                let round = next.map(super::Team::next_round);
+                let phase = Phase::Running {
+                    owner: owner.clone(),
+                    worker: worker.clone(),
+                    round,
+                };
+                self.set_phase(team, task, phase);
+                if cancelled {
+                    self.push_stop(now, owner, task);
+                }
+                false
+            }
+            StartOutcome::InDoubt { owner } => {
+                self.doubt(team, task, owner, stale || cancelled, now);
+                if cancelled {
+                    self.push_stop(now, owner, task);
+                }
+                false
+            }
+        }
+    }
+
+    fn doubt(
+        &mut self,
+        team: &TeamId,
+        task: TaskRef,
+        owner: &MemberId,
+        by_round: bool,
+        now: Millis,
+    ) {
+        if by_round {
+            self.unsettle(team, task);
+            return;
+        }
+        let phase = Phase::Doubtful {
+            owner: owner.clone(),
+        };
+        self.set_phase(team, task, phase);
+        let at = now.plus(self.options.ask_again_ms);
+        let unit = Unit {
+            job_id: task.job_id,
+            indexes: vec![task.index],
+            class: Class::Urgent,
+            tries: 0,
+            pinned: Some(owner.clone()),
+        };
+        if let Some(state) = self.teams.get_mut(team) {
+            state.queue.push_at(at, unit);
+        }
+    }
+
+    fn offer_again(&mut self, job: &Job, tries: u32, refused: Vec<u32>, whole: bool, now: Millis) {
+        let owners = u32::try_from(self.members.len()).unwrap_or(u32::MAX).max(1);
+        let tries = tries.saturating_add(1);
+        let turns = tries / owners;
+        let pause_ms = if turns == 0 {
+            0
+        } else {
+            let doubled = self.options.no_room_min_ms << (turns - 1).min(16);
+            doubled.min(self.options.no_room_max_ms)
+        };
+        let units: Vec<_> = if whole && job.spec.kind == JobKind::Gang {
+            vec![refused]
+        } else {
+            refused.into_iter().map(|index| vec![index]).collect()
+        };
+        let Some(team) = self.teams.get_mut(&job.spec.team) else {
+            return;
+        };
+        for indexes in units {
+            let unit = Unit {
+                job_id: job.id,
+                indexes,
+                class: job.spec.class,
+                tries,
+                pinned: None,
+            };
+            team.queue.push_at(now.plus(pause_ms), unit);
+        }
+    }
+}
+
+impl super::Team {
+    fn has_quota(&self, spec: &JobSpec, count: usize) -> bool {
+        let Some(quota) = self.quota else {
+            return true;
+        };
+        let mut sum = self.used;
+        for _ in 0..count {
+            let Ok(more) = sum.checked_add(&spec.resources) else {
+                return false;
+            };
+            sum = more;
+        }
+        sum.fits_in(&quota)
+    }
+}
+
+/// Orders the owners that a unit is offered to: those with room by what they last said, without a
+/// queue before those with one, and different tasks begin at different owners.
+#[must_use]
+pub fn rank_owners(
+    job_id: JobId,
+    indexes: &[u32],
+    spec: &JobSpec,
+    members: &[MemberId],
+    rooms: &[OwnerRoom],
+) -> Vec<MemberId> {
+    let first = indexes.first().copied().unwrap_or_default();
+    let key = format!("{job_id}/{first}");
+    let mut ranked: Vec<_> = members.iter().collect();
+    ranked.sort_by_cached_key(|member| {
+        let room = rooms.iter().find(|room| room.owner == **member);
+        let fits = room.is_none_or(|room| fitting(room, &spec.resources) >= indexes.len());
+        let queued = room.is_some_and(|room| room.queued_tasks > 0);
+        let score = hash::score(&key, member.as_str());
+        (!fits, queued, u64::MAX - score)
+    });
+    ranked.into_iter().cloned().collect()
+}
+
+/// Spreads a gang's tasks over several owners by what they last said; `None` where they have not
+/// enough together.
+#[must_use]
+pub fn split(indexes: &[u32], size: &Resources, rooms: &[OwnerRoom]) -> Option<Vec<Part>> {
+    let mut ordered: Vec<_> = rooms.iter().collect();
+    ordered.sort_by_key(|room| std::cmp::Reverse((fitting(room, size), room.owner.clone())));
+    let mut parts = Vec::new();
+    let mut left = indexes;
+    for room in ordered {
+        let count = fitting(room, size).min(left.len());
+        if count == 0 {
+            break;
+        }
+        let (taken, rest) = left.split_at(count);
+        parts.push(Part {
+            owner: room.owner.clone(),
+            indexes: taken.to_vec(),
+        });
+        left = rest;
+    }
+    (left.is_empty() && !parts.is_empty()).then_some(parts)
+}
+
+fn fitting(room: &OwnerRoom, size: &Resources) -> usize {
+    let times = |free: u64, each: u64| free.checked_div(each).unwrap_or(u64::MAX);
+    let fitting = times(room.free.cpu_millis, size.cpu_millis)
+        .min(times(room.free.memory_bytes, size.memory_bytes))
+        .min(times(
+            u64::from(room.free.accelerators),
+            u64::from(size.accelerators),
+        ));
+    usize::try_from(fitting).unwrap_or(usize::MAX)
+}
--- a/crates/coord/src/lib.rs
+++ b/crates/coord/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod append_batch;
 mod config_store;
+pub mod home;
 mod jobs;
 mod log_state;
 pub mod records;
@@ -17,6 +18,8 @@
 pub use config_store::ConfigStore;
 pub use config_store::InForce;
 pub use config_store::Verdict;
+pub use home::Home;
+pub use home::HomeOptions;
 pub use jobs::Job;
 pub use jobs::Jobs;
 pub use jobs::TaskState;
--- a/crates/coord/tests/append_batch.rs
+++ b/crates/coord/tests/append_batch.rs
@@ -33,6 +33,7 @@
     Waiting {
         records,
         bytes: records,
+        urgent_since: None,
         prompt_since: match prompt {
             Some(at) => Some(Millis(at)),
             None => None,
@@ -54,6 +55,23 @@
     assert_eq!(pace.due(&waiting, Millis(100)), due.map(Millis));
 }
 
+#[test]
+fn urgent_records_find_a_reserve() {
+    let mut pace = AppendPace::new(OPTIONS, Millis(0));
+    for _ in 0..15 {
+        pace.started(Millis(0));
+    }
+    // Five appends are left, all of them to urgent records.
+    let others = waiting(1, Some(0), Some(0));
+    assert_eq!(pace.due(&others, Millis(0)), Some(Millis(500)));
+    let urgent = Waiting {
+        records: 2,
+        urgent_since: Some(Millis(0)),
+        ..others
+    };
+    assert_eq!(pace.due(&urgent, Millis(0)), Some(Millis(5)));
+}
+
 #[test_case(1; "a record each millisecond")]
 #[test_case(40; "a record each 40 ms")]
 fn the_cap_holds_under_load(interval_ms: u64) {
--- a/crates/daemon/src/callers.rs
+++ b/crates/daemon/src/callers.rs
@@ -20,6 +20,7 @@
 use uuid::Uuid;
 
 use crate::home;
+use crate::home_cancel;
 use crate::http_body::BodyError;
 use crate::http_body::json;
 use crate::http_body::json_text;
@@ -43,6 +44,10 @@
             (Method::GET, "/health") => Response::new(StatusCode::OK).map_into_boxed_body(),
             (Method::GET, "/ready") => ready(&node),
             (Method::POST, "/v1/jobs") => submit(&node, &mut request).await,
+            (Method::POST, other) => match cancelled_job(other) {
+                Some(id) => cancel(&node, id).await,
+                None => not_found(),
+            },
             (Method::GET, other) => match other.strip_prefix("/v1/jobs/") {
                 Some(id) => job_state(&node, id).await,
                 None => not_found(),
@@ -172,6 +177,25 @@
     }
 }
 
+fn cancelled_job(path: &str) -> Option<JobId> {
+    let id = path.strip_prefix("/v1/jobs/")?.strip_suffix("/cancel")?;
+    Uuid::parse_str(id).ok().map(JobId)
+}
+
+async fn cancel(node: &Rc<Node>, job_id: JobId) -> Response<BoxBody> {
+    match home_cancel::cancel(node, job_id).await {
+        Ok(()) => json(StatusCode::OK, &SubmitAnswer { job_id }),
+        Err(error) => {
+            let status = match (error.outcome, error.code.as_str()) {
+                (Outcome::NotRun, "no_such_job") => StatusCode::NOT_FOUND,
+                (Outcome::NotRun, _) => StatusCode::SERVICE_UNAVAILABLE,
+                (Outcome::Unknown, _) => StatusCode::GATEWAY_TIMEOUT,
+            };
+            refusal(status, &error)
+        }
+    }
+}
+
 async fn job_state(node: &Rc<Node>, id: &str) -> Response<BoxBody> {
     let Ok(id) = Uuid::parse_str(id) else {
         let body = ErrorBody::not_run("job_id_malformed", "the id is no UUID", None);
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -28,7 +28,7 @@
 use crate::callers;
 use crate::control;
 use crate::follower;
-use crate::home;
+use crate::home_run;
 use crate::log_writer::LogWriter;
 use crate::node::Node;
 use crate::node::NodeParts;
@@ -139,7 +139,7 @@
                 let _stopped = serving.await;
             }),
             actix_rt::spawn(follower::run(Rc::clone(&node))),
-            actix_rt::spawn(home::run(Rc::clone(&node))),
+            actix_rt::spawn(home_run::run(Rc::clone(&node))),
         ];
         emit(catalogue::STARTED, format_args!("member={}", node.id));
         Ok(Self {
--- a/crates/daemon/src/follower.rs
+++ b/crates/daemon/src/follower.rs
@@ -18,6 +18,7 @@
 use crate::follower_peers;
 use crate::follower_snapshot;
 use crate::home;
+use crate::home_cancel;
 use crate::members;
 use crate::node::Node;
 use crate::publish;
@@ -156,7 +157,7 @@
             jobs.note_end(task.job_id, entry.at_ms);
         }
         Content::JobCancelled { job_id } => {
-            home::apply_cancelled(node, *job_id);
+            home_cancel::apply(node, *job_id);
             node.jobs.borrow_mut().note_end(*job_id, entry.at_ms);
         }
         Content::View(view) => members::apply_view(node, view),
--- a/crates/daemon/src/home.rs
+++ b/crates/daemon/src/home.rs
@@ -1,9 +1,7 @@
-//! The home's part: accepting jobs, offering their tasks to owners, and keeping how they ended.
+//! The home's part towards submitters: accepting jobs and telling their states.
 
 use std::rc::Rc;
-use std::time::Duration;
 
-use smol_str::SmolStr;
 use syc_api::ErrorBody;
 use syc_coord::Job;
 use syc_coord::TaskState;
@@ -12,37 +10,22 @@
 use syc_obs::emit;
 use syc_platform::AppendError;
 use syc_types::JobId;
-use syc_types::JobKind;
 use syc_types::JobSpec;
 use syc_types::MemberId;
 use syc_types::TaskOutcome;
 use syc_types::TaskRef;
 use syc_types::TeamId;
-use syc_types::WorkerId;
 use syc_wire::Body;
-use syc_wire::Offer;
 use syc_wire::Submit;
 use syc_wire::SubmitReply;
-use syc_wire::TaskDone;
 
 use crate::members;
 use crate::node::Node;
-use crate::owner;
-use crate::owner::StartOrder;
 use crate::peers;
 
-/// Pause before tasks that found no room are offered again.
-const OFFER_RETRY: Duration = Duration::from_millis(50);
-
 /// Time that a home has to accept a job.
 const SUBMIT_TIMEOUT_MS: u64 = 5_000;
 
-/// Time that an owner has to start tasks.
-const OFFER_TIMEOUT_MS: u64 = 5_000;
-
-/// Time that a home has to keep the end of a task.
-const REPORT_TIMEOUT_MS: u64 = 5_000;
-
 /// Most tasks that one job may have.
 const TASK_LIMIT: u32 = 10_000;
 
@@ -57,18 +40,7 @@
         job_id: job_id.0.as_bytes().to_vec(),
         spec: spec.into(),
     });
-    match peers::call(node, &home, body, SUBMIT_TIMEOUT_MS).await {
-        Ok(Body::SubmitReply(reply)) => from_reply(&reply),
-        Ok(_) | Err(syc_net::CallError::NoReply) => Err(ErrorBody::unknown(
-            "home_silent",
-            "the team's home did not answer; submit again with the same id",
-        )),
-        Err(syc_net::CallError::NotSent) => Err(ErrorBody::not_run(
-            "home_unreachable",
-            "the team's home can't be reached",
-            Some(1_000),
-        )),
-    }
+    ask_home(node, &home, body).await
 }
 
 fn check_spec(spec: &JobSpec) -> Result<(), ErrorBody> {
@@ -82,6 +54,22 @@
     Err(ErrorBody::not_run("job_malformed", fault, None))
 }
 
+/// Calls a home that answers with a [`SubmitReply`].
+pub async fn ask_home(node: &Rc<Node>, home: &MemberId, body: Body) -> Result<(), ErrorBody> {
+    match peers::call(node, home, body, SUBMIT_TIMEOUT_MS).await {
+        Ok(Body::SubmitReply(reply)) => from_reply(&reply),
+        Ok(_) | Err(syc_net::CallError::NoReply) => Err(ErrorBody::unknown(
+            "home_silent",
+            "the team's home did not answer; ask again with the same id",
+        )),
+        Err(syc_net::CallError::NotSent) => Err(ErrorBody::not_run(
+            "home_unreachable",
+            "the team's home can't be reached",
+            Some(1_000),
+        )),
+    }
+}
+
 fn from_reply(reply: &SubmitReply) -> Result<(), ErrorBody> {
     if reply.accepted {
         return Ok(());
@@ -92,33 +80,42 @@
     Err(ErrorBody::not_run(&reply.code, &reply.reason, Some(1_000)))
 }
 
-fn home_of(node: &Rc<Node>, team: &TeamId) -> Result<MemberId, ErrorBody> {
+/// Returns the home of a team in the current view.
+pub fn home_of(node: &Rc<Node>, team: &TeamId) -> Result<MemberId, ErrorBody> {
     let view = node.view.borrow();
     let home = view.team_home(team).map(|member| member.id.clone());
     home.ok_or_else(|| ErrorBody::not_run("no_view", "there are no members", Some(1_000)))
 }
 
+/// Says whether this daemon is the home of a team in the current view.
+pub fn is_home(node: &Rc<Node>, team: &TeamId) -> bool {
+    let view = node.view.borrow();
+    let home = view.team_home(team);
+    home.is_some_and(|member| member.id == node.id)
+}
+
 /// Accepts a job here: its record goes into the log first.
 pub async fn accept(node: &Rc<Node>, job_id: JobId, spec: &JobSpec) -> Result<(), ErrorBody> {
-    if !members::may_act(node) {
+    if !members::may_act(node) || !is_home(node, &spec.team) {
         let message = "the team's home may not act now";
         return Err(ErrorBody::not_run("not_acting", message, Some(1_000)));
     }
     if node.jobs.borrow().get(job_id).is_some() {
         return Ok(());
     }
+    node.home.borrow_mut().accepting(job_id);
     let content = Content::JobAccepted {
         job_id,
         spec: spec.clone(),
     };
     match node.log_writer.append(content).await {
         Ok(_offset) => {
-            node.jobs.borrow_mut().accept(job_id, spec);
+            apply_accepted(node, job_id, spec);
             emit(catalogue::JOB_ACCEPTED, format_args!("job={job_id}"));
-            node.jobs_wake.notify_one();
             Ok(())
         }
         Err(AppendError::Refused(reason)) => {
+            node.home.borrow_mut().not_accepted(job_id);
             Err(ErrorBody::not_run("log_unavailable", &reason, Some(1_000)))
         }
         Err(AppendError::InDoubt(reason)) => Err(ErrorBody::unknown("append_in_doubt", &reason)),
@@ -127,20 +124,28 @@
 
 /// Applies an acceptance that the log's order has reached.
 pub fn apply_accepted(node: &Rc<Node>, job_id: JobId, spec: &JobSpec) {
-    if node.jobs.borrow_mut().accept(job_id, spec) {
-        node.jobs_wake.notify_one();
+    if !node.jobs.borrow_mut().accept(job_id, spec) {
+        return;
+    }
+    let here = is_home(node, &spec.team);
+    if let Some(job) = node.jobs.borrow().get(job_id) {
+        node.home.borrow_mut().learn(job, here, node.now());
     }
+    node.jobs_wake.notify_one();
 }
 
 /// Applies the end of a task that the log's order has reached.
 pub fn apply_ended(node: &Rc<Node>, task: TaskRef, outcome: &TaskOutcome) {
     let state = TaskState::Ended(outcome.clone());
-    node.jobs.borrow_mut().set(task, state);
-}
-
-/// Applies a cancellation that the log's order has reached: tasks that wait end at once.
-pub fn apply_cancelled(node: &Rc<Node>, job_id: JobId) {
-    node.jobs.borrow_mut().cancel(job_id);
+    if !node.jobs.borrow_mut().set(task, state) {
+        return;
+    }
+    let jobs = node.jobs.borrow();
+    node.home.borrow_mut().recorded(task, &jobs, node.now());
+    if jobs.get(task.job_id).is_some_and(Job::ended) {
+        emit(catalogue::JOB_ENDED, format_args!("job={}", task.job_id));
+    }
+    node.jobs_wake.notify_one();
 }
 
 /// Takes over the jobs of a snapshot.
@@ -148,207 +153,42 @@
     for job in restored {
         node.jobs.borrow_mut().restore(job);
     }
+    let jobs = node.jobs.borrow();
+    let mut home = node.home.borrow_mut();
+    home.synchronize(|team| is_home(node, team), &jobs, node.now());
     node.jobs_wake.notify_one();
 }
 
 /// Looks again at what this daemon is the home of, after a change of the view.
 pub fn view_changed(node: &Rc<Node>) {
-    node.jobs_wake.notify_one();
-}
-
-/// Places pending tasks until the arbiter ends.
-pub async fn run(node: Rc<Node>) {
-    loop {
-        for (job, indexes) in placeable(&node) {
-            for &index in &indexes {
-                let task = TaskRef {
-                    job_id: job.id,
-                    index,
-                };
-                node.jobs.borrow_mut().set(task, TaskState::Offered);
-            }
-            actix_rt::spawn(place(Rc::clone(&node), job, indexes));
-        }
-        node.jobs_wake.notified().await;
-    }
-}
-
-fn placeable(node: &Rc<Node>) -> Vec<(Job, Vec<u32>)> {
-    let jobs = node.jobs.borrow();
-    let view = node.view.borrow();
-    let mut found = Vec::new();
-    for job in jobs.iter() {
-        let home = view.team_home(&job.spec.team);
-        if home.is_none_or(|member| member.id != node.id) {
-            continue;
-        }
-        let pending = pending(job);
-        if pending.is_empty() {
-            continue;
-        }
-        if job.spec.kind == JobKind::Gang {
-            found.push((job.clone(), pending));
-            continue;
-        }
-        for index in pending {
-            found.push((job.clone(), vec![index]));
-        }
-    }
-    found.sort_by_key(|(job, _)| (job.spec.class, job.id));
-    found
-}
-
-fn pending(job: &Job) -> Vec<u32> {
-    let open = job.open().into_iter();
-    let waits = |index: &u32| job.tasks.get(*index as usize) == Some(&TaskState::Pending);
-    open.filter(waits).collect()
-}
-
-async fn place(node: Rc<Node>, job: Job, indexes: Vec<u32>) {
-    if !job.spec.idempotent && !record_intents(&node, &job, &indexes).await {
-        retry_later(&node, job.id, &indexes).await;
-        return;
-    }
-    let order = StartOrder {
-        job_id: job.id,
-        spec: job.spec,
-        indexes,
-        attempt: 1,
-    };
-    match start_somewhere(&node, &order).await {
-        Some(workers) => {
-            for (&index, worker) in order.indexes.iter().zip(workers) {
-                let task = TaskRef {
-                    job_id: order.job_id,
-                    index,
-                };
-                node.jobs.borrow_mut().set(task, TaskState::Running(worker));
-            }
-        }
-        None => retry_later(&node, order.job_id, &order.indexes).await,
-    }
-}
-
-async fn record_intents(node: &Rc<Node>, job: &Job, indexes: &[u32]) -> bool {
-    for &index in indexes {
-        if job.intents.get(index as usize) == Some(&true) {
-            continue;
-        }
-        let task = TaskRef {
-            job_id: job.id,
-            index,
-        };
-        let appended = node.log_writer.append(Content::Intent { task }).await;
-        if appended.is_err() {
-            return false;
-        }
-        node.jobs.borrow_mut().intend(task);
-    }
-    true
-}
-
-async fn start_somewhere(node: &Rc<Node>, order: &StartOrder) -> Option<Vec<WorkerId>> {
-    let members = {
+    let (epoch, members) = {
         let view = node.view.borrow();
-        let mut ids = Vec::new();
-        for member in &view.members {
-            ids.push(member.id.clone());
-        }
-        ids
-    };
-    // Different jobs begin at different owners.
-    let first = order.job_id.0.as_u128() % members.len().max(1) as u128;
-    let first = usize::try_from(first).unwrap_or(0);
-    for step in 0..members.len() {
-        let owner = &members[(first + step) % members.len()];
-        if let Some(workers) = offer(node, owner, order).await {
-            return Some(workers);
-        }
-    }
-    None
-}
-
-async fn offer(node: &Rc<Node>, owner: &MemberId, order: &StartOrder) -> Option<Vec<WorkerId>> {
-    if *owner == node.id {
-        return owner::start_tasks(node, order).await.ok();
-    }
-    let body = Body::Offer(Offer {
-        job_id: order.job_id.0.as_bytes().to_vec(),
-        spec: (&order.spec).into(),
-        indexes: order.indexes.clone(),
-        attempt: order.attempt,
-        wait_ms: 0,
-        hold_ms: 0,
-    });
-    let reply = peers::call(node, owner, body, OFFER_TIMEOUT_MS).await;
-    let Ok(Body::OfferReply(reply)) = reply else {
-        return None;
+        let ids = view.members.iter().map(|member| member.id.clone());
+        (view.epoch, ids.collect::<Vec<_>>())
     };
-    if reply.workers.len() != order.indexes.len() {
-        return None;
-    }
-    let workers = reply.workers.into_iter().map(WorkerId::new);
-    Some(workers.collect())
-}
-
-async fn retry_later(node: &Rc<Node>, job_id: JobId, indexes: &[u32]) {
-    actix_rt::time::sleep(OFFER_RETRY).await;
-    for &index in indexes {
-        let task = TaskRef { job_id, index };
-        node.jobs.borrow_mut().set(task, TaskState::Pending);
-    }
+    let appends_per_s = node.settings.limits.appends_per_s;
+    node.log_writer.share(appends_per_s, members.len());
+    let jobs = node.jobs.borrow();
+    let mut home = node.home.borrow_mut();
+    home.enter(
+        epoch,
+        members,
+        |team| is_home(node, team),
+        &jobs,
+        node.now(),
+    );
     node.jobs_wake.notify_one();
 }
 
-/// Tells a task's end to its team's home; returns whether it is safe there.
-pub async fn report_end(
-    node: &Rc<Node>,
-    team: &TeamId,
-    task: TaskRef,
-    attempt: u32,
-    outcome: &TaskOutcome,
-) -> bool {
-    let Ok(home) = home_of(node, team) else {
-        return false;
-    };
-    if home == node.id {
-        return keep_end(node, task, outcome).await;
-    }
-    let body = Body::TaskDone(TaskDone::new(task, attempt, outcome));
-    let reply = peers::call(node, &home, body, REPORT_TIMEOUT_MS).await;
-    matches!(reply, Ok(Body::Ack(ack)) if ack.accepted)
-}
-
-/// Keeps a task's end here: its record goes into the log first.
-pub async fn keep_end(node: &Rc<Node>, task: TaskRef, outcome: &TaskOutcome) -> bool {
-    let known = {
-        let jobs = node.jobs.borrow();
-        let job = jobs.get(task.job_id);
-        job.and_then(|job| job.tasks.get(task.index as usize).cloned())
-    };
-    if matches!(known, Some(TaskState::Ended(_))) {
-        return true;
-    }
-    let content = Content::TaskEnded {
-        task,
-        outcome: outcome.clone(),
-    };
-    if node.log_writer.append(content).await.is_err() {
-        return false;
-    }
-    let mut jobs = node.jobs.borrow_mut();
-    jobs.set(task, TaskState::Ended(outcome.clone()));
-    if jobs.get(task.job_id).is_some_and(Job::ended) {
-        emit(catalogue::JOB_ENDED, format_args!("job={}", task.job_id));
-    }
-    true
-}
-
 /// Returns a job's state as JSON, as far as this daemon knows the job.
 pub fn state_json(node: &Rc<Node>, job_id: JobId) -> Option<String> {
-    let jobs = node.jobs.borrow();
-    let job = jobs.get(job_id)?;
-    serde_json::to_string(job).ok()
+    let mut job = node.jobs.borrow().get(job_id)?.clone();
+    let home = node.home.borrow();
+    for index in job.open() {
+        let task = TaskRef { job_id, index };
+        job.tasks[index as usize] = home.state(&job.spec.team, task);
+    }
+    serde_json::to_string(&job).ok()
 }
 
 /// Returns a job's state as its home knows it, or `None` if no member knows the job.
@@ -362,9 +202,6 @@
         None => node.peers.keys().cloned().collect(),
     };
     for member in asked {
-        if member == node.id {
-            return state_json(node, job_id);
-        }
         let body = Body::JobQuery(syc_wire::JobQuery {
             job_id: job_id.0.as_bytes().to_vec(),
         });
@@ -378,7 +215,7 @@
     state_json(node, job_id)
 }
 
-/// Makes the reply to a submit that came from a peer.
+/// Makes the reply to a submit or a cancellation that came from a peer.
 pub fn submit_reply(outcome: Result<(), ErrorBody>) -> SubmitReply {
     match outcome {
         Ok(()) => SubmitReply {
@@ -393,17 +230,3 @@
         },
     }
 }
-
-/// Makes the reason of an offer that was not taken.
-pub fn offer_reply(outcome: Result<Vec<WorkerId>, SmolStr>) -> syc_wire::OfferReply {
-    match outcome {
-        Ok(workers) => syc_wire::OfferReply {
-            workers: workers.iter().map(ToString::to_string).collect(),
-            reason: String::new(),
-        },
-        Err(reason) => syc_wire::OfferReply {
-            workers: Vec::new(),
-            reason: reason.to_string(),
-        },
-    }
-}
--- a/crates/daemon/src/log_writer.rs
+++ b/crates/daemon/src/log_writer.rs
@@ -41,6 +41,8 @@
     pub wait_ms: u64,
     /// The bounds in force.
     pub options: AppendOptions,
+    /// Appends a second that this daemon may sustain.
+    pub appends_per_s: Cell<u64>,
     /// Wakes the appending task.
     pub wake: Notify,
     /// Whether the last append was answered.
@@ -65,6 +67,7 @@
     pub reply: Reply,
     ticket: u64,
     bytes: usize,
+    urgency: Urgency,
     since: Millis,
 }
 
@@ -77,6 +80,7 @@
         let shared = Rc::new(Shared {
             wait_ms,
             options,
+            appends_per_s: Cell::new(options.appends_per_s),
             wake: Notify::new(),
             available: Cell::new(true),
             appends: Cell::new(0),
@@ -100,6 +104,15 @@
         self.shared.appended_records.get()
     }
 
+    /// Shares the appends a second of all entry VMs among so many.
+    pub fn share(&self, appends_per_s: u64, members: usize) {
+        let members = u64::try_from(members).unwrap_or(u64::MAX).max(1);
+        self.shared
+            .appends_per_s
+            .set((appends_per_s / members).max(1));
+        self.shared.wake.notify_one();
+    }
+
     /// Says whether the last append was answered.
     pub fn available(&self) -> bool {
         self.shared.available.get()
@@ -112,16 +125,22 @@
 
     /// Appends a record with a new id and returns its offset.
     pub async fn append(&self, content: Content) -> Result<u64, AppendError> {
-        self.append_record(record(Uuid::now_v7(), content)).await
+        let urgency = Urgency::of(&content);
+        self.append_record(record(Uuid::now_v7(), content), urgency)
+            .await
     }
 
     /// Appends a record and returns its offset.
     ///
     /// After a bounded wait, `Refused` says that the record surely does not count, and `InDoubt`
     /// that its append is still being settled.
-    pub async fn append_record(&self, record: Record) -> Result<u64, AppendError> {
+    pub async fn append_record(
+        &self,
+        record: Record,
+        urgency: Urgency,
+    ) -> Result<u64, AppendError> {
         let (reply, done) = oneshot::channel();
-        let Some(ticket) = self.shared.push(record, reply) else {
+        let Some(ticket) = self.shared.push(record, urgency, reply) else {
             return Err(AppendError::Refused("too many records wait".to_owned()));
         };
         let wait = Duration::from_millis(self.shared.wait_ms);
@@ -154,7 +173,8 @@
         for queued in &*self.queue.borrow() {
             waiting.records += 1;
             waiting.bytes += queued.bytes;
-            let since = match Urgency::of(&queued.record.content) {
+            let since = match queued.urgency {
+                Urgency::Urgent => &mut waiting.urgent_since,
                 Urgency::Prompt => &mut waiting.prompt_since,
                 Urgency::Relaxed => &mut waiting.relaxed_since,
             };
@@ -194,7 +214,7 @@
         }
     }
 
-    fn push(&self, record: Record, reply: Reply) -> Option<u64> {
+    fn push(&self, record: Record, urgency: Urgency, reply: Reply) -> Option<u64> {
         if self.queue.borrow().len() >= QUEUE_RECORDS {
             return None;
         }
@@ -206,6 +226,7 @@
             reply,
             ticket,
             bytes,
+            urgency,
             since: self.now(),
         });
         self.wake.notify_one();
--- a/crates/daemon/src/log_writer_task.rs
+++ b/crates/daemon/src/log_writer_task.rs
@@ -37,7 +37,7 @@
 {
     let mut pace = AppendPace::new(shared.options, shared.now());
     loop {
-        wait_until_due(&shared, &pace).await;
+        wait_until_due(&shared, &mut pace).await;
         let group = shared.take_group();
         if !group.is_empty() {
             append_group(&log, &shared, &mut pace, group).await;
@@ -45,9 +45,10 @@
     }
 }
 
-async fn wait_until_due(shared: &Shared, pace: &AppendPace) {
+async fn wait_until_due(shared: &Shared, pace: &mut AppendPace) {
     loop {
         let now = shared.now();
+        pace.set_rate(shared.appends_per_s.get(), now);
         let Some(due) = pace.due(&shared.waiting(), now) else {
             shared.wake.notified().await;
             continue;
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -12,6 +12,8 @@
 use syc_config::Settings;
 use syc_config::effective_inventory;
 use syc_coord::ConfigStore;
+use syc_coord::Home;
+use syc_coord::HomeOptions;
 use syc_coord::Jobs;
 use syc_coord::Tombstones;
 use syc_coord::snapshot::SnapshotPart;
@@ -71,6 +73,8 @@
     pub config: RefCell<ConfigStore>,
     /// The jobs.
     pub jobs: RefCell<Jobs>,
+    /// The teams that this daemon is the home of.
+    pub home: RefCell<Home>,
     /// Wakes the placing of pending tasks.
     pub jobs_wake: Notify,
     /// Grants on the workers that this daemon owns.
@@ -123,6 +127,7 @@
             caught_up: Cell::new(false),
             config: RefCell::default(),
             jobs: RefCell::default(),
+            home: RefCell::new(Home::new(HomeOptions::default())),
             jobs_wake: Notify::new(),
             owner: Owner::default(),
             requests: Requests::new(once_window_ms),
@@ -140,6 +145,11 @@
 
     /// Takes over a document that came into force.
     pub fn apply_document(self: &Rc<Self>, document: &Document) {
+        if let Document::Team(team) = document {
+            let mut home = self.home.borrow_mut();
+            home.set_quota(&team.name, team.quota);
+            self.jobs_wake.notify_one();
+        }
         if !matches!(document, Document::Inventory(_) | Document::Rules(_)) {
             return;
         }
--- a/crates/daemon/src/owner.rs
+++ b/crates/daemon/src/owner.rs
@@ -24,7 +24,7 @@
 use syc_types::TaskRef;
 use syc_types::WorkerId;
 
-use crate::home;
+use crate::home_ends;
 use crate::members;
 use crate::node::Node;
 
@@ -39,8 +39,11 @@
     /// The home's facts of each task that was started here.
     specs: RefCell<HashMap<JobId, JobSpec>>,
     polled: RefCell<HashSet<WorkerId>>,
+    holds: RefCell<HashMap<(JobId, u32), Hold>>,
 }
 
+type Hold = (StartOrder, Vec<(TaskRef, WorkerKey)>);
+
 /// Tasks to be started, all or none.
 #[derive(Debug, Clone)]
 pub struct StartOrder {
@@ -89,6 +92,55 @@
         return Err(SmolStr::new("not_acting"));
     }
     let keys = grant_all(node, order)?;
+    start_granted(node, order, keys).await
+}
+
+/// Reserves room for all tasks of an order, or none; the reservation lapses after `hold_ms`.
+pub fn hold_tasks(
+    node: &Rc<Node>,
+    order: &StartOrder,
+    hold_ms: u64,
+) -> Result<Vec<WorkerId>, SmolStr> {
+    if !members::may_act(node) {
+        return Err(SmolStr::new("not_acting"));
+    }
+    let keys = grant_all(node, order)?;
+    let mut workers = Vec::new();
+    for (_, key) in &keys {
+        let ledger = node.owner.ledger.borrow();
+        workers.extend(ledger.worker(*key).map(|info| info.id.clone()));
+    }
+    let hold = (order.job_id, order.attempt);
+    let mut holds = node.owner.holds.borrow_mut();
+    holds.insert(hold, (order.clone(), keys));
+    let lapsing = Rc::clone(node);
+    actix_rt::spawn(async move {
+        actix_rt::time::sleep(Duration::from_millis(hold_ms)).await;
+        end_hold(&lapsing, hold.0, hold.1, false).await;
+    });
+    Ok(workers)
+}
+
+/// Starts the tasks of a reservation, or gives it up; returns whether there was one.
+pub async fn end_hold(node: &Rc<Node>, job_id: JobId, attempt: u32, commit: bool) -> bool {
+    let held = node.owner.holds.borrow_mut().remove(&(job_id, attempt));
+    let Some((order, keys)) = held else {
+        return false;
+    };
+    if commit {
+        return start_granted(node, &order, keys).await.is_ok();
+    }
+    for (task, _) in keys {
+        node.owner.ledger.borrow_mut().release(task);
+    }
+    true
+}
+
+async fn start_granted(
+    node: &Rc<Node>,
+    order: &StartOrder,
+    keys: Vec<(TaskRef, WorkerKey)>,
+) -> Result<Vec<WorkerId>, SmolStr> {
     node.owner
         .specs
         .borrow_mut()
@@ -218,6 +270,6 @@
     let team = spec.map(|spec| spec.team)?;
     // The capacity is free as soon as the task has ended, whatever becomes of its result.
     node.owner.ledger.borrow_mut().release(end.task);
-    let kept = home::report_end(node, &team, end.task, end.attempt, &end.outcome).await;
+    let kept = home_ends::report_end(node, &team, end.task, end.attempt, &end.outcome).await;
     kept.then_some(end.task)
 }
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -16,6 +16,9 @@
 
 use crate::follower_peers;
 use crate::home;
+use crate::home_cancel;
+use crate::home_ends;
+use crate::home_place;
 use crate::node::Node;
 use crate::owner;
 use crate::owner::StartOrder;
@@ -28,6 +31,11 @@
     body: Body,
     timeout_ms: u64,
 ) -> Result<Body, CallError> {
+    if *member == node.id {
+        let epoch = node.view.borrow().epoch.0;
+        let reply = Box::pin(dispatch(node, epoch, body)).await;
+        return reply.map_err(|_malformed| CallError::NoReply);
+    }
     let Some(peer) = node.peers.get(member) else {
         return Err(CallError::NotSent);
     };
@@ -49,7 +57,7 @@
 /// Answers a call of another member; a malformed one gets a refusal.
 pub async fn answer(node: Rc<Node>, payload: Bytes) -> Bytes {
     let reply = match Message::from_bytes(payload) {
-        Ok((_epoch, body)) => dispatch(&node, body).await,
+        Ok((epoch, body)) => dispatch(&node, epoch, body).await,
         Err(error) => Err(error),
     };
     let body = reply.unwrap_or(Body::Ack(Ack { accepted: false }));
@@ -57,8 +65,13 @@
     Message::new(epoch, body).to_bytes()
 }
 
-async fn dispatch(node: &Rc<Node>, body: Body) -> Result<Body, DecodeError> {
+async fn dispatch(node: &Rc<Node>, epoch: u64, body: Body) -> Result<Body, DecodeError> {
     let reply = match body {
+        // A command of a home of an earlier epoch, late on its way: the homes have asked since what
+        // runs here.
+        Body::Offer(_) | Body::HeldTasks(_) if epoch < node.view.borrow().epoch.0 => {
+            Body::Ack(Ack { accepted: false })
+        }
         Body::Submit(submit) => {
             let id = job_id(&submit.job_id)?;
             let spec = JobSpec::try_from(submit.spec)?;
@@ -72,12 +85,26 @@
                 indexes: offer.indexes,
                 attempt: offer.attempt,
             };
-            let outcome = owner::start_tasks(node, &order).await;
-            Body::OfferReply(home::offer_reply(outcome))
+            let outcome = if offer.hold_ms > 0 {
+                owner::hold_tasks(node, &order, offer.hold_ms)
+            } else {
+                owner::start_tasks(node, &order).await
+            };
+            Body::OfferReply(home_place::offer_reply(outcome))
+        }
+        Body::HeldTasks(held) => {
+            let id = job_id(&held.job_id)?;
+            let accepted = owner::end_hold(node, id, held.attempt, held.commit).await;
+            Body::Ack(Ack { accepted })
+        }
+        Body::CancelJob(cancel) => {
+            let outcome = home_cancel::cancel_here(node, job_id(&cancel.job_id)?).await;
+            Body::SubmitReply(home::submit_reply(outcome))
         }
         Body::TaskDone(done) => {
+            let attempt = done.attempt;
             let (task, outcome) = done.try_into()?;
-            let accepted = home::keep_end(node, task, &outcome).await;
+            let accepted = home_ends::keep_end(node, task, attempt, &outcome).await;
             Body::Ack(Ack { accepted })
         }
         Body::JobQuery(query) => {
@@ -88,7 +115,7 @@
         Body::RunRequest(run) => Body::RunReply(requests::run_for_peer(node, run).await?),
         Body::StateQuery(query) => Body::StatePart(follower_peers::answer(node, &query)),
         // Not yet served; the caller sees a refusal.
-        Body::HeldTasks(_) | Body::StopTasks(_) | Body::WhatRuns(_) | Body::RunningTasks(_) => {
+        Body::StopTasks(_) | Body::WhatRuns(_) | Body::RunningTasks(_) => {
             Body::Ack(Ack { accepted: false })
         }
         Body::SubmitReply(_)
--- /dev/null
+++ b/crates/daemon/tests/daemon/home.rs
@@ -0,0 +1,125 @@
+//! The home: cancelling, quotas and gangs through a whole daemon.
+
+use serde_json::json;
+use syc_config::Document;
+use syc_config::Limits;
+use syc_config::Team;
+use syc_types::Resources;
+use syc_types::TeamId;
+use uuid::Uuid;
+
+use crate::bed::Bed;
+use crate::bed::BedOptions;
+
+fn options() -> BedOptions {
+    BedOptions {
+        daemons: 3,
+        limits: Limits {
+            appends_per_s: 100,
+            ..Limits::default()
+        },
+        ..BedOptions::default()
+    }
+}
+
+#[actix_rt::test]
+async fn a_cancelled_job_ends_through_any_daemon_while_others_go_on() {
+    let bed = Bed::start(options()).await;
+    let never = Uuid::now_v7();
+    let body = json!({
+        "job_id": never,
+        "spec": {
+            "team": "freight",
+            "tasks": 1_000,
+            "resources": {"cpu_millis": 900_000, "memory_bytes": 1},
+        },
+    });
+    let (status, text) = bed.submit(0, &body).await;
+    assert_eq!(status, 202, "{text}");
+    let other = Uuid::now_v7();
+    let body = json!({
+        "job_id": other,
+        "spec": {
+            "team": "liaison",
+            "resources": {"cpu_millis": 1_000, "memory_bytes": 1},
+            "run_time_ms": 10,
+        },
+    });
+    bed.submit(1, &body).await;
+    bed.await_job(1, other).await;
+    let url = bed.callers_url(2, &format!("/v1/jobs/{never}/cancel"));
+    let answer = bed.client.post(url).send().await.expect("answer");
+    assert_eq!(answer.status(), 200);
+    let state = bed.await_job(1, never).await;
+    assert_eq!(state["tasks"][999]["ended"], "cancelled");
+    let url = bed.callers_url(2, &format!("/v1/jobs/{}/cancel", Uuid::now_v7()));
+    let answer = bed.client.post(url).send().await.expect("answer");
+    assert_eq!(answer.status(), 404);
+}
+
+#[actix_rt::test]
+async fn a_quota_holds_at_the_home_whatever_daemon_is_asked() {
+    let bed = Bed::start(options()).await;
+    let quota = Document::Team(Team {
+        name: TeamId::new("freight"),
+        weight: 1,
+        quota: Some(Resources {
+            cpu_millis: 2_000,
+            memory_bytes: 1 << 30,
+            accelerators: 0,
+        }),
+        ..Team::default()
+    });
+    let (status, text) = bed.publish(0, 0, quota).await;
+    assert_eq!(status, 200, "{text}");
+    for daemon in 0..3 {
+        bed.await_config(daemon, 2).await;
+    }
+    let mut ids = Vec::new();
+    for daemon in 0..3 {
+        let id = Uuid::now_v7();
+        let body = json!({
+            "job_id": id,
+            "spec": {
+                "team": "freight",
+                "tasks": 3,
+                "resources": {"cpu_millis": 1_000, "memory_bytes": 1_000},
+                "run_time_ms": 50,
+            },
+        });
+        let (status, text) = bed.submit(daemon, &body).await;
+        assert_eq!(status, 202, "{text}");
+        ids.push(id);
+    }
+    for id in ids {
+        bed.await_job(0, id).await;
+    }
+    let mut peak_cpu_millis = 0;
+    for worker in &bed.workers {
+        peak_cpu_millis += worker.counts().peak_granted.cpu_millis;
+    }
+    // Both workers' peaks may be of different moments; each alone keeps to the quota.
+    assert!(peak_cpu_millis <= 2 * 2_000, "{peak_cpu_millis}");
+    assert_eq!(bed.tasks.all().len(), 9);
+}
+
+#[actix_rt::test]
+async fn a_gang_starts_whole_or_not_at_all() {
+    let bed = Bed::start(options()).await;
+    let id = Uuid::now_v7();
+    let body = json!({
+        "job_id": id,
+        "spec": {
+            "team": "freight",
+            "kind": "gang",
+            "tasks": 4,
+            "idempotent": false,
+            "resources": {"cpu_millis": 1_000, "memory_bytes": 1_000},
+            "run_time_ms": 20,
+        },
+    });
+    let (status, text) = bed.submit(0, &body).await;
+    assert_eq!(status, 202, "{text}");
+    bed.await_job(0, id).await;
+    assert_eq!(bed.tasks.all().len(), 4);
+}
--- a/crates/obs/src/events.rs
+++ b/crates/obs/src/events.rs
@@ -78,6 +78,8 @@
     JOB_ENDED = 401, Info, "job ended";
     /// A worker did not do as commanded.
     WORKER_FAULT = 402, Warn, "worker did not do as commanded";
+    /// A job was cancelled.
+    JOB_CANCELLED = 403, Info, "job cancelled";
     /// A peer did not answer.
     PEER_SILENT = 500, Warn, "peer did not answer";
 }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -30,5 +30,6 @@
 pub use message::Message;
 pub use request::RunReply;
 pub use request::RunRequest;
+pub use state::CancelJob;
 pub use state::StatePart;
 pub use state::StateQuery;
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -17,6 +17,7 @@
 use crate::job::WhatRuns;
 use crate::request::RunReply;
 use crate::request::RunRequest;
+use crate::state::CancelJob;
 use crate::state::StatePart;
 use crate::state::StateQuery;
 
@@ -29,7 +30,7 @@
     /// What is asked or answered.
     #[prost(
         oneof = "Body",
-        tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 20, 21, 22, 23, 50, 51"
+        tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 20, 21, 22, 23, 50, 51, 52"
     )]
     pub body: Option<Body>,
 }
@@ -85,6 +86,9 @@
     /// Answer to [`Body::StateQuery`].
     #[prost(message, tag = "51")]
     StatePart(StatePart),
+    /// Cancel a job (to its home).
+    #[prost(message, tag = "52")]
+    CancelJob(CancelJob),
 }
 
 /// An empty acknowledgement.
--- a/crates/wire/src/state.rs
+++ b/crates/wire/src/state.rs
@@ -1,4 +1,4 @@
-//! Messages by which a daemon takes its state from a peer while the log can't give it.
+//! Messages of homes and of configuration: cancelling a job, and those by which a daemon takes its state from a peer while the log can't give it.
 
 /// Asks a peer for one part of its state.
 #[derive(Clone, PartialEq, Eq, prost::Message)]
@@ -19,3 +19,11 @@
     #[prost(string, tag = "1")]
     pub json: String,
 }
+
+/// Asks a team's home to cancel a job; [`crate::SubmitReply`] answers.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct CancelJob {
+    /// The job's id, 16 bytes.
+    #[prost(bytes = "vec", tag = "1")]
+    pub job_id: Vec<u8>,
+}
