--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -7,6 +7,7 @@
 
 use smol_str::SmolStr;
 use syc_config::Settings;
+use syc_coord::AppendOptions;
 use syc_net::HttpListener;
 use syc_net::HttpOptions;
 use syc_net::serve_peers;
@@ -19,7 +20,7 @@
 use crate::callers;
 use crate::control;
 use crate::follower;
-use crate::home;
+use crate::home_run;
 use crate::log_writer::LogWriter;
 use crate::members;
 use crate::members::Members;
@@ -133,7 +134,7 @@
                 let _stopped = serving.await;
             }),
             actix_rt::spawn(follower::run(Rc::clone(&node))),
-            actix_rt::spawn(home::run(Rc::clone(&node))),
+            actix_rt::spawn(home_run::run(Rc::clone(&node))),
             actix_rt::spawn(members_run::run(Rc::clone(&node))),
             actix_rt::spawn(members_run::watch_vms(Rc::clone(&node))),
         ];
@@ -188,7 +189,15 @@
         &settings.platform.vms,
         HttpPlatformOptions::default(),
     );
-    let log_writer = LogWriter::start(platform.clone(), settings.timing.group_commit_ms);
+    let log_writer = LogWriter::start(
+        platform.clone(),
+        AppendOptions {
+            prompt_delay_ms: settings.timing.group_commit_ms,
+            appends_per_s: settings.limits.appends_per_s,
+            ..AppendOptions::default()
+        },
+        settings.timing.append_wait_ms,
+    );
     Node::new(NodeParts {
         settings,
         id,
--- a/crates/daemon/src/members.rs
+++ b/crates/daemon/src/members.rs
@@ -158,9 +158,17 @@
 }
 
 /// Says whether this daemon takes work: it has the configuration, and is a member that may act.
+///
+/// In an outage of the log a joiner can't become a member. It is ready all the same once it knows
+/// the view: it routes requests, and hands what needs a home to the members.
 pub fn ready(node: &Rc<Node>) -> bool {
+    if node.draining.get() || !node.caught_up.get() {
+        return false;
+    }
+    let knows_view = !node.view.borrow().members.is_empty();
+    let outage = !node.log_available.get();
     let member = node.members.state.borrow().holds_lease(node.now());
-    member && node.caught_up.get() && !node.draining.get()
+    member || (outage && knows_view)
 }
 
 /// Returns what the owners in the view have left, this daemon included.
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -3,6 +3,7 @@
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::HashMap;
+use std::collections::VecDeque;
 use std::rc::Rc;
 use std::time::Instant;
 
@@ -11,7 +12,12 @@
 use syc_config::Settings;
 use syc_config::effective_inventory;
 use syc_coord::ConfigStore;
+use syc_coord::Home;
+use syc_coord::HomeOptions;
 use syc_coord::Jobs;
+use syc_coord::Tombstones;
+use syc_coord::snapshot::SnapshotPart;
+use syc_coord::snapshot::SnapshotProgress;
 use syc_member::View;
 use syc_platform::http::HttpPlatform;
 use syc_route::Endpoints;
@@ -49,12 +55,28 @@
     pub log_wake: Notify,
     /// Tells that records were applied.
     pub log_applied: Notify,
+    /// Offset up to which some peer has read the log.
+    pub log_peers: Cell<u64>,
+    /// Records that never count.
+    pub tombstones: RefCell<Tombstones>,
+    /// Parts of snapshots that were read.
+    pub snapshots: RefCell<SnapshotProgress>,
+    /// What the last complete snapshot covers, and when it was read.
+    pub last_snapshot: Cell<(u64, Millis)>,
+    /// Whether this daemon is writing a snapshot.
+    pub writing_snapshot: Cell<bool>,
+    /// Snapshots that peers are fetching.
+    pub peer_snapshots: RefCell<VecDeque<Vec<SnapshotPart>>>,
+    /// Whether the log answered when it was last read.
+    pub log_available: Cell<bool>,
     /// Whether the log has been read to its end once.
     pub caught_up: Cell<bool>,
     /// The configuration.
     pub config: RefCell<ConfigStore>,
     /// The jobs.
     pub jobs: RefCell<Jobs>,
+    /// The teams that this daemon is the home of.
+    pub home: RefCell<Home>,
     /// Wakes the placing of pending tasks.
     pub jobs_wake: Notify,
     /// Grants on the workers that this daemon owns.
@@ -94,11 +116,19 @@
             members: parts.members,
             log_writer: parts.log_writer,
             log_next: Cell::new(0),
+            log_peers: Cell::new(0),
+            tombstones: RefCell::default(),
+            snapshots: RefCell::default(),
+            last_snapshot: Cell::default(),
+            writing_snapshot: Cell::new(false),
+            peer_snapshots: RefCell::default(),
             log_wake: Notify::new(),
             log_applied: Notify::new(),
+            log_available: Cell::new(true),
             caught_up: Cell::new(false),
             config: RefCell::default(),
             jobs: RefCell::default(),
+            home: RefCell::new(Home::new(HomeOptions::default())),
             jobs_wake: Notify::new(),
             owner: Owner::default(),
             requests: Requests::new(once_window_ms),
@@ -116,6 +146,11 @@
 
     /// Takes over a document that came into force.
     pub fn apply_document(self: &Rc<Self>, document: &Document) {
+        if let Document::Team(team) = document {
+            let mut home = self.home.borrow_mut();
+            home.set_quota(&team.name, team.quota);
+            self.jobs_wake.notify_one();
+        }
         if !matches!(document, Document::Inventory(_) | Document::Rules(_)) {
             return;
         }
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
+use smol_str::SmolStr;
 use syc_net::CallError;
 use syc_obs::catalogue;
 use syc_obs::emit;
@@ -14,7 +15,11 @@
 use syc_wire::Message;
 use syc_wire::job::job_id;
 
+use crate::follower_peers;
 use crate::home;
+use crate::home_cancel;
+use crate::home_ends;
+use crate::home_place;
 use crate::members_run;
 use crate::node::Node;
 use crate::owner;
@@ -28,13 +33,30 @@
     body: Body,
     timeout_ms: u64,
 ) -> Result<Body, CallError> {
+    if *member == node.id {
+        let epoch = node.view.borrow().epoch.0;
+        let reply = Box::pin(dispatch(node, epoch, body)).await;
+        return reply.map_err(|_malformed| CallError::NoReply);
+    }
     let address = {
         let view = node.view.borrow();
-        view.member(member)
-            .map(|member| member.peer_address.clone())
+        let known = view.member(member);
+        known.map(|member| member.peer_address.clone())
+    };
+    let Some(address) = address else {
+        return Err(CallError::NotSent);
     };
-    let link = address.and_then(|address| node.members.link(&address));
-    let Some(peer) = link else {
+    call_address(node, &address, body, timeout_ms).await
+}
+
+/// Calls the daemon at an address, which need not be a member, and waits for its reply.
+pub async fn call_address(
+    node: &Rc<Node>,
+    address: &SmolStr,
+    body: Body,
+    timeout_ms: u64,
+) -> Result<Body, CallError> {
+    let Some(peer) = node.members.link(address) else {
         return Err(CallError::NotSent);
     };
     let epoch = node.view.borrow().epoch.0;
@@ -43,7 +65,7 @@
     if let Err(error) = reply {
         emit(
             catalogue::PEER_SILENT,
-            format_args!("peer={member} {error}"),
+            format_args!("peer={address} {error}"),
         );
     }
     let decoded = Message::from_bytes(reply?);
@@ -59,7 +81,7 @@
             let (epoch, ack) = members_run::receive(&node, epoch, heartbeat);
             return Message::new(epoch, Body::HeartbeatAck(ack)).to_bytes();
         }
-        Ok((_epoch, body)) => dispatch(&node, body).await,
+        Ok((epoch, body)) => dispatch(&node, epoch, body).await,
         Err(error) => Err(error),
     };
     let body = reply.unwrap_or(Body::Ack(Ack { accepted: false }));
@@ -67,8 +89,13 @@
     Message::new(epoch, body).to_bytes()
 }
 
-async fn dispatch(node: &Rc<Node>, body: Body) -> Result<Body, DecodeError> {
+async fn dispatch(node: &Rc<Node>, epoch: u64, body: Body) -> Result<Body, DecodeError> {
     let reply = match body {
+        // A command of a home of an earlier epoch, late on its way: the homes have asked since what
+        // runs here.
+        Body::Offer(_) | Body::HeldTasks(_) if epoch < node.view.borrow().epoch.0 => {
+            Body::Ack(Ack { accepted: false })
+        }
         Body::Submit(submit) => {
             let id = job_id(&submit.job_id)?;
             let spec = JobSpec::try_from(submit.spec)?;
@@ -82,12 +109,26 @@
                 indexes: offer.indexes,
                 attempt: offer.attempt,
             };
-            let outcome = owner::start_tasks(node, &order).await;
-            Body::OfferReply(home::offer_reply(outcome))
+            let outcome = if offer.hold_ms > 0 {
+                owner::hold_tasks(node, &order, offer.hold_ms)
+            } else {
+                owner::start_tasks(node, &order).await
+            };
+            Body::OfferReply(home_place::offer_reply(outcome))
+        }
+        Body::HeldTasks(held) => {
+            let id = job_id(&held.job_id)?;
+            let accepted = owner::end_hold(node, id, held.attempt, held.commit).await;
+            Body::Ack(Ack { accepted })
+        }
+        Body::CancelJob(cancel) => {
+            let outcome = home_cancel::cancel_here(node, job_id(&cancel.job_id)?).await;
+            Body::SubmitReply(home::submit_reply(outcome))
         }
         Body::TaskDone(done) => {
+            let attempt = done.attempt;
             let (task, outcome) = done.try_into()?;
-            let accepted = home::keep_end(node, task, &outcome).await;
+            let accepted = home_ends::keep_end(node, task, attempt, &outcome).await;
             Body::Ack(Ack { accepted })
         }
         Body::JobQuery(query) => {
@@ -97,8 +138,9 @@
         }
         Body::RunRequest(run) => Body::RunReply(requests::run_for_peer(node, run).await?),
         Body::ViewQuery(_) => Body::ViewState(members_run::view_state(node)),
+        Body::StateQuery(query) => Body::StatePart(follower_peers::answer(node, &query)),
         // Not yet served; the caller sees a refusal.
-        Body::HeldTasks(_) | Body::StopTasks(_) | Body::WhatRuns(_) | Body::RunningTasks(_) => {
+        Body::StopTasks(_) | Body::WhatRuns(_) | Body::RunningTasks(_) => {
             Body::Ack(Ack { accepted: false })
         }
         Body::Heartbeat(_)
@@ -108,6 +150,7 @@
         | Body::OfferReply(_)
         | Body::Ack(_)
         | Body::JobState(_)
+        | Body::StatePart(_)
         | Body::RunReply(_) => Body::Ack(Ack { accepted: false }),
     };
     Ok(reply)
--- a/crates/obs/src/events.rs
+++ b/crates/obs/src/events.rs
@@ -66,12 +66,20 @@
     LOG_AVAILABLE = 301, Info, "log available again";
     /// An append's fate is not known.
     APPEND_IN_DOUBT = 302, Warn, "append in doubt";
+    /// The state was taken from a snapshot, of the log or of a peer.
+    SNAPSHOT_READ = 303, Info, "state taken from a snapshot";
+    /// A snapshot was appended.
+    SNAPSHOT_WRITTEN = 304, Info, "snapshot appended";
+    /// Entries are gone from the log, and no snapshot tells what they made.
+    SNAPSHOT_MISSING = 305, Error, "no snapshot covers the entries that are gone";
     /// A job was accepted.
     JOB_ACCEPTED = 400, Info, "job accepted";
     /// A job ended.
     JOB_ENDED = 401, Info, "job ended";
     /// A worker did not do as commanded.
     WORKER_FAULT = 402, Warn, "worker did not do as commanded";
+    /// A job was cancelled.
+    JOB_CANCELLED = 403, Info, "job cancelled";
     /// A peer did not answer.
     PEER_SILENT = 500, Warn, "peer did not answer";
     /// Another view of the entry VMs is current.
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod member;
 mod message;
 mod request;
+mod state;
 
 pub use error::DecodeError;
 pub use job::HeldTasks;
@@ -34,3 +35,6 @@
 pub use message::Message;
 pub use request::RunReply;
 pub use request::RunRequest;
+pub use state::CancelJob;
+pub use state::StatePart;
+pub use state::StateQuery;
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -21,6 +21,9 @@
 use crate::member::ViewState;
 use crate::request::RunReply;
 use crate::request::RunRequest;
+use crate::state::CancelJob;
+use crate::state::StatePart;
+use crate::state::StateQuery;
 
 /// One message, a call or its reply.
 #[derive(Clone, PartialEq, prost::Message)]
@@ -31,7 +34,7 @@
     /// What is asked or answered.
     #[prost(
         oneof = "Body",
-        tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 20, 21, 22, 23, 30, 31, 32, 33"
+        tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 20, 21, 22, 23, 30, 31, 32, 33, 50, 51, 52"
     )]
     pub body: Option<Body>,
 }
@@ -93,6 +96,15 @@
     /// Answer to [`Body::RunRequest`].
     #[prost(message, tag = "11")]
     RunReply(RunReply),
+    /// Fetch a part of a peer's state.
+    #[prost(message, tag = "50")]
+    StateQuery(StateQuery),
+    /// Answer to [`Body::StateQuery`].
+    #[prost(message, tag = "51")]
+    StatePart(StatePart),
+    /// Cancel a job (to its home).
+    #[prost(message, tag = "52")]
+    CancelJob(CancelJob),
 }
 
 /// An empty acknowledgement.
