--- a/crates/place/src/choose.rs
+++ b/crates/place/src/choose.rs
@@ -30,6 +30,27 @@
         *self.racks.entry(info.rack.clone()).or_default() += 1;
     }
 
+    /// Counts a task of the job on a worker no longer.
+    pub fn remove(&mut self, ledger: &Ledger, worker: WorkerKey) {
+        let Some(info) = ledger.worker(worker) else {
+            return;
+        };
+        if let Some(count) = self.zones.get_mut(&info.zone) {
+            *count = count.saturating_sub(1);
+        }
+        if let Some(count) = self.racks.get_mut(&info.rack) {
+            *count = count.saturating_sub(1);
+        }
+        self.zones.retain(|_, count| *count > 0);
+        self.racks.retain(|_, count| *count > 0);
+    }
+
+    /// Says whether no task is counted.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.zones.is_empty()
+    }
+
     /// Returns the tasks of the job in a zone.
     #[must_use]
     pub fn in_zone(&self, zone: &Zone) -> u32 {
@@ -56,9 +77,21 @@
     /// grade, then with the least free memory.
     #[must_use]
     pub fn best_fit_in(&self, resources: &Resources, tier: Tier) -> Option<WorkerKey> {
+        self.best_fit_avoiding(resources, tier, &[])
+    }
+
+    /// Picks as [`Ledger::best_fit_in`] does, but none of the workers in `avoid`.
+    #[must_use]
+    pub fn best_fit_avoiding(
+        &self,
+        resources: &Resources,
+        tier: Tier,
+        avoid: &[WorkerKey],
+    ) -> Option<WorkerKey> {
         let mut best = None;
         for zone in self.zones().values() {
-            let Some(rank) = zone.of(tier).fitting(*resources).next() else {
+            let mut fitting = zone.of(tier).fitting(*resources);
+            let Some(rank) = fitting.find(|rank| !avoid.contains(&rank.key())) else {
                 continue;
             };
             if best.is_none_or(|least| rank < least) {
--- a/crates/place/src/ledger.rs
+++ b/crates/place/src/ledger.rs
@@ -1,5 +1,7 @@
 //! The only record of what an owner has granted on its workers.
 
+mod inventory;
+
 use std::collections::BTreeMap;
 use std::collections::HashMap;
 
@@ -79,6 +81,7 @@
     grants: HashMap<TaskRef, Grant>,
     headroom_permille: u64,
     zones: BTreeMap<Zone, ZoneIndex>,
+    capacities: HashMap<Resources, u64>,
 }
 
 #[derive(Debug, Clone, Default)]
@@ -139,88 +142,12 @@
         Self::default()
     }
 
-    /// Sets the share of each worker that is kept for urgent tasks, in thousandths.
-    pub fn set_headroom(&mut self, permille: u32) {
-        let keys: Vec<_> = self.workers.keys().collect();
-        for &key in &keys {
-            self.unindex(key);
-        }
-        self.headroom_permille = u64::from(permille.min(1_000));
-        for &key in &keys {
-            self.index(key);
-        }
-    }
-
-    /// Adds a worker, or takes over the new facts of one that is there.
-    pub fn upsert_worker(&mut self, info: WorkerInfo) -> WorkerKey {
-        if let Some(&key) = self.by_id.get(&info.id) {
-            self.unindex(key);
-            self.workers[key].info = info;
-            self.workers[key].removed = false;
-            self.index(key);
-            return key;
-        }
-        let id = info.id.clone();
-        let key = self.workers.insert(Entry {
-            info,
-            ordinary: Resources::ZERO,
-            urgent: Resources::ZERO,
-            stray: Resources::ZERO,
-            open: true,
-            removed: false,
-            grants: 0,
-        });
-        self.by_id.insert(id, key);
-        self.index(key);
-        key
-    }
-
-    /// Lets a worker grant, or not; its grants stay as they are.
-    pub fn set_open(&mut self, key: WorkerKey, open: bool) {
-        if self.workers.get(key).is_none_or(|entry| entry.open == open) {
-            return;
-        }
-        self.unindex(key);
-        self.workers[key].open = open;
-        self.index(key);
-    }
-
     /// Says whether a worker may grant: it is open, in the inventory, and not over its capacity.
     #[must_use]
     pub fn is_open(&self, key: WorkerKey) -> bool {
         self.workers.get(key).is_some_and(Entry::grants_now)
     }
 
-    /// Marks a worker as no longer in the inventory: it grants nothing, and its grants stay until
-    /// they end.
-    pub fn retire_worker(&mut self, key: WorkerKey) {
-        if !self.workers.contains_key(key) {
-            return;
-        }
-        self.unindex(key);
-        self.workers[key].removed = true;
-    }
-
-    /// Forgets a worker and returns the tasks that held grants on it.
-    pub fn remove_worker(&mut self, key: WorkerKey) -> Vec<TaskRef> {
-        self.unindex(key);
-        let Some(entry) = self.workers.remove(key) else {
-            return Vec::new();
-        };
-        self.by_id.remove(&entry.info.id);
-        let mut tasks = Vec::new();
-        for (task, grant) in &self.grants {
-            if grant.worker == key {
-                tasks.push(*task);
-            }
-        }
-        tasks.sort_unstable();
-        for task in &tasks {
-            self.grants.remove(task);
-        }
-        tasks
-    }
-
     /// Finds a worker by its name.
     #[must_use]
     pub fn key_of(&self, id: &WorkerId) -> Option<WorkerKey> {
--- /dev/null
+++ b/crates/place/src/ledger/inventory.rs
@@ -0,0 +1,156 @@
+//! Workers of the ledger: what the inventory says of them, and whether they may grant.
+
+use syc_types::Resources;
+use syc_types::TaskRef;
+
+use crate::Ledger;
+use crate::Tier;
+use crate::WorkerInfo;
+use crate::WorkerKey;
+use crate::ledger::Entry;
+use crate::ledger::headroom;
+use crate::ledger::sum;
+
+impl Ledger {
+    /// Sets the share of each worker that is kept for urgent tasks, in thousandths.
+    pub fn set_headroom(&mut self, permille: u32) {
+        let keys: Vec<_> = self.workers.keys().collect();
+        for &key in &keys {
+            self.unindex(key);
+        }
+        self.headroom_permille = u64::from(permille.min(1_000));
+        for &key in &keys {
+            self.index(key);
+        }
+    }
+
+    /// Adds a worker, or takes over the new facts of one that is there.
+    pub fn upsert_worker(&mut self, info: WorkerInfo) -> WorkerKey {
+        if let Some(&key) = self.by_id.get(&info.id) {
+            self.unindex(key);
+            self.uncount(key);
+            *self.capacities.entry(info.capacity).or_default() += 1;
+            self.workers[key].info = info;
+            self.workers[key].removed = false;
+            self.index(key);
+            return key;
+        }
+        let id = info.id.clone();
+        *self.capacities.entry(info.capacity).or_default() += 1;
+        let key = self.workers.insert(Entry {
+            info,
+            ordinary: Resources::ZERO,
+            urgent: Resources::ZERO,
+            stray: Resources::ZERO,
+            open: true,
+            removed: false,
+            grants: 0,
+        });
+        self.by_id.insert(id, key);
+        self.index(key);
+        key
+    }
+
+    /// Lets a worker grant, or not; its grants stay as they are.
+    pub fn set_open(&mut self, key: WorkerKey, open: bool) {
+        if self.workers.get(key).is_none_or(|entry| entry.open == open) {
+            return;
+        }
+        self.unindex(key);
+        self.workers[key].open = open;
+        self.index(key);
+    }
+
+    /// Marks a worker as no longer in the inventory: it grants nothing, and its grants stay until
+    /// they end.
+    pub fn retire_worker(&mut self, key: WorkerKey) {
+        if self.workers.get(key).is_none_or(|entry| entry.removed) {
+            return;
+        }
+        self.unindex(key);
+        self.uncount(key);
+        self.workers[key].removed = true;
+    }
+
+    /// Forgets a worker and returns the tasks that held grants on it.
+    pub fn remove_worker(&mut self, key: WorkerKey) -> Vec<TaskRef> {
+        self.unindex(key);
+        self.uncount(key);
+        let Some(entry) = self.workers.remove(key) else {
+            return Vec::new();
+        };
+        self.by_id.remove(&entry.info.id);
+        let mut tasks = Vec::new();
+        for (task, grant) in &self.grants {
+            if grant.worker == key {
+                tasks.push(*task);
+            }
+        }
+        tasks.sort_unstable();
+        for task in &tasks {
+            self.grants.remove(task);
+        }
+        tasks
+    }
+
+    /// Says whether `need` fits in a tier of some worker while nothing runs there.
+    #[must_use]
+    pub fn fits_when_empty(&self, need: &Resources, tier: Tier) -> bool {
+        let mut capacities = self.capacities.keys();
+        capacities.any(|capacity| {
+            let kept = match tier {
+                Tier::Ordinary => headroom(capacity, self.headroom_permille),
+                Tier::Urgent => Resources::ZERO,
+            };
+            need.fits_in(&capacity.saturating_sub(&kept))
+        })
+    }
+
+    /// Returns how many such tasks fit at once while nothing runs, counting no further than `most`.
+    #[must_use]
+    pub fn most_at_once(&self, need: &Resources, most: u64) -> u64 {
+        let mut count = 0_u64;
+        for (capacity, workers) in &self.capacities {
+            let each = times(need.cpu_millis, capacity.cpu_millis, most)
+                .min(times(need.memory_bytes, capacity.memory_bytes, most))
+                .min(times(
+                    u64::from(need.accelerators),
+                    u64::from(capacity.accelerators),
+                    most,
+                ));
+            count = count.saturating_add(each.saturating_mul(*workers));
+        }
+        count.min(most)
+    }
+
+    /// Returns the sum of the capacities in the inventory.
+    #[must_use]
+    pub fn pool(&self) -> Resources {
+        let mut pool = Resources::ZERO;
+        for entry in self.workers.values() {
+            if !entry.removed {
+                pool = sum(&pool, &entry.info.capacity);
+            }
+        }
+        pool
+    }
+
+    fn uncount(&mut self, key: WorkerKey) {
+        let Some(entry) = self.workers.get(key) else {
+            return;
+        };
+        if entry.removed {
+            return;
+        }
+        if let Some(count) = self.capacities.get_mut(&entry.info.capacity) {
+            *count -= 1;
+            if *count == 0 {
+                self.capacities.remove(&entry.info.capacity);
+            }
+        }
+    }
+}
+
+fn times(need: u64, capacity: u64, most: u64) -> u64 {
+    capacity.checked_div(need).unwrap_or(most)
+}
