Carry out the owner's decisions, with the changes of each poll only

Cause: the daemon's owner granted and started on its own, lost track of tasks it had not started itself, and each poll of a worker repeated all that runs.

Change: the daemon feeds events to place::Owner and carries its actions out; authority is asked right before each start, stop and poll. Racks that a view gives away are let go at once. Reserve, commit, cancel and what-runs are served; offers of another epoch are refused. Starts carry the task's team, job name and idempotent flag, which the worker echoes. A poll names the version of the news that the owner has and gets what changed since; it may ask without renewing leases; results are acknowledged by attempt, so a late acknowledgement can't drop the result of the next attempt. The stand-in refuses a second attempt beside the first, renews nothing that has lapsed, and answers a poll for unacknowledged results once, not in a loop.

Conclusion: one owner path, the tested one, serves the daemon.

--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -21,6 +21,7 @@
 use crate::http_body::refusal;
 use crate::members;
 use crate::node::Node;
+use crate::owner;
 use crate::publish;
 
 /// Largest document that can be published.
@@ -65,7 +66,8 @@
     }
     let jobs = node.jobs.borrow();
     let open_jobs = jobs.iter().filter(|job| !job.ended()).count();
-    let ledger = node.owner.ledger.borrow();
+    let owned_workers = node.owner.state.borrow().ledger().workers().count();
+    let load = owner::load(node);
     let mut loads = Vec::new();
     for (id, load) in members::loads(node) {
         loads.push(json_value!({
@@ -88,7 +90,9 @@
         "requests_in_progress": node.requests.in_progress.get(),
         "requests_waiting": node.requests.waiting.get(),
         "open_jobs": open_jobs,
-        "owned_workers": ledger.workers().count(),
+        "owned_workers": owned_workers,
+        "free_cpu_millis": load.free_cpu_millis,
+        "queued_tasks": load.queued_tasks,
     });
     json(StatusCode::OK, &body)
 }
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -26,6 +26,7 @@
 use crate::members_run;
 use crate::node::Node;
 use crate::node::NodeParts;
+use crate::owner;
 use crate::peers;
 
 /// How often a planned stop looks whether requests are still in progress.
@@ -136,6 +137,7 @@
             actix_rt::spawn(home::run(Rc::clone(&node))),
             actix_rt::spawn(members_run::run(Rc::clone(&node))),
             actix_rt::spawn(members_run::watch_vms(Rc::clone(&node))),
+            actix_rt::spawn(owner::run(Rc::clone(&node))),
         ];
         emit(catalogue::STARTED, format_args!("member={}", node.id));
         Ok(Self {
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -14,6 +14,8 @@
 mod members_run;
 mod node;
 mod owner;
+mod owner_calls;
+mod owner_polls;
 mod peers;
 mod publish;
 mod requests;
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -100,7 +100,7 @@
             config: RefCell::default(),
             jobs: RefCell::default(),
             jobs_wake: Notify::new(),
-            owner: Owner::default(),
+            owner: Owner::new(parts.settings.timing.lease_ms),
             requests: Requests::new(once_window_ms),
             draining: Cell::new(false),
             started: Instant::now(),
@@ -116,6 +116,9 @@
 
     /// Takes over a document that came into force.
     pub fn apply_document(self: &Rc<Self>, document: &Document) {
+        if matches!(document, Document::Team(_) | Document::Policy(_)) {
+            crate::owner::apply_shares(self);
+        }
         if !matches!(document, Document::Inventory(_) | Document::Rules(_)) {
             return;
         }
--- a/crates/daemon/src/owner.rs
+++ b/crates/daemon/src/owner.rs
@@ -1,44 +1,94 @@
-//! The owner's part: grants on its workers, starts, lease renewal and ends of tasks.
+//! The owner's part: carries out what [`syc_place::Owner`] decides for the owned workers.
 
+use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::HashMap;
-use std::collections::HashSet;
 use std::rc::Rc;
 use std::time::Duration;
 
-use futures_util::future::join_all;
-use smol_str::SmolStr;
+use syc_config::Document;
+use syc_config::Layout;
 use syc_config::WorkerDoc;
 use syc_obs::catalogue;
 use syc_obs::emit;
-use syc_place::Ledger;
+use syc_place::Action;
+use syc_place::Event;
+use syc_place::OfferKey;
+use syc_place::OwnerOptions;
+use syc_place::Refusal;
+use syc_place::StartAnswer;
 use syc_place::WorkerInfo;
 use syc_place::WorkerKey;
 use syc_platform::WorkerError;
 use syc_platform::WorkerPort;
-use syc_platform::types::FinishedTask;
-use syc_platform::types::PollRequest;
 use syc_platform::types::StartTask;
+use syc_platform::types::TaskAction;
+use syc_platform::types::TaskCommand;
+use syc_platform::types::TaskOrigin;
+use syc_types::Class;
 use syc_types::JobId;
+use syc_types::JobKind;
 use syc_types::JobSpec;
+use syc_types::RackId;
 use syc_types::TaskRef;
 use syc_types::WorkerId;
+use tokio::sync::Semaphore;
+use tokio::sync::oneshot;
 
-use crate::home;
 use crate::members;
 use crate::node::Node;
+pub use crate::owner_calls::held;
+pub use crate::owner_calls::load;
+pub use crate::owner_calls::offered;
+pub use crate::owner_calls::start_tasks;
+pub use crate::owner_calls::stop;
+pub use crate::owner_calls::what_runs;
+use crate::owner_polls;
 
-/// Pause after a worker that can't be polled.
-const POLL_RETRY: Duration = Duration::from_millis(200);
+/// Interval at which waits, reservations and leases are looked at.
+const TICK: Duration = Duration::from_millis(50);
+
+/// Commands to end tasks that are under way at once.
+const STOPS_AT_ONCE: usize = 32;
+
+/// Name of the policy that is in force.
+const POLICY_IN_FORCE: &str = "default";
+
+type Answer = Result<Vec<WorkerId>, Refusal>;
 
 /// What an owner keeps.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Owner {
-    /// Grants on the owned workers.
-    pub ledger: RefCell<Ledger>,
-    /// The home's facts of each task that was started here.
-    specs: RefCell<HashMap<JobId, JobSpec>>,
-    polled: RefCell<HashSet<WorkerId>>,
+    /// The decisions and what they are made on.
+    pub state: RefCell<syc_place::Owner>,
+    answers: RefCell<HashMap<OfferKey, oneshot::Sender<Answer>>>,
+    offers: Cell<u64>,
+    stops: Semaphore,
+}
+
+impl Owner {
+    /// Makes an owner without workers.
+    pub fn new(lease_ms: u64) -> Self {
+        let options = OwnerOptions {
+            lease_ms,
+            ..OwnerOptions::default()
+        };
+        Self {
+            state: RefCell::new(syc_place::Owner::new(options)),
+            answers: RefCell::default(),
+            offers: Cell::new(0),
+            stops: Semaphore::new(STOPS_AT_ONCE),
+        }
+    }
+
+    /// Returns a new name for an offer, and where its answer will arrive.
+    pub fn expect_answer(&self) -> (OfferKey, oneshot::Receiver<Answer>) {
+        self.offers.set(self.offers.get() + 1);
+        let offer = OfferKey(self.offers.get());
+        let (answer, answered) = oneshot::channel();
+        self.answers.borrow_mut().insert(offer, answer);
+        (offer, answered)
+    }
 }
 
 /// Tasks to be started, all or none.
@@ -54,170 +104,214 @@
     pub attempt: u32,
 }
 
-/// Takes over the owned part of an inventory's workers.
-pub fn apply_workers(node: &Rc<Node>, workers: &[WorkerDoc]) {
-    for worker in workers {
-        let owned = {
-            let view = node.view.borrow();
-            let owner = view.rack_owner(&worker.rack);
-            owner.is_some_and(|member| member.id == node.id)
-        };
-        if !owned {
-            continue;
-        }
-        let key = node.owner.ledger.borrow_mut().upsert_worker(WorkerInfo {
-            id: worker.id.clone(),
-            address: worker.address.clone(),
-            zone: worker.zone.clone(),
-            rack: worker.rack.clone(),
-            capacity: worker.capacity,
-        });
-        if node.owner.polled.borrow_mut().insert(worker.id.clone()) {
-            actix_rt::spawn(poll_worker(Rc::clone(node), key));
-        }
+/// Lets time pass for the owner until the arbiter ends.
+pub async fn run(node: Rc<Node>) {
+    loop {
+        actix_rt::time::sleep(TICK).await;
+        handle(&node, Event::Ticked);
     }
 }
 
-/// Takes over the racks that the new view gives to this daemon.
-pub fn view_changed(node: &Rc<Node>) {
-    apply_workers(node, &node.effective_inventory().workers);
+/// Feeds an event to the decisions and carries their actions out.
+pub fn handle(node: &Rc<Node>, event: Event) {
+    let mut actions = Vec::new();
+    let mut state = node.owner.state.borrow_mut();
+    state.handle(event, node.now(), &mut actions);
+    drop(state);
+    for action in actions {
+        carry_out(node, action);
+    }
 }
 
-/// Starts all tasks of an order, or none; returns the worker of each.
-pub async fn start_tasks(node: &Rc<Node>, order: &StartOrder) -> Result<Vec<WorkerId>, SmolStr> {
-    if !members::may_act(node) {
-        return Err(SmolStr::new("not_acting"));
-    }
-    let keys = grant_all(node, order)?;
-    node.owner
-        .specs
-        .borrow_mut()
-        .insert(order.job_id, order.spec.clone());
-    let starts = keys
-        .iter()
-        .map(|(task, key)| start_one(node, order, *task, *key));
-    let outcomes = join_all(starts).await;
-    let mut workers = Vec::new();
-    let mut failure = None;
-    for outcome in outcomes {
-        match outcome {
-            Ok(worker) => workers.push(worker),
-            Err(reason) => failure = Some(reason),
+fn carry_out(node: &Rc<Node>, action: Action) {
+    let node = Rc::clone(node);
+    match action {
+        Action::Start {
+            worker,
+            task,
+            attempt,
+            spec,
+        } => {
+            actix_rt::spawn(start(node, worker, (task, attempt), spec));
         }
-    }
-    match failure {
-        None => Ok(workers),
-        Some(reason) => {
-            stop_all(node, &keys).await;
-            Err(reason)
+        Action::Stop {
+            worker,
+            task,
+            checkpoint,
+        } => {
+            actix_rt::spawn(end(node, worker, task, checkpoint));
+        }
+        Action::Answer { offer, outcome } => {
+            if let Some(answer) = node.owner.answers.borrow_mut().remove(&offer) {
+                // Whoever asked may have given up waiting.
+                let _ = answer.send(outcome);
+            }
+        }
+        Action::Report { ended } => {
+            actix_rt::spawn(owner_polls::report_end(node, ended));
+        }
+        Action::Poll { worker } => {
+            actix_rt::spawn(owner_polls::poll_worker(node, worker));
         }
     }
 }
 
-fn grant_all(node: &Rc<Node>, order: &StartOrder) -> Result<Vec<(TaskRef, WorkerKey)>, SmolStr> {
-    let mut ledger = node.owner.ledger.borrow_mut();
-    let mut keys = Vec::new();
-    for &index in &order.indexes {
-        let task = TaskRef {
-            job_id: order.job_id,
-            index,
-        };
-        let granted = ledger.best_fit(&order.spec.resources).and_then(|key| {
-            let granted = ledger.grant(task, key, order.spec.resources);
-            granted.ok().map(|()| key)
-        });
-        let Some(key) = granted else {
-            for (task, _) in keys {
-                ledger.release(task);
-            }
-            return Err(SmolStr::new("no_room"));
-        };
-        keys.push((task, key));
-    }
-    Ok(keys)
+async fn start(
+    node: Rc<Node>,
+    worker: WorkerKey,
+    (task, attempt): (TaskRef, u32),
+    spec: Rc<JobSpec>,
+) {
+    let answer = command_start(&node, worker, (task, attempt), &spec).await;
+    handle(
+        &node,
+        Event::StartAnswered {
+            task,
+            attempt,
+            answer,
+        },
+    );
 }
 
-async fn start_one(
+async fn command_start(
     node: &Rc<Node>,
-    order: &StartOrder,
-    task: TaskRef,
-    key: WorkerKey,
-) -> Result<WorkerId, SmolStr> {
-    let info = node.owner.ledger.borrow().worker(key).cloned();
-    let info = info.ok_or_else(|| SmolStr::new("no_worker"))?;
+    worker: WorkerKey,
+    (task, attempt): (TaskRef, u32),
+    spec: &JobSpec,
+) -> StartAnswer {
+    let Some(info) = worker_info(node, worker) else {
+        return StartAnswer::NotSent;
+    };
     let start = StartTask {
         task,
-        attempt: order.attempt,
+        attempt,
         epoch: node.view.borrow().epoch,
         lease_ms: node.settings.timing.lease_ms,
-        resources: order.spec.resources,
-        run_time_ms: order.spec.run_time_ms,
-        payload: order.spec.payload.clone(),
+        resources: spec.resources,
+        run_time_ms: spec.run_time_ms,
+        payload: spec.payload.clone(),
+        origin: TaskOrigin {
+            team: spec.team.as_str().into(),
+            name: spec.name.clone(),
+            idempotent: spec.idempotent,
+            urgent: spec.class == Class::Urgent,
+        },
     };
+    if !members::may_act(node) {
+        return StartAnswer::NotSent;
+    }
     let started = node.platform.start(&info.id, &info.address, &start).await;
-    match started {
-        // In doubt: it may run; the next poll tells, and the grant stays until then.
-        Ok(()) | Err(WorkerError::InDoubt(_)) => Ok(info.id),
-        Err(error) => {
-            let id = info.id;
-            emit(catalogue::WORKER_FAULT, format_args!("worker={id} {error}"));
-            node.owner.ledger.borrow_mut().release(task);
-            Err(SmolStr::new("worker_refused"))
-        }
+    let Err(error) = started else {
+        return StartAnswer::Started;
+    };
+    let id = info.id;
+    emit(catalogue::WORKER_FAULT, format_args!("worker={id} {error}"));
+    match error {
+        WorkerError::InDoubt(_) => StartAnswer::InDoubt,
+        WorkerError::Refused(_) => StartAnswer::Refused,
+        WorkerError::NotSent(_) | WorkerError::StaleEpoch { .. } => StartAnswer::NotSent,
     }
 }
 
-async fn stop_all(node: &Rc<Node>, keys: &[(TaskRef, WorkerKey)]) {
-    for (task, key) in keys {
-        let info = node.owner.ledger.borrow().worker(*key).cloned();
-        let Some(info) = info else { continue };
-        let command = syc_platform::types::TaskCommand {
-            task: *task,
-            epoch: node.view.borrow().epoch,
-            action: syc_platform::types::TaskAction::Stop,
-        };
-        let stopped = node
-            .platform
-            .command(&info.id, &info.address, &command)
-            .await;
-        if stopped.is_ok() {
-            node.owner.ledger.borrow_mut().release(*task);
+async fn end(node: Rc<Node>, worker: WorkerKey, task: TaskRef, checkpoint: bool) {
+    let Ok(_permit) = node.owner.stops.acquire().await else {
+        return;
+    };
+    let Some(info) = worker_info(&node, worker) else {
+        return;
+    };
+    let command = TaskCommand {
+        task,
+        epoch: node.view.borrow().epoch,
+        action: if checkpoint {
+            TaskAction::Checkpoint
+        } else {
+            TaskAction::Stop
+        },
+    };
+    if !members::may_act(&node) {
+        return;
+    }
+    let ended = node.platform.command(&info.id, &info.address, &command);
+    // A command that is lost is repeated when the next poll still lists the task.
+    if let Err(error) = ended.await {
+        let id = info.id;
+        emit(catalogue::WORKER_FAULT, format_args!("worker={id} {error}"));
+    }
+}
+
+/// Returns the facts of a worker that is still owned.
+pub fn worker_info(node: &Rc<Node>, worker: WorkerKey) -> Option<WorkerInfo> {
+    let state = node.owner.state.borrow();
+    state.ledger().worker(worker).cloned()
+}
+
+fn owns(node: &Rc<Node>, rack: &RackId) -> bool {
+    let view = node.view.borrow();
+    let owner = view.rack_owner(rack);
+    owner.is_some_and(|member| member.id == node.id)
+}
+
+/// Takes over the owned part of an inventory's workers.
+pub fn apply_workers(node: &Rc<Node>, workers: &[WorkerDoc]) {
+    let mut owned = Vec::new();
+    for worker in workers {
+        if !owns(node, &worker.rack) {
+            continue;
         }
+        owned.push(WorkerInfo {
+            id: worker.id.clone(),
+            address: worker.address.clone(),
+            zone: worker.zone.clone(),
+            rack: worker.rack.clone(),
+            capacity: worker.capacity,
+        });
     }
+    handle(node, Event::Workers { workers: owned });
 }
 
-async fn poll_worker(node: Rc<Node>, key: WorkerKey) {
-    let mut acknowledged = Vec::new();
-    loop {
-        let info = node.owner.ledger.borrow().worker(key).cloned();
-        let Some(info) = info else { return };
-        let request = PollRequest {
-            epoch: node.view.borrow().epoch,
-            lease_ms: node.settings.timing.lease_ms,
-            wait_ms: node.settings.timing.worker_poll_ms,
-            acknowledged: acknowledged.clone(),
-        };
-        match node.platform.poll(&info.id, &info.address, &request).await {
-            Ok(reply) => {
-                acknowledged.clear();
-                let ends = reply.finished.iter().map(|end| report_end(&node, end));
-                let safe = join_all(ends).await;
-                acknowledged.extend(safe.into_iter().flatten());
-            }
-            Err(error) => {
-                let id = info.id;
-                emit(catalogue::WORKER_FAULT, format_args!("worker={id} {error}"));
-                actix_rt::time::sleep(POLL_RETRY).await;
+/// Takes over the weights of teams and of policy, and the layout of kinds of jobs.
+pub fn apply_shares(node: &Rc<Node>) {
+    let mut teams = Vec::new();
+    let mut waiting_weight = 1;
+    let mut packing_weight = 1;
+    let mut spread_kinds = vec![JobKind::Service];
+    for (_, in_force) in node.config.borrow().documents() {
+        match &in_force.document {
+            Document::Team(team) => teams.push((team.name.clone(), team.weight)),
+            Document::Policy(policy) if policy.name == POLICY_IN_FORCE => {
+                waiting_weight = policy.waiting_weight;
+                packing_weight = policy.packing_weight;
+                for kind in &policy.kinds {
+                    spread_kinds.retain(|spread| *spread != kind.kind);
+                    if kind.layout == Layout::Spread {
+                        spread_kinds.push(kind.kind);
+                    }
+                }
             }
+            _ => {}
         }
     }
+    handle(
+        node,
+        Event::Shares {
+            teams,
+            waiting_weight,
+            packing_weight,
+            spread_kinds,
+        },
+    );
 }
 
-async fn report_end(node: &Rc<Node>, end: &FinishedTask) -> Option<TaskRef> {
-    let spec = node.owner.specs.borrow().get(&end.task.job_id).cloned();
-    let team = spec.map(|spec| spec.team)?;
-    // The capacity is free as soon as the task has ended, whatever becomes of its result.
-    node.owner.ledger.borrow_mut().release(end.task);
-    let kept = home::report_end(node, &team, end.task, end.attempt, &end.outcome).await;
-    kept.then_some(end.task)
+/// Lets go of the racks that the new view gives to others, at once, and takes over those that it
+/// gives to this daemon.
+pub fn view_changed(node: &Rc<Node>) {
+    let mut lost = Vec::new();
+    for (key, info) in node.owner.state.borrow().ledger().workers() {
+        if !owns(node, &info.rack) {
+            lost.push(key);
+        }
+    }
+    handle(node, Event::Disowned { workers: lost });
+    apply_workers(node, &node.effective_inventory().workers);
 }
--- /dev/null
+++ b/crates/daemon/src/owner_calls.rs
@@ -0,0 +1,165 @@
+//! What homes ask of the owner, from this daemon or from another.
+
+use std::rc::Rc;
+
+use smol_str::SmolStr;
+use smol_str::ToSmolStr;
+use syc_place::Event;
+use syc_place::Order;
+use syc_place::Refusal;
+use syc_types::TeamId;
+use syc_types::WorkerId;
+use syc_wire::Ack;
+use syc_wire::DecodeError;
+use syc_wire::HeldTasks;
+use syc_wire::Offer;
+use syc_wire::OfferReply;
+use syc_wire::OwnerLoad;
+use syc_wire::RunningTask;
+use syc_wire::RunningTasks;
+use syc_wire::StopTasks;
+use syc_wire::WhatRuns;
+use syc_wire::job::job_id;
+
+use crate::members;
+use crate::node::Node;
+use crate::owner::StartOrder;
+use crate::owner::handle;
+
+/// Tasks whose cancellation is decided before others get a turn.
+const STOPS_IN_A_TURN: usize = 256;
+
+/// Places all tasks of an order, or none, without waiting for room; returns the worker of each.
+///
+/// # Errors
+///
+/// Fails with the reason; `in_doubt` where some task may have been started all the same.
+pub async fn start_tasks(node: &Rc<Node>, order: &StartOrder) -> Result<Vec<WorkerId>, SmolStr> {
+    let order = Order {
+        job_id: order.job_id,
+        spec: Rc::new(order.spec.clone()),
+        indexes: order.indexes.clone(),
+        attempt: order.attempt,
+        wait_ms: 0,
+        hold_ms: 0,
+    };
+    place(node, order).await
+}
+
+async fn place(node: &Rc<Node>, order: Order) -> Result<Vec<WorkerId>, SmolStr> {
+    if !members::may_act(node) {
+        return Err(SmolStr::new("not_acting"));
+    }
+    let (offer, answered) = node.owner.expect_answer();
+    handle(node, Event::Offered { offer, order });
+    let outcome = answered.await.unwrap_or(Err(Refusal::InDoubt));
+    outcome.map_err(|refusal| refusal.to_smolstr())
+}
+
+/// Answers an offer of a home.
+///
+/// # Errors
+///
+/// Fails where the offer is malformed.
+pub async fn offered(node: &Rc<Node>, offer: Offer) -> Result<OfferReply, DecodeError> {
+    let order = Order {
+        job_id: job_id(&offer.job_id)?,
+        spec: Rc::new(offer.spec.try_into()?),
+        indexes: offer.indexes,
+        attempt: offer.attempt,
+        wait_ms: offer.wait_ms,
+        hold_ms: offer.hold_ms,
+    };
+    let reply = match place(node, order).await {
+        Ok(workers) => OfferReply {
+            workers: workers.iter().map(ToString::to_string).collect(),
+            reason: String::new(),
+        },
+        Err(reason) => OfferReply {
+            workers: Vec::new(),
+            reason: reason.to_string(),
+        },
+    };
+    Ok(reply)
+}
+
+/// Starts reserved tasks of a home, or gives them up; accepted if the reservations were there.
+///
+/// # Errors
+///
+/// Fails where the call is malformed.
+pub async fn held(node: &Rc<Node>, call: &HeldTasks) -> Result<Ack, DecodeError> {
+    let job_id = job_id(&call.job_id)?;
+    if !members::may_act(node) {
+        return Ok(Ack { accepted: false });
+    }
+    let (offer, answered) = node.owner.expect_answer();
+    handle(
+        node,
+        Event::Held {
+            offer,
+            job_id,
+            attempt: call.attempt,
+            commit: call.commit,
+        },
+    );
+    let accepted = matches!(answered.await, Ok(Ok(_)));
+    Ok(Ack { accepted })
+}
+
+/// Cancels tasks, running or queued; their ends are reported as usual.
+///
+/// # Errors
+///
+/// Fails where the call is malformed.
+pub async fn stop(node: &Rc<Node>, call: &StopTasks) -> Result<Ack, DecodeError> {
+    let job_id = job_id(&call.job_id)?;
+    if !members::may_act(node) {
+        return Ok(Ack { accepted: false });
+    }
+    for indexes in call.indexes.chunks(STOPS_IN_A_TURN) {
+        handle(
+            node,
+            Event::Stopped {
+                job_id,
+                indexes: indexes.to_vec(),
+            },
+        );
+        actix_rt::task::yield_now().await;
+    }
+    Ok(Ack { accepted: true })
+}
+
+/// Tells a new home what it may find running; what the former home queued or reserved is dropped.
+#[must_use]
+pub fn what_runs(node: &Rc<Node>, call: &WhatRuns) -> RunningTasks {
+    let team = TeamId::new(call.team.as_str());
+    let event = Event::HomeChanged { team: team.clone() };
+    handle(node, event);
+    let state = node.owner.state.borrow();
+    let mut tasks = Vec::new();
+    for known in state.known_tasks(&team) {
+        tasks.push(RunningTask {
+            job_id: known.task.job_id.0.as_bytes().to_vec(),
+            index: known.task.index,
+            attempt: known.attempt,
+            worker: known.worker.to_string(),
+        });
+    }
+    RunningTasks {
+        settled: state.settled() && members::may_act(node),
+        tasks,
+    }
+}
+
+/// Returns what this owner has to give.
+#[must_use]
+pub fn load(node: &Rc<Node>) -> OwnerLoad {
+    let load = node.owner.state.borrow().load();
+    OwnerLoad {
+        free_cpu_millis: load.free_cpu_millis,
+        free_memory_bytes: load.free_memory_bytes,
+        free_accelerators: load.free_accelerators,
+        queued_tasks: load.queued_tasks,
+    }
+}
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -18,7 +18,6 @@
 use crate::members_run;
 use crate::node::Node;
 use crate::owner;
-use crate::owner::StartOrder;
 use crate::requests;
 
 /// Calls a member and waits for its reply.
@@ -59,7 +58,7 @@
             let (epoch, ack) = members_run::receive(&node, epoch, heartbeat);
             return Message::new(epoch, Body::HeartbeatAck(ack)).to_bytes();
         }
-        Ok((_epoch, body)) => dispatch(&node, body).await,
+        Ok((epoch, body)) => dispatch(&node, epoch, body).await,
         Err(error) => Err(error),
     };
     let body = reply.unwrap_or(Body::Ack(Ack { accepted: false }));
@@ -67,7 +66,7 @@
     Message::new(epoch, body).to_bytes()
 }
 
-async fn dispatch(node: &Rc<Node>, body: Body) -> Result<Body, DecodeError> {
+async fn dispatch(node: &Rc<Node>, epoch: u64, body: Body) -> Result<Body, DecodeError> {
     let reply = match body {
         Body::Submit(submit) => {
             let id = job_id(&submit.job_id)?;
@@ -76,14 +75,13 @@
             Body::SubmitReply(home::submit_reply(outcome))
         }
         Body::Offer(offer) => {
-            let order = StartOrder {
-                job_id: job_id(&offer.job_id)?,
-                spec: offer.spec.try_into()?,
-                indexes: offer.indexes,
-                attempt: offer.attempt,
-            };
-            let outcome = owner::start_tasks(node, &order).await;
-            Body::OfferReply(home::offer_reply(outcome))
+            if epoch != node.view.borrow().epoch.0 {
+                // A former home, or one whose view is ahead; it asks again when both agree.
+                return Ok(Body::OfferReply(home::offer_reply(Err(
+                    "other_epoch".into()
+                ))));
+            }
+            Body::OfferReply(owner::offered(node, offer).await?)
         }
         Body::TaskDone(done) => {
             let (task, outcome) = done.try_into()?;
@@ -97,10 +95,9 @@
         }
         Body::RunRequest(run) => Body::RunReply(requests::run_for_peer(node, run).await?),
         Body::ViewQuery(_) => Body::ViewState(members_run::view_state(node)),
-        // Not yet served; the caller sees a refusal.
-        Body::HeldTasks(_) | Body::StopTasks(_) | Body::WhatRuns(_) | Body::RunningTasks(_) => {
-            Body::Ack(Ack { accepted: false })
-        }
+        Body::HeldTasks(call) => Body::Ack(owner::held(node, &call).await?),
+        Body::StopTasks(call) => Body::Ack(owner::stop(node, &call).await?),
+        Body::WhatRuns(call) => Body::RunningTasks(owner::what_runs(node, &call)),
         Body::Heartbeat(_)
         | Body::HeartbeatAck(_)
         | Body::ViewState(_)
@@ -108,6 +105,7 @@
         | Body::OfferReply(_)
         | Body::Ack(_)
         | Body::JobState(_)
+        | Body::RunningTasks(_)
         | Body::RunReply(_) => Body::Ack(Ack { accepted: false }),
     };
     Ok(reply)
--- a/crates/place/src/event.rs
+++ b/crates/place/src/event.rs
@@ -4,6 +4,7 @@
 
 use smol_str::SmolStr;
 use syc_types::JobId;
+use syc_types::JobKind;
 use syc_types::JobSpec;
 use syc_types::Resources;
 use syc_types::TaskOutcome;
@@ -185,6 +186,8 @@
         waiting_weight: u32,
         /// Weight of packing.
         packing_weight: u32,
+        /// Kinds of jobs whose tasks are spread over zones and racks.
+        spread_kinds: Vec<JobKind>,
     },
     /// Time passed.
     Ticked,
--- a/crates/place/src/owner.rs
+++ b/crates/place/src/owner.rs
@@ -27,6 +27,7 @@
 use slotmap::new_key_type;
 use smol_str::SmolStr;
 use syc_types::JobId;
+use syc_types::JobKind;
 use syc_types::JobSpec;
 use syc_types::Millis;
 use syc_types::Resources;
@@ -191,6 +192,7 @@
     ended: HashMap<TaskRef, Remembered>,
     forget: BTreeSet<(Millis, TaskRef, u32)>,
     spreads: HashMap<JobId, Spread>,
+    spread_kinds: Vec<JobKind>,
     shares: Shares,
     history: History,
     losses: LossBudget,
@@ -226,6 +228,7 @@
     pub fn new(options: OwnerOptions) -> Self {
         let mut owner = Self {
             options,
+            spread_kinds: vec![JobKind::Service],
             ..Self::default()
         };
         owner.set_weights(1, 1);
@@ -273,7 +276,9 @@
                 teams,
                 waiting_weight,
                 packing_weight,
+                spread_kinds,
             } => {
+                self.spread_kinds = spread_kinds;
                 self.shares.set_weights(&teams);
                 self.set_weights(waiting_weight, packing_weight);
             }
--- a/crates/place/src/owner/ends.rs
+++ b/crates/place/src/owner/ends.rs
@@ -1,6 +1,5 @@
 //! Ends of attempts: what is given back, what is learned, and what the home hears.
 
-use syc_types::JobKind;
 use syc_types::Millis;
 use syc_types::TaskOutcome;
 use syc_types::TaskRef;
@@ -70,8 +69,7 @@
             self.holds.remove(&(until, task));
         }
         self.shares.give_back(&state.team, &state.resources);
-        let kind = state.spec.as_ref().map(|spec| spec.kind);
-        if kind == Some(JobKind::Service) {
+        if state.spec.is_some() {
             self.remove_spread(task.job_id, state.worker);
         }
         self.ledger.release(task);
--- a/crates/place/src/owner/pass.rs
+++ b/crates/place/src/owner/pass.rs
@@ -4,7 +4,6 @@
 
 use syc_types::Class;
 use syc_types::JobId;
-use syc_types::JobKind;
 use syc_types::Millis;
 use syc_types::Resources;
 use syc_types::TaskRef;
@@ -195,7 +194,7 @@
         now: Millis,
     ) -> Option<WorkerKey> {
         let need = unit.spec.resources;
-        let chosen = if unit.spec.kind == JobKind::Service && unit.avoid.is_empty() {
+        let chosen = if self.spread_kinds.contains(&unit.spec.kind) && unit.avoid.is_empty() {
             let none = Spread::default();
             let spread = self.spreads.get(&unit.job_id).unwrap_or(&none);
             self.ledger.spread_fit(&need, tier, spread)
@@ -206,7 +205,7 @@
             return self.backfill(unit, task, tier, now);
         };
         self.ledger.grant_in(task, worker, need, tier).ok()?;
-        if unit.spec.kind == JobKind::Service {
+        if self.spread_kinds.contains(&unit.spec.kind) {
             let spread = self.spreads.entry(unit.job_id).or_default();
             spread.add(&self.ledger, worker);
         }
@@ -215,7 +214,7 @@
     }
 
     pub(super) fn forget_spread(&mut self, unit: &Unit, worker: WorkerKey) {
-        if unit.spec.kind == JobKind::Service {
+        if self.spread_kinds.contains(&unit.spec.kind) {
             self.remove_spread(unit.job_id, worker);
         }
     }
--- a/crates/place/tests/owner/bed.rs
+++ b/crates/place/tests/owner/bed.rs
@@ -117,6 +117,7 @@
             teams: Vec::new(),
             waiting_weight: 0,
             packing_weight: 1,
+            spread_kinds: Vec::new(),
         };
         owner.handle(shares, Millis(0), &mut Vec::new());
         let mut bed = Self {
@@ -144,6 +145,7 @@
             teams: Vec::new(),
             waiting_weight: 1,
             packing_weight: 0,
+            spread_kinds: Vec::new(),
         });
     }
 
--- a/crates/place/tests/owner/queue.rs
+++ b/crates/place/tests/owner/queue.rs
@@ -71,6 +71,7 @@
         teams: vec![(TeamId::new("a"), 3), (TeamId::new("b"), 1)],
         waiting_weight: 0,
         packing_weight: 1,
+        spread_kinds: Vec::new(),
     });
     bed.offer(1, &[0], &spec("c", Class::Normal, 1_000), 0);
     let mut offers = Vec::new();
--- a/crates/platform/src/types.rs
+++ b/crates/platform/src/types.rs
@@ -66,6 +66,29 @@
     pub state: VmState,
 }
 
+/// Whose a task is and how it may be treated; the worker echoes it, so that an owner that has
+/// never heard of the task can take it over.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TaskOrigin {
+    /// The team that pays for the task.
+    pub team: SmolStr,
+    /// Name of its job.
+    pub name: SmolStr,
+    /// Whether it may be run again after an attempt whose outcome is unknown.
+    pub idempotent: bool,
+    /// Whether it was granted out of the room that is kept for urgent tasks.
+    pub urgent: bool,
+}
+
+/// One attempt at a task.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct TaskAttempt {
+    /// The task.
+    pub task: TaskRef,
+    /// Which attempt it is.
+    pub attempt: u32,
+}
+
 /// Starts a task on a worker.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StartTask {
@@ -83,6 +106,9 @@
     pub run_time_ms: u64,
     /// What the task works on.
     pub payload: SmolStr,
+    /// Echoed in every report about the task.
+    #[serde(default)]
+    pub origin: TaskOrigin,
 }
 
 /// Renews the leases of a worker's tasks and asks for news.
@@ -94,8 +120,27 @@
     pub lease_ms: u64,
     /// Time that the worker may hold the answer while nothing ends.
     pub wait_ms: u64,
+    /// Whether the poll renews the leases; one that does not only asks for news.
+    #[serde(default = "yes")]
+    pub renew: bool,
+    /// Version of the worker's news that the owner has; 0 for none, which is answered at once.
+    #[serde(default)]
+    pub seen: u64,
     /// Results that are safe and may be forgotten.
-    pub acknowledged: Vec<TaskRef>,
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub acknowledged: Vec<TaskAttempt>,
+}
+
+const fn yes() -> bool {
+    true
+}
+
+#[expect(
+    clippy::trivially_copy_pass_by_ref,
+    reason = "the serializer passes a reference"
+)]
+const fn is_true(value: &bool) -> bool {
+    *value
 }
 
 /// A task that runs on a worker.
@@ -109,6 +154,9 @@
     pub granted: Resources,
     /// What it used when last looked at.
     pub used: Resources,
+    /// What its start said of it.
+    #[serde(default)]
+    pub origin: TaskOrigin,
 }
 
 /// A task that ended on a worker and is not yet acknowledged.
@@ -122,14 +170,28 @@
     pub outcome: TaskOutcome,
     /// How long it ran.
     pub ran_ms: u64,
+    /// What its start said of it.
+    #[serde(default)]
+    pub origin: TaskOrigin,
 }
 
 /// A worker's news.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PollReply {
-    /// Everything that runs.
+    /// Version of this news, for the next poll; 0 from a worker that counts none.
+    #[serde(default)]
+    pub version: u64,
+    /// Whether this is everything, or what changed since the version that the poll named.
+    #[serde(default = "yes", skip_serializing_if = "is_true")]
+    pub full: bool,
+    /// What runs.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub running: Vec<RunningTask>,
-    /// Everything that ended and is not acknowledged.
+    /// Tasks that no longer run, where this is not everything.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub gone: Vec<TaskRef>,
+    /// What ended and is not acknowledged.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub finished: Vec<FinishedTask>,
 }
 
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -5,6 +5,7 @@
 //! handle of each; nothing in them is random.
 
 mod cell;
+mod change_log;
 mod endpoint;
 mod executions;
 mod log;
--- a/crates/standin/src/worker.rs
+++ b/crates/standin/src/worker.rs
@@ -27,6 +27,7 @@
 use syc_types::TaskRef;
 use tokio::sync::Notify;
 
+use crate::change_log::ChangeLog;
 use crate::executions::Executions;
 use crate::executions::lock;
 use crate::reply;
@@ -86,6 +87,8 @@
     epoch: Epoch,
     running: HashMap<TaskRef, Running>,
     finished: HashMap<TaskRef, FinishedTask>,
+    changes: ChangeLog,
+    losing: bool,
     counts: WorkerCounts,
     executions: Executions<TaskRef>,
 }
@@ -112,6 +115,8 @@
             epoch: Epoch(0),
             running: HashMap::new(),
             finished: HashMap::new(),
+            changes: ChangeLog::default(),
+            losing: false,
             counts: WorkerCounts::default(),
             executions,
         }));
@@ -149,6 +154,11 @@
         lock(&self.state).running.len()
     }
 
+    /// Makes it lose its answers to start commands from now on, or give them again.
+    pub fn set_losing(&self, losing: bool) {
+        lock(&self.state).losing = losing;
+    }
+
     /// Makes it fail every task from now on, or work again.
     pub fn set_fails_all(&self, fails_all: bool) {
         lock(&self.state).options.fails_all = fails_all;
@@ -180,7 +190,14 @@
     let bad = || reply::empty(StatusCode::BAD_REQUEST);
     match path.as_str() {
         "/tasks" => match reply::read::<StartTask>(&mut request).await {
-            Some(start) => lock(&state).start(start),
+            Some(start) => {
+                let response = lock(&state).start(start);
+                let losing = lock(&state).losing;
+                if losing {
+                    return std::future::pending().await;
+                }
+                response
+            }
             None => bad(),
         },
         "/command" => match reply::read::<TaskCommand>(&mut request).await {
@@ -213,10 +230,10 @@
         let now = Instant::now();
         let reply_now = {
             let state = lock(state);
-            !state.finished.is_empty() || now >= until
+            state.has_news(poll.seen) || now >= until
         };
         if reply_now {
-            return reply::json(StatusCode::OK, &lock(state).report(now));
+            return reply::json(StatusCode::OK, &lock(state).report(now, poll.seen));
         }
         let _ = tokio::time::timeout(until - now, news).await;
     }
@@ -252,8 +269,11 @@
         if let Some(refused) = self.stale(start.epoch) {
             return refused;
         }
-        if self.running.contains_key(&start.task) {
-            return reply::empty(StatusCode::OK);
+        if let Some(running) = self.running.get(&start.task) {
+            if running.start.attempt == start.attempt {
+                return reply::empty(StatusCode::OK);
+            }
+            return self.refuse(StatusCode::CONFLICT, "another attempt runs");
         }
         let total = self.granted().checked_add(&start.resources);
         let Ok(total) = total else {
@@ -270,6 +290,7 @@
         let now = Instant::now();
         let run_time = Duration::from_millis(start.run_time_ms);
         self.executions.begin(start.task);
+        self.changes.note(start.task);
         self.running.insert(
             start.task,
             Running {
@@ -305,20 +326,49 @@
         if let Some(refused) = self.stale(poll.epoch) {
             return Some(refused);
         }
-        let until = Instant::now() + Duration::from_millis(poll.lease_ms);
-        for running in self.running.values_mut() {
-            running.lease_until = until;
+        let now = Instant::now();
+        // A renewal that comes too late renews nothing.
+        self.end_due(now);
+        let until = now + Duration::from_millis(poll.lease_ms);
+        if poll.renew {
+            for running in self.running.values_mut() {
+                running.lease_until = until;
+            }
         }
-        for task in &poll.acknowledged {
-            self.finished.remove(task);
+        for kept in &poll.acknowledged {
+            let end = self.finished.get(&kept.task);
+            if end.is_some_and(|end| end.attempt == kept.attempt) {
+                self.finished.remove(&kept.task);
+            }
         }
         None
     }
 
-    fn report(&self, now: Instant) -> PollReply {
+    fn has_news(&self, seen: u64) -> bool {
+        match self.changes.since(seen) {
+            None => true,
+            Some(changed) => changed.iter().any(|task| self.finished.contains_key(task)),
+        }
+    }
+
+    fn report(&self, now: Instant, seen: u64) -> PollReply {
         let lag = Duration::from_millis(self.options.usage_lag_ms);
-        let mut report = PollReply::default();
+        let changed = self.changes.since(seen);
+        let wanted = |task: &TaskRef| changed.as_ref().is_none_or(|set| set.contains(task));
+        let mut report = PollReply {
+            version: self.changes.version(),
+            full: changed.is_none(),
+            ..PollReply::default()
+        };
+        for task in changed.iter().flatten() {
+            if !self.running.contains_key(task) {
+                report.gone.push(*task);
+            }
+        }
         for (task, running) in &self.running {
+            if !wanted(task) {
+                continue;
+            }
             let seen = now.duration_since(running.began) >= lag;
             report.running.push(RunningTask {
                 task: *task,
@@ -329,9 +379,14 @@
                 } else {
                     Resources::ZERO
                 },
+                origin: running.start.origin.clone(),
             });
         }
-        report.finished = self.finished.values().cloned().collect();
+        for (task, end) in &self.finished {
+            if wanted(task) {
+                report.finished.push(end.clone());
+            }
+        }
         report
     }
 
@@ -363,6 +418,7 @@
             return;
         };
         self.executions.end(&task);
+        self.changes.note(task);
         let ran = now.duration_since(running.began).as_millis();
         let held = running.start.resources;
         self.counts.memory_byte_ms += u128::from(held.memory_bytes) * ran;
@@ -375,6 +431,7 @@
                 attempt: running.start.attempt,
                 outcome,
                 ran_ms: u64::try_from(ran).unwrap_or(u64::MAX),
+                origin: running.start.origin,
             },
         );
     }
