Test the owner in the daemon with worker stand-ins

Cause: nothing brought about the failures that the owner is meant for.

Change: tests with real daemons and worker stand-ins: workers that fail everything, a start whose answer is lost, adoption after a restart, a gang over two owners, and the death of a home between reserve and commit. A stopped daemon's owner ends its polls, starts and reports, which before went on beside its successor's.

--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -167,6 +167,7 @@
             let left = self.node.requests.in_progress.get();
             emit(catalogue::DRAIN_LIMIT, format_args!("requests={left}"));
         }
+        owner::stop_acting(&self.node);
         for task in &self.tasks {
             task.abort();
         }
--- a/crates/daemon/src/owner.rs
+++ b/crates/daemon/src/owner.rs
@@ -64,6 +64,7 @@
     answers: RefCell<HashMap<OfferKey, oneshot::Sender<Answer>>>,
     offers: Cell<u64>,
     stops: Semaphore,
+    stopped: Cell<bool>,
 }
 
 impl Owner {
@@ -78,9 +79,15 @@
             answers: RefCell::default(),
             offers: Cell::new(0),
             stops: Semaphore::new(STOPS_AT_ONCE),
+            stopped: Cell::new(false),
         }
     }
 
+    /// Says whether the daemon has stopped and its owner commands nothing any more.
+    pub const fn is_stopped(&self) -> bool {
+        self.stopped.get()
+    }
+
     /// Returns a new name for an offer, and where its answer will arrive.
     pub fn expect_answer(&self) -> (OfferKey, oneshot::Receiver<Answer>) {
         self.offers.set(self.offers.get() + 1);
@@ -112,8 +119,16 @@
     }
 }
 
+/// Ends all polls, starts and reports of this owner.
+pub fn stop_acting(node: &Rc<Node>) {
+    node.owner.stopped.set(true);
+}
+
 /// Feeds an event to the decisions and carries their actions out.
 pub fn handle(node: &Rc<Node>, event: Event) {
+    if node.owner.is_stopped() {
+        return;
+    }
     let mut actions = Vec::new();
     let mut state = node.owner.state.borrow_mut();
     state.handle(event, node.now(), &mut actions);
--- a/crates/daemon/src/owner_polls.rs
+++ b/crates/daemon/src/owner_polls.rs
@@ -38,7 +38,7 @@
 
 /// Polls a worker for as long as it is this owner's.
 pub async fn poll_worker(node: Rc<Node>, worker: WorkerKey) {
-    loop {
+    while !node.owner.is_stopped() {
         if !members::may_act(&node) {
             actix_rt::time::sleep(POLL_RETRY).await;
             if worker_info(&node, worker).is_none() {
@@ -145,7 +145,7 @@
 /// Tells the end of an attempt to its team's home until the home has kept it.
 pub async fn report_end(node: Rc<Node>, ended: Ended) {
     let mut pause = REPORT_RETRY;
-    loop {
+    while !node.owner.is_stopped() {
         let Ended { task, attempt, .. } = ended;
         let kept = home::report_end(&node, &ended.team, task, attempt, &ended.outcome);
         if kept.await {
--- a/crates/daemon/tests/daemon/main.rs
+++ b/crates/daemon/tests/daemon/main.rs
@@ -1,4 +1,5 @@
 //! The daemon against stand-ins, everything on one arbiter and on ports that the system chooses.
 
 mod bed;
+mod owner;
 mod path;
