--- a/crates/place/src/ledger.rs
+++ b/crates/place/src/ledger.rs
@@ -64,6 +64,10 @@
     ordinary: Resources,
     urgent: Resources,
     stray: Resources,
+    /// What is kept of it for urgent tasks.
+    kept: Resources,
+    /// What is kept of it for an offer that has waited long.
+    guarded: Resources,
     open: bool,
     removed: bool,
     grants: u32,
@@ -79,9 +83,10 @@
     workers: SlotMap<WorkerKey, Entry>,
     by_id: HashMap<WorkerId, WorkerKey>,
     grants: HashMap<TaskRef, Grant>,
-    headroom_permille: u64,
     zones: BTreeMap<Zone, ZoneIndex>,
+    /// Workers in the inventory by capacity, with and without what is kept for urgent tasks.
     capacities: HashMap<Resources, u64>,
+    ordinary_capacities: HashMap<Resources, u64>,
 }
 
 #[derive(Debug, Clone, Default)]
@@ -109,13 +114,13 @@
         self.open && !self.removed && self.total().fits_in(&self.info.capacity)
     }
 
-    fn room(&self, tier: Tier, headroom_permille: u64) -> Resources {
+    fn room(&self, tier: Tier) -> Resources {
         let free = self.info.capacity.saturating_sub(&self.total());
         if tier == Tier::Urgent {
             return free;
         }
-        let kept = headroom(&self.info.capacity, headroom_permille);
-        free.saturating_sub(&kept.saturating_sub(&self.urgent))
+        let kept = self.kept.saturating_sub(&self.urgent);
+        free.saturating_sub(&kept).saturating_sub(&self.guarded)
     }
 }
 
@@ -127,14 +132,6 @@
     }
 }
 
-fn headroom(capacity: &Resources, permille: u64) -> Resources {
-    Resources {
-        cpu_millis: capacity.cpu_millis / 1_000 * permille,
-        memory_bytes: capacity.memory_bytes / 1_000 * permille,
-        accelerators: 0,
-    }
-}
-
 impl Ledger {
     /// Makes an empty ledger without headroom.
     #[must_use]
@@ -187,7 +184,7 @@
     #[must_use]
     pub fn room_for(&self, key: WorkerKey, tier: Tier) -> Option<Resources> {
         let entry = self.workers.get(key)?;
-        Some(entry.room(tier, self.headroom_permille))
+        Some(entry.room(tier))
     }
 
     /// Returns the grant of a task.
@@ -239,7 +236,7 @@
         if !entry.open || entry.removed {
             return Err(GrantError::Closed);
         }
-        if !entry.grants_now() || !resources.fits_in(&entry.room(tier, self.headroom_permille)) {
+        if !entry.grants_now() || !resources.fits_in(&entry.room(tier)) {
             return Err(GrantError::NoRoom);
         }
         let grant = Grant {
@@ -278,15 +275,28 @@
         Ok(())
     }
 
-    /// Sets what a worker runs without a grant; it is taken off the worker's room.
-    pub fn set_stray(&mut self, key: WorkerKey, resources: Resources) {
+    /// Sets what a worker runs without a grant; it is taken off the worker's room. Returns whether
+    /// that changed.
+    pub fn set_stray(&mut self, key: WorkerKey, resources: Resources) -> bool {
         let entry = self.workers.get(key);
         if entry.is_none_or(|entry| entry.stray == resources) {
-            return;
+            return false;
         }
         self.unindex(key);
         self.workers[key].stray = resources;
         self.index(key);
+        true
+    }
+
+    /// Keeps a part of a worker's room from ordinary tasks, whether it is free yet or not.
+    pub fn set_guarded(&mut self, key: WorkerKey, resources: Resources) {
+        let entry = self.workers.get(key);
+        if entry.is_none_or(|entry| entry.guarded == resources) {
+            return;
+        }
+        self.unindex(key);
+        self.workers[key].guarded = resources;
+        self.index(key);
     }
 
     /// Ends the grant of a task and returns it.
@@ -323,10 +333,8 @@
             Some(zone) => zone,
             None => self.zones.entry(entry.info.zone.clone()).or_default(),
         };
-        let share = self.headroom_permille;
-        zone.ordinary
-            .insert(key, &entry.room(Tier::Ordinary, share));
-        zone.urgent.insert(key, &entry.room(Tier::Urgent, share));
+        zone.ordinary.insert(key, &entry.room(Tier::Ordinary));
+        zone.urgent.insert(key, &entry.room(Tier::Urgent));
     }
 
     fn unindex(&mut self, key: WorkerKey) {
@@ -336,10 +344,8 @@
         let Some(zone) = self.zones.get_mut(&entry.info.zone) else {
             return;
         };
-        let share = self.headroom_permille;
-        zone.ordinary
-            .remove(key, &entry.room(Tier::Ordinary, share));
-        zone.urgent.remove(key, &entry.room(Tier::Urgent, share));
+        zone.ordinary.remove(key, &entry.room(Tier::Ordinary));
+        zone.urgent.remove(key, &entry.room(Tier::Urgent));
     }
 }
 
--- a/crates/place/src/ledger/inventory.rs
+++ b/crates/place/src/ledger/inventory.rs
@@ -1,5 +1,7 @@
 //! Workers of the ledger: what the inventory says of them, and whether they may grant.
 
+use std::collections::HashMap;
+
 use syc_types::Resources;
 use syc_types::TaskRef;
 
@@ -8,18 +10,38 @@
 use crate::WorkerInfo;
 use crate::WorkerKey;
 use crate::ledger::Entry;
-use crate::ledger::headroom;
 use crate::ledger::sum;
 
+/// Part that is kept of a worker that keeps anything, in thousandths.
+const KEPT_PERMILLE: u64 = 250;
+
 impl Ledger {
-    /// Sets the share of each worker that is kept for urgent tasks, in thousandths.
+    /// Sets the share of the pool that is kept for urgent tasks, in thousandths.
+    ///
+    /// It is kept in large parts of few workers, so that urgent tasks of some size fit and the
+    /// other workers can be filled. Workers that are added later keep nothing until this is set
+    /// again.
     pub fn set_headroom(&mut self, permille: u32) {
-        let keys: Vec<_> = self.workers.keys().collect();
-        for &key in &keys {
+        let permille = u64::from(permille).min(KEPT_PERMILLE);
+        let mut keys: Vec<_> = self.workers.keys().collect();
+        keys.sort_by(|a, b| self.workers[*a].info.id.cmp(&self.workers[*b].info.id));
+        let mut due = KEPT_PERMILLE;
+        for key in keys {
             self.unindex(key);
-        }
-        self.headroom_permille = u64::from(permille.min(1_000));
-        for &key in &keys {
+            self.uncount(key);
+            let capacity = self.workers[key].info.capacity;
+            let keeps = permille > 0 && due >= KEPT_PERMILLE;
+            if keeps {
+                due -= KEPT_PERMILLE;
+            }
+            due += permille;
+            let kept = if keeps {
+                kept_part(&capacity)
+            } else {
+                Resources::ZERO
+            };
+            self.workers[key].kept = kept;
+            self.count(key);
             self.index(key);
         }
     }
@@ -29,24 +51,30 @@
         if let Some(&key) = self.by_id.get(&info.id) {
             self.unindex(key);
             self.uncount(key);
-            *self.capacities.entry(info.capacity).or_default() += 1;
-            self.workers[key].info = info;
-            self.workers[key].removed = false;
+            let entry = &mut self.workers[key];
+            if entry.kept != Resources::ZERO {
+                entry.kept = kept_part(&info.capacity);
+            }
+            entry.info = info;
+            entry.removed = false;
+            self.count(key);
             self.index(key);
             return key;
         }
         let id = info.id.clone();
-        *self.capacities.entry(info.capacity).or_default() += 1;
         let key = self.workers.insert(Entry {
             info,
             ordinary: Resources::ZERO,
             urgent: Resources::ZERO,
             stray: Resources::ZERO,
+            kept: Resources::ZERO,
+            guarded: Resources::ZERO,
             open: true,
             removed: false,
             grants: 0,
         });
         self.by_id.insert(id, key);
+        self.count(key);
         self.index(key);
         key
     }
@@ -96,14 +124,12 @@
     /// Says whether `need` fits in a tier of some worker while nothing runs there.
     #[must_use]
     pub fn fits_when_empty(&self, need: &Resources, tier: Tier) -> bool {
-        let mut capacities = self.capacities.keys();
-        capacities.any(|capacity| {
-            let kept = match tier {
-                Tier::Ordinary => headroom(capacity, self.headroom_permille),
-                Tier::Urgent => Resources::ZERO,
-            };
-            need.fits_in(&capacity.saturating_sub(&kept))
-        })
+        let capacities = match tier {
+            Tier::Ordinary => &self.ordinary_capacities,
+            Tier::Urgent => &self.capacities,
+        };
+        let mut capacities = capacities.keys();
+        capacities.any(|capacity| need.fits_in(capacity))
     }
 
     /// Returns how many such tasks fit at once while nothing runs, counting no further than `most`.
@@ -135,6 +161,17 @@
         pool
     }
 
+    fn count(&mut self, key: WorkerKey) {
+        let entry = &self.workers[key];
+        if entry.removed {
+            return;
+        }
+        let capacity = entry.info.capacity;
+        let ordinary = capacity.saturating_sub(&entry.kept);
+        *self.capacities.entry(capacity).or_default() += 1;
+        *self.ordinary_capacities.entry(ordinary).or_default() += 1;
+    }
+
     fn uncount(&mut self, key: WorkerKey) {
         let Some(entry) = self.workers.get(key) else {
             return;
@@ -142,15 +179,31 @@
         if entry.removed {
             return;
         }
-        if let Some(count) = self.capacities.get_mut(&entry.info.capacity) {
-            *count -= 1;
-            if *count == 0 {
-                self.capacities.remove(&entry.info.capacity);
-            }
-        }
+        let capacity = entry.info.capacity;
+        let ordinary = capacity.saturating_sub(&entry.kept);
+        take_one(&mut self.capacities, &capacity);
+        take_one(&mut self.ordinary_capacities, &ordinary);
     }
 }
 
 fn times(need: u64, capacity: u64, most: u64) -> u64 {
     capacity.checked_div(need).unwrap_or(most)
 }
+
+fn take_one(counts: &mut HashMap<Resources, u64>, capacity: &Resources) {
+    let Some(count) = counts.get_mut(capacity) else {
+        return;
+    };
+    *count -= 1;
+    if *count == 0 {
+        counts.remove(capacity);
+    }
+}
+
+fn kept_part(capacity: &Resources) -> Resources {
+    Resources {
+        cpu_millis: capacity.cpu_millis / 1_000 * KEPT_PERMILLE,
+        memory_bytes: capacity.memory_bytes / 1_000 * KEPT_PERMILLE,
+        accelerators: 0,
+    }
+}
--- a/crates/place/src/owner.rs
+++ b/crates/place/src/owner.rs
@@ -188,7 +188,7 @@
     deadlines: BTreeSet<(Millis, UnitKey)>,
     holds: BTreeSet<(Millis, TaskRef)>,
     queue: Queue,
-    guard: Option<Guard>,
+    guards: Vec<Guard>,
     ended: HashMap<TaskRef, Remembered>,
     forget: BTreeSet<(Millis, TaskRef, u32)>,
     spreads: HashMap<JobId, Spread>,
@@ -196,6 +196,12 @@
     shares: Shares,
     history: History,
     losses: LossBudget,
+    headroom_permille: u32,
+    /// Whether room was freed since the queue was last looked through.
+    room_freed: bool,
+    /// Offers that came or came back since then.
+    fresh: Vec<UnitKey>,
+    looked_at: Millis,
 }
 
 /// A task that an owner knows of.
@@ -284,7 +290,7 @@
             }
             Event::Ticked => self.tick(now, actions),
         }
-        self.pass(now, actions);
+        self.place_waiting(now, actions);
         self.expire_units(now, actions);
     }
 
@@ -355,8 +361,9 @@
         let both = u64::from(waiting) + u64::from(packing);
         let share = |most: u64| most * u64::from(waiting) / both.max(1);
         let headroom = share(guard::MOST_HEADROOM_PERMILLE);
-        self.ledger
-            .set_headroom(u32::try_from(headroom).unwrap_or(0));
+        self.headroom_permille = u32::try_from(headroom).unwrap_or(0);
+        self.ledger.set_headroom(self.headroom_permille);
+        self.room_freed = true;
         self.losses.set_share(share(preempt::MOST_LOSS_PERMILLE));
     }
 }
--- a/crates/place/src/owner/adopt.rs
+++ b/crates/place/src/owner/adopt.rs
@@ -92,7 +92,7 @@
                 });
             }
         }
-        self.ledger.set_stray(key, stray);
+        self.room_freed |= self.ledger.set_stray(key, stray);
     }
 
     fn adopt(&mut self, key: WorkerKey, running: Reported, now: Millis) {
--- a/crates/place/src/owner/ends.rs
+++ b/crates/place/src/owner/ends.rs
@@ -73,6 +73,7 @@
             self.remove_spread(task.job_id, state.worker);
         }
         self.ledger.release(task);
+        self.room_freed = true;
         if let Some(worker) = self.workers.get_mut(state.worker) {
             worker.tasks.remove(&task);
         }
--- a/crates/place/src/owner/explain.rs
+++ b/crates/place/src/owner/explain.rs
@@ -19,7 +19,7 @@
     pub silent: u32,
     /// Workers that are put aside because what they start fails.
     pub aside: u32,
-    /// Workers that are kept clear for an offer that has waited long.
+    /// Workers without room whose room is kept for an offer that has waited long.
     pub guarded: u32,
     /// Workers that are no longer in the inventory.
     pub retired: u32,
@@ -53,7 +53,7 @@
                 &mut found.silent
             } else if worker.health.is_aside() {
                 &mut found.aside
-            } else if self.is_guarded(key) {
+            } else if !need.fits_in(&room) && self.is_guarded(key) {
                 &mut found.guarded
             } else if need.cpu_millis > room.cpu_millis {
                 &mut found.short_of_cpu
--- a/crates/place/src/owner/guard.rs
+++ b/crates/place/src/owner/guard.rs
@@ -1,6 +1,5 @@
-//! Keeps workers clear for an offer that has waited long, and fills the gap with short tasks.
+//! Keeps room for an offer that has waited long, and fills the gap with short tasks.
 
-use syc_types::Class;
 use syc_types::Millis;
 use syc_types::Resources;
 use syc_types::TaskRef;
@@ -12,91 +11,101 @@
 use crate::owner::Unit;
 use crate::owner::UnitKey;
 
-/// Share of each worker kept for urgent tasks where only waiting time has weight.
-pub(super) const MOST_HEADROOM_PERMILLE: u64 = 100;
+/// Share of the pool kept for urgent tasks where only waiting time has weight.
+pub(super) const MOST_HEADROOM_PERMILLE: u64 = 40;
 
 /// Time past a guard's estimate after which it is estimated anew.
 const GUARD_OVERDUE_MS: u64 = 5_000;
 
-/// Workers that are kept clear until an offer has its room.
+/// Offers that room is kept for at once.
+const GUARDS_LIMIT: usize = 8;
+
+/// Guards beside which one for a single task may be made.
+const GUARDS_BESIDE_SINGLE: usize = 4;
+
+/// Room that is kept until an offer has all that it needs.
 #[derive(Debug, Clone)]
 pub(super) struct Guard {
     unit: UnitKey,
-    workers: Vec<WorkerKey>,
+    /// The workers, and what is kept on each.
+    parts: Vec<(WorkerKey, Resources)>,
     at: Millis,
 }
 
 impl Owner {
-    /// Says whether an offer may use guarded workers at any rate.
+    /// Says whether room is kept for an offer.
     pub(super) fn passes_guard(&self, key: UnitKey) -> bool {
-        if self.guard.is_none() {
-            return false;
-        }
-        self.guards_for(key) || self.units[key].spec.class == Class::Urgent
-    }
-
-    /// Says whether workers are kept clear for this offer.
-    pub(super) fn guards_for(&self, key: UnitKey) -> bool {
-        self.guard.as_ref().is_some_and(|guard| guard.unit == key)
+        let mut guards = self.guards.iter();
+        guards.any(|guard| guard.unit == key)
     }
 
-    /// Says whether a worker is kept clear.
+    /// Says whether some room of a worker is kept for an offer.
     pub(super) fn is_guarded(&self, worker: WorkerKey) -> bool {
-        let guard = self.guard.as_ref();
-        guard.is_some_and(|guard| guard.workers.contains(&worker))
+        let mut guards = self.guards.iter();
+        guards.any(|guard| guard.parts.iter().any(|part| part.0 == worker))
     }
 
-    /// Drops the guard of an offer that is gone, and renews one whose estimate was wrong.
-    pub(super) fn review_guard(&mut self, now: Millis) {
-        let Some(guard) = &self.guard else { return };
-        let waits = self.units.get(guard.unit);
-        let waits = waits.is_some_and(|unit| !unit.waiting.is_empty());
-        let overdue = now > guard.at.plus(GUARD_OVERDUE_MS);
-        if waits && !overdue {
-            return;
+    /// Drops the guards of offers that are gone, and renews those whose estimate was wrong.
+    pub(super) fn review_guards(&mut self, now: Millis) {
+        let mut over = Vec::new();
+        for guard in &self.guards {
+            let unit = self.units.get(guard.unit);
+            let waits = unit.is_some_and(|unit| !unit.waiting.is_empty());
+            if !waits || now > guard.at.plus(GUARD_OVERDUE_MS) {
+                over.push((guard.unit, waits));
+            }
         }
-        let unit = guard.unit;
-        self.drop_guard();
-        if waits {
-            self.make_guard(unit, now);
+        for (unit, waits) in over {
+            self.drop_guard(unit);
+            if waits {
+                self.make_guard(unit, now);
+            }
         }
     }
 
-    /// Ends the guard and lets its workers grant again.
-    pub(super) fn drop_guard(&mut self) {
-        let Some(guard) = self.guard.take() else {
+    /// Ends the guard for an offer, if there is one, and frees the room that was kept.
+    pub(super) fn drop_guard(&mut self, unit: UnitKey) {
+        let Some(number) = self.guards.iter().position(|guard| guard.unit == unit) else {
             return;
         };
-        for worker in guard.workers {
-            self.refresh_open(worker);
+        let guard = self.guards.swap_remove(number);
+        for (worker, _) in guard.parts {
+            self.ledger.set_guarded(worker, Resources::ZERO);
         }
+        self.room_freed = true;
     }
 
-    /// Lets the guarded workers grant for a moment.
-    pub(super) fn lift_guard(&mut self) {
-        let Some(guard) = self.guard.clone() else {
-            return;
-        };
-        for worker in guard.workers {
-            let usable = self.is_usable(worker);
-            self.ledger.set_open(worker, usable);
+    /// Lets an offer use the room that is kept for it, for a moment.
+    pub(super) fn lift_guards(&mut self, key: UnitKey) {
+        for guard in &self.guards {
+            if guard.unit != key {
+                continue;
+            }
+            for (worker, _) in &guard.parts {
+                self.ledger.set_guarded(*worker, Resources::ZERO);
+            }
         }
     }
 
-    /// Ends [`Owner::lift_guard`].
-    pub(super) fn restore_guard(&mut self) {
-        let Some(guard) = self.guard.clone() else {
-            return;
-        };
-        for worker in guard.workers {
-            self.refresh_open(worker);
+    /// Ends [`Owner::lift_guards`].
+    pub(super) fn restore_guards(&mut self) {
+        for guard in &self.guards {
+            for (worker, kept) in &guard.parts {
+                self.ledger.set_guarded(*worker, *kept);
+            }
         }
     }
 
-    /// Keeps the workers clear on which an offer will have its room soonest.
+    /// Keeps the room that an offer will have soonest.
     pub(super) fn make_guard(&mut self, key: UnitKey, now: Millis) {
         let unit = &self.units[key];
-        if self.guard.is_some() || unit.spec.class == Class::Urgent {
+        let known = self.guards.iter().any(|guard| guard.unit == key);
+        let most = if unit.waiting.len() > 1 {
+            GUARDS_LIMIT
+        } else {
+            GUARDS_BESIDE_SINGLE
+        };
+        if known || self.guards.len() >= most {
             return;
         }
         let tier = self.tier_of(unit);
@@ -104,13 +113,12 @@
         let count = unit.waiting.len();
         let mut soonest = Vec::new();
         for (worker, _) in self.ledger.workers() {
-            if !self.is_usable(worker) {
+            if !self.is_usable(worker) || self.is_guarded(worker) {
                 continue;
             }
-            let Some(at) = self.room_at(worker, &need, tier, now) else {
-                continue;
-            };
-            soonest.push((at, worker));
+            for at in self.room_times(worker, &need, tier, now, count) {
+                soonest.push((at, worker));
+            }
         }
         soonest.sort_unstable();
         soonest.truncate(count);
@@ -120,15 +128,24 @@
         if soonest.len() < count {
             return;
         }
-        let workers: Vec<_> = soonest.into_iter().map(|(_, worker)| worker).collect();
-        self.guard = Some(Guard {
+        soonest.sort_unstable_by_key(|(_, worker)| *worker);
+        let mut parts: Vec<(WorkerKey, Resources)> = Vec::new();
+        for (_, worker) in soonest {
+            match parts.last_mut() {
+                Some((last, kept)) if *last == worker => {
+                    *kept = kept.checked_add(&need).unwrap_or(*kept);
+                }
+                _ => parts.push((worker, need)),
+            }
+        }
+        for (worker, kept) in &parts {
+            self.ledger.set_guarded(*worker, *kept);
+        }
+        self.guards.push(Guard {
             unit: key,
-            workers: workers.clone(),
+            parts,
             at,
         });
-        for worker in workers {
-            self.refresh_open(worker);
-        }
     }
 
     /// Places a task on a guarded worker if it will likely have ended in time.
@@ -139,21 +156,26 @@
         tier: Tier,
         now: Millis,
     ) -> Option<WorkerKey> {
-        let guard = self.guard.clone()?;
         let spec = &unit.spec;
+        if spec.run_time_ms == 0 || self.guards.is_empty() {
+            return None;
+        }
         let run_ms = self
             .history
             .run_time_ms(&spec.team, &spec.name, spec.run_time_ms);
-        if spec.run_time_ms == 0 || now.plus(run_ms) > guard.at {
-            return None;
+        let mut workers = Vec::new();
+        for guard in &self.guards {
+            if now.plus(run_ms) <= guard.at {
+                workers.extend_from_slice(&guard.parts);
+            }
         }
-        for worker in guard.workers {
+        for (worker, kept) in workers {
             if unit.avoid.contains(&worker) || !self.is_usable(worker) {
                 continue;
             }
-            self.ledger.set_open(worker, true);
+            self.ledger.set_guarded(worker, Resources::ZERO);
             let granted = self.ledger.grant_in(task, worker, spec.resources, tier);
-            self.refresh_open(worker);
+            self.ledger.set_guarded(worker, kept);
             if granted.is_ok() {
                 return Some(worker);
             }
@@ -161,34 +183,44 @@
         None
     }
 
-    fn room_at(
+    /// Returns when a worker will likely have room for one task, for two, and so on.
+    fn room_times(
         &self,
         worker: WorkerKey,
         need: &Resources,
         tier: Tier,
         now: Millis,
-    ) -> Option<Millis> {
-        let mut room = self.ledger.room_for(worker, tier)?;
-        if need.fits_in(&room) {
-            return Some(now);
-        }
-        let mut ends = Vec::new();
-        for task in &self.workers.get(worker)?.tasks {
-            let Some(state) = self.tasks.get(task) else {
-                continue;
-            };
-            if let Some(at) = self.likely_end(state, now) {
-                ends.push((at, state.resources));
-            }
+        most: usize,
+    ) -> Vec<Millis> {
+        let mut room = self.ledger.room_for(worker, tier).unwrap_or_default();
+        let mut ends = vec![(now, Resources::ZERO)];
+        for task in self
+            .workers
+            .get(worker)
+            .iter()
+            .flat_map(|state| &state.tasks)
+        {
+            let state = self.tasks.get(task);
+            let end = state.and_then(|state| Some((self.likely_end(state, now)?, state.resources)));
+            ends.extend(end);
         }
         ends.sort_by_key(|(at, _)| *at);
+        let mut times = Vec::new();
+        let mut used = Resources::ZERO;
         for (at, freed) in ends {
-            room = room.checked_add(&freed).ok()?;
-            if need.fits_in(&room) {
-                return Some(at);
+            room = room.checked_add(&freed).unwrap_or(room);
+            while times.len() < most {
+                let Ok(with_one_more) = used.checked_add(need) else {
+                    break;
+                };
+                if !with_one_more.fits_in(&room) {
+                    break;
+                }
+                used = with_one_more;
+                times.push(at);
             }
         }
-        None
+        times
     }
 
     fn likely_end(&self, state: &Task, now: Millis) -> Option<Millis> {
--- a/crates/place/src/owner/offers.rs
+++ b/crates/place/src/owner/offers.rs
@@ -149,6 +149,7 @@
         }
         self.deadlines.insert((deadline, unit));
         self.queue.push(lane, unit);
+        self.fresh.push(unit);
     }
 
     /// Answers the offers of a unit with its workers, and forgets the unit.
--- a/crates/place/src/owner/pass.rs
+++ b/crates/place/src/owner/pass.rs
@@ -1,5 +1,7 @@
 //! One look through the queue: who is next, and where its tasks go.
 
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
 use std::rc::Rc;
 
 use syc_types::Class;
@@ -22,9 +24,14 @@
 /// Offers of a lane that are looked at while those before them find no room.
 const LOOK_AHEAD: usize = 8;
 
+/// Interval at which the queue is looked through although no room was freed: waits grow.
+const LOOK_INTERVAL_MS: u64 = 500;
+
 /// Orders offers: less goes first.
 type Turn = (u8, bool, u128, Millis);
 
+type Turns = BinaryHeap<Reverse<(Turn, Cursor)>>;
+
 /// Amounts that found no room in this pass; what needs as much finds none either.
 #[derive(Debug, Default)]
 struct Misses(Vec<(Tier, Resources)>);
@@ -37,50 +44,70 @@
 }
 
 impl Owner {
+    /// Places what has room: all that waits after room was freed, else only what is new.
+    pub(super) fn place_waiting(&mut self, now: Millis, actions: &mut Vec<Action>) {
+        let fresh = std::mem::take(&mut self.fresh);
+        let overdue = now.since(self.looked_at) >= LOOK_INTERVAL_MS;
+        if self.room_freed || overdue {
+            self.room_freed = false;
+            self.looked_at = now;
+            self.pass(now, actions);
+            return;
+        }
+        // For the others there was no room before, so there is none now.
+        let mut misses = Misses::default();
+        for key in fresh {
+            let waits = self.units.get(key).map(|unit| !unit.waiting.is_empty());
+            if waits == Some(true) && !self.try_unit(key, now, &mut misses, actions) {
+                self.blocked(key, now, actions);
+            }
+        }
+    }
+
     /// Places what has room, in the order of class, age, fair share and arrival.
-    pub(super) fn pass(&mut self, now: Millis, actions: &mut Vec<Action>) {
+    fn pass(&mut self, now: Millis, actions: &mut Vec<Action>) {
         if self.queue.is_empty() {
             return;
         }
-        self.review_guard(now);
-        let mut cursors = self.queue.cursors();
+        self.review_guards(now);
+        let mut turns = BinaryHeap::new();
+        for cursor in self.queue.cursors() {
+            self.push_turn(cursor, now, &mut turns);
+        }
         let mut misses = Misses::default();
-        let mut blocked = None;
-        while let Some((number, key)) = self.next_unit(&mut cursors, now) {
-            if self.try_unit(key, now, &mut misses, actions) {
-                self.queue.remove(&cursors[number]);
+        while let Some(Reverse((turn, mut cursor))) = turns.pop() {
+            let Some(key) = self.live_unit(&cursor) else {
+                continue;
+            };
+            if self.turn(key, now) > turn {
+                // Its team has been given more since.
+                self.push_turn(cursor, now, &mut turns);
                 continue;
             }
-            let unit = &self.units[key];
-            let waited_ms = now.since(unit.queued_at);
-            if blocked.is_none() && waited_ms >= self.options.guard_after_ms {
-                blocked = Some(key);
-            }
-            if unit.spec.class == Class::Urgent {
-                self.preempt_for(key, now, actions);
+            if self.try_unit(key, now, &mut misses, actions) {
+                self.queue.remove(&cursor);
+            } else {
+                self.blocked(key, now, actions);
+                cursor.position += 1;
             }
-            cursors[number].position += 1;
+            self.push_turn(cursor, now, &mut turns);
         }
-        if let Some(key) = blocked {
-            self.make_guard(key, now);
+    }
+
+    fn push_turn(&mut self, cursor: Cursor, now: Millis, turns: &mut Turns) {
+        if let Some(key) = self.live_unit(&cursor) {
+            turns.push(Reverse((self.turn(key, now), cursor)));
         }
     }
 
-    fn next_unit(&mut self, cursors: &mut Vec<Cursor>, now: Millis) -> Option<(usize, UnitKey)> {
-        let mut best: Option<(Turn, usize, UnitKey)> = None;
-        let mut number = 0;
-        while number < cursors.len() {
-            let Some(key) = self.live_unit(&cursors[number]) else {
-                cursors.swap_remove(number);
-                continue;
-            };
-            let turn = self.turn(key, now);
-            if best.is_none_or(|(least, ..)| turn < least) {
-                best = Some((turn, number, key));
-            }
-            number += 1;
+    /// Does what can be done for an offer that finds no room.
+    fn blocked(&mut self, key: UnitKey, now: Millis, actions: &mut Vec<Action>) {
+        let unit = &self.units[key];
+        if unit.spec.class == Class::Urgent {
+            self.preempt_for(key, now, actions);
+        } else if now.since(unit.queued_at) >= self.options.guard_after_ms {
+            self.make_guard(key, now);
         }
-        best.map(|(_, number, key)| (number, key))
     }
 
     /// Returns the offer at a cursor, after dropping those that are no longer there.
@@ -158,7 +185,7 @@
         let unit = self.units[key].clone();
         let passes = self.passes_guard(key);
         if passes {
-            self.lift_guard();
+            self.lift_guards(key);
         }
         let mut places = Vec::new();
         for &index in &unit.waiting {
@@ -178,10 +205,11 @@
                 self.refresh_open(*worker);
             }
         }
-        if passes && complete && self.guards_for(key) {
-            self.drop_guard();
-        } else if passes {
-            self.restore_guard();
+        if complete {
+            self.drop_guard(key);
+        }
+        if passes {
+            self.restore_guards();
         }
         complete.then_some(places)
     }
--- a/crates/place/src/owner/queue.rs
+++ b/crates/place/src/owner/queue.rs
@@ -18,7 +18,7 @@
 }
 
 /// A position in one lane.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) struct Cursor {
     /// The lane.
     pub(super) lane: Lane,
--- a/crates/place/src/owner/starts.rs
+++ b/crates/place/src/owner/starts.rs
@@ -124,6 +124,7 @@
             let spec = &self.units[key].spec;
             let lane = (spec.class, spec.team.clone());
             self.queue.push_front(lane, key);
+            self.fresh.push(key);
         }
     }
 }
--- a/crates/place/src/owner/workers.rs
+++ b/crates/place/src/owner/workers.rs
@@ -54,7 +54,9 @@
                 self.refresh_open(key);
             }
         }
+        self.ledger.set_headroom(self.headroom_permille);
         self.shares.set_pool(self.ledger.pool());
+        self.room_freed = true;
     }
 
     /// Takes a worker over: a former owner may have renewed its leases up to this moment.
@@ -108,7 +110,8 @@
 
     /// Opens or closes a worker in the ledger as its state says.
     pub(super) fn refresh_open(&mut self, key: WorkerKey) {
-        let open = self.is_usable(key) && !self.is_guarded(key);
+        let open = self.is_usable(key);
+        self.room_freed |= open && !self.ledger.is_open(key);
         self.ledger.set_open(key, open);
     }
 
