Give operators status, explain, drain, an audit trail and metrics

Cause: the control address offered publish, config and a bare status; who changed what was only to be found by reading the log.

Change: the control address serves status (members, owners of racks, log lag, what waits and why), explain, drain, audit, history and a page of metrics. A document is checked again where it is published. The trail is folded from the records that are in the log anyway, so that a publication costs no append more, as a test counts; a drain has a record of its own. Metrics are kept with opentelemetry and scraped in the Prometheus text form; tests hold the pages of events and metrics to the code in both directions. Log events go to the standard error stream from a level on.

Conclusion: every change is told with its author, its revisions and its verdict by every member.

--- a/crates/api/src/lib.rs
+++ b/crates/api/src/lib.rs
@@ -2,6 +2,17 @@
 //!
 //! `docs/API.md` describes paths, headers and status codes.
 
+mod operators;
+
+pub use operators::AuditEntryBody;
+pub use operators::DrainAnswer;
+pub use operators::DrainBody;
+pub use operators::ExplainBody;
+pub use operators::MemberStatus;
+pub use operators::OwnerStatus;
+pub use operators::RackStatus;
+pub use operators::StatusBody;
+pub use operators::WaitingJob;
 use serde::Deserialize;
 use serde::Serialize;
 use smol_str::SmolStr;
--- a/crates/coord/src/lib.rs
+++ b/crates/coord/src/lib.rs
@@ -1,6 +1,7 @@
 //! Coordination decisions: what the log's records mean, without any I/O.
 
 mod append_batch;
+mod audit;
 mod config_store;
 pub mod home;
 mod jobs;
@@ -15,6 +16,11 @@
 pub use append_batch::Settled;
 pub use append_batch::Urgency;
 pub use append_batch::Waiting;
+pub use audit::AUDIT_ENTRIES;
+pub use audit::Action;
+pub use audit::AuditEntry;
+pub use audit::AuditTrail;
+pub use audit::Place;
 pub use config_store::ConfigStore;
 pub use config_store::InForce;
 pub use config_store::Verdict;
--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -1,4 +1,4 @@
-//! The operators' address: configuration and status.
+//! The operators' address: what is answered at which path, and who may change something.
 
 use std::rc::Rc;
 
@@ -7,43 +7,77 @@
 use actix_http::Request;
 use actix_http::Response;
 use actix_http::StatusCode;
+use actix_http::Uri;
 use actix_http::body::BoxBody;
-use serde_json::json as json_value;
+use actix_http::header;
 use subtle::ConstantTimeEq;
-use syc_api::ConfigEntry;
 use syc_api::ErrorBody;
-use syc_api::Outcome;
-use syc_api::PublishBody;
 use syc_api::TOKEN_HEADER;
+use syc_obs::catalogue;
+use syc_obs::emit;
 
-use crate::http_body::json;
-use crate::http_body::read_json;
+use crate::audit;
+use crate::control_drain;
+use crate::control_explain;
+use crate::control_publish;
+use crate::control_status;
 use crate::http_body::refusal;
-use crate::members;
+use crate::metrics;
 use crate::node::Node;
-use crate::publish;
 
-/// Largest document that can be published.
-const DOCUMENT_LIMIT_BYTES: usize = 4 * 1024 * 1024;
+/// Content type of the page of metrics.
+const METRICS_TYPE: &str = "text/plain; version=0.0.4";
 
 /// Answers one request of an operator's tool.
 pub async fn answer(node: Rc<Node>, mut request: Request) -> Response<BoxBody> {
-    let path = request.path().to_owned();
-    match (request.method().clone(), path.as_str()) {
-        (Method::GET, "/v1/status") => status(&node),
-        (Method::GET, "/v1/config") => config(&node),
-        (Method::POST, "/v1/config") if allowed(&node, &request) => {
-            publish(&node, &mut request).await
-        }
-        (Method::POST, _) if !allowed(&node, &request) => {
-            let body = ErrorBody::not_run("not_allowed", "the control token is wrong", None);
-            refusal(StatusCode::FORBIDDEN, &body)
-        }
-        _ => {
-            let body = ErrorBody::not_run("not_found", "there is nothing at this path", None);
-            refusal(StatusCode::NOT_FOUND, &body)
-        }
+    let uri = request.uri().clone();
+    if request.method() == Method::GET {
+        return read(&node, &uri).await;
     }
+    if request.method() != Method::POST {
+        return not_found();
+    }
+    if !allowed(&node, &request) {
+        let path = uri.path();
+        emit(catalogue::CONTROL_DENIED, format_args!("path={path}"));
+        let body = ErrorBody::not_run("not_allowed", "the control token is wrong", None);
+        return refusal(StatusCode::FORBIDDEN, &body);
+    }
+    match uri.path() {
+        "/v1/config" => control_publish::answer(&node, &mut request).await,
+        "/v1/drain" => control_drain::answer(&node, &mut request).await,
+        _ => not_found(),
+    }
+}
+
+async fn read(node: &Rc<Node>, uri: &Uri) -> Response<BoxBody> {
+    match uri.path() {
+        "/v1/status" => control_status::status(node),
+        "/v1/config" => control_status::config(node),
+        "/v1/audit" => audit::answer(node, None),
+        "/v1/history" => audit::answer(node, Some(scope_of(uri))),
+        "/metrics" => metrics_page(node),
+        other => match explained_job(other) {
+            Some(id) => control_explain::answer(node, id).await,
+            None => not_found(),
+        },
+    }
+}
+
+fn scope_of(uri: &Uri) -> &str {
+    let query = uri.query().unwrap_or_default();
+    let mut parts = query.split('&');
+    let scope = parts.find_map(|part| part.strip_prefix("scope="));
+    scope.unwrap_or_default()
+}
+
+fn explained_job(path: &str) -> Option<&str> {
+    path.strip_prefix("/v1/jobs/")?.strip_suffix("/explain")
+}
+
+fn not_found() -> Response<BoxBody> {
+    let body = ErrorBody::not_run("not_found", "there is nothing at this path", None);
+    refusal(StatusCode::NOT_FOUND, &body)
 }
 
 fn allowed(node: &Rc<Node>, request: &Request) -> bool {
@@ -53,76 +87,10 @@
     !expected.is_empty() && bool::from(expected.ct_eq(shown))
 }
 
-fn status(node: &Rc<Node>) -> Response<BoxBody> {
-    let view = node.view.borrow();
-    let mut listed = Vec::new();
-    for member in &view.members {
-        listed.push(json_value!({
-            "id": member.id,
-            "zone": member.zone,
-            "peer_address": member.peer_address,
-        }));
-    }
-    let jobs = node.jobs.borrow();
-    let open_jobs = jobs.iter().filter(|job| !job.ended()).count();
-    let ledger = node.owner.ledger.borrow();
-    let mut loads = Vec::new();
-    for (id, load) in members::loads(node) {
-        loads.push(json_value!({
-            "id": id,
-            "free_cpu_millis": load.free_cpu_millis,
-            "queued_tasks": load.queued_tasks,
-        }));
-    }
-    let body = json_value!({
-        "member": node.id,
-        "may_act": members::may_act(node),
-        "heard": loads,
-        "heartbeat_bytes": node.members.heartbeat_bytes.get(),
-        "epoch": view.epoch,
-        "members": listed,
-        "caught_up": node.caught_up.get(),
-        "draining": node.draining.get(),
-        "log_next": node.log_next.get(),
-        "log_available": node.log_writer.available(),
-        "appends": node.log_writer.appends(),
-        "appended_records": node.log_writer.appended_records(),
-        "requests_in_progress": node.requests.in_progress.get(),
-        "requests_waiting": node.requests.waiting.get(),
-        "open_jobs": open_jobs,
-        "owned_workers": ledger.workers().count(),
-    });
-    json(StatusCode::OK, &body)
-}
-
-fn config(node: &Rc<Node>) -> Response<BoxBody> {
-    let config = node.config.borrow();
-    let mut entries = Vec::new();
-    for (scope, in_force) in config.documents() {
-        entries.push(ConfigEntry {
-            scope: scope.clone(),
-            revision: in_force.revision,
-            author: in_force.author.clone(),
-            document: in_force.document.clone(),
-        });
-    }
-    json(StatusCode::OK, &entries)
-}
-
-async fn publish(node: &Rc<Node>, request: &mut Request) -> Response<BoxBody> {
-    let body = match read_json::<PublishBody>(request, DOCUMENT_LIMIT_BYTES).await {
-        Ok(body) => body,
-        Err(error) => return refusal(StatusCode::BAD_REQUEST, &error),
-    };
-    match publish::publish(node, body).await {
-        Ok(answer) => json(StatusCode::OK, &answer),
-        Err(error) => {
-            let status = match (error.outcome, error.code.as_str()) {
-                (_, "conflict") => StatusCode::CONFLICT,
-                (Outcome::NotRun, _) => StatusCode::SERVICE_UNAVAILABLE,
-                (Outcome::Unknown, _) => StatusCode::GATEWAY_TIMEOUT,
-            };
-            refusal(status, &error)
-        }
-    }
+fn metrics_page(node: &Rc<Node>) -> Response<BoxBody> {
+    let page = metrics::page(node);
+    let mut response = Response::with_body(StatusCode::OK, BoxBody::new(page));
+    let kind = header::HeaderValue::from_static(METRICS_TYPE);
+    response.headers_mut().insert(header::CONTENT_TYPE, kind);
+    response
 }
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -153,6 +153,11 @@
         members::ready(&self.node)
     }
 
+    /// Waits until an operator asks for a planned stop.
+    pub async fn drain_asked(&self) {
+        self.node.operators.drain_asked.notified().await;
+    }
+
     /// Stops as planned: tells the balancer, takes nothing new, and waits for what is in progress.
     pub async fn stop(self) {
         let timing = self.node.settings.timing;
--- a/crates/daemon/src/follower.rs
+++ b/crates/daemon/src/follower.rs
@@ -15,6 +15,7 @@
 use syc_platform::ReadError;
 use syc_platform::types::LogEntry;
 
+use crate::audit;
 use crate::follower_peers;
 use crate::follower_snapshot;
 use crate::home;
@@ -77,6 +78,7 @@
             other => other?,
         };
         node.log_writer.saw_end(page.end);
+        node.operators.log_end.set(page.end);
         for entry in &page.entries {
             // Another read may have been quicker.
             if entry.offset < node.log_next.get() {
@@ -138,6 +140,7 @@
                     continue;
                 }
                 apply_record(node, entry, record);
+                audit::note(node, entry.offset, record);
             }
         }
         Err(reason) => emit(
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -3,8 +3,13 @@
 //! Every entry VM runs one, and all are equal. A daemon lives on one actix arbiter; nothing in it
 //! is shared between threads.
 
+mod audit;
 mod callers;
 mod control;
+mod control_drain;
+mod control_explain;
+mod control_publish;
+mod control_status;
 mod daemon;
 mod follower;
 mod follower_peers;
@@ -19,6 +24,7 @@
 mod log_writer_task;
 mod members;
 mod members_run;
+mod metrics;
 mod node;
 mod owner;
 mod peers;
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -1,5 +1,7 @@
 //! `sycamorespurd`: reads its settings, runs one daemon, and stops gracefully on SIGTERM.
 
+mod logging;
+
 use std::path::PathBuf;
 use std::process::ExitCode;
 
@@ -32,6 +34,9 @@
   --help           show this text
   --version        show the version
 
+SYC_LOG=error|warn|info|debug goes before the settings' log level. Log events go
+to the standard error stream; docs/EVENTS.md lists them.
+
 Exit codes: 0 stopped as planned, 2 wrong command line, 3 wrong settings,
 4 an address can't be listened on.";
 
@@ -96,6 +101,10 @@
     if arguments.check {
         return ExitCode::SUCCESS;
     }
+    if let Err(reason) = logging::start(settings.log_level) {
+        eprintln!("{reason}");
+        return ExitCode::from(EXIT_SETTINGS);
+    }
     let listeners = match Listeners::bind(&settings) {
         Ok(listeners) => listeners,
         Err(error) => {
@@ -120,6 +129,7 @@
         tokio::select! {
             _ = terminate.recv() => {}
             _ = interrupt.recv() => {}
+            () = daemon.drain_asked() => {}
         }
     }
     daemon.stop().await;
--- a/crates/daemon/src/members.rs
+++ b/crates/daemon/src/members.rs
@@ -94,6 +94,12 @@
         Some(link)
     }
 
+    /// Returns the payload bytes exchanged with other daemons so far.
+    pub fn transferred_bytes(&self) -> u64 {
+        let links = self.links.borrow();
+        links.values().map(|link| link.transferred_bytes()).sum()
+    }
+
     /// Says whether the wall clock and the monotonic clock went apart since the last look.
     fn clock_jumped(&self, now: Millis, drift_ms: u64) -> bool {
         let wall = wall_ms();
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -29,6 +29,7 @@
 
 use crate::log_writer::LogWriter;
 use crate::members::Members;
+use crate::metrics::Operators;
 use crate::owner::Owner;
 use crate::requests::Requests;
 
@@ -85,6 +86,8 @@
     pub requests: Requests,
     /// Whether a planned stop has begun.
     pub draining: Cell<bool>,
+    /// What is kept for operators.
+    pub operators: Operators,
     started: Instant,
 }
 
@@ -133,6 +136,7 @@
             owner: Owner::default(),
             requests: Requests::new(once_window_ms),
             draining: Cell::new(false),
+            operators: Operators::default(),
             started: Instant::now(),
             settings: parts.settings,
         })
--- a/crates/daemon/src/requests.rs
+++ b/crates/daemon/src/requests.rs
@@ -270,7 +270,11 @@
 
 async fn run(node: &Rc<Node>, request: &CallerRequest) -> Answer {
     for _attempt in 0..ATTEMPTS {
+        let asked_at = node.now();
         let (key, address) = take_slot(node, request).await?;
+        let waited_ms = node.now().since(asked_at);
+        let metrics = &node.operators.metrics;
+        metrics.request_waited(request.class, waited_ms);
         let call = EndpointCall {
             path: request.path.clone(),
             request_id: request.id.to_string(),
--- a/crates/obs/src/events.rs
+++ b/crates/obs/src/events.rs
@@ -1,6 +1,8 @@
 //! The numbered log events; `docs/EVENTS.md` is their catalogue.
 
 use std::fmt;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 
 use spdlog::Level;
 
@@ -17,6 +19,9 @@
 
 /// Writes an event to the log with what is particular to this time.
 pub fn emit(event: Event, detail: fmt::Arguments<'_>) {
+    if let Some(index) = ALL.iter().position(|known| known.code == event.code) {
+        COUNTS[index].fetch_add(1, Ordering::Relaxed);
+    }
     spdlog::log!(
         event.level,
         "SYC{:04} {}: {}",
@@ -26,6 +31,14 @@
     );
 }
 
+/// How often each event of [`ALL`] was written by this process.
+static COUNTS: [AtomicU64; ALL.len()] = [const { AtomicU64::new(0) }; ALL.len()];
+
+/// Returns how often the event at `index` of [`ALL`] was written by this process.
+pub(crate) fn count(index: usize) -> u64 {
+    COUNTS[index].load(Ordering::Relaxed)
+}
+
 macro_rules! events {
     ($($(#[$doc:meta])* $name:ident = $code:literal, $level:ident, $text:literal;)*) => {
         /// The events themselves.
@@ -54,12 +67,18 @@
     STOPPED = 102, Info, "daemon stopped";
     /// A planned stop took longer than its limit.
     DRAIN_LIMIT = 103, Warn, "planned stop gave up on requests in progress";
+    /// An operator asked for a planned stop.
+    DRAIN_ASKED = 104, Info, "planned stop asked for";
     /// A configuration document came into force.
     CONFIG_APPLIED = 200, Info, "configuration in force";
     /// A published document was refused by the log's order.
     CONFIG_REFUSED = 201, Warn, "configuration refused";
     /// A record of the log can't be read.
     RECORD_UNREADABLE = 202, Error, "unreadable log record skipped";
+    /// An operator's tool showed no token, or a wrong one.
+    CONTROL_DENIED = 203, Warn, "control action denied";
+    /// A document with findings was sent to the control address.
+    DOCUMENT_MALFORMED = 204, Warn, "malformed document refused";
     /// The log does not answer.
     LOG_UNAVAILABLE = 300, Warn, "log unavailable";
     /// The log answers again.
