Make syc the whole of an operator's tool

Cause: syc could check, publish, submit and show raw JSON; a lost answer was an error, and there was no diff, history, cancel, explain or drain.

Change: a module for each command over a client that tries several addresses in turn, repeats a change with the same id after a lost answer, and never calls undone what may have been done. A fault within an optional field is now named by its own path.

--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,105 +1,66 @@
 //! `syc`: the operators' tool.
 
+mod arguments;
 mod client;
 mod commands;
+mod failure;
+mod help;
+mod output;
+mod progress;
 
+use std::io::Write;
 use std::process::ExitCode;
 
-use lexopt::Arg;
-use lexopt::ValueExt;
 use mimalloc::MiMalloc;
 
-use crate::commands::Command;
-use crate::commands::Failure;
+use crate::arguments::Invocation;
+use crate::failure::Exit;
+use crate::failure::Failure;
+use crate::output::Output;
 
 #[global_allocator]
 static ALLOCATOR: MiMalloc = MiMalloc;
 
-const HELP: &str = "\
-Usage: syc COMMAND [OPTIONS]
-
-Commands:
-  check FILE                  check a configuration document, send nothing
-  publish FILE --base N       publish a document over revision N of its scope
-  config                      show the documents in force
-  status                      show a daemon's state
-  submit FILE                 submit the job that the file declares
-  result JOB                  show a job's state and results
-
-Options:
-  --control IP:PORT           a daemon's address for operators
-  --callers IP:PORT           a daemon's address for callers
-  --token TEXT                the control token (or SYC_CONTROL_TOKEN)
-  --author NAME               who publishes (or USER)
-  --base N                    revision that the document replaces; 0 for none
-  --help                      show this text
-
-Exit codes: 0 done, 1 refused or failed, 2 wrong command line, 3 findings in a
-file, 4 the outcome is unknown, 5 another publication came first.";
-
-/// Exit code of a wrong command line.
-const EXIT_USAGE: u8 = 2;
-
-/// Where to send a command and what it needs.
-#[derive(Debug, Default)]
-pub struct Options {
-    /// A daemon's address for operators.
-    pub control: Option<String>,
-    /// A daemon's address for callers.
-    pub callers: Option<String>,
-    /// The control token.
-    pub token: Option<String>,
-    /// Who publishes.
-    pub author: Option<String>,
-    /// Revision that a document replaces.
-    pub base: u64,
-}
-
 fn main() -> ExitCode {
-    let (command, options) = match parse() {
-        Ok(Some(parsed)) => parsed,
-        Ok(None) => return ExitCode::SUCCESS,
+    let (command, options) = match arguments::parse() {
+        Ok(Invocation::Run(command, options)) => (command, options),
+        Ok(Invocation::Print(text)) => {
+            print(&text);
+            return ExitCode::SUCCESS;
+        }
         Err(error) => {
-            eprintln!("{error}\n\n{HELP}");
-            return ExitCode::from(EXIT_USAGE);
+            eprintln!("{error}\nnext: `syc help`");
+            return ExitCode::from(Exit::Usage as u8);
         }
     };
-    let done = actix_rt::System::new().block_on(commands::run(command, &options));
+    let done = actix_rt::System::new().block_on(commands::run(&command, &options));
     match done {
-        Ok(text) => {
-            println!("{text}");
-            ExitCode::SUCCESS
-        }
-        Err(Failure { exit, report }) => {
-            eprintln!("{report:?}");
-            ExitCode::from(exit)
-        }
+        Ok(output) => finish(&output, options.json),
+        Err(failure) => fail(&failure, options.json),
     }
 }
 
-fn parse() -> Result<Option<(Command, Options)>, lexopt::Error> {
-    let mut options = Options {
-        token: std::env::var("SYC_CONTROL_TOKEN").ok(),
-        author: std::env::var("USER").ok(),
-        ..Options::default()
-    };
-    let mut words = Vec::new();
-    let mut parser = lexopt::Parser::from_env();
-    while let Some(argument) = parser.next()? {
-        match argument {
-            Arg::Long("control") => options.control = Some(parser.value()?.string()?),
-            Arg::Long("callers") => options.callers = Some(parser.value()?.string()?),
-            Arg::Long("token") => options.token = Some(parser.value()?.string()?),
-            Arg::Long("author") => options.author = Some(parser.value()?.string()?),
-            Arg::Long("base") => options.base = parser.value()?.parse()?,
-            Arg::Long("help") => {
-                println!("{HELP}");
-                return Ok(None);
-            }
-            Arg::Value(word) => words.push(word.string()?),
-            other => return Err(other.unexpected()),
-        }
+fn finish(output: &Output, json: bool) -> ExitCode {
+    if json {
+        print(&format!("{:#}", output.json));
+    } else {
+        print(&output.text);
+    }
+    output
+        .exit
+        .map_or(ExitCode::SUCCESS, |exit| ExitCode::from(exit as u8))
+}
+
+fn fail(failure: &Failure, json: bool) -> ExitCode {
+    if json {
+        print(&format!("{:#}", failure.to_json()));
+    } else {
+        eprintln!("{:?}", failure.report);
     }
-    let command = Command::from_words(&words)?;
-    Ok(Some((command, options)))
+    ExitCode::from(failure.exit as u8)
+}
+
+/// Prints a text; a reader that has gone away is no fault.
+fn print(text: &str) {
+    let _ = writeln!(std::io::stdout(), "{text}");
 }
--- a/crates/config/src/documents.rs
+++ b/crates/config/src/documents.rs
@@ -106,7 +106,8 @@
     #[serde(default = "one")]
     pub weight: u32,
     /// The most that its running tasks may hold together; unlimited where missing.
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    #[schemars(with = "Resources")]
     pub quota: Option<Resources>,
     /// Limits that are counted, not measured.
     #[serde(default)]
@@ -129,13 +130,16 @@
 #[schemars(deny_unknown_fields)]
 pub struct TeamLimits {
     /// Tasks that run at once.
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    #[schemars(with = "u32")]
     pub running_tasks: Option<u32>,
     /// Requests in progress at each entry VM for the whole team.
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    #[schemars(with = "u32")]
     pub requests_in_flight: Option<u32>,
     /// Requests in progress at each entry VM for each of its callers.
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    #[schemars(with = "u32")]
     pub caller_requests_in_flight: Option<u32>,
 }
 
--- a/crates/config/tests/documents.rs
+++ b/crates/config/tests/documents.rs
@@ -87,6 +87,9 @@
     {"class": "urgent", "start_target_ms": 1}, {"class": "urgent", "start_target_ms": 2}]}"#,
     "classes.1.class"; "a class twice")]
 #[test_case(r#"{"kind": "team", "name": "t", "weight": 4294967296}"#, "weight"; "too large")]
+#[test_case(r#"{"kind": "team", "name": "t",
+    "quota": {"cpu_millis": "many", "memory_bytes": 1}}"#,
+    "quota.cpu_millis"; "a fault within an optional field")]
 #[test_case("{", ""; "no JSON")]
 fn a_fault_is_named_by_its_path(text: &str, path: &str) {
     let findings = parse_document("bad.json", text).expect_err("findings");
