Use the sample documents in the try-out and the shared cell in the tool's tests

Cause: the samples were only parsed, and the tool's tests described a cell of their own.

Change: the try-out publishes each user's policy and teams from samples/ before the inventory and waits until all are in force; the tests of syc start the shared cell of stand-ins.

--- a/crates/cli/tests/cli/bed.rs
+++ b/crates/cli/tests/cli/bed.rs
@@ -6,23 +6,18 @@
 
 use awc::Client;
 use smol_str::SmolStr;
-use smol_str::format_smolstr;
+use syc_config::Document;
 use syc_config::Listen;
-use syc_config::PeerSettings;
-use syc_config::PlatformSettings;
 use syc_config::Settings;
 use syc_config::Timing;
 use syc_daemon::Daemon;
 use syc_daemon::Listeners;
+use syc_standin::Cell;
+use syc_standin::CellOptions;
 use syc_standin::EndpointOptions;
-use syc_standin::EndpointStandIn;
-use syc_standin::Executions;
-use syc_standin::LogStandIn;
-use syc_standin::VmListStandIn;
 use syc_standin::WorkerOptions;
-use syc_standin::WorkerStandIn;
+use syc_standin::introduce;
 use syc_types::Resources;
-use syc_types::TaskRef;
 
 /// The control token of every daemon here.
 pub const TOKEN: &str = "bed";
@@ -75,95 +70,50 @@
 
 /// Daemons and stand-ins that run.
 pub struct Bed {
-    pub requests: Executions<String>,
+    pub cell: Cell,
     pub settings: Vec<Settings>,
     pub daemons: Vec<Option<Daemon>>,
-    endpoints: Vec<EndpointStandIn>,
-    workers: Vec<WorkerStandIn>,
-    _log: LogStandIn,
-    _vms: VmListStandIn,
 }
 
 impl Bed {
     /// Starts so many daemons, two endpoints and two workers, without any configuration.
-    pub async fn start(daemons: usize) -> Self {
-        let requests = Executions::default();
-        let tasks: Executions<TaskRef> = Executions::default();
-        let endpoint = EndpointOptions {
-            work_ms: 20,
-            ..EndpointOptions::default()
-        };
-        let worker = WorkerOptions {
-            capacity: Resources {
-                cpu_millis: 4_000,
-                memory_bytes: 1 << 30,
-                accelerators: 0,
+    pub async fn start(count: usize) -> Self {
+        let cell = Cell::start(CellOptions {
+            entry_vms: count,
+            endpoints: 2,
+            endpoint: EndpointOptions {
+                work_ms: 20,
+                ..EndpointOptions::default()
             },
-            ..WorkerOptions::default()
-        };
-        let mut names = Vec::new();
-        let mut endpoints = Vec::new();
-        let mut workers = Vec::new();
-        for number in 0..2 {
-            names.push(format_smolstr!("endpoint-{number}"));
-            names.push(format_smolstr!("worker-{number}"));
-            let started = EndpointStandIn::start(endpoint.clone(), requests.clone());
-            endpoints.push(started.expect("endpoint"));
-            let started = WorkerStandIn::start(worker, tasks.clone());
-            workers.push(started.expect("worker"));
-        }
-        for number in 0..daemons {
-            names.push(format_smolstr!("entry-{number}"));
-        }
-        let log = LogStandIn::start().expect("log");
-        let vms = VmListStandIn::start(names, 0).expect("vms");
-        let platform = PlatformSettings {
-            log: log.address().into(),
-            vms: vms.address().into(),
-        };
-        let (settings, daemons) = start_daemons(daemons, &platform);
+            workers: 2,
+            rack_workers: 1,
+            worker: WorkerOptions {
+                capacity: Resources {
+                    cpu_millis: 4_000,
+                    memory_bytes: 1 << 30,
+                    accelerators: 0,
+                },
+                ..WorkerOptions::default()
+            },
+            ..CellOptions::default()
+        });
+        let cell = cell.expect("stand-ins");
+        let (settings, daemons) = start_daemons(&cell, count);
         let bed = Self {
-            requests,
+            cell,
             settings,
             daemons,
-            endpoints,
-            workers,
-            _log: log,
-            _vms: vms,
         };
-        for number in 0..bed.daemons.len() {
+        for number in 0..count {
             bed.await_ready(number).await;
         }
         bed
     }
 
-    /// Returns the inventory of the stand-ins, as a file for the tool.
+    /// Writes the inventory of the stand-ins, as a file for the tool.
     pub fn inventory(&self, name: &str) -> String {
-        let mut workers = Vec::new();
-        for (number, worker) in self.workers.iter().enumerate() {
-            workers.push(serde_json::json!({
-                "id": format!("worker-{number}"),
-                "address": worker.address(),
-                "zone": "a",
-                "rack": format!("rack-{number}"),
-                "capacity": {"cpu_millis": 4_000, "memory_bytes": 1 << 30},
-            }));
-        }
-        let mut endpoints = Vec::new();
-        for (number, endpoint) in self.endpoints.iter().enumerate() {
-            endpoints.push(serde_json::json!({
-                "id": format!("endpoint-{number}"),
-                "address": endpoint.address(),
-                "zone": "a",
-            }));
-        }
-        let document = serde_json::json!({
-            "kind": "inventory",
-            "name": "register",
-            "workers": workers,
-            "services": [{"name": "intake", "slots": 8, "endpoints": endpoints}],
-        });
-        file(name, &document.to_string())
+        let document = Document::Inventory(self.cell.inventory());
+        file(name, &serde_json::to_string(&document).expect("JSON"))
     }
 
     /// Publishes the inventory and waits until every daemon has it.
@@ -251,22 +201,16 @@
     answer.is_ok_and(|answer| answer.status().is_success())
 }
 
-fn start_daemons(
-    count: usize,
-    platform: &PlatformSettings,
-) -> (Vec<Settings>, Vec<Option<Daemon>>) {
+fn start_daemons(cell: &Cell, count: usize) -> (Vec<Settings>, Vec<Option<Daemon>>) {
     let any = SmolStr::new("127.0.0.1:0");
     let mut bound = Vec::new();
     for number in 0..count {
         let settings = Settings {
-            name: format_smolstr!("entry-{number}"),
-            zone: "a".into(),
             listen: Listen {
                 callers: any.clone(),
                 peers: any.clone(),
                 control: any.clone(),
             },
-            platform: platform.clone(),
             timing: Timing {
                 log_poll_ms: 50,
                 worker_poll_ms: 1_000,
@@ -275,24 +219,15 @@
                 ..Timing::default()
             },
             control_token: TOKEN.into(),
-            ..Settings::default()
+            ..cell.settings(number)
         };
         let listeners = Listeners::bind(&settings).expect("sockets");
         bound.push((listeners.resolve(settings).expect("addresses"), listeners));
     }
-    let mut peers = Vec::new();
-    for (settings, _) in &bound {
-        peers.push(PeerSettings {
-            name: settings.name.clone(),
-            zone: settings.zone.clone(),
-            address: settings.listen.peers.clone(),
-        });
-    }
+    introduce(bound.iter_mut().map(|(settings, _)| settings));
     let mut all = Vec::new();
     let mut daemons = Vec::new();
-    for (mut settings, listeners) in bound {
-        let others = peers.iter().filter(|peer| peer.name != settings.name);
-        settings.peers = others.cloned().collect();
+    for (settings, listeners) in bound {
         all.push(settings.clone());
         daemons.push(Some(Daemon::start(settings, listeners).expect("daemon")));
     }
--- a/crates/cli/tests/cli/session.rs
+++ b/crates/cli/tests/cli/session.rs
@@ -139,5 +139,5 @@
     assert_eq!(run.stdout.matches("drain").count(), 3, "{}", run.stdout);
     let run = bed.operate(&["status"]).await;
     show("status", &run);
-    assert!(!bed.requests.all().is_empty());
+    assert!(!bed.cell.requests.all().is_empty());
 }
--- a/crates/tryout/src/cluster.rs
+++ b/crates/tryout/src/cluster.rs
@@ -13,6 +13,7 @@
 use syc_config::Listen;
 use syc_config::Settings;
 use syc_config::Timing;
+use syc_config::parse_document;
 use syc_daemon::Daemon;
 use syc_daemon::Listeners;
 use syc_standin::Cell;
@@ -57,7 +58,7 @@
     stopped: oneshot::Receiver<()>,
 }
 
-/// Starts the stand-ins and the daemons, and publishes the inventory.
+/// Starts the stand-ins and the daemons, and publishes the configuration.
 pub async fn start(deployment: &Deployment) -> Result<Cluster> {
     let cell = start_cell(deployment).into_diagnostic()?;
     let (daemons, settings) = start_daemons(&cell)?;
@@ -69,9 +70,13 @@
         await_ready(address).await?;
     }
     let control = &settings[0].listen.control;
+    for text in deployment.documents {
+        let document = parse_document(deployment.name, text);
+        publish(control, document?).await?;
+    }
     publish(control, Document::Inventory(cell.inventory())).await?;
     for settings in &settings {
-        await_config(&settings.listen.control).await?;
+        await_config(&settings.listen.control, deployment.documents.len() + 1).await?;
     }
     Ok(Cluster {
         cell,
@@ -216,13 +221,15 @@
     Err(miette!("publishing was refused: {}", answer.status()))
 }
 
-async fn await_config(control: &str) -> Result<()> {
+async fn await_config(control: &str, documents: usize) -> Result<()> {
     let client = Client::default();
     let url = format!("http://{control}/v1/config");
     for _ in 0..READY_CHECKS {
         if let Ok(mut answer) = client.get(&url).send().await {
             let body = answer.body().limit(16 * 1024 * 1024).await;
-            if body.is_ok_and(|body| body.len() > 2) {
+            let body = body.unwrap_or_default();
+            let entries = serde_json::from_slice::<Vec<serde_json::Value>>(&body);
+            if entries.is_ok_and(|entries| entries.len() >= documents) {
                 return Ok(());
             }
         }
--- a/crates/tryout/src/deployment.rs
+++ b/crates/tryout/src/deployment.rs
@@ -27,6 +27,8 @@
     pub rack_workers: usize,
     /// What each worker has.
     pub worker_capacity: Resources,
+    /// The texts of the documents that it publishes besides its inventory.
+    pub documents: &'static [&'static str],
     /// Its workloads.
     pub workloads: Vec<Workload>,
 }
@@ -77,6 +79,11 @@
             memory_bytes: 128 * GIB,
             accelerators: 0,
         },
+        documents: &[
+            include_str!("../../../samples/derwent/policy.json"),
+            include_str!("../../../samples/derwent/team-counters.json"),
+            include_str!("../../../samples/derwent/team-freight.json"),
+        ],
         workloads: vec![
             Workload {
                 name: "acceptance checks",
@@ -133,6 +140,11 @@
             memory_bytes: 128 * GIB,
             accelerators: 0,
         },
+        documents: &[
+            include_str!("../../../samples/forages/policy.json"),
+            include_str!("../../../samples/forages/team-audit.json"),
+            include_str!("../../../samples/forages/team-drilling.json"),
+        ],
         workloads: vec![
             Workload {
                 name: "reconstructions",
