--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -138,7 +138,14 @@
             actix_rt::spawn(members_run::run(Rc::clone(&node))),
             actix_rt::spawn(members_run::watch_vms(Rc::clone(&node))),
         ];
-        emit(catalogue::STARTED, format_args!("member={}", node.id));
+        let listen = &node.settings.listen;
+        emit(
+            catalogue::STARTED,
+            format_args!(
+                "member={} callers={} peers={} control={}",
+                node.id, listen.callers, listen.peers, listen.control
+            ),
+        );
         Ok(Self {
             node,
             callers,
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -112,6 +112,13 @@
             return ExitCode::from(EXIT_LISTEN);
         }
     };
+    let settings = match listeners.resolve(settings) {
+        Ok(settings) => settings,
+        Err(error) => {
+            eprintln!("{error}");
+            return ExitCode::from(EXIT_LISTEN);
+        }
+    };
     actix_rt::System::new().block_on(run(settings, listeners))
 }
 
