Write the operators' pages

Cause: operators had the README only.

The page of settings is made from the code and held by a test.

--- a/crates/cli/tests/cli/operators.rs
+++ b/crates/cli/tests/cli/operators.rs
@@ -1,6 +1,7 @@
 //! Publishing, comparing, and reading what was changed.
 
 use serde_json::Value;
+use syc_standin::LogFaults;
 
 use crate::bed::Bed;
 use crate::bed::TOKEN;
@@ -100,3 +101,35 @@
     assert_eq!(value.as_array().map(Vec::len), Some(2));
     assert_eq!(value[0]["status"]["caught_up"], true);
 }
+
+#[actix_rt::test]
+async fn while_the_log_is_out_nothing_is_published_and_the_tool_says_so() {
+    let bed = Bed::start(1).await;
+    bed.cell.log.set_faults(LogFaults {
+        outage: true,
+        ..LogFaults::default()
+    });
+    let path = team("o1.json", 2);
+    let run = bed.operate(&["publish", &path, "--timeout", "1"]).await;
+    assert_eq!(run.code, 6, "{}", run.stderr);
+    assert!(run.stderr.contains("nothing was done"), "{}", run.stderr);
+    bed.cell.log.set_faults(LogFaults::default());
+    let run = bed.operate(&["publish", &path]).await;
+    let expected = "published team/freight: revision 1 is in force (was 0)\n";
+    assert_eq!(run.stdout, expected, "{}", run.stderr);
+}
+
+#[actix_rt::test]
+async fn a_publication_whose_answer_the_log_lost_is_published_once() {
+    let bed = Bed::start(2).await;
+    bed.cell.log.set_faults(LogFaults {
+        lose_answers: 1,
+        ..LogFaults::default()
+    });
+    let run = bed.operate(&["publish", &team("l1.json", 2)]).await;
+    let expected = "published team/freight: revision 1 is in force (was 0)\n";
+    assert_eq!(run.stdout, expected, "{}", run.stderr);
+    let run = bed.operate(&["history", "team/freight", "--json"]).await;
+    let history: Value = serde_json::from_str(&run.stdout).expect("JSON");
+    assert_eq!(history.as_array().map(Vec::len), Some(1), "{history}");
+}
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -11,6 +11,7 @@
 mod parse;
 mod schema;
 mod settings;
+mod settings_page;
 
 pub use check::parse_document;
 pub use check::parse_job;
@@ -44,3 +45,4 @@
 pub use settings::Settings;
 pub use settings::Timing;
 pub use settings::parse_settings;
+pub use settings_page::settings_page;
