--- a/crates/cli/src/client.rs
+++ b/crates/cli/src/client.rs
@@ -155,7 +155,7 @@
     };
     match (error.outcome, answer.status()) {
         (Outcome::Unknown, _) => Reply::InDoubt(format!("{address}: {}", error.message)),
-        (Outcome::NotRun, StatusCode::SERVICE_UNAVAILABLE) => {
+        (Outcome::NotRun, StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS) => {
             Reply::NotRun(format!("{address}: {}", error.message))
         }
         (Outcome::NotRun, status) => Reply::Refused(status, error),
--- a/crates/cli/src/commands/status.rs
+++ b/crates/cli/src/commands/status.rs
@@ -1,5 +1,6 @@
 //! `syc status`: the daemons, their view, the owners and what waits.
 
+use futures_util::future::join_all;
 use serde_json::json;
 use syc_api::StatusBody;
 
@@ -17,11 +18,10 @@
 /// Shows the state of every daemon asked, and what the first one sees.
 pub async fn run(options: &Options) -> Result<Output, Failure> {
     let daemons = control(options)?;
-    let mut asked = Vec::new();
-    for address in daemons.addresses {
-        let status = client::get_one::<StatusBody>(address, PATH).await;
-        asked.push((address.as_str(), status));
-    }
+    let ask = |address| client::get_one::<StatusBody>(address, PATH);
+    let answers = join_all(daemons.addresses.iter().map(|address| ask(address))).await;
+    let addresses = daemons.addresses.iter().map(String::as_str);
+    let asked: Vec<_> = addresses.zip(answers).collect();
     let Some(first) = asked.iter().find_map(|(_, status)| status.as_ref()) else {
         // Asked again for the reasons.
         let status: StatusBody = daemons.get(PATH).await?;
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -46,6 +46,9 @@
     } else {
         print(&output.text);
     }
+    for note in &output.notes {
+        eprintln!("note: {note}");
+    }
     output
         .exit
         .map_or(ExitCode::SUCCESS, |exit| ExitCode::from(exit as u8))
--- a/crates/cli/src/output.rs
+++ b/crates/cli/src/output.rs
@@ -15,6 +15,8 @@
     pub text: String,
     /// For programs.
     pub json: Value,
+    /// What people should look at besides.
+    pub notes: Vec<String>,
     /// What the exit code says besides; `None` for 0.
     pub exit: Option<Exit>,
 }
@@ -28,6 +30,7 @@
         Self {
             text,
             json: serde_json::to_value(value).unwrap_or_default(),
+            notes: Vec::new(),
             exit: None,
         }
     }
--- a/crates/cli/tests/cli/operators.rs
+++ b/crates/cli/tests/cli/operators.rs
@@ -133,3 +133,16 @@
     let history: Value = serde_json::from_str(&run.stdout).expect("JSON");
     assert_eq!(history.as_array().map(Vec::len), Some(1), "{history}");
 }
+
+#[actix_rt::test]
+async fn a_rule_for_an_unknown_worker_is_published_with_a_note() {
+    let bed = Bed::start(1).await;
+    bed.configure("rules-inventory.json").await;
+    let path = file(
+        "rules.json",
+        "{\"kind\": \"rules\", \"name\": \"x\", \"drain_vms\": [\"worker-0\", \"worker-9\"]}",
+    );
+    let run = bed.operate(&["publish", &path]).await;
+    let expected = "note: `worker-9` is in no inventory that is in force\n";
+    assert_eq!((run.code, run.stderr.as_str()), (0, expected));
+}
--- a/crates/config/src/effective.rs
+++ b/crates/config/src/effective.rs
@@ -50,6 +50,33 @@
     effective
 }
 
+/// Returns the names in a set of rules that no part of the register knows.
+///
+/// Such a rule is kept, and takes effect once the register knows the name.
+#[must_use]
+pub fn unknown_names(rules: &Rules, inventory: &Inventory) -> Vec<SmolStr> {
+    let mut known = HashSet::new();
+    for worker in &inventory.workers {
+        known.insert(worker.id.as_str());
+        known.insert(worker.rack.as_str());
+    }
+    for service in &inventory.services {
+        known.extend(
+            service
+                .endpoints
+                .iter()
+                .map(|endpoint| endpoint.id.as_str()),
+        );
+    }
+    let workers = rules.exclude_workers.iter().map(WorkerId::as_str);
+    let racks = rules.exclude_racks.iter().map(RackId::as_str);
+    let limited = rules.capacities.iter().map(|rule| rule.worker.as_str());
+    let drained = rules.drain_vms.iter().map(SmolStr::as_str);
+    let named = workers.chain(racks).chain(limited).chain(drained);
+    let unknown = named.filter(|name| !known.contains(name));
+    unknown.map(SmolStr::new).collect()
+}
+
 fn join_service(services: &mut Vec<ServiceDoc>, service: ServiceDoc) {
     let mut listed = services.iter_mut();
     match listed.find(|other| other.name == service.name) {
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -29,6 +29,7 @@
 pub use documents::TeamLimits;
 pub use documents::WorkerDoc;
 pub use effective::effective_inventory;
+pub use effective::unknown_names;
 pub use findings::Finding;
 pub use findings::Findings;
 pub use import::ACCELERATORS_COLUMN;
