--- a/crates/cli/src/commands/status.rs
+++ b/crates/cli/src/commands/status.rs
@@ -28,6 +28,7 @@
         return Ok(Output::new(members(&status), &status));
     };
     let mut parts = vec![asked_table(&asked), members(first)];
+    parts.extend(owners(first));
     parts.extend(racks(first));
     parts.extend(waiting(first));
     let bodies: Vec<_> = asked
@@ -59,7 +60,7 @@
             (*address).to_owned(),
             status.member.to_string(),
             status.epoch.0.to_string(),
-            yes_no(status.acting),
+            yes_no(status.may_act),
             yes_no(status.caught_up),
             yes_no(status.draining),
             status.log_lag_entries.to_string(),
@@ -83,6 +84,29 @@
     table(&["MEMBER OF THE VIEW", "ZONE", "PEER ADDRESS"], rows)
 }
 
+fn owners(status: &StatusBody) -> Option<String> {
+    if status.heard.is_empty() {
+        return None;
+    }
+    let rows = status.heard.iter().map(|owner| {
+        [
+            owner.id.to_string(),
+            owner.free_cpu_millis.to_string(),
+            owner.free_memory_bytes.to_string(),
+            owner.free_accelerators.to_string(),
+            owner.queued_tasks.to_string(),
+        ]
+    });
+    let header = [
+        "OWNER",
+        "FREE CPU MILLIS",
+        "FREE MEMORY BYTES",
+        "FREE ACCELERATORS",
+        "QUEUED TASKS",
+    ];
+    Some(table(&header, rows))
+}
+
 fn racks(status: &StatusBody) -> Option<String> {
     if status.racks.is_empty() {
         return None;
