--- a/crates/config/tests/documents.rs
+++ b/crates/config/tests/documents.rs
@@ -97,6 +97,14 @@
     assert_eq!(findings.list()[0].path, path);
 }
 
+#[test]
+fn a_record_of_a_newer_version_stays_readable() {
+    let text = r#"{"kind": "team", "name": "t", "colour": "red", "quota":
+        {"cpu_millis": 1, "memory_bytes": 1, "tape_drives": 1}}"#;
+    let read = serde_json::from_str::<Document>(text);
+    assert_eq!(read.expect("a document").scope(), "team/t");
+}
+
 #[test]
 fn missing_fields_have_defaults() {
     let document = parse_document("t.json", r#"{"kind": "team", "name": "t"}"#);
