--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -140,7 +140,14 @@
             actix_rt::spawn(members_run::watch_vms(Rc::clone(&node))),
             actix_rt::spawn(owner::run(Rc::clone(&node))),
         ];
-        emit(catalogue::STARTED, format_args!("member={}", node.id));
+        let listen = &node.settings.listen;
+        emit(
+            catalogue::STARTED,
+            format_args!(
+                "member={} callers={} peers={} control={}",
+                node.id, listen.callers, listen.peers, listen.control
+            ),
+        );
         Ok(Self {
             node,
             callers,
@@ -155,6 +162,11 @@
         members::ready(&self.node)
     }
 
+    /// Waits until an operator asks for a planned stop.
+    pub async fn drain_asked(&self) {
+        self.node.operators.drain_asked.notified().await;
+    }
+
     /// Stops as planned: tells the balancer, takes nothing new, and waits for what is in progress.
     pub async fn stop(self) {
         let timing = self.node.settings.timing;
