--- a/crates/daemon/tests/daemon/main.rs
+++ b/crates/daemon/tests/daemon/main.rs
@@ -6,3 +6,5 @@
 mod owner;
 mod path;
 mod publish;
+mod requests;
+mod requests_input;
