--- a/crates/daemon/src/members_run.rs
+++ b/crates/daemon/src/members_run.rs
@@ -27,6 +27,7 @@
 use crate::members;
 use crate::node::Node;
 use crate::owner;
+use crate::requests;
 
 /// Of the heartbeat interval, the time between two looks at what is due.
 const TICKS: u64 = 10;
@@ -57,6 +58,7 @@
     loop {
         // Without an answer the last list stands.
         if let Ok(vms) = node.platform.list().await {
+            requests::vms_listed(&node, &vms);
             let names = vms.into_iter().map(|vm| vm.name).collect();
             tell(&node, Event::VmsListed(names));
         }
@@ -161,6 +163,7 @@
 }
 
 fn notify(node: &Rc<Node>) {
+    requests::view_changed(node);
     owner::view_changed(node);
     home::view_changed(node);
 }
--- a/crates/daemon/tests/daemon/main.rs
+++ b/crates/daemon/tests/daemon/main.rs
@@ -7,3 +7,6 @@
 mod owner;
 mod path;
 mod publish;
+mod requests;
+mod requests_homes;
+mod requests_input;
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -1,8 +1,11 @@
 //! Routing decisions for callers' requests: which endpoint, and what may be repeated.
 
 mod endpoints;
+mod entry;
 mod free;
 mod health;
+mod hedge;
+mod homes;
 mod once;
 mod policy;
 mod queue;
@@ -14,9 +17,19 @@
 pub use endpoints::Endpoints;
 pub use health::Finish;
 pub use health::HealthOptions;
-pub use once::Kept;
+pub use hedge::HedgeOptions;
+pub use hedge::HedgeTimer;
+pub use homes::Homes;
+pub use homes::Standing;
+pub use homes::created_at;
+pub use once::AnswerSize;
+pub use once::NotRunReason;
 pub use once::Once;
 pub use once::OnceAnswer;
+pub use once::OnceOptions;
+pub use once::RunEnd;
+pub use once::Told;
+pub use once::UnknownReason;
 pub use policy::AdaptiveLimit;
 pub use policy::DividedSlots;
 pub use policy::SlotFacts;
--- a/crates/route/src/retry.rs
+++ b/crates/route/src/retry.rs
@@ -11,8 +11,10 @@
     pub share: f32,
     /// Most retries that can be saved up.
     pub saved: f32,
-    /// Most endpoints that one request is sent to.
+    /// Most sendings of a request of which one brought no answer.
     pub sendings: u32,
+    /// Most sendings of a request that the last endpoint surely did not act on.
+    pub refusals: u32,
 }
 
 impl Default for RetryOptions {
@@ -21,6 +23,7 @@
             share: 0.1,
             saved: 10.0,
             sendings: 4,
+            refusals: 8,
         }
     }
 }
@@ -73,6 +76,15 @@
         self.saved = (self.saved + self.options.share).min(self.options.saved);
     }
 
+    /// Says whether a late request may be sent a second time, and counts that as a retry.
+    pub fn hedge(&mut self) -> bool {
+        let saved = self.saved >= 1.0;
+        if saved {
+            self.saved -= 1.0;
+        }
+        saved
+    }
+
     /// Decides what becomes of a request that got no answer.
     ///
     /// Only endings after which the endpoint surely did not act, [`Finish::NotSent`] and the two
@@ -86,7 +98,12 @@
         } else {
             Next::Unknown
         };
-        if sending.sendings >= self.options.sendings || now >= sending.deadline {
+        let limit = if surely_not_run {
+            self.options.refusals
+        } else {
+            self.options.sendings
+        };
+        if sending.sendings >= limit || now >= sending.deadline {
             return given_up;
         }
         if !surely_not_run && !sending.idempotent {
@@ -95,10 +112,7 @@
         match sending.finish {
             Finish::Busy => Next::Wait,
             Finish::Draining => Next::Elsewhere,
-            _ if self.saved >= 1.0 => {
-                self.saved -= 1.0;
-                Next::Elsewhere
-            }
+            _ if self.hedge() => Next::Elsewhere,
             _ => given_up,
         }
     }
