--- a/crates/daemon/tests/daemon/main.rs
+++ b/crates/daemon/tests/daemon/main.rs
@@ -4,6 +4,7 @@
 mod control;
 mod home;
 mod log;
+mod members;
 mod owner;
 mod path;
 mod publish;
