--- a/crates/daemon/src/members_run.rs
+++ b/crates/daemon/src/members_run.rs
@@ -176,7 +176,8 @@
     let reply = link.call(&payload, node.settings.timing.authority_ms).await;
     match reply {
         Ok(bytes) => {
-            count(&node, payload.len() + bytes.len());
+            count(&node, payload.len());
+            count(&node, bytes.len());
             node.members.told.borrow_mut().insert(to, load);
             if let Ok((epoch, Body::HeartbeatAck(ack))) = Message::from_bytes(bytes) {
                 members::check_clock(&node);
@@ -212,9 +213,10 @@
     Message::new(heartbeat.epoch.0, Body::Heartbeat(wire)).to_bytes()
 }
 
-/// Counts payloads and their frames; the other way round the peer counts the same.
-fn count(node: &Rc<Node>, bytes: usize) {
-    let total = node.members.heartbeat_bytes.get() + bytes as u64;
+/// Counts a payload that was sent or received, with its frame.
+pub fn count(node: &Rc<Node>, payload_bytes: usize) {
+    let framed = payload_bytes + syc_net::FRAME_OVERHEAD_BYTES;
+    let total = node.members.heartbeat_bytes.get() + framed as u64;
     node.members.heartbeat_bytes.set(total);
 }
 
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -75,10 +75,14 @@
 
 /// Answers a call of another member; a malformed one gets a refusal.
 pub async fn answer(node: Rc<Node>, payload: Bytes) -> Bytes {
+    let payload_bytes = payload.len();
     let reply = match Message::from_bytes(payload) {
         Ok((epoch, Body::Heartbeat(heartbeat))) => {
             let (epoch, ack) = members_run::receive(&node, epoch, heartbeat);
-            return Message::new(epoch, Body::HeartbeatAck(ack)).to_bytes();
+            let reply = Message::new(epoch, Body::HeartbeatAck(ack)).to_bytes();
+            members_run::count(&node, payload_bytes);
+            members_run::count(&node, reply.len());
+            return reply;
         }
         Ok((epoch, body)) => dispatch(&node, epoch, body).await,
         Err(error) => Err(error),
--- a/crates/member/src/membership.rs
+++ b/crates/member/src/membership.rs
@@ -69,6 +69,10 @@
     pub(crate) known_from: Option<MemberId>,
     pub(crate) next_fetch: Millis,
     pub(crate) last_round: Option<Millis>,
+    /// The greatest time that a heartbeat of this member carries.
+    pub(crate) last_sent: Millis,
+    /// Peers that have just entered this member's epoch: they can acknowledge its lease.
+    pub(crate) entered: Vec<MemberId>,
     pub(crate) rounds: u64,
     pub(crate) round_wanted: bool,
     pub(crate) told_heard: u64,
@@ -100,6 +104,8 @@
             known_from: None,
             next_fetch: Millis(0),
             last_round: None,
+            last_sent: Millis(0),
+            entered: Vec::new(),
             rounds: 0,
             round_wanted: true,
             told_heard: 0,
@@ -236,6 +242,9 @@
         if peer.heard_at.is_none() {
             self.round_wanted = true;
         }
+        if peer.epoch < heartbeat.epoch && heartbeat.epoch == self.views.current.epoch {
+            self.entered.push(heartbeat.from.clone());
+        }
         peer.hear(heartbeat.epoch, heartbeat.retired, now);
         if heartbeat.contact.is_some() {
             peer.contact = heartbeat.contact;
@@ -274,7 +283,7 @@
         self.known = epoch;
         self.known_from = Some(from.clone());
         self.next_fetch = Millis(0);
-        self.round_wanted = true;
+        self.last_round = None;
     }
 
     fn view_recorded(
@@ -306,7 +315,7 @@
     fn entered_view(&mut self, now: Millis, actions: &mut Vec<Action>) {
         self.known = self.known.max(self.views.current.epoch);
         self.viewed_at = now;
-        self.round_wanted = true;
+        self.last_round = None;
         self.proposing = Proposing::default();
         if self.caught_up {
             self.changes.push_back(now);
@@ -328,15 +337,16 @@
     }
 
     fn retire(&mut self) {
-        self.round_wanted |= !self.retired();
+        if !self.retired() {
+            self.last_round = None;
+        }
         self.standing = Standing::Retired;
     }
 
     /// Drops every lease held, and measures every lease granted anew.
     fn distrust_clock(&mut self, now: Millis) {
         // The clock may have gone back: nothing that was sent so far counts.
-        let last = self.last_round.map_or(now, |at| at.max(now));
-        self.trusted_from = last.plus(1);
+        self.trusted_from = self.last_sent.max(now).plus(1);
         self.viewed_at = now;
         self.last_round = Some(now);
         self.round_wanted = true;
--- a/crates/member/src/round.rs
+++ b/crates/member/src/round.rs
@@ -46,12 +46,15 @@
         let waited_ms = self.last_round.map_or(u64::MAX, |at| now.since(at));
         let due = waited_ms >= self.options.heartbeat_ms;
         let early = self.round_wanted && waited_ms >= self.options.heartbeat_ms / ROUND_GAP;
+        let entered = std::mem::take(&mut self.entered);
         if !due && !early {
+            self.send_entered(&entered, heard, now, actions);
             return;
         }
         self.round_wanted = false;
         self.told_heard = heard;
         self.last_round = Some(now);
+        self.last_sent = self.last_sent.max(now);
         self.rounds += 1;
         let heartbeat = self.heartbeat(heard, now);
         for to in self.targets(now) {
@@ -60,6 +63,23 @@
         }
     }
 
+    fn send_entered(
+        &mut self,
+        entered: &[MemberId],
+        heard: u64,
+        now: Millis,
+        actions: &mut Vec<Action>,
+    ) {
+        for id in entered {
+            let Some(to) = self.address(id) else {
+                continue;
+            };
+            self.last_sent = self.last_sent.max(now);
+            let heartbeat = self.heartbeat(heard, now);
+            actions.push(Action::Send { to, heartbeat });
+        }
+    }
+
     fn targets(&self, now: Millis) -> BTreeSet<SmolStr> {
         let mut targets = BTreeSet::new();
         let gone = |id: &MemberId| self.peers.get(id).is_some_and(|p| p.gone_at.is_some());
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -8,6 +8,7 @@
 pub use http::HttpListener;
 pub use http::HttpOptions;
 pub use peer::CallError;
+pub use peer::FRAME_OVERHEAD_BYTES;
 pub use peer::PeerClient;
 pub use peer::PeerOptions;
 pub use peer::serve_peers;
--- a/crates/net/src/peer.rs
+++ b/crates/net/src/peer.rs
@@ -24,6 +24,12 @@
 /// Bytes of the correlation id in front of each payload.
 const CORRELATION_BYTES: usize = 8;
 
+/// Bytes of the length in front of each frame.
+const LENGTH_BYTES: usize = 4;
+
+/// Bytes that each payload is preceded by.
+pub const FRAME_OVERHEAD_BYTES: usize = CORRELATION_BYTES + LENGTH_BYTES;
+
 /// Largest frame that is accepted.
 const FRAME_LIMIT_BYTES: usize = 8 * 1024 * 1024;
 
@@ -126,7 +132,7 @@
     }
 
     fn count(&self, payload_bytes: usize) {
-        let framed = payload_bytes + CORRELATION_BYTES + 4;
+        let framed = payload_bytes + FRAME_OVERHEAD_BYTES;
         self.bytes.set(self.bytes.get() + framed as u64);
     }
 
