Let the last member close the view, and ask again who did not acknowledge

Daemons that all stopped as planned and started at other addresses could never act: nobody could tell that the last member of the old view was gone. The last member now stops acting and leaves an empty view in the log.

A process stopped for 8 s and continued showed that a member could wait a whole heartbeat for its lease in a new epoch, as those who knew the epoch before they had its view were not asked again; now they are, as soon as they have it. The schedules retire members too.

--- a/crates/coord/src/records.rs
+++ b/crates/coord/src/records.rs
@@ -97,7 +97,7 @@
 pub struct ViewRecord {
     /// The epoch that the proposer had seen; the new one is the next.
     pub base: Epoch,
-    /// The members of the new view.
+    /// The members of the new view; none where the last member has stopped acting.
     pub members: Vec<Member>,
 }
 
--- a/crates/daemon/src/members.rs
+++ b/crates/daemon/src/members.rs
@@ -240,4 +240,10 @@
         members_run::tell(node, Event::Retire);
     }
     members_run::farewell(node).await;
+    let closed = async {
+        while alone && node.view.borrow().member(&node.id).is_some() {
+            actix_rt::time::sleep(LEAVE_CHECK).await;
+        }
+    };
+    let _ = tokio::time::timeout(limit, closed).await;
 }
--- a/crates/member/src/event.rs
+++ b/crates/member/src/event.rs
@@ -55,7 +55,7 @@
     Propose {
         /// The epoch that it is based on.
         base: Epoch,
-        /// The members of the new view.
+        /// The members of the new view; none where the last member stops.
         members: Vec<Member>,
     },
     /// Ask the daemon at this address for its views, and read the log.
--- a/crates/member/src/membership.rs
+++ b/crates/member/src/membership.rs
@@ -71,7 +71,7 @@
     pub(crate) last_round: Option<Millis>,
     /// The greatest time that a heartbeat of this member carries.
     pub(crate) last_sent: Millis,
-    /// Peers that have just entered this member's epoch: they can acknowledge its lease.
+    /// Peers that have entered this member's epoch and did not acknowledge it there yet.
     pub(crate) entered: Vec<MemberId>,
     pub(crate) rounds: u64,
     pub(crate) round_wanted: bool,
@@ -203,7 +203,7 @@
             Event::ProposalEnded { appended } => self.proposal_ended(appended, now),
             Event::ClockJumped => self.distrust_clock(now),
             Event::Leave => self.leave(),
-            Event::Retire => self.retire(),
+            Event::Retire => self.close(now, &mut actions),
             Event::Tick => {}
         }
         self.follow_up(now, &mut actions);
@@ -242,7 +242,9 @@
         if peer.heard_at.is_none() {
             self.round_wanted = true;
         }
-        if peer.epoch < heartbeat.epoch && heartbeat.epoch == self.views.current.epoch {
+        let current = self.views.current.epoch;
+        let acked = peer.acked.is_some_and(|(epoch, _)| epoch == current);
+        if heartbeat.epoch == current && self.known == current && !acked {
             self.entered.push(heartbeat.from.clone());
         }
         peer.hear(heartbeat.epoch, heartbeat.retired, now);
@@ -293,12 +295,16 @@
         now: Millis,
         actions: &mut Vec<Action>,
     ) {
-        if base != self.views.current.epoch || members.is_empty() {
+        if base != self.views.current.epoch {
             return;
         }
+        let closed = members.is_empty();
         let view = View::new(Epoch(base.0 + 1), members);
         let former = std::mem::replace(&mut self.views.current, view);
-        if !former.members.is_empty() {
+        if closed {
+            // Its author was alone, and had stopped acting before it wrote this.
+            self.views.former.clear();
+        } else if !former.members.is_empty() {
             self.views.former.push(former);
         }
         self.entered_view(now, actions);
@@ -336,6 +342,20 @@
         }
     }
 
+    /// Stops acting; the last member that may act leaves an empty view, from which any others can
+    /// begin without hearing of it.
+    fn close(&mut self, now: Millis, actions: &mut Vec<Action>) {
+        let alone = self.views.current.members.len() == 1;
+        let last = alone && self.may_act(now);
+        self.retire();
+        if last {
+            actions.push(Action::Propose {
+                base: self.views.current.epoch,
+                members: Vec::new(),
+            });
+        }
+    }
+
     fn retire(&mut self) {
         if !self.retired() {
             self.last_round = None;
--- a/crates/member/tests/member/focused.rs
+++ b/crates/member/tests/member/focused.rs
@@ -203,6 +203,21 @@
     assert_eq!(cluster.members(1).len(), 2);
 }
 
+#[test]
+fn the_last_to_leave_closes_the_view_so_that_others_can_begin() {
+    let mut cluster = Cluster::start(2, 1, 7, Options::default());
+    settle(&mut cluster);
+    cluster.tell(0, Event::Leave);
+    cluster.tell(0, Event::Retire);
+    assert_eq!(cluster.racks_of(0), []);
+    cluster.run(1_000);
+    assert_eq!(cluster.members(0), Vec::<&str>::new());
+    cluster.crash(0);
+    cluster.restart(1);
+    settle(&mut cluster);
+    assert_eq!(cluster.members(1).len(), 1);
+}
+
 #[test]
 fn all_that_restart_at_once_find_a_view_again() {
     let mut cluster = started(5);
--- a/crates/member/tests/member/schedules.rs
+++ b/crates/member/tests/member/schedules.rs
@@ -36,6 +36,7 @@
     LogCut(usize),
     LoseAnswers(bool),
     Leave(usize),
+    Retire(usize),
     Jump(usize, u64),
     Network { loss_percent: u32, delay_ms: u64 },
     Heal,
@@ -80,6 +81,7 @@
             1 => slot.clone().prop_map(Step::LogCut),
             1 => any::<bool>().prop_map(Step::LoseAnswers),
             1 => slot.clone().prop_map(Step::Leave),
+            1 => slot.clone().prop_map(Step::Retire),
             1 => (slot, 1u64..=20_000).prop_map(|(a, b)| Step::Jump(a, b)),
             2 => (0u32..40, 0u64..4_000).prop_map(|(loss_percent, delay_ms)| {
                 Step::Network { loss_percent, delay_ms }
@@ -144,7 +146,10 @@
         Step::Leave(slot) if cluster.nodes[slot].run == Run::Up => {
             cluster.tell(slot, Event::Leave);
         }
-        Step::Leave(_) => {}
+        Step::Retire(slot) if cluster.nodes[slot].run == Run::Up => {
+            cluster.tell(slot, Event::Retire);
+        }
+        Step::Leave(_) | Step::Retire(_) => {}
         Step::Jump(slot, ahead_ms) => cluster.jump(slot, ahead_ms),
         Step::Network {
             loss_percent,
