--- a/crates/daemon/examples/standing.rs
+++ b/crates/daemon/examples/standing.rs
@@ -1,6 +1,7 @@
 //! Stand-ins and load for daemons that run as processes of their own, so that one can be stopped
 //! and continued by hand: writes `entry-N.json` into the directory that it is given, waits for the
-//! daemons, submits jobs for the seconds that it is given, and reports each second.
+//! daemons, submits jobs for the seconds that it is given, and reports each second. With `idle` as
+//! third argument it submits nothing.
 
 use std::time::Duration;
 use std::time::Instant;
@@ -36,10 +37,12 @@
     let mut arguments = std::env::args().skip(1);
     let directory = arguments.next().expect("a directory");
     let seconds = arguments.next().and_then(|text| text.parse().ok());
-    actix_rt::System::new().block_on(stand(&directory, seconds.unwrap_or(30)));
+    let idle = arguments.next().is_some_and(|text| text == "idle");
+    let seconds = seconds.unwrap_or(30);
+    actix_rt::System::new().block_on(stand(&directory, seconds, idle));
 }
 
-async fn stand(directory: &str, seconds: u64) {
+async fn stand(directory: &str, seconds: u64, idle: bool) {
     let cell = Cell::start(CellOptions {
         workers: 8,
         rack_workers: 1,
@@ -69,6 +72,10 @@
     for second in 1..=seconds {
         let mut refused = 0;
         while began.elapsed() < Duration::from_secs(second) {
+            if idle {
+                sleep(PAUSE).await;
+                continue;
+            }
             submitted += 1;
             let through = &all[usize::try_from(submitted).unwrap_or(0) % DAEMONS];
             if submit(&client, through, submitted % TEAMS).await {
