Judge who is cut off by the members that are left

Half a view that is off the VM list left the other half unable to go on: each of the rest counted as cut off, since a majority of the whole view could not hear it, so there was nobody to propose. Voters that are given up no longer count; the new focused test fails without the change.

--- a/crates/member/src/propose.rs
+++ b/crates/member/src/propose.rs
@@ -106,14 +106,17 @@
         bits
     }
 
-    /// Says whether a member can't be acknowledged by a majority any more.
+    /// Says whether a member can't be acknowledged any more by a majority of those that are not
+    /// given up.
     fn cut_off(&self, index: usize, now: Millis) -> bool {
         let view = &self.views.current;
         let mut hearing = 1;
+        let mut voters = 1;
         for voter in &view.members {
-            if voter.id == view.members[index].id {
+            if voter.id == view.members[index].id || self.given_up(&voter.id) {
                 continue;
             }
+            voters += 1;
             if voter.id == self.me.id {
                 hearing += usize::from(self.hears(&view.members[index].id, now));
                 continue;
@@ -127,7 +130,7 @@
             });
             hearing += usize::from(!denied);
         }
-        hearing < view.majority()
+        hearing < voters / 2 + 1
     }
 
     fn given_up(&self, id: &MemberId) -> bool {
--- a/crates/member/tests/member/focused.rs
+++ b/crates/member/tests/member/focused.rs
@@ -203,6 +203,23 @@
     assert_eq!(cluster.members(1).len(), 2);
 }
 
+#[test]
+fn half_a_view_goes_on_when_the_other_half_is_off_the_list() {
+    let mut cluster = started(4);
+    for slot in [0, 2] {
+        cluster.cuts.insert((slot, 1));
+        cluster.cuts.insert((slot, 3));
+        cluster.cuts.insert((1, slot));
+        cluster.cuts.insert((3, slot));
+    }
+    cluster.run(10_000);
+    assert_eq!(cluster.racks_of(1), []);
+    cluster.lose_vm(0);
+    cluster.lose_vm(2);
+    settle(&mut cluster);
+    assert_eq!(cluster.members(1).len(), 2);
+}
+
 #[test]
 fn the_last_to_leave_closes_the_view_so_that_others_can_begin() {
     let mut cluster = Cluster::start(2, 1, 7, Options::default());
