--- a/crates/member/src/lib.rs
+++ b/crates/member/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod event;
 mod former;
+mod gone;
 mod incarnation;
 mod membership;
 mod message;
--- a/crates/member/src/membership.rs
+++ b/crates/member/src/membership.rs
@@ -20,7 +20,6 @@
 use crate::Views;
 use crate::peer::Peer;
 use crate::propose::Proposing;
-use crate::vm_name;
 
 /// Suspicion intervals after which a silent process outside the views is forgotten.
 const FORGET_SUSPICIONS: u64 = 20;
@@ -406,20 +405,4 @@
             peer.fresh(limit_ms, now) || all.any(|view| view.member(id).is_some())
         });
     }
-
-    fn vms_listed(&mut self, names: Vec<SmolStr>, now: Millis) {
-        self.listed = names.into_iter().collect();
-        self.ever_listed.extend(self.listed.iter().cloned());
-        let views = self.views.former.iter().chain([&self.views.current]);
-        let mut unlisted = BTreeMap::new();
-        for member in views.flat_map(|view| &view.members) {
-            let name = SmolStr::new(vm_name(&member.id));
-            if self.listed.contains(&name) {
-                continue;
-            }
-            let since = self.unlisted_since.get(&name).copied().unwrap_or(now);
-            unlisted.insert(name, since);
-        }
-        self.unlisted_since = unlisted;
-    }
 }
