--- a/crates/member/src/membership.rs
+++ b/crates/member/src/membership.rs
@@ -20,7 +20,6 @@
 use crate::Views;
 use crate::peer::Peer;
 use crate::propose::Proposing;
-use crate::vm_name;
 
 /// Suspicion intervals after which a silent process outside the views is forgotten.
 const FORGET_SUSPICIONS: u64 = 20;
@@ -69,6 +68,10 @@
     pub(crate) known_from: Option<MemberId>,
     pub(crate) next_fetch: Millis,
     pub(crate) last_round: Option<Millis>,
+    /// The greatest time that a heartbeat of this member carries.
+    pub(crate) last_sent: Millis,
+    /// Peers that have entered this member's epoch and did not acknowledge it there yet.
+    pub(crate) entered: Vec<MemberId>,
     pub(crate) rounds: u64,
     pub(crate) round_wanted: bool,
     pub(crate) told_heard: u64,
@@ -100,6 +103,8 @@
             known_from: None,
             next_fetch: Millis(0),
             last_round: None,
+            last_sent: Millis(0),
+            entered: Vec::new(),
             rounds: 0,
             round_wanted: true,
             told_heard: 0,
@@ -197,7 +202,7 @@
             Event::ProposalEnded { appended } => self.proposal_ended(appended, now),
             Event::ClockJumped => self.distrust_clock(now),
             Event::Leave => self.leave(),
-            Event::Retire => self.retire(),
+            Event::Retire => self.close(now, &mut actions),
             Event::Tick => {}
         }
         self.follow_up(now, &mut actions);
@@ -236,6 +241,11 @@
         if peer.heard_at.is_none() {
             self.round_wanted = true;
         }
+        let current = self.views.current.epoch;
+        let acked = peer.acked.is_some_and(|(epoch, _)| epoch == current);
+        if heartbeat.epoch == current && self.known == current && !acked {
+            self.entered.push(heartbeat.from.clone());
+        }
         peer.hear(heartbeat.epoch, heartbeat.retired, now);
         if heartbeat.contact.is_some() {
             peer.contact = heartbeat.contact;
@@ -274,7 +284,7 @@
         self.known = epoch;
         self.known_from = Some(from.clone());
         self.next_fetch = Millis(0);
-        self.round_wanted = true;
+        self.last_round = None;
     }
 
     fn view_recorded(
@@ -284,12 +294,16 @@
         now: Millis,
         actions: &mut Vec<Action>,
     ) {
-        if base != self.views.current.epoch || members.is_empty() {
+        if base != self.views.current.epoch {
             return;
         }
+        let closed = members.is_empty();
         let view = View::new(Epoch(base.0 + 1), members);
         let former = std::mem::replace(&mut self.views.current, view);
-        if !former.members.is_empty() {
+        if closed {
+            // Its author was alone, and had stopped acting before it wrote this.
+            self.views.former.clear();
+        } else if !former.members.is_empty() {
             self.views.former.push(former);
         }
         self.entered_view(now, actions);
@@ -306,7 +320,7 @@
     fn entered_view(&mut self, now: Millis, actions: &mut Vec<Action>) {
         self.known = self.known.max(self.views.current.epoch);
         self.viewed_at = now;
-        self.round_wanted = true;
+        self.last_round = None;
         self.proposing = Proposing::default();
         if self.caught_up {
             self.changes.push_back(now);
@@ -327,16 +341,31 @@
         }
     }
 
+    /// Stops acting; the last member that may act leaves an empty view, from which any others can
+    /// begin without hearing of it.
+    fn close(&mut self, now: Millis, actions: &mut Vec<Action>) {
+        let alone = self.views.current.members.len() == 1;
+        let last = alone && self.may_act(now);
+        self.retire();
+        if last {
+            actions.push(Action::Propose {
+                base: self.views.current.epoch,
+                members: Vec::new(),
+            });
+        }
+    }
+
     fn retire(&mut self) {
-        self.round_wanted |= !self.retired();
+        if !self.retired() {
+            self.last_round = None;
+        }
         self.standing = Standing::Retired;
     }
 
     /// Drops every lease held, and measures every lease granted anew.
     fn distrust_clock(&mut self, now: Millis) {
         // The clock may have gone back: nothing that was sent so far counts.
-        let last = self.last_round.map_or(now, |at| at.max(now));
-        self.trusted_from = last.plus(1);
+        self.trusted_from = self.last_sent.max(now).plus(1);
         self.viewed_at = now;
         self.last_round = Some(now);
         self.round_wanted = true;
@@ -376,20 +405,4 @@
             peer.fresh(limit_ms, now) || all.any(|view| view.member(id).is_some())
         });
     }
-
-    fn vms_listed(&mut self, names: Vec<SmolStr>, now: Millis) {
-        self.listed = names.into_iter().collect();
-        self.ever_listed.extend(self.listed.iter().cloned());
-        let views = self.views.former.iter().chain([&self.views.current]);
-        let mut unlisted = BTreeMap::new();
-        for member in views.flat_map(|view| &view.members) {
-            let name = SmolStr::new(vm_name(&member.id));
-            if self.listed.contains(&name) {
-                continue;
-            }
-            let since = self.unlisted_since.get(&name).copied().unwrap_or(now);
-            unlisted.insert(name, since);
-        }
-        self.unlisted_since = unlisted;
-    }
 }
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -11,6 +11,7 @@
 pub use http::Surplus;
 pub use http::is_surplus;
 pub use peer::CallError;
+pub use peer::FRAME_OVERHEAD_BYTES;
 pub use peer::PeerClient;
 pub use peer::PeerOptions;
 pub use peer::serve_peers;
