Take leases for lapsed, and command workers, only by authority over the rack

Cause: a paused owner that another had replaced could, on waking, take the leases of its workers for lapsed while the other renewed them; and a takeover counted the former owner's last renewal from the change of the view, although that owner may act for a while after it.

Change: a tick says whether the owner may act, and only then do leases count as lapsed; while a former owner may act, the lapse of an unheard worker is put off. Starts, stops and polls ask for authority over the worker's rack, so kept racks go on through a change of the view.

Conclusion: authority is asked where it matters, and no lapse is declared without it.

--- a/crates/daemon/src/owner.rs
+++ b/crates/daemon/src/owner.rs
@@ -9,6 +9,7 @@
 use syc_config::Document;
 use syc_config::Layout;
 use syc_config::WorkerDoc;
+use syc_member::Key;
 use syc_obs::catalogue;
 use syc_obs::emit;
 use syc_place::Action;
@@ -100,7 +101,8 @@
 pub async fn run(node: Rc<Node>) {
     loop {
         actix_rt::time::sleep(TICK).await;
-        handle(&node, Event::Ticked);
+        let acting = members::may_act(&node);
+        handle(&node, Event::Ticked { acting });
     }
 }
 
@@ -197,7 +199,7 @@
             urgent: spec.class == Class::Urgent,
         },
     };
-    if !members::may_act(node) {
+    if !members::may_act_for(node, Key::Rack(&info.rack)) {
         return StartAnswer::NotSent;
     }
     let started = node.platform.start(&info.id, &info.address, &start).await;
@@ -229,7 +231,7 @@
             TaskAction::Stop
         },
     };
-    if !members::may_act(&node) {
+    if !members::may_act_for(&node, Key::Rack(&info.rack)) {
         return;
     }
     let ended = node.platform.command(&info.id, &info.address, &command);
--- a/crates/daemon/src/owner_calls.rs
+++ b/crates/daemon/src/owner_calls.rs
@@ -29,7 +29,7 @@
 const STOPS_IN_A_TURN: usize = 256;
 
 async fn place(node: &Rc<Node>, order: Order) -> Result<Vec<WorkerId>, SmolStr> {
-    if !members::may_act(node) {
+    if !members::ready(node) {
         return Err(SmolStr::new("not_acting"));
     }
     let (offer, answered) = node.owner.expect_answer();
--- a/crates/daemon/src/owner_polls.rs
+++ b/crates/daemon/src/owner_polls.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use syc_member::Key;
 use syc_obs::catalogue;
 use syc_obs::emit;
 use syc_place::Ended;
@@ -30,6 +31,9 @@
 /// Pause after a worker that can't be polled.
 const POLL_RETRY: Duration = Duration::from_millis(200);
 
+/// How often it is looked whether a worker may be polled.
+const ACT_CHECK: Duration = Duration::from_millis(20);
+
 /// First pause after an end that the home did not keep.
 const REPORT_RETRY: Duration = Duration::from_millis(100);
 
@@ -39,19 +43,18 @@
 /// Polls a worker for as long as it is this owner's.
 pub async fn poll_worker(node: Rc<Node>, worker: WorkerKey) {
     while !node.owner.is_stopped() {
-        if !members::may_act(&node) {
-            actix_rt::time::sleep(POLL_RETRY).await;
-            if worker_info(&node, worker).is_none() {
-                return;
-            }
+        let Some(info) = worker_info(&node, worker) else {
+            return;
+        };
+        let acting = members::may_act_for(&node, Key::Rack(&info.rack));
+        let now = node.now();
+        if !acting {
+            node.owner.state.borrow_mut().note_former_owner(worker, now);
+            actix_rt::time::sleep(ACT_CHECK).await;
             continue;
         }
-        let now = node.now();
         let plan = node.owner.state.borrow_mut().plan_poll(worker, now);
-        let info = worker_info(&node, worker);
-        let (Some(plan), Some(info)) = (plan, info) else {
-            return;
-        };
+        let Some(plan) = plan else { return };
         let seq = plan.seq;
         match poll_once(&node, worker, &info, plan).await {
             Ok(reply) => {
--- a/crates/place/src/event.rs
+++ b/crates/place/src/event.rs
@@ -190,7 +190,11 @@
         spread_kinds: Vec<JobKind>,
     },
     /// Time passed.
-    Ticked,
+    Ticked {
+        /// Whether nobody else may own the workers now. Leases are taken for lapsed only then:
+        /// another owner may have renewed them while this one was paused.
+        acting: bool,
+    },
 }
 
 /// What an owner wants done.
--- a/crates/place/src/owner.rs
+++ b/crates/place/src/owner.rs
@@ -288,7 +288,7 @@
                 self.shares.set_weights(&teams);
                 self.set_weights(waiting_weight, packing_weight);
             }
-            Event::Ticked => self.tick(now, actions),
+            Event::Ticked { acting } => self.tick(acting, now, actions),
         }
         self.place_waiting(now, actions);
         self.expire_units(now, actions);
--- a/crates/place/src/owner/workers.rs
+++ b/crates/place/src/owner/workers.rs
@@ -132,6 +132,16 @@
         })
     }
 
+    /// Notes that a former owner may still renew the leases of a worker.
+    pub fn note_former_owner(&mut self, key: WorkerKey, now: Millis) {
+        let lapse = self.lapse_after(now);
+        if let Some(worker) = self.workers.get_mut(key)
+            && worker.contact == Contact::Unheard
+        {
+            worker.lease_until = worker.lease_until.max(lapse);
+        }
+    }
+
     /// Says whether a poll of a worker should answer at once, because its state is not known.
     #[must_use]
     pub fn wants_quick_poll(&self, key: WorkerKey) -> bool {
@@ -158,7 +168,7 @@
         worker.acks = acks;
     }
 
-    pub(super) fn tick(&mut self, now: Millis, actions: &mut Vec<Action>) {
+    pub(super) fn tick(&mut self, acting: bool, now: Millis, actions: &mut Vec<Action>) {
         self.lapse_holds(now);
         self.forget_ends(now);
         let keys: Vec<_> = self.workers.keys().collect();
@@ -167,7 +177,8 @@
                 self.refresh_open(key);
             }
             let worker = &self.workers[key];
-            if worker.contact != Contact::Lapsed && now >= worker.lease_until {
+            let lapses = acting && worker.contact != Contact::Lapsed;
+            if lapses && now >= worker.lease_until {
                 self.lapse(key, now, actions);
             }
             let worker = &self.workers[key];
--- a/crates/place/tests/owner/recovery.rs
+++ b/crates/place/tests/owner/recovery.rs
@@ -82,6 +82,29 @@
     assert!(!bed.placed(more));
 }
 
+#[test]
+fn an_owner_that_may_not_act_takes_no_lease_for_lapsed() {
+    let mut bed = Bed::new(1, 1_000);
+    bed.offer(1, &[0], &spec("a", Class::Normal, 600), 0);
+    bed.now = Millis(10 * LEASE_MS);
+    bed.event(Event::Ticked { acting: false });
+    assert!(bed.ends.is_empty());
+    bed.event(Event::Ticked { acting: true });
+    assert_eq!(bed.outcome(task(1, 0)), Some(TaskOutcome::Unknown));
+}
+
+#[test]
+fn a_former_owner_that_may_still_act_puts_the_lapse_off() {
+    let mut bed = Bed::unpolled(1, 1_000);
+    bed.pass(LEASE_MS);
+    let key = bed.owner.ledger().workers().next().expect("worker").0;
+    bed.owner.note_former_owner(key, bed.now);
+    bed.pass(LEASE_MS + DRIFT_MS - 1);
+    assert!(!bed.owner.settled());
+    bed.pass(1);
+    assert!(bed.owner.settled());
+}
+
 #[test]
 fn a_takeover_of_a_silent_worker_settles_after_its_leases() {
     let mut bed = Bed::unpolled(1, 1_000);
