--- a/crates/daemon/src/home_place.rs
+++ b/crates/daemon/src/home_place.rs
@@ -7,7 +7,6 @@
 use std::rc::Rc;
 
 use futures_util::future::join_all;
-use smol_str::SmolStr;
 use syc_coord::Urgency;
 use syc_coord::home::Part;
 use syc_coord::home::Placement;
@@ -240,17 +239,3 @@
         _ => OfferError::NoReply,
     }
 }
-
-/// Makes the reply to an offer.
-pub fn offer_reply(outcome: Result<Vec<WorkerId>, SmolStr>) -> syc_wire::OfferReply {
-    match outcome {
-        Ok(workers) => syc_wire::OfferReply {
-            workers: workers.iter().map(ToString::to_string).collect(),
-            reason: String::new(),
-        },
-        Err(reason) => syc_wire::OfferReply {
-            workers: Vec::new(),
-            reason: reason.to_string(),
-        },
-    }
-}
--- a/crates/daemon/src/owner.rs
+++ b/crates/daemon/src/owner.rs
@@ -31,6 +31,7 @@
 use syc_types::JobSpec;
 use syc_types::RackId;
 use syc_types::TaskRef;
+use syc_types::TeamId;
 use syc_types::WorkerId;
 use tokio::sync::Semaphore;
 use tokio::sync::oneshot;
@@ -64,6 +65,8 @@
     offers: Cell<u64>,
     stops: Semaphore,
     stopped: Cell<bool>,
+    /// Epoch of the home that asked last, by team.
+    homes: RefCell<HashMap<TeamId, u64>>,
 }
 
 impl Owner {
@@ -79,9 +82,19 @@
             offers: Cell::new(0),
             stops: Semaphore::new(STOPS_AT_ONCE),
             stopped: Cell::new(false),
+            homes: RefCell::default(),
         }
     }
 
+    /// Notes that a team's home asks in an epoch; returns whether it is the first time.
+    pub fn hears_from_home(&self, team: &TeamId, epoch: u64) -> bool {
+        let mut homes = self.homes.borrow_mut();
+        let last = homes.entry(team.clone()).or_default();
+        let first = epoch > *last;
+        *last = epoch.max(*last);
+        first
+    }
+
     /// Says whether the daemon has stopped and its owner commands nothing any more.
     pub const fn is_stopped(&self) -> bool {
         self.stopped.get()
--- a/crates/daemon/src/owner_calls.rs
+++ b/crates/daemon/src/owner_calls.rs
@@ -28,6 +28,8 @@
 /// Tasks whose cancellation is decided before others get a turn.
 const STOPS_IN_A_TURN: usize = 256;
 
+/// Places the tasks of an order; returns the worker of each, or the reason why none was started,
+/// `in_doubt` where some may have been started all the same.
 async fn place(node: &Rc<Node>, order: Order) -> Result<Vec<WorkerId>, SmolStr> {
     if !members::ready(node) {
         return Err(SmolStr::new("not_acting"));
@@ -116,12 +118,14 @@
     Ok(Ack::new(true))
 }
 
-/// Tells a new home what it may find running; what the former home queued or reserved is dropped.
+/// Tells a home what it may find running; what a home of an earlier epoch queued or reserved is
+/// dropped.
 #[must_use]
-pub fn what_runs(node: &Rc<Node>, call: &WhatRuns) -> RunningTasks {
+pub fn what_runs(node: &Rc<Node>, epoch: u64, call: &WhatRuns) -> RunningTasks {
     let team = TeamId::new(call.team.as_str());
-    let event = Event::HomeChanged { team: team.clone() };
-    handle(node, event);
+    if node.owner.hears_from_home(&team, epoch) {
+        handle(node, Event::HomeChanged { team: team.clone() });
+    }
     let state = node.owner.state.borrow();
     let mut tasks = Vec::new();
     for known in state.known_tasks(&team) {
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -19,7 +19,6 @@
 use crate::home;
 use crate::home_cancel;
 use crate::home_ends;
-use crate::home_place;
 use crate::members_run;
 use crate::node::Node;
 use crate::owner;
@@ -129,7 +128,7 @@
         Body::StateQuery(query) => Body::StatePart(follower_peers::answer(node, &query)),
         Body::HeldTasks(call) => Body::Ack(owner::held(node, &call).await?),
         Body::StopTasks(call) => Body::Ack(owner::stop(node, &call).await?),
-        Body::WhatRuns(call) => Body::RunningTasks(owner::what_runs(node, &call)),
+        Body::WhatRuns(call) => Body::RunningTasks(owner::what_runs(node, epoch, &call)),
         Body::Heartbeat(_)
         | Body::HeartbeatAck(_)
         | Body::ViewState(_)
