--- a/crates/place/src/owner.rs
+++ b/crates/place/src/owner.rs
@@ -161,6 +161,10 @@
     version: u64,
     reported: HashMap<TaskRef, Reported>,
     tasks: BTreeSet<TaskRef>,
+    /// Those of the tasks that no report has listed yet.
+    unlisted: BTreeSet<TaskRef>,
+    /// Whether some listed task runs beside the books, or is being ended.
+    watched: bool,
     renewing: bool,
     acks: Vec<KeptEnd>,
     sent_acks: Vec<KeptEnd>,
--- a/crates/place/src/owner/adopt.rs
+++ b/crates/place/src/owner/adopt.rs
@@ -46,9 +46,17 @@
         for task in &report.gone {
             worker.reported.remove(task);
         }
+        let mut listed = Vec::new();
         for running in report.running {
+            listed.push(running.task);
             worker.reported.insert(running.task, running);
         }
+        let mut doubtful = report.gone;
+        if report.full {
+            doubtful.extend(&worker.tasks);
+        } else {
+            doubtful.extend(&worker.unlisted);
+        }
         for ended in &report.finished {
             let listed = worker.reported.get(&ended.task);
             if listed.is_some_and(|listed| listed.attempt == ended.attempt) {
@@ -58,20 +66,36 @@
         for ended in report.finished {
             self.take_end(key, ended, now, actions);
         }
-        self.adopt_reported(key, now, actions);
-        self.end_missing(key, seq, now, actions);
+        self.adopt_reported(key, &listed, now, actions);
+        self.end_missing(key, seq, doubtful, now, actions);
         self.refresh_open(key);
     }
 
-    fn adopt_reported(&mut self, key: WorkerKey, now: Millis, actions: &mut Vec<Action>) {
+    /// Compares what a worker lists with the books: what is new, or all where something is amiss.
+    fn adopt_reported(
+        &mut self,
+        key: WorkerKey,
+        listed: &[TaskRef],
+        now: Millis,
+        actions: &mut Vec<Action>,
+    ) {
+        let worker = &mut self.workers[key];
+        let all = std::mem::take(&mut worker.watched);
+        let mut reported = Vec::new();
+        if all {
+            reported.extend(worker.reported.values().cloned());
+        } else {
+            for task in listed {
+                reported.extend(worker.reported.get(task).cloned());
+            }
+        }
         let mut stray = Resources::ZERO;
-        let reported: Vec<_> = self.workers[key].reported.values().cloned().collect();
         for running in reported {
             let known = self.tasks.get(&running.task);
             let ours =
                 known.is_some_and(|state| state.worker == key && state.attempt == running.attempt);
             if ours {
-                self.stop_again(running.task, now, actions);
+                self.stop_again(key, running.task, now, actions);
                 continue;
             }
             let ended = self.ended.get(&running.task);
@@ -80,6 +104,7 @@
                 self.adopt(key, running, now);
                 continue;
             }
+            self.workers[key].watched = true;
             // It runs beside the books: it keeps its room here, and is told to end unless it is
             // later than what is known.
             stray = stray.checked_add(&running.resources).unwrap_or(stray);
@@ -126,13 +151,20 @@
         self.tasks.insert(running.task, state);
     }
 
-    fn stop_again(&mut self, task: TaskRef, now: Millis, actions: &mut Vec<Action>) {
+    fn stop_again(
+        &mut self,
+        key: WorkerKey,
+        task: TaskRef,
+        now: Millis,
+        actions: &mut Vec<Action>,
+    ) {
         let Some(state) = self.tasks.get_mut(&task) else {
             return;
         };
         let Some((why, at)) = state.stopping else {
             return;
         };
+        self.workers[key].watched = true;
         if now.since(at) < STOP_REPEAT_MS || state.phase == Phase::Starting {
             return;
         }
@@ -145,18 +177,28 @@
     }
 
     /// Ends the attempts that a poll should have listed and did not.
-    fn end_missing(&mut self, key: WorkerKey, seq: u64, now: Millis, actions: &mut Vec<Action>) {
+    fn end_missing(
+        &mut self,
+        key: WorkerKey,
+        seq: u64,
+        doubtful: Vec<TaskRef>,
+        now: Millis,
+        actions: &mut Vec<Action>,
+    ) {
         let drift_ms = self.options.drift_ms;
         let worker = &self.workers[key];
         let mut missing = Vec::new();
         let mut settled = Vec::new();
-        for task in &worker.tasks {
-            let Some(state) = self.tasks.get(task) else {
+        for task in doubtful {
+            let Some(state) = self.tasks.get(&task) else {
                 continue;
             };
-            if worker.reported.contains_key(task) {
-                if matches!(state.phase, Phase::InDoubt { .. }) {
-                    settled.push(*task);
+            if state.worker != key {
+                continue;
+            }
+            if worker.reported.contains_key(&task) {
+                if state.phase != Phase::Starting {
+                    settled.push(task);
                 }
                 continue;
             }
@@ -169,10 +211,11 @@
                 } => seq > earlier && now.since(since) >= drift_ms,
             };
             if gone {
-                missing.push(*task);
+                missing.push(task);
             }
         }
         for task in settled {
+            self.workers[key].unlisted.remove(&task);
             if let Some(state) = self.tasks.get_mut(&task) {
                 state.phase = Phase::Running { seq };
             }
--- a/crates/place/src/owner/ends.rs
+++ b/crates/place/src/owner/ends.rs
@@ -76,6 +76,7 @@
         self.room_freed = true;
         if let Some(worker) = self.workers.get_mut(state.worker) {
             worker.tasks.remove(&task);
+            worker.unlisted.remove(&task);
         }
         self.refresh_open(state.worker);
         Some(state)
--- a/crates/place/src/owner/offers.rs
+++ b/crates/place/src/owner/offers.rs
@@ -244,6 +244,9 @@
             return;
         }
         state.stopping = Some((why, now));
+        if let Some(worker) = self.workers.get_mut(state.worker) {
+            worker.watched = true;
+        }
         if state.phase != Phase::Starting {
             actions.push(Action::Stop {
                 worker: state.worker,
--- a/crates/place/src/owner/pass.rs
+++ b/crates/place/src/owner/pass.rs
@@ -305,6 +305,7 @@
         self.shares.hold(&state.team, &state.resources);
         if let Some(worker) = self.workers.get_mut(worker) {
             worker.tasks.insert(task);
+            worker.unlisted.insert(task);
         }
         self.ended.remove(&task);
         self.tasks.insert(task, state);
--- a/crates/place/src/owner/preempt.rs
+++ b/crates/place/src/owner/preempt.rs
@@ -85,6 +85,9 @@
         for task in victims.tasks {
             if let Some(state) = self.tasks.get_mut(&task) {
                 state.stopping = Some((Stopping::Preempted, now));
+                if let Some(worker) = self.workers.get_mut(state.worker) {
+                    worker.watched = true;
+                }
             }
             actions.push(Action::Stop {
                 worker: victims.worker,
--- a/crates/place/src/owner/workers.rs
+++ b/crates/place/src/owner/workers.rs
@@ -71,6 +71,8 @@
             version: 0,
             reported: HashMap::new(),
             tasks: BTreeSet::new(),
+            unlisted: BTreeSet::new(),
+            watched: false,
             renewing: false,
             acks: Vec::new(),
             sent_acks: Vec::new(),
--- a/crates/place/tests/owner/bed.rs
+++ b/crates/place/tests/owner/bed.rs
@@ -47,6 +47,9 @@
     pub silent: bool,
     /// When the lease of each running task lapses.
     pub leases: BTreeMap<TaskRef, Millis>,
+    /// What its latest answer listed, and that answer's version.
+    told: BTreeMap<TaskRef, Reported>,
+    version: u64,
 }
 
 /// An owner with fake workers, and the answers and ends that its homes were told.
@@ -268,13 +271,29 @@
             fake.finished
                 .retain(|end| end.task != kept.task || end.attempt != kept.attempt);
         }
-        let report = Report {
-            version: 1,
-            full: true,
-            running: fake.running.values().cloned().collect(),
+        let full = plan.seen == 0 || plan.seen != fake.version;
+        if full {
+            fake.told.clear();
+        }
+        let told = std::mem::replace(&mut fake.told, fake.running.clone());
+        fake.version += 1;
+        let mut report = Report {
+            version: fake.version,
+            full,
+            running: Vec::new(),
             gone: Vec::new(),
             finished: fake.finished.clone(),
         };
+        for (task, running) in &fake.running {
+            if told.get(task) != Some(running) {
+                report.running.push(running.clone());
+            }
+        }
+        for task in told.keys() {
+            if !fake.running.contains_key(task) {
+                report.gone.push(*task);
+            }
+        }
         self.event(Event::Polled {
             worker: key,
             seq: plan.seq,
