Renew or start a reservation that is offered again

Cause: a repeated offer of reserved tasks was answered with their workers, but neither renewed nor started them: a home that offered them for a start would have counted them as running until the reservation lapsed.

Change: a repeated offer with a hold renews the reservation; one without starts the tasks.

Measured: 35 owner scenarios and the state machine pass.

Conclusion: an offer does what its latest form says.

--- a/crates/place/src/owner/offers.rs
+++ b/crates/place/src/owner/offers.rs
@@ -42,7 +42,11 @@
         now: Millis,
         actions: &mut Vec<Action>,
     ) {
-        let outcome = match self.known(&order) {
+        let known = self.known(&order);
+        if matches!(known, Known::Placed(_)) {
+            self.renew_holds(&order, now, actions);
+        }
+        let outcome = match known {
             Known::New => {
                 self.enqueue(offer, order, now);
                 return;
@@ -296,11 +300,36 @@
         actions.push(Action::Answer { offer, outcome });
     }
 
-    fn start_held(&mut self, task: TaskRef, actions: &mut Vec<Action>) -> Option<WorkerId> {
-        let state = self.tasks.get_mut(&task)?;
-        if let Phase::Held { until } = state.phase {
+    /// Does with reservations what a repeated offer asks for: keeps them longer, or starts them.
+    fn renew_holds(&mut self, order: &Order, now: Millis, actions: &mut Vec<Action>) {
+        for &index in &order.indexes {
+            let task = TaskRef {
+                job_id: order.job_id,
+                index,
+            };
+            if order.hold_ms == 0 {
+                self.start_held(task, actions);
+                continue;
+            }
+            let Some(state) = self.tasks.get_mut(&task) else {
+                continue;
+            };
+            let Phase::Held { until } = state.phase else {
+                continue;
+            };
+            let later = now.plus(order.hold_ms);
+            state.phase = Phase::Held { until: later };
             self.holds.remove(&(until, task));
+            self.holds.insert((later, task));
         }
+    }
+
+    fn start_held(&mut self, task: TaskRef, actions: &mut Vec<Action>) -> Option<WorkerId> {
+        let state = self.tasks.get_mut(&task)?;
+        let Phase::Held { until } = state.phase else {
+            return None;
+        };
+        self.holds.remove(&(until, task));
         state.phase = Phase::Starting;
         let info = self.ledger.worker(state.worker);
         let worker = info.map(|info| info.id.clone());
--- a/crates/place/tests/owner/queue.rs
+++ b/crates/place/tests/owner/queue.rs
@@ -145,6 +145,21 @@
     assert!(bed.placed(offer));
 }
 
+#[test]
+fn a_repeated_offer_keeps_a_reservation_or_starts_it() {
+    let mut bed = Bed::new(1, 1_000);
+    let work = spec("a", Class::Normal, 1_000);
+    bed.offer_as(1, &[0], &work, 0, 1, 1_000);
+    bed.pass(600);
+    bed.offer_as(1, &[0], &work, 0, 1, 1_000);
+    bed.pass(600);
+    let start = bed.offer_as(1, &[0], &work, 0, 1, 0);
+    assert!(bed.placed(start));
+    assert_eq!(bed.runs(task(1, 0)), 1);
+    bed.pass(5_000);
+    assert_eq!(bed.owner.ledger().grants().count(), 1);
+}
+
 #[test]
 fn small_tasks_do_not_starve_a_large_one() {
     let mut bed = Bed::new(1, 1_000);
