Start a committed task elsewhere where its worker does not start it

Cause: once a reservation was committed, a refused or undelivered start ended the attempt as unknown, so a non-idempotent task ended as unknown though it surely had not run.

Change: its grant moves to another worker, up to three workers; only then is the attempt reported.

--- a/crates/place/src/owner.rs
+++ b/crates/place/src/owner.rs
@@ -119,6 +119,8 @@
     spec: Option<Rc<JobSpec>>,
     unit: Option<UnitKey>,
     stopping: Option<(Stopping, Millis)>,
+    /// Workers that refused it after its reservation was committed.
+    refused_by: Vec<WorkerKey>,
 }
 
 /// An offer that is not yet answered.
--- a/crates/place/src/owner/adopt.rs
+++ b/crates/place/src/owner/adopt.rs
@@ -147,6 +147,7 @@
             spec: None,
             unit: None,
             stopping: None,
+            refused_by: Vec::new(),
         };
         self.tasks.insert(running.task, state);
     }
--- a/crates/place/src/owner/offers.rs
+++ b/crates/place/src/owner/offers.rs
@@ -20,7 +20,7 @@
 use crate::owner::UnitKey;
 
 /// Starts that workers may refuse before an offer is given up.
-const REFUSALS_LIMIT: usize = 3;
+pub(super) const REFUSALS_LIMIT: usize = 3;
 
 /// What is known already of an offer's tasks.
 enum Known {
--- a/crates/place/src/owner/pass.rs
+++ b/crates/place/src/owner/pass.rs
@@ -301,6 +301,7 @@
             spec: Some(Rc::clone(&unit.spec)),
             unit: (unit.hold_ms == 0).then_some(key),
             stopping: None,
+            refused_by: Vec::new(),
         };
         self.shares.hold(&state.team, &state.resources);
         if let Some(worker) = self.workers.get_mut(worker) {
--- a/crates/place/src/owner/starts.rs
+++ b/crates/place/src/owner/starts.rs
@@ -10,6 +10,8 @@
 use crate::StartAnswer;
 use crate::owner::Phase;
 use crate::owner::Stopping;
+use crate::owner::Task;
+use crate::owner::offers::REFUSALS_LIMIT;
 
 impl Owner {
     pub(super) fn start_answered(
@@ -79,6 +81,44 @@
         }
     }
 
+    /// Starts a task elsewhere whose reservation was committed and whose worker did not start it.
+    fn move_committed(&mut self, task: TaskRef, state: &Task, actions: &mut Vec<Action>) -> bool {
+        let mut moved = state.clone();
+        moved.refused_by.push(state.worker);
+        if moved.refused_by.len() >= REFUSALS_LIMIT {
+            return false;
+        }
+        let need = state.resources;
+        let tier = self.ledger.grant_of(task).map(|grant| grant.tier);
+        let tier = tier.unwrap_or_default();
+        let chosen = self
+            .ledger
+            .best_fit_avoiding(&need, tier, &moved.refused_by);
+        let Some(worker) = chosen else { return false };
+        self.ledger.release(task);
+        if self.ledger.grant_in(task, worker, need, tier).is_err() {
+            // Not met, as the worker was chosen for its room; the grant goes back to where it was.
+            let _ = self.ledger.adopt(task, state.worker, need, tier);
+            return false;
+        }
+        self.remove_spread(task.job_id, state.worker);
+        if let Some(worker) = self.workers.get_mut(state.worker) {
+            worker.tasks.remove(&task);
+            worker.unlisted.remove(&task);
+        }
+        if let Some(worker) = self.workers.get_mut(worker) {
+            worker.tasks.insert(task);
+            worker.unlisted.insert(task);
+        }
+        self.refresh_open(state.worker);
+        self.room_freed = true;
+        moved.worker = worker;
+        self.tasks.insert(task, moved);
+        self.refresh_open(worker);
+        actions.push(self.start_action(task));
+        true
+    }
+
     fn not_started(
         &mut self,
         task: TaskRef,
@@ -91,6 +131,9 @@
             self.note_failure(&state, now);
         }
         let Some(key) = state.unit else {
+            if state.stopping.is_none() && self.move_committed(task, &state, actions) {
+                return;
+            }
             // A committed reservation, or an offer that was given up: this attempt surely ended.
             if matches!(state.stopping, Some((Stopping::RolledBack, _))) {
                 self.drop_task(task);
--- a/crates/place/tests/owner/failures.rs
+++ b/crates/place/tests/owner/failures.rs
@@ -65,6 +65,33 @@
     assert_eq!(bed.answers[&offer], Ok(vec![WorkerId::new("w2")]));
 }
 
+#[test]
+fn a_committed_task_that_its_worker_refuses_starts_elsewhere() {
+    let mut bed = Bed::new(2, 1_000);
+    let work = JobSpec {
+        idempotent: false,
+        ..spec("a", Class::Normal, 800)
+    };
+    let offer = bed.offer_as(1, &[0], &work, 0, 1, 1_000);
+    let Ok(workers) = &bed.answers[&offer] else {
+        panic!("no room");
+    };
+    let reserved = workers[0].clone();
+    bed.workers.get_mut(&reserved).expect("worker").refuses = true;
+    assert!(bed.held(1, 1, true));
+    assert_eq!(bed.runs(task(1, 0)), 1);
+    assert!(bed.ends.is_empty());
+    for fake in bed.workers.values_mut() {
+        fake.refuses = true;
+    }
+    bed.finish(task(1, 0), &DONE);
+    bed.poll_all();
+    bed.offer_as(2, &[0], &work, 0, 1, 1_000);
+    assert!(bed.held(2, 1, true));
+    assert_eq!(bed.outcome(task(2, 0)), Some(TaskOutcome::Unknown));
+    assert_eq!(bed.owner.ledger().grants().count(), 0);
+}
+
 #[test]
 fn a_gang_that_one_worker_refuses_leaves_nothing_behind() {
     let mut bed = Bed::new(2, 1_000);
