--- a/crates/daemon/src/owner.rs
+++ b/crates/daemon/src/owner.rs
@@ -9,6 +9,7 @@
 use syc_config::Document;
 use syc_config::Layout;
 use syc_config::WorkerDoc;
+use syc_member::Key;
 use syc_obs::catalogue;
 use syc_obs::emit;
 use syc_place::Action;
@@ -30,6 +31,7 @@
 use syc_types::JobSpec;
 use syc_types::RackId;
 use syc_types::TaskRef;
+use syc_types::TeamId;
 use syc_types::WorkerId;
 use tokio::sync::Semaphore;
 use tokio::sync::oneshot;
@@ -63,6 +65,8 @@
     offers: Cell<u64>,
     stops: Semaphore,
     stopped: Cell<bool>,
+    /// Epoch of the home that asked last, by team.
+    homes: RefCell<HashMap<TeamId, u64>>,
 }
 
 impl Owner {
@@ -78,9 +82,19 @@
             offers: Cell::new(0),
             stops: Semaphore::new(STOPS_AT_ONCE),
             stopped: Cell::new(false),
+            homes: RefCell::default(),
         }
     }
 
+    /// Notes that a team's home asks in an epoch; returns whether it is the first time.
+    pub fn hears_from_home(&self, team: &TeamId, epoch: u64) -> bool {
+        let mut homes = self.homes.borrow_mut();
+        let last = homes.entry(team.clone()).or_default();
+        let first = epoch > *last;
+        *last = epoch.max(*last);
+        first
+    }
+
     /// Says whether the daemon has stopped and its owner commands nothing any more.
     pub const fn is_stopped(&self) -> bool {
         self.stopped.get()
@@ -100,7 +114,8 @@
 pub async fn run(node: Rc<Node>) {
     loop {
         actix_rt::time::sleep(TICK).await;
-        handle(&node, Event::Ticked);
+        let acting = members::may_act(&node);
+        handle(&node, Event::Ticked { acting });
     }
 }
 
@@ -197,7 +212,7 @@
             urgent: spec.class == Class::Urgent,
         },
     };
-    if !members::may_act(node) {
+    if !members::may_act_for(node, Key::Rack(&info.rack)) {
         return StartAnswer::NotSent;
     }
     let started = node.platform.start(&info.id, &info.address, &start).await;
@@ -229,7 +244,7 @@
             TaskAction::Stop
         },
     };
-    if !members::may_act(&node) {
+    if !members::may_act_for(&node, Key::Rack(&info.rack)) {
         return;
     }
     let ended = node.platform.command(&info.id, &info.address, &command);
--- a/crates/daemon/src/owner_calls.rs
+++ b/crates/daemon/src/owner_calls.rs
@@ -1,9 +1,11 @@
 //! What homes ask of the owner, from this daemon or from another.
 
+use std::collections::HashSet;
 use std::rc::Rc;
 
 use smol_str::SmolStr;
 use smol_str::ToSmolStr;
+use syc_member::Key;
 use syc_place::Event;
 use syc_place::Order;
 use syc_place::Refusal;
@@ -28,8 +30,10 @@
 /// Tasks whose cancellation is decided before others get a turn.
 const STOPS_IN_A_TURN: usize = 256;
 
+/// Places the tasks of an order; returns the worker of each, or the reason why none was started,
+/// `in_doubt` where some may have been started all the same.
 async fn place(node: &Rc<Node>, order: Order) -> Result<Vec<WorkerId>, SmolStr> {
-    if !members::may_act(node) {
+    if !may_place(node) {
         return Err(SmolStr::new("not_acting"));
     }
     let (offer, answered) = node.owner.expect_answer();
@@ -38,6 +42,20 @@
     outcome.map_err(|refusal| refusal.to_smolstr())
 }
 
+/// Says whether this daemon may act for the workers of some rack now.
+fn may_place(node: &Rc<Node>) -> bool {
+    if members::may_act(node) {
+        return true;
+    }
+    // Racks are told apart outside of the borrow: a clock that jumped changes the owner's state.
+    let mut racks = HashSet::new();
+    for (_, info) in node.owner.state.borrow().ledger().workers() {
+        racks.insert(info.rack.clone());
+    }
+    let mut racks = racks.iter();
+    racks.any(|rack| members::may_act_for(node, Key::Rack(rack)))
+}
+
 /// Answers an offer of a home.
 ///
 /// # Errors
@@ -116,12 +134,14 @@
     Ok(Ack::new(true))
 }
 
-/// Tells a new home what it may find running; what the former home queued or reserved is dropped.
+/// Tells a home what it may find running; what a home of an earlier epoch queued or reserved is
+/// dropped.
 #[must_use]
-pub fn what_runs(node: &Rc<Node>, call: &WhatRuns) -> RunningTasks {
+pub fn what_runs(node: &Rc<Node>, epoch: u64, call: &WhatRuns) -> RunningTasks {
     let team = TeamId::new(call.team.as_str());
-    let event = Event::HomeChanged { team: team.clone() };
-    handle(node, event);
+    if node.owner.hears_from_home(&team, epoch) {
+        handle(node, Event::HomeChanged { team: team.clone() });
+    }
     let state = node.owner.state.borrow();
     let mut tasks = Vec::new();
     for known in state.known_tasks(&team) {
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -13,13 +13,13 @@
 use syc_wire::Body;
 use syc_wire::DecodeError;
 use syc_wire::Message;
+use syc_wire::OfferReply;
 use syc_wire::job::job_id;
 
 use crate::follower_peers;
 use crate::home;
 use crate::home_cancel;
 use crate::home_ends;
-use crate::home_place;
 use crate::members_run;
 use crate::node::Node;
 use crate::owner;
@@ -108,8 +108,10 @@
         Body::Offer(offer) => {
             if epoch != node.view.borrow().epoch.0 {
                 // A former home, or one whose view is ahead; it asks again when both agree.
-                let other = Err("other_epoch".into());
-                return Ok(Body::OfferReply(home_place::offer_reply(other)));
+                return Ok(Body::OfferReply(OfferReply {
+                    workers: Vec::new(),
+                    reason: "other_epoch".to_owned(),
+                }));
             }
             Body::OfferReply(owner::offered(node, offer).await?)
         }
@@ -133,8 +135,8 @@
         Body::StateQuery(query) => Body::StatePart(follower_peers::answer(node, &query)),
         Body::HeldTasks(call) => Body::Ack(owner::held(node, &call).await?),
         Body::StopTasks(call) => Body::Ack(owner::stop(node, &call).await?),
-        Body::WhatRuns(call) => Body::RunningTasks(owner::what_runs(node, &call)),
         Body::WhatOfRequest(asked) => Body::RequestRecord(requests::tell(node, asked).await?),
+        Body::WhatRuns(call) => Body::RunningTasks(owner::what_runs(node, epoch, &call)),
         Body::Heartbeat(_)
         | Body::HeartbeatAck(_)
         | Body::ViewState(_)
--- a/crates/place/src/owner.rs
+++ b/crates/place/src/owner.rs
@@ -119,6 +119,8 @@
     spec: Option<Rc<JobSpec>>,
     unit: Option<UnitKey>,
     stopping: Option<(Stopping, Millis)>,
+    /// Workers that refused it after its reservation was committed.
+    refused_by: Vec<WorkerKey>,
 }
 
 /// An offer that is not yet answered.
@@ -161,6 +163,10 @@
     version: u64,
     reported: HashMap<TaskRef, Reported>,
     tasks: BTreeSet<TaskRef>,
+    /// Those of the tasks that no report has listed yet.
+    unlisted: BTreeSet<TaskRef>,
+    /// Whether some listed task runs beside the books, or is being ended.
+    watched: bool,
     renewing: bool,
     acks: Vec<KeptEnd>,
     sent_acks: Vec<KeptEnd>,
@@ -288,7 +294,7 @@
                 self.shares.set_weights(&teams);
                 self.set_weights(waiting_weight, packing_weight);
             }
-            Event::Ticked => self.tick(now, actions),
+            Event::Ticked { acting } => self.tick(acting, now, actions),
         }
         self.place_waiting(now, actions);
         self.expire_units(now, actions);
--- a/crates/place/src/owner/pass.rs
+++ b/crates/place/src/owner/pass.rs
@@ -301,10 +301,12 @@
             spec: Some(Rc::clone(&unit.spec)),
             unit: (unit.hold_ms == 0).then_some(key),
             stopping: None,
+            refused_by: Vec::new(),
         };
         self.shares.hold(&state.team, &state.resources);
         if let Some(worker) = self.workers.get_mut(worker) {
             worker.tasks.insert(task);
+            worker.unlisted.insert(task);
         }
         self.ended.remove(&task);
         self.tasks.insert(task, state);
