Run requests at most once across changes of the view

A home forgot its ids with any change of the view, so that a new home ran again what the former had run. Ids now carry their creation time (UUID version 7). A home that is newer than an id asks the former homes, which from then on never run it; where one can't say, the outcome is unknown. 'Not run' is said of a non-idempotent request only by a home that knows, or where the id was made here. Memory is bounded by ids and bytes.

The daemon carries out queue, budget and home; connections end when their last response is written, so that a planned stop no longer sleeps for it; oversized, slow and malformed requests and too many connections get an answer with a stable code; the VM list is read for leaving endpoints.

--- a/crates/daemon/src/callers.rs
+++ b/crates/daemon/src/callers.rs
@@ -1,44 +1,54 @@
 //! The callers' address: requests to services, jobs and the balancer's questions.
 
+mod request;
+
 use std::rc::Rc;
 
-use actix_http::HttpMessage;
+use actix_http::ConnectionType;
 use actix_http::Method;
 use actix_http::Request;
 use actix_http::Response;
 use actix_http::StatusCode;
 use actix_http::body::BoxBody;
+use actix_http::header::HeaderName;
+use actix_http::header::HeaderValue;
 use syc_api::ErrorBody;
 use syc_api::Outcome;
 use syc_api::SubmitAnswer;
 use syc_api::SubmitBody;
-use syc_types::CallerId;
-use syc_types::Class;
+use syc_net::is_surplus;
+use syc_platform::types::REQUEST_ID_HEADER;
 use syc_types::JobId;
-use syc_types::RequestId;
-use syc_types::ServiceName;
 use uuid::Uuid;
 
 use crate::home;
 use crate::home_cancel;
-use crate::http_body::BodyError;
 use crate::http_body::json;
 use crate::http_body::json_text;
-use crate::http_body::read_body;
 use crate::http_body::read_json;
 use crate::http_body::refusal;
 use crate::members;
 use crate::node::Node;
 use crate::requests;
-use crate::requests::CallerRequest;
 use crate::requests::InProgress;
 
+/// Header that tells the three outcomes apart, whatever the status.
+const OUTCOME_HEADER: &str = "x-outcome";
+
+const ANSWERED: &str = "answered";
+const NOT_RUN: &str = "not_run";
+const UNKNOWN: &str = "unknown";
+
 /// Answers one request of a caller.
 pub async fn answer(node: Rc<Node>, mut request: Request) -> Response<BoxBody> {
+    if is_surplus(&request) {
+        let (status, error) = request::surplus(&request);
+        return closing(refused(status, &error));
+    }
     let _counted = InProgress::new(&node);
     let path = request.path().to_owned();
     let method = request.method().clone();
-    let mut response = if let Some(rest) = path.strip_prefix("/svc/") {
+    let response = if let Some(rest) = path.strip_prefix("/svc/") {
         serve(&node, &mut request, rest).await
     } else {
         match (method, path.as_str()) {
@@ -57,19 +67,25 @@
         }
     };
     if node.draining.get() {
-        let head = response.head_mut();
-        head.set_connection_type(actix_http::ConnectionType::Close);
+        return closing(response);
     }
     response
 }
 
+fn closing(mut response: Response<BoxBody>) -> Response<BoxBody> {
+    let head = response.head_mut();
+    head.set_connection_type(ConnectionType::Close);
+    response
+}
+
 fn not_found() -> Response<BoxBody> {
     let body = ErrorBody::not_run("not_found", "there is nothing at this path", None);
     refusal(StatusCode::NOT_FOUND, &body)
 }
 
 fn ready(node: &Rc<Node>) -> Response<BoxBody> {
-    let status = if members::ready(node) {
+    let ready = members::ready(node) && requests::ready(node);
+    let status = if ready {
         StatusCode::OK
     } else {
         StatusCode::SERVICE_UNAVAILABLE
@@ -78,83 +94,52 @@
 }
 
 async fn serve(node: &Rc<Node>, request: &mut Request, rest: &str) -> Response<BoxBody> {
-    match read_request(node, request, rest).await {
-        Ok(parsed) => match requests::serve(node, parsed).await {
-            Ok(answer) => {
-                let status = StatusCode::from_u16(answer.status);
-                let status = status.unwrap_or(StatusCode::BAD_GATEWAY);
-                Response::with_body(status, BoxBody::new(answer.body))
-            }
-            Err(error) => {
-                let status = match error.outcome {
-                    Outcome::NotRun => StatusCode::SERVICE_UNAVAILABLE,
-                    Outcome::Unknown => StatusCode::GATEWAY_TIMEOUT,
-                };
-                refusal(status, &error)
-            }
-        },
-        Err((status, error)) => refusal(status, &error),
+    let (parsed, _held) = match request::read(node, request, rest).await {
+        Ok(parsed) => parsed,
+        Err((status, error)) => return refused(status, &error),
+    };
+    let id = parsed.id;
+    let mut response = match requests::serve(node, parsed).await {
+        Ok(answer) => {
+            let status = StatusCode::from_u16(answer.status);
+            let status = status.unwrap_or(StatusCode::BAD_GATEWAY);
+            let mut response = Response::with_body(status, BoxBody::new(answer.body));
+            set_outcome(&mut response, ANSWERED);
+            response
+        }
+        Err(error) => refused(status_of(&error), &error),
+    };
+    if let Ok(id) = HeaderValue::from_str(&id.to_string()) {
+        let name = HeaderName::from_static(REQUEST_ID_HEADER);
+        response.headers_mut().insert(name, id);
     }
+    response
 }
 
-type Refusal = (StatusCode, ErrorBody);
-
-async fn read_request(
-    node: &Rc<Node>,
-    request: &mut Request,
-    rest: &str,
-) -> Result<CallerRequest, Refusal> {
-    let (service, path) = rest.split_once('/').unwrap_or((rest, ""));
-    let header = |name: &str| {
-        let value = request.headers().get(name)?;
-        value.to_str().ok().map(str::to_owned)
-    };
-    let bad = |code: &str, message: &str| {
-        let body = ErrorBody::not_run(code, message, None);
-        (StatusCode::BAD_REQUEST, body)
+fn refused(status: StatusCode, error: &ErrorBody) -> Response<BoxBody> {
+    let mut response = refusal(status, error);
+    let outcome = match error.outcome {
+        Outcome::NotRun => NOT_RUN,
+        Outcome::Unknown => UNKNOWN,
     };
-    let id = match header("x-request-id") {
-        None => Uuid::now_v7(),
-        Some(text) => Uuid::parse_str(&text)
-            .map_err(|source| bad("request_id_malformed", &source.to_string()))?,
-    };
-    let class = match header("x-class").as_deref() {
-        Some("urgent") => Class::Urgent,
-        Some("patient") => Class::Patient,
-        None | Some("normal") => Class::Normal,
-        Some(_) => return Err(bad("class_unknown", "use urgent, normal or patient")),
-    };
-    let idempotent = match header("x-idempotent").as_deref() {
-        None | Some("true") => true,
-        Some("false") => false,
-        Some(_) => return Err(bad("idempotent_malformed", "use true or false")),
-    };
-    let timeout_ms = match header("x-timeout-ms") {
-        None => node.settings.timing.request_timeout_ms,
-        Some(text) => text
-            .parse()
-            .map_err(|_source| bad("timeout_malformed", "use whole milliseconds"))?,
-    };
-    let caller = header("x-caller").unwrap_or_default();
-    let deadline = node.now().plus(timeout_ms);
-    let body = read_body(request, node.settings.limits.body_bytes).await;
-    let body = body.map_err(|error| match error {
-        BodyError::TooLarge => {
-            let body = ErrorBody::not_run("body_too_large", "the body is too large", None);
-            (StatusCode::PAYLOAD_TOO_LARGE, body)
-        }
-        BodyError::Cut => bad("body_cut", "the body was cut"),
-    })?;
-    Ok(CallerRequest {
-        id: RequestId(id),
-        service: ServiceName::new(service),
-        path: path.to_owned(),
-        caller: CallerId::new(caller),
-        class,
-        idempotent,
-        deadline,
-        body,
-    })
+    set_outcome(&mut response, outcome);
+    response
+}
+
+fn set_outcome(response: &mut Response<BoxBody>, outcome: &'static str) {
+    let name = HeaderName::from_static(OUTCOME_HEADER);
+    let value = HeaderValue::from_static(outcome);
+    response.headers_mut().insert(name, value);
+}
+
+fn status_of(error: &ErrorBody) -> StatusCode {
+    match (error.outcome, error.code.as_str()) {
+        (Outcome::NotRun, "caller_limit" | "team_limit") => StatusCode::TOO_MANY_REQUESTS,
+        (Outcome::NotRun, "request_id_malformed" | "request_id_early") => StatusCode::BAD_REQUEST,
+        (Outcome::NotRun, "no_service") => StatusCode::NOT_FOUND,
+        (Outcome::NotRun, _) => StatusCode::SERVICE_UNAVAILABLE,
+        (Outcome::Unknown, _) => StatusCode::GATEWAY_TIMEOUT,
+    }
 }
 
 async fn submit(node: &Rc<Node>, request: &mut Request) -> Response<BoxBody> {
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -29,6 +29,7 @@
 use crate::node::NodeParts;
 use crate::owner;
 use crate::peers;
+use crate::requests;
 
 /// How often a planned stop looks whether requests are still in progress.
 const DRAIN_CHECK: Duration = Duration::from_millis(20);
@@ -139,6 +140,7 @@
             actix_rt::spawn(members_run::run(Rc::clone(&node))),
             actix_rt::spawn(members_run::watch_vms(Rc::clone(&node))),
             actix_rt::spawn(owner::run(Rc::clone(&node))),
+            actix_rt::spawn(requests::run(Rc::clone(&node))),
         ];
         let listen = &node.settings.listen;
         emit(
@@ -174,7 +176,7 @@
         self.node.draining.set(true);
         actix_rt::time::sleep(Duration::from_millis(timing.drain_notice_ms)).await;
         members::leave(&self.node).await;
-        self.callers.stop_accepting();
+        self.callers.finish();
         let limit = Duration::from_millis(timing.drain_limit_ms);
         if tokio::time::timeout(limit, self.drained()).await.is_err() {
             let left = self.node.requests.in_progress.get();
@@ -188,11 +190,10 @@
     }
 
     async fn drained(&self) {
-        while self.node.requests.in_progress.get() > 0 {
+        // A connection closes when the response to its last request is written whole.
+        while self.node.requests.in_progress.get() + self.callers.open_connections() > 0 {
             actix_rt::time::sleep(DRAIN_CHECK).await;
         }
-        // The last answers leave the sockets.
-        actix_rt::time::sleep(DRAIN_CHECK).await;
     }
 }
 
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -32,7 +32,6 @@
 mod peers;
 mod publish;
 mod requests;
-mod requests_services;
 
 pub use daemon::Daemon;
 pub use daemon::Listeners;
--- a/crates/daemon/src/members_run.rs
+++ b/crates/daemon/src/members_run.rs
@@ -27,6 +27,7 @@
 use crate::members;
 use crate::node::Node;
 use crate::owner;
+use crate::requests;
 
 /// Of the heartbeat interval, the time between two looks at what is due.
 const TICKS: u64 = 10;
@@ -161,6 +162,7 @@
 }
 
 fn notify(node: &Rc<Node>) {
+    requests::view_changed(node);
     owner::view_changed(node);
     home::view_changed(node);
 }
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -2,7 +2,6 @@
 
 use std::cell::Cell;
 use std::cell::RefCell;
-use std::collections::HashMap;
 use std::collections::VecDeque;
 use std::rc::Rc;
 use std::time::Instant;
@@ -20,10 +19,8 @@
 use syc_coord::snapshot::SnapshotProgress;
 use syc_member::View;
 use syc_platform::http::HttpPlatform;
-use syc_route::Endpoints;
 use syc_types::MemberId;
 use syc_types::Millis;
-use syc_types::ServiceName;
 use syc_types::Zone;
 use tokio::sync::Notify;
 
@@ -110,7 +107,7 @@
     /// Puts a node together.
     pub fn new(parts: NodeParts) -> Rc<Self> {
         let zone = Zone::new(parts.settings.zone.clone());
-        let once_window_ms = parts.settings.timing.once_window_ms;
+        let requests = Requests::new(&parts.settings, parts.id.clone());
         Rc::new(Self {
             id: parts.id,
             zone,
@@ -134,7 +131,7 @@
             home: RefCell::new(Home::new(HomeOptions::default())),
             jobs_wake: Notify::new(),
             owner: Owner::new(parts.settings.timing.lease_ms),
-            requests: Requests::new(once_window_ms),
+            requests,
             draining: Cell::new(false),
             operators: Operators::default(),
             started: Instant::now(),
@@ -162,7 +159,7 @@
             return;
         }
         let inventory = &self.effective_inventory();
-        crate::requests_services::apply_inventory(self, inventory);
+        crate::requests::apply_inventory(self, inventory);
         crate::owner::apply_workers(self, &inventory.workers);
         self.jobs_wake.notify_one();
     }
@@ -173,6 +170,3 @@
         effective_inventory(config.documents().map(|(_, in_force)| &in_force.document))
     }
 }
-
-/// The endpoints of each service.
-pub type Services = HashMap<ServiceName, Endpoints>;
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -130,6 +130,7 @@
         Body::HeldTasks(call) => Body::Ack(owner::held(node, &call).await?),
         Body::StopTasks(call) => Body::Ack(owner::stop(node, &call).await?),
         Body::WhatRuns(call) => Body::RunningTasks(owner::what_runs(node, &call)),
+        Body::WhatOfRequest(asked) => Body::RequestRecord(requests::tell(node, asked).await?),
         Body::Heartbeat(_)
         | Body::HeartbeatAck(_)
         | Body::ViewState(_)
@@ -139,6 +140,7 @@
         | Body::JobState(_)
         | Body::StatePart(_)
         | Body::RunningTasks(_)
+        | Body::RequestRecord(_)
         | Body::RunReply(_) => Body::Ack(Ack::new(false)),
     };
     Ok(reply)
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -2,11 +2,14 @@
 //!
 //! This layer moves bytes. It knows neither the messages inside the frames nor the requests.
 
+mod connection;
 pub mod http;
 pub mod peer;
 
 pub use http::HttpListener;
 pub use http::HttpOptions;
+pub use http::Surplus;
+pub use http::is_surplus;
 pub use peer::CallError;
 pub use peer::PeerClient;
 pub use peer::PeerOptions;
--- a/crates/obs/src/events.rs
+++ b/crates/obs/src/events.rs
@@ -111,4 +111,6 @@
     NOT_ACTING = 504, Warn, "not acting as owner and home";
     /// The wall clock and the monotonic clock went apart.
     CLOCK_JUMPED = 505, Warn, "clock jumped, leases dropped";
+    /// The homes of requests follow a new view.
+    REQUEST_HOMES = 600, Info, "request homes follow a new view";
 }
--- a/crates/route/src/endpoints.rs
+++ b/crates/route/src/endpoints.rs
@@ -29,6 +29,8 @@
 /// Slots that the learned limit grows by with each answer while it is exhausted.
 const LEARNED_GROWTH: f32 = 0.1;
 
+const MICROS_PER_MILLI: f32 = 1_000.0;
+
 new_key_type! {
     /// Refers to an endpoint in one [`Endpoints`].
     pub struct EndpointKey;
@@ -70,6 +72,7 @@
     by_id: HashMap<EndpointId, EndpointKey>,
     free: FreeLists,
     returns: BinaryHeap<Reverse<(Millis, EndpointKey)>>,
+    latency_us: f32,
 }
 
 impl<P> Endpoints<P>
@@ -88,6 +91,7 @@
             by_id: HashMap::new(),
             free: FreeLists::default(),
             returns: BinaryHeap::new(),
+            latency_us: 0.0,
         }
     }
 
@@ -247,6 +251,26 @@
         }
     }
 
+    /// Gives a slot back that was not used; nothing is learned from it.
+    pub fn give_back(&mut self, key: EndpointKey) {
+        if let Some(entry) = self.entries.get_mut(key) {
+            entry.in_flight = entry.in_flight.saturating_sub(1);
+            self.settle(key);
+        }
+    }
+
+    /// Returns the mean time of an answer of any endpoint, in milliseconds.
+    #[must_use]
+    pub fn typical_latency_ms(&self) -> u64 {
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "a latency is positive, and the conversion saturates"
+        )]
+        let latency_ms = (self.latency_us / MICROS_PER_MILLI) as u64;
+        latency_ms
+    }
+
     /// Gives a slot back and learns from how the request ended.
     pub fn finish(&mut self, key: EndpointKey, finish: Finish, now: Millis) {
         let Some(entry) = self.entries.get_mut(key) else {
@@ -256,6 +280,7 @@
         let failed = match finish {
             Finish::Answered { latency_us } => {
                 entry.answered(latency_us);
+                average(&mut self.latency_us, latency_us);
                 false
             }
             Finish::Busy => {
@@ -355,13 +380,7 @@
     }
 
     fn answered(&mut self, latency_us: u64) {
-        #[expect(clippy::cast_precision_loss, reason = "a moving average needs no more")]
-        let latest = latency_us as f32;
-        if self.latency_us == 0.0 {
-            self.latency_us = latest;
-        } else {
-            self.latency_us += (latest - self.latency_us) * LATENCY_WEIGHT;
-        }
+        average(&mut self.latency_us, latency_us);
         self.health.answered(self.info.slots);
         #[expect(clippy::cast_precision_loss, reason = "slots are few")]
         let (slots, used) = (self.info.slots as f32, (self.in_flight + 1) as f32);
@@ -383,7 +402,7 @@
             clippy::cast_sign_loss,
             reason = "a latency is positive and far below the limit"
         )]
-        let half_ms = (self.latency_us / 2_000.0) as u64;
+        let half_ms = (self.latency_us / MICROS_PER_MILLI / 2.0) as u64;
         let (shortest_ms, longest_ms) = options.rest_ms;
         let until = now.plus(half_ms.clamp(shortest_ms, longest_ms));
         self.resting_until = Some(until);
@@ -403,3 +422,13 @@
         }
     }
 }
+
+fn average(mean_us: &mut f32, latest_us: u64) {
+    #[expect(clippy::cast_precision_loss, reason = "a moving average needs no more")]
+    let latest = latest_us as f32;
+    if *mean_us == 0.0 {
+        *mean_us = latest;
+    } else {
+        *mean_us += (latest - *mean_us) * LATENCY_WEIGHT;
+    }
+}
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -19,8 +19,10 @@
 use crate::member::HeartbeatAck;
 use crate::member::ViewQuery;
 use crate::member::ViewState;
+use crate::request::RequestRecord;
 use crate::request::RunReply;
 use crate::request::RunRequest;
+use crate::request::WhatOfRequest;
 use crate::state::CancelJob;
 use crate::state::StatePart;
 use crate::state::StateQuery;
@@ -34,7 +36,7 @@
     /// What is asked or answered.
     #[prost(
         oneof = "Body",
-        tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 20, 21, 22, 23, 30, 31, 32, 33, 50, 51, 52"
+        tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 20, 21, 22, 23, 30, 31, 32, 33, 40, 41, 50, 51, 52"
     )]
     pub body: Option<Body>,
 }
@@ -105,6 +107,12 @@
     /// Cancel a job (to its home).
     #[prost(message, tag = "52")]
     CancelJob(CancelJob),
+    /// Ask a former home about a request (home to former home).
+    #[prost(message, tag = "40")]
+    WhatOfRequest(WhatOfRequest),
+    /// Answer to [`Body::WhatOfRequest`].
+    #[prost(message, tag = "41")]
+    RequestRecord(RequestRecord),
 }
 
 /// An empty acknowledgement.
