Take a connection that ended before its response as in doubt

The HTTP client reports a connection that the other side closed before any byte of a response as a failure to connect. The adapters read that as 'not sent', so a request that an endpoint had run, an append that the log had taken, or a task that a worker had started counted as never sent, and was sent again.

--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -7,6 +7,7 @@
 
 use awc::Client;
 use awc::Connector;
+use awc::error::ConnectError;
 use awc::error::SendRequestError;
 use awc::http::StatusCode;
 use bytes::Bytes;
@@ -194,6 +195,10 @@
 impl From<SendRequestError> for Failure {
     fn from(error: SendRequestError) -> Self {
         match error {
+            // The client reports a connection that ended before its response in this way too.
+            SendRequestError::Connect(source @ ConnectError::Disconnected) => {
+                Self::InDoubt(source.to_string())
+            }
             SendRequestError::Connect(source) => Self::NotSent(source.to_string()),
             SendRequestError::Url(source) => Self::NotSent(source.to_string()),
             other => Self::InDoubt(other.to_string()),
