Test requests against failing, leaving and slow endpoints and bad input

The endpoint stand-in can now fail, hang, break off and lose its answers. The tests cover the three outcomes, repeats, late answers, overload, every sign of leaving, a planned stop with an idle connection, and bad input.

--- a/crates/daemon/tests/daemon/main.rs
+++ b/crates/daemon/tests/daemon/main.rs
@@ -7,3 +7,5 @@
 mod owner;
 mod path;
 mod publish;
+mod requests;
+mod requests_input;
--- a/crates/standin/src/endpoint.rs
+++ b/crates/standin/src/endpoint.rs
@@ -10,8 +10,10 @@
 use actix_http::Response;
 use actix_http::StatusCode;
 use actix_http::body::BoxBody;
+use actix_http::body::SizedStream;
 use actix_http::header::HeaderName;
 use actix_http::header::HeaderValue;
+use bytes::Bytes;
 use syc_net::HttpListener;
 use syc_platform::types::NOT_RUN_DRAINING;
 use syc_platform::types::NOT_RUN_HEADER;
@@ -42,6 +44,22 @@
     }
 }
 
+/// What an endpoint does wrong.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum EndpointFault {
+    /// Nothing.
+    #[default]
+    None,
+    /// It answers that it failed, without working.
+    Fail,
+    /// It works, and never answers.
+    Hang,
+    /// It works, and its answer breaks off in the middle.
+    Cut,
+    /// It works, and closes the connection instead of answering.
+    Lose,
+}
+
 /// What an endpoint saw.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct EndpointCounts {
@@ -59,6 +77,7 @@
 struct State {
     counts: EndpointCounts,
     draining: bool,
+    fault: EndpointFault,
 }
 
 /// An endpoint on a loopback port.
@@ -105,6 +124,11 @@
         lock(&self.state).draining = draining;
     }
 
+    /// Makes it do something wrong from now on.
+    pub fn set_fault(&self, fault: EndpointFault) {
+        lock(&self.state).fault = fault;
+    }
+
     /// Returns what it saw.
     #[must_use]
     pub fn counts(&self) -> EndpointCounts {
@@ -133,17 +157,43 @@
         );
         return response;
     }
+    let fault = lock(&state).fault;
+    if fault == EndpointFault::Fail {
+        lock(&state).counts.in_progress -= 1;
+        return reply::empty(StatusCode::INTERNAL_SERVER_ERROR);
+    }
     executions.begin(id.clone());
     let listed = options.work_ms_by_path.get(&path).copied();
     let work_ms = listed.unwrap_or(options.work_ms);
     actix_rt::time::sleep(Duration::from_millis(work_ms)).await;
     executions.end(&id);
-    let mut state = lock(&state);
-    state.counts.in_progress -= 1;
-    state.counts.answered += 1;
+    if fault == EndpointFault::Hang {
+        return std::future::pending().await;
+    }
+    count_answer(&state);
     let mut whole = format!("{id}:").into_bytes();
     whole.extend_from_slice(&body);
-    Response::with_body(StatusCode::OK, BoxBody::new(whole))
+    match fault {
+        EndpointFault::Cut => broken(&whole, whole.len() / 2),
+        EndpointFault::Lose => broken(&whole, 0),
+        _ => Response::with_body(StatusCode::OK, BoxBody::new(whole)),
+    }
+}
+
+fn count_answer(state: &Arc<Mutex<State>>) {
+    let mut state = lock(state);
+    state.counts.in_progress -= 1;
+    state.counts.answered += 1;
+}
+
+/// An answer that breaks off after `sent` bytes.
+fn broken(whole: &[u8], sent: usize) -> Response<BoxBody> {
+    let part = Ok(Bytes::copy_from_slice(&whole[..sent]));
+    let end = Err(std::io::Error::from(std::io::ErrorKind::ConnectionReset));
+    let parts = futures_util::stream::iter([part, end]);
+    let length_bytes = u64::try_from(whole.len()).unwrap_or(u64::MAX);
+    let body = SizedStream::new(length_bytes, parts);
+    Response::with_body(StatusCode::OK, BoxBody::new(body))
 }
 
 fn refusal(state: &Arc<Mutex<State>>, slots: u32) -> Option<&'static str> {
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -17,6 +17,7 @@
 pub use cell::CellOptions;
 pub use cell::introduce;
 pub use endpoint::EndpointCounts;
+pub use endpoint::EndpointFault;
 pub use endpoint::EndpointOptions;
 pub use endpoint::EndpointStandIn;
 pub use executions::ExecutionCounts;
