--- a/crates/route/src/retry.rs
+++ b/crates/route/src/retry.rs
@@ -11,8 +11,10 @@
     pub share: f32,
     /// Most retries that can be saved up.
     pub saved: f32,
-    /// Most endpoints that one request is sent to.
+    /// Most sendings of a request of which one brought no answer.
     pub sendings: u32,
+    /// Most sendings of a request that the last endpoint surely did not act on.
+    pub refusals: u32,
 }
 
 impl Default for RetryOptions {
@@ -21,6 +23,7 @@
             share: 0.1,
             saved: 10.0,
             sendings: 4,
+            refusals: 8,
         }
     }
 }
@@ -86,7 +89,12 @@
         } else {
             Next::Unknown
         };
-        if sending.sendings >= self.options.sendings || now >= sending.deadline {
+        let limit = if surely_not_run {
+            self.options.refusals
+        } else {
+            self.options.sendings
+        };
+        if sending.sendings >= limit || now >= sending.deadline {
             return given_up;
         }
         if !surely_not_run && !sending.idempotent {
--- a/crates/route/tests/retry.rs
+++ b/crates/route/tests/retry.rs
@@ -36,13 +36,15 @@
     next(sending, false)
 }
 
-#[test_case(Finish::Busy, false => Next::NotRun; "refused by all")]
-#[test_case(Finish::Busy, true => Next::Unknown; "refused after a lost answer")]
-#[test_case(Finish::Lost, false => Next::Unknown; "lost")]
-fn after_the_last_sending(finish: Finish, doubted: bool) -> Next {
+#[test_case(Finish::Busy, 7, false => Next::Wait; "not yet refused by all")]
+#[test_case(Finish::Busy, 8, false => Next::NotRun; "refused by all")]
+#[test_case(Finish::Busy, 8, true => Next::Unknown; "refused after a lost answer")]
+#[test_case(Finish::Lost, 3, false => Next::Elsewhere; "not yet lost")]
+#[test_case(Finish::Lost, 4, false => Next::Unknown; "lost")]
+fn after_the_last_sending(finish: Finish, sendings: u32, doubted: bool) -> Next {
     let sending = Sending {
         finish,
-        sendings: 4,
+        sendings,
         ..FIRST
     };
     next(sending, doubted)
