Measure what one daemon adds to a request

The endpoint stand-in slept for a timer tick even where it had no work, which hid the daemon's part behind 1 ms.

--- a/crates/standin/src/endpoint.rs
+++ b/crates/standin/src/endpoint.rs
@@ -165,7 +165,9 @@
     executions.begin(id.clone());
     let listed = options.work_ms_by_path.get(&path).copied();
     let work_ms = listed.unwrap_or(options.work_ms);
-    actix_rt::time::sleep(Duration::from_millis(work_ms)).await;
+    if work_ms > 0 {
+        actix_rt::time::sleep(Duration::from_millis(work_ms)).await;
+    }
     executions.end(&id);
     if fault == EndpointFault::Hang {
         return std::future::pending().await;
