--- a/crates/daemon/tests/daemon/main.rs
+++ b/crates/daemon/tests/daemon/main.rs
@@ -8,4 +8,5 @@
 mod path;
 mod publish;
 mod requests;
+mod requests_homes;
 mod requests_input;
--- a/crates/daemon/tests/daemon/requests.rs
+++ b/crates/daemon/tests/daemon/requests.rs
@@ -33,11 +33,11 @@
     }
 }
 
-struct Ask {
-    daemon: usize,
-    id: Uuid,
-    idempotent: bool,
-    timeout_ms: u64,
+pub struct Ask {
+    pub daemon: usize,
+    pub id: Uuid,
+    pub idempotent: bool,
+    pub timeout_ms: u64,
 }
 
 impl Default for Ask {
@@ -51,7 +51,7 @@
     }
 }
 
-async fn ask(bed: &Bed, ask: Ask) -> Answer {
+pub async fn ask(bed: &Bed, ask: Ask) -> Answer {
     let url = bed.callers_url(ask.daemon, "/svc/intake/check");
     let request = bed.client.post(url);
     let request = request
