--- a/crates/route/tests/once/model.rs
+++ b/crates/route/tests/once/model.rs
@@ -160,3 +160,28 @@
         assert!(cluster.executed >= 10, "{} runs", cluster.executed);
     }
 }
+
+/// An id whose clock is ahead was created before the new home, whatever the clocks say.
+#[test]
+fn clocks_that_differ_lead_to_no_second_run() {
+    let mut cluster = Cluster::new();
+    cluster.pass(50);
+    for member in 0..3 {
+        cluster.tick(member);
+    }
+    cluster.pass(50);
+    for id in 0..20 {
+        cluster.create(9);
+        for member in 0..3 {
+            cluster.arrive(id, member);
+            cluster.settle();
+        }
+    }
+    assert!(cluster.executed >= 10, "{} runs", cluster.executed);
+    cluster.start_member();
+    cluster.reform(usize::MAX);
+    for id in 0..20 {
+        cluster.arrive(id, 3);
+        cluster.settle();
+    }
+}
