Read the VM list once for membership and endpoints

Two loops read the same list, which doubled that part of the control traffic. The reading of membership now tells the endpoints too. What is known of one endpoint moves to a file of its own; no behaviour changes.

--- a/crates/daemon/src/members_run.rs
+++ b/crates/daemon/src/members_run.rs
@@ -58,6 +58,7 @@
     loop {
         // Without an answer the last list stands.
         if let Ok(vms) = node.platform.list().await {
+            requests::vms_listed(&node, &vms);
             let names = vms.into_iter().map(|vm| vm.name).collect();
             tell(&node, Event::VmsListed(names));
         }
--- a/crates/daemon/src/requests.rs
+++ b/crates/daemon/src/requests.rs
@@ -10,6 +10,7 @@
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::rc::Rc;
 use std::time::Duration;
 use std::time::SystemTime;
@@ -23,6 +24,7 @@
 use rand::rngs::SmallRng;
 use services::Services;
 pub use services::apply_inventory;
+use smol_str::SmolStr;
 use syc_api::ErrorBody;
 use syc_config::Settings;
 use syc_member::View;
@@ -37,6 +39,7 @@
 use syc_types::RequestId;
 use syc_types::ServiceName;
 use syc_types::TeamId;
+pub use vms::vms_listed;
 pub use wire::run_for_peer;
 
 use crate::node::Node;
@@ -60,6 +63,8 @@
     once: RefCell<Once<Kept>>,
     homes: RefCell<Homes<View>>,
     runs: RefCell<Runs>,
+    /// VMs that were ever listed.
+    vms_seen: RefCell<HashSet<SmolStr>>,
     once_options: OnceOptions,
     /// Epoch of the latest view in `homes`; 0 for none.
     epoch: Cell<u64>,
@@ -88,6 +93,7 @@
             once: RefCell::new(Once::new(once_options, started)),
             homes: RefCell::new(homes),
             runs: RefCell::default(),
+            vms_seen: RefCell::default(),
             once_options,
             epoch: Cell::new(0),
             settled: Cell::new(false),
@@ -207,11 +213,9 @@
     requests.settled.get()
 }
 
-/// Looks after waiting requests, authority and the VM list, for ever.
+/// Looks after waiting requests and authority, for ever.
 pub async fn run(node: Rc<Node>) {
     view_changed(&node);
-    let vms = actix_rt::spawn(vms::run(Rc::clone(&node)));
-    let _ended_with_us = AbortOnDrop(vms);
     loop {
         home::tick(&node);
         slots::review(&node);
@@ -219,14 +223,6 @@
     }
 }
 
-struct AbortOnDrop(actix_rt::task::JoinHandle<()>);
-
-impl Drop for AbortOnDrop {
-    fn drop(&mut self) {
-        self.0.abort();
-    }
-}
-
 /// Returns the time since 1970 on a clock that does not jump.
 fn wall_now(node: &Rc<Node>) -> Millis {
     node.requests.started.plus(node.now().0)
--- a/crates/route/src/endpoints.rs
+++ b/crates/route/src/endpoints.rs
@@ -17,19 +17,11 @@
 use crate::HealthOptions;
 use crate::SlotFacts;
 use crate::SlotPolicy;
+use crate::entry::Entry;
+use crate::entry::MICROS_PER_MILLI;
+use crate::entry::average;
 use crate::free::FreeLists;
-use crate::free::Place;
 use crate::free::TIERS;
-use crate::health::Health;
-use crate::health::Leaving;
-
-/// Weight of the newest latency in the moving average.
-const LATENCY_WEIGHT: f32 = 0.1;
-
-/// Slots that the learned limit grows by with each answer while it is exhausted.
-const LEARNED_GROWTH: f32 = 0.1;
-
-const MICROS_PER_MILLI: f32 = 1_000.0;
 
 new_key_type! {
     /// Refers to an endpoint in one [`Endpoints`].
@@ -49,18 +41,6 @@
     pub slots: u32,
 }
 
-#[derive(Debug, Clone)]
-struct Entry {
-    info: EndpointInfo,
-    in_flight: u32,
-    learned: f32,
-    latency_us: f32,
-    resting_until: Option<Millis>,
-    health: Health,
-    leaving: Leaving,
-    place: Option<Place>,
-}
-
 /// The endpoints of a service, with what this entry VM has in flight on each.
 #[derive(Debug, Clone)]
 pub struct Endpoints<P = AdaptiveLimit> {
@@ -114,26 +94,12 @@
         let known = self.by_id.get(&info.id).copied();
         if let Some(key) = known {
             let entry = &mut self.entries[key];
-            if entry.info.address != info.address {
-                entry.health = Health::default();
-                entry.leaving = Leaving::default();
-            }
-            entry.info = info;
+            entry.update(info);
             self.settle(key);
             return key;
         }
         let id = info.id.clone();
-        let key = self.entries.insert(Entry {
-            #[expect(clippy::cast_precision_loss, reason = "slots are few")]
-            learned: info.slots as f32,
-            info,
-            in_flight: 0,
-            latency_us: 0.0,
-            resting_until: None,
-            health: Health::default(),
-            leaving: Leaving::default(),
-            place: None,
-        });
+        let key = self.entries.insert(Entry::new(info));
         self.by_id.insert(id, key);
         self.settle(key);
         key
@@ -373,62 +339,3 @@
         }
     }
 }
-
-impl Entry {
-    fn is_out(&self) -> bool {
-        self.leaving.holds() || self.health.out_until.is_some() || self.resting_until.is_some()
-    }
-
-    fn answered(&mut self, latency_us: u64) {
-        average(&mut self.latency_us, latency_us);
-        self.health.answered(self.info.slots);
-        #[expect(clippy::cast_precision_loss, reason = "slots are few")]
-        let (slots, used) = (self.info.slots as f32, (self.in_flight + 1) as f32);
-        if used + 1.0 > self.learned {
-            self.learned = (self.learned + LEARNED_GROWTH).min(slots);
-        }
-    }
-
-    fn refused_busy(&mut self, options: &HealthOptions, now: Millis) -> Option<Millis> {
-        #[expect(clippy::cast_precision_loss, reason = "slots are few")]
-        let taken = self.in_flight as f32;
-        self.learned = self.learned.min(taken).max(1.0);
-        if self.in_flight > 0 {
-            return None;
-        }
-        // Nothing of ours ends there soon that would say when to try again.
-        #[expect(
-            clippy::cast_possible_truncation,
-            clippy::cast_sign_loss,
-            reason = "a latency is positive and far below the limit"
-        )]
-        let half_ms = (self.latency_us / MICROS_PER_MILLI / 2.0) as u64;
-        let (shortest_ms, longest_ms) = options.rest_ms;
-        let until = now.plus(half_ms.clamp(shortest_ms, longest_ms));
-        self.resting_until = Some(until);
-        Some(until)
-    }
-
-    fn take_back(&mut self, now: Millis) {
-        if self.health.out_until.is_some_and(|until| until <= now) {
-            self.health.out_until = None;
-        }
-        if self.resting_until.is_some_and(|until| until <= now) {
-            self.resting_until = None;
-        }
-        let drained_until = &mut self.leaving.drained_until;
-        if drained_until.is_some_and(|until| until <= now) {
-            *drained_until = None;
-        }
-    }
-}
-
-fn average(mean_us: &mut f32, latest_us: u64) {
-    #[expect(clippy::cast_precision_loss, reason = "a moving average needs no more")]
-    let latest = latest_us as f32;
-    if *mean_us == 0.0 {
-        *mean_us = latest;
-    } else {
-        *mean_us += (latest - *mean_us) * LATENCY_WEIGHT;
-    }
-}
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -1,6 +1,7 @@
 //! Routing decisions for callers' requests: which endpoint, and what may be repeated.
 
 mod endpoints;
+mod entry;
 mod free;
 mod health;
 mod homes;
