Send late idempotent requests to a second endpoint

An endpoint that hangs or is slow for a while held its requests until their deadline. A request that is idempotent, not patient and later than 95% of the service's answers now goes to a second endpoint too, if a slot is free, nothing waits, and the retry budget allows.

--- a/crates/daemon/src/requests.rs
+++ b/crates/daemon/src/requests.rs
@@ -1,5 +1,6 @@
 //! Callers' requests: through their home where they may run only once, then to an endpoint.
 
+mod attempt;
 mod home;
 mod run;
 mod services;
--- a/crates/daemon/src/requests/run.rs
+++ b/crates/daemon/src/requests/run.rs
@@ -1,16 +1,11 @@
 //! Sending a request to endpoints until one answers or nothing more may be tried.
 
 use std::rc::Rc;
-use std::time::Duration;
-use std::time::Instant;
 
 use syc_api::ErrorBody;
 use syc_api::Outcome;
 use syc_member::Key;
 use syc_platform::EndpointError;
-use syc_platform::EndpointPort;
-use syc_platform::types::EndpointAnswer;
-use syc_platform::types::EndpointCall;
 use syc_route::Finish;
 use syc_route::Next;
 use syc_route::Sending;
@@ -18,6 +13,7 @@
 
 use super::Answer;
 use super::CallerRequest;
+use super::attempt;
 use super::slots;
 use crate::members;
 use crate::node::Node;
@@ -43,40 +39,28 @@
         if !request.idempotent && !members::may_act_for(node, Key::Request(request.id)) {
             return Err(doubt(doubted, no_authority()));
         }
-        let sent_at = Instant::now();
-        let answer = node.platform.send(&slot.address, call(node, request)).await;
-        let finish = finish_of(&answer, sent_at.elapsed());
-        let key = slot.key;
-        slot.finish(finish);
-        let error = match answer {
-            Ok(answer) => return Ok(answer),
-            Err(error) => error,
-        };
-        sendings += 1;
-        doubted |= !surely_not_run(finish);
-        let sending = Sending {
-            finish,
-            idempotent: request.idempotent,
-            sendings,
-            deadline: request.deadline,
-        };
-        match next(node, request, sending, doubted) {
-            Next::Elsewhere | Next::Wait => tried.push(key),
+        let attempts = attempt::send(node, request, slot).await;
+        let mut next = Next::NotRun;
+        let mut failure = None;
+        for attempt in attempts {
+            let error = match attempt.answer {
+                Ok(answer) => return Ok(answer),
+                Err(error) => error,
+            };
+            failure = Some(error);
+            sendings += 1;
+            tried.push(attempt.key);
+            doubted |= !surely_not_run(attempt.finish);
+            next = decide(node, request, attempt.finish, sendings, doubted);
+        }
+        match next {
+            Next::Elsewhere | Next::Wait => {}
             Next::NotRun => return Err(refused()),
-            Next::Unknown => return Err(lost(&error)),
+            Next::Unknown => return Err(lost(failure.as_ref())),
         }
     }
 }
 
-fn call(node: &Rc<Node>, request: &CallerRequest) -> EndpointCall {
-    EndpointCall {
-        path: request.path.clone(),
-        request_id: request.id.to_string(),
-        body: request.body.clone(),
-        timeout_ms: request.deadline.since(node.now()),
-    }
-}
-
 fn note_first(node: &Rc<Node>, request: &CallerRequest) {
     let mut services = node.requests.services.borrow_mut();
     if let Some(service) = services.get_mut(&request.service) {
@@ -84,7 +68,19 @@
     }
 }
 
-fn next(node: &Rc<Node>, request: &CallerRequest, sending: Sending, doubted: bool) -> Next {
+fn decide(
+    node: &Rc<Node>,
+    request: &CallerRequest,
+    finish: Finish,
+    sendings: u32,
+    doubted: bool,
+) -> Next {
+    let sending = Sending {
+        finish,
+        idempotent: request.idempotent,
+        sendings,
+        deadline: request.deadline,
+    };
     let mut services = node.requests.services.borrow_mut();
     match services.get_mut(&request.service) {
         Some(service) => service.budget.next(sending, doubted, node.now()),
@@ -93,22 +89,6 @@
     }
 }
 
-fn finish_of(answer: &Result<EndpointAnswer, EndpointError>, took: Duration) -> Finish {
-    match answer {
-        Ok(answer) if answer.status >= 500 => Finish::Failed,
-        Ok(_) => Finish::Answered {
-            latency_us: u64::try_from(took.as_micros()).unwrap_or(u64::MAX),
-        },
-        Err(EndpointError::NotSent(_)) => Finish::NotSent,
-        Err(EndpointError::Refused { draining: true }) => Finish::Draining,
-        Err(EndpointError::Refused { draining: false }) => Finish::Busy,
-        Err(EndpointError::InDoubt(_)) => Finish::Lost,
-        Err(EndpointError::TimedOut) => Finish::TimedOut {
-            waited_ms: u64::try_from(took.as_millis()).unwrap_or(u64::MAX),
-        },
-    }
-}
-
 /// Turns "not run" into "unknown" where an earlier sending is in doubt.
 fn doubt(doubted: bool, refusal: ErrorBody) -> ErrorBody {
     if doubted {
@@ -130,10 +110,11 @@
     ErrorBody::not_run(NO_AUTHORITY, message, Some(REFUSED_RETRY_MS))
 }
 
-fn lost(error: &EndpointError) -> ErrorBody {
+fn lost(error: Option<&EndpointError>) -> ErrorBody {
     let code = match error {
-        EndpointError::TimedOut => "endpoint_timeout",
+        Some(EndpointError::TimedOut) => "endpoint_timeout",
         _ => "endpoint_lost",
     };
-    ErrorBody::unknown(code, &error.to_string())
+    let message = error.map_or_else(String::new, ToString::to_string);
+    ErrorBody::unknown(code, &message)
 }
--- a/crates/daemon/src/requests/services.rs
+++ b/crates/daemon/src/requests/services.rs
@@ -8,6 +8,8 @@
 use syc_route::EndpointInfo;
 use syc_route::Endpoints;
 use syc_route::HealthOptions;
+use syc_route::HedgeOptions;
+use syc_route::HedgeTimer;
 use syc_route::Queue;
 use syc_route::QueueOptions;
 use syc_route::RetryBudget;
@@ -30,6 +32,8 @@
     pub queue: Queue<Waiter>,
     /// Retries that may still be made.
     pub budget: RetryBudget,
+    /// When a request is late.
+    pub timer: HedgeTimer,
 }
 
 impl Service {
@@ -46,6 +50,7 @@
             endpoints: Endpoints::new(AdaptiveLimit, health, node.zone.clone()),
             queue: Queue::new(queue),
             budget: RetryBudget::new(RetryOptions::default()),
+            timer: HedgeTimer::new(HedgeOptions::default()),
         }
     }
 
--- a/crates/daemon/src/requests/slots.rs
+++ b/crates/daemon/src/requests/slots.rs
@@ -92,6 +92,23 @@
     Ok(choose(node, &request.service, service, avoid))
 }
 
+/// Takes a slot of another endpoint for a late request, where one is free and the budget allows.
+pub fn take_second(node: &Rc<Node>, service: &ServiceName, first: EndpointKey) -> Option<Slot> {
+    let mut services = node.requests.services.borrow_mut();
+    let found = services.get_mut(service)?;
+    if !found.queue.is_empty() {
+        return None;
+    }
+    let slot = choose(node, service, found, &[first])?;
+    if found.budget.hedge() {
+        return Some(slot);
+    }
+    // Giving the slot back needs the services again.
+    drop(services);
+    drop(slot);
+    None
+}
+
 fn choose(
     node: &Rc<Node>,
     name: &ServiceName,
--- a/crates/daemon/tests/daemon/requests.rs
+++ b/crates/daemon/tests/daemon/requests.rs
@@ -70,6 +70,13 @@
     }
 }
 
+fn once() -> Ask {
+    Ask {
+        idempotent: false,
+        ..Ask::default()
+    }
+}
+
 fn slow(work_ms: u64, slots: u32, endpoints: usize) -> BedOptions {
     BedOptions {
         endpoints,
@@ -193,12 +200,13 @@
 async fn a_draining_endpoint_is_asked_once() {
     let bed = Bed::start(slow(1, 8, 2)).await;
     bed.endpoints[0].set_draining(true);
+    let mut rounds = 0;
+    while rounds < ROUNDS && bed.endpoints[0].counts().refused_draining == 0 {
+        rounds += 1;
+        assert_eq!(ask(&bed, once()).await.status, 200);
+    }
     for _ in 0..30 {
-        let once = Ask {
-            idempotent: false,
-            ..Ask::default()
-        };
-        assert_eq!(ask(&bed, once).await.status, 200);
+        assert_eq!(ask(&bed, once()).await.status, 200);
     }
     assert_eq!(bed.endpoints[0].counts().refused_draining, 1);
 }
@@ -208,11 +216,7 @@
     let mut bed = Bed::start(slow(1, 8, 2)).await;
     drop(bed.endpoints.remove(0));
     for _ in 0..30 {
-        let once = Ask {
-            idempotent: false,
-            ..Ask::default()
-        };
-        assert_eq!(ask(&bed, once).await.status, 200);
+        assert_eq!(ask(&bed, once()).await.status, 200);
     }
 }
 
@@ -266,3 +270,25 @@
     assert_eq!(answer.status(), 200);
     drop(idle);
 }
+
+#[actix_rt::test]
+async fn a_late_idempotent_request_is_answered_by_a_second_endpoint() {
+    let bed = Bed::start(slow(1, 64, 2)).await;
+    for _ in 0..150 {
+        assert_eq!(ask(&bed, Ask::default()).await.status, 200);
+    }
+    bed.endpoints[0].set_fault(EndpointFault::Hang);
+    for _ in 0..ROUNDS {
+        let id = Uuid::now_v7();
+        let late = Ask {
+            id,
+            timeout_ms: 600_000,
+            ..Ask::default()
+        };
+        assert_eq!(ask(&bed, late).await.body, format!("{id}:pack"));
+        if bed.requests.of(&id.to_string()).begun == 2 {
+            return;
+        }
+    }
+    panic!("no request met the endpoint that hangs");
+}
--- a/crates/route/benches/choice/goodput.rs
+++ b/crates/route/benches/choice/goodput.rs
@@ -31,6 +31,7 @@
         length_us: LENGTH_US,
         timeout_ms: TIMEOUT_MS,
         sheds,
+        ..RunOptions::default()
     };
     let outcome = Run::new(AdaptiveLimit, options).run();
     outcome.in_time as f64 * 100.0 / capacity(LENGTH_US)
--- a/crates/route/benches/choice/main.rs
+++ b/crates/route/benches/choice/main.rs
@@ -8,6 +8,7 @@
 )]
 
 mod goodput;
+mod hedging;
 mod time;
 mod virtual_time;
 mod ways;
@@ -16,4 +17,5 @@
     time::report();
     ways::report();
     goodput::report();
+    hedging::report();
 }
--- a/crates/route/benches/choice/virtual_time.rs
+++ b/crates/route/benches/choice/virtual_time.rs
@@ -2,6 +2,8 @@
 
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
+use std::collections::HashMap;
+use std::collections::HashSet;
 
 use rand::Rng;
 use rand::SeedableRng;
@@ -13,6 +15,8 @@
 use syc_route::Endpoints;
 use syc_route::Finish;
 use syc_route::HealthOptions;
+use syc_route::HedgeOptions;
+use syc_route::HedgeTimer;
 use syc_route::Next;
 use syc_route::Queue;
 use syc_route::QueueOptions;
@@ -50,6 +54,24 @@
     pub timeout_ms: u64,
     /// Whether the queue is bounded and gives up early.
     pub sheds: bool,
+    /// Share of the requests whose work takes ten times as long.
+    pub stragglers: f64,
+    /// Whether a late request is sent to a second endpoint too.
+    pub hedges: bool,
+}
+
+impl Default for RunOptions {
+    fn default() -> Self {
+        Self {
+            load: 0.5,
+            skewed: false,
+            length_us: 10_000_000,
+            timeout_ms: 2_000,
+            sheds: true,
+            stragglers: 0.0,
+            hedges: false,
+        }
+    }
 }
 
 /// What a run showed.
@@ -60,23 +82,36 @@
     pub overruns: u64,
     pub refused: u64,
     pub in_time: u64,
+    pub hedged: u64,
     pub waits_us: Vec<u64>,
+    /// Times from arrival to the first answer.
+    pub answers_us: Vec<u64>,
 }
 
 impl Outcome {
     /// Returns the wait below which this share of the served requests stayed, in milliseconds.
     pub fn wait_ms(&mut self, share: f64) -> f64 {
-        self.waits_us.sort_unstable();
-        if self.waits_us.is_empty() {
-            return 0.0;
-        }
-        let last = self.waits_us.len() - 1;
-        self.waits_us[(last as f64 * share) as usize] as f64 / 1_000.0
+        quantile_ms(&mut self.waits_us, share)
+    }
+
+    /// Returns the time below which this share of the first answers came, in milliseconds.
+    pub fn answer_ms(&mut self, share: f64) -> f64 {
+        quantile_ms(&mut self.answers_us, share)
+    }
+}
+
+fn quantile_ms(times_us: &mut [u64], share: f64) -> f64 {
+    times_us.sort_unstable();
+    if times_us.is_empty() {
+        return 0.0;
     }
+    let last = times_us.len() - 1;
+    times_us[(last as f64 * share) as usize] as f64 / 1_000.0
 }
 
 #[derive(Debug, Clone)]
 struct Request {
+    number: u64,
     arrived_us: u64,
     sendings: u32,
     tried: Vec<EndpointKey>,
@@ -86,7 +121,8 @@
 enum Event {
     Arrive(usize),
     Reach(usize, usize, EndpointKey, Request),
-    Answer(usize, EndpointKey, u64),
+    Answer(usize, EndpointKey, u64, Request),
+    Hedge(usize, Request),
     Refuse(usize, EndpointKey, Request),
     Review(usize),
     Free(usize),
@@ -96,6 +132,7 @@
     endpoints: Endpoints<P>,
     queue: Queue<Request>,
     budget: RetryBudget,
+    timer: HedgeTimer,
     rate: f64,
     zone: usize,
 }
@@ -105,10 +142,11 @@
     vms: Vec<EntryVm<P>>,
     busy: Vec<u32>,
     events: BinaryHeap<Reverse<(u64, u64)>>,
-    pending: std::collections::HashMap<u64, Event>,
+    pending: HashMap<u64, Event>,
     next: u64,
     random: SmallRng,
     outcome: Outcome,
+    answered: HashSet<u64>,
 }
 
 impl<P> Run<P>
@@ -129,6 +167,7 @@
                 endpoints: endpoints(policy, number % ZONES),
                 queue: Queue::new(queue_options(options.sheds)),
                 budget: RetryBudget::new(RetryOptions::default()),
+                timer: HedgeTimer::new(HedgeOptions::default()),
                 rate: total * part,
                 zone: number % ZONES,
             });
@@ -138,10 +177,11 @@
             vms,
             busy: vec![0; ENDPOINTS],
             events: BinaryHeap::new(),
-            pending: std::collections::HashMap::new(),
+            pending: HashMap::new(),
             next: 0,
             random: SmallRng::seed_from_u64(11),
             outcome: Outcome::default(),
+            answered: HashSet::new(),
         }
     }
 
@@ -175,10 +215,15 @@
             Event::Arrive(vm) => self.arrive(vm, now),
             Event::Reach(vm, endpoint, key, request) => self.reach(vm, endpoint, key, request, now),
             Event::Free(endpoint) => self.busy[endpoint] -= 1,
-            Event::Answer(vm, key, sent_us) => {
+            Event::Answer(vm, key, sent_us, request) => {
                 let latency_us = now - sent_us;
+                self.vms[vm].timer.note(latency_us);
+                if self.answered.insert(request.number) {
+                    self.outcome.answers_us.push(now - request.arrived_us);
+                }
                 self.finish(vm, key, Finish::Answered { latency_us }, now);
             }
+            Event::Hedge(vm, request) => self.hedge(vm, request, now),
             Event::Refuse(vm, key, request) => self.refuse(vm, key, request, now),
             Event::Review(vm) => self.review(vm, now),
         }
@@ -193,6 +238,7 @@
         self.outcome.requests += 1;
         self.vms[vm].budget.first();
         let request = Request {
+            number: self.outcome.requests,
             arrived_us: now,
             sendings: 0,
             tried: Vec::new(),
@@ -244,9 +290,33 @@
         let info = entry.endpoints.info(key).expect("endpoint");
         let endpoint = info.id.as_str()[1..].parse().expect("number");
         let way_us = way_us(entry.zone, endpoint);
+        if let Some(after_us) = entry.timer.after_us()
+            && self.options.hedges
+            && request.sendings == 1
+        {
+            let mut hedge = request.clone();
+            hedge.tried.push(key);
+            self.at(now + after_us, Event::Hedge(vm, hedge));
+        }
         self.at(now + way_us, Event::Reach(vm, endpoint, key, request));
     }
 
+    /// Sends an unanswered request to a second endpoint, within the budget and a free slot.
+    fn hedge(&mut self, vm: usize, request: Request, now: u64) {
+        let entry = &mut self.vms[vm];
+        if self.answered.contains(&request.number) || !entry.queue.is_empty() {
+            return;
+        }
+        let key = entry
+            .endpoints
+            .choose(&request.tried, millis(now), &mut self.random);
+        let Some(key) = key else { return };
+        if entry.budget.hedge() {
+            self.outcome.hedged += 1;
+            self.send(vm, key, request, now);
+        }
+    }
+
     fn reach(&mut self, vm: usize, endpoint: usize, key: EndpointKey, request: Request, now: u64) {
         let way_us = way_us(self.vms[vm].zone, endpoint);
         if self.busy[endpoint] >= SLOTS {
@@ -257,13 +327,15 @@
         self.busy[endpoint] += 1;
         let waited_us = now - request.arrived_us;
         self.outcome.waits_us.push(waited_us);
-        let work_us = self.exponential_us(WORK_US);
+        let straggles = self.random.random_bool(self.options.stragglers);
+        let times = if straggles { 10.0 } else { 1.0 };
+        let work_us = self.exponential_us(WORK_US * times);
         let answered_us = now + work_us + way_us;
         if answered_us - request.arrived_us <= self.options.timeout_ms * 1_000 {
             self.outcome.in_time += 1;
         }
         self.at(now + work_us, Event::Free(endpoint));
-        self.at(answered_us, Event::Answer(vm, key, now - way_us));
+        self.at(answered_us, Event::Answer(vm, key, now - way_us, request));
     }
 
     fn refuse(&mut self, vm: usize, key: EndpointKey, mut request: Request, now: u64) {
--- a/crates/route/benches/choice/ways.rs
+++ b/crates/route/benches/choice/ways.rs
@@ -65,6 +65,7 @@
         length_us: LENGTH_US,
         timeout_ms: TIMEOUT_MS,
         sheds: true,
+        ..RunOptions::default()
     };
     let mut outcome = Run::new(policy, options).run();
     let callers = if skewed { "skewed" } else { "even" };
--- a/crates/route/src/retry.rs
+++ b/crates/route/src/retry.rs
@@ -76,6 +76,15 @@
         self.saved = (self.saved + self.options.share).min(self.options.saved);
     }
 
+    /// Says whether a late request may be sent a second time, and counts that as a retry.
+    pub fn hedge(&mut self) -> bool {
+        let saved = self.saved >= 1.0;
+        if saved {
+            self.saved -= 1.0;
+        }
+        saved
+    }
+
     /// Decides what becomes of a request that got no answer.
     ///
     /// Only endings after which the endpoint surely did not act, [`Finish::NotSent`] and the two
@@ -103,10 +112,7 @@
         match sending.finish {
             Finish::Busy => Next::Wait,
             Finish::Draining => Next::Elsewhere,
-            _ if self.saved >= 1.0 => {
-                self.saved -= 1.0;
-                Next::Elsewhere
-            }
+            _ if self.hedge() => Next::Elsewhere,
             _ => given_up,
         }
     }
