Let a daemon outside the view be ready

A joiner in an outage of the log is no member and so no home, yet waited for its time as a home before it was ready. It now counts as ready, and passes requests that need a home on to the members.

The test of a joiner in an outage failed before and passes now.

--- a/crates/daemon/src/requests.rs
+++ b/crates/daemon/src/requests.rs
@@ -203,8 +203,12 @@
 
 /// Says whether requests that were created since the start can run here as their home.
 ///
-/// Later changes of the view don't take that back: former homes are asked then.
+/// Later changes of the view don't take that back: former homes are asked then. Who is no member
+/// is no home, and only passes such requests on.
 pub fn ready(node: &Rc<Node>) -> bool {
+    if node.view.borrow().member(&node.id).is_none() {
+        return true;
+    }
     let requests = &node.requests;
     if !requests.settled.get() {
         let now = wall_now(node);
