Ask no new incarnation about what a former one ran

A home whose predecessor had listened at its own address asked itself, and waited for its own answer until half of the asking time was over.

The test repeats 30 requests through a daemon that was replaced: none runs again.

--- a/crates/daemon/src/requests/home.rs
+++ b/crates/daemon/src/requests/home.rs
@@ -226,10 +226,16 @@
 }
 
 /// Finds where a former home listens, which may have left the view.
+///
+/// Returns `None` where another incarnation listens there now, which knows nothing of it.
 fn former_address(node: &Rc<Node>, home: &MemberId) -> Option<SmolStr> {
     let homes = node.requests.homes.borrow();
     let mut found = homes.views().filter_map(|view| view.member(home));
-    found.next().map(|member| member.peer_address.clone())
+    let address = found.next().map(|member| member.peer_address.clone())?;
+    let view = node.view.borrow();
+    let mut current = view.members.iter();
+    let replaced = current.any(|member| member.peer_address == address && member.id != *home);
+    (!replaced).then_some(address)
 }
 
 /// Says what this member, as a former home, knows of a request.
--- a/crates/daemon/tests/daemon/requests_homes.rs
+++ b/crates/daemon/tests/daemon/requests_homes.rs
@@ -34,9 +34,29 @@
     }
     let leaver = bed.daemons[1].take().expect("daemon");
     leaver.stop().await;
-    let mut repeated = 0;
+    let repeated = repeat(&bed, 2, &ids).await;
+    assert!(repeated > 0, "the homes that stayed know their answers");
+}
+
+#[actix_rt::test]
+async fn a_home_that_forgot_runs_nothing_again() {
+    let mut bed = Bed::start(three()).await;
+    let ids = (0..REQUESTS).map(|_| Uuid::now_v7()).collect::<Vec<_>>();
     for &id in &ids {
-        let answer = ask(&bed, once(2, id)).await;
+        assert_eq!(ask(&bed, once(0, id)).await.outcome, "answered");
+    }
+    bed.restart(1).await;
+    bed.await_ready(1).await;
+    repeat(&bed, 1, &ids).await;
+    let id = Uuid::now_v7();
+    assert_eq!(ask(&bed, once(1, id)).await.body, format!("{id}:pack"));
+}
+
+/// Sends requests that ran again; returns how many answers are still known.
+async fn repeat(bed: &Bed, daemon: usize, ids: &[Uuid]) -> usize {
+    let mut repeated = 0;
+    for &id in ids {
+        let answer = ask(bed, once(daemon, id)).await;
         match answer.outcome.as_str() {
             "answered" => {
                 repeated += 1;
@@ -46,7 +66,7 @@
         }
         assert_eq!(bed.requests.of(&id.to_string()).begun, 1);
     }
-    assert!(repeated > 0, "the homes that stayed know their answers");
+    repeated
 }
 
 #[actix_rt::test]
