--- a/crates/daemon/src/requests/run.rs
+++ b/crates/daemon/src/requests/run.rs
@@ -34,8 +34,12 @@
     let mut doubted = false;
     note_first(node, request);
     loop {
+        let asked_at = node.now();
         let slot = slots::take(node, request, arrived, &tried).await;
         let slot = slot.map_err(|refusal| doubt(doubted, refusal))?;
+        let waited_ms = node.now().since(asked_at);
+        let metrics = &node.operators.metrics;
+        metrics.request_waited(request.class, waited_ms);
         if !request.idempotent && !members::may_act_for(node, Key::Request(request.id)) {
             return Err(doubt(doubted, no_authority()));
         }
