--- a/crates/cli/tests/cli/jobs.rs
+++ b/crates/cli/tests/cli/jobs.rs
@@ -61,3 +61,21 @@
     let run = bed.operate(&["result", &id]).await;
     assert_eq!(run.code, 1, "{}", run.stderr);
 }
+
+#[actix_rt::test]
+async fn a_cancelled_job_ends_with_1_and_says_so() {
+    let bed = Bed::start(2).await;
+    bed.configure("cancel.json").await;
+    let run = bed.operate(&["submit", &job("j4.json", 900_000)]).await;
+    let id = run.stdout.trim().to_owned();
+    let run = bed.operate(&["cancel", &id]).await;
+    assert_eq!(
+        (run.code, run.stdout),
+        (0, format!("cancelled {id}\n")),
+        "{}",
+        run.stderr
+    );
+    let run = bed.operate(&["result", &id, "--wait"]).await;
+    assert_eq!(run.code, 1, "{}", run.stderr);
+    assert_eq!(run.stdout.matches("cancelled").count(), 2, "{}", run.stdout);
+}
--- a/crates/coord/src/home.rs
+++ b/crates/coord/src/home.rs
@@ -154,6 +154,14 @@
     },
 }
 
+impl StartOutcome {
+    /// Says whether the task surely runs.
+    #[must_use]
+    pub const fn is_started(&self) -> bool {
+        matches!(self, Self::Started { .. })
+    }
+}
+
 /// A task that an owner knows of.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct KnownTask {
--- a/crates/coord/src/log_state.rs
+++ b/crates/coord/src/log_state.rs
@@ -2,6 +2,7 @@
 
 use syc_member::Views;
 
+use crate::AuditTrail;
 use crate::ConfigStore;
 use crate::Jobs;
 use crate::Tombstones;
@@ -11,6 +12,8 @@
 pub struct LogState<'a> {
     /// The configuration.
     pub config: &'a ConfigStore,
+    /// The audit trail.
+    pub audit: &'a AuditTrail,
     /// The jobs.
     pub jobs: &'a Jobs,
     /// The current view, and the former ones whose members may still act.
--- a/crates/coord/src/snapshot.rs
+++ b/crates/coord/src/snapshot.rs
@@ -10,6 +10,7 @@
 use syc_types::TaskOutcome;
 use uuid::Uuid;
 
+use crate::AuditEntry;
 use crate::Job;
 use crate::TaskState;
 use crate::Verdict;
@@ -52,6 +53,8 @@
         /// The verdict.
         verdict: Verdict,
     },
+    /// An entry of the audit trail.
+    Audit(AuditEntry),
     /// A job; its tasks follow.
     Job {
         /// The job.
@@ -116,6 +119,9 @@
             verdict: verdict.clone(),
         });
     }
+    for entry in state.audit.entries() {
+        items.push(SnapshotItem::Audit(entry.clone()));
+    }
     for of in state.tombstones.iter() {
         items.push(SnapshotItem::Tombstone { of });
     }
--- a/crates/coord/tests/snapshot.rs
+++ b/crates/coord/tests/snapshot.rs
@@ -6,9 +6,11 @@
 use proptest::test_runner::TestRunner;
 use syc_config::Document;
 use syc_config::Team;
+use syc_coord::AuditTrail;
 use syc_coord::ConfigStore;
 use syc_coord::Jobs;
 use syc_coord::LogState;
+use syc_coord::Place;
 use syc_coord::TaskState;
 use syc_coord::Tombstones;
 use syc_coord::Verdict;
@@ -65,6 +67,7 @@
 #[derive(Debug, Clone, Default)]
 struct State {
     config: ConfigStore,
+    audit: AuditTrail,
     jobs: Jobs,
     tombstones: Tombstones,
 }
@@ -95,7 +98,13 @@
                 scope,
             } => {
                 let record = config_record(*publication, *base, *scope);
-                self.config.apply(offset, &record);
+                let verdict = self.config.apply(offset, &record);
+                let place = Place {
+                    id: record.publication,
+                    offset,
+                    at_ms: offset,
+                };
+                self.audit.config(place, &record, &verdict);
             }
             Op::Accept(job) => {
                 let spec = JobSpec {
@@ -133,6 +142,7 @@
     fn cut(&self, covers: u64) -> Vec<SnapshotPart> {
         let state = LogState {
             config: &self.config,
+            audit: &self.audit,
             jobs: &self.jobs,
             views: &Views::default(),
             tombstones: &self.tombstones,
@@ -163,6 +173,7 @@
                     publication,
                     verdict,
                 } => state.config.restore_verdict(*publication, verdict.clone()),
+                SnapshotItem::Audit(entry) => state.audit.restore(entry.clone()),
                 SnapshotItem::Tombstone { of } => state.tombstones.add(*of),
                 SnapshotItem::Views(_) | SnapshotItem::Job { .. } | SnapshotItem::Tasks { .. } => {}
             }
--- a/crates/daemon/src/follower_snapshot.rs
+++ b/crates/daemon/src/follower_snapshot.rs
@@ -74,6 +74,10 @@
                 let mut config = node.config.borrow_mut();
                 config.restore_verdict(*publication, verdict.clone());
             }
+            SnapshotItem::Audit(entry) => {
+                let mut trail = node.operators.audit.borrow_mut();
+                trail.restore(entry.clone());
+            }
             SnapshotItem::Tombstone { of } => node.tombstones.borrow_mut().add(*of),
             SnapshotItem::Job { .. } | SnapshotItem::Tasks { .. } => {}
         }
@@ -126,8 +130,10 @@
     let jobs = node.jobs.borrow();
     let views = members::views(node);
     let tombstones = node.tombstones.borrow();
+    let audit = node.operators.audit.borrow();
     let state = LogState {
         config: &config,
+        audit: &audit,
         jobs: &jobs,
         views: &views,
         tombstones: &tombstones,
--- a/crates/daemon/src/home.rs
+++ b/crates/daemon/src/home.rs
@@ -21,6 +21,7 @@
 use syc_wire::SubmitReply;
 
 use crate::members;
+use crate::metrics;
 use crate::node::Node;
 use crate::peers;
 
@@ -128,6 +129,7 @@
     if !node.jobs.borrow_mut().accept(job_id, spec) {
         return;
     }
+    metrics::job_accepted(node, job_id);
     let here = is_home(node, &spec.team);
     if let Some(job) = node.jobs.borrow().get(job_id) {
         node.home.borrow_mut().learn(job, here, node.now());
--- a/crates/daemon/src/home_place.rs
+++ b/crates/daemon/src/home_place.rs
@@ -25,6 +25,7 @@
 
 use crate::log_writer::record;
 use crate::members;
+use crate::metrics;
 use crate::node::Node;
 use crate::peers;
 
@@ -53,6 +54,8 @@
 /// Carries out a placement and tells the home what came of it.
 pub async fn run(node: Rc<Node>, placement: Placement) {
     let outcomes = place(&node, &placement).await;
+    let started = outcomes.iter().filter(|(_, outcome)| outcome.is_started());
+    metrics::tasks_started(&node, placement.job_id, started.count());
     let jobs = node.jobs.borrow();
     let mut home = node.home.borrow_mut();
     home.placed(&placement, &outcomes, &jobs, node.now());
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -2,12 +2,15 @@
 
 use std::cell::Cell;
 use std::cell::RefCell;
+use std::collections::HashMap;
 use std::rc::Rc;
 
 use syc_coord::AuditTrail;
 use syc_coord::TaskState;
 use syc_obs::Metrics;
 use syc_obs::Readings;
+use syc_types::JobId;
+use syc_types::Millis;
 use syc_types::Resources;
 use tokio::sync::Notify;
 
@@ -16,6 +19,9 @@
 use crate::members;
 use crate::node::Node;
 
+/// Most jobs of which the time of acceptance is kept.
+const ACCEPTED_JOBS: usize = 16_384;
+
 /// What is kept for operators.
 #[derive(Debug, Default)]
 pub struct Operators {
@@ -25,6 +31,7 @@
     pub audit: RefCell<AuditTrail>,
     /// End of the log when it was read last.
     pub log_end: Cell<u64>,
+    accepted: RefCell<HashMap<JobId, Millis>>,
     /// Tells that an operator wants this daemon to stop.
     pub drain_asked: Notify,
 }
@@ -36,6 +43,36 @@
     }
 }
 
+/// Notes that a job was accepted now; its tasks wait from here on.
+pub fn job_accepted(node: &Rc<Node>, job_id: JobId) {
+    // What a daemon that starts reads of the past did not happen now.
+    if !node.caught_up.get() {
+        return;
+    }
+    let mut accepted = node.operators.accepted.borrow_mut();
+    if accepted.len() >= ACCEPTED_JOBS {
+        let jobs = node.jobs.borrow();
+        accepted.retain(|id, _| jobs.get(*id).is_some_and(|job| !job.ended()));
+    }
+    if accepted.len() < ACCEPTED_JOBS {
+        accepted.insert(job_id, node.now());
+    }
+}
+
+/// Notes that so many tasks of a job were started now.
+pub fn tasks_started(node: &Rc<Node>, job_id: JobId, tasks: usize) {
+    let accepted = node.operators.accepted.borrow();
+    let jobs = node.jobs.borrow();
+    let (Some(since), Some(job)) = (accepted.get(&job_id), jobs.get(job_id)) else {
+        return;
+    };
+    let waited_ms = node.now().since(*since);
+    for _ in 0..tasks {
+        let metrics = &node.operators.metrics;
+        metrics.task_waited(job.spec.class, waited_ms);
+    }
+}
+
 /// Returns the page to scrape.
 pub fn page(node: &Rc<Node>) -> String {
     node.operators.metrics.page(&readings(node))
--- a/crates/daemon/tests/daemon/control.rs
+++ b/crates/daemon/tests/daemon/control.rs
@@ -148,6 +148,19 @@
     let request = bed.client.post(bed.callers_url(0, "/svc/intake/check"));
     let answer = request.send_body("pack").await.expect("answer");
     assert_eq!(answer.status(), 200);
+    let id = Uuid::now_v7();
+    let job = json!({
+        "job_id": id,
+        "spec": {
+            "team": "freight",
+            "class": "urgent",
+            "resources": {"cpu_millis": 1_000, "memory_bytes": 1_000},
+            "run_time_ms": 1,
+        },
+    });
+    let (status, _) = post(&bed, bed.callers_url(0, "/v1/jobs"), None, &job).await;
+    assert_eq!(status, 202);
+    bed.await_job(0, id).await;
     let mut answer = bed
         .client
         .get(bed.control_url(0, "/metrics"))
@@ -158,6 +171,7 @@
     let page = String::from_utf8_lossy(&page);
     for part in [
         "syc_request_waiting_time_seconds_count{class=\"normal\"",
+        "syc_task_waiting_time_seconds_count{class=\"urgent\"",
         "syc_granted_ratio{",
         "syc_control_transferred_bytes_total{",
         "syc_log_appends_total{",
