Explain a waiting job by what each owner's workers have for it

Cause: explain counted the tasks that wait, and not why no worker takes them.

Change: a daemon adds what its own workers have for the job, from the owner's explanation, and the tool asks all addresses.

--- a/crates/api/src/operators.rs
+++ b/crates/api/src/operators.rs
@@ -162,6 +162,8 @@
 /// Why a job is where it is.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct ExplainBody {
+    /// The daemon that answers.
+    pub member: MemberId,
     /// The job.
     pub job_id: JobId,
     /// Its team's home.
@@ -170,4 +172,6 @@
     pub state: serde_json::Value,
     /// Why tasks wait, one sentence a reason; empty where none waits.
     pub reasons: Vec<String>,
+    /// What this daemon's own workers have for a task that waits, one sentence a reason.
+    pub workers: Vec<String>,
 }
--- a/crates/cli/src/help.rs
+++ b/crates/cli/src/help.rs
@@ -86,7 +86,11 @@
         name: "explain",
         operand: "JOB",
         summary: "Say where a job is and why its tasks wait",
-        detail: "Options: --control, --json",
+        detail: "\
+Every --control address is asked what its own workers have for the job, so give
+all of them.
+
+Options: --control, --json",
     },
     Topic {
         name: "history",
--- a/crates/cli/tests/cli/jobs.rs
+++ b/crates/cli/tests/cli/jobs.rs
@@ -47,6 +47,7 @@
     let id = run.stdout.trim().to_owned();
     let run = bed.operate(&["explain", &id]).await;
     assert!(run.stdout.contains("home entry-0"), "{}", run.stdout);
+    assert!(run.stdout.contains("fits on no worker"), "{}", run.stdout);
     let run = bed
         .operate(&["result", &id, "--wait", "--timeout", "0"])
         .await;
--- a/crates/daemon/src/control_explain.rs
+++ b/crates/daemon/src/control_explain.rs
@@ -5,10 +5,12 @@
 use actix_http::Response;
 use actix_http::StatusCode;
 use actix_http::body::BoxBody;
+use serde::Deserialize;
 use serde_json::Value;
 use syc_api::ErrorBody;
 use syc_api::ExplainBody;
 use syc_types::JobId;
+use syc_types::JobSpec;
 use syc_types::MemberId;
 use syc_types::TeamId;
 use uuid::Uuid;
@@ -33,11 +35,18 @@
     let team = state["spec"]["team"].as_str().unwrap_or_default();
     let home = home_of(node, &TeamId::new(team));
     let reasons = reasons(&state, home.as_ref());
+    let workers = if reasons.is_empty() {
+        Vec::new()
+    } else {
+        workers_for(node, &state)
+    };
     let body = ExplainBody {
+        member: node.id.clone(),
         job_id: JobId(id),
         home,
         state,
         reasons,
+        workers,
     };
     json(StatusCode::OK, &body)
 }
@@ -67,3 +76,37 @@
     }
     reasons
 }
+
+fn workers_for(node: &Rc<Node>, state: &Value) -> Vec<String> {
+    let Ok(spec) = JobSpec::deserialize(&state["spec"]) else {
+        return Vec::new();
+    };
+    let found = node.owner.state.borrow().explain(&spec);
+    if let Some(near) = found.never {
+        return vec![format!(
+            "a task fits on no worker, even an empty one: {near}"
+        )];
+    }
+    let counts = [
+        (found.fitting, "have room now"),
+        (found.short_of_cpu, "have too little free processor"),
+        (found.short_of_memory, "have too little free memory"),
+        (
+            found.short_of_accelerators,
+            "have too few free accelerators",
+        ),
+        (
+            found.guarded,
+            "keep their room for work that has waited long",
+        ),
+        (
+            found.silent,
+            "have not told yet what they run, or are silent",
+        ),
+        (found.aside, "are put aside because what they start fails"),
+        (found.retired, "are no longer in the inventory"),
+    ];
+    let some = counts.iter().filter(|(count, _)| *count > 0);
+    some.map(|(count, text)| format!("{count} worker(s) {text}"))
+        .collect()
+}
