--- a/crates/coord/src/home/offers.rs
+++ b/crates/coord/src/home/offers.rs
@@ -37,21 +37,34 @@
 }
 
 impl Home {
-    /// Returns what is to be done now. `log_up` says whether intents can be recorded.
-    pub fn actions(
+    /// Returns what is to be done now for the teams that `acting` allows. `log_up` says whether
+    /// intents can be recorded.
+    pub fn actions<F>(
         &mut self,
+        acting: F,
         jobs: &Jobs,
         rooms: &[OwnerRoom],
         log_up: bool,
         now: Millis,
-    ) -> Vec<Action> {
+    ) -> Vec<Action>
+    where
+        F: Fn(&TeamId) -> bool,
+    {
+        for rotation in &mut self.rotation {
+            rotation.retain(&acting);
+        }
         let mut actions = Vec::new();
         for (task, outcome) in std::mem::take(&mut self.ends) {
             actions.push(Action::RecordEnd { task, outcome });
         }
-        self.asks(now, &mut actions);
+        let names: Vec<_> = self
+            .teams
+            .keys()
+            .filter(|name| acting(name))
+            .cloned()
+            .collect();
+        self.asks(&names, now, &mut actions);
         self.due_stops(now, &mut actions);
-        let names: Vec<_> = self.teams.keys().cloned().collect();
         for name in names {
             if let Some(team) = self.teams.get_mut(&name) {
                 team.queue.advance(now);
--- a/crates/coord/src/home/round.rs
+++ b/crates/coord/src/home/round.rs
@@ -59,8 +59,11 @@
 }
 
 impl Home {
-    pub(super) fn asks(&mut self, now: Millis, actions: &mut Vec<Action>) {
-        for (name, team) in &mut self.teams {
+    pub(super) fn asks(&mut self, acting: &[TeamId], now: Millis, actions: &mut Vec<Action>) {
+        for name in acting {
+            let Some(team) = self.teams.get_mut(name) else {
+                continue;
+            };
             if team.round.is_none() && team.round_needed > team.rounds_begun {
                 team.rounds_begun += 1;
                 let due = |member: &MemberId| (member.clone(), Some(now));
--- a/crates/coord/src/log_state.rs
+++ b/crates/coord/src/log_state.rs
@@ -13,7 +13,7 @@
     pub config: &'a ConfigStore,
     /// The jobs.
     pub jobs: &'a Jobs,
-    /// The current view, and the former ones whose members may still act.
+    /// The current view, and the former ones that are not settled.
     pub views: &'a Views,
     /// The records that never count.
     pub tombstones: &'a Tombstones,
--- a/crates/coord/src/snapshot.rs
+++ b/crates/coord/src/snapshot.rs
@@ -41,7 +41,7 @@
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(tag = "item", rename_all = "snake_case")]
 pub enum SnapshotItem {
-    /// The current view, and the former ones whose members may still act.
+    /// The current view, and the former ones that are not settled.
     Views(Views),
     /// A document in force.
     Config(InForce),
--- a/crates/coord/tests/home.rs
+++ b/crates/coord/tests/home.rs
@@ -124,7 +124,7 @@
 
 fn placed_teams(home: &mut Home, jobs: &Jobs) -> Vec<String> {
     let mut teams = Vec::new();
-    for action in home.actions(jobs, &[], true, Millis(0)) {
+    for action in home.actions(|_| true, jobs, &[], true, Millis(0)) {
         let Action::Place(placement) = action else {
             continue;
         };
@@ -188,7 +188,7 @@
     home.set_quota(&team, Some(quota));
     accept(&mut home, &mut jobs, 1, &spec("a", Class::Normal, 3));
     for _ in 0..3 {
-        let actions = home.actions(&jobs, &[], true, Millis(0));
+        let actions = home.actions(|_| true, &jobs, &[], true, Millis(0));
         let [Action::Place(placement)] = actions.as_slice() else {
             panic!("{actions:?}");
         };
@@ -270,7 +270,7 @@
     };
     accept(&mut home, &mut jobs, 1, &gang);
     let rooms = [room(0, 2), room(1, 2), room(2, 0)];
-    let actions = home.actions(&jobs, &rooms, true, Millis(0));
+    let actions = home.actions(|_| true, &jobs, &rooms, true, Millis(0));
     let [Action::Place(first)] = actions.as_slice() else {
         panic!("{actions:?}");
     };
@@ -279,7 +279,7 @@
         .map(|index| (index, StartOutcome::NotStarted))
         .collect();
     home.placed(first, &refused, &jobs, Millis(0));
-    let actions = home.actions(&jobs, &rooms, true, Millis(0));
+    let actions = home.actions(|_| true, &jobs, &rooms, true, Millis(0));
     let [Action::Place(second)] = actions.as_slice() else {
         panic!("{actions:?}");
     };
--- a/crates/coord/tests/home_world/mod.rs
+++ b/crates/coord/tests/home_world/mod.rs
@@ -237,7 +237,9 @@
 
     fn decide(&mut self) {
         let now = Millis(self.now);
-        let actions = self.home.actions(&self.jobs, &[], self.log_up, now);
+        let actions = self
+            .home
+            .actions(|_| true, &self.jobs, &[], self.log_up, now);
         for action in actions {
             self.calls.push(Call {
                 epoch: self.epoch,
--- a/crates/daemon/src/follower.rs
+++ b/crates/daemon/src/follower.rs
@@ -51,10 +51,6 @@
 
 /// Takes note of how far a peer has read the log; a peer that is ahead of this daemon's reader
 /// shows that the log has more.
-#[expect(
-    dead_code,
-    reason = "the heartbeats call it once they carry the offset"
-)]
 pub fn peer_is_at(node: &Rc<Node>, offset: u64) {
     node.log_peers.set(node.log_peers.get().max(offset));
     if offset > node.log_next.get() {
--- a/crates/daemon/src/follower_peers.rs
+++ b/crates/daemon/src/follower_peers.rs
@@ -1,5 +1,6 @@
 //! Taking the state from a peer while the log can't give it, and giving it to one.
 
+use std::collections::BTreeSet;
 use std::rc::Rc;
 
 use smol_str::SmolStr;
@@ -37,8 +38,8 @@
 /// Takes the state from the first peer that has read the log up to `least`; returns whether one
 /// had.
 pub async fn fetch(node: &Rc<Node>, least: u64) -> bool {
-    for peer in &node.settings.peers {
-        let Some(found) = fetch_from(node, &peer.address).await else {
+    for address in addresses(node) {
+        let Some(found) = fetch_from(node, &address).await else {
             continue;
         };
         if found.covers < least {
@@ -51,6 +52,16 @@
     false
 }
 
+// The members of the view, and before there is one, the daemons of the settings.
+fn addresses(node: &Rc<Node>) -> BTreeSet<SmolStr> {
+    let settings = node.settings.peers.iter();
+    let mut addresses: BTreeSet<_> = settings.map(|peer| peer.address.clone()).collect();
+    let view = node.view.borrow();
+    addresses.extend(view.members.iter().map(|it| it.peer_address.clone()));
+    addresses.remove(&node.settings.listen.peers);
+    addresses
+}
+
 async fn fetch_from(node: &Rc<Node>, peer: &SmolStr) -> Option<Snapshot> {
     let mut reader = SnapshotReader::default();
     let mut query = StateQuery::default();
--- a/crates/daemon/src/home_cancel.rs
+++ b/crates/daemon/src/home_cancel.rs
@@ -5,6 +5,7 @@
 use syc_api::ErrorBody;
 use syc_coord::Job;
 use syc_coord::records::Content;
+use syc_member::Key;
 use syc_obs::catalogue;
 use syc_obs::emit;
 use syc_platform::AppendError;
@@ -46,7 +47,11 @@
 
 /// Cancels a job here: the record of it goes into the log first.
 pub async fn cancel_here(node: &Rc<Node>, job_id: JobId) -> Result<(), ErrorBody> {
-    if !members::may_act(node) {
+    let team = {
+        let jobs = node.jobs.borrow();
+        jobs.get(job_id).map(|job| job.spec.team.clone())
+    };
+    if !team.is_some_and(|team| members::may_act_for(node, Key::Team(&team))) {
         let message = "the team's home may not act now";
         return Err(ErrorBody::not_run("not_acting", message, Some(1_000)));
     }
--- a/crates/daemon/src/home_ends.rs
+++ b/crates/daemon/src/home_ends.rs
@@ -4,6 +4,7 @@
 
 use syc_coord::home::EndVerdict;
 use syc_coord::records::Content;
+use syc_member::Key;
 use syc_types::TaskOutcome;
 use syc_types::TaskRef;
 use syc_types::TeamId;
@@ -37,7 +38,7 @@
 
 /// Keeps the end of an attempt here; returns whether the worker may forget it.
 pub async fn keep_end(node: &Rc<Node>, task: TaskRef, attempt: u32, outcome: &TaskOutcome) -> bool {
-    if !members::may_act(node) {
+    if !acting(node, task) {
         return false;
     }
     let mut verdict = judge(node, task, attempt, outcome);
@@ -46,6 +47,9 @@
         if !follower::read_now(node).await {
             return false;
         }
+        if !acting(node, task) {
+            return false;
+        }
         verdict = judge(node, task, attempt, outcome);
     }
     match verdict {
@@ -55,6 +59,15 @@
     }
 }
 
+// A home whose lease has lapsed keeps nothing and acknowledges nothing.
+fn acting(node: &Rc<Node>, task: TaskRef) -> bool {
+    let jobs = node.jobs.borrow();
+    match jobs.get(task.job_id) {
+        Some(job) => members::may_act_for(node, Key::Team(&job.spec.team)),
+        None => members::may_act(node),
+    }
+}
+
 fn judge(node: &Rc<Node>, task: TaskRef, attempt: u32, outcome: &TaskOutcome) -> EndVerdict {
     let jobs = node.jobs.borrow();
     let mut home = node.home.borrow_mut();
--- a/crates/daemon/src/home_place.rs
+++ b/crates/daemon/src/home_place.rs
@@ -13,6 +13,7 @@
 use syc_coord::home::Placement;
 use syc_coord::home::StartOutcome;
 use syc_coord::records::Content;
+use syc_member::Key;
 use syc_net::CallError;
 use syc_types::JobSpec;
 use syc_types::TaskRef;
@@ -64,7 +65,7 @@
         let jobs = node.jobs.borrow();
         jobs.get(placement.job_id).map(|job| job.spec.clone())
     };
-    let Some(spec) = spec.filter(|_| members::may_act(node)) else {
+    let Some(spec) = spec.filter(|spec| acting(node, spec)) else {
         return not_started(&placement.parts);
     };
     match placement.parts.as_slice() {
@@ -73,6 +74,11 @@
     }
 }
 
+// Asked again right before each command.
+fn acting(node: &Rc<Node>, spec: &JobSpec) -> bool {
+    members::may_act_for(node, Key::Team(&spec.team))
+}
+
 fn not_started(parts: &[Part]) -> Outcomes {
     let indexes = parts.iter().flat_map(|part| &part.indexes);
     let refused = |index: &u32| (*index, StartOutcome::NotStarted);
@@ -119,7 +125,7 @@
     }
     let ready = workers.len() == parts.len()
         && (spec.idempotent || record_intents(node, placement).await)
-        && members::may_act(node);
+        && acting(node, spec);
     if !ready {
         // Where this does not arrive, the reservation lapses.
         let given_up = parts.iter().map(|part| held(node, placement, part, false));
--- a/crates/daemon/src/home_run.rs
+++ b/crates/daemon/src/home_run.rs
@@ -8,6 +8,7 @@
 use syc_coord::home::OwnerRoom;
 use syc_coord::home::Stop;
 use syc_coord::home::Told;
+use syc_member::Key;
 use syc_types::MemberId;
 use syc_types::Resources;
 use syc_types::TaskOutcome;
@@ -35,7 +36,7 @@
 pub async fn run(node: Rc<Node>) {
     home::view_changed(&node);
     loop {
-        if node.caught_up.get() && members::may_act(&node) {
+        if node.caught_up.get() {
             act(&node);
         }
         let now = node.now();
@@ -53,7 +54,8 @@
     let actions = {
         let jobs = node.jobs.borrow();
         let mut home = node.home.borrow_mut();
-        home.actions(&jobs, &rooms, log_up, node.now())
+        let acting = |team: &TeamId| members::may_act_for(node, Key::Team(team));
+        home.actions(acting, &jobs, &rooms, log_up, node.now())
     };
     for action in actions {
         let node = Rc::clone(node);
--- a/crates/daemon/src/members_run.rs
+++ b/crates/daemon/src/members_run.rs
@@ -23,6 +23,7 @@
 use syc_wire::ViewQuery;
 use syc_wire::ViewState;
 
+use crate::follower;
 use crate::home;
 use crate::members;
 use crate::node::Node;
@@ -84,6 +85,7 @@
 pub fn receive(node: &Rc<Node>, epoch: u64, heartbeat: Heartbeat) -> (u64, HeartbeatAck) {
     members::check_clock(node);
     let told = heartbeat.load;
+    follower::peer_is_at(node, heartbeat.log_next);
     let behind = heartbeat.config_revisions > config_revisions(node);
     let heartbeat = heartbeat.received(epoch);
     if let Some(load) = told {
