Test that daemons which die at once lose and double nothing

Three daemons, each on an arbiter of its own, are ended at once while an idempotent and a non-idempotent job fill the workers and a third job waits without an intent; and once while the log is down. After the restart what runs is adopted, what waited starts, and every task has run exactly once. A second test does the same by planned stops.

--- a/crates/daemon/tests/daemon/home.rs
+++ b/crates/daemon/tests/daemon/home.rs
@@ -1,5 +1,7 @@
 //! The home: cancelling, quotas and gangs through a whole daemon.
 
+use futures_util::future::join_all;
+use serde_json::Value;
 use serde_json::json;
 use syc_config::Document;
 use syc_config::Limits;
@@ -123,3 +125,47 @@
     bed.await_job(0, id).await;
     assert_eq!(bed.tasks.all().len(), 4);
 }
+
+fn long_job(id: Uuid, team: &str, tasks: u32, run_time_ms: u64, idempotent: bool) -> Value {
+    json!({
+        "job_id": id,
+        "spec": {
+            "team": team,
+            "tasks": tasks,
+            "resources": {"cpu_millis": 1_000, "memory_bytes": 1_000},
+            "run_time_ms": run_time_ms,
+            "idempotent": idempotent,
+            "payload": "p",
+        },
+    })
+}
+
+#[actix_rt::test]
+async fn all_daemons_restarted_at_once_lose_and_double_nothing() {
+    let mut bed = Bed::start(options()).await;
+    let ids = [Uuid::now_v7(), Uuid::now_v7(), Uuid::now_v7()];
+    // The first two jobs fill both workers; the third waits without an intent.
+    bed.submit_until_accepted(0, &long_job(ids[0], "freight", 4, 1_500, true))
+        .await;
+    bed.submit_until_accepted(1, &long_job(ids[1], "liaison", 4, 1_500, false))
+        .await;
+    bed.until("eight starts", |bed| bed.tasks.all().len() == 8)
+        .await;
+    bed.submit_until_accepted(2, &long_job(ids[2], "counters", 4, 20, false))
+        .await;
+    let mut stops = Vec::new();
+    for daemon in &mut bed.daemons {
+        stops.push(daemon.take().expect("daemon").stop());
+    }
+    join_all(stops).await;
+    for daemon in 0..3 {
+        bed.restart(daemon).await;
+    }
+    for id in ids {
+        let state = bed.await_job(0, id).await;
+        for task in state["tasks"].as_array().expect("tasks") {
+            assert_eq!(task["ended"]["done"], "result:p", "{state}");
+        }
+    }
+    assert_eq!(bed.tasks.all().len(), 12, "a task ran twice");
+}
--- /dev/null
+++ b/crates/daemon/tests/daemon/home_crash.rs
@@ -0,0 +1,218 @@
+//! Daemons that end at once, each on an arbiter of its own, while jobs run.
+
+use actix_rt::Arbiter;
+use serde_json::Value;
+use serde_json::json;
+use smol_str::SmolStr;
+use smol_str::format_smolstr;
+use syc_config::Document;
+use syc_config::Limits;
+use syc_config::Listen;
+use syc_config::PeerSettings;
+use syc_config::PlatformSettings;
+use syc_config::Settings;
+use syc_config::Timing;
+use syc_daemon::Daemon;
+use syc_daemon::Listeners;
+use syc_platform::types::VmState;
+use syc_standin::LogFaults;
+use uuid::Uuid;
+
+use crate::bed::Bed;
+use crate::bed::BedOptions;
+use crate::bed::TOKEN;
+
+const DAEMONS: usize = 3;
+
+struct Cluster {
+    bed: Bed,
+    arbiters: Vec<Arbiter>,
+}
+
+fn settings(bed: &Bed, number: usize) -> Settings {
+    let any = SmolStr::new("127.0.0.1:0");
+    Settings {
+        name: format_smolstr!("entry-{number}"),
+        zone: "a".into(),
+        listen: Listen {
+            callers: any.clone(),
+            peers: any.clone(),
+            control: any,
+        },
+        platform: PlatformSettings {
+            log: bed.log.address().into(),
+            vms: bed.vms.address().into(),
+        },
+        timing: Timing {
+            log_poll_ms: 50,
+            vm_poll_ms: 100,
+            worker_poll_ms: 500,
+            lease_ms: 3_000,
+            heartbeat_ms: 100,
+            authority_ms: 1_000,
+            suspect_ms: 1_100,
+            ..Timing::default()
+        },
+        limits: Limits {
+            appends_per_s: 300,
+            ..Limits::default()
+        },
+        control_token: TOKEN.into(),
+        ..Settings::default()
+    }
+}
+
+fn run(settings: Settings, listeners: Listeners) -> Arbiter {
+    let arbiter = Arbiter::new();
+    arbiter.spawn_fn(move || {
+        actix_rt::spawn(async move {
+            let _running = Daemon::start(settings, listeners).expect("daemon");
+            std::future::pending::<()>().await;
+        });
+    });
+    arbiter
+}
+
+impl Cluster {
+    async fn start() -> Self {
+        let options = BedOptions {
+            daemons: 0,
+            workers: 2,
+            ..BedOptions::default()
+        };
+        let mut bed = Bed::start_unconfigured(&options);
+        let mut sockets = Vec::new();
+        for number in 0..DAEMONS {
+            let settings = settings(&bed, number);
+            bed.vms.set(&settings.name, Some(VmState::Live));
+            let listeners = Listeners::bind(&settings).expect("sockets");
+            let resolved = listeners.resolve(settings).expect("addresses");
+            bed.settings.push(resolved);
+            sockets.push(listeners);
+        }
+        introduce(&mut bed.settings);
+        let started = bed.settings.iter().cloned().zip(sockets);
+        let arbiters = started.map(|(settings, listeners)| run(settings, listeners));
+        let arbiters = arbiters.collect();
+        let cluster = Self { bed, arbiters };
+        let bed = &cluster.bed;
+        for number in 0..DAEMONS {
+            bed.await_ready(number).await;
+        }
+        let inventory = Document::Inventory(bed.inventory(&options));
+        let (status, text) = bed.publish(0, 0, inventory).await;
+        assert_eq!(status, 200, "{text}");
+        for number in 0..DAEMONS {
+            bed.await_config(number, 1).await;
+        }
+        cluster
+    }
+
+    fn kill_all(&mut self) {
+        for arbiter in self.arbiters.drain(..) {
+            arbiter.stop();
+            arbiter.join().expect("the end of its thread");
+        }
+    }
+
+    async fn restart_all(&mut self) {
+        for settings in &self.bed.settings {
+            let listeners = Listeners::bind(settings).expect("the same sockets");
+            self.arbiters.push(run(settings.clone(), listeners));
+        }
+        for number in 0..DAEMONS {
+            self.bed.await_ready(number).await;
+        }
+    }
+}
+
+impl Drop for Cluster {
+    fn drop(&mut self) {
+        self.kill_all();
+    }
+}
+
+fn introduce(all: &mut [Settings]) {
+    let mut peers = Vec::new();
+    for settings in &*all {
+        peers.push(PeerSettings {
+            name: settings.name.clone(),
+            zone: settings.zone.clone(),
+            address: settings.listen.peers.clone(),
+        });
+    }
+    for settings in all {
+        let others = peers.iter().filter(|peer| peer.name != settings.name);
+        settings.peers = others.cloned().collect();
+    }
+}
+
+fn job(id: Uuid, team: &str, run_time_ms: u64, idempotent: bool) -> Value {
+    json!({
+        "job_id": id,
+        "spec": {
+            "team": team,
+            "tasks": 4,
+            "resources": {"cpu_millis": 1_000, "memory_bytes": 1_000},
+            "run_time_ms": run_time_ms,
+            "idempotent": idempotent,
+            "payload": "p",
+        },
+    })
+}
+
+#[actix_rt::test]
+async fn all_daemons_that_die_at_once_lose_and_double_nothing() {
+    let mut cluster = Cluster::start().await;
+    let ids = [Uuid::now_v7(), Uuid::now_v7(), Uuid::now_v7()];
+    // The first two jobs fill both workers; the third waits without an intent.
+    for (number, idempotent) in [(0, true), (1, false)] {
+        let team = format!("team-{number}");
+        let body = job(ids[number], &team, 2_500, idempotent);
+        cluster.bed.submit_until_accepted(number, &body).await;
+    }
+    let full = |bed: &Bed| bed.tasks.all().len() == 8;
+    cluster.bed.until("eight starts", full).await;
+    let body = job(ids[2], "team-2", 20, false);
+    cluster.bed.submit_until_accepted(2, &body).await;
+    cluster.kill_all();
+    assert_eq!(cluster.bed.tasks.all().len(), 8, "it was to wait");
+    cluster.restart_all().await;
+    for id in ids {
+        let state = cluster.bed.await_job(0, id).await;
+        for task in state["tasks"].as_array().expect("tasks") {
+            assert_eq!(task["ended"]["done"], "result:p", "{state}");
+        }
+    }
+    assert_eq!(cluster.bed.tasks.all().len(), 12, "a task ran twice");
+}
+
+#[actix_rt::test]
+async fn daemons_that_die_in_an_outage_of_the_log_start_nothing_before_it_returns() {
+    let mut cluster = Cluster::start().await;
+    let id = Uuid::now_v7();
+    let body = job(id, "team-1", 1_000, false);
+    cluster.bed.submit_until_accepted(0, &body).await;
+    let started = |bed: &Bed| bed.tasks.all().len() == 4;
+    cluster.bed.until("four starts", started).await;
+    cluster.bed.log.set_faults(LogFaults {
+        outage: true,
+        ..LogFaults::default()
+    });
+    cluster.kill_all();
+    let refused = cluster.bed.log.refused();
+    for settings in &cluster.bed.settings {
+        let listeners = Listeners::bind(settings).expect("the same sockets");
+        cluster.arbiters.push(run(settings.clone(), listeners));
+    }
+    let read = |bed: &Bed| bed.log.refused() >= refused + 9;
+    cluster.bed.until("some reads", read).await;
+    cluster.bed.log.set_faults(LogFaults::default());
+    let state = cluster.bed.await_job(0, id).await;
+    assert_eq!(state["tasks"].as_array().map(Vec::len), Some(4));
+    assert_eq!(
+        cluster.bed.tasks.all().len(),
+        4,
+        "a task ran twice: {state}"
+    );
+}
--- a/crates/daemon/tests/daemon/main.rs
+++ b/crates/daemon/tests/daemon/main.rs
@@ -3,6 +3,7 @@
 mod bed;
 mod control;
 mod home;
+mod home_crash;
 mod log;
 mod owner;
 mod path;
