Send no command of a placement in another epoch

Cause: a placement waits for the log between its reservation and its commit, and a call carries the epoch of the moment it is sent. A home that lost its team and got it back meanwhile could commit what it had decided before, after the owners had told it that nothing runs.

Change: a placement keeps the epoch that it was decided in, and is given up in any other. No test brings the double change of view about in the daemon; the pure check assumes the rule (its world refuses calls of an earlier epoch). Also drops an expectation that no longer holds.

--- a/crates/coord/src/home.rs
+++ b/crates/coord/src/home.rs
@@ -102,6 +102,8 @@
 pub struct Placement {
     /// The job.
     pub job_id: JobId,
+    /// The epoch that it was decided in; in no other may a command of it be sent.
+    pub epoch: Epoch,
     /// Which attempt this is.
     pub attempt: u32,
     /// How often the tasks were offered in vain.
--- a/crates/coord/src/home/offers.rs
+++ b/crates/coord/src/home/offers.rs
@@ -162,6 +162,7 @@
         self.placing_urgent += usize::from(unit.class == Class::Urgent);
         Some(Action::Place(Placement {
             job_id: job.id,
+            epoch: self.epoch,
             attempt,
             tries: unit.tries,
             urgent: unit.class == Class::Urgent,
--- a/crates/daemon/src/home_place.rs
+++ b/crates/daemon/src/home_place.rs
@@ -65,7 +65,7 @@
         let jobs = node.jobs.borrow();
         jobs.get(placement.job_id).map(|job| job.spec.clone())
     };
-    let Some(spec) = spec.filter(|spec| acting(node, spec)) else {
+    let Some(spec) = spec.filter(|spec| acting(node, placement, spec)) else {
         return not_started(&placement.parts);
     };
     match placement.parts.as_slice() {
@@ -75,8 +75,9 @@
 }
 
 // Asked again right before each command.
-fn acting(node: &Rc<Node>, spec: &JobSpec) -> bool {
-    members::may_act_for(node, Key::Team(&spec.team))
+fn acting(node: &Rc<Node>, placement: &Placement, spec: &JobSpec) -> bool {
+    let same_epoch = node.view.borrow().epoch == placement.epoch;
+    same_epoch && members::may_act_for(node, Key::Team(&spec.team))
 }
 
 fn not_started(parts: &[Part]) -> Outcomes {
@@ -125,7 +126,7 @@
     }
     let ready = workers.len() == parts.len()
         && (spec.idempotent || record_intents(node, placement).await)
-        && acting(node, spec);
+        && acting(node, placement, spec);
     if !ready {
         // Where this does not arrive, the reservation lapses.
         let given_up = parts.iter().map(|part| held(node, placement, part, false));
--- a/crates/daemon/tests/daemon/bed.rs
+++ b/crates/daemon/tests/daemon/bed.rs
@@ -89,7 +89,6 @@
 }
 
 /// Daemons and stand-ins that run.
-#[expect(dead_code, reason = "some stand-ins are only kept running")]
 pub struct Bed {
     pub log: LogStandIn,
     pub vms: VmListStandIn,
