--- a/crates/coord/src/home.rs
+++ b/crates/coord/src/home.rs
@@ -72,6 +72,15 @@
     }
 }
 
+/// What a team's tasks may hold together; unlimited where missing.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Quota {
+    /// Resources.
+    pub resources: Option<Resources>,
+    /// Number of tasks.
+    pub tasks: Option<u32>,
+}
+
 /// What the daemon is to do.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Action {
@@ -205,8 +214,9 @@
 
 #[derive(Debug, Default)]
 struct Team {
-    quota: Option<Resources>,
+    quota: Quota,
     used: Resources,
+    held_tasks: u32,
     tasks: BTreeMap<TaskRef, Task>,
     resources: HashMap<JobId, Resources>,
     queue: ReadyQueue,
@@ -222,7 +232,7 @@
     epoch: Epoch,
     members: Vec<MemberId>,
     teams: BTreeMap<TeamId, Team>,
-    quotas: HashMap<TeamId, Resources>,
+    quotas: HashMap<TeamId, Quota>,
     rotation: [VecDeque<TeamId>; 3],
     placing: usize,
     placing_urgent: usize,
@@ -255,12 +265,9 @@
         }
     }
 
-    /// Sets what a team's tasks may hold together; `None` for no limit.
-    pub fn set_quota(&mut self, team: &TeamId, quota: Option<Resources>) {
-        match quota {
-            Some(quota) => self.quotas.insert(team.clone(), quota),
-            None => self.quotas.remove(team),
-        };
+    /// Sets what a team's tasks may hold together.
+    pub fn set_quota(&mut self, team: &TeamId, quota: Quota) {
+        self.quotas.insert(team.clone(), quota);
         if let Some(state) = self.teams.get_mut(team) {
             state.quota = quota;
             state.queue.unblock(usize::MAX);
--- a/crates/coord/src/home/offers.rs
+++ b/crates/coord/src/home/offers.rs
@@ -353,7 +353,12 @@
 
 impl super::Team {
     fn has_quota(&self, spec: &JobSpec, count: usize) -> bool {
-        let Some(quota) = self.quota else {
+        let count_u32 = u32::try_from(count).unwrap_or(u32::MAX);
+        let tasks = self.held_tasks.saturating_add(count_u32);
+        if self.quota.tasks.is_some_and(|most| tasks > most) {
+            return false;
+        }
+        let Some(quota) = self.quota.resources else {
             return true;
         };
         let mut sum = self.used;
--- a/crates/coord/src/home/tasks.rs
+++ b/crates/coord/src/home/tasks.rs
@@ -92,7 +92,7 @@
             return;
         }
         let team = Team {
-            quota: self.quotas.get(name).copied(),
+            quota: self.quotas.get(name).copied().unwrap_or_default(),
             rounds_begun: self.round_base,
             round_needed: self.round_base,
             ..Team::default()
@@ -216,6 +216,7 @@
             && let Some(used) = self.used.checked_add(&self.size_of(task.job_id)).ok()
         {
             self.used = used;
+            self.held_tasks += 1;
         }
         self.tasks.insert(task, state);
     }
@@ -224,6 +225,7 @@
         let removed = self.tasks.remove(&task)?;
         if removed.holds() {
             self.used = self.used.saturating_sub(&self.size_of(task.job_id));
+            self.held_tasks = self.held_tasks.saturating_sub(1);
             self.queue.unblock(UNBLOCKED);
         }
         Some(removed)
--- a/crates/coord/tests/home.rs
+++ b/crates/coord/tests/home.rs
@@ -16,6 +16,7 @@
 use syc_coord::Jobs;
 use syc_coord::home::Action;
 use syc_coord::home::OwnerRoom;
+use syc_coord::home::Quota;
 use syc_coord::home::StartOutcome;
 use syc_coord::home::split;
 use syc_types::Class;
@@ -154,6 +155,44 @@
     assert_eq!(placed_teams(&mut home, &jobs), ["d/Urgent"]);
 }
 
+const fn resources(quota: Resources) -> Quota {
+    Quota {
+        resources: Some(quota),
+        tasks: None,
+    }
+}
+
+#[test]
+fn a_limit_on_tasks_bounds_what_may_run() {
+    let (mut home, mut jobs) = entered(HomeOptions::default());
+    let quota = Quota {
+        resources: None,
+        tasks: Some(2),
+    };
+    home.set_quota(&TeamId::new("a"), quota);
+    accept(&mut home, &mut jobs, 1, &spec("a", Class::Normal, 5));
+    assert_eq!(placed_teams(&mut home, &jobs).len(), 2);
+}
+
+// What a former home may have started counts until the owners have settled: no overshoot.
+#[test]
+fn a_new_home_starts_nothing_beyond_the_quota() {
+    let (mut home, mut jobs) = entered(HomeOptions::default());
+    let team = TeamId::new("a");
+    let quota = Resources {
+        cpu_millis: 3_000,
+        memory_bytes: 100,
+        accelerators: 0,
+    };
+    home.set_quota(&team, resources(quota));
+    let former = JobId(Uuid::from_u128(7));
+    jobs.accept(former, &spec("a", Class::Normal, 2));
+    home.learn(jobs.get(former).expect("job"), true, Millis(0));
+    accept(&mut home, &mut jobs, 1, &spec("a", Class::Normal, 5));
+    assert_eq!(placed_teams(&mut home, &jobs).len(), 1);
+    assert_eq!(home.used(&team).cpu_millis, 3_000);
+}
+
 #[test_case(2, 5, 2; "a quota bounds what is offered")]
 #[test_case(5, 3, 3; "a large quota does not")]
 #[test_case(0, 3, 0; "nothing starts under a quota of nothing")]
@@ -165,11 +204,11 @@
         memory_bytes: 100,
         accelerators: 0,
     };
-    home.set_quota(&team, Some(quota));
+    home.set_quota(&team, resources(quota));
     accept(&mut home, &mut jobs, 1, &spec("a", Class::Normal, tasks));
     assert_eq!(placed_teams(&mut home, &jobs).len(), offered);
     assert!(home.used(&team).fits_in(&quota));
-    home.set_quota(&team, None);
+    home.set_quota(&team, Quota::default());
     assert_eq!(
         placed_teams(&mut home, &jobs).len(),
         tasks as usize - offered
@@ -185,7 +224,7 @@
         memory_bytes: 1,
         accelerators: 0,
     };
-    home.set_quota(&team, Some(quota));
+    home.set_quota(&team, resources(quota));
     accept(&mut home, &mut jobs, 1, &spec("a", Class::Normal, 3));
     for _ in 0..3 {
         let actions = home.actions(|_| true, &jobs, &[], true, Millis(0));
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -16,6 +16,7 @@
 use syc_coord::HomeOptions;
 use syc_coord::Jobs;
 use syc_coord::Tombstones;
+use syc_coord::home::Quota;
 use syc_coord::snapshot::SnapshotPart;
 use syc_coord::snapshot::SnapshotProgress;
 use syc_member::View;
@@ -152,7 +153,11 @@
     pub fn apply_document(self: &Rc<Self>, document: &Document) {
         if let Document::Team(team) = document {
             let mut home = self.home.borrow_mut();
-            home.set_quota(&team.name, team.quota);
+            let quota = Quota {
+                resources: team.quota,
+                tasks: team.limits.running_tasks,
+            };
+            home.set_quota(&team.name, quota);
             self.jobs_wake.notify_one();
         }
         if matches!(document, Document::Team(_) | Document::Policy(_)) {
--- a/crates/daemon/tests/daemon/bed.rs
+++ b/crates/daemon/tests/daemon/bed.rs
@@ -342,7 +342,10 @@
             }
             actix_rt::time::sleep(CHECK).await;
         }
-        panic!("{what} does not come to pass");
+        panic!(
+            "{what} does not come to pass; {} starts",
+            self.tasks.all().len()
+        );
     }
 
     /// Reads JSON from a URL.
--- a/crates/daemon/tests/daemon/home.rs
+++ b/crates/daemon/tests/daemon/home.rs
@@ -169,3 +169,25 @@
     }
     assert_eq!(bed.tasks.all().len(), 12, "a task ran twice");
 }
+
+#[actix_rt::test]
+async fn cancelling_a_job_stops_what_runs_and_frees_its_room() {
+    let bed = Bed::start(options()).await;
+    let id = Uuid::now_v7();
+    // Both workers are full for a minute, but for what the owners keep for urgent work.
+    bed.submit_until_accepted(0, &long_job(id, "freight", 8, 60_000, true))
+        .await;
+    bed.until("six starts", |bed| bed.tasks.all().len() >= 6)
+        .await;
+    let other = Uuid::now_v7();
+    let mut gang = long_job(other, "liaison", 6, 20, false);
+    gang["spec"]["kind"] = json!("gang");
+    bed.submit_until_accepted(1, &gang).await;
+    let url = bed.callers_url(2, &format!("/v1/jobs/{id}/cancel"));
+    let answer = bed.client.post(url).send().await.expect("answer");
+    assert_eq!(answer.status(), 200);
+    let state = bed.await_job(1, other).await;
+    assert_eq!(state["tasks"][5]["ended"]["done"], "result:p");
+    let state = bed.await_job(0, id).await;
+    assert_eq!(state["tasks"][7]["ended"], "cancelled");
+}
