--- a/crates/coord/src/home/offers.rs
+++ b/crates/coord/src/home/offers.rs
@@ -37,21 +37,34 @@
 }
 
 impl Home {
-    /// Returns what is to be done now. `log_up` says whether intents can be recorded.
-    pub fn actions(
+    /// Returns what is to be done now for the teams that `acting` allows. `log_up` says whether
+    /// intents can be recorded.
+    pub fn actions<F>(
         &mut self,
+        acting: F,
         jobs: &Jobs,
         rooms: &[OwnerRoom],
         log_up: bool,
         now: Millis,
-    ) -> Vec<Action> {
+    ) -> Vec<Action>
+    where
+        F: Fn(&TeamId) -> bool,
+    {
+        for rotation in &mut self.rotation {
+            rotation.retain(&acting);
+        }
         let mut actions = Vec::new();
         for (task, outcome) in std::mem::take(&mut self.ends) {
             actions.push(Action::RecordEnd { task, outcome });
         }
-        self.asks(now, &mut actions);
+        let names: Vec<_> = self
+            .teams
+            .keys()
+            .filter(|name| acting(name))
+            .cloned()
+            .collect();
+        self.asks(&names, now, &mut actions);
         self.due_stops(now, &mut actions);
-        let names: Vec<_> = self.teams.keys().cloned().collect();
         for name in names {
             if let Some(team) = self.teams.get_mut(&name) {
                 team.queue.advance(now);
@@ -149,6 +162,7 @@
         self.placing_urgent += usize::from(unit.class == Class::Urgent);
         Some(Action::Place(Placement {
             job_id: job.id,
+            epoch: self.epoch,
             attempt,
             tries: unit.tries,
             urgent: unit.class == Class::Urgent,
@@ -339,7 +353,12 @@
 
 impl super::Team {
     fn has_quota(&self, spec: &JobSpec, count: usize) -> bool {
-        let Some(quota) = self.quota else {
+        let count_u32 = u32::try_from(count).unwrap_or(u32::MAX);
+        let tasks = self.held_tasks.saturating_add(count_u32);
+        if self.quota.tasks.is_some_and(|most| tasks > most) {
+            return false;
+        }
+        let Some(quota) = self.quota.resources else {
             return true;
         };
         let mut sum = self.used;
