Ask no earlier home of a request than one that was its first

Cause: a member that joins does not know since when the former homes acted, so it asked every home back to the first view; one that had been replaced meanwhile made the outcome "home_lost", though a later home knew that nothing had run. Change: a former home that never ran a request says whether it acted as its home from before the request was created; then no earlier home is asked. It says so only if it knows the asker's view.

--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -135,7 +135,9 @@
         Body::StateQuery(query) => Body::StatePart(follower_peers::answer(node, &query)),
         Body::HeldTasks(call) => Body::Ack(owner::held(node, &call).await?),
         Body::StopTasks(call) => Body::Ack(owner::stop(node, &call).await?),
-        Body::WhatOfRequest(asked) => Body::RequestRecord(requests::tell(node, asked).await?),
+        Body::WhatOfRequest(asked) => {
+            Body::RequestRecord(requests::tell(node, epoch, asked).await?)
+        }
         Body::WhatRuns(call) => Body::RunningTasks(owner::what_runs(node, epoch, &call)),
         Body::Heartbeat(_)
         | Body::HeartbeatAck(_)
--- a/crates/daemon/src/requests/home.rs
+++ b/crates/daemon/src/requests/home.rs
@@ -214,12 +214,19 @@
             told.push(Told::Forgotten);
             continue;
         };
-        told.push(
-            match peers::call_address(node, &address, body, left_ms).await {
-                Ok(Body::RequestRecord(record)) => wire::from_record(record),
-                _ => Told::Forgotten,
-            },
-        );
+        let reply = peers::call_address(node, &address, body, left_ms).await;
+        let Ok(Body::RequestRecord(record)) = reply else {
+            told.push(Told::Forgotten);
+            continue;
+        };
+        let first_home = record.first_home;
+        let known = wire::from_record(record);
+        let settled = first_home && known == Told::Never;
+        told.push(known);
+        // The latest homes come first: those that are left are earlier ones.
+        if settled {
+            break;
+        }
     }
     let mut once = node.requests.once.borrow_mut();
     once.asked(request.id, told, wall_now(node))
@@ -238,10 +245,15 @@
     (!replaced).then_some(address)
 }
 
-/// Says what this member, as a former home, knows of a request.
-pub async fn tell(node: &Rc<Node>, asked: WhatOfRequest) -> Result<RequestRecord, DecodeError> {
+/// Says what this member, as a former home, knows of a request to a member in view `epoch`.
+pub async fn tell(
+    node: &Rc<Node>,
+    epoch: u64,
+    asked: WhatOfRequest,
+) -> Result<RequestRecord, DecodeError> {
     let id = wire::request_id(&asked.request_id)?;
     let created = created_at(id).ok_or(DecodeError::field("request_id"))?;
+    let first_home = is_first_home(node, epoch, id, created);
     let until = node.now().plus(asked.wait_ms);
     loop {
         let told = {
@@ -249,11 +261,24 @@
             once.tell(id, created, wall_now(node))
         };
         if told != Told::Running || !wait_for_end(node, id, until).await {
-            return Ok(wire::to_record(told));
+            return Ok(RequestRecord {
+                first_home,
+                ..wire::to_record(told)
+            });
         }
     }
 }
 
+// A member that lags behind the asker's view may have been the home once more than it knows.
+fn is_first_home(node: &Rc<Node>, epoch: u64, id: RequestId, created: Millis) -> bool {
+    view_changed(node);
+    if node.view.borrow().epoch.0 < epoch {
+        return false;
+    }
+    let homes = node.requests.homes.borrow();
+    homes.is_first_home(created, |view| home_of(view, id))
+}
+
 /// Waits for the end of a run here; says whether it came in time.
 async fn wait_for_end(node: &Rc<Node>, id: RequestId, until: Millis) -> bool {
     let heard = node.requests.runs.borrow().get(&id).cloned();
--- a/crates/route/src/homes.rs
+++ b/crates/route/src/homes.rs
@@ -160,6 +160,20 @@
         Standing::Unsure
     }
 
+    /// Says whether no earlier home than this member can have run a request.
+    ///
+    /// So it is where the member could act, in the last view that made it the request's home, from
+    /// before the request was created.
+    pub fn is_first_home<F>(&self, created: Millis, home_of: F) -> bool
+    where
+        F: Fn(&V) -> Option<MemberId>,
+    {
+        let mut eras = self.eras.iter().rev();
+        let last = eras.find(|era| home_of(&era.view).as_ref() == Some(&self.me));
+        let from = last.and_then(|era| era.active_from);
+        from.is_some_and(|from| self.is_after(created, from))
+    }
+
     fn is_after(&self, created: Millis, at: Millis) -> bool {
         created > at.plus(self.margin_ms)
     }
--- a/crates/wire/src/request.rs
+++ b/crates/wire/src/request.rs
@@ -72,4 +72,7 @@
     /// The endpoint's body where it answered.
     #[prost(bytes = "bytes", tag = "3")]
     pub body: bytes::Bytes,
+    /// Whether no earlier home than the one that tells can have run it.
+    #[prost(bool, tag = "4")]
+    pub first_home: bool,
 }
