Build the daemon's tests on the shared cell of stand-ins

Cause: the tests' bed built stand-ins, inventory and peer settings by the same steps as `syc-standin::Cell`, and published by two equal functions.

--- a/crates/daemon/tests/daemon/bed.rs
+++ b/crates/daemon/tests/daemon/bed.rs
@@ -1,37 +1,24 @@
 //! Daemons and stand-ins for the tests of this binary.
 
+use std::ops::Deref;
 use std::time::Duration;
 
 use awc::Client;
 use smol_str::SmolStr;
-use smol_str::format_smolstr;
 use syc_config::Document;
-use syc_config::EndpointDoc;
-use syc_config::Inventory;
 use syc_config::Limits;
 use syc_config::Listen;
-use syc_config::PeerSettings;
-use syc_config::PlatformSettings;
-use syc_config::ServiceDoc;
 use syc_config::Settings;
 use syc_config::Timing;
-use syc_config::WorkerDoc;
 use syc_daemon::Daemon;
 use syc_daemon::Listeners;
+use syc_standin::Cell;
+use syc_standin::CellOptions;
 use syc_standin::EndpointOptions;
-use syc_standin::EndpointStandIn;
-use syc_standin::Executions;
-use syc_standin::LogStandIn;
-use syc_standin::VmListStandIn;
 use syc_standin::WorkerOptions;
-use syc_standin::WorkerStandIn;
-use syc_types::EndpointId;
-use syc_types::RackId;
+use syc_standin::introduce;
 use syc_types::Resources;
 use syc_types::ServiceName;
-use syc_types::TaskRef;
-use syc_types::WorkerId;
-use syc_types::Zone;
 use uuid::Uuid;
 
 /// The control token of every daemon here.
@@ -91,17 +78,20 @@
 
 /// Daemons and stand-ins that run.
 pub struct Bed {
-    pub log: LogStandIn,
-    pub vms: VmListStandIn,
-    pub endpoints: Vec<EndpointStandIn>,
-    pub workers: Vec<WorkerStandIn>,
-    pub requests: Executions<String>,
-    pub tasks: Executions<TaskRef>,
+    pub cell: Cell,
     pub settings: Vec<Settings>,
     pub daemons: Vec<Option<Daemon>>,
     pub client: Client,
 }
 
+impl Deref for Bed {
+    type Target = Cell;
+
+    fn deref(&self) -> &Cell {
+        &self.cell
+    }
+}
+
 impl Bed {
     /// Starts everything and publishes the inventory.
     pub async fn start(options: BedOptions) -> Self {
@@ -109,7 +99,7 @@
         for number in 0..options.daemons {
             bed.await_ready(number).await;
         }
-        let inventory = bed.inventory(&options);
+        let inventory = bed.inventory();
         let (status, text) = bed.publish(0, 0, Document::Inventory(inventory)).await;
         assert_eq!(status, 200, "{text}");
         for number in 0..options.daemons {
@@ -134,75 +124,27 @@
 
     /// Starts everything without any configuration.
     pub fn start_unconfigured(options: &BedOptions) -> Self {
-        let log = LogStandIn::start().expect("log");
-        let requests = Executions::default();
-        let tasks = Executions::default();
-        let mut names = Vec::new();
-        let mut endpoints = Vec::new();
-        for number in 0..options.endpoints {
-            names.push(format_smolstr!("endpoint-{number}"));
-            let started = EndpointStandIn::start(options.endpoint.clone(), requests.clone());
-            endpoints.push(started.expect("endpoint"));
-        }
-        let mut workers = Vec::new();
-        for number in 0..options.workers {
-            names.push(format_smolstr!("worker-{number}"));
-            let started = WorkerStandIn::start(options.worker, tasks.clone());
-            workers.push(started.expect("worker"));
-        }
-        for number in 0..options.daemons {
-            names.push(format_smolstr!("entry-{number}"));
-        }
-        let vms = VmListStandIn::start(names, 0).expect("vms");
-        let platform = PlatformSettings {
-            log: log.address().into(),
-            vms: vms.address().into(),
-        };
-        let (settings, daemons) = start_daemons(options, &platform);
+        let cell = Cell::start(CellOptions {
+            service: ServiceName::new(SERVICE),
+            entry_vms: options.daemons,
+            endpoints: options.endpoints,
+            endpoint: options.endpoint.clone(),
+            workers: options.workers,
+            rack_workers: 1,
+            worker: options.worker,
+            vm_lag_ms: 0,
+            ..CellOptions::default()
+        });
+        let cell = cell.expect("stand-ins");
+        let (settings, daemons) = start_daemons(options, &cell);
         Self {
-            log,
-            vms,
-            endpoints,
-            workers,
-            requests,
-            tasks,
+            cell,
             settings,
             daemons,
             client: Client::builder().disable_timeout().finish(),
         }
     }
 
-    /// Returns the inventory of the stand-ins.
-    pub fn inventory(&self, options: &BedOptions) -> Inventory {
-        let mut workers = Vec::new();
-        for (number, worker) in self.workers.iter().enumerate() {
-            workers.push(WorkerDoc {
-                id: WorkerId::new(format_smolstr!("worker-{number}")),
-                address: worker.address().into(),
-                zone: Zone::new("a"),
-                rack: RackId::new(format_smolstr!("rack-{number}")),
-                capacity: options.worker.capacity,
-            });
-        }
-        let mut endpoints = Vec::new();
-        for (number, endpoint) in self.endpoints.iter().enumerate() {
-            endpoints.push(EndpointDoc {
-                id: EndpointId::new(format_smolstr!("endpoint-{number}")),
-                address: endpoint.address().into(),
-                zone: Zone::new("a"),
-            });
-        }
-        Inventory {
-            name: "register".into(),
-            workers,
-            services: vec![ServiceDoc {
-                name: ServiceName::new(SERVICE),
-                slots: options.endpoint.slots,
-                endpoints,
-            }],
-        }
-    }
-
     /// Returns a URL on a daemon's address for callers.
     pub fn callers_url(&self, daemon: usize, path: &str) -> String {
         format!("http://{}{path}", self.settings[daemon].listen.callers)
@@ -215,18 +157,8 @@
 
     /// Publishes a document; returns status and body.
     pub async fn publish(&self, daemon: usize, base: u64, document: Document) -> (u16, String) {
-        let body = serde_json::json!({
-            "id": Uuid::now_v7(),
-            "author": "bed",
-            "base": base,
-            "document": document,
-        });
-        let request = self.client.post(self.control_url(daemon, "/v1/config"));
-        let request = request.insert_header((syc_api::TOKEN_HEADER, TOKEN));
-        let mut answer = request.send_json(&body).await.expect("answer");
-        let text = answer.body().await.expect("body");
-        let text = String::from_utf8_lossy(&text).into_owned();
-        (answer.status().as_u16(), text)
+        self.publish_as(daemon, Uuid::now_v7(), base, document)
+            .await
     }
 
     /// Publishes a document under a publication id of its own choosing; returns status and body.
@@ -408,43 +340,28 @@
     panic!("the former sockets stay open");
 }
 
-fn start_daemons(
-    options: &BedOptions,
-    platform: &PlatformSettings,
-) -> (Vec<Settings>, Vec<Option<Daemon>>) {
+fn start_daemons(options: &BedOptions, cell: &Cell) -> (Vec<Settings>, Vec<Option<Daemon>>) {
     let any = SmolStr::new("127.0.0.1:0");
     let mut bound = Vec::new();
     for number in 0..options.daemons {
         let settings = Settings {
-            name: format_smolstr!("entry-{number}"),
-            zone: "a".into(),
             listen: Listen {
                 callers: any.clone(),
                 peers: any.clone(),
                 control: any.clone(),
             },
-            platform: platform.clone(),
             timing: options.timing,
             limits: options.limits,
             control_token: TOKEN.into(),
-            ..Settings::default()
+            ..cell.settings(number)
         };
         let listeners = Listeners::bind(&settings).expect("sockets");
         bound.push((listeners.resolve(settings).expect("addresses"), listeners));
     }
-    let mut peers = Vec::new();
-    for (settings, _) in &bound {
-        peers.push(PeerSettings {
-            name: settings.name.clone(),
-            zone: settings.zone.clone(),
-            address: settings.listen.peers.clone(),
-        });
-    }
+    introduce(bound.iter_mut().map(|(settings, _)| settings));
     let mut all = Vec::new();
     let mut daemons = Vec::new();
-    for (mut settings, listeners) in bound {
-        let others = peers.iter().filter(|peer| peer.name != settings.name);
-        settings.peers = others.cloned().collect();
+    for (settings, listeners) in bound {
         all.push(settings.clone());
         daemons.push(Some(Daemon::start(settings, listeners).expect("daemon")));
     }
--- a/crates/daemon/tests/daemon/home_crash.rs
+++ b/crates/daemon/tests/daemon/home_crash.rs
@@ -99,7 +99,7 @@
         for number in 0..DAEMONS {
             bed.await_ready(number).await;
         }
-        let inventory = Document::Inventory(bed.inventory(&options));
+        let inventory = Document::Inventory(bed.inventory());
         let (status, text) = bed.publish(0, 0, inventory).await;
         assert_eq!(status, 200, "{text}");
         for number in 0..DAEMONS {
--- a/crates/daemon/tests/daemon/members.rs
+++ b/crates/daemon/tests/daemon/members.rs
@@ -107,7 +107,7 @@
         for number in 0..DAEMONS {
             cluster.bed.await_ready(number).await;
         }
-        let inventory = cluster.bed.inventory(&options);
+        let inventory = cluster.bed.inventory();
         let document = Document::Inventory(inventory);
         let (status, text) = cluster.bed.publish(0, 0, document).await;
         assert_eq!(status, 200, "{text}");
--- a/crates/daemon/tests/daemon/requests.rs
+++ b/crates/daemon/tests/daemon/requests.rs
@@ -214,7 +214,7 @@
 #[actix_rt::test]
 async fn an_endpoint_that_refuses_connections_costs_nobody_anything() {
     let mut bed = Bed::start(slow(1, 8, 2)).await;
-    drop(bed.endpoints.remove(0));
+    drop(bed.cell.endpoints.remove(0));
     for _ in 0..30 {
         assert_eq!(ask(&bed, once()).await.status, 200);
     }
