--- a/crates/bench/src/bin/syc-faults/main.rs
+++ b/crates/bench/src/bin/syc-faults/main.rs
@@ -26,7 +26,8 @@
   --daemon FILE   the built `sycamorespurd`
   --seconds N     how long callers send (default 40)
   --daemons N     entry VMs (default 5)
-  --only FAULT    one of none, pause, kill, stop, outage, lost-answers
+  --only FAULT    one of none, pause, kill, kill-two, kill-all, stop,
+                  outage, lost-answers
   --keep-logs     print where the daemons' logs are, and leave them
 
 Exit codes: 0 nothing broke, 1 something did, 2 the run could not be made.";
--- a/crates/bench/src/bin/syc-faults/schedule.rs
+++ b/crates/bench/src/bin/syc-faults/schedule.rs
@@ -27,7 +27,14 @@
 pub async fn run(cluster: &mut Cluster, only: Option<&str>, seconds: u64) -> Result<()> {
     let until = actix_rt::time::Instant::now() + Duration::from_secs(seconds);
     actix_rt::time::sleep(QUIET).await;
-    let all = ["pause", "lost-answers", "kill", "outage", "stop"];
+    let all = [
+        "pause",
+        "lost-answers",
+        "kill",
+        "outage",
+        "stop",
+        "kill-two",
+    ];
     let chosen = match only {
         None => all.to_vec(),
         Some("none") => Vec::new(),
@@ -54,17 +61,15 @@
             cluster.signal(victim, Signal::CONT)?;
             actix_rt::time::sleep(PAUSE / 2).await;
         }
-        "kill" => {
-            cluster.signal(victim, Signal::KILL)?;
-            actix_rt::time::sleep(AWAY).await;
-            cluster.restart(victim)?;
-            actix_rt::time::sleep(AWAY).await;
+        "kill" => replace(cluster, &[victim], Signal::KILL).await?,
+        "stop" => replace(cluster, &[victim], Signal::TERM).await?,
+        "kill-two" => {
+            let next = (victim + 1) % cluster.settings.len();
+            replace(cluster, &[victim, next], Signal::KILL).await?;
         }
-        "stop" => {
-            cluster.signal(victim, Signal::TERM)?;
-            actix_rt::time::sleep(AWAY).await;
-            cluster.restart(victim)?;
-            actix_rt::time::sleep(AWAY).await;
+        "kill-all" => {
+            let all: Vec<_> = (0..cluster.settings.len()).collect();
+            replace(cluster, &all, Signal::KILL).await?;
         }
         "outage" => {
             cluster.cell.log.set_faults(LogFaults {
@@ -86,3 +91,15 @@
     }
     Ok(())
 }
+
+async fn replace(cluster: &mut Cluster, victims: &[usize], signal: Signal) -> Result<()> {
+    for &victim in victims {
+        cluster.signal(victim, signal)?;
+    }
+    actix_rt::time::sleep(AWAY).await;
+    for &victim in victims {
+        cluster.restart(victim)?;
+    }
+    actix_rt::time::sleep(AWAY).await;
+    Ok(())
+}
