Let a cell's settings carry their loopback addresses

Cause: the try-out, an example and four test beds each wrote the same three addresses, two of them also the cell's name, zone and platform addresses. Change: `Cell::settings` gives all of it; 65 lines go, 13 come. No assertion, timing or limit changed.

--- a/crates/cli/tests/cli/bed.rs
+++ b/crates/cli/tests/cli/bed.rs
@@ -5,9 +5,7 @@
 use std::time::Duration;
 
 use awc::Client;
-use smol_str::SmolStr;
 use syc_config::Document;
-use syc_config::Listen;
 use syc_config::Settings;
 use syc_config::Timing;
 use syc_daemon::Daemon;
@@ -202,15 +200,9 @@
 }
 
 fn start_daemons(cell: &Cell, count: usize) -> (Vec<Settings>, Vec<Option<Daemon>>) {
-    let any = SmolStr::new("127.0.0.1:0");
     let mut bound = Vec::new();
     for number in 0..count {
         let settings = Settings {
-            listen: Listen {
-                callers: any.clone(),
-                peers: any.clone(),
-                control: any.clone(),
-            },
             timing: Timing {
                 log_poll_ms: 50,
                 worker_poll_ms: 1_000,
--- a/crates/daemon/examples/takeover.rs
+++ b/crates/daemon/examples/takeover.rs
@@ -11,7 +11,6 @@
 use smol_str::SmolStr;
 use smol_str::format_smolstr;
 use syc_config::Document;
-use syc_config::Listen;
 use syc_config::Settings;
 use syc_config::Timing;
 use syc_daemon::Daemon;
@@ -272,13 +271,7 @@
 }
 
 fn own_settings(cell: &Cell, number: usize) -> Settings {
-    let any = SmolStr::new("127.0.0.1:0");
     Settings {
-        listen: Listen {
-            callers: any.clone(),
-            peers: any.clone(),
-            control: any,
-        },
         timing: Timing {
             drain_notice_ms: 100,
             ..Timing::default()
--- a/crates/daemon/tests/daemon/bed.rs
+++ b/crates/daemon/tests/daemon/bed.rs
@@ -4,10 +4,8 @@
 use std::time::Duration;
 
 use awc::Client;
-use smol_str::SmolStr;
 use syc_config::Document;
 use syc_config::Limits;
-use syc_config::Listen;
 use syc_config::Settings;
 use syc_config::Timing;
 use syc_daemon::Daemon;
@@ -341,15 +339,9 @@
 }
 
 fn start_daemons(options: &BedOptions, cell: &Cell) -> (Vec<Settings>, Vec<Option<Daemon>>) {
-    let any = SmolStr::new("127.0.0.1:0");
     let mut bound = Vec::new();
     for number in 0..options.daemons {
         let settings = Settings {
-            listen: Listen {
-                callers: any.clone(),
-                peers: any.clone(),
-                control: any.clone(),
-            },
             timing: options.timing,
             limits: options.limits,
             control_token: TOKEN.into(),
--- a/crates/daemon/tests/daemon/home_crash.rs
+++ b/crates/daemon/tests/daemon/home_crash.rs
@@ -3,13 +3,9 @@
 use actix_rt::Arbiter;
 use serde_json::Value;
 use serde_json::json;
-use smol_str::SmolStr;
-use smol_str::format_smolstr;
 use syc_config::Document;
 use syc_config::Limits;
-use syc_config::Listen;
 use syc_config::PeerSettings;
-use syc_config::PlatformSettings;
 use syc_config::Settings;
 use syc_config::Timing;
 use syc_daemon::Daemon;
@@ -30,19 +26,7 @@
 }
 
 fn settings(bed: &Bed, number: usize) -> Settings {
-    let any = SmolStr::new("127.0.0.1:0");
     Settings {
-        name: format_smolstr!("entry-{number}"),
-        zone: "a".into(),
-        listen: Listen {
-            callers: any.clone(),
-            peers: any.clone(),
-            control: any,
-        },
-        platform: PlatformSettings {
-            log: bed.log.address().into(),
-            vms: bed.vms.address().into(),
-        },
         timing: Timing {
             log_poll_ms: 50,
             vm_poll_ms: 100,
@@ -58,7 +42,7 @@
             ..Limits::default()
         },
         control_token: TOKEN.into(),
-        ..Settings::default()
+        ..bed.cell.settings(number)
     }
 }
 
--- a/crates/daemon/tests/daemon/members.rs
+++ b/crates/daemon/tests/daemon/members.rs
@@ -4,11 +4,7 @@
 
 use actix_rt::Arbiter;
 use serde_json::Value;
-use smol_str::SmolStr;
-use smol_str::format_smolstr;
 use syc_config::Document;
-use syc_config::Listen;
-use syc_config::PlatformSettings;
 use syc_config::Settings;
 use syc_config::Timing;
 use syc_daemon::Daemon;
@@ -190,22 +186,10 @@
 }
 
 fn settings(bed: &Bed, number: usize) -> Settings {
-    let any = SmolStr::new("127.0.0.1:0");
     Settings {
-        name: format_smolstr!("entry-{number}"),
-        zone: "a".into(),
-        listen: Listen {
-            callers: any.clone(),
-            peers: any.clone(),
-            control: any,
-        },
-        platform: PlatformSettings {
-            log: bed.log.address().into(),
-            vms: bed.vms.address().into(),
-        },
         timing: timing(),
         control_token: TOKEN.into(),
-        ..Settings::default()
+        ..bed.cell.settings(number)
     }
 }
 
--- a/crates/standin/src/cell.rs
+++ b/crates/standin/src/cell.rs
@@ -4,6 +4,7 @@
 use smol_str::format_smolstr;
 use syc_config::EndpointDoc;
 use syc_config::Inventory;
+use syc_config::Listen;
 use syc_config::PeerSettings;
 use syc_config::PlatformSettings;
 use syc_config::ServiceDoc;
@@ -24,6 +25,9 @@
 use crate::WorkerOptions;
 use crate::WorkerStandIn;
 
+/// Loopback address on a port that the system chooses.
+const ANY_PORT: &str = "127.0.0.1:0";
+
 /// What a cell consists of.
 #[derive(Debug, Clone)]
 pub struct CellOptions {
@@ -143,12 +147,18 @@
         }
     }
 
-    /// Returns the settings of an entry VM, without addresses to listen on and without peers.
+    /// Returns the settings of an entry VM on loopback ports that the system chooses, without
+    /// peers.
     #[must_use]
     pub fn settings(&self, number: usize) -> Settings {
         Settings {
             name: entry_name(number),
             zone: self.zone(number).as_str().into(),
+            listen: Listen {
+                callers: ANY_PORT.into(),
+                peers: ANY_PORT.into(),
+                control: ANY_PORT.into(),
+            },
             platform: PlatformSettings {
                 log: self.log.address().into(),
                 vms: self.vms.address().into(),
--- a/crates/tryout/src/cluster.rs
+++ b/crates/tryout/src/cluster.rs
@@ -10,7 +10,6 @@
 use miette::miette;
 use smol_str::SmolStr;
 use syc_config::Document;
-use syc_config::Listen;
 use syc_config::Settings;
 use syc_config::Timing;
 use syc_config::parse_document;
@@ -147,13 +146,7 @@
 }
 
 fn settings(cell: &Cell, number: usize) -> Settings {
-    let any = SmolStr::new("127.0.0.1:0");
     Settings {
-        listen: Listen {
-            callers: any.clone(),
-            peers: any.clone(),
-            control: any,
-        },
         timing: Timing {
             log_poll_ms: 200,
             worker_poll_ms: 2_000,
