--- /dev/null
+++ b/crates/cell/src/accept.rs
@@ -0,0 +1,222 @@
+//! Storing what callers submit: nothing is accepted before the store has acknowledged it.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::VecDeque;
+use std::rc::Rc;
+use std::time::Duration;
+
+use syc_sched::JobId;
+use syc_sched::JobSpec;
+use syc_types::Millis;
+use syc_wire::cell::CellBody;
+use syc_wire::cell::Relay;
+use tokio::sync::oneshot;
+
+use crate::Node;
+use crate::clock::now;
+use crate::ports::AppendError;
+use crate::ports::Condition;
+use crate::ports::Platform;
+use crate::ports::Record;
+use crate::ports::Topic;
+use crate::records;
+
+/// Most records that share one append.
+const BATCH_RECORDS: usize = 64;
+
+/// Wait after an append that failed.
+const RETRY_MS: u64 = 40;
+
+/// Appends of a record that the store refuses, before the caller hears of it.
+const REFUSALS_LIMIT: u32 = 3;
+
+/// What became of a record.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Stored {
+    /// The store has it.
+    Stored,
+    /// The store does not have it and never will.
+    Refused,
+    /// It may be in the store, or come into it.
+    InDoubt,
+}
+
+/// Records for one partition that wait for their append.
+#[derive(Debug, Default)]
+pub(crate) struct AcceptQueue {
+    waiting: RefCell<VecDeque<Waiting>>,
+    running: Cell<bool>,
+}
+
+#[derive(Debug)]
+struct Waiting {
+    record: Record,
+    until: Millis,
+    refusals: u32,
+    doubt: bool,
+    reply: oneshot::Sender<Stored>,
+}
+
+impl AcceptQueue {
+    pub(crate) const fn is_busy(&self) -> bool {
+        self.running.get()
+    }
+
+    fn take_batch(&self) -> Vec<Waiting> {
+        let mut waiting = self.waiting.borrow_mut();
+        let count = waiting.len().min(BATCH_RECORDS);
+        waiting.drain(..count).collect()
+    }
+}
+
+impl<P> Node<P>
+where
+    P: Platform,
+{
+    /// Stores a job; it is accepted once the store has it.
+    pub async fn submit(self: &Rc<Self>, spec: &JobSpec) -> Stored {
+        let partition = self.partition_of(spec.id);
+        self.store_record(partition, records::submitted(spec)).await
+    }
+
+    /// Stores that a job is cancelled.
+    pub async fn cancel(self: &Rc<Self>, id: JobId) -> Stored {
+        let partition = self.partition_of(id);
+        self.store_record(partition, records::cancelled(id)).await
+    }
+
+    /// Returns the partition of the topic of jobs that holds a job.
+    pub(crate) fn partition_of(&self, id: JobId) -> u32 {
+        let partitions = u64::from(self.settings.job_partitions());
+        u32::try_from(id.0 % partitions).unwrap_or(0)
+    }
+
+    async fn store_record(self: &Rc<Self>, partition: u32, record: Record) -> Stored {
+        let until = now().plus(self.settings.timing.submit_limit_ms);
+        let mut doubt = false;
+        if !self.store_answers() {
+            match self.relay(partition, &record).await {
+                Stored::Stored => return Stored::Stored,
+                Stored::Refused => {}
+                Stored::InDoubt => doubt = true,
+            }
+        }
+        match self.append_record(partition, record.clone(), until).await {
+            Stored::Stored => return Stored::Stored,
+            Stored::Refused => {}
+            Stored::InDoubt => doubt = true,
+        }
+        if now() < until {
+            match self.relay(partition, &record).await {
+                Stored::Stored => return Stored::Stored,
+                Stored::Refused => {}
+                Stored::InDoubt => doubt = true,
+            }
+        }
+        if doubt {
+            Stored::InDoubt
+        } else {
+            Stored::Refused
+        }
+    }
+
+    /// Appends a record, together with others that wait for the same partition.
+    pub(crate) async fn append_record(
+        self: &Rc<Self>,
+        partition: u32,
+        record: Record,
+        until: Millis,
+    ) -> Stored {
+        let index = usize::try_from(partition).unwrap_or(usize::MAX);
+        let Some(queue) = self.accepting.get(index) else {
+            return Stored::Refused;
+        };
+        let (reply, answer) = oneshot::channel();
+        queue.waiting.borrow_mut().push_back(Waiting {
+            record,
+            until,
+            refusals: 0,
+            doubt: false,
+            reply,
+        });
+        if !queue.running.replace(true) {
+            actix_rt::spawn(drain(Rc::clone(self), partition));
+        }
+        answer.await.unwrap_or(Stored::InDoubt)
+    }
+
+    /// Asks the scheduler's node to append a record, for it may reach the store where this one
+    /// does not.
+    async fn relay(&self, partition: u32, record: &Record) -> Stored {
+        let link = self.link.borrow().clone();
+        let Some(link) = link.filter(|link| link.relays()) else {
+            return Stored::Refused;
+        };
+        let query = CellBody::Relay(Relay {
+            partition,
+            key: record.key.to_string(),
+            value: record.value.clone(),
+        });
+        let timeout_ms = self.settings.timing.store_timeout_ms;
+        match link.call(query, timeout_ms).await {
+            Ok(CellBody::RelayReply(reply)) if reply.stored => Stored::Stored,
+            Ok(CellBody::RelayReply(reply)) if reply.refused => Stored::Refused,
+            Err(syc_net::CallError::NotSent) => Stored::Refused,
+            Ok(_) | Err(syc_net::CallError::NoReply) => Stored::InDoubt,
+        }
+    }
+}
+
+/// Appends what waits for a partition until nothing does.
+async fn drain<P>(node: Rc<Node<P>>, partition: u32)
+where
+    P: Platform,
+{
+    let index = usize::try_from(partition).unwrap_or(usize::MAX);
+    let queue = &node.accepting[index];
+    loop {
+        let batch = queue.take_batch();
+        if batch.is_empty() {
+            queue.running.set(false);
+            return;
+        }
+        let batch_records: Vec<_> = batch.iter().map(|waiting| waiting.record.clone()).collect();
+        let appended = node
+            .append(Topic::Jobs, partition, &batch_records, &Condition::None)
+            .await;
+        let refused = match appended {
+            Ok(_) => {
+                for waiting in batch {
+                    // A caller that left needs no answer.
+                    let _left = waiting.reply.send(Stored::Stored);
+                }
+                continue;
+            }
+            Err(AppendError::InDoubt(_)) => false,
+            Err(_) => true,
+        };
+        for waiting in batch {
+            retry_or_answer(queue, waiting, refused);
+        }
+        actix_rt::time::sleep(Duration::from_millis(RETRY_MS)).await;
+    }
+}
+
+fn retry_or_answer(queue: &AcceptQueue, mut waiting: Waiting, refused: bool) {
+    if refused {
+        waiting.refusals += 1;
+    } else {
+        waiting.doubt = true;
+    }
+    if now() < waiting.until && waiting.refusals < REFUSALS_LIMIT {
+        queue.waiting.borrow_mut().push_back(waiting);
+        return;
+    }
+    let outcome = if waiting.doubt {
+        Stored::InDoubt
+    } else {
+        Stored::Refused
+    };
+    let _left = waiting.reply.send(outcome);
+}
--- /dev/null
+++ b/crates/cell/src/contact.rs
@@ -0,0 +1,208 @@
+//! Calls between the nodes of a cell: every node keeps in touch with the scheduler, and only with it.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use syc_net::CallError;
+use syc_net::PeerClient;
+use syc_net::PeerOptions;
+use syc_types::Millis;
+use syc_wire::cell::CellBody;
+use syc_wire::cell::CellMessage;
+use syc_wire::cell::Contact;
+use syc_wire::cell::ContactReply;
+use syc_wire::cell::RelayReply;
+
+use crate::Node;
+use crate::Stored;
+use crate::adviser;
+use crate::clock::now;
+use crate::log;
+use crate::node::Holder;
+use crate::ports::Platform;
+use crate::ports::Record;
+use crate::queries;
+
+/// A connection attempt to another node may take this long.
+const CONNECT_TIMEOUT_MS: u64 = 300;
+
+/// The link to the node that is the scheduler.
+#[derive(Debug)]
+pub(crate) struct HolderLink {
+    client: PeerClient,
+    pub(crate) token: u64,
+    /// Whether its store answers it.
+    store_answers: Cell<bool>,
+    /// When it last answered.
+    answered_at: Cell<Millis>,
+    answers: Cell<bool>,
+}
+
+impl HolderLink {
+    fn new(holder: &Holder) -> Option<Self> {
+        let address = holder.address.parse().ok()?;
+        Some(Self {
+            client: PeerClient::new(address, peer_options()),
+            token: holder.token,
+            store_answers: Cell::new(false),
+            answered_at: Cell::new(now()),
+            answers: Cell::new(true),
+        })
+    }
+
+    /// Says whether the scheduler's node can append for this one.
+    pub(crate) fn relays(&self) -> bool {
+        self.store_answers.get() && self.answers.get()
+    }
+
+    /// Calls the scheduler's node.
+    pub(crate) async fn call(
+        &self,
+        query: CellBody,
+        timeout_ms: u64,
+    ) -> Result<CellBody, CallError> {
+        call(&self.client, query, timeout_ms).await
+    }
+}
+
+pub(crate) fn peer_options() -> PeerOptions {
+    PeerOptions {
+        connect_timeout_ms: CONNECT_TIMEOUT_MS,
+        ..PeerOptions::default()
+    }
+}
+
+/// Calls a node; a link on which an answer does not come is given up.
+pub(crate) async fn call(
+    client: &PeerClient,
+    query: CellBody,
+    timeout_ms: u64,
+) -> Result<CellBody, CallError> {
+    let reply = client.call(&CellMessage::encoded(query), timeout_ms).await;
+    let reply = reply.inspect_err(|_| client.reset())?;
+    CellMessage::decoded(&reply).map_err(|error| {
+        log::unreadable("peer", &error.to_string());
+        CallError::NoReply
+    })
+}
+
+/// Tells the scheduler again and again that this node is there, and hears whether it is.
+pub(crate) async fn keep_contact<P>(node: Rc<Node<P>>)
+where
+    P: Platform,
+{
+    let interval = Duration::from_millis(node.settings.timing.contact_ms);
+    loop {
+        let link = current_link(&node);
+        if let Some(link) = link {
+            contact(&node, &link).await;
+        }
+        tokio::select! {
+            () = actix_rt::time::sleep(interval) => {}
+            () = node.holder_news.notified() => {}
+        }
+    }
+}
+
+/// Returns the link to the scheduler, a new one where another is the scheduler now.
+fn current_link<P>(node: &Rc<Node<P>>) -> Option<Rc<HolderLink>>
+where
+    P: Platform,
+{
+    let holder = node.holder.borrow().clone();
+    let of_other = holder.filter(|holder| holder.incarnation != node.incarnation);
+    let Some(holder) = of_other else {
+        node.link.borrow_mut().take();
+        return None;
+    };
+    let mut link = node.link.borrow_mut();
+    let same = link.as_ref().is_some_and(|link| link.token == holder.token);
+    if !same {
+        *link = HolderLink::new(&holder).map(Rc::new);
+    }
+    link.clone()
+}
+
+async fn contact<P>(node: &Rc<Node<P>>, link: &HolderLink)
+where
+    P: Platform,
+{
+    let query = CellBody::Contact(Contact {
+        node: node.settings.name.to_string(),
+        address: node.settings.peer_address.to_string(),
+        store_answers: node.store_answers(),
+        token: link.token,
+    });
+    let timeout_ms = node.settings.timing.peer_timeout_ms;
+    let reply = link.call(query, timeout_ms).await;
+    let (answers, store_answers) = match &reply {
+        Ok(CellBody::ContactReply(reply)) => (reply.leading, reply.store_answers),
+        Ok(_) | Err(_) => (false, false),
+    };
+    link.store_answers.set(store_answers);
+    if link.answers.replace(answers) != answers {
+        let silent_ms = now().since(link.answered_at.get());
+        log::scheduler_health(answers, link.token, silent_ms);
+    }
+    if answers {
+        link.answered_at.set(now());
+    }
+    let gone = matches!(reply, Err(CallError::NotSent));
+    if node.holder_gone.replace(gone) != gone && gone {
+        node.holder_news.notify_waiters();
+    }
+}
+
+/// Answers a call of another node.
+pub(crate) async fn answer<P>(node: &Rc<Node<P>>, call: &[u8]) -> Bytes
+where
+    P: Platform,
+{
+    let query = match CellMessage::decoded(call) {
+        Ok(query) => query,
+        Err(error) => {
+            log::unreadable("peer", &error.to_string());
+            return Bytes::new();
+        }
+    };
+    let reply = match query {
+        CellBody::Contact(contact) => CellBody::ContactReply(met(node, &contact)),
+        CellBody::StateQuery(query) => queries::answer_state(node, &query),
+        CellBody::PendingQuery(query) => queries::answer_pending(node, &query),
+        CellBody::AdviceQuery(query) => adviser::answer(node, query).await,
+        CellBody::Relay(relay) => {
+            let record = Record {
+                key: relay.key.into(),
+                value: relay.value,
+            };
+            let until = now().plus(node.settings.timing.store_timeout_ms / 2);
+            let stored = node.append_record(relay.partition, record, until).await;
+            CellBody::RelayReply(RelayReply {
+                stored: stored == Stored::Stored,
+                refused: stored == Stored::Refused,
+            })
+        }
+        other => {
+            log::unreadable("peer", "a reply came as a call");
+            other
+        }
+    };
+    CellMessage::encoded(reply)
+}
+
+fn met<P>(node: &Rc<Node<P>>, contact: &Contact) -> ContactReply
+where
+    P: Platform,
+{
+    let leader = node.leader();
+    if let Some(leader) = &leader {
+        leader.met(contact);
+    }
+    ContactReply {
+        leading: leader.is_some(),
+        token: leader.map_or(0, |leader| leader.token),
+        store_answers: node.store_answers(),
+    }
+}
--- /dev/null
+++ b/crates/cell/src/follow.rs
@@ -0,0 +1,90 @@
+//! Following the configuration that operators publish in the store.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use crate::Node;
+use crate::log;
+use crate::ports::Platform;
+use crate::ports::ReadError;
+use crate::ports::Record;
+use crate::ports::Topic;
+
+/// A read waits this long for news; it also shows that the connection still works.
+const WAIT_MS: u64 = 800;
+
+/// Wait after a read that failed.
+const RETRY_MS: u64 = 100;
+
+/// Applies every configuration that has a greater version, as soon as the store shows it.
+pub(crate) async fn follow_configuration<P>(node: Rc<Node<P>>)
+where
+    P: Platform,
+{
+    let mut position = None;
+    loop {
+        position = match position {
+            None => read_newest(&node).await,
+            Some(from) => read_on(&node, from).await,
+        };
+        if position.is_none() {
+            actix_rt::time::sleep(Duration::from_millis(RETRY_MS)).await;
+        }
+    }
+}
+
+async fn read_newest<P>(node: &Node<P>) -> Option<u64>
+where
+    P: Platform,
+{
+    let newest = node.newest(Topic::Operators, 0).await.ok()?;
+    for (_offset, record) in &newest.records {
+        apply(node, record);
+    }
+    Some(newest.read_from)
+}
+
+/// Reads on; where the store does not answer, the position is kept.
+async fn read_on<P>(node: &Node<P>, from: u64) -> Option<u64>
+where
+    P: Platform,
+{
+    match node.read(Topic::Operators, 0, from, WAIT_MS).await {
+        Ok(page) => {
+            for record in &page.records {
+                apply(node, record);
+            }
+            let count = u64::try_from(page.records.len()).unwrap_or(0);
+            Some(page.first + count)
+        }
+        Err(ReadError::Gone { .. }) => None,
+        Err(ReadError::Unavailable(_) | ReadError::Malformed(_)) => {
+            actix_rt::time::sleep(Duration::from_millis(RETRY_MS)).await;
+            Some(from)
+        }
+    }
+}
+
+fn apply<P>(node: &Node<P>, record: &Record)
+where
+    P: Platform,
+{
+    if record.value.is_empty() {
+        return;
+    }
+    let read = node.platform.configuration(&record.key, &record.value);
+    let configuration = match read {
+        Ok(Some(configuration)) => configuration,
+        Ok(None) => return,
+        Err(error) => {
+            log::unreadable(&record.key, &error.0);
+            return;
+        }
+    };
+    let in_force = node.configuration().map_or(0, |current| current.version);
+    let newer = configuration.version > in_force;
+    log::configuration(&configuration, in_force, newer);
+    if newer {
+        *node.configuration.borrow_mut() = Some(Rc::new(configuration));
+    }
+}
--- /dev/null
+++ b/crates/cell/src/leader.rs
@@ -0,0 +1,304 @@
+//! What the scheduler of a cell does: it carries out the decisions of `syc-sched`.
+
+mod advice;
+mod load;
+mod orders;
+mod presence;
+mod readers;
+mod records;
+mod sessions;
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use slotmap::SecondaryMap;
+use smol_str::SmolStr;
+use syc_sched::Action;
+use syc_sched::Counts;
+use syc_sched::Event;
+use syc_sched::JobId;
+use syc_sched::Options;
+use syc_sched::Scheduler;
+use syc_sched::WorkerKey;
+use syc_types::Millis;
+use syc_wire::cell::Contact;
+use tokio::sync::Notify;
+
+use crate::Node;
+use crate::PendingAnswer;
+use crate::StateAnswer;
+use crate::clock::now;
+use crate::log;
+use crate::ports::Platform;
+
+use advice::Adviser;
+use sessions::Session;
+
+/// Events within this time share one look at the waiting tasks.
+const LOOK_SPACING_MS: u64 = 3;
+
+/// Part of a worker's lease by which its clock may run slow, in thousandths.
+const CLOCK_DRIFT_PER_MILLE: u64 = 25;
+
+/// Longest time that an order is taken to be under way before its lease counts.
+const ORDER_TRAVEL_MS: u64 = 150;
+
+/// What the store shows counts as current for this long after it was read.
+const FRESH_MS: u64 = 2_500;
+
+/// A scheduler that hears no other node, or no worker, for this long hands the role on.
+const CUT_OFF_MS: u64 = 1_500;
+
+/// A node that handed the role on does not claim it again for this long.
+const CLAIM_PAUSE_MS: u64 = 5_000;
+
+/// The role of scheduler, held by this node.
+#[derive(Debug)]
+pub(crate) struct Leader<P>
+where
+    P: Platform,
+{
+    node: Rc<Node<P>>,
+    /// Fencing token of all its orders.
+    pub(crate) token: u64,
+    scheduler: RefCell<Scheduler>,
+    /// Whether the jobs and workers were read from the store.
+    loaded: Cell<bool>,
+    ended: Cell<bool>,
+    /// Whether new starts are held back because the role is being handed on.
+    handing_on: Cell<bool>,
+    began_at: Millis,
+    /// Number of the next append of a sign of life, and of progress.
+    presence_sequence: Cell<u64>,
+    progress_sequence: Cell<u64>,
+    /// Asks for a look at the waiting tasks.
+    look: Notify,
+    /// Asks for progress to be written.
+    write: Notify,
+    /// Tells that progress was written.
+    written: Notify,
+    sessions: RefCell<SecondaryMap<WorkerKey, Session>>,
+    advisers: RefCell<BTreeMap<SmolStr, Adviser>>,
+    /// When each partition of the topic of jobs was last read to its end.
+    jobs_read_at: RefCell<Vec<Millis>>,
+    /// Jobs whose specification is to be removed, and jobs to be forgotten.
+    drops: RefCell<Vec<JobId>>,
+    forgets: RefCell<Vec<JobId>>,
+    seen_at: RefCell<HashMap<JobId, Millis>>,
+    met_others_at: Cell<Option<Millis>>,
+    heard_workers_at: Cell<Millis>,
+    tasks: RefCell<Vec<actix_rt::task::JoinHandle<()>>>,
+}
+
+impl<P> Leader<P>
+where
+    P: Platform,
+{
+    /// Takes the role, with the fencing token of the claim.
+    pub(crate) fn start(node: &Rc<Node<P>>, token: u64) {
+        let partitions = usize::try_from(node.settings.job_partitions()).unwrap_or(1);
+        let leader = Rc::new(Self {
+            node: Rc::clone(node),
+            token,
+            scheduler: RefCell::new(Scheduler::new(options(node))),
+            loaded: Cell::new(false),
+            ended: Cell::new(false),
+            handing_on: Cell::new(false),
+            began_at: now(),
+            presence_sequence: Cell::new(0),
+            progress_sequence: Cell::new(1),
+            look: Notify::new(),
+            write: Notify::new(),
+            written: Notify::new(),
+            sessions: RefCell::default(),
+            advisers: RefCell::default(),
+            jobs_read_at: RefCell::new(vec![Millis(0); partitions]),
+            drops: RefCell::default(),
+            forgets: RefCell::default(),
+            seen_at: RefCell::default(),
+            met_others_at: Cell::new(None),
+            heard_workers_at: Cell::new(now()),
+            tasks: RefCell::default(),
+        });
+        *node.leader.borrow_mut() = Some(Rc::clone(&leader));
+        leader.spawn(presence::show_presence(Rc::clone(&leader)));
+        leader.spawn(load::run(Rc::clone(&leader)));
+    }
+
+    fn spawn<F>(&self, task: F)
+    where
+        F: Future<Output = ()> + 'static,
+    {
+        self.tasks.borrow_mut().push(actix_rt::spawn(task));
+    }
+
+    /// Gives the role up at once: nothing more is ordered.
+    pub(crate) fn end(&self, reason: &'static str) {
+        if self.ended.replace(true) {
+            return;
+        }
+        log::left(self.token, reason, now().since(self.began_at));
+        for task in self.tasks.borrow().iter() {
+            task.abort();
+        }
+        for session in self.sessions.borrow().values() {
+            session.end();
+        }
+        let mut leader = self.node.leader.borrow_mut();
+        if leader.as_ref().is_some_and(|leader| leader.token == self.token) {
+            *leader = None;
+        }
+        let pause_until = now().plus(CLAIM_PAUSE_MS);
+        if reason != "another_was_chosen" {
+            self.node.claim_not_before.set(pause_until);
+        }
+    }
+
+    /// Hands the role on: what is known is written, then the store is told that nobody holds it.
+    pub(crate) async fn hand_on(self: &Rc<Self>, reason: &'static str) {
+        if self.handing_on.replace(true) || self.ended.get() {
+            return;
+        }
+        self.write_rest().await;
+        self.release(reason).await;
+    }
+
+    /// Takes an event to the scheduler, and carries out what it wants.
+    pub(crate) fn apply(self: &Rc<Self>, event: Event) {
+        if self.ended.get() {
+            return;
+        }
+        let actions = self.scheduler.borrow_mut().handle(event, now());
+        self.perform(actions);
+        self.look.notify_one();
+        if self.scheduler.borrow().has_records() {
+            self.write.notify_one();
+        }
+    }
+
+    /// Looks at the waiting tasks whenever something has changed.
+    async fn look_at_waiting(self: Rc<Self>) {
+        loop {
+            self.look.notified().await;
+            if self.handing_on.get() {
+                continue;
+            }
+            let actions = self.scheduler.borrow_mut().schedule(now());
+            self.perform(actions);
+            if self.scheduler.borrow().has_records() {
+                self.write.notify_one();
+            }
+            actix_rt::time::sleep(Duration::from_millis(LOOK_SPACING_MS)).await;
+        }
+    }
+
+    fn perform(self: &Rc<Self>, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Attach { worker, spec } => self.attach(worker, &spec),
+                Action::Detach { worker } => self.detach(worker),
+                Action::Start(order) => self.order_start(order),
+                Action::Stop {
+                    worker,
+                    task,
+                    run,
+                    reason,
+                } => self.order_stop(worker, task, run, reason),
+                Action::Ask {
+                    step,
+                    workers,
+                    expected_ms,
+                } => self.ask(step, workers, expected_ms),
+                Action::DropSpec(id) => self.drops.borrow_mut().push(id),
+                Action::Forget(id) => self.forgets.borrow_mut().push(id),
+                Action::Note(note) => log::note(&note),
+            }
+        }
+    }
+
+    /// Tells the state of a job, where what was read of the jobs is current.
+    pub(crate) fn state(&self, id: JobId) -> StateAnswer {
+        if !self.loaded.get() {
+            return StateAnswer::Unsure;
+        }
+        if let Some(state) = self.scheduler.borrow().state_of(id) {
+            return StateAnswer::Known(state);
+        }
+        let index = usize::try_from(self.node.partition_of(id)).unwrap_or(0);
+        let read_at = self.jobs_read_at.borrow().get(index).copied();
+        let fresh = read_at.is_some_and(|at| now().since(at) < FRESH_MS);
+        if fresh {
+            StateAnswer::NoSuchJob
+        } else {
+            StateAnswer::Unsure
+        }
+    }
+
+    /// Tells how many jobs of a queue have not begun.
+    pub(crate) fn pending(&self, queue: &str) -> PendingAnswer {
+        if !self.loaded.get() {
+            return PendingAnswer::Unsure;
+        }
+        let jobs = self.scheduler.borrow().pending_jobs(queue);
+        PendingAnswer::Known(u64::try_from(jobs).unwrap_or(u64::MAX))
+    }
+
+    /// Returns what the scheduler holds.
+    pub(crate) fn counts(&self) -> Counts {
+        self.scheduler.borrow().counts(now())
+    }
+
+    /// Takes note that another node is there.
+    pub(crate) fn met(&self, contact: &Contact) {
+        self.met_others_at.set(Some(now()));
+        self.meet_adviser(contact);
+    }
+
+    /// Hands the role on if this node seems cut off while the store, and so the others, may not be.
+    pub(crate) fn watch_self(self: &Rc<Self>) {
+        if !self.loaded.get() || self.handing_on.get() || !self.node.store_answers() {
+            return;
+        }
+        let now = now();
+        let cut_from_nodes = self
+            .met_others_at
+            .get()
+            .is_some_and(|at| now.since(at) > CUT_OFF_MS);
+        let counts = self.counts();
+        if counts.silent_workers * 2 <= counts.workers {
+            self.heard_workers_at.set(now);
+        }
+        let cut_from_workers = now.since(self.heard_workers_at.get()) > CUT_OFF_MS;
+        if !cut_from_nodes && !cut_from_workers {
+            return;
+        }
+        let leader = Rc::clone(self);
+        let reason = if cut_from_nodes {
+            "cut_off_from_nodes"
+        } else {
+            "cut_off_from_workers"
+        };
+        actix_rt::spawn(async move { leader.hand_on(reason).await });
+    }
+}
+
+fn options<P>(node: &Node<P>) -> Options
+where
+    P: Platform,
+{
+    let settings = &node.settings;
+    let lease_ms = settings.lease_ms();
+    let drift_ms = lease_ms * CLOCK_DRIFT_PER_MILLE / 1_000;
+    Options {
+        lease_bound_ms: lease_ms + drift_ms + ORDER_TRAVEL_MS,
+        stop_ms: settings.stop_limit_ms,
+        gang_wait_ms: settings.gang_wait_ms,
+        status_ms: settings.status_ms,
+        order_retry_ms: settings.timing.order_timeout_ms,
+        ..Options::default()
+    }
+}
--- /dev/null
+++ b/crates/cell/src/leader/load.rs
@@ -0,0 +1,175 @@
+//! Taking over: predecessors are fenced off, then everything they left is read.
+
+use std::collections::BTreeSet;
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use futures_util::future::join_all;
+use futures_util::future::try_join3;
+use syc_sched::Event;
+use syc_sched::JobId;
+use syc_sched::JobProgress;
+use syc_sched::JobSpec;
+
+use crate::clock::now;
+use crate::clock::time_of_day_ms;
+use crate::leader::Leader;
+use crate::leader::readers;
+use crate::leader::records::write_records;
+use crate::leader::records::write_removals;
+use crate::log;
+use crate::ports::Newest;
+use crate::ports::Platform;
+use crate::ports::ReadError;
+use crate::ports::Topic;
+use crate::records::JobRecord;
+use crate::records::read_job;
+
+/// Wait after a step that failed.
+const RETRY_MS: u64 = 60;
+
+/// Longest time that a job is taken to have waited: clocks of VMs differ by seconds.
+const AGE_LIMIT_MS: u64 = 600_000;
+
+/// What predecessors left.
+#[derive(Debug)]
+struct Left {
+    progress: Newest,
+    jobs: Vec<Newest>,
+    workers: Newest,
+}
+
+/// Does all that the role asks for, until it ends.
+pub(super) async fn run<P>(leader: Rc<Leader<P>>)
+where
+    P: Platform,
+{
+    if !leader.fence_progress().await {
+        return;
+    }
+    let left = loop {
+        match read_left(&leader).await {
+            Ok(left) => break left,
+            Err(_noted) => actix_rt::time::sleep(Duration::from_millis(RETRY_MS)).await,
+        }
+    };
+    restore(&leader, &left);
+    leader.spawn(readers::follow_workers(
+        Rc::clone(&leader),
+        left.workers.read_from,
+    ));
+    for (partition, newest) in (0..).zip(&left.jobs) {
+        let from = newest.read_from;
+        leader.spawn(readers::follow_jobs(Rc::clone(&leader), partition, from));
+    }
+    leader.spawn(write_records(Rc::clone(&leader)));
+    leader.spawn(write_removals(Rc::clone(&leader)));
+    leader.loaded.set(true);
+    leader.look.notify_one();
+    leader.spawn(Rc::clone(&leader).look_at_waiting());
+}
+
+async fn read_left<P>(leader: &Rc<Leader<P>>) -> Result<Left, ReadError>
+where
+    P: Platform,
+{
+    let node = &leader.node;
+    let all_jobs = async {
+        let partitions = 0..node.settings.job_partitions();
+        let reads = partitions.map(|partition| node.newest(Topic::Jobs, partition));
+        join_all(reads).await.into_iter().collect()
+    };
+    // Progress is read before the jobs: a job that ends meanwhile is then read twice, not never.
+    let (progress, workers, jobs) = try_join3(
+        node.newest(Topic::Progress, 0),
+        node.newest(Topic::Workers, 0),
+        all_jobs,
+    )
+    .await?;
+    Ok(Left {
+        progress,
+        jobs,
+        workers,
+    })
+}
+
+fn restore<P>(leader: &Rc<Leader<P>>, left: &Left)
+where
+    P: Platform,
+{
+    let progress = read_progress(&left.progress);
+    let mut cancelled = BTreeSet::new();
+    let mut specs: Vec<JobSpec> = Vec::new();
+    for newest in &left.jobs {
+        for (_offset, record) in &newest.records {
+            match read_job(record) {
+                JobRecord::Submitted(spec) => specs.push(*spec),
+                JobRecord::Cancelled(id) => {
+                    cancelled.insert(id);
+                }
+                JobRecord::Removed => {}
+                JobRecord::Unreadable { key, reason } => log::unreadable(&key, &reason),
+            }
+        }
+    }
+    restore_jobs(leader, specs, &progress);
+    for (_offset, record) in &left.workers.records {
+        readers::take_worker(leader, record);
+    }
+    for id in cancelled {
+        leader.apply(Event::JobCancelled(id));
+    }
+    leader.scheduler.borrow_mut().begin_recovery(now());
+    let counts = leader.counts();
+    log::loaded(leader.token, &counts, progress.len());
+}
+
+fn read_progress(newest: &Newest) -> HashMap<JobId, JobProgress> {
+    let mut progress = HashMap::new();
+    for (_offset, record) in &newest.records {
+        if record.value.is_empty() {
+            continue;
+        }
+        let read = serde_json::from_slice::<JobProgress>(&record.value);
+        match (record.key.parse(), read) {
+            (Ok(id), Ok(read)) => {
+                progress.insert(id, read);
+            }
+            (Err(error), _) => log::unreadable(&record.key, &format!("{error}")),
+            (_, Err(error)) => log::unreadable(&record.key, &error.to_string()),
+        }
+    }
+    progress
+}
+
+fn restore_jobs<P>(
+    leader: &Rc<Leader<P>>,
+    specs: Vec<JobSpec>,
+    progress: &HashMap<JobId, JobProgress>,
+) where
+    P: Platform,
+{
+    let mut scheduler = leader.scheduler.borrow_mut();
+    let now = now();
+    for (id, of_job) in progress {
+        if of_job.state.is_terminal() {
+            let ended_ago_ms = age_ms(of_job.ended_at_ms);
+            scheduler.restore_ended(*id, of_job.state, ended_ago_ms, now);
+        }
+    }
+    for spec in specs {
+        let of_job = progress.get(&spec.id);
+        if of_job.is_some_and(|of_job| of_job.state.is_terminal()) {
+            leader.drops.borrow_mut().push(spec.id);
+            continue;
+        }
+        let age_ms = age_ms(spec.accepted_at_ms);
+        scheduler.restore_job(spec, of_job, age_ms, now);
+    }
+}
+
+/// Returns the time since a time of day, within what clocks that differ leave sensible.
+pub(super) fn age_ms(at_ms: u64) -> u64 {
+    time_of_day_ms().saturating_sub(at_ms).min(AGE_LIMIT_MS)
+}
--- /dev/null
+++ b/crates/cell/src/leader/presence.rs
@@ -0,0 +1,93 @@
+//! Telling the store, and so every node, that the scheduler is there.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use smol_str::SmolStr;
+
+use crate::leader::Leader;
+use crate::ports::AppendError;
+use crate::ports::Condition;
+use crate::ports::Platform;
+use crate::ports::Topic;
+use crate::records;
+use crate::records::HolderRecord;
+
+/// Name of the producer of signs of life.
+const PRODUCER: &str = "holder";
+
+/// Tries to tell the store that the role is free, before the others find out by the silence.
+const RELEASE_TRIES: u32 = 3;
+
+/// Appends signs of life until the role is lost.
+///
+/// They carry the token as the producer's epoch, so that those of a predecessor are refused.
+pub(super) async fn show_presence<P>(leader: Rc<Leader<P>>)
+where
+    P: Platform,
+{
+    let interval = Duration::from_millis(leader.node.settings.timing.presence_ms);
+    let mut sequence = 0;
+    loop {
+        let record = records::holder(&leader.holder_record(false));
+        let condition = leader.presence_condition(sequence);
+        let appended = leader
+            .node
+            .append(Topic::Holders, 0, &[record], &condition)
+            .await;
+        match appended {
+            Ok(_) => sequence += 1,
+            Err(AppendError::Fenced) => {
+                leader.end("fenced_by_store");
+                return;
+            }
+            Err(AppendError::OutOfSequence { expected }) => sequence = expected,
+            // The number stays, so that a sign that was taken after all is not counted twice.
+            Err(_noted) => {}
+        }
+        leader.presence_sequence.set(sequence);
+        actix_rt::time::sleep(interval).await;
+    }
+}
+
+impl<P> Leader<P>
+where
+    P: Platform,
+{
+    fn holder_record(&self, released: bool) -> HolderRecord {
+        HolderRecord {
+            node: self.node.settings.name.clone(),
+            address: self.node.settings.peer_address.to_string().into(),
+            incarnation: self.node.incarnation,
+            token: self.token,
+            released,
+        }
+    }
+
+    fn presence_condition(&self, sequence: u64) -> Condition {
+        Condition::Producer {
+            name: SmolStr::new_static(PRODUCER),
+            epoch: self.token,
+            sequence,
+        }
+    }
+
+    /// Ends the role and tells the store that it is free.
+    pub(super) async fn release(self: &Rc<Self>, reason: &'static str) {
+        self.end(reason);
+        let record = records::holder(&self.holder_record(true));
+        let mut sequence = self.presence_sequence.get();
+        for _ in 0..RELEASE_TRIES {
+            let condition = self.presence_condition(sequence);
+            let appended = self
+                .node
+                .append(Topic::Holders, 0, &[record.clone()], &condition)
+                .await;
+            match appended {
+                Ok(_) | Err(AppendError::Fenced) => return,
+                Err(AppendError::OutOfSequence { expected }) => sequence = expected,
+                Err(_noted) => {}
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/cell/src/leader/readers.rs
@@ -0,0 +1,158 @@
+//! Following the store: jobs that were submitted or cancelled, workers that come and go.
+
+use std::collections::BTreeSet;
+use std::rc::Rc;
+use std::time::Duration;
+
+use syc_sched::Event;
+use syc_types::WorkerId;
+
+use crate::clock::now;
+use crate::leader::Leader;
+use crate::leader::load::age_ms;
+use crate::log;
+use crate::ports::Newest;
+use crate::ports::Platform;
+use crate::ports::ReadError;
+use crate::ports::Record;
+use crate::ports::Topic;
+use crate::records::JobRecord;
+use crate::records::read_job;
+
+/// Wait after a read that failed.
+const RETRY_MS: u64 = 60;
+
+/// Records that come within this time share a read.
+const SPACING_MS: u64 = 4;
+
+/// Follows one partition of the topic of jobs.
+pub(super) async fn follow_jobs<P>(leader: Rc<Leader<P>>, partition: u32, mut from: u64)
+where
+    P: Platform,
+{
+    let node = Rc::clone(&leader.node);
+    let wait_ms = node.settings.timing.jobs_wait_ms;
+    loop {
+        match node.read(Topic::Jobs, partition, from, wait_ms).await {
+            Ok(page) => {
+                let count = u64::try_from(page.records.len()).unwrap_or(0);
+                from = page.first + count;
+                take_jobs(&leader, &page.records);
+                leader.note_jobs_read(partition);
+                pause(SPACING_MS).await;
+            }
+            Err(ReadError::Gone { .. }) => {
+                if let Ok(newest) = node.newest(Topic::Jobs, partition).await {
+                    from = newest.read_from;
+                    let records: Vec<_> = newest.records.into_iter().map(|(_, r)| r).collect();
+                    take_jobs(&leader, &records);
+                    leader.note_jobs_read(partition);
+                }
+            }
+            Err(_noted) => pause(RETRY_MS).await,
+        }
+    }
+}
+
+fn take_jobs<P>(leader: &Rc<Leader<P>>, records: &[Record])
+where
+    P: Platform,
+{
+    for record in records {
+        match read_job(record) {
+            JobRecord::Submitted(spec) => {
+                let age_ms = age_ms(spec.accepted_at_ms);
+                log::job_seen(&spec, age_ms);
+                leader.seen_at.borrow_mut().insert(spec.id, now());
+                leader.apply(Event::JobStored { spec, age_ms });
+            }
+            JobRecord::Cancelled(id) => leader.apply(Event::JobCancelled(id)),
+            JobRecord::Removed => {}
+            JobRecord::Unreadable { key, reason } => log::unreadable(&key, &reason),
+        }
+    }
+}
+
+impl<P> Leader<P>
+where
+    P: Platform,
+{
+    fn note_jobs_read(&self, partition: u32) {
+        let index = usize::try_from(partition).unwrap_or(usize::MAX);
+        if let Some(read_at) = self.jobs_read_at.borrow_mut().get_mut(index) {
+            *read_at = now();
+        }
+    }
+}
+
+/// Follows the list of workers.
+pub(super) async fn follow_workers<P>(leader: Rc<Leader<P>>, mut from: u64)
+where
+    P: Platform,
+{
+    let node = Rc::clone(&leader.node);
+    let interval_ms = node.settings.timing.workers_interval_ms;
+    loop {
+        pause(interval_ms).await;
+        match node.read(Topic::Workers, 0, from, 0).await {
+            Ok(page) => {
+                let count = u64::try_from(page.records.len()).unwrap_or(0);
+                from = page.first + count;
+                for record in &page.records {
+                    take_worker(&leader, record);
+                }
+            }
+            Err(ReadError::Gone { .. }) => {
+                if let Ok(newest) = node.newest(Topic::Workers, 0).await {
+                    from = newest.read_from;
+                    take_all_workers(&leader, &newest);
+                }
+            }
+            Err(_noted) => {}
+        }
+    }
+}
+
+/// Takes the whole list: who is not on it any more is registered no more.
+fn take_all_workers<P>(leader: &Rc<Leader<P>>, newest: &Newest)
+where
+    P: Platform,
+{
+    let mut listed = BTreeSet::new();
+    for (_offset, record) in &newest.records {
+        listed.insert(WorkerId::new(record.key.clone()));
+        take_worker(leader, record);
+    }
+    let known: Vec<_> = leader
+        .sessions
+        .borrow()
+        .values()
+        .map(|session| session.address.id.clone())
+        .collect();
+    for id in known {
+        if !listed.contains(&id) {
+            leader.apply(Event::WorkerUnlisted(id));
+        }
+    }
+}
+
+/// Takes one record of the list.
+pub(super) fn take_worker<P>(leader: &Rc<Leader<P>>, record: &Record)
+where
+    P: Platform,
+{
+    if record.value.is_empty() {
+        let id = WorkerId::new(record.key.clone());
+        log::worker_listed(&id, "unlisted");
+        leader.apply(Event::WorkerUnlisted(id));
+        return;
+    }
+    match leader.node.platform.worker(&record.key, &record.value) {
+        Ok(spec) => leader.apply(Event::WorkerListed(spec)),
+        Err(error) => log::unreadable(&record.key, &error.0),
+    }
+}
+
+async fn pause(time_ms: u64) {
+    actix_rt::time::sleep(Duration::from_millis(time_ms)).await;
+}
--- /dev/null
+++ b/crates/cell/src/leader/sessions.rs
@@ -0,0 +1,188 @@
+//! Sessions with workers: one renewal after the other keeps the leases and brings what ended.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use syc_sched::Event;
+use syc_sched::WorkerKey;
+use syc_sched::WorkerSpec;
+use syc_types::Millis;
+
+use crate::clock::now;
+use crate::leader::Leader;
+use crate::log;
+use crate::ports::OrderError;
+use crate::ports::Platform;
+use crate::ports::Renewal;
+use crate::ports::WorkerAddress;
+
+/// Longest time that a renewal waits for the ends before it to be written.
+const WRITE_WAIT_MS: u64 = 150;
+
+/// Wait after a renewal without an answer; doubled up to the limit.
+const RETRY_MS: u64 = 60;
+
+/// Longest such wait.
+const RETRY_LIMIT_MS: u64 = 400;
+
+/// A session with a worker.
+#[derive(Debug)]
+pub(super) struct Session {
+    pub(super) address: Rc<WorkerAddress>,
+    /// The worker's clock, as last read.
+    clock: Rc<Cell<Option<ClockReading>>>,
+    task: Option<actix_rt::task::JoinHandle<()>>,
+}
+
+/// A reading of a worker's clock.
+#[derive(Debug, Clone, Copy)]
+struct ClockReading {
+    clock_ms: u64,
+    read_at: Millis,
+}
+
+impl ClockReading {
+    /// Returns what the clock shows now, if it runs as fast as this node's.
+    fn estimate_ms(self) -> u64 {
+        self.clock_ms + now().since(self.read_at)
+    }
+}
+
+impl Session {
+    /// Ends it.
+    pub(super) fn end(&self) {
+        if let Some(task) = &self.task {
+            task.abort();
+        }
+    }
+
+    /// Returns the end of a lease that begins now, on the worker's clock.
+    pub(super) fn lease_until_ms(&self, lease_ms: u64) -> Option<u64> {
+        let reading = self.clock.get()?;
+        Some(reading.estimate_ms() + lease_ms)
+    }
+}
+
+impl<P> Leader<P>
+where
+    P: Platform,
+{
+    pub(super) fn attach(self: &Rc<Self>, worker: WorkerKey, spec: &WorkerSpec) {
+        log::worker_listed(&spec.id, "listed");
+        let address = Rc::new(WorkerAddress {
+            id: spec.id.clone(),
+            address: spec.address.clone(),
+        });
+        let clock = Rc::new(Cell::new(None));
+        let session = hold(
+            Rc::clone(self),
+            worker,
+            Rc::clone(&address),
+            Rc::clone(&clock),
+        );
+        let session = Session {
+            address,
+            clock,
+            task: Some(actix_rt::spawn(session)),
+        };
+        self.sessions.borrow_mut().insert(worker, session);
+    }
+
+    pub(super) fn detach(&self, worker: WorkerKey) {
+        if let Some(session) = self.sessions.borrow_mut().remove(worker) {
+            log::worker_listed(&session.address.id, "detached");
+            session.end();
+        }
+    }
+
+    /// Waits for the ends that the worker listed to be written, so that it is told so at once.
+    async fn noted_ends(&self, worker: WorkerKey) -> (u64, bool) {
+        let (noted, left) = self.scheduler.borrow_mut().noted_ends(worker);
+        if !left {
+            return (noted, left);
+        }
+        let until = now().plus(WRITE_WAIT_MS);
+        loop {
+            let remaining_ms = until.since(now());
+            let written = self.written.notified();
+            let waited = tokio::time::timeout(Duration::from_millis(remaining_ms), written).await;
+            let (noted, left) = self.scheduler.borrow_mut().noted_ends(worker);
+            if !left || waited.is_err() {
+                return (noted, left);
+            }
+        }
+    }
+}
+
+/// Renews the leases on a worker until the session ends.
+async fn hold<P>(
+    leader: Rc<Leader<P>>,
+    worker: WorkerKey,
+    address: Rc<WorkerAddress>,
+    clock: Rc<Cell<Option<ClockReading>>>,
+) where
+    P: Platform,
+{
+    let timing = leader.node.settings.timing;
+    let lease_ms = leader.node.settings.lease_ms();
+    let mut failures: u32 = 0;
+    loop {
+        let (noted, left) = leader.noted_ends(worker).await;
+        if leader.ended.get() {
+            return;
+        }
+        // A worker that did not answer is only asked: each renewal may arrive, and would put off
+        // the time at which its leases have surely lapsed.
+        let lease_until_ms = clock
+            .get()
+            .filter(|_| failures == 0)
+            .map(|reading| reading.estimate_ms() + lease_ms);
+        let waits = lease_until_ms.is_some() && !left;
+        let wait_ms = if waits { timing.renewal_wait_ms } else { 0 };
+        if lease_until_ms.is_some() {
+            leader.apply(Event::Renewing { worker });
+        }
+        let sent_at = now();
+        let renewal = Renewal {
+            lease_until_ms,
+            noted,
+            wait_ms,
+            token: leader.token,
+        };
+        let timeout_ms = wait_ms + timing.renewal_slack_ms;
+        let renewed = leader
+            .node
+            .platform
+            .renew(&address, &renewal, timeout_ms)
+            .await;
+        match renewed {
+            Ok(renewed) => {
+                failures = 0;
+                clock.set(Some(ClockReading {
+                    clock_ms: renewed.clock_ms,
+                    read_at: now(),
+                }));
+                leader.apply(Event::Held {
+                    worker,
+                    sent_at,
+                    report: renewed.report,
+                });
+            }
+            Err(OrderError::Replaced) => {
+                leader.apply(Event::Replaced { worker });
+                return;
+            }
+            Err(OrderError::Fenced) => {
+                leader.end("fenced_by_worker");
+                return;
+            }
+            Err(OrderError::Refused(_) | OrderError::InDoubt(_)) => {
+                failures += 1;
+                leader.apply(Event::HoldFailed { worker });
+                let wait_ms = (RETRY_MS << failures.min(4)).min(RETRY_LIMIT_MS);
+                actix_rt::time::sleep(Duration::from_millis(wait_ms)).await;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/cell/src/log.rs
@@ -0,0 +1,289 @@
+//! The lines that a node writes, one for each decision and each change of belief.
+
+use syc_obs::Line;
+use syc_obs::catalogue;
+use syc_sched::Counts;
+use syc_sched::JobId;
+use syc_sched::JobSpec;
+use syc_sched::JobState;
+use syc_sched::Note;
+use syc_sched::Run;
+use syc_sched::StartOrder;
+use syc_sched::StepId;
+use syc_sched::StopReason;
+use syc_sched::TaskId;
+use syc_types::WorkerId;
+
+use crate::Configuration;
+use crate::NodeSettings;
+use crate::node::Holder;
+use crate::ports::AdviceError;
+use crate::ports::AppendError;
+use crate::ports::StartCommand;
+
+pub(crate) fn started(settings: &NodeSettings, incarnation: u64) {
+    Line::new(catalogue::NODE_STARTED)
+        .text("node", &settings.name)
+        .display("peer_address", settings.peer_address)
+        .number("incarnation", incarnation)
+        .number("lease_ms", settings.lease_ms())
+        .emit();
+}
+
+pub(crate) fn stopping(leading: bool) {
+    Line::new(catalogue::NODE_STOPPING)
+        .flag("leading", leading)
+        .emit();
+}
+
+pub(crate) fn stopped() {
+    Line::new(catalogue::NODE_STOPPED).emit();
+}
+
+pub(crate) fn peers_unserved(error: &std::io::Error) {
+    Line::new(catalogue::DEPENDENCY_LOST)
+        .text("dependency", "peer_listener")
+        .display("reason", error)
+        .emit();
+}
+
+pub(crate) fn store_health(answers: bool, call: &str, result: &str, silent_ms: u64) {
+    dependency(answers)
+        .text("dependency", "store")
+        .text("call", call)
+        .text("result", result)
+        .number("silent_ms", silent_ms)
+        .emit();
+}
+
+pub(crate) fn scheduler_health(answers: bool, token: u64, silent_ms: u64) {
+    dependency(answers)
+        .text("dependency", "scheduler")
+        .number("token", token)
+        .number("silent_ms", silent_ms)
+        .emit();
+}
+
+fn dependency(answers: bool) -> Line {
+    Line::new(if answers {
+        catalogue::DEPENDENCY_REGAINED
+    } else {
+        catalogue::DEPENDENCY_LOST
+    })
+}
+
+pub(crate) fn unreadable(key: &str, reason: &str) {
+    Line::new(catalogue::STORE_RECORD_UNREADABLE)
+        .text("key", key)
+        .text("reason", reason)
+        .emit();
+}
+
+pub(crate) fn configuration(seen: &Configuration, in_force: u64, applied: bool) {
+    Line::new(catalogue::CONFIGURATION_SEEN)
+        .number("version", seen.version)
+        .number("before", in_force)
+        .number("routes", seen.routes.len())
+        .flag("applied", applied)
+        .emit();
+}
+
+pub(crate) fn holder(holder: Option<&Holder>) {
+    Line::new(catalogue::HOLDER_SEEN)
+        .text("node", holder.map_or("", |holder| &holder.node))
+        .number("token", holder.map_or(0, |holder| holder.token))
+        .emit();
+}
+
+pub(crate) fn chosen(token: u64, before: Option<&Holder>, silent_ms: u64) {
+    Line::new(catalogue::HOLDER_CHOSEN)
+        .number("token", token)
+        .number("before", before.map_or(0, |before| before.token))
+        .number("silent_ms", silent_ms)
+        .emit();
+}
+
+pub(crate) fn claim_lost(error: &AppendError) {
+    Line::new(catalogue::CLAIM_LOST)
+        .display("reason", error)
+        .emit();
+}
+
+pub(crate) fn left(token: u64, reason: &str, held_ms: u64) {
+    Line::new(catalogue::HOLDER_LEFT)
+        .number("token", token)
+        .text("reason", reason)
+        .number("held_ms", held_ms)
+        .emit();
+}
+
+pub(crate) fn loaded(token: u64, counts: &Counts, progress: usize) {
+    Line::new(catalogue::STATE_LOADED)
+        .number("token", token)
+        .number("open_jobs", counts.open_jobs)
+        .number("workers", counts.workers)
+        .number("progress_records", progress)
+        .emit();
+}
+
+pub(crate) fn job_seen(spec: &JobSpec, age_ms: u64) {
+    let tasks: u64 = spec.steps.iter().map(|step| u64::from(step.tasks)).sum();
+    Line::new(catalogue::JOB_SEEN)
+        .display("job", spec.id)
+        .text("queue", &spec.policy.queue)
+        .number("steps", spec.steps.len())
+        .number("tasks", tasks)
+        .number("age_ms", age_ms)
+        .emit();
+}
+
+pub(crate) fn job_shown(id: JobId, state: JobState, written_ms: u64) {
+    Line::new(catalogue::JOB_SHOWN)
+        .display("job", id)
+        .text("state", state_name(state))
+        .number("written_ms", written_ms)
+        .emit();
+}
+
+pub(crate) fn run_ordered(order: &StartOrder, worker: &WorkerId, token: u64) {
+    Line::new(catalogue::RUN_ORDERED)
+        .display("job", order.task.step.job)
+        .display("task", order.task)
+        .number("run", order.run.0)
+        .text("worker", worker.as_str())
+        .number("retries", order.retries)
+        .number("token", token)
+        .flag("resumes", !order.checkpoint.is_empty())
+        .emit();
+}
+
+pub(crate) fn start_failed(command: &StartCommand, worker: &WorkerId, reason: &str) {
+    Line::new(catalogue::START_FAILED)
+        .display("job", command.task.step.job)
+        .display("task", command.task)
+        .number("run", command.run.0)
+        .text("worker", worker.as_str())
+        .text("reason", reason)
+        .emit();
+}
+
+pub(crate) fn stop_ordered(task: TaskId, run: Run, worker: &WorkerId, reason: StopReason) {
+    Line::new(catalogue::STOP_ORDERED)
+        .display("job", task.step.job)
+        .display("task", task)
+        .number("run", run.0)
+        .text("worker", worker.as_str())
+        .text("reason", reason.as_str())
+        .emit();
+}
+
+pub(crate) fn advised(
+    step: StepId,
+    asked: usize,
+    allowed: usize,
+    took_ms: u64,
+    expected_ms: u64,
+    error: Option<&AdviceError>,
+) {
+    let line = Line::new(catalogue::ADVICE_ANSWERED)
+        .display("job", step.job)
+        .display("step", step)
+        .number("asked", asked)
+        .number("allowed", allowed)
+        .number("took_ms", took_ms)
+        .number("expected_ms", expected_ms);
+    match error {
+        Some(error) => line.text("error", &error.0).emit(),
+        None => line.emit(),
+    }
+}
+
+pub(crate) fn advice_failed(step: StepId, error: &AdviceError) {
+    Line::new(catalogue::ADVICE_ANSWERED)
+        .display("job", step.job)
+        .display("step", step)
+        .text("error", &error.0)
+        .emit();
+}
+
+pub(crate) fn worker_listed(worker: &WorkerId, change: &'static str) {
+    Line::new(catalogue::WORKER_LISTED)
+        .text("worker", worker.as_str())
+        .text("change", change)
+        .emit();
+}
+
+/// Writes what the scheduler noted.
+pub(crate) fn note(note: &Note) {
+    match note {
+        Note::RunEnded {
+            task,
+            run,
+            worker,
+            end,
+            failures,
+        } => Line::new(catalogue::RUN_ENDED)
+            .display("job", task.step.job)
+            .display("task", task)
+            .number("run", run.0)
+            .text("worker", worker.as_str())
+            .text("end", end)
+            .number("failures", *failures)
+            .emit(),
+        Note::Adopted { task, run, worker } => Line::new(catalogue::RUN_ADOPTED)
+            .display("job", task.step.job)
+            .display("task", task)
+            .number("run", run.0)
+            .text("worker", worker.as_str())
+            .emit(),
+        Note::JobEnded {
+            job,
+            state,
+            after_ms,
+            objective_ms,
+        } => Line::new(catalogue::JOB_DECIDED)
+            .display("job", job)
+            .text("state", state_name(*state))
+            .number("after_ms", *after_ms)
+            .number("objective_ms", *objective_ms)
+            .emit(),
+        Note::Waiting {
+            step,
+            lacking,
+            allowed,
+            tasks,
+        } => Line::new(catalogue::STEP_WAITS)
+            .display("job", step.job)
+            .display("step", step)
+            .text("lacking", lacking)
+            .number("allowed", *allowed)
+            .number("tasks", *tasks)
+            .emit(),
+        Note::WorkerBelief {
+            worker,
+            belief,
+            silent_ms,
+        } => Line::new(catalogue::WORKER_BELIEF)
+            .text("worker", worker.as_str())
+            .text("belief", belief)
+            .number("silent_ms", *silent_ms)
+            .emit(),
+        Note::Recovered {
+            adopted,
+            unanswered,
+        } => Line::new(catalogue::TAKEOVER_COMPLETE)
+            .number("adopted", *adopted)
+            .number("unanswered", *unanswered)
+            .emit(),
+    }
+}
+
+const fn state_name(state: JobState) -> &'static str {
+    match state {
+        JobState::Queued => "queued",
+        JobState::Running => "running",
+        JobState::Completed => "completed",
+        JobState::Failed => "failed",
+        JobState::Cancelled => "cancelled",
+    }
+}
--- /dev/null
+++ b/crates/cell/src/node.rs
@@ -0,0 +1,331 @@
+//! What every node of a cell has and does.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::net::TcpListener;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use rand::Rng;
+use rand::SeedableRng;
+use smol_str::SmolStr;
+use syc_net::UnsentReplies;
+use syc_net::serve_peers;
+use syc_obs::CellMetrics;
+use syc_obs::CellReadings;
+use syc_obs::flush_lines;
+use syc_sched::Event;
+use syc_types::Millis;
+use tokio::sync::Notify;
+
+use crate::Configuration;
+use crate::NodeSettings;
+use crate::accept::AcceptQueue;
+use crate::clock::now;
+use crate::contact;
+use crate::contact::HolderLink;
+use crate::follow;
+use crate::holders;
+use crate::leader::Leader;
+use crate::log;
+use crate::ports::AppendError;
+use crate::ports::Appended;
+use crate::ports::Condition;
+use crate::ports::Newest;
+use crate::ports::Page;
+use crate::ports::Platform;
+use crate::ports::ReadError;
+use crate::ports::Record;
+use crate::ports::Topic;
+
+/// A planned stop looks this often whether the node is idle.
+const IDLE_LOOK_MS: u64 = 50;
+
+/// The scheduler, as a node knows it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Holder {
+    /// Name of the node.
+    pub node: SmolStr,
+    /// Where it takes calls of other nodes, `ip:port`.
+    pub address: SmolStr,
+    /// Names one life of the node's process.
+    pub incarnation: u64,
+    /// Its fencing token.
+    pub token: u64,
+}
+
+/// Whether the store answers this node.
+#[derive(Debug)]
+pub(crate) struct StoreHealth {
+    answers: Cell<bool>,
+    last_failure_at: Cell<Millis>,
+    last_answer_at: Cell<Millis>,
+}
+
+/// A node of a cell; it lives on one arbiter.
+#[derive(Debug)]
+pub struct Node<P>
+where
+    P: Platform,
+{
+    /// The platform.
+    pub platform: P,
+    /// What it was told at its start.
+    pub settings: NodeSettings,
+    /// Its metrics.
+    pub metrics: CellMetrics,
+    /// Names this life of the process.
+    pub(crate) incarnation: u64,
+    pub(crate) configuration: RefCell<Option<Rc<Configuration>>>,
+    pub(crate) store: StoreHealth,
+    pub(crate) holder: RefCell<Option<Holder>>,
+    pub(crate) link: RefCell<Option<Rc<HolderLink>>>,
+    pub(crate) leader: RefCell<Option<Rc<Leader<P>>>>,
+    pub(crate) accepting: Vec<AcceptQueue>,
+    /// Wakes whoever waits for news of the scheduler.
+    pub(crate) holder_news: Notify,
+    /// Whether the holder's process seems to be gone.
+    pub(crate) holder_gone: Cell<bool>,
+    pub(crate) stopping: Cell<bool>,
+    /// No claim before this time, after having given the role up.
+    pub(crate) claim_not_before: Cell<Millis>,
+    pub(crate) unsent_replies: UnsentReplies,
+}
+
+impl<P> Node<P>
+where
+    P: Platform,
+{
+    /// Starts a node on the current arbiter; `peers` is where it takes calls of other nodes.
+    pub fn start(platform: P, settings: NodeSettings, peers: TcpListener) -> Rc<Self> {
+        let partitions = settings.job_partitions();
+        let began = now();
+        let node = Rc::new(Self {
+            platform,
+            metrics: CellMetrics::new(),
+            incarnation: rand::rngs::SmallRng::from_os_rng().random_range(1..=u64::from(u32::MAX)),
+            configuration: RefCell::default(),
+            store: StoreHealth {
+                answers: Cell::new(true),
+                last_failure_at: Cell::new(began),
+                last_answer_at: Cell::new(began),
+            },
+            holder: RefCell::default(),
+            link: RefCell::default(),
+            leader: RefCell::default(),
+            accepting: (0..partitions).map(|_| AcceptQueue::default()).collect(),
+            holder_news: Notify::new(),
+            holder_gone: Cell::new(false),
+            stopping: Cell::new(false),
+            claim_not_before: Cell::new(began),
+            unsent_replies: UnsentReplies::default(),
+            settings,
+        });
+        actix_rt::spawn(follow::follow_configuration(Rc::clone(&node)));
+        actix_rt::spawn(holders::watch_holders(Rc::clone(&node)));
+        actix_rt::spawn(contact::keep_contact(Rc::clone(&node)));
+        actix_rt::spawn(tick(Rc::clone(&node)));
+        actix_rt::spawn(answer_peers(Rc::clone(&node), peers));
+        log::started(&node.settings, node.incarnation);
+        node
+    }
+
+    /// Returns the configuration in force, if any.
+    #[must_use]
+    pub fn configuration(&self) -> Option<Rc<Configuration>> {
+        self.configuration.borrow().clone()
+    }
+
+    /// Says whether new connections should come here.
+    ///
+    /// A node is ready once it has a configuration and knows a scheduler, as long as it can store
+    /// what is submitted, itself or through the scheduler.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        if self.stopping.get() || self.configuration.borrow().is_none() {
+            return false;
+        }
+        let link = self.link.borrow();
+        let relays = link.as_ref().is_some_and(|link| link.relays());
+        self.store_answers() || relays
+    }
+
+    /// Says whether the store answered last time.
+    pub(crate) const fn store_answers(&self) -> bool {
+        self.store.answers.get()
+    }
+
+    /// Returns when the store last failed to answer.
+    pub(crate) const fn store_failed_at(&self) -> Millis {
+        self.store.last_failure_at.get()
+    }
+
+    /// Returns the scheduler, if this node is it.
+    pub(crate) fn leader(&self) -> Option<Rc<Leader<P>>> {
+        self.leader.borrow().clone()
+    }
+
+    /// Returns the page of metrics.
+    #[must_use]
+    pub fn metrics_page(&self) -> String {
+        let mut readings = CellReadings::default();
+        if let Some(configuration) = self.configuration() {
+            readings.configuration = configuration.version;
+        }
+        if let Some(holder) = self.holder.borrow().as_ref() {
+            readings.token = holder.token;
+        }
+        if let Some(leader) = self.leader() {
+            let counts = leader.counts();
+            readings.leading = true;
+            readings.open_jobs = counts.open_jobs;
+            readings.waiting_tasks = counts.waiting_tasks;
+            readings.runs = counts.runs;
+            readings.usable_workers = counts.usable_workers;
+            readings.silent_workers = counts.silent_workers;
+        }
+        self.metrics.page(&readings)
+    }
+
+    /// Begins a planned stop: new connections go elsewhere, and the role of scheduler is handed on.
+    pub async fn begin_stop(self: &Rc<Self>) {
+        if self.stopping.replace(true) {
+            return;
+        }
+        log::stopping(self.leader.borrow().is_some());
+        if let Some(leader) = self.leader() {
+            leader.hand_on("planned_stop").await;
+        }
+    }
+
+    /// Waits until nothing that was accepted is left to be answered, at most `limit_ms`.
+    pub async fn finish_stop(&self, limit_ms: u64) {
+        let until = now().plus(limit_ms);
+        while now() < until {
+            let accepting = self.accepting.iter().any(AcceptQueue::is_busy);
+            if !accepting && self.unsent_replies.count() == 0 {
+                break;
+            }
+            actix_rt::time::sleep(Duration::from_millis(IDLE_LOOK_MS)).await;
+        }
+        log::stopped();
+        flush_lines();
+    }
+
+    /// Appends to the store, within the time that a sound store needs.
+    pub(crate) async fn append(
+        &self,
+        topic: Topic,
+        partition: u32,
+        records: &[Record],
+        condition: &Condition,
+    ) -> Result<Appended, AppendError> {
+        let began = now();
+        let limit = Duration::from_millis(self.settings.timing.store_timeout_ms);
+        let call = self.platform.append(topic, partition, records, condition);
+        let outcome = match tokio::time::timeout(limit, call).await {
+            Ok(outcome) => outcome,
+            Err(_elapsed) => Err(AppendError::InDoubt(SmolStr::new_static("timed out"))),
+        };
+        let result = match &outcome {
+            Ok(_) => "ok",
+            Err(AppendError::Refused(_)) => "refused",
+            Err(AppendError::InDoubt(_)) => "in_doubt",
+            Err(_) => "conflict",
+        };
+        self.note_store("append", result, began);
+        outcome
+    }
+
+    /// Reads from the store, within the wait and the time that a sound store needs.
+    pub(crate) async fn read(
+        &self,
+        topic: Topic,
+        partition: u32,
+        from: u64,
+        wait_ms: u64,
+    ) -> Result<Page, ReadError> {
+        let began = now();
+        let limit_ms = wait_ms + self.settings.timing.store_timeout_ms;
+        let call = self.platform.read(topic, partition, from, wait_ms);
+        let outcome = within(limit_ms, call).await;
+        self.note_read("read", &outcome, began);
+        outcome
+    }
+
+    /// Reads the newest record of each key from the store.
+    pub(crate) async fn newest(&self, topic: Topic, partition: u32) -> Result<Newest, ReadError> {
+        let began = now();
+        let limit_ms = 4 * self.settings.timing.store_timeout_ms;
+        let call = self.platform.newest(topic, partition);
+        let outcome = within(limit_ms, call).await;
+        self.note_read("newest", &outcome, began);
+        outcome
+    }
+
+    fn note_read<T>(&self, kind: &'static str, outcome: &Result<T, ReadError>, began: Millis) {
+        let result = match outcome {
+            Ok(_) => "ok",
+            Err(ReadError::Gone { .. }) => "gone",
+            Err(ReadError::Unavailable(_)) => "refused",
+            Err(ReadError::Malformed(_)) => "malformed",
+        };
+        self.note_store(kind, result, began);
+    }
+
+    fn note_store(&self, kind: &'static str, result: &'static str, began: Millis) {
+        let ended = now();
+        self.metrics.store_call(kind, result, ended.since(began));
+        let answers = !matches!(result, "refused" | "in_doubt");
+        if answers {
+            self.store.last_answer_at.set(ended);
+        } else {
+            self.store.last_failure_at.set(ended);
+        }
+        if self.store.answers.replace(answers) != answers {
+            let silent_ms = ended.since(self.store.last_answer_at.get());
+            log::store_health(answers, kind, result, silent_ms);
+        }
+    }
+}
+
+async fn within<T, F>(limit_ms: u64, call: F) -> Result<T, ReadError>
+where
+    F: Future<Output = Result<T, ReadError>>,
+{
+    let limit = Duration::from_millis(limit_ms);
+    match tokio::time::timeout(limit, call).await {
+        Ok(outcome) => outcome,
+        Err(_elapsed) => Err(ReadError::Unavailable(SmolStr::new_static("timed out"))),
+    }
+}
+
+async fn tick<P>(node: Rc<Node<P>>)
+where
+    P: Platform,
+{
+    let interval = Duration::from_millis(node.settings.timing.tick_ms);
+    loop {
+        actix_rt::time::sleep(interval).await;
+        if let Some(leader) = node.leader() {
+            leader.apply(Event::Ticked);
+            leader.watch_self();
+        }
+        flush_lines();
+    }
+}
+
+async fn answer_peers<P>(node: Rc<Node<P>>, listener: TcpListener)
+where
+    P: Platform,
+{
+    let unsent = node.unsent_replies.clone();
+    let served = serve_peers(listener, unsent, move |call: Bytes| {
+        let node = Rc::clone(&node);
+        async move { contact::answer(&node, &call).await }
+    });
+    if let Err(error) = served.await {
+        log::peers_unserved(&error);
+    }
+}
--- /dev/null
+++ b/crates/cell/src/ports.rs
@@ -0,0 +1,315 @@
+//! What a node needs of the platform that it runs on, in the project's own words.
+//!
+//! An adapter implements these traits; it translates names and formats and decides nothing.
+
+use bytes::Bytes;
+use smol_str::SmolStr;
+use syc_sched::Run;
+use syc_sched::StartRefusal;
+use syc_sched::StepId;
+use syc_sched::TaskId;
+use syc_sched::WorkerReport;
+use syc_sched::WorkerSpec;
+use syc_types::WorkerId;
+use thiserror::Error;
+
+use crate::Configuration;
+
+/// The topics of the store that a cell uses.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Topic {
+    /// Jobs as they were submitted, and their cancelling; written by every node.
+    Jobs,
+    /// Progress of the jobs; written by the scheduler only.
+    Progress,
+    /// Who is the scheduler.
+    Holders,
+    /// Registered workers; read only.
+    Workers,
+    /// What operators publish; read only.
+    Operators,
+}
+
+/// A record with a key; the store keeps the newest of each key.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Record {
+    /// The key.
+    pub key: SmolStr,
+    /// The value; without one, the key is removed.
+    pub value: Bytes,
+}
+
+/// Under which condition an append is carried out.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Condition {
+    /// Under any.
+    None,
+    /// Only if the partition ends at this offset.
+    EndsAt(u64),
+    /// Only if no greater epoch of this producer was seen, and once only.
+    Producer {
+        /// Name of the producer.
+        name: SmolStr,
+        /// Its epoch: the fencing token.
+        epoch: u64,
+        /// Number of the append within the epoch.
+        sequence: u64,
+    },
+}
+
+/// Where appended records are.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Appended {
+    /// Offset of the first of them.
+    pub offset: u64,
+    /// End of the partition after them.
+    pub end: u64,
+}
+
+/// Why an append was not carried out, or not for certain.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+pub enum AppendError {
+    /// It surely was not and never will be.
+    #[error("the store refused: {0}")]
+    Refused(SmolStr),
+    /// The partition ends elsewhere.
+    #[error("the partition ends at {end}")]
+    EndsElsewhere {
+        /// Where it ends.
+        end: u64,
+    },
+    /// A greater epoch was seen.
+    #[error("a later epoch was seen")]
+    Fenced,
+    /// The number does not follow the last one.
+    #[error("append {expected} was expected")]
+    OutOfSequence {
+        /// The number that does.
+        expected: u64,
+    },
+    /// It may have been carried out, or may be later.
+    #[error("the store's answer was lost: {0}")]
+    InDoubt(SmolStr),
+}
+
+/// A part of a partition.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Page {
+    /// Offset of the first record.
+    pub first: u64,
+    /// End of the partition.
+    pub end: u64,
+    /// The records.
+    pub records: Vec<Record>,
+}
+
+/// The newest record of each key of a partition.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Newest {
+    /// The records, with their offsets.
+    pub records: Vec<(u64, Record)>,
+    /// Offset from which to read on: nothing after it is missing from the records.
+    pub read_from: u64,
+}
+
+/// Why nothing could be read.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+pub enum ReadError {
+    /// The records were removed; the newest of each key is still there.
+    #[error("records before offset {first} are gone")]
+    Gone {
+        /// The oldest offset that can be read.
+        first: u64,
+    },
+    /// The store did not answer, or refused.
+    #[error("the store is not available: {0}")]
+    Unavailable(SmolStr),
+    /// The answer is not in the published form.
+    #[error("the store's answer can't be read: {0}")]
+    Malformed(SmolStr),
+}
+
+/// The platform's store.
+pub trait Store {
+    /// Appends records, all or none.
+    fn append(
+        &self,
+        topic: Topic,
+        partition: u32,
+        records: &[Record],
+        condition: &Condition,
+    ) -> impl Future<Output = Result<Appended, AppendError>>;
+
+    /// Reads from an offset on; waits for a record for at most `wait_ms`.
+    fn read(
+        &self,
+        topic: Topic,
+        partition: u32,
+        from: u64,
+        wait_ms: u64,
+    ) -> impl Future<Output = Result<Page, ReadError>>;
+
+    /// Reads the newest record of each key.
+    fn newest(
+        &self,
+        topic: Topic,
+        partition: u32,
+    ) -> impl Future<Output = Result<Newest, ReadError>>;
+}
+
+/// Where a worker takes orders, and which life of it is meant.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct WorkerAddress {
+    /// Names one life of the worker.
+    pub id: WorkerId,
+    /// `ip:port`.
+    pub address: SmolStr,
+}
+
+/// An order to start a run.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct StartCommand {
+    /// The task.
+    pub task: TaskId,
+    /// Which start of it.
+    pub run: Run,
+    /// The job's payload.
+    pub payload: SmolStr,
+    /// Until when the lease lasts, on the worker's clock.
+    pub lease_until_ms: u64,
+    /// Fencing token of the scheduler.
+    pub token: u64,
+    /// Proof that the worker may run it; empty where none is needed.
+    pub ticket: SmolStr,
+    /// Where it goes on from; empty to begin.
+    pub checkpoint: SmolStr,
+}
+
+/// An order to end a run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct StopCommand {
+    /// The task.
+    pub task: TaskId,
+    /// Which start of it.
+    pub run: Run,
+    /// Fencing token of the scheduler.
+    pub token: u64,
+}
+
+/// Renews the leases of all runs on a worker, and asks for its lists.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Renewal {
+    /// Until when the leases last, on the worker's clock; none to leave them as they are.
+    pub lease_until_ms: Option<u64>,
+    /// Ends up to this number are kept and may be forgotten.
+    pub noted: u64,
+    /// The worker may wait this long for an end before it answers.
+    pub wait_ms: u64,
+    /// Fencing token of the scheduler.
+    pub token: u64,
+}
+
+/// What a worker answers to a renewal.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Renewed {
+    /// The worker's clock.
+    pub clock_ms: u64,
+    /// What it lists.
+    pub report: WorkerReport,
+}
+
+/// Why a worker did not do as it was told.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+pub enum OrderError {
+    /// Another life of the worker answers at its address.
+    #[error("another life of the worker is at its address")]
+    Replaced,
+    /// The worker has seen a greater fencing token.
+    #[error("the worker has seen a greater fencing token")]
+    Fenced,
+    /// It refused, and did nothing.
+    #[error("the worker refused: {}", .0.as_str())]
+    Refused(StartRefusal),
+    /// It may have done it, now or later.
+    #[error("the worker's answer was lost: {0}")]
+    InDoubt(SmolStr),
+}
+
+/// The workers' task interface.
+pub trait WorkerPort {
+    /// Starts a run.
+    fn start(
+        &self,
+        worker: &WorkerAddress,
+        command: &StartCommand,
+        timeout_ms: u64,
+    ) -> impl Future<Output = Result<(), OrderError>>;
+
+    /// Ends a run.
+    fn stop(
+        &self,
+        worker: &WorkerAddress,
+        command: &StopCommand,
+        timeout_ms: u64,
+    ) -> impl Future<Output = Result<(), OrderError>>;
+
+    /// Renews leases.
+    fn renew(
+        &self,
+        worker: &WorkerAddress,
+        renewal: &Renewal,
+        timeout_ms: u64,
+    ) -> impl Future<Output = Result<Renewed, OrderError>>;
+}
+
+/// The workers of those asked about that may run a step.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Advice {
+    /// Each with its ticket.
+    pub allowed: Vec<(WorkerId, SmolStr)>,
+    /// Time for which the tickets are valid.
+    pub validity_ms: u64,
+}
+
+/// Why no advice was given.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+#[error("no advice: {0}")]
+pub struct AdviceError(pub SmolStr);
+
+/// The service that knows which workers may run a step.
+pub trait AdvicePort {
+    /// Asks about workers; the service serves one call at a time for each calling VM.
+    fn advise(
+        &self,
+        step: StepId,
+        workers: &[WorkerId],
+        timeout_ms: u64,
+    ) -> impl Future<Output = Result<Advice, AdviceError>>;
+}
+
+/// Why a record of the platform can't be read.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+#[error("{0}")]
+pub struct FormatError(pub String);
+
+/// The platform's own records.
+pub trait Formats {
+    /// Reads the record of a registered worker.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the record is not in the published form.
+    fn worker(&self, key: &str, value: &[u8]) -> Result<WorkerSpec, FormatError>;
+
+    /// Reads a record of the operators; none where it is no configuration.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the record is not in the published form.
+    fn configuration(&self, key: &str, value: &[u8]) -> Result<Option<Configuration>, FormatError>;
+}
+
+/// Everything that a node needs of its platform.
+pub trait Platform: Store + WorkerPort + AdvicePort + Formats + 'static {}
+
+impl<P> Platform for P where P: Store + WorkerPort + AdvicePort + Formats + 'static {}
--- /dev/null
+++ b/crates/cell/src/queries.rs
@@ -0,0 +1,146 @@
+//! Questions of callers that only the scheduler can answer.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use syc_sched::JobId;
+use syc_sched::JobState;
+use syc_wire::cell::CellBody;
+use syc_wire::cell::Knowledge;
+use syc_wire::cell::PendingQuery;
+use syc_wire::cell::PendingReply;
+use syc_wire::cell::StateQueryCell;
+use syc_wire::cell::StateReplyCell;
+
+use crate::Node;
+use crate::clock::now;
+use crate::ports::Platform;
+
+/// A question is asked again this often while the scheduler changes.
+const RETRY_MS: u64 = 100;
+
+/// A question is given up after this time: the caller asks again within its own timeout.
+const LIMIT_MS: u64 = 1_500;
+
+/// What is known of a job.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StateAnswer {
+    /// It is in this state.
+    Known(JobState),
+    /// There is no such job.
+    NoSuchJob,
+    /// Nobody can tell now.
+    Unsure,
+}
+
+/// What is known of a queue.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PendingAnswer {
+    /// So many of its jobs have not begun.
+    Known(u64),
+    /// Nobody can tell now.
+    Unsure,
+}
+
+impl<P> Node<P>
+where
+    P: Platform,
+{
+    /// Tells the state of a job.
+    pub async fn state(self: &Rc<Self>, id: JobId) -> StateAnswer {
+        let until = now().plus(LIMIT_MS);
+        loop {
+            let answer = match self.leader() {
+                Some(leader) => leader.state(id),
+                None => self.ask_state(id).await,
+            };
+            if answer != StateAnswer::Unsure || now() >= until || self.stopping.get() {
+                return answer;
+            }
+            actix_rt::time::sleep(Duration::from_millis(RETRY_MS)).await;
+        }
+    }
+
+    /// Tells how many jobs of a queue have not begun.
+    pub async fn pending(self: &Rc<Self>, queue: &str) -> PendingAnswer {
+        let until = now().plus(LIMIT_MS);
+        loop {
+            let answer = match self.leader() {
+                Some(leader) => leader.pending(queue),
+                None => self.ask_pending(queue).await,
+            };
+            if answer != PendingAnswer::Unsure || now() >= until || self.stopping.get() {
+                return answer;
+            }
+            actix_rt::time::sleep(Duration::from_millis(RETRY_MS)).await;
+        }
+    }
+
+    async fn ask_state(&self, id: JobId) -> StateAnswer {
+        let query = CellBody::StateQuery(StateQueryCell { job: id.0 });
+        let Some(CellBody::StateReply(reply)) = self.ask_holder(query).await else {
+            return StateAnswer::Unsure;
+        };
+        match reply.knowledge() {
+            Knowledge::Unsure => StateAnswer::Unsure,
+            Knowledge::NoSuchJob => StateAnswer::NoSuchJob,
+            Knowledge::Queued => StateAnswer::Known(JobState::Queued),
+            Knowledge::Running => StateAnswer::Known(JobState::Running),
+            Knowledge::Completed => StateAnswer::Known(JobState::Completed),
+            Knowledge::Failed => StateAnswer::Known(JobState::Failed),
+            Knowledge::Cancelled => StateAnswer::Known(JobState::Cancelled),
+        }
+    }
+
+    async fn ask_pending(&self, queue: &str) -> PendingAnswer {
+        let query = CellBody::PendingQuery(PendingQuery {
+            queue: queue.to_owned(),
+        });
+        match self.ask_holder(query).await {
+            Some(CellBody::PendingReply(reply)) if reply.known => PendingAnswer::Known(reply.jobs),
+            _ => PendingAnswer::Unsure,
+        }
+    }
+
+    async fn ask_holder(&self, query: CellBody) -> Option<CellBody> {
+        let link = self.link.borrow().clone()?;
+        let timeout_ms = self.settings.timing.peer_timeout_ms;
+        // Without an answer the question is asked again, or the caller hears that nobody can tell.
+        link.call(query, timeout_ms).await.ok()
+    }
+}
+
+/// Answers another node about a job.
+pub(crate) fn answer_state<P>(node: &Rc<Node<P>>, query: &StateQueryCell) -> CellBody
+where
+    P: Platform,
+{
+    let leader = node.leader();
+    let answer = leader.map_or(StateAnswer::Unsure, |leader| leader.state(JobId(query.job)));
+    let knowledge = match answer {
+        StateAnswer::Unsure => Knowledge::Unsure,
+        StateAnswer::NoSuchJob => Knowledge::NoSuchJob,
+        StateAnswer::Known(JobState::Queued) => Knowledge::Queued,
+        StateAnswer::Known(JobState::Running) => Knowledge::Running,
+        StateAnswer::Known(JobState::Completed) => Knowledge::Completed,
+        StateAnswer::Known(JobState::Failed) => Knowledge::Failed,
+        StateAnswer::Known(JobState::Cancelled) => Knowledge::Cancelled,
+    };
+    let mut reply = StateReplyCell::default();
+    reply.set_knowledge(knowledge);
+    CellBody::StateReply(reply)
+}
+
+/// Answers another node about a queue.
+pub(crate) fn answer_pending<P>(node: &Rc<Node<P>>, query: &PendingQuery) -> CellBody
+where
+    P: Platform,
+{
+    let leader = node.leader();
+    let answer = leader.map_or(PendingAnswer::Unsure, |leader| leader.pending(&query.queue));
+    let reply = match answer {
+        PendingAnswer::Known(jobs) => PendingReply { known: true, jobs },
+        PendingAnswer::Unsure => PendingReply::default(),
+    };
+    CellBody::PendingReply(reply)
+}
--- /dev/null
+++ b/crates/cell/src/settings.rs
@@ -0,0 +1,108 @@
+//! What a node is told at its start, and the times that it works by.
+
+use std::net::SocketAddr;
+
+use smol_str::SmolStr;
+
+/// What a node is told at its start.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct NodeSettings {
+    /// Its name.
+    pub name: SmolStr,
+    /// Where it takes calls of other nodes.
+    pub peer_address: SocketAddr,
+    /// Longest lease that workers grant.
+    pub lease_limit_ms: u64,
+    /// Time that a stop takes at most on a worker.
+    pub stop_limit_ms: u64,
+    /// Time that members of a gang wait for each other.
+    pub gang_wait_ms: u64,
+    /// Time for which a job's state can be asked after it has ended.
+    pub status_ms: u64,
+    /// Partitions that a topic has.
+    pub partitions: u32,
+    /// Times that it works by.
+    pub timing: Timing,
+}
+
+/// Times that a node works by, each with its unit and origin.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Timing {
+    /// Lease of a run from its latest renewal: long enough to outlast a change of the scheduler,
+    /// short enough that work of a dead worker is not late for its objective.
+    pub lease_ms: u64,
+    /// The scheduler tells the store this often that it is there.
+    pub presence_ms: u64,
+    /// A scheduler that has not told the store for this long is replaced; four presences and the
+    /// store's slowest sound answer.
+    pub silence_ms: u64,
+    /// The same where its process is known to be gone: one presence may still be under way.
+    pub gone_silence_ms: u64,
+    /// Nodes that see the same wait up to this long, each another time, so that one claims first.
+    pub claim_spread_ms: u64,
+    /// Nodes call the scheduler this often.
+    pub contact_ms: u64,
+    /// Time that the scheduler has for an answer to another node.
+    pub peer_timeout_ms: u64,
+    /// A call to the store without an answer is given up after this time; sound answers take some
+    /// milliseconds, those of a slow store a quarter of a second.
+    pub store_timeout_ms: u64,
+    /// A submit is given up after this time: the caller asks again within its own timeout.
+    pub submit_limit_ms: u64,
+    /// A read of the jobs waits this long for news.
+    pub jobs_wait_ms: u64,
+    /// The list of workers is read this often: a worker that drains may get nothing new after two
+    /// seconds, and most records only say that a worker is still there.
+    pub workers_interval_ms: u64,
+    /// A worker waits this long for an end before it answers a renewal.
+    pub renewal_wait_ms: u64,
+    /// Time beyond that wait within which a sound worker answers.
+    pub renewal_slack_ms: u64,
+    /// A start or stop order without an answer is sent again after this time.
+    pub order_timeout_ms: u64,
+    /// What time alone changes is looked at this often.
+    pub tick_ms: u64,
+    /// A refused caller is told to come back after this time.
+    pub retry_after_ms: u64,
+    /// A planned stop waits this long for the balancer to notice.
+    pub stop_notice_ms: u64,
+}
+
+impl Default for Timing {
+    fn default() -> Self {
+        Self {
+            lease_ms: 6_000,
+            presence_ms: 250,
+            silence_ms: 1_200,
+            gone_silence_ms: 450,
+            claim_spread_ms: 90,
+            contact_ms: 400,
+            peer_timeout_ms: 500,
+            store_timeout_ms: 700,
+            submit_limit_ms: 1_600,
+            jobs_wait_ms: 1_000,
+            workers_interval_ms: 250,
+            renewal_wait_ms: 1_000,
+            renewal_slack_ms: 400,
+            order_timeout_ms: 300,
+            tick_ms: 100,
+            retry_after_ms: 1_000,
+            stop_notice_ms: 2_500,
+        }
+    }
+}
+
+impl NodeSettings {
+    /// Returns the lease that is set, which is within what workers grant.
+    #[must_use]
+    pub fn lease_ms(&self) -> u64 {
+        self.timing.lease_ms.min(self.lease_limit_ms)
+    }
+
+    /// Returns the number of partitions over which jobs are spread: one takes an append in some
+    /// milliseconds, so that a few carry a thousand submits a second.
+    #[must_use]
+    pub fn job_partitions(&self) -> u32 {
+        self.partitions.clamp(1, 3)
+    }
+}
--- /dev/null
+++ b/crates/obs/src/cell_metrics.rs
@@ -0,0 +1,204 @@
+//! The metrics of a node of a cell; `docs/METRICS.md` is their catalogue.
+
+use std::fmt;
+
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::Counter;
+use opentelemetry::metrics::Gauge;
+use opentelemetry::metrics::Histogram;
+use opentelemetry::metrics::Meter;
+use opentelemetry::metrics::MeterProvider;
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::Registry;
+use prometheus::TextEncoder;
+use prometheus::process_collector::ProcessCollector;
+
+/// Bounds of the buckets of waiting times, in seconds.
+const WAITING_BOUNDS_S: [f64; 14] = [
+    0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 4.0, 8.0, 16.0, 60.0,
+];
+
+/// Milliseconds of a second.
+const MS_PER_S: f64 = 1_000.0;
+
+/// What a node reads off its own state when it is scraped.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct CellReadings {
+    /// Whether it is the scheduler.
+    pub leading: bool,
+    /// Fencing token of the scheduler that it believes in.
+    pub token: u64,
+    /// Version of the configuration in force.
+    pub configuration: u64,
+    /// Jobs that have not ended.
+    pub open_jobs: usize,
+    /// Tasks that wait for a start.
+    pub waiting_tasks: u64,
+    /// Runs that hold room.
+    pub runs: usize,
+    /// Workers that may get work.
+    pub usable_workers: usize,
+    /// Workers that do not answer.
+    pub silent_workers: usize,
+}
+
+/// The metrics of one node of a cell.
+pub struct CellMetrics {
+    registry: Registry,
+    _provider: SdkMeterProvider,
+    requests: Counter<u64>,
+    stages: Histogram<f64>,
+    store_calls: Counter<u64>,
+    store_times: Histogram<f64>,
+    gauges: Gauges,
+}
+
+impl fmt::Debug for CellMetrics {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("CellMetrics").finish_non_exhaustive()
+    }
+}
+
+impl Default for CellMetrics {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl CellMetrics {
+    /// Registers every metric.
+    #[must_use]
+    pub fn new() -> Self {
+        let registry = Registry::new();
+        // Without the collector, only the process's own figures are missing.
+        let _registered = registry.register(Box::new(ProcessCollector::for_self()));
+        let mut builder = SdkMeterProvider::builder();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .without_target_info()
+            .build();
+        if let Ok(exporter) = exporter {
+            builder = builder.with_reader(exporter);
+        }
+        let provider = builder.build();
+        let meter = provider.meter("sycamorespur");
+        let histogram = |name: &'static str, text: &'static str| {
+            let built = meter.f64_histogram(name).with_unit("s");
+            let bounds = WAITING_BOUNDS_S.to_vec();
+            built.with_description(text).with_boundaries(bounds).build()
+        };
+        Self {
+            requests: counter(&meter, "syc_cell_requests", "Callers' requests by outcome."),
+            stages: histogram(
+                "syc_cell_stage_time",
+                "Time that a job spent in a stage of its wait, by queue.",
+            ),
+            store_calls: counter(
+                &meter,
+                "syc_cell_store_calls",
+                "Calls to the store, by kind and result.",
+            ),
+            store_times: histogram("syc_cell_store_time", "Time of calls to the store, by kind."),
+            gauges: Gauges::new(&meter),
+            registry,
+            _provider: provider,
+        }
+    }
+
+    /// Counts a caller's request.
+    pub fn request(&self, kind: &'static str, outcome: &'static str) {
+        let labels = [KeyValue::new("kind", kind), KeyValue::new("outcome", outcome)];
+        self.requests.add(1, &labels);
+    }
+
+    /// Notes how long a job of a queue spent in a stage.
+    pub fn stage(&self, queue: &str, stage: &'static str, time_ms: u64) {
+        let labels = [
+            KeyValue::new("queue", queue.to_owned()),
+            KeyValue::new("stage", stage),
+        ];
+        self.stages.record(to_seconds(time_ms), &labels);
+    }
+
+    /// Counts a call to the store.
+    pub fn store_call(&self, kind: &'static str, result: &'static str, time_ms: u64) {
+        let kind = KeyValue::new("kind", kind);
+        let labels = [kind.clone(), KeyValue::new("result", result)];
+        self.store_calls.add(1, &labels);
+        self.store_times.record(to_seconds(time_ms), &[kind]);
+    }
+
+    /// Returns the page to scrape, with the readings taken now.
+    #[must_use]
+    pub fn page(&self, readings: &CellReadings) -> String {
+        self.gauges.set(readings);
+        let families = self.registry.gather();
+        let encoded = TextEncoder::new().encode_to_string(&families);
+        encoded.unwrap_or_default()
+    }
+}
+
+struct Gauges {
+    leading: Gauge<u64>,
+    token: Gauge<u64>,
+    configuration: Gauge<u64>,
+    jobs: Gauge<u64>,
+    tasks: Gauge<u64>,
+    workers: Gauge<u64>,
+}
+
+impl Gauges {
+    fn new(meter: &Meter) -> Self {
+        let gauge = |name: &'static str, text: &'static str| {
+            meter.u64_gauge(name).with_description(text).build()
+        };
+        Self {
+            leading: gauge("syc_cell_leading", "1 where this node is the scheduler."),
+            token: gauge(
+                "syc_cell_fencing_token",
+                "Fencing token of the scheduler that this node believes in.",
+            ),
+            configuration: gauge(
+                "syc_cell_configuration_version",
+                "Version of the configuration in force here.",
+            ),
+            jobs: gauge("syc_cell_open_jobs", "Jobs that have not ended."),
+            tasks: gauge("syc_cell_tasks", "Tasks that wait, and runs that hold room."),
+            workers: gauge("syc_cell_workers", "Workers by state."),
+        }
+    }
+
+    fn set(&self, readings: &CellReadings) {
+        self.leading.record(u64::from(readings.leading), &[]);
+        self.token.record(readings.token, &[]);
+        self.configuration.record(readings.configuration, &[]);
+        self.jobs.record(to_u64(readings.open_jobs), &[]);
+        let tasks = [
+            ("waiting", readings.waiting_tasks),
+            ("running", to_u64(readings.runs)),
+        ];
+        for (state, count) in tasks {
+            self.tasks.record(count, &[KeyValue::new("state", state)]);
+        }
+        let workers = [
+            ("usable", to_u64(readings.usable_workers)),
+            ("silent", to_u64(readings.silent_workers)),
+        ];
+        for (state, count) in workers {
+            self.workers.record(count, &[KeyValue::new("state", state)]);
+        }
+    }
+}
+
+fn counter(meter: &Meter, name: &'static str, text: &'static str) -> Counter<u64> {
+    meter.u64_counter(name).with_description(text).build()
+}
+
+fn to_u64(count: usize) -> u64 {
+    u64::try_from(count).unwrap_or(u64::MAX)
+}
+
+fn to_seconds(time_ms: u64) -> f64 {
+    let time_ms = u32::try_from(time_ms).unwrap_or(u32::MAX);
+    f64::from(time_ms) / MS_PER_S
+}
--- a/crates/obs/src/events.rs
+++ b/crates/obs/src/events.rs
@@ -19,9 +19,7 @@
 
 /// Writes an event to the log with what is particular to this time.
 pub fn emit(event: Event, detail: fmt::Arguments<'_>) {
-    if let Some(index) = ALL.iter().position(|known| known.code == event.code) {
-        COUNTS[index].fetch_add(1, Ordering::Relaxed);
-    }
+    count_event(event);
     spdlog::log!(
         event.level,
         "SYC{:04} {}: {}",
@@ -31,6 +29,13 @@
     );
 }
 
+/// Counts an event that was written in another form than [`emit`]'s.
+pub(crate) fn count_event(event: Event) {
+    if let Some(index) = ALL.iter().position(|known| known.code == event.code) {
+        COUNTS[index].fetch_add(1, Ordering::Relaxed);
+    }
+}
+
 /// How often each event of [`ALL`] was written by this process.
 static COUNTS: [AtomicU64; ALL.len()] = [const { AtomicU64::new(0) }; ALL.len()];
 
@@ -113,4 +118,68 @@
     CLOCK_JUMPED = 505, Warn, "clock jumped, leases dropped";
     /// The homes of requests follow a new view.
     REQUEST_HOMES = 600, Info, "request homes follow a new view";
+    /// A node of a cell listens on all its addresses.
+    NODE_STARTED = 700, Info, "node started";
+    /// A node of a cell begins a planned stop.
+    NODE_STOPPING = 701, Info, "node stopping";
+    /// A node of a cell has stopped.
+    NODE_STOPPED = 702, Info, "node stopped";
+    /// A node of a cell was asked to read its settings again.
+    NODE_RELOADED = 703, Info, "settings read again";
+    /// The store or a peer answers no more.
+    DEPENDENCY_LOST = 704, Warn, "dependency lost";
+    /// The store or a peer answers again.
+    DEPENDENCY_REGAINED = 705, Info, "dependency regained";
+    /// Lines were dropped to bound the volume.
+    LINES_DROPPED = 706, Warn, "log lines dropped";
+    /// Another node is the scheduler.
+    HOLDER_SEEN = 710, Info, "scheduler known";
+    /// This node was chosen as the scheduler.
+    HOLDER_CHOSEN = 711, Info, "chosen as scheduler";
+    /// Another node was chosen first.
+    CLAIM_LOST = 712, Info, "claim lost";
+    /// This node is the scheduler no more.
+    HOLDER_LEFT = 713, Warn, "scheduler no more";
+    /// The jobs and workers were read from the store.
+    STATE_LOADED = 714, Info, "state loaded";
+    /// Nothing that runs is unknown any more.
+    TAKEOVER_COMPLETE = 715, Info, "takeover complete";
+    /// A submit was accepted.
+    SUBMIT_ACCEPTED = 720, Info, "submit accepted";
+    /// A submit was refused.
+    SUBMIT_REFUSED = 721, Warn, "submit refused";
+    /// It is not known whether a submit was accepted.
+    SUBMIT_IN_DOUBT = 722, Warn, "submit in doubt";
+    /// The cancelling of a job was stored, or not.
+    CANCEL_ANSWERED = 723, Info, "cancel answered";
+    /// The scheduler read a job from the store.
+    JOB_SEEN = 724, Info, "job seen";
+    /// A job changes no more.
+    JOB_DECIDED = 725, Info, "job decided";
+    /// A job's state could not be told.
+    STATE_UNKNOWN = 726, Warn, "state unknown";
+    /// The store has taken the final state of a job.
+    JOB_SHOWN = 727, Info, "job state shown";
+    /// A start order was sent.
+    RUN_ORDERED = 730, Info, "run ordered";
+    /// A start order was refused or not answered.
+    START_FAILED = 731, Warn, "start not taken";
+    /// A run has ended.
+    RUN_ENDED = 732, Info, "run ended";
+    /// A stop order was sent.
+    STOP_ORDERED = 733, Info, "stop ordered";
+    /// A run of the predecessor goes on.
+    RUN_ADOPTED = 734, Info, "run adopted";
+    /// Tasks of a step wait.
+    STEP_WAITS = 735, Info, "step waits";
+    /// Advice was given or not.
+    ADVICE_ANSWERED = 736, Info, "advice answered";
+    /// A worker is believed to be able or not.
+    WORKER_BELIEF = 740, Warn, "belief about worker changed";
+    /// A worker registered or left.
+    WORKER_LISTED = 741, Info, "worker list changed";
+    /// A configuration came into force, or was held back.
+    CONFIGURATION_SEEN = 750, Info, "configuration seen";
+    /// A record of the store can't be read.
+    STORE_RECORD_UNREADABLE = 751, Error, "unreadable record of the store skipped";
 }
--- a/crates/obs/src/lib.rs
+++ b/crates/obs/src/lib.rs
@@ -1,11 +1,19 @@
 //! What operators can see: numbered log events and metrics.
 
+mod cell_metrics;
 mod events;
+mod lines;
 mod metrics;
 
+pub use cell_metrics::CellMetrics;
+pub use cell_metrics::CellReadings;
 pub use events::ALL;
 pub use events::Event;
 pub use events::catalogue;
 pub use events::emit;
+pub use lines::Line;
+pub use lines::LineOptions;
+pub use lines::flush_lines;
+pub use lines::start_lines;
 pub use metrics::Metrics;
 pub use metrics::Readings;
--- /dev/null
+++ b/crates/sched/src/advice.rs
@@ -0,0 +1,312 @@
+//! Which workers may run a step: whom to ask about, when, and what the answers are good for.
+
+use slotmap::Key;
+use syc_types::Millis;
+
+use crate::Action;
+use crate::AdviceAnswer;
+use crate::AdvicePolicy;
+use crate::Scheduler;
+use crate::StepId;
+use crate::TaskId;
+use crate::WorkerKey;
+use crate::ids::JobKey;
+use crate::job::Ticket;
+use crate::scheduler::QueueStats;
+use crate::worker::fits;
+
+/// Most workers that one call may name.
+const CALL_WORKERS_LIMIT: usize = 100;
+
+/// Share of workers that is taken to be allowed before a queue has shown its own.
+const FIRST_SHARE: f64 = 0.4;
+
+/// Answers that the learned share of a queue looks back on, in workers asked about.
+const SHARE_MEMORY: f64 = 400.0;
+
+/// Asked about beyond what is just enough on average.
+const SPARE_FACTOR: f64 = 1.6;
+
+/// Wait after a call that failed.
+const RETRY_MS: u64 = 40;
+
+impl Scheduler {
+    /// Returns the workers that may run a step now: each has a valid ticket, or none is needed.
+    pub(crate) fn allowed_now(&self, job: JobKey, step: usize, now: Millis) -> Vec<WorkerKey> {
+        let job = &self.jobs[job];
+        if job.spec.policy.advice.is_none() {
+            return self.eligible(job.spec.steps[step].required_label.as_ref(), job, now);
+        }
+        let valid_from = now.plus(self.options.ticket_margin_ms);
+        let tickets = &job.steps[step].advice.tickets;
+        let mut allowed = Vec::with_capacity(tickets.len());
+        for (key, ticket) in tickets {
+            if ticket.valid_until < valid_from {
+                continue;
+            }
+            if self.workers.get(*key).is_some_and(|worker| worker.usable(now)) {
+                allowed.push(*key);
+            }
+        }
+        allowed
+    }
+
+    /// Returns the usable workers of a job's service that have the label.
+    pub(crate) fn eligible(
+        &self,
+        label: Option<&smol_str::SmolStr>,
+        job: &crate::job::Job,
+        now: Millis,
+    ) -> Vec<WorkerKey> {
+        let mut eligible = Vec::new();
+        for (key, worker) in &self.workers {
+            if !worker.usable(now) || worker.spec.service != job.spec.policy.service {
+                continue;
+            }
+            if label.is_some_and(|label| !worker.spec.labels.contains(label)) {
+                continue;
+            }
+            eligible.push(key);
+        }
+        eligible
+    }
+
+    /// Asks about a step of single tasks if a call can bring a start nearer.
+    pub(crate) fn ask_for_tasks(&mut self, job: JobKey, step: usize, now: Millis) {
+        let Some(policy) = self.advice_due(job, step, now) else {
+            return;
+        };
+        let of_job = &self.jobs[job];
+        let of_step = &of_job.steps[step];
+        let need = of_step.spec.resources;
+        let wanted = of_step.pending;
+        let first = of_step.advice.calls == 0;
+        let mut known = Vec::new();
+        let mut unknown = Vec::new();
+        for key in self.eligible(of_step.spec.required_label.as_ref(), of_job, now) {
+            let advice = &of_step.advice;
+            if advice.denied.contains(&key) {
+                continue;
+            }
+            let room = fits(&self.workers[key].room(), &need, wanted);
+            if room == 0 && !first {
+                continue;
+            }
+            match advice.tickets.get(&key) {
+                Some(ticket) if ticket.valid_until > now.plus(self.options.ticket_margin_ms) => {}
+                Some(_expired) => known.push((room, key)),
+                None => unknown.push((room, key)),
+            }
+        }
+        let picked = if known.is_empty() {
+            let count = self.first_call_size(job, step, &unknown);
+            most_room(unknown, count, self.step_id(job, step))
+        } else {
+            let wanted = usize::try_from(wanted).unwrap_or(usize::MAX);
+            most_room(known, wanted.saturating_add(1), self.step_id(job, step))
+        };
+        self.ask(job, step, policy, picked, now);
+    }
+
+    /// Asks about all workers that a gang could use, for the first time or beyond those known.
+    pub(crate) fn ask_for_gang(&mut self, job: JobKey, step: usize, now: Millis) {
+        let Some(policy) = self.advice_due(job, step, now) else {
+            return;
+        };
+        let of_job = &self.jobs[job];
+        let of_step = &of_job.steps[step];
+        let mut unknown = Vec::new();
+        for key in self.eligible(of_step.spec.required_label.as_ref(), of_job, now) {
+            let advice = &of_step.advice;
+            if advice.denied.contains(&key) || advice.tickets.contains_key(&key) {
+                continue;
+            }
+            let limit = of_step.spec.tasks;
+            let room = fits(&self.workers[key].room(), &of_step.spec.resources, limit);
+            unknown.push((room, key));
+        }
+        let count = self.first_call_size(job, step, &unknown);
+        let count = count.max(self.options.gang_advice_workers);
+        let picked = most_room(unknown, count, self.step_id(job, step));
+        self.ask(job, step, policy, picked, now);
+    }
+
+    /// Asks again about workers whose tickets are too old.
+    pub(crate) fn ask_again(
+        &mut self,
+        job: JobKey,
+        step: usize,
+        workers: Vec<WorkerKey>,
+        now: Millis,
+    ) {
+        let Some(policy) = self.advice_due(job, step, now) else {
+            return;
+        };
+        self.ask(job, step, policy, workers, now);
+    }
+
+    fn advice_due(&self, job: JobKey, step: usize, now: Millis) -> Option<AdvicePolicy> {
+        let job = &self.jobs[job];
+        let advice = &job.steps[step].advice;
+        if advice.asked_at.is_some() || now < advice.not_before {
+            return None;
+        }
+        job.spec.policy.advice
+    }
+
+    /// Works out how many workers to name so that enough of them are likely to be allowed.
+    fn first_call_size(&self, job: JobKey, step: usize, unknown: &[(u32, WorkerKey)]) -> usize {
+        let job = &self.jobs[job];
+        let of_step = &job.steps[step];
+        let tasks = of_step.pending.saturating_mul(of_step.members());
+        let room: u32 = unknown.iter().map(|(room, _)| *room).sum();
+        let workers = u32::try_from(unknown.len()).unwrap_or(u32::MAX).max(1);
+        let per_worker = (f64::from(room) / f64::from(workers)).max(0.5);
+        let share = self.allowed_share(&job.spec.policy.queue);
+        let wanted = f64::from(tasks) / per_worker / share * SPARE_FACTOR;
+        let wanted = std::time::Duration::from_secs_f64(wanted.clamp(0.0, 1_000.0)).as_secs();
+        let wanted = usize::try_from(wanted).unwrap_or(CALL_WORKERS_LIMIT);
+        wanted.max(self.options.task_advice_workers)
+    }
+
+    fn allowed_share(&self, queue: &str) -> f64 {
+        let stats = self.queues.get(queue).copied().unwrap_or_default();
+        if stats.asked < 20.0 {
+            return FIRST_SHARE;
+        }
+        (stats.allowed / stats.asked).clamp(0.05, 1.0)
+    }
+
+    fn ask(
+        &mut self,
+        job: JobKey,
+        step: usize,
+        policy: AdvicePolicy,
+        mut workers: Vec<WorkerKey>,
+        now: Millis,
+    ) {
+        workers.truncate(CALL_WORKERS_LIMIT);
+        if workers.is_empty() {
+            return;
+        }
+        let id = self.step_id(job, step);
+        let advice = &mut self.jobs[job].steps[step].advice;
+        advice.asked_at = Some(now);
+        advice.calls += 1;
+        self.actions.push(Action::Ask {
+            step: id,
+            expected_ms: policy.call_ms(workers.len()),
+            workers,
+        });
+    }
+
+    pub(crate) fn step_id(&self, job: JobKey, step: usize) -> StepId {
+        StepId {
+            job: self.jobs[job].id(),
+            step: u16::try_from(step).unwrap_or(u16::MAX),
+        }
+    }
+
+    pub(crate) fn advised(
+        &mut self,
+        step: StepId,
+        asked: &[WorkerKey],
+        answer: AdviceAnswer,
+        now: Millis,
+    ) {
+        let Some(key) = self.job_keys.get(&step.job).copied() else {
+            return;
+        };
+        let job = &mut self.jobs[key];
+        let queue = job.spec.policy.queue.clone();
+        let Some(of_step) = job.steps.get_mut(usize::from(step.step)) else {
+            return;
+        };
+        let advice = &mut of_step.advice;
+        advice.asked_at = None;
+        let AdviceAnswer::Given {
+            allowed,
+            validity_ms,
+        } = answer
+        else {
+            advice.not_before = now.plus(RETRY_MS);
+            return;
+        };
+        let stats = self.queues.entry(queue).or_default();
+        stats.add(asked.len(), allowed.len());
+        for worker in asked {
+            advice.denied.insert(*worker);
+        }
+        for allowed in allowed {
+            advice.denied.remove(&allowed.worker);
+            let ticket = Ticket {
+                text: allowed.ticket,
+                valid_until: now.plus(validity_ms),
+            };
+            advice.tickets.insert(allowed.worker, ticket);
+        }
+    }
+
+    /// Forgets a ticket that a worker refused.
+    pub(crate) fn drop_ticket(&mut self, worker: WorkerKey, task: TaskId, now: Millis) {
+        let Some((job, step, _unit, _member)) = self.locate(task) else {
+            return;
+        };
+        let advice = &mut self.jobs[job].steps[step].advice;
+        if let Some(ticket) = advice.tickets.get_mut(&worker) {
+            ticket.valid_until = now;
+        }
+    }
+
+    /// Gives up calls for advice that were not answered.
+    pub(crate) fn give_up_advice(&mut self, now: Millis) {
+        let slack_ms = self.options.advice_slack_ms;
+        for key in &self.open {
+            let job = &mut self.jobs[*key];
+            let Some(policy) = job.spec.policy.advice else {
+                continue;
+            };
+            let call_ms = policy.call_ms(CALL_WORKERS_LIMIT).clamp(0.0, 60_000.0);
+            let call_ms = std::time::Duration::from_millis(1).mul_f64(call_ms);
+            let call_ms = u64::try_from(call_ms.as_millis()).unwrap_or(u64::MAX);
+            let bound_ms = call_ms.saturating_mul(3).saturating_add(slack_ms);
+            for step in &mut job.steps {
+                let asked_at = step.advice.asked_at;
+                if asked_at.is_some_and(|at| now.since(at) > bound_ms) {
+                    step.advice.asked_at = None;
+                }
+            }
+        }
+    }
+}
+
+impl QueueStats {
+    fn add(&mut self, asked: usize, allowed: usize) {
+        let to_f64 = |count: usize| f64::from(u32::try_from(count).unwrap_or(u32::MAX));
+        self.asked += to_f64(asked);
+        self.allowed += to_f64(allowed);
+        if self.asked > SHARE_MEMORY {
+            self.asked /= 2.0;
+            self.allowed /= 2.0;
+        }
+    }
+}
+
+/// Picks the workers with the most room; among equals, others for each step.
+fn most_room(
+    mut workers: Vec<(u32, WorkerKey)>,
+    count: usize,
+    step: StepId,
+) -> Vec<WorkerKey> {
+    let order = |key: &WorkerKey| mix(key.data().as_ffi() ^ step.job.0);
+    workers.sort_by(|a, b| b.0.cmp(&a.0).then_with(|| order(&a.1).cmp(&order(&b.1))));
+    workers.truncate(count);
+    workers.into_iter().map(|(_, key)| key).collect()
+}
+
+/// Spreads numbers evenly (the finalizer of splitmix64).
+const fn mix(number: u64) -> u64 {
+    let number = (number ^ (number >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let number = (number ^ (number >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    number ^ (number >> 31)
+}
--- /dev/null
+++ b/crates/sched/src/gang.rs
@@ -0,0 +1,247 @@
+//! Gangs: all members start at once, or none does.
+
+use syc_types::Millis;
+
+use crate::Scheduler;
+use crate::StopReason;
+use crate::WorkerKey;
+use crate::ids::JobKey;
+use crate::place::victims;
+use crate::worker::fits;
+use crate::worker::times;
+
+/// A ticket that is good for less than this is asked for anew while room is being made.
+const FRESH_MS: u64 = 300;
+
+/// Workers for the members of a gang, and how many of them each takes.
+#[derive(Debug)]
+struct Plan {
+    workers: Vec<(WorkerKey, u32)>,
+    /// Whether running work has to stop first.
+    preempts: bool,
+}
+
+/// What a worker can take of a gang.
+#[derive(Debug)]
+struct Offer {
+    worker: WorkerKey,
+    free: u32,
+    with_preemption: u32,
+}
+
+impl Scheduler {
+    /// Starts a gang if all members have room and tickets, and else works towards that.
+    pub(crate) fn serve_gang(&mut self, job: JobKey, step: usize, now: Millis) {
+        if self.jobs[job].steps[step].units[0].reservation.is_some() {
+            self.serve_reserved_gang(job, step, now);
+            return;
+        }
+        let needs_advice = self.jobs[job].spec.policy.advice.is_some();
+        if needs_advice && self.jobs[job].steps[step].advice.calls == 0 {
+            self.ask_for_gang(job, step, now);
+            return;
+        }
+        let Some(plan) = self.plan_gang(job, step, now) else {
+            self.wait_for_room(job, step, now);
+            return;
+        };
+        if plan.preempts {
+            self.preempt_for_gang(job, step, &plan, now);
+        }
+        self.reserve(job, step, 0, plan.workers, now);
+        self.serve_reserved_gang(job, step, now);
+    }
+
+    fn serve_reserved_gang(&mut self, job: JobKey, step: usize, now: Millis) {
+        let of_step = &self.jobs[job].steps[step];
+        let need = of_step.spec.resources;
+        let Some(reservation) = of_step.units[0].reservation.clone() else {
+            return;
+        };
+        let mut has_room = true;
+        let mut stale = Vec::new();
+        for (key, count) in &reservation.workers {
+            let Some(worker) = self.workers.get(*key).filter(|worker| worker.usable(now)) else {
+                self.release_reservation(job, step, 0);
+                return;
+            };
+            has_room &= times(&need, *count).fits_in(&worker.free());
+            if !self.has_ticket(job, step, *key, now) {
+                stale.push(*key);
+            }
+        }
+        if !stale.is_empty() || (!has_room && !self.is_fresh(job, step, &reservation.workers, now))
+        {
+            let workers = reservation.workers.iter().map(|(key, _)| *key).collect();
+            self.ask_again(job, step, workers, now);
+        }
+        if has_room && stale.is_empty() {
+            self.release_reservation(job, step, 0);
+            let mut members = Vec::new();
+            for (worker, count) in &reservation.workers {
+                members.extend(std::iter::repeat_n(
+                    *worker,
+                    usize::try_from(*count).unwrap_or(0),
+                ));
+            }
+            self.start_unit(job, step, 0, &members, now);
+            return;
+        }
+        if reservation.until <= now {
+            self.release_reservation(job, step, 0);
+        }
+    }
+
+    fn is_fresh(
+        &self,
+        job: JobKey,
+        step: usize,
+        workers: &[(WorkerKey, u32)],
+        now: Millis,
+    ) -> bool {
+        let later = now.plus(FRESH_MS);
+        workers
+            .iter()
+            .all(|(key, _)| self.has_ticket(job, step, *key, later))
+    }
+
+    /// Asks about more workers, and keeps those that may run it from being filled by others.
+    fn wait_for_room(&mut self, job: JobKey, step: usize, now: Millis) {
+        self.ask_for_gang(job, step, now);
+        let of_job = &self.jobs[job];
+        let of_step = &of_job.steps[step];
+        let waited_ms = now.since(of_step.ready_at.unwrap_or(now));
+        if waited_ms < self.options.gang_patience_ms {
+            return;
+        }
+        let priority = of_job.spec.policy.priority;
+        let candidates = self.gang_candidates(job, step, now);
+        for key in candidates {
+            self.guarded.entry(key).or_insert(priority);
+        }
+    }
+
+    /// Returns the workers that may run a gang, whether or not their tickets are still good.
+    fn gang_candidates(&self, job: JobKey, step: usize, now: Millis) -> Vec<WorkerKey> {
+        let of_job = &self.jobs[job];
+        let of_step = &of_job.steps[step];
+        let mut candidates = self.eligible(of_step.spec.required_label.as_ref(), of_job, now);
+        if of_job.spec.policy.advice.is_some() {
+            candidates.retain(|key| of_step.advice.tickets.contains_key(key));
+        }
+        let avoid = &of_step.units[0].avoid;
+        candidates.retain(|key| !avoid.contains(key));
+        candidates
+    }
+
+    fn plan_gang(&self, job: JobKey, step: usize, now: Millis) -> Option<Plan> {
+        let candidates = self.gang_candidates(job, step, now);
+        if self.jobs[job].steps[step].spec.same_rack
+            && let Some(plan) = self.plan_in_one_rack(job, step, &candidates)
+        {
+            return Some(plan);
+        }
+        self.plan_among(job, step, &candidates)
+    }
+
+    fn plan_in_one_rack(
+        &self,
+        job: JobKey,
+        step: usize,
+        candidates: &[WorkerKey],
+    ) -> Option<Plan> {
+        let mut racks: Vec<_> = candidates
+            .iter()
+            .map(|key| &self.workers[*key].spec.rack)
+            .collect();
+        racks.sort();
+        racks.dedup();
+        for rack in racks {
+            let inside: Vec<_> = candidates
+                .iter()
+                .copied()
+                .filter(|key| self.workers[*key].spec.rack == *rack)
+                .collect();
+            let plan = self.plan_among(job, step, &inside);
+            if plan.is_some() {
+                return plan;
+            }
+        }
+        None
+    }
+
+    fn plan_among(&self, job: JobKey, step: usize, candidates: &[WorkerKey]) -> Option<Plan> {
+        let tasks = self.jobs[job].steps[step].spec.tasks;
+        let mut offers = self.offers(job, step, candidates);
+        let free: u32 = offers.iter().map(|offer| offer.free).sum();
+        let all: u32 = offers.iter().map(|offer| offer.with_preemption).sum();
+        if all < tasks {
+            return None;
+        }
+        // Few workers with much room keep the gang's risk of losing one small.
+        offers.sort_by_key(|offer| std::cmp::Reverse((offer.free, offer.with_preemption)));
+        let preempts = free < tasks;
+        let mut left = tasks;
+        let mut workers = Vec::new();
+        for offer in &offers {
+            let count = offer.free.min(left);
+            left -= count;
+            workers.push((offer.worker, count));
+        }
+        for (offer, (_, count)) in offers.iter().zip(&mut workers) {
+            let more = (offer.with_preemption - offer.free).min(left);
+            left -= more;
+            *count += more;
+        }
+        workers.retain(|(_, count)| *count > 0);
+        Some(Plan { workers, preempts })
+    }
+
+    fn offers(&self, job: JobKey, step: usize, candidates: &[WorkerKey]) -> Vec<Offer> {
+        let of_job = &self.jobs[job];
+        let spec = &of_job.steps[step].spec;
+        let priority = of_job.spec.policy.priority;
+        let limit = spec.tasks_per_worker.unwrap_or(spec.tasks).min(spec.tasks);
+        let mut offers = Vec::new();
+        for key in candidates {
+            if self.is_guarded_from(*key, job) {
+                continue;
+            }
+            let worker = &self.workers[*key];
+            let free = fits(&worker.room(), &spec.resources, limit);
+            let mut with_preemption = free;
+            while with_preemption < limit {
+                let more = times(&spec.resources, with_preemption + 1);
+                if victims(worker, &more, priority).is_none() {
+                    break;
+                }
+                with_preemption += 1;
+            }
+            if with_preemption > 0 {
+                offers.push(Offer {
+                    worker: *key,
+                    free,
+                    with_preemption,
+                });
+            }
+        }
+        offers
+    }
+
+    fn preempt_for_gang(&mut self, job: JobKey, step: usize, plan: &Plan, now: Millis) {
+        let of_job = &self.jobs[job];
+        let need = of_job.steps[step].spec.resources;
+        let priority = of_job.spec.policy.priority;
+        let mut stops = Vec::new();
+        for (key, count) in &plan.workers {
+            let needed = times(&need, *count);
+            let found = victims(&self.workers[*key], &needed, priority);
+            for (task, run) in found.unwrap_or_default() {
+                stops.push((*key, task, run));
+            }
+        }
+        for (worker, task, run) in stops {
+            self.stop_run(worker, task, run, StopReason::Preempted, now);
+        }
+    }
+}
--- /dev/null
+++ b/crates/sched/src/ids.rs
@@ -0,0 +1,103 @@
+//! Names of jobs, steps, tasks and runs, and the keys of the scheduler's arenas.
+
+use std::fmt;
+use std::num::ParseIntError;
+use std::str::FromStr;
+
+use serde::Deserialize;
+use serde::Serialize;
+use slotmap::new_key_type;
+use smol_str::SmolStr;
+use smol_str::format_smolstr;
+
+new_key_type! {
+    /// Refers to a worker in one [`crate::Scheduler`].
+    pub struct WorkerKey;
+
+    /// Refers to a job in one [`crate::Scheduler`].
+    pub(crate) struct JobKey;
+}
+
+/// Identifies a job; its submitter chooses it, so that a repeated submit is idempotent.
+///
+/// It is written as 16 lower-case hexadecimal digits.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(into = "SmolStr", try_from = "SmolStr")]
+pub struct JobId(pub u64);
+
+impl fmt::Display for JobId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
+impl FromStr for JobId {
+    type Err = ParseIntError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let digits = text.len() == 16 && text.bytes().all(|byte| byte.is_ascii_hexdigit());
+        let lower_case = !text.bytes().any(|byte| byte.is_ascii_uppercase());
+        // An empty text is never a number: it stands for whatever is no identifier.
+        let text = if digits && lower_case { text } else { "" };
+        u64::from_str_radix(text, 16).map(Self)
+    }
+}
+
+impl TryFrom<SmolStr> for JobId {
+    type Error = ParseIntError;
+
+    fn try_from(text: SmolStr) -> Result<Self, Self::Error> {
+        text.parse()
+    }
+}
+
+impl From<JobId> for SmolStr {
+    fn from(id: JobId) -> Self {
+        format_smolstr!("{id}")
+    }
+}
+
+/// Identifies a step of a job.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct StepId {
+    /// The job.
+    pub job: JobId,
+    /// Position of the step in the job, from 0.
+    pub step: u16,
+}
+
+impl fmt::Display for StepId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/{}", self.job, self.step)
+    }
+}
+
+/// Identifies a task of a step.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct TaskId {
+    /// The step.
+    pub step: StepId,
+    /// Position of the task in the step, from 0.
+    pub index: u32,
+}
+
+impl fmt::Display for TaskId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/{}", self.step, self.index)
+    }
+}
+
+/// Numbers the starts of a task, from 1; the members of a gang share it.
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct Run(pub u32);
+
+impl Run {
+    /// Returns the number of the start after this one.
+    #[must_use]
+    pub const fn next(self) -> Self {
+        Self(self.0.saturating_add(1))
+    }
+}
--- /dev/null
+++ b/crates/sched/src/job.rs
@@ -0,0 +1,346 @@
+//! What a scheduler knows of one job: its steps, and the units that are started together.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use smol_str::SmolStr;
+use syc_types::Millis;
+use syc_types::WorkerId;
+
+use crate::JobId;
+use crate::JobProgress;
+use crate::JobSpec;
+use crate::JobState;
+use crate::Run;
+use crate::StepId;
+use crate::StepSpec;
+use crate::TaskId;
+use crate::WorkerKey;
+use crate::progress::StepProgress;
+use crate::progress::UnitProgress;
+
+/// How a unit's run came out.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Outcome {
+    Done,
+    Failed,
+    /// It ended for a reason that is not the unit's fault.
+    Interrupted,
+}
+
+/// Where a unit is.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) enum UnitState {
+    /// It waits for a start.
+    Pending,
+    /// It was started; one worker for each member, none for members not found after a takeover.
+    Placed {
+        run: Run,
+        members: Vec<Option<WorkerKey>>,
+    },
+    /// A member has ended, and the others are being stopped.
+    Closing {
+        run: Run,
+        left: u32,
+        outcome: Outcome,
+    },
+    /// Its run has ended, and the record of that is under way.
+    Recording { outcome: Outcome, change: u64 },
+    /// It is done, and that is in the store.
+    Done,
+}
+
+/// A task, or all tasks of a gang.
+#[derive(Debug, Clone)]
+pub(crate) struct Unit {
+    pub(crate) state: UnitState,
+    pub(crate) failures: u32,
+    /// Number of its latest start.
+    pub(crate) started: Run,
+    /// Number of the latest start whose end was taken into account.
+    pub(crate) accounted: Run,
+    pub(crate) checkpoint: SmolStr,
+    /// Workers on which it failed; it goes elsewhere where it can.
+    pub(crate) avoid: Vec<WorkerKey>,
+    /// Workers of a start by a predecessor, by name.
+    pub(crate) placed_before: Vec<WorkerId>,
+    /// Room that is kept for it, and until when.
+    pub(crate) reservation: Option<Reservation>,
+}
+
+/// Room that is kept for a unit until what is in it has ended.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Reservation {
+    pub(crate) workers: Vec<(WorkerKey, u32)>,
+    pub(crate) until: Millis,
+}
+
+impl Unit {
+    const fn new() -> Self {
+        Self {
+            state: UnitState::Pending,
+            failures: 0,
+            started: Run(0),
+            accounted: Run(0),
+            checkpoint: SmolStr::new_static(""),
+            avoid: Vec::new(),
+            placed_before: Vec::new(),
+            reservation: None,
+        }
+    }
+
+    /// Says whether it is done, whether or not the store has it yet.
+    pub(crate) const fn is_done(&self) -> bool {
+        matches!(
+            self.state,
+            UnitState::Done
+                | UnitState::Recording {
+                    outcome: Outcome::Done,
+                    ..
+                }
+        )
+    }
+}
+
+/// What is known of the workers that may run a step.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Advice {
+    /// Workers that may, with their ticket and the time that it is good until.
+    pub(crate) tickets: BTreeMap<WorkerKey, Ticket>,
+    /// Workers that may not.
+    pub(crate) denied: BTreeSet<WorkerKey>,
+    /// When the call under way was made.
+    pub(crate) asked_at: Option<Millis>,
+    /// No call before this time.
+    pub(crate) not_before: Millis,
+    /// Calls made.
+    pub(crate) calls: u32,
+}
+
+/// Proof that a worker may run a step.
+#[derive(Debug, Clone)]
+pub(crate) struct Ticket {
+    pub(crate) text: SmolStr,
+    pub(crate) valid_until: Millis,
+}
+
+/// One step of a job.
+#[derive(Debug, Clone)]
+pub(crate) struct Step {
+    pub(crate) spec: StepSpec,
+    pub(crate) units: Vec<Unit>,
+    pub(crate) advice: Advice,
+    /// Units that are not done.
+    pub(crate) left: u32,
+    /// Units that wait for a start.
+    pub(crate) pending: u32,
+    /// When its tasks began to wait.
+    pub(crate) ready_at: Option<Millis>,
+    /// When the log last told that it waits.
+    pub(crate) told_at: Millis,
+}
+
+impl Step {
+    fn new(spec: &StepSpec) -> Self {
+        let units = if spec.gang { 1 } else { spec.tasks };
+        Self {
+            spec: spec.clone(),
+            units: vec![Unit::new(); usize::try_from(units).unwrap_or(0)],
+            advice: Advice::default(),
+            left: units,
+            pending: units,
+            ready_at: None,
+            told_at: Millis(0),
+        }
+    }
+
+    /// Returns the members of each unit.
+    pub(crate) const fn members(&self) -> u32 {
+        if self.spec.gang { self.spec.tasks } else { 1 }
+    }
+
+    /// Returns the unit of a task, and the task's position in it.
+    pub(crate) fn unit_of(&self, index: u32) -> Option<(usize, usize)> {
+        if index >= self.spec.tasks {
+            return None;
+        }
+        let index = usize::try_from(index).ok()?;
+        Some(if self.spec.gang {
+            (0, index)
+        } else {
+            (index, 0)
+        })
+    }
+
+    /// Returns the task at a position of a unit.
+    pub(crate) fn task_at(&self, step: StepId, unit: usize, member: usize) -> TaskId {
+        let index = if self.spec.gang { member } else { unit };
+        TaskId {
+            step,
+            index: u32::try_from(index).unwrap_or(u32::MAX),
+        }
+    }
+}
+
+/// One job.
+#[derive(Debug, Clone)]
+pub(crate) struct Job {
+    pub(crate) spec: JobSpec,
+    pub(crate) steps: Vec<Step>,
+    /// State of the latest change, recorded or not.
+    pub(crate) state: JobState,
+    /// State that may be shown: the store has it.
+    pub(crate) shown: JobState,
+    /// Changes so far.
+    pub(crate) changes: u64,
+    /// Change up to which the store has the progress.
+    pub(crate) recorded: u64,
+    /// When it was accepted, on the scheduler's clock.
+    pub(crate) accepted_at: Millis,
+    /// Objective, from the acceptance on.
+    pub(crate) objective_ms: u64,
+    /// Whether a predecessor may have started tasks that are not known.
+    pub(crate) inherited: bool,
+    /// When it ended.
+    pub(crate) ended_at: Option<Millis>,
+    pub(crate) ended_at_ms: u64,
+    /// Whether some task has ever started.
+    pub(crate) begun: bool,
+}
+
+impl Job {
+    pub(crate) fn new(spec: JobSpec, accepted_at: Millis) -> Self {
+        let steps = spec.steps.iter().map(Step::new).collect();
+        let objective_ms = objective_ms(&spec);
+        Self {
+            steps,
+            state: JobState::Queued,
+            shown: JobState::Queued,
+            changes: 0,
+            recorded: 0,
+            accepted_at,
+            objective_ms,
+            inherited: false,
+            ended_at: None,
+            ended_at_ms: 0,
+            begun: false,
+            spec,
+        }
+    }
+
+    pub(crate) const fn id(&self) -> JobId {
+        self.spec.id
+    }
+
+    /// Says whether the steps before a step are all done.
+    pub(crate) fn is_ready(&self, step: usize) -> bool {
+        let before = &self.steps[step].spec.after;
+        before.iter().all(|after| {
+            let step = self.steps.get(usize::from(*after));
+            step.is_some_and(|step| step.left == 0)
+        })
+    }
+
+    /// Takes over what a predecessor kept of the job.
+    pub(crate) fn restore(&mut self, progress: &JobProgress) {
+        self.state = progress.state;
+        self.shown = progress.state;
+        self.begun = progress.state != JobState::Queued;
+        for (step, kept) in self.steps.iter_mut().zip(&progress.steps) {
+            restore_step(step, kept);
+        }
+    }
+
+    /// Returns what is to be kept of the job.
+    pub(crate) fn progress<N>(&self, name_of: N) -> JobProgress
+    where
+        N: Fn(WorkerKey) -> Option<WorkerId>,
+    {
+        let mut progress = JobProgress {
+            state: self.state,
+            steps: Vec::new(),
+            ended_at_ms: self.ended_at_ms,
+        };
+        if self.state.is_terminal() {
+            return progress;
+        }
+        for step in &self.steps {
+            progress.steps.push(step_progress(step, &name_of));
+        }
+        progress
+    }
+}
+
+fn restore_step(step: &mut Step, kept: &StepProgress) {
+    for (index, unit) in step.units.iter_mut().enumerate() {
+        let index = u32::try_from(index).unwrap_or(u32::MAX);
+        let of_unit = kept.units.get(&index);
+        if kept.done || of_unit.is_some_and(|of_unit| of_unit.done) {
+            unit.state = UnitState::Done;
+            step.left -= 1;
+            step.pending -= 1;
+            continue;
+        }
+        let Some(of_unit) = of_unit else {
+            continue;
+        };
+        unit.failures = of_unit.failures;
+        unit.started = of_unit.started;
+        unit.accounted = of_unit.accounted;
+        unit.checkpoint = of_unit.checkpoint.clone();
+        unit.placed_before.clone_from(&of_unit.workers);
+    }
+}
+
+fn step_progress<N>(step: &Step, name_of: &N) -> StepProgress
+where
+    N: Fn(WorkerKey) -> Option<WorkerId>,
+{
+    let mut progress = StepProgress::default();
+    for (index, unit) in step.units.iter().enumerate() {
+        let done = unit.is_done();
+        if unit.started == Run(0) && !done {
+            continue;
+        }
+        let mut kept = UnitProgress {
+            done,
+            ..UnitProgress::default()
+        };
+        if !done {
+            kept.failures = unit.failures;
+            kept.started = unit.started;
+            kept.accounted = unit.accounted;
+            kept.checkpoint = unit.checkpoint.clone();
+            kept.workers = placed_names(unit, name_of);
+        }
+        let index = u32::try_from(index).unwrap_or(u32::MAX);
+        progress.units.insert(index, kept);
+    }
+    progress.done = step.units.iter().all(Unit::is_done);
+    if progress.done {
+        progress.units.clear();
+    }
+    progress
+}
+
+fn placed_names<N>(unit: &Unit, name_of: &N) -> Vec<WorkerId>
+where
+    N: Fn(WorkerKey) -> Option<WorkerId>,
+{
+    let UnitState::Placed { members, .. } = &unit.state else {
+        return unit.placed_before.clone();
+    };
+    members
+        .iter()
+        .flatten()
+        .filter_map(|worker| name_of(*worker))
+        .collect()
+}
+
+/// Works out a job's objective from its declared run times.
+fn objective_ms(spec: &JobSpec) -> u64 {
+    let chain_ms = std::time::Duration::from_millis(spec.longest_chain_ms());
+    let stretched = chain_ms.mul_f64(spec.policy.stretch.clamp(0.0, 1_000.0));
+    let stretched_ms = u64::try_from(stretched.as_millis()).unwrap_or(u64::MAX);
+    spec.policy.objective_ms.saturating_add(stretched_ms)
+}
--- /dev/null
+++ b/crates/sched/src/lib.rs
@@ -0,0 +1,62 @@
+//! The decision core of a cell: which task runs where, and what is known of it.
+//!
+//! A [`Scheduler`] is a pure state machine: events and the time go in, actions come out. It performs
+//! no I/O, reads no clock and draws no random numbers, so that every failure seen outside can be
+//! played again in a test.
+//!
+//! What it rests on, so that a task never runs twice at a time and a worker never gets more than it
+//! has:
+//!
+//! - every order carries a fencing token, so that a predecessor's orders are refused wherever the
+//!   successor has been heard;
+//! - room is taken from the moment a start is decided until its end is listed, its lease has surely
+//!   lapsed, or another life of the worker answers;
+//! - a change of a job's progress counts only when the store has it.
+
+mod advice;
+mod event;
+mod gang;
+mod ids;
+mod job;
+mod options;
+mod orders;
+mod place;
+mod progress;
+mod recovery;
+mod reports;
+mod scheduler;
+mod spec;
+mod watch;
+mod worker;
+
+pub use event::Action;
+pub use event::AdviceAnswer;
+pub use event::Allowed;
+pub use event::EndReport;
+pub use event::Event;
+pub use event::Note;
+pub use event::RunEnd;
+pub use event::RunningReport;
+pub use event::StartAnswer;
+pub use event::StartOrder;
+pub use event::StartRefusal;
+pub use event::StopReason;
+pub use event::WorkerReport;
+pub use event::WorkerSpec;
+pub use ids::JobId;
+pub use ids::Run;
+pub use ids::StepId;
+pub use ids::TaskId;
+pub use ids::WorkerKey;
+pub use options::Options;
+pub use progress::JobProgress;
+pub use progress::JobState;
+pub use progress::StepProgress;
+pub use progress::UnitProgress;
+pub use scheduler::Counts;
+pub use scheduler::Scheduler;
+pub use spec::AdvicePolicy;
+pub use spec::JobSpec;
+pub use spec::QueuePolicy;
+pub use spec::SpecFinding;
+pub use spec::StepSpec;
--- /dev/null
+++ b/crates/sched/src/options.rs
@@ -0,0 +1,63 @@
+//! The times and limits of a scheduler, each with its unit and origin.
+
+/// Times and limits of a [`crate::Scheduler`].
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Options {
+    /// Time after sending a renewal within which the lease that it set has surely lapsed: the
+    /// lease itself, the drift of the worker's clock, and what an order may be under way.
+    pub lease_bound_ms: u64,
+    /// Time that a predecessor may go on giving orders after its successor was chosen.
+    pub authority_ms: u64,
+    /// Time that a stop takes at most on a worker.
+    pub stop_ms: u64,
+    /// Time that the members of a gang wait for each other on the workers.
+    pub gang_wait_ms: u64,
+    /// Time for which a job's state can be asked after it has ended.
+    pub status_ms: u64,
+    /// A start or stop order without an answer is sent again after this time. Workers answer in
+    /// about a millisecond; the rest is for a busy link.
+    pub order_retry_ms: u64,
+    /// Starts without an answer before the run is given up and stopped.
+    pub start_orders_limit: u32,
+    /// A ticket is not used in the last part of its validity: the order has still to arrive.
+    pub ticket_margin_ms: u64,
+    /// A call for advice without an answer is given up this long after it should have ended.
+    pub advice_slack_ms: u64,
+    /// A run that shows no progress for this long, beside a share of its estimate, has stalled.
+    pub stall_ms: u64,
+    /// Failed runs in a row, without a good one between, after which a worker is put aside.
+    pub failures_in_row_limit: u32,
+    /// Time for which a worker is put aside the first time; each further time doubles it.
+    pub aside_ms: u64,
+    /// Room is kept for a unit at most this long.
+    pub reservation_ms: u64,
+    /// A gang that has waited longer than this keeps its workers from being filled by others.
+    pub gang_patience_ms: u64,
+    /// Workers named in the first call for advice about a gang, at least.
+    pub gang_advice_workers: usize,
+    /// Workers named in the first call for advice about a single task, at least.
+    pub task_advice_workers: usize,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self {
+            lease_bound_ms: 6_500,
+            authority_ms: 3_000,
+            stop_ms: 900,
+            gang_wait_ms: 3_000,
+            status_ms: 120_000,
+            order_retry_ms: 300,
+            start_orders_limit: 4,
+            ticket_margin_ms: 60,
+            advice_slack_ms: 600,
+            stall_ms: 2_000,
+            failures_in_row_limit: 3,
+            aside_ms: 4_000,
+            reservation_ms: 3_000,
+            gang_patience_ms: 1_500,
+            gang_advice_workers: 36,
+            task_advice_workers: 10,
+        }
+    }
+}
--- /dev/null
+++ b/crates/sched/src/orders.rs
@@ -0,0 +1,190 @@
+//! Start and stop orders, and what comes of them.
+
+use syc_types::Millis;
+
+use crate::Action;
+use crate::Run;
+use crate::Scheduler;
+use crate::StartAnswer;
+use crate::StartOrder;
+use crate::StartRefusal;
+use crate::StopReason;
+use crate::TaskId;
+use crate::WorkerKey;
+use crate::reports::Ending;
+use crate::worker::Phase;
+
+impl Scheduler {
+    pub(crate) fn start_answered(
+        &mut self,
+        key: WorkerKey,
+        task: TaskId,
+        run: Run,
+        answer: StartAnswer,
+        now: Millis,
+    ) {
+        let Some(worker) = self.workers.get_mut(key) else {
+            return;
+        };
+        let Some(of_run) = worker.runs.get_mut(&(task, run)) else {
+            return;
+        };
+        match answer {
+            StartAnswer::Started => {
+                of_run.confirmed_at.get_or_insert(now);
+                if of_run.phase == Phase::Starting {
+                    of_run.phase = Phase::Running;
+                    of_run.percent_at = now;
+                }
+            }
+            StartAnswer::Refused(refusal) => self.start_refused(key, task, run, refusal, now),
+            StartAnswer::InDoubt => {
+                if of_run.phase == Phase::Starting {
+                    self.start_in_doubt(key, task, run, now);
+                }
+            }
+        }
+    }
+
+    fn start_refused(
+        &mut self,
+        key: WorkerKey,
+        task: TaskId,
+        run: Run,
+        refusal: StartRefusal,
+        now: Millis,
+    ) {
+        let worker = &mut self.workers[key];
+        let Some(of_run) = worker.runs.get(&(task, run)) else {
+            return;
+        };
+        // An earlier copy of the order may have been carried out: the reports tell.
+        let in_doubt = of_run.orders > 1 && refusal == StartRefusal::OldRun;
+        if in_doubt || of_run.listed {
+            self.stop_run(key, task, run, StopReason::StartInDoubt, now);
+            return;
+        }
+        match refusal {
+            StartRefusal::Unhealthy => worker.aside_until = now.plus(self.options.aside_ms / 4),
+            // Something else has room there that is not known; the next reports tell.
+            StartRefusal::NoRoom => worker.aside_until = now.plus(self.options.order_retry_ms),
+            StartRefusal::Ticket => self.drop_ticket(key, task, now),
+            StartRefusal::Fenced
+            | StartRefusal::OldRun
+            | StartRefusal::Late
+            | StartRefusal::Malformed => {}
+        }
+        let retried = self.workers[key]
+            .runs
+            .get(&(task, run))
+            .is_some_and(|of_run| of_run.orders > 1);
+        if retried {
+            // The first copy of the order may still be under way.
+            self.stop_run(key, task, run, StopReason::StartInDoubt, now);
+            return;
+        }
+        let ending = Ending::without_report(refusal.as_str());
+        self.end_run(key, task, run, ending, now);
+    }
+
+    fn start_in_doubt(&mut self, key: WorkerKey, task: TaskId, run: Run, now: Millis) {
+        let limit = self.options.start_orders_limit;
+        let Some(of_run) = self.workers[key].runs.get_mut(&(task, run)) else {
+            return;
+        };
+        if of_run.orders >= limit {
+            self.stop_run(key, task, run, StopReason::StartInDoubt, now);
+            return;
+        }
+        of_run.orders += 1;
+        of_run.ordered_at = now;
+        let retries = of_run.orders - 1;
+        let ticket = of_run.ticket.clone();
+        self.order_start(key, task, run, ticket, retries, now);
+    }
+
+    /// Sends a start order; the lease that it sets counts from now.
+    pub(crate) fn order_start(
+        &mut self,
+        key: WorkerKey,
+        task: TaskId,
+        run: Run,
+        ticket: smol_str::SmolStr,
+        retries: u32,
+        now: Millis,
+    ) {
+        self.renewing(key, now);
+        let Some((job, step, unit, _member)) = self.locate(task) else {
+            return;
+        };
+        let job = &self.jobs[job];
+        self.actions.push(Action::Start(StartOrder {
+            worker: key,
+            task,
+            run,
+            payload: job.spec.payload.clone(),
+            ticket,
+            checkpoint: job.steps[step].units[unit].checkpoint.clone(),
+            retries,
+        }));
+    }
+
+    /// Stops a run, or keeps it from ever starting; its room stays taken until it has ended.
+    pub(crate) fn stop_run(
+        &mut self,
+        key: WorkerKey,
+        task: TaskId,
+        run: Run,
+        reason: StopReason,
+        now: Millis,
+    ) {
+        let Some(of_run) = self.workers[key].runs.get_mut(&(task, run)) else {
+            return;
+        };
+        if of_run.phase == Phase::Stopping {
+            return;
+        }
+        of_run.phase = Phase::Stopping;
+        of_run.orders = 0;
+        self.order_stop(key, task, run, reason, now);
+    }
+
+    pub(crate) fn order_stop(
+        &mut self,
+        key: WorkerKey,
+        task: TaskId,
+        run: Run,
+        reason: StopReason,
+        now: Millis,
+    ) {
+        let Some(of_run) = self.workers[key].runs.get_mut(&(task, run)) else {
+            return;
+        };
+        of_run.ordered_at = now;
+        of_run.orders += 1;
+        self.actions.push(Action::Stop {
+            worker: key,
+            task,
+            run,
+            reason,
+        });
+    }
+
+    pub(crate) fn stop_answered(
+        &mut self,
+        key: WorkerKey,
+        task: TaskId,
+        run: Run,
+        taken: bool,
+        now: Millis,
+    ) {
+        let Some(worker) = self.workers.get_mut(key) else {
+            return;
+        };
+        if let Some(of_run) = worker.runs.get_mut(&(task, run))
+            && taken
+        {
+            of_run.stop_taken_at.get_or_insert(now);
+        }
+    }
+}
--- /dev/null
+++ b/crates/sched/src/place.rs
@@ -0,0 +1,429 @@
+//! The look at all waiting tasks: in which order, and on which worker each starts.
+
+use smol_str::SmolStr;
+use syc_types::Millis;
+use syc_types::Resources;
+
+use crate::Action;
+use crate::JobState;
+use crate::Note;
+use crate::Scheduler;
+use crate::StepId;
+use crate::StopReason;
+use crate::TaskId;
+use crate::WorkerKey;
+use crate::ids::JobKey;
+use crate::job::Reservation;
+use crate::job::UnitState;
+use crate::worker::Phase;
+use crate::worker::Worker;
+use crate::worker::WorkerRun;
+use crate::worker::plus;
+use crate::worker::times;
+
+/// A step waits this long before the log tells for what, and again after as long.
+const TELL_WAITING_MS: u64 = 1_000;
+
+/// A job earns a part of its worth up to this many times its objective.
+const LATE_FACTOR: u64 = 3;
+
+/// Most units for which running work is stopped in one look at a step.
+const PREEMPTIONS_PER_LOOK: u32 = 4;
+
+/// What a waiting step is ordered by; the least goes first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct Urgency {
+    /// 0 while the objective can be met, 1 while the work still earns a part, 2 after that.
+    lateness: u8,
+    priority: u32,
+    due_at: Millis,
+    id: StepId,
+}
+
+impl Scheduler {
+    /// Looks at every waiting task and returns what is to be done.
+    pub fn schedule(&mut self, now: Millis) -> Vec<Action> {
+        self.guarded.clear();
+        for (_urgency, job, step) in self.waiting_steps(now) {
+            if self.jobs[job].steps[step].spec.gang {
+                self.serve_gang(job, step, now);
+            } else {
+                self.serve_tasks(job, step, now);
+            }
+            self.tell_waiting(job, step, now);
+        }
+        std::mem::take(&mut self.actions)
+    }
+
+    fn waiting_steps(&mut self, now: Millis) -> Vec<(Urgency, JobKey, usize)> {
+        let mut waiting = Vec::new();
+        let settled = self.recovery.is_settled();
+        for key in &self.open {
+            let job = &self.jobs[*key];
+            if job.inherited && !settled {
+                continue;
+            }
+            for step in 0..job.steps.len() {
+                if job.steps[step].pending == 0 || !job.is_ready(step) {
+                    continue;
+                }
+                let id = StepId {
+                    job: job.id(),
+                    step: u16::try_from(step).unwrap_or(u16::MAX),
+                };
+                waiting.push((urgency(job, id, now), *key, step));
+            }
+        }
+        waiting.sort_unstable_by_key(|(urgency, _, _)| *urgency);
+        for (_, job, step) in &waiting {
+            let step = &mut self.jobs[*job].steps[*step];
+            step.ready_at.get_or_insert(now);
+        }
+        waiting
+    }
+
+    fn serve_tasks(&mut self, job: JobKey, step: usize, now: Millis) {
+        let allowed = self.allowed_now(job, step, now);
+        let mut preemptions = 0;
+        for unit in 0..self.jobs[job].steps[step].units.len() {
+            if self.jobs[job].steps[step].units[unit].state != UnitState::Pending {
+                continue;
+            }
+            if self.jobs[job].steps[step].units[unit].reservation.is_some() {
+                self.serve_reserved_task(job, step, unit, now);
+                continue;
+            }
+            if let Some(worker) = self.pick(job, step, unit, &allowed) {
+                self.start_unit(job, step, unit, &[worker], now);
+                continue;
+            }
+            if preemptions < PREEMPTIONS_PER_LOOK
+                && self.make_room(job, step, unit, &allowed, now)
+            {
+                preemptions += 1;
+                continue;
+            }
+            // What does not fit for one does not fit for the next, unless this one is choosy.
+            if self.jobs[job].steps[step].units[unit].avoid.is_empty() {
+                break;
+            }
+        }
+        if self.jobs[job].steps[step].pending > 0 {
+            self.ask_for_tasks(job, step, now);
+        }
+    }
+
+    /// Picks the worker that a unit's task fits best.
+    fn pick(
+        &self,
+        job: JobKey,
+        step: usize,
+        unit: usize,
+        allowed: &[WorkerKey],
+    ) -> Option<WorkerKey> {
+        let of_job = &self.jobs[job];
+        let of_step = &of_job.steps[step];
+        let need = of_step.spec.resources;
+        let id = self.step_id(job, step);
+        let avoid = &of_step.units[unit].avoid;
+        let mut best = None;
+        for key in allowed {
+            let worker = &self.workers[*key];
+            let room = worker.room();
+            if !need.fits_in(&room) || avoid.contains(key) || self.is_guarded_from(*key, job) {
+                continue;
+            }
+            let bound = of_step.spec.tasks_per_worker;
+            if bound.is_some_and(|bound| worker.tasks_of(id) >= bound) {
+                continue;
+            }
+            let far = is_far(worker, of_step.spec.data_rack.as_ref());
+            let rank = (far, left_over(worker, &room, &need));
+            if best.is_none_or(|(least, _)| rank < least) {
+                best = Some((rank, *key));
+            }
+        }
+        best.map(|(_, key)| key)
+    }
+
+    /// Says whether a worker is kept for a gang that has waited too long.
+    pub(crate) fn is_guarded_from(&self, worker: WorkerKey, job: JobKey) -> bool {
+        let priority = self.jobs[job].spec.policy.priority;
+        let guard = self.guarded.get(&worker);
+        guard.is_some_and(|of_gang| *of_gang <= priority)
+    }
+
+    /// Stops less urgent work on one worker, and keeps the room for a unit.
+    fn make_room(
+        &mut self,
+        job: JobKey,
+        step: usize,
+        unit: usize,
+        allowed: &[WorkerKey],
+        now: Millis,
+    ) -> bool {
+        let of_job = &self.jobs[job];
+        let priority = of_job.spec.policy.priority;
+        let need = of_job.steps[step].spec.resources;
+        let avoid = &of_job.steps[step].units[unit].avoid;
+        let bound = of_job.steps[step].spec.tasks_per_worker;
+        let id = self.step_id(job, step);
+        let mut best: Option<(usize, WorkerKey, Vec<(TaskId, crate::Run)>)> = None;
+        for key in allowed {
+            let worker = &self.workers[*key];
+            if avoid.contains(key) || bound.is_some_and(|bound| worker.tasks_of(id) >= bound) {
+                continue;
+            }
+            let Some(victims) = victims(worker, &need, priority) else {
+                continue;
+            };
+            if best.as_ref().is_none_or(|(least, _, _)| victims.len() < *least) {
+                best = Some((victims.len(), *key, victims));
+            }
+        }
+        let Some((_, worker, victims)) = best else {
+            return false;
+        };
+        for (task, run) in victims {
+            self.stop_run(worker, task, run, StopReason::Preempted, now);
+        }
+        self.reserve(job, step, unit, vec![(worker, 1)], now);
+        true
+    }
+
+    /// Keeps room for a unit.
+    pub(crate) fn reserve(
+        &mut self,
+        job: JobKey,
+        step: usize,
+        unit: usize,
+        workers: Vec<(WorkerKey, u32)>,
+        now: Millis,
+    ) {
+        let need = self.jobs[job].steps[step].spec.resources;
+        for (worker, count) in &workers {
+            let reserved = &mut self.workers[*worker].reserved;
+            *reserved = plus(reserved, &times(&need, *count));
+        }
+        let until = now.plus(self.options.reservation_ms);
+        let unit = &mut self.jobs[job].steps[step].units[unit];
+        unit.reservation = Some(Reservation { workers, until });
+    }
+
+    /// Gives up the room that is kept for a unit.
+    pub(crate) fn release_reservation(&mut self, job: JobKey, step: usize, unit: usize) {
+        let of_step = &mut self.jobs[job].steps[step];
+        let need = of_step.spec.resources;
+        let Some(reservation) = of_step.units[unit].reservation.take() else {
+            return;
+        };
+        for (worker, count) in reservation.workers {
+            if let Some(worker) = self.workers.get_mut(worker) {
+                worker.reserved = worker.reserved.saturating_sub(&times(&need, count));
+            }
+        }
+    }
+
+    /// Gives up all room that is kept for a job.
+    pub(crate) fn release_reservations(&mut self, job: JobKey) {
+        for step in 0..self.jobs[job].steps.len() {
+            for unit in 0..self.jobs[job].steps[step].units.len() {
+                self.release_reservation(job, step, unit);
+            }
+        }
+    }
+
+    fn serve_reserved_task(&mut self, job: JobKey, step: usize, unit: usize, now: Millis) {
+        let of_step = &self.jobs[job].steps[step];
+        let need = of_step.spec.resources;
+        let Some(reservation) = &of_step.units[unit].reservation else {
+            return;
+        };
+        let over = reservation.until <= now;
+        let Some((worker, _)) = reservation.workers.first().copied() else {
+            return;
+        };
+        let usable = self.workers.get(worker).is_some_and(|worker| worker.usable(now));
+        if usable && need.fits_in(&self.workers[worker].free()) {
+            if self.has_ticket(job, step, worker, now) {
+                self.release_reservation(job, step, unit);
+                self.start_unit(job, step, unit, &[worker], now);
+                return;
+            }
+            self.ask_again(job, step, vec![worker], now);
+        }
+        if over || !usable {
+            self.release_reservation(job, step, unit);
+        }
+    }
+
+    /// Says whether a start of a step on a worker can carry what it needs.
+    pub(crate) fn has_ticket(
+        &self,
+        job: JobKey,
+        step: usize,
+        worker: WorkerKey,
+        now: Millis,
+    ) -> bool {
+        let job = &self.jobs[job];
+        if job.spec.policy.advice.is_none() {
+            return true;
+        }
+        let ticket = job.steps[step].advice.tickets.get(&worker);
+        let valid_from = now.plus(self.options.ticket_margin_ms);
+        ticket.is_some_and(|ticket| ticket.valid_until >= valid_from)
+    }
+
+    /// Starts a unit on workers, one for each member.
+    pub(crate) fn start_unit(
+        &mut self,
+        job_key: JobKey,
+        step_index: usize,
+        unit_index: usize,
+        workers: &[WorkerKey],
+        now: Millis,
+    ) {
+        let id = self.step_id(job_key, step_index);
+        let of_step = &self.jobs[job_key].steps[step_index];
+        for member in 0..workers.len() {
+            let task = of_step.task_at(id, unit_index, member);
+            // A run of it that is still being stopped somewhere: it must have ended first.
+            if self.workers.values().any(|worker| worker.has_run_of(task)) {
+                return;
+            }
+        }
+        let job = &mut self.jobs[job_key];
+        let step = &mut job.steps[step_index];
+        let unit = &mut step.units[unit_index];
+        let run = unit.started.max(unit.accounted).next();
+        unit.started = run;
+        unit.state = UnitState::Placed {
+            run,
+            members: workers.iter().copied().map(Some).collect(),
+        };
+        step.pending -= 1;
+        job.begun = true;
+        if job.state == JobState::Queued {
+            job.state = JobState::Running;
+        }
+        for (member, worker) in workers.iter().enumerate() {
+            let task = self.jobs[job_key].steps[step_index].task_at(id, unit_index, member);
+            self.start_member(job_key, step_index, *worker, task, run, now);
+        }
+        self.changed(job_key);
+    }
+
+    fn start_member(
+        &mut self,
+        job: JobKey,
+        step: usize,
+        worker: WorkerKey,
+        task: TaskId,
+        run: crate::Run,
+        now: Millis,
+    ) {
+        let of_job = &self.jobs[job];
+        let of_step = &of_job.steps[step];
+        let ticket = of_step.advice.tickets.get(&worker);
+        let ticket = ticket.map_or_else(SmolStr::default, |ticket| ticket.text.clone());
+        let held = WorkerRun {
+            resources: of_step.spec.resources,
+            phase: Phase::Starting,
+            ordered_at: now,
+            orders: 1,
+            confirmed_at: None,
+            listed: false,
+            stop_taken_at: None,
+            percent: 0,
+            percent_at: now,
+            checkpoint: SmolStr::default(),
+            ticket: ticket.clone(),
+            priority: of_job.spec.policy.priority,
+            checkpointed: of_step.spec.checkpointed,
+        };
+        self.workers[worker].insert(task, run, held);
+        self.order_start(worker, task, run, ticket, 0, now);
+    }
+
+    fn tell_waiting(&mut self, job: JobKey, step: usize, now: Millis) {
+        let id = self.step_id(job, step);
+        let allowed = self.allowed_now(job, step, now).len();
+        let of_step = &mut self.jobs[job].steps[step];
+        let ready_at = of_step.ready_at.unwrap_or(now);
+        let last = ready_at.max(of_step.told_at);
+        if of_step.pending == 0 || now.since(last) < TELL_WAITING_MS {
+            return;
+        }
+        of_step.told_at = now;
+        let lacking = if of_step.advice.asked_at.is_some() {
+            "advice"
+        } else if allowed == 0 {
+            "allowed_workers"
+        } else {
+            "room"
+        };
+        let tasks = of_step.pending * of_step.members();
+        self.actions.push(Action::Note(Note::Waiting {
+            step: id,
+            lacking,
+            allowed,
+            tasks,
+        }));
+    }
+}
+
+fn urgency(job: &crate::job::Job, id: StepId, now: Millis) -> Urgency {
+    let due_at = job.accepted_at.plus(job.objective_ms);
+    let late_at = job.accepted_at.plus(job.objective_ms.saturating_mul(LATE_FACTOR));
+    let lateness = match now {
+        now if now <= due_at => 0,
+        now if now <= late_at => 1,
+        _ => 2,
+    };
+    Urgency {
+        lateness,
+        priority: job.spec.policy.priority,
+        due_at,
+        id,
+    }
+}
+
+/// Finds the fewest runs of less urgent, saved work that make room for `need`; none is an answer
+/// where nothing has to stop.
+pub(crate) fn victims(
+    worker: &Worker,
+    need: &Resources,
+    priority: u32,
+) -> Option<Vec<(TaskId, crate::Run)>> {
+    let mut candidates: Vec<_> = worker
+        .runs
+        .iter()
+        .filter(|(_, of_run)| {
+            of_run.phase == Phase::Running && of_run.checkpointed && of_run.priority > priority
+        })
+        .collect();
+    candidates.sort_by_key(|(_, of_run)| std::cmp::Reverse(of_run.resources.cpu_millis));
+    let mut room = worker.room();
+    let mut victims = Vec::new();
+    for (name, of_run) in candidates {
+        if need.fits_in(&room) {
+            break;
+        }
+        room = plus(&room, &of_run.resources);
+        victims.push(*name);
+    }
+    need.fits_in(&room).then_some(victims)
+}
+
+fn is_far(worker: &Worker, rack: Option<&SmolStr>) -> bool {
+    rack.is_some_and(|rack| worker.spec.rack.as_str() != rack.as_str())
+}
+
+/// Returns what is left of a worker after a task, processor and memory together, in thousandths.
+fn left_over(worker: &Worker, room: &Resources, need: &Resources) -> u64 {
+    let left = room.saturating_sub(need);
+    let capacity = &worker.spec.capacity;
+    let cpu = left.cpu_millis.saturating_mul(1_000) / capacity.cpu_millis.max(1);
+    let memory = left.memory_bytes / (capacity.memory_bytes / 1_000).max(1);
+    cpu + memory
+}
--- /dev/null
+++ b/crates/sched/src/progress.rs
@@ -0,0 +1,117 @@
+//! The durable record of a job's progress, one for each job, always written whole.
+
+use std::collections::BTreeMap;
+
+use serde::Deserialize;
+use serde::Serialize;
+use smol_str::SmolStr;
+use syc_types::WorkerId;
+
+use crate::Run;
+
+/// What a submitter hears of a job.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum JobState {
+    /// No task has started.
+    #[default]
+    Queued,
+    /// Some task has started.
+    Running,
+    /// All tasks ended as done.
+    Completed,
+    /// A task, or a gang, failed too often.
+    Failed,
+    /// It was cancelled.
+    Cancelled,
+}
+
+impl JobState {
+    /// Says whether the job changes no more.
+    #[must_use]
+    pub const fn is_terminal(self) -> bool {
+        matches!(self, Self::Completed | Self::Failed | Self::Cancelled)
+    }
+}
+
+/// What is kept of a job beside what was submitted.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct JobProgress {
+    /// The job's state.
+    pub state: JobState,
+    /// Progress of each step; empty once the job has ended.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    pub steps: Vec<StepProgress>,
+    /// Time of day at which the job ended, in milliseconds since 1970.
+    #[serde(skip_serializing_if = "is_zero")]
+    pub ended_at_ms: u64,
+}
+
+/// What is kept of a step.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct StepProgress {
+    /// Whether every unit is done.
+    #[serde(skip_serializing_if = "is_false")]
+    pub done: bool,
+    /// Units that have begun, unless the whole step is done.
+    #[serde(skip_serializing_if = "BTreeMap::is_empty")]
+    pub units: BTreeMap<u32, UnitProgress>,
+}
+
+/// What is kept of a unit: a task, or the whole step where it is a gang.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct UnitProgress {
+    /// Whether it ended as done.
+    #[serde(rename = "d", skip_serializing_if = "is_false")]
+    pub done: bool,
+    /// Runs that failed.
+    #[serde(rename = "f", skip_serializing_if = "is_zero_u32")]
+    pub failures: u32,
+    /// Number of its latest start.
+    #[serde(rename = "r", skip_serializing_if = "is_no_run")]
+    pub started: Run,
+    /// Number of the latest start whose end is in this record.
+    #[serde(rename = "a", skip_serializing_if = "is_no_run")]
+    pub accounted: Run,
+    /// Where it can go on from.
+    #[serde(rename = "c", skip_serializing_if = "SmolStr::is_empty")]
+    pub checkpoint: SmolStr,
+    /// Workers of its latest start, while that has not ended.
+    #[serde(rename = "w", skip_serializing_if = "Vec::is_empty")]
+    pub workers: Vec<WorkerId>,
+}
+
+#[expect(
+    clippy::trivially_copy_pass_by_ref,
+    reason = "the serializer calls it with a reference"
+)]
+const fn is_false(value: &bool) -> bool {
+    !*value
+}
+
+#[expect(
+    clippy::trivially_copy_pass_by_ref,
+    reason = "the serializer calls it with a reference"
+)]
+const fn is_zero(value: &u64) -> bool {
+    *value == 0
+}
+
+#[expect(
+    clippy::trivially_copy_pass_by_ref,
+    reason = "the serializer calls it with a reference"
+)]
+const fn is_zero_u32(value: &u32) -> bool {
+    *value == 0
+}
+
+#[expect(
+    clippy::trivially_copy_pass_by_ref,
+    reason = "the serializer calls it with a reference"
+)]
+const fn is_no_run(value: &Run) -> bool {
+    value.0 == 0
+}
--- /dev/null
+++ b/crates/sched/src/reports.rs
@@ -0,0 +1,570 @@
+//! What the reports of workers change: runs confirmed, ended, lost, adopted or unwanted.
+
+use smol_str::SmolStr;
+use syc_types::Millis;
+use syc_types::WorkerId;
+
+use crate::Action;
+use crate::EndReport;
+use crate::JobState;
+use crate::Note;
+use crate::Run;
+use crate::RunEnd;
+use crate::RunningReport;
+use crate::Scheduler;
+use crate::StepId;
+use crate::StopReason;
+use crate::TaskId;
+use crate::WorkerKey;
+use crate::WorkerReport;
+use crate::event::WorkerSpec;
+use crate::ids::JobKey;
+use crate::job::Outcome;
+use crate::job::Unit;
+use crate::job::UnitState;
+use crate::worker::Phase;
+use crate::worker::UnnotedEnd;
+use crate::worker::Worker;
+use crate::worker::WorkerRun;
+
+impl Scheduler {
+    pub(crate) fn worker_listed(&mut self, spec: WorkerSpec, now: Millis) {
+        if let Some(key) = self.worker_keys.get(&spec.id).copied() {
+            let worker = &mut self.workers[key];
+            let begins_draining = spec.draining && !worker.spec.draining;
+            worker.listed = true;
+            worker.spec = spec;
+            if begins_draining {
+                self.move_off_draining(key, now);
+            }
+            return;
+        }
+        let id = spec.id.clone();
+        let key = self.workers.insert(Worker::new(spec.clone(), now));
+        self.worker_keys.insert(id, key);
+        self.actions.push(Action::Attach { worker: key, spec });
+    }
+
+    pub(crate) fn worker_unlisted(&mut self, id: &WorkerId, now: Millis) {
+        let Some(key) = self.worker_keys.get(id).copied() else {
+            return;
+        };
+        self.workers[key].listed = false;
+        self.detach_if_over(key, now);
+    }
+
+    /// Lets go of a worker that is registered no more and holds nothing.
+    pub(crate) fn detach_if_over(&mut self, key: WorkerKey, now: Millis) {
+        let worker = &self.workers[key];
+        if worker.listed {
+            return;
+        }
+        // Whoever said that it leaves, is registered no more and does not answer, has left.
+        if worker.spec.draining && worker.silent {
+            self.lose_runs(key, "left", now);
+        }
+        let worker = &self.workers[key];
+        let lapsed = worker.lapse_at <= now;
+        if worker.runs.is_empty() && (lapsed || worker.spec.draining) {
+            self.detach(key);
+        }
+    }
+
+    fn detach(&mut self, key: WorkerKey) {
+        let Some(worker) = self.workers.remove(key) else {
+            return;
+        };
+        self.worker_keys.remove(&worker.spec.id);
+        self.recovery.heard(&worker.spec.id);
+        self.guarded.remove(&key);
+        self.actions.push(Action::Detach { worker: key });
+    }
+
+    pub(crate) fn renewing(&mut self, key: WorkerKey, now: Millis) {
+        let bound_ms = self.options.lease_bound_ms;
+        if let Some(worker) = self.workers.get_mut(key) {
+            worker.lapse_at = worker.lapse_at.max(now.plus(bound_ms));
+        }
+    }
+
+    pub(crate) fn hold_failed(&mut self, key: WorkerKey, now: Millis) {
+        let Some(worker) = self.workers.get_mut(key) else {
+            return;
+        };
+        if !worker.silent {
+            worker.silent = true;
+            let note = belief(worker, "silent", now);
+            self.actions.push(note);
+        }
+        if worker.lapse_at <= now && !worker.runs.is_empty() {
+            self.lose_runs(key, "lease_lapsed", now);
+        }
+        self.detach_if_over(key, now);
+    }
+
+    pub(crate) fn replaced(&mut self, key: WorkerKey, now: Millis) {
+        if !self.workers.contains_key(key) {
+            return;
+        }
+        self.lose_runs(key, "replaced", now);
+        self.detach(key);
+    }
+
+    /// Takes everything that ran on a worker as ended without a result.
+    fn lose_runs(&mut self, key: WorkerKey, how: &'static str, now: Millis) {
+        let runs: Vec<_> = self.workers[key].runs.keys().copied().collect();
+        for (task, run) in runs {
+            self.end_run(key, task, run, Ending::without_report(how), now);
+        }
+    }
+
+    pub(crate) fn held(
+        &mut self,
+        key: WorkerKey,
+        sent_at: Millis,
+        report: WorkerReport,
+        now: Millis,
+    ) {
+        let Some(worker) = self.workers.get_mut(key) else {
+            return;
+        };
+        if worker.silent {
+            worker.silent = false;
+            let note = belief(worker, "answers", now);
+            self.actions.push(note);
+        }
+        let worker = &mut self.workers[key];
+        worker.answered = true;
+        worker.last_answer_at = now;
+        let id = worker.spec.id.clone();
+        for ended in &report.ended {
+            self.end_listed(key, ended, now);
+        }
+        for running in &report.running {
+            self.run_listed(key, running, now);
+        }
+        self.end_absent(key, sent_at, &report, now);
+        self.recovery.heard(&id);
+    }
+
+    fn end_listed(&mut self, key: WorkerKey, ended: &EndReport, now: Millis) {
+        let worker = &mut self.workers[key];
+        if ended.number <= worker.handled_end {
+            return;
+        }
+        worker.handled_end = ended.number;
+        let ending = Ending {
+            how: ended.end.as_str(),
+            end: Some(ended.end),
+            checkpoint: ended.checkpoint.clone(),
+        };
+        self.end_run(key, ended.task, ended.run, ending, now);
+        let job_id = ended.task.step.job;
+        let job = self.job_keys.get(&job_id).map(|key| &self.jobs[*key]);
+        let change = job.map_or(0, |job| job.changes);
+        self.workers[key].unnoted.push_back(UnnotedEnd {
+            number: ended.number,
+            job: job_id,
+            change,
+        });
+    }
+
+    fn run_listed(&mut self, key: WorkerKey, listed: &RunningReport, now: Millis) {
+        let worker = &mut self.workers[key];
+        let Some(of_run) = worker.runs.get_mut(&(listed.task, listed.run)) else {
+            self.adopt_or_stop(key, listed, now);
+            return;
+        };
+        of_run.listed = true;
+        if of_run.phase == Phase::Starting {
+            of_run.phase = Phase::Running;
+        }
+        of_run.confirmed_at.get_or_insert(now);
+        if of_run.percent != listed.percent {
+            of_run.percent = listed.percent;
+            of_run.percent_at = now;
+        }
+        if of_run.checkpoint != listed.checkpoint {
+            of_run.checkpoint = listed.checkpoint.clone();
+        }
+        let stopped_long = now.since(of_run.ordered_at) > self.options.stop_ms * 2;
+        if of_run.phase == Phase::Stopping && of_run.stop_taken_at.is_some() && stopped_long {
+            self.order_stop(key, listed.task, listed.run, StopReason::Unwanted, now);
+        } else if of_run.phase == Phase::Running && !self.is_wanted(listed.task, listed.run) {
+            self.stop_run(key, listed.task, listed.run, StopReason::Unwanted, now);
+        }
+    }
+
+    fn is_wanted(&self, task: TaskId, run: Run) -> bool {
+        let Some((job, step, unit, _member)) = self.locate(task) else {
+            return false;
+        };
+        let job = &self.jobs[job];
+        let same = match &job.steps[step].units[unit].state {
+            UnitState::Placed { run: placed, .. } => *placed == run,
+            // The members of a gang that is done end by themselves within moments.
+            UnitState::Recording { .. } => true,
+            _ => false,
+        };
+        same && !job.state.is_terminal()
+    }
+
+    /// Ends the runs that a worker should list and does not.
+    ///
+    /// A report can be older than the answer to an order, so only what the worker knew when the
+    /// renewal was sent counts.
+    fn end_absent(
+        &mut self,
+        key: WorkerKey,
+        sent_at: Millis,
+        report: &WorkerReport,
+        now: Millis,
+    ) {
+        let listed: std::collections::BTreeSet<_> = report
+            .running
+            .iter()
+            .map(|running| (running.task, running.run))
+            .collect();
+        let mut absent = Vec::new();
+        for (name, of_run) in &self.workers[key].runs {
+            if listed.contains(name) {
+                continue;
+            }
+            let known_before = |at: Option<Millis>| at.is_some_and(|at| at < sent_at);
+            if of_run.listed
+                || known_before(of_run.confirmed_at)
+                || known_before(of_run.stop_taken_at)
+            {
+                absent.push(*name);
+            }
+        }
+        for (task, run) in absent {
+            self.end_run(key, task, run, Ending::without_report("absent"), now);
+        }
+    }
+
+    /// Takes over a run that the predecessor started, or stops what nobody wants.
+    fn adopt_or_stop(&mut self, key: WorkerKey, listed: &RunningReport, now: Millis) {
+        let whole = self.workers[key].spec.capacity;
+        let mut held = WorkerRun {
+            resources: whole,
+            phase: Phase::Running,
+            ordered_at: now,
+            orders: 0,
+            confirmed_at: Some(now),
+            listed: true,
+            stop_taken_at: None,
+            percent: listed.percent,
+            percent_at: now,
+            checkpoint: listed.checkpoint.clone(),
+            ticket: SmolStr::default(),
+            priority: 0,
+            checkpointed: false,
+        };
+        if let Some(job) = self.job_keys.get(&listed.task.step.job) {
+            let spec = &self.jobs[*job].spec;
+            held.priority = spec.policy.priority;
+            if let Some(step) = spec.steps.get(usize::from(listed.task.step.step)) {
+                held.resources = step.resources;
+                held.checkpointed = step.checkpointed;
+            }
+        }
+        self.workers[key].insert(listed.task, listed.run, held);
+        if self.adopt(key, listed.task, listed.run) {
+            let worker = self.workers[key].spec.id.clone();
+            self.recovery.adopted += 1;
+            self.actions.push(Action::Note(Note::Adopted {
+                task: listed.task,
+                run: listed.run,
+                worker,
+            }));
+            return;
+        }
+        self.stop_run(key, listed.task, listed.run, StopReason::Unwanted, now);
+    }
+
+    fn adopt(&mut self, key: WorkerKey, task: TaskId, run: Run) -> bool {
+        let Some((job_key, step, unit, member)) = self.locate(task) else {
+            return false;
+        };
+        let job = &mut self.jobs[job_key];
+        if !job.inherited || job.state.is_terminal() || self.recovery.is_settled() {
+            return false;
+        }
+        let step = &mut job.steps[step];
+        let members = usize::try_from(step.members()).unwrap_or(1);
+        let unit = &mut step.units[unit];
+        if run <= unit.accounted {
+            return false;
+        }
+        match &mut unit.state {
+            UnitState::Pending => {
+                let mut placed = vec![None; members];
+                placed[member] = Some(key);
+                unit.state = UnitState::Placed {
+                    run,
+                    members: placed,
+                };
+                step.pending -= 1;
+            }
+            UnitState::Placed {
+                run: placed_run,
+                members,
+            } if *placed_run == run && members[member].is_none() => {
+                members[member] = Some(key);
+            }
+            _ => return false,
+        }
+        unit.started = unit.started.max(run);
+        job.begun = true;
+        if job.state == JobState::Queued {
+            job.state = JobState::Running;
+        }
+        true
+    }
+
+    /// Ends a run: its room is free, and its unit takes note of the outcome.
+    pub(crate) fn end_run(
+        &mut self,
+        key: WorkerKey,
+        task: TaskId,
+        run: Run,
+        ending: Ending,
+        now: Millis,
+    ) {
+        let worker = &mut self.workers[key];
+        let held = worker.remove(task, run);
+        match ending.end {
+            Some(RunEnd::Done) => worker.failures_in_row = 0,
+            Some(RunEnd::Failed) => worker.failures_in_row += 1,
+            _ => {}
+        }
+        let worker_id = worker.spec.id.clone();
+        self.put_aside_if_failing(key, now);
+        let mut checkpoint = ending.checkpoint;
+        if checkpoint.is_empty() {
+            checkpoint = held.map_or_else(SmolStr::default, |held| held.checkpoint);
+        }
+        let outcome = match ending.end {
+            Some(RunEnd::Done) => Outcome::Done,
+            Some(RunEnd::Failed) => Outcome::Failed,
+            _ => Outcome::Interrupted,
+        };
+        let failures = self.account(key, task, run, outcome, checkpoint, now);
+        self.actions.push(Action::Note(Note::RunEnded {
+            task,
+            run,
+            worker: worker_id,
+            end: ending.how,
+            failures,
+        }));
+    }
+
+    /// Tells a unit that a member's run has ended. Returns the unit's failed runs.
+    fn account(
+        &mut self,
+        worker: WorkerKey,
+        task: TaskId,
+        run: Run,
+        outcome: Outcome,
+        checkpoint: SmolStr,
+        now: Millis,
+    ) -> u32 {
+        let Some((job_key, step_index, unit_index, member)) = self.locate(task) else {
+            return 0;
+        };
+        let settled = self.recovery.is_settled();
+        let job = &mut self.jobs[job_key];
+        let step = &mut job.steps[step_index];
+        let unit = &mut step.units[unit_index];
+        let is_closing =
+            matches!(unit.state, UnitState::Closing { run: closing, .. } if closing == run);
+        if job.state.is_terminal() || (run <= unit.accounted && !is_closing) {
+            return unit.failures;
+        }
+        unit.started = unit.started.max(run);
+        if !checkpoint.is_empty() {
+            unit.checkpoint = checkpoint;
+        }
+        if outcome == Outcome::Failed && !unit.avoid.contains(&worker) {
+            unit.avoid.push(worker);
+        }
+        let place = Place {
+            job: job_key,
+            step: step_index,
+            unit: unit_index,
+        };
+        let inherited = job.inherited && !settled;
+        match &mut unit.state {
+            UnitState::Placed {
+                run: placed,
+                members,
+            } if *placed == run => {
+                members[member] = None;
+                let others = members.iter().flatten().count();
+                if others == 0 || outcome == Outcome::Done {
+                    self.settle(place, run, outcome, now);
+                } else {
+                    self.close(place, run, outcome, others, now);
+                }
+            }
+            UnitState::Closing { left, .. } if is_closing => {
+                *left = left.saturating_sub(1);
+                if outcome == Outcome::Done {
+                    self.settle(place, run, outcome, now);
+                } else {
+                    self.close_further(place, run, outcome, now);
+                }
+            }
+            UnitState::Pending if inherited => {
+                step.pending -= 1;
+                self.settle(place, run, outcome, now);
+            }
+            _ => {}
+        }
+        let unit = &self.jobs[job_key].steps[step_index].units[unit_index];
+        unit.failures
+    }
+
+    /// Begins to end a gang's run, a member of which has ended.
+    ///
+    /// The outcome is recorded at once, so that the member's worker may forget the end.
+    pub(crate) fn close(
+        &mut self,
+        place: Place,
+        run: Run,
+        outcome: Outcome,
+        others: usize,
+        now: Millis,
+    ) {
+        let left = u32::try_from(others).unwrap_or(u32::MAX);
+        self.unit_mut(place).state = UnitState::Closing { run, left, outcome };
+        self.count_outcome(place, run, outcome);
+        self.changed(place.job);
+        if !self.fail_if_spent(place, now) {
+            self.stop_members(place, run, now);
+        }
+    }
+
+    /// Takes the end of a further member into account.
+    fn close_further(&mut self, place: Place, run: Run, outcome: Outcome, now: Millis) {
+        let unit = self.unit_mut(place);
+        let UnitState::Closing {
+            left,
+            outcome: so_far,
+            ..
+        } = &mut unit.state
+        else {
+            return;
+        };
+        let left = *left;
+        // The end of one member breaks the others: the failed one may be listed after them.
+        if outcome == Outcome::Failed && *so_far == Outcome::Interrupted {
+            *so_far = Outcome::Failed;
+            self.count_outcome(place, run, outcome);
+            self.changed(place.job);
+            if self.fail_if_spent(place, now) {
+                return;
+            }
+        }
+        if left == 0 {
+            let change = self.changed(place.job);
+            let outcome = Outcome::Interrupted;
+            self.unit_mut(place).state = UnitState::Recording { outcome, change };
+        }
+    }
+
+    fn unit_mut(&mut self, place: Place) -> &mut Unit {
+        &mut self.jobs[place.job].steps[place.step].units[place.unit]
+    }
+
+    fn count_outcome(&mut self, place: Place, run: Run, outcome: Outcome) {
+        self.jobs[place.job].begun = true;
+        let unit = self.unit_mut(place);
+        unit.accounted = run;
+        unit.started = unit.started.max(run);
+        unit.placed_before.clear();
+        if outcome == Outcome::Failed {
+            unit.failures += 1;
+        }
+    }
+
+    /// Ends the job if a unit of it has failed too often.
+    fn fail_if_spent(&mut self, place: Place, now: Millis) -> bool {
+        let limit = self.jobs[place.job].spec.policy.attempts_limit.max(1);
+        let spent = self.unit_mut(place).failures >= limit;
+        if spent {
+            self.end_job(place.job, JobState::Failed, now);
+        }
+        spent
+    }
+
+    /// Notes the outcome of a unit's run; it takes effect once the store has it.
+    fn settle(&mut self, place: Place, run: Run, outcome: Outcome, now: Millis) {
+        self.count_outcome(place, run, outcome);
+        let change = self.changed(place.job);
+        self.unit_mut(place).state = UnitState::Recording { outcome, change };
+        if outcome == Outcome::Done {
+            let steps = &self.jobs[place.job].steps;
+            let all_done = steps.iter().all(|step| step.units.iter().all(Unit::is_done));
+            if all_done {
+                self.end_job(place.job, JobState::Completed, now);
+            }
+        } else {
+            self.fail_if_spent(place, now);
+        }
+    }
+
+    /// Stops the members of a gang that still hold room.
+    pub(crate) fn stop_members(&mut self, place: Place, run: Run, now: Millis) {
+        let step = StepId {
+            job: self.jobs[place.job].id(),
+            step: u16::try_from(place.step).unwrap_or(u16::MAX),
+        };
+        let mut stops = Vec::new();
+        for (worker, held) in &self.workers {
+            for ((task, of_run), state) in held.runs_of(step) {
+                if *of_run == run && state.phase != Phase::Stopping {
+                    stops.push((worker, *task));
+                }
+            }
+        }
+        for (worker, task) in stops {
+            self.stop_run(worker, task, run, StopReason::GangBroken, now);
+        }
+    }
+}
+
+/// Where a unit is: its job, and the positions of its step and of itself.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Place {
+    pub(crate) job: JobKey,
+    pub(crate) step: usize,
+    pub(crate) unit: usize,
+}
+
+/// How a run ended, by report or by conclusion.
+#[derive(Debug, Clone)]
+pub(crate) struct Ending {
+    pub(crate) how: &'static str,
+    pub(crate) end: Option<RunEnd>,
+    pub(crate) checkpoint: SmolStr,
+}
+
+impl Ending {
+    pub(crate) const fn without_report(how: &'static str) -> Self {
+        Self {
+            how,
+            end: None,
+            checkpoint: SmolStr::new_static(""),
+        }
+    }
+}
+
+pub(crate) fn belief(worker: &Worker, belief: &'static str, now: Millis) -> Action {
+    Action::Note(Note::WorkerBelief {
+        worker: worker.spec.id.clone(),
+        belief,
+        silent_ms: now.since(worker.last_answer_at),
+    })
+}
--- /dev/null
+++ b/crates/sched/src/scheduler.rs
@@ -0,0 +1,429 @@
+//! The scheduler of a cell: its state, the jobs in it, and what is written of them.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::collections::HashMap;
+
+use slotmap::SlotMap;
+use smol_str::SmolStr;
+use syc_types::Millis;
+use syc_types::WorkerId;
+
+use crate::Action;
+use crate::Event;
+use crate::JobId;
+use crate::JobProgress;
+use crate::JobSpec;
+use crate::JobState;
+use crate::Note;
+use crate::Options;
+use crate::StopReason;
+use crate::TaskId;
+use crate::WorkerKey;
+use crate::ids::JobKey;
+use crate::job::Job;
+use crate::job::UnitState;
+use crate::recovery::Recovery;
+use crate::worker::Phase;
+use crate::worker::Worker;
+
+/// What was learned of a queue's advice.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct QueueStats {
+    pub(crate) asked: f64,
+    pub(crate) allowed: f64,
+}
+
+/// What a scheduler holds, for metrics.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Counts {
+    /// Jobs that have not ended.
+    pub open_jobs: usize,
+    /// Tasks that wait for a start.
+    pub waiting_tasks: u64,
+    /// Runs that hold room.
+    pub runs: usize,
+    /// Workers that may get work.
+    pub usable_workers: usize,
+    /// Workers whose latest renewal went without an answer.
+    pub silent_workers: usize,
+    /// Workers that are attached.
+    pub workers: usize,
+}
+
+/// The scheduler of one cell.
+#[derive(Debug)]
+pub struct Scheduler {
+    pub(crate) options: Options,
+    pub(crate) workers: SlotMap<WorkerKey, Worker>,
+    pub(crate) worker_keys: HashMap<WorkerId, WorkerKey>,
+    pub(crate) jobs: SlotMap<JobKey, Job>,
+    pub(crate) job_keys: HashMap<JobId, JobKey>,
+    /// Jobs that have not ended.
+    pub(crate) open: BTreeSet<JobKey>,
+    /// Jobs whose progress differs from what the store has.
+    pub(crate) dirty: BTreeSet<JobKey>,
+    /// Cancelled before the job itself was seen, and when that was.
+    pub(crate) cancelled_early: BTreeMap<JobId, Millis>,
+    pub(crate) queues: HashMap<SmolStr, QueueStats>,
+    pub(crate) recovery: Recovery,
+    /// Workers that a gang has waited for too long, with the gang's priority.
+    pub(crate) guarded: BTreeMap<WorkerKey, u32>,
+    pub(crate) actions: Vec<Action>,
+}
+
+impl Scheduler {
+    /// Makes a scheduler that knows nothing yet.
+    #[must_use]
+    pub fn new(options: Options) -> Self {
+        Self {
+            options,
+            workers: SlotMap::with_key(),
+            worker_keys: HashMap::new(),
+            jobs: SlotMap::with_key(),
+            job_keys: HashMap::new(),
+            open: BTreeSet::new(),
+            dirty: BTreeSet::new(),
+            cancelled_early: BTreeMap::new(),
+            queues: HashMap::new(),
+            recovery: Recovery::default(),
+            guarded: BTreeMap::new(),
+            actions: Vec::new(),
+        }
+    }
+
+    /// Takes an event and returns what is to be done at once.
+    ///
+    /// Waiting tasks are looked at by [`Scheduler::schedule`] only, so that several events share
+    /// one look.
+    pub fn handle(&mut self, event: Event, now: Millis) -> Vec<Action> {
+        match event {
+            Event::WorkerListed(spec) => self.worker_listed(spec, now),
+            Event::WorkerUnlisted(id) => self.worker_unlisted(&id, now),
+            Event::JobStored { spec, age_ms } => self.add_job(*spec, age_ms, now),
+            Event::JobCancelled(id) => self.cancel(id, now),
+            Event::Held {
+                worker,
+                sent_at,
+                report,
+            } => self.held(worker, sent_at, report, now),
+            Event::Renewing { worker } => self.renewing(worker, now),
+            Event::HoldFailed { worker } => self.hold_failed(worker, now),
+            Event::Replaced { worker } => self.replaced(worker, now),
+            Event::StartAnswered {
+                worker,
+                task,
+                run,
+                answer,
+            } => self.start_answered(worker, task, run, answer, now),
+            Event::StopAnswered {
+                worker,
+                task,
+                run,
+                taken,
+            } => self.stop_answered(worker, task, run, taken, now),
+            Event::Advised {
+                step,
+                asked,
+                answer,
+            } => self.advised(step, &asked, answer, now),
+            Event::Recorded { jobs } => self.recorded(&jobs),
+            Event::Ticked => self.watch(now),
+        }
+        std::mem::take(&mut self.actions)
+    }
+
+    /// Returns the state of a job as the store has it, or none where no such job is known.
+    #[must_use]
+    pub fn state_of(&self, id: JobId) -> Option<JobState> {
+        let key = self.job_keys.get(&id)?;
+        let job = &self.jobs[*key];
+        if !job.shown.is_terminal() && job.begun {
+            return Some(JobState::Running);
+        }
+        Some(job.shown)
+    }
+
+    /// Counts the open jobs of a queue none of whose tasks has started.
+    #[must_use]
+    pub fn pending_jobs(&self, queue: &str) -> usize {
+        let open = self.open.iter().map(|key| &self.jobs[*key]);
+        open.filter(|job| !job.begun && job.spec.policy.queue == queue)
+            .count()
+    }
+
+    /// Returns what a scheduler holds.
+    #[must_use]
+    pub fn counts(&self, now: Millis) -> Counts {
+        let mut counts = Counts {
+            open_jobs: self.open.len(),
+            workers: self.workers.len(),
+            ..Counts::default()
+        };
+        for key in &self.open {
+            for (index, step) in self.jobs[*key].steps.iter().enumerate() {
+                if step.pending > 0 && self.jobs[*key].is_ready(index) {
+                    counts.waiting_tasks += u64::from(step.pending * step.members());
+                }
+            }
+        }
+        for worker in self.workers.values() {
+            counts.runs += worker.runs.len();
+            counts.usable_workers += usize::from(worker.usable(now));
+            counts.silent_workers += usize::from(worker.silent);
+        }
+        counts
+    }
+
+    /// Says whether some progress is not in the store yet.
+    #[must_use]
+    pub fn has_records(&self) -> bool {
+        !self.dirty.is_empty()
+    }
+
+    /// Takes the progress of the jobs that changed, with the number of the change that it includes.
+    ///
+    /// Each must come back in [`Event::Recorded`] once the store has it.
+    pub fn take_records(
+        &mut self,
+        limit: usize,
+        now_wall_ms: u64,
+    ) -> Vec<(JobId, u64, JobProgress)> {
+        let mut records = Vec::new();
+        while records.len() < limit {
+            let Some(key) = self.dirty.pop_first() else {
+                break;
+            };
+            let Some(job) = self.jobs.get_mut(key) else {
+                continue;
+            };
+            if job.state.is_terminal() && job.ended_at_ms == 0 {
+                job.ended_at_ms = now_wall_ms;
+            }
+            let job = &self.jobs[key];
+            let progress = job.progress(|worker| self.name_of(worker));
+            records.push((job.id(), job.changes, progress));
+        }
+        records
+    }
+
+    /// Returns the number of the latest end of a worker that it may forget, and whether ends are
+    /// left that the store has not taken yet.
+    pub fn noted_ends(&mut self, worker: WorkerKey) -> (u64, bool) {
+        let Self {
+            workers,
+            jobs,
+            job_keys,
+            ..
+        } = self;
+        let Some(worker) = workers.get_mut(worker) else {
+            return (0, false);
+        };
+        let recorded = |id: JobId| {
+            let job = job_keys.get(&id).and_then(|key| jobs.get(*key));
+            // Of a job that is forgotten, nothing has to be kept.
+            job.map_or(u64::MAX, |job| job.recorded)
+        };
+        let noted = worker.note_ends(recorded);
+        (noted, !worker.unnoted.is_empty())
+    }
+
+    /// Returns the name of a worker.
+    #[must_use]
+    pub fn name_of(&self, worker: WorkerKey) -> Option<WorkerId> {
+        let worker = self.workers.get(worker)?;
+        Some(worker.spec.id.clone())
+    }
+
+    /// Adds a job that a predecessor left, with what it kept of it.
+    pub fn restore_job(
+        &mut self,
+        spec: JobSpec,
+        progress: Option<&JobProgress>,
+        age_ms: u64,
+        now: Millis,
+    ) {
+        let id = spec.id;
+        if self.job_keys.contains_key(&id) {
+            return;
+        }
+        let mut job = Job::new(spec, Millis(now.0.saturating_sub(age_ms)));
+        job.inherited = true;
+        if let Some(progress) = progress {
+            job.restore(progress);
+        }
+        let key = self.jobs.insert(job);
+        self.job_keys.insert(id, key);
+        self.open.insert(key);
+        if self.cancelled_early.remove(&id).is_some() {
+            self.end_job(key, JobState::Cancelled, now);
+        }
+    }
+
+    /// Adds a job that has ended, so that its state can be asked.
+    pub fn restore_ended(&mut self, id: JobId, state: JobState, ended_ago_ms: u64, now: Millis) {
+        if self.job_keys.contains_key(&id) {
+            return;
+        }
+        let spec = JobSpec {
+            id,
+            payload: SmolStr::default(),
+            steps: Vec::new(),
+            policy: crate::QueuePolicy::default(),
+            accepted_at_ms: 0,
+        };
+        let mut job = Job::new(spec, now);
+        job.state = state;
+        job.shown = state;
+        job.ended_at = Some(Millis(now.0.saturating_sub(ended_ago_ms)));
+        let key = self.jobs.insert(job);
+        self.job_keys.insert(id, key);
+    }
+
+    fn add_job(&mut self, spec: JobSpec, age_ms: u64, now: Millis) {
+        let id = spec.id;
+        if let Some(key) = self.job_keys.get(&id) {
+            // A repeated submit of a job that has ended leaves its specification behind.
+            if self.jobs[*key].shown.is_terminal() {
+                self.actions.push(Action::DropSpec(id));
+            }
+            return;
+        }
+        let accepted_at = Millis(now.0.saturating_sub(age_ms));
+        let key = self.jobs.insert(Job::new(spec, accepted_at));
+        self.job_keys.insert(id, key);
+        self.open.insert(key);
+        if self.cancelled_early.remove(&id).is_some() {
+            self.end_job(key, JobState::Cancelled, now);
+        }
+    }
+
+    fn cancel(&mut self, id: JobId, now: Millis) {
+        let Some(key) = self.job_keys.get(&id).copied() else {
+            self.cancelled_early.insert(id, now);
+            return;
+        };
+        if self.jobs[key].state.is_terminal() {
+            return;
+        }
+        self.end_job(key, JobState::Cancelled, now);
+    }
+
+    /// Marks a job as changed and returns the number of the change.
+    pub(crate) fn changed(&mut self, key: JobKey) -> u64 {
+        let job = &mut self.jobs[key];
+        job.changes += 1;
+        self.dirty.insert(key);
+        job.changes
+    }
+
+    /// Ends a job: what runs of it is stopped, and nothing of it starts any more.
+    pub(crate) fn end_job(&mut self, key: JobKey, state: JobState, now: Millis) {
+        let job = &mut self.jobs[key];
+        job.state = state;
+        job.ended_at = Some(now);
+        let id = job.id();
+        self.actions.push(Action::Note(Note::JobEnded {
+            job: id,
+            state,
+            after_ms: now.since(job.accepted_at),
+            objective_ms: job.objective_ms,
+        }));
+        self.open.remove(&key);
+        self.release_reservations(key);
+        self.changed(key);
+        // The members of a gang that is done end by themselves.
+        if state != JobState::Completed {
+            self.stop_runs_of(id, now);
+        }
+    }
+
+    fn stop_runs_of(&mut self, id: JobId, now: Millis) {
+        let mut stops = Vec::new();
+        for (worker, held) in &self.workers {
+            for ((task, run), of_run) in &held.runs {
+                if task.step.job == id && of_run.phase != Phase::Stopping {
+                    stops.push((worker, *task, *run));
+                }
+            }
+        }
+        for (worker, task, run) in stops {
+            self.stop_run(worker, task, run, StopReason::JobEnded, now);
+        }
+    }
+
+    fn recorded(&mut self, jobs: &[(JobId, u64)]) {
+        for (id, change) in jobs {
+            let Some(key) = self.job_keys.get(id).copied() else {
+                continue;
+            };
+            let job = &mut self.jobs[key];
+            job.recorded = job.recorded.max(*change);
+            let complete = job.recorded == job.changes;
+            if job.state.is_terminal() {
+                if complete && !job.shown.is_terminal() {
+                    job.shown = job.state;
+                    job.steps = Vec::new();
+                    job.spec.payload = SmolStr::default();
+                    self.actions.push(Action::DropSpec(*id));
+                }
+                continue;
+            }
+            self.settle_units(key);
+        }
+    }
+
+    /// Lets the outcomes take effect that the store has.
+    fn settle_units(&mut self, key: JobKey) {
+        let job = &mut self.jobs[key];
+        let recorded = job.recorded;
+        for step in &mut job.steps {
+            for unit in &mut step.units {
+                let UnitState::Recording { outcome, change } = unit.state else {
+                    continue;
+                };
+                if change > recorded {
+                    continue;
+                }
+                if outcome == crate::job::Outcome::Done {
+                    unit.state = UnitState::Done;
+                    step.left -= 1;
+                    continue;
+                }
+                unit.state = UnitState::Pending;
+                step.pending += 1;
+                step.ready_at = None;
+            }
+        }
+    }
+
+    /// Finds the job, step, unit and member of a task.
+    pub(crate) fn locate(&self, task: TaskId) -> Option<(JobKey, usize, usize, usize)> {
+        let key = *self.job_keys.get(&task.step.job)?;
+        let index = usize::from(task.step.step);
+        let step = self.jobs[key].steps.get(index)?;
+        let (unit, member) = step.unit_of(task.index)?;
+        Some((key, index, unit, member))
+    }
+
+    /// Removes what is kept of jobs that ended long ago.
+    pub(crate) fn forget_old(&mut self, now: Millis) {
+        let keep_ms = self.options.status_ms;
+        let mut old = Vec::new();
+        for (key, job) in &self.jobs {
+            let ended_at = job.ended_at.filter(|_| job.shown.is_terminal());
+            if ended_at.is_some_and(|at| now.since(at) > keep_ms) {
+                old.push(key);
+            }
+        }
+        for key in old {
+            let Some(job) = self.jobs.remove(key) else {
+                continue;
+            };
+            self.job_keys.remove(&job.id());
+            self.actions.push(Action::Forget(job.id()));
+        }
+        self.cancelled_early
+            .retain(|_, at| now.since(*at) <= keep_ms);
+    }
+}
