--- /dev/null
+++ b/crates/sched/src/watch.rs
@@ -0,0 +1,131 @@
+//! What time alone shows: lapsed leases, unanswered orders, stalled runs, workers to put aside.
+
+use syc_types::Millis;
+
+use crate::Scheduler;
+use crate::StopReason;
+use crate::WorkerKey;
+use crate::reports::Ending;
+use crate::reports::belief;
+use crate::worker::Phase;
+
+/// Most times that the time for which a worker is put aside doubles.
+const ASIDE_DOUBLINGS: u32 = 3;
+
+impl Scheduler {
+    /// Looks at everything that time alone changes.
+    pub(crate) fn watch(&mut self, now: Millis) {
+        self.recover(now);
+        let keys: Vec<_> = self.workers.keys().collect();
+        for key in keys {
+            self.repeat_stops(key, now);
+            self.watch_progress(key, now);
+            self.watch_lease(key, now);
+        }
+        self.give_up_advice(now);
+        self.forget_old(now);
+    }
+
+    fn watch_lease(&mut self, key: WorkerKey, now: Millis) {
+        let worker = &self.workers[key];
+        if worker.silent && worker.lapse_at <= now {
+            let runs: Vec<_> = worker.runs.keys().copied().collect();
+            for (task, run) in runs {
+                let ending = Ending::without_report("lease_lapsed");
+                self.end_run(key, task, run, ending, now);
+            }
+        }
+        self.detach_if_over(key, now);
+    }
+
+    fn repeat_stops(&mut self, key: WorkerKey, now: Millis) {
+        let retry_ms = self.options.order_retry_ms;
+        let mut again = Vec::new();
+        for ((task, run), of_run) in &self.workers[key].runs {
+            let untaken = of_run.phase == Phase::Stopping && of_run.stop_taken_at.is_none();
+            if untaken && now.since(of_run.ordered_at) > retry_ms {
+                again.push((*task, *run));
+            }
+        }
+        for (task, run) in again {
+            self.order_stop(key, task, run, StopReason::Unwanted, now);
+        }
+    }
+
+    /// Stops runs that stand still, and puts their worker aside.
+    fn watch_progress(&mut self, key: WorkerKey, now: Millis) {
+        let worker = &self.workers[key];
+        if worker.silent {
+            return;
+        }
+        let mut stalled = Vec::new();
+        for ((task, run), of_run) in &worker.runs {
+            if of_run.phase != Phase::Running || of_run.percent >= 100 {
+                continue;
+            }
+            let still_ms = now.since(of_run.percent_at);
+            if still_ms > self.stall_bound_ms(task.step) && worker.last_answer_at.plus(500) > now {
+                stalled.push((*task, *run));
+            }
+        }
+        if stalled.is_empty() {
+            return;
+        }
+        for (task, run) in stalled {
+            if let Some((job, step, unit, _member)) = self.locate(task) {
+                let unit = &mut self.jobs[job].steps[step].units[unit];
+                if !unit.avoid.contains(&key) {
+                    unit.avoid.push(key);
+                }
+            }
+            self.stop_run(key, task, run, StopReason::Stalled, now);
+        }
+        self.put_aside(key, "stalls", now);
+    }
+
+    /// Returns how long a run of a step may show no progress: one percent of it is a hundredth of
+    /// its work, and its estimate may be off by half or more.
+    fn stall_bound_ms(&self, step: crate::StepId) -> u64 {
+        let job = self.job_keys.get(&step.job).map(|key| &self.jobs[*key]);
+        let of_step = job.and_then(|job| job.spec.steps.get(usize::from(step.step)));
+        let estimate_ms = of_step.map_or(0, |step| step.estimate_ms);
+        self.options.stall_ms + estimate_ms / 10
+    }
+
+    /// Puts a worker aside that fails all that it starts.
+    pub(crate) fn put_aside_if_failing(&mut self, key: WorkerKey, now: Millis) {
+        let worker = &self.workers[key];
+        if worker.failures_in_row < self.options.failures_in_row_limit {
+            return;
+        }
+        self.workers[key].failures_in_row = 0;
+        self.put_aside(key, "fails", now);
+    }
+
+    fn put_aside(&mut self, key: WorkerKey, why: &'static str, now: Millis) {
+        let worker = &mut self.workers[key];
+        if worker.aside_until > now {
+            return;
+        }
+        let times = 1_u64 << worker.strikes.min(ASIDE_DOUBLINGS);
+        worker.strikes += 1;
+        worker.aside_until = now.plus(self.options.aside_ms * times);
+        let note = belief(worker, why, now);
+        self.actions.push(note);
+    }
+
+    /// Moves what can go on elsewhere off a worker that is about to leave.
+    pub(crate) fn move_off_draining(&mut self, key: WorkerKey, now: Millis) {
+        let note = belief(&self.workers[key], "draining", now);
+        self.actions.push(note);
+        let mut moves = Vec::new();
+        for ((task, run), of_run) in &self.workers[key].runs {
+            if of_run.checkpointed && of_run.phase == Phase::Running {
+                moves.push((*task, *run));
+            }
+        }
+        for (task, run) in moves {
+            self.stop_run(key, task, run, StopReason::Draining, now);
+        }
+    }
+}
--- /dev/null
+++ b/crates/sched/src/worker.rs
@@ -0,0 +1,217 @@
+//! What a scheduler knows of one worker: its room, its runs and how far it is to be trusted.
+
+use std::collections::BTreeMap;
+use std::collections::VecDeque;
+
+use smol_str::SmolStr;
+use syc_types::Millis;
+use syc_types::Resources;
+
+use crate::JobId;
+use crate::Run;
+use crate::StepId;
+use crate::TaskId;
+use crate::event::WorkerSpec;
+
+/// Where a run is in its life on a worker.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Phase {
+    /// The start order has no answer yet.
+    Starting,
+    /// It runs.
+    Running,
+    /// It was told to stop, or not to start.
+    Stopping,
+}
+
+/// One run that may hold room on a worker.
+#[derive(Debug, Clone)]
+pub(crate) struct WorkerRun {
+    pub(crate) resources: Resources,
+    pub(crate) phase: Phase,
+    /// When the latest order about it was sent.
+    pub(crate) ordered_at: Millis,
+    /// Orders of that kind sent so far.
+    pub(crate) orders: u32,
+    /// When the worker first said that it runs.
+    pub(crate) confirmed_at: Option<Millis>,
+    /// Whether some report listed it.
+    pub(crate) listed: bool,
+    /// When the worker took the stop order.
+    pub(crate) stop_taken_at: Option<Millis>,
+    pub(crate) percent: u8,
+    pub(crate) percent_at: Millis,
+    pub(crate) checkpoint: SmolStr,
+    pub(crate) ticket: SmolStr,
+    pub(crate) priority: u32,
+    /// Whether stopping it loses next to nothing.
+    pub(crate) checkpointed: bool,
+}
+
+/// An end that the worker must not forget before it is kept in the store.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct UnnotedEnd {
+    pub(crate) number: u64,
+    pub(crate) job: JobId,
+    /// The change of the job that includes the end.
+    pub(crate) change: u64,
+}
+
+/// One worker.
+#[derive(Debug, Clone)]
+pub(crate) struct Worker {
+    pub(crate) spec: WorkerSpec,
+    /// Whether it is registered.
+    pub(crate) listed: bool,
+    /// Whether it has told what runs on it.
+    pub(crate) answered: bool,
+    /// Whether its latest renewal went without an answer.
+    pub(crate) silent: bool,
+    pub(crate) last_answer_at: Millis,
+    /// When the last of its leases has surely lapsed.
+    pub(crate) lapse_at: Millis,
+    pub(crate) runs: BTreeMap<(TaskId, Run), WorkerRun>,
+    used: Resources,
+    pub(crate) reserved: Resources,
+    /// Number of the latest end that was handled.
+    pub(crate) handled_end: u64,
+    pub(crate) unnoted: VecDeque<UnnotedEnd>,
+    /// Number of the latest end that may be forgotten.
+    pub(crate) noted: u64,
+    /// Failed ends since the last good one.
+    pub(crate) failures_in_row: u32,
+    /// It gets nothing new before this time.
+    pub(crate) aside_until: Millis,
+    /// Times that it was put aside lately.
+    pub(crate) strikes: u32,
+}
+
+impl Worker {
+    pub(crate) const fn new(spec: WorkerSpec, now: Millis) -> Self {
+        Self {
+            spec,
+            listed: true,
+            answered: false,
+            silent: false,
+            last_answer_at: now,
+            lapse_at: now,
+            runs: BTreeMap::new(),
+            used: Resources::ZERO,
+            reserved: Resources::ZERO,
+            handled_end: 0,
+            unnoted: VecDeque::new(),
+            noted: 0,
+            failures_in_row: 0,
+            aside_until: Millis(0),
+            strikes: 0,
+        }
+    }
+
+    /// Says whether it may get new work.
+    pub(crate) fn usable(&self, now: Millis) -> bool {
+        self.listed
+            && self.answered
+            && !self.silent
+            && !self.spec.draining
+            && self.aside_until <= now
+    }
+
+    /// Returns what no run holds and no reservation claims.
+    pub(crate) fn room(&self) -> Resources {
+        let free = self.spec.capacity.saturating_sub(&self.used);
+        free.saturating_sub(&self.reserved)
+    }
+
+    /// Returns what no run holds.
+    pub(crate) fn free(&self) -> Resources {
+        self.spec.capacity.saturating_sub(&self.used)
+    }
+
+    /// Adds a run; its room is taken from now on.
+    pub(crate) fn insert(&mut self, task: TaskId, run: Run, held: WorkerRun) {
+        self.used = plus(&self.used, &held.resources);
+        let replaced = self.runs.insert((task, run), held);
+        if let Some(replaced) = replaced {
+            self.used = self.used.saturating_sub(&replaced.resources);
+        }
+    }
+
+    /// Removes a run and frees its room.
+    pub(crate) fn remove(&mut self, task: TaskId, run: Run) -> Option<WorkerRun> {
+        let removed = self.runs.remove(&(task, run))?;
+        self.used = self.used.saturating_sub(&removed.resources);
+        Some(removed)
+    }
+
+    /// Returns the number of the latest end that the worker may forget.
+    pub(crate) fn note_ends<F>(&mut self, recorded: F) -> u64
+    where
+        F: Fn(JobId) -> u64,
+    {
+        while let Some(first) = self.unnoted.front() {
+            if recorded(first.job) < first.change {
+                break;
+            }
+            self.noted = first.number;
+            self.unnoted.pop_front();
+        }
+        self.noted
+    }
+
+    /// Returns the runs of a step on it.
+    pub(crate) fn runs_of(
+        &self,
+        step: StepId,
+    ) -> impl Iterator<Item = (&(TaskId, Run), &WorkerRun)> {
+        let first = TaskId { step, index: 0 };
+        let from_first = self.runs.range((first, Run(0))..);
+        from_first.take_while(move |((task, _), _)| task.step == step)
+    }
+
+    /// Counts the runs of a step on it.
+    pub(crate) fn tasks_of(&self, step: StepId) -> u32 {
+        u32::try_from(self.runs_of(step).count()).unwrap_or(u32::MAX)
+    }
+
+    /// Says whether any run of a task holds room on it.
+    pub(crate) fn has_run_of(&self, task: TaskId) -> bool {
+        let mut from_first = self.runs.range((task, Run(0))..);
+        from_first.next().is_some_and(|((first, _), _)| *first == task)
+    }
+}
+
+/// Adds two amounts, stopping at the greatest.
+pub(crate) fn plus(a: &Resources, b: &Resources) -> Resources {
+    Resources {
+        cpu_millis: a.cpu_millis.saturating_add(b.cpu_millis),
+        memory_bytes: a.memory_bytes.saturating_add(b.memory_bytes),
+        accelerators: a.accelerators.saturating_add(b.accelerators),
+    }
+}
+
+/// Multiplies an amount.
+pub(crate) fn times(a: &Resources, count: u32) -> Resources {
+    Resources {
+        cpu_millis: a.cpu_millis.saturating_mul(u64::from(count)),
+        memory_bytes: a.memory_bytes.saturating_mul(u64::from(count)),
+        accelerators: a.accelerators.saturating_mul(count),
+    }
+}
+
+/// Returns how many times `need` fits in `room`, at most `limit`.
+pub(crate) fn fits(room: &Resources, need: &Resources, limit: u32) -> u32 {
+    let mut count = limit;
+    let pairs = [
+        (room.cpu_millis, need.cpu_millis),
+        (room.memory_bytes, need.memory_bytes),
+        (u64::from(room.accelerators), u64::from(need.accelerators)),
+    ];
+    for (room, need) in pairs {
+        if need == 0 {
+            continue;
+        }
+        let times = u32::try_from(room / need).unwrap_or(u32::MAX);
+        count = count.min(times);
+    }
+    count
+}
--- /dev/null
+++ b/crates/wire/src/cell.rs
@@ -0,0 +1,222 @@
+//! Messages between the nodes of a cell: contact with the scheduler, questions to it, advice asked
+//! on its behalf.
+
+use bytes::Bytes;
+use prost::Message as _;
+
+use crate::DecodeError;
+
+/// One message, a call or its reply.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct CellMessage {
+    /// What is asked or answered.
+    #[prost(oneof = "CellBody", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10")]
+    pub body: Option<CellBody>,
+}
+
+/// The content of a message.
+#[derive(Clone, PartialEq, prost::Oneof)]
+pub enum CellBody {
+    /// A node tells the scheduler that it is there.
+    #[prost(message, tag = "1")]
+    Contact(Contact),
+    /// Answer to [`CellBody::Contact`].
+    #[prost(message, tag = "2")]
+    ContactReply(ContactReply),
+    /// Asks for a job's state.
+    #[prost(message, tag = "3")]
+    StateQuery(StateQueryCell),
+    /// Answer to [`CellBody::StateQuery`].
+    #[prost(message, tag = "4")]
+    StateReply(StateReplyCell),
+    /// Asks how many jobs of a queue have not begun.
+    #[prost(message, tag = "5")]
+    PendingQuery(PendingQuery),
+    /// Answer to [`CellBody::PendingQuery`].
+    #[prost(message, tag = "6")]
+    PendingReply(PendingReply),
+    /// The scheduler asks a node to call for advice.
+    #[prost(message, tag = "7")]
+    AdviceQuery(AdviceQuery),
+    /// Answer to [`CellBody::AdviceQuery`].
+    #[prost(message, tag = "8")]
+    AdviceReply(AdviceReply),
+    /// Asks a node to append a record for one that the store turns away.
+    #[prost(message, tag = "9")]
+    Relay(Relay),
+    /// Answer to [`CellBody::Relay`].
+    #[prost(message, tag = "10")]
+    RelayReply(RelayReply),
+}
+
+/// A node tells the scheduler that it is there.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct Contact {
+    /// The node's name.
+    #[prost(string, tag = "1")]
+    pub node: String,
+    /// Where it takes calls of other nodes, `ip:port`.
+    #[prost(string, tag = "2")]
+    pub address: String,
+    /// Whether the store answers it.
+    #[prost(bool, tag = "3")]
+    pub store_answers: bool,
+    /// Fencing token of the scheduler that it believes in.
+    #[prost(uint64, tag = "4")]
+    pub token: u64,
+}
+
+/// Answer to [`Contact`].
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct ContactReply {
+    /// Whether the answering node is the scheduler.
+    #[prost(bool, tag = "1")]
+    pub leading: bool,
+    /// Its fencing token, if it is.
+    #[prost(uint64, tag = "2")]
+    pub token: u64,
+    /// Whether the store answers it.
+    #[prost(bool, tag = "3")]
+    pub store_answers: bool,
+}
+
+/// Asks for a job's state.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct StateQueryCell {
+    /// The job.
+    #[prost(fixed64, tag = "1")]
+    pub job: u64,
+}
+
+/// Answer to [`StateQueryCell`].
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct StateReplyCell {
+    /// What is known; see the numbers of [`Knowledge`].
+    #[prost(enumeration = "Knowledge", tag = "1")]
+    pub knowledge: i32,
+}
+
+/// What a scheduler knows of a job.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, prost::Enumeration)]
+#[repr(i32)]
+pub enum Knowledge {
+    /// It can't tell now.
+    Unsure = 0,
+    /// There is no such job.
+    NoSuchJob = 1,
+    /// No task has started.
+    Queued = 2,
+    /// Some task has started.
+    Running = 3,
+    /// All tasks ended as done.
+    Completed = 4,
+    /// A task failed too often.
+    Failed = 5,
+    /// It was cancelled.
+    Cancelled = 6,
+}
+
+/// Asks how many jobs of a queue have not begun.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct PendingQuery {
+    /// The queue.
+    #[prost(string, tag = "1")]
+    pub queue: String,
+}
+
+/// Answer to [`PendingQuery`].
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct PendingReply {
+    /// Whether the answering node can tell.
+    #[prost(bool, tag = "1")]
+    pub known: bool,
+    /// The number.
+    #[prost(uint64, tag = "2")]
+    pub jobs: u64,
+}
+
+/// The scheduler asks a node to call for advice.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct AdviceQuery {
+    /// The job.
+    #[prost(fixed64, tag = "1")]
+    pub job: u64,
+    /// The step.
+    #[prost(uint32, tag = "2")]
+    pub step: u32,
+    /// The workers to name.
+    #[prost(string, repeated, tag = "3")]
+    pub workers: Vec<String>,
+    /// Time that the call may take.
+    #[prost(uint64, tag = "4")]
+    pub timeout_ms: u64,
+}
+
+/// Answer to [`AdviceQuery`].
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct AdviceReply {
+    /// Whether advice was given.
+    #[prost(bool, tag = "1")]
+    pub given: bool,
+    /// The workers that may run the step.
+    #[prost(message, repeated, tag = "2")]
+    pub allowed: Vec<AllowedWorker>,
+    /// Time for which the tickets are valid.
+    #[prost(uint64, tag = "3")]
+    pub validity_ms: u64,
+}
+
+/// A worker that may run a step.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct AllowedWorker {
+    /// The worker.
+    #[prost(string, tag = "1")]
+    pub worker: String,
+    /// What the start order must carry.
+    #[prost(string, tag = "2")]
+    pub ticket: String,
+}
+
+/// Asks a node to append a record for one that the store turns away.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct Relay {
+    /// The partition.
+    #[prost(uint32, tag = "1")]
+    pub partition: u32,
+    /// Key of the record.
+    #[prost(string, tag = "2")]
+    pub key: String,
+    /// Value of the record.
+    #[prost(bytes = "bytes", tag = "3")]
+    pub value: Bytes,
+}
+
+/// Answer to [`Relay`].
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct RelayReply {
+    /// Whether the store has the record.
+    #[prost(bool, tag = "1")]
+    pub stored: bool,
+    /// Whether the store surely does not have it and will not.
+    #[prost(bool, tag = "2")]
+    pub refused: bool,
+}
+
+impl CellMessage {
+    /// Encodes a message.
+    #[must_use]
+    pub fn encoded(body: CellBody) -> Bytes {
+        let message = Self { body: Some(body) };
+        Bytes::from(message.encode_to_vec())
+    }
+
+    /// Decodes the body of a message.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the bytes are no message, or one without a body that is known.
+    pub fn decoded(bytes: &[u8]) -> Result<CellBody, DecodeError> {
+        let message = Self::decode(bytes)?;
+        message.body.ok_or(DecodeError::NoBody)
+    }
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -4,6 +4,7 @@
 //! decisions use, so that a change of either does not silently change the other. They are derived
 //! by hand with `prost`, so the build needs no generator.
 
+pub mod cell;
 mod error;
 pub mod job;
 pub mod member;
