Count reserved room toward the bound of tasks of a step on a worker

Cause: two units of a step, for each of which running work was stopped on the same worker, both started there, since the bound was checked against runs only when the room was reserved. Change: one check, used for a free place, for making room and at the start out of a reservation.

--- a/crates/sched/src/gang.rs
+++ b/crates/sched/src/gang.rs
@@ -202,12 +202,14 @@
         let spec = &of_job.steps[step].spec;
         let priority = of_job.spec.policy.priority;
         let limit = spec.tasks_per_worker.unwrap_or(spec.tasks).min(spec.tasks);
+        let id = self.step_id(job, step);
         let mut offers = Vec::new();
         for key in candidates {
             if self.is_guarded_from(*key, job) {
                 continue;
             }
             let worker = &self.workers[*key];
+            let limit = limit.saturating_sub(worker.tasks_of(id));
             let free = fits(&worker.room(), &spec.resources, limit);
             let mut with_preemption = free;
             while with_preemption < limit {
--- a/crates/sched/src/place.rs
+++ b/crates/sched/src/place.rs
@@ -124,7 +124,6 @@
         let of_job = &self.jobs[job];
         let of_step = &of_job.steps[step];
         let need = of_step.spec.resources;
-        let id = self.step_id(job, step);
         let avoid = &of_step.units[unit].avoid;
         let mut best = None;
         for key in allowed {
@@ -133,8 +132,7 @@
             if !need.fits_in(&room) || avoid.contains(key) || self.is_guarded_from(*key, job) {
                 continue;
             }
-            let bound = of_step.spec.tasks_per_worker;
-            if bound.is_some_and(|bound| worker.tasks_of(id) >= bound) {
+            if !self.may_share(*key, job, step, unit) {
                 continue;
             }
             let far = is_far(worker, of_step.spec.data_rack.as_ref());
@@ -146,6 +144,24 @@
         best.map(|(_, key)| key)
     }
 
+    /// Says whether a worker may run another task of a step: what runs there and what room is kept
+    /// there for other units both count.
+    fn may_share(&self, worker: WorkerKey, job: JobKey, step: usize, unit: usize) -> bool {
+        let of_step = &self.jobs[job].steps[step];
+        let Some(bound) = of_step.spec.tasks_per_worker else {
+            return true;
+        };
+        let mut tasks = self.workers[worker].tasks_of(self.step_id(job, step));
+        for (index, other) in of_step.units.iter().enumerate() {
+            let Some(reservation) = other.reservation.as_ref().filter(|_| index != unit) else {
+                continue;
+            };
+            let here = reservation.workers.iter().filter(|(key, _)| *key == worker);
+            tasks += here.map(|(_, count)| *count).sum::<u32>();
+        }
+        tasks < bound
+    }
+
     /// Says whether a worker is kept for a gang that has waited too long.
     pub(crate) fn is_guarded_from(&self, worker: WorkerKey, job: JobKey) -> bool {
         let priority = self.jobs[job].spec.policy.priority;
@@ -166,12 +182,10 @@
         let priority = of_job.spec.policy.priority;
         let need = of_job.steps[step].spec.resources;
         let avoid = &of_job.steps[step].units[unit].avoid;
-        let bound = of_job.steps[step].spec.tasks_per_worker;
-        let id = self.step_id(job, step);
         let mut best: Option<(usize, WorkerKey, Vec<(TaskId, crate::Run)>)> = None;
         for key in allowed {
             let worker = &self.workers[*key];
-            if avoid.contains(key) || bound.is_some_and(|bound| worker.tasks_of(id) >= bound) {
+            if avoid.contains(key) || !self.may_share(*key, job, step, unit) {
                 continue;
             }
             let Some(victims) = victims(worker, &need, priority) else {
@@ -244,7 +258,8 @@
             return;
         };
         let usable = self.workers.get(worker).is_some_and(|worker| worker.usable(now));
-        if usable && need.fits_in(&self.workers[worker].free()) {
+        let fits = usable && need.fits_in(&self.workers[worker].free());
+        if fits && self.may_share(worker, job, step, unit) {
             if self.has_ticket(job, step, worker, now) {
                 self.release_reservation(job, step, unit);
                 self.start_unit(job, step, unit, &[worker], now);
--- /dev/null
+++ b/crates/sched/tests/core/driver.rs
@@ -0,0 +1,237 @@
+//! Drives a scheduler by hand: workers, jobs and answers as a test says them.
+
+use std::collections::BTreeMap;
+
+use smol_str::SmolStr;
+use syc_sched::Action;
+use syc_sched::EndReport;
+use syc_sched::Event;
+use syc_sched::JobId;
+use syc_sched::JobSpec;
+use syc_sched::JobState;
+use syc_sched::Options;
+use syc_sched::QueuePolicy;
+use syc_sched::Run;
+use syc_sched::RunEnd;
+use syc_sched::RunningReport;
+use syc_sched::Scheduler;
+use syc_sched::StartAnswer;
+use syc_sched::StartOrder;
+use syc_sched::StepSpec;
+use syc_sched::StopReason;
+use syc_sched::TaskId;
+use syc_sched::WorkerKey;
+use syc_sched::WorkerReport;
+use syc_sched::WorkerSpec;
+use syc_types::Millis;
+use syc_types::RackId;
+use syc_types::Resources;
+use syc_types::ServiceName;
+use syc_types::WorkerId;
+use syc_types::Zone;
+
+/// The service of every worker and job of a test.
+pub const SERVICE: &str = "intake";
+
+/// A stop that was ordered.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Stop {
+    pub worker: WorkerKey,
+    pub task: TaskId,
+    pub run: Run,
+    pub reason: StopReason,
+}
+
+/// A scheduler, the time, and what it wanted done so far.
+#[derive(Debug)]
+pub struct Driver {
+    pub scheduler: Scheduler,
+    pub now: Millis,
+    pub workers: Vec<WorkerKey>,
+    pub starts: Vec<StartOrder>,
+    pub stops: Vec<Stop>,
+    ends: BTreeMap<WorkerKey, u64>,
+}
+
+impl Driver {
+    /// Makes a scheduler with `count` workers of so many whole cores, all of which have answered.
+    pub fn new(count: usize, cores: u64) -> Self {
+        let mut driver = Self {
+            scheduler: Scheduler::new(Options::default()),
+            now: Millis(1_000),
+            workers: Vec::new(),
+            starts: Vec::new(),
+            stops: Vec::new(),
+            ends: BTreeMap::new(),
+        };
+        for index in 0..count {
+            driver.apply(Event::WorkerListed(worker(index, cores)));
+        }
+        driver.scheduler.begin_recovery(driver.now);
+        for key in driver.workers.clone() {
+            driver.hold(key, &[]);
+        }
+        driver
+    }
+
+    pub fn apply(&mut self, event: Event) {
+        let actions = self.scheduler.handle(event, self.now);
+        self.take(actions);
+    }
+
+    fn take(&mut self, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Attach { worker, .. } => self.workers.push(worker),
+                Action::Start(order) => self.starts.push(order),
+                Action::Stop {
+                    worker,
+                    task,
+                    run,
+                    reason,
+                } => self.stops.push(Stop {
+                    worker,
+                    task,
+                    run,
+                    reason,
+                }),
+                _ => {}
+            }
+        }
+    }
+
+    pub fn schedule(&mut self) {
+        let actions = self.scheduler.schedule(self.now);
+        self.take(actions);
+    }
+
+    pub fn pass(&mut self, time_ms: u64) {
+        self.now = self.now.plus(time_ms);
+    }
+
+    pub fn submit(&mut self, id: u64, policy: QueuePolicy, steps: Vec<StepSpec>) {
+        let spec = Box::new(JobSpec {
+            id: JobId(id),
+            payload: SmolStr::new_static("payload"),
+            steps,
+            policy,
+            accepted_at_ms: 0,
+        });
+        self.apply(Event::JobStored { spec, age_ms: 0 });
+    }
+
+    /// Lets the worker of each start since the last call say that it runs.
+    pub fn confirm_starts(&mut self) -> Vec<StartOrder> {
+        let starts = std::mem::take(&mut self.starts);
+        for start in &starts {
+            self.apply(Event::StartAnswered {
+                worker: start.worker,
+                task: start.task,
+                run: start.run,
+                answer: StartAnswer::Started,
+            });
+        }
+        starts
+    }
+
+    /// Answers a renewal with these runs, none of which has a checkpoint.
+    pub fn hold(&mut self, worker: WorkerKey, running: &[(TaskId, Run, u8)]) {
+        self.report(worker, running, &[]);
+    }
+
+    /// Answers a renewal with one end, and the runs that go on.
+    pub fn end(&mut self, start: &StartOrder, end: RunEnd, running: &[(TaskId, Run, u8)]) {
+        self.report(start.worker, running, &[(start.task, start.run, end)]);
+    }
+
+    pub fn report(
+        &mut self,
+        worker: WorkerKey,
+        running: &[(TaskId, Run, u8)],
+        ended: &[(TaskId, Run, RunEnd)],
+    ) {
+        let mut report = WorkerReport::default();
+        for (task, run, percent) in running {
+            report.running.push(RunningReport {
+                task: *task,
+                run: *run,
+                checkpoint: SmolStr::default(),
+                percent: *percent,
+            });
+        }
+        for (task, run, end) in ended {
+            let number = self.ends.entry(worker).or_default();
+            *number += 1;
+            report.ended.push(EndReport {
+                number: *number,
+                task: *task,
+                run: *run,
+                end: *end,
+                checkpoint: SmolStr::default(),
+            });
+        }
+        let sent_at = self.now;
+        self.pass(1);
+        self.apply(Event::Held {
+            worker,
+            sent_at,
+            report,
+        });
+    }
+
+    /// Lets the store take all progress.
+    pub fn record(&mut self) {
+        let records = self.scheduler.take_records(usize::MAX, 1);
+        let jobs = records
+            .into_iter()
+            .map(|(id, change, _progress)| (id, change))
+            .collect();
+        self.apply(Event::Recorded { jobs });
+    }
+
+    pub fn state(&self, id: u64) -> Option<JobState> {
+        self.scheduler.state_of(JobId(id))
+    }
+}
+
+pub fn worker(index: usize, cores: u64) -> WorkerSpec {
+    WorkerSpec {
+        id: WorkerId::new(format!("w-{index}")),
+        service: ServiceName::new(SERVICE),
+        address: SmolStr::new_static("10.0.0.1:1"),
+        zone: Zone::new("zone"),
+        rack: RackId::new(format!("r-{}", index / 4)),
+        labels: Vec::new(),
+        capacity: cpu(cores),
+        draining: false,
+    }
+}
+
+pub fn cpu(cores: u64) -> Resources {
+    Resources {
+        cpu_millis: cores * 1_000,
+        memory_bytes: cores << 30,
+        accelerators: 0,
+    }
+}
+
+pub fn policy(priority: u32) -> QueuePolicy {
+    QueuePolicy {
+        queue: SmolStr::new_static("queue"),
+        service: ServiceName::new(SERVICE),
+        priority,
+        attempts_limit: 3,
+        stretch: 2.0,
+        objective_ms: 1_000,
+        advice: None,
+    }
+}
+
+pub fn step(tasks: u32, cores: u64) -> StepSpec {
+    StepSpec {
+        tasks,
+        resources: cpu(cores),
+        estimate_ms: 1_000,
+        ..StepSpec::default()
+    }
+}
--- /dev/null
+++ b/crates/sched/tests/core/main.rs
@@ -0,0 +1,4 @@
+//! The decision core, driven by hand: one failure a test.
+
+mod driver;
+mod spread;
--- /dev/null
+++ b/crates/sched/tests/core/spread.rs
@@ -0,0 +1,41 @@
+//! A bound on the tasks of a step that share a worker.
+
+use syc_sched::StepSpec;
+
+use crate::driver::Driver;
+use crate::driver::policy;
+use crate::driver::step;
+
+fn spread(tasks: u32, cores: u64) -> StepSpec {
+    StepSpec {
+        tasks_per_worker: Some(1),
+        ..step(tasks, cores)
+    }
+}
+
+#[test]
+fn room_that_is_made_for_two_tasks_of_a_step_does_not_put_them_on_one_worker() {
+    let mut driver = Driver::new(1, 8);
+    let patient = StepSpec {
+        checkpointed: true,
+        ..step(8, 1)
+    };
+    driver.submit(1, policy(2), vec![patient]);
+    driver.schedule();
+    let running = driver.confirm_starts();
+    assert_eq!(running.len(), 8);
+    let listed: Vec<_> = running.iter().map(|s| (s.task, s.run, 10)).collect();
+    driver.hold(driver.workers[0], &listed);
+
+    driver.submit(2, policy(0), vec![spread(2, 2)]);
+    driver.schedule();
+    driver.pass(100);
+    driver.hold(driver.workers[0], &[]);
+    for _ in 0..3 {
+        driver.schedule();
+        driver.pass(5);
+    }
+
+    let urgent = driver.starts.iter().filter(|s| s.task.step.job.0 == 2);
+    assert_eq!(urgent.count(), 1, "{:?}", driver.starts);
+}
