Leave members of gangs running when room is made for urgent work

Cause: an urgent task stopped one saved member of a gang; the whole gang ended, and needed advice and room on all its workers anew. Change: only single tasks that save their progress are stopped. The test failed before (a member was stopped).

--- a/crates/sched/src/place.rs
+++ b/crates/sched/src/place.rs
@@ -355,6 +355,7 @@
             ticket: ticket.clone(),
             priority: of_job.spec.policy.priority,
             checkpointed: of_step.spec.checkpointed,
+            gang: of_step.spec.gang,
         };
         self.workers[worker].insert(task, run, held);
         self.order_start(worker, task, run, ticket, 0, now);
@@ -405,6 +406,9 @@
 
 /// Finds the fewest runs of less urgent, saved work that make room for `need`; none is an answer
 /// where nothing has to stop.
+///
+/// Members of gangs are left alone: with one of them the whole gang ends, and needs room on all its
+/// workers at once to go on. Stopping them made one task's room cost a gang's work again and again.
 pub(crate) fn victims(
     worker: &Worker,
     need: &Resources,
@@ -414,7 +418,8 @@
         .runs
         .iter()
         .filter(|(_, of_run)| {
-            of_run.phase == Phase::Running && of_run.checkpointed && of_run.priority > priority
+            let saved = of_run.checkpointed && !of_run.gang;
+            of_run.phase == Phase::Running && saved && of_run.priority > priority
         })
         .collect();
     candidates.sort_by_key(|(_, of_run)| std::cmp::Reverse(of_run.resources.cpu_millis));
--- a/crates/sched/src/reports.rs
+++ b/crates/sched/src/reports.rs
@@ -260,6 +260,7 @@
             ticket: SmolStr::default(),
             priority: 0,
             checkpointed: false,
+            gang: false,
         };
         if let Some(job) = self.job_keys.get(&listed.task.step.job) {
             let spec = &self.jobs[*job].spec;
@@ -267,6 +268,7 @@
             if let Some(step) = spec.steps.get(usize::from(listed.task.step.step)) {
                 held.resources = step.resources;
                 held.checkpointed = step.checkpointed;
+                held.gang = step.gang;
             }
         }
         self.workers[key].insert(listed.task, listed.run, held);
--- a/crates/sched/src/worker.rs
+++ b/crates/sched/src/worker.rs
@@ -44,8 +44,10 @@
     pub(crate) checkpoint: SmolStr,
     pub(crate) ticket: SmolStr,
     pub(crate) priority: u32,
-    /// Whether stopping it loses next to nothing.
+    /// Whether it saves its progress, so that stopping it loses next to nothing.
     pub(crate) checkpointed: bool,
+    /// Whether other runs end with it.
+    pub(crate) gang: bool,
 }
 
 /// An end that the worker must not forget before it is kept in the store.
--- a/crates/sched/tests/core/main.rs
+++ b/crates/sched/tests/core/main.rs
@@ -1,4 +1,5 @@
 //! The decision core, driven by hand: one failure a test.
 
 mod driver;
+mod preempt;
 mod spread;
