Make a call for advice only when it is served at once

Cause: each step called as soon as it waited; the service serves one call at a time for each VM, and after a restart short calls stood behind long ones (11 ms expected, 513 ms at the median, 1,343 ms at the 95th percentile), so that tickets came too late and were asked for again. Change: the look at the waiting tasks gets the free places for short and long calls and gives them to the most urgent steps; one node in four makes short calls only; a node that fails to answer rests.

--- a/crates/cell/src/leader.rs
+++ b/crates/cell/src/leader.rs
@@ -115,7 +115,10 @@
             write: Notify::new(),
             written: Notify::new(),
             sessions: RefCell::default(),
-            advisers: RefCell::default(),
+            advisers: RefCell::new(BTreeMap::from([(
+                node.settings.name.clone(),
+                Adviser::own(now()),
+            )])),
             jobs_read_at: RefCell::new(vec![Millis(0); partitions]),
             drops: RefCell::default(),
             forgets: RefCell::default(),
@@ -187,7 +190,12 @@
             if self.handing_on.get() {
                 continue;
             }
-            let actions = self.scheduler.borrow_mut().schedule(now());
+            let slots = self.advice_slots();
+            let actions = {
+                let mut scheduler = self.scheduler.borrow_mut();
+                scheduler.set_advice_slots(slots);
+                scheduler.schedule(now())
+            };
             self.perform(actions);
             if self.scheduler.borrow().has_records() {
                 self.write.notify_one();
--- a/crates/cell/src/leader/advice.rs
+++ b/crates/cell/src/leader/advice.rs
@@ -1,13 +1,16 @@
 //! Spreading calls for advice over the nodes: the service serves one call at a time for each.
 
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
 
 use smol_str::SmolStr;
 use syc_net::PeerClient;
 use syc_sched::AdviceAnswer;
+use syc_sched::AdviceSlots;
 use syc_sched::Allowed;
 use syc_sched::Event;
+use syc_sched::Options;
 use syc_sched::StepId;
 use syc_sched::WorkerKey;
 use syc_types::Millis;
@@ -28,23 +31,59 @@
 /// A node that was not heard of for this long is not asked.
 const HEARD_MS: u64 = 1_200;
 
+/// A node that was not heard of for this long is forgotten.
+const FORGET_MS: u64 = 10_000;
+
 /// A node that failed to answer is not asked again for this long.
 const REST_MS: u64 = 1_500;
 
 /// A call may take this long beyond what its service is expected to.
 const SLACK_MS: u64 = 300;
 
-/// Calls up to this length count as short: they stay off the nodes that long ones keep busy.
-const SHORT_CALL_MS: u64 = 60;
+/// Short calls that a node has under way at once: the next is at the service when one is served.
+const SHORT_CALLS: u32 = 2;
+
+/// One node in so many makes short calls only, so that they never wait for a long one.
+const SHORT_ONLY_SHARE: usize = 4;
 
 /// A node that calls for advice.
 #[derive(Debug)]
 pub(super) struct Adviser {
-    client: Rc<PeerClient>,
+    /// None for the scheduler's own node.
+    client: Option<Rc<PeerClient>>,
     heard_at: Millis,
-    /// When the calls that it was given are served.
-    busy_until: Millis,
     rests_until: Millis,
+    /// Calls under way.
+    short: u32,
+    long: u32,
+}
+
+impl Adviser {
+    pub(super) const fn own(now: Millis) -> Self {
+        Self {
+            client: None,
+            heard_at: now,
+            rests_until: Millis(0),
+            short: 0,
+            long: 0,
+        }
+    }
+
+    fn is_available(&self, now: Millis) -> bool {
+        let heard = self.client.is_none() || now.since(self.heard_at) < HEARD_MS;
+        heard && self.rests_until <= now
+    }
+
+    const fn short_slots(&self) -> u32 {
+        if self.long > 0 {
+            return 0;
+        }
+        SHORT_CALLS.saturating_sub(self.short)
+    }
+
+    const fn long_slots(&self) -> u32 {
+        if self.long + self.short > 0 { 0 } else { 1 }
+    }
 }
 
 impl<P> Leader<P>
@@ -59,20 +98,38 @@
         };
         let now = now();
         let mut advisers = self.advisers.borrow_mut();
+        advisers.retain(|_, adviser| {
+            adviser.client.is_none() || now.since(adviser.heard_at) < FORGET_MS
+        });
         let name = SmolStr::from(contact.node.as_str());
         let adviser = advisers.entry(name).or_insert_with(|| Adviser {
-            client: Rc::new(PeerClient::new(address, contact::peer_options())),
-            heard_at: now,
-            busy_until: now,
-            rests_until: now,
+            client: Some(Rc::new(PeerClient::new(address, contact::peer_options()))),
+            ..Adviser::own(now)
         });
         adviser.heard_at = now;
     }
 
+    /// Returns the calls that can be served at once.
+    pub(super) fn advice_slots(&self) -> AdviceSlots {
+        let now = now();
+        let advisers = self.advisers.borrow();
+        let short_only = short_only_count(&advisers, now);
+        let mut slots = AdviceSlots { short: 0, long: 0 };
+        let available = advisers.values().filter(|adviser| adviser.is_available(now));
+        for (index, adviser) in available.enumerate() {
+            slots.short += adviser.short_slots();
+            if index >= short_only {
+                slots.long += adviser.long_slots();
+            }
+        }
+        slots
+    }
+
     /// Has advice asked for by the node that is free first.
     pub(super) fn ask(self: &Rc<Self>, step: StepId, workers: Vec<WorkerKey>, expected_ms: f64) {
         let expected = Duration::from_secs_f64(expected_ms.clamp(0.0, 60_000.0) / 1_000.0);
-        let expected_ms = u64::try_from(expected.as_millis()).unwrap_or(u64::MAX);
+        let whole_ms = u64::try_from(expected.as_millis()).unwrap_or(u64::MAX);
+        let short = expected_ms <= Options::default().short_call_ms;
         let names: Vec<_> = {
             let scheduler = self.scheduler.borrow();
             let named = workers.iter().filter_map(|key| scheduler.name_of(*key));
@@ -81,10 +138,12 @@
         let leader = Rc::clone(self);
         actix_rt::spawn(async move {
             let asked_at = now();
-            let advice = leader.call_for_advice(step, &names, expected_ms).await;
+            let advice = leader
+                .call_for_advice(step, &names, whole_ms, short)
+                .await;
             let took_ms = now().since(asked_at);
             let allowed = advice.as_ref().map_or(0, |advice| advice.allowed.len());
-            log::advised(step, names.len(), allowed, took_ms, expected_ms, advice.as_ref().err());
+            log::advised(step, names.len(), allowed, took_ms, whole_ms, advice.as_ref().err());
             let answer = leader.answer_of(advice);
             leader.apply(Event::Advised {
                 step,
@@ -99,58 +158,75 @@
         step: StepId,
         workers: &[WorkerId],
         expected_ms: u64,
+        short: bool,
     ) -> Result<Advice, AdviceError> {
-        let now = now();
-        let Some((name, client, wait_ms)) = self.pick_adviser(expected_ms, now) else {
-            let timeout_ms = expected_ms * 2 + SLACK_MS;
-            return self.node.platform.advise(step, workers, timeout_ms).await;
+        let timeout_ms = expected_ms + SLACK_MS;
+        let Some((name, client)) = self.take_adviser(short) else {
+            return Err(AdviceError(SmolStr::new_static("no node is free")));
         };
-        let timeout_ms = wait_ms + expected_ms + SLACK_MS;
-        let query = CellBody::AdviceQuery(AdviceQuery {
-            job: step.job.0,
-            step: u32::from(step.step),
-            workers: workers.iter().map(|id| id.as_str().to_owned()).collect(),
-            timeout_ms,
-        });
-        let reply = contact::call(&client, query, timeout_ms + SLACK_MS).await;
-        match reply {
-            Ok(reply) => adviser::advice_of(reply),
-            Err(error) => {
-                if let Some(adviser) = self.advisers.borrow_mut().get_mut(&name) {
-                    adviser.rests_until = now.plus(REST_MS);
-                }
-                Err(AdviceError(SmolStr::from(error.to_string())))
+        let advice = match client {
+            None => self.node.platform.advise(step, workers, timeout_ms).await,
+            Some(client) => {
+                let query = CellBody::AdviceQuery(AdviceQuery {
+                    job: step.job.0,
+                    step: u32::from(step.step),
+                    workers: workers.iter().map(|id| id.as_str().to_owned()).collect(),
+                    timeout_ms,
+                });
+                let reply = contact::call(&client, query, timeout_ms + SLACK_MS).await;
+                let lost = |error: syc_net::CallError| AdviceError(error.to_string().into());
+                reply.map_err(lost).and_then(adviser::advice_of)
             }
-        }
+        };
+        self.give_back_adviser(&name, short, advice.is_ok());
+        advice
     }
 
-    /// Picks the node that is free first, and counts the call as given to it.
-    fn pick_adviser(
-        &self,
-        expected_ms: u64,
-        now: Millis,
-    ) -> Option<(SmolStr, Rc<PeerClient>, u64)> {
+    /// Picks the node with the fewest calls under way, and counts the call as given to it.
+    fn take_adviser(&self, short: bool) -> Option<(SmolStr, Option<Rc<PeerClient>>)> {
+        let now = now();
         let mut advisers = self.advisers.borrow_mut();
-        advisers.retain(|_, adviser| now.since(adviser.heard_at) < 10 * HEARD_MS);
-        let short = expected_ms <= SHORT_CALL_MS;
-        let mut best: Option<(bool, Millis, SmolStr)> = None;
-        for (index, (name, adviser)) in advisers.iter().enumerate() {
-            let heard = now.since(adviser.heard_at) < HEARD_MS;
-            if !heard || adviser.rests_until > now {
+        let short_only = short_only_count(&advisers, now);
+        let available = advisers
+            .iter()
+            .filter(|(_, adviser)| adviser.is_available(now));
+        let mut best: Option<(u32, SmolStr)> = None;
+        for (index, (name, adviser)) in available.enumerate() {
+            let slots = if short {
+                adviser.short_slots()
+            } else {
+                adviser.long_slots()
+            };
+            if slots == 0 || (!short && index < short_only) {
                 continue;
             }
-            // The first node in the order of names is left to short calls while others are free.
-            let kept = !short && index == 0;
-            let free_at = adviser.busy_until.max(now);
-            let rank = (kept, free_at);
-            if best.as_ref().is_none_or(|(kept, at, _)| rank < (*kept, *at)) {
-                best = Some((rank.0, rank.1, name.clone()));
+            if best.as_ref().is_none_or(|(most, _)| slots > *most) {
+                best = Some((slots, name.clone()));
             }
         }
-        let (_, free_at, name) = best?;
+        let (_, name) = best?;
         let adviser = advisers.get_mut(&name)?;
-        adviser.busy_until = free_at.plus(expected_ms);
-        Some((name, Rc::clone(&adviser.client), free_at.since(now)))
+        if short {
+            adviser.short += 1;
+        } else {
+            adviser.long += 1;
+        }
+        Some((name, adviser.client.clone()))
+    }
+
+    fn give_back_adviser(&self, name: &SmolStr, short: bool, answered: bool) {
+        let mut advisers = self.advisers.borrow_mut();
+        let Some(adviser) = advisers.get_mut(name) else {
+            return;
+        };
+        if short {
+            adviser.short = adviser.short.saturating_sub(1);
+        } else {
+            adviser.long = adviser.long.saturating_sub(1);
+        }
+        if !answered {
+            adviser.rests_until = now().plus(REST_MS);
+        }
     }
 
     fn answer_of(&self, advice: Result<Advice, AdviceError>) -> AdviceAnswer {
@@ -176,3 +252,13 @@
         }
     }
 }
+
+/// Returns how many of the available nodes, the first in the order of names, make short calls only.
+fn short_only_count(advisers: &BTreeMap<SmolStr, Adviser>, now: Millis) -> usize {
+    let available = advisers.values().filter(|adviser| adviser.is_available(now));
+    let count = available.count();
+    if count < 2 {
+        return 0;
+    }
+    (count / SHORT_ONLY_SHARE).max(1)
+}
--- a/crates/sched/src/advice.rs
+++ b/crates/sched/src/advice.rs
@@ -186,7 +186,7 @@
         now: Millis,
     ) {
         workers.truncate(CALL_WORKERS_LIMIT);
-        if workers.is_empty() {
+        if workers.is_empty() || !self.take_slot(policy.call_ms(workers.len())) {
             return;
         }
         let id = self.step_id(job, step);
@@ -200,6 +200,19 @@
         });
     }
 
+    /// Takes a free place for a call. Says whether there was one.
+    fn take_slot(&mut self, expected_ms: f64) -> bool {
+        let slots = &mut self.advice_slots;
+        let slot = if expected_ms <= self.options.short_call_ms {
+            &mut slots.short
+        } else {
+            &mut slots.long
+        };
+        let left = slot.checked_sub(1);
+        *slot = left.unwrap_or(0);
+        left.is_some()
+    }
+
     pub(crate) fn step_id(&self, job: JobKey, step: usize) -> StepId {
         StepId {
             job: self.jobs[job].id(),
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -53,6 +53,7 @@
 pub use progress::JobState;
 pub use progress::StepProgress;
 pub use progress::UnitProgress;
+pub use scheduler::AdviceSlots;
 pub use scheduler::Counts;
 pub use scheduler::Scheduler;
 pub use spec::AdvicePolicy;
--- a/crates/sched/src/options.rs
+++ b/crates/sched/src/options.rs
@@ -23,6 +23,9 @@
     pub ticket_margin_ms: u64,
     /// A call for advice without an answer is given up this long after it should have ended.
     pub advice_slack_ms: u64,
+    /// Calls for advice that are served within this time count as short: they have places that long
+    /// ones never take.
+    pub short_call_ms: f64,
     /// A run that shows no progress for this long, beside a share of its estimate, has stalled.
     pub stall_ms: u64,
     /// Failed runs in a row, without a good one between, after which a worker is put aside.
@@ -51,6 +54,7 @@
             start_orders_limit: 4,
             ticket_margin_ms: 60,
             advice_slack_ms: 600,
+            short_call_ms: 40.0,
             stall_ms: 2_000,
             failures_in_row_limit: 3,
             aside_ms: 4_000,
--- a/crates/sched/src/scheduler.rs
+++ b/crates/sched/src/scheduler.rs
@@ -34,6 +34,27 @@
     pub(crate) allowed: f64,
 }
 
+/// Calls for advice that can be served at once.
+///
+/// The service serves one call at a time for each calling VM. A call that is made when its turn has
+/// come names the workers that have room then, and the most urgent step goes first; calls that were
+/// queued at the service kept urgent steps waiting for a second behind calls of no use any more.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct AdviceSlots {
+    /// Short calls.
+    pub short: u32,
+    /// Long calls.
+    pub long: u32,
+}
+
+impl AdviceSlots {
+    /// As many as are wanted.
+    pub const UNBOUNDED: Self = Self {
+        short: u32::MAX,
+        long: u32::MAX,
+    };
+}
+
 /// What a scheduler holds, for metrics.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Counts {
@@ -69,6 +90,7 @@
     pub(crate) recovery: Recovery,
     /// Workers that a gang has waited for too long, with the gang's priority.
     pub(crate) guarded: BTreeMap<WorkerKey, u32>,
+    pub(crate) advice_slots: AdviceSlots,
     pub(crate) actions: Vec<Action>,
 }
 
@@ -88,6 +110,7 @@
             queues: HashMap::new(),
             recovery: Recovery::default(),
             guarded: BTreeMap::new(),
+            advice_slots: AdviceSlots::UNBOUNDED,
             actions: Vec::new(),
         }
     }
@@ -133,6 +156,11 @@
         std::mem::take(&mut self.actions)
     }
 
+    /// Says how many calls for advice the next look at the waiting tasks may make.
+    pub const fn set_advice_slots(&mut self, slots: AdviceSlots) {
+        self.advice_slots = slots;
+    }
+
     /// Returns the state of a job as the store has it, or none where no such job is known.
     #[must_use]
     pub fn state_of(&self, id: JobId) -> Option<JobState> {
--- a/crates/sched/tests/core/driver.rs
+++ b/crates/sched/tests/core/driver.rs
@@ -17,6 +17,7 @@
 use syc_sched::Scheduler;
 use syc_sched::StartAnswer;
 use syc_sched::StartOrder;
+use syc_sched::StepId;
 use syc_sched::StepSpec;
 use syc_sched::StopReason;
 use syc_sched::TaskId;
@@ -50,6 +51,7 @@
     pub workers: Vec<WorkerKey>,
     pub starts: Vec<StartOrder>,
     pub stops: Vec<Stop>,
+    pub asks: Vec<(StepId, Vec<WorkerKey>)>,
     ends: BTreeMap<WorkerKey, u64>,
 }
 
@@ -62,6 +64,7 @@
             workers: Vec::new(),
             starts: Vec::new(),
             stops: Vec::new(),
+            asks: Vec::new(),
             ends: BTreeMap::new(),
         };
         for index in 0..count {
@@ -95,6 +98,7 @@
                     run,
                     reason,
                 }),
+                Action::Ask { step, workers, .. } => self.asks.push((step, workers)),
                 _ => {}
             }
         }
