Test the life of jobs by hand, and list the events and metrics of a node

Change: tests of the order of steps, of what counts only once it is stored, of failures, cancelling, silent workers, doubt and takeovers; rows of the catalogues.

--- a/crates/cell/src/holders.rs
+++ b/crates/cell/src/holders.rs
@@ -189,7 +189,10 @@
         released: false,
     });
     let condition = Condition::EndsAt(end);
-    match node.append(Topic::Holders, 0, &[record.clone()], &condition).await {
+    match node
+        .append(Topic::Holders, 0, std::slice::from_ref(&record), &condition)
+        .await
+    {
         Ok(appended) => {
             log::chosen(appended.offset + 1, watch.holder.as_ref(), silent_ms);
             watch.take(appended.offset, &record);
--- a/crates/cell/src/leader.rs
+++ b/crates/cell/src/leader.rs
@@ -15,6 +15,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use advice::Adviser;
+use sessions::Session;
 use slotmap::SecondaryMap;
 use smol_str::SmolStr;
 use syc_sched::Action;
@@ -35,9 +37,6 @@
 use crate::log;
 use crate::ports::Platform;
 
-use advice::Adviser;
-use sessions::Session;
-
 /// Events within this time share one look at the waiting tasks.
 const LOOK_SPACING_MS: u64 = 3;
 
@@ -152,7 +151,10 @@
             session.end();
         }
         let mut leader = self.node.leader.borrow_mut();
-        if leader.as_ref().is_some_and(|leader| leader.token == self.token) {
+        if leader
+            .as_ref()
+            .is_some_and(|leader| leader.token == self.token)
+        {
             *leader = None;
         }
         let pause_until = now().plus(CLAIM_PAUSE_MS);
--- a/crates/cell/src/leader/advice.rs
+++ b/crates/cell/src/leader/advice.rs
@@ -115,7 +115,9 @@
         let advisers = self.advisers.borrow();
         let short_only = short_only_count(&advisers, now);
         let mut slots = AdviceSlots { short: 0, long: 0 };
-        let available = advisers.values().filter(|adviser| adviser.is_available(now));
+        let available = advisers
+            .values()
+            .filter(|adviser| adviser.is_available(now));
         for (index, adviser) in available.enumerate() {
             slots.short += adviser.short_slots();
             if index >= short_only {
@@ -138,12 +140,17 @@
         let leader = Rc::clone(self);
         actix_rt::spawn(async move {
             let asked_at = now();
-            let advice = leader
-                .call_for_advice(step, &names, whole_ms, short)
-                .await;
+            let advice = leader.call_for_advice(step, &names, whole_ms, short).await;
             let took_ms = now().since(asked_at);
             let allowed = advice.as_ref().map_or(0, |advice| advice.allowed.len());
-            log::advised(step, names.len(), allowed, took_ms, whole_ms, advice.as_ref().err());
+            log::advised(
+                step,
+                names.len(),
+                allowed,
+                took_ms,
+                whole_ms,
+                advice.as_ref().err(),
+            );
             let answer = leader.answer_of(advice);
             leader.apply(Event::Advised {
                 step,
@@ -255,7 +262,9 @@
 
 /// Returns how many of the available nodes, the first in the order of names, make short calls only.
 fn short_only_count(advisers: &BTreeMap<SmolStr, Adviser>, now: Millis) -> usize {
-    let available = advisers.values().filter(|adviser| adviser.is_available(now));
+    let available = advisers
+        .values()
+        .filter(|adviser| adviser.is_available(now));
     let count = available.count();
     if count < 2 {
         return 0;
--- a/crates/cell/src/leader/orders.rs
+++ b/crates/cell/src/leader/orders.rs
@@ -34,8 +34,7 @@
             let session = sessions.get(order.worker);
             session.and_then(|session| session.lease_until_ms(lease_ms))
         };
-        let (Some(address), Some(lease_until_ms)) =
-            (self.address_of(order.worker), lease_until_ms)
+        let (Some(address), Some(lease_until_ms)) = (self.address_of(order.worker), lease_until_ms)
         else {
             // The session has just ended; what it held is ended by the event that did so.
             return;
@@ -62,11 +61,7 @@
         command: &StartCommand,
     ) {
         let timeout_ms = self.node.settings.timing.order_timeout_ms;
-        let started = self
-            .node
-            .platform
-            .start(address, command, timeout_ms)
-            .await;
+        let started = self.node.platform.start(address, command, timeout_ms).await;
         let answer = match started {
             Ok(()) => StartAnswer::Started,
             Err(OrderError::Replaced) => {
@@ -122,11 +117,7 @@
         command: StopCommand,
     ) {
         let timeout_ms = self.node.settings.timing.order_timeout_ms;
-        let stopped = self
-            .node
-            .platform
-            .stop(address, &command, timeout_ms)
-            .await;
+        let stopped = self.node.platform.stop(address, &command, timeout_ms).await;
         let taken = match stopped {
             Ok(()) => true,
             Err(OrderError::Replaced) => {
--- a/crates/cell/src/leader/presence.rs
+++ b/crates/cell/src/leader/presence.rs
@@ -81,7 +81,7 @@
             let condition = self.presence_condition(sequence);
             let appended = self
                 .node
-                .append(Topic::Holders, 0, &[record.clone()], &condition)
+                .append(Topic::Holders, 0, std::slice::from_ref(&record), &condition)
                 .await;
             match appended {
                 Ok(_) | Err(AppendError::Fenced) => return,
--- a/crates/cell/src/leader/records.rs
+++ b/crates/cell/src/leader/records.rs
@@ -83,7 +83,10 @@
     /// Writes the progress of some jobs. Says whether there was any.
     async fn write_batch(self: &Rc<Self>) -> bool {
         let wall_ms = time_of_day_ms();
-        let taken = self.scheduler.borrow_mut().take_records(BATCH_JOBS, wall_ms);
+        let taken = self
+            .scheduler
+            .borrow_mut()
+            .take_records(BATCH_JOBS, wall_ms);
         let forgets = std::mem::take(&mut *self.forgets.borrow_mut());
         if taken.is_empty() && forgets.is_empty() {
             return false;
--- a/crates/obs/src/cell_metrics.rs
+++ b/crates/obs/src/cell_metrics.rs
@@ -98,7 +98,10 @@
                 "syc_cell_store_calls",
                 "Calls to the store, by kind and result.",
             ),
-            store_times: histogram("syc_cell_store_time", "Time of calls to the store, by kind."),
+            store_times: histogram(
+                "syc_cell_store_time",
+                "Time of calls to the store, by kind.",
+            ),
             gauges: Gauges::new(&meter),
             registry,
             _provider: provider,
@@ -107,7 +110,10 @@
 
     /// Counts a caller's request.
     pub fn request(&self, kind: &'static str, outcome: &'static str) {
-        let labels = [KeyValue::new("kind", kind), KeyValue::new("outcome", outcome)];
+        let labels = [
+            KeyValue::new("kind", kind),
+            KeyValue::new("outcome", outcome),
+        ];
         self.requests.add(1, &labels);
     }
 
@@ -163,7 +169,10 @@
                 "Version of the configuration in force here.",
             ),
             jobs: gauge("syc_cell_open_jobs", "Jobs that have not ended."),
-            tasks: gauge("syc_cell_tasks", "Tasks that wait, and runs that hold room."),
+            tasks: gauge(
+                "syc_cell_tasks",
+                "Tasks that wait, and runs that hold room.",
+            ),
             workers: gauge("syc_cell_workers", "Workers by state."),
         }
     }
--- a/crates/obs/tests/catalogues.rs
+++ b/crates/obs/tests/catalogues.rs
@@ -4,6 +4,8 @@
 use std::path::Path;
 
 use syc_obs::ALL;
+use syc_obs::CellMetrics;
+use syc_obs::CellReadings;
 use syc_obs::Metrics;
 use syc_obs::Readings;
 use syc_types::Class;
@@ -70,7 +72,12 @@
     let metrics = Metrics::new();
     metrics.request_waited(Class::Urgent, 1);
     metrics.task_waited(Class::Urgent, 1);
-    let scraped = metrics.page(&Readings::default());
+    let cell = CellMetrics::new();
+    cell.request("submit", "accepted");
+    cell.stage("queue", "accept", 1);
+    cell.store_call("append", "ok", 1);
+    let mut scraped = metrics.page(&Readings::default());
+    scraped.push_str(&cell.page(&CellReadings::default()));
     let mut listed = rows(&page("METRICS.md"), "syc_");
     let mut faults = Vec::new();
     for line in scraped.lines() {
--- a/crates/sched/src/advice.rs
+++ b/crates/sched/src/advice.rs
@@ -44,7 +44,11 @@
             if ticket.valid_until < valid_from {
                 continue;
             }
-            if self.workers.get(*key).is_some_and(|worker| worker.usable(now)) {
+            if self
+                .workers
+                .get(*key)
+                .is_some_and(|worker| worker.usable(now))
+            {
                 allowed.push(*key);
             }
         }
@@ -306,11 +310,7 @@
 }
 
 /// Picks the workers with the most room; among equals, others for each step.
-fn most_room(
-    mut workers: Vec<(u32, WorkerKey)>,
-    count: usize,
-    step: StepId,
-) -> Vec<WorkerKey> {
+fn most_room(mut workers: Vec<(u32, WorkerKey)>, count: usize, step: StepId) -> Vec<WorkerKey> {
     let order = |key: &WorkerKey| mix(key.data().as_ffi() ^ step.job.0);
     workers.sort_by(|a, b| b.0.cmp(&a.0).then_with(|| order(&a.1).cmp(&order(&b.1))));
     workers.truncate(count);
--- a/crates/sched/src/gang.rs
+++ b/crates/sched/src/gang.rs
@@ -144,12 +144,7 @@
         self.plan_among(job, step, &candidates)
     }
 
-    fn plan_in_one_rack(
-        &self,
-        job: JobKey,
-        step: usize,
-        candidates: &[WorkerKey],
-    ) -> Option<Plan> {
+    fn plan_in_one_rack(&self, job: JobKey, step: usize, candidates: &[WorkerKey]) -> Option<Plan> {
         let mut racks: Vec<_> = candidates
             .iter()
             .map(|key| &self.workers[*key].spec.rack)
--- a/crates/sched/src/place.rs
+++ b/crates/sched/src/place.rs
@@ -7,6 +7,7 @@
 use crate::Action;
 use crate::JobState;
 use crate::Note;
+use crate::Run;
 use crate::Scheduler;
 use crate::StepId;
 use crate::StopReason;
@@ -97,8 +98,7 @@
                 self.start_unit(job, step, unit, &[worker], now);
                 continue;
             }
-            if preemptions < PREEMPTIONS_PER_LOOK
-                && self.make_room(job, step, unit, &allowed, now)
+            if preemptions < PREEMPTIONS_PER_LOOK && self.make_room(job, step, unit, &allowed, now)
             {
                 preemptions += 1;
                 continue;
@@ -182,7 +182,7 @@
         let priority = of_job.spec.policy.priority;
         let need = of_job.steps[step].spec.resources;
         let avoid = &of_job.steps[step].units[unit].avoid;
-        let mut best: Option<(usize, WorkerKey, Vec<(TaskId, crate::Run)>)> = None;
+        let mut best: Option<(WorkerKey, Victims)> = None;
         for key in allowed {
             let worker = &self.workers[*key];
             if avoid.contains(key) || !self.may_share(*key, job, step, unit) {
@@ -191,11 +191,14 @@
             let Some(victims) = victims(worker, &need, priority) else {
                 continue;
             };
-            if best.as_ref().is_none_or(|(least, _, _)| victims.len() < *least) {
-                best = Some((victims.len(), *key, victims));
+            if best
+                .as_ref()
+                .is_none_or(|(_, least)| victims.len() < least.len())
+            {
+                best = Some((*key, victims));
             }
         }
-        let Some((_, worker, victims)) = best else {
+        let Some((worker, victims)) = best else {
             return false;
         };
         for (task, run) in victims {
@@ -257,7 +260,10 @@
         let Some((worker, _)) = reservation.workers.first().copied() else {
             return;
         };
-        let usable = self.workers.get(worker).is_some_and(|worker| worker.usable(now));
+        let usable = self
+            .workers
+            .get(worker)
+            .is_some_and(|worker| worker.usable(now));
         let fits = usable && need.fits_in(&self.workers[worker].free());
         if fits && self.may_share(worker, job, step, unit) {
             if self.has_ticket(job, step, worker, now) {
@@ -334,7 +340,7 @@
         step: usize,
         worker: WorkerKey,
         task: TaskId,
-        run: crate::Run,
+        run: Run,
         now: Millis,
     ) {
         let of_job = &self.jobs[job];
@@ -390,7 +396,9 @@
 
 fn urgency(job: &crate::job::Job, id: StepId, now: Millis) -> Urgency {
     let due_at = job.accepted_at.plus(job.objective_ms);
-    let late_at = job.accepted_at.plus(job.objective_ms.saturating_mul(LATE_FACTOR));
+    let late_at = job
+        .accepted_at
+        .plus(job.objective_ms.saturating_mul(LATE_FACTOR));
     let lateness = match now {
         now if now <= due_at => 0,
         now if now <= late_at => 1,
@@ -404,16 +412,15 @@
     }
 }
 
+/// Runs that are to be stopped.
+type Victims = Vec<(TaskId, Run)>;
+
 /// Finds the fewest runs of less urgent, saved work that make room for `need`; none is an answer
 /// where nothing has to stop.
 ///
 /// Members of gangs are left alone: with one of them the whole gang ends, and needs room on all its
 /// workers at once to go on. Stopping them made one task's room cost a gang's work again and again.
-pub(crate) fn victims(
-    worker: &Worker,
-    need: &Resources,
-    priority: u32,
-) -> Option<Vec<(TaskId, crate::Run)>> {
+pub(crate) fn victims(worker: &Worker, need: &Resources, priority: u32) -> Option<Victims> {
     let mut candidates: Vec<_> = worker
         .runs
         .iter()
--- a/crates/sched/src/reports.rs
+++ b/crates/sched/src/reports.rs
@@ -122,7 +122,7 @@
         &mut self,
         key: WorkerKey,
         sent_at: Millis,
-        report: WorkerReport,
+        report: &WorkerReport,
         now: Millis,
     ) {
         let Some(worker) = self.workers.get_mut(key) else {
@@ -134,6 +134,11 @@
             self.actions.push(note);
         }
         let worker = &mut self.workers[key];
+        if !worker.answered {
+            // From its first answer on, it refuses a predecessor's orders.
+            let bound = now.plus(self.options.lease_bound_ms);
+            worker.lapse_at = worker.lapse_at.min(bound);
+        }
         worker.answered = true;
         worker.last_answer_at = now;
         let id = worker.spec.id.clone();
@@ -143,7 +148,7 @@
         for running in &report.running {
             self.run_listed(key, running, now);
         }
-        self.end_absent(key, sent_at, &report, now);
+        self.end_absent(key, sent_at, report, now);
         self.recovery.heard(&id);
     }
 
@@ -213,13 +218,7 @@
     ///
     /// A report can be older than the answer to an order, so only what the worker knew when the
     /// renewal was sent counts.
-    fn end_absent(
-        &mut self,
-        key: WorkerKey,
-        sent_at: Millis,
-        report: &WorkerReport,
-        now: Millis,
-    ) {
+    fn end_absent(&mut self, key: WorkerKey, sent_at: Millis, report: &WorkerReport, now: Millis) {
         let listed: std::collections::BTreeSet<_> = report
             .running
             .iter()
@@ -508,7 +507,9 @@
         self.unit_mut(place).state = UnitState::Recording { outcome, change };
         if outcome == Outcome::Done {
             let steps = &self.jobs[place.job].steps;
-            let all_done = steps.iter().all(|step| step.units.iter().all(Unit::is_done));
+            let all_done = steps
+                .iter()
+                .all(|step| step.units.iter().all(Unit::is_done));
             if all_done {
                 self.end_job(place.job, JobState::Completed, now);
             }
--- a/crates/sched/src/scheduler.rs
+++ b/crates/sched/src/scheduler.rs
@@ -129,7 +129,7 @@
                 worker,
                 sent_at,
                 report,
-            } => self.held(worker, sent_at, report, now),
+            } => self.held(worker, sent_at, &report, now),
             Event::Renewing { worker } => self.renewing(worker, now),
             Event::HoldFailed { worker } => self.hold_failed(worker, now),
             Event::Replaced { worker } => self.replaced(worker, now),
--- a/crates/sched/src/spec.rs
+++ b/crates/sched/src/spec.rs
@@ -17,6 +17,10 @@
 /// One step of a job: equal tasks that become ready together.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default)]
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "each is an independent property that a submitter declares"
+)]
 pub struct StepSpec {
     /// Number of tasks, at least 1.
     pub tasks: u32,
@@ -161,7 +165,10 @@
                 findings.push(SpecFinding::new(place, "a step follows earlier steps only"));
             }
             if step.tasks_per_worker == Some(0) {
-                findings.push(SpecFinding::new(place, "no worker may run any of the tasks"));
+                findings.push(SpecFinding::new(
+                    place,
+                    "no worker may run any of the tasks",
+                ));
             }
         }
         findings
--- a/crates/sched/src/worker.rs
+++ b/crates/sched/src/worker.rs
@@ -178,7 +178,9 @@
     /// Says whether any run of a task holds room on it.
     pub(crate) fn has_run_of(&self, task: TaskId) -> bool {
         let mut from_first = self.runs.range((task, Run(0))..);
-        from_first.next().is_some_and(|((first, _), _)| *first == task)
+        from_first
+            .next()
+            .is_some_and(|((first, _), _)| *first == task)
     }
 }
 
--- a/crates/sched/tests/core/driver.rs
+++ b/crates/sched/tests/core/driver.rs
@@ -138,6 +138,20 @@
         starts
     }
 
+    pub fn cancel(&mut self, id: u64) {
+        self.apply(Event::JobCancelled(JobId(id)));
+    }
+
+    /// Lets the worker of a start take the order to stop it.
+    pub fn stop_taken(&mut self, start: &StartOrder) {
+        self.apply(Event::StopAnswered {
+            worker: start.worker,
+            task: start.task,
+            run: start.run,
+            taken: true,
+        });
+    }
+
     /// Answers a renewal with these runs, none of which has a checkpoint.
     pub fn hold(&mut self, worker: WorkerKey, running: &[(TaskId, Run, u8)]) {
         self.report(worker, running, &[]);
--- /dev/null
+++ b/crates/sched/tests/core/life.rs
@@ -0,0 +1,157 @@
+//! The life of a job: steps in order, failures, cancelling, and what only counts once it is stored.
+
+use syc_sched::JobState;
+use syc_sched::RunEnd;
+use syc_sched::StepSpec;
+use syc_sched::StopReason;
+use test_case::test_case;
+
+use crate::driver::Driver;
+use crate::driver::policy;
+use crate::driver::step;
+
+#[test]
+fn a_step_starts_only_when_the_ends_of_the_one_before_are_stored() {
+    let mut driver = Driver::new(1, 4);
+    let second = StepSpec {
+        after: vec![0],
+        ..step(1, 1)
+    };
+    driver.submit(1, policy(0), vec![step(1, 1), second]);
+    driver.schedule();
+    let first = driver.confirm_starts();
+    driver.end(&first[0], RunEnd::Done, &[]);
+    driver.schedule();
+    assert!(driver.starts.is_empty(), "the end is not stored yet");
+    driver.record();
+    driver.schedule();
+    assert_eq!(driver.starts.len(), 1);
+    assert_eq!(driver.starts[0].task.step.step, 1);
+}
+
+#[test]
+fn a_job_is_shown_as_completed_only_when_that_is_stored() {
+    let mut driver = Driver::new(1, 4);
+    driver.submit(1, policy(0), vec![step(1, 1)]);
+    assert_eq!(driver.state(1), Some(JobState::Queued));
+    driver.schedule();
+    let started = driver.confirm_starts();
+    assert_eq!(driver.state(1), Some(JobState::Running));
+    driver.end(&started[0], RunEnd::Done, &[]);
+    assert_eq!(driver.state(1), Some(JobState::Running));
+    let (noted, left) = driver.scheduler.noted_ends(started[0].worker);
+    assert_eq!(
+        (noted, left),
+        (0, true),
+        "the worker must not forget the end yet"
+    );
+    driver.record();
+    assert_eq!(driver.state(1), Some(JobState::Completed));
+    let (noted, left) = driver.scheduler.noted_ends(started[0].worker);
+    assert_eq!((noted, left), (1, false));
+}
+
+#[test_case(RunEnd::Failed, 3, Some(JobState::Failed); "failures count")]
+#[test_case(RunEnd::Stopped, 3, Some(JobState::Running); "a stop is no failure")]
+#[test_case(RunEnd::Lapsed, 3, Some(JobState::Running); "a lapsed lease is no failure")]
+#[test_case(RunEnd::Failed, 2, Some(JobState::Running); "fewer than the limit")]
+fn a_job_fails_after_so_many_failed_runs(end: RunEnd, times: u32, state: Option<JobState>) {
+    let mut driver = Driver::new(4, 4);
+    driver.submit(1, policy(0), vec![step(1, 1)]);
+    for _ in 0..times {
+        driver.schedule();
+        let started = driver.confirm_starts();
+        assert_eq!(started.len(), 1);
+        driver.end(&started[0], end, &[]);
+        driver.record();
+    }
+    assert_eq!(driver.state(1), state);
+}
+
+#[test]
+fn the_runs_of_a_task_are_numbered_upwards_and_avoid_where_it_failed() {
+    let mut driver = Driver::new(2, 4);
+    driver.submit(1, policy(0), vec![step(1, 1)]);
+    driver.schedule();
+    let first = driver.confirm_starts();
+    driver.end(&first[0], RunEnd::Failed, &[]);
+    driver.record();
+    driver.schedule();
+    let second = driver.confirm_starts();
+    assert!(second[0].run > first[0].run);
+    assert_ne!(second[0].worker, first[0].worker);
+}
+
+#[test]
+fn what_runs_of_a_cancelled_job_is_stopped_and_nothing_of_it_starts() {
+    let mut driver = Driver::new(1, 2);
+    driver.submit(1, policy(0), vec![step(4, 1)]);
+    driver.schedule();
+    let started = driver.confirm_starts();
+    assert_eq!(started.len(), 2);
+    driver.cancel(1);
+    assert_eq!(driver.stops.len(), 2);
+    driver.pass(50);
+    driver.hold(started[0].worker, &[]);
+    driver.record();
+    driver.schedule();
+    assert!(driver.starts.is_empty());
+    assert_eq!(driver.state(1), Some(JobState::Cancelled));
+}
+
+#[test]
+fn a_cancelling_that_is_read_before_the_job_cancels_it() {
+    let mut driver = Driver::new(1, 2);
+    driver.cancel(1);
+    driver.submit(1, policy(0), vec![step(1, 1)]);
+    driver.schedule();
+    assert!(driver.starts.is_empty());
+    driver.record();
+    assert_eq!(driver.state(1), Some(JobState::Cancelled));
+}
+
+#[test]
+fn a_start_that_is_carried_out_after_all_is_stopped_again() {
+    let mut driver = Driver::new(1, 2);
+    driver.submit(1, policy(0), vec![step(1, 1)]);
+    driver.schedule();
+    let start = driver.starts[0].clone();
+    driver.cancel(1);
+    driver.pass(50);
+    driver.stop_taken(&start);
+    driver.pass(50);
+    driver.hold(start.worker, &[]);
+    driver.record();
+    driver.stops.clear();
+    driver.pass(3_000);
+    driver.hold(start.worker, &[(start.task, start.run, 1)]);
+    assert_eq!(driver.stops.len(), 1);
+    assert_eq!(driver.stops[0].reason, StopReason::Unwanted);
+}
+
+#[test]
+fn the_room_of_a_stopped_run_is_taken_until_its_end_is_listed() {
+    let mut driver = Driver::new(1, 2);
+    driver.submit(1, policy(1), vec![step(1, 2)]);
+    driver.schedule();
+    let started = driver.confirm_starts();
+    driver.hold(started[0].worker, &[(started[0].task, started[0].run, 5)]);
+    driver.cancel(1);
+    driver.stop_taken(&started[0]);
+    driver.submit(2, policy(1), vec![step(1, 2)]);
+    driver.schedule();
+    assert!(
+        driver.starts.is_empty(),
+        "the first run still holds the room"
+    );
+    driver.pass(20);
+    driver.hold(started[0].worker, &[(started[0].task, started[0].run, 5)]);
+    driver.schedule();
+    assert!(
+        driver.starts.is_empty(),
+        "the first run still holds the room"
+    );
+    driver.end(&started[0], RunEnd::Stopped, &[]);
+    driver.schedule();
+    assert_eq!(driver.starts.len(), 1);
+}
--- a/crates/sched/tests/core/main.rs
+++ b/crates/sched/tests/core/main.rs
@@ -2,5 +2,8 @@
 
 mod advice;
 mod driver;
+mod life;
 mod preempt;
+mod silence;
 mod spread;
+mod takeover;
--- /dev/null
+++ b/crates/sched/tests/core/silence.rs
@@ -0,0 +1,95 @@
+//! Workers that do not answer: what may run there runs nowhere else.
+
+use syc_sched::Event;
+use syc_sched::Options;
+use syc_sched::StartAnswer;
+
+use crate::driver::Driver;
+use crate::driver::policy;
+use crate::driver::step;
+
+#[test]
+fn a_task_of_a_silent_worker_starts_elsewhere_only_when_its_lease_has_lapsed() {
+    let mut driver = Driver::new(2, 2);
+    driver.submit(1, policy(0), vec![step(1, 2)]);
+    driver.schedule();
+    let started = driver.confirm_starts();
+    let worker = started[0].worker;
+    driver.apply(Event::Renewing { worker });
+    driver.pass(500);
+    driver.apply(Event::HoldFailed { worker });
+    driver.pass(Options::default().lease_bound_ms - 600);
+    driver.apply(Event::Ticked);
+    driver.schedule();
+    assert!(driver.starts.is_empty(), "the lease may still last");
+    driver.pass(200);
+    driver.apply(Event::Ticked);
+    driver.record();
+    driver.schedule();
+    assert_eq!(driver.starts.len(), 1);
+    assert_ne!(driver.starts[0].worker, worker);
+}
+
+#[test]
+fn another_life_of_a_worker_ends_what_ran_on_the_one_before_at_once() {
+    let mut driver = Driver::new(2, 2);
+    driver.submit(1, policy(0), vec![step(1, 2)]);
+    driver.schedule();
+    let started = driver.confirm_starts();
+    let worker = started[0].worker;
+    driver.apply(Event::Replaced { worker });
+    driver.record();
+    driver.schedule();
+    assert_eq!(driver.starts.len(), 1);
+    assert_ne!(driver.starts[0].worker, worker);
+}
+
+#[test]
+fn a_start_in_doubt_is_sent_again_and_then_stopped_and_goes_elsewhere_only_after_that() {
+    let mut driver = Driver::new(2, 2);
+    driver.submit(1, policy(0), vec![step(1, 2)]);
+    driver.schedule();
+    let first = driver.starts[0].clone();
+    let doubt = Event::StartAnswered {
+        worker: first.worker,
+        task: first.task,
+        run: first.run,
+        answer: StartAnswer::InDoubt,
+    };
+    for _ in 0..Options::default().start_orders_limit {
+        driver.pass(300);
+        driver.apply(doubt.clone());
+    }
+    assert_eq!(driver.starts.len(), 4, "the same order, four times in all");
+    assert!(driver.starts.iter().all(|start| start.run == first.run));
+    assert_eq!(driver.stops.len(), 1);
+    driver.starts.clear();
+    driver.schedule();
+    assert!(driver.starts.is_empty(), "the stop is not taken yet");
+    driver.stop_taken(&first);
+    driver.pass(10);
+    driver.hold(first.worker, &[]);
+    driver.record();
+    driver.schedule();
+    assert_eq!(driver.starts.len(), 1);
+    assert!(driver.starts[0].run > first.run);
+}
+
+#[test]
+fn a_report_older_than_the_start_does_not_end_the_run() {
+    let mut driver = Driver::new(1, 2);
+    driver.submit(1, policy(0), vec![step(1, 2)]);
+    let sent_at = driver.now;
+    driver.pass(5);
+    driver.schedule();
+    let started = driver.confirm_starts();
+    driver.pass(5);
+    driver.apply(Event::Held {
+        worker: started[0].worker,
+        sent_at,
+        report: syc_sched::WorkerReport::default(),
+    });
+    driver.record();
+    driver.schedule();
+    assert!(driver.starts.is_empty(), "the run goes on");
+}
--- /dev/null
+++ b/crates/sched/tests/core/takeover.rs
@@ -0,0 +1,143 @@
+//! Taking over from a predecessor: what runs is found out before anything starts again.
+
+use smol_str::SmolStr;
+use syc_sched::Event;
+use syc_sched::JobId;
+use syc_sched::JobProgress;
+use syc_sched::JobSpec;
+use syc_sched::JobState;
+use syc_sched::Options;
+use syc_sched::Run;
+use syc_sched::RunEnd;
+use syc_sched::StepId;
+use syc_sched::StepSpec;
+use syc_sched::StopReason;
+use syc_sched::TaskId;
+
+use crate::driver::Driver;
+use crate::driver::policy;
+use crate::driver::step;
+use crate::driver::worker;
+
+fn task(index: u32) -> TaskId {
+    let step = StepId {
+        job: JobId(1),
+        step: 0,
+    };
+    TaskId { step, index }
+}
+
+/// A successor that has read a job and a list of workers, none of which has answered yet.
+fn successor(workers: usize, steps: Vec<StepSpec>, progress: Option<&JobProgress>) -> Driver {
+    let mut driver = Driver::new(0, 0);
+    let spec = JobSpec {
+        id: JobId(1),
+        payload: SmolStr::new_static("payload"),
+        steps,
+        policy: policy(0),
+        accepted_at_ms: 0,
+    };
+    driver.scheduler.restore_job(spec, progress, 10, driver.now);
+    for index in 0..workers {
+        driver.apply(Event::WorkerListed(worker(index, 4)));
+    }
+    driver.scheduler.begin_recovery(driver.now);
+    driver
+}
+
+#[test]
+fn what_runs_goes_on() {
+    let mut driver = successor(2, vec![step(1, 1)], None);
+    driver.schedule();
+    assert!(driver.starts.is_empty());
+    driver.hold(driver.workers[0], &[(task(0), Run(1), 40)]);
+    driver.hold(driver.workers[1], &[]);
+    driver.apply(Event::Ticked);
+    driver.schedule();
+    assert!(driver.starts.is_empty(), "it runs already");
+    assert!(driver.stops.is_empty());
+    driver.report(driver.workers[0], &[], &[(task(0), Run(1), RunEnd::Done)]);
+    driver.record();
+    assert_eq!(driver.state(1), Some(JobState::Completed));
+}
+
+#[test]
+fn nothing_starts_again_while_a_worker_has_not_answered() {
+    let mut driver = successor(2, vec![step(1, 1)], None);
+    driver.hold(driver.workers[0], &[]);
+    driver.apply(Event::HoldFailed {
+        worker: driver.workers[1],
+    });
+    let options = Options::default();
+    driver.pass(options.authority_ms + options.lease_bound_ms - 100);
+    driver.apply(Event::Ticked);
+    driver.schedule();
+    assert!(driver.starts.is_empty(), "it may run on the silent worker");
+    driver.pass(200);
+    driver.apply(Event::Ticked);
+    driver.schedule();
+    assert_eq!(driver.starts.len(), 1);
+}
+
+#[test]
+fn what_was_submitted_since_starts_at_once() {
+    let mut driver = successor(2, vec![step(1, 1)], None);
+    driver.hold(driver.workers[0], &[]);
+    driver.submit(2, policy(0), vec![step(1, 1)]);
+    driver.schedule();
+    let jobs: Vec<_> = driver.starts.iter().map(|s| s.task.step.job.0).collect();
+    assert_eq!(jobs, [2]);
+}
+
+#[test]
+fn an_end_that_was_counted_is_not_counted_again() {
+    let progress: JobProgress = serde_json::from_str(
+        r#"{"state":"running","steps":[{"units":{"0":{"f":1,"r":1,"a":1}}}]}"#,
+    )
+    .expect("a record as it is kept");
+    let mut driver = successor(1, vec![step(1, 1)], Some(&progress));
+    driver.report(driver.workers[0], &[], &[(task(0), Run(1), RunEnd::Failed)]);
+    driver.record();
+    driver.apply(Event::Ticked);
+    driver.schedule();
+    assert_eq!(driver.starts.len(), 1, "one failure of three");
+    assert_eq!(driver.starts[0].run, Run(2));
+}
+
+#[test]
+fn a_gang_of_which_a_member_is_missing_is_stopped_and_starts_anew() {
+    let gang = StepSpec {
+        gang: true,
+        ..step(2, 1)
+    };
+    let mut driver = successor(2, vec![gang], None);
+    driver.hold(driver.workers[0], &[(task(0), Run(1), 0)]);
+    driver.hold(driver.workers[1], &[]);
+    driver.apply(Event::Ticked);
+    assert_eq!(driver.stops.len(), 1);
+    assert_eq!(driver.stops[0].reason, StopReason::GangBroken);
+    driver.schedule();
+    assert!(driver.starts.is_empty(), "a member still runs");
+    driver.report(
+        driver.workers[0],
+        &[],
+        &[(task(0), Run(1), RunEnd::Stopped)],
+    );
+    driver.record();
+    driver.schedule();
+    assert_eq!(driver.starts.len(), 2);
+    assert!(driver.starts.iter().all(|start| start.run == Run(2)));
+}
+
+#[test]
+fn a_worker_that_was_given_work_and_is_registered_no_more_is_waited_for() {
+    let progress: JobProgress = serde_json::from_str(
+        r#"{"state":"running","steps":[{"units":{"0":{"r":1,"w":["w-9"]}}}]}"#,
+    )
+    .expect("a record as it is kept");
+    let mut driver = successor(1, vec![step(1, 1)], Some(&progress));
+    driver.hold(driver.workers[0], &[]);
+    driver.apply(Event::Ticked);
+    driver.schedule();
+    assert!(driver.starts.is_empty(), "it may run on the missing worker");
+}
