Tell the scheduler of stored jobs, and notice its end and the store's return sooner

Change: a node tells the scheduler what it stored, which reads the store as a backstop only; each node writes jobs to a partition of its own; a submit is refused at once while the store does not answer, which is asked every 100 ms; nodes call the scheduler every 150 ms, and its silence towards them shortens the silence in the store that a claim needs; the next life of a scheduler claims at once. Appends of progress are 12 ms apart.

--- a/crates/cell/src/accept.rs
+++ b/crates/cell/src/accept.rs
@@ -11,6 +11,7 @@
 use syc_types::Millis;
 use syc_wire::cell::CellBody;
 use syc_wire::cell::Relay;
+use syc_wire::cell::StoredNotice;
 use tokio::sync::oneshot;
 
 use crate::Node;
@@ -76,31 +77,55 @@
 {
     /// Stores a job; it is accepted once the store has it.
     pub async fn submit(self: &Rc<Self>, spec: &JobSpec) -> Stored {
-        let partition = self.partition_of(spec.id);
-        self.store_record(partition, records::submitted(spec)).await
+        self.store_and_tell(records::submitted(spec)).await
     }
 
     /// Stores that a job is cancelled.
     pub async fn cancel(self: &Rc<Self>, id: JobId) -> Stored {
-        let partition = self.partition_of(id);
-        self.store_record(partition, records::cancelled(id)).await
+        self.store_and_tell(records::cancelled(id)).await
     }
 
-    /// Returns the partition of the topic of jobs that holds a job.
-    pub(crate) fn partition_of(&self, id: JobId) -> u32 {
-        let partitions = u64::from(self.settings.job_partitions());
-        u32::try_from(id.0 % partitions).unwrap_or(0)
+    /// Stores a record, and tells the scheduler of it without waiting for that.
+    ///
+    /// The scheduler would find it in the store by itself, but later: by one answer of the store,
+    /// which takes a quarter of a second while the store is slow.
+    async fn store_and_tell(self: &Rc<Self>, record: Record) -> Stored {
+        let partition = self.partition.get();
+        let stored = self.store_record(partition, record.clone()).await;
+        if stored == Stored::Stored {
+            let node = Rc::clone(self);
+            actix_rt::spawn(async move { node.tell_scheduler(partition, record).await });
+        }
+        stored
+    }
+
+    async fn tell_scheduler(&self, partition: u32, record: Record) {
+        if let Some(leader) = self.leader() {
+            leader.take_job_record(partition, &record);
+            return;
+        }
+        let link = self.link.borrow().clone();
+        let Some(link) = link else {
+            return;
+        };
+        let notice = CellBody::StoredNotice(StoredNotice {
+            key: record.key.to_string(),
+            value: record.value,
+            partition,
+        });
+        // Without an answer, the scheduler finds the record in the store.
+        let _told = link
+            .call(notice, self.settings.timing.peer_timeout_ms)
+            .await;
     }
 
     async fn store_record(self: &Rc<Self>, partition: u32, record: Record) -> Stored {
         let until = now().plus(self.settings.timing.submit_limit_ms);
         let mut doubt = false;
         if !self.store_answers() {
-            match self.relay(partition, &record).await {
-                Stored::Stored => return Stored::Stored,
-                Stored::Refused => {}
-                Stored::InDoubt => doubt = true,
-            }
+            // Nothing is sent to a store that does not answer: the caller hears at once that the
+            // job surely was not accepted, and not after a second that it may have been.
+            return self.relay(partition, &record).await;
         }
         match self.append_record(partition, record.clone(), until).await {
             Stored::Stored => return Stored::Stored,
--- a/crates/cell/src/contact.rs
+++ b/crates/cell/src/contact.rs
@@ -13,6 +13,7 @@
 use syc_wire::cell::CellMessage;
 use syc_wire::cell::Contact;
 use syc_wire::cell::ContactReply;
+use syc_wire::cell::NoticeReply;
 use syc_wire::cell::RelayReply;
 
 use crate::Node;
@@ -28,6 +29,9 @@
 /// A connection attempt to another node may take this long.
 const CONNECT_TIMEOUT_MS: u64 = 300;
 
+/// Calls without an answer after which the scheduler is suspected to be gone.
+const MISSES_OF_GONE: u32 = 2;
+
 /// The link to the node that is the scheduler.
 #[derive(Debug)]
 pub(crate) struct HolderLink {
@@ -38,6 +42,8 @@
     /// When it last answered.
     answered_at: Cell<Millis>,
     answers: Cell<bool>,
+    /// Calls in a row without an answer.
+    misses: Cell<u32>,
 }
 
 impl HolderLink {
@@ -49,6 +55,7 @@
             store_answers: Cell::new(false),
             answered_at: Cell::new(now()),
             answers: Cell::new(true),
+            misses: Cell::new(0),
         })
     }
 
@@ -135,8 +142,12 @@
         store_answers: node.store_answers(),
         token: link.token,
     });
-    let timeout_ms = node.settings.timing.peer_timeout_ms;
+    let timeout_ms = node.settings.timing.contact_timeout_ms;
     let reply = link.call(query, timeout_ms).await;
+    if let Ok(CellBody::ContactReply(reply)) = &reply {
+        let partitions = node.settings.job_partitions();
+        node.partition.set(reply.partition % partitions);
+    }
     let (answers, store_answers) = match &reply {
         Ok(CellBody::ContactReply(reply)) => (reply.leading, reply.store_answers),
         Ok(_) | Err(_) => (false, false),
@@ -149,7 +160,25 @@
     if answers {
         link.answered_at.set(now());
     }
-    let gone = matches!(reply, Err(CallError::NotSent));
+    note_gone(node, link, &reply);
+}
+
+/// Suspects the scheduler to be gone: its process takes no connections, is another one that does
+/// not hold the role, or twice gave no answer.
+///
+/// This only shortens the time for which the store has to show no sign of life of it.
+fn note_gone<P>(node: &Rc<Node<P>>, link: &HolderLink, reply: &Result<CellBody, CallError>)
+where
+    P: Platform,
+{
+    let misses = match reply {
+        Ok(CellBody::ContactReply(reply)) if !reply.leading => MISSES_OF_GONE,
+        Ok(_) => 0,
+        Err(CallError::NotSent) => MISSES_OF_GONE,
+        Err(CallError::NoReply) => link.misses.get() + 1,
+    };
+    link.misses.set(misses);
+    let gone = misses >= MISSES_OF_GONE;
     if node.holder_gone.replace(gone) != gone && gone {
         node.holder_news.notify_waiters();
     }
@@ -172,6 +201,18 @@
         CellBody::StateQuery(query) => queries::answer_state(node, &query),
         CellBody::PendingQuery(query) => queries::answer_pending(node, &query),
         CellBody::AdviceQuery(query) => adviser::answer(node, query).await,
+        CellBody::StoredNotice(notice) => {
+            let leader = node.leader();
+            let taken = leader.is_some();
+            if let Some(leader) = leader {
+                let record = Record {
+                    key: notice.key.into(),
+                    value: notice.value,
+                };
+                leader.take_job_record(notice.partition, &record);
+            }
+            CellBody::NoticeReply(NoticeReply { taken })
+        }
         CellBody::Relay(relay) => {
             let record = Record {
                 key: relay.key.into(),
@@ -197,12 +238,11 @@
     P: Platform,
 {
     let leader = node.leader();
-    if let Some(leader) = &leader {
-        leader.met(contact);
-    }
+    let partition = leader.as_ref().map_or(0, |leader| leader.met(contact));
     ContactReply {
         leading: leader.is_some(),
         token: leader.map_or(0, |leader| leader.token),
         store_answers: node.store_answers(),
+        partition,
     }
 }
--- a/crates/cell/src/holders.rs
+++ b/crates/cell/src/holders.rs
@@ -27,7 +27,7 @@
 const RETRY_MS: u64 = 60;
 
 /// Longest wait of a read for news: it also shows that the connection still works.
-const WAIT_MS: u64 = 500;
+const WAIT_MS: u64 = 800;
 
 /// Shortest wait of a read.
 const SHORT_WAIT_MS: u64 = 20;
@@ -153,12 +153,21 @@
     let spread_ms = node.incarnation % timing.claim_spread_ms.max(1);
     let silence_ms = match &watch.holder {
         None => 0,
+        // An earlier life of this very node held the role, and it is over.
+        Some(holder) if is_earlier_life(node, holder) => 0,
         Some(_) if node.holder_gone.get() => timing.gone_silence_ms,
         Some(_) => timing.silence_ms,
     };
     silence_ms + spread_ms
 }
 
+fn is_earlier_life<P>(node: &Node<P>, holder: &Holder) -> bool
+where
+    P: Platform,
+{
+    holder.node == node.settings.name && holder.incarnation != node.incarnation
+}
+
 fn claim_is_due<P>(node: &Rc<Node<P>>, watch: &Watch) -> bool
 where
     P: Platform,
--- a/crates/cell/src/leader.rs
+++ b/crates/cell/src/leader.rs
@@ -84,10 +84,11 @@
     advisers: RefCell<BTreeMap<SmolStr, Adviser>>,
     /// When each partition of the topic of jobs was last read to its end.
     jobs_read_at: RefCell<Vec<Millis>>,
+    /// Partitions that hold what was submitted of a job; several where its submit was repeated.
+    jobs_in: RefCell<HashMap<JobId, Vec<u32>>>,
     /// Jobs whose specification is to be removed, and jobs to be forgotten.
     drops: RefCell<Vec<JobId>>,
     forgets: RefCell<Vec<JobId>>,
-    seen_at: RefCell<HashMap<JobId, Millis>>,
     met_others_at: Cell<Option<Millis>>,
     heard_workers_at: Cell<Millis>,
     tasks: RefCell<Vec<actix_rt::task::JoinHandle<()>>>,
@@ -119,13 +120,14 @@
                 Adviser::own(now()),
             )])),
             jobs_read_at: RefCell::new(vec![Millis(0); partitions]),
+            jobs_in: RefCell::default(),
             drops: RefCell::default(),
             forgets: RefCell::default(),
-            seen_at: RefCell::default(),
             met_others_at: Cell::new(None),
             heard_workers_at: Cell::new(now()),
             tasks: RefCell::default(),
         });
+        node.partition.set(0);
         *node.leader.borrow_mut() = Some(Rc::clone(&leader));
         leader.spawn(presence::show_presence(Rc::clone(&leader)));
         leader.spawn(load::run(Rc::clone(&leader)));
@@ -238,9 +240,9 @@
         if let Some(state) = self.scheduler.borrow().state_of(id) {
             return StateAnswer::Known(state);
         }
-        let index = usize::try_from(self.node.partition_of(id)).unwrap_or(0);
-        let read_at = self.jobs_read_at.borrow().get(index).copied();
-        let fresh = read_at.is_some_and(|at| now().since(at) < FRESH_MS);
+        let now = now();
+        let read_at = self.jobs_read_at.borrow();
+        let fresh = read_at.iter().all(|at| now.since(*at) < FRESH_MS);
         if fresh {
             StateAnswer::NoSuchJob
         } else {
@@ -262,10 +264,23 @@
         self.scheduler.borrow().counts(now())
     }
 
-    /// Takes note that another node is there.
-    pub(crate) fn met(&self, contact: &Contact) {
+    /// Takes note that another node is there. Returns the partition that it should write jobs to:
+    /// another one for each node, as far as they reach.
+    pub(crate) fn met(&self, contact: &Contact) -> u32 {
         self.met_others_at.set(Some(now()));
         self.meet_adviser(contact);
+        let advisers = self.advisers.borrow();
+        let others = advisers
+            .keys()
+            .filter(|name| **name != self.node.settings.name);
+        let mut position: u32 = 1;
+        for name in others {
+            if *name == contact.node {
+                break;
+            }
+            position += 1;
+        }
+        position
     }
 
     /// Hands the role on if this node seems cut off while the store, and so the others, may not be.
--- a/crates/cell/src/leader/load.rs
+++ b/crates/cell/src/leader/load.rs
@@ -101,11 +101,15 @@
     let progress = read_progress(&left.progress);
     let mut cancelled = BTreeSet::new();
     let mut specs: Vec<JobSpec> = Vec::new();
-    for newest in &left.jobs {
+    for (partition, newest) in (0..).zip(&left.jobs) {
         for (_offset, record) in &newest.records {
             match read_job(record) {
-                JobRecord::Submitted(spec) => specs.push(*spec),
+                JobRecord::Submitted(spec) => {
+                    leader.note_partition(spec.id, partition);
+                    specs.push(*spec);
+                }
                 JobRecord::Cancelled(id) => {
+                    leader.note_partition(id, partition);
                     cancelled.insert(id);
                 }
                 JobRecord::Removed => {}
--- a/crates/cell/src/leader/readers.rs
+++ b/crates/cell/src/leader/readers.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use syc_sched::Event;
+use syc_sched::JobId;
 use syc_types::WorkerId;
 
 use crate::clock::now;
@@ -22,30 +23,27 @@
 /// Wait after a read that failed.
 const RETRY_MS: u64 = 60;
 
-/// Records that come within this time share a read.
-const SPACING_MS: u64 = 4;
-
 /// Follows one partition of the topic of jobs.
 pub(super) async fn follow_jobs<P>(leader: Rc<Leader<P>>, partition: u32, mut from: u64)
 where
     P: Platform,
 {
     let node = Rc::clone(&leader.node);
-    let wait_ms = node.settings.timing.jobs_wait_ms;
+    let interval_ms = node.settings.timing.jobs_interval_ms;
     loop {
-        match node.read(Topic::Jobs, partition, from, wait_ms).await {
+        match node.read(Topic::Jobs, partition, from, 0).await {
             Ok(page) => {
                 let count = u64::try_from(page.records.len()).unwrap_or(0);
                 from = page.first + count;
-                take_jobs(&leader, &page.records);
+                take_jobs(&leader, partition, &page.records);
                 leader.note_jobs_read(partition);
-                pause(SPACING_MS).await;
+                pause(interval_ms).await;
             }
             Err(ReadError::Gone { .. }) => {
                 if let Ok(newest) = node.newest(Topic::Jobs, partition).await {
                     from = newest.read_from;
                     let records: Vec<_> = newest.records.into_iter().map(|(_, r)| r).collect();
-                    take_jobs(&leader, &records);
+                    take_jobs(&leader, partition, &records);
                     leader.note_jobs_read(partition);
                 }
             }
@@ -54,29 +52,53 @@
     }
 }
 
-fn take_jobs<P>(leader: &Rc<Leader<P>>, records: &[Record])
+fn take_jobs<P>(leader: &Rc<Leader<P>>, partition: u32, records: &[Record])
 where
     P: Platform,
 {
     for record in records {
+        leader.take_job_record(partition, record);
+    }
+}
+
+impl<P> Leader<P>
+where
+    P: Platform,
+{
+    /// Takes a record that the store has: a job, or the cancelling of one.
+    pub(crate) fn take_job_record(self: &Rc<Self>, partition: u32, record: &Record) {
+        if !self.loaded.get() {
+            // It will be read with all the others.
+            return;
+        }
         match read_job(record) {
             JobRecord::Submitted(spec) => {
+                self.note_partition(spec.id, partition);
+                let known = self.scheduler.borrow().state_of(spec.id).is_some();
                 let age_ms = age_ms(spec.accepted_at_ms);
-                log::job_seen(&spec, age_ms);
-                leader.seen_at.borrow_mut().insert(spec.id, now());
-                leader.apply(Event::JobStored { spec, age_ms });
+                if !known {
+                    log::job_seen(&spec, age_ms);
+                }
+                self.apply(Event::JobStored { spec, age_ms });
+            }
+            JobRecord::Cancelled(id) => {
+                self.note_partition(id, partition);
+                self.apply(Event::JobCancelled(id));
             }
-            JobRecord::Cancelled(id) => leader.apply(Event::JobCancelled(id)),
             JobRecord::Removed => {}
             JobRecord::Unreadable { key, reason } => log::unreadable(&key, &reason),
         }
     }
-}
 
-impl<P> Leader<P>
-where
-    P: Platform,
-{
+    /// Remembers where records of a job are, until they are removed.
+    pub(super) fn note_partition(&self, id: JobId, partition: u32) {
+        let mut jobs_in = self.jobs_in.borrow_mut();
+        let partitions = jobs_in.entry(id).or_default();
+        if !partitions.contains(&partition) {
+            partitions.push(partition);
+        }
+    }
+
     fn note_jobs_read(&self, partition: u32) {
         let index = usize::try_from(partition).unwrap_or(usize::MAX);
         if let Some(read_at) = self.jobs_read_at.borrow_mut().get_mut(index) {
--- a/crates/cell/src/leader/records.rs
+++ b/crates/cell/src/leader/records.rs
@@ -1,5 +1,6 @@
 //! Writing the jobs' progress: one append at a time, fenced, each change once.
 
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -39,7 +40,10 @@
     P: Platform,
 {
     loop {
-        while leader.write_batch().await {}
+        let spacing_ms = leader.node.settings.timing.progress_spacing_ms;
+        while leader.write_batch().await {
+            pause(spacing_ms).await;
+        }
         if leader.ended.get() {
             return;
         }
@@ -108,7 +112,6 @@
         let written_ms = now().since(began);
         for (id, _change, progress) in &taken {
             if progress.state.is_terminal() {
-                self.seen_at.borrow_mut().remove(id);
                 log::job_shown(*id, progress.state, written_ms);
             }
         }
@@ -163,26 +166,25 @@
     loop {
         pause(REMOVE_INTERVAL_MS).await;
         let drops = std::mem::take(&mut *leader.drops.borrow_mut());
-        for partition in 0..leader.node.settings.job_partitions() {
-            let of_partition: Vec<_> = drops
-                .iter()
-                .copied()
-                .filter(|id| leader.node.partition_of(*id) == partition)
-                .collect();
-            if of_partition.is_empty() {
-                continue;
+        let mut by_partition: BTreeMap<u32, Vec<JobId>> = BTreeMap::new();
+        for id in drops {
+            let partitions = leader.jobs_in.borrow_mut().remove(&id);
+            for partition in partitions.unwrap_or_default() {
+                by_partition.entry(partition).or_default().push(id);
             }
-            let removals: Vec<_> = of_partition
-                .iter()
-                .flat_map(|id| records::removed(*id))
-                .collect();
+        }
+        for (partition, ids) in by_partition {
+            let removals: Vec<_> = ids.iter().flat_map(|id| records::removed(*id)).collect();
             let removed = leader
                 .node
                 .append(Topic::Jobs, partition, &removals, &Condition::None)
                 .await;
             if removed.is_err() {
                 // A later removal does no harm, and none is needed before the job is forgotten.
-                leader.drops.borrow_mut().extend(of_partition);
+                for id in ids {
+                    leader.note_partition(id, partition);
+                    leader.drops.borrow_mut().push(id);
+                }
             }
         }
     }
--- a/crates/cell/src/node.rs
+++ b/crates/cell/src/node.rs
@@ -83,6 +83,8 @@
     pub(crate) link: RefCell<Option<Rc<HolderLink>>>,
     pub(crate) leader: RefCell<Option<Rc<Leader<P>>>>,
     pub(crate) accepting: Vec<AcceptQueue>,
+    /// The partition that this node writes jobs to.
+    pub(crate) partition: Cell<u32>,
     /// Wakes whoever waits for news of the scheduler.
     pub(crate) holder_news: Notify,
     /// Whether the holder's process seems to be gone.
@@ -114,6 +116,7 @@
             holder: RefCell::default(),
             link: RefCell::default(),
             leader: RefCell::default(),
+            partition: Cell::new(0),
             accepting: (0..partitions).map(|_| AcceptQueue::default()).collect(),
             holder_news: Notify::new(),
             holder_gone: Cell::new(false),
@@ -126,6 +129,7 @@
         actix_rt::spawn(holders::watch_holders(Rc::clone(&node)));
         actix_rt::spawn(contact::keep_contact(Rc::clone(&node)));
         actix_rt::spawn(tick(Rc::clone(&node)));
+        actix_rt::spawn(probe_store(Rc::clone(&node)));
         actix_rt::spawn(answer_peers(Rc::clone(&node), peers));
         log::started(&node.settings, node.incarnation);
         node
@@ -316,6 +320,24 @@
     }
 }
 
+/// Finds out quickly that the store answers again: calls that wait for it find out late.
+async fn probe_store<P>(node: Rc<Node<P>>)
+where
+    P: Platform,
+{
+    let timing = node.settings.timing;
+    loop {
+        actix_rt::time::sleep(Duration::from_millis(timing.probe_ms)).await;
+        if node.store_answers() {
+            continue;
+        }
+        let began = now();
+        let read = node.platform.read(Topic::Holders, 0, 0, 0);
+        let outcome = within(timing.probe_timeout_ms, read).await;
+        node.note_read("probe", &outcome, began);
+    }
+}
+
 async fn answer_peers<P>(node: Rc<Node<P>>, listener: TcpListener)
 where
     P: Platform,
--- a/crates/cell/src/settings.rs
+++ b/crates/cell/src/settings.rs
@@ -36,12 +36,19 @@
     /// A scheduler that has not told the store for this long is replaced; four presences and the
     /// store's slowest sound answer.
     pub silence_ms: u64,
-    /// The same where its process is known to be gone: one presence may still be under way.
+    /// The same where it does not answer other nodes either: one presence may still be under way.
     pub gone_silence_ms: u64,
     /// Nodes that see the same wait up to this long, each another time, so that one claims first.
     pub claim_spread_ms: u64,
     /// Nodes call the scheduler this often.
     pub contact_ms: u64,
+    /// A scheduler that does not answer such a call within this time is missed once.
+    pub contact_timeout_ms: u64,
+    /// While the store does not answer, it is asked this often whether it does again.
+    pub probe_ms: u64,
+    /// Such a question is given up after this time: above the slowest sound answer, below the time
+    /// that a caller waits.
+    pub probe_timeout_ms: u64,
     /// Time that the scheduler has for an answer to another node.
     pub peer_timeout_ms: u64,
     /// A call to the store without an answer is given up after this time; sound answers take some
@@ -49,8 +56,11 @@
     pub store_timeout_ms: u64,
     /// A submit is given up after this time: the caller asks again within its own timeout.
     pub submit_limit_ms: u64,
-    /// A read of the jobs waits this long for news.
-    pub jobs_wait_ms: u64,
+    /// Jobs are looked for in the store this often. Nodes tell of what they stored at once, so that
+    /// this finds only what they could not tell; each read is paid for.
+    pub jobs_interval_ms: u64,
+    /// Appends of progress are at least this far apart, so that more ends share one.
+    pub progress_spacing_ms: u64,
     /// The list of workers is read this often: a worker that drains may get nothing new after two
     /// seconds, and most records only say that a worker is still there.
     pub workers_interval_ms: u64,
@@ -74,13 +84,17 @@
             lease_ms: 6_000,
             presence_ms: 250,
             silence_ms: 1_200,
-            gone_silence_ms: 450,
+            gone_silence_ms: 550,
             claim_spread_ms: 90,
-            contact_ms: 400,
-            peer_timeout_ms: 500,
+            contact_ms: 150,
+            contact_timeout_ms: 200,
+            probe_ms: 100,
+            probe_timeout_ms: 400,
+            peer_timeout_ms: 400,
             store_timeout_ms: 700,
-            submit_limit_ms: 1_600,
-            jobs_wait_ms: 1_000,
+            submit_limit_ms: 1_000,
+            jobs_interval_ms: 400,
+            progress_spacing_ms: 12,
             workers_interval_ms: 250,
             renewal_wait_ms: 1_000,
             renewal_slack_ms: 400,
@@ -99,10 +113,13 @@
         self.timing.lease_ms.min(self.lease_limit_ms)
     }
 
-    /// Returns the number of partitions over which jobs are spread: one takes an append in some
-    /// milliseconds, so that a few carry a thousand submits a second.
+    /// Returns the number of partitions over which nodes spread the jobs that they store.
+    ///
+    /// A partition takes one append at a time, in milliseconds, or a quarter of a second while the
+    /// store is slow; with one for each of a few nodes, a submit waits for one append, not for a
+    /// queue of them.
     #[must_use]
     pub fn job_partitions(&self) -> u32 {
-        self.partitions.clamp(1, 3)
+        self.partitions.max(1)
     }
 }
--- a/crates/wire/src/cell.rs
+++ b/crates/wire/src/cell.rs
@@ -10,7 +10,7 @@
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct CellMessage {
     /// What is asked or answered.
-    #[prost(oneof = "CellBody", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10")]
+    #[prost(oneof = "CellBody", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12")]
     pub body: Option<CellBody>,
 }
 
@@ -47,6 +47,12 @@
     /// Answer to [`CellBody::Relay`].
     #[prost(message, tag = "10")]
     RelayReply(RelayReply),
+    /// Tells the scheduler what the store has just taken.
+    #[prost(message, tag = "11")]
+    StoredNotice(StoredNotice),
+    /// Answer to [`CellBody::StoredNotice`].
+    #[prost(message, tag = "12")]
+    NoticeReply(NoticeReply),
 }
 
 /// A node tells the scheduler that it is there.
@@ -78,6 +84,9 @@
     /// Whether the store answers it.
     #[prost(bool, tag = "3")]
     pub store_answers: bool,
+    /// The partition that the calling node should write jobs to.
+    #[prost(uint32, tag = "4")]
+    pub partition: u32,
 }
 
 /// Asks for a job's state.
@@ -202,6 +211,28 @@
     pub refused: bool,
 }
 
+/// Tells the scheduler what the store has just taken.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct StoredNotice {
+    /// Key of the record.
+    #[prost(string, tag = "1")]
+    pub key: String,
+    /// Value of the record.
+    #[prost(bytes = "bytes", tag = "2")]
+    pub value: Bytes,
+    /// The partition that has it.
+    #[prost(uint32, tag = "3")]
+    pub partition: u32,
+}
+
+/// Answer to [`StoredNotice`].
+#[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
+pub struct NoticeReply {
+    /// Whether the answering node is the scheduler and knows the job now.
+    #[prost(bool, tag = "1")]
+    pub taken: bool,
+}
+
 impl CellMessage {
     /// Encodes a message.
     #[must_use]
