Let a task return to workers on which it failed

Cause: a task kept away for good from each worker on which it had failed; where these were all that may run it, it never started again, and its job neither completed nor failed. Generated schedules showed it. Change: it keeps away for one second of waiting. Figures: two tests failed before (no start after a failure on every worker) and pass.

--- a/crates/sched/src/gang.rs
+++ b/crates/sched/src/gang.rs
@@ -129,7 +129,7 @@
         if of_job.spec.policy.advice.is_some() {
             candidates.retain(|key| of_step.advice.tickets.contains_key(key));
         }
-        let avoid = &of_step.units[0].avoid;
+        let avoid = self.avoided(job, step, 0, now);
         candidates.retain(|key| !avoid.contains(key));
         candidates
     }
--- a/crates/sched/src/options.rs
+++ b/crates/sched/src/options.rs
@@ -36,6 +36,9 @@
     pub reservation_ms: u64,
     /// A gang that has waited longer than this keeps its workers from being filled by others.
     pub gang_patience_ms: u64,
+    /// A task, or a gang, that failed on some workers goes elsewhere; where there is no room it
+    /// waits this long, and then takes them again: others may never be allowed.
+    pub avoid_ms: u64,
     /// Workers named in the first call for advice about a gang, at least.
     pub gang_advice_workers: usize,
     /// Workers named in the first call for advice about a single task, at least.
@@ -60,6 +63,7 @@
             aside_ms: 4_000,
             reservation_ms: 3_000,
             gang_patience_ms: 1_500,
+            avoid_ms: 1_000,
             gang_advice_workers: 36,
             task_advice_workers: 10,
         }
--- a/crates/sched/src/place.rs
+++ b/crates/sched/src/place.rs
@@ -94,7 +94,7 @@
                 self.serve_reserved_task(job, step, unit, now);
                 continue;
             }
-            if let Some(worker) = self.pick(job, step, unit, &allowed) {
+            if let Some(worker) = self.pick(job, step, unit, &allowed, now) {
                 self.start_unit(job, step, unit, &[worker], now);
                 continue;
             }
@@ -120,11 +120,12 @@
         step: usize,
         unit: usize,
         allowed: &[WorkerKey],
+        now: Millis,
     ) -> Option<WorkerKey> {
         let of_job = &self.jobs[job];
         let of_step = &of_job.steps[step];
         let need = of_step.spec.resources;
-        let avoid = &of_step.units[unit].avoid;
+        let avoid = self.avoided(job, step, unit, now);
         let mut best = None;
         for key in allowed {
             let worker = &self.workers[*key];
@@ -144,6 +145,22 @@
         best.map(|(_, key)| key)
     }
 
+    /// Returns the workers that a unit does not go to for now, since it failed there.
+    pub(crate) fn avoided(
+        &self,
+        job: JobKey,
+        step: usize,
+        unit: usize,
+        now: Millis,
+    ) -> &[WorkerKey] {
+        let of_step = &self.jobs[job].steps[step];
+        let waited_ms = now.since(of_step.ready_at.unwrap_or(now));
+        if waited_ms > self.options.avoid_ms {
+            return &[];
+        }
+        &of_step.units[unit].avoid
+    }
+
     /// Says whether a worker may run another task of a step: what runs there and what room is kept
     /// there for other units both count.
     fn may_share(&self, worker: WorkerKey, job: JobKey, step: usize, unit: usize) -> bool {
@@ -181,7 +198,7 @@
         let of_job = &self.jobs[job];
         let priority = of_job.spec.policy.priority;
         let need = of_job.steps[step].spec.resources;
-        let avoid = &of_job.steps[step].units[unit].avoid;
+        let avoid = self.avoided(job, step, unit, now);
         let mut best: Option<(WorkerKey, Victims)> = None;
         for key in allowed {
             let worker = &self.workers[*key];
--- a/crates/sched/tests/core/life.rs
+++ b/crates/sched/tests/core/life.rs
@@ -155,3 +155,40 @@
     driver.schedule();
     assert_eq!(driver.starts.len(), 1);
 }
+
+#[test]
+fn a_task_that_failed_on_every_worker_is_tried_again() {
+    let mut driver = Driver::new(1, 4);
+    driver.submit(1, policy(0), vec![step(1, 1)]);
+    for _ in 0..2 {
+        driver.schedule();
+        let started = driver.confirm_starts();
+        assert_eq!(started.len(), 1);
+        driver.end(&started[0], RunEnd::Failed, &[]);
+        driver.record();
+        driver.schedule();
+        driver.pass(2_000);
+    }
+    driver.schedule();
+    assert_eq!(driver.starts.len(), 1);
+}
+
+#[test]
+fn a_gang_that_failed_on_every_worker_is_tried_again() {
+    let mut driver = Driver::new(2, 2);
+    let gang = StepSpec {
+        gang: true,
+        ..step(2, 2)
+    };
+    driver.submit(1, policy(0), vec![gang]);
+    driver.schedule();
+    let started = driver.confirm_starts();
+    assert_eq!(started.len(), 2);
+    driver.end(&started[0], RunEnd::Failed, &[]);
+    driver.end(&started[1], RunEnd::Broken, &[]);
+    driver.record();
+    driver.schedule();
+    driver.pass(2_000);
+    driver.schedule();
+    assert_eq!(driver.starts.len(), 2);
+}
