Count a failed member of a gang that is listed after its broken ones

Cause: the first end of a gang's run that was listed was accounted for the run. Where that was a broken member, and the scheduler changed before the failed one was listed, the successor took the failure as accounted, let the worker forget it, and started the gang once more than its queue allows. Change: the record says which run counts as failed; a failure of a run that does not is counted.

--- a/crates/sched/src/job.rs
+++ b/crates/sched/src/job.rs
@@ -59,6 +59,8 @@
     pub(crate) started: Run,
     /// Number of the latest start whose end was taken into account.
     pub(crate) accounted: Run,
+    /// Number of the latest start that counts as failed.
+    pub(crate) failed: Run,
     pub(crate) checkpoint: SmolStr,
     /// Workers on which it failed; it goes elsewhere where it can.
     pub(crate) avoid: Vec<WorkerKey>,
@@ -82,6 +84,7 @@
             failures: 0,
             started: Run(0),
             accounted: Run(0),
+            failed: Run(0),
             checkpoint: SmolStr::new_static(""),
             avoid: Vec::new(),
             placed_before: Vec::new(),
@@ -287,6 +290,7 @@
         unit.failures = of_unit.failures;
         unit.started = of_unit.started;
         unit.accounted = of_unit.accounted;
+        unit.failed = of_unit.failed;
         unit.checkpoint = of_unit.checkpoint.clone();
         unit.placed_before.clone_from(&of_unit.workers);
     }
@@ -310,6 +314,7 @@
             kept.failures = unit.failures;
             kept.started = unit.started;
             kept.accounted = unit.accounted;
+            kept.failed = unit.failed;
             kept.checkpoint = unit.checkpoint.clone();
             kept.workers = placed_names(unit, name_of);
         }
--- a/crates/sched/src/progress.rs
+++ b/crates/sched/src/progress.rs
@@ -76,6 +76,9 @@
     /// Number of the latest start whose end is in this record.
     #[serde(rename = "a", skip_serializing_if = "is_no_run")]
     pub accounted: Run,
+    /// Number of the latest start that counts as failed.
+    #[serde(rename = "x", skip_serializing_if = "is_no_run")]
+    pub failed: Run,
     /// Where it can go on from.
     #[serde(rename = "c", skip_serializing_if = "SmolStr::is_empty")]
     pub checkpoint: SmolStr,
--- a/crates/sched/src/reports.rs
+++ b/crates/sched/src/reports.rs
@@ -380,9 +380,17 @@
         let unit = &mut step.units[unit_index];
         let is_closing =
             matches!(unit.state, UnitState::Closing { run: closing, .. } if closing == run);
-        if job.state.is_terminal() || (run <= unit.accounted && !is_closing) {
+        if job.state.is_terminal() {
             return unit.failures;
         }
+        let place = Place {
+            job: job_key,
+            step: step_index,
+            unit: unit_index,
+        };
+        if run <= unit.accounted && !is_closing {
+            return self.count_late_failure(place, run, outcome, now);
+        }
         unit.started = unit.started.max(run);
         if !checkpoint.is_empty() {
             unit.checkpoint = checkpoint;
@@ -390,11 +398,6 @@
         if outcome == Outcome::Failed && !unit.avoid.contains(&worker) {
             unit.avoid.push(worker);
         }
-        let place = Place {
-            job: job_key,
-            step: step_index,
-            unit: unit_index,
-        };
         let inherited = job.inherited && !settled;
         match &mut unit.state {
             UnitState::Placed {
@@ -427,6 +430,21 @@
         unit.failures
     }
 
+    /// Counts a failure of a run that was taken as ended for another reason: of a gang, the broken
+    /// members can be listed before the failed one. Returns the unit's failed runs.
+    fn count_late_failure(&mut self, place: Place, run: Run, outcome: Outcome, now: Millis) -> u32 {
+        let unit = self.unit_mut(place);
+        if outcome != Outcome::Failed || run <= unit.failed || unit.is_done() {
+            return unit.failures;
+        }
+        unit.failed = run;
+        unit.failures += 1;
+        let failures = unit.failures;
+        self.changed(place.job);
+        self.fail_if_spent(place, now);
+        failures
+    }
+
     /// Begins to end a gang's run, a member of which has ended.
     ///
     /// The outcome is recorded at once, so that the member's worker may forget the end.
@@ -485,7 +503,8 @@
         unit.accounted = run;
         unit.started = unit.started.max(run);
         unit.placed_before.clear();
-        if outcome == Outcome::Failed {
+        if outcome == Outcome::Failed && run > unit.failed {
+            unit.failed = run;
             unit.failures += 1;
         }
     }
--- a/crates/sched/tests/core/takeover.rs
+++ b/crates/sched/tests/core/takeover.rs
@@ -141,3 +141,23 @@
     driver.schedule();
     assert!(driver.starts.is_empty(), "it may run on the missing worker");
 }
+
+#[test]
+fn a_failed_member_that_is_listed_after_the_broken_ones_were_recorded_counts() {
+    let gang = StepSpec {
+        gang: true,
+        ..step(2, 1)
+    };
+    // The predecessor recorded that run 3 ended when it saw the broken member; two runs had failed.
+    let progress: JobProgress = serde_json::from_str(
+        r#"{"state":"running","steps":[{"units":{"0":{"f":2,"r":3,"a":3,"x":2}}}]}"#,
+    )
+    .expect("a record as it is kept");
+    let mut driver = successor(1, vec![gang], Some(&progress));
+    driver.report(driver.workers[0], &[], &[(task(0), Run(3), RunEnd::Failed)]);
+    driver.apply(Event::Ticked);
+    let (noted, left) = driver.scheduler.noted_ends(driver.workers[0]);
+    assert_eq!((noted, left), (0, true), "the failure is not stored yet");
+    driver.record();
+    assert_eq!(driver.state(1), Some(JobState::Failed));
+}
