Test whole nodes of a cell over the stand-ins of the platform

Killed schedulers, planned stops, nodes that the store turns away or does not answer, lost answers and a forgotten history: nothing is lost, nothing runs twice, and every node shows the same.

--- a/crates/cell/src/leader.rs
+++ b/crates/cell/src/leader.rs
@@ -259,6 +259,11 @@
         PendingAnswer::Known(u64::try_from(jobs).unwrap_or(u64::MAX))
     }
 
+    /// Says whether the jobs and workers were read from the store.
+    pub(crate) const fn is_loaded(&self) -> bool {
+        self.loaded.get()
+    }
+
     /// Returns what the scheduler holds.
     pub(crate) fn counts(&self) -> Counts {
         self.scheduler.borrow().counts(now())
--- a/crates/cell/src/node.rs
+++ b/crates/cell/src/node.rs
@@ -155,6 +155,12 @@
         self.store_answers() || relays
     }
 
+    /// Says whether this node is the scheduler, and has read what its predecessor left.
+    #[must_use]
+    pub fn is_scheduler(&self) -> bool {
+        self.leader().is_some_and(|leader| leader.is_loaded())
+    }
+
     /// Says whether the store answered last time.
     pub(crate) const fn store_answers(&self) -> bool {
         self.store.answers.get()
--- /dev/null
+++ b/crates/cell/tests/cell/cluster.rs
@@ -0,0 +1,288 @@
+//! Starts, stops and kills the nodes of a cell, and talks to each.
+
+use std::cell::RefCell;
+use std::net::TcpListener;
+use std::rc::Rc;
+use std::sync::mpsc;
+use std::time::Duration;
+
+use actix_rt::Arbiter;
+use smol_str::SmolStr;
+use syc_cell::Configuration;
+use syc_cell::Node;
+use syc_cell::NodeSettings;
+use syc_cell::Route;
+use syc_cell::StateAnswer;
+use syc_cell::Stored;
+use syc_cell::Timing;
+use syc_fleet::Plan;
+use syc_fleet::SharedPlatform;
+use syc_sched::AdvicePolicy;
+use syc_sched::JobId;
+use syc_sched::JobSpec;
+use syc_sched::JobState;
+use syc_sched::QueuePolicy;
+use syc_sched::StepId;
+use syc_sched::StepSpec;
+use syc_sched::TaskId;
+use syc_sched::WorkerSpec;
+use syc_types::RackId;
+use syc_types::Resources;
+use syc_types::ServiceName;
+use syc_types::WorkerId;
+use syc_types::Zone;
+
+/// The queue and service of every test.
+pub const QUEUE: &str = "queue";
+
+/// Something that must come to be has failed to when this is over.
+const LIMIT: Duration = Duration::from_secs(60);
+
+/// Waits look this often.
+const LOOK: Duration = Duration::from_millis(10);
+
+thread_local! {
+    static NODE: RefCell<Option<Rc<Node<SharedPlatform>>>> = const { RefCell::new(None) };
+}
+
+/// The nodes of a cell.
+pub struct Cluster {
+    pub platform: SharedPlatform,
+    nodes: Vec<Option<Arbiter>>,
+    _system: actix_rt::SystemRunner,
+}
+
+impl Cluster {
+    /// Starts so many nodes over so many workers of eight cores.
+    pub fn start(nodes: usize, workers: usize) -> Self {
+        let system = actix_rt::System::new();
+        let platform = SharedPlatform::new();
+        platform.publish(configuration(1));
+        for index in 0..workers {
+            platform.register(worker(index));
+        }
+        let mut cluster = Self {
+            platform,
+            nodes: Vec::new(),
+            _system: system,
+        };
+        for _ in 0..nodes {
+            cluster.add_node();
+        }
+        cluster
+    }
+
+    /// Starts one more node and returns its number.
+    pub fn add_node(&mut self) -> usize {
+        let number = self.nodes.len();
+        let platform = self.platform.for_node(&node_name(number));
+        let arbiter = Arbiter::new();
+        arbiter.spawn_fn(move || {
+            let peers = TcpListener::bind("127.0.0.1:0").expect("a free port");
+            let settings = settings(number, &peers);
+            let node = Node::start(platform, settings, peers);
+            NODE.with(|slot| *slot.borrow_mut() = Some(node));
+        });
+        self.nodes.push(Some(arbiter));
+        number
+    }
+
+    /// Runs something on the thread of a node and returns what it gave.
+    pub fn on<T, F, R>(&self, number: usize, ask: F) -> T
+    where
+        T: Send + 'static,
+        F: FnOnce(Rc<Node<SharedPlatform>>) -> R + Send + 'static,
+        R: Future<Output = T> + 'static,
+    {
+        let (sender, receiver) = mpsc::channel();
+        let arbiter = self.nodes[number].as_ref().expect("the node is up");
+        arbiter.spawn_fn(move || {
+            let node = NODE.with(|slot| slot.borrow().clone());
+            let node = node.expect("the node has started");
+            actix_rt::spawn(async move {
+                // Nobody waits any more where the test has failed.
+                let _unheard = sender.send(ask(node).await);
+            });
+        });
+        receiver.recv_timeout(LIMIT).expect("the node answers")
+    }
+
+    /// Ends a node without warning.
+    pub fn kill(&mut self, number: usize) {
+        let arbiter = self.nodes[number].take().expect("the node is up");
+        arbiter.stop();
+        arbiter.join().expect("the thread ends");
+    }
+
+    /// Returns the numbers of the nodes that are up.
+    pub fn up(&self) -> Vec<usize> {
+        let numbers = 0..self.nodes.len();
+        numbers.filter(|number| self.nodes[*number].is_some()).collect()
+    }
+
+    /// Waits until a node is the scheduler and returns its number.
+    pub fn scheduler(&self) -> usize {
+        self.wait("a scheduler", || {
+            self.up()
+                .into_iter()
+                .find(|number| self.on(*number, |node| async move { node.is_scheduler() }))
+        })
+    }
+
+    /// Waits until something is there.
+    pub fn wait<T, F>(&self, what: &str, mut look: F) -> T
+    where
+        F: FnMut() -> Option<T>,
+    {
+        let mut waited = Duration::ZERO;
+        loop {
+            if let Some(found) = look() {
+                return found;
+            }
+            assert!(waited < LIMIT, "{what} did not come to be");
+            std::thread::sleep(LOOK);
+            waited += LOOK;
+        }
+    }
+
+    /// Submits a job at a node, again and again until it is stored, as a caller does.
+    pub fn submit(&self, number: usize, id: u64, steps: Vec<StepSpec>) {
+        let spec = job(id, steps);
+        self.platform.with_fleet(|fleet| {
+            fleet.judge.submitted(spec.clone());
+            for (index, step) in (0..).zip(&spec.steps) {
+                for task in 0..step.tasks {
+                    let task = TaskId {
+                        step: StepId {
+                            job: spec.id,
+                            step: index,
+                        },
+                        index: task,
+                    };
+                    let plan = Plan {
+                        work_ms: step.estimate_ms,
+                        failing_runs: 0,
+                    };
+                    fleet.plan(task, plan);
+                }
+            }
+        });
+        self.wait("the submit to be stored", || {
+            let spec = spec.clone();
+            let stored = self.on(number, move |node| async move { node.submit(&spec).await });
+            (stored == Stored::Stored).then_some(())
+        });
+    }
+
+    /// Waits until a node shows a state of a job.
+    pub fn wait_for_state(&self, number: usize, id: u64, state: JobState) {
+        let what = format!("job {id} in state {state:?} at node {number}");
+        self.wait(&what, || {
+            let shown = self.on(number, move |node| async move { node.state(JobId(id)).await });
+            (shown == StateAnswer::Known(state)).then_some(())
+        });
+    }
+
+    /// Fails if any rule was broken on the workers.
+    pub fn assert_sound(&self) {
+        let faults = self
+            .platform
+            .with_fleet(|fleet| fleet.judge.faults().to_vec());
+        assert_eq!(faults, []);
+    }
+}
+
+impl Drop for Cluster {
+    fn drop(&mut self) {
+        for arbiter in self.nodes.iter().flatten() {
+            arbiter.stop();
+        }
+    }
+}
+
+pub fn node_name(number: usize) -> String {
+    format!("node-{number}")
+}
+
+fn settings(number: usize, peers: &TcpListener) -> NodeSettings {
+    NodeSettings {
+        name: SmolStr::from(node_name(number)),
+        peer_address: peers.local_addr().expect("a bound socket"),
+        lease_limit_ms: 10_000,
+        stop_limit_ms: 900,
+        gang_wait_ms: 3_000,
+        status_ms: 120_000,
+        partitions: 4,
+        timing: Timing::default(),
+    }
+}
+
+pub fn configuration(version: u64) -> Configuration {
+    Configuration {
+        version,
+        routes: vec![Route {
+            host: SmolStr::new_static("host"),
+            path_prefix: SmolStr::new_static("/queue/"),
+            timeout_ms: 3_000,
+            policy: policy(),
+        }],
+        body_limit_bytes: 1_000_000,
+    }
+}
+
+fn policy() -> QueuePolicy {
+    QueuePolicy {
+        queue: SmolStr::new_static(QUEUE),
+        service: ServiceName::new(QUEUE),
+        priority: 0,
+        attempts_limit: 3,
+        stretch: 2.0,
+        objective_ms: 1_000,
+        advice: Some(AdvicePolicy {
+            decision_ms: 1.0,
+            per_worker_ms: 0.1,
+            validity_ms: 2_000,
+        }),
+    }
+}
+
+fn worker(index: usize) -> WorkerSpec {
+    WorkerSpec {
+        id: WorkerId::new(format!("w-{index}")),
+        service: ServiceName::new(QUEUE),
+        address: SmolStr::new_static("127.0.0.1:1"),
+        zone: Zone::new("zone"),
+        rack: RackId::new("rack"),
+        labels: Vec::new(),
+        capacity: cpu(8),
+        draining: false,
+    }
+}
+
+fn job(id: u64, steps: Vec<StepSpec>) -> JobSpec {
+    JobSpec {
+        id: JobId(id),
+        payload: SmolStr::new_static("payload"),
+        steps,
+        policy: policy(),
+        accepted_at_ms: syc_cell::time_of_day_ms(),
+    }
+}
+
+pub fn cpu(cores: u64) -> Resources {
+    Resources {
+        cpu_millis: cores * 1_000,
+        memory_bytes: cores << 30,
+        accelerators: 0,
+    }
+}
+
+/// A step of tasks that take so long.
+pub fn step(tasks: u32, work_ms: u64) -> StepSpec {
+    StepSpec {
+        tasks,
+        resources: cpu(2),
+        estimate_ms: work_ms,
+        ..StepSpec::default()
+    }
+}
--- /dev/null
+++ b/crates/cell/tests/cell/main.rs
@@ -0,0 +1,9 @@
+//! Whole nodes of a cell, each on a thread of its own, over stand-ins of the platform.
+//!
+//! Nothing here asserts on elapsed time: a test waits for what must come to be, and fails only where
+//! it has not come long after it had to.
+
+mod cluster;
+mod service;
+mod store;
+mod takeover;
--- /dev/null
+++ b/crates/cell/tests/cell/service.rs
@@ -0,0 +1,103 @@
+//! What callers get while nothing is wrong.
+
+use syc_cell::PendingAnswer;
+use syc_cell::StateAnswer;
+use syc_cell::Stored;
+use syc_sched::JobId;
+use syc_sched::JobState;
+use syc_sched::StepSpec;
+
+use crate::cluster::Cluster;
+use crate::cluster::QUEUE;
+use crate::cluster::configuration;
+use crate::cluster::step;
+
+#[test]
+fn a_job_of_several_steps_is_done_and_every_node_shows_it() {
+    let cluster = Cluster::start(3, 2);
+    let second = StepSpec {
+        after: vec![0],
+        gang: true,
+        ..step(4, 50)
+    };
+    cluster.scheduler();
+    cluster.submit(0, 1, vec![step(3, 20), second]);
+    for number in cluster.up() {
+        cluster.wait_for_state(number, 1, JobState::Completed);
+    }
+    cluster.assert_sound();
+}
+
+#[test]
+fn a_repeated_submit_remains_one_job() {
+    let cluster = Cluster::start(3, 2);
+    cluster.scheduler();
+    for number in cluster.up() {
+        cluster.submit(number, 1, vec![step(2, 20)]);
+    }
+    cluster.wait_for_state(0, 1, JobState::Completed);
+    cluster.submit(1, 1, vec![step(2, 20)]);
+    cluster.submit(2, 2, vec![step(1, 20)]);
+    cluster.wait_for_state(0, 2, JobState::Completed);
+    cluster.wait_for_state(2, 1, JobState::Completed);
+    cluster.assert_sound();
+}
+
+#[test]
+fn a_cancelled_job_is_shown_as_such_and_leaves_its_room() {
+    let cluster = Cluster::start(2, 1);
+    cluster.scheduler();
+    cluster.submit(0, 1, vec![step(4, 600_000)]);
+    cluster.wait_for_state(1, 1, JobState::Running);
+    let stored = cluster.on(1, |node| async move { node.cancel(JobId(1)).await });
+    assert_eq!(stored, Stored::Stored);
+    cluster.wait_for_state(0, 1, JobState::Cancelled);
+    cluster.submit(0, 2, vec![step(4, 20)]);
+    cluster.wait_for_state(1, 2, JobState::Completed);
+    cluster.assert_sound();
+}
+
+#[test]
+fn a_job_that_nobody_submitted_is_known_not_to_exist() {
+    let cluster = Cluster::start(2, 1);
+    cluster.scheduler();
+    for number in cluster.up() {
+        cluster.wait("a clear answer", || {
+            let shown = cluster.on(number, |node| async move { node.state(JobId(9)).await });
+            (shown == StateAnswer::NoSuchJob).then_some(())
+        });
+    }
+}
+
+#[test]
+fn the_jobs_of_a_queue_that_have_not_begun_are_counted_at_every_node() {
+    let cluster = Cluster::start(2, 1);
+    cluster.scheduler();
+    cluster.submit(0, 1, vec![step(4, 600_000)]);
+    cluster.wait_for_state(0, 1, JobState::Running);
+    for id in 2..5 {
+        cluster.submit(1, id, vec![step(4, 20)]);
+    }
+    for number in cluster.up() {
+        cluster.wait("three waiting jobs", || {
+            let counted = cluster.on(number, |node| async move { node.pending(QUEUE).await });
+            (counted == PendingAnswer::Known(3)).then_some(())
+        });
+    }
+}
+
+#[test]
+fn only_a_newer_configuration_comes_into_force() {
+    let cluster = Cluster::start(2, 1);
+    cluster.platform.publish(configuration(7));
+    cluster.platform.publish(configuration(3));
+    cluster.platform.publish(configuration(8));
+    for number in cluster.up() {
+        cluster.wait("version 8", || {
+            let version = cluster.on(number, |node| async move {
+                node.configuration().map_or(0, |current| current.version)
+            });
+            (version == 8).then_some(())
+        });
+    }
+}
--- /dev/null
+++ b/crates/cell/tests/cell/store.rs
@@ -0,0 +1,99 @@
+//! The store turns nodes away, does not answer, loses answers, forgets its history.
+
+use std::collections::BTreeSet;
+
+use smol_str::SmolStr;
+use syc_cell::ports::Topic;
+use syc_fleet::SharedFaults;
+use syc_sched::JobState;
+
+use crate::cluster::Cluster;
+use crate::cluster::configuration;
+use crate::cluster::node_name;
+use crate::cluster::step;
+
+fn names<I>(numbers: I) -> BTreeSet<SmolStr>
+where
+    I: IntoIterator<Item = usize>,
+{
+    let names = numbers.into_iter().map(|number| SmolStr::from(node_name(number)));
+    names.collect()
+}
+
+#[test]
+fn a_node_that_the_store_turns_away_accepts_through_the_scheduler() {
+    let cluster = Cluster::start(3, 2);
+    let scheduler = cluster.scheduler();
+    let others: Vec<_> = cluster.up().into_iter().filter(|n| *n != scheduler).collect();
+    cluster.submit(others[0], 1, vec![step(1, 20)]);
+    cluster.wait_for_state(others[0], 1, JobState::Completed);
+    cluster.platform.set_faults(SharedFaults {
+        turned_away: names([others[0]]),
+        ..SharedFaults::default()
+    });
+    cluster.submit(others[0], 2, vec![step(1, 20)]);
+    cluster.wait_for_state(others[0], 2, JobState::Completed);
+    cluster.assert_sound();
+}
+
+#[test]
+fn a_scheduler_that_the_store_does_not_answer_is_replaced() {
+    let cluster = Cluster::start(3, 2);
+    let first = cluster.scheduler();
+    cluster.submit(first, 1, vec![step(2, 2_000)]);
+    cluster.wait_for_state(first, 1, JobState::Running);
+    cluster.platform.set_faults(SharedFaults {
+        cut_off: names([first]),
+        ..SharedFaults::default()
+    });
+    let second = cluster.wait("another scheduler", || {
+        let mut others = cluster.up().into_iter().filter(|number| *number != first);
+        others.find(|number| cluster.on(*number, |node| async move { node.is_scheduler() }))
+    });
+    cluster.wait_for_state(second, 1, JobState::Completed);
+    cluster.assert_sound();
+}
+
+#[test]
+fn lost_answers_lose_and_double_nothing() {
+    let cluster = Cluster::start(2, 2);
+    cluster.scheduler();
+    for id in 1..=8 {
+        cluster.platform.set_faults(SharedFaults {
+            lost_appends: 2,
+            lost_starts: 1,
+            ..SharedFaults::default()
+        });
+        cluster.submit(0, id, vec![step(2, 30)]);
+    }
+    for id in 1..=8 {
+        cluster.wait_for_state(1, id, JobState::Completed);
+    }
+    cluster.assert_sound();
+}
+
+#[test]
+fn a_forgotten_history_hides_nothing() {
+    let cluster = Cluster::start(2, 2);
+    cluster.scheduler();
+    cluster.platform.set_faults(SharedFaults {
+        turned_away: names([0, 1]),
+        ..SharedFaults::default()
+    });
+    cluster.platform.publish(configuration(2));
+    for topic in [Topic::Operators, Topic::Workers, Topic::Jobs, Topic::Holders] {
+        cluster.platform.with_store(|store| store.forget_history(topic));
+    }
+    cluster.platform.set_faults(SharedFaults::default());
+    for number in cluster.up() {
+        cluster.wait("version 2", || {
+            let version = cluster.on(number, |node| async move {
+                node.configuration().map_or(0, |current| current.version)
+            });
+            (version == 2).then_some(())
+        });
+    }
+    cluster.submit(0, 1, vec![step(2, 20)]);
+    cluster.wait_for_state(1, 1, JobState::Completed);
+    cluster.assert_sound();
+}
--- /dev/null
+++ b/crates/cell/tests/cell/takeover.rs
@@ -0,0 +1,53 @@
+//! The scheduler ends, as planned or not, and another goes on.
+
+use syc_sched::JobState;
+
+use crate::cluster::Cluster;
+use crate::cluster::step;
+
+#[test]
+fn work_goes_on_when_the_scheduler_is_killed() {
+    let mut cluster = Cluster::start(3, 2);
+    let first = cluster.scheduler();
+    for id in 1..=6 {
+        cluster.submit(0, id, vec![step(2, 1_500)]);
+    }
+    cluster.wait_for_state(0, 1, JobState::Running);
+    cluster.kill(first);
+    let second = cluster.scheduler();
+    assert_ne!(first, second);
+    for id in 1..=6 {
+        cluster.wait_for_state(second, id, JobState::Completed);
+    }
+    cluster.assert_sound();
+}
+
+#[test]
+fn a_planned_stop_hands_the_role_on() {
+    let cluster = Cluster::start(3, 2);
+    let first = cluster.scheduler();
+    cluster.submit(first, 1, vec![step(4, 1_000)]);
+    cluster.on(first, |node| async move { node.begin_stop().await });
+    let second = cluster.scheduler();
+    assert_ne!(first, second);
+    cluster.wait_for_state(second, 1, JobState::Completed);
+    let ready = cluster.on(first, |node| async move { node.is_ready() });
+    assert!(!ready, "a node that stops takes no new connections");
+    cluster.assert_sound();
+}
+
+#[test]
+fn accepted_jobs_outlast_the_end_of_all_nodes() {
+    let mut cluster = Cluster::start(2, 2);
+    cluster.scheduler();
+    cluster.submit(0, 1, vec![step(2, 20)]);
+    cluster.wait_for_state(1, 1, JobState::Completed);
+    cluster.submit(1, 2, vec![step(2, 3_000)]);
+    for number in cluster.up() {
+        cluster.kill(number);
+    }
+    let last = cluster.add_node();
+    cluster.wait_for_state(last, 2, JobState::Completed);
+    cluster.wait_for_state(last, 1, JobState::Completed);
+    cluster.assert_sound();
+}
