--- a/crates/cell/tests/cell/cluster.rs
+++ b/crates/cell/tests/cell/cluster.rs
@@ -117,7 +117,9 @@
     /// Returns the numbers of the nodes that are up.
     pub fn up(&self) -> Vec<usize> {
         let numbers = 0..self.nodes.len();
-        numbers.filter(|number| self.nodes[*number].is_some()).collect()
+        numbers
+            .filter(|number| self.nodes[*number].is_some())
+            .collect()
     }
 
     /// Waits until a node is the scheduler and returns its number.
@@ -178,7 +180,10 @@
     pub fn wait_for_state(&self, number: usize, id: u64, state: JobState) {
         let what = format!("job {id} in state {state:?} at node {number}");
         self.wait(&what, || {
-            let shown = self.on(number, move |node| async move { node.state(JobId(id)).await });
+            let shown = self.on(
+                number,
+                move |node| async move { node.state(JobId(id)).await },
+            );
             (shown == StateAnswer::Known(state)).then_some(())
         });
     }
--- a/crates/cell/tests/cell/store.rs
+++ b/crates/cell/tests/cell/store.rs
@@ -16,7 +16,9 @@
 where
     I: IntoIterator<Item = usize>,
 {
-    let names = numbers.into_iter().map(|number| SmolStr::from(node_name(number)));
+    let names = numbers
+        .into_iter()
+        .map(|number| SmolStr::from(node_name(number)));
     names.collect()
 }
 
@@ -24,7 +26,11 @@
 fn a_node_that_the_store_turns_away_accepts_through_the_scheduler() {
     let cluster = Cluster::start(3, 2);
     let scheduler = cluster.scheduler();
-    let others: Vec<_> = cluster.up().into_iter().filter(|n| *n != scheduler).collect();
+    let others: Vec<_> = cluster
+        .up()
+        .into_iter()
+        .filter(|n| *n != scheduler)
+        .collect();
     cluster.submit(others[0], 1, vec![step(1, 20)]);
     cluster.wait_for_state(others[0], 1, JobState::Completed);
     cluster.platform.set_faults(SharedFaults {
@@ -81,8 +87,15 @@
         ..SharedFaults::default()
     });
     cluster.platform.publish(configuration(2));
-    for topic in [Topic::Operators, Topic::Workers, Topic::Jobs, Topic::Holders] {
-        cluster.platform.with_store(|store| store.forget_history(topic));
+    for topic in [
+        Topic::Operators,
+        Topic::Workers,
+        Topic::Jobs,
+        Topic::Holders,
+    ] {
+        cluster
+            .platform
+            .with_store(|store| store.forget_history(topic));
     }
     cluster.platform.set_faults(SharedFaults::default());
     for number in cluster.up() {
