--- a/crates/cell/tests/cell/cluster.rs
+++ b/crates/cell/tests/cell/cluster.rs
@@ -36,7 +36,7 @@
 pub const QUEUE: &str = "queue";
 
 /// Something that must come to be has failed to when this is over.
-const LIMIT: Duration = Duration::from_secs(60);
+const LIMIT: Duration = Duration::from_mins(1);
 
 /// Waits look this often.
 const LOOK: Duration = Duration::from_millis(10);
@@ -136,12 +136,16 @@
     where
         F: FnMut() -> Option<T>,
     {
+        let nodes = self.nodes.len();
         let mut waited = Duration::ZERO;
         loop {
             if let Some(found) = look() {
                 return found;
             }
-            assert!(waited < LIMIT, "{what} did not come to be");
+            assert!(
+                waited < LIMIT,
+                "{what} did not come to be with {nodes} nodes"
+            );
             std::thread::sleep(LOOK);
             waited += LOOK;
         }
--- a/crates/sched/src/reports.rs
+++ b/crates/sched/src/reports.rs
@@ -27,6 +27,9 @@
 use crate::worker::Worker;
 use crate::worker::WorkerRun;
 
+/// The members of a gang that is done have all ended after this time.
+const LAST_ENDS_MS: u64 = 1_000;
+
 impl Scheduler {
     pub(crate) fn worker_listed(&mut self, spec: WorkerSpec, now: Millis) {
         if let Some(key) = self.worker_keys.get(&spec.id).copied() {
@@ -195,12 +198,15 @@
         let stopped_long = now.since(of_run.ordered_at) > self.options.stop_ms * 2;
         if of_run.phase == Phase::Stopping && of_run.stop_taken_at.is_some() && stopped_long {
             self.order_stop(key, listed.task, listed.run, StopReason::Unwanted, now);
-        } else if of_run.phase == Phase::Running && !self.is_wanted(listed.task, listed.run) {
+        } else if of_run.phase == Phase::Running && !self.is_wanted(listed.task, listed.run, now) {
             self.stop_run(key, listed.task, listed.run, StopReason::Unwanted, now);
         }
     }
 
-    fn is_wanted(&self, task: TaskId, run: Run) -> bool {
+    fn is_wanted(&self, task: TaskId, run: Run, now: Millis) -> bool {
+        if self.ends_by_itself(task, now) {
+            return true;
+        }
         let Some((job, step, unit, _member)) = self.locate(task) else {
             return false;
         };
@@ -214,6 +220,18 @@
         same && !job.state.is_terminal()
     }
 
+    /// Says whether a run belongs to a job that has just completed: the members of a gang end within
+    /// milliseconds of each other. Orders to stop the rest were three in four of all stops on a calm
+    /// day: 426 of 561 in its log.
+    fn ends_by_itself(&self, task: TaskId, now: Millis) -> bool {
+        let Some(key) = self.job_keys.get(&task.step.job) else {
+            return false;
+        };
+        let job = &self.jobs[*key];
+        let ended_at = job.ended_at.filter(|_| job.state == JobState::Completed);
+        ended_at.is_some_and(|at| now.since(at) <= LAST_ENDS_MS)
+    }
+
     /// Ends the runs that a worker should list and does not.
     ///
     /// A report can be older than the answer to an order, so only what the worker knew when the
--- a/crates/sched/tests/core/life.rs
+++ b/crates/sched/tests/core/life.rs
@@ -192,3 +192,23 @@
     driver.schedule();
     assert_eq!(driver.starts.len(), 2);
 }
+
+#[test]
+fn the_other_members_of_a_gang_that_is_done_are_left_to_end_by_themselves() {
+    let mut driver = Driver::new(1, 4);
+    let gang = StepSpec {
+        gang: true,
+        ..step(2, 2)
+    };
+    driver.submit(1, policy(0), vec![gang]);
+    driver.schedule();
+    let started = driver.confirm_starts();
+    let other = (started[1].task, started[1].run, 99);
+    driver.end(&started[0], RunEnd::Done, &[other]);
+    driver.record();
+    driver.hold(started[1].worker, &[other]);
+    assert_eq!(driver.stops, []);
+    driver.pass(2_000);
+    driver.hold(started[1].worker, &[other]);
+    assert_eq!(driver.stops.len(), 1, "it did not end with the others");
+}
