Send an append again while its answer is missing

Cause: an append without an answer was given up after 700 ms and a submit after two of them; where a third of the answers is lost, callers heard "in doubt" or gave up. Change: an append that does no harm twice is sent again after four times the usual time, and then after doubled waits, four times in all. A slow answer raises the usual time at once, a missing one threefold, so that a slow store, which takes each copy as long as the append, is not pressed. The test failed before (in doubt after three lost answers).

--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -21,6 +21,7 @@
 mod queries;
 pub mod records;
 mod settings;
+mod store_calls;
 
 pub use accept::Stored;
 pub use clock::now;
--- a/crates/cell/src/node.rs
+++ b/crates/cell/src/node.rs
@@ -29,15 +29,8 @@
 use crate::holders;
 use crate::leader::Leader;
 use crate::log;
-use crate::ports::AppendError;
-use crate::ports::Appended;
-use crate::ports::Condition;
-use crate::ports::Newest;
-use crate::ports::Page;
 use crate::ports::Platform;
-use crate::ports::ReadError;
-use crate::ports::Record;
-use crate::ports::Topic;
+use crate::store_calls::StoreHealth;
 
 /// A planned stop looks this often whether the node is idle.
 const IDLE_LOOK_MS: u64 = 50;
@@ -55,14 +48,6 @@
     pub token: u64,
 }
 
-/// Whether the store answers this node.
-#[derive(Debug)]
-pub(crate) struct StoreHealth {
-    answers: Cell<bool>,
-    last_failure_at: Cell<Millis>,
-    last_answer_at: Cell<Millis>,
-}
-
 /// A node of a cell; it lives on one arbiter.
 #[derive(Debug)]
 pub struct Node<P>
@@ -108,11 +93,7 @@
             metrics: CellMetrics::new(),
             incarnation: rand::rngs::SmallRng::from_os_rng().random_range(1..=u64::from(u32::MAX)),
             configuration: RefCell::default(),
-            store: StoreHealth {
-                answers: Cell::new(true),
-                last_failure_at: Cell::new(began),
-                last_answer_at: Cell::new(began),
-            },
+            store: StoreHealth::new(began),
             holder: RefCell::default(),
             link: RefCell::default(),
             leader: RefCell::default(),
@@ -161,16 +142,6 @@
         self.leader().is_some_and(|leader| leader.is_loaded())
     }
 
-    /// Says whether the store answered last time.
-    pub(crate) const fn store_answers(&self) -> bool {
-        self.store.answers.get()
-    }
-
-    /// Returns when the store last failed to answer.
-    pub(crate) const fn store_failed_at(&self) -> Millis {
-        self.store.last_failure_at.get()
-    }
-
     /// Returns the scheduler, if this node is it.
     pub(crate) fn leader(&self) -> Option<Rc<Leader<P>>> {
         self.leader.borrow().clone()
@@ -222,93 +193,6 @@
         log::stopped();
         flush_lines();
     }
-
-    /// Appends to the store, within the time that a sound store needs.
-    pub(crate) async fn append(
-        &self,
-        topic: Topic,
-        partition: u32,
-        records: &[Record],
-        condition: &Condition,
-    ) -> Result<Appended, AppendError> {
-        let began = now();
-        let limit = Duration::from_millis(self.settings.timing.store_timeout_ms);
-        let call = self.platform.append(topic, partition, records, condition);
-        let outcome = match tokio::time::timeout(limit, call).await {
-            Ok(outcome) => outcome,
-            Err(_elapsed) => Err(AppendError::InDoubt(SmolStr::new_static("timed out"))),
-        };
-        let result = match &outcome {
-            Ok(_) => "ok",
-            Err(AppendError::Refused(_)) => "refused",
-            Err(AppendError::InDoubt(_)) => "in_doubt",
-            Err(_) => "conflict",
-        };
-        self.note_store("append", result, began);
-        outcome
-    }
-
-    /// Reads from the store, within the wait and the time that a sound store needs.
-    pub(crate) async fn read(
-        &self,
-        topic: Topic,
-        partition: u32,
-        from: u64,
-        wait_ms: u64,
-    ) -> Result<Page, ReadError> {
-        let began = now();
-        let limit_ms = wait_ms + self.settings.timing.store_timeout_ms;
-        let call = self.platform.read(topic, partition, from, wait_ms);
-        let outcome = within(limit_ms, call).await;
-        self.note_read("read", &outcome, began);
-        outcome
-    }
-
-    /// Reads the newest record of each key from the store.
-    pub(crate) async fn newest(&self, topic: Topic, partition: u32) -> Result<Newest, ReadError> {
-        let began = now();
-        let limit_ms = 4 * self.settings.timing.store_timeout_ms;
-        let call = self.platform.newest(topic, partition);
-        let outcome = within(limit_ms, call).await;
-        self.note_read("newest", &outcome, began);
-        outcome
-    }
-
-    fn note_read<T>(&self, kind: &'static str, outcome: &Result<T, ReadError>, began: Millis) {
-        let result = match outcome {
-            Ok(_) => "ok",
-            Err(ReadError::Gone { .. }) => "gone",
-            Err(ReadError::Unavailable(_)) => "refused",
-            Err(ReadError::Malformed(_)) => "malformed",
-        };
-        self.note_store(kind, result, began);
-    }
-
-    fn note_store(&self, kind: &'static str, result: &'static str, began: Millis) {
-        let ended = now();
-        self.metrics.store_call(kind, result, ended.since(began));
-        let answers = !matches!(result, "refused" | "in_doubt");
-        if answers {
-            self.store.last_answer_at.set(ended);
-        } else {
-            self.store.last_failure_at.set(ended);
-        }
-        if self.store.answers.replace(answers) != answers {
-            let silent_ms = ended.since(self.store.last_answer_at.get());
-            log::store_health(answers, kind, result, silent_ms);
-        }
-    }
-}
-
-async fn within<T, F>(limit_ms: u64, call: F) -> Result<T, ReadError>
-where
-    F: Future<Output = Result<T, ReadError>>,
-{
-    let limit = Duration::from_millis(limit_ms);
-    match tokio::time::timeout(limit, call).await {
-        Ok(outcome) => outcome,
-        Err(_elapsed) => Err(ReadError::Unavailable(SmolStr::new_static("timed out"))),
-    }
 }
 
 async fn tick<P>(node: Rc<Node<P>>)
@@ -326,21 +210,17 @@
     }
 }
 
-/// Finds out quickly that the store answers again: calls that wait for it find out late.
+/// Finds out quickly that the store answers again.
 async fn probe_store<P>(node: Rc<Node<P>>)
 where
     P: Platform,
 {
-    let timing = node.settings.timing;
+    let interval = Duration::from_millis(node.settings.timing.probe_ms);
     loop {
-        actix_rt::time::sleep(Duration::from_millis(timing.probe_ms)).await;
-        if node.store_answers() {
-            continue;
+        actix_rt::time::sleep(interval).await;
+        if !node.store_answers() {
+            node.probe().await;
         }
-        let began = now();
-        let read = node.platform.read(Topic::Holders, 0, 0, 0);
-        let outcome = within(timing.probe_timeout_ms, read).await;
-        node.note_read("probe", &outcome, began);
     }
 }
 
--- a/crates/cell/tests/cell/cluster.rs
+++ b/crates/cell/tests/cell/cluster.rs
@@ -154,6 +154,26 @@
     /// Submits a job at a node, again and again until it is stored, as a caller does.
     pub fn submit(&self, number: usize, id: u64, steps: Vec<StepSpec>) {
         let spec = job(id, steps);
+        self.expect(&spec);
+        self.wait("the submit to be stored", || {
+            (self.send(number, &spec) == Stored::Stored).then_some(())
+        });
+    }
+
+    /// Submits a job at a node, once.
+    pub fn submit_once(&self, number: usize, id: u64, steps: Vec<StepSpec>) -> Stored {
+        let spec = job(id, steps);
+        self.expect(&spec);
+        self.send(number, &spec)
+    }
+
+    fn send(&self, number: usize, spec: &JobSpec) -> Stored {
+        let spec = spec.clone();
+        self.on(number, move |node| async move { node.submit(&spec).await })
+    }
+
+    /// Tells the workers how the tasks of a job go.
+    fn expect(&self, spec: &JobSpec) {
         self.platform.with_fleet(|fleet| {
             fleet.judge.submitted(spec.clone());
             for (index, step) in (0..).zip(&spec.steps) {
@@ -173,11 +193,6 @@
                 }
             }
         });
-        self.wait("the submit to be stored", || {
-            let spec = spec.clone();
-            let stored = self.on(number, move |node| async move { node.submit(&spec).await });
-            (stored == Stored::Stored).then_some(())
-        });
     }
 
     /// Waits until a node shows a state of a job.
--- a/crates/cell/tests/cell/store.rs
+++ b/crates/cell/tests/cell/store.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeSet;
 
 use smol_str::SmolStr;
+use syc_cell::Stored;
 use syc_cell::ports::Topic;
 use syc_fleet::SharedFaults;
 use syc_sched::JobState;
@@ -78,6 +79,20 @@
     cluster.assert_sound();
 }
 
+#[test]
+fn a_submit_outlasts_three_lost_answers() {
+    let cluster = Cluster::start(1, 1);
+    let node = cluster.scheduler();
+    cluster.platform.set_faults(SharedFaults {
+        lost_submits: 3,
+        ..SharedFaults::default()
+    });
+    let stored = cluster.submit_once(node, 1, vec![step(1, 20)]);
+    assert_eq!(stored, Stored::Stored);
+    cluster.wait_for_state(node, 1, JobState::Completed);
+    cluster.assert_sound();
+}
+
 #[test]
 fn a_forgotten_history_hides_nothing() {
     let cluster = Cluster::start(2, 2);
--- a/crates/fleet/src/shared.rs
+++ b/crates/fleet/src/shared.rs
@@ -58,6 +58,8 @@
     pub cut_off: BTreeSet<SmolStr>,
     /// Appends that are carried out and not answered; so many from now on.
     pub lost_appends: u32,
+    /// Appends of jobs that are carried out and not answered; so many from now on.
+    pub lost_submits: u32,
     /// Starts that are carried out and not answered; so many from now on.
     pub lost_starts: u32,
 }
@@ -200,8 +202,14 @@
         }
         let (appended, lost) = {
             let mut state = self.lock();
-            let lost = state.faults.lost_appends > 0;
-            state.faults.lost_appends = state.faults.lost_appends.saturating_sub(1);
+            let faults = &mut state.faults;
+            let left = if topic == Topic::Jobs && faults.lost_submits > 0 {
+                &mut faults.lost_submits
+            } else {
+                &mut faults.lost_appends
+            };
+            let lost = *left > 0;
+            *left = left.saturating_sub(1);
             let appended = state.store.append(topic, partition, records, condition);
             (appended, lost)
         };
