Refuse what waits behind an append that the store does not answer

Cause: a submit queued behind an unanswered append was sent next, to the same silent store, and its caller heard "in doubt" after up to 1,730 ms. Change: when the store stops answering, what was never sent is answered as refused at once.

--- a/crates/cell/src/accept.rs
+++ b/crates/cell/src/accept.rs
@@ -56,6 +56,8 @@
     until: Millis,
     refusals: u32,
     doubt: bool,
+    /// Whether it was sent to the store.
+    sent: bool,
     reply: oneshot::Sender<Stored>,
 }
 
@@ -67,7 +69,26 @@
     fn take_batch(&self) -> Vec<Waiting> {
         let mut waiting = self.waiting.borrow_mut();
         let count = waiting.len().min(BATCH_RECORDS);
-        waiting.drain(..count).collect()
+        let mut batch: Vec<_> = waiting.drain(..count).collect();
+        for waiting in &mut batch {
+            waiting.sent = true;
+        }
+        batch
+    }
+
+    /// Answers what waits behind an append that the store did not answer: what was never sent is
+    /// surely not stored, and its caller is better off to come back than to wait for the next.
+    fn refuse_unsent(&self) {
+        let mut waiting = self.waiting.borrow_mut();
+        let all = std::mem::take(&mut *waiting);
+        for one in all {
+            if one.sent {
+                waiting.push_back(one);
+            } else {
+                // A caller that left needs no answer.
+                let _left = one.reply.send(Stored::Refused);
+            }
+        }
     }
 }
 
@@ -163,6 +184,7 @@
             until,
             refusals: 0,
             doubt: false,
+            sent: false,
             reply,
         });
         if !queue.running.replace(true) {
@@ -221,6 +243,9 @@
             Err(AppendError::InDoubt(_)) => false,
             Err(_) => true,
         };
+        if !node.store_answers() {
+            queue.refuse_unsent();
+        }
         for waiting in batch {
             retry_or_answer(queue, waiting, refused);
         }
--- a/crates/cell/tests/cell/cluster.rs
+++ b/crates/cell/tests/cell/cluster.rs
@@ -167,6 +167,20 @@
         self.send(number, &spec)
     }
 
+    /// Submits two jobs at a node, the second while the first is under way.
+    pub fn submit_behind(&self, number: usize, ids: [u64; 2]) -> [Stored; 2] {
+        let [first, second] = ids.map(|id| job(id, vec![step(1, 20)]));
+        self.expect(&first);
+        self.expect(&second);
+        self.on(number, move |node| async move {
+            let behind = Rc::clone(&node);
+            let first = actix_rt::spawn(async move { node.submit(&first).await });
+            actix_rt::time::sleep(LOOK).await;
+            let second = behind.submit(&second).await;
+            [first.await.expect("an outcome"), second]
+        })
+    }
+
     fn send(&self, number: usize, spec: &JobSpec) -> Stored {
         let spec = spec.clone();
         self.on(number, move |node| async move { node.submit(&spec).await })
--- a/crates/cell/tests/cell/store.rs
+++ b/crates/cell/tests/cell/store.rs
@@ -3,9 +3,11 @@
 use std::collections::BTreeSet;
 
 use smol_str::SmolStr;
+use syc_cell::StateAnswer;
 use syc_cell::Stored;
 use syc_cell::ports::Topic;
 use syc_fleet::SharedFaults;
+use syc_sched::JobId;
 use syc_sched::JobState;
 
 use crate::cluster::Cluster;
@@ -93,6 +95,23 @@
     cluster.assert_sound();
 }
 
+#[test]
+fn a_submit_behind_one_that_the_store_does_not_answer_is_refused_and_never_runs() {
+    let cluster = Cluster::start(1, 1);
+    let node = cluster.scheduler();
+    cluster.platform.set_faults(SharedFaults {
+        cut_off: names([node]),
+        ..SharedFaults::default()
+    });
+    let outcomes = cluster.submit_behind(node, [1, 2]);
+    assert_eq!(outcomes, [Stored::InDoubt, Stored::Refused]);
+    cluster.platform.set_faults(SharedFaults::default());
+    cluster.submit(node, 3, vec![step(1, 20)]);
+    cluster.wait_for_state(node, 3, JobState::Completed);
+    let shown = cluster.on(node, |node| async move { node.state(JobId(2)).await });
+    assert_eq!(shown, StateAnswer::NoSuchJob);
+}
+
 #[test]
 fn a_forgotten_history_hides_nothing() {
     let cluster = Cluster::start(2, 2);
