Tell the story of a job or request out of the logs

`syc story ID` reads the logs of a cell's nodes and prints, in order, what they tell of a job or of a caller's request, with the changes of scheduler and dependencies in that time. Each line now names its node.

--- a/crates/cli/src/arguments.rs
+++ b/crates/cli/src/arguments.rs
@@ -57,6 +57,8 @@
     Result(String),
     /// Show the daemons.
     Status,
+    /// Tell what the logs say of a job or request.
+    Story(String),
     /// Submit a job.
     Submit(String),
 }
@@ -208,6 +210,7 @@
         "import" => Ok(Command::Import(operand)),
         "publish" => Ok(Command::Publish(operand)),
         "result" => Ok(Command::Result(operand)),
+        "story" => Ok(Command::Story(operand)),
         "submit" => Ok(Command::Submit(operand)),
         _ => Err(unknown_command(name)),
     }
--- a/crates/cli/src/commands.rs
+++ b/crates/cli/src/commands.rs
@@ -11,6 +11,7 @@
 mod publish;
 mod result;
 mod status;
+mod story;
 mod submit;
 
 use miette::miette;
@@ -40,6 +41,7 @@
         Command::Publish(path) => publish::run(path, options).await,
         Command::Result(job) => result::run(job, options).await,
         Command::Status => status::run(options).await,
+        Command::Story(id) => story::run(id),
         Command::Submit(path) => submit::run(path, options).await,
     }
 }
--- a/crates/cli/src/help.rs
+++ b/crates/cli/src/help.rs
@@ -145,6 +145,18 @@
 that answers sees.
 
 Options: --control, --json",
+    },
+    Topic {
+        name: "story",
+        operand: "ID",
+        summary: "Tell what the logs say of a job or a request, in order",
+        detail: "\
+Reads the logs of a cell's nodes, one JSON object a line, from standard input:
+`cat node-*.log | syc story ID`. ID is that of a job, or of a caller's request.
+Changes that touch every job in that time, such as a new scheduler, are shown
+with it. docs/OPERATIONS.md reads three stories.
+
+Options: --json",
     },
     Topic {
         name: "submit",
--- a/crates/cli/tests/cli/main.rs
+++ b/crates/cli/tests/cli/main.rs
@@ -5,4 +5,5 @@
 mod jobs;
 mod operators;
 mod session;
+mod story;
 mod usage;
--- a/crates/cli/tests/cli/usage.rs
+++ b/crates/cli/tests/cli/usage.rs
@@ -5,9 +5,9 @@
 use crate::bed::syc;
 
 /// Every command of the tool.
-const COMMANDS: [&str; 13] = [
+const COMMANDS: [&str; 14] = [
     "audit", "cancel", "check", "config", "diff", "drain", "explain", "history", "import",
-    "publish", "result", "status", "submit",
+    "publish", "result", "status", "story", "submit",
 ];
 
 #[actix_rt::test]
--- a/crates/obs/src/lines.rs
+++ b/crates/obs/src/lines.rs
@@ -53,13 +53,17 @@
 
 static OUTPUT: Mutex<Output> = Mutex::new(Output::new());
 
-/// Sends log events to standard output as structured lines.
+/// Sends log events of the node of this name to standard output as structured lines.
 ///
 /// # Errors
 ///
 /// Fails where the logger can't be built.
-pub fn start_lines(options: LineOptions) -> Result<(), spdlog::Error> {
-    output().options = Some(options);
+pub fn start_lines(node: &str, options: LineOptions) -> Result<(), spdlog::Error> {
+    {
+        let mut output = output();
+        output.options = Some(options);
+        output.node = serde_json::Value::from(node).to_string();
+    }
     let logger = Logger::builder().sink(Arc::new(LineSink)).build()?;
     spdlog::set_default_logger(Arc::new(logger));
     Ok(())
@@ -175,6 +179,8 @@
 #[derive(Debug)]
 struct Output {
     options: Option<LineOptions>,
+    /// Name of the node, in its JSON form.
+    node: String,
     waiting: String,
     second: u64,
     lines: u32,
@@ -186,6 +192,7 @@
     const fn new() -> Self {
         Self {
             options: None,
+            node: String::new(),
             waiting: String::new(),
             second: 0,
             lines: 0,
@@ -203,8 +210,13 @@
             self.dropped.set(self.dropped.get() + 1);
             return;
         }
-        self.waiting.push_str(line);
-        self.waiting.push('\n');
+        // Every line is an object that is not empty.
+        self.waiting.push_str(line.strip_suffix('}').unwrap_or(line));
+        if !self.node.is_empty() {
+            self.waiting.push_str(r#","node":"#);
+            self.waiting.push_str(&self.node);
+        }
+        self.waiting.push_str("}\n");
         if self.waiting.len() >= PIPE_BYTES * 4 {
             self.write_some();
         }
