Answer at once a submit in doubt whose store does not answer, and name the scheduler apart

Cause: a submit that was in doubt after 700 ms was sent again to a store that was known not to answer: in doubt after 1,443 ms instead. The line of a new scheduler had two fields called node. Change: without prospect it is answered; the field is called scheduler. Tests hold that a line stays one JSON object whatever a caller sent, and that lines of failures are dropped last.

--- a/crates/cell/src/accept.rs
+++ b/crates/cell/src/accept.rs
@@ -243,23 +243,27 @@
             Err(AppendError::InDoubt(_)) => false,
             Err(_) => true,
         };
-        if !node.store_answers() {
+        let answers = node.store_answers();
+        if !answers {
             queue.refuse_unsent();
         }
         for waiting in batch {
-            retry_or_answer(queue, waiting, refused);
+            retry_or_answer(queue, waiting, refused, answers);
         }
         actix_rt::time::sleep(Duration::from_millis(RETRY_MS)).await;
     }
 }
 
-fn retry_or_answer(queue: &AcceptQueue, mut waiting: Waiting, refused: bool) {
+/// Sends a record again, unless that is without prospect: its caller then hears at once what is
+/// certain.
+fn retry_or_answer(queue: &AcceptQueue, mut waiting: Waiting, refused: bool, store_answers: bool) {
     if refused {
         waiting.refusals += 1;
     } else {
         waiting.doubt = true;
     }
-    if now() < waiting.until && waiting.refusals < REFUSALS_LIMIT {
+    let has_prospect = store_answers || refused;
+    if has_prospect && now() < waiting.until && waiting.refusals < REFUSALS_LIMIT {
         queue.waiting.borrow_mut().push_back(waiting);
         return;
     }
--- a/crates/cell/src/log.rs
+++ b/crates/cell/src/log.rs
@@ -23,7 +23,6 @@
 
 pub(crate) fn started(settings: &NodeSettings, incarnation: u64) {
     Line::new(catalogue::NODE_STARTED)
-        .text("node", &settings.name)
         .display("peer_address", settings.peer_address)
         .number("incarnation", incarnation)
         .number("lease_ms", settings.lease_ms())
@@ -90,7 +89,7 @@
 
 pub(crate) fn holder(holder: Option<&Holder>) {
     Line::new(catalogue::HOLDER_SEEN)
-        .text("node", holder.map_or("", |holder| &holder.node))
+        .text("scheduler", holder.map_or("", |holder| &holder.node))
         .number("token", holder.map_or(0, |holder| holder.token))
         .emit();
 }
--- a/crates/obs/src/lines.rs
+++ b/crates/obs/src/lines.rs
@@ -211,7 +211,8 @@
             return;
         }
         // Every line is an object that is not empty.
-        self.waiting.push_str(line.strip_suffix('}').unwrap_or(line));
+        self.waiting
+            .push_str(line.strip_suffix('}').unwrap_or(line));
         if !self.node.is_empty() {
             self.waiting.push_str(r#","node":"#);
             self.waiting.push_str(&self.node);
--- /dev/null
+++ b/crates/obs/tests/lines.rs
@@ -0,0 +1,78 @@
+//! Structured lines stay single JSON objects, whatever they carry.
+
+use std::process::Command;
+use std::process::Stdio;
+
+use syc_obs::Line;
+use syc_obs::LineOptions;
+use syc_obs::catalogue;
+use syc_obs::flush_lines;
+use syc_obs::start_lines;
+
+/// Marks the process that writes the lines; its output is read by the test that started it.
+const WRITER_VARIABLE: &str = "SYC_TEST_LINES_WRITER";
+
+fn written_by(test: &str) -> Vec<String> {
+    let output = Command::new(std::env::current_exe().expect("this program"))
+        .args(["--exact", test, "--nocapture"])
+        .env(WRITER_VARIABLE, "1")
+        .stdout(Stdio::piped())
+        .output()
+        .expect("the writer");
+    let text = String::from_utf8(output.stdout).expect("text");
+    let lines = text.lines().filter(|line| line.starts_with('{'));
+    lines.map(str::to_owned).collect()
+}
+
+fn is_writer() -> bool {
+    std::env::var_os(WRITER_VARIABLE).is_some()
+}
+
+#[test]
+fn what_a_caller_sent_breaks_no_line() {
+    let hostile = "a\"}\n{\"x\":\u{1}\\";
+    if is_writer() {
+        start_lines("n\"1", LineOptions::default()).expect("a logger");
+        Line::new(catalogue::SUBMIT_REFUSED)
+            .text("request", hostile)
+            .number("took_ms", 5_u64)
+            .flag("store_answers", false)
+            .emit();
+        flush_lines();
+        return;
+    }
+    let lines = written_by("what_a_caller_sent_breaks_no_line");
+    assert_eq!(lines.len(), 1, "{lines:?}");
+    let line: serde_json::Value = serde_json::from_str(&lines[0]).expect("one JSON object");
+    assert_eq!(line["request"], hostile);
+    assert_eq!(line["node"], "n\"1");
+    assert_eq!(line["code"], "SYC0721");
+    assert_eq!(line["took_ms"], 5);
+    assert_eq!(line["store_answers"], false);
+}
+
+#[test]
+fn lines_beyond_the_budget_are_dropped_those_of_failures_last() {
+    if is_writer() {
+        let options = LineOptions {
+            lines_per_s: 10,
+            failure_lines_per_s: 5,
+            ..LineOptions::default()
+        };
+        start_lines("n", options).expect("a logger");
+        for _ in 0..1_000 {
+            Line::new(catalogue::JOB_SEEN).emit();
+        }
+        for _ in 0..1_000 {
+            Line::new(catalogue::SUBMIT_REFUSED).emit();
+        }
+        flush_lines();
+        return;
+    }
+    let lines = written_by("lines_beyond_the_budget_are_dropped_those_of_failures_last");
+    let count = |code: &str| lines.iter().filter(|line| line.contains(code)).count();
+    // The two thousand lines can span a few seconds of a busy machine.
+    assert!((10..=100).contains(&count("SYC0724")), "{}", lines.len());
+    assert!(count("SYC0721") >= 5, "{}", lines.len());
+    assert!(lines.len() < 500, "{}", lines.len());
+}
