--- a/crates/obs/src/lines.rs
+++ b/crates/obs/src/lines.rs
@@ -59,11 +59,7 @@
 ///
 /// Fails where the logger can't be built.
 pub fn start_lines(node: &str, options: LineOptions) -> Result<(), spdlog::Error> {
-    {
-        let mut output = output();
-        output.options = Some(options);
-        output.node = serde_json::Value::from(node).to_string();
-    }
+    output().open(node, options);
     let logger = Logger::builder().sink(Arc::new(LineSink)).build()?;
     spdlog::set_default_logger(Arc::new(logger));
     Ok(())
@@ -201,6 +197,11 @@
         }
     }
 
+    fn open(&mut self, node: &str, options: LineOptions) {
+        self.options = Some(options);
+        self.node = serde_json::Value::from(node).to_string();
+    }
+
     fn add(&mut self, line: &str, level: Level) {
         let options = self.options.unwrap_or_default();
         self.turn_second();
