--- a/crates/cli/src/commands/story.rs
+++ b/crates/cli/src/commands/story.rs
@@ -88,7 +88,9 @@
     let mut detail = Vec::new();
     for (name, value) in entry {
         if !COMMON_FIELDS.contains(&name.as_str()) {
-            let value = value.as_str().map_or_else(|| value.to_string(), str::to_owned);
+            let value = value
+                .as_str()
+                .map_or_else(|| value.to_string(), str::to_owned);
             detail.push(format!("{name}={value}"));
         }
     }
--- a/crates/obs/tests/lines.rs
+++ b/crates/obs/tests/lines.rs
@@ -19,8 +19,8 @@
         .stdout(Stdio::piped())
         .output()
         .expect("the writer");
-    let text = String::from_utf8(output.stdout).expect("text");
-    let lines = text.lines().filter(|line| line.starts_with('{'));
+    let printed = String::from_utf8(output.stdout).expect("text");
+    let lines = printed.lines().filter(|line| line.starts_with('{'));
     lines.map(str::to_owned).collect()
 }
 
