Go round a partition of the store that is down

Change: each further try of a submit goes to another partition; progress has a second partition, which a successor fences and reads too; a version in each record says which counts. Two tests came with the change; they were not run on the code before it. A takeover still waits until every partition of jobs and progress can be read.

--- a/crates/cell/src/accept.rs
+++ b/crates/cell/src/accept.rs
@@ -17,10 +17,8 @@
 use crate::Node;
 use crate::clock::now;
 use crate::ports::AppendError;
-use crate::ports::Condition;
 use crate::ports::Platform;
 use crate::ports::Record;
-use crate::ports::Topic;
 use crate::records;
 
 /// Most records that share one append.
@@ -43,7 +41,17 @@
     InDoubt,
 }
 
-/// Records for one partition that wait for their append.
+/// Why it is not certain that the store has a record.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum NotStored {
+    Refused,
+    InDoubt,
+}
+
+/// The partition that has a record.
+type Outcome = Result<u32, NotStored>;
+
+/// Records that wait for their append.
 #[derive(Debug, Default)]
 pub(crate) struct AcceptQueue {
     waiting: RefCell<VecDeque<Waiting>>,
@@ -58,7 +66,7 @@
     doubt: bool,
     /// Whether it was sent to the store.
     sent: bool,
-    reply: oneshot::Sender<Stored>,
+    reply: oneshot::Sender<Outcome>,
 }
 
 impl AcceptQueue {
@@ -86,7 +94,7 @@
                 waiting.push_back(one);
             } else {
                 // A caller that left needs no answer.
-                let _left = one.reply.send(Stored::Refused);
+                let _left = one.reply.send(Err(NotStored::Refused));
             }
         }
     }
@@ -111,13 +119,15 @@
     /// The scheduler would find it in the store by itself, but later: by one answer of the store,
     /// which takes a quarter of a second while the store is slow.
     async fn store_and_tell(self: &Rc<Self>, record: Record) -> Stored {
-        let partition = self.partition.get();
-        let stored = self.store_record(partition, record.clone()).await;
-        if stored == Stored::Stored {
-            let node = Rc::clone(self);
-            actix_rt::spawn(async move { node.tell_scheduler(partition, record).await });
+        match self.store_record(record.clone()).await {
+            Ok(partition) => {
+                let node = Rc::clone(self);
+                actix_rt::spawn(async move { node.tell_scheduler(partition, record).await });
+                Stored::Stored
+            }
+            Err(NotStored::Refused) => Stored::Refused,
+            Err(NotStored::InDoubt) => Stored::InDoubt,
         }
-        stored
     }
 
     async fn tell_scheduler(&self, partition: u32, record: Record) {
@@ -140,45 +150,30 @@
             .await;
     }
 
-    async fn store_record(self: &Rc<Self>, partition: u32, record: Record) -> Stored {
+    async fn store_record(self: &Rc<Self>, record: Record) -> Outcome {
         let until = now().plus(self.settings.timing.submit_limit_ms);
-        let mut doubt = false;
         if !self.store_answers() {
             // Nothing is sent to a store that does not answer: the caller hears at once that the
             // job surely was not accepted, and not after a second that it may have been.
-            return self.relay(partition, &record).await;
+            return self.relay(&record).await;
         }
-        match self.append_record(partition, record.clone(), until).await {
-            Stored::Stored => return Stored::Stored,
-            Stored::Refused => {}
-            Stored::InDoubt => doubt = true,
-        }
-        if now() < until {
-            match self.relay(partition, &record).await {
-                Stored::Stored => return Stored::Stored,
-                Stored::Refused => {}
-                Stored::InDoubt => doubt = true,
-            }
+        let first = match self.append_record(record.clone(), until).await {
+            Ok(partition) => return Ok(partition),
+            Err(first) => first,
+        };
+        if now() >= until {
+            return Err(first);
         }
-        if doubt {
-            Stored::InDoubt
-        } else {
-            Stored::Refused
+        match (self.relay(&record).await, first) {
+            (Err(NotStored::Refused), NotStored::InDoubt) => Err(NotStored::InDoubt),
+            (relayed, _) => relayed,
         }
     }
 
-    /// Appends a record, together with others that wait for the same partition.
-    pub(crate) async fn append_record(
-        self: &Rc<Self>,
-        partition: u32,
-        record: Record,
-        until: Millis,
-    ) -> Stored {
-        let index = usize::try_from(partition).unwrap_or(usize::MAX);
-        let Some(queue) = self.accepting.get(index) else {
-            return Stored::Refused;
-        };
+    /// Appends a record, together with others that wait.
+    pub(crate) async fn append_record(self: &Rc<Self>, record: Record, until: Millis) -> Outcome {
         let (reply, answer) = oneshot::channel();
+        let queue = &self.accepting;
         queue.waiting.borrow_mut().push_back(Waiting {
             record,
             until,
@@ -188,40 +183,38 @@
             reply,
         });
         if !queue.running.replace(true) {
-            actix_rt::spawn(drain(Rc::clone(self), partition));
+            actix_rt::spawn(drain(Rc::clone(self)));
         }
-        answer.await.unwrap_or(Stored::InDoubt)
+        answer.await.unwrap_or(Err(NotStored::InDoubt))
     }
 
     /// Asks the scheduler's node to append a record, for it may reach the store where this one
     /// does not.
-    async fn relay(&self, partition: u32, record: &Record) -> Stored {
+    async fn relay(&self, record: &Record) -> Outcome {
         let link = self.link.borrow().clone();
         let Some(link) = link.filter(|link| link.relays()) else {
-            return Stored::Refused;
+            return Err(NotStored::Refused);
         };
         let query = CellBody::Relay(Relay {
-            partition,
             key: record.key.to_string(),
             value: record.value.clone(),
         });
         let timeout_ms = self.settings.timing.store_timeout_ms;
         match link.call(query, timeout_ms).await {
-            Ok(CellBody::RelayReply(reply)) if reply.stored => Stored::Stored,
-            Ok(CellBody::RelayReply(reply)) if reply.refused => Stored::Refused,
-            Err(syc_net::CallError::NotSent) => Stored::Refused,
-            Ok(_) | Err(syc_net::CallError::NoReply) => Stored::InDoubt,
+            Ok(CellBody::RelayReply(reply)) if reply.stored => Ok(reply.partition),
+            Ok(CellBody::RelayReply(reply)) if reply.refused => Err(NotStored::Refused),
+            Err(syc_net::CallError::NotSent) => Err(NotStored::Refused),
+            Ok(_) | Err(syc_net::CallError::NoReply) => Err(NotStored::InDoubt),
         }
     }
 }
 
-/// Appends what waits for a partition until nothing does.
-async fn drain<P>(node: Rc<Node<P>>, partition: u32)
+/// Appends what waits until nothing does.
+async fn drain<P>(node: Rc<Node<P>>)
 where
     P: Platform,
 {
-    let index = usize::try_from(partition).unwrap_or(usize::MAX);
-    let queue = &node.accepting[index];
+    let queue = &node.accepting;
     loop {
         let batch = queue.take_batch();
         if batch.is_empty() {
@@ -229,14 +222,11 @@
             return;
         }
         let batch_records: Vec<_> = batch.iter().map(|waiting| waiting.record.clone()).collect();
-        let appended = node
-            .append(Topic::Jobs, partition, &batch_records, &Condition::None)
-            .await;
-        let refused = match appended {
-            Ok(_) => {
+        let refused = match node.append_jobs(&batch_records).await {
+            Ok(partition) => {
                 for waiting in batch {
                     // A caller that left needs no answer.
-                    let _left = waiting.reply.send(Stored::Stored);
+                    let _left = waiting.reply.send(Ok(partition));
                 }
                 continue;
             }
@@ -268,9 +258,9 @@
         return;
     }
     let outcome = if waiting.doubt {
-        Stored::InDoubt
+        NotStored::InDoubt
     } else {
-        Stored::Refused
+        NotStored::Refused
     };
-    let _left = waiting.reply.send(outcome);
+    let _left = waiting.reply.send(Err(outcome));
 }
--- a/crates/cell/src/contact.rs
+++ b/crates/cell/src/contact.rs
@@ -17,7 +17,7 @@
 use syc_wire::cell::RelayReply;
 
 use crate::Node;
-use crate::Stored;
+use crate::accept::NotStored;
 use crate::adviser;
 use crate::clock::now;
 use crate::log;
@@ -219,10 +219,11 @@
                 value: relay.value,
             };
             let until = now().plus(node.settings.timing.store_timeout_ms / 2);
-            let stored = node.append_record(relay.partition, record, until).await;
+            let outcome = node.append_record(record, until).await;
             CellBody::RelayReply(RelayReply {
-                stored: stored == Stored::Stored,
-                refused: stored == Stored::Refused,
+                stored: outcome.is_ok(),
+                refused: outcome == Err(NotStored::Refused),
+                partition: outcome.unwrap_or(0),
             })
         }
         other => {
--- a/crates/cell/src/leader.rs
+++ b/crates/cell/src/leader.rs
@@ -16,6 +16,7 @@
 use std::time::Duration;
 
 use advice::Adviser;
+use records::ProgressWriter;
 use sessions::Session;
 use slotmap::SecondaryMap;
 use smol_str::SmolStr;
@@ -71,9 +72,10 @@
     /// Whether new starts are held back because the role is being handed on.
     handing_on: Cell<bool>,
     began_at: Millis,
-    /// Number of the next append of a sign of life, and of progress.
+    /// Number of the next append of a sign of life.
     presence_sequence: Cell<u64>,
-    progress_sequence: Cell<u64>,
+    /// Where progress is written.
+    progress: ProgressWriter,
     /// Asks for a look at the waiting tasks.
     look: Notify,
     /// Asks for progress to be written.
@@ -110,7 +112,7 @@
             handing_on: Cell::new(false),
             began_at: now(),
             presence_sequence: Cell::new(0),
-            progress_sequence: Cell::new(1),
+            progress: ProgressWriter::default(),
             look: Notify::new(),
             write: Notify::new(),
             written: Notify::new(),
--- a/crates/cell/src/leader/load.rs
+++ b/crates/cell/src/leader/load.rs
@@ -16,6 +16,7 @@
 use crate::clock::time_of_day_ms;
 use crate::leader::Leader;
 use crate::leader::readers;
+use crate::leader::records::PROGRESS_PARTITIONS;
 use crate::leader::records::write_records;
 use crate::leader::records::write_removals;
 use crate::log;
@@ -35,7 +36,7 @@
 /// What predecessors left.
 #[derive(Debug)]
 struct Left {
-    progress: Newest,
+    progress: Vec<Newest>,
     jobs: Vec<Newest>,
     workers: Newest,
 }
@@ -81,12 +82,13 @@
         join_all(reads).await.into_iter().collect()
     };
     // Progress is read before the jobs: a job that ends meanwhile is then read twice, not never.
-    let (progress, workers, jobs) = try_join3(
-        node.newest(Topic::Progress, 0),
-        node.newest(Topic::Workers, 0),
-        all_jobs,
-    )
-    .await?;
+    let all_progress = async {
+        let partitions = 0..PROGRESS_PARTITIONS;
+        let reads = partitions.map(|partition| node.newest(Topic::Progress, partition));
+        join_all(reads).await.into_iter().collect()
+    };
+    let (progress, workers, jobs) =
+        try_join3(all_progress, node.newest(Topic::Workers, 0), all_jobs).await?;
     Ok(Left {
         progress,
         jobs,
@@ -129,16 +131,21 @@
     log::loaded(leader.token, &counts, progress.len());
 }
 
-fn read_progress(newest: &Newest) -> HashMap<JobId, JobProgress> {
-    let mut progress = HashMap::new();
-    for (_offset, record) in &newest.records {
+/// Reads the latest progress of each job.
+fn read_progress(partitions: &[Newest]) -> HashMap<JobId, JobProgress> {
+    let mut progress: HashMap<JobId, JobProgress> = HashMap::new();
+    let all = partitions.iter().flat_map(|newest| &newest.records);
+    for (_offset, record) in all {
         if record.value.is_empty() {
             continue;
         }
         let read = serde_json::from_slice::<JobProgress>(&record.value);
         match (record.key.parse(), read) {
             (Ok(id), Ok(read)) => {
-                progress.insert(id, read);
+                let known = progress.get(&id).map(|known| known.version);
+                if known.is_none_or(|known| read.version > known) {
+                    progress.insert(id, read);
+                }
             }
             (Err(error), _) => log::unreadable(&record.key, &format!("{error}")),
             (_, Err(error)) => log::unreadable(&record.key, &error.to_string()),
--- a/crates/cell/src/leader/records.rs
+++ b/crates/cell/src/leader/records.rs
@@ -1,12 +1,15 @@
 //! Writing the jobs' progress: one append at a time, fenced, each change once.
 
+use std::cell::Cell;
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
 
+use futures_util::future::join_all;
 use smol_str::SmolStr;
 use syc_sched::Event;
 use syc_sched::JobId;
+use syc_types::Millis;
 
 use crate::clock::now;
 use crate::clock::time_of_day_ms;
@@ -34,6 +37,67 @@
 /// Most time that a scheduler that hands the role on takes to write what is left.
 const LAST_WRITE_MS: u64 = 600;
 
+/// Partitions of the topic of progress. Where one takes nothing, the other does; a successor fences
+/// and reads both.
+pub(super) const PROGRESS_PARTITIONS: u32 = 2;
+
+/// Appends that a partition refuses before the other is tried.
+const REFUSALS_LIMIT: u32 = 2;
+
+/// A partition with an append in doubt is not written to again for this long: the store may carry an
+/// append out seconds late, and would then take the next of the same number for a repeat of it.
+const RETURN_MS: u64 = 15_000;
+
+/// Where progress is written.
+#[derive(Debug, Default)]
+pub(super) struct ProgressWriter {
+    partition: Cell<u32>,
+    lanes: [Lane; 2],
+}
+
+/// What is known of a partition of the topic of progress.
+#[derive(Debug)]
+struct Lane {
+    /// Number of the next append.
+    sequence: Cell<u64>,
+    /// Not to be written to before this time.
+    closed_until: Cell<Millis>,
+}
+
+impl Default for Lane {
+    fn default() -> Self {
+        Self {
+            sequence: Cell::new(1),
+            closed_until: Cell::new(Millis(0)),
+        }
+    }
+}
+
+impl ProgressWriter {
+    fn lane(&self, partition: u32) -> &Lane {
+        &self.lanes[usize::from(partition > 0)]
+    }
+
+    /// Leaves a partition for the other, where that may be written to. Says whether it did.
+    fn switch(&self, in_doubt: bool) -> bool {
+        let partition = self.partition.get();
+        let other = (partition + 1) % PROGRESS_PARTITIONS;
+        let now = now();
+        if self.lane(other).closed_until.get() > now {
+            return false;
+        }
+        if in_doubt {
+            let lane = self.lane(partition);
+            lane.closed_until.set(now.plus(RETURN_MS));
+            // The append in doubt may have used the number.
+            lane.sequence.set(lane.sequence.get() + 1);
+        }
+        self.partition.set(other);
+        log::progress_moved(partition, other, in_doubt);
+        true
+    }
+}
+
 /// Writes progress whenever there is any.
 pub(super) async fn write_records<P>(leader: Rc<Leader<P>>)
 where
@@ -65,9 +129,17 @@
 
     /// Makes the store refuse what predecessors have still to write. Says whether that was possible.
     pub(super) async fn fence_progress(&self) -> bool {
+        let fences = (0..PROGRESS_PARTITIONS).map(|partition| self.fence(partition));
+        join_all(fences).await.into_iter().all(|fenced| fenced)
+    }
+
+    async fn fence(&self, partition: u32) -> bool {
         loop {
             let condition = self.progress_condition(0);
-            let fenced = self.node.append(Topic::Progress, 0, &[], &condition).await;
+            let node = &self.node;
+            let fenced = node
+                .append(Topic::Progress, partition, &[], &condition)
+                .await;
             match fenced {
                 Ok(_) => return true,
                 Err(AppendError::Fenced) => {
@@ -76,7 +148,7 @@
                 }
                 // The epoch was set by an earlier try whose answer was lost.
                 Err(AppendError::OutOfSequence { expected }) => {
-                    self.progress_sequence.set(expected);
+                    self.progress.lane(partition).sequence.set(expected);
                     return true;
                 }
                 Err(_noted) => pause(RETRY_MS).await,
@@ -87,24 +159,18 @@
     /// Writes the progress of some jobs. Says whether there was any.
     async fn write_batch(self: &Rc<Self>) -> bool {
         let wall_ms = time_of_day_ms();
-        let taken = self
+        let mut taken = self
             .scheduler
             .borrow_mut()
             .take_records(BATCH_JOBS, wall_ms);
-        let forgets = std::mem::take(&mut *self.forgets.borrow_mut());
-        if taken.is_empty() && forgets.is_empty() {
+        if taken.is_empty() {
             return false;
         }
         let mut batch: Vec<Record> = Vec::with_capacity(taken.len());
-        for (id, _change, progress) in &taken {
+        for (id, _change, progress) in &mut taken {
+            progress.version.token = self.token;
             batch.push(records::progress(*id, progress));
         }
-        for id in forgets {
-            batch.push(Record {
-                key: SmolStr::from(id),
-                value: bytes::Bytes::new(),
-            });
-        }
         let began = now();
         if !self.append_progress(&batch).await {
             return false;
@@ -123,16 +189,20 @@
 
     /// Appends until the store has it. Says whether it has.
     async fn append_progress(&self, batch: &[Record]) -> bool {
+        let writer = &self.progress;
+        let mut refusals = 0;
         loop {
-            let sequence = self.progress_sequence.get();
+            let partition = writer.partition.get();
+            let lane = writer.lane(partition);
+            let sequence = lane.sequence.get();
             let condition = self.progress_condition(sequence);
             let appended = self
                 .node
-                .append(Topic::Progress, 0, batch, &condition)
+                .append(Topic::Progress, partition, batch, &condition)
                 .await;
             match appended {
                 Ok(_) => {
-                    self.progress_sequence.set(sequence + 1);
+                    lane.sequence.set(sequence + 1);
                     return true;
                 }
                 Err(AppendError::Fenced) => {
@@ -140,10 +210,42 @@
                     return false;
                 }
                 Err(AppendError::OutOfSequence { expected }) => {
-                    self.progress_sequence.set(expected);
+                    lane.sequence.set(expected);
+                    continue;
                 }
-                // The number stays: the store takes the same append once only.
-                Err(_noted) => pause(RETRY_MS).await,
+                Err(AppendError::InDoubt(_)) => {
+                    // Elsewhere the number stays: the store takes the same append once only.
+                    if writer.switch(true) {
+                        continue;
+                    }
+                }
+                Err(AppendError::Refused(_) | AppendError::EndsElsewhere { .. }) => {
+                    refusals += 1;
+                    if refusals >= REFUSALS_LIMIT && writer.switch(false) {
+                        refusals = 0;
+                    }
+                }
+            }
+            pause(RETRY_MS).await;
+        }
+    }
+
+    /// Removes the progress of jobs that nobody can ask for any more.
+    async fn remove_forgotten(&self) {
+        let forgets = std::mem::take(&mut *self.forgets.borrow_mut());
+        if forgets.is_empty() {
+            return;
+        }
+        let removals: Vec<_> = forgets.iter().map(|id| records::forgotten(*id)).collect();
+        for partition in 0..PROGRESS_PARTITIONS {
+            let removed = self
+                .node
+                .append(Topic::Progress, partition, &removals, &Condition::None)
+                .await;
+            if removed.is_err() {
+                // The next round removes them; until then they take a little of the store's room.
+                self.forgets.borrow_mut().extend(forgets);
+                return;
             }
         }
     }
@@ -165,6 +267,7 @@
 {
     loop {
         pause(REMOVE_INTERVAL_MS).await;
+        leader.remove_forgotten().await;
         let drops = std::mem::take(&mut *leader.drops.borrow_mut());
         let mut by_partition: BTreeMap<u32, Vec<JobId>> = BTreeMap::new();
         for id in drops {
--- a/crates/cell/src/log.rs
+++ b/crates/cell/src/log.rs
@@ -125,6 +125,14 @@
         .emit();
 }
 
+pub(crate) fn progress_moved(from: u32, to: u32, in_doubt: bool) {
+    Line::new(catalogue::PROGRESS_MOVED)
+        .number("from", from)
+        .number("to", to)
+        .flag("in_doubt", in_doubt)
+        .emit();
+}
+
 pub(crate) fn job_seen(spec: &JobSpec, age_ms: u64) {
     let tasks: u64 = spec.steps.iter().map(|step| u64::from(step.tasks)).sum();
     Line::new(catalogue::JOB_SEEN)
--- a/crates/cell/src/node.rs
+++ b/crates/cell/src/node.rs
@@ -67,7 +67,7 @@
     pub(crate) holder: RefCell<Option<Holder>>,
     pub(crate) link: RefCell<Option<Rc<HolderLink>>>,
     pub(crate) leader: RefCell<Option<Rc<Leader<P>>>>,
-    pub(crate) accepting: Vec<AcceptQueue>,
+    pub(crate) accepting: AcceptQueue,
     /// The partition that this node writes jobs to.
     pub(crate) partition: Cell<u32>,
     /// Wakes whoever waits for news of the scheduler.
@@ -86,7 +86,6 @@
 {
     /// Starts a node on the current arbiter; `peers` is where it takes calls of other nodes.
     pub fn start(platform: P, settings: NodeSettings, peers: TcpListener) -> Rc<Self> {
-        let partitions = settings.job_partitions();
         let began = now();
         let node = Rc::new(Self {
             platform,
@@ -98,7 +97,7 @@
             link: RefCell::default(),
             leader: RefCell::default(),
             partition: Cell::new(0),
-            accepting: (0..partitions).map(|_| AcceptQueue::default()).collect(),
+            accepting: AcceptQueue::default(),
             holder_news: Notify::new(),
             holder_gone: Cell::new(false),
             stopping: Cell::new(false),
@@ -184,8 +183,7 @@
     pub async fn finish_stop(&self, limit_ms: u64) {
         let until = now().plus(limit_ms);
         while now() < until {
-            let accepting = self.accepting.iter().any(AcceptQueue::is_busy);
-            if !accepting && self.unsent_replies.count() == 0 {
+            if !self.accepting.is_busy() && self.unsent_replies.count() == 0 {
                 break;
             }
             actix_rt::time::sleep(Duration::from_millis(IDLE_LOOK_MS)).await;
--- a/crates/cell/src/records.rs
+++ b/crates/cell/src/records.rs
@@ -88,6 +88,15 @@
     }
 }
 
+/// Makes the record that removes a job's progress.
+#[must_use]
+pub fn forgotten(id: JobId) -> Record {
+    Record {
+        key: SmolStr::from(id),
+        value: Bytes::new(),
+    }
+}
+
 /// Makes the record of a holder.
 #[must_use]
 pub fn holder(holder: &HolderRecord) -> Record {
--- a/crates/cell/src/store_calls.rs
+++ b/crates/cell/src/store_calls.rs
@@ -91,6 +91,42 @@
     }
 }
 
+/// What is to be appended, and where.
+#[derive(Debug)]
+struct Target<'a> {
+    topic: Topic,
+    records: &'a [Record],
+    condition: &'a Condition,
+    /// Partitions that may take it, in the order in which they are tried.
+    partitions: &'a [u32],
+}
+
+impl Target<'_> {
+    fn partition(&self, attempt: u32) -> u32 {
+        let count = u32::try_from(self.partitions.len()).unwrap_or(1).max(1);
+        let index = usize::try_from(attempt % count).unwrap_or(0);
+        self.partitions.get(index).copied().unwrap_or(0)
+    }
+}
+
+/// Why tries of one append failed.
+#[derive(Debug, Default)]
+struct Failed {
+    doubt: Option<SmolStr>,
+    refusal: Option<SmolStr>,
+}
+
+impl Failed {
+    /// One try in doubt leaves the whole in doubt; only if each was refused, nothing was done.
+    fn into_error(self) -> AppendError {
+        match (self.doubt, self.refusal) {
+            (Some(reason), _) => AppendError::InDoubt(reason),
+            (None, Some(reason)) => AppendError::Refused(reason),
+            (None, None) => AppendError::InDoubt(SmolStr::new_static("no answer")),
+        }
+    }
+}
+
 impl<P> Node<P>
 where
     P: Platform,
@@ -105,11 +141,11 @@
         self.store.last_failure_at.get()
     }
 
-    /// Appends to the store, within the time that a sound store needs.
+    /// Appends to a partition, within the time that a sound store needs.
     ///
-    /// An append that may be carried out twice without harm, since its records have keys or its
-    /// producer numbers it, is sent again while its answer is missing: answers get lost, and to wait
-    /// for one until the time is over costs a submit its caller's patience.
+    /// An append that a producer numbers is carried out once, however often it is sent; it is sent
+    /// again while its answer is missing: answers get lost, and to wait for one until the time is
+    /// over costs a submit its caller's patience.
     pub(crate) async fn append(
         &self,
         topic: Topic,
@@ -117,14 +153,48 @@
         records: &[Record],
         condition: &Condition,
     ) -> Result<Appended, AppendError> {
+        let tries = match condition {
+            Condition::None | Condition::EndsAt(_) => 1,
+            Condition::Producer { .. } => APPEND_TRIES,
+        };
+        let target = Target {
+            topic,
+            records,
+            condition,
+            partitions: &[partition],
+        };
+        let (_, appended) = self.append_to(&target, tries).await?;
+        Ok(appended)
+    }
+
+    /// Appends to the topic of jobs and returns the partition that took the records.
+    ///
+    /// The node's own partition is tried first. Records of jobs do no harm in two partitions, so
+    /// each further try goes to another: a store can be down in part.
+    pub(crate) async fn append_jobs(&self, records: &[Record]) -> Result<u32, AppendError> {
+        let count = self.settings.job_partitions();
+        let first = self.partition.get();
+        let partitions: Vec<_> = (0..count).map(|step| (first + step) % count).collect();
+        let target = Target {
+            topic: Topic::Jobs,
+            records,
+            condition: &Condition::None,
+            partitions: &partitions,
+        };
+        let (partition, _) = self.append_to(&target, APPEND_TRIES).await?;
+        self.partition.set(partition);
+        Ok(partition)
+    }
+
+    async fn append_to(
+        &self,
+        target: &Target<'_>,
+        tries: u32,
+    ) -> Result<(u32, Appended), AppendError> {
         let began = now();
         let limit_ms = self.store.timeout_ms(self.settings.timing.store_timeout_ms);
         let limit = Duration::from_millis(limit_ms);
-        let tries = match condition {
-            Condition::EndsAt(_) => 1,
-            Condition::None | Condition::Producer { .. } => APPEND_TRIES,
-        };
-        let call = self.append_hedged(topic, partition, records, condition, tries);
+        let call = self.append_hedged(target, tries);
         let outcome = match tokio::time::timeout(limit, call).await {
             Ok(outcome) => outcome,
             Err(_elapsed) => {
@@ -142,55 +212,53 @@
         outcome
     }
 
+    async fn append_once(
+        &self,
+        target: &Target<'_>,
+        attempt: u32,
+    ) -> Result<(u32, Appended), AppendError> {
+        let partition = target.partition(attempt);
+        let sent_at = now();
+        let appended = self
+            .platform
+            .append(target.topic, partition, target.records, target.condition)
+            .await?;
+        self.store.took(now().since(sent_at));
+        Ok((partition, appended))
+    }
+
     async fn append_hedged(
         &self,
-        topic: Topic,
-        partition: u32,
-        records: &[Record],
-        condition: &Condition,
+        target: &Target<'_>,
         tries: u32,
-    ) -> Result<Appended, AppendError> {
-        let attempt = || async {
-            let sent_at = now();
-            let appended = self.platform.append(topic, partition, records, condition);
-            let outcome = appended.await;
-            if outcome.is_ok() {
-                self.store.took(now().since(sent_at));
-            }
-            outcome
-        };
+    ) -> Result<(u32, Appended), AppendError> {
         let mut wait_ms = self.store.hedge_ms();
-        let mut sent = 1;
-        let mut doubt = None;
+        let mut attempts = 1;
+        let mut failed = Failed::default();
         let mut calls = FuturesUnordered::new();
-        calls.push(attempt());
+        calls.push(self.append_once(target, 0));
         loop {
+            let may_repeat = attempts < tries;
             tokio::select! {
-                outcome = calls.next() => match outcome {
-                    Some(Err(lost @ AppendError::InDoubt(_))) => doubt = Some(lost),
-                    // A refusal says nothing of the same append that was sent before.
-                    Some(Err(AppendError::Refused(_))) if sent > 1 || doubt.is_some() => {
-                        doubt.get_or_insert(AppendError::InDoubt(SmolStr::new_static(
-                            "refused when it was sent again",
-                        )));
+                Some(outcome) = calls.next() => {
+                    match outcome {
+                        Err(AppendError::InDoubt(reason)) => failed.doubt = Some(reason),
+                        Err(AppendError::Refused(reason)) => failed.refusal = Some(reason),
+                        decided => return decided,
                     }
-                    Some(decided) => return decided,
-                    None if sent >= tries => {
-                        return Err(doubt.unwrap_or(AppendError::InDoubt(SmolStr::new_static(
-                            "no answer",
-                        ))));
+                    if !calls.is_empty() {
+                        continue;
                     }
-                    None => {
-                        sent += 1;
-                        calls.push(attempt());
+                    if !may_repeat {
+                        return Err(failed.into_error());
                     }
-                },
-                () = tokio::time::sleep(Duration::from_millis(wait_ms)), if sent < tries => {
-                    sent += 1;
+                }
+                () = tokio::time::sleep(Duration::from_millis(wait_ms)), if may_repeat => {
                     wait_ms *= 2;
-                    calls.push(attempt());
                 }
             }
+            calls.push(self.append_once(target, attempts));
+            attempts += 1;
         }
     }
 
--- a/crates/cell/tests/cell/store.rs
+++ b/crates/cell/tests/cell/store.rs
@@ -112,6 +112,48 @@
     assert_eq!(shown, StateAnswer::NoSuchJob);
 }
 
+#[test]
+fn a_partition_of_jobs_that_is_down_stops_no_node() {
+    let cluster = Cluster::start(4, 2);
+    cluster.scheduler();
+    for down in 0..4 {
+        cluster.platform.set_faults(SharedFaults {
+            down: vec![(Topic::Jobs, down)],
+            ..SharedFaults::default()
+        });
+        for number in cluster.up() {
+            let id = u64::from(down) * 10 + u64::try_from(number).expect("a small number") + 1;
+            let stored = cluster.submit_once(number, id, vec![step(1, 20)]);
+            assert_eq!(stored, Stored::Stored, "partition {down}, node {number}");
+            cluster.wait_for_state(number, id, JobState::Completed);
+        }
+    }
+    cluster.assert_sound();
+}
+
+#[test]
+fn a_partition_of_progress_that_is_down_stops_nothing_and_a_successor_reads_both() {
+    let mut cluster = Cluster::start(3, 2);
+    let first = cluster.scheduler();
+    cluster.submit(first, 1, vec![step(1, 20)]);
+    cluster.wait_for_state(first, 1, JobState::Completed);
+    for (id, down) in [(2, 0), (3, 1)] {
+        cluster.platform.set_faults(SharedFaults {
+            down: vec![(Topic::Progress, down)],
+            ..SharedFaults::default()
+        });
+        cluster.submit(first, id, vec![step(2, 20)]);
+        cluster.wait_for_state(first, id, JobState::Completed);
+    }
+    cluster.platform.set_faults(SharedFaults::default());
+    cluster.kill(first);
+    let second = cluster.scheduler();
+    for id in 1..=3 {
+        cluster.wait_for_state(second, id, JobState::Completed);
+    }
+    cluster.assert_sound();
+}
+
 #[test]
 fn a_forgotten_history_hides_nothing() {
     let cluster = Cluster::start(2, 2);
--- a/crates/fleet/src/shared.rs
+++ b/crates/fleet/src/shared.rs
@@ -56,6 +56,8 @@
     pub turned_away: BTreeSet<SmolStr>,
     /// Nodes whose calls to the store are never answered, and not carried out.
     pub cut_off: BTreeSet<SmolStr>,
+    /// Partitions of topics that refuse every call.
+    pub down: Vec<(Topic, u32)>,
     /// Appends that are carried out and not answered; so many from now on.
     pub lost_appends: u32,
     /// Appends of jobs that are carried out and not answered; so many from now on.
@@ -200,6 +202,9 @@
         if self.reach_store().await {
             return Err(AppendError::Refused(SmolStr::new_static("turned away")));
         }
+        if self.lock().faults.down.contains(&(topic, partition)) {
+            return Err(AppendError::Refused(SmolStr::new_static("down")));
+        }
         let (appended, lost) = {
             let mut state = self.lock();
             let faults = &mut state.faults;
@@ -231,6 +236,9 @@
         }
         let until = now().plus(wait_ms);
         loop {
+            if self.lock().faults.down.contains(&(topic, partition)) {
+                return Err(ReadError::Unavailable(SmolStr::new_static("down")));
+            }
             let page = self.lock().store.read(topic, partition, from)?;
             if !page.records.is_empty() || now() >= until {
                 return Ok(page);
@@ -243,6 +251,9 @@
         if self.reach_store().await {
             return Err(ReadError::Unavailable(SmolStr::new_static("turned away")));
         }
+        if self.lock().faults.down.contains(&(topic, partition)) {
+            return Err(ReadError::Unavailable(SmolStr::new_static("down")));
+        }
         Ok(self.lock().store.newest(topic, partition))
     }
 }
--- a/crates/obs/src/events.rs
+++ b/crates/obs/src/events.rs
@@ -144,6 +144,8 @@
     STATE_LOADED = 714, Info, "state loaded";
     /// Nothing that runs is unknown any more.
     TAKEOVER_COMPLETE = 715, Info, "takeover complete";
+    /// Progress is written to another partition from now on.
+    PROGRESS_MOVED = 716, Warn, "progress written elsewhere";
     /// A submit was accepted.
     SUBMIT_ACCEPTED = 720, Info, "submit accepted";
     /// A submit was refused.
--- a/crates/sched/src/job.rs
+++ b/crates/sched/src/job.rs
@@ -15,6 +15,7 @@
 use crate::StepId;
 use crate::StepSpec;
 use crate::TaskId;
+use crate::Version;
 use crate::WorkerKey;
 use crate::progress::StepProgress;
 use crate::progress::UnitProgress;
@@ -260,6 +261,10 @@
         N: Fn(WorkerKey) -> Option<WorkerId>,
     {
         let mut progress = JobProgress {
+            version: Version {
+                token: 0,
+                change: self.changes,
+            },
             state: self.state,
             steps: Vec::new(),
             ended_at_ms: self.ended_at_ms,
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -54,6 +54,7 @@
 pub use progress::JobState;
 pub use progress::StepProgress;
 pub use progress::UnitProgress;
+pub use progress::Version;
 pub use scheduler::AdviceSlots;
 pub use scheduler::Counts;
 pub use scheduler::Scheduler;
--- a/crates/sched/src/progress.rs
+++ b/crates/sched/src/progress.rs
@@ -34,10 +34,26 @@
     }
 }
 
+/// Tells later records of a job from earlier ones, wherever they were written.
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize,
+)]
+pub struct Version {
+    /// Fencing token of the scheduler that wrote it.
+    #[serde(rename = "t")]
+    pub token: u64,
+    /// Number of the change under that scheduler.
+    #[serde(rename = "c")]
+    pub change: u64,
+}
+
 /// What is kept of a job beside what was submitted.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default)]
 pub struct JobProgress {
+    /// Of two records of a job, the one with the greater version counts.
+    #[serde(rename = "v")]
+    pub version: Version,
     /// The job's state.
     pub state: JobState,
     /// Progress of each step; empty once the job has ended.
--- a/crates/sched/src/scheduler.rs
+++ b/crates/sched/src/scheduler.rs
@@ -214,7 +214,7 @@
 
     /// Takes the progress of the jobs that changed, with the number of the change that it includes.
     ///
-    /// Each must come back in [`Event::Recorded`] once the store has it.
+    /// The token of its version is for the caller to fill in. Each must come back in [`Event::Recorded`] once the store has it.
     pub fn take_records(
         &mut self,
         limit: usize,
--- a/crates/wire/src/cell.rs
+++ b/crates/wire/src/cell.rs
@@ -189,14 +189,11 @@
 /// Asks a node to append a record for one that the store turns away.
 #[derive(Clone, PartialEq, Eq, prost::Message)]
 pub struct Relay {
-    /// The partition.
-    #[prost(uint32, tag = "1")]
-    pub partition: u32,
     /// Key of the record.
-    #[prost(string, tag = "2")]
+    #[prost(string, tag = "1")]
     pub key: String,
     /// Value of the record.
-    #[prost(bytes = "bytes", tag = "3")]
+    #[prost(bytes = "bytes", tag = "2")]
     pub value: Bytes,
 }
 
@@ -209,6 +206,9 @@
     /// Whether the store surely does not have it and will not.
     #[prost(bool, tag = "2")]
     pub refused: bool,
+    /// The partition that has it.
+    #[prost(uint32, tag = "3")]
+    pub partition: u32,
 }
 
 /// Tells the scheduler what the store has just taken.
