Withdraw the intent of a task that was surely not started

A home that left between the record of an intent and its commit, or whose commit was surely refused, left the intent behind; the next home then reported the task as unknown though it never ran. Change: such an intent is withdrawn by a record that names it, so that a later intent of the same task stays; a planned stop starts nothing new and waits for placements in progress before it leaves.

--- a/crates/coord/src/jobs.rs
+++ b/crates/coord/src/jobs.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeSet;
 use std::collections::HashMap;
+use std::collections::HashSet;
 
 use serde::Serialize;
 use syc_types::JobId;
@@ -9,6 +10,7 @@
 use syc_types::TaskOutcome;
 use syc_types::TaskRef;
 use syc_types::WorkerId;
+use uuid::Uuid;
 
 /// State of one task.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize)]
@@ -76,24 +78,28 @@
 /// Every accepted job that is known.
 #[derive(Debug, Clone, Default)]
 pub struct Jobs {
-    jobs: HashMap<JobId, Job>,
+    by_id: HashMap<JobId, Job>,
     // Ended jobs by the log's time of their end.
     ended: BTreeSet<(u64, JobId)>,
+    // The latest intent of each task that is known by its record.
+    intents: HashMap<TaskRef, Uuid>,
+    // Intents that this member has withdrawn and may read from the log only now.
+    withdrawn: HashSet<Uuid>,
 }
 
 impl Jobs {
     /// Adds an accepted job; one that is known stays as it is. Returns whether it is new.
     pub fn accept(&mut self, id: JobId, spec: &JobSpec) -> bool {
-        if self.jobs.contains_key(&id) {
+        if self.by_id.contains_key(&id) {
             return false;
         }
-        self.jobs.insert(id, Job::new(id, spec.clone()));
+        self.by_id.insert(id, Job::new(id, spec.clone()));
         true
     }
 
     /// Notes that a task may be started from now on.
     pub fn intend(&mut self, task: TaskRef) {
-        let Some(job) = self.jobs.get_mut(&task.job_id) else {
+        let Some(job) = self.by_id.get_mut(&task.job_id) else {
             return;
         };
         if let Some(intent) = job.intents.get_mut(task.index as usize) {
@@ -101,9 +107,49 @@
         }
     }
 
+    /// Notes the record that says that a task may be started from now on.
+    pub fn intend_by(&mut self, task: TaskRef, intent: Uuid) {
+        if self.withdrawn.contains(&intent) {
+            return;
+        }
+        self.intents.insert(task, intent);
+        self.intend(task);
+    }
+
+    /// Returns the latest intent of a task, if it is known by its record.
+    #[must_use]
+    pub fn intent_of(&self, task: TaskRef) -> Option<Uuid> {
+        self.intents.get(&task).copied()
+    }
+
+    /// Notes that this member has withdrawn an intent, before it reads that from the log: when the
+    /// intent itself is read later, it counts no more.
+    pub fn withdraw_early(&mut self, task: TaskRef, intent: Uuid) {
+        self.withdrawn.insert(intent);
+        self.clear_intent(task, intent);
+    }
+
+    /// Notes the record that says that an intent was withdrawn.
+    pub fn withdraw(&mut self, task: TaskRef, intent: Uuid) {
+        self.withdrawn.remove(&intent);
+        self.clear_intent(task, intent);
+    }
+
+    // A later intent of the same task stays.
+    fn clear_intent(&mut self, task: TaskRef, intent: Uuid) {
+        if self.intents.get(&task) != Some(&intent) {
+            return;
+        }
+        self.intents.remove(&task);
+        let job = self.by_id.get_mut(&task.job_id);
+        if let Some(intent) = job.and_then(|job| job.intents.get_mut(task.index as usize)) {
+            *intent = false;
+        }
+    }
+
     /// Moves a task to another state, unless it has ended. Returns whether it moved.
     pub fn set(&mut self, task: TaskRef, state: TaskState) -> bool {
-        let Some(job) = self.jobs.get_mut(&task.job_id) else {
+        let Some(job) = self.by_id.get_mut(&task.job_id) else {
             return false;
         };
         let Some(current) = job.tasks.get_mut(task.index as usize) else {
@@ -118,7 +164,7 @@
 
     /// Ends every task that has not ended, as cancelled; returns their indexes.
     pub fn cancel(&mut self, id: JobId) -> Vec<u32> {
-        let open = self.jobs.get(&id).map(Job::open).unwrap_or_default();
+        let open = self.by_id.get(&id).map(Job::open).unwrap_or_default();
         for &index in &open {
             let task = TaskRef { job_id: id, index };
             self.set(task, TaskState::Ended(TaskOutcome::Cancelled));
@@ -128,7 +174,7 @@
 
     /// Notes the log's time at which a job ended, if it has.
     pub fn note_end(&mut self, id: JobId, at_ms: u64) {
-        let Some(job) = self.jobs.get_mut(&id) else {
+        let Some(job) = self.by_id.get_mut(&id) else {
             return;
         };
         if job.ended_at_ms.is_some() || !job.ended() {
@@ -145,7 +191,8 @@
                 return;
             }
             self.ended.pop_first();
-            self.jobs.remove(&id);
+            self.by_id.remove(&id);
+            self.intents.retain(|task, _| task.job_id != id);
         }
     }
 
@@ -154,17 +201,17 @@
         if let Some(at_ms) = job.ended_at_ms {
             self.ended.insert((at_ms, job.id));
         }
-        self.jobs.insert(job.id, job);
+        self.by_id.insert(job.id, job);
     }
 
     /// Returns a job.
     #[must_use]
     pub fn get(&self, id: JobId) -> Option<&Job> {
-        self.jobs.get(&id)
+        self.by_id.get(&id)
     }
 
     /// Returns every job.
     pub fn iter(&self) -> impl Iterator<Item = &Job> {
-        self.jobs.values()
+        self.by_id.values()
     }
 }
--- a/crates/coord/src/records.rs
+++ b/crates/coord/src/records.rs
@@ -53,6 +53,13 @@
         /// The task.
         task: TaskRef,
     },
+    /// A task whose intent was written was surely not started after all.
+    IntentWithdrawn {
+        /// The task.
+        task: TaskRef,
+        /// The record of the intent.
+        of: Uuid,
+    },
     /// A job is to be ended, whatever its state.
     JobCancelled {
         /// The job.
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -32,6 +32,10 @@
 use crate::peers;
 use crate::requests;
 
+/// Time that a planned stop waits for placements: an owner keeps an offer for a second, and its
+/// intents and withdrawals are appended after that.
+const HANDOVER_WAIT_MS: u64 = 3_000;
+
 /// How often a planned stop looks whether requests are still in progress.
 const DRAIN_CHECK: Duration = Duration::from_millis(20);
 
@@ -179,6 +183,7 @@
         emit(catalogue::DRAINING, format_args!("member={}", self.node.id));
         self.node.draining.set(true);
         actix_rt::time::sleep(Duration::from_millis(timing.drain_notice_ms)).await;
+        self.finish_placements().await;
         members::leave(&self.node).await;
         self.callers.finish();
         let limit = Duration::from_millis(timing.drain_limit_ms);
@@ -195,6 +200,21 @@
         emit(catalogue::STOPPED, format_args!("member={}", self.node.id));
     }
 
+    // The next home finds either started tasks or none; it does not meet one in the middle.
+    async fn finish_placements(&self) {
+        self.node.handing_over.set(true);
+        let finished = async {
+            while self.node.placements.get() > 0 {
+                actix_rt::time::sleep(DRAIN_CHECK).await;
+            }
+        };
+        let limit = Duration::from_millis(HANDOVER_WAIT_MS);
+        if tokio::time::timeout(limit, finished).await.is_err() {
+            let left = self.node.placements.get();
+            emit(catalogue::DRAIN_LIMIT, format_args!("placements={left}"));
+        }
+    }
+
     async fn drained(&self) {
         // A connection closes when the response to its last request is written whole. Peers wait
         // for what they passed on to this daemon while it was a home.
--- a/crates/daemon/src/follower.rs
+++ b/crates/daemon/src/follower.rs
@@ -153,7 +153,8 @@
     match &record.content {
         Content::Config(config) => publish::apply(node, entry.offset, config),
         Content::JobAccepted { job_id, spec } => home::apply_accepted(node, *job_id, spec),
-        Content::Intent { task } => node.jobs.borrow_mut().intend(*task),
+        Content::Intent { task } => node.jobs.borrow_mut().intend_by(*task, record.id),
+        Content::IntentWithdrawn { task, of } => node.jobs.borrow_mut().withdraw(*task, *of),
         Content::TaskEnded { task, outcome } => {
             home::apply_ended(node, *task, outcome);
             let mut jobs = node.jobs.borrow_mut();
--- a/crates/daemon/src/home_place.rs
+++ b/crates/daemon/src/home_place.rs
@@ -51,8 +51,26 @@
 
 type Outcomes = Vec<(u32, StartOutcome)>;
 
+// Counts a placement as in progress until it is dropped; a planned stop waits for it.
+#[derive(Debug)]
+struct InProgress(Rc<Node>);
+
+impl InProgress {
+    fn new(node: &Rc<Node>) -> Self {
+        node.placements.set(node.placements.get() + 1);
+        Self(Rc::clone(node))
+    }
+}
+
+impl Drop for InProgress {
+    fn drop(&mut self) {
+        self.0.placements.set(self.0.placements.get() - 1);
+    }
+}
+
 /// Carries out a placement and tells the home what came of it.
 pub async fn run(node: Rc<Node>, placement: Placement) {
+    let _counted = InProgress::new(&node);
     let outcomes = place(&node, &placement).await;
     let started = outcomes.iter().filter(|(_, outcome)| outcome.is_started());
     metrics::tasks_started(&node, placement.job_id, started.count());
@@ -67,7 +85,8 @@
         let jobs = node.jobs.borrow();
         jobs.get(placement.job_id).map(|job| job.spec.clone())
     };
-    let Some(spec) = spec.filter(|spec| acting(node, placement, spec)) else {
+    let leaving = node.handing_over.get();
+    let Some(spec) = spec.filter(|spec| !leaving && acting(node, placement, spec)) else {
         return not_started(&placement.parts);
     };
     match placement.parts.as_slice() {
@@ -133,6 +152,12 @@
         // Where this does not arrive, the reservation lapses.
         let given_up = parts.iter().map(|part| held(node, placement, part, false));
         join_all(given_up).await;
+        if !spec.idempotent {
+            let withdrawals = parts
+                .iter()
+                .map(|part| withdraw_intents(node, placement, part));
+            join_all(withdrawals).await;
+        }
         return not_started(parts);
     }
     let pairs = parts.iter().zip(workers);
@@ -155,7 +180,10 @@
             part.indexes.iter().copied().zip(started).collect()
         }
         Ok(ack) if ack.in_doubt => in_doubt(part),
-        Ok(_) | Err(CallError::NotSent) => not_started(std::slice::from_ref(part)),
+        Ok(_) | Err(CallError::NotSent) => {
+            withdraw_intents(node, placement, part).await;
+            not_started(std::slice::from_ref(part))
+        }
         Err(CallError::NoReply) => in_doubt(part),
     }
 }
@@ -201,14 +229,45 @@
     } else {
         Urgency::Prompt
     };
-    let intent = record(Uuid::now_v7(), Content::Intent { task });
+    let id = Uuid::now_v7();
+    let intent = record(id, Content::Intent { task });
     let appended = node.log_writer.append_record(intent, urgency).await;
     if appended.is_ok() {
-        node.jobs.borrow_mut().intend(task);
+        node.jobs.borrow_mut().intend_by(task, id);
     }
     appended.is_ok()
 }
 
+// A home that leaves with intents of tasks that it surely did not start would let the next home
+// report them as unknown.
+async fn withdraw_intents(node: &Rc<Node>, placement: &Placement, part: &Part) {
+    let withdrawals = part
+        .indexes
+        .iter()
+        .map(|index| withdraw_intent(node, placement, *index));
+    join_all(withdrawals).await;
+}
+
+async fn withdraw_intent(node: &Rc<Node>, placement: &Placement, index: u32) {
+    let task = TaskRef {
+        job_id: placement.job_id,
+        index,
+    };
+    let intent = node.jobs.borrow().intent_of(task);
+    let Some(of) = intent else {
+        return;
+    };
+    let withdrawal = record(Uuid::now_v7(), Content::IntentWithdrawn { task, of });
+    let appended = node
+        .log_writer
+        .append_record(withdrawal, Urgency::Urgent)
+        .await;
+    // Where it was not taken the intent stands, which is safe.
+    if appended.is_ok() {
+        node.jobs.borrow_mut().withdraw_early(task, of);
+    }
+}
+
 async fn offer(
     node: &Rc<Node>,
     placement: &Placement,
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -84,6 +84,10 @@
     pub requests: Requests,
     /// Whether a planned stop has begun.
     pub draining: Cell<bool>,
+    /// Whether it leaves its homes to others: it starts nothing new.
+    pub handing_over: Cell<bool>,
+    /// Placements in progress.
+    pub placements: Cell<usize>,
     /// What is kept for operators.
     pub operators: Operators,
     started: Instant,
@@ -134,6 +138,8 @@
             owner: Owner::new(parts.settings.timing.lease_ms),
             requests,
             draining: Cell::new(false),
+            handing_over: Cell::new(false),
+            placements: Cell::new(0),
             operators: Operators::default(),
             started: Instant::now(),
             settings: parts.settings,
