Bound the orders that are under way at one worker

Change: at most 24 orders at once for each worker; the others wait. Figures: the test failed before (200 connections to one worker).

--- a/crates/cell/src/leader/orders.rs
+++ b/crates/cell/src/leader/orders.rs
@@ -11,20 +11,20 @@
 use syc_sched::WorkerKey;
 
 use crate::leader::Leader;
+use crate::leader::sessions::WorkerLink;
 use crate::log;
 use crate::ports::OrderError;
 use crate::ports::Platform;
 use crate::ports::StartCommand;
 use crate::ports::StopCommand;
-use crate::ports::WorkerAddress;
 
 impl<P> Leader<P>
 where
     P: Platform,
 {
-    fn address_of(&self, worker: WorkerKey) -> Option<Rc<WorkerAddress>> {
+    fn link_to(&self, worker: WorkerKey) -> Option<WorkerLink> {
         let sessions = self.sessions.borrow();
-        Some(Rc::clone(&sessions.get(worker)?.address))
+        Some(sessions.get(worker)?.link())
     }
 
     pub(super) fn order_start(self: &Rc<Self>, order: StartOrder) {
@@ -34,12 +34,12 @@
             let session = sessions.get(order.worker);
             session.and_then(|session| session.lease_until_ms(lease_ms))
         };
-        let (Some(address), Some(lease_until_ms)) = (self.address_of(order.worker), lease_until_ms)
+        let (Some(link), Some(lease_until_ms)) = (self.link_to(order.worker), lease_until_ms)
         else {
             // The session has just ended; what it held is ended by the event that did so.
             return;
         };
-        log::run_ordered(&order, &address.id, self.token);
+        log::run_ordered(&order, &link.address.id, self.token);
         let command = StartCommand {
             task: order.task,
             run: order.run,
@@ -51,15 +51,17 @@
         };
         let leader = Rc::clone(self);
         let worker = order.worker;
-        actix_rt::spawn(async move { leader.send_start(worker, &address, &command).await });
+        actix_rt::spawn(async move { leader.send_start(worker, &link, &command).await });
     }
 
     async fn send_start(
         self: &Rc<Self>,
         worker: WorkerKey,
-        address: &WorkerAddress,
+        link: &WorkerLink,
         command: &StartCommand,
     ) {
+        let address = &link.address;
+        let _place = link.place().await;
         let timeout_ms = self.node.settings.timing.order_timeout_ms;
         let started = self.node.platform.start(address, command, timeout_ms).await;
         let answer = match started {
@@ -96,26 +98,28 @@
         run: Run,
         reason: StopReason,
     ) {
-        let Some(address) = self.address_of(worker) else {
+        let Some(link) = self.link_to(worker) else {
             // The session has just ended; what it held is ended by the event that did so.
             return;
         };
-        log::stop_ordered(task, run, &address.id, reason);
+        log::stop_ordered(task, run, &link.address.id, reason);
         let command = StopCommand {
             task,
             run,
             token: self.token,
         };
         let leader = Rc::clone(self);
-        actix_rt::spawn(async move { leader.send_stop(worker, &address, command).await });
+        actix_rt::spawn(async move { leader.send_stop(worker, &link, command).await });
     }
 
     async fn send_stop(
         self: &Rc<Self>,
         worker: WorkerKey,
-        address: &WorkerAddress,
+        link: &WorkerLink,
         command: StopCommand,
     ) {
+        let address = &link.address;
+        let _place = link.place().await;
         let timeout_ms = self.node.settings.timing.order_timeout_ms;
         let stopped = self.node.platform.stop(address, &command, timeout_ms).await;
         let taken = match stopped {
--- a/crates/cell/src/leader/sessions.rs
+++ b/crates/cell/src/leader/sessions.rs
@@ -8,6 +8,8 @@
 use syc_sched::WorkerKey;
 use syc_sched::WorkerSpec;
 use syc_types::Millis;
+use tokio::sync::Semaphore;
+use tokio::sync::SemaphorePermit;
 
 use crate::clock::now;
 use crate::leader::Leader;
@@ -26,15 +28,35 @@
 /// Longest such wait.
 const RETRY_LIMIT_MS: u64 = 400;
 
+/// Orders under way at one worker: each takes a connection, and workers reset those beyond their
+/// bound, which is some sixty.
+const ORDERS_AT_ONCE: usize = 24;
+
 /// A session with a worker.
 #[derive(Debug)]
 pub(super) struct Session {
     pub(super) address: Rc<WorkerAddress>,
+    /// Free places for orders.
+    orders: Rc<Semaphore>,
     /// The worker's clock, as last read.
     clock: Rc<Cell<Option<ClockReading>>>,
     task: Option<actix_rt::task::JoinHandle<()>>,
 }
 
+/// What orders to a worker need.
+#[derive(Debug, Clone)]
+pub(super) struct WorkerLink {
+    pub(super) address: Rc<WorkerAddress>,
+    orders: Rc<Semaphore>,
+}
+
+impl WorkerLink {
+    /// Waits for a free place for an order; none where the session has ended.
+    pub(super) async fn place(&self) -> Option<SemaphorePermit<'_>> {
+        self.orders.acquire().await.ok()
+    }
+}
+
 /// A reading of a worker's clock.
 #[derive(Debug, Clone, Copy)]
 struct ClockReading {
@@ -57,6 +79,14 @@
         }
     }
 
+    /// Returns what orders to the worker need.
+    pub(super) fn link(&self) -> WorkerLink {
+        WorkerLink {
+            address: Rc::clone(&self.address),
+            orders: Rc::clone(&self.orders),
+        }
+    }
+
     /// Returns the end of a lease that begins now, on the worker's clock.
     pub(super) fn lease_until_ms(&self, lease_ms: u64) -> Option<u64> {
         let reading = self.clock.get()?;
@@ -83,6 +113,7 @@
         );
         let session = Session {
             address,
+            orders: Rc::new(Semaphore::new(ORDERS_AT_ONCE)),
             clock,
             task: Some(actix_rt::spawn(session)),
         };
--- a/crates/cell/tests/cell/service.rs
+++ b/crates/cell/tests/cell/service.rs
@@ -6,6 +6,7 @@
 use syc_sched::JobId;
 use syc_sched::JobState;
 use syc_sched::StepSpec;
+use syc_types::Resources;
 
 use crate::cluster::Cluster;
 use crate::cluster::QUEUE;
@@ -101,3 +102,21 @@
         });
     }
 }
+
+#[test]
+fn a_worker_gets_only_so_many_orders_at_once() {
+    let cluster = Cluster::start(1, 1);
+    let node = cluster.scheduler();
+    let small = StepSpec {
+        resources: Resources {
+            cpu_millis: 10,
+            ..Resources::ZERO
+        },
+        ..step(200, 20)
+    };
+    cluster.submit(node, 1, vec![small]);
+    cluster.wait_for_state(node, 1, JobState::Completed);
+    let most = cluster.platform.most_orders();
+    assert!(most <= 24, "{most} connections to one worker");
+    cluster.assert_sound();
+}
--- a/crates/fleet/src/shared.rs
+++ b/crates/fleet/src/shared.rs
@@ -74,6 +74,9 @@
     configurations: HashMap<SmolStr, Configuration>,
     faults: SharedFaults,
     advice_calls: u64,
+    /// Start orders under way at each worker, and the most that were at any.
+    orders: HashMap<WorkerId, usize>,
+    most_orders: usize,
 }
 
 /// The platform of one node; all nodes share what is behind it.
@@ -157,6 +160,26 @@
         look(&mut self.lock().store)
     }
 
+    /// Returns the most start orders that were under way at one worker.
+    #[must_use]
+    pub fn most_orders(&self) -> usize {
+        self.lock().most_orders
+    }
+
+    fn begin_order(&self, worker: &WorkerId) {
+        let mut state = self.lock();
+        let orders = state.orders.entry(worker.clone()).or_default();
+        *orders += 1;
+        let orders = *orders;
+        state.most_orders = state.most_orders.max(orders);
+    }
+
+    fn end_order(&self, worker: &WorkerId) {
+        if let Some(orders) = self.lock().orders.get_mut(worker) {
+            *orders -= 1;
+        }
+    }
+
     /// Returns the number of calls for advice so far.
     #[must_use]
     pub fn advice_calls(&self) -> u64 {
@@ -265,7 +288,9 @@
         command: &StartCommand,
         timeout_ms: u64,
     ) -> Result<(), OrderError> {
+        self.begin_order(&worker.id);
         pause(CALL_MS).await;
+        self.end_order(&worker.id);
         let (started, lost) = {
             let mut state = self.lock();
             let lost = state.faults.lost_starts > 0;
