Let a scheduler that the store turns away say so

Cause: a scheduler that the store turned away was replaced after 1.2 s of silence in the store, in which nothing that ended could be noted.

--- a/crates/cell/src/contact.rs
+++ b/crates/cell/src/contact.rs
@@ -29,6 +29,10 @@
 /// A connection attempt to another node may take this long.
 const CONNECT_TIMEOUT_MS: u64 = 300;
 
+/// A scheduler that has had no answer of the store for this long, while another node has, is taken to
+/// be turned away: two signs of life and their repeats have failed by then.
+const TURNED_AWAY_MS: u64 = 300;
+
 /// Calls without an answer after which the scheduler is suspected to be gone.
 const MISSES_OF_GONE: u32 = 2;
 
@@ -240,8 +244,11 @@
 {
     let leader = node.leader();
     let partition = leader.as_ref().map_or(0, |leader| leader.met(contact));
+    // A scheduler that the store turns away cannot note what ends: a node that the store answers
+    // need not wait out its silence.
+    let turned_away = contact.store_answers && node.store_silent_ms() > TURNED_AWAY_MS;
     ContactReply {
-        leading: leader.is_some(),
+        leading: leader.is_some() && !turned_away,
         token: leader.map_or(0, |leader| leader.token),
         store_answers: node.store_answers(),
         partition,
