Take the store as away only when it answers nothing

Cause: one failed call counted as a store that does not answer; with some partitions down the scheduler's reads of these failed every 400 ms, and submits at its node were refused in between. A test of a partition that is down failed for it in one run. Change: the store is away when nothing was answered for 200 ms and something failed since. The test passes five times in a row.

--- a/crates/cell/src/node.rs
+++ b/crates/cell/src/node.rs
@@ -216,6 +216,7 @@
     let interval = Duration::from_millis(node.settings.timing.probe_ms);
     loop {
         actix_rt::time::sleep(interval).await;
+        node.review_store("review", "silent");
         if !node.store_answers() {
             node.probe().await;
         }
--- a/crates/cell/src/store_calls.rs
+++ b/crates/cell/src/store_calls.rs
@@ -30,6 +30,9 @@
 /// Times that an append is sent in all; the waits between double.
 const APPEND_TRIES: u32 = 4;
 
+/// The store is away when it has answered nothing for this long, and something failed since.
+const AWAY_MS: u64 = 200;
+
 /// Part of the way that the usual time moves down to a shorter one, in hundredths. It moves up at
 /// once: a slow store takes each copy of an append as long as the append itself.
 const USUAL_STEP: u64 = 25;
@@ -317,14 +320,24 @@
     fn note_store(&self, kind: &'static str, result: &'static str, began: Millis) {
         let ended = now();
         self.metrics.store_call(kind, result, ended.since(began));
-        let answers = !matches!(result, "refused" | "in_doubt");
-        if answers {
-            self.store.last_answer_at.set(ended);
-        } else {
+        if matches!(result, "refused" | "in_doubt") {
             self.store.last_failure_at.set(ended);
+        } else {
+            self.store.last_answer_at.set(ended);
         }
+        self.review_store(kind, result);
+    }
+
+    /// Judges whether the store answers.
+    ///
+    /// A store that is down in part fails some calls and answers others at the same time; it counts
+    /// as away only when nothing was answered for a while and something failed since.
+    pub(crate) fn review_store(&self, kind: &'static str, result: &'static str) {
+        let answered_at = self.store.last_answer_at.get();
+        let failed_since = self.store.last_failure_at.get() > answered_at;
+        let silent_ms = now().since(answered_at);
+        let answers = !(failed_since && silent_ms > AWAY_MS);
         if self.store.answers.replace(answers) != answers {
-            let silent_ms = ended.since(self.store.last_answer_at.get());
             log::store_health(answers, kind, result, silent_ms);
         }
     }
