Run jobs at set times, and tasks that last

Each occurrence has the steps of the job for itself, starts when it is due and is ordered by its own due time; a task that lasts is started again however it ends, counts no failures, is neither stopped for others nor taken as stalled, and waits as urgently as if it had just come.

--- a/crates/cell/src/adviser.rs
+++ b/crates/cell/src/adviser.rs
@@ -25,6 +25,7 @@
     let workers: Vec<_> = query.workers.into_iter().map(WorkerId::new).collect();
     let step = StepId {
         job: JobId(query.job),
+        occurrence: query.occurrence,
         step: u16::try_from(query.step).unwrap_or(u16::MAX),
     };
     let advice = node.platform.advise(step, &workers, query.timeout_ms).await;
--- a/crates/cell/src/leader/advice.rs
+++ b/crates/cell/src/leader/advice.rs
@@ -176,6 +176,7 @@
             Some(client) => {
                 let query = CellBody::AdviceQuery(AdviceQuery {
                     job: step.job.0,
+                    occurrence: step.occurrence,
                     step: u32::from(step.step),
                     workers: workers.iter().map(|id| id.as_str().to_owned()).collect(),
                     timeout_ms,
--- a/crates/cell/tests/cell/cluster.rs
+++ b/crates/cell/tests/cell/cluster.rs
@@ -22,6 +22,7 @@
 use syc_sched::JobSpec;
 use syc_sched::JobState;
 use syc_sched::QueuePolicy;
+use syc_sched::Schedule;
 use syc_sched::StepId;
 use syc_sched::StepSpec;
 use syc_sched::TaskId;
@@ -195,6 +196,7 @@
                     let task = TaskId {
                         step: StepId {
                             job: spec.id,
+                            occurrence: 0,
                             step: index,
                         },
                         index: task,
@@ -303,6 +305,7 @@
         payload: SmolStr::new_static("payload"),
         steps,
         policy: policy(),
+        schedule: Schedule::default(),
         accepted_at_ms: syc_cell::time_of_day_ms(),
     }
 }
--- a/crates/sched/src/advice.rs
+++ b/crates/sched/src/advice.rs
@@ -218,10 +218,7 @@
     }
 
     pub(crate) fn step_id(&self, job: JobKey, step: usize) -> StepId {
-        StepId {
-            job: self.jobs[job].id(),
-            step: u16::try_from(step).unwrap_or(u16::MAX),
-        }
+        self.jobs[job].step_id(step)
     }
 
     pub(crate) fn advised(
@@ -236,9 +233,10 @@
         };
         let job = &mut self.jobs[key];
         let queue = job.spec.policy.queue.clone();
-        let Some(of_step) = job.steps.get_mut(usize::from(step.step)) else {
+        let Some(index) = job.index_of(step) else {
             return;
         };
+        let of_step = &mut job.steps[index];
         let advice = &mut of_step.advice;
         advice.asked_at = None;
         let AdviceAnswer::Given {
--- a/crates/sched/src/ids.rs
+++ b/crates/sched/src/ids.rs
@@ -62,13 +62,18 @@
 pub struct StepId {
     /// The job.
     pub job: JobId,
+    /// Which time of the job's steps, from 0.
+    pub occurrence: u32,
     /// Position of the step in the job, from 0.
     pub step: u16,
 }
 
 impl fmt::Display for StepId {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}/{}", self.job, self.step)
+        if self.occurrence == 0 {
+            return write!(f, "{}/{}", self.job, self.step);
+        }
+        write!(f, "{}@{}/{}", self.job, self.occurrence, self.step)
     }
 }
 
--- a/crates/sched/src/job.rs
+++ b/crates/sched/src/job.rs
@@ -138,6 +138,8 @@
     pub(crate) left: u32,
     /// Units that wait for a start.
     pub(crate) pending: u32,
+    /// Before this time it does not start; none where it may start at once.
+    pub(crate) due_at: Option<Millis>,
     /// When its tasks began to wait.
     pub(crate) ready_at: Option<Millis>,
     /// When the log last told that it waits.
@@ -145,7 +147,7 @@
 }
 
 impl Step {
-    fn new(spec: &StepSpec) -> Self {
+    fn new(spec: &StepSpec, due_at: Option<Millis>) -> Self {
         let units = if spec.gang { 1 } else { spec.tasks };
         Self {
             spec: spec.clone(),
@@ -153,6 +155,7 @@
             advice: Advice::default(),
             left: units,
             pending: units,
+            due_at,
             ready_at: None,
             told_at: Millis(0),
         }
@@ -214,7 +217,7 @@
 
 impl Job {
     pub(crate) fn new(spec: JobSpec, accepted_at: Millis) -> Self {
-        let steps = spec.steps.iter().map(Step::new).collect();
+        let steps = steps_of(&spec, accepted_at);
         let objective_ms = objective_ms(&spec);
         Self {
             steps,
@@ -236,15 +239,43 @@
         self.spec.id
     }
 
-    /// Says whether the steps before a step are all done.
-    pub(crate) fn is_ready(&self, step: usize) -> bool {
+    /// Says whether a step is due, and the steps before it are all done.
+    pub(crate) fn is_ready(&self, step: usize, now: Millis) -> bool {
+        if self.steps[step].due_at.is_some_and(|due_at| due_at > now) {
+            return false;
+        }
+        let first = step - step % self.spec.steps.len().max(1);
         let before = &self.steps[step].spec.after;
         before.iter().all(|after| {
-            let step = self.steps.get(usize::from(*after));
+            let step = self.steps.get(first + usize::from(*after));
             step.is_some_and(|step| step.left == 0)
         })
     }
 
+    /// Returns the position of a step of some occurrence among all steps.
+    pub(crate) fn index_of(&self, step: StepId) -> Option<usize> {
+        let of_one = self.spec.steps.len();
+        let position = usize::from(step.step);
+        let occurrence = usize::try_from(step.occurrence).ok()?;
+        let index = occurrence.checked_mul(of_one)?.checked_add(position)?;
+        (position < of_one && index < self.steps.len()).then_some(index)
+    }
+
+    /// Returns the name of the step at a position among all steps.
+    pub(crate) fn step_id(&self, index: usize) -> StepId {
+        let of_one = self.spec.steps.len().max(1);
+        StepId {
+            job: self.id(),
+            occurrence: u32::try_from(index / of_one).unwrap_or(u32::MAX),
+            step: u16::try_from(index % of_one).unwrap_or(u16::MAX),
+        }
+    }
+
+    /// Returns the time from which the objective of a step counts.
+    pub(crate) fn counts_from(&self, step: usize) -> Millis {
+        self.steps[step].due_at.unwrap_or(self.accepted_at)
+    }
+
     /// Takes over what a predecessor kept of the job.
     pub(crate) fn restore(&mut self, progress: &JobProgress) {
         self.state = progress.state;
@@ -279,6 +310,22 @@
     }
 }
 
+/// Makes the steps of all occurrences.
+fn steps_of(spec: &JobSpec, accepted_at: Millis) -> Vec<Step> {
+    let mut steps = Vec::new();
+    for occurrence in 0..spec.schedule.times() {
+        let due_at_ms = spec.schedule.due_at_ms(occurrence);
+        let due_at = due_at_ms.map(|due_at_ms| {
+            let after_ms = due_at_ms.saturating_sub(spec.accepted_at_ms);
+            accepted_at.plus(after_ms)
+        });
+        for step in &spec.steps {
+            steps.push(Step::new(step, due_at));
+        }
+    }
+    steps
+}
+
 fn restore_step(step: &mut Step, kept: &StepProgress) {
     for (index, unit) in step.units.iter_mut().enumerate() {
         let index = u32::try_from(index).unwrap_or(u32::MAX);
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -61,5 +61,6 @@
 pub use spec::AdvicePolicy;
 pub use spec::JobSpec;
 pub use spec::QueuePolicy;
+pub use spec::Schedule;
 pub use spec::SpecFinding;
 pub use spec::StepSpec;
--- a/crates/sched/src/place.rs
+++ b/crates/sched/src/place.rs
@@ -66,14 +66,10 @@
                 continue;
             }
             for step in 0..job.steps.len() {
-                if job.steps[step].pending == 0 || !job.is_ready(step) {
+                if job.steps[step].pending == 0 || !job.is_ready(step, now) {
                     continue;
                 }
-                let id = StepId {
-                    job: job.id(),
-                    step: u16::try_from(step).unwrap_or(u16::MAX),
-                };
-                waiting.push((urgency(job, id, now), *key, step));
+                waiting.push((urgency(job, step, now), *key, step));
             }
         }
         waiting.sort_unstable_by_key(|(urgency, _, _)| *urgency);
@@ -382,7 +378,7 @@
             checkpoint: SmolStr::default(),
             ticket: ticket.clone(),
             priority: of_job.spec.policy.priority,
-            checkpointed: of_step.spec.checkpointed,
+            checkpointed: of_step.spec.checkpointed && !of_step.spec.long_running,
             gang: of_step.spec.gang,
         };
         self.headroom.take(held.resources.cpu_millis);
@@ -417,11 +413,16 @@
     }
 }
 
-fn urgency(job: &crate::job::Job, id: StepId, now: Millis) -> Urgency {
-    let due_at = job.accepted_at.plus(job.objective_ms);
-    let late_at = job
-        .accepted_at
-        .plus(job.objective_ms.saturating_mul(LATE_FACTOR));
+fn urgency(job: &crate::job::Job, step: usize, now: Millis) -> Urgency {
+    let of_step = &job.steps[step];
+    let from = if of_step.spec.long_running {
+        // It is late from the moment at which it does not run.
+        of_step.ready_at.unwrap_or(now)
+    } else {
+        job.counts_from(step)
+    };
+    let due_at = from.plus(job.objective_ms);
+    let late_at = from.plus(job.objective_ms.saturating_mul(LATE_FACTOR));
     let lateness = match now {
         now if now <= due_at => 0,
         now if now <= late_at => 1,
@@ -431,7 +432,7 @@
         lateness,
         priority: job.spec.policy.priority,
         due_at,
-        id,
+        id: job.step_id(step),
     }
 }
 
--- a/crates/sched/src/reports.rs
+++ b/crates/sched/src/reports.rs
@@ -12,7 +12,6 @@
 use crate::RunEnd;
 use crate::RunningReport;
 use crate::Scheduler;
-use crate::StepId;
 use crate::StopReason;
 use crate::TaskId;
 use crate::WorkerKey;
@@ -284,7 +283,7 @@
             held.priority = spec.policy.priority;
             if let Some(step) = spec.steps.get(usize::from(listed.task.step.step)) {
                 held.resources = step.resources;
-                held.checkpointed = step.checkpointed;
+                held.checkpointed = step.checkpointed && !step.long_running;
                 held.gang = step.gang;
             }
         }
@@ -394,6 +393,10 @@
         };
         let settled = self.recovery.is_settled();
         let job = &mut self.jobs[job_key];
+        // A task that lasts is started again however it ends.
+        let lasts = job.steps[step_index].spec.long_running;
+        let failed_here = outcome == Outcome::Failed;
+        let outcome = if lasts { Outcome::Interrupted } else { outcome };
         let step = &mut job.steps[step_index];
         let unit = &mut step.units[unit_index];
         let is_closing =
@@ -413,7 +416,7 @@
         if !checkpoint.is_empty() {
             unit.checkpoint = checkpoint;
         }
-        if outcome == Outcome::Failed && !unit.avoid.contains(&worker) {
+        if failed_here && !unit.avoid.contains(&worker) {
             unit.avoid.push(worker);
         }
         let inherited = job.inherited && !settled;
@@ -557,10 +560,7 @@
 
     /// Stops the members of a gang that still hold room.
     pub(crate) fn stop_members(&mut self, place: Place, run: Run, now: Millis) {
-        let step = StepId {
-            job: self.jobs[place.job].id(),
-            step: u16::try_from(place.step).unwrap_or(u16::MAX),
-        };
+        let step = self.step_id(place.job, place.step);
         let mut stops = Vec::new();
         for (worker, held) in &self.workers {
             for ((task, of_run), state) in held.runs_of(step) {
--- a/crates/sched/src/scheduler.rs
+++ b/crates/sched/src/scheduler.rs
@@ -193,7 +193,7 @@
         };
         for key in &self.open {
             for (index, step) in self.jobs[*key].steps.iter().enumerate() {
-                if step.pending > 0 && self.jobs[*key].is_ready(index) {
+                if step.pending > 0 && self.jobs[*key].is_ready(index, now) {
                     counts.waiting_tasks += u64::from(step.pending * step.members());
                 }
             }
@@ -301,6 +301,7 @@
             payload: SmolStr::default(),
             steps: Vec::new(),
             policy: crate::QueuePolicy::default(),
+            schedule: crate::Schedule::default(),
             accepted_at_ms: 0,
         };
         let mut job = Job::new(spec, now);
@@ -431,7 +432,7 @@
     /// Finds the job, step, unit and member of a task.
     pub(crate) fn locate(&self, task: TaskId) -> Option<(JobKey, usize, usize, usize)> {
         let key = *self.job_keys.get(&task.step.job)?;
-        let index = usize::from(task.step.step);
+        let index = self.jobs[key].index_of(task.step)?;
         let step = self.jobs[key].steps.get(index)?;
         let (unit, member) = step.unit_of(task.index)?;
         Some((key, index, unit, member))
--- a/crates/sched/src/spec.rs
+++ b/crates/sched/src/spec.rs
@@ -34,6 +34,8 @@
     pub checkpointed: bool,
     /// Whether the tasks work only all together.
     pub gang: bool,
+    /// Whether the tasks run until the job is cancelled, and are started again however they end.
+    pub long_running: bool,
     /// Whether copies of a task may run at the same time.
     pub speculative: bool,
     /// Whether the tasks should share a rack.
@@ -55,6 +57,7 @@
             after: Vec::new(),
             checkpointed: false,
             gang: false,
+            long_running: false,
             speculative: false,
             same_rack: false,
             required_label: None,
@@ -118,6 +121,40 @@
     }
 }
 
+/// At which times of day the steps of a job run.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Schedule {
+    /// How often they run; 0 for once, as soon as possible.
+    pub occurrences: u32,
+    /// When the first is due, in milliseconds since 1970.
+    pub first_at_ms: u64,
+    /// Time from one to the next; they may overlap.
+    pub interval_ms: u64,
+}
+
+impl Schedule {
+    /// Returns how often the steps run.
+    #[must_use]
+    pub const fn times(&self) -> u32 {
+        if self.occurrences == 0 {
+            1
+        } else {
+            self.occurrences
+        }
+    }
+
+    /// Returns when an occurrence is due, in milliseconds since 1970; none for as soon as possible.
+    #[must_use]
+    pub fn due_at_ms(&self, occurrence: u32) -> Option<u64> {
+        if self.occurrences == 0 {
+            return None;
+        }
+        let later_ms = self.interval_ms.saturating_mul(u64::from(occurrence));
+        Some(self.first_at_ms.saturating_add(later_ms))
+    }
+}
+
 /// A job as it was accepted. It is also the form in which it is kept.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct JobSpec {
@@ -129,6 +166,9 @@
     pub steps: Vec<StepSpec>,
     /// The policy of its queue.
     pub policy: QueuePolicy,
+    /// When its steps run.
+    #[serde(default)]
+    pub schedule: Schedule,
     /// Time of day at which it was accepted, in milliseconds since 1970.
     pub accepted_at_ms: u64,
 }
@@ -156,6 +196,11 @@
         if self.steps.is_empty() || self.steps.len() > STEPS_LIMIT {
             findings.push(SpecFinding::new(None, "a job has 1 to 1,000 steps"));
         }
+        let times = usize::try_from(self.schedule.times()).unwrap_or(usize::MAX);
+        if self.steps.len().saturating_mul(times) > STEPS_LIMIT {
+            let text = "the steps of all occurrences together are 1,000 at most";
+            findings.push(SpecFinding::new(None, text));
+        }
         for (index, step) in self.steps.iter().enumerate() {
             let place = Some(index);
             if step.tasks == 0 || step.tasks > STEP_TASKS_LIMIT {
--- a/crates/sched/tests/core/driver.rs
+++ b/crates/sched/tests/core/driver.rs
@@ -14,6 +14,7 @@
 use syc_sched::Run;
 use syc_sched::RunEnd;
 use syc_sched::RunningReport;
+use syc_sched::Schedule;
 use syc_sched::Scheduler;
 use syc_sched::StartAnswer;
 use syc_sched::StartOrder;
@@ -114,11 +115,22 @@
     }
 
     pub fn submit(&mut self, id: u64, policy: QueuePolicy, steps: Vec<StepSpec>) {
+        self.submit_scheduled(id, policy, steps, Schedule::default());
+    }
+
+    pub fn submit_scheduled(
+        &mut self,
+        id: u64,
+        policy: QueuePolicy,
+        steps: Vec<StepSpec>,
+        schedule: Schedule,
+    ) {
         let spec = Box::new(JobSpec {
             id: JobId(id),
             payload: SmolStr::new_static("payload"),
             steps,
             policy,
+            schedule,
             accepted_at_ms: 0,
         });
         self.apply(Event::JobStored { spec, age_ms: 0 });
--- a/crates/sched/tests/core/main.rs
+++ b/crates/sched/tests/core/main.rs
@@ -2,6 +2,7 @@
 
 mod advice;
 mod driver;
+mod lasting;
 mod life;
 mod preempt;
 mod silence;
--- a/crates/sched/tests/core/takeover.rs
+++ b/crates/sched/tests/core/takeover.rs
@@ -9,6 +9,7 @@
 use syc_sched::Options;
 use syc_sched::Run;
 use syc_sched::RunEnd;
+use syc_sched::Schedule;
 use syc_sched::StepId;
 use syc_sched::StepSpec;
 use syc_sched::StopReason;
@@ -22,6 +23,7 @@
 fn task(index: u32) -> TaskId {
     let step = StepId {
         job: JobId(1),
+        occurrence: 0,
         step: 0,
     };
     TaskId { step, index }
@@ -35,6 +37,7 @@
         payload: SmolStr::new_static("payload"),
         steps,
         policy: policy(0),
+        schedule: Schedule::default(),
         accepted_at_ms: 0,
     };
     driver.scheduler.restore_job(spec, progress, 10, driver.now);
--- a/crates/sched/tests/schedules/jobs.rs
+++ b/crates/sched/tests/schedules/jobs.rs
@@ -10,6 +10,7 @@
 use syc_sched::JobSpec;
 use syc_sched::JobState;
 use syc_sched::QueuePolicy;
+use syc_sched::Schedule;
 use syc_sched::StepId;
 use syc_sched::StepSpec;
 use syc_sched::TaskId;
@@ -41,12 +42,14 @@
         payload: SmolStr::new_static("payload"),
         steps,
         policy: policy(rng),
+        schedule: Schedule::default(),
         accepted_at_ms: 0,
     };
     let hopeless = rng.random_ratio(1, 12);
     for (index, step) in (0..).zip(&spec.steps) {
         let step_id = StepId {
             job: spec.id,
+            occurrence: 0,
             step: index,
         };
         plan_step(rng, fleet, step_id, step, hopeless && index == 0);
--- a/crates/wire/src/cell.rs
+++ b/crates/wire/src/cell.rs
@@ -159,6 +159,9 @@
     /// Time that the call may take.
     #[prost(uint64, tag = "4")]
     pub timeout_ms: u64,
+    /// Which time of the job's steps.
+    #[prost(uint32, tag = "5")]
+    pub occurrence: u32,
 }
 
 /// Answer to [`AdviceQuery`].
