Mend timed jobs without advice and lasting tasks that fail, and split two large files

The log tells for what a step waits ever more seldom, and which label no worker has. Units and waiting steps have files of their own.

--- a/crates/cell/src/log.rs
+++ b/crates/cell/src/log.rs
@@ -257,12 +257,16 @@
         Note::Waiting {
             step,
             lacking,
+            eligible,
+            required_label,
             allowed,
             tasks,
         } => Line::new(catalogue::STEP_WAITS)
             .display("job", step.job)
             .display("step", step)
             .text("lacking", lacking)
+            .number("eligible", *eligible)
+            .text("required_label", required_label)
             .number("allowed", *allowed)
             .number("tasks", *tasks)
             .emit(),
--- a/crates/sched/src/advice.rs
+++ b/crates/sched/src/advice.rs
@@ -35,7 +35,7 @@
     pub(crate) fn allowed_now(&self, job: JobKey, step: usize, now: Millis) -> Vec<WorkerKey> {
         let job = &self.jobs[job];
         if job.spec.policy.advice.is_none() {
-            return self.eligible(job.spec.steps[step].required_label.as_ref(), job, now);
+            return self.eligible(job.steps[step].spec.required_label.as_ref(), job, now);
         }
         let valid_from = now.plus(self.options.ticket_margin_ms);
         let tickets = &job.steps[step].advice.tickets;
--- a/crates/sched/src/event.rs
+++ b/crates/sched/src/event.rs
@@ -395,6 +395,10 @@
         step: StepId,
         /// What is lacking.
         lacking: &'static str,
+        /// Workers that have what it asks for and may get work.
+        eligible: usize,
+        /// Label that it asks a worker to have; empty for none.
+        required_label: SmolStr,
         /// Workers that may run it and that tickets are held for.
         allowed: usize,
         /// Tasks that wait.
--- a/crates/sched/src/job.rs
+++ b/crates/sched/src/job.rs
@@ -142,8 +142,9 @@
     pub(crate) due_at: Option<Millis>,
     /// When its tasks began to wait.
     pub(crate) ready_at: Option<Millis>,
-    /// When the log last told that it waits.
+    /// When the log last told that it waits, and how often it has.
     pub(crate) told_at: Millis,
+    pub(crate) tells: u32,
 }
 
 impl Step {
@@ -158,6 +159,7 @@
             due_at,
             ready_at: None,
             told_at: Millis(0),
+            tells: 0,
         }
     }
 
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -27,6 +27,8 @@
 mod reports;
 mod scheduler;
 mod spec;
+mod units;
+mod waiting;
 mod watch;
 mod worker;
 
--- a/crates/sched/src/orders.rs
+++ b/crates/sched/src/orders.rs
@@ -11,7 +11,7 @@
 use crate::StopReason;
 use crate::TaskId;
 use crate::WorkerKey;
-use crate::reports::Ending;
+use crate::units::Ending;
 use crate::worker::Phase;
 
 impl Scheduler {
--- a/crates/sched/src/place.rs
+++ b/crates/sched/src/place.rs
@@ -6,10 +6,8 @@
 
 use crate::Action;
 use crate::JobState;
-use crate::Note;
 use crate::Run;
 use crate::Scheduler;
-use crate::StepId;
 use crate::StopReason;
 use crate::TaskId;
 use crate::WorkerKey;
@@ -22,25 +20,9 @@
 use crate::worker::plus;
 use crate::worker::times;
 
-/// A step waits this long before the log tells for what, and again after as long.
-const TELL_WAITING_MS: u64 = 1_000;
-
-/// A job earns a part of its worth up to this many times its objective.
-const LATE_FACTOR: u64 = 3;
-
 /// Most units for which running work is stopped in one look at a step.
 const PREEMPTIONS_PER_LOOK: u32 = 4;
 
-/// What a waiting step is ordered by; the least goes first.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-struct Urgency {
-    /// 0 while the objective can be met, 1 while the work still earns a part, 2 after that.
-    lateness: u8,
-    priority: u32,
-    due_at: Millis,
-    id: StepId,
-}
-
 impl Scheduler {
     /// Looks at every waiting task and returns what is to be done.
     pub fn schedule(&mut self, now: Millis) -> Vec<Action> {
@@ -57,29 +39,6 @@
         std::mem::take(&mut self.actions)
     }
 
-    fn waiting_steps(&mut self, now: Millis) -> Vec<(Urgency, JobKey, usize)> {
-        let mut waiting = Vec::new();
-        let settled = self.recovery.is_settled();
-        for key in &self.open {
-            let job = &self.jobs[*key];
-            if job.inherited && !settled {
-                continue;
-            }
-            for step in 0..job.steps.len() {
-                if job.steps[step].pending == 0 || !job.is_ready(step, now) {
-                    continue;
-                }
-                waiting.push((urgency(job, step, now), *key, step));
-            }
-        }
-        waiting.sort_unstable_by_key(|(urgency, _, _)| *urgency);
-        for (_, job, step) in &waiting {
-            let step = &mut self.jobs[*job].steps[*step];
-            step.ready_at.get_or_insert(now);
-        }
-        waiting
-    }
-
     fn serve_tasks(&mut self, job: JobKey, step: usize, now: Millis) {
         let allowed = self.allowed_now(job, step, now);
         let mut preemptions = 0;
@@ -385,55 +344,6 @@
         self.workers[worker].insert(task, run, held);
         self.order_start(worker, task, run, ticket, 0, now);
     }
-
-    fn tell_waiting(&mut self, job: JobKey, step: usize, now: Millis) {
-        let id = self.step_id(job, step);
-        let allowed = self.allowed_now(job, step, now).len();
-        let of_step = &mut self.jobs[job].steps[step];
-        let ready_at = of_step.ready_at.unwrap_or(now);
-        let last = ready_at.max(of_step.told_at);
-        if of_step.pending == 0 || now.since(last) < TELL_WAITING_MS {
-            return;
-        }
-        of_step.told_at = now;
-        let lacking = if of_step.advice.asked_at.is_some() {
-            "advice"
-        } else if allowed == 0 {
-            "allowed_workers"
-        } else {
-            "room"
-        };
-        let tasks = of_step.pending * of_step.members();
-        self.actions.push(Action::Note(Note::Waiting {
-            step: id,
-            lacking,
-            allowed,
-            tasks,
-        }));
-    }
-}
-
-fn urgency(job: &crate::job::Job, step: usize, now: Millis) -> Urgency {
-    let of_step = &job.steps[step];
-    let from = if of_step.spec.long_running {
-        // It is late from the moment at which it does not run.
-        of_step.ready_at.unwrap_or(now)
-    } else {
-        job.counts_from(step)
-    };
-    let due_at = from.plus(job.objective_ms);
-    let late_at = from.plus(job.objective_ms.saturating_mul(LATE_FACTOR));
-    let lateness = match now {
-        now if now <= due_at => 0,
-        now if now <= late_at => 1,
-        _ => 2,
-    };
-    Urgency {
-        lateness,
-        priority: job.spec.policy.priority,
-        due_at,
-        id: job.step_id(step),
-    }
 }
 
 /// Runs that are to be stopped.
--- a/crates/sched/src/recovery.rs
+++ b/crates/sched/src/recovery.rs
@@ -11,7 +11,7 @@
 use crate::Scheduler;
 use crate::job::Outcome;
 use crate::job::UnitState;
-use crate::reports::Place;
+use crate::units::Place;
 
 /// How far a takeover is.
 #[derive(Debug, Clone, Default)]
--- /dev/null
+++ b/crates/sched/src/units.rs
@@ -0,0 +1,281 @@
+//! What the end of a run means for its unit: outcomes, failures, gangs that end as a whole.
+
+use smol_str::SmolStr;
+use syc_types::Millis;
+
+use crate::Action;
+use crate::JobState;
+use crate::Note;
+use crate::Run;
+use crate::RunEnd;
+use crate::Scheduler;
+use crate::StopReason;
+use crate::TaskId;
+use crate::WorkerKey;
+use crate::ids::JobKey;
+use crate::job::Outcome;
+use crate::job::Unit;
+use crate::job::UnitState;
+use crate::worker::Phase;
+
+/// Where a unit is: its job, and the positions of its step and of itself.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Place {
+    pub(crate) job: JobKey,
+    pub(crate) step: usize,
+    pub(crate) unit: usize,
+}
+
+/// How a run ended, by report or by conclusion.
+#[derive(Debug, Clone)]
+pub(crate) struct Ending {
+    pub(crate) how: &'static str,
+    pub(crate) end: Option<RunEnd>,
+    pub(crate) checkpoint: SmolStr,
+}
+
+impl Ending {
+    pub(crate) const fn without_report(how: &'static str) -> Self {
+        Self {
+            how,
+            end: None,
+            checkpoint: SmolStr::new_static(""),
+        }
+    }
+}
+
+impl Scheduler {
+    /// Ends a run: its room is free, and its unit takes note of the outcome.
+    pub(crate) fn end_run(
+        &mut self,
+        key: WorkerKey,
+        task: TaskId,
+        run: Run,
+        ending: Ending,
+        now: Millis,
+    ) {
+        let worker = &mut self.workers[key];
+        let held = worker.remove(task, run);
+        match ending.end {
+            Some(RunEnd::Done) => worker.failures_in_row = 0,
+            Some(RunEnd::Failed) => worker.failures_in_row += 1,
+            _ => {}
+        }
+        let worker_id = worker.spec.id.clone();
+        self.put_aside_if_failing(key, now);
+        let mut checkpoint = ending.checkpoint;
+        if checkpoint.is_empty() {
+            checkpoint = held.map_or_else(SmolStr::default, |held| held.checkpoint);
+        }
+        let outcome = match ending.end {
+            Some(RunEnd::Done) => Outcome::Done,
+            Some(RunEnd::Failed) => Outcome::Failed,
+            _ => Outcome::Interrupted,
+        };
+        let failures = self.account(key, task, run, outcome, checkpoint, now);
+        self.actions.push(Action::Note(Note::RunEnded {
+            task,
+            run,
+            worker: worker_id,
+            end: ending.how,
+            failures,
+        }));
+    }
+
+    /// Tells a unit that a member's run has ended. Returns the unit's failed runs.
+    fn account(
+        &mut self,
+        worker: WorkerKey,
+        task: TaskId,
+        run: Run,
+        outcome: Outcome,
+        checkpoint: SmolStr,
+        now: Millis,
+    ) -> u32 {
+        let Some((job_key, step_index, unit_index, member)) = self.locate(task) else {
+            return 0;
+        };
+        let settled = self.recovery.is_settled();
+        let job = &mut self.jobs[job_key];
+        // A task that lasts is started again however it ends.
+        let lasts = job.steps[step_index].spec.long_running;
+        let failed_here = outcome == Outcome::Failed;
+        let outcome = if lasts { Outcome::Interrupted } else { outcome };
+        let step = &mut job.steps[step_index];
+        let unit = &mut step.units[unit_index];
+        let is_closing =
+            matches!(unit.state, UnitState::Closing { run: closing, .. } if closing == run);
+        if job.state.is_terminal() {
+            return unit.failures;
+        }
+        let place = Place {
+            job: job_key,
+            step: step_index,
+            unit: unit_index,
+        };
+        if run <= unit.accounted && !is_closing {
+            return self.count_late_failure(place, run, outcome, now);
+        }
+        unit.started = unit.started.max(run);
+        if !checkpoint.is_empty() {
+            unit.checkpoint = checkpoint;
+        }
+        // Tasks that last may fail at any time; where one failed says nothing of the next.
+        if failed_here && !lasts && !unit.avoid.contains(&worker) {
+            unit.avoid.push(worker);
+        }
+        let inherited = job.inherited && !settled;
+        match &mut unit.state {
+            UnitState::Placed {
+                run: placed,
+                members,
+            } if *placed == run => {
+                members[member] = None;
+                let others = members.iter().flatten().count();
+                if others == 0 || outcome == Outcome::Done {
+                    self.settle(place, run, outcome, now);
+                } else {
+                    self.close(place, run, outcome, others, now);
+                }
+            }
+            UnitState::Closing { left, .. } if is_closing => {
+                *left = left.saturating_sub(1);
+                if outcome == Outcome::Done {
+                    self.settle(place, run, outcome, now);
+                } else {
+                    self.close_further(place, run, outcome, now);
+                }
+            }
+            UnitState::Pending if inherited => {
+                step.pending -= 1;
+                self.settle(place, run, outcome, now);
+            }
+            _ => {}
+        }
+        let unit = &self.jobs[job_key].steps[step_index].units[unit_index];
+        unit.failures
+    }
+
+    /// Counts a failure of a run that was taken as ended for another reason: of a gang, the broken
+    /// members can be listed before the failed one. Returns the unit's failed runs.
+    fn count_late_failure(&mut self, place: Place, run: Run, outcome: Outcome, now: Millis) -> u32 {
+        let unit = self.unit_mut(place);
+        if outcome != Outcome::Failed || run <= unit.failed || unit.is_done() {
+            return unit.failures;
+        }
+        unit.failed = run;
+        unit.failures += 1;
+        let failures = unit.failures;
+        self.changed(place.job);
+        self.fail_if_spent(place, now);
+        failures
+    }
+
+    /// Begins to end a gang's run, a member of which has ended.
+    ///
+    /// The outcome is recorded at once, so that the member's worker may forget the end.
+    pub(crate) fn close(
+        &mut self,
+        place: Place,
+        run: Run,
+        outcome: Outcome,
+        others: usize,
+        now: Millis,
+    ) {
+        let left = u32::try_from(others).unwrap_or(u32::MAX);
+        self.unit_mut(place).state = UnitState::Closing { run, left, outcome };
+        self.count_outcome(place, run, outcome);
+        self.changed(place.job);
+        if !self.fail_if_spent(place, now) {
+            self.stop_members(place, run, now);
+        }
+    }
+
+    /// Takes the end of a further member into account.
+    fn close_further(&mut self, place: Place, run: Run, outcome: Outcome, now: Millis) {
+        let unit = self.unit_mut(place);
+        let UnitState::Closing {
+            left,
+            outcome: so_far,
+            ..
+        } = &mut unit.state
+        else {
+            return;
+        };
+        let left = *left;
+        // The end of one member breaks the others: the failed one may be listed after them.
+        if outcome == Outcome::Failed && *so_far == Outcome::Interrupted {
+            *so_far = Outcome::Failed;
+            self.count_outcome(place, run, outcome);
+            self.changed(place.job);
+            if self.fail_if_spent(place, now) {
+                return;
+            }
+        }
+        if left == 0 {
+            let change = self.changed(place.job);
+            let outcome = Outcome::Interrupted;
+            self.unit_mut(place).state = UnitState::Recording { outcome, change };
+        }
+    }
+
+    fn unit_mut(&mut self, place: Place) -> &mut Unit {
+        &mut self.jobs[place.job].steps[place.step].units[place.unit]
+    }
+
+    fn count_outcome(&mut self, place: Place, run: Run, outcome: Outcome) {
+        self.jobs[place.job].begun = true;
+        let unit = self.unit_mut(place);
+        unit.accounted = run;
+        unit.started = unit.started.max(run);
+        unit.placed_before.clear();
+        if outcome == Outcome::Failed && run > unit.failed {
+            unit.failed = run;
+            unit.failures += 1;
+        }
+    }
+
+    /// Ends the job if a unit of it has failed too often.
+    fn fail_if_spent(&mut self, place: Place, now: Millis) -> bool {
+        let limit = self.jobs[place.job].spec.policy.attempts_limit.max(1);
+        let spent = self.unit_mut(place).failures >= limit;
+        if spent {
+            self.end_job(place.job, JobState::Failed, now);
+        }
+        spent
+    }
+
+    /// Notes the outcome of a unit's run; it takes effect once the store has it.
+    fn settle(&mut self, place: Place, run: Run, outcome: Outcome, now: Millis) {
+        self.count_outcome(place, run, outcome);
+        let change = self.changed(place.job);
+        self.unit_mut(place).state = UnitState::Recording { outcome, change };
+        if outcome == Outcome::Done {
+            let steps = &self.jobs[place.job].steps;
+            let all_done = steps
+                .iter()
+                .all(|step| step.units.iter().all(Unit::is_done));
+            if all_done {
+                self.end_job(place.job, JobState::Completed, now);
+            }
+        } else {
+            self.fail_if_spent(place, now);
+        }
+    }
+
+    /// Stops the members of a gang that still hold room.
+    pub(crate) fn stop_members(&mut self, place: Place, run: Run, now: Millis) {
+        let step = self.step_id(place.job, place.step);
+        let mut stops = Vec::new();
+        for (worker, held) in &self.workers {
+            for ((task, of_run), state) in held.runs_of(step) {
+                if *of_run == run && state.phase != Phase::Stopping {
+                    stops.push((worker, *task));
+                }
+            }
+        }
+        for (worker, task) in stops {
+            self.stop_run(worker, task, run, StopReason::GangBroken, now);
+        }
+    }
+}
--- a/crates/sched/src/watch.rs
+++ b/crates/sched/src/watch.rs
@@ -5,8 +5,8 @@
 use crate::Scheduler;
 use crate::StopReason;
 use crate::WorkerKey;
-use crate::reports::Ending;
 use crate::reports::belief;
+use crate::units::Ending;
 use crate::worker::Phase;
 
 /// Most times that the time for which a worker is put aside doubles.
