--- a/crates/cell/src/leader/orders.rs
+++ b/crates/cell/src/leader/orders.rs
@@ -66,21 +66,13 @@
         let started = self.node.platform.start(address, command, timeout_ms).await;
         let answer = match started {
             Ok(()) => StartAnswer::Started,
-            Err(OrderError::Replaced) => {
-                self.apply(Event::Replaced { worker });
-                return;
-            }
-            Err(OrderError::Fenced) => {
-                self.end("fenced_by_worker");
-                return;
-            }
-            Err(OrderError::Refused(refusal)) => {
-                log::start_failed(command, &address.id, refusal.as_str());
-                StartAnswer::Refused(refusal)
-            }
-            Err(OrderError::InDoubt(reason)) => {
-                log::start_failed(command, &address.id, &reason);
-                StartAnswer::InDoubt
+            Err(error) if self.is_settled_by(worker, &error) => return,
+            Err(error) => {
+                log::start_failed(command, &address.id, &error);
+                match error {
+                    OrderError::Refused(refusal) => StartAnswer::Refused(refusal),
+                    _ => StartAnswer::InDoubt,
+                }
             }
         };
         self.apply(Event::StartAnswered {
@@ -91,6 +83,17 @@
         });
     }
 
+    /// Acts on an answer that says more than what became of the order: the worker's life is over, or
+    /// this scheduler's role is. Says whether it did.
+    fn is_settled_by(self: &Rc<Self>, worker: WorkerKey, error: &OrderError) -> bool {
+        match error {
+            OrderError::Replaced => self.apply(Event::Replaced { worker }),
+            OrderError::Fenced => self.end("fenced_by_worker"),
+            OrderError::Refused(_) | OrderError::InDoubt(_) => return false,
+        }
+        true
+    }
+
     pub(super) fn order_stop(
         self: &Rc<Self>,
         worker: WorkerKey,
@@ -124,16 +127,9 @@
         let stopped = self.node.platform.stop(address, &command, timeout_ms).await;
         let taken = match stopped {
             Ok(()) => true,
-            Err(OrderError::Replaced) => {
-                self.apply(Event::Replaced { worker });
-                return;
-            }
-            Err(OrderError::Fenced) => {
-                self.end("fenced_by_worker");
-                return;
-            }
+            Err(error) if self.is_settled_by(worker, &error) => return,
             // It is sent again until it is taken.
-            Err(OrderError::Refused(_) | OrderError::InDoubt(_)) => false,
+            Err(_untaken) => false,
         };
         self.apply(Event::StopAnswered {
             worker,
--- a/crates/cell/src/log.rs
+++ b/crates/cell/src/log.rs
@@ -19,6 +19,7 @@
 use crate::node::Holder;
 use crate::ports::AdviceError;
 use crate::ports::AppendError;
+use crate::ports::OrderError;
 use crate::ports::StartCommand;
 
 pub(crate) fn started(settings: &NodeSettings, incarnation: u64) {
@@ -164,13 +165,13 @@
         .emit();
 }
 
-pub(crate) fn start_failed(command: &StartCommand, worker: &WorkerId, reason: &str) {
+pub(crate) fn start_failed(command: &StartCommand, worker: &WorkerId, error: &OrderError) {
     Line::new(catalogue::START_FAILED)
         .display("job", command.task.step.job)
         .display("task", command.task)
         .number("run", command.run.0)
         .text("worker", worker.as_str())
-        .text("reason", reason)
+        .display("reason", error)
         .emit();
 }
 
--- a/crates/obs/src/cell_metrics.rs
+++ b/crates/obs/src/cell_metrics.rs
@@ -7,11 +7,8 @@
 use opentelemetry::metrics::Gauge;
 use opentelemetry::metrics::Histogram;
 use opentelemetry::metrics::Meter;
-use opentelemetry::metrics::MeterProvider;
-use opentelemetry_sdk::metrics::SdkMeterProvider;
-use prometheus::Registry;
-use prometheus::TextEncoder;
-use prometheus::process_collector::ProcessCollector;
+
+use crate::exporter::Exporter;
 
 /// Bounds of the buckets of waiting times, in seconds.
 const WAITING_BOUNDS_S: [f64; 14] = [
@@ -44,8 +41,7 @@
 
 /// The metrics of one node of a cell.
 pub struct CellMetrics {
-    registry: Registry,
-    _provider: SdkMeterProvider,
+    exporter: Exporter,
     requests: Counter<u64>,
     stages: Histogram<f64>,
     store_calls: Counter<u64>,
@@ -69,19 +65,7 @@
     /// Registers every metric.
     #[must_use]
     pub fn new() -> Self {
-        let registry = Registry::new();
-        // Without the collector, only the process's own figures are missing.
-        let _registered = registry.register(Box::new(ProcessCollector::for_self()));
-        let mut builder = SdkMeterProvider::builder();
-        let exporter = opentelemetry_prometheus::exporter()
-            .with_registry(registry.clone())
-            .without_target_info()
-            .build();
-        if let Ok(exporter) = exporter {
-            builder = builder.with_reader(exporter);
-        }
-        let provider = builder.build();
-        let meter = provider.meter("sycamorespur");
+        let (exporter, meter) = Exporter::new();
         let histogram = |name: &'static str, text: &'static str| {
             let built = meter.f64_histogram(name).with_unit("s");
             let bounds = WAITING_BOUNDS_S.to_vec();
@@ -103,8 +87,7 @@
                 "Time of calls to the store, by kind.",
             ),
             gauges: Gauges::new(&meter),
-            registry,
-            _provider: provider,
+            exporter,
         }
     }
 
@@ -138,9 +121,7 @@
     #[must_use]
     pub fn page(&self, readings: &CellReadings) -> String {
         self.gauges.set(readings);
-        let families = self.registry.gather();
-        let encoded = TextEncoder::new().encode_to_string(&families);
-        encoded.unwrap_or_default()
+        self.exporter.page()
     }
 }
 
--- a/crates/obs/src/lib.rs
+++ b/crates/obs/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod cell_metrics;
 mod events;
+mod exporter;
 mod lines;
 mod metrics;
 
--- a/crates/obs/src/metrics.rs
+++ b/crates/obs/src/metrics.rs
@@ -11,15 +11,11 @@
 use opentelemetry::metrics::Gauge;
 use opentelemetry::metrics::Histogram;
 use opentelemetry::metrics::Meter;
-use opentelemetry::metrics::MeterProvider;
-use opentelemetry_sdk::metrics::SdkMeterProvider;
-use prometheus::Registry;
-use prometheus::TextEncoder;
-use prometheus::process_collector::ProcessCollector;
 use syc_types::Class;
 use syc_types::Resources;
 
 use crate::events;
+use crate::exporter::Exporter;
 
 /// Bounds of the buckets of waiting times, in seconds; 1.1 is the target of urgent work.
 const WAITING_BOUNDS_S: [f64; 17] = [
@@ -71,8 +67,7 @@
 
 /// The metrics of one daemon.
 pub struct Metrics {
-    registry: Registry,
-    _provider: SdkMeterProvider,
+    exporter: Exporter,
     waiting: Waiting,
     state: State,
     totals: Totals,
@@ -94,21 +89,9 @@
     /// Registers every metric.
     #[must_use]
     pub fn new() -> Self {
-        let registry = Registry::new();
-        let _ = registry.register(Box::new(ProcessCollector::for_self()));
-        let mut builder = SdkMeterProvider::builder();
-        let exporter = opentelemetry_prometheus::exporter()
-            .with_registry(registry.clone())
-            .without_target_info()
-            .build();
-        if let Ok(exporter) = exporter {
-            builder = builder.with_reader(exporter);
-        }
-        let provider = builder.build();
-        let meter = provider.meter("sycamorespur");
+        let (exporter, meter) = Exporter::new();
         Self {
-            registry,
-            _provider: provider,
+            exporter,
             waiting: Waiting::new(&meter),
             state: State::new(&meter),
             totals: Totals::new(&meter),
@@ -132,9 +115,7 @@
     pub fn page(&self, readings: &Readings) -> String {
         self.state.set(readings);
         self.totals.set(readings);
-        let families = self.registry.gather();
-        let encoded = TextEncoder::new().encode_to_string(&families);
-        encoded.unwrap_or_default()
+        self.exporter.page()
     }
 }
 
