Measure each stage of a job's wait, and hold three stories of failed requests by tests

Cause: of the stages only the answer to a submit was measured; nothing showed that a failed request's cause can be told from the log alone. The new test of a late job failed: the end of a job was written before the end of the run that caused it. Conclusion: kept; no decision depends on it.

--- a/crates/cell/src/leader.rs
+++ b/crates/cell/src/leader.rs
@@ -7,6 +7,7 @@
 mod readers;
 mod records;
 mod sessions;
+mod stages;
 
 use std::cell::Cell;
 use std::cell::RefCell;
@@ -229,7 +230,10 @@
                 } => self.ask(step, workers, expected_ms),
                 Action::DropSpec(id) => self.drops.borrow_mut().push(id),
                 Action::Forget(id) => self.forgets.borrow_mut().push(id),
-                Action::Note(note) => log::note(&note),
+                Action::Note(note) => {
+                    self.measure_note(&note);
+                    log::note(&note);
+                }
             }
         }
     }
--- a/crates/cell/src/leader/advice.rs
+++ b/crates/cell/src/leader/advice.rs
@@ -6,6 +6,7 @@
 
 use smol_str::SmolStr;
 use syc_net::PeerClient;
+use syc_obs::Stage;
 use syc_sched::AdviceAnswer;
 use syc_sched::AdviceSlots;
 use syc_sched::Allowed;
@@ -142,6 +143,7 @@
             let asked_at = now();
             let advice = leader.call_for_advice(step, &names, whole_ms, short).await;
             let took_ms = now().since(asked_at);
+            leader.measure(step.job, Stage::Advice, took_ms);
             let allowed = advice.as_ref().map_or(0, |advice| advice.allowed.len());
             log::advised(
                 step,
--- a/crates/cell/src/leader/orders.rs
+++ b/crates/cell/src/leader/orders.rs
@@ -2,6 +2,7 @@
 
 use std::rc::Rc;
 
+use syc_obs::Stage;
 use syc_sched::Event;
 use syc_sched::Run;
 use syc_sched::StartAnswer;
@@ -10,6 +11,7 @@
 use syc_sched::TaskId;
 use syc_sched::WorkerKey;
 
+use crate::clock::now;
 use crate::leader::Leader;
 use crate::leader::sessions::WorkerLink;
 use crate::log;
@@ -40,6 +42,7 @@
             return;
         };
         log::run_ordered(&order, &link.address.id, self.token);
+        self.measure_room(&order);
         let command = StartCommand {
             task: order.task,
             run: order.run,
@@ -63,7 +66,10 @@
         let address = &link.address;
         let _place = link.place().await;
         let timeout_ms = self.node.settings.timing.order_timeout_ms;
+        let sent_at = now();
         let started = self.node.platform.start(address, command, timeout_ms).await;
+        let took_ms = now().since(sent_at);
+        self.measure(command.task.step.job, Stage::Order, took_ms);
         let answer = match started {
             Ok(()) => StartAnswer::Started,
             Err(error) if self.is_settled_by(worker, &error) => return,
--- a/crates/cell/src/leader/readers.rs
+++ b/crates/cell/src/leader/readers.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use syc_obs::Stage;
 use syc_sched::Event;
 use syc_sched::JobId;
 use syc_types::WorkerId;
@@ -78,6 +79,8 @@
                 let age_ms = age_ms(spec.accepted_at_ms);
                 if !known {
                     log::job_seen(&spec, age_ms);
+                    let queue = &spec.policy.queue;
+                    self.node.metrics.stage(queue, Stage::HandOver, age_ms);
                 }
                 self.apply(Event::JobStored { spec, age_ms });
             }
--- a/crates/cell/src/leader/records.rs
+++ b/crates/cell/src/leader/records.rs
@@ -7,6 +7,7 @@
 
 use futures_util::future::join_all;
 use smol_str::SmolStr;
+use syc_obs::Stage;
 use syc_sched::Event;
 use syc_sched::JobId;
 use syc_types::Millis;
@@ -179,6 +180,7 @@
         for (id, _change, progress) in &taken {
             if progress.state.is_terminal() {
                 log::job_shown(*id, progress.state, written_ms);
+                self.measure(*id, Stage::Write, written_ms);
             }
         }
         let jobs: Vec<(JobId, u64)> = taken.iter().map(|(id, change, _)| (*id, *change)).collect();
--- /dev/null
+++ b/crates/cell/src/leader/stages.rs
@@ -0,0 +1,44 @@
+//! How long jobs spend in each stage of their wait, by queue.
+
+use syc_obs::Stage;
+use syc_sched::JobId;
+use syc_sched::Note;
+use syc_sched::Run;
+use syc_sched::StartOrder;
+
+use crate::leader::Leader;
+use crate::ports::Platform;
+
+impl<P> Leader<P>
+where
+    P: Platform,
+{
+    /// Notes how long a job spent in a stage.
+    pub(super) fn measure(&self, job: JobId, stage: Stage, time_ms: u64) {
+        let scheduler = self.scheduler.borrow();
+        // A job that is forgotten already has no queue to count it under.
+        if let Some(queue) = scheduler.queue_of(job) {
+            self.node.metrics.stage(queue, stage, time_ms);
+        }
+    }
+
+    /// Notes how long a task waited for its first run.
+    pub(super) fn measure_room(&self, order: &StartOrder) {
+        if order.run == Run(1) && order.retries == 0 {
+            self.measure(order.task.step.job, Stage::Room, order.ready_ms);
+        }
+    }
+
+    /// Notes the times that the scheduler's notes tell.
+    pub(super) fn measure_note(&self, note: &Note) {
+        match note {
+            Note::RunEnded {
+                task,
+                ordered_ms: Some(ordered_ms),
+                ..
+            } => self.measure(task.step.job, Stage::Run, *ordered_ms),
+            Note::JobEnded { job, after_ms, .. } => self.measure(*job, Stage::Whole, *after_ms),
+            _ => {}
+        }
+    }
+}
--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -33,3 +33,4 @@
 pub use queries::StateAnswer;
 pub use settings::NodeSettings;
 pub use settings::Timing;
+pub use store_calls::StoreView;
--- a/crates/cell/src/log.rs
+++ b/crates/cell/src/log.rs
@@ -160,6 +160,7 @@
         .number("run", order.run.0)
         .text("worker", worker.as_str())
         .number("retries", order.retries)
+        .number("ready_ms", order.ready_ms)
         .number("token", token)
         .flag("resumes", !order.checkpoint.is_empty())
         .emit();
@@ -230,14 +231,20 @@
             worker,
             end,
             failures,
-        } => Line::new(catalogue::RUN_ENDED)
-            .display("job", task.step.job)
-            .display("task", task)
-            .number("run", run.0)
-            .text("worker", worker.as_str())
-            .text("end", end)
-            .number("failures", *failures)
-            .emit(),
+            ordered_ms,
+        } => {
+            let line = Line::new(catalogue::RUN_ENDED)
+                .display("job", task.step.job)
+                .display("task", task)
+                .number("run", run.0)
+                .text("worker", worker.as_str())
+                .text("end", end)
+                .number("failures", *failures);
+            match ordered_ms {
+                Some(ordered_ms) => line.number("ordered_ms", *ordered_ms).emit(),
+                None => line.emit(),
+            }
+        }
         Note::Adopted { task, run, worker } => Line::new(catalogue::RUN_ADOPTED)
             .display("job", task.step.job)
             .display("task", task)
--- a/crates/cell/src/store_calls.rs
+++ b/crates/cell/src/store_calls.rs
@@ -94,6 +94,17 @@
     }
 }
 
+/// What a node believes of the store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct StoreView {
+    /// Whether it answers.
+    pub answers: bool,
+    /// Time since it last answered, or since the node began.
+    pub answered_ms: u64,
+    /// Time since a call last failed, or since the node began.
+    pub failed_ms: u64,
+}
+
 /// What is to be appended, and where.
 #[derive(Debug)]
 struct Target<'a> {
@@ -134,6 +145,17 @@
 where
     P: Platform,
 {
+    /// Returns what this node believes of the store, and how old that is.
+    #[must_use]
+    pub fn store_view(&self) -> StoreView {
+        let now = now();
+        StoreView {
+            answers: self.store_answers(),
+            answered_ms: now.since(self.store.last_answer_at.get()),
+            failed_ms: now.since(self.store.last_failure_at.get()),
+        }
+    }
+
     /// Says whether the store answered last time.
     pub(crate) const fn store_answers(&self) -> bool {
         self.store.answers.get()
--- a/crates/cell/tests/cell/main.rs
+++ b/crates/cell/tests/cell/main.rs
@@ -5,5 +5,6 @@
 
 mod cluster;
 mod service;
+mod stages;
 mod store;
 mod takeover;
--- a/crates/obs/src/cell_metrics.rs
+++ b/crates/obs/src/cell_metrics.rs
@@ -18,6 +18,44 @@
 /// Milliseconds of a second.
 const MS_PER_S: f64 = 1_000.0;
 
+/// A stage of a job's wait.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Stage {
+    /// From the arrival of the submit to its answer.
+    Accept,
+    /// From its arrival until the scheduler has seen it.
+    HandOver,
+    /// A call for advice.
+    Advice,
+    /// From the moment when its step could start to the order of a task's first run.
+    Room,
+    /// From a start order to the worker's answer.
+    Order,
+    /// From a start order to the end of the run.
+    Run,
+    /// Writing its end, after which it is shown.
+    Write,
+    /// From its arrival to its end.
+    Whole,
+}
+
+impl Stage {
+    /// Returns its name in metrics.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Accept => "accept",
+            Self::HandOver => "hand_over",
+            Self::Advice => "advice",
+            Self::Room => "room",
+            Self::Order => "order",
+            Self::Run => "run",
+            Self::Write => "write",
+            Self::Whole => "whole",
+        }
+    }
+}
+
 /// What a node reads off its own state when it is scraped.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct CellReadings {
@@ -101,10 +139,10 @@
     }
 
     /// Notes how long a job of a queue spent in a stage.
-    pub fn stage(&self, queue: &str, stage: &'static str, time_ms: u64) {
+    pub fn stage(&self, queue: &str, stage: Stage, time_ms: u64) {
         let labels = [
             KeyValue::new("queue", queue.to_owned()),
-            KeyValue::new("stage", stage),
+            KeyValue::new("stage", stage.as_str()),
         ];
         self.stages.record(to_seconds(time_ms), &labels);
     }
--- a/crates/obs/tests/catalogues.rs
+++ b/crates/obs/tests/catalogues.rs
@@ -8,6 +8,7 @@
 use syc_obs::CellReadings;
 use syc_obs::Metrics;
 use syc_obs::Readings;
+use syc_obs::Stage;
 use syc_types::Class;
 
 fn page(name: &str) -> String {
@@ -74,7 +75,7 @@
     metrics.task_waited(Class::Urgent, 1);
     let cell = CellMetrics::new();
     cell.request("submit", "accepted");
-    cell.stage("queue", "accept", 1);
+    cell.stage("queue", Stage::Accept, 1);
     cell.store_call("append", "ok", 1);
     let mut scraped = metrics.page(&Readings::default());
     scraped.push_str(&cell.page(&CellReadings::default()));
--- a/crates/sched/src/event.rs
+++ b/crates/sched/src/event.rs
@@ -271,6 +271,8 @@
     pub checkpoint: SmolStr,
     /// How often the same order was sent before.
     pub retries: u32,
+    /// Time since the step could first start.
+    pub ready_ms: u64,
 }
 
 /// What a scheduler wants done.
@@ -368,6 +370,8 @@
         end: &'static str,
         /// Failed runs of the unit so far.
         failures: u32,
+        /// Time since its start was ordered last; none where this scheduler did not hold it.
+        ordered_ms: Option<u64>,
     },
     /// A run that the predecessor had started goes on.
     Adopted {
--- a/crates/sched/src/orders.rs
+++ b/crates/sched/src/orders.rs
@@ -122,6 +122,7 @@
             return;
         };
         let job = &self.jobs[job];
+        let ready_at = job.steps[step].ready_at.unwrap_or(now);
         self.actions.push(Action::Start(StartOrder {
             worker: key,
             task,
@@ -130,6 +131,7 @@
             ticket,
             checkpoint: job.steps[step].units[unit].checkpoint.clone(),
             retries,
+            ready_ms: now.since(ready_at),
         }));
     }
 
--- a/crates/sched/src/scheduler.rs
+++ b/crates/sched/src/scheduler.rs
@@ -175,6 +175,13 @@
         Some(job.shown)
     }
 
+    /// Returns the queue of a job.
+    #[must_use]
+    pub fn queue_of(&self, id: JobId) -> Option<&SmolStr> {
+        let key = self.job_keys.get(&id)?;
+        Some(&self.jobs[*key].spec.policy.queue)
+    }
+
     /// Counts the open jobs of a queue none of whose tasks has started.
     #[must_use]
     pub fn pending_jobs(&self, queue: &str) -> usize {
--- a/crates/sched/src/units.rs
+++ b/crates/sched/src/units.rs
@@ -63,6 +63,7 @@
         }
         let worker_id = worker.spec.id.clone();
         self.quarantine_if_failing(key, now);
+        let ordered_ms = held.as_ref().map(|held| now.since(held.ordered_at));
         let mut checkpoint = ending.checkpoint;
         if checkpoint.is_empty() {
             checkpoint = held.map_or_else(SmolStr::default, |held| held.checkpoint);
@@ -72,14 +73,18 @@
             Some(RunEnd::Failed) => Outcome::Failed,
             _ => Outcome::Interrupted,
         };
+        let noted_at = self.actions.len();
         let failures = self.account(key, task, run, outcome, checkpoint, now);
-        self.actions.push(Action::Note(Note::RunEnded {
+        let note = Note::RunEnded {
             task,
             run,
             worker: worker_id,
             end: ending.how,
             failures,
-        }));
+            ordered_ms,
+        };
+        // An end is told before what follows from it, such as the end of its job.
+        self.actions.insert(noted_at, Action::Note(note));
     }
 
     /// Tells a unit that a member's run has ended. Returns the unit's failed runs.
