Keep in the store which workers may run something

Two workers' entries had lapsed from the list while the store was troubled; the scheduler changed in that time, and the progress that named the runs on them was in doubt. Ruled out: a lost or late order; the fencing tokens were right throughout. Change: the scheduler writes the workers to the store and gives no order to one that is not written; its successor asks all of these, listed or not. A worker leaves the record when nothing can run on it.

--- a/crates/cell/src/leader.rs
+++ b/crates/cell/src/leader.rs
@@ -6,6 +6,7 @@
 mod orders;
 mod readers;
 mod records;
+mod roster;
 mod sessions;
 mod stages;
 
@@ -18,6 +19,7 @@
 
 use advice::Adviser;
 use records::ProgressWriter;
+use roster::Roster;
 use sessions::Session;
 use slotmap::SecondaryMap;
 use smol_str::SmolStr;
@@ -77,6 +79,8 @@
     heartbeat_sequence: Cell<u64>,
     /// Where progress is written.
     progress: ProgressWriter,
+    /// The workers that may run something, as the store has them.
+    roster: Roster,
     /// Asks for a look at the waiting tasks.
     look: Notify,
     /// Asks for progress to be written.
@@ -114,6 +118,7 @@
             began_at: now(),
             heartbeat_sequence: Cell::new(0),
             progress: ProgressWriter::default(),
+            roster: Roster::default(),
             look: Notify::new(),
             write: Notify::new(),
             written: Notify::new(),
--- a/crates/cell/src/leader/load.rs
+++ b/crates/cell/src/leader/load.rs
@@ -11,6 +11,8 @@
 use syc_sched::JobId;
 use syc_sched::JobProgress;
 use syc_sched::JobSpec;
+use syc_sched::WorkerSpec;
+use syc_types::WorkerId;
 
 use crate::clock::now;
 use crate::clock::time_of_day_ms;
@@ -25,6 +27,8 @@
 use crate::ports::ReadError;
 use crate::ports::Topic;
 use crate::records::JobRecord;
+use crate::records::ROSTER_KEY;
+use crate::records::RosterRecord;
 use crate::records::read_job;
 
 /// Wait after a step that failed.
@@ -120,23 +124,67 @@
         }
     }
     restore_jobs(leader, specs, &progress);
-    for (_offset, record) in &left.workers.records {
-        readers::take_worker(leader, record);
-    }
+    let missing = restore_workers(leader, left);
     for id in cancelled {
         leader.apply(Event::JobCancelled(id));
     }
     leader.scheduler.borrow_mut().begin_recovery(now());
+    for id in missing {
+        leader.unlist_worker(id);
+    }
     let counts = leader.counts();
     log::loaded(leader.token, &counts, progress.len());
 }
 
+/// Takes the workers that are listed, and those that a predecessor may have given work to. Returns
+/// those of the latter that are not listed; they are asked what runs on them all the same.
+fn restore_workers<P>(leader: &Rc<Leader<P>>, left: &Left) -> Vec<WorkerId>
+where
+    P: Platform,
+{
+    let roster = read_roster(&left.progress);
+    leader.roster.restore(roster.clone());
+    let mut listed = BTreeSet::new();
+    for (_offset, record) in &left.workers.records {
+        if !record.value.is_empty() {
+            listed.insert(WorkerId::new(record.key.clone()));
+        }
+        readers::take_worker(leader, record);
+    }
+    let mut missing = Vec::new();
+    for spec in roster {
+        if listed.contains(&spec.id) {
+            continue;
+        }
+        missing.push(spec.id.clone());
+        leader.apply(Event::WorkerListed(spec));
+    }
+    missing
+}
+
+/// Reads the latest roster.
+fn read_roster(partitions: &[Newest]) -> Vec<WorkerSpec> {
+    let all = partitions.iter().flat_map(|newest| &newest.records);
+    let mut latest = RosterRecord::default();
+    for (_offset, record) in all {
+        if record.key != ROSTER_KEY {
+            continue;
+        }
+        match serde_json::from_slice::<RosterRecord>(&record.value) {
+            Ok(read) if (read.token, read.change) > (latest.token, latest.change) => latest = read,
+            Ok(_older) => {}
+            Err(error) => log::unreadable(&record.key, &error.to_string()),
+        }
+    }
+    latest.workers
+}
+
 /// Reads the latest progress of each job.
 fn read_progress(partitions: &[Newest]) -> HashMap<JobId, JobProgress> {
     let mut progress: HashMap<JobId, JobProgress> = HashMap::new();
     let all = partitions.iter().flat_map(|newest| &newest.records);
     for (_offset, record) in all {
-        if record.value.is_empty() {
+        if record.value.is_empty() || record.key == ROSTER_KEY {
             continue;
         }
         let read = serde_json::from_slice::<JobProgress>(&record.value);
--- a/crates/cell/src/leader/readers.rs
+++ b/crates/cell/src/leader/readers.rs
@@ -148,15 +148,9 @@
         listed.insert(WorkerId::new(record.key.clone()));
         take_worker(leader, record);
     }
-    let known: Vec<_> = leader
-        .sessions
-        .borrow()
-        .values()
-        .map(|session| session.address.id.clone())
-        .collect();
-    for id in known {
+    for id in leader.roster.ids() {
         if !listed.contains(&id) {
-            leader.apply(Event::WorkerUnlisted(id));
+            leader.unlist_worker(id);
         }
     }
 }
@@ -168,12 +162,11 @@
 {
     if record.value.is_empty() {
         let id = WorkerId::new(record.key.clone());
-        log::worker_listed(&id, "unlisted");
-        leader.apply(Event::WorkerUnlisted(id));
+        leader.unlist_worker(id);
         return;
     }
     match leader.node.platform.worker(&record.key, &record.value) {
-        Ok(spec) => leader.apply(Event::WorkerListed(spec)),
+        Ok(spec) => leader.list_worker(spec),
         Err(error) => log::unreadable(&record.key, &error.0),
     }
 }
--- a/crates/cell/src/leader/records.rs
+++ b/crates/cell/src/leader/records.rs
@@ -164,10 +164,12 @@
             .scheduler
             .borrow_mut()
             .take_records(BATCH_JOBS, wall_ms);
-        if taken.is_empty() {
+        let roster = self.roster.change(self.token);
+        if taken.is_empty() && roster.is_none() {
             return false;
         }
-        let mut batch: Vec<Record> = Vec::with_capacity(taken.len());
+        let mut batch: Vec<Record> = Vec::with_capacity(taken.len() + 1);
+        batch.extend(roster.iter().map(|change| change.record.clone()));
         for (id, _change, progress) in &mut taken {
             progress.version.token = self.token;
             batch.push(records::progress(*id, progress));
@@ -185,6 +187,9 @@
         }
         let jobs: Vec<(JobId, u64)> = taken.iter().map(|(id, change, _)| (*id, *change)).collect();
         self.apply(Event::Recorded { jobs });
+        if let Some(change) = roster {
+            self.take_recorded(&change);
+        }
         self.written.notify_waiters();
         true
     }
--- /dev/null
+++ b/crates/cell/src/leader/roster.rs
@@ -0,0 +1,155 @@
+//! The workers that may run something of a scheduler, as its successor reads them in the store.
+//!
+//! The platform's list alone won't do: entries of workers that live lapse while the store is away.
+//! A successor that does not ask such a worker starts its tasks a second time. So a worker gets no
+//! order before the store has its name here, and it stays here until nothing that was ordered can
+//! still run on it.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+use syc_sched::Event;
+use syc_sched::WorkerSpec;
+use syc_types::WorkerId;
+
+use crate::leader::Leader;
+use crate::log;
+use crate::ports::Platform;
+use crate::ports::Record;
+use crate::records;
+use crate::records::RosterRecord;
+
+/// The workers, and how much of them the store has.
+#[derive(Debug, Default)]
+pub(super) struct Roster {
+    members: RefCell<BTreeMap<WorkerId, Member>>,
+    /// Number of the latest change.
+    changes: Cell<u64>,
+    /// Number of the latest change that the store has.
+    recorded: Cell<u64>,
+}
+
+#[derive(Debug)]
+struct Member {
+    spec: WorkerSpec,
+    /// Number of the change that added it.
+    added_in: u64,
+}
+
+/// A roster that is to be written.
+#[derive(Debug)]
+pub(super) struct RosterChange {
+    pub(super) record: Record,
+    number: u64,
+}
+
+impl Roster {
+    /// Takes what a predecessor left in the store.
+    pub(super) fn restore(&self, left: Vec<WorkerSpec>) {
+        let members = left.into_iter().map(|spec| {
+            let id = spec.id.clone();
+            (id, Member { spec, added_in: 0 })
+        });
+        self.members.borrow_mut().extend(members);
+    }
+
+    /// Takes a worker that is listed. Says whether the store has it, so that it may get orders.
+    fn list(&self, spec: &WorkerSpec) -> bool {
+        let mut members = self.members.borrow_mut();
+        if let Some(member) = members.get_mut(&spec.id) {
+            member.spec = spec.clone();
+            return member.added_in <= self.recorded.get();
+        }
+        let member = Member {
+            spec: spec.clone(),
+            added_in: self.next_change(),
+        };
+        members.insert(spec.id.clone(), member);
+        false
+    }
+
+    /// Takes note that a worker is not listed: one that never got an order is of no interest.
+    fn unlist(&self, id: &WorkerId) {
+        let mut members = self.members.borrow_mut();
+        let added_in = members.get(id).map(|member| member.added_in);
+        if added_in.is_some_and(|added_in| added_in > self.recorded.get()) {
+            members.remove(id);
+            self.next_change();
+        }
+    }
+
+    /// Removes a worker on which nothing can run.
+    pub(super) fn remove(&self, id: &WorkerId) {
+        if self.members.borrow_mut().remove(id).is_some() {
+            self.next_change();
+        }
+    }
+
+    fn next_change(&self) -> u64 {
+        self.changes.set(self.changes.get() + 1);
+        self.changes.get()
+    }
+
+    /// Returns all of its workers.
+    pub(super) fn ids(&self) -> Vec<WorkerId> {
+        self.members.borrow().keys().cloned().collect()
+    }
+
+    /// Returns what the store does not have yet, if there is anything.
+    pub(super) fn change(&self, token: u64) -> Option<RosterChange> {
+        let number = self.changes.get();
+        if number == self.recorded.get() {
+            return None;
+        }
+        let members = self.members.borrow();
+        let record = RosterRecord {
+            token,
+            change: number,
+            workers: members.values().map(|member| member.spec.clone()).collect(),
+        };
+        Some(RosterChange {
+            record: records::roster(&record),
+            number,
+        })
+    }
+
+    /// Takes note that the store has a change. Returns the workers that may get orders now.
+    fn note_recorded(&self, number: u64) -> Vec<WorkerSpec> {
+        let before = self.recorded.replace(number);
+        let members = self.members.borrow();
+        let added = members
+            .values()
+            .filter(|member| member.added_in > before && member.added_in <= number);
+        added.map(|member| member.spec.clone()).collect()
+    }
+}
+
+impl<P> Leader<P>
+where
+    P: Platform,
+{
+    /// Takes a worker that is listed; it gets orders once the store has it in the roster.
+    pub(super) fn list_worker(self: &Rc<Self>, spec: WorkerSpec) {
+        if self.roster.list(&spec) {
+            self.apply(Event::WorkerListed(spec));
+        } else {
+            self.write.notify_one();
+        }
+    }
+
+    /// Takes note that a worker is listed no more.
+    pub(super) fn unlist_worker(self: &Rc<Self>, id: WorkerId) {
+        log::worker_listed(&id, "unlisted");
+        self.roster.unlist(&id);
+        self.apply(Event::WorkerUnlisted(id));
+    }
+
+    /// Takes note that the store has a change of the roster.
+    pub(super) fn take_recorded(self: &Rc<Self>, change: &RosterChange) {
+        for spec in self.roster.note_recorded(change.number) {
+            self.apply(Event::WorkerListed(spec));
+        }
+    }
+}
--- a/crates/cell/src/leader/sessions.rs
+++ b/crates/cell/src/leader/sessions.rs
@@ -124,6 +124,8 @@
         if let Some(session) = self.sessions.borrow_mut().remove(worker) {
             log::worker_listed(&session.address.id, "detached");
             session.end();
+            self.roster.remove(&session.address.id);
+            self.write.notify_one();
         }
     }
 
--- a/crates/cell/src/records.rs
+++ b/crates/cell/src/records.rs
@@ -8,6 +8,7 @@
 use syc_sched::JobId;
 use syc_sched::JobProgress;
 use syc_sched::JobSpec;
+use syc_sched::WorkerSpec;
 
 use crate::ports::Record;
 
@@ -17,6 +18,9 @@
 /// Key of the record that says who is the scheduler.
 pub const HOLDER_KEY: &str = "holder";
 
+/// Key of the record that names the workers that may run something.
+pub const ROSTER_KEY: &str = "workers";
+
 /// What the topic of jobs holds.
 #[derive(Debug, Clone, PartialEq)]
 pub enum JobRecord {
@@ -51,6 +55,18 @@
     pub released: bool,
 }
 
+/// Names the workers that may run something of a scheduler.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RosterRecord {
+    /// The fencing token of the scheduler.
+    pub token: u64,
+    /// Number of the change since the scheduler began; of two records, the one with the greater token
+    /// counts, and the greater number.
+    pub change: u64,
+    /// The workers.
+    pub workers: Vec<WorkerSpec>,
+}
+
 /// Makes the record of an accepted job.
 #[must_use]
 pub fn submitted(spec: &JobSpec) -> Record {
@@ -106,6 +122,15 @@
     }
 }
 
+/// Makes the record of a roster.
+#[must_use]
+pub fn roster(roster: &RosterRecord) -> Record {
+    Record {
+        key: SmolStr::new_static(ROSTER_KEY),
+        value: encode(roster),
+    }
+}
+
 /// Reads a record of the topic of jobs.
 #[must_use]
 pub fn read_job(record: &Record) -> JobRecord {
--- a/crates/cell/tests/cell/takeover.rs
+++ b/crates/cell/tests/cell/takeover.rs
@@ -1,5 +1,7 @@
 //! The scheduler ends, as planned or not, and another goes on.
 
+use syc_cell::ports::Topic;
+use syc_fleet::SharedFaults;
 use syc_sched::JobState;
 
 use crate::cluster::Cluster;
@@ -51,3 +53,31 @@
     cluster.wait_for_state(last, 1, JobState::Completed);
     cluster.assert_sound();
 }
+
+#[test]
+fn a_successor_asks_a_worker_that_is_missing_from_the_list() {
+    let mut cluster = Cluster::start(2, 2);
+    let first = cluster.scheduler();
+    cluster.submit(first, 1, vec![step(1, 20)]);
+    cluster.wait_for_state(first, 1, JobState::Completed);
+    // Nothing of the start is written, so that the worker alone knows of it.
+    cluster.platform.set_faults(SharedFaults {
+        down: vec![(Topic::Progress, 0), (Topic::Progress, 1)],
+        ..SharedFaults::default()
+    });
+    cluster.submit(first, 2, vec![step(1, 2_000)]);
+    let worker = cluster.wait("the run", || {
+        cluster.platform.with_fleet(|fleet| {
+            let mut workers = fleet.workers.values();
+            let busy = workers.find(|worker| worker.run_count() > 0);
+            busy.map(|worker| worker.id.clone())
+        })
+    });
+    // Its entry lapses, as it does while the store is away.
+    cluster.platform.unlist(&worker);
+    cluster.kill(first);
+    cluster.platform.set_faults(SharedFaults::default());
+    let second = cluster.scheduler();
+    cluster.wait_for_state(second, 2, JobState::Completed);
+    cluster.assert_sound();
+}
--- a/crates/fleet/src/shared.rs
+++ b/crates/fleet/src/shared.rs
@@ -122,6 +122,19 @@
             .append(Topic::Workers, 0, &[record], &Condition::None);
     }
 
+    /// Removes a worker from the list; it goes on running what it runs.
+    pub fn unlist(&self, worker: &WorkerId) {
+        let record = Record {
+            key: SmolStr::new(worker.as_str()),
+            value: Vec::new().into(),
+        };
+        // Without a condition, nothing can be refused.
+        let _appended = self
+            .lock()
+            .store
+            .append(Topic::Workers, 0, &[record], &Condition::None);
+    }
+
     /// Publishes a configuration.
     pub fn publish(&self, configuration: Configuration) {
         let mut state = self.lock();
--- a/crates/sched/src/event.rs
+++ b/crates/sched/src/event.rs
@@ -1,5 +1,7 @@
 //! What happens to a scheduler, and what it wants done.
 
+use serde::Deserialize;
+use serde::Serialize;
 use smol_str::SmolStr;
 use syc_types::Millis;
 use syc_types::RackId;
@@ -16,7 +18,7 @@
 use crate::WorkerKey;
 
 /// What a worker says of itself where workers register.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WorkerSpec {
     /// Names one incarnation of the worker.
     pub id: WorkerId,
