--- a/crates/cell/src/leader/stages.rs
+++ b/crates/cell/src/leader/stages.rs
@@ -34,9 +34,9 @@
         match note {
             Note::RunEnded {
                 task,
-                ordered_ms: Some(ordered_ms),
+                held_ms: Some(held_ms),
                 ..
-            } => self.measure(task.step.job, Stage::Run, *ordered_ms),
+            } => self.measure(task.step.job, Stage::Run, *held_ms),
             Note::JobEnded { job, after_ms, .. } => self.measure(*job, Stage::Whole, *after_ms),
             _ => {}
         }
--- a/crates/cell/src/log.rs
+++ b/crates/cell/src/log.rs
@@ -231,7 +231,7 @@
             worker,
             end,
             failures,
-            ordered_ms,
+            held_ms,
         } => {
             let line = Line::new(catalogue::RUN_ENDED)
                 .display("job", task.step.job)
@@ -240,8 +240,8 @@
                 .text("worker", worker.as_str())
                 .text("end", end)
                 .number("failures", *failures);
-            match ordered_ms {
-                Some(ordered_ms) => line.number("ordered_ms", *ordered_ms).emit(),
+            match held_ms {
+                Some(held_ms) => line.number("held_ms", *held_ms).emit(),
                 None => line.emit(),
             }
         }
--- /dev/null
+++ b/crates/net/src/client.rs
@@ -0,0 +1,46 @@
+//! The HTTP client that the adapters to a platform share.
+
+use std::time::Duration;
+
+use awc::Client;
+use awc::Connector;
+
+/// Bounds of a client's connections.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct HttpClientOptions {
+    /// Time that a connection attempt may take.
+    pub connect_timeout_ms: u64,
+    /// Time that an idle connection is kept; shorter than the other side's.
+    pub keep_alive_ms: u64,
+    /// Time after which a connection is used no more.
+    pub lifetime_ms: u64,
+}
+
+impl Default for HttpClientOptions {
+    fn default() -> Self {
+        Self {
+            connect_timeout_ms: 500,
+            keep_alive_ms: 15_000,
+            lifetime_ms: 75_000,
+        }
+    }
+}
+
+/// Makes a client for one arbiter.
+///
+/// It follows no redirect and sets no time for an answer; that is the caller's, for each call. The
+/// number of connections is not bounded: a call that waits for a free one would be late unseen.
+#[must_use]
+pub fn http_client(options: HttpClientOptions) -> Client {
+    let connector = Connector::new()
+        .timeout(Duration::from_millis(options.connect_timeout_ms))
+        .conn_keep_alive(Duration::from_millis(options.keep_alive_ms))
+        .conn_lifetime(Duration::from_millis(options.lifetime_ms))
+        .limit(0);
+    Client::builder()
+        .connector(connector)
+        .disable_redirects()
+        .no_default_headers()
+        .disable_timeout()
+        .finish()
+}
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -1,11 +1,14 @@
-//! Transport: framed links between daemons and the HTTP listener.
+//! Transport: framed links between daemons, the HTTP listener and the HTTP client.
 //!
 //! This layer moves bytes. It knows neither the messages inside the frames nor the requests.
 
+mod client;
 mod connection;
 pub mod http;
 pub mod peer;
 
+pub use client::HttpClientOptions;
+pub use client::http_client;
 pub use http::HttpListener;
 pub use http::HttpOptions;
 pub use http::Surplus;
--- a/crates/obs/src/cell_metrics.rs
+++ b/crates/obs/src/cell_metrics.rs
@@ -31,7 +31,7 @@
     Room,
     /// From a start order to the worker's answer.
     Order,
-    /// From a start order to the end of the run.
+    /// From the decision to start it, or its adoption, to the end of a run.
     Run,
     /// Writing its end, after which it is shown.
     Write,
--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -7,7 +7,6 @@
 use std::time::Duration;
 
 use awc::Client;
-use awc::Connector;
 use awc::error::ConnectError;
 use awc::error::SendRequestError;
 use awc::http::StatusCode;
@@ -16,6 +15,8 @@
 use bytes::Bytes;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
+use syc_net::HttpClientOptions;
+use syc_net::http_client;
 use syc_types::WorkerId;
 
 use crate::AppendError;
@@ -89,16 +90,11 @@
     /// Makes an adapter for the log and the VM list at these `ip:port` addresses.
     #[must_use]
     pub fn new(log_address: &str, vms_address: &str, options: HttpPlatformOptions) -> Self {
-        let connector = Connector::new()
-            .timeout(Duration::from_millis(options.connect_timeout_ms))
-            .conn_keep_alive(Duration::from_millis(options.keep_alive_ms))
-            .limit(0);
-        let client = Client::builder()
-            .connector(connector)
-            .disable_redirects()
-            .no_default_headers()
-            .disable_timeout()
-            .finish();
+        let client = http_client(HttpClientOptions {
+            connect_timeout_ms: options.connect_timeout_ms,
+            keep_alive_ms: options.keep_alive_ms,
+            ..HttpClientOptions::default()
+        });
         Self {
             client,
             options,
--- a/crates/sched/src/event.rs
+++ b/crates/sched/src/event.rs
@@ -372,8 +372,9 @@
         end: &'static str,
         /// Failed runs of the unit so far.
         failures: u32,
-        /// Time since its start was ordered last; none where this scheduler did not hold it.
-        ordered_ms: Option<u64>,
+        /// Time since its start was decided, or it was adopted; none where this scheduler did not
+        /// know of it.
+        held_ms: Option<u64>,
     },
     /// A run that the predecessor had started goes on.
     Adopted {
--- a/crates/sched/src/place.rs
+++ b/crates/sched/src/place.rs
@@ -327,6 +327,7 @@
         let held = WorkerRun {
             resources: of_step.spec.resources,
             phase: Phase::Starting,
+            held_since: now,
             ordered_at: now,
             orders: 1,
             confirmed_at: None,
--- a/crates/sched/src/reports.rs
+++ b/crates/sched/src/reports.rs
@@ -264,6 +264,7 @@
         let mut held = WorkerRun {
             resources: whole,
             phase: Phase::Running,
+            held_since: now,
             ordered_at: now,
             orders: 0,
             confirmed_at: Some(now),
--- a/crates/sched/src/units.rs
+++ b/crates/sched/src/units.rs
@@ -63,7 +63,7 @@
         }
         let worker_id = worker.spec.id.clone();
         self.quarantine_if_failing(key, now);
-        let ordered_ms = held.as_ref().map(|held| now.since(held.ordered_at));
+        let held_ms = held.as_ref().map(|held| now.since(held.held_since));
         let mut checkpoint = ending.checkpoint;
         if checkpoint.is_empty() {
             checkpoint = held.map_or_else(SmolStr::default, |held| held.checkpoint);
@@ -81,7 +81,7 @@
             worker: worker_id,
             end: ending.how,
             failures,
-            ordered_ms,
+            held_ms,
         };
         // An end is told before what follows from it, such as the end of its job.
         self.actions.insert(noted_at, Action::Note(note));
--- a/crates/sched/src/worker.rs
+++ b/crates/sched/src/worker.rs
@@ -29,6 +29,8 @@
 pub(crate) struct WorkerRun {
     pub(crate) resources: Resources,
     pub(crate) phase: Phase,
+    /// When its start was decided, or it was adopted.
+    pub(crate) held_since: Millis,
     /// When the latest order about it was sent.
     pub(crate) ordered_at: Millis,
     /// Orders of that kind sent so far.
