Keep the roster of workers in records of a bounded size

Cause: one record of a cell with a thousand workers would be beyond what the store takes, and nothing would be written any more. Change: at most 200 workers a record; the parts of the latest version count together.

--- a/crates/cell/src/leader/load.rs
+++ b/crates/cell/src/leader/load.rs
@@ -1,5 +1,6 @@
 //! Taking over: predecessors are fenced off, then everything they left is read.
 
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::rc::Rc;
@@ -26,9 +27,8 @@
 use crate::ports::Platform;
 use crate::ports::ReadError;
 use crate::ports::Topic;
+use crate::records;
 use crate::records::JobRecord;
-use crate::records::ROSTER_KEY;
-use crate::records::RosterRecord;
 use crate::records::read_job;
 
 /// Wait after a step that failed.
@@ -142,8 +142,12 @@
 where
     P: Platform,
 {
-    let roster = read_roster(&left.progress);
-    leader.roster.restore(roster.clone());
+    // An append in doubt can leave the same roster in both partitions.
+    let roster: BTreeMap<_, _> = read_roster(&left.progress)
+        .into_iter()
+        .map(|spec| (spec.id.clone(), spec))
+        .collect();
+    leader.roster.restore(roster.values());
     let mut listed = BTreeSet::new();
     for (_offset, record) in &left.workers.records {
         if !record.value.is_empty() {
@@ -152,11 +156,11 @@
         readers::take_worker(leader, record);
     }
     let mut missing = Vec::new();
-    for spec in roster {
-        if listed.contains(&spec.id) {
+    for (id, spec) in roster {
+        if listed.contains(&id) {
             continue;
         }
-        missing.push(spec.id.clone());
+        missing.push(id);
         leader.apply(Event::WorkerListed(spec));
     }
     missing
@@ -165,18 +169,11 @@
 /// Reads the latest roster.
 fn read_roster(partitions: &[Newest]) -> Vec<WorkerSpec> {
     let all = partitions.iter().flat_map(|newest| &newest.records);
-    let mut latest = RosterRecord::default();
-    for (_offset, record) in all {
-        if record.key != ROSTER_KEY {
-            continue;
-        }
-        match serde_json::from_slice::<RosterRecord>(&record.value) {
-            Ok(read) if (read.token, read.change) > (latest.token, latest.change) => latest = read,
-            Ok(_older) => {}
-            Err(error) => log::unreadable(&record.key, &error.to_string()),
-        }
+    let (workers, unreadable) = records::read_roster(all.map(|(_offset, record)| record));
+    for (key, error) in unreadable {
+        log::unreadable(&key, &error.to_string());
     }
-    latest.workers
+    workers
 }
 
 /// Reads the latest progress of each job.
@@ -184,7 +181,7 @@
     let mut progress: HashMap<JobId, JobProgress> = HashMap::new();
     let all = partitions.iter().flat_map(|newest| &newest.records);
     for (_offset, record) in all {
-        if record.value.is_empty() || record.key == ROSTER_KEY {
+        if record.value.is_empty() || records::is_roster(record) {
             continue;
         }
         let read = serde_json::from_slice::<JobProgress>(&record.value);
--- a/crates/cell/src/leader/records.rs
+++ b/crates/cell/src/leader/records.rs
@@ -169,7 +169,9 @@
             return false;
         }
         let mut batch: Vec<Record> = Vec::with_capacity(taken.len() + 1);
-        batch.extend(roster.iter().map(|change| change.record.clone()));
+        if let Some(change) = &roster {
+            batch.extend_from_slice(&change.records);
+        }
         for (id, _change, progress) in &mut taken {
             progress.version.token = self.token;
             batch.push(records::progress(*id, progress));
--- a/crates/cell/src/leader/roster.rs
+++ b/crates/cell/src/leader/roster.rs
@@ -41,18 +41,21 @@
 /// A roster that is to be written.
 #[derive(Debug)]
 pub(super) struct RosterChange {
-    pub(super) record: Record,
+    pub(super) records: Vec<Record>,
     number: u64,
 }
 
 impl Roster {
     /// Takes what a predecessor left in the store.
-    pub(super) fn restore(&self, left: Vec<WorkerSpec>) {
-        let members = left.into_iter().map(|spec| {
-            let id = spec.id.clone();
-            (id, Member { spec, added_in: 0 })
-        });
-        self.members.borrow_mut().extend(members);
+    pub(super) fn restore<'a, I>(&self, left: I)
+    where
+        I: IntoIterator<Item = &'a WorkerSpec>,
+    {
+        let mut members = self.members.borrow_mut();
+        for spec in left {
+            let spec = spec.clone();
+            members.insert(spec.id.clone(), Member { spec, added_in: 0 });
+        }
     }
 
     /// Takes a worker that is listed. Says whether the store has it, so that it may get orders.
@@ -110,7 +113,7 @@
             workers: members.values().map(|member| member.spec.clone()).collect(),
         };
         Some(RosterChange {
-            record: records::roster(&record),
+            records: records::roster(&record),
             number,
         })
     }
--- a/crates/cell/src/records.rs
+++ b/crates/cell/src/records.rs
@@ -1,5 +1,7 @@
 //! The records that a cell keeps in the store, in JSON so that operators can read them.
 
+use std::cmp::Ordering;
+
 use bytes::Bytes;
 use serde::Deserialize;
 use serde::Serialize;
@@ -18,8 +20,11 @@
 /// Key of the record that says who is the scheduler.
 pub const HOLDER_KEY: &str = "holder";
 
-/// Key of the record that names the workers that may run something.
-pub const ROSTER_KEY: &str = "workers";
+/// What the keys of the records begin with that name the workers that may run something.
+const ROSTER_PREFIX: &str = "workers/";
+
+/// Most workers that one record names: some fifty kilobytes, well within what the store takes.
+const WORKERS_OF_RECORD: usize = 200;
 
 /// What the topic of jobs holds.
 #[derive(Debug, Clone, PartialEq)]
@@ -60,13 +65,19 @@
 pub struct RosterRecord {
     /// The fencing token of the scheduler.
     pub token: u64,
-    /// Number of the change since the scheduler began; of two records, the one with the greater token
-    /// counts, and the greater number.
+    /// Number of the change since the scheduler began.
     pub change: u64,
     /// The workers.
     pub workers: Vec<WorkerSpec>,
 }
 
+impl RosterRecord {
+    /// Of two rosters, the one with the greater version counts.
+    const fn version(&self) -> (u64, u64) {
+        (self.token, self.change)
+    }
+}
+
 /// Makes the record of an accepted job.
 #[must_use]
 pub fn submitted(spec: &JobSpec) -> Record {
@@ -122,13 +133,63 @@
     }
 }
 
-/// Makes the record of a roster.
+/// Makes the records of a roster; they count only together.
 #[must_use]
-pub fn roster(roster: &RosterRecord) -> Record {
+pub fn roster(roster: &RosterRecord) -> Vec<Record> {
+    let parts = roster.workers.chunks(WORKERS_OF_RECORD);
+    let parts = (0..).zip(parts).map(|(number, workers)| {
+        let part = RosterRecord {
+            workers: workers.to_vec(),
+            ..*roster
+        };
+        roster_part(number, &part)
+    });
+    let parts: Vec<_> = parts.collect();
+    if parts.is_empty() {
+        return vec![roster_part(0, roster)];
+    }
+    parts
+}
+
+fn roster_part(number: usize, part: &RosterRecord) -> Record {
     Record {
-        key: SmolStr::new_static(ROSTER_KEY),
-        value: encode(roster),
+        key: format_smolstr!("{ROSTER_PREFIX}{number}"),
+        value: encode(part),
+    }
+}
+
+/// Says whether a record is part of a roster.
+#[must_use]
+pub fn is_roster(record: &Record) -> bool {
+    record.key.starts_with(ROSTER_PREFIX)
+}
+
+/// Reads the workers of the latest roster, and what of any roster can't be read.
+#[must_use]
+pub fn read_roster<'a, I>(records: I) -> (Vec<WorkerSpec>, Vec<(SmolStr, serde_json::Error)>)
+where
+    I: IntoIterator<Item = &'a Record>,
+{
+    let mut latest = RosterRecord::default();
+    let mut unreadable = Vec::new();
+    for record in records {
+        if !is_roster(record) {
+            continue;
+        }
+        let read = match serde_json::from_slice::<RosterRecord>(&record.value) {
+            Ok(read) => read,
+            Err(error) => {
+                unreadable.push((record.key.clone(), error));
+                continue;
+            }
+        };
+        match read.version().cmp(&latest.version()) {
+            Ordering::Less => {}
+            Ordering::Equal => latest.workers.extend(read.workers),
+            Ordering::Greater => latest = read,
+        }
     }
+    (latest.workers, unreadable)
 }
 
 /// Reads a record of the topic of jobs.
--- a/crates/cell/tests/cell/cluster.rs
+++ b/crates/cell/tests/cell/cluster.rs
@@ -286,7 +286,8 @@
     }
 }
 
-fn worker(index: usize) -> WorkerSpec {
+/// A worker of eight cores.
+pub fn worker(index: usize) -> WorkerSpec {
     WorkerSpec {
         id: WorkerId::new(format!("w-{index}")),
         service: ServiceName::new(QUEUE),
