--- a/crates/cell/src/holders.rs
+++ b/crates/cell/src/holders.rs
@@ -151,6 +151,7 @@
 {
     let timing = &node.settings.timing;
     let spread_ms = node.incarnation % timing.claim_spread_ms.max(1);
+    let delay_ms = node.settings.claim_delay_ms();
     let silence_ms = match &watch.holder {
         None => 0,
         // An earlier incarnation of this very node held the role, and it is over.
@@ -158,7 +159,7 @@
         Some(_) if node.holder_gone.get() => timing.gone_silence_ms,
         Some(_) => timing.silence_ms,
     };
-    silence_ms + spread_ms
+    silence_ms + spread_ms + delay_ms
 }
 
 fn is_earlier_incarnation<P>(node: &Node<P>, holder: &Holder) -> bool
--- a/crates/cell/src/settings.rs
+++ b/crates/cell/src/settings.rs
@@ -4,8 +4,12 @@
 
 use smol_str::SmolStr;
 
+/// A link that carries this much, in megabits a second, brings a scheduler what it reads at its start,
+/// some megabytes, within the time that others wait for a sign of it.
+const AMPLE_LINK_MBPS: f64 = 100.0;
+
 /// What a node is told at its start.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct NodeSettings {
     /// Its name.
     pub name: SmolStr,
@@ -21,6 +25,8 @@
     pub status_ms: u64,
     /// Partitions that a topic has.
     pub partitions: u32,
+    /// What its link carries, in megabits a second.
+    pub link_mbps: f64,
     /// Times that it works by.
     pub timing: Timing,
 }
@@ -40,6 +46,9 @@
     pub gone_silence_ms: u64,
     /// Nodes that see the same wait up to this long, each another time, so that one claims first.
     pub claim_spread_ms: u64,
+    /// A node with a thin link waits this much longer before it claims: several times what others
+    /// need to claim and be seen.
+    pub thin_link_delay_ms: u64,
     /// Nodes call the scheduler this often.
     pub contact_ms: u64,
     /// A scheduler that does not answer such a call within this time is missed once.
@@ -86,6 +95,7 @@
             silence_ms: 1_200,
             gone_silence_ms: 550,
             claim_spread_ms: 90,
+            thin_link_delay_ms: 500,
             contact_ms: 150,
             contact_timeout_ms: 200,
             probe_ms: 100,
@@ -113,6 +123,19 @@
         self.timing.lease_ms.min(self.lease_limit_ms)
     }
 
+    /// Returns the time that the node leaves others to claim first.
+    ///
+    /// A scheduler reads all that its predecessor left, and cannot be reached meanwhile over a thin
+    /// link: megabytes take a second at 10 Mbit/s, in which it was taken to be gone, again and again.
+    #[must_use]
+    pub fn claim_delay_ms(&self) -> u64 {
+        if self.link_mbps < AMPLE_LINK_MBPS {
+            self.timing.thin_link_delay_ms
+        } else {
+            0
+        }
+    }
+
     /// Returns the number of partitions over which nodes spread the jobs that they store.
     ///
     /// A partition takes one append at a time, in milliseconds, or a quarter of a second while the
--- a/crates/cell/tests/cell/cluster.rs
+++ b/crates/cell/tests/cell/cluster.rs
@@ -244,7 +244,7 @@
     format!("node-{number}")
 }
 
-fn settings(number: usize, peers: &TcpListener) -> NodeSettings {
+pub fn settings(number: usize, peers: &TcpListener) -> NodeSettings {
     NodeSettings {
         name: SmolStr::from(node_name(number)),
         peer_address: peers.local_addr().expect("a bound socket"),
@@ -253,6 +253,7 @@
         gang_wait_ms: 3_000,
         status_ms: 120_000,
         partitions: 4,
+        link_mbps: 1_000.0,
         timing: Timing::default(),
     }
 }
--- a/crates/cell/tests/cell/takeover.rs
+++ b/crates/cell/tests/cell/takeover.rs
@@ -1,10 +1,14 @@
 //! The scheduler ends, as planned or not, and another goes on.
 
+use std::net::TcpListener;
+
+use syc_cell::NodeSettings;
 use syc_cell::ports::Topic;
 use syc_fleet::SharedFaults;
 use syc_sched::JobState;
 
 use crate::cluster::Cluster;
+use crate::cluster::settings;
 use crate::cluster::step;
 
 #[test]
@@ -81,3 +85,15 @@
     cluster.wait_for_state(second, 2, JobState::Completed);
     cluster.assert_sound();
 }
+
+#[test]
+fn a_node_with_a_thin_link_leaves_others_to_claim_first() {
+    let peers = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let ample = settings(0, &peers);
+    let thin = NodeSettings {
+        link_mbps: 10.0,
+        ..ample.clone()
+    };
+    let latest_of_ample_ms = ample.claim_delay_ms() + ample.timing.claim_spread_ms;
+    assert!(thin.claim_delay_ms() > 2 * latest_of_ample_ms);
+}
