End the role of a scheduler that hears neither the store nor another node

Cause, found by reading: a successor starts elsewhere what an unanswered worker may run after 3 s and a lease, since its predecessor gives no orders by then; nothing made that true of one that was cut off from the store and the nodes, but not from that worker. Change: after 3 s without a sign of either it ends its role. While the store alone is away, others call it and it goes on.

--- a/crates/cell/src/leader.rs
+++ b/crates/cell/src/leader.rs
@@ -299,8 +299,26 @@
         position
     }
 
+    /// Says whether neither the store nor another node was heard for so long that a successor may
+    /// have been chosen.
+    ///
+    /// A successor takes it that its predecessor gives no orders after this time. One that went on
+    /// renewing leases on workers that the successor cannot reach would have their tasks run twice.
+    fn is_isolated(&self) -> bool {
+        let authority_ms = Options::default().authority_ms;
+        let hears_nobody = self
+            .met_others_at
+            .get()
+            .is_some_and(|at| now().since(at) > authority_ms);
+        hears_nobody && self.node.store_view().answered_ms > authority_ms
+    }
+
     /// Hands the role on if this node seems cut off while the store, and so the others, may not be.
     pub(crate) fn watch_self(self: &Rc<Self>) {
+        if self.is_isolated() {
+            self.end("isolated");
+            return;
+        }
         if !self.loaded.get() || self.handing_over.get() || !self.node.store_answers() {
             return;
         }
--- a/crates/cell/tests/cell/takeover.rs
+++ b/crates/cell/tests/cell/takeover.rs
@@ -8,6 +8,7 @@
 use syc_sched::JobState;
 
 use crate::cluster::Cluster;
+use crate::cluster::node_name;
 use crate::cluster::settings;
 use crate::cluster::step;
 
@@ -86,6 +87,29 @@
     cluster.assert_sound();
 }
 
+#[test]
+fn a_scheduler_that_hears_neither_the_store_nor_another_node_gives_up() {
+    let mut cluster = Cluster::start(2, 1);
+    let first = cluster.scheduler();
+    let other = 1 - first;
+    // The other node has been in touch with the scheduler once it is answered by it.
+    cluster.submit(other, 1, vec![step(1, 20)]);
+    cluster.wait_for_state(other, 1, JobState::Completed);
+    cluster.kill(other);
+    cluster.platform.set_faults(SharedFaults {
+        cut_off: [node_name(first).into()].into(),
+        ..SharedFaults::default()
+    });
+    cluster.wait("the end of the role", || {
+        let leads = cluster.on(first, |node| async move { node.is_scheduler() });
+        (!leads).then_some(())
+    });
+    cluster.platform.set_faults(SharedFaults::default());
+    cluster.submit(first, 2, vec![step(1, 20)]);
+    cluster.wait_for_state(first, 2, JobState::Completed);
+    cluster.assert_sound();
+}
+
 #[test]
 fn a_node_with_a_thin_link_leaves_others_to_claim_first() {
     let peers = TcpListener::bind("127.0.0.1:0").expect("a free port");
--- a/crates/sched/src/watch.rs
+++ b/crates/sched/src/watch.rs
@@ -1,4 +1,4 @@
-//! What time alone shows: lapsed leases, unanswered orders, stalled runs, workers to quarantined.
+//! What time alone shows: lapsed leases, unanswered orders, stalled runs, workers to quarantine.
 
 use syc_types::Millis;
 
