--- a/crates/cell/src/accept.rs
+++ b/crates/cell/src/accept.rs
@@ -4,7 +4,6 @@
 use std::cell::RefCell;
 use std::collections::VecDeque;
 use std::rc::Rc;
-use std::time::Duration;
 
 use syc_sched::JobId;
 use syc_sched::JobSpec;
@@ -16,6 +15,7 @@
 
 use crate::Node;
 use crate::clock::now;
+use crate::clock::pause;
 use crate::ports::AppendError;
 use crate::ports::Platform;
 use crate::ports::Record;
@@ -240,7 +240,7 @@
         for waiting in batch {
             retry_or_answer(queue, waiting, refused, answers);
         }
-        actix_rt::time::sleep(Duration::from_millis(RETRY_MS)).await;
+        pause(RETRY_MS).await;
     }
 }
 
--- a/crates/cell/src/clock.rs
+++ b/crates/cell/src/clock.rs
@@ -1,5 +1,6 @@
 //! The steady clock of a node.
 
+use std::time::Duration;
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 
@@ -23,3 +24,8 @@
     let since = SystemTime::now().duration_since(UNIX_EPOCH);
     since.map_or(0, |since| u64::try_from(since.as_millis()).unwrap_or(0))
 }
+
+/// Waits for a time.
+pub async fn pause(time_ms: u64) {
+    actix_rt::time::sleep(Duration::from_millis(time_ms)).await;
+}
--- a/crates/cell/src/contact.rs
+++ b/crates/cell/src/contact.rs
@@ -2,7 +2,6 @@
 
 use std::cell::Cell;
 use std::rc::Rc;
-use std::time::Duration;
 
 use bytes::Bytes;
 use syc_net::CallError;
@@ -20,6 +19,7 @@
 use crate::accept::NotStored;
 use crate::adviser;
 use crate::clock::now;
+use crate::clock::pause;
 use crate::log;
 use crate::node::Holder;
 use crate::ports::Platform;
@@ -104,14 +104,13 @@
 where
     P: Platform,
 {
-    let interval = Duration::from_millis(node.settings.timing.contact_ms);
     loop {
         let link = current_link(&node);
         if let Some(link) = link {
             contact(&node, &link).await;
         }
         tokio::select! {
-            () = actix_rt::time::sleep(interval) => {}
+            () = pause(node.settings.timing.contact_ms) => {}
             () = node.holder_news.notified() => {}
         }
     }
--- a/crates/cell/src/follow.rs
+++ b/crates/cell/src/follow.rs
@@ -1,9 +1,9 @@
 //! Following the configuration that operators publish in the store.
 
 use std::rc::Rc;
-use std::time::Duration;
 
 use crate::Node;
+use crate::clock::pause;
 use crate::log;
 use crate::ports::Platform;
 use crate::ports::ReadError;
@@ -28,7 +28,7 @@
             Some(from) => read_on(&node, from).await,
         };
         if position.is_none() {
-            actix_rt::time::sleep(Duration::from_millis(RETRY_MS)).await;
+            pause(RETRY_MS).await;
         }
     }
 }
@@ -59,7 +59,7 @@
         }
         Err(ReadError::Gone { .. }) => None,
         Err(ReadError::Unavailable(_) | ReadError::Malformed(_)) => {
-            actix_rt::time::sleep(Duration::from_millis(RETRY_MS)).await;
+            pause(RETRY_MS).await;
             Some(from)
         }
     }
--- a/crates/cell/src/holders.rs
+++ b/crates/cell/src/holders.rs
@@ -4,12 +4,12 @@
 //! claim never overtakes a heartbeat of the holder. Its offset makes the fencing token.
 
 use std::rc::Rc;
-use std::time::Duration;
 
 use syc_types::Millis;
 
 use crate::Node;
 use crate::clock::now;
+use crate::clock::pause;
 use crate::leader::Leader;
 use crate::log;
 use crate::node::Holder;
@@ -246,7 +246,3 @@
     }
     node.holder_news.notify_waiters();
 }
-
-async fn pause(time_ms: u64) {
-    actix_rt::time::sleep(Duration::from_millis(time_ms)).await;
-}
--- a/crates/cell/src/leader.rs
+++ b/crates/cell/src/leader.rs
@@ -15,7 +15,6 @@
 use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::rc::Rc;
-use std::time::Duration;
 
 use advice::Adviser;
 use records::ProgressWriter;
@@ -38,6 +37,7 @@
 use crate::PendingAnswer;
 use crate::StateAnswer;
 use crate::clock::now;
+use crate::clock::pause;
 use crate::log;
 use crate::ports::Platform;
 
@@ -212,7 +212,7 @@
             if self.scheduler.borrow().has_records() {
                 self.write.notify_one();
             }
-            actix_rt::time::sleep(Duration::from_millis(LOOK_SPACING_MS)).await;
+            pause(LOOK_SPACING_MS).await;
         }
     }
 
--- a/crates/cell/src/leader/heartbeat.rs
+++ b/crates/cell/src/leader/heartbeat.rs
@@ -1,10 +1,10 @@
 //! Telling the store, and so every node, that the scheduler is there.
 
 use std::rc::Rc;
-use std::time::Duration;
 
 use smol_str::SmolStr;
 
+use crate::clock::pause;
 use crate::leader::Leader;
 use crate::ports::AppendError;
 use crate::ports::Condition;
@@ -26,7 +26,6 @@
 where
     P: Platform,
 {
-    let interval = Duration::from_millis(leader.node.settings.timing.heartbeat_ms);
     let mut sequence = 0;
     loop {
         let record = records::holder(&leader.holder_record(false));
@@ -46,7 +45,7 @@
             Err(_noted) => {}
         }
         leader.heartbeat_sequence.set(sequence);
-        actix_rt::time::sleep(interval).await;
+        pause(leader.node.settings.timing.heartbeat_ms).await;
     }
 }
 
--- a/crates/cell/src/leader/load.rs
+++ b/crates/cell/src/leader/load.rs
@@ -4,7 +4,6 @@
 use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::rc::Rc;
-use std::time::Duration;
 
 use futures_util::future::join_all;
 use futures_util::future::try_join3;
@@ -16,6 +15,7 @@
 use syc_types::WorkerId;
 
 use crate::clock::now;
+use crate::clock::pause;
 use crate::clock::time_of_day_ms;
 use crate::leader::Leader;
 use crate::leader::readers;
@@ -56,7 +56,7 @@
     let left = loop {
         match read_left(&leader).await {
             Ok(left) => break left,
-            Err(_noted) => actix_rt::time::sleep(Duration::from_millis(RETRY_MS)).await,
+            Err(_noted) => pause(RETRY_MS).await,
         }
     };
     restore(&leader, &left);
--- a/crates/cell/src/leader/readers.rs
+++ b/crates/cell/src/leader/readers.rs
@@ -2,7 +2,6 @@
 
 use std::collections::BTreeSet;
 use std::rc::Rc;
-use std::time::Duration;
 
 use syc_obs::Stage;
 use syc_sched::Event;
@@ -10,6 +9,7 @@
 use syc_types::WorkerId;
 
 use crate::clock::now;
+use crate::clock::pause;
 use crate::leader::Leader;
 use crate::leader::load::age_ms;
 use crate::log;
@@ -170,7 +170,3 @@
         Err(error) => log::unreadable(&record.key, &error.0),
     }
 }
-
-async fn pause(time_ms: u64) {
-    actix_rt::time::sleep(Duration::from_millis(time_ms)).await;
-}
--- a/crates/cell/src/leader/records.rs
+++ b/crates/cell/src/leader/records.rs
@@ -3,7 +3,6 @@
 use std::cell::Cell;
 use std::collections::BTreeMap;
 use std::rc::Rc;
-use std::time::Duration;
 
 use futures_util::future::join_all;
 use smol_str::SmolStr;
@@ -13,6 +12,7 @@
 use syc_types::Millis;
 
 use crate::clock::now;
+use crate::clock::pause;
 use crate::clock::time_of_day_ms;
 use crate::leader::Leader;
 use crate::log;
@@ -301,7 +301,3 @@
         }
     }
 }
-
-async fn pause(time_ms: u64) {
-    actix_rt::time::sleep(Duration::from_millis(time_ms)).await;
-}
--- a/crates/cell/src/leader/sessions.rs
+++ b/crates/cell/src/leader/sessions.rs
@@ -12,6 +12,7 @@
 use tokio::sync::SemaphorePermit;
 
 use crate::clock::now;
+use crate::clock::pause;
 use crate::leader::Leader;
 use crate::log;
 use crate::ports::OrderError;
@@ -214,7 +215,7 @@
                 failures += 1;
                 leader.apply(Event::RenewalFailed { worker });
                 let wait_ms = (RETRY_MS << failures.min(4)).min(RETRY_LIMIT_MS);
-                actix_rt::time::sleep(Duration::from_millis(wait_ms)).await;
+                pause(wait_ms).await;
             }
         }
     }
--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -25,6 +25,7 @@
 
 pub use accept::Stored;
 pub use clock::now;
+pub use clock::pause;
 pub use clock::time_of_day_ms;
 pub use configuration::Configuration;
 pub use configuration::Route;
--- a/crates/cell/src/node.rs
+++ b/crates/cell/src/node.rs
@@ -4,7 +4,6 @@
 use std::cell::RefCell;
 use std::net::TcpListener;
 use std::rc::Rc;
-use std::time::Duration;
 
 use bytes::Bytes;
 use rand::Rng;
@@ -23,6 +22,7 @@
 use crate::NodeSettings;
 use crate::accept::AcceptQueue;
 use crate::clock::now;
+use crate::clock::pause;
 use crate::contact;
 use crate::contact::HolderLink;
 use crate::follow;
@@ -186,7 +186,7 @@
             if !self.accepting.is_busy() && self.unsent_replies.count() == 0 {
                 break;
             }
-            actix_rt::time::sleep(Duration::from_millis(IDLE_LOOK_MS)).await;
+            pause(IDLE_LOOK_MS).await;
         }
         log::stopped();
         flush_lines();
@@ -197,9 +197,8 @@
 where
     P: Platform,
 {
-    let interval = Duration::from_millis(node.settings.timing.tick_ms);
     loop {
-        actix_rt::time::sleep(interval).await;
+        pause(node.settings.timing.tick_ms).await;
         if let Some(leader) = node.leader() {
             leader.apply(Event::Ticked);
             leader.watch_self();
@@ -213,9 +212,8 @@
 where
     P: Platform,
 {
-    let interval = Duration::from_millis(node.settings.timing.probe_ms);
     loop {
-        actix_rt::time::sleep(interval).await;
+        pause(node.settings.timing.probe_ms).await;
         node.review_store("review", "silent");
         if !node.store_answers() {
             node.probe().await;
--- a/crates/cell/src/queries.rs
+++ b/crates/cell/src/queries.rs
@@ -1,7 +1,6 @@
 //! Questions of callers that only the scheduler can answer.
 
 use std::rc::Rc;
-use std::time::Duration;
 
 use syc_sched::JobId;
 use syc_sched::JobState;
@@ -14,6 +13,7 @@
 
 use crate::Node;
 use crate::clock::now;
+use crate::clock::pause;
 use crate::ports::Platform;
 
 /// A question is asked again this often while the scheduler changes.
@@ -57,7 +57,7 @@
             if answer != StateAnswer::Unsure || now() >= until || self.stopping.get() {
                 return answer;
             }
-            actix_rt::time::sleep(Duration::from_millis(RETRY_MS)).await;
+            pause(RETRY_MS).await;
         }
     }
 
@@ -72,7 +72,7 @@
             if answer != PendingAnswer::Unsure || now() >= until || self.stopping.get() {
                 return answer;
             }
-            actix_rt::time::sleep(Duration::from_millis(RETRY_MS)).await;
+            pause(RETRY_MS).await;
         }
     }
 
--- a/crates/fleet/src/shared.rs
+++ b/crates/fleet/src/shared.rs
@@ -6,12 +6,12 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
-use std::time::Duration;
 
 use smol_str::SmolStr;
 use smol_str::format_smolstr;
 use syc_cell::Configuration;
 use syc_cell::now;
+use syc_cell::pause;
 use syc_cell::ports::Advice;
 use syc_cell::ports::AdviceError;
 use syc_cell::ports::AdvicePort;
@@ -383,7 +383,3 @@
             .ok_or_else(|| FormatError(format!("no configuration `{name}` was published")))
     }
 }
-
-async fn pause(time_ms: u64) {
-    actix_rt::time::sleep(Duration::from_millis(time_ms)).await;
-}
