--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -112,7 +112,7 @@
     fn used(&self) -> Resources {
         let mut used = Resources::ZERO;
         for run in self.runs.values() {
-            used = used.checked_add(&run.resources).unwrap_or(used);
+            used = used.saturating_add(&run.resources);
         }
         used
     }
--- a/crates/place/src/ledger.rs
+++ b/crates/place/src/ledger.rs
@@ -106,7 +106,8 @@
 
 impl Entry {
     fn total(&self) -> Resources {
-        sum(&sum(&self.ordinary, &self.urgent), &self.stray)
+        let granted = self.ordinary.saturating_add(&self.urgent);
+        granted.saturating_add(&self.stray)
     }
 
     /// Says whether it may grant anything, even a task that asks for nothing.
@@ -124,14 +125,6 @@
     }
 }
 
-fn sum(a: &Resources, b: &Resources) -> Resources {
-    Resources {
-        cpu_millis: a.cpu_millis.saturating_add(b.cpu_millis),
-        memory_bytes: a.memory_bytes.saturating_add(b.memory_bytes),
-        accelerators: a.accelerators.saturating_add(b.accelerators),
-    }
-}
-
 impl Ledger {
     /// Makes an empty ledger without headroom.
     #[must_use]
@@ -316,7 +309,7 @@
         self.unindex(grant.worker);
         let entry = &mut self.workers[grant.worker];
         let held = entry.held(grant.tier);
-        *held = sum(held, &grant.resources);
+        *held = held.saturating_add(&grant.resources);
         entry.grants += 1;
         self.grants.insert(task, grant);
         self.index(grant.worker);
--- a/crates/place/src/ledger/inventory.rs
+++ b/crates/place/src/ledger/inventory.rs
@@ -10,7 +10,6 @@
 use crate::WorkerInfo;
 use crate::WorkerKey;
 use crate::ledger::Entry;
-use crate::ledger::sum;
 
 /// Part that is kept of a worker that keeps anything, in thousandths.
 const KEPT_PERMILLE: u64 = 250;
@@ -155,7 +154,7 @@
         let mut pool = Resources::ZERO;
         for entry in self.workers.values() {
             if !entry.removed {
-                pool = sum(&pool, &entry.info.capacity);
+                pool = pool.saturating_add(&entry.info.capacity);
             }
         }
         pool
--- a/crates/sched/src/gang.rs
+++ b/crates/sched/src/gang.rs
@@ -8,7 +8,6 @@
 use crate::ids::JobKey;
 use crate::place::victims;
 use crate::worker::fits;
-use crate::worker::times;
 
 /// A ticket that is good for less than this is asked for anew while room is being made.
 const FRESH_MS: u64 = 300;
@@ -65,7 +64,7 @@
                 self.release_reservation(job, step, 0);
                 return;
             };
-            has_room &= times(&need, *count).fits_in(&worker.free());
+            has_room &= need.saturating_mul(*count).fits_in(&worker.free());
             if !self.has_ticket(job, step, *key, now) {
                 stale.push(*key);
             }
@@ -208,7 +207,7 @@
             let free = fits(&worker.room(), &spec.resources, limit);
             let mut with_preemption = free;
             while with_preemption < limit {
-                let more = times(&spec.resources, with_preemption + 1);
+                let more = spec.resources.saturating_mul(with_preemption + 1);
                 if victims(worker, &more, priority).is_none() {
                     break;
                 }
@@ -231,7 +230,7 @@
         let priority = of_job.spec.policy.priority;
         let mut stops = Vec::new();
         for (key, count) in &plan.workers {
-            let needed = times(&need, *count);
+            let needed = need.saturating_mul(*count);
             let found = victims(&self.workers[*key], &needed, priority);
             for (task, run) in found.unwrap_or_default() {
                 stops.push((*key, task, run));
--- a/crates/sched/src/place.rs
+++ b/crates/sched/src/place.rs
@@ -17,8 +17,6 @@
 use crate::worker::Phase;
 use crate::worker::Worker;
 use crate::worker::WorkerRun;
-use crate::worker::plus;
-use crate::worker::times;
 
 /// Most units for which running work is stopped in one look at a step.
 const PREEMPTIONS_PER_LOOK: u32 = 4;
@@ -197,7 +195,7 @@
         let need = self.jobs[job].steps[step].spec.resources;
         for (worker, count) in &workers {
             let reserved = &mut self.workers[*worker].reserved;
-            *reserved = plus(reserved, &times(&need, *count));
+            *reserved = reserved.saturating_add(&need.saturating_mul(*count));
         }
         let until = now.plus(self.options.reservation_ms);
         let unit = &mut self.jobs[job].steps[step].units[unit];
@@ -213,7 +211,7 @@
         };
         for (worker, count) in reservation.workers {
             if let Some(worker) = self.workers.get_mut(worker) {
-                worker.reserved = worker.reserved.saturating_sub(&times(&need, count));
+                worker.reserved = worker.reserved.saturating_sub(&need.saturating_mul(count));
             }
         }
     }
@@ -371,7 +369,7 @@
         if need.fits_in(&room) {
             break;
         }
-        room = plus(&room, &of_run.resources);
+        room = room.saturating_add(&of_run.resources);
         victims.push(*name);
     }
     need.fits_in(&room).then_some(victims)
--- a/crates/sched/src/worker.rs
+++ b/crates/sched/src/worker.rs
@@ -133,7 +133,7 @@
 
     /// Adds a run; its room is taken from now on.
     pub(crate) fn insert(&mut self, task: TaskId, run: Run, held: WorkerRun) {
-        self.used = plus(&self.used, &held.resources);
+        self.used = self.used.saturating_add(&held.resources);
         let replaced = self.runs.insert((task, run), held);
         if let Some(replaced) = replaced {
             self.used = self.used.saturating_sub(&replaced.resources);
@@ -186,24 +186,6 @@
     }
 }
 
-/// Adds two amounts, stopping at the greatest.
-pub(crate) fn plus(a: &Resources, b: &Resources) -> Resources {
-    Resources {
-        cpu_millis: a.cpu_millis.saturating_add(b.cpu_millis),
-        memory_bytes: a.memory_bytes.saturating_add(b.memory_bytes),
-        accelerators: a.accelerators.saturating_add(b.accelerators),
-    }
-}
-
-/// Multiplies an amount.
-pub(crate) fn times(a: &Resources, count: u32) -> Resources {
-    Resources {
-        cpu_millis: a.cpu_millis.saturating_mul(u64::from(count)),
-        memory_bytes: a.memory_bytes.saturating_mul(u64::from(count)),
-        accelerators: a.accelerators.saturating_mul(count),
-    }
-}
-
 /// Returns how many times `need` fits in `room`, at most `limit`.
 pub(crate) fn fits(room: &Resources, need: &Resources, limit: u32) -> u32 {
     let mut count = limit;
--- a/crates/types/src/resources.rs
+++ b/crates/types/src/resources.rs
@@ -86,4 +86,24 @@
             accelerators: self.accelerators.saturating_sub(other.accelerators),
         }
     }
+
+    /// Adds `other`, stopping at the greatest amount in each kind.
+    #[must_use]
+    pub const fn saturating_add(&self, other: &Self) -> Self {
+        Self {
+            cpu_millis: self.cpu_millis.saturating_add(other.cpu_millis),
+            memory_bytes: self.memory_bytes.saturating_add(other.memory_bytes),
+            accelerators: self.accelerators.saturating_add(other.accelerators),
+        }
+    }
+
+    /// Multiplies it, stopping at the greatest amount in each kind.
+    #[must_use]
+    pub fn saturating_mul(&self, count: u32) -> Self {
+        Self {
+            cpu_millis: self.cpu_millis.saturating_mul(u64::from(count)),
+            memory_bytes: self.memory_bytes.saturating_mul(u64::from(count)),
+            accelerators: self.accelerators.saturating_mul(count),
+        }
+    }
 }
