Read and answer with HTTP bodies in one place

The bounded read of a body stood in the daemon, the adapter and two stand-ins, the JSON response in the daemon and the adapter; they move to the transport layer. Statuses and texts stay.

--- a/crates/daemon/src/callers/request.rs
+++ b/crates/daemon/src/callers/request.rs
@@ -9,6 +9,8 @@
 use actix_http::header;
 use syc_api::ErrorBody;
 use syc_api::Outcome;
+use syc_net::BodyError;
+use syc_net::read_body;
 use syc_route::created_at;
 use syc_types::CallerId;
 use syc_types::Class;
@@ -17,8 +19,6 @@
 use syc_types::TeamId;
 use uuid::Uuid;
 
-use crate::http_body::BodyError;
-use crate::http_body::read_body;
 use crate::node::Node;
 use crate::requests::BodyBytes;
 use crate::requests::CallerRequest;
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -1,12 +1,16 @@
-//! Transport: framed links between daemons, the HTTP listener and the HTTP client.
+//! Transport: framed links between daemons, the HTTP listener and client, and their bodies.
 //!
 //! This layer moves bytes. It knows neither the messages inside the frames nor the requests.
 
+mod body;
 mod client;
 mod connection;
 pub mod http;
 pub mod peer;
 
+pub use body::BodyError;
+pub use body::json_text;
+pub use body::read_body;
 pub use client::HttpClientOptions;
 pub use client::http_client;
 pub use http::HttpListener;
--- a/crates/standin/src/reply.rs
+++ b/crates/standin/src/reply.rs
@@ -8,12 +8,11 @@
 use actix_http::body::BoxBody;
 use actix_http::body::SizedStream;
 use bytes::Bytes;
-use bytes::BytesMut;
-use futures_util::StreamExt;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use syc_net::HttpListener;
 use syc_net::HttpOptions;
+use syc_net::read_body;
 
 /// A response with only a status.
 pub(crate) fn empty(status: StatusCode) -> Response<BoxBody> {
@@ -31,12 +30,7 @@
 
 /// Reads a whole body; a cut one is `None`.
 pub(crate) async fn body(request: &mut Request) -> Option<Bytes> {
-    let mut payload = request.take_payload();
-    let mut whole = BytesMut::new();
-    while let Some(chunk) = payload.next().await {
-        whole.extend_from_slice(&chunk.ok()?);
-    }
-    Some(whole.freeze())
+    read_body(request, usize::MAX).await.ok()
 }
 
 /// Reads a JSON body.
