Say once in the core how a job begins, is added, and when a silent worker's runs are over

The three stood twice each: a job's first start in placing and adopting, a new and a restored job's entry, and the loss of runs after the lease in the watch and in a failed renewal.

--- a/crates/sched/src/job.rs
+++ b/crates/sched/src/job.rs
@@ -241,6 +241,14 @@
         self.spec.id
     }
 
+    /// Takes note that a task of it has started.
+    pub(crate) fn begin(&mut self) {
+        self.begun = true;
+        if self.state == JobState::Queued {
+            self.state = JobState::Running;
+        }
+    }
+
     /// Says whether a step is due, and the steps before it are all done.
     pub(crate) fn is_ready(&self, step: usize, now: Millis) -> bool {
         if self.steps[step].due_at.is_some_and(|due_at| due_at > now) {
--- a/crates/sched/src/place.rs
+++ b/crates/sched/src/place.rs
@@ -5,7 +5,6 @@
 use syc_types::Resources;
 
 use crate::Action;
-use crate::JobState;
 use crate::Run;
 use crate::Scheduler;
 use crate::StopReason;
@@ -298,10 +297,7 @@
             members: workers.iter().copied().map(Some).collect(),
         };
         step.pending -= 1;
-        job.begun = true;
-        if job.state == JobState::Queued {
-            job.state = JobState::Running;
-        }
+        job.begin();
         for (member, worker) in workers.iter().enumerate() {
             let task = self.jobs[job_key].steps[step_index].task_at(id, unit_index, member);
             self.start_member(job_key, step_index, *worker, task, run, now);
--- a/crates/sched/src/reports.rs
+++ b/crates/sched/src/reports.rs
@@ -95,10 +95,7 @@
             let note = belief(worker, "silent", now);
             self.actions.push(note);
         }
-        if worker.lapse_at <= now && !worker.runs.is_empty() {
-            self.lose_runs(key, "lease_lapsed", now);
-        }
-        self.detach_if_over(key, now);
+        self.watch_lease(key, now);
     }
 
     pub(crate) fn replaced(&mut self, key: WorkerKey, now: Millis) {
@@ -110,7 +107,7 @@
     }
 
     /// Takes everything that ran on a worker as ended without a result.
-    fn lose_runs(&mut self, key: WorkerKey, how: &'static str, now: Millis) {
+    pub(crate) fn lose_runs(&mut self, key: WorkerKey, how: &'static str, now: Millis) {
         let runs: Vec<_> = self.workers[key].runs.keys().copied().collect();
         for (task, run) in runs {
             self.end_run(key, task, run, Ending::without_report(how), now);
@@ -334,10 +331,7 @@
             _ => return false,
         }
         unit.started = unit.started.max(run);
-        job.begun = true;
-        if job.state == JobState::Queued {
-            job.state = JobState::Running;
-        }
+        job.begin();
         true
     }
 }
--- a/crates/sched/src/scheduler.rs
+++ b/crates/sched/src/scheduler.rs
@@ -290,12 +290,7 @@
         if let Some(progress) = progress {
             job.restore(progress);
         }
-        let key = self.jobs.insert(job);
-        self.job_keys.insert(id, key);
-        self.open.insert(key);
-        if self.cancelled_early.remove(&id).is_some() {
-            self.end_job(key, JobState::Cancelled, now);
-        }
+        self.insert_open(job, now);
     }
 
     /// Adds a job that has ended, so that its state can be asked.
@@ -329,7 +324,12 @@
             return;
         }
         let accepted_at = Millis(now.0.saturating_sub(age_ms));
-        let key = self.jobs.insert(Job::new(spec, accepted_at));
+        self.insert_open(Job::new(spec, accepted_at), now);
+    }
+
+    fn insert_open(&mut self, job: Job, now: Millis) {
+        let id = job.id();
+        let key = self.jobs.insert(job);
         self.job_keys.insert(id, key);
         self.open.insert(key);
         if self.cancelled_early.remove(&id).is_some() {
--- a/crates/sched/src/watch.rs
+++ b/crates/sched/src/watch.rs
@@ -6,7 +6,6 @@
 use crate::StopReason;
 use crate::WorkerKey;
 use crate::reports::belief;
-use crate::units::Ending;
 use crate::worker::Phase;
 
 /// Most times that the time for which a worker is quarantined doubles.
@@ -27,14 +26,11 @@
         self.forget_old(now);
     }
 
-    fn watch_lease(&mut self, key: WorkerKey, now: Millis) {
+    /// Takes what ran on a silent worker as ended once its leases have surely lapsed.
+    pub(crate) fn watch_lease(&mut self, key: WorkerKey, now: Millis) {
         let worker = &self.workers[key];
         if worker.silent && worker.lapse_at <= now {
-            let runs: Vec<_> = worker.runs.keys().copied().collect();
-            for (task, run) in runs {
-                let ending = Ending::without_report("lease_lapsed");
-                self.end_run(key, task, run, ending, now);
-            }
+            self.lose_runs(key, "lease_lapsed", now);
         }
         self.detach_if_over(key, now);
     }
