Let the cell derive what it had written twice

The fenced condition, the two ways between a state and its wire form, and the silence of the store stood twice each. The core tells its own times and limits, so that no second default is read, and whether half of the workers answer: until now every tick counted all jobs and steps for that.

--- a/crates/cell/src/contact.rs
+++ b/crates/cell/src/contact.rs
@@ -245,11 +245,13 @@
     let partition = leader.as_ref().map_or(0, |leader| leader.met(contact));
     // A scheduler that the store turns away cannot note what ends: a node that the store answers
     // need not wait out its silence.
-    let turned_away = contact.store_answers && node.store_silent_ms() > TURNED_AWAY_MS;
+    let store = node.store_view();
+    let unanswered = !store.answers && store.answered_ms > TURNED_AWAY_MS;
+    let turned_away = contact.store_answers && unanswered;
     ContactReply {
         leading: leader.is_some() && !turned_away,
         token: leader.map_or(0, |leader| leader.token),
-        store_answers: node.store_answers(),
+        store_answers: store.answers,
         partition,
     }
 }
--- a/crates/cell/src/leader.rs
+++ b/crates/cell/src/leader.rs
@@ -39,6 +39,7 @@
 use crate::clock::now;
 use crate::clock::pause;
 use crate::log;
+use crate::ports::Condition;
 use crate::ports::Platform;
 
 /// Events within this time share one look at the waiting tasks.
@@ -141,6 +142,15 @@
         leader.spawn(load::run(Rc::clone(&leader)));
     }
 
+    /// Returns the condition that refuses appends of a predecessor, by the token as the epoch.
+    fn fenced(&self, producer: &'static str, sequence: u64) -> Condition {
+        Condition::Producer {
+            name: SmolStr::new_static(producer),
+            epoch: self.token,
+            sequence,
+        }
+    }
+
     fn spawn<F>(&self, task: F)
     where
         F: Future<Output = ()> + 'static,
@@ -305,7 +315,7 @@
     /// A successor takes it that its predecessor gives no orders after this time. One that went on
     /// renewing leases on workers that the successor cannot reach would have their tasks run twice.
     fn is_isolated(&self) -> bool {
-        let authority_ms = Options::default().authority_ms;
+        let authority_ms = self.scheduler.borrow().options().authority_ms;
         let hears_nobody = self
             .met_others_at
             .get()
@@ -327,8 +337,7 @@
             .met_others_at
             .get()
             .is_some_and(|at| now.since(at) > CUT_OFF_MS);
-        let counts = self.counts();
-        if counts.silent_workers * 2 <= counts.workers {
+        if self.scheduler.borrow().hears_half() {
             self.heard_workers_at.set(now);
         }
         let cut_from_workers = now.since(self.heard_workers_at.get()) > CUT_OFF_MS;
--- a/crates/cell/src/leader/advice.rs
+++ b/crates/cell/src/leader/advice.rs
@@ -11,7 +11,6 @@
 use syc_sched::AdviceSlots;
 use syc_sched::Allowed;
 use syc_sched::Event;
-use syc_sched::Options;
 use syc_sched::StepId;
 use syc_sched::WorkerKey;
 use syc_types::Millis;
@@ -132,11 +131,11 @@
     pub(super) fn ask(self: &Rc<Self>, step: StepId, workers: Vec<WorkerKey>, expected_ms: f64) {
         let expected = Duration::from_secs_f64(expected_ms.clamp(0.0, 60_000.0) / 1_000.0);
         let whole_ms = u64::try_from(expected.as_millis()).unwrap_or(u64::MAX);
-        let short = expected_ms <= Options::default().short_call_ms;
-        let names: Vec<_> = {
+        let (short, names) = {
             let scheduler = self.scheduler.borrow();
+            let short = expected_ms <= scheduler.options().short_call_ms;
             let named = workers.iter().filter_map(|key| scheduler.name_of(*key));
-            named.collect()
+            (short, named.collect::<Vec<_>>())
         };
         let leader = Rc::clone(self);
         actix_rt::spawn(async move {
--- a/crates/cell/src/leader/heartbeat.rs
+++ b/crates/cell/src/leader/heartbeat.rs
@@ -2,12 +2,9 @@
 
 use std::rc::Rc;
 
-use smol_str::SmolStr;
-
 use crate::clock::pause;
 use crate::leader::Leader;
 use crate::ports::AppendError;
-use crate::ports::Condition;
 use crate::ports::Platform;
 use crate::ports::Topic;
 use crate::records;
@@ -29,7 +26,7 @@
     let mut sequence = 0;
     loop {
         let record = records::holder(&leader.holder_record(false));
-        let condition = leader.heartbeat_condition(sequence);
+        let condition = leader.fenced(PRODUCER, sequence);
         let appended = leader
             .node
             .append(Topic::Holders, 0, &[record], &condition)
@@ -63,21 +60,13 @@
         }
     }
 
-    fn heartbeat_condition(&self, sequence: u64) -> Condition {
-        Condition::Producer {
-            name: SmolStr::new_static(PRODUCER),
-            epoch: self.token,
-            sequence,
-        }
-    }
-
     /// Ends the role and tells the store that it is free.
     pub(super) async fn release(self: &Rc<Self>, reason: &'static str) {
         self.end(reason);
         let record = records::holder(&self.holder_record(true));
         let mut sequence = self.heartbeat_sequence.get();
         for _ in 0..RELEASE_TRIES {
-            let condition = self.heartbeat_condition(sequence);
+            let condition = self.fenced(PRODUCER, sequence);
             let appended = self
                 .node
                 .append(Topic::Holders, 0, std::slice::from_ref(&record), &condition)
--- a/crates/cell/src/leader/orders.rs
+++ b/crates/cell/src/leader/orders.rs
@@ -31,13 +31,12 @@
 
     pub(super) fn order_start(self: &Rc<Self>, order: StartOrder) {
         let lease_ms = self.node.settings.lease_ms();
-        let lease_until_ms = {
+        let session = {
             let sessions = self.sessions.borrow();
             let session = sessions.get(order.worker);
-            session.and_then(|session| session.lease_until_ms(lease_ms))
+            session.and_then(|session| Some((session.link(), session.lease_until_ms(lease_ms)?)))
         };
-        let (Some(link), Some(lease_until_ms)) = (self.link_to(order.worker), lease_until_ms)
-        else {
+        let Some((link, lease_until_ms)) = session else {
             // The session has just ended; what it held is ended by the event that did so.
             return;
         };
--- a/crates/cell/src/leader/records.rs
+++ b/crates/cell/src/leader/records.rs
@@ -5,7 +5,6 @@
 use std::rc::Rc;
 
 use futures_util::future::join_all;
-use smol_str::SmolStr;
 use syc_obs::Stage;
 use syc_sched::Event;
 use syc_sched::JobId;
@@ -120,14 +119,6 @@
 where
     P: Platform,
 {
-    fn progress_condition(&self, sequence: u64) -> Condition {
-        Condition::Producer {
-            name: SmolStr::new_static(PRODUCER),
-            epoch: self.token,
-            sequence,
-        }
-    }
-
     /// Makes the store refuse what predecessors have still to write. Says whether that was possible.
     pub(super) async fn fence_progress(&self) -> bool {
         let fences = (0..PROGRESS_PARTITIONS).map(|partition| self.fence(partition));
@@ -136,7 +127,7 @@
 
     async fn fence(&self, partition: u32) -> bool {
         loop {
-            let condition = self.progress_condition(0);
+            let condition = self.fenced(PRODUCER, 0);
             let node = &self.node;
             let fenced = node
                 .append(Topic::Progress, partition, &[], &condition)
@@ -204,7 +195,7 @@
             let partition = writer.partition.get();
             let lane = writer.lane(partition);
             let sequence = lane.sequence.get();
-            let condition = self.progress_condition(sequence);
+            let condition = self.fenced(PRODUCER, sequence);
             let appended = self
                 .node
                 .append(Topic::Progress, partition, batch, &condition)
--- a/crates/cell/src/queries.rs
+++ b/crates/cell/src/queries.rs
@@ -33,6 +33,34 @@
     Unsure,
 }
 
+impl From<Knowledge> for StateAnswer {
+    fn from(knowledge: Knowledge) -> Self {
+        match knowledge {
+            Knowledge::Unsure => Self::Unsure,
+            Knowledge::NoSuchJob => Self::NoSuchJob,
+            Knowledge::Queued => Self::Known(JobState::Queued),
+            Knowledge::Running => Self::Known(JobState::Running),
+            Knowledge::Completed => Self::Known(JobState::Completed),
+            Knowledge::Failed => Self::Known(JobState::Failed),
+            Knowledge::Cancelled => Self::Known(JobState::Cancelled),
+        }
+    }
+}
+
+impl From<StateAnswer> for Knowledge {
+    fn from(answer: StateAnswer) -> Self {
+        match answer {
+            StateAnswer::Unsure => Self::Unsure,
+            StateAnswer::NoSuchJob => Self::NoSuchJob,
+            StateAnswer::Known(JobState::Queued) => Self::Queued,
+            StateAnswer::Known(JobState::Running) => Self::Running,
+            StateAnswer::Known(JobState::Completed) => Self::Completed,
+            StateAnswer::Known(JobState::Failed) => Self::Failed,
+            StateAnswer::Known(JobState::Cancelled) => Self::Cancelled,
+        }
+    }
+}
+
 /// What is known of a queue.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum PendingAnswer {
@@ -81,15 +109,7 @@
         let Some(CellBody::StateReply(reply)) = self.ask_holder(query).await else {
             return StateAnswer::Unsure;
         };
-        match reply.knowledge() {
-            Knowledge::Unsure => StateAnswer::Unsure,
-            Knowledge::NoSuchJob => StateAnswer::NoSuchJob,
-            Knowledge::Queued => StateAnswer::Known(JobState::Queued),
-            Knowledge::Running => StateAnswer::Known(JobState::Running),
-            Knowledge::Completed => StateAnswer::Known(JobState::Completed),
-            Knowledge::Failed => StateAnswer::Known(JobState::Failed),
-            Knowledge::Cancelled => StateAnswer::Known(JobState::Cancelled),
-        }
+        reply.knowledge().into()
     }
 
     async fn ask_pending(&self, queue: &str) -> PendingAnswer {
@@ -117,17 +137,8 @@
 {
     let leader = node.leader();
     let answer = leader.map_or(StateAnswer::Unsure, |leader| leader.state(JobId(query.job)));
-    let knowledge = match answer {
-        StateAnswer::Unsure => Knowledge::Unsure,
-        StateAnswer::NoSuchJob => Knowledge::NoSuchJob,
-        StateAnswer::Known(JobState::Queued) => Knowledge::Queued,
-        StateAnswer::Known(JobState::Running) => Knowledge::Running,
-        StateAnswer::Known(JobState::Completed) => Knowledge::Completed,
-        StateAnswer::Known(JobState::Failed) => Knowledge::Failed,
-        StateAnswer::Known(JobState::Cancelled) => Knowledge::Cancelled,
-    };
     let mut reply = StateReplyCell::default();
-    reply.set_knowledge(knowledge);
+    reply.set_knowledge(answer.into());
     CellBody::StateReply(reply)
 }
 
--- a/crates/cell/src/store_calls.rs
+++ b/crates/cell/src/store_calls.rs
@@ -161,14 +161,6 @@
         self.store.answers.get()
     }
 
-    /// Returns the time for which the store has not answered; 0 while it does.
-    pub(crate) fn store_silent_ms(&self) -> u64 {
-        if self.store_answers() {
-            return 0;
-        }
-        now().since(self.store.last_answer_at.get())
-    }
-
     /// Returns when the store last failed to answer.
     pub(crate) const fn store_failed_at(&self) -> Millis {
         self.store.last_failure_at.get()
--- a/crates/sched/src/scheduler.rs
+++ b/crates/sched/src/scheduler.rs
@@ -118,6 +118,12 @@
         }
     }
 
+    /// Returns the times and limits that it works by.
+    #[must_use]
+    pub const fn options(&self) -> &Options {
+        &self.options
+    }
+
     /// Takes an event and returns what is to be done at once.
     ///
     /// Waiting tasks are looked at by [`Scheduler::schedule`] only, so that several events share
@@ -213,6 +219,13 @@
         counts
     }
 
+    /// Says whether at least half of the workers answer.
+    #[must_use]
+    pub fn hears_half(&self) -> bool {
+        let silent = self.workers.values().filter(|worker| worker.silent);
+        silent.count() * 2 <= self.workers.len()
+    }
+
     /// Says whether some progress is not in the store yet.
     #[must_use]
     pub fn has_records(&self) -> bool {
