Drop a setting that nothing reads

The workers' wait for the members of a gang went from the template through three structures and decided nothing: a gang's members are started together, and who waited too long is reported as such.

--- a/crates/cell/src/leader.rs
+++ b/crates/cell/src/leader.rs
@@ -364,7 +364,6 @@
     Options {
         lease_bound_ms: lease_ms + drift_ms + ORDER_TRAVEL_MS,
         stop_ms: settings.stop_limit_ms,
-        gang_wait_ms: settings.gang_wait_ms,
         status_ms: settings.status_ms,
         order_retry_ms: settings.timing.order_timeout_ms,
         ..Options::default()
--- a/crates/cell/src/settings.rs
+++ b/crates/cell/src/settings.rs
@@ -19,8 +19,6 @@
     pub lease_limit_ms: u64,
     /// Time that a stop takes at most on a worker.
     pub stop_limit_ms: u64,
-    /// Time that members of a gang wait for each other.
-    pub gang_wait_ms: u64,
     /// Time for which a job's state can be asked after it has ended.
     pub status_ms: u64,
     /// Partitions that a topic has.
--- a/crates/cell/tests/cell/cluster.rs
+++ b/crates/cell/tests/cell/cluster.rs
@@ -250,7 +250,6 @@
         peer_address: peers.local_addr().expect("a bound socket"),
         lease_limit_ms: 10_000,
         stop_limit_ms: 900,
-        gang_wait_ms: 3_000,
         status_ms: 120_000,
         partitions: 4,
         link_mbps: 1_000.0,
--- a/crates/sched/src/options.rs
+++ b/crates/sched/src/options.rs
@@ -10,8 +10,6 @@
     pub authority_ms: u64,
     /// Time that a stop takes at most on a worker.
     pub stop_ms: u64,
-    /// Time that the members of a gang wait for each other on the workers.
-    pub gang_wait_ms: u64,
     /// Time for which a job's state can be asked after it has ended.
     pub status_ms: u64,
     /// A start or stop order without an answer is sent again after this time. Workers answer in
@@ -51,7 +49,6 @@
             lease_bound_ms: 6_500,
             authority_ms: 3_000,
             stop_ms: 900,
-            gang_wait_ms: 3_000,
             status_ms: 120_000,
             order_retry_ms: 300,
             start_orders_limit: 4,
