Write the line of dropped lines like every other, and keep waiting lines as bytes

The rest of a partial write was copied and read as text anew, which would have replaced a character that the write had split.

--- a/crates/obs/src/lines.rs
+++ b/crates/obs/src/lines.rs
@@ -136,11 +136,17 @@
         self
     }
 
-    /// Writes the line, or counts it as dropped.
-    pub fn emit(mut self) {
+    /// Returns the whole object.
+    fn closed(mut self) -> String {
         self.text.push('}');
-        count_event(self.event);
-        spdlog::log!(self.event.level, "{}", self.text);
+        self.text
+    }
+
+    /// Writes the line, or counts it as dropped.
+    pub fn emit(self) {
+        let event = self.event;
+        count_event(event);
+        spdlog::log!(event.level, "{}", self.closed());
     }
 }
 
@@ -177,7 +183,7 @@
     options: Option<LineOptions>,
     /// Name of the node, in its JSON form.
     node: String,
-    waiting: String,
+    waiting: Vec<u8>,
     second: u64,
     lines: u32,
     failure_lines: u32,
@@ -189,7 +195,7 @@
         Self {
             options: None,
             node: String::new(),
-            waiting: String::new(),
+            waiting: Vec::new(),
             second: 0,
             lines: 0,
             failure_lines: 0,
@@ -211,19 +217,24 @@
             self.dropped.set(self.dropped.get() + 1);
             return;
         }
-        // Every line is an object that is not empty.
-        self.waiting
-            .push_str(line.strip_suffix('}').unwrap_or(line));
-        if !self.node.is_empty() {
-            self.waiting.push_str(r#","node":"#);
-            self.waiting.push_str(&self.node);
-        }
-        self.waiting.push_str("}\n");
+        self.append(line);
         if self.waiting.len() >= PIPE_BYTES * 4 {
             self.write_some();
         }
     }
 
+    /// Adds a line, with the node's name, to what waits to be written.
+    fn append(&mut self, line: &str) {
+        // Every line is an object that is not empty.
+        let open = line.strip_suffix('}').unwrap_or(line);
+        self.waiting.extend_from_slice(open.as_bytes());
+        if !self.node.is_empty() {
+            self.waiting.extend_from_slice(br#","node":"#);
+            self.waiting.extend_from_slice(self.node.as_bytes());
+        }
+        self.waiting.extend_from_slice(b"}\n");
+    }
+
     fn take_budget(&mut self, options: &LineOptions, level: Level) -> bool {
         if self.lines < options.lines_per_s {
             self.lines += 1;
@@ -248,13 +259,9 @@
         self.failure_lines = 0;
         let dropped = self.dropped.replace(0);
         if dropped > 0 {
-            count_event(catalogue::LINES_DROPPED);
-            let event = catalogue::LINES_DROPPED;
-            let _infallible = writeln!(
-                self.waiting,
-                r#"{{"code":"SYC{:04}","level":"warn","event":"{}","lines":{dropped}}}"#,
-                event.code, event.text
-            );
+            let line = Line::new(catalogue::LINES_DROPPED).number("lines", dropped);
+            count_event(line.event);
+            self.append(&line.closed());
         }
     }
 
@@ -274,7 +281,7 @@
                 break;
             }
             let end = self.waiting.len().min(written + PIPE_BYTES);
-            let chunk = &self.waiting.as_bytes()[written..end];
+            let chunk = &self.waiting[written..end];
             match rustix::io::write(stdout, chunk) {
                 Ok(count) => written += count,
                 Err(error) if io::Error::from(error).kind() == io::ErrorKind::Interrupted => {}
@@ -284,7 +291,6 @@
                 }
             }
         }
-        let rest = self.waiting.as_bytes()[written..].to_vec();
-        self.waiting = String::from_utf8_lossy(&rest).into_owned();
+        self.waiting.drain(..written);
     }
 }
--- a/crates/obs/tests/lines.rs
+++ b/crates/obs/tests/lines.rs
@@ -76,3 +76,30 @@
     assert!(count("SYC0721") >= 5, "{}", lines.len());
     assert!(lines.len() < 500, "{}", lines.len());
 }
+
+#[test]
+fn what_was_dropped_is_told_with_time_and_node() {
+    if is_writer() {
+        let options = LineOptions {
+            lines_per_s: 1,
+            failure_lines_per_s: 0,
+            ..LineOptions::default()
+        };
+        start_lines("n", options).expect("a logger");
+        // The second turns within this time, and the next line tells what the one before dropped.
+        for _ in 0..12 {
+            Line::new(catalogue::JOB_SEEN).emit();
+            std::thread::sleep(std::time::Duration::from_millis(100));
+        }
+        flush_lines();
+        return;
+    }
+    let lines = written_by("what_was_dropped_is_told_with_time_and_node");
+    let told = lines.iter().find(|line| line.contains("SYC0706"));
+    let told = told.expect("a line of what was dropped");
+    let told: serde_json::Value = serde_json::from_str(told).expect("one JSON object");
+    assert!(told["lines"].as_u64() > Some(0), "{told}");
+    assert!(told["at_ms"].is_u64(), "{told}");
+    assert_eq!(told["node"], "n");
+    assert_eq!(told["level"], "warn");
+}
