Read the command line of both daemons in one place

The options, the exit codes and their handling stood line for line in both programs. Output and codes are as before, tried with each option, a wrong one, none, and a missing file.

--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -2,12 +2,14 @@
 
 mod logging;
 
-use std::path::PathBuf;
 use std::process::ExitCode;
 
-use lexopt::Arg;
 use miette::Report;
 use mimalloc::MiMalloc;
+use syc_args::Arguments;
+use syc_args::EXIT_LISTEN;
+use syc_args::EXIT_SETTINGS;
+use syc_args::Program;
 use syc_config::parse_settings;
 use syc_daemon::Daemon;
 use syc_daemon::Listeners;
@@ -17,15 +19,6 @@
 #[global_allocator]
 static ALLOCATOR: MiMalloc = MiMalloc;
 
-/// Exit code of a wrong command line.
-const EXIT_USAGE: u8 = 2;
-
-/// Exit code of wrong settings.
-const EXIT_SETTINGS: u8 = 3;
-
-/// Exit code of an address that can't be listened on.
-const EXIT_LISTEN: u8 = 4;
-
 const HELP: &str = "\
 Usage: sycamorespurd --settings FILE [--check]
 
@@ -40,48 +33,21 @@
 Exit codes: 0 stopped as planned, 2 wrong command line, 3 wrong settings,
 4 an address can't be listened on.";
 
-#[derive(Debug, Default)]
-struct Arguments {
-    settings: Option<PathBuf>,
-    check: bool,
-}
+const PROGRAM: Program = Program {
+    name: "sycamorespurd",
+    help: HELP,
+};
 
 fn main() -> ExitCode {
-    match parse_arguments() {
-        Ok(Some(arguments)) => start(&arguments),
-        Ok(None) => ExitCode::SUCCESS,
-        Err(error) => {
-            eprintln!("{error}\n\n{HELP}");
-            ExitCode::from(EXIT_USAGE)
-        }
-    }
-}
-
-fn parse_arguments() -> Result<Option<Arguments>, lexopt::Error> {
-    let mut arguments = Arguments::default();
-    let mut parser = lexopt::Parser::from_env();
-    while let Some(argument) = parser.next()? {
-        match argument {
-            Arg::Long("settings") => arguments.settings = Some(parser.value()?.into()),
-            Arg::Long("check") => arguments.check = true,
-            Arg::Long("help") => {
-                println!("{HELP}");
-                return Ok(None);
-            }
-            Arg::Long("version") => {
-                println!("sycamorespurd {}", env!("CARGO_PKG_VERSION"));
-                return Ok(None);
-            }
-            other => return Err(other.unexpected()),
-        }
+    match PROGRAM.arguments() {
+        Ok(arguments) => start(&arguments),
+        Err(code) => code,
     }
-    Ok(Some(arguments))
 }
 
 fn start(arguments: &Arguments) -> ExitCode {
     let Some(path) = &arguments.settings else {
-        eprintln!("--settings is missing\n\n{HELP}");
-        return ExitCode::from(EXIT_USAGE);
+        return PROGRAM.usage("--settings is missing");
     };
     let name = path.display().to_string();
     let text = match std::fs::read_to_string(path) {
