--- a/crates/sched/tests/schedules/world.rs
+++ b/crates/sched/tests/schedules/world.rs
@@ -1,5 +1,8 @@
 //! The world of a generated schedule: jobs come, orders travel, things break.
 
+mod orders;
+mod travel;
+
 use std::collections::BTreeMap;
 use std::collections::HashMap;
 
@@ -7,8 +10,6 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use smol_str::SmolStr;
-use smol_str::format_smolstr;
-use syc_cell::ports::OrderError;
 use syc_cell::ports::Renewal;
 use syc_cell::ports::StartCommand;
 use syc_cell::ports::StopCommand;
@@ -16,19 +17,12 @@
 use syc_fleet::FleetModel;
 use syc_fleet::WorkerModel;
 use syc_sched::Action;
-use syc_sched::AdviceAnswer;
-use syc_sched::Allowed;
 use syc_sched::Event;
 use syc_sched::JobId;
 use syc_sched::JobProgress;
 use syc_sched::JobState;
 use syc_sched::Options;
-use syc_sched::Run;
 use syc_sched::Scheduler;
-use syc_sched::StartAnswer;
-use syc_sched::StartOrder;
-use syc_sched::StepId;
-use syc_sched::TaskId;
 use syc_sched::WorkerKey;
 use syc_sched::WorkerSpec;
 use syc_types::Millis;
@@ -315,143 +309,6 @@
         }
     }
 
-    fn send_start(&mut self, order: &StartOrder) {
-        let Some(session) = self.sessions.get(&order.worker) else {
-            return;
-        };
-        let id = session.id.clone();
-        let Some(model) = self.fleet.workers.get(&id) else {
-            self.answer(
-                1,
-                Event::Replaced {
-                    worker: order.worker,
-                },
-            );
-            return;
-        };
-        let command = StartCommand {
-            task: order.task,
-            run: order.run,
-            payload: order.payload.clone(),
-            lease_until_ms: model.clock_ms(self.now) + LEASE_MS,
-            token: self.token,
-            ticket: order.ticket.clone(),
-            checkpoint: order.checkpoint.clone(),
-        };
-        let in_doubt = Event::StartAnswered {
-            worker: order.worker,
-            task: order.task,
-            run: order.run,
-            answer: StartAnswer::InDoubt,
-        };
-        if self.is_late() {
-            let delay_ms = self.rng.random_range(2_000..12_000);
-            self.later(delay_ms, Delivery::Start(id, command));
-            self.answer(ORDER_TIMEOUT_MS, in_doubt);
-            return;
-        }
-        if self.cut.contains_key(&id) {
-            self.answer(ORDER_TIMEOUT_MS, in_doubt);
-            return;
-        }
-        let outcome = self.fleet.start(&id, &command, self.now);
-        if self.is_lost() {
-            self.answer(ORDER_TIMEOUT_MS, in_doubt);
-            return;
-        }
-        let answer = match outcome {
-            Ok(()) => StartAnswer::Started,
-            Err(OrderError::Refused(refusal)) => StartAnswer::Refused(refusal),
-            Err(OrderError::Replaced) => {
-                self.answer(
-                    1,
-                    Event::Replaced {
-                        worker: order.worker,
-                    },
-                );
-                return;
-            }
-            Err(OrderError::Fenced | OrderError::InDoubt(_)) => StartAnswer::InDoubt,
-        };
-        let delay_ms = self.rng.random_range(1..30);
-        self.answer(
-            delay_ms,
-            Event::StartAnswered {
-                worker: order.worker,
-                task: order.task,
-                run: order.run,
-                answer,
-            },
-        );
-    }
-
-    fn send_stop(&mut self, worker: WorkerKey, task: TaskId, run: Run) {
-        let Some(session) = self.sessions.get(&worker) else {
-            return;
-        };
-        let id = session.id.clone();
-        let command = StopCommand {
-            task,
-            run,
-            token: self.token,
-        };
-        let answer = |taken| Event::StopAnswered {
-            worker,
-            task,
-            run,
-            taken,
-        };
-        if self.is_late() {
-            let delay_ms = self.rng.random_range(2_000..12_000);
-            self.later(delay_ms, Delivery::Stop(id, command));
-            self.answer(ORDER_TIMEOUT_MS, answer(false));
-            return;
-        }
-        if self.cut.contains_key(&id) {
-            self.answer(ORDER_TIMEOUT_MS, answer(false));
-            return;
-        }
-        let outcome = self.fleet.stop(&id, &command, self.now);
-        let taken = outcome.is_ok() && !self.is_lost();
-        let delay_ms = self.rng.random_range(1..30);
-        self.answer(delay_ms, answer(taken));
-    }
-
-    fn advise(&mut self, step: StepId, workers: &[WorkerKey]) {
-        let mut allowed = Vec::new();
-        for worker in workers {
-            let Some(session) = self.sessions.get(worker) else {
-                continue;
-            };
-            // Of five lives in a row, one may not run a step; a gang needs two that may.
-            let incarnation = self.registered.get(&session.id).copied().unwrap_or(0);
-            let denied = (step.job.0 + u64::from(step.step)) % WORKERS;
-            if incarnation % WORKERS != denied {
-                allowed.push(Allowed {
-                    worker: *worker,
-                    ticket: format_smolstr!("{step}"),
-                });
-            }
-        }
-        let answer = if self.is_lost() {
-            AdviceAnswer::Failed
-        } else {
-            AdviceAnswer::Given {
-                allowed,
-                validity_ms: 2_000,
-            }
-        };
-        let delay_ms = self.rng.random_range(5..60);
-        self.answer(
-            delay_ms,
-            Event::Advised {
-                step,
-                asked: workers.to_vec(),
-                answer,
-            },
-        );
-    }
-
     fn renew(&mut self) {
         let due: Vec<_> = self
             .sessions
@@ -607,78 +464,6 @@
         ids.get(index).cloned()
     }
 
-    fn deliver(&mut self) {
-        let now = self.now;
-        let mut due = Vec::new();
-        let mut rest = Vec::new();
-        for (at, delivery) in std::mem::take(&mut self.deliveries) {
-            if at <= now {
-                due.push((at, delivery));
-            } else {
-                rest.push((at, delivery));
-            }
-        }
-        self.deliveries = rest;
-        due.sort_by_key(|(at, _)| *at);
-        for (_, delivery) in due {
-            self.deliver_one(delivery);
-        }
-    }
-
-    fn deliver_one(&mut self, delivery: Delivery) {
-        match delivery {
-            Delivery::Start(id, command) => {
-                // Whether it was refused or carried out, nobody hears of it.
-                let _unheard = self.fleet.start(&id, &command, self.now);
-            }
-            Delivery::Stop(id, command) => {
-                let _unheard = self.fleet.stop(&id, &command, self.now);
-            }
-            Delivery::Answer(token, event) => {
-                if token == self.token {
-                    self.apply(event);
-                }
-            }
-            Delivery::Recorded(token, records) => {
-                // The store refuses what a predecessor had still to write.
-                if token != self.token {
-                    return;
-                }
-                let mut jobs = Vec::new();
-                for (id, change, progress) in records {
-                    self.kept.insert(id, progress);
-                    jobs.push((id, change));
-                }
-                self.writing = false;
-                self.apply(Event::Recorded { jobs });
-            }
-            Delivery::Restored(id) => {
-                self.cut.remove(&id);
-            }
-            Delivery::NewIncarnation => self.new_incarnation(),
-            Delivery::NextScheduler => self.start_scheduler(),
-        }
-    }
-
-    fn later(&mut self, delay_ms: u64, delivery: Delivery) {
-        self.deliveries.push((self.now.plus(delay_ms), delivery));
-    }
-
-    fn answer(&mut self, delay_ms: u64, event: Event) {
-        let token = self.token;
-        self.later(delay_ms, Delivery::Answer(token, event));
-    }
-
-    fn is_lost(&mut self) -> bool {
-        let share = self.profile.lost;
-        self.chance(share)
-    }
-
-    fn is_late(&mut self) -> bool {
-        let share = self.profile.late;
-        self.chance(share)
-    }
-
     fn chance(&mut self, per_mille: u32) -> bool {
         let possible = self.now.0 < FAULTS_UNTIL_MS && per_mille > 0;
         possible && self.rng.random_ratio(per_mille, 1_000)
--- /dev/null
+++ b/crates/sched/tests/schedules/world/orders.rs
@@ -0,0 +1,161 @@
+//! Orders to the workers and calls for advice, and what becomes of them on the way.
+
+use rand::Rng;
+use smol_str::format_smolstr;
+use syc_cell::ports::OrderError;
+use syc_cell::ports::StartCommand;
+use syc_cell::ports::StopCommand;
+use syc_sched::AdviceAnswer;
+use syc_sched::Allowed;
+use syc_sched::Event;
+use syc_sched::Run;
+use syc_sched::StartAnswer;
+use syc_sched::StartOrder;
+use syc_sched::StepId;
+use syc_sched::TaskId;
+use syc_sched::WorkerKey;
+
+use super::Delivery;
+use super::LEASE_MS;
+use super::ORDER_TIMEOUT_MS;
+use super::WORKERS;
+use super::World;
+
+impl World {
+    pub(super) fn send_start(&mut self, order: &StartOrder) {
+        let Some(session) = self.sessions.get(&order.worker) else {
+            return;
+        };
+        let id = session.id.clone();
+        let Some(model) = self.fleet.workers.get(&id) else {
+            self.answer(
+                1,
+                Event::Replaced {
+                    worker: order.worker,
+                },
+            );
+            return;
+        };
+        let command = StartCommand {
+            task: order.task,
+            run: order.run,
+            payload: order.payload.clone(),
+            lease_until_ms: model.clock_ms(self.now) + LEASE_MS,
+            token: self.token,
+            ticket: order.ticket.clone(),
+            checkpoint: order.checkpoint.clone(),
+        };
+        let in_doubt = Event::StartAnswered {
+            worker: order.worker,
+            task: order.task,
+            run: order.run,
+            answer: StartAnswer::InDoubt,
+        };
+        if self.is_late() {
+            let delay_ms = self.rng.random_range(2_000..12_000);
+            self.later(delay_ms, Delivery::Start(id, command));
+            self.answer(ORDER_TIMEOUT_MS, in_doubt);
+            return;
+        }
+        if self.cut.contains_key(&id) {
+            self.answer(ORDER_TIMEOUT_MS, in_doubt);
+            return;
+        }
+        let outcome = self.fleet.start(&id, &command, self.now);
+        if self.is_lost() {
+            self.answer(ORDER_TIMEOUT_MS, in_doubt);
+            return;
+        }
+        let answer = match outcome {
+            Ok(()) => StartAnswer::Started,
+            Err(OrderError::Refused(refusal)) => StartAnswer::Refused(refusal),
+            Err(OrderError::Replaced) => {
+                self.answer(
+                    1,
+                    Event::Replaced {
+                        worker: order.worker,
+                    },
+                );
+                return;
+            }
+            Err(OrderError::Fenced | OrderError::InDoubt(_)) => StartAnswer::InDoubt,
+        };
+        let delay_ms = self.rng.random_range(1..30);
+        self.answer(
+            delay_ms,
+            Event::StartAnswered {
+                worker: order.worker,
+                task: order.task,
+                run: order.run,
+                answer,
+            },
+        );
+    }
+
+    pub(super) fn send_stop(&mut self, worker: WorkerKey, task: TaskId, run: Run) {
+        let Some(session) = self.sessions.get(&worker) else {
+            return;
+        };
+        let id = session.id.clone();
+        let command = StopCommand {
+            task,
+            run,
+            token: self.token,
+        };
+        let answer = |taken| Event::StopAnswered {
+            worker,
+            task,
+            run,
+            taken,
+        };
+        if self.is_late() {
+            let delay_ms = self.rng.random_range(2_000..12_000);
+            self.later(delay_ms, Delivery::Stop(id, command));
+            self.answer(ORDER_TIMEOUT_MS, answer(false));
+            return;
+        }
+        if self.cut.contains_key(&id) {
+            self.answer(ORDER_TIMEOUT_MS, answer(false));
+            return;
+        }
+        let outcome = self.fleet.stop(&id, &command, self.now);
+        let taken = outcome.is_ok() && !self.is_lost();
+        let delay_ms = self.rng.random_range(1..30);
+        self.answer(delay_ms, answer(taken));
+    }
+
+    pub(super) fn advise(&mut self, step: StepId, workers: &[WorkerKey]) {
+        let mut allowed = Vec::new();
+        for worker in workers {
+            let Some(session) = self.sessions.get(worker) else {
+                continue;
+            };
+            // Of five lives in a row, one may not run a step; a gang needs two that may.
+            let incarnation = self.registered.get(&session.id).copied().unwrap_or(0);
+            let denied = (step.job.0 + u64::from(step.step)) % WORKERS;
+            if incarnation % WORKERS != denied {
+                allowed.push(Allowed {
+                    worker: *worker,
+                    ticket: format_smolstr!("{step}"),
+                });
+            }
+        }
+        let answer = if self.is_lost() {
+            AdviceAnswer::Failed
+        } else {
+            AdviceAnswer::Given {
+                allowed,
+                validity_ms: 2_000,
+            }
+        };
+        let delay_ms = self.rng.random_range(5..60);
+        self.answer(
+            delay_ms,
+            Event::Advised {
+                step,
+                asked: workers.to_vec(),
+                answer,
+            },
+        );
+    }
+}
