--- a/crates/cell/src/leader.rs
+++ b/crates/cell/src/leader.rs
@@ -238,6 +238,12 @@
                     run,
                     reason,
                 } => self.order_stop(worker, task, run, reason),
+                Action::Pace {
+                    worker,
+                    task,
+                    run,
+                    percent,
+                } => self.order_pace(worker, task, run, percent),
                 Action::Ask {
                     step,
                     workers,
--- a/crates/cell/src/leader/orders.rs
+++ b/crates/cell/src/leader/orders.rs
@@ -16,6 +16,7 @@
 use crate::leader::sessions::WorkerLink;
 use crate::log;
 use crate::ports::OrderError;
+use crate::ports::PaceCommand;
 use crate::ports::Platform;
 use crate::ports::StartCommand;
 use crate::ports::StopCommand;
@@ -99,6 +100,54 @@
         true
     }
 
+    pub(super) fn order_pace(
+        self: &Rc<Self>,
+        worker: WorkerKey,
+        task: TaskId,
+        run: Run,
+        percent: u8,
+    ) {
+        let Some(link) = self.link_to(worker) else {
+            // The session has just ended; what it held is ended by the event that did so.
+            return;
+        };
+        let command = PaceCommand {
+            task,
+            run,
+            percent,
+            token: self.token,
+        };
+        let leader = Rc::clone(self);
+        actix_rt::spawn(async move { leader.send_pace(worker, &link, command).await });
+    }
+
+    async fn send_pace(
+        self: &Rc<Self>,
+        worker: WorkerKey,
+        link: &WorkerLink,
+        command: PaceCommand,
+    ) {
+        let address = &link.address;
+        let _place = link.place().await;
+        let timeout_ms = self.node.settings.timing.order_timeout_ms;
+        let paced = self.node.platform.pace(address, &command, timeout_ms).await;
+        let taken = match paced {
+            Ok(()) => true,
+            Err(error) if self.is_settled_by(worker, &error) => return,
+            Err(error) => {
+                log::pace_failed(&command, &address.id, &error);
+                false
+            }
+        };
+        self.apply(Event::PaceAnswered {
+            worker,
+            task: command.task,
+            run: command.run,
+            percent: command.percent,
+            taken,
+        });
+    }
+
     pub(super) fn order_stop(
         self: &Rc<Self>,
         worker: WorkerKey,
--- a/crates/cell/src/leader/sessions.rs
+++ b/crates/cell/src/leader/sessions.rs
@@ -130,6 +130,12 @@
         }
     }
 
+    /// Returns how long the worker may wait for an end before it reports.
+    fn renewal_wait_ms(&self, worker: WorkerKey) -> u64 {
+        let usual_ms = self.node.settings.timing.renewal_wait_ms;
+        self.scheduler.borrow().renewal_wait_ms(worker, usual_ms)
+    }
+
     /// Waits for the ends that the worker listed to be written, so that it is told so at once.
     async fn acknowledged_ends(&self, worker: WorkerKey) -> (u64, bool) {
         let (acknowledged, left) = self.scheduler.borrow_mut().acknowledged_ends(worker);
@@ -173,7 +179,11 @@
             .filter(|_| failures == 0)
             .map(|reading| reading.estimate_ms() + lease_ms);
         let waits = lease_until_ms.is_some() && !left;
-        let wait_ms = if waits { timing.renewal_wait_ms } else { 0 };
+        let wait_ms = if waits {
+            leader.renewal_wait_ms(worker)
+        } else {
+            0
+        };
         if lease_until_ms.is_some() {
             leader.apply(Event::Renewing { worker });
         }
--- a/crates/cell/src/log.rs
+++ b/crates/cell/src/log.rs
@@ -20,6 +20,7 @@
 use crate::ports::AdviceError;
 use crate::ports::AppendError;
 use crate::ports::OrderError;
+use crate::ports::PaceCommand;
 use crate::ports::StartCommand;
 
 pub(crate) fn started(settings: &NodeSettings, incarnation: u64) {
@@ -176,6 +177,17 @@
         .emit();
 }
 
+pub(crate) fn pace_failed(command: &PaceCommand, worker: &WorkerId, error: &OrderError) {
+    Line::new(catalogue::PACE_FAILED)
+        .display("job", command.task.step.job)
+        .display("task", command.task)
+        .number("run", command.run.0)
+        .text("worker", worker.as_str())
+        .number("percent", command.percent)
+        .display("reason", error)
+        .emit();
+}
+
 pub(crate) fn stop_ordered(task: TaskId, run: Run, worker: &WorkerId, reason: StopReason) {
     Line::new(catalogue::STOP_ORDERED)
         .display("job", task.step.job)
@@ -287,6 +299,20 @@
             .text("belief", belief)
             .number("silent_ms", *silent_ms)
             .emit(),
+        Note::Paced {
+            worker,
+            before_percent,
+            percent,
+            tail_percent,
+            fills,
+        } => Line::new(catalogue::PACE_CHANGED)
+            .text("worker", worker.as_str())
+            .number("before_percent", *before_percent)
+            .number("percent", *percent)
+            .display("tail_percent", tail_percent.unwrap_or(0))
+            .flag("serves", tail_percent.is_some())
+            .number("fills", *fills)
+            .emit(),
         Note::Recovered {
             adopted,
             unanswered,
--- a/crates/cell/src/ports.rs
+++ b/crates/cell/src/ports.rs
@@ -196,6 +196,19 @@
     pub token: u64,
 }
 
+/// An order to work at a share of its speed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PaceCommand {
+    /// The task.
+    pub task: TaskId,
+    /// Which start of it.
+    pub run: Run,
+    /// The share, 0 to 100.
+    pub percent: u8,
+    /// Fencing token of the scheduler.
+    pub token: u64,
+}
+
 /// Renews the leases of all runs on a worker, and asks for its lists.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Renewal {
@@ -253,6 +266,14 @@
         timeout_ms: u64,
     ) -> impl Future<Output = Result<(), OrderError>>;
 
+    /// Lets a run work at a share of its speed.
+    fn pace(
+        &self,
+        worker: &WorkerAddress,
+        command: &PaceCommand,
+        timeout_ms: u64,
+    ) -> impl Future<Output = Result<(), OrderError>>;
+
     /// Renews leases.
     fn renew(
         &self,
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -7,6 +7,7 @@
 use smol_str::SmolStr;
 use smol_str::format_smolstr;
 use syc_cell::ports::OrderError;
+use syc_cell::ports::PaceCommand;
 use syc_cell::ports::Renewal;
 use syc_cell::ports::Renewed;
 use syc_cell::ports::StartCommand;
@@ -25,6 +26,10 @@
 use syc_types::WorkerId;
 
 use crate::Judge;
+use crate::sharing::FULL;
+use crate::sharing::SharingRun;
+use crate::sharing::TailModel;
+use crate::sharing::TailModels;
 
 /// How a task goes, whatever is ordered.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -65,6 +70,7 @@
     done_ms: u64,
     plan: Plan,
     saves: bool,
+    sharing: SharingRun,
 }
 
 /// All workers, and how their tasks go.
@@ -75,6 +81,7 @@
     /// Watches all of them.
     pub judge: Judge,
     plans: BTreeMap<TaskId, Plan>,
+    tails: TailModels,
     failed_runs: BTreeMap<TaskId, u32>,
     advanced_to: Millis,
 }
@@ -109,6 +116,17 @@
         self.runs.len()
     }
 
+    /// Returns the pace of a run; none where it is not there.
+    #[must_use]
+    pub fn pace_percent(&self, task: TaskId) -> Option<u8> {
+        self.runs.get(&task).map(|live| live.sharing.pace_percent)
+    }
+
+    fn disturbs_cpu_millis(&self) -> u64 {
+        let runs = self.runs.values();
+        runs.map(|live| live.sharing.disturbs_cpu_millis()).sum()
+    }
+
     fn used(&self) -> Resources {
         let mut used = Resources::ZERO;
         for run in self.runs.values() {
@@ -157,6 +175,11 @@
         self.plans.insert(task, plan);
     }
 
+    /// Says how long the users of an image wait.
+    pub fn set_tail(&mut self, image: &str, tail: TailModel) {
+        self.tails.insert(SmolStr::new(image), tail);
+    }
+
     /// Adds a worker.
     pub fn add(&mut self, worker: WorkerModel) {
         self.workers.insert(worker.id.clone(), worker);
@@ -218,12 +241,13 @@
             command.task,
             LiveRun {
                 run: command.run,
-                resources: step.resources,
+                resources: step.room(),
                 gang: step.gang,
                 began_at: now,
                 done_ms,
                 plan,
                 saves: step.checkpointed,
+                sharing: SharingRun::of_step(&step),
             },
         );
         self.judge.started(id, command.task, command.run);
@@ -259,6 +283,28 @@
         Ok(())
     }
 
+    /// Lets a run work at a share of its speed.
+    ///
+    /// # Errors
+    ///
+    /// Fails as a worker refuses.
+    pub fn pace(
+        &mut self,
+        id: &WorkerId,
+        command: &PaceCommand,
+        now: Millis,
+    ) -> Result<(), OrderError> {
+        self.advance(now);
+        let worker = self.workers.get_mut(id).ok_or(OrderError::Replaced)?;
+        worker.check_token(command.token)?;
+        let live = worker.runs.get_mut(&command.task);
+        let Some(live) = live.filter(|live| live.run == command.run) else {
+            return Err(OrderError::Refused(StartRefusal::OldRun));
+        };
+        live.sharing.pace_percent = command.percent;
+        Ok(())
+    }
+
     /// Renews the leases of a worker and returns its lists.
     ///
     /// # Errors
@@ -290,6 +336,7 @@
             ended: worker.ends.clone(),
             ..WorkerReport::default()
         };
+        let disturbs_cpu_millis = worker.disturbs_cpu_millis();
         for (task, live) in &worker.runs {
             let percent = live.done_ms * 100 / live.plan.work_ms.max(1);
             report.running.push(RunningReport {
@@ -297,6 +344,7 @@
                 run: live.run,
                 checkpoint: checkpoint_of(live),
                 percent: u8::try_from(percent.min(99)).unwrap_or(99),
+                load: live.sharing.tail_ms(&self.tails, disturbs_cpu_millis),
             });
         }
         Ok(Renewed {
@@ -316,11 +364,19 @@
         let whole = self.whole_gangs();
         let mut over = Vec::new();
         for worker in self.workers.values_mut() {
+            let disturbs_cpu_millis = worker.disturbs_cpu_millis();
             for (task, live) in &mut worker.runs {
+                if live
+                    .sharing
+                    .is_harmed(&self.tails, disturbs_cpu_millis, now)
+                {
+                    self.judge.harmed(*task);
+                }
                 if live.gang && !whole.contains(&(task.step, live.run)) {
                     continue;
                 }
-                live.done_ms += passed_ms.min(now.since(live.began_at));
+                let worked_ms = passed_ms.min(now.since(live.began_at));
+                live.done_ms += worked_ms * u64::from(live.sharing.pace_percent) / u64::from(FULL);
                 // The first member's plan is that of the whole gang.
                 let decides = !live.gang || task.index == 0;
                 if decides && live.done_ms >= live.plan.work_ms {
--- a/crates/fleet/src/judge.rs
+++ b/crates/fleet/src/judge.rs
@@ -26,6 +26,8 @@
     BeyondAttempts(TaskId),
     /// More tasks of a step on one worker than it may have.
     TooClose(TaskId),
+    /// A task's users waited too long for seconds because of what filled its worker.
+    Harmed(TaskId),
     /// A start of something that nobody submitted, or that was cancelled long ago.
     Unasked(TaskId),
 }
@@ -154,6 +156,12 @@
         }
     }
 
+    pub(crate) fn harmed(&mut self, task: TaskId) {
+        if !self.faults.contains(&Fault::Harmed(task)) {
+            self.faults.push(Fault::Harmed(task));
+        }
+    }
+
     pub(crate) fn check_room(&mut self, worker: &WorkerId, used: &Resources, capacity: &Resources) {
         if !used.fits_in(capacity) {
             self.faults.push(Fault::OverCapacity(worker.clone()));
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -8,6 +8,7 @@
 mod fleet;
 mod judge;
 mod shared;
+mod sharing;
 mod store;
 
 pub use fleet::FleetModel;
@@ -17,4 +18,5 @@
 pub use judge::Judge;
 pub use shared::SharedFaults;
 pub use shared::SharedPlatform;
+pub use sharing::TailModel;
 pub use store::StoreModel;
--- a/crates/fleet/src/shared.rs
+++ b/crates/fleet/src/shared.rs
@@ -22,6 +22,7 @@
 use syc_cell::ports::Formats;
 use syc_cell::ports::Newest;
 use syc_cell::ports::OrderError;
+use syc_cell::ports::PaceCommand;
 use syc_cell::ports::Page;
 use syc_cell::ports::ReadError;
 use syc_cell::ports::Record;
@@ -327,6 +328,16 @@
         self.lock().fleet.stop(&worker.id, command, now())
     }
 
+    async fn pace(
+        &self,
+        worker: &WorkerAddress,
+        command: &PaceCommand,
+        _timeout_ms: u64,
+    ) -> Result<(), OrderError> {
+        pause(CALL_MS).await;
+        self.lock().fleet.pace(&worker.id, command, now())
+    }
+
     async fn renew(
         &self,
         worker: &WorkerAddress,
--- a/crates/obs/src/events.rs
+++ b/crates/obs/src/events.rs
@@ -176,10 +176,14 @@
     STEP_WAITS = 735, Info, "step waits";
     /// Advice was given or not.
     ADVICE_ANSWERED = 736, Info, "advice answered";
+    /// An order to go at another pace was refused or not answered.
+    PACE_FAILED = 737, Warn, "pace not taken";
     /// A worker is believed to be able or not.
     WORKER_BELIEF = 740, Warn, "belief about worker changed";
     /// A worker registered or left.
     WORKER_LISTED = 741, Info, "worker list changed";
+    /// What fills a worker goes at another pace.
+    PACE_CHANGED = 742, Info, "pace of a worker's filling changed";
     /// A configuration came into force, or was held back.
     CONFIGURATION_SEEN = 750, Info, "configuration seen";
     /// A record of the store can't be read.
--- a/crates/sched/src/advice.rs
+++ b/crates/sched/src/advice.rs
@@ -82,7 +82,7 @@
         };
         let of_job = &self.jobs[job];
         let of_step = &of_job.steps[step];
-        let need = of_step.spec.resources;
+        let need = of_step.spec.room();
         let wanted = of_step.pending;
         let first = of_step.advice.calls == 0;
         let mut known = Vec::new();
@@ -126,7 +126,7 @@
                 continue;
             }
             let limit = of_step.spec.tasks;
-            let room = fits(&self.workers[key].room(), &of_step.spec.resources, limit);
+            let room = fits(&self.workers[key].room(), &of_step.spec.room(), limit);
             unknown.push((room, key));
         }
         let count = self.first_call_size(job, step, &unknown);
--- a/crates/sched/src/event.rs
+++ b/crates/sched/src/event.rs
@@ -79,8 +79,11 @@
     pub run: Run,
     /// The latest checkpoint; empty where there is none.
     pub checkpoint: SmolStr,
-    /// How far it is.
+    /// How far it is; of a task that lasts, 100 once it is at work.
     pub percent: u8,
+    /// A rough figure of the last half second: of a task whose response times have a limit, their
+    /// tail in milliseconds; of any other, the processor time in use, in thousandths of a core.
+    pub load: Option<u64>,
 }
 
 /// An end that a worker lists until it is acknowledged.
@@ -238,6 +241,19 @@
         /// Whether the worker took it: the run ends soon, or will never start.
         taken: bool,
     },
+    /// An order to go at a pace was answered, or not.
+    PaceAnswered {
+        /// The worker.
+        worker: WorkerKey,
+        /// The task.
+        task: TaskId,
+        /// Which start of it.
+        run: Run,
+        /// The pace that was ordered.
+        percent: u8,
+        /// Whether the worker took it.
+        taken: bool,
+    },
     /// A call for advice came to something.
     Advised {
         /// The step.
@@ -305,6 +321,17 @@
         /// Why, for the log.
         reason: StopReason,
     },
+    /// Let a run work at a share of its speed.
+    Pace {
+        /// Where.
+        worker: WorkerKey,
+        /// The task.
+        task: TaskId,
+        /// Which start of it.
+        run: Run,
+        /// The share, 0 to 100.
+        percent: u8,
+    },
     /// Ask which workers may run a step.
     Ask {
         /// The step.
@@ -420,6 +447,19 @@
         /// Time since it last answered.
         silent_ms: u64,
     },
+    /// The runs that fill a worker go at another pace.
+    Paced {
+        /// The worker.
+        worker: WorkerId,
+        /// The pace before, 0 to 100.
+        before_percent: u8,
+        /// The pace from now on.
+        percent: u8,
+        /// The worst tail of the runs that serve there, as a share of its limit.
+        tail_percent: Option<u64>,
+        /// Runs that fill.
+        fills: usize,
+    },
     /// The takeover is complete: nothing that runs is unknown any more.
     Recovered {
         /// Runs that were adopted.
--- a/crates/sched/src/gang.rs
+++ b/crates/sched/src/gang.rs
@@ -53,7 +53,7 @@
 
     fn serve_reserved_gang(&mut self, job: JobKey, step: usize, now: Millis) {
         let of_step = &self.jobs[job].steps[step];
-        let need = of_step.spec.resources;
+        let need = of_step.spec.room();
         let Some(reservation) = of_step.units[0].reservation.clone() else {
             return;
         };
@@ -204,10 +204,10 @@
             }
             let worker = &self.workers[*key];
             let limit = limit.saturating_sub(worker.tasks_of(id));
-            let free = fits(&worker.room(), &spec.resources, limit);
+            let free = fits(&worker.room(), &spec.room(), limit);
             let mut with_preemption = free;
             while with_preemption < limit {
-                let more = spec.resources.saturating_mul(with_preemption + 1);
+                let more = spec.room().saturating_mul(with_preemption + 1);
                 if victims(worker, &more, priority).is_none() {
                     break;
                 }
@@ -226,7 +226,7 @@
 
     fn preempt_for_gang(&mut self, job: JobKey, step: usize, plan: &Plan, now: Millis) {
         let of_job = &self.jobs[job];
-        let need = of_job.steps[step].spec.resources;
+        let need = of_job.steps[step].spec.room();
         let priority = of_job.spec.policy.priority;
         let mut stops = Vec::new();
         for (key, count) in &plan.workers {
--- a/crates/sched/src/headroom.rs
+++ b/crates/sched/src/headroom.rs
@@ -6,6 +6,7 @@
 use syc_types::Millis;
 
 use crate::Scheduler;
+use crate::ids::JobKey;
 
 /// Priority of urgent work.
 const URGENT: u32 = 0;
@@ -73,12 +74,15 @@
         self.headroom.free = free;
     }
 
-    /// Says whether a patient task would use what is left for urgent work.
-    pub(crate) const fn would_use_headroom(&self, priority: u32, cpu_millis: u64) -> bool {
-        if priority == URGENT {
+    /// Says whether a patient task would use what is left for urgent work; one that fills what others
+    /// leave unused takes nothing of it.
+    pub(crate) fn would_use_headroom(&self, job: JobKey, step: usize) -> bool {
+        let job = &self.jobs[job];
+        let spec = &job.steps[step].spec;
+        if job.spec.policy.priority == URGENT || spec.fills {
             return false;
         }
-        let left = self.headroom.free.saturating_sub(cpu_millis);
+        let left = self.headroom.free.saturating_sub(spec.room().cpu_millis);
         left < self.headroom.wanted()
     }
 }
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -21,6 +21,7 @@
 mod job;
 mod options;
 mod orders;
+mod pacing;
 mod place;
 mod progress;
 mod recovery;
--- a/crates/sched/src/place.rs
+++ b/crates/sched/src/place.rs
@@ -47,16 +47,16 @@
                 self.serve_reserved_task(job, step, unit, now);
                 continue;
             }
-            let need = self.jobs[job].steps[step].spec.resources.cpu_millis;
-            if self.would_use_headroom(self.jobs[job].spec.policy.priority, need) {
+            if self.would_use_headroom(job, step) {
                 break;
             }
             if let Some(worker) = self.pick(job, step, unit, &allowed, now) {
                 self.start_unit(job, step, unit, &[worker], now);
                 continue;
             }
-            if preemptions < PREEMPTIONS_PER_LOOK && self.make_room(job, step, unit, &allowed, now)
-            {
+            let may_preempt =
+                preemptions < PREEMPTIONS_PER_LOOK && !self.jobs[job].steps[step].spec.fills;
+            if may_preempt && self.make_room(job, step, unit, &allowed, now) {
                 preemptions += 1;
                 continue;
             }
@@ -79,27 +79,47 @@
         allowed: &[WorkerKey],
         now: Millis,
     ) -> Option<WorkerKey> {
-        let of_job = &self.jobs[job];
-        let of_step = &of_job.steps[step];
-        let need = of_step.spec.resources;
+        let spec = &self.jobs[job].steps[step].spec;
+        let mut fitting = self.fitting(job, step, unit, allowed, now);
+        let is_far = |key: &WorkerKey| is_far(&self.workers[*key], spec.data_rack.as_ref());
+        if spec.data_rack.is_some() && !fitting.iter().all(is_far) {
+            fitting.retain(|key| !is_far(key));
+        }
+        if spec.fills {
+            return self.pick_to_fill(job, step, &fitting, now);
+        }
+        let need = spec.room();
+        let serves = spec.tail_limit_ms.is_some();
+        fitting.into_iter().min_by_key(|key| {
+            let worker = &self.workers[*key];
+            // Runs that serve disturb each other.
+            let crowd = if serves { worker.serving() } else { 0 };
+            (crowd, left_over(worker, &worker.room(), &need))
+        })
+    }
+
+    /// Returns those of the workers on which a unit's task fits and may run.
+    fn fitting(
+        &self,
+        job: JobKey,
+        step: usize,
+        unit: usize,
+        allowed: &[WorkerKey],
+        now: Millis,
+    ) -> Vec<WorkerKey> {
+        let need = self.jobs[job].steps[step].spec.room();
         let avoid = self.avoided(job, step, unit, now);
-        let mut best = None;
+        let mut fitting = Vec::new();
         for key in allowed {
-            let worker = &self.workers[*key];
-            let room = worker.room();
+            let room = self.workers[*key].room();
             if !need.fits_in(&room) || avoid.contains(key) || self.is_guarded_from(*key, job) {
                 continue;
             }
-            if !self.may_share(*key, job, step, unit) {
-                continue;
-            }
-            let far = is_far(worker, of_step.spec.data_rack.as_ref());
-            let rank = (far, left_over(worker, &room, &need));
-            if best.is_none_or(|(least, _)| rank < least) {
-                best = Some((rank, *key));
+            if self.may_share(*key, job, step, unit) {
+                fitting.push(*key);
             }
         }
-        best.map(|(_, key)| key)
+        fitting
     }
 
     /// Returns the workers that a unit does not go to for now, since it failed there.
@@ -154,7 +174,7 @@
     ) -> bool {
         let of_job = &self.jobs[job];
         let priority = of_job.spec.policy.priority;
-        let need = of_job.steps[step].spec.resources;
+        let need = of_job.steps[step].spec.room();
         let avoid = self.avoided(job, step, unit, now);
         let mut best: Option<(WorkerKey, Victims)> = None;
         for key in allowed {
@@ -191,7 +211,7 @@
         workers: Vec<(WorkerKey, u32)>,
         now: Millis,
     ) {
-        let need = self.jobs[job].steps[step].spec.resources;
+        let need = self.jobs[job].steps[step].spec.room();
         for (worker, count) in &workers {
             let reserved = &mut self.workers[*worker].reserved;
             *reserved = reserved.saturating_add(&need.saturating_mul(*count));
@@ -204,7 +224,7 @@
     /// Gives up the room that is kept for a unit.
     pub(crate) fn release_reservation(&mut self, job: JobKey, step: usize, unit: usize) {
         let of_step = &mut self.jobs[job].steps[step];
-        let need = of_step.spec.resources;
+        let need = of_step.spec.room();
         let Some(reservation) = of_step.units[unit].reservation.take() else {
             return;
         };
@@ -226,7 +246,7 @@
 
     fn serve_reserved_task(&mut self, job: JobKey, step: usize, unit: usize, now: Millis) {
         let of_step = &self.jobs[job].steps[step];
-        let need = of_step.spec.resources;
+        let need = of_step.spec.room();
         let Some(reservation) = &of_step.units[unit].reservation else {
             return;
         };
@@ -319,21 +339,8 @@
         let ticket = of_step.advice.tickets.get(&worker);
         let ticket = ticket.map_or_else(SmolStr::default, |ticket| ticket.text.clone());
         let held = WorkerRun {
-            resources: of_step.spec.resources,
-            phase: Phase::Starting,
-            held_since: now,
-            ordered_at: now,
-            orders: 1,
-            confirmed_at: None,
-            listed: false,
-            stop_taken_at: None,
-            percent: 0,
-            percent_at: now,
-            checkpoint: SmolStr::default(),
             ticket: ticket.clone(),
-            priority: of_job.spec.policy.priority,
-            checkpointed: of_step.spec.checkpointed && !of_step.spec.long_running,
-            gang: of_step.spec.gang,
+            ..WorkerRun::starting(&of_step.spec, of_job.spec.policy.priority, now)
         };
         self.headroom.take(held.resources.cpu_millis);
         self.workers[worker].insert(task, run, held);
--- a/crates/sched/src/reports.rs
+++ b/crates/sched/src/reports.rs
@@ -1,6 +1,5 @@
 //! What the reports of workers change: runs confirmed, ended, lost, adopted or unwanted.
 
-use smol_str::SmolStr;
 use syc_types::Millis;
 use syc_types::WorkerId;
 
@@ -11,6 +10,7 @@
 use crate::Run;
 use crate::RunningReport;
 use crate::Scheduler;
+use crate::StepSpec;
 use crate::StopReason;
 use crate::TaskId;
 use crate::WorkerKey;
@@ -19,6 +19,7 @@
 use crate::job::UnitState;
 use crate::units::Ending;
 use crate::worker::Phase;
+use crate::worker::Share;
 use crate::worker::UnacknowledgedEnd;
 use crate::worker::Worker;
 use crate::worker::WorkerRun;
@@ -145,6 +146,7 @@
             self.run_listed(key, running, now);
         }
         self.end_absent(key, sent_at, report, now);
+        self.pace_fills(key, now);
         self.recovery.heard(&id);
     }
 
@@ -190,6 +192,8 @@
         if of_run.checkpoint != listed.checkpoint {
             of_run.checkpoint = listed.checkpoint.clone();
         }
+        self.take_load(key, listed);
+        let of_run = &self.workers[key].runs[&(listed.task, listed.run)];
         let stopped_long = now.since(of_run.ordered_at) > self.options.stop_ms * 2;
         if of_run.phase == Phase::Stopping && of_run.stop_taken_at.is_some() && stopped_long {
             self.order_stop(key, listed.task, listed.run, StopReason::Unwanted, now);
@@ -257,34 +261,17 @@
 
     /// Takes over a run that the predecessor started, or stops what nobody wants.
     fn adopt_or_stop(&mut self, key: WorkerKey, listed: &RunningReport, now: Millis) {
-        let whole = self.workers[key].spec.capacity;
-        let mut held = WorkerRun {
-            resources: whole,
+        let held = WorkerRun {
             phase: Phase::Running,
-            held_since: now,
-            ordered_at: now,
             orders: 0,
             confirmed_at: Some(now),
             listed: true,
-            stop_taken_at: None,
             percent: listed.percent,
-            percent_at: now,
             checkpoint: listed.checkpoint.clone(),
-            ticket: SmolStr::default(),
-            priority: 0,
-            checkpointed: false,
-            gang: false,
+            ..self.unordered_run(key, listed.task, now)
         };
-        if let Some(job) = self.job_keys.get(&listed.task.step.job) {
-            let spec = &self.jobs[*job].spec;
-            held.priority = spec.policy.priority;
-            if let Some(step) = spec.steps.get(usize::from(listed.task.step.step)) {
-                held.resources = step.resources;
-                held.checkpointed = step.checkpointed && !step.long_running;
-                held.gang = step.gang;
-            }
-        }
         self.workers[key].insert(listed.task, listed.run, held);
+        self.take_load(key, listed);
         if self.adopt(key, listed.task, listed.run) {
             let worker = self.workers[key].spec.id.clone();
             self.recovery.adopted += 1;
@@ -298,6 +285,34 @@
         self.stop_run(key, listed.task, listed.run, StopReason::Unwanted, now);
     }
 
+    /// Returns what is known of a run that this scheduler did not order; of an unknown job, it may
+    /// take the whole worker.
+    fn unordered_run(&self, key: WorkerKey, task: TaskId, now: Millis) -> WorkerRun {
+        let job = self.job_keys.get(&task.step.job);
+        let spec = job.map(|job| &self.jobs[*job].spec);
+        let step = spec.and_then(|spec| spec.steps.get(usize::from(task.step.step)));
+        let whole = StepSpec {
+            resources: self.workers[key].spec.capacity,
+            ..StepSpec::default()
+        };
+        let priority = spec.map_or(0, |spec| spec.policy.priority);
+        let mut run = WorkerRun::starting(step.unwrap_or(&whole), priority, now);
+        if let Share::Fills(fill) = &mut run.share {
+            fill.forget_pace();
+        }
+        run
+    }
+
+    /// Takes the rough figure that a worker gives of a run.
+    fn take_load(&mut self, key: WorkerKey, listed: &RunningReport) {
+        let run = self.workers[key].runs.get_mut(&(listed.task, listed.run));
+        match run.map(|run| &mut run.share) {
+            Some(Share::Serves { tail_ms, .. }) => *tail_ms = listed.load,
+            Some(Share::Reserved { used_cpu_millis }) => *used_cpu_millis = listed.load,
+            Some(Share::Fills(_)) | None => {}
+        }
+    }
+
     fn adopt(&mut self, key: WorkerKey, task: TaskId, run: Run) -> bool {
         let Some((job_key, step, unit, member)) = self.locate(task) else {
             return false;
--- a/crates/sched/src/scheduler.rs
+++ b/crates/sched/src/scheduler.rs
@@ -24,6 +24,7 @@
 use crate::ids::JobKey;
 use crate::job::Job;
 use crate::job::UnitState;
+use crate::pacing::Disturbance;
 use crate::recovery::Recovery;
 use crate::worker::Phase;
 use crate::worker::Worker;
@@ -92,6 +93,7 @@
     /// Workers that a gang has waited for too long, with the gang's priority.
     pub(crate) guarded: BTreeMap<WorkerKey, u32>,
     pub(crate) headroom: Headroom,
+    pub(crate) disturbance: Disturbance,
     pub(crate) advice_slots: AdviceSlots,
     pub(crate) actions: Vec<Action>,
 }
@@ -113,6 +115,7 @@
             recovery: Recovery::default(),
             guarded: BTreeMap::new(),
             headroom: Headroom::default(),
+            disturbance: Disturbance::default(),
             advice_slots: AdviceSlots::UNBOUNDED,
             actions: Vec::new(),
         }
@@ -154,6 +157,13 @@
                 run,
                 taken,
             } => self.stop_answered(worker, task, run, taken, now),
+            Event::PaceAnswered {
+                worker,
+                task,
+                run,
+                percent,
+                taken,
+            } => self.pace_answered(worker, (task, run), percent, taken, now),
             Event::Advised {
                 step,
                 asked,
--- a/crates/sched/src/spec.rs
+++ b/crates/sched/src/spec.rs
@@ -46,6 +46,16 @@
     pub data_rack: Option<SmolStr>,
     /// Most tasks of the step that may run on one worker; no bound where missing.
     pub tasks_per_worker: Option<u32>,
+    /// What the tasks run; tasks of one image behave alike. Empty where it is not told.
+    pub image: SmolStr,
+    /// The tail of the response times that the users of each task see must stay below this.
+    pub tail_limit_ms: Option<u64>,
+    /// Whether the tasks get only the processor time that the others on a worker leave unused; what
+    /// they ask for is not counted against the worker then.
+    pub fills: bool,
+    /// Most tasks that may be out of service at a time through what the scheduler does; no bound
+    /// where missing.
+    pub unavailable_limit: Option<u32>,
 }
 
 impl Default for StepSpec {
@@ -63,10 +73,28 @@
             required_label: None,
             data_rack: None,
             tasks_per_worker: None,
+            image: SmolStr::new_static(""),
+            tail_limit_ms: None,
+            fills: false,
+            unavailable_limit: None,
         }
     }
 }
 
+impl StepSpec {
+    /// Returns what a task takes of a worker's room.
+    #[must_use]
+    pub fn room(&self) -> Resources {
+        if self.fills {
+            return Resources {
+                cpu_millis: 0,
+                ..self.resources
+            };
+        }
+        self.resources
+    }
+}
+
 /// What it takes to learn which workers may run a step.
 #[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
 pub struct AdvicePolicy {
--- a/crates/sched/src/watch.rs
+++ b/crates/sched/src/watch.rs
@@ -85,7 +85,8 @@
     fn stall_bound_ms(&self, step: crate::StepId) -> u64 {
         let job = self.job_keys.get(&step.job).map(|key| &self.jobs[*key]);
         let of_step = job.and_then(|job| job.spec.steps.get(usize::from(step.step)));
-        if of_step.is_some_and(|step| step.long_running) {
+        // What fills may get nothing for a while, and is none the worse for it.
+        if of_step.is_some_and(|step| step.long_running || step.fills) {
             return u64::MAX;
         }
         let estimate_ms = of_step.map_or(0, |step| step.estimate_ms);
--- a/crates/sched/src/worker.rs
+++ b/crates/sched/src/worker.rs
@@ -10,8 +10,11 @@
 use crate::JobId;
 use crate::Run;
 use crate::StepId;
+use crate::StepSpec;
 use crate::TaskId;
 use crate::event::WorkerSpec;
+use crate::pacing::Fill;
+use crate::pacing::PaceControl;
 
 /// How far a run is on a worker.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -50,6 +53,75 @@
     pub(crate) checkpointed: bool,
     /// Whether other runs end with it.
     pub(crate) gang: bool,
+    pub(crate) share: Share,
+}
+
+/// What part of a worker a run gets, beside its room.
+#[derive(Debug, Clone)]
+pub(crate) enum Share {
+    /// What it asked for. The processor time that it uses, in thousandths of a core, as reported last.
+    Reserved { used_cpu_millis: Option<u64> },
+    /// What it asked for. The tail of its response times, as reported last, must stay below the limit.
+    Serves { limit_ms: u64, tail_ms: Option<u64> },
+    /// What the others leave unused.
+    Fills(Fill),
+}
+
+impl Share {
+    fn of_step(spec: &StepSpec) -> Self {
+        if spec.fills {
+            return Self::Fills(Fill::started(spec.resources.cpu_millis));
+        }
+        match spec.tail_limit_ms {
+            Some(limit_ms) => Self::Serves {
+                limit_ms,
+                tail_ms: None,
+            },
+            None => Self::Reserved {
+                used_cpu_millis: None,
+            },
+        }
+    }
+}
+
+impl WorkerRun {
+    /// Makes the run of a step's task that holds room from now on and has no answer yet.
+    pub(crate) fn starting(spec: &StepSpec, priority: u32, now: Millis) -> Self {
+        Self {
+            resources: spec.room(),
+            phase: Phase::Starting,
+            held_since: now,
+            ordered_at: now,
+            orders: 1,
+            confirmed_at: None,
+            listed: false,
+            stop_taken_at: None,
+            percent: 0,
+            percent_at: now,
+            checkpoint: SmolStr::default(),
+            ticket: SmolStr::default(),
+            priority,
+            checkpointed: spec.checkpointed && !spec.long_running,
+            gang: spec.gang,
+            share: Share::of_step(spec),
+        }
+    }
+
+    /// Says whether it serves users of its own, whose response times have a limit.
+    pub(crate) const fn serves(&self) -> bool {
+        matches!(self.share, Share::Serves { .. })
+    }
+
+    /// Returns the processor time that it takes from others, in thousandths of a core.
+    fn used_cpu_millis(&self) -> u64 {
+        match &self.share {
+            Share::Reserved { used_cpu_millis } => {
+                used_cpu_millis.unwrap_or(self.resources.cpu_millis)
+            }
+            Share::Serves { .. } => self.resources.cpu_millis,
+            Share::Fills(fill) => fill.wanted_cpu_millis,
+        }
+    }
 }
 
 /// An end that the worker must not forget before it is kept in the store.
@@ -88,6 +160,8 @@
     pub(crate) quarantined_until: Millis,
     /// Times that it was quarantined lately.
     pub(crate) quarantines: u32,
+    /// How fast the runs may go that fill what is left over.
+    pub(crate) pace: PaceControl,
 }
 
 impl Worker {
@@ -108,6 +182,7 @@
             failures_in_row: 0,
             quarantined_until: Millis(0),
             quarantines: 0,
+            pace: PaceControl::new(),
         }
     }
 
@@ -131,6 +206,17 @@
         self.spec.capacity.saturating_sub(&self.used)
     }
 
+    /// Returns the processor time that no run uses or waits for, in thousandths of a core.
+    pub(crate) fn unused_cpu_millis(&self) -> u64 {
+        let used = self.runs.values().map(WorkerRun::used_cpu_millis);
+        self.spec.capacity.cpu_millis.saturating_sub(used.sum())
+    }
+
+    /// Counts the runs that serve users of their own.
+    pub(crate) fn serving(&self) -> usize {
+        self.runs.values().filter(|run| run.serves()).count()
+    }
+
     /// Adds a run; its room is taken from now on.
     pub(crate) fn insert(&mut self, task: TaskId, run: Run, held: WorkerRun) {
         self.used = self.used.saturating_add(&held.resources);
--- a/crates/sched/tests/core/driver.rs
+++ b/crates/sched/tests/core/driver.rs
@@ -7,6 +7,7 @@
 use syc_sched::EndReport;
 use syc_sched::Event;
 use syc_sched::JobId;
+use syc_sched::JobProgress;
 use syc_sched::JobSpec;
 use syc_sched::JobState;
 use syc_sched::Options;
@@ -53,6 +54,8 @@
     pub starts: Vec<StartOrder>,
     pub stops: Vec<Stop>,
     pub asks: Vec<(StepId, Vec<WorkerKey>)>,
+    /// Paces that were ordered, and not answered yet.
+    pub paces: Vec<(WorkerKey, TaskId, Run, u8)>,
     ends: BTreeMap<WorkerKey, u64>,
 }
 
@@ -66,6 +69,7 @@
             starts: Vec::new(),
             stops: Vec::new(),
             asks: Vec::new(),
+            paces: Vec::new(),
             ends: BTreeMap::new(),
         };
         for index in 0..count {
@@ -100,6 +104,12 @@
                     reason,
                 }),
                 Action::Ask { step, workers, .. } => self.asks.push((step, workers)),
+                Action::Pace {
+                    worker,
+                    task,
+                    run,
+                    percent,
+                } => self.paces.push((worker, task, run, percent)),
                 _ => {}
             }
         }
@@ -125,17 +135,22 @@
         steps: Vec<StepSpec>,
         schedule: Schedule,
     ) {
-        let spec = Box::new(JobSpec {
-            id: JobId(id),
-            payload: SmolStr::new_static("payload"),
-            steps,
-            policy,
-            schedule,
-            accepted_at_ms: 0,
-        });
+        let spec = Box::new(job(id, policy, steps, schedule));
         self.apply(Event::JobStored { spec, age_ms: 0 });
     }
 
+    /// Lets a successor read a job, with what its predecessor wrote of it.
+    pub fn restore(
+        &mut self,
+        id: u64,
+        policy: QueuePolicy,
+        steps: Vec<StepSpec>,
+        progress: Option<&JobProgress>,
+    ) {
+        let spec = job(id, policy, steps, Schedule::default());
+        self.scheduler.restore_job(spec, progress, 10, self.now);
+    }
+
     /// Lets the worker of each start since the last call say that it runs.
     pub fn confirm_starts(&mut self) -> Vec<StartOrder> {
         let starts = std::mem::take(&mut self.starts);
@@ -174,6 +189,42 @@
         self.report(start.worker, running, &[(start.task, start.run, end)]);
     }
 
+    /// Answers a renewal with these runs, each with its load.
+    pub fn hold_loads(&mut self, worker: WorkerKey, running: &[(&StartOrder, u64)]) {
+        let mut report = WorkerReport::default();
+        for (start, load) in running {
+            report.running.push(RunningReport {
+                task: start.task,
+                run: start.run,
+                checkpoint: SmolStr::default(),
+                percent: 50,
+                load: Some(*load),
+            });
+        }
+        let sent_at = self.now;
+        self.pass(1);
+        self.apply(Event::Renewed {
+            worker,
+            sent_at,
+            report,
+        });
+    }
+
+    /// Answers the paces that were ordered, and returns the last of them.
+    pub fn answer_paces(&mut self, taken: bool) -> Option<u8> {
+        let paces = std::mem::take(&mut self.paces);
+        for (worker, task, run, percent) in &paces {
+            self.apply(Event::PaceAnswered {
+                worker: *worker,
+                task: *task,
+                run: *run,
+                percent: *percent,
+                taken,
+            });
+        }
+        paces.last().map(|(_, _, _, percent)| *percent)
+    }
+
     pub fn report(
         &mut self,
         worker: WorkerKey,
@@ -187,6 +238,7 @@
                 run: *run,
                 checkpoint: SmolStr::default(),
                 percent: *percent,
+                load: None,
             });
         }
         for (task, run, end) in ended {
@@ -224,6 +276,17 @@
     }
 }
 
+fn job(id: u64, policy: QueuePolicy, steps: Vec<StepSpec>, schedule: Schedule) -> JobSpec {
+    JobSpec {
+        id: JobId(id),
+        payload: SmolStr::new_static("payload"),
+        steps,
+        policy,
+        schedule,
+        accepted_at_ms: 0,
+    }
+}
+
 pub fn worker(index: usize, cores: u64) -> WorkerSpec {
     WorkerSpec {
         id: WorkerId::new(format!("w-{index}")),
--- a/crates/sched/tests/core/main.rs
+++ b/crates/sched/tests/core/main.rs
@@ -5,6 +5,7 @@
 mod lasting;
 mod life;
 mod preempt;
+mod sharing;
 mod silence;
 mod spread;
 mod takeover;
--- /dev/null
+++ b/crates/sched/tests/core/sharing.rs
@@ -0,0 +1,200 @@
+//! Tasks that fill what others leave unused, beside tasks whose response times have a limit.
+
+use smol_str::SmolStr;
+use syc_sched::Event;
+use syc_sched::RunEnd;
+use syc_sched::StartOrder;
+use syc_sched::StepSpec;
+use syc_types::Resources;
+use test_case::test_case;
+
+use crate::driver::Driver;
+use crate::driver::cpu;
+use crate::driver::policy;
+use crate::driver::step;
+use crate::driver::worker;
+
+const LIMIT_MS: u64 = 100;
+
+fn serving(tasks: u32, cores: u64) -> StepSpec {
+    StepSpec {
+        long_running: true,
+        image: SmolStr::new_static("shop"),
+        tail_limit_ms: Some(LIMIT_MS),
+        ..step(tasks, cores)
+    }
+}
+
+fn filling(tasks: u32, cores: u64) -> StepSpec {
+    StepSpec {
+        image: SmolStr::new_static("crunch"),
+        fills: true,
+        ..step(tasks, cores)
+    }
+}
+
+/// One worker of 8 cores, with a task that serves and one that fills.
+fn shared_worker() -> (Driver, StartOrder, StartOrder) {
+    let mut driver = Driver::new(1, 8);
+    driver.submit(1, policy(0), vec![serving(1, 3)]);
+    driver.submit(2, policy(1), vec![filling(1, 4)]);
+    driver.schedule();
+    let starts = driver.confirm_starts();
+    assert_eq!(starts.len(), 2);
+    (driver, starts[0].clone(), starts[1].clone())
+}
+
+/// Lets the worker report the tail every half second, and take what is ordered.
+fn report(
+    driver: &mut Driver,
+    runs: (&StartOrder, &StartOrder),
+    tail_ms: u64,
+    times: u32,
+) -> Option<u8> {
+    let mut last = None;
+    for _ in 0..times {
+        driver.pass(500);
+        driver.hold_loads(runs.0.worker, &[(runs.0, tail_ms), (runs.1, 4_000)]);
+        last = driver.answer_paces(true).or(last);
+    }
+    last
+}
+
+#[test]
+fn what_fills_takes_no_processor_of_the_room() {
+    let mut driver = Driver::new(1, 4);
+    driver.submit(1, policy(0), vec![step(1, 4)]);
+    driver.submit(2, policy(1), vec![filling(1, 0)]);
+    driver.schedule();
+    assert_eq!(driver.starts.len(), 2);
+}
+
+#[test]
+fn what_fills_waits_a_while_for_a_worker_with_time_to_spare_and_then_takes_any() {
+    let mut driver = Driver::new(2, 4);
+    let resources = Resources {
+        memory_bytes: 1,
+        ..cpu(4)
+    };
+    let busy = StepSpec {
+        resources,
+        ..step(2, 4)
+    };
+    let small = StepSpec {
+        resources,
+        ..filling(1, 4)
+    };
+    driver.submit(1, policy(0), vec![busy]);
+    driver.schedule();
+    driver.confirm_starts();
+    driver.submit(2, policy(1), vec![small]);
+    driver.schedule();
+    assert!(driver.starts.is_empty(), "nothing is left unused");
+    driver.pass(3_500);
+    driver.schedule();
+    assert_eq!(driver.starts.len(), 1);
+}
+
+#[test]
+fn a_tail_over_its_limit_brings_what_fills_to_a_halt_within_two_seconds() {
+    let (mut driver, shop, crunch) = shared_worker();
+    let pace = report(&mut driver, (&shop, &crunch), 150, 4);
+    assert_eq!(pace, Some(0));
+}
+
+#[test]
+fn a_tail_near_its_limit_slows_what_fills_and_slack_lets_it_rise_again() {
+    let (mut driver, shop, crunch) = shared_worker();
+    let lowered = report(&mut driver, (&shop, &crunch), 90, 1);
+    assert_eq!(lowered, Some(50));
+    let kept = report(&mut driver, (&shop, &crunch), 75, 4);
+    assert_eq!(kept, None, "neither near the limit nor far below it");
+    let risen = report(&mut driver, (&shop, &crunch), 20, 10);
+    assert_eq!(risen, Some(100));
+}
+
+#[test]
+fn what_fills_alone_goes_at_full_speed() {
+    let (mut driver, shop, crunch) = shared_worker();
+    assert_eq!(report(&mut driver, (&shop, &crunch), 150, 4), Some(0));
+    driver.cancel(1);
+    driver.stop_taken(&shop);
+    driver.pass(1_000);
+    driver.hold_loads(shop.worker, &[(&crunch, 0)]);
+    assert_eq!(driver.answer_paces(true), Some(100));
+}
+
+/// An order without an answer may be carried out after the next one.
+#[test]
+fn a_pace_in_doubt_is_ordered_again_until_no_late_order_can_come() {
+    let (mut driver, shop, crunch) = shared_worker();
+    driver.pass(500);
+    driver.hold_loads(shop.worker, &[(&shop, 90), (&crunch, 4_000)]);
+    assert_eq!(driver.answer_paces(false), Some(50));
+    let mut orders = 0;
+    for _ in 0..40 {
+        driver.pass(500);
+        driver.hold_loads(shop.worker, &[(&shop, 75), (&crunch, 4_000)]);
+        orders += u32::from(driver.answer_paces(true).is_some());
+    }
+    assert!((24..=28).contains(&orders), "{orders} orders in 13 s");
+}
+
+#[test_case(90, Some(50); "near the limit")]
+#[test_case(20, Some(100); "far below the limit")]
+fn a_successor_orders_the_pace_of_what_it_finds(tail_ms: u64, pace: Option<u8>) {
+    let (before, shop, crunch) = shared_worker();
+    let mut driver = Driver::new(0, 0);
+    driver.now = before.now;
+    for (id, steps) in [(1, vec![serving(1, 3)]), (2, vec![filling(1, 4)])] {
+        driver.restore(id, policy(0), steps, None);
+    }
+    driver.apply(Event::WorkerListed(worker(0, 8)));
+    driver.scheduler.begin_recovery(driver.now);
+    driver.hold_loads(driver.workers[0], &[(&shop, tail_ms), (&crunch, 4_000)]);
+    assert_eq!(driver.answer_paces(true), pace);
+}
+
+#[test]
+fn the_next_that_fills_goes_where_its_image_disturbs_least() {
+    let mut driver = Driver::new(2, 8);
+    let quiet = StepSpec {
+        image: SmolStr::new_static("files"),
+        ..serving(1, 3)
+    };
+    driver.submit(1, policy(0), vec![serving(1, 3)]);
+    driver.submit(2, policy(0), vec![quiet]);
+    driver.submit(3, policy(1), vec![filling(2, 4)]);
+    driver.schedule();
+    let starts = driver.confirm_starts();
+    assert_eq!(starts.len(), 4);
+    let on = |job: u64, worker| {
+        let found = starts
+            .iter()
+            .find(|start| start.task.step.job.0 == job && start.worker == worker);
+        found.cloned()
+    };
+    let (shop, files) = (starts[0].clone(), starts[1].clone());
+    let beside_shop = on(3, shop.worker).expect("one beside each");
+    let beside_files = on(3, files.worker).expect("one beside each");
+    report(&mut driver, (&shop, &beside_shop), 90, 8);
+    report(&mut driver, (&files, &beside_files), 20, 8);
+    for (done, beside) in [(&beside_shop, &shop), (&beside_files, &files)] {
+        driver.end(done, RunEnd::Done, &[(beside.task, beside.run, 100)]);
+    }
+    driver.record();
+    driver.submit(4, policy(1), vec![filling(1, 4)]);
+    driver.schedule();
+    assert_eq!(driver.starts.len(), 1);
+    assert_eq!(driver.starts[0].worker, files.worker);
+}
+
+#[test]
+fn what_fills_is_not_taken_as_stalled() {
+    let (mut driver, shop, crunch) = shared_worker();
+    for _ in 0..40 {
+        report(&mut driver, (&shop, &crunch), 150, 1);
+        driver.apply(Event::Ticked);
+    }
+    assert_eq!(driver.stops, []);
+}
--- a/crates/sched/tests/core/takeover.rs
+++ b/crates/sched/tests/core/takeover.rs
@@ -1,15 +1,12 @@
 //! Taking over from a predecessor: what runs is found out before anything starts again.
 
-use smol_str::SmolStr;
 use syc_sched::Event;
 use syc_sched::JobId;
 use syc_sched::JobProgress;
-use syc_sched::JobSpec;
 use syc_sched::JobState;
 use syc_sched::Options;
 use syc_sched::Run;
 use syc_sched::RunEnd;
-use syc_sched::Schedule;
 use syc_sched::StepId;
 use syc_sched::StepSpec;
 use syc_sched::StopReason;
@@ -32,15 +29,7 @@
 /// A successor that has read a job and a list of workers, none of which has answered yet.
 fn successor(workers: usize, steps: Vec<StepSpec>, progress: Option<&JobProgress>) -> Driver {
     let mut driver = Driver::new(0, 0);
-    let spec = JobSpec {
-        id: JobId(1),
-        payload: SmolStr::new_static("payload"),
-        steps,
-        policy: policy(0),
-        schedule: Schedule::default(),
-        accepted_at_ms: 0,
-    };
-    driver.scheduler.restore_job(spec, progress, 10, driver.now);
+    driver.restore(1, policy(0), steps, progress);
     for index in 0..workers {
         driver.apply(Event::WorkerListed(worker(index, 4)));
     }
--- a/crates/sched/tests/schedules/jobs.rs
+++ b/crates/sched/tests/schedules/jobs.rs
@@ -5,6 +5,7 @@
 use smol_str::SmolStr;
 use syc_fleet::FleetModel;
 use syc_fleet::Plan;
+use syc_fleet::TailModel;
 use syc_sched::AdvicePolicy;
 use syc_sched::JobId;
 use syc_sched::JobSpec;
@@ -69,6 +70,88 @@
     }
 }
 
+/// Makes jobs that serve users of their own, with tails that have a limit, and jobs that fill what they
+/// leave unused and would break it at full speed.
+pub fn generate_sharing(rng: &mut SmallRng, fleet: &mut FleetModel) -> Vec<Given> {
+    fleet.set_tail(
+        "shop",
+        TailModel {
+            alone_ms: 15,
+            per_core_ms: rng.random_range(5..15),
+        },
+    );
+    let mut given = Vec::new();
+    let serving = StepSpec {
+        tasks: 5,
+        resources: cpu(3),
+        long_running: true,
+        image: SmolStr::new_static("shop"),
+        tail_limit_ms: Some(40),
+        ..StepSpec::default()
+    };
+    given.push(sharing(rng, fleet, 1, serving));
+    for id in 2..=8 {
+        let filling = StepSpec {
+            tasks: rng.random_range(1..=4),
+            resources: cpu(rng.random_range(2..=4)),
+            estimate_ms: 2_000,
+            checkpointed: rng.random(),
+            image: SmolStr::new_static("crunch"),
+            fills: true,
+            ..StepSpec::default()
+        };
+        given.push(sharing(rng, fleet, id, filling));
+    }
+    given
+}
+
+fn sharing(rng: &mut SmallRng, fleet: &mut FleetModel, id: u64, step: StepSpec) -> Given {
+    let lasts = step.long_running;
+    let spec = JobSpec {
+        id: JobId(id),
+        payload: SmolStr::new_static("payload"),
+        steps: vec![step],
+        policy: QueuePolicy {
+            advice: None,
+            ..policy(rng)
+        },
+        schedule: Schedule::default(),
+        accepted_at_ms: 0,
+    };
+    for index in 0..spec.steps[0].tasks {
+        let step = StepId {
+            job: spec.id,
+            occurrence: 0,
+            step: 0,
+        };
+        let work_ms = if lasts {
+            u64::MAX / 1_000
+        } else {
+            rng.random_range(1_000..5_000)
+        };
+        let plan = Plan {
+            work_ms,
+            failing_runs: 0,
+        };
+        fleet.plan(TaskId { step, index }, plan);
+    }
+    Given {
+        spec,
+        at_ms: if lasts {
+            0
+        } else {
+            rng.random_range(0..15_000)
+        },
+        // Long after the last of what fills should be done.
+        cancel_at_ms: lasts.then_some(100_000),
+        ends_as: if lasts {
+            JobState::Cancelled
+        } else {
+            JobState::Completed
+        },
+    }
+}
+
 fn step(rng: &mut SmallRng, index: u16) -> StepSpec {
     let gang = rng.random_ratio(1, 4);
     StepSpec {
--- a/crates/sched/tests/schedules/main.rs
+++ b/crates/sched/tests/schedules/main.rs
@@ -23,6 +23,8 @@
 #[test_case(Profile { late: 60, ..Profile::CALM }; "orders are carried out late")]
 #[test_case(Profile { store_pauses: 4, ..Profile::CALM }; "the store pauses")]
 #[test_case(Profile::ALL; "everything at once")]
+#[test_case(Profile { sharing: true, ..Profile::CALM }; "some serve and some fill")]
+#[test_case(Profile { sharing: true, lost: 60, late: 60, ..Profile::CALM }; "orders to go slower are lost or late")]
 fn nothing_runs_twice_and_every_job_ends_as_it_must(profile: Profile) {
     for seed in 1..=SEEDS {
         let mut world = World::new(seed, profile, Options::default());
@@ -57,6 +59,25 @@
     assert!(twice > 0, "no task was seen to run twice");
 }
 
+/// Orders to go slower are not carried out, on purpose.
+#[test]
+fn the_judge_notices_what_fills_at_full_speed() {
+    let profile = Profile {
+        sharing: true,
+        unpaced: true,
+        ..Profile::CALM
+    };
+    let mut harmed = 0;
+    for seed in 1..=10 {
+        let mut world = World::new(seed, profile, Options::default());
+        world.play();
+        let faults = world.faults();
+        let of_users = |fault: &&Fault| matches!(fault, Fault::Harmed(_));
+        harmed += faults.iter().filter(of_users).count();
+    }
+    assert!(harmed > 0, "no task's users were seen to wait too long");
+}
+
 /// The rule that a worker's room counts until an end is listed is broken on purpose.
 #[test]
 fn the_judge_notices_a_worker_that_is_given_too_much() {
--- a/crates/sched/tests/schedules/world.rs
+++ b/crates/sched/tests/schedules/world.rs
@@ -10,6 +10,7 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use smol_str::SmolStr;
+use syc_cell::ports::PaceCommand;
 use syc_cell::ports::Renewal;
 use syc_cell::ports::StartCommand;
 use syc_cell::ports::StopCommand;
@@ -35,6 +36,7 @@
 use crate::jobs::SERVICE;
 use crate::jobs::cpu;
 use crate::jobs::generate;
+use crate::jobs::generate_sharing;
 
 const TICK_MS: u64 = 10;
 const FAULTS_UNTIL_MS: u64 = 25_000;
@@ -58,6 +60,10 @@
     pub store_pauses: u32,
     /// Workers have less than they say: the judge must see it.
     pub understated: bool,
+    /// Jobs that serve users of their own, and others that fill what they leave unused.
+    pub sharing: bool,
+    /// Orders to go slower reach no worker: the judge must see it.
+    pub unpaced: bool,
 }
 
 impl Profile {
@@ -69,6 +75,8 @@
         late: 0,
         store_pauses: 0,
         understated: false,
+        sharing: false,
+        unpaced: false,
     };
     pub const ALL: Self = Self {
         scheduler_ends: 4,
@@ -77,7 +85,7 @@
         lost: 40,
         late: 30,
         store_pauses: 2,
-        understated: false,
+        ..Self::CALM
     };
 }
 
@@ -85,6 +93,7 @@
 enum Delivery {
     Start(WorkerId, StartCommand),
     Stop(WorkerId, StopCommand),
+    Pace(WorkerId, PaceCommand),
     /// Only the scheduler that gave the order hears the answer.
     Answer(u64, Event),
     Recorded(u64, Vec<(JobId, u64, JobProgress)>),
@@ -138,6 +147,9 @@
         let mut given: Vec<_> = (1..=JOBS)
             .map(|id| generate(&mut rng, id, &mut fleet))
             .collect();
+        if profile.sharing {
+            given = generate_sharing(&mut rng, &mut fleet);
+        }
         given.sort_by_key(|given| given.at_ms);
         for given in &given {
             fleet.judge.submitted(given.spec.clone());
@@ -303,6 +315,12 @@
                 Action::Stop {
                     worker, task, run, ..
                 } => self.send_stop(worker, task, run),
+                Action::Pace {
+                    worker,
+                    task,
+                    run,
+                    percent,
+                } => self.send_pace(worker, (task, run), percent),
                 Action::Ask { step, workers, .. } => self.advise(step, &workers),
                 Action::DropSpec(_) | Action::Forget(_) | Action::Note(_) => {}
             }
--- a/crates/sched/tests/schedules/world/orders.rs
+++ b/crates/sched/tests/schedules/world/orders.rs
@@ -3,6 +3,7 @@
 use rand::Rng;
 use smol_str::format_smolstr;
 use syc_cell::ports::OrderError;
+use syc_cell::ports::PaceCommand;
 use syc_cell::ports::StartCommand;
 use syc_cell::ports::StopCommand;
 use syc_sched::AdviceAnswer;
@@ -124,6 +125,41 @@
         self.answer(delay_ms, answer(taken));
     }
 
+    pub(super) fn send_pace(&mut self, worker: WorkerKey, name: (TaskId, Run), percent: u8) {
+        let Some(session) = self.sessions.get(&worker) else {
+            return;
+        };
+        let id = session.id.clone();
+        let (task, run) = name;
+        let command = PaceCommand {
+            task,
+            run,
+            percent,
+            token: self.token,
+        };
+        let answer = |taken| Event::PaceAnswered {
+            worker,
+            task,
+            run,
+            percent,
+            taken,
+        };
+        if self.is_late() {
+            let delay_ms = self.rng.random_range(2_000..12_000);
+            self.later(delay_ms, Delivery::Pace(id, command));
+            self.answer(ORDER_TIMEOUT_MS, answer(false));
+            return;
+        }
+        if self.cut.contains_key(&id) {
+            self.answer(ORDER_TIMEOUT_MS, answer(false));
+            return;
+        }
+        let carried_out = self.profile.unpaced || self.fleet.pace(&id, &command, self.now).is_ok();
+        let taken = carried_out && !self.is_lost();
+        let delay_ms = self.rng.random_range(1..30);
+        self.answer(delay_ms, answer(taken));
+    }
+
     pub(super) fn advise(&mut self, step: StepId, workers: &[WorkerKey]) {
         let mut allowed = Vec::new();
         for worker in workers {
--- a/crates/sched/tests/schedules/world/travel.rs
+++ b/crates/sched/tests/schedules/world/travel.rs
@@ -33,6 +33,9 @@
             Delivery::Stop(id, command) => {
                 let _unheard = self.fleet.stop(&id, &command, self.now);
             }
+            Delivery::Pace(id, command) => {
+                let _unheard = self.fleet.pace(&id, &command, self.now);
+            }
             Delivery::Answer(token, event) => {
                 if token == self.token {
                     self.apply(event);
