--- a/crates/cell/src/configuration.rs
+++ b/crates/cell/src/configuration.rs
@@ -2,6 +2,7 @@
 
 use smol_str::SmolStr;
 use syc_sched::QueuePolicy;
+use syc_types::ServiceName;
 
 /// Everything that operators have published, as one version.
 #[derive(Debug, Clone, Default, PartialEq)]
@@ -10,6 +11,8 @@
     pub version: u64,
     /// The routes.
     pub routes: Vec<Route>,
+    /// Services whose VMs are off until they are moved to another pool.
+    pub standby: Vec<ServiceName>,
     /// Largest body of a request.
     pub body_limit_bytes: usize,
 }
--- a/crates/cell/src/follow.rs
+++ b/crates/cell/src/follow.rs
@@ -2,10 +2,16 @@
 
 use std::rc::Rc;
 
+use syc_sched::Wave;
+
+use crate::Configuration;
 use crate::Node;
+use crate::clock::now;
 use crate::clock::pause;
 use crate::log;
+use crate::node::SeenWave;
 use crate::ports::Platform;
+use crate::ports::Published;
 use crate::ports::ReadError;
 use crate::ports::Record;
 use crate::ports::Topic;
@@ -72,19 +78,45 @@
     if record.value.is_empty() {
         return;
     }
-    let read = node.platform.configuration(&record.key, &record.value);
-    let configuration = match read {
-        Ok(Some(configuration)) => configuration,
-        Ok(None) => return,
-        Err(error) => {
-            log::unreadable(&record.key, &error.0);
-            return;
-        }
-    };
+    match node.platform.published(&record.key, &record.value) {
+        Ok(Published::Configuration(configuration)) => apply_configuration(node, configuration),
+        Ok(Published::Wave(wave)) => note_wave(node, wave),
+        Ok(Published::Other) => {}
+        Err(error) => log::unreadable(&record.key, &error.0),
+    }
+}
+
+/// Remembers a wave, and tells the scheduler if it is here. What is published of a wave stays in the
+/// store for good, so one that was seen before is nothing new.
+fn note_wave<P>(node: &Node<P>, wave: Wave)
+where
+    P: Platform,
+{
+    let mut waves = node.waves.borrow_mut();
+    if waves.iter().any(|seen| seen.wave.number == wave.number) {
+        return;
+    }
+    waves.push(SeenWave {
+        wave: wave.clone(),
+        seen_at: now(),
+    });
+    drop(waves);
+    if let Some(leader) = node.leader() {
+        leader.take_wave(wave, 0);
+    }
+}
+
+fn apply_configuration<P>(node: &Node<P>, configuration: Configuration)
+where
+    P: Platform,
+{
     let in_force = node.configuration().map_or(0, |current| current.version);
     let newer = configuration.version > in_force;
     log::configuration(&configuration, in_force, newer);
     if newer {
         *node.configuration.borrow_mut() = Some(Rc::new(configuration));
+        if let Some(leader) = node.leader() {
+            leader.take_standby();
+        }
     }
 }
--- a/crates/cell/src/leader.rs
+++ b/crates/cell/src/leader.rs
@@ -9,11 +9,13 @@
 mod roster;
 mod sessions;
 mod stages;
+mod vms;
 
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::collections::HashMap;
+use std::collections::VecDeque;
 use std::rc::Rc;
 
 use advice::Adviser;
@@ -41,6 +43,7 @@
 use crate::log;
 use crate::ports::Condition;
 use crate::ports::Platform;
+use crate::ports::Record;
 
 /// Events within this time share one look at the waiting tasks.
 const LOOK_SPACING_MS: u64 = 3;
@@ -97,6 +100,10 @@
     /// Jobs whose specification is to be removed, and jobs to be forgotten.
     drops: RefCell<Vec<JobId>>,
     forgets: RefCell<Vec<JobId>>,
+    /// What operators are to be told.
+    statuses: RefCell<VecDeque<Record>>,
+    /// Asks for that to be written.
+    tell: Notify,
     met_others_at: Cell<Option<Millis>>,
     heard_workers_at: Cell<Millis>,
     tasks: RefCell<Vec<actix_rt::task::JoinHandle<()>>>,
@@ -132,6 +139,8 @@
             jobs_in: RefCell::default(),
             drops: RefCell::default(),
             forgets: RefCell::default(),
+            statuses: RefCell::default(),
+            tell: Notify::new(),
             met_others_at: Cell::new(None),
             heard_workers_at: Cell::new(now()),
             tasks: RefCell::default(),
@@ -249,6 +258,9 @@
                     workers,
                     expected_ms,
                 } => self.ask(step, workers, expected_ms),
+                Action::ListVms => self.list_vms(),
+                Action::OrderVm { vm, duty } => self.order_vm(vm, duty),
+                Action::TellWave { wave, completed } => self.tell_wave(wave, completed),
                 Action::DropSpec(id) => self.drops.borrow_mut().push(id),
                 Action::Forget(id) => self.forgets.borrow_mut().push(id),
                 Action::Note(note) => {
@@ -371,6 +383,8 @@
         lease_bound_ms: lease_ms + drift_ms + ORDER_TRAVEL_MS,
         stop_ms: settings.stop_limit_ms,
         status_ms: settings.status_ms,
+        upkeep_ms: settings.upkeep_ms,
+        vm_order_pause_ms: settings.vm_order_pause_ms,
         order_retry_ms: settings.timing.order_timeout_ms,
         ..Options::default()
     }
--- a/crates/cell/src/leader/load.rs
+++ b/crates/cell/src/leader/load.rs
@@ -22,6 +22,7 @@
 use crate::leader::records::PROGRESS_PARTITIONS;
 use crate::leader::records::write_records;
 use crate::leader::records::write_removals;
+use crate::leader::vms::write_statuses;
 use crate::log;
 use crate::ports::Newest;
 use crate::ports::Platform;
@@ -70,7 +71,9 @@
     }
     leader.spawn(write_records(Rc::clone(&leader)));
     leader.spawn(write_removals(Rc::clone(&leader)));
+    leader.spawn(write_statuses(Rc::clone(&leader)));
     leader.loaded.set(true);
+    leader.take_published();
     leader.look.notify_one();
     leader.spawn(Rc::clone(&leader).look_at_waiting());
 }
@@ -124,6 +127,7 @@
         }
     }
     restore_jobs(leader, specs, &progress);
+    restore_waves(leader, &left.progress);
     let missing = restore_workers(leader, left);
     for id in cancelled {
         leader.apply(Event::JobCancelled(id));
@@ -176,12 +180,27 @@
     workers
 }
 
+/// Takes how far the waves are that a predecessor worked on.
+fn restore_waves<P>(leader: &Rc<Leader<P>>, partitions: &[Newest])
+where
+    P: Platform,
+{
+    let all = partitions.iter().flat_map(|newest| &newest.records);
+    let (waves, unreadable) = records::read_waves(all.map(|(_offset, record)| record));
+    for (key, error) in unreadable {
+        log::unreadable(&key, &error.to_string());
+    }
+    for wave in waves {
+        leader.scheduler.borrow_mut().restore_wave(wave);
+    }
+}
+
 /// Reads the latest progress of each job.
 fn read_progress(partitions: &[Newest]) -> HashMap<JobId, JobProgress> {
     let mut progress: HashMap<JobId, JobProgress> = HashMap::new();
     let all = partitions.iter().flat_map(|newest| &newest.records);
     for (_offset, record) in all {
-        if record.value.is_empty() || records::is_roster(record) {
+        if record.value.is_empty() || !records::is_of_job(record) {
             continue;
         }
         let read = serde_json::from_slice::<JobProgress>(&record.value);
--- a/crates/cell/src/leader/records.rs
+++ b/crates/cell/src/leader/records.rs
@@ -156,13 +156,17 @@
             .borrow_mut()
             .take_records(BATCH_JOBS, wall_ms);
         let roster = self.roster.change(self.token);
-        if taken.is_empty() && roster.is_none() {
+        let waves = self.scheduler.borrow().wave_records();
+        if taken.is_empty() && roster.is_none() && waves.is_empty() {
             return false;
         }
         let mut batch: Vec<Record> = Vec::with_capacity(taken.len() + 1);
         if let Some(change) = &roster {
             batch.extend_from_slice(&change.records);
         }
+        for (progress, change) in &waves {
+            batch.push(records::wave(self.token, *change, progress));
+        }
         for (id, _change, progress) in &mut taken {
             progress.version.token = self.token;
             batch.push(records::progress(*id, progress));
@@ -183,6 +187,10 @@
         if let Some(change) = roster {
             self.take_recorded(&change);
         }
+        for (progress, change) in waves {
+            let wave = progress.number;
+            self.apply(Event::WaveRecorded { wave, change });
+        }
         self.written.notify_waiters();
         true
     }
--- /dev/null
+++ b/crates/cell/src/leader/vms.rs
@@ -0,0 +1,175 @@
+//! Orders about whole VMs, and what operators are told of them.
+
+use std::rc::Rc;
+
+use syc_sched::Duty;
+use syc_sched::DutyAnswer;
+use syc_sched::Event;
+use syc_sched::VmInfo;
+use syc_sched::Wave;
+use syc_types::VmId;
+
+use crate::clock::now;
+use crate::clock::pause;
+use crate::leader::Leader;
+use crate::log;
+use crate::ports::AppendError;
+use crate::ports::ListError;
+use crate::ports::Platform;
+use crate::ports::Record;
+use crate::ports::Topic;
+use crate::ports::VmCommand;
+use crate::ports::VmOrderError;
+
+/// Name of the producer of what operators are told.
+const PRODUCER: &str = "status";
+
+/// Wait after an append that failed.
+const RETRY_MS: u64 = 100;
+
+/// A call about VMs without an answer is given up after this time: the platform answers in
+/// milliseconds, or fifty times as late while it is slow.
+const CALL_TIMEOUT_MS: u64 = 1_000;
+
+/// Most parts of a list of VMs: far beyond what a cell has.
+const PAGES_LIMIT: usize = 200;
+
+impl<P> Leader<P>
+where
+    P: Platform,
+{
+    /// Takes a wave that operators published.
+    pub(crate) fn take_wave(self: &Rc<Self>, wave: Wave, age_ms: u64) {
+        if self.loaded.get() {
+            self.apply(Event::WavePublished { wave, age_ms });
+        }
+    }
+
+    /// Takes the services that are on standby by the configuration in force.
+    pub(crate) fn take_standby(self: &Rc<Self>) {
+        let configuration = self.node.configuration();
+        let standby = configuration.map(|configuration| configuration.standby.clone());
+        self.apply(Event::StandbySet(standby.unwrap_or_default()));
+    }
+
+    /// Takes everything that operators published before this node became the scheduler.
+    pub(super) fn take_published(self: &Rc<Self>) {
+        self.take_standby();
+        let waves = self.node.waves.borrow().clone();
+        for seen in waves {
+            self.take_wave(seen.wave, now().since(seen.seen_at));
+        }
+    }
+
+    pub(super) fn list_vms(self: &Rc<Self>) {
+        let leader = Rc::clone(self);
+        actix_rt::spawn(async move {
+            let listed = leader.read_vms().await;
+            if let Err(error) = &listed {
+                log::vms_unlisted(error);
+            }
+            leader.apply(Event::VmsListed(listed.ok()));
+        });
+    }
+
+    async fn read_vms(&self) -> Result<Vec<VmInfo>, ListError> {
+        let mut vms = Vec::new();
+        let mut from = None;
+        for _ in 0..PAGES_LIMIT {
+            let platform = &self.node.platform;
+            let page = platform.list_vms(from.as_deref(), CALL_TIMEOUT_MS).await?;
+            vms.extend(page.vms);
+            from = page.next;
+            if from.is_none() {
+                return Ok(vms);
+            }
+        }
+        Err(ListError("the list has no end".into()))
+    }
+
+    pub(super) fn order_vm(self: &Rc<Self>, vm: VmId, duty: Duty) {
+        let command = VmCommand {
+            vm,
+            duty,
+            holder: self.node.settings.name.clone(),
+            token: self.token,
+        };
+        let leader = Rc::clone(self);
+        actix_rt::spawn(async move { leader.send_vm_order(command).await });
+    }
+
+    async fn send_vm_order(self: &Rc<Self>, command: VmCommand) {
+        if self.ended.get() {
+            return;
+        }
+        let platform = &self.node.platform;
+        let ordered = platform.order_vm(&command, CALL_TIMEOUT_MS).await;
+        let answer = match &ordered {
+            Ok(()) => DutyAnswer::Done,
+            Err(VmOrderError::Fenced) => {
+                self.end("fenced_by_platform");
+                return;
+            }
+            Err(VmOrderError::Busy) => DutyAnswer::Busy,
+            Err(VmOrderError::Unfit(_)) => DutyAnswer::Unfit,
+            Err(VmOrderError::InDoubt(_)) => DutyAnswer::InDoubt,
+        };
+        log::vm_ordered(&command, answer, ordered.err().as_ref());
+        self.apply(Event::VmOrderAnswered {
+            vm: command.vm,
+            duty: command.duty,
+            answer,
+        });
+    }
+
+    /// Has operators told how far a wave is.
+    pub(super) fn tell_wave(&self, wave: u64, completed: bool) {
+        log::wave_told(wave, completed);
+        let record = self.node.platform.wave_status(wave, completed);
+        self.statuses.borrow_mut().push_back(record);
+        self.tell.notify_one();
+    }
+
+    /// Appends one record until the store has it. Says whether it has.
+    async fn append_status(&self, record: &Record, sequence: &mut u64) -> bool {
+        loop {
+            let condition = self.fenced(PRODUCER, *sequence);
+            let appended = self
+                .node
+                .append(Topic::Status, 0, std::slice::from_ref(record), &condition)
+                .await;
+            match appended {
+                Ok(_) => {
+                    *sequence += 1;
+                    return true;
+                }
+                Err(AppendError::Fenced) => {
+                    self.end("fenced_by_store");
+                    return false;
+                }
+                Err(AppendError::OutOfSequence { expected }) => *sequence = expected,
+                // The number stays: the store takes the same append once only.
+                Err(_noted) => pause(RETRY_MS).await,
+            }
+        }
+    }
+}
+
+/// Writes what operators are told, in order.
+pub(super) async fn write_statuses<P>(leader: Rc<Leader<P>>)
+where
+    P: Platform,
+{
+    let mut sequence = 0;
+    loop {
+        let next = leader.statuses.borrow().front().cloned();
+        let Some(record) = next else {
+            leader.tell.notified().await;
+            continue;
+        };
+        if !leader.append_status(&record, &mut sequence).await {
+            return;
+        }
+        leader.statuses.borrow_mut().pop_front();
+    }
+}
--- a/crates/cell/src/log.rs
+++ b/crates/cell/src/log.rs
@@ -3,6 +3,8 @@
 use syc_obs::Line;
 use syc_obs::catalogue;
 use syc_sched::Counts;
+use syc_sched::Duty;
+use syc_sched::DutyAnswer;
 use syc_sched::JobId;
 use syc_sched::JobSpec;
 use syc_sched::JobState;
@@ -12,6 +14,7 @@
 use syc_sched::StepId;
 use syc_sched::StopReason;
 use syc_sched::TaskId;
+use syc_sched::VmNote;
 use syc_types::WorkerId;
 
 use crate::Configuration;
@@ -19,9 +22,12 @@
 use crate::node::Holder;
 use crate::ports::AdviceError;
 use crate::ports::AppendError;
+use crate::ports::ListError;
 use crate::ports::OrderError;
 use crate::ports::PaceCommand;
 use crate::ports::StartCommand;
+use crate::ports::VmCommand;
+use crate::ports::VmOrderError;
 
 pub(crate) fn started(settings: &NodeSettings, incarnation: u64) {
     Line::new(catalogue::NODE_STARTED)
@@ -227,6 +233,35 @@
         .emit();
 }
 
+pub(crate) fn vms_unlisted(error: &ListError) {
+    Line::new(catalogue::VMS_UNLISTED)
+        .display("reason", error)
+        .emit();
+}
+
+pub(crate) fn vm_ordered(command: &VmCommand, answer: DutyAnswer, error: Option<&VmOrderError>) {
+    let line = Line::new(catalogue::VM_ORDERED)
+        .text("vm", command.vm.as_str())
+        .text("duty", command.duty.as_str())
+        .number("token", command.token)
+        .text("answer", answer.as_str());
+    let line = match &command.duty {
+        Duty::Upkeep { wave } => line.number("wave", *wave),
+        Duty::Move { pool } => line.text("pool", pool.as_str()),
+    };
+    match error {
+        Some(error) => line.display("reason", error).emit(),
+        None => line.emit(),
+    }
+}
+
+pub(crate) fn wave_told(wave: u64, completed: bool) {
+    Line::new(catalogue::WAVE_TOLD)
+        .number("wave", wave)
+        .flag("completed", completed)
+        .emit();
+}
+
 pub(crate) fn worker_listed(worker: &WorkerId, change: &'static str) {
     Line::new(catalogue::WORKER_LISTED)
         .text("worker", worker.as_str())
@@ -313,6 +348,7 @@
             .flag("serves", tail_percent.is_some())
             .number("fills", *fills)
             .emit(),
+        Note::Vm(note) => vm_note(note),
         Note::Recovered {
             adopted,
             unanswered,
@@ -323,6 +359,37 @@
     }
 }
 
+fn vm_note(note: &VmNote) {
+    match note {
+        VmNote::WaveSeen {
+            wave,
+            vms,
+            at_once,
+            limit_ms,
+            begun,
+        } => Line::new(catalogue::WAVE_SEEN)
+            .number("wave", *wave)
+            .number("vms", *vms)
+            .number("at_once", *at_once)
+            .number("limit_ms", *limit_ms)
+            .number("begun", *begun)
+            .emit(),
+        VmNote::PoolChange {
+            service,
+            vm,
+            comes,
+            waiting_cpu_millis,
+            free_cpu_millis,
+        } => Line::new(catalogue::POOL_CHANGE)
+            .text("service", service.as_str())
+            .text("vm", vm.as_str())
+            .flag("comes", *comes)
+            .number("waiting_cpu_millis", *waiting_cpu_millis)
+            .number("free_cpu_millis", *free_cpu_millis)
+            .emit(),
+    }
+}
+
 const fn state_name(state: JobState) -> &'static str {
     match state {
         JobState::Queued => "queued",
--- a/crates/cell/src/node.rs
+++ b/crates/cell/src/node.rs
@@ -15,6 +15,7 @@
 use syc_obs::CellReadings;
 use syc_obs::flush_lines;
 use syc_sched::Event;
+use syc_sched::Wave;
 use syc_types::Millis;
 use tokio::sync::Notify;
 
@@ -48,6 +49,13 @@
     pub token: u64,
 }
 
+/// A wave of upkeep, and when this node read of it.
+#[derive(Debug, Clone)]
+pub(crate) struct SeenWave {
+    pub(crate) wave: Wave,
+    pub(crate) seen_at: Millis,
+}
+
 /// A node of a cell; it lives on one arbiter.
 #[derive(Debug)]
 pub struct Node<P>
@@ -63,6 +71,8 @@
     /// Names this incarnation of the process.
     pub(crate) incarnation: u64,
     pub(crate) configuration: RefCell<Option<Rc<Configuration>>>,
+    /// Waves of upkeep that operators have published.
+    pub(crate) waves: RefCell<Vec<SeenWave>>,
     pub(crate) store: StoreHealth,
     pub(crate) holder: RefCell<Option<Holder>>,
     pub(crate) link: RefCell<Option<Rc<HolderLink>>>,
@@ -92,6 +102,7 @@
             metrics: CellMetrics::new(),
             incarnation: rand::rngs::SmallRng::from_os_rng().random_range(1..=u64::from(u32::MAX)),
             configuration: RefCell::default(),
+            waves: RefCell::default(),
             store: StoreHealth::new(began),
             holder: RefCell::default(),
             link: RefCell::default(),
--- a/crates/cell/src/ports.rs
+++ b/crates/cell/src/ports.rs
@@ -4,12 +4,16 @@
 
 use bytes::Bytes;
 use smol_str::SmolStr;
+use syc_sched::Duty;
 use syc_sched::Run;
 use syc_sched::StartRefusal;
 use syc_sched::StepId;
 use syc_sched::TaskId;
+use syc_sched::VmInfo;
+use syc_sched::Wave;
 use syc_sched::WorkerReport;
 use syc_sched::WorkerSpec;
+use syc_types::VmId;
 use syc_types::WorkerId;
 use thiserror::Error;
 
@@ -28,6 +32,8 @@
     Workers,
     /// What operators publish; read only.
     Operators,
+    /// What operators are told.
+    Status,
 }
 
 /// A record with a key; the store keeps the newest of each key.
@@ -308,6 +314,78 @@
     ) -> impl Future<Output = Result<Advice, AdviceError>>;
 }
 
+/// A part of the list of VMs.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct VmPage {
+    /// The VMs.
+    pub vms: Vec<VmInfo>,
+    /// Where the next part begins, if there is one.
+    pub next: Option<SmolStr>,
+}
+
+/// Why the VMs could not be listed.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+#[error("the VMs can't be listed: {0}")]
+pub struct ListError(pub SmolStr);
+
+/// An order about a VM.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct VmCommand {
+    /// The VM.
+    pub vm: VmId,
+    /// What to do with it.
+    pub duty: Duty,
+    /// The node that orders it.
+    pub holder: SmolStr,
+    /// Fencing token of the scheduler.
+    pub token: u64,
+}
+
+/// What an order about a VM came to, where nothing is wrong with the one who gave it.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+pub enum VmOrderError {
+    /// A greater fencing token was used for this VM.
+    #[error("a greater fencing token was used for the VM")]
+    Fenced,
+    /// The VM is not up, or leaves.
+    #[error("the VM is not up, or leaves")]
+    Busy,
+    /// It is not one of the wave, or can't be in the pool, or there is no such VM.
+    #[error("the VM does not fit: {0}")]
+    Unfit(SmolStr),
+    /// It may be done, now or later.
+    #[error("the answer was lost: {0}")]
+    InDoubt(SmolStr),
+}
+
+/// The platform's VMs.
+pub trait VmPort {
+    /// Lists a part of the VMs.
+    fn list_vms(
+        &self,
+        from: Option<&str>,
+        timeout_ms: u64,
+    ) -> impl Future<Output = Result<VmPage, ListError>>;
+
+    /// Does something with a VM; it is also done if it was done before.
+    fn order_vm(
+        &self,
+        command: &VmCommand,
+        timeout_ms: u64,
+    ) -> impl Future<Output = Result<(), VmOrderError>>;
+}
+
+/// What operators publish.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Published {
+    /// The configuration.
+    Configuration(Configuration),
+    /// VMs that are to have their upkeep.
+    Wave(Wave),
+    /// Something that is of no interest here.
+    Other,
+}
+
 /// Why a record of the platform can't be read.
 #[derive(Debug, Clone, PartialEq, Eq, Error)]
 #[error("{0}")]
@@ -322,15 +400,18 @@
     /// Fails where the record is not in the published form.
     fn worker(&self, key: &str, value: &[u8]) -> Result<WorkerSpec, FormatError>;
 
-    /// Reads a record of the operators; none where it is no configuration.
+    /// Reads a record of the operators.
     ///
     /// # Errors
     ///
     /// Fails where the record is not in the published form.
-    fn configuration(&self, key: &str, value: &[u8]) -> Result<Option<Configuration>, FormatError>;
+    fn published(&self, key: &str, value: &[u8]) -> Result<Published, FormatError>;
+
+    /// Makes the record that tells operators how far a wave is.
+    fn wave_status(&self, wave: u64, completed: bool) -> Record;
 }
 
 /// Everything that a node needs of its platform.
-pub trait Platform: Store + WorkerPort + AdvicePort + Formats + 'static {}
+pub trait Platform: Store + WorkerPort + AdvicePort + VmPort + Formats + 'static {}
 
-impl<P> Platform for P where P: Store + WorkerPort + AdvicePort + Formats + 'static {}
+impl<P> Platform for P where P: Store + WorkerPort + AdvicePort + VmPort + Formats + 'static {}
--- a/crates/cell/src/records.rs
+++ b/crates/cell/src/records.rs
@@ -1,6 +1,7 @@
 //! The records that a cell keeps in the store, in JSON so that operators can read them.
 
 use std::cmp::Ordering;
+use std::collections::BTreeMap;
 
 use bytes::Bytes;
 use serde::Deserialize;
@@ -10,6 +11,7 @@
 use syc_sched::JobId;
 use syc_sched::JobProgress;
 use syc_sched::JobSpec;
+use syc_sched::WaveProgress;
 use syc_sched::WorkerSpec;
 
 use crate::ports::Record;
@@ -23,6 +25,9 @@
 /// What the keys of the records begin with that name the workers that may run something.
 const ROSTER_PREFIX: &str = "workers/";
 
+/// What the keys of the records begin with that say how far a wave of upkeep is.
+const WAVE_PREFIX: &str = "waves/";
+
 /// Most workers that one record names: some fifty kilobytes, well within what the store takes.
 const WORKERS_OF_RECORD: usize = 200;
 
@@ -158,6 +163,66 @@
     }
 }
 
+/// Says how far a wave of upkeep is.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WaveRecord {
+    /// The fencing token of the scheduler.
+    pub token: u64,
+    /// Number of the change since the scheduler began.
+    pub change: u64,
+    /// How far it is.
+    pub progress: WaveProgress,
+}
+
+/// Makes the record of how far a wave is.
+#[must_use]
+pub fn wave(token: u64, change: u64, progress: &WaveProgress) -> Record {
+    let number = progress.number;
+    let record = WaveRecord {
+        token,
+        change,
+        progress: progress.clone(),
+    };
+    Record {
+        key: format_smolstr!("{WAVE_PREFIX}{number}"),
+        value: encode(&record),
+    }
+}
+
+/// Reads how far each wave is, by its latest record, and what can't be read.
+#[must_use]
+pub fn read_waves<'a, I>(records: I) -> (Vec<WaveProgress>, Vec<(SmolStr, serde_json::Error)>)
+where
+    I: IntoIterator<Item = &'a Record>,
+{
+    let mut latest: BTreeMap<SmolStr, WaveRecord> = BTreeMap::new();
+    let mut unreadable = Vec::new();
+    for record in records {
+        if !record.key.starts_with(WAVE_PREFIX) || record.value.is_empty() {
+            continue;
+        }
+        let read = match serde_json::from_slice::<WaveRecord>(&record.value) {
+            Ok(read) => read,
+            Err(error) => {
+                unreadable.push((record.key.clone(), error));
+                continue;
+            }
+        };
+        let known = latest.entry(record.key.clone()).or_default();
+        if (read.token, read.change) >= (known.token, known.change) {
+            *known = read;
+        }
+    }
+    let waves = latest.into_values().map(|record| record.progress);
+    (waves.collect(), unreadable)
+}
+
+/// Says whether a record of the topic of progress is that of a job.
+#[must_use]
+pub fn is_of_job(record: &Record) -> bool {
+    !is_roster(record) && !record.key.starts_with(WAVE_PREFIX)
+}
+
 /// Says whether a record is part of a roster.
 #[must_use]
 pub fn is_roster(record: &Record) -> bool {
--- a/crates/cell/src/settings.rs
+++ b/crates/cell/src/settings.rs
@@ -25,6 +25,10 @@
     pub partitions: u32,
     /// What its link carries, in megabits a second.
     pub link_mbps: f64,
+    /// Time that the upkeep of a VM takes.
+    pub upkeep_ms: u64,
+    /// A new scheduler gives no orders about VMs for this long: those of its predecessor are old then.
+    pub vm_order_pause_ms: u64,
     /// Times that it works by.
     pub timing: Timing,
 }
--- a/crates/cell/tests/cell/cluster.rs
+++ b/crates/cell/tests/cell/cluster.rs
@@ -253,6 +253,8 @@
         status_ms: 120_000,
         partitions: 4,
         link_mbps: 1_000.0,
+        upkeep_ms: 300,
+        vm_order_pause_ms: 100,
         timing: Timing::default(),
     }
 }
@@ -266,6 +268,7 @@
             timeout_ms: 3_000,
             policy: policy(),
         }],
+        standby: Vec::new(),
         body_limit_bytes: 1_000_000,
     }
 }
@@ -297,6 +300,7 @@
         labels: Vec::new(),
         capacity: cpu(8),
         draining: false,
+        vm: None,
     }
 }
 
--- a/crates/cell/tests/cell/main.rs
+++ b/crates/cell/tests/cell/main.rs
@@ -9,3 +9,4 @@
 mod stages;
 mod store;
 mod takeover;
+mod vms;
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -31,6 +31,9 @@
 use crate::sharing::TailModel;
 use crate::sharing::TailModels;
 
+/// A task that lasts is at work after this time.
+const STARTUP_MS: u64 = 200;
+
 /// How a task goes, whatever is ordered.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Plan {
@@ -65,6 +68,8 @@
     run: Run,
     resources: Resources,
     gang: bool,
+    /// Whether it runs until it is stopped.
+    lasts: bool,
     began_at: Millis,
     /// Work done, and work that was done before it began here.
     done_ms: u64,
@@ -161,6 +166,17 @@
     }
 }
 
+impl LiveRun {
+    /// Returns how far it is; one that lasts is at work once it has started up.
+    fn percent(&self) -> u8 {
+        if self.lasts {
+            return if self.done_ms >= STARTUP_MS { 100 } else { 0 };
+        }
+        let percent = self.done_ms * 100 / self.plan.work_ms.max(1);
+        u8::try_from(percent.min(99)).unwrap_or(99)
+    }
+}
+
 fn checkpoint_of(live: &LiveRun) -> SmolStr {
     if live.saves && live.done_ms > 0 {
         format_smolstr!("{}", live.done_ms)
@@ -185,6 +201,42 @@
         self.workers.insert(worker.id.clone(), worker);
     }
 
+    /// Takes a worker down by an order about its VM.
+    pub fn interrupt(&mut self, id: &WorkerId, now: Millis) {
+        self.advance(now);
+        let Some(worker) = self.workers.get(id) else {
+            return;
+        };
+        let tasks: Vec<_> = worker.runs.keys().copied().collect();
+        let mut gone: BTreeMap<StepId, u32> = BTreeMap::new();
+        for task in tasks {
+            let before = gone.entry(task.step).or_default();
+            if self.is_at_work(id, task) {
+                *before += 1;
+                let others = self.at_work(task.step).saturating_sub(*before);
+                self.judge.interrupted(task, others);
+            }
+        }
+        self.crash(id);
+    }
+
+    fn is_at_work(&self, id: &WorkerId, task: TaskId) -> bool {
+        let worker = self.workers.get(id);
+        let live = worker.and_then(|worker| worker.runs.get(&task));
+        live.is_some_and(|live| live.lasts && live.percent() == 100)
+    }
+
+    /// Counts the tasks of a step that last and are at work.
+    fn at_work(&self, step: StepId) -> u32 {
+        let mut count = 0;
+        for worker in self.workers.values() {
+            for (task, live) in &worker.runs {
+                count += u32::from(task.step == step && live.lasts && live.percent() == 100);
+            }
+        }
+        count
+    }
+
     /// Takes a worker down: everything on it ends at once, without a report.
     pub fn crash(&mut self, id: &WorkerId) {
         let Some(worker) = self.workers.remove(id) else {
@@ -243,6 +295,7 @@
                 run: command.run,
                 resources: step.room(),
                 gang: step.gang,
+                lasts: step.long_running,
                 began_at: now,
                 done_ms,
                 plan,
@@ -269,10 +322,15 @@
         now: Millis,
     ) -> Result<(), OrderError> {
         self.advance(now);
+        let is_at_work = self.is_at_work(id, command.task);
+        let others = self.at_work(command.task.step).saturating_sub(1);
         let worker = self.workers.get_mut(id).ok_or(OrderError::Replaced)?;
         worker.check_token(command.token)?;
         let live = worker.runs.get(&command.task);
         if live.is_some_and(|live| live.run == command.run) {
+            if is_at_work {
+                self.judge.interrupted(command.task, others);
+            }
             worker.end(command.task, RunEnd::Stopped, &mut self.judge);
             self.break_gang(command.task.step, command.run);
             return Ok(());
@@ -338,12 +396,11 @@
         };
         let disturbs_cpu_millis = worker.disturbs_cpu_millis();
         for (task, live) in &worker.runs {
-            let percent = live.done_ms * 100 / live.plan.work_ms.max(1);
             report.running.push(RunningReport {
                 task: *task,
                 run: live.run,
                 checkpoint: checkpoint_of(live),
-                percent: u8::try_from(percent.min(99)).unwrap_or(99),
+                percent: live.percent(),
                 load: live.sharing.tail_ms(&self.tails, disturbs_cpu_millis),
             });
         }
--- a/crates/fleet/src/judge.rs
+++ b/crates/fleet/src/judge.rs
@@ -26,6 +26,12 @@
     BeyondAttempts(TaskId),
     /// More tasks of a step on one worker than it may have.
     TooClose(TaskId),
+    /// More VMs of a wave down at a time than may be.
+    TooManyDown(u64),
+    /// A wave was said to be completed, and a VM of it had not had its upkeep.
+    WaveNotDone(u64),
+    /// A task at work was ended by an order while as many others of its step were away as may be.
+    TooManyAway(TaskId),
     /// A task's users waited too long for seconds because of what filled its worker.
     Harmed(TaskId),
     /// A start of something that nobody submitted, or that was cancelled long ago.
@@ -41,6 +47,8 @@
     acknowledged_done: BTreeSet<TaskId>,
     acknowledged_failures: BTreeMap<StepId, BTreeMap<u32, BTreeSet<Run>>>,
     forbidden: BTreeSet<JobId>,
+    /// Jobs whose tasks may end: they were cancelled.
+    released: BTreeSet<JobId>,
     faults: Vec<Fault>,
 }
 
@@ -55,6 +63,25 @@
         self.forbidden.insert(job);
     }
 
+    /// From now on, nobody minds which tasks of the job are away.
+    pub fn release(&mut self, job: JobId) {
+        self.released.insert(job);
+    }
+
+    /// A task at work ends by an order, while so many others of its step are at work.
+    pub(crate) fn interrupted(&mut self, task: TaskId, others_at_work: u32) {
+        let Some(step) = self.step_of(task) else {
+            return;
+        };
+        let Some(limit) = step.unavailable_limit else {
+            return;
+        };
+        let away = (step.tasks - 1).saturating_sub(others_at_work);
+        if away >= limit && !self.released.contains(&task.step.job) {
+            self.faults.push(Fault::TooManyAway(task));
+        }
+    }
+
     /// Returns what was broken so far.
     #[must_use]
     pub fn faults(&self) -> &[Fault] {
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -10,6 +10,7 @@
 mod shared;
 mod sharing;
 mod store;
+mod vms;
 
 pub use fleet::FleetModel;
 pub use fleet::Plan;
@@ -20,3 +21,4 @@
 pub use shared::SharedPlatform;
 pub use sharing::TailModel;
 pub use store::StoreModel;
+pub use vms::VmsModel;
--- a/crates/fleet/src/shared.rs
+++ b/crates/fleet/src/shared.rs
@@ -20,10 +20,12 @@
 use syc_cell::ports::Condition;
 use syc_cell::ports::FormatError;
 use syc_cell::ports::Formats;
+use syc_cell::ports::ListError;
 use syc_cell::ports::Newest;
 use syc_cell::ports::OrderError;
 use syc_cell::ports::PaceCommand;
 use syc_cell::ports::Page;
+use syc_cell::ports::Published;
 use syc_cell::ports::ReadError;
 use syc_cell::ports::Record;
 use syc_cell::ports::Renewal;
@@ -32,14 +34,25 @@
 use syc_cell::ports::StopCommand;
 use syc_cell::ports::Store;
 use syc_cell::ports::Topic;
+use syc_cell::ports::VmCommand;
+use syc_cell::ports::VmOrderError;
+use syc_cell::ports::VmPage;
+use syc_cell::ports::VmPort;
 use syc_cell::ports::WorkerAddress;
 use syc_cell::ports::WorkerPort;
 use syc_sched::StepId;
+use syc_sched::Wave;
 use syc_sched::WorkerSpec;
+use syc_types::RackId;
+use syc_types::Resources;
+use syc_types::ServiceName;
+use syc_types::VmId;
 use syc_types::WorkerId;
+use syc_types::Zone;
 
 use crate::FleetModel;
 use crate::StoreModel;
+use crate::VmsModel;
 
 /// A waiting call looks this often whether there is news.
 const LOOK_MS: u64 = 2;
@@ -47,6 +60,12 @@
 /// Time that each call takes at least.
 const CALL_MS: u64 = 1;
 
+/// Time that an upkeep or a move of a VM takes.
+const VM_ORDER_MS: u64 = 200;
+
+/// What the keys of records about waves of upkeep begin with.
+const WAVE_PREFIX: &str = "wave/";
+
 /// Time for which tickets are valid.
 const TICKET_MS: u64 = 2_000;
 
@@ -67,10 +86,13 @@
     pub lost_starts: u32,
 }
 
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct State {
     store: StoreModel,
     fleet: FleetModel,
+    vms: VmsModel,
+    /// Workers that have started on VMs.
+    lives: u64,
     specs: HashMap<SmolStr, WorkerSpec>,
     configurations: HashMap<SmolStr, Configuration>,
     faults: SharedFaults,
@@ -80,6 +102,23 @@
     most_orders: usize,
 }
 
+impl Default for State {
+    fn default() -> Self {
+        Self {
+            store: StoreModel::default(),
+            fleet: FleetModel::default(),
+            vms: VmsModel::new(VM_ORDER_MS),
+            lives: 0,
+            specs: HashMap::new(),
+            configurations: HashMap::new(),
+            faults: SharedFaults::default(),
+            advice_calls: 0,
+            orders: HashMap::new(),
+            most_orders: 0,
+        }
+    }
+}
+
 /// The platform of one node; all nodes share what is behind it.
 #[derive(Debug, Clone)]
 pub struct SharedPlatform {
@@ -123,6 +162,91 @@
             .append(Topic::Workers, 0, &[record], &Condition::None);
     }
 
+    /// Adds a VM with a worker on it, which the pool's service registers.
+    pub fn add_vm(&self, id: &VmId, pool: &ServiceName, capacity: Resources) {
+        let mut state = self.lock();
+        state.vms.add(id.clone(), pool.clone(), capacity);
+        drop(state);
+        self.start_worker(id, pool);
+    }
+
+    /// Adds a VM that is off until it is moved to another pool.
+    pub fn add_standby_vm(&self, id: &VmId, pool: &ServiceName, capacity: Resources) {
+        let mut state = self.lock();
+        state.vms.add(id.clone(), pool.clone(), capacity);
+        state.vms.keep_off(pool.clone());
+    }
+
+    fn start_worker(&self, vm: &VmId, pool: &ServiceName) {
+        let (id, capacity) = {
+            let mut state = self.lock();
+            state.lives += 1;
+            let id = WorkerId::new(format!("{vm}-life-{}", state.lives));
+            state.vms.set_worker(vm, id.clone());
+            (id, state.vms.capacity_of(vm))
+        };
+        self.register(WorkerSpec {
+            id,
+            service: pool.clone(),
+            address: SmolStr::new_static("127.0.0.1:1"),
+            zone: Zone::new("zone"),
+            rack: RackId::new("rack"),
+            labels: Vec::new(),
+            capacity,
+            draining: false,
+            vm: Some(vm.clone()),
+        });
+    }
+
+    fn bring_vms_back(&self) {
+        let (back, gone) = {
+            let mut state = self.lock();
+            let back = state.vms.advance(now());
+            (back, state.vms.take_ended())
+        };
+        for worker in gone {
+            self.unlist(&worker);
+        }
+        for (vm, pool) in back {
+            self.start_worker(&vm, &pool);
+        }
+    }
+
+    /// Publishes a wave of upkeep.
+    pub fn publish_wave(&self, wave: Wave) {
+        let record = Record {
+            key: format_smolstr!("{WAVE_PREFIX}{}", wave.number),
+            value: "wave".into(),
+        };
+        let mut state = self.lock();
+        state.vms.publish(wave);
+        // Without a condition, nothing can be refused.
+        let _appended = state
+            .store
+            .append(Topic::Operators, 0, &[record], &Condition::None);
+    }
+
+    /// Returns what operators were told last of a wave.
+    #[must_use]
+    pub fn wave_told(&self, wave: u64) -> Option<SmolStr> {
+        let key = format_smolstr!("{WAVE_PREFIX}{wave}");
+        let state = self.lock();
+        let newest = state.store.newest(Topic::Status, 0);
+        let (_, record) = newest
+            .records
+            .iter()
+            .find(|(_, record)| record.key == key)?;
+        Some(SmolStr::from(String::from_utf8_lossy(&record.value)))
+    }
+
+    /// Works on the VMs.
+    pub fn with_vms<F, T>(&self, work: F) -> T
+    where
+        F: FnOnce(&mut VmsModel) -> T,
+    {
+        work(&mut self.lock().vms)
+    }
+
     /// Removes a worker from the list; it goes on running what it runs.
     pub fn unlist(&self, worker: &WorkerId) {
         let record = Record {
@@ -382,15 +506,51 @@
         spec.ok_or_else(|| FormatError(format!("no worker `{key}` was registered")))
     }
 
-    fn configuration(
-        &self,
-        _key: &str,
-        value: &[u8],
-    ) -> Result<Option<Configuration>, FormatError> {
+    fn published(&self, key: &str, value: &[u8]) -> Result<Published, FormatError> {
+        let state = self.lock();
+        if let Some(number) = key.strip_prefix(WAVE_PREFIX) {
+            let number = number.parse().ok();
+            let wave = number.and_then(|number: u64| state.vms.wave(number));
+            return Ok(wave.cloned().map_or(Published::Other, Published::Wave));
+        }
         let name = String::from_utf8_lossy(value);
-        let configuration = self.lock().configurations.get(&*name).cloned();
+        let configuration = state.configurations.get(&*name).cloned();
         configuration
-            .map(Some)
+            .map(Published::Configuration)
             .ok_or_else(|| FormatError(format!("no configuration `{name}` was published")))
     }
+
+    fn wave_status(&self, wave: u64, completed: bool) -> Record {
+        Record {
+            key: format_smolstr!("{WAVE_PREFIX}{wave}"),
+            value: if completed { "completed" } else { "running" }.into(),
+        }
+    }
+}
+
+impl VmPort for SharedPlatform {
+    async fn list_vms(&self, from: Option<&str>, _timeout_ms: u64) -> Result<VmPage, ListError> {
+        pause(CALL_MS).await;
+        self.bring_vms_back();
+        let listed = self.lock().vms.list();
+        // In two parts, so that both are asked for.
+        let (first, rest) = listed.split_at(listed.len() / 2);
+        Ok(match from {
+            None => VmPage {
+                vms: first.to_vec(),
+                next: Some(SmolStr::new_static("rest")),
+            },
+            Some(_) => VmPage {
+                vms: rest.to_vec(),
+                next: None,
+            },
+        })
+    }
+
+    async fn order_vm(&self, command: &VmCommand, _timeout_ms: u64) -> Result<(), VmOrderError> {
+        pause(CALL_MS).await;
+        let mut state = self.lock();
+        let State { vms, fleet, .. } = &mut *state;
+        vms.order(fleet, command, now())
+    }
 }
--- a/crates/obs/src/events.rs
+++ b/crates/obs/src/events.rs
@@ -184,6 +184,16 @@
     WORKER_LISTED = 741, Info, "worker list changed";
     /// What fills a worker goes at another pace.
     PACE_CHANGED = 742, Info, "pace of a worker's filling changed";
+    /// Operators want VMs to have their upkeep.
+    WAVE_SEEN = 743, Info, "wave of upkeep seen";
+    /// Operators were told how far a wave of upkeep is.
+    WAVE_TOLD = 744, Info, "wave of upkeep told";
+    /// An order about a VM was answered, or not.
+    VM_ORDERED = 745, Info, "order about a VM answered";
+    /// A VM comes to a service, or goes back.
+    POOL_CHANGE = 746, Info, "pool of a service changes";
+    /// The VMs could not be listed.
+    VMS_UNLISTED = 747, Warn, "VMs not listed";
     /// A configuration came into force, or was held back.
     CONFIGURATION_SEEN = 750, Info, "configuration seen";
     /// A record of the store can't be read.
--- a/crates/sched/src/event.rs
+++ b/crates/sched/src/event.rs
@@ -7,14 +7,20 @@
 use syc_types::RackId;
 use syc_types::Resources;
 use syc_types::ServiceName;
+use syc_types::VmId;
 use syc_types::WorkerId;
 use syc_types::Zone;
 
+use crate::Duty;
+use crate::DutyAnswer;
 use crate::JobId;
 use crate::JobSpec;
 use crate::Run;
 use crate::StepId;
 use crate::TaskId;
+use crate::VmInfo;
+use crate::VmNote;
+use crate::Wave;
 use crate::WorkerKey;
 
 /// What a worker says of itself where workers register.
@@ -36,6 +42,9 @@
     pub capacity: Resources,
     /// Whether it is about to leave.
     pub draining: bool,
+    /// The VM that it runs on, where that is told.
+    #[serde(default)]
+    pub vm: Option<VmId>,
 }
 
 /// How a run ended, as its worker lists it.
@@ -263,6 +272,33 @@
         /// What it came to.
         answer: AdviceAnswer,
     },
+    /// Operators want VMs to have their upkeep.
+    WavePublished {
+        /// The VMs, and how it is to be done.
+        wave: Wave,
+        /// Time since this node read of it.
+        age_ms: u64,
+    },
+    /// The store has taken how far a wave is.
+    WaveRecorded {
+        /// The wave.
+        wave: u64,
+        /// Number of the change up to which it was written.
+        change: u64,
+    },
+    /// The services whose VMs are off until they are moved to another pool.
+    StandbySet(Vec<ServiceName>),
+    /// The platform listed the VMs, or did not.
+    VmsListed(Option<Vec<VmInfo>>),
+    /// An order about a VM came to something.
+    VmOrderAnswered {
+        /// The VM.
+        vm: VmId,
+        /// What was ordered.
+        duty: Duty,
+        /// What it came to.
+        answer: DutyAnswer,
+    },
     /// The store has taken the progress of jobs.
     Recorded {
         /// The jobs, each with the number of the change up to which its progress was written.
@@ -341,6 +377,22 @@
         /// Time that the call is expected to be served.
         expected_ms: f64,
     },
+    /// List the VMs.
+    ListVms,
+    /// Do something with a VM.
+    OrderVm {
+        /// The VM.
+        vm: VmId,
+        /// What to do.
+        duty: Duty,
+    },
+    /// Tell the operators how far a wave is.
+    TellWave {
+        /// The wave.
+        wave: u64,
+        /// Whether every VM that stays has begun its upkeep.
+        completed: bool,
+    },
     /// Remove what is kept of a job's specification: its state says all that is still asked.
     DropSpec(JobId),
     /// Remove everything that is kept of a job.
@@ -366,6 +418,8 @@
     Unwanted,
     /// Its start was not answered.
     StartInDoubt,
+    /// Its worker's VM is about to be taken.
+    Emptying,
 }
 
 impl StopReason {
@@ -380,6 +434,7 @@
             Self::Draining => "draining",
             Self::Unwanted => "unwanted",
             Self::StartInDoubt => "start_in_doubt",
+            Self::Emptying => "emptying",
         }
     }
 }
@@ -460,6 +515,8 @@
         /// Runs that fill.
         fills: usize,
     },
+    /// Something about whole VMs.
+    Vm(VmNote),
     /// The takeover is complete: nothing that runs is unknown any more.
     Recovered {
         /// Runs that were adopted.
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -14,6 +14,7 @@
 //! - a change of a job's progress counts only when the store has it.
 
 mod advice;
+mod duty;
 mod event;
 mod gang;
 mod headroom;
@@ -23,16 +24,26 @@
 mod orders;
 mod pacing;
 mod place;
+mod pools;
 mod progress;
 mod recovery;
 mod reports;
 mod scheduler;
 mod spec;
 mod units;
+mod upkeep;
+mod vms;
 mod waiting;
 mod watch;
 mod worker;
 
+pub use duty::Duty;
+pub use duty::DutyAnswer;
+pub use duty::VmInfo;
+pub use duty::VmNote;
+pub use duty::VmState;
+pub use duty::Wave;
+pub use duty::WaveProgress;
 pub use event::Action;
 pub use event::AdviceAnswer;
 pub use event::Allowed;
--- a/crates/sched/src/options.rs
+++ b/crates/sched/src/options.rs
@@ -37,6 +37,10 @@
     /// A task, or a gang, that failed on some workers goes elsewhere; where there is no room it
     /// waits this long, and then takes them again: others may never be allowed.
     pub avoid_ms: u64,
+    /// Time that the upkeep of a VM takes.
+    pub upkeep_ms: u64,
+    /// A new scheduler gives no orders about VMs for this long: those of its predecessor are old then.
+    pub vm_order_pause_ms: u64,
     /// Workers named in the first call for advice about a gang, at least.
     pub gang_advice_workers: usize,
     /// Workers named in the first call for advice about a single task, at least.
@@ -61,6 +65,8 @@
             reservation_ms: 3_000,
             gang_patience_ms: 1_500,
             avoid_ms: 1_000,
+            upkeep_ms: 2_000,
+            vm_order_pause_ms: 3_500,
             gang_advice_workers: 36,
             task_advice_workers: 10,
         }
--- /dev/null
+++ b/crates/sched/src/pools.rs
@@ -0,0 +1,271 @@
+//! Pools on standby: VMs come to a service that lacks room for what waits, and go back when idle.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use syc_types::Millis;
+use syc_types::Resources;
+use syc_types::ServiceName;
+use syc_types::VmId;
+
+use crate::Action;
+use crate::Duty;
+use crate::DutyAnswer;
+use crate::Note;
+use crate::Scheduler;
+use crate::VmNote;
+use crate::VmState;
+
+/// A service that lacks room for this long gets VMs. A move takes longer than most bursts of small
+/// tasks, and is paid for.
+const SHORT_MS: u64 = 1_000;
+
+/// A VM that came and was idle for this long goes back, where half of the service's room is free.
+const IDLE_MS: u64 = 10_000;
+
+/// VMs that are on their way at the same time.
+const MOVES_AT_ONCE: usize = 6;
+
+/// A move that was done is seen in a list after this time at the latest; else it did not take place.
+const MOVE_LIMIT_MS: u64 = 10_000;
+
+/// A VM on its way to a pool.
+#[derive(Debug, Clone)]
+struct Moving {
+    pool: ServiceName,
+    ordered_at: Millis,
+    /// Whether an answer is awaited.
+    awaited: bool,
+    /// When it was done.
+    done_at: Option<Millis>,
+}
+
+/// What is known of services and their VMs.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Pools {
+    standby: BTreeSet<ServiceName>,
+    /// Since when each service lacks room.
+    short_since: BTreeMap<ServiceName, Millis>,
+    moving: BTreeMap<VmId, Moving>,
+    /// VMs that came from a pool on standby, and from which.
+    lent: BTreeMap<VmId, ServiceName>,
+    idle_since: BTreeMap<VmId, Millis>,
+    /// VMs that can't be in a pool.
+    unfit: BTreeSet<(VmId, ServiceName)>,
+}
+
+/// What a service asks for and has.
+#[derive(Debug, Clone, Copy, Default)]
+struct Demand {
+    waiting: Resources,
+    free: Resources,
+    capacity: Resources,
+}
+
+impl Scheduler {
+    pub(crate) fn set_standby(&mut self, services: Vec<ServiceName>) {
+        self.pools.standby = services.into_iter().collect();
+    }
+
+    /// Brings VMs to services that lack room, and sends idle ones back.
+    pub(crate) fn watch_pools(&mut self, now: Millis) {
+        if self.pools.standby.is_empty() || !self.recovery.is_settled() {
+            return;
+        }
+        let demands = self.demands(now);
+        let lacks = |demand: &Demand| !demand.waiting.fits_in(&demand.free);
+        let is_quiet = self.pools.moving.is_empty() && self.pools.lent.is_empty();
+        if is_quiet && !demands.values().any(lacks) {
+            self.pools.short_since.clear();
+            return;
+        }
+        self.ask_for_vms(now);
+        if now < self.vms.orders_from || self.vms.listed_at.is_none() {
+            return;
+        }
+        self.finish_moves(now);
+        for (service, demand) in &demands {
+            if lacks(demand) {
+                self.bring_vms(service, demand, now);
+            } else {
+                self.pools.short_since.remove(service);
+            }
+        }
+        self.send_back(&demands, now);
+        self.repeat_moves(now);
+    }
+
+    /// Adds up what waits in each service, and what its workers have; VMs on their way count as free.
+    fn demands(&self, now: Millis) -> BTreeMap<ServiceName, Demand> {
+        let mut demands: BTreeMap<ServiceName, Demand> = BTreeMap::new();
+        for worker in self.workers.values() {
+            if !worker.usable(now) {
+                continue;
+            }
+            let demand = demands.entry(worker.spec.service.clone()).or_default();
+            demand.free = demand.free.saturating_add(&worker.room());
+            demand.capacity = demand.capacity.saturating_add(&worker.spec.capacity);
+        }
+        for (vm, moving) in &self.pools.moving {
+            let Some(info) = self.vms.known.get(vm) else {
+                continue;
+            };
+            let demand = demands.entry(moving.pool.clone()).or_default();
+            demand.free = demand.free.saturating_add(&info.capacity);
+        }
+        for key in &self.open {
+            let job = &self.jobs[*key];
+            for (index, step) in job.steps.iter().enumerate() {
+                if step.pending == 0 || !job.is_ready(index, now) {
+                    continue;
+                }
+                let tasks = step.pending.saturating_mul(step.members());
+                let waiting = step.spec.room().saturating_mul(tasks);
+                let service = job.spec.policy.service.clone();
+                let demand = demands.entry(service).or_default();
+                demand.waiting = demand.waiting.saturating_add(&waiting);
+            }
+        }
+        demands.retain(|service, _| !self.pools.standby.contains(service));
+        demands
+    }
+
+    /// Forgets the moves that the list shows, and those that did not take place.
+    fn finish_moves(&mut self, now: Millis) {
+        let vms = &self.vms;
+        self.pools.moving.retain(|vm, moving| {
+            let Some(done_at) = moving.done_at else {
+                return vms.known.contains_key(vm);
+            };
+            let seen = vms.seen_since(vm, done_at);
+            let is_there =
+                seen.is_some_and(|info| info.pool == moving.pool && info.state == VmState::Up);
+            !is_there && now.since(done_at) < MOVE_LIMIT_MS
+        });
+    }
+
+    fn bring_vms(&mut self, service: &ServiceName, demand: &Demand, now: Millis) {
+        let since = *self.pools.short_since.entry(service.clone()).or_insert(now);
+        if now.since(since) < SHORT_MS {
+            return;
+        }
+        let mut lacking = demand.waiting.saturating_sub(&demand.free);
+        let candidates: Vec<_> = self
+            .vms
+            .known
+            .values()
+            .filter(|info| info.state == VmState::Up && self.pools.standby.contains(&info.pool))
+            .cloned()
+            .collect();
+        for info in candidates {
+            let is_busy = self.pools.moving.contains_key(&info.id);
+            let is_unfit = self
+                .pools
+                .unfit
+                .contains(&(info.id.clone(), service.clone()));
+            if is_busy || is_unfit {
+                continue;
+            }
+            if self.pools.moving.len() >= MOVES_AT_ONCE || lacking == Resources::ZERO {
+                return;
+            }
+            lacking = lacking.saturating_sub(&info.capacity);
+            self.pools.lent.insert(info.id.clone(), info.pool.clone());
+            self.note_pool_change(service, &info.id, demand, true);
+            self.order_move(info.id, service.clone(), now);
+        }
+    }
+
+    /// Sends VMs back that came for a while and have nothing to do any more.
+    fn send_back(&mut self, demands: &BTreeMap<ServiceName, Demand>, now: Millis) {
+        let lent: Vec<_> = self.pools.lent.clone().into_iter().collect();
+        for (vm, home) in lent {
+            if self.pools.moving.contains_key(&vm) {
+                continue;
+            }
+            let Some(worker) = self.worker_on(&vm) else {
+                continue;
+            };
+            let of_worker = &self.workers[worker];
+            let demand = demands.get(&of_worker.spec.service).copied();
+            let demand = demand.unwrap_or_default();
+            let half_free = demand.capacity.fits_in(&demand.free.saturating_mul(2));
+            if !of_worker.runs.is_empty() || !half_free {
+                self.pools.idle_since.remove(&vm);
+                continue;
+            }
+            let since = *self.pools.idle_since.entry(vm.clone()).or_insert(now);
+            if now.since(since) < IDLE_MS {
+                continue;
+            }
+            let service = of_worker.spec.service.clone();
+            self.workers[worker].emptying = true;
+            self.pools.lent.remove(&vm);
+            self.pools.idle_since.remove(&vm);
+            self.note_pool_change(&service, &vm, &demand, false);
+            self.order_move(vm, home, now);
+        }
+    }
+
+    fn note_pool_change(&mut self, service: &ServiceName, vm: &VmId, demand: &Demand, comes: bool) {
+        let note = VmNote::PoolChange {
+            service: service.clone(),
+            vm: vm.clone(),
+            comes,
+            waiting_cpu_millis: demand.waiting.cpu_millis,
+            free_cpu_millis: demand.free.cpu_millis,
+        };
+        self.actions.push(Action::Note(Note::Vm(note)));
+    }
+
+    fn order_move(&mut self, vm: VmId, pool: ServiceName, now: Millis) {
+        let moving = Moving {
+            pool: pool.clone(),
+            ordered_at: now,
+            awaited: true,
+            done_at: None,
+        };
+        self.pools.moving.insert(vm.clone(), moving);
+        self.actions.push(Action::OrderVm {
+            vm,
+            duty: Duty::Move { pool },
+        });
+    }
+
+    fn repeat_moves(&mut self, now: Millis) {
+        let mut again = Vec::new();
+        for (vm, moving) in &self.pools.moving {
+            let is_open = moving.done_at.is_none() && !moving.awaited;
+            if is_open && now.since(moving.ordered_at) >= self.options.order_retry_ms {
+                again.push((vm.clone(), moving.pool.clone()));
+            }
+        }
+        for (vm, pool) in again {
+            self.order_move(vm, pool, now);
+        }
+    }
+
+    /// Takes the answer to an order that a VM goes to a pool.
+    pub(crate) fn move_answered(
+        &mut self,
+        vm: &VmId,
+        pool: &ServiceName,
+        answer: DutyAnswer,
+        now: Millis,
+    ) {
+        let Some(moving) = self.pools.moving.get_mut(vm) else {
+            return;
+        };
+        moving.awaited = false;
+        match answer {
+            DutyAnswer::Done => moving.done_at = Some(now),
+            DutyAnswer::Busy | DutyAnswer::InDoubt => {}
+            DutyAnswer::Unfit => {
+                self.pools.unfit.insert((vm.clone(), pool.clone()));
+                self.pools.moving.remove(vm);
+                self.pools.lent.remove(vm);
+                self.keep_worker(vm);
+            }
+        }
+    }
+}
--- a/crates/sched/src/recovery.rs
+++ b/crates/sched/src/recovery.rs
@@ -56,6 +56,7 @@
                 }
             }
         }
+        self.vms.orders_from = now.plus(self.options.vm_order_pause_ms);
         let bound_ms = self.options.authority_ms + self.options.lease_bound_ms;
         for worker in self.workers.values_mut() {
             worker.lapse_at = worker.lapse_at.max(now.plus(bound_ms));
--- a/crates/sched/src/scheduler.rs
+++ b/crates/sched/src/scheduler.rs
@@ -10,6 +10,7 @@
 use syc_types::WorkerId;
 
 use crate::Action;
+use crate::Duty;
 use crate::Event;
 use crate::JobId;
 use crate::JobProgress;
@@ -25,7 +26,10 @@
 use crate::job::Job;
 use crate::job::UnitState;
 use crate::pacing::Disturbance;
+use crate::pools::Pools;
 use crate::recovery::Recovery;
+use crate::upkeep::Upkeep;
+use crate::vms::Vms;
 use crate::worker::Phase;
 use crate::worker::Worker;
 
@@ -94,6 +98,9 @@
     pub(crate) guarded: BTreeMap<WorkerKey, u32>,
     pub(crate) headroom: Headroom,
     pub(crate) disturbance: Disturbance,
+    pub(crate) vms: Vms,
+    pub(crate) upkeep: Upkeep,
+    pub(crate) pools: Pools,
     pub(crate) advice_slots: AdviceSlots,
     pub(crate) actions: Vec<Action>,
 }
@@ -116,6 +123,9 @@
             guarded: BTreeMap::new(),
             headroom: Headroom::default(),
             disturbance: Disturbance::default(),
+            vms: Vms::default(),
+            upkeep: Upkeep::default(),
+            pools: Pools::default(),
             advice_slots: AdviceSlots::UNBOUNDED,
             actions: Vec::new(),
         }
@@ -169,6 +179,14 @@
                 asked,
                 answer,
             } => self.advised(step, &asked, answer, now),
+            Event::WavePublished { wave, age_ms } => self.wave_published(wave, age_ms, now),
+            Event::WaveRecorded { wave, change } => self.wave_recorded(wave, change),
+            Event::StandbySet(services) => self.set_standby(services),
+            Event::VmsListed(vms) => self.vms_listed(vms, now),
+            Event::VmOrderAnswered { vm, duty, answer } => match duty {
+                Duty::Upkeep { wave } => self.upkeep_answered(wave, &vm, answer, now),
+                Duty::Move { pool } => self.move_answered(&vm, &pool, answer, now),
+            },
             Event::Recorded { jobs } => self.recorded(&jobs),
             Event::Ticked => self.watch(now),
         }
@@ -239,7 +257,7 @@
     /// Says whether some progress is not in the store yet.
     #[must_use]
     pub fn has_records(&self) -> bool {
-        !self.dirty.is_empty()
+        !self.dirty.is_empty() || self.upkeep.has_changes()
     }
 
     /// Takes the progress of the jobs that changed, with the number of the change that it includes.
--- /dev/null
+++ b/crates/sched/src/vms.rs
@@ -0,0 +1,146 @@
+//! The VMs under the workers, as the platform listed them last.
+
+use std::collections::BTreeMap;
+
+use syc_types::Millis;
+use syc_types::VmId;
+
+use crate::Action;
+use crate::Scheduler;
+use crate::StopReason;
+use crate::VmInfo;
+use crate::WorkerKey;
+use crate::worker::Phase;
+use crate::worker::Worker;
+
+/// While something is to be done with VMs, they are listed this often.
+const LIST_MS: u64 = 500;
+
+/// A list that was asked for and did not come is asked for again after this time.
+const LIST_TIMEOUT_MS: u64 = 2_000;
+
+/// What is known of the VMs.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Vms {
+    pub(crate) known: BTreeMap<VmId, VmInfo>,
+    /// When the latest list was asked for that has come.
+    pub(crate) listed_at: Option<Millis>,
+    asked_at: Option<Millis>,
+    /// No orders about VMs before this time: a predecessor's must be old by then.
+    pub(crate) orders_from: Millis,
+}
+
+impl Vms {
+    /// Says whether the platform listed a VM since a time, and what it is doing.
+    pub(crate) fn seen_since(&self, id: &VmId, since: Millis) -> Option<&VmInfo> {
+        let listed_at = self.listed_at?;
+        self.known.get(id).filter(|_| listed_at > since)
+    }
+}
+
+impl Scheduler {
+    /// Asks for the list of VMs if the last one is old.
+    pub(crate) fn ask_for_vms(&mut self, now: Millis) {
+        let vms = &mut self.vms;
+        let waits = vms
+            .asked_at
+            .is_some_and(|at| now.since(at) < LIST_TIMEOUT_MS);
+        let fresh = vms.listed_at.is_some_and(|at| now.since(at) < LIST_MS);
+        if waits || fresh {
+            return;
+        }
+        vms.asked_at = Some(now);
+        self.actions.push(Action::ListVms);
+    }
+
+    pub(crate) fn vms_listed(&mut self, listed: Option<Vec<VmInfo>>, now: Millis) {
+        let asked_at = self.vms.asked_at.take();
+        let Some(listed) = listed else {
+            return;
+        };
+        self.vms.listed_at = Some(asked_at.unwrap_or(now));
+        let listed = listed.into_iter().map(|vm| (vm.id.clone(), vm));
+        self.vms.known = listed.collect();
+    }
+
+    /// Returns the worker on a VM.
+    pub(crate) fn worker_on(&self, vm: &VmId) -> Option<WorkerKey> {
+        let mut workers = self.workers.iter();
+        let found =
+            workers.find(|(_, worker)| worker.listed && worker.spec.vm.as_ref() == Some(vm));
+        found.map(|(key, _)| key)
+    }
+
+    /// Moves the work off a worker: what is saved goes on elsewhere, what lasts is started elsewhere as
+    /// far as its users can bear it, the rest may end. Says whether nothing is left.
+    pub(crate) fn empty_worker(&mut self, key: WorkerKey, now: Millis) -> bool {
+        self.workers[key].emptying = true;
+        let mut saved = Vec::new();
+        let mut lasting = Vec::new();
+        for ((task, run), of_run) in &self.workers[key].runs {
+            if of_run.phase != Phase::Running {
+                continue;
+            }
+            if of_run.checkpointed {
+                saved.push((*task, *run));
+            } else if of_run.lasts {
+                lasting.push((*task, *run));
+            }
+        }
+        for (task, run) in saved {
+            self.stop_run(key, task, run, StopReason::Emptying, now);
+        }
+        for (task, run) in lasting {
+            if self.may_interrupt(task.step, 1) {
+                self.stop_run(key, task, run, StopReason::Emptying, now);
+            }
+        }
+        self.workers[key].runs.is_empty()
+    }
+
+    /// Says whether what is left on a worker may be ended with the VM.
+    pub(crate) fn may_end_rest(&self, key: WorkerKey) -> bool {
+        let worker: &Worker = &self.workers[key];
+        let mut steps: BTreeMap<_, u32> = BTreeMap::new();
+        for (task, _) in worker.runs.keys() {
+            *steps.entry(task.step).or_default() += 1;
+        }
+        steps
+            .into_iter()
+            .all(|(step, count)| self.is_unbounded(step) || self.may_interrupt(step, count))
+    }
+
+    /// Lets a worker have work again.
+    pub(crate) fn keep_worker(&mut self, vm: &VmId) {
+        if let Some(key) = self.worker_on(vm) {
+            self.workers[key].emptying = false;
+        }
+    }
+
+    fn is_unbounded(&self, step: crate::StepId) -> bool {
+        let key = self.job_keys.get(&step.job);
+        let spec = key.and_then(|key| self.jobs[*key].spec.steps.get(usize::from(step.step)));
+        spec.is_none_or(|spec| spec.unavailable_limit.is_none())
+    }
+
+    /// Says whether so many tasks of a step may be taken out of service now. Without a bound of its
+    /// own, one is at a time.
+    fn may_interrupt(&self, step: crate::StepId, count: u32) -> bool {
+        let Some(key) = self.job_keys.get(&step.job) else {
+            return true;
+        };
+        let job = &self.jobs[*key];
+        let Some(of_step) = job.index_of(step).and_then(|index| job.steps.get(index)) else {
+            return true;
+        };
+        let mut at_work = 0;
+        for worker in self.workers.values() {
+            let runs = worker.runs_of(step);
+            let serving = runs.filter(|(_, run)| run.phase == Phase::Running && run.percent >= 100);
+            at_work += u32::try_from(serving.count()).unwrap_or(u32::MAX);
+        }
+        let away = of_step.spec.tasks.saturating_sub(at_work);
+        let limit = of_step.spec.unavailable_limit.unwrap_or(1);
+        away.saturating_add(count) <= limit
+    }
+}
--- a/crates/sched/src/watch.rs
+++ b/crates/sched/src/watch.rs
@@ -23,6 +23,8 @@
             self.watch_lease(key, now);
         }
         self.give_up_advice(now);
+        self.watch_waves(now);
+        self.watch_pools(now);
         self.forget_old(now);
     }
 
--- a/crates/sched/src/worker.rs
+++ b/crates/sched/src/worker.rs
@@ -29,6 +29,10 @@
 
 /// One run that may hold room on a worker.
 #[derive(Debug, Clone)]
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "each is an independent property of a run"
+)]
 pub(crate) struct WorkerRun {
     pub(crate) resources: Resources,
     pub(crate) phase: Phase,
@@ -53,6 +57,8 @@
     pub(crate) checkpointed: bool,
     /// Whether other runs end with it.
     pub(crate) gang: bool,
+    /// Whether it runs until its job is cancelled.
+    pub(crate) lasts: bool,
     pub(crate) share: Share,
 }
 
@@ -103,6 +109,7 @@
             priority,
             checkpointed: spec.checkpointed && !spec.long_running,
             gang: spec.gang,
+            lasts: spec.long_running,
             share: Share::of_step(spec),
         }
     }
@@ -135,6 +142,10 @@
 
 /// One worker.
 #[derive(Debug, Clone)]
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "each is an independent belief about a worker"
+)]
 pub(crate) struct Worker {
     pub(crate) spec: WorkerSpec,
     /// Whether it is registered.
@@ -160,6 +171,8 @@
     pub(crate) quarantined_until: Millis,
     /// Times that it was quarantined lately.
     pub(crate) quarantines: u32,
+    /// Whether its work moves off, since its VM is about to be taken.
+    pub(crate) emptying: bool,
     /// How fast the runs may go that fill what is left over.
     pub(crate) pace: PaceControl,
 }
@@ -182,6 +195,7 @@
             failures_in_row: 0,
             quarantined_until: Millis(0),
             quarantines: 0,
+            emptying: false,
             pace: PaceControl::new(),
         }
     }
@@ -192,6 +206,7 @@
             && self.answered
             && !self.silent
             && !self.spec.draining
+            && !self.emptying
             && self.quarantined_until <= now
     }
 
--- a/crates/sched/tests/core/driver.rs
+++ b/crates/sched/tests/core/driver.rs
@@ -4,6 +4,7 @@
 
 use smol_str::SmolStr;
 use syc_sched::Action;
+use syc_sched::Duty;
 use syc_sched::EndReport;
 use syc_sched::Event;
 use syc_sched::JobId;
@@ -30,6 +31,7 @@
 use syc_types::RackId;
 use syc_types::Resources;
 use syc_types::ServiceName;
+use syc_types::VmId;
 use syc_types::WorkerId;
 use syc_types::Zone;
 
@@ -56,6 +58,9 @@
     pub asks: Vec<(StepId, Vec<WorkerKey>)>,
     /// Paces that were ordered, and not answered yet.
     pub paces: Vec<(WorkerKey, TaskId, Run, u8)>,
+    pub vm_orders: Vec<(VmId, Duty)>,
+    /// Waves that operators were told of, and whether as completed.
+    pub told: Vec<(u64, bool)>,
     ends: BTreeMap<WorkerKey, u64>,
 }
 
@@ -70,6 +75,8 @@
             stops: Vec::new(),
             asks: Vec::new(),
             paces: Vec::new(),
+            vm_orders: Vec::new(),
+            told: Vec::new(),
             ends: BTreeMap::new(),
         };
         for index in 0..count {
@@ -103,6 +110,8 @@
                     run,
                     reason,
                 }),
+                Action::OrderVm { vm, duty } => self.vm_orders.push((vm, duty)),
+                Action::TellWave { wave, completed } => self.told.push((wave, completed)),
                 Action::Ask { step, workers, .. } => self.asks.push((step, workers)),
                 Action::Pace {
                     worker,
@@ -269,6 +278,10 @@
             .map(|(id, change, _progress)| (id, change))
             .collect();
         self.apply(Event::Recorded { jobs });
+        for (progress, change) in self.scheduler.wave_records() {
+            let wave = progress.number;
+            self.apply(Event::WaveRecorded { wave, change });
+        }
     }
 
     pub fn state(&self, id: u64) -> Option<JobState> {
@@ -297,9 +310,14 @@
         labels: Vec::new(),
         capacity: cpu(cores),
         draining: false,
+        vm: Some(vm(index)),
     }
 }
 
+pub fn vm(index: usize) -> VmId {
+    VmId::new(format!("vm-{index}"))
+}
+
 pub fn cpu(cores: u64) -> Resources {
     Resources {
         cpu_millis: cores * 1_000,
--- a/crates/sched/tests/core/main.rs
+++ b/crates/sched/tests/core/main.rs
@@ -9,3 +9,4 @@
 mod silence;
 mod spread;
 mod takeover;
+mod upkeep;
--- /dev/null
+++ b/crates/sched/tests/core/upkeep.rs
@@ -0,0 +1,224 @@
+//! Waves of upkeep, by hand.
+
+use syc_sched::Action;
+use syc_sched::Duty;
+use syc_sched::DutyAnswer;
+use syc_sched::Event;
+use syc_sched::RunEnd;
+use syc_sched::StepSpec;
+use syc_sched::StopReason;
+use syc_sched::TaskId;
+use syc_sched::VmInfo;
+use syc_sched::VmState;
+use syc_sched::Wave;
+use syc_sched::WaveProgress;
+use syc_types::ServiceName;
+use syc_types::VmId;
+use syc_types::WorkerId;
+
+use crate::driver::Driver;
+use crate::driver::SERVICE;
+use crate::driver::cpu;
+use crate::driver::policy;
+use crate::driver::step;
+use crate::driver::vm;
+
+const WAVE: u64 = 5;
+
+fn wave(vms: usize, at_once: u32) -> Wave {
+    Wave {
+        number: WAVE,
+        vms: (0..vms).map(vm).collect(),
+        limit_ms: 20_000,
+        at_once,
+    }
+}
+
+fn listed(vms: usize, down: &[usize]) -> Vec<VmInfo> {
+    let listed = (0..vms).map(|index| VmInfo {
+        id: vm(index),
+        pool: ServiceName::new(SERVICE),
+        state: if down.contains(&index) {
+            VmState::Upkeep
+        } else {
+            VmState::Up
+        },
+        capacity: cpu(4),
+        worker: Some(WorkerId::new(format!("w-{index}"))),
+    });
+    listed.collect()
+}
+
+/// Lets time pass in steps, with a list that shows these VMs down and a store that takes everything.
+fn pass(driver: &mut Driver, vms: usize, down: &[usize], time_ms: u64) {
+    for _ in 0..time_ms / 100 {
+        driver.pass(100);
+        driver.apply(Event::Ticked);
+        driver.apply(Event::VmsListed(Some(listed(vms, down))));
+        driver.record();
+        driver.schedule();
+    }
+}
+
+fn ordered(driver: &mut Driver) -> Vec<VmId> {
+    let orders = std::mem::take(&mut driver.vm_orders);
+    orders.into_iter().map(|(vm, _)| vm).collect()
+}
+
+fn answer(driver: &mut Driver, vm: VmId, answer: DutyAnswer) {
+    driver.apply(Event::VmOrderAnswered {
+        vm,
+        duty: Duty::Upkeep { wave: WAVE },
+        answer,
+    });
+}
+
+/// Returns the tasks that were told to go elsewhere; a stop without an answer is given again.
+fn moving_off(driver: &Driver) -> Vec<TaskId> {
+    let stops = driver.stops.iter();
+    let moving = stops.filter(|stop| stop.reason == StopReason::Emptying);
+    moving.map(|stop| stop.task).collect()
+}
+
+fn published(vms: usize, at_once: u32) -> Driver {
+    let mut driver = Driver::new(vms, 4);
+    driver.apply(Event::WavePublished {
+        wave: wave(vms, at_once),
+        age_ms: 0,
+    });
+    driver
+}
+
+#[test]
+fn a_new_scheduler_gives_no_orders_about_vms_at_first() {
+    let mut driver = published(2, 2);
+    pass(&mut driver, 2, &[], 3_400);
+    assert_eq!(ordered(&mut driver), []);
+    pass(&mut driver, 2, &[], 400);
+    assert_eq!(ordered(&mut driver).len(), 2);
+}
+
+#[test]
+fn the_next_vm_goes_down_when_the_one_before_is_back() {
+    let mut driver = published(3, 1);
+    pass(&mut driver, 3, &[], 4_000);
+    let first = ordered(&mut driver);
+    assert_eq!(first, [vm(0)]);
+    answer(&mut driver, vm(0), DutyAnswer::Done);
+    pass(&mut driver, 3, &[0], 3_000);
+    assert_eq!(ordered(&mut driver), [], "the first is still down");
+    pass(&mut driver, 3, &[], 1_000);
+    assert_eq!(ordered(&mut driver), [vm(1)]);
+}
+
+#[test]
+fn an_order_in_doubt_is_given_again_and_keeps_its_place() {
+    let mut driver = published(3, 1);
+    pass(&mut driver, 3, &[], 4_000);
+    assert_eq!(ordered(&mut driver), [vm(0)]);
+    answer(&mut driver, vm(0), DutyAnswer::InDoubt);
+    pass(&mut driver, 3, &[], 1_000);
+    assert_eq!(ordered(&mut driver), [vm(0)]);
+}
+
+#[test]
+fn a_successor_first_gives_the_orders_again_that_may_be_under_way() {
+    let mut driver = Driver::new(3, 4);
+    driver.scheduler.restore_wave(WaveProgress {
+        number: WAVE,
+        ordered: vec![vm(1)],
+        begun: vec![vm(2)],
+        completed: false,
+    });
+    driver.apply(Event::WavePublished {
+        wave: wave(3, 1),
+        age_ms: 0,
+    });
+    pass(&mut driver, 3, &[], 4_000);
+    assert_eq!(ordered(&mut driver), [vm(1)]);
+}
+
+#[test]
+fn a_wave_is_told_as_completed_once_every_vm_that_stays_has_begun() {
+    let mut driver = published(2, 2);
+    pass(&mut driver, 2, &[], 4_000);
+    answer(&mut driver, vm(0), DutyAnswer::Done);
+    pass(&mut driver, 2, &[0], 300);
+    assert_eq!(driver.told, [(WAVE, false)]);
+    // The other one leaves for good.
+    pass(&mut driver, 1, &[0], 300);
+    answer(&mut driver, vm(1), DutyAnswer::InDoubt);
+    pass(&mut driver, 1, &[0], 2_000);
+    assert_eq!(driver.told, [(WAVE, false), (WAVE, true)]);
+}
+
+#[test]
+fn work_moves_off_a_vm_before_it_goes_down() {
+    let mut driver = Driver::new(2, 4);
+    let saved = StepSpec {
+        checkpointed: true,
+        estimate_ms: 60_000,
+        ..step(2, 4)
+    };
+    driver.submit(1, policy(0), vec![saved]);
+    driver.schedule();
+    let started = driver.confirm_starts();
+    for start in &started {
+        driver.hold(start.worker, &[(start.task, start.run, 10)]);
+    }
+    driver.apply(Event::WavePublished {
+        wave: wave(2, 1),
+        age_ms: 0,
+    });
+    pass(&mut driver, 2, &[], 4_000);
+    assert_eq!(ordered(&mut driver), []);
+    let moving = moving_off(&driver);
+    assert_eq!(moving.len(), 1);
+    let stopped = started.iter().find(|start| start.task == moving[0]);
+    let stopped = stopped.cloned().expect("one of the two");
+    driver.end(&stopped, RunEnd::Stopped, &[]);
+    pass(&mut driver, 2, &[], 300);
+    assert_eq!(ordered(&mut driver).len(), 1);
+}
+
+#[test]
+fn tasks_that_last_move_one_by_one_within_their_bound() {
+    let mut driver = Driver::new(2, 4);
+    let lasting = StepSpec {
+        long_running: true,
+        unavailable_limit: Some(1),
+        ..step(4, 2)
+    };
+    driver.submit(1, policy(0), vec![lasting]);
+    driver.schedule();
+    let started = driver.confirm_starts();
+    let on = |worker| {
+        let here = started.iter().filter(move |start| start.worker == worker);
+        here.map(|start| (start.task, start.run, 100))
+            .collect::<Vec<_>>()
+    };
+    for worker in driver.workers.clone() {
+        driver.hold(worker, &on(worker));
+    }
+    driver.apply(Event::WavePublished {
+        wave: wave(2, 2),
+        age_ms: 0,
+    });
+    pass(&mut driver, 2, &[], 10_000);
+    let moving = moving_off(&driver);
+    assert_eq!(moving.len(), 1, "one is away, and no more may be");
+    assert_eq!(ordered(&mut driver), []);
+}
+
+#[test]
+fn nothing_is_asked_or_ordered_without_a_wave() {
+    let mut driver = Driver::new(2, 4);
+    let mut asked = 0;
+    for _ in 0..100 {
+        driver.pass(100);
+        let actions = driver.scheduler.handle(Event::Ticked, driver.now);
+        let lists = actions.iter().filter(|action| **action == Action::ListVms);
+        asked += lists.count();
+    }
+    assert_eq!(asked, 0);
+}
--- a/crates/sched/tests/schedules/jobs.rs
+++ b/crates/sched/tests/schedules/jobs.rs
@@ -105,6 +105,18 @@
     given
 }
 
+/// Makes a job of tasks that last, of which one may be missing.
+pub fn generate_lasting(rng: &mut SmallRng, fleet: &mut FleetModel) -> Given {
+    let lasting = StepSpec {
+        tasks: 3,
+        resources: cpu(2),
+        long_running: true,
+        unavailable_limit: Some(1),
+        ..StepSpec::default()
+    };
+    sharing(rng, fleet, 1_000, lasting)
+}
+
 fn sharing(rng: &mut SmallRng, fleet: &mut FleetModel, id: u64, step: StepSpec) -> Given {
     let lasts = step.long_running;
     let spec = JobSpec {
--- a/crates/sched/tests/schedules/main.rs
+++ b/crates/sched/tests/schedules/main.rs
@@ -25,12 +25,17 @@
 #[test_case(Profile::ALL; "everything at once")]
 #[test_case(Profile { sharing: true, ..Profile::CALM }; "some serve and some fill")]
 #[test_case(Profile { sharing: true, lost: 60, late: 60, ..Profile::CALM }; "orders to go slower are lost or late")]
+#[test_case(Profile { wave_at_once: 1, ..Profile::CALM }; "a wave of upkeep, one at a time")]
+#[test_case(Profile { wave_at_once: 2, lost: 40, late: 40, ..Profile::CALM }; "a wave of upkeep with orders lost and late")]
+#[test_case(Profile { wave_at_once: 2, scheduler_ends: 4, ..Profile::CALM }; "a wave of upkeep while schedulers end")]
+#[test_case(Profile { wave_at_once: 2, ..Profile::ALL }; "a wave of upkeep and everything at once")]
 fn nothing_runs_twice_and_every_job_ends_as_it_must(profile: Profile) {
     for seed in 1..=SEEDS {
         let mut world = World::new(seed, profile, Options::default());
         world.play();
         assert_eq!(world.faults(), [], "seed {seed}");
         assert_eq!(world.wrong_ends(), [], "seed {seed}");
+        assert!(world.waves_are_completed(), "seed {seed}");
     }
 }
 
@@ -59,6 +64,26 @@
     assert!(twice > 0, "no task was seen to run twice");
 }
 
+/// The bounds of a wave and of a step are kept from the scheduler, on purpose.
+#[test]
+fn the_judge_notices_too_many_vms_down_and_too_many_tasks_away() {
+    let profile = Profile {
+        wave_at_once: 1,
+        reckless: true,
+        ..Profile::CALM
+    };
+    let (mut down, mut away) = (0, 0);
+    for seed in 1..=10 {
+        let mut world = World::new(seed, profile, Options::default());
+        world.play();
+        for fault in world.faults() {
+            down += u32::from(matches!(fault, Fault::TooManyDown(_)));
+            away += u32::from(matches!(fault, Fault::TooManyAway(_)));
+        }
+    }
+    assert!(down > 0 && away > 0, "{down} and {away}");
+}
+
 /// Orders to go slower are not carried out, on purpose.
 #[test]
 fn the_judge_notices_what_fills_at_full_speed() {
--- a/crates/sched/tests/schedules/world.rs
+++ b/crates/sched/tests/schedules/world.rs
@@ -14,8 +14,10 @@
 use syc_cell::ports::Renewal;
 use syc_cell::ports::StartCommand;
 use syc_cell::ports::StopCommand;
+use syc_cell::ports::VmCommand;
 use syc_fleet::Fault;
 use syc_fleet::FleetModel;
+use syc_fleet::VmsModel;
 use syc_fleet::WorkerModel;
 use syc_sched::Action;
 use syc_sched::Event;
@@ -24,11 +26,14 @@
 use syc_sched::JobState;
 use syc_sched::Options;
 use syc_sched::Scheduler;
+use syc_sched::Wave;
+use syc_sched::WaveProgress;
 use syc_sched::WorkerKey;
 use syc_sched::WorkerSpec;
 use syc_types::Millis;
 use syc_types::RackId;
 use syc_types::ServiceName;
+use syc_types::VmId;
 use syc_types::WorkerId;
 use syc_types::Zone;
 
@@ -36,6 +41,7 @@
 use crate::jobs::SERVICE;
 use crate::jobs::cpu;
 use crate::jobs::generate;
+use crate::jobs::generate_lasting;
 use crate::jobs::generate_sharing;
 
 const TICK_MS: u64 = 10;
@@ -48,9 +54,16 @@
 const RENEW_MS: u64 = 200;
 const ORDER_TIMEOUT_MS: u64 = 300;
 const FIRST_MS: u64 = 1_000;
+const VM_ORDER_MS: u64 = 1_500;
+const WAVE_AT_MS: u64 = 6_000;
+const WAVE_LIMIT_MS: u64 = 30_000;
 
 /// How much goes wrong; counts are a schedule's, shares are in thousandths of the orders.
 #[derive(Debug, Clone, Copy)]
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "each is an independent property of a schedule"
+)]
 pub struct Profile {
     pub scheduler_ends: u32,
     pub cuts: u32,
@@ -64,6 +77,11 @@
     pub sharing: bool,
     /// Orders to go slower reach no worker: the judge must see it.
     pub unpaced: bool,
+    /// Operators want all VMs to have their upkeep, so many at a time.
+    pub wave_at_once: u32,
+    /// The scheduler hears of no bound on VMs that are down, nor that any task lasts: the judge must see
+    /// it.
+    pub reckless: bool,
 }
 
 impl Profile {
@@ -77,6 +95,8 @@
         understated: false,
         sharing: false,
         unpaced: false,
+        wave_at_once: 0,
+        reckless: false,
     };
     pub const ALL: Self = Self {
         scheduler_ends: 4,
@@ -96,8 +116,14 @@
     Pace(WorkerId, PaceCommand),
     /// Only the scheduler that gave the order hears the answer.
     Answer(u64, Event),
-    Recorded(u64, Vec<(JobId, u64, JobProgress)>),
+    Recorded(
+        u64,
+        Vec<(JobId, u64, JobProgress)>,
+        Vec<(WaveProgress, u64)>,
+    ),
     Restored(WorkerId),
+    VmOrder(VmCommand),
+    Listed(u64),
     NewIncarnation,
     NextScheduler,
 }
@@ -128,8 +154,18 @@
     writing: bool,
     store_paused_until: Millis,
     cut: BTreeMap<WorkerId, Millis>,
-    registered: BTreeMap<WorkerId, u64>,
+    registered: BTreeMap<WorkerId, Life>,
     lives: u64,
+    vms: VmsModel,
+    wave: Option<Wave>,
+    kept_waves: BTreeMap<u64, WaveProgress>,
+}
+
+/// Which life of a worker it is, and the VM that it is on.
+#[derive(Debug, Clone)]
+struct Life {
+    number: u64,
+    vm: VmId,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -147,6 +183,9 @@
         let mut given: Vec<_> = (1..=JOBS)
             .map(|id| generate(&mut rng, id, &mut fleet))
             .collect();
+        if profile.wave_at_once > 0 {
+            given.push(generate_lasting(&mut rng, &mut fleet));
+        }
         if profile.sharing {
             given = generate_sharing(&mut rng, &mut fleet);
         }
@@ -188,6 +227,9 @@
             cut: BTreeMap::new(),
             registered: BTreeMap::new(),
             lives: 0,
+            vms: VmsModel::new(VM_ORDER_MS),
+            wave: None,
+            kept_waves: BTreeMap::new(),
         };
         for _ in 0..WORKERS {
             world.new_incarnation();
@@ -202,11 +244,13 @@
             self.fleet.advance(self.now);
             self.strike();
             self.deliver();
+            self.bring_vms();
             self.bring_jobs();
             self.renew();
             self.look();
             self.write();
-            let over = self.now.0 > FAULTS_UNTIL_MS + 15_000 && self.wrong_ends().is_empty();
+            let all_ended = self.wrong_ends().is_empty() && self.vms.all_completed();
+            let over = self.now.0 > FAULTS_UNTIL_MS + 15_000 && all_ended;
             if over {
                 return;
             }
@@ -214,7 +258,13 @@
     }
 
     pub fn faults(&self) -> Vec<Fault> {
-        self.fleet.judge.faults().to_vec()
+        let mut faults = self.fleet.judge.faults().to_vec();
+        faults.extend_from_slice(self.vms.faults());
+        faults
+    }
+
+    pub fn waves_are_completed(&self) -> bool {
+        self.vms.all_completed()
     }
 
     /// Returns the jobs that ended otherwise than they must, with the state that is kept.
@@ -236,7 +286,15 @@
         wrong
     }
 
+    /// Starts a worker on a VM of its own.
     fn new_incarnation(&mut self) {
+        let vm = VmId::new(format!("vm-{}", self.lives + 1));
+        self.vms
+            .add(vm.clone(), ServiceName::new(SERVICE), cpu(CORES));
+        self.new_life(&vm);
+    }
+
+    fn new_life(&mut self, vm: &VmId) {
         self.lives += 1;
         let id = WorkerId::new(format!("w-{}", self.lives));
         let cores = if self.profile.understated {
@@ -247,8 +305,13 @@
         let slow_per_mille = self.rng.random_range(0..=20);
         self.fleet
             .add(WorkerModel::new(id.clone(), cpu(cores), slow_per_mille));
-        self.registered.insert(id.clone(), self.lives);
-        let spec = spec_of(&id, self.lives);
+        let life = Life {
+            number: self.lives,
+            vm: vm.clone(),
+        };
+        self.vms.set_worker(vm, id.clone());
+        self.registered.insert(id.clone(), life.clone());
+        let spec = spec_of(&id, &life);
         self.apply(Event::WorkerListed(spec));
     }
 
@@ -268,8 +331,16 @@
         }
         self.scheduler = Some(scheduler);
         let registered: Vec<_> = self.registered.clone().into_iter().collect();
-        for (id, incarnation) in registered {
-            self.apply(Event::WorkerListed(spec_of(&id, incarnation)));
+        for (id, life) in registered {
+            self.apply(Event::WorkerListed(spec_of(&id, &life)));
+        }
+        for left in self.kept_waves.values().cloned() {
+            if let Some(scheduler) = &mut self.scheduler {
+                scheduler.restore_wave(left);
+            }
+        }
+        if let Some(wave) = self.wave.clone() {
+            self.apply(Event::WavePublished { wave, age_ms: 0 });
         }
         for id in self.cancelled.clone() {
             self.apply(Event::JobCancelled(id));
@@ -279,6 +350,41 @@
         }
     }
 
+    /// Publishes the wave when its time has come, and starts workers on VMs that are back.
+    fn bring_vms(&mut self) {
+        let is_due = self.profile.wave_at_once > 0 && self.now.0 >= WAVE_AT_MS;
+        if is_due && self.wave.is_none() {
+            let vms = self.registered.values().map(|life| life.vm.clone());
+            let wave = Wave {
+                number: 3,
+                vms: vms.collect(),
+                limit_ms: WAVE_LIMIT_MS,
+                at_once: self.profile.wave_at_once,
+            };
+            self.vms.publish(wave.clone());
+            let told = Wave {
+                at_once: if self.profile.reckless {
+                    u32::MAX
+                } else {
+                    wave.at_once
+                },
+                ..wave
+            };
+            self.wave = Some(told.clone());
+            self.apply(Event::WavePublished {
+                wave: told,
+                age_ms: 0,
+            });
+        }
+        for id in self.vms.take_ended() {
+            self.registered.remove(&id);
+            self.apply(Event::WorkerUnlisted(id));
+        }
+        for (vm, _pool) in self.vms.advance(self.now) {
+            self.new_life(&vm);
+        }
+    }
+
     fn apply(&mut self, event: Event) {
         let Some(scheduler) = &mut self.scheduler else {
             return;
@@ -322,6 +428,12 @@
                     percent,
                 } => self.send_pace(worker, (task, run), percent),
                 Action::Ask { step, workers, .. } => self.advise(step, &workers),
+                Action::ListVms => {
+                    let delay_ms = self.rng.random_range(2..20);
+                    self.later(delay_ms, Delivery::Listed(self.token));
+                }
+                Action::OrderVm { vm, duty } => self.send_vm_order(vm, duty),
+                Action::TellWave { wave, completed } => self.vms.told(wave, completed),
                 Action::DropSpec(_) | Action::Forget(_) | Action::Note(_) => {}
             }
         }
@@ -400,7 +512,13 @@
                 break;
             }
             self.next_job += 1;
-            let spec = Box::new(given.spec.clone());
+            let mut spec = Box::new(given.spec.clone());
+            for step in &mut spec.steps {
+                if self.profile.reckless {
+                    step.unavailable_limit = None;
+                    step.long_running = false;
+                }
+            }
             self.apply(Event::JobStored { spec, age_ms: 0 });
         }
         let mut cancels = Vec::new();
@@ -414,6 +532,7 @@
         }
         for id in cancels {
             self.cancelled.push(id);
+            self.fleet.judge.release(id);
             self.apply(Event::JobCancelled(id));
         }
     }
@@ -426,13 +545,14 @@
             return;
         };
         let records = scheduler.take_records(50, 1);
-        if records.is_empty() {
+        let waves = scheduler.wave_records();
+        if records.is_empty() && waves.is_empty() {
             return;
         }
         self.writing = true;
         let token = self.token;
         let delay_ms = self.rng.random_range(5..40);
-        self.later(delay_ms, Delivery::Recorded(token, records));
+        self.later(delay_ms, Delivery::Recorded(token, records, waves));
     }
 
     fn strike(&mut self) {
@@ -460,7 +580,9 @@
                         continue;
                     };
                     self.fleet.crash(&id);
-                    self.registered.remove(&id);
+                    if let Some(life) = self.registered.remove(&id) {
+                        self.vms.remove(&life.vm);
+                    }
                     self.apply(Event::WorkerUnlisted(id));
                     let delay_ms = self.rng.random_range(500..4_000);
                     self.later(delay_ms, Delivery::NewIncarnation);
@@ -488,15 +610,16 @@
     }
 }
 
-fn spec_of(id: &WorkerId, incarnation: u64) -> WorkerSpec {
+fn spec_of(id: &WorkerId, life: &Life) -> WorkerSpec {
     WorkerSpec {
         id: id.clone(),
         service: ServiceName::new(SERVICE),
         address: SmolStr::new_static("10.0.0.1:1"),
         zone: Zone::new("zone"),
-        rack: RackId::new(format!("r-{}", incarnation % 2)),
+        rack: RackId::new(format!("r-{}", life.number % 2)),
         labels: Vec::new(),
         capacity: cpu(CORES),
         draining: false,
+        vm: Some(life.vm.clone()),
     }
 }
--- a/crates/sched/tests/schedules/world/orders.rs
+++ b/crates/sched/tests/schedules/world/orders.rs
@@ -6,8 +6,12 @@
 use syc_cell::ports::PaceCommand;
 use syc_cell::ports::StartCommand;
 use syc_cell::ports::StopCommand;
+use syc_cell::ports::VmCommand;
+use syc_cell::ports::VmOrderError;
 use syc_sched::AdviceAnswer;
 use syc_sched::Allowed;
+use syc_sched::Duty;
+use syc_sched::DutyAnswer;
 use syc_sched::Event;
 use syc_sched::Run;
 use syc_sched::StartAnswer;
@@ -15,6 +19,7 @@
 use syc_sched::StepId;
 use syc_sched::TaskId;
 use syc_sched::WorkerKey;
+use syc_types::VmId;
 
 use super::Delivery;
 use super::LEASE_MS;
@@ -160,6 +165,32 @@
         self.answer(delay_ms, answer(taken));
     }
 
+    pub(super) fn send_vm_order(&mut self, vm: VmId, duty: Duty) {
+        let command = VmCommand {
+            vm: vm.clone(),
+            duty: duty.clone(),
+            holder: "holder".into(),
+            token: self.token,
+        };
+        let answered = |answer| Event::VmOrderAnswered { vm, duty, answer };
+        if self.is_late() {
+            let delay_ms = self.rng.random_range(2_000..12_000);
+            self.later(delay_ms, Delivery::VmOrder(command));
+            self.answer(ORDER_TIMEOUT_MS, answered(DutyAnswer::InDoubt));
+            return;
+        }
+        let outcome = self.vms.order(&mut self.fleet, &command, self.now);
+        let answer = match outcome {
+            _ if self.is_lost() => DutyAnswer::InDoubt,
+            Ok(()) => DutyAnswer::Done,
+            Err(VmOrderError::Busy) => DutyAnswer::Busy,
+            Err(VmOrderError::Unfit(_)) => DutyAnswer::Unfit,
+            Err(VmOrderError::Fenced | VmOrderError::InDoubt(_)) => DutyAnswer::InDoubt,
+        };
+        let delay_ms = self.rng.random_range(1..30);
+        self.answer(delay_ms, answered(answer));
+    }
+
     pub(super) fn advise(&mut self, step: StepId, workers: &[WorkerKey]) {
         let mut allowed = Vec::new();
         for worker in workers {
@@ -167,7 +198,8 @@
                 continue;
             };
             // Of five lives in a row, one may not run a step; a gang needs two that may.
-            let incarnation = self.registered.get(&session.id).copied().unwrap_or(0);
+            let life = self.registered.get(&session.id);
+            let incarnation = life.map_or(0, |life| life.number);
             let denied = (step.job.0 + u64::from(step.step)) % WORKERS;
             if incarnation % WORKERS != denied {
                 allowed.push(Allowed {
--- a/crates/sched/tests/schedules/world/travel.rs
+++ b/crates/sched/tests/schedules/world/travel.rs
@@ -41,7 +41,7 @@
                     self.apply(event);
                 }
             }
-            Delivery::Recorded(token, records) => {
+            Delivery::Recorded(token, records, waves) => {
                 // The store refuses what a predecessor had still to write.
                 if token != self.token {
                     return;
@@ -53,10 +53,25 @@
                 }
                 self.writing = false;
                 self.apply(Event::Recorded { jobs });
+                for (progress, change) in waves {
+                    let wave = progress.number;
+                    self.kept_waves.insert(wave, progress);
+                    self.apply(Event::WaveRecorded { wave, change });
+                }
             }
             Delivery::Restored(id) => {
                 self.cut.remove(&id);
             }
+            Delivery::VmOrder(command) => {
+                let _unheard = self.vms.order(&mut self.fleet, &command, self.now);
+            }
+            Delivery::Listed(token) => {
+                let lost = self.is_lost();
+                let listed = self.vms.list();
+                if token == self.token {
+                    self.apply(Event::VmsListed((!lost).then_some(listed)));
+                }
+            }
             Delivery::NewIncarnation => self.new_incarnation(),
             Delivery::NextScheduler => self.start_scheduler(),
         }
--- a/crates/types/src/ids.rs
+++ b/crates/types/src/ids.rs
@@ -76,6 +76,10 @@
     /// Names a worker VM.
     WorkerId
 }
+name_type! {
+    /// Names a VM of the platform; what runs on it comes and goes.
+    VmId
+}
 name_type! {
     /// Names an availability zone.
     Zone
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -19,6 +19,7 @@
 pub use ids::ServiceName;
 pub use ids::TaskRef;
 pub use ids::TeamId;
+pub use ids::VmId;
 pub use ids::WorkerId;
 pub use ids::Zone;
 pub use job::Class;
