Keep one event from filling the log, measure doubt and leases, and cut the core's messages by job

Cause: in a takeover hundreds of adopted runs used up the lines of that second, so that its end was not told; on-call could not see for how long orders are in doubt or leases hold room. Change: an event takes 60% of a budget at most, and the line of dropped lines names the event that lost most. Gauges tell runs in doubt, the age of the oldest, the longest silence and the longest lease. Events, actions, notes and what workers say are modules of their own; so are faults and sessions of the schedules. Figures: 1,000 adopted runs in one burst with a budget of 100 lines: of the three lines after them none was written before, all three now (test).

--- a/crates/obs/src/cell_metrics.rs
+++ b/crates/obs/src/cell_metrics.rs
@@ -75,6 +75,14 @@
     pub usable_workers: usize,
     /// Workers that do not answer.
     pub silent_workers: usize,
+    /// Runs whose latest order has no answer yet.
+    pub doubtful_runs: usize,
+    /// Time for which the oldest of these has been in doubt.
+    pub oldest_doubt_ms: u64,
+    /// Time for which the worker that has been silent longest has not answered.
+    pub longest_silence_ms: u64,
+    /// Time until the last lease on a silent worker has surely lapsed.
+    pub longest_lease_ms: u64,
 }
 
 /// The metrics of one node of a cell.
@@ -170,6 +178,10 @@
     jobs: Gauge<u64>,
     tasks: Gauge<u64>,
     workers: Gauge<u64>,
+    doubtful: Gauge<u64>,
+    oldest_doubt: Gauge<f64>,
+    longest_silence: Gauge<f64>,
+    longest_lease: Gauge<f64>,
 }
 
 impl Gauges {
@@ -177,7 +189,27 @@
         let gauge = |name: &'static str, text: &'static str| {
             meter.u64_gauge(name).with_description(text).build()
         };
+        let time = |name: &'static str, text: &'static str| {
+            let built = meter.f64_gauge(name).with_unit("s");
+            built.with_description(text).build()
+        };
         Self {
+            doubtful: gauge(
+                "syc_cell_doubtful_runs",
+                "Runs whose latest order has no answer yet.",
+            ),
+            oldest_doubt: time(
+                "syc_cell_oldest_doubt",
+                "Time for which the oldest run has been in doubt.",
+            ),
+            longest_silence: time(
+                "syc_cell_longest_silence",
+                "Time for which the worker that has been silent longest has not answered.",
+            ),
+            longest_lease: time(
+                "syc_cell_longest_lease",
+                "Time until the last lease on a silent worker has surely lapsed.",
+            ),
             leading: gauge("syc_cell_leading", "1 where this node is the scheduler."),
             token: gauge(
                 "syc_cell_fencing_token",
@@ -201,6 +233,15 @@
         self.token.record(readings.token, &[]);
         self.configuration.record(readings.configuration, &[]);
         self.jobs.record(to_u64(readings.open_jobs), &[]);
+        self.doubtful.record(to_u64(readings.doubtful_runs), &[]);
+        let times = [
+            (&self.oldest_doubt, readings.oldest_doubt_ms),
+            (&self.longest_silence, readings.longest_silence_ms),
+            (&self.longest_lease, readings.longest_lease_ms),
+        ];
+        for (gauge, time_ms) in times {
+            gauge.record(to_seconds(time_ms), &[]);
+        }
         let tasks = [
             ("waiting", readings.waiting_tasks),
             ("running", to_u64(readings.runs)),
--- a/crates/obs/src/lines.rs
+++ b/crates/obs/src/lines.rs
@@ -2,9 +2,11 @@
 //!
 //! Lines are collected in memory and written when the output takes them. What exceeds the budget of
 //! a second, or finds the memory full, is dropped and counted; lines of failures have a budget of
-//! their own, so that they are dropped last.
+//! their own, so that they are dropped last. No event takes more than its share of a budget, so that a
+//! burst of one (hundreds of runs adopted in a takeover) leaves room for what else happens then.
 
 use std::cell::Cell;
+use std::collections::BTreeMap;
 use std::fmt;
 use std::fmt::Write as _;
 use std::io;
@@ -37,6 +39,8 @@
     pub lines_per_s: u32,
     /// Further lines that warnings and errors may use in a second.
     pub failure_lines_per_s: u32,
+    /// Most of either that one event may use, in hundredths.
+    pub event_share_percent: u32,
     /// Most bytes that wait to be written.
     pub waiting_bytes: usize,
 }
@@ -46,6 +50,7 @@
         Self {
             lines_per_s: 2_000,
             failure_lines_per_s: 200,
+            event_share_percent: 60,
             waiting_bytes: 256 * 1024,
         }
     }
@@ -146,7 +151,9 @@
     pub fn emit(self) {
         let event = self.event;
         count_event(event);
-        spdlog::log!(event.level, "{}", self.closed());
+        if output().admits(event) {
+            spdlog::log!(event.level, "{}", self.closed());
+        }
     }
 }
 
@@ -167,7 +174,7 @@
 
 impl Sink for LineSink {
     fn log(&self, record: &Record<'_>) -> spdlog::Result<()> {
-        output().add(record.payload(), record.level());
+        output().add(record.payload());
         Ok(())
     }
 
@@ -185,9 +192,26 @@
     node: String,
     waiting: Vec<u8>,
     second: u64,
+    used: Used,
+    by_event: BTreeMap<u16, Used>,
+    dropped: Cell<u64>,
+    /// Lines of each event that were dropped in this second.
+    dropped_by_event: BTreeMap<u16, u64>,
+}
+
+/// Lines written in a second, out of each budget.
+#[derive(Debug, Clone, Copy, Default)]
+struct Used {
     lines: u32,
     failure_lines: u32,
-    dropped: Cell<u64>,
+}
+
+impl LineOptions {
+    const fn share_of(&self, budget: u32) -> u32 {
+        // At least one, so that every event is told.
+        let share = budget.saturating_mul(self.event_share_percent) / 100;
+        if share == 0 && budget > 0 { 1 } else { share }
+    }
 }
 
 impl Output {
@@ -197,9 +221,13 @@
             node: String::new(),
             waiting: Vec::new(),
             second: 0,
-            lines: 0,
-            failure_lines: 0,
+            used: Used {
+                lines: 0,
+                failure_lines: 0,
+            },
+            by_event: BTreeMap::new(),
             dropped: Cell::new(0),
+            dropped_by_event: BTreeMap::new(),
         }
     }
 
@@ -208,12 +236,24 @@
         self.node = serde_json::Value::from(node).to_string();
     }
 
-    fn add(&mut self, line: &str, level: Level) {
-        let options = self.options.unwrap_or_default();
+    /// Says whether a line of an event is within the budgets of this second; where not, it is dropped.
+    fn admits(&mut self, event: Event) -> bool {
+        let Some(options) = self.options else {
+            // Nobody bounds the lines of a process that writes them in another way.
+            return true;
+        };
         self.turn_second();
-        if !self.take_budget(&options, level)
-            || self.waiting.len() + line.len() >= options.waiting_bytes
-        {
+        if self.take_budget(&options, event) {
+            return true;
+        }
+        self.dropped.set(self.dropped.get() + 1);
+        *self.dropped_by_event.entry(event.code).or_default() += 1;
+        false
+    }
+
+    fn add(&mut self, line: &str) {
+        let options = self.options.unwrap_or_default();
+        if self.waiting.len() + line.len() >= options.waiting_bytes {
             self.dropped.set(self.dropped.get() + 1);
             return;
         }
@@ -235,14 +275,20 @@
         self.waiting.extend_from_slice(b"}\n");
     }
 
-    fn take_budget(&mut self, options: &LineOptions, level: Level) -> bool {
-        if self.lines < options.lines_per_s {
-            self.lines += 1;
+    fn take_budget(&mut self, options: &LineOptions, event: Event) -> bool {
+        let of_event = self.by_event.entry(event.code).or_default();
+        let share = options.share_of(options.lines_per_s);
+        if self.used.lines < options.lines_per_s && of_event.lines < share {
+            self.used.lines += 1;
+            of_event.lines += 1;
             return true;
         }
-        let failure = matches!(level, Level::Warn | Level::Error | Level::Critical);
-        if failure && self.failure_lines < options.failure_lines_per_s {
-            self.failure_lines += 1;
+        let is_failure = matches!(event.level, Level::Warn | Level::Error | Level::Critical);
+        let budget = options.failure_lines_per_s;
+        let share = options.share_of(budget);
+        if is_failure && self.used.failure_lines < budget && of_event.failure_lines < share {
+            self.used.failure_lines += 1;
+            of_event.failure_lines += 1;
             return true;
         }
         false
@@ -255,11 +301,17 @@
             return;
         }
         self.second = second;
-        self.lines = 0;
-        self.failure_lines = 0;
+        self.used = Used::default();
+        self.by_event.clear();
         let dropped = self.dropped.replace(0);
+        let by_event = std::mem::take(&mut self.dropped_by_event);
         if dropped > 0 {
-            let line = Line::new(catalogue::LINES_DROPPED).number("lines", dropped);
+            let most = by_event.into_iter().max_by_key(|(_, lines)| *lines);
+            let (code, lines) = most.unwrap_or_default();
+            let line = Line::new(catalogue::LINES_DROPPED)
+                .number("lines", dropped)
+                .display("most_code", format_args!("SYC{code:04}"))
+                .number("most_lines", lines);
             count_event(line.event);
             self.append(&line.closed());
         }
--- a/crates/obs/tests/lines.rs
+++ b/crates/obs/tests/lines.rs
@@ -57,6 +57,7 @@
         let options = LineOptions {
             lines_per_s: 10,
             failure_lines_per_s: 5,
+            event_share_percent: 100,
             ..LineOptions::default()
         };
         start_lines("n", options).expect("a logger");
@@ -77,6 +78,32 @@
     assert!(lines.len() < 500, "{}", lines.len());
 }
 
+/// A burst of one event used to hide all others of the same second.
+#[test]
+fn one_event_leaves_room_for_others() {
+    if is_writer() {
+        let options = LineOptions {
+            lines_per_s: 100,
+            event_share_percent: 50,
+            ..LineOptions::default()
+        };
+        start_lines("n", options).expect("a logger");
+        // However often the second turns meanwhile, the adopted runs come first in the last one.
+        for _ in 0..1_000 {
+            Line::new(catalogue::RUN_ADOPTED).emit();
+        }
+        for _ in 0..3 {
+            Line::new(catalogue::TAKEOVER_COMPLETE).emit();
+        }
+        flush_lines();
+        return;
+    }
+    let lines = written_by("one_event_leaves_room_for_others");
+    let count = |code: &str| lines.iter().filter(|line| line.contains(code)).count();
+    assert_eq!(count("SYC0715"), 3);
+    assert!(count("SYC0734") >= 50, "{}", lines.len());
+}
+
 #[test]
 fn what_was_dropped_is_told_with_time_and_node() {
     if is_writer() {
@@ -99,6 +126,8 @@
     let told = told.expect("a line of what was dropped");
     let told: serde_json::Value = serde_json::from_str(told).expect("one JSON object");
     assert!(told["lines"].as_u64() > Some(0), "{told}");
+    assert_eq!(told["most_code"], "SYC0724");
+    assert_eq!(told["most_lines"], told["lines"]);
     assert!(told["at_ms"].is_u64(), "{told}");
     assert_eq!(told["node"], "n");
     assert_eq!(told["level"], "warn");
--- /dev/null
+++ b/crates/sched/src/note.rs
@@ -0,0 +1,97 @@
+//! The decisions that the log should tell.
+
+use smol_str::SmolStr;
+use syc_types::WorkerId;
+
+use crate::JobId;
+use crate::Run;
+use crate::StepId;
+use crate::TaskId;
+use crate::VmNote;
+
+/// A decision that the log should tell.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Note {
+    /// A run has ended, with the evidence for it.
+    RunEnded {
+        /// The task.
+        task: TaskId,
+        /// Which start of it.
+        run: Run,
+        /// The worker.
+        worker: WorkerId,
+        /// How it ended: a [`RunEnd`] or what was concluded without a report.
+        end: &'static str,
+        /// Failed runs of the unit so far.
+        failures: u32,
+        /// Time since its start was decided, or it was adopted; none where this scheduler did not
+        /// know of it.
+        held_ms: Option<u64>,
+    },
+    /// A run that the predecessor had started goes on.
+    Adopted {
+        /// The task.
+        task: TaskId,
+        /// Which start of it.
+        run: Run,
+        /// The worker.
+        worker: WorkerId,
+    },
+    /// A job changes no more.
+    JobEnded {
+        /// The job.
+        job: JobId,
+        /// Its state, as `JobState` names it.
+        state: crate::JobState,
+        /// Time since it was accepted.
+        after_ms: u64,
+        /// Its objective.
+        objective_ms: u64,
+    },
+    /// A unit waits, and for what.
+    Waiting {
+        /// The step.
+        step: StepId,
+        /// What is lacking.
+        lacking: &'static str,
+        /// Workers that have what it asks for and may get work.
+        eligible: usize,
+        /// Label that it asks a worker to have; empty for none.
+        required_label: SmolStr,
+        /// Workers that may run it and that tickets are held for.
+        allowed: usize,
+        /// Tasks that wait.
+        tasks: u32,
+    },
+    /// A worker is believed unable to run more, or able again.
+    WorkerBelief {
+        /// The worker.
+        worker: WorkerId,
+        /// What is believed.
+        belief: &'static str,
+        /// Time since it last answered.
+        silent_ms: u64,
+    },
+    /// The runs that fill a worker go at another pace.
+    Paced {
+        /// The worker.
+        worker: WorkerId,
+        /// The pace before, 0 to 100.
+        before_percent: u8,
+        /// The pace from now on.
+        percent: u8,
+        /// The worst tail of the runs that serve there, as a share of its limit.
+        tail_percent: Option<u64>,
+        /// Runs that fill.
+        fills: usize,
+    },
+    /// Something about whole VMs.
+    Vm(VmNote),
+    /// The takeover is complete: nothing that runs is unknown any more.
+    Recovered {
+        /// Runs that were adopted.
+        adopted: usize,
+        /// Workers that never answered.
+        unanswered: usize,
+    },
+}
--- a/crates/sched/src/reports.rs
+++ b/crates/sched/src/reports.rs
@@ -15,7 +15,7 @@
 use crate::TaskId;
 use crate::WorkerKey;
 use crate::WorkerReport;
-use crate::event::WorkerSpec;
+use crate::WorkerSpec;
 use crate::job::UnitState;
 use crate::units::Ending;
 use crate::worker::Phase;
--- a/crates/sched/src/scheduler.rs
+++ b/crates/sched/src/scheduler.rs
@@ -61,23 +61,6 @@
     };
 }
 
-/// What a scheduler holds, for metrics.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct Counts {
-    /// Jobs that have not ended.
-    pub open_jobs: usize,
-    /// Tasks that wait for a start.
-    pub waiting_tasks: u64,
-    /// Runs that hold room.
-    pub runs: usize,
-    /// Workers that may get work.
-    pub usable_workers: usize,
-    /// Workers whose latest renewal went without an answer.
-    pub silent_workers: usize,
-    /// Workers that are attached.
-    pub workers: usize,
-}
-
 /// The scheduler of one cell.
 #[derive(Debug)]
 pub struct Scheduler {
@@ -224,29 +207,6 @@
             .count()
     }
 
-    /// Returns what a scheduler holds.
-    #[must_use]
-    pub fn counts(&self, now: Millis) -> Counts {
-        let mut counts = Counts {
-            open_jobs: self.open.len(),
-            workers: self.workers.len(),
-            ..Counts::default()
-        };
-        for key in &self.open {
-            for (index, step) in self.jobs[*key].steps.iter().enumerate() {
-                if step.pending > 0 && self.jobs[*key].is_ready(index, now) {
-                    counts.waiting_tasks += u64::from(step.pending * step.members());
-                }
-            }
-        }
-        for worker in self.workers.values() {
-            counts.runs += worker.runs.len();
-            counts.usable_workers += usize::from(worker.usable(now));
-            counts.silent_workers += usize::from(worker.silent);
-        }
-        counts
-    }
-
     /// Says whether at least half of the workers answer.
     #[must_use]
     pub fn hears_half(&self) -> bool {
--- a/crates/sched/src/worker.rs
+++ b/crates/sched/src/worker.rs
@@ -12,7 +12,7 @@
 use crate::StepId;
 use crate::StepSpec;
 use crate::TaskId;
-use crate::event::WorkerSpec;
+use crate::WorkerSpec;
 use crate::pacing::Fill;
 use crate::pacing::PaceControl;
 
@@ -119,6 +119,16 @@
         matches!(self.share, Share::Serves { .. })
     }
 
+    /// Returns since when it has not been known whether it runs: its start or its stop has no answer.
+    pub(crate) fn in_doubt_since(&self) -> Option<Millis> {
+        let is_open = match self.phase {
+            Phase::Starting => true,
+            Phase::Running => false,
+            Phase::Stopping => self.stop_taken_at.is_none(),
+        };
+        is_open.then_some(self.ordered_at)
+    }
+
     /// Returns the processor time that it takes from others, in thousandths of a core.
     fn used_cpu_millis(&self) -> u64 {
         match &self.share {
--- a/crates/sched/tests/core/silence.rs
+++ b/crates/sched/tests/core/silence.rs
@@ -93,3 +93,37 @@
     driver.schedule();
     assert!(driver.starts.is_empty(), "the run goes on");
 }
+
+#[test]
+fn what_is_in_doubt_is_counted_with_its_age() {
+    let mut driver = Driver::new(1, 4);
+    driver.submit(1, policy(0), vec![step(2, 1)]);
+    driver.schedule();
+    driver.pass(200);
+    let counts = driver.scheduler.counts(driver.now);
+    assert_eq!((counts.doubtful_runs, counts.oldest_doubt_ms), (2, 200));
+    let started = driver.confirm_starts();
+    let counts = driver.scheduler.counts(driver.now);
+    assert_eq!((counts.doubtful_runs, counts.oldest_doubt_ms), (0, 0));
+    driver.cancel(1);
+    driver.stop_taken(&started[0]);
+    driver.pass(50);
+    let counts = driver.scheduler.counts(driver.now);
+    assert_eq!((counts.doubtful_runs, counts.oldest_doubt_ms), (1, 50));
+}
+
+#[test]
+fn the_longest_silence_and_lease_are_told() {
+    let mut driver = Driver::new(2, 4);
+    driver.submit(1, policy(0), vec![step(1, 1)]);
+    driver.schedule();
+    let started = driver.confirm_starts();
+    let worker = started[0].worker;
+    driver.pass(500);
+    driver.apply(Event::RenewalFailed { worker });
+    let counts = driver.scheduler.counts(driver.now);
+    let bound_ms = driver.scheduler.options().lease_bound_ms;
+    assert_eq!(counts.silent_workers, 1);
+    assert_eq!(counts.longest_lease_ms, bound_ms - 500);
+    assert!(counts.longest_silence_ms >= 500);
+}
--- a/crates/sched/tests/schedules/world.rs
+++ b/crates/sched/tests/schedules/world.rs
@@ -1,6 +1,8 @@
 //! The world of a generated schedule: jobs come, orders travel, things break.
 
+mod faults;
 mod orders;
+mod sessions;
 mod travel;
 
 use std::collections::BTreeMap;
@@ -11,7 +13,6 @@
 use rand::rngs::SmallRng;
 use smol_str::SmolStr;
 use syc_cell::ports::PaceCommand;
-use syc_cell::ports::Renewal;
 use syc_cell::ports::StartCommand;
 use syc_cell::ports::StopCommand;
 use syc_cell::ports::VmCommand;
@@ -439,73 +440,6 @@
         }
     }
 
-    fn renew(&mut self) {
-        let due: Vec<_> = self
-            .sessions
-            .iter()
-            .filter(|(_, session)| session.renew_at <= self.now)
-            .map(|(key, session)| (*key, session.id.clone()))
-            .collect();
-        for (key, id) in due {
-            self.renew_one(key, &id);
-        }
-    }
-
-    fn renew_one(&mut self, key: WorkerKey, id: &WorkerId) {
-        let Some(session) = self.sessions.get_mut(&key) else {
-            return;
-        };
-        session.renew_at = self.now.plus(RENEW_MS);
-        let extends = session.clock_read && !session.failed;
-        let acknowledged = self
-            .scheduler
-            .as_mut()
-            .map_or(0, |scheduler| scheduler.acknowledged_ends(key).0);
-        if extends {
-            self.apply(Event::Renewing { worker: key });
-        }
-        let Some(model) = self.fleet.workers.get(id) else {
-            // Another incarnation is at the address of a worker that crashed.
-            self.apply(Event::Replaced { worker: key });
-            return;
-        };
-        let renewal = Renewal {
-            lease_until_ms: extends.then(|| model.clock_ms(self.now) + LEASE_MS),
-            acknowledged,
-            wait_ms: 0,
-            token: self.token,
-        };
-        if self.cut.contains_key(id) {
-            self.renewal_failed(key);
-            return;
-        }
-        let renewed = self.fleet.renew(id, &renewal, self.now);
-        if self.is_lost() {
-            self.renewal_failed(key);
-            return;
-        }
-        let Ok(renewed) = renewed else {
-            self.renewal_failed(key);
-            return;
-        };
-        if let Some(session) = self.sessions.get_mut(&key) {
-            session.clock_read = true;
-            session.failed = false;
-        }
-        self.apply(Event::Renewed {
-            worker: key,
-            sent_at: self.now,
-            report: renewed.report,
-        });
-    }
-
-    fn renewal_failed(&mut self, key: WorkerKey) {
-        if let Some(session) = self.sessions.get_mut(&key) {
-            session.failed = true;
-        }
-        self.apply(Event::RenewalFailed { worker: key });
-    }
-
     fn bring_jobs(&mut self) {
         while let Some(given) = self.given.get(self.next_job) {
             if given.at_ms + FIRST_MS > self.now.0 {
@@ -536,78 +470,6 @@
             self.apply(Event::JobCancelled(id));
         }
     }
-
-    fn write(&mut self) {
-        if self.writing || self.now < self.store_paused_until {
-            return;
-        }
-        let Some(scheduler) = &mut self.scheduler else {
-            return;
-        };
-        let records = scheduler.take_records(50, 1);
-        let waves = scheduler.wave_records();
-        if records.is_empty() && waves.is_empty() {
-            return;
-        }
-        self.writing = true;
-        let token = self.token;
-        let delay_ms = self.rng.random_range(5..40);
-        self.later(delay_ms, Delivery::Recorded(token, records, waves));
-    }
-
-    fn strike(&mut self) {
-        while let Some((at, trouble)) = self.faults_at.first().copied() {
-            if at > self.now {
-                return;
-            }
-            self.faults_at.remove(0);
-            match trouble {
-                Trouble::SchedulerEnds => {
-                    self.scheduler = None;
-                    let delay_ms = self.rng.random_range(100..2_500);
-                    self.later(delay_ms, Delivery::NextScheduler);
-                }
-                Trouble::Cut => {
-                    let Some(id) = self.any_worker() else {
-                        continue;
-                    };
-                    let delay_ms = self.rng.random_range(500..9_000);
-                    self.cut.insert(id.clone(), self.now);
-                    self.later(delay_ms, Delivery::Restored(id));
-                }
-                Trouble::Crash => {
-                    let Some(id) = self.any_worker() else {
-                        continue;
-                    };
-                    self.fleet.crash(&id);
-                    if let Some(life) = self.registered.remove(&id) {
-                        self.vms.remove(&life.vm);
-                    }
-                    self.apply(Event::WorkerUnlisted(id));
-                    let delay_ms = self.rng.random_range(500..4_000);
-                    self.later(delay_ms, Delivery::NewIncarnation);
-                }
-                Trouble::StorePauses => {
-                    let pause_ms = self.rng.random_range(500..5_000);
-                    self.store_paused_until = self.now.plus(pause_ms);
-                }
-            }
-        }
-    }
-
-    fn any_worker(&mut self) -> Option<WorkerId> {
-        let ids: Vec<_> = self.registered.keys().cloned().collect();
-        if ids.is_empty() {
-            return None;
-        }
-        let index = self.rng.random_range(0..ids.len());
-        ids.get(index).cloned()
-    }
-
-    fn chance(&mut self, per_mille: u32) -> bool {
-        let possible = self.now.0 < FAULTS_UNTIL_MS && per_mille > 0;
-        possible && self.rng.random_ratio(per_mille, 1_000)
-    }
 }
 
 fn spec_of(id: &WorkerId, life: &Life) -> WorkerSpec {
--- /dev/null
+++ b/crates/sched/tests/schedules/world/faults.rs
@@ -0,0 +1,66 @@
+//! What goes wrong, and when.
+
+use rand::Rng;
+use syc_sched::Event;
+use syc_types::WorkerId;
+
+use super::Delivery;
+use super::FAULTS_UNTIL_MS;
+use super::Trouble;
+use super::World;
+
+impl World {
+    pub(super) fn strike(&mut self) {
+        while let Some((at, trouble)) = self.faults_at.first().copied() {
+            if at > self.now {
+                return;
+            }
+            self.faults_at.remove(0);
+            match trouble {
+                Trouble::SchedulerEnds => {
+                    self.scheduler = None;
+                    let delay_ms = self.rng.random_range(100..2_500);
+                    self.later(delay_ms, Delivery::NextScheduler);
+                }
+                Trouble::Cut => {
+                    let Some(id) = self.any_worker() else {
+                        continue;
+                    };
+                    let delay_ms = self.rng.random_range(500..9_000);
+                    self.cut.insert(id.clone(), self.now);
+                    self.later(delay_ms, Delivery::Restored(id));
+                }
+                Trouble::Crash => {
+                    let Some(id) = self.any_worker() else {
+                        continue;
+                    };
+                    self.fleet.crash(&id);
+                    if let Some(life) = self.registered.remove(&id) {
+                        self.vms.remove(&life.vm);
+                    }
+                    self.apply(Event::WorkerUnlisted(id));
+                    let delay_ms = self.rng.random_range(500..4_000);
+                    self.later(delay_ms, Delivery::NewIncarnation);
+                }
+                Trouble::StorePauses => {
+                    let pause_ms = self.rng.random_range(500..5_000);
+                    self.store_paused_until = self.now.plus(pause_ms);
+                }
+            }
+        }
+    }
+
+    fn any_worker(&mut self) -> Option<WorkerId> {
+        let ids: Vec<_> = self.registered.keys().cloned().collect();
+        if ids.is_empty() {
+            return None;
+        }
+        let index = self.rng.random_range(0..ids.len());
+        ids.get(index).cloned()
+    }
+
+    pub(super) fn chance(&mut self, per_mille: u32) -> bool {
+        let possible = self.now.0 < FAULTS_UNTIL_MS && per_mille > 0;
+        possible && self.rng.random_ratio(per_mille, 1_000)
+    }
+}
--- /dev/null
+++ b/crates/sched/tests/schedules/world/sessions.rs
@@ -0,0 +1,99 @@
+//! Renewals of the workers' leases, and writes to the store.
+
+use rand::Rng;
+use syc_cell::ports::Renewal;
+use syc_sched::Event;
+use syc_sched::WorkerKey;
+use syc_types::WorkerId;
+
+use super::Delivery;
+use super::LEASE_MS;
+use super::RENEW_MS;
+use super::World;
+
+impl World {
+    pub(super) fn renew(&mut self) {
+        let due: Vec<_> = self
+            .sessions
+            .iter()
+            .filter(|(_, session)| session.renew_at <= self.now)
+            .map(|(key, session)| (*key, session.id.clone()))
+            .collect();
+        for (key, id) in due {
+            self.renew_one(key, &id);
+        }
+    }
+
+    pub(super) fn renew_one(&mut self, key: WorkerKey, id: &WorkerId) {
+        let Some(session) = self.sessions.get_mut(&key) else {
+            return;
+        };
+        session.renew_at = self.now.plus(RENEW_MS);
+        let extends = session.clock_read && !session.failed;
+        let acknowledged = self
+            .scheduler
+            .as_mut()
+            .map_or(0, |scheduler| scheduler.acknowledged_ends(key).0);
+        if extends {
+            self.apply(Event::Renewing { worker: key });
+        }
+        let Some(model) = self.fleet.workers.get(id) else {
+            // Another incarnation is at the address of a worker that crashed.
+            self.apply(Event::Replaced { worker: key });
+            return;
+        };
+        let renewal = Renewal {
+            lease_until_ms: extends.then(|| model.clock_ms(self.now) + LEASE_MS),
+            acknowledged,
+            wait_ms: 0,
+            token: self.token,
+        };
+        if self.cut.contains_key(id) {
+            self.renewal_failed(key);
+            return;
+        }
+        let renewed = self.fleet.renew(id, &renewal, self.now);
+        if self.is_lost() {
+            self.renewal_failed(key);
+            return;
+        }
+        let Ok(renewed) = renewed else {
+            self.renewal_failed(key);
+            return;
+        };
+        if let Some(session) = self.sessions.get_mut(&key) {
+            session.clock_read = true;
+            session.failed = false;
+        }
+        self.apply(Event::Renewed {
+            worker: key,
+            sent_at: self.now,
+            report: renewed.report,
+        });
+    }
+
+    pub(super) fn renewal_failed(&mut self, key: WorkerKey) {
+        if let Some(session) = self.sessions.get_mut(&key) {
+            session.failed = true;
+        }
+        self.apply(Event::RenewalFailed { worker: key });
+    }
+
+    pub(super) fn write(&mut self) {
+        if self.writing || self.now < self.store_paused_until {
+            return;
+        }
+        let Some(scheduler) = &mut self.scheduler else {
+            return;
+        };
+        let records = scheduler.take_records(50, 1);
+        let waves = scheduler.wave_records();
+        if records.is_empty() && waves.is_empty() {
+            return;
+        }
+        self.writing = true;
+        let token = self.token;
+        let delay_ms = self.rng.random_range(5..40);
+        self.later(delay_ms, Delivery::Recorded(token, records, waves));
+    }
+}
