--- a/crates/sched/src/spec.rs
+++ b/crates/sched/src/spec.rs
@@ -11,6 +11,10 @@
 /// Most tasks that a step may have.
 pub const STEP_TASKS_LIMIT: u32 = 10_000;
 
+/// Most tasks that all steps and occurrences of a job may have together. A task takes some 200 bytes of a
+/// scheduler: a job of 1,000 steps with 10,000 tasks each took two gigabytes.
+pub const JOB_TASKS_LIMIT: u64 = 50_000;
+
 /// Most steps that a job may have.
 pub const STEPS_LIMIT: usize = 1_000;
 
@@ -229,6 +233,11 @@
             let text = "the steps of all occurrences together are 1,000 at most";
             findings.push(SpecFinding::new(None, text));
         }
+        let tasks: u64 = self.steps.iter().map(|step| u64::from(step.tasks)).sum();
+        if tasks.saturating_mul(u64::from(self.schedule.times())) > JOB_TASKS_LIMIT {
+            let text = "the tasks of all steps and occurrences together are 50,000 at most";
+            findings.push(SpecFinding::new(None, text));
+        }
         for (index, step) in self.steps.iter().enumerate() {
             let place = Some(index);
             if step.tasks == 0 || step.tasks > STEP_TASKS_LIMIT {
--- a/crates/sched/tests/core/main.rs
+++ b/crates/sched/tests/core/main.rs
@@ -4,6 +4,7 @@
 mod driver;
 mod lasting;
 mod life;
+mod pools;
 mod preempt;
 mod sharing;
 mod silence;
