Go round workers that are slow beside others of the same steps

Change: a worker whose tasks take three times as long as most others of their step elsewhere (2.3 times by two steps) gets nothing new for 4 s, and a task that would end sooner elsewhere is stopped and moves, twice at most. Members of gangs, tasks that last, fill or have their data in one rack say nothing. A line says by how much and by how many steps.

--- a/crates/cell/src/log.rs
+++ b/crates/cell/src/log.rs
@@ -368,6 +368,19 @@
             .text("belief", belief)
             .number("silent_ms", *silent_ms)
             .emit(),
+        Note::WorkerSlow {
+            worker,
+            slowness_percent,
+            steps,
+            least,
+            least_percent,
+        } => Line::new(catalogue::WORKER_SLOW)
+            .text("worker", worker.as_str())
+            .number("slowness_percent", *slowness_percent)
+            .number("steps", *steps)
+            .display("least_step", least)
+            .number("least_percent", *least_percent)
+            .emit(),
         Note::Paced {
             worker,
             before_percent,
--- a/crates/obs/src/events.rs
+++ b/crates/obs/src/events.rs
@@ -196,6 +196,8 @@
     POOL_CHANGE = 746, Info, "pool of a service changes";
     /// The VMs could not be listed.
     VMS_UNLISTED = 747, Warn, "VMs not listed";
+    /// A worker's runs take longer than others of their steps.
+    WORKER_SLOW = 748, Warn, "worker taken as slow";
     /// A configuration came into force, or was held back.
     CONFIGURATION_SEEN = 750, Info, "configuration seen";
     /// A record of the store can't be read.
--- a/crates/sched/src/action.rs
+++ b/crates/sched/src/action.rs
@@ -124,6 +124,8 @@
     StartInDoubt,
     /// Its worker's VM is about to be taken.
     Emptying,
+    /// Its worker is slow, and it would end sooner elsewhere.
+    Slow,
 }
 
 impl StopReason {
@@ -139,6 +141,7 @@
             Self::Unwanted => "unwanted",
             Self::StartInDoubt => "start_in_doubt",
             Self::Emptying => "emptying",
+            Self::Slow => "slow",
         }
     }
 }
--- a/crates/sched/src/job.rs
+++ b/crates/sched/src/job.rs
@@ -63,6 +63,10 @@
     /// Number of the latest start that counts as failed.
     pub(crate) failed: Run,
     pub(crate) checkpoint: SmolStr,
+    /// Time that its latest run takes as a whole, at the speed seen.
+    pub(crate) whole_ms: Option<u64>,
+    /// Times that it was moved off a slow worker.
+    pub(crate) moves: u32,
     /// Workers on which it failed; it goes elsewhere where it can.
     pub(crate) avoid: Vec<WorkerKey>,
     /// Workers of a start by a predecessor, by name.
@@ -87,6 +91,8 @@
             accounted: Run(0),
             failed: Run(0),
             checkpoint: SmolStr::new_static(""),
+            whole_ms: None,
+            moves: 0,
             avoid: Vec::new(),
             placed_before: Vec::new(),
             reservation: None,
@@ -181,6 +187,12 @@
         })
     }
 
+    /// Says whether a task's next run goes on from a checkpoint.
+    pub(crate) fn resumes(&self, index: u32) -> bool {
+        let unit = self.unit_of(index).map(|(unit, _)| &self.units[unit]);
+        unit.is_some_and(|unit| !unit.checkpoint.is_empty())
+    }
+
     /// Returns the task at a position of a unit.
     pub(crate) fn task_at(&self, step: StepId, unit: usize, member: usize) -> TaskId {
         let index = if self.spec.gang { member } else { unit };
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -32,6 +32,7 @@
 mod recovery;
 mod reports;
 mod scheduler;
+mod slowness;
 mod spec;
 mod units;
 mod upkeep;
--- a/crates/sched/src/note.rs
+++ b/crates/sched/src/note.rs
@@ -72,6 +72,20 @@
         /// Time since it last answered.
         silent_ms: u64,
     },
+    /// A worker's runs take longer than others of their steps elsewhere, so that it gets nothing new for
+    /// a while.
+    WorkerSlow {
+        /// The worker.
+        worker: WorkerId,
+        /// How much longer they take, in hundredths.
+        slowness_percent: u64,
+        /// Steps that say so.
+        steps: usize,
+        /// The step that says least.
+        least: StepId,
+        /// How much longer by that step, in hundredths.
+        least_percent: u64,
+    },
     /// The runs that fill a worker go at another pace.
     Paced {
         /// The worker.
--- a/crates/sched/src/pacing.rs
+++ b/crates/sched/src/pacing.rs
@@ -167,7 +167,7 @@
             return usual_ms;
         };
         let serves = worker.runs.values().any(WorkerRun::serves);
-        let filled = worker.runs.values().any(|run| is_fill(&run.share));
+        let filled = worker.runs.values().any(WorkerRun::fills);
         if serves && filled {
             usual_ms.min(WATCHED_WAIT_MS)
         } else {
@@ -178,7 +178,7 @@
     /// Sets the pace of what fills a worker by how those do that serve there.
     pub(crate) fn pace_fills(&mut self, key: WorkerKey, now: Millis) {
         let worker = &mut self.workers[key];
-        let fills = worker.runs.values().filter(|run| is_fill(&run.share));
+        let fills = worker.runs.values().filter(|run| run.fills());
         let fills = fills.count();
         if fills == 0 {
             return;
@@ -256,7 +256,7 @@
         let percent = worker.pace.percent;
         let mut met = Vec::new();
         for ((fill, _), of_fill) in &worker.runs {
-            if !is_fill(&of_fill.share) {
+            if !of_fill.fills() {
                 continue;
             }
             for ((serving, _), of_serving) in &worker.runs {
@@ -322,7 +322,3 @@
         expected
     }
 }
-
-const fn is_fill(share: &Share) -> bool {
-    matches!(share, Share::Fills(_))
-}
--- a/crates/sched/src/place.rs
+++ b/crates/sched/src/place.rs
@@ -340,6 +340,7 @@
         let ticket = ticket.map_or_else(SmolStr::default, |ticket| ticket.text.clone());
         let held = WorkerRun {
             ticket: ticket.clone(),
+            resumed: of_step.resumes(task.index),
             ..WorkerRun::starting(&of_step.spec, of_job.spec.policy.priority, now)
         };
         self.headroom.take(held.resources.cpu_millis);
--- a/crates/sched/src/reports.rs
+++ b/crates/sched/src/reports.rs
@@ -147,6 +147,7 @@
         }
         self.end_absent(key, sent_at, report, now);
         self.pace_fills(key, now);
+        self.judge_slowness(key, now);
         self.recovery.heard(&id);
     }
 
@@ -180,15 +181,11 @@
             self.adopt_or_stop(key, listed, now);
             return;
         };
-        of_run.listed = true;
         if of_run.phase == Phase::Starting {
             of_run.phase = Phase::Running;
         }
         of_run.confirmed_at.get_or_insert(now);
-        if of_run.percent != listed.percent {
-            of_run.percent = listed.percent;
-            of_run.percent_at = now;
-        }
+        of_run.note_percent(listed.percent, now);
         if of_run.checkpoint != listed.checkpoint {
             of_run.checkpoint = listed.checkpoint.clone();
         }
@@ -266,6 +263,7 @@
             orders: 0,
             confirmed_at: Some(now),
             listed: true,
+            resumed: true,
             percent: listed.percent,
             checkpoint: listed.checkpoint.clone(),
             ..self.unordered_run(key, listed.task, now)
--- /dev/null
+++ b/crates/sched/src/slowness.rs
@@ -0,0 +1,275 @@
+//! Workers that run slow while they look sound: found by how far their runs come beside others of the
+//! same step elsewhere, and gone round.
+//!
+//! Estimates are too rough to tell a slow worker from a long task. Tasks of one step are alike, so that
+//! one which takes three times as long as most of the others tells of its worker.
+
+use std::collections::BTreeMap;
+
+use syc_types::Millis;
+
+use crate::Action;
+use crate::Note;
+use crate::Run;
+use crate::Scheduler;
+use crate::StepId;
+use crate::StopReason;
+use crate::TaskId;
+use crate::WorkerKey;
+use crate::job::Step;
+use crate::worker::Phase;
+use crate::worker::WorkerRun;
+use crate::worker::fits;
+
+/// A run says something after it has been listed for this long: reports come some tens of milliseconds
+/// late.
+const LEAST_MS: u64 = 200;
+
+/// Tasks of the same step elsewhere that a run is compared with, at least.
+const LEAST_OTHERS: usize = 3;
+
+/// A worker counts as slow from this factor on; the fewer steps say so, the more is asked of them: three
+/// times as long by one step, 2.3 times by two.
+const SLOW_FACTOR: f64 = 1.75;
+
+/// Each step has to show at least this factor: a slow worker is slow for all.
+const LEAST_FACTOR: f64 = 1.7;
+
+/// A worker that is slow gets nothing new for this long: then a few runs show whether it still is.
+const SLOW_MS: u64 = 4_000;
+
+/// At most this share of the workers is gone round as slow, in hundredths: where more seem so, it is
+/// something else.
+const SLOW_SHARE: usize = 30;
+
+/// What a run that goes elsewhere loses at least, beside the stop: the new start, and what is restored.
+const MOVE_MS: u64 = 700;
+
+/// It moves only where it would end this much sooner, in hundredths of the time elsewhere.
+const MOVE_GAIN: u64 = 120;
+
+/// A task is moved this often at most.
+const MOVES_LIMIT: u32 = 2;
+
+/// How slow a worker is, as a logarithm, and by how many steps.
+#[derive(Debug, Clone, Copy)]
+struct Slowness {
+    log: f64,
+    steps: usize,
+    least: (StepId, f64),
+}
+
+/// A run on a slow worker, and the time that it still needs there.
+#[derive(Debug, Clone, Copy)]
+struct Lag {
+    task: TaskId,
+    run: Run,
+    whole_ms: u64,
+    left_ms: u64,
+}
+
+/// Judges by how much longer than elsewhere each step's tasks take whether a worker is slow.
+fn slowness(steps: &BTreeMap<StepId, f64>) -> Option<Slowness> {
+    let count = u32::try_from(steps.len()).unwrap_or(u32::MAX);
+    let sum: f64 = steps.values().sum();
+    let least = steps.iter().min_by(|a, b| a.1.total_cmp(b.1));
+    let (step, least) = least?;
+    let is_slow = sum / f64::from(count + 1) >= SLOW_FACTOR.ln() && *least >= LEAST_FACTOR.ln();
+    is_slow.then(|| Slowness {
+        log: sum / f64::from(count),
+        steps: steps.len(),
+        least: (*step, *least),
+    })
+}
+
+impl Step {
+    /// Returns the time that most tasks take, beside those at some positions; none where too few tell.
+    fn usual_ms(&self, beside: &[usize]) -> Option<u64> {
+        let mut others = Vec::new();
+        for (index, unit) in self.units.iter().enumerate() {
+            if let Some(whole_ms) = unit.whole_ms.filter(|_| !beside.contains(&index)) {
+                others.push(whole_ms);
+            }
+        }
+        if others.len() < LEAST_OTHERS {
+            return None;
+        }
+        others.sort_unstable();
+        others.get(others.len() / 2).copied()
+    }
+}
+
+impl WorkerRun {
+    /// Returns the time that it takes as a whole at the speed seen so far; none while that is not
+    /// known, or says nothing of its worker: members of gangs go as slow as the slowest, what lasts
+    /// never ends, what fills gets what is left.
+    fn whole_ms(&self, now: Millis) -> Option<u64> {
+        let (from, from_percent) = self.progress_from?;
+        let elapsed_ms = now.since(from);
+        let tells = !self.gang && !self.lasts && !self.fills();
+        if self.phase != Phase::Running || !tells || elapsed_ms < LEAST_MS {
+            return None;
+        }
+        // The next percent may be all but done.
+        let done = u64::from(self.percent.saturating_sub(from_percent)) + 1;
+        Some(elapsed_ms * 100 / done)
+    }
+}
+
+impl Scheduler {
+    /// Judges by its runs whether a worker is slow; if it is, nothing new goes there for a while, and what
+    /// is better off elsewhere moves.
+    pub(crate) fn judge_slowness(&mut self, key: WorkerKey, now: Millis) {
+        let lags = self.note_speeds(key, now);
+        let mut steps: BTreeMap<StepId, Vec<Lag>> = BTreeMap::new();
+        for lag in &lags {
+            steps.entry(lag.task.step).or_default().push(*lag);
+        }
+        let mut slow = BTreeMap::new();
+        for (step, lags) in steps {
+            if let Some(log) = self.step_slowness(step, &lags) {
+                slow.insert(step, log);
+            }
+        }
+        let Some(slowness) = slowness(&slow) else {
+            return;
+        };
+        if self.too_many_slow(key, now) {
+            return;
+        }
+        self.go_round(key, slowness, now);
+        self.move_off_slow(key, &lags, now);
+    }
+
+    /// Remembers how long each run of a worker takes, and returns it.
+    fn note_speeds(&mut self, key: WorkerKey, now: Millis) -> Vec<Lag> {
+        let mut lags = Vec::new();
+        for ((task, run), held) in &self.workers[key].runs {
+            let Some(whole_ms) = held.whole_ms(now) else {
+                continue;
+            };
+            let left = u64::from(100 - held.percent.min(100));
+            lags.push(Lag {
+                task: *task,
+                run: *run,
+                whole_ms,
+                left_ms: whole_ms * left / 100,
+            });
+        }
+        for lag in &lags {
+            if let Some((job, step, unit, _member)) = self.locate(lag.task) {
+                self.jobs[job].steps[step].units[unit].whole_ms = Some(lag.whole_ms);
+            }
+        }
+        lags
+    }
+
+    /// Returns how much longer tasks of a step take on a worker than elsewhere, as a logarithm; the
+    /// fastest counts, since a slow worker is slow for all.
+    fn step_slowness(&self, step: StepId, lags: &[Lag]) -> Option<f64> {
+        let first = lags.first()?;
+        let (job, index, _unit, _member) = self.locate(first.task)?;
+        let of_step = &self.jobs[job].steps[index];
+        if of_step.spec.data_rack.is_some() {
+            // How long a task takes depends on where it is.
+            return None;
+        }
+        let here: Vec<_> = lags
+            .iter()
+            .filter_map(|lag| self.locate(lag.task))
+            .map(|(_, _, unit, _)| unit)
+            .collect();
+        let usual_ms = of_step.usual_ms(&here)?;
+        let fastest_ms = lags.iter().map(|lag| lag.whole_ms).min()?;
+        debug_assert_eq!(first.task.step, step, "runs of one step are compared");
+        Some((to_f64(fastest_ms) / to_f64(usual_ms.max(1))).ln())
+    }
+
+    /// Gives a slow worker nothing new for a while.
+    fn go_round(&mut self, key: WorkerKey, slowness: Slowness, now: Millis) {
+        let worker = &mut self.workers[key];
+        let until = now.plus(SLOW_MS);
+        let is_news = worker.slow_until <= now;
+        worker.slow_until = until;
+        worker.quarantined_until = worker.quarantined_until.max(until);
+        if is_news {
+            let (least, least_log) = slowness.least;
+            let note = Note::WorkerSlow {
+                worker: worker.spec.id.clone(),
+                slowness_percent: percent_of(slowness.log),
+                steps: slowness.steps,
+                least,
+                least_percent: percent_of(least_log),
+            };
+            self.actions.push(Action::Note(note));
+        }
+    }
+
+    /// Says whether so many other workers are gone round as slow that it must be something else.
+    fn too_many_slow(&self, key: WorkerKey, now: Millis) -> bool {
+        let others = self.workers.iter().filter(|(other, _)| *other != key);
+        let slow = others.filter(|(_, worker)| worker.slow_until > now).count();
+        slow * 100 >= self.workers.len() * SLOW_SHARE
+    }
+
+    /// Stops what would end sooner elsewhere, as far as there is room.
+    fn move_off_slow(&mut self, key: WorkerKey, lags: &[Lag], now: Millis) {
+        for lag in lags {
+            let Some(elsewhere_ms) = self.elsewhere_ms(key, lag) else {
+                continue;
+            };
+            let cost_ms = elsewhere_ms + self.options.stop_ms + MOVE_MS;
+            if lag.left_ms * 100 > cost_ms * MOVE_GAIN && self.take_move(lag.task, key, now) {
+                self.stop_run(key, lag.task, lag.run, StopReason::Slow, now);
+            }
+        }
+    }
+
+    /// Returns the time that the rest of a run should take on another worker.
+    fn elsewhere_ms(&self, key: WorkerKey, lag: &Lag) -> Option<u64> {
+        let (job, step, unit, _member) = self.locate(lag.task)?;
+        let of_step = &self.jobs[job].steps[step];
+        let usual_ms = of_step.usual_ms(&[unit]);
+        let whole_ms = usual_ms.unwrap_or(of_step.spec.estimate_ms);
+        let held = self.workers[key].runs.get(&(lag.task, lag.run))?;
+        let left = u64::from(100 - held.percent.min(100));
+        Some(if held.checkpointed {
+            whole_ms * left / 100
+        } else {
+            whole_ms
+        })
+    }
+
+    /// Says whether a task may move once more, and others have room for it.
+    fn take_move(&mut self, task: TaskId, from: WorkerKey, now: Millis) -> bool {
+        let Some((job, step, unit, _member)) = self.locate(task) else {
+            return false;
+        };
+        let of_step = &self.jobs[job].steps[step];
+        let need = of_step.spec.room();
+        let label = of_step.spec.required_label.as_ref();
+        let eligible = self.eligible(label, &self.jobs[job], now);
+        let mut others = eligible.into_iter().filter(|key| *key != from);
+        let has_room = others.any(|key| fits(&self.workers[key].room(), &need, 1) == 1);
+        let unit = &mut self.jobs[job].steps[step].units[unit];
+        if !has_room || unit.moves >= MOVES_LIMIT {
+            return false;
+        }
+        unit.moves += 1;
+        true
+    }
+}
+
+/// Returns a factor in hundredths.
+fn percent_of(log: f64) -> u64 {
+    let factor = std::time::Duration::from_secs(100).mul_f64(log.exp().clamp(0.0, 1_000.0));
+    factor.as_secs()
+}
+
+#[expect(
+    clippy::cast_precision_loss,
+    reason = "times of runs are far below what a float holds exactly"
+)]
+const fn to_f64(time_ms: u64) -> f64 {
+    time_ms as f64
+}
--- a/crates/sched/src/worker.rs
+++ b/crates/sched/src/worker.rs
@@ -50,6 +50,10 @@
     pub(crate) stop_taken_at: Option<Millis>,
     pub(crate) percent: u8,
     pub(crate) percent_at: Millis,
+    /// When it was first listed, or had been restored, and how far it was.
+    pub(crate) progress_from: Option<(Millis, u8)>,
+    /// Whether it went on from a checkpoint, or may have.
+    pub(crate) resumed: bool,
     pub(crate) checkpoint: SmolStr,
     pub(crate) ticket: SmolStr,
     pub(crate) priority: u32,
@@ -104,6 +108,8 @@
             stop_taken_at: None,
             percent: 0,
             percent_at: now,
+            progress_from: None,
+            resumed: false,
             checkpoint: SmolStr::default(),
             ticket: SmolStr::default(),
             priority,
@@ -119,6 +125,27 @@
         matches!(self.share, Share::Serves { .. })
     }
 
+    /// Says whether it gets what others leave unused.
+    pub(crate) const fn fills(&self) -> bool {
+        matches!(self.share, Share::Fills(_))
+    }
+
+    /// Takes note that it is listed, and how far it is.
+    pub(crate) fn note_percent(&mut self, percent: u8, now: Millis) {
+        let is_first = !self.listed;
+        let moved = self.percent != percent;
+        self.listed = true;
+        // What is restored first makes no progress: it counts from its first step on.
+        let counts = !self.resumed || (moved && !is_first);
+        if self.progress_from.is_none() && counts {
+            self.progress_from = Some((now, percent));
+        }
+        if moved {
+            self.percent = percent;
+            self.percent_at = now;
+        }
+    }
+
     /// Returns since when it has not been known whether it runs: its start or its stop has no answer.
     pub(crate) fn in_doubt_since(&self) -> Option<Millis> {
         let is_open = match self.phase {
@@ -181,6 +208,8 @@
     pub(crate) quarantined_until: Millis,
     /// Times that it was quarantined lately.
     pub(crate) quarantines: u32,
+    /// It counts as slow until then.
+    pub(crate) slow_until: Millis,
     /// Whether its work moves off, since its VM is about to be taken.
     pub(crate) emptying: bool,
     /// How fast the runs may go that fill what is left over.
@@ -205,6 +234,7 @@
             failures_in_row: 0,
             quarantined_until: Millis(0),
             quarantines: 0,
+            slow_until: Millis(0),
             emptying: false,
             pace: PaceControl::new(),
         }
--- a/crates/sched/tests/core/main.rs
+++ b/crates/sched/tests/core/main.rs
@@ -8,6 +8,7 @@
 mod preempt;
 mod sharing;
 mod silence;
+mod slow;
 mod spread;
 mod takeover;
 mod upkeep;
--- /dev/null
+++ b/crates/sched/tests/core/slow.rs
@@ -0,0 +1,177 @@
+//! Workers that run slow while they look sound.
+
+use syc_sched::Event;
+use syc_sched::JobId;
+use syc_sched::Run;
+use syc_sched::RunEnd;
+use syc_sched::StartOrder;
+use syc_sched::StepId;
+use syc_sched::StepSpec;
+use syc_sched::StopReason;
+use syc_sched::TaskId;
+use syc_sched::WorkerKey;
+use test_case::test_case;
+
+use crate::driver::Driver;
+use crate::driver::policy;
+use crate::driver::step;
+use crate::driver::worker;
+
+/// How far the runs of a worker are, where each takes so long.
+fn percents(started: &[StartOrder], worker: WorkerKey, after_ms: u64, whole_ms: u64) -> Listed {
+    let percent = u8::try_from((after_ms * 100 / whole_ms).min(99)).expect("below 100");
+    let here = started.iter().filter(|start| start.worker == worker);
+    here.map(|start| (start.task, start.run, percent)).collect()
+}
+
+type Listed = Vec<(TaskId, Run, u8)>;
+
+/// Starts the tasks of two jobs, four on each worker, that take 4 s. On the first worker they take so many
+/// times as long. Returns the starts after a second of reports.
+fn run_for_a_second(driver: &mut Driver, step: &StepSpec, slow: u64) -> Vec<StartOrder> {
+    for id in [1, 2] {
+        driver.submit(id, policy(0), vec![step.clone()]);
+    }
+    driver.schedule();
+    let started = driver.confirm_starts();
+    let first = driver.workers[0];
+    for after_ms in (0..=1_000).step_by(100) {
+        for worker in driver.workers.clone() {
+            let whole_ms = if worker == first { 4_000 * slow } else { 4_000 };
+            let listed = percents(&started, worker, after_ms, whole_ms);
+            driver.hold(worker, &listed);
+        }
+        driver.apply(Event::Ticked);
+        driver.pass(100);
+    }
+    started
+}
+
+fn tasks_of_four_seconds() -> StepSpec {
+    StepSpec {
+        estimate_ms: 4_000,
+        tasks_per_worker: Some(2),
+        ..step(8, 1)
+    }
+}
+
+/// Returns on which workers one more task of each of eight jobs starts.
+fn next_workers(driver: &mut Driver) -> Vec<WorkerKey> {
+    for id in 10..18 {
+        driver.submit(id, policy(0), vec![step(1, 1)]);
+    }
+    driver.schedule();
+    driver.starts.iter().map(|start| start.worker).collect()
+}
+
+#[test_case(1, true; "as fast as the others")]
+#[test_case(2, true; "within what estimates leave open")]
+#[test_case(6, false; "six times slower")]
+fn nothing_new_goes_to_a_worker_whose_runs_all_come_too_slowly(slow: u64, used: bool) {
+    let mut driver = Driver::new(4, 8);
+    run_for_a_second(&mut driver, &tasks_of_four_seconds(), slow);
+    let first = driver.workers[0];
+    assert_eq!(next_workers(&mut driver).contains(&first), used);
+}
+
+#[test]
+fn a_slow_worker_is_tried_again_after_a_while() {
+    let mut driver = Driver::new(4, 8);
+    let started = run_for_a_second(&mut driver, &tasks_of_four_seconds(), 6);
+    let first = driver.workers[0];
+    for worker in driver.workers.clone() {
+        let here = started.iter().filter(|start| start.worker == worker);
+        let ended: Vec<_> = here.map(|s| (s.task, s.run, RunEnd::Done)).collect();
+        driver.report(worker, &[], &ended);
+    }
+    driver.pass(4_500);
+    for worker in driver.workers.clone() {
+        driver.hold(worker, &[]);
+    }
+    assert!(next_workers(&mut driver).contains(&first));
+}
+
+#[test_case(true; "saved")]
+#[test_case(false; "not saved")]
+fn what_would_end_sooner_elsewhere_moves_off_a_slow_worker(checkpointed: bool) {
+    let mut driver = Driver::new(4, 8);
+    let step = StepSpec {
+        checkpointed,
+        ..tasks_of_four_seconds()
+    };
+    run_for_a_second(&mut driver, &step, 6);
+    let first = driver.workers[0];
+    let moved: Vec<_> = driver
+        .stops
+        .iter()
+        .filter(|stop| stop.reason == StopReason::Slow)
+        .collect();
+    assert_eq!(moved.len(), 4);
+    assert!(moved.iter().all(|stop| stop.worker == first));
+}
+
+#[test]
+fn nothing_moves_where_no_other_worker_has_room() {
+    let mut driver = Driver::new(4, 4);
+    run_for_a_second(&mut driver, &tasks_of_four_seconds(), 6);
+    assert_eq!(driver.stops, []);
+}
+
+#[test]
+fn members_of_gangs_say_nothing_of_their_worker() {
+    let mut driver = Driver::new(4, 8);
+    let gang = StepSpec {
+        gang: true,
+        ..tasks_of_four_seconds()
+    };
+    run_for_a_second(&mut driver, &gang, 6);
+    assert_eq!(driver.stops, []);
+}
+
+/// How long such a task takes depends on where it is.
+#[test]
+fn tasks_with_data_in_one_rack_say_nothing_of_their_worker() {
+    let mut driver = Driver::new(4, 8);
+    let near = StepSpec {
+        data_rack: Some("r-9".into()),
+        ..tasks_of_four_seconds()
+    };
+    run_for_a_second(&mut driver, &near, 6);
+    assert_eq!(driver.stops, []);
+}
+
+/// A predecessor's run may just have been restored, and a resumed one is restored first.
+#[test]
+fn a_run_that_was_taken_over_counts_from_its_first_step_on() {
+    let mut driver = Driver::new(0, 0);
+    driver.restore(1, policy(0), vec![step(8, 1)], None);
+    for index in 0..4 {
+        driver.apply(Event::WorkerListed(worker(index, 8)));
+    }
+    driver.scheduler.begin_recovery(driver.now);
+    let step_id = StepId {
+        job: JobId(1),
+        occurrence: 0,
+        step: 0,
+    };
+    for after_ms in (0..=1_000).step_by(100) {
+        for (number, key) in (0..).zip(driver.workers.clone()) {
+            // On the first worker nothing moves for a second, as while checkpoints are restored.
+            let percent = if number == 0 { 30 } else { 30 + after_ms / 40 };
+            let percent = u8::try_from(percent).expect("below 100");
+            let tasks = [2 * number, 2 * number + 1];
+            let running = tasks.map(|index| {
+                let task = TaskId {
+                    step: step_id,
+                    index,
+                };
+                (task, Run(1), percent)
+            });
+            driver.hold(key, &running);
+        }
+        driver.pass(100);
+    }
+    assert_eq!(driver.stops, []);
+    let first = driver.workers[0];
+    assert!(next_workers(&mut driver).contains(&first));
+}
