--- a/crates/cell/src/log.rs
+++ b/crates/cell/src/log.rs
@@ -391,7 +391,7 @@
             .text("worker", worker.as_str())
             .number("before_percent", *before_percent)
             .number("percent", *percent)
-            .display("tail_percent", tail_percent.unwrap_or(0))
+            .number("tail_percent", tail_percent.unwrap_or(0))
             .flag("serves", tail_percent.is_some())
             .number("fills", *fills)
             .emit(),
--- a/crates/sched/src/place.rs
+++ b/crates/sched/src/place.rs
@@ -93,8 +93,9 @@
         fitting.into_iter().min_by_key(|key| {
             let worker = &self.workers[*key];
             // Runs that serve disturb each other.
-            let crowd = if serves { worker.serving() } else { 0 };
-            (crowd, left_over(worker, &worker.room(), &need))
+            let others = if serves { worker.serving() } else { 0 };
+            let leaves = self.awaits_upkeep(*key);
+            (leaves, others, left_over(worker, &worker.room(), &need))
         })
     }
 
--- a/crates/sched/src/upkeep.rs
+++ b/crates/sched/src/upkeep.rs
@@ -14,6 +14,7 @@
 use crate::VmState;
 use crate::Wave;
 use crate::WaveProgress;
+use crate::WorkerKey;
 
 /// Longest time that a VM is given to become empty.
 const EMPTYING_LIMIT_MS: u64 = 15_000;
@@ -310,6 +311,19 @@
         }
     }
 
+    /// Says whether a worker's VM is one of a wave and has its upkeep still before it: what starts there
+    /// has to move again.
+    pub(crate) fn awaits_upkeep(&self, key: WorkerKey) -> bool {
+        if self.upkeep.open.is_empty() {
+            return false;
+        }
+        let Some(vm) = &self.workers[key].spec.vm else {
+            return false;
+        };
+        let mut waves = self.upkeep.open.values();
+        waves.any(|wave| wave.phases.get(vm) == Some(&VmPhase::Waiting))
+    }
+
     /// Says whether a VM is up and does not leave by itself.
     fn is_free_to_go(&self, vm: &VmId) -> bool {
         let is_up = self.vms.known.get(vm).map(|info| info.state) == Some(VmState::Up);
--- a/crates/sched/tests/core/upkeep.rs
+++ b/crates/sched/tests/core/upkeep.rs
@@ -12,6 +12,7 @@
 use syc_sched::VmState;
 use syc_sched::Wave;
 use syc_sched::WaveProgress;
+use syc_sched::WorkerSpec;
 use syc_types::ServiceName;
 use syc_types::VmId;
 use syc_types::WorkerId;
@@ -22,6 +23,7 @@
 use crate::driver::policy;
 use crate::driver::step;
 use crate::driver::vm;
+use crate::driver::worker;
 
 const WAVE: u64 = 5;
 
@@ -210,6 +212,26 @@
     assert_eq!(ordered(&mut driver), []);
 }
 
+/// Work that moved to the next VM of the wave had to move again, at each of them.
+#[test]
+fn what_starts_goes_to_vms_that_have_had_their_upkeep_where_it_can() {
+    let mut driver = published(3, 1);
+    pass(&mut driver, 3, &[], 4_000);
+    assert_eq!(ordered(&mut driver), [vm(0)]);
+    answer(&mut driver, vm(0), DutyAnswer::Done);
+    // The next life of the first VM is there before the second goes down.
+    driver.apply(Event::WorkerListed(WorkerSpec {
+        id: WorkerId::new("w-0-again"),
+        ..worker(0, 4)
+    }));
+    let again = *driver.workers.last().expect("it was attached");
+    driver.hold(again, &[]);
+    driver.submit(1, policy(0), vec![step(4, 1)]);
+    driver.schedule();
+    let workers: Vec<_> = driver.starts.iter().map(|start| start.worker).collect();
+    assert_eq!(workers, [again; 4]);
+}
+
 #[test]
 fn nothing_is_asked_or_ordered_without_a_wave() {
     let mut driver = Driver::new(2, 4);
