--- a/crates/coord/tests/home.rs
+++ b/crates/coord/tests/coord/home.rs
@@ -1,11 +1,6 @@
 //! The home under generated schedules: owners that die, answers that are lost, a log that is down,
 //! homes that change. What must hold is checked against the world that the schedules run in.
 
-mod home_world;
-
-use home_world::Fate;
-use home_world::Op;
-use home_world::World;
 use proptest::prelude::*;
 use proptest::test_runner::RngAlgorithm;
 use proptest::test_runner::TestRng;
@@ -32,6 +27,10 @@
 use test_case::test_case;
 use uuid::Uuid;
 
+use crate::home_world::Fate;
+use crate::home_world::Op;
+use crate::home_world::World;
+
 const SCHEDULES: u32 = 2_000;
 
 fn fate() -> impl Strategy<Value = Fate> {
