--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -5,14 +5,12 @@
 use std::collections::BTreeSet;
 
 use smol_str::SmolStr;
-use smol_str::format_smolstr;
 use syc_cell::ports::OrderError;
 use syc_cell::ports::PaceCommand;
 use syc_cell::ports::Renewal;
 use syc_cell::ports::Renewed;
 use syc_cell::ports::StartCommand;
 use syc_cell::ports::StopCommand;
-use syc_sched::EndReport;
 use syc_sched::Run;
 use syc_sched::RunEnd;
 use syc_sched::RunningReport;
@@ -22,7 +20,6 @@
 use syc_sched::TaskId;
 use syc_sched::WorkerReport;
 use syc_types::Millis;
-use syc_types::Resources;
 use syc_types::WorkerId;
 
 use crate::Judge;
@@ -30,9 +27,9 @@
 use crate::sharing::SharingRun;
 use crate::sharing::TailModel;
 use crate::sharing::TailModels;
-
-/// A task that lasts is at work after this time.
-const STARTUP_MS: u64 = 200;
+use crate::worker::LiveRun;
+use crate::worker::WorkerModel;
+use crate::worker::checkpoint_of;
 
 /// How a task goes, whatever is ordered.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -43,41 +40,6 @@
     pub failing_runs: u32,
 }
 
-/// One incarnation of a worker.
-#[derive(Debug, Clone)]
-pub struct WorkerModel {
-    /// Its name.
-    pub id: WorkerId,
-    /// What it has.
-    pub capacity: Resources,
-    /// By how much its clock runs slow, in thousandths.
-    pub slow_per_mille: u64,
-    token: u64,
-    lease_until_ms: u64,
-    runs: BTreeMap<TaskId, LiveRun>,
-    /// The latest run of each task that ended or was stopped here.
-    latest: BTreeMap<TaskId, Run>,
-    ends: Vec<EndReport>,
-    /// Ends up to this number were listed before a lease lapsed: noting them counts no more.
-    void_ends: u64,
-    last_end: u64,
-}
-
-#[derive(Debug, Clone)]
-struct LiveRun {
-    run: Run,
-    resources: Resources,
-    gang: bool,
-    /// Whether it runs until it is stopped.
-    lasts: bool,
-    began_at: Millis,
-    /// Work done, and work that was done before it began here.
-    done_ms: u64,
-    plan: Plan,
-    saves: bool,
-    sharing: SharingRun,
-}
-
 /// All workers, and how their tasks go.
 #[derive(Debug, Clone, Default)]
 pub struct FleetModel {
@@ -91,100 +53,6 @@
     advanced_to: Millis,
 }
 
-impl WorkerModel {
-    /// Makes a worker that runs nothing.
-    #[must_use]
-    pub const fn new(id: WorkerId, capacity: Resources, slow_per_mille: u64) -> Self {
-        Self {
-            id,
-            capacity,
-            slow_per_mille,
-            token: 0,
-            lease_until_ms: 0,
-            runs: BTreeMap::new(),
-            latest: BTreeMap::new(),
-            ends: Vec::new(),
-            void_ends: 0,
-            last_end: 0,
-        }
-    }
-
-    /// Returns what its clock shows.
-    #[must_use]
-    pub const fn clock_ms(&self, now: Millis) -> u64 {
-        now.0 - now.0 * self.slow_per_mille / 1_000
-    }
-
-    /// Returns the number of runs on it.
-    #[must_use]
-    pub fn run_count(&self) -> usize {
-        self.runs.len()
-    }
-
-    /// Returns the pace of a run; none where it is not there.
-    #[must_use]
-    pub fn pace_percent(&self, task: TaskId) -> Option<u8> {
-        self.runs.get(&task).map(|live| live.sharing.pace_percent)
-    }
-
-    fn disturbs_cpu_millis(&self) -> u64 {
-        let runs = self.runs.values();
-        runs.map(|live| live.sharing.disturbs_cpu_millis()).sum()
-    }
-
-    fn used(&self) -> Resources {
-        let mut used = Resources::ZERO;
-        for run in self.runs.values() {
-            used = used.saturating_add(&run.resources);
-        }
-        used
-    }
-
-    fn check_token(&mut self, token: u64) -> Result<(), OrderError> {
-        if token < self.token {
-            return Err(OrderError::Fenced);
-        }
-        self.token = token;
-        Ok(())
-    }
-
-    fn end(&mut self, task: TaskId, end: RunEnd, judge: &mut Judge) {
-        let Some(live) = self.runs.remove(&task) else {
-            return;
-        };
-        self.latest.insert(task, live.run);
-        self.last_end += 1;
-        let checkpoint = checkpoint_of(&live);
-        self.ends.push(EndReport {
-            number: self.last_end,
-            task,
-            run: live.run,
-            end,
-            checkpoint,
-        });
-        judge.ended(&self.id, task, live.run, end == RunEnd::Done);
-    }
-}
-
-impl LiveRun {
-    /// Returns how far it is; one that lasts is at work once it has started up.
-    fn percent(&self) -> u8 {
-        if self.lasts {
-            return if self.done_ms >= STARTUP_MS { 100 } else { 0 };
-        }
-        let percent = self.done_ms * 100 / self.plan.work_ms.max(1);
-        u8::try_from(percent.min(99)).unwrap_or(99)
-    }
-}
-
-fn checkpoint_of(live: &LiveRun) -> SmolStr {
-    if live.saves && live.done_ms > 0 {
-        format_smolstr!("{}", live.done_ms)
-    } else {
-        SmolStr::default()
-    }
-}
-
 impl FleetModel {
     /// Says how a task goes.
     pub fn plan(&mut self, task: TaskId, plan: Plan) {
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -11,10 +11,10 @@
 mod sharing;
 mod store;
 mod vms;
+mod worker;
 
 pub use fleet::FleetModel;
 pub use fleet::Plan;
-pub use fleet::WorkerModel;
 pub use judge::Fault;
 pub use judge::Judge;
 pub use shared::SharedFaults;
@@ -22,3 +22,4 @@
 pub use sharing::TailModel;
 pub use store::StoreModel;
 pub use vms::VmsModel;
+pub use worker::WorkerModel;
--- /dev/null
+++ b/crates/fleet/src/shared/ports.rs
@@ -0,0 +1,250 @@
+//! The ports of a node, over the models.
+
+use smol_str::SmolStr;
+use smol_str::format_smolstr;
+use syc_cell::now;
+use syc_cell::pause;
+use syc_cell::ports::Advice;
+use syc_cell::ports::AdviceError;
+use syc_cell::ports::AdvicePort;
+use syc_cell::ports::AppendError;
+use syc_cell::ports::Appended;
+use syc_cell::ports::Condition;
+use syc_cell::ports::FormatError;
+use syc_cell::ports::Formats;
+use syc_cell::ports::ListError;
+use syc_cell::ports::Newest;
+use syc_cell::ports::OrderError;
+use syc_cell::ports::PaceCommand;
+use syc_cell::ports::Page;
+use syc_cell::ports::Published;
+use syc_cell::ports::ReadError;
+use syc_cell::ports::Record;
+use syc_cell::ports::Renewal;
+use syc_cell::ports::Renewed;
+use syc_cell::ports::StartCommand;
+use syc_cell::ports::StopCommand;
+use syc_cell::ports::Store;
+use syc_cell::ports::Topic;
+use syc_cell::ports::VmCommand;
+use syc_cell::ports::VmOrderError;
+use syc_cell::ports::VmPage;
+use syc_cell::ports::VmPort;
+use syc_cell::ports::WorkerAddress;
+use syc_cell::ports::WorkerPort;
+use syc_sched::StepId;
+use syc_sched::WorkerSpec;
+use syc_types::WorkerId;
+
+use super::CALL_MS;
+use super::LOOK_MS;
+use super::SharedPlatform;
+use super::State;
+use super::TICKET_MS;
+use super::WAVE_PREFIX;
+
+impl Store for SharedPlatform {
+    async fn append(
+        &self,
+        topic: Topic,
+        partition: u32,
+        records: &[Record],
+        condition: &Condition,
+    ) -> Result<Appended, AppendError> {
+        if self.reach_store().await {
+            return Err(AppendError::Refused(SmolStr::new_static("turned away")));
+        }
+        if self.lock().faults.down.contains(&(topic, partition)) {
+            return Err(AppendError::Refused(SmolStr::new_static("down")));
+        }
+        let (appended, lost) = {
+            let mut state = self.lock();
+            let faults = &mut state.faults;
+            let left = if topic == Topic::Jobs && faults.lost_submits > 0 {
+                &mut faults.lost_submits
+            } else {
+                &mut faults.lost_appends
+            };
+            let lost = *left > 0;
+            *left = left.saturating_sub(1);
+            let appended = state.store.append(topic, partition, records, condition);
+            (appended, lost)
+        };
+        if lost {
+            return std::future::pending().await;
+        }
+        appended
+    }
+
+    async fn read(
+        &self,
+        topic: Topic,
+        partition: u32,
+        from: u64,
+        wait_ms: u64,
+    ) -> Result<Page, ReadError> {
+        if self.reach_store().await {
+            return Err(ReadError::Unavailable(SmolStr::new_static("turned away")));
+        }
+        let until = now().plus(wait_ms);
+        loop {
+            if self.lock().faults.down.contains(&(topic, partition)) {
+                return Err(ReadError::Unavailable(SmolStr::new_static("down")));
+            }
+            let page = self.lock().store.read(topic, partition, from)?;
+            if !page.records.is_empty() || now() >= until {
+                return Ok(page);
+            }
+            pause(LOOK_MS).await;
+        }
+    }
+
+    async fn newest(&self, topic: Topic, partition: u32) -> Result<Newest, ReadError> {
+        if self.reach_store().await {
+            return Err(ReadError::Unavailable(SmolStr::new_static("turned away")));
+        }
+        let mut state = self.lock();
+        if state.faults.down.contains(&(topic, partition)) {
+            state.refused_reads += 1;
+            return Err(ReadError::Unavailable(SmolStr::new_static("down")));
+        }
+        *state.whole_reads.entry((topic, partition)).or_default() += 1;
+        Ok(state.store.newest(topic, partition))
+    }
+}
+
+impl WorkerPort for SharedPlatform {
+    async fn start(
+        &self,
+        worker: &WorkerAddress,
+        command: &StartCommand,
+        timeout_ms: u64,
+    ) -> Result<(), OrderError> {
+        self.begin_order(&worker.id);
+        pause(CALL_MS).await;
+        self.end_order(&worker.id);
+        let (started, lost) = {
+            let mut state = self.lock();
+            let lost = state.faults.lost_starts > 0;
+            state.faults.lost_starts = state.faults.lost_starts.saturating_sub(1);
+            (state.fleet.start(&worker.id, command, now()), lost)
+        };
+        if lost {
+            pause(timeout_ms).await;
+            return Err(OrderError::InDoubt(SmolStr::new_static("lost")));
+        }
+        started
+    }
+
+    async fn stop(
+        &self,
+        worker: &WorkerAddress,
+        command: &StopCommand,
+        _timeout_ms: u64,
+    ) -> Result<(), OrderError> {
+        pause(CALL_MS).await;
+        self.lock().fleet.stop(&worker.id, command, now())
+    }
+
+    async fn pace(
+        &self,
+        worker: &WorkerAddress,
+        command: &PaceCommand,
+        _timeout_ms: u64,
+    ) -> Result<(), OrderError> {
+        pause(CALL_MS).await;
+        self.lock().fleet.pace(&worker.id, command, now())
+    }
+
+    async fn renew(
+        &self,
+        worker: &WorkerAddress,
+        renewal: &Renewal,
+        _timeout_ms: u64,
+    ) -> Result<Renewed, OrderError> {
+        pause(CALL_MS).await;
+        let until = now().plus(renewal.wait_ms);
+        loop {
+            let renewed = self.lock().fleet.renew(&worker.id, renewal, now())?;
+            if !renewed.report.ended.is_empty() || now() >= until {
+                return Ok(renewed);
+            }
+            pause(LOOK_MS).await;
+        }
+    }
+}
+
+impl AdvicePort for SharedPlatform {
+    async fn advise(
+        &self,
+        step: StepId,
+        workers: &[WorkerId],
+        _timeout_ms: u64,
+    ) -> Result<Advice, AdviceError> {
+        pause(CALL_MS).await;
+        self.lock().advice_calls += 1;
+        let allowed = workers
+            .iter()
+            .map(|worker| (worker.clone(), format_smolstr!("{step}@{worker}")));
+        Ok(Advice {
+            allowed: allowed.collect(),
+            validity_ms: TICKET_MS,
+        })
+    }
+}
+
+impl Formats for SharedPlatform {
+    fn worker(&self, key: &str, _value: &[u8]) -> Result<WorkerSpec, FormatError> {
+        let state = self.lock();
+        let spec = state.specs.get(key).cloned();
+        spec.ok_or_else(|| FormatError(format!("no worker `{key}` was registered")))
+    }
+
+    fn published(&self, key: &str, value: &[u8]) -> Result<Published, FormatError> {
+        let state = self.lock();
+        if let Some(number) = key.strip_prefix(WAVE_PREFIX) {
+            let number = number.parse().ok();
+            let wave = number.and_then(|number: u64| state.vms.wave(number));
+            return Ok(wave.cloned().map_or(Published::Other, Published::Wave));
+        }
+        let name = String::from_utf8_lossy(value);
+        let configuration = state.configurations.get(&*name).cloned();
+        configuration
+            .map(Published::Configuration)
+            .ok_or_else(|| FormatError(format!("no configuration `{name}` was published")))
+    }
+
+    fn wave_status(&self, wave: u64, completed: bool) -> Record {
+        Record {
+            key: format_smolstr!("{WAVE_PREFIX}{wave}"),
+            value: if completed { "completed" } else { "running" }.into(),
+        }
+    }
+}
+
+impl VmPort for SharedPlatform {
+    async fn list_vms(&self, from: Option<&str>, _timeout_ms: u64) -> Result<VmPage, ListError> {
+        pause(CALL_MS).await;
+        self.bring_vms_back();
+        let listed = self.lock().vms.list();
+        // In two parts, so that both are asked for.
+        let (first, rest) = listed.split_at(listed.len() / 2);
+        Ok(match from {
+            None => VmPage {
+                vms: first.to_vec(),
+                next: Some(SmolStr::new_static("rest")),
+            },
+            Some(_) => VmPage {
+                vms: rest.to_vec(),
+                next: None,
+            },
+        })
+    }
+
+    async fn order_vm(&self, command: &VmCommand, _timeout_ms: u64) -> Result<(), VmOrderError> {
+        pause(CALL_MS).await;
+        let mut state = self.lock();
+        let State { vms, fleet, .. } = &mut *state;
+        vms.order(fleet, command, now())
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/worker.rs
@@ -0,0 +1,150 @@
+//! One worker: what runs on it, what ended, and which orders it takes.
+
+use std::collections::BTreeMap;
+
+use smol_str::SmolStr;
+use smol_str::format_smolstr;
+use syc_cell::ports::OrderError;
+use syc_sched::EndReport;
+use syc_sched::Run;
+use syc_sched::RunEnd;
+use syc_sched::TaskId;
+use syc_types::Millis;
+use syc_types::Resources;
+use syc_types::WorkerId;
+
+use crate::Judge;
+use crate::Plan;
+use crate::sharing::SharingRun;
+
+/// A task that lasts is at work after this time.
+const STARTUP_MS: u64 = 200;
+
+/// One incarnation of a worker.
+#[derive(Debug, Clone)]
+pub struct WorkerModel {
+    /// Its name.
+    pub id: WorkerId,
+    /// What it has.
+    pub capacity: Resources,
+    /// By how much its clock runs slow, in thousandths.
+    pub slow_per_mille: u64,
+    pub(crate) token: u64,
+    pub(crate) lease_until_ms: u64,
+    pub(crate) runs: BTreeMap<TaskId, LiveRun>,
+    /// The latest run of each task that ended or was stopped here.
+    pub(crate) latest: BTreeMap<TaskId, Run>,
+    pub(crate) ends: Vec<EndReport>,
+    /// Ends up to this number were listed before a lease lapsed: noting them counts no more.
+    pub(crate) void_ends: u64,
+    pub(crate) last_end: u64,
+}
+
+#[derive(Debug, Clone)]
+pub(crate) struct LiveRun {
+    pub(crate) run: Run,
+    pub(crate) resources: Resources,
+    pub(crate) gang: bool,
+    /// Whether it runs until it is stopped.
+    pub(crate) lasts: bool,
+    pub(crate) began_at: Millis,
+    /// Work done, and work that was done before it began here.
+    pub(crate) done_ms: u64,
+    pub(crate) plan: Plan,
+    pub(crate) saves: bool,
+    pub(crate) sharing: SharingRun,
+}
+
+impl WorkerModel {
+    /// Makes a worker that runs nothing.
+    #[must_use]
+    pub const fn new(id: WorkerId, capacity: Resources, slow_per_mille: u64) -> Self {
+        Self {
+            id,
+            capacity,
+            slow_per_mille,
+            token: 0,
+            lease_until_ms: 0,
+            runs: BTreeMap::new(),
+            latest: BTreeMap::new(),
+            ends: Vec::new(),
+            void_ends: 0,
+            last_end: 0,
+        }
+    }
+
+    /// Returns what its clock shows.
+    #[must_use]
+    pub const fn clock_ms(&self, now: Millis) -> u64 {
+        now.0 - now.0 * self.slow_per_mille / 1_000
+    }
+
+    /// Returns the number of runs on it.
+    #[must_use]
+    pub fn run_count(&self) -> usize {
+        self.runs.len()
+    }
+
+    /// Returns the pace of a run; none where it is not there.
+    #[must_use]
+    pub fn pace_percent(&self, task: TaskId) -> Option<u8> {
+        self.runs.get(&task).map(|live| live.sharing.pace_percent)
+    }
+
+    pub(crate) fn disturbs_cpu_millis(&self) -> u64 {
+        let runs = self.runs.values();
+        runs.map(|live| live.sharing.disturbs_cpu_millis()).sum()
+    }
+
+    pub(crate) fn used(&self) -> Resources {
+        let mut used = Resources::ZERO;
+        for run in self.runs.values() {
+            used = used.saturating_add(&run.resources);
+        }
+        used
+    }
+
+    pub(crate) fn check_token(&mut self, token: u64) -> Result<(), OrderError> {
+        if token < self.token {
+            return Err(OrderError::Fenced);
+        }
+        self.token = token;
+        Ok(())
+    }
+
+    pub(crate) fn end(&mut self, task: TaskId, end: RunEnd, judge: &mut Judge) {
+        let Some(live) = self.runs.remove(&task) else {
+            return;
+        };
+        self.latest.insert(task, live.run);
+        self.last_end += 1;
+        let checkpoint = checkpoint_of(&live);
+        self.ends.push(EndReport {
+            number: self.last_end,
+            task,
+            run: live.run,
+            end,
+            checkpoint,
+        });
+        judge.ended(&self.id, task, live.run, end == RunEnd::Done);
+    }
+}
+
+impl LiveRun {
+    /// Returns how far it is; one that lasts is at work once it has started up.
+    pub(crate) fn percent(&self) -> u8 {
+        if self.lasts {
+            return if self.done_ms >= STARTUP_MS { 100 } else { 0 };
+        }
+        let percent = self.done_ms * 100 / self.plan.work_ms.max(1);
+        u8::try_from(percent.min(99)).unwrap_or(99)
+    }
+}
+
+pub(crate) fn checkpoint_of(live: &LiveRun) -> SmolStr {
+    if live.saves && live.done_ms > 0 {
+        format_smolstr!("{}", live.done_ms)
+    } else {
+        SmolStr::default()
+    }
+}
