Tell again that a wave is completed, and order nothing by an old list of VMs

Cause: found by reading: a scheduler that ended between keeping that a wave is completed and telling operators left the wave as running for good; orders about VMs could rest on a list of any age. Change: a successor tells completed waves again; lists older than two seconds are not acted on.

--- a/crates/sched/src/pools.rs
+++ b/crates/sched/src/pools.rs
@@ -80,7 +80,7 @@
             return;
         }
         self.ask_for_vms(now);
-        if now < self.vms.orders_from || self.vms.listed_at.is_none() {
+        if !self.vms.may_order(now) {
             return;
         }
         self.finish_moves(now);
--- a/crates/sched/src/upkeep.rs
+++ b/crates/sched/src/upkeep.rs
@@ -154,7 +154,15 @@
     pub(crate) fn wave_published(&mut self, wave: Wave, age_ms: u64, now: Millis) {
         let number = wave.number;
         let upkeep = &mut self.upkeep;
-        if upkeep.open.contains_key(&number) || upkeep.completed.contains(&number) {
+        if upkeep.open.contains_key(&number) {
+            return;
+        }
+        if upkeep.completed.contains(&number) {
+            // A predecessor may have ended before it told so.
+            self.actions.push(Action::TellWave {
+                wave: number,
+                completed: true,
+            });
             return;
         }
         let left = upkeep.left.remove(&number);
@@ -208,7 +216,7 @@
             return;
         }
         self.ask_for_vms(now);
-        if now < self.vms.orders_from || self.vms.listed_at.is_none() {
+        if !self.vms.may_order(now) {
             return;
         }
         let mut waves = std::mem::take(&mut self.upkeep.open);
--- a/crates/sched/src/vms.rs
+++ b/crates/sched/src/vms.rs
@@ -16,7 +16,8 @@
 /// While something is to be done with VMs, they are listed this often.
 const LIST_MS: u64 = 500;
 
-/// A list that was asked for and did not come is asked for again after this time.
+/// A list that was asked for and did not come is asked for again after this time; one that is older says
+/// nothing any more.
 const LIST_TIMEOUT_MS: u64 = 2_000;
 
 /// What is known of the VMs.
@@ -31,7 +32,14 @@
 }
 
 impl Vms {
-    /// Says whether the platform listed a VM since a time, and what it is doing.
+    /// Says whether the list is young enough to act on, and no predecessor's orders are.
+    pub(crate) fn may_order(&self, now: Millis) -> bool {
+        let listed_at = self.listed_at;
+        let is_young = listed_at.is_some_and(|at| now.since(at) < LIST_TIMEOUT_MS);
+        is_young && now >= self.orders_from
+    }
+
+    /// Returns what a VM is doing, where the platform listed it since a time.
     pub(crate) fn seen_since(&self, id: &VmId, since: Millis) -> Option<&VmInfo> {
         let listed_at = self.listed_at?;
         self.known.get(id).filter(|_| listed_at > since)
--- a/crates/sched/tests/core/pools.rs
+++ b/crates/sched/tests/core/pools.rs
@@ -113,6 +113,22 @@
     assert_eq!(moves(&mut driver), [(vm(3), pool(SERVICE))]);
 }
 
+#[test]
+fn nothing_moves_by_a_list_that_is_old() {
+    let mut driver = driver();
+    pass(&mut driver, HERE, 4_000);
+    driver.pass(3_000);
+    driver.submit(1, policy(0), vec![step(12, 1)]);
+    for _ in 0..50 {
+        driver.pass(100);
+        driver.apply(Event::Ticked);
+        driver.apply(Event::VmsListed(None));
+    }
+    assert_eq!(moves(&mut driver), []);
+    pass(&mut driver, HERE, 1_500);
+    assert_eq!(moves(&mut driver).len(), 1);
+}
+
 #[test]
 fn a_move_in_doubt_is_ordered_again() {
     let mut driver = driver();
--- a/crates/sched/tests/core/upkeep.rs
+++ b/crates/sched/tests/core/upkeep.rs
@@ -140,6 +140,25 @@
     assert_eq!(ordered(&mut driver), [vm(1)]);
 }
 
+/// A predecessor may have ended between keeping that a wave is completed and telling it.
+#[test]
+fn a_successor_tells_again_that_a_wave_is_completed() {
+    let mut driver = Driver::new(3, 4);
+    driver.scheduler.restore_wave(WaveProgress {
+        number: WAVE,
+        begun: vec![vm(0), vm(1), vm(2)],
+        completed: true,
+        ..WaveProgress::default()
+    });
+    driver.apply(Event::WavePublished {
+        wave: wave(3, 1),
+        age_ms: 0,
+    });
+    pass(&mut driver, 3, &[], 5_000);
+    assert_eq!(driver.told, [(WAVE, true)]);
+    assert_eq!(ordered(&mut driver), []);
+}
+
 #[test]
 fn a_wave_is_told_as_completed_once_every_vm_that_stays_has_begun() {
     let mut driver = published(2, 2);
