Test nodes that join later, workers that are replaced, and clocks that differ

A node that joins while work runs serves and takes over; tasks of a worker that crashed start on its next incarnation; an occurrence starts its time after the acceptance by whatever clock.

--- a/crates/cell/tests/cell/main.rs
+++ b/crates/cell/tests/cell/main.rs
@@ -10,3 +10,4 @@
 mod store;
 mod takeover;
 mod vms;
+mod workers;
--- a/crates/cell/tests/cell/takeover.rs
+++ b/crates/cell/tests/cell/takeover.rs
@@ -121,3 +121,18 @@
     let latest_of_ample_ms = ample.claim_delay_ms() + ample.timing.claim_spread_ms;
     assert!(thin.claim_delay_ms() > 2 * latest_of_ample_ms);
 }
+
+#[test]
+fn a_node_that_joins_later_serves_and_can_take_over() {
+    let mut cluster = Cluster::start(1, 2);
+    let first = cluster.scheduler();
+    cluster.submit(first, 1, vec![step(2, 1_500)]);
+    cluster.wait_for_state(first, 1, JobState::Running);
+    let spare = cluster.add_node();
+    cluster.submit(spare, 2, vec![step(2, 20)]);
+    cluster.wait_for_state(spare, 2, JobState::Completed);
+    cluster.kill(first);
+    assert_eq!(cluster.scheduler(), spare);
+    cluster.wait_for_state(spare, 1, JobState::Completed);
+    cluster.assert_sound();
+}
--- a/crates/sched/tests/core/driver.rs
+++ b/crates/sched/tests/core/driver.rs
@@ -144,7 +144,21 @@
         steps: Vec<StepSpec>,
         schedule: Schedule,
     ) {
-        let spec = Box::new(job(id, policy, steps, schedule));
+        self.submit_accepted_at(id, policy, steps, schedule, 0);
+    }
+
+    pub fn submit_accepted_at(
+        &mut self,
+        id: u64,
+        policy: QueuePolicy,
+        steps: Vec<StepSpec>,
+        schedule: Schedule,
+        accepted_at_ms: u64,
+    ) {
+        let spec = Box::new(JobSpec {
+            accepted_at_ms,
+            ..job(id, policy, steps, schedule)
+        });
         self.apply(Event::JobStored { spec, age_ms: 0 });
     }
 
--- a/crates/sched/tests/core/lasting.rs
+++ b/crates/sched/tests/core/lasting.rs
@@ -120,3 +120,25 @@
     driver.schedule();
     assert_eq!(driver.starts.len(), 2);
 }
+
+/// The node that accepted the job may have a clock that is seconds ahead or behind: what counts is the
+/// time from its acceptance to the due time, both by that clock.
+#[test_case(0; "a clock far behind")]
+#[test_case(57_600; "a clock 2.4 s behind")]
+#[test_case(60_000; "a clock that is right")]
+#[test_case(62_400; "a clock 2.4 s ahead")]
+fn an_occurrence_starts_its_time_after_the_acceptance_by_whatever_clock(accepted_at_ms: u64) {
+    let mut driver = Driver::new(1, 4);
+    let schedule = Schedule {
+        occurrences: 1,
+        first_at_ms: accepted_at_ms + 5_000,
+        interval_ms: 0,
+    };
+    driver.submit_accepted_at(1, policy(0), vec![step(1, 1)], schedule, accepted_at_ms);
+    driver.pass(4_990);
+    driver.schedule();
+    assert!(driver.starts.is_empty(), "not due yet");
+    driver.pass(20);
+    driver.schedule();
+    assert_eq!(driver.starts.len(), 1);
+}
