Find a run's place once, and look at waiting VMs only while one may go down

Found by reading the change again: judging how slow a worker is looked each run's job up three times at every report; two functions found a step's bound in two ways; each look at a wave ranked all its VMs also when none may go. A run's place is carried, the step is found in one place, and the ranking waits. Behaviour is kept: the same tests pass.

--- a/crates/sched/src/slowness.rs
+++ b/crates/sched/src/slowness.rs
@@ -17,6 +17,7 @@
 use crate::TaskId;
 use crate::WorkerKey;
 use crate::job::Step;
+use crate::units::Place;
 use crate::worker::Phase;
 use crate::worker::WorkerRun;
 use crate::worker::fits;
@@ -67,8 +68,17 @@
 struct Lag {
     task: TaskId,
     run: Run,
+    place: Place,
     whole_ms: u64,
-    left_ms: u64,
+    /// What is left of it, and what of it would be elsewhere, in hundredths.
+    left_percent: u64,
+    elsewhere_percent: u64,
+}
+
+impl Lag {
+    const fn left_ms(&self) -> u64 {
+        self.whole_ms * self.left_percent / 100
+    }
 }
 
 /// Judges by how much longer than elsewhere each step's tasks take whether a worker is slow.
@@ -128,7 +138,7 @@
         }
         let mut slow = BTreeMap::new();
         for (step, lags) in steps {
-            if let Some(log) = self.step_slowness(step, &lags) {
+            if let Some(log) = self.step_slowness(&lags) {
                 slow.insert(step, log);
             }
         }
@@ -149,40 +159,37 @@
             let Some(whole_ms) = held.whole_ms(now) else {
                 continue;
             };
-            let left = u64::from(100 - held.percent.min(100));
+            let Some((job, step, unit, _member)) = self.locate(*task) else {
+                continue;
+            };
+            let left_percent = u64::from(100 - held.percent.min(100));
             lags.push(Lag {
                 task: *task,
                 run: *run,
+                place: Place { job, step, unit },
                 whole_ms,
-                left_ms: whole_ms * left / 100,
+                left_percent,
+                elsewhere_percent: if held.checkpointed { left_percent } else { 100 },
             });
         }
         for lag in &lags {
-            if let Some((job, step, unit, _member)) = self.locate(lag.task) {
-                self.jobs[job].steps[step].units[unit].whole_ms = Some(lag.whole_ms);
-            }
+            self.unit_mut(lag.place).whole_ms = Some(lag.whole_ms);
         }
         lags
     }
 
     /// Returns how much longer tasks of a step take on a worker than elsewhere, as a logarithm; the
     /// fastest counts, since a slow worker is slow for all.
-    fn step_slowness(&self, step: StepId, lags: &[Lag]) -> Option<f64> {
-        let first = lags.first()?;
-        let (job, index, _unit, _member) = self.locate(first.task)?;
-        let of_step = &self.jobs[job].steps[index];
+    fn step_slowness(&self, lags: &[Lag]) -> Option<f64> {
+        let place = lags.first()?.place;
+        let of_step = &self.jobs[place.job].steps[place.step];
         if of_step.spec.data_rack.is_some() {
             // How long a task takes depends on where it is.
             return None;
         }
-        let here: Vec<_> = lags
-            .iter()
-            .filter_map(|lag| self.locate(lag.task))
-            .map(|(_, _, unit, _)| unit)
-            .collect();
+        let here: Vec<_> = lags.iter().map(|lag| lag.place.unit).collect();
         let usual_ms = of_step.usual_ms(&here)?;
         let fastest_ms = lags.iter().map(|lag| lag.whole_ms).min()?;
-        debug_assert_eq!(first.task.step, step, "runs of one step are compared");
         Some((to_f64(fastest_ms) / to_f64(usual_ms.max(1))).ln())
     }
 
@@ -216,43 +223,32 @@
     /// Stops what would end sooner elsewhere, as far as there is room.
     fn move_off_slow(&mut self, key: WorkerKey, lags: &[Lag], now: Millis) {
         for lag in lags {
-            let Some(elsewhere_ms) = self.elsewhere_ms(key, lag) else {
-                continue;
-            };
-            let cost_ms = elsewhere_ms + self.options.stop_ms + MOVE_MS;
-            if lag.left_ms * 100 > cost_ms * MOVE_GAIN && self.take_move(lag.task, key, now) {
+            let cost_ms = self.elsewhere_ms(lag) + self.options.stop_ms + MOVE_MS;
+            if lag.left_ms() * 100 > cost_ms * MOVE_GAIN && self.take_move(lag.place, key, now) {
                 self.stop_run(key, lag.task, lag.run, StopReason::Slow, now);
             }
         }
     }
 
     /// Returns the time that the rest of a run should take on another worker.
-    fn elsewhere_ms(&self, key: WorkerKey, lag: &Lag) -> Option<u64> {
-        let (job, step, unit, _member) = self.locate(lag.task)?;
+    fn elsewhere_ms(&self, lag: &Lag) -> u64 {
+        let Place { job, step, unit } = lag.place;
         let of_step = &self.jobs[job].steps[step];
         let usual_ms = of_step.usual_ms(&[unit]);
         let whole_ms = usual_ms.unwrap_or(of_step.spec.estimate_ms);
-        let held = self.workers[key].runs.get(&(lag.task, lag.run))?;
-        let left = u64::from(100 - held.percent.min(100));
-        Some(if held.checkpointed {
-            whole_ms * left / 100
-        } else {
-            whole_ms
-        })
+        whole_ms * lag.elsewhere_percent / 100
     }
 
     /// Says whether a task may move once more, and others have room for it.
-    fn take_move(&mut self, task: TaskId, from: WorkerKey, now: Millis) -> bool {
-        let Some((job, step, unit, _member)) = self.locate(task) else {
-            return false;
-        };
+    fn take_move(&mut self, place: Place, from: WorkerKey, now: Millis) -> bool {
+        let Place { job, step, .. } = place;
         let of_step = &self.jobs[job].steps[step];
         let need = of_step.spec.room();
         let label = of_step.spec.required_label.as_ref();
         let eligible = self.eligible(label, &self.jobs[job], now);
         let mut others = eligible.into_iter().filter(|key| *key != from);
         let has_room = others.any(|key| fits(&self.workers[key].room(), &need, 1) == 1);
-        let unit = &mut self.jobs[job].steps[step].units[unit];
+        let unit = self.unit_mut(place);
         if !has_room || unit.moves >= MOVES_LIMIT {
             return false;
         }
--- a/crates/sched/src/units.rs
+++ b/crates/sched/src/units.rs
@@ -224,7 +224,7 @@
         }
     }
 
-    fn unit_mut(&mut self, place: Place) -> &mut Unit {
+    pub(crate) fn unit_mut(&mut self, place: Place) -> &mut Unit {
         &mut self.jobs[place.job].steps[place.step].units[place.unit]
     }
 
--- a/crates/sched/src/upkeep.rs
+++ b/crates/sched/src/upkeep.rs
@@ -306,6 +306,9 @@
     fn begin_upkeep(&mut self, wave: &mut OpenWave, now: Millis) {
         let at_once = usize::try_from(wave.wave.at_once).unwrap_or(0);
         let free = at_once.saturating_sub(wave.busy());
+        if free == 0 {
+            return;
+        }
         let mut ready = Vec::new();
         for (vm, phase) in &wave.phases {
             if *phase == VmPhase::Waiting && self.is_free_to_go(vm) {
--- a/crates/sched/src/vms.rs
+++ b/crates/sched/src/vms.rs
@@ -7,11 +7,12 @@
 
 use crate::Action;
 use crate::Scheduler;
+use crate::StepId;
+use crate::StepSpec;
 use crate::StopReason;
 use crate::VmInfo;
 use crate::WorkerKey;
 use crate::worker::Phase;
-use crate::worker::Worker;
 
 /// While something is to be done with VMs, they are listed this often.
 const LIST_MS: u64 = 500;
@@ -108,14 +109,17 @@
 
     /// Says whether what is left on a worker may be ended with the VM.
     pub(crate) fn may_end_rest(&self, key: WorkerKey) -> bool {
-        let worker: &Worker = &self.workers[key];
         let mut steps: BTreeMap<_, u32> = BTreeMap::new();
-        for (task, _) in worker.runs.keys() {
+        for (task, _) in self.workers[key].runs.keys() {
             *steps.entry(task.step).or_default() += 1;
         }
+        let is_bounded = |step| {
+            let spec = self.step_spec(step);
+            spec.is_some_and(|spec| spec.unavailable_limit.is_some())
+        };
         steps
             .into_iter()
-            .all(|(step, count)| self.is_unbounded(step) || self.may_interrupt(step, count))
+            .all(|(step, count)| !is_bounded(step) || self.may_interrupt(step, count))
     }
 
     /// Lets a worker have work again.
@@ -125,20 +129,17 @@
         }
     }
 
-    fn is_unbounded(&self, step: crate::StepId) -> bool {
-        let key = self.job_keys.get(&step.job);
-        let spec = key.and_then(|key| self.jobs[*key].spec.steps.get(usize::from(step.step)));
-        spec.is_none_or(|spec| spec.unavailable_limit.is_none())
+    /// Returns a step of a job that has not ended for good.
+    fn step_spec(&self, step: StepId) -> Option<&StepSpec> {
+        let job = &self.jobs[*self.job_keys.get(&step.job)?];
+        let of_step = job.steps.get(job.index_of(step)?)?;
+        Some(&of_step.spec)
     }
 
     /// Says whether so many tasks of a step may be taken out of service now. Without a bound of its
     /// own, one is at a time.
-    fn may_interrupt(&self, step: crate::StepId, count: u32) -> bool {
-        let Some(key) = self.job_keys.get(&step.job) else {
-            return true;
-        };
-        let job = &self.jobs[*key];
-        let Some(of_step) = job.index_of(step).and_then(|index| job.steps.get(index)) else {
+    fn may_interrupt(&self, step: StepId, count: u32) -> bool {
+        let Some(spec) = self.step_spec(step) else {
             return true;
         };
         let mut at_work = 0;
@@ -147,8 +148,8 @@
             let serving = runs.filter(|(_, run)| run.phase == Phase::Running && run.percent >= 100);
             at_work += u32::try_from(serving.count()).unwrap_or(u32::MAX);
         }
-        let away = of_step.spec.tasks.saturating_sub(at_work);
-        let limit = of_step.spec.unavailable_limit.unwrap_or(1);
+        let away = spec.tasks.saturating_sub(at_work);
+        let limit = spec.unavailable_limit.unwrap_or(1);
         away.saturating_add(count) <= limit
     }
 }
