Count a job as begun only once a worker has told of a run of it

Cause: a job counted as begun from the decision to start a task of it. Where the order never reached its worker, because that was cut off or its answer was lost, the job went on waiting and was not counted; the state that a successor reads said the same. With a fifth of the workers cut off and a tenth of the orders late, a queue was said to have 0 waiting jobs while 4 to 6 had waited for five seconds.

Change: an answered start, a listed run or a listed end says that a job has begun; an order does not. A count, like "no such job", is given only while every partition of jobs was read lately.

--- a/crates/cell/src/leader.rs
+++ b/crates/cell/src/leader.rs
@@ -280,19 +280,23 @@
         if let Some(state) = self.scheduler.borrow().state_of(id) {
             return StateAnswer::Known(state);
         }
-        let now = now();
-        let read_at = self.jobs_read_at.borrow();
-        let fresh = read_at.iter().all(|at| now.since(*at) < FRESH_MS);
-        if fresh {
+        if self.knows_all_jobs() {
             StateAnswer::NoSuchJob
         } else {
             StateAnswer::Unsure
         }
     }
 
+    /// Says whether every partition of jobs was read lately: a job that is not known does not exist.
+    fn knows_all_jobs(&self) -> bool {
+        let now = now();
+        let read_at = self.jobs_read_at.borrow();
+        read_at.iter().all(|at| now.since(*at) < FRESH_MS)
+    }
+
     /// Tells how many jobs of a queue have not begun.
     pub(crate) fn pending(&self, queue: &str) -> PendingAnswer {
-        if !self.loaded.get() {
+        if !self.loaded.get() || !self.knows_all_jobs() {
             return PendingAnswer::Unsure;
         }
         let jobs = self.scheduler.borrow().pending_jobs(queue);
--- a/crates/cell/tests/cell/store.rs
+++ b/crates/cell/tests/cell/store.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeSet;
 
 use smol_str::SmolStr;
+use syc_cell::PendingAnswer;
 use syc_cell::StateAnswer;
 use syc_cell::Stored;
 use syc_cell::ports::Topic;
@@ -11,6 +12,7 @@
 use syc_sched::JobState;
 
 use crate::cluster::Cluster;
+use crate::cluster::QUEUE;
 use crate::cluster::configuration;
 use crate::cluster::node_name;
 use crate::cluster::step;
@@ -131,6 +133,28 @@
     cluster.assert_sound();
 }
 
+/// A job that was stored in a partition that is not read waits, and nobody counts it.
+#[test]
+fn jobs_are_counted_only_while_every_partition_of_them_is_read() {
+    let cluster = Cluster::start(1, 1);
+    let node = cluster.scheduler();
+    let count = || cluster.on(node, |node| async move { node.pending(QUEUE).await });
+    cluster.wait("a count", || {
+        (count() == PendingAnswer::Known(0)).then_some(())
+    });
+    cluster.platform.set_faults(SharedFaults {
+        down: vec![(Topic::Jobs, 1)],
+        ..SharedFaults::default()
+    });
+    cluster.wait("no count", || {
+        (count() == PendingAnswer::Unsure).then_some(())
+    });
+    cluster.platform.set_faults(SharedFaults::default());
+    cluster.wait("a count again", || {
+        (count() == PendingAnswer::Known(0)).then_some(())
+    });
+}
+
 #[test]
 fn a_partition_of_progress_that_is_down_stops_nothing_and_a_successor_reads_both() {
     let mut cluster = Cluster::start(3, 2);
--- a/crates/fleet/src/judge.rs
+++ b/crates/fleet/src/judge.rs
@@ -36,6 +36,13 @@
     Harmed(TaskId),
     /// A start of something that nobody submitted, or that was cancelled long ago.
     Unasked(TaskId),
+    /// Fewer jobs were said to wait than had no task that ever began.
+    Undercounted {
+        /// Jobs that were said to wait.
+        said: usize,
+        /// Jobs that waited.
+        waiting: usize,
+    },
 }
 
 /// Watches every start and end on all workers.
@@ -49,6 +56,8 @@
     forbidden: BTreeSet<JobId>,
     /// Jobs whose tasks may end: they were cancelled.
     released: BTreeSet<JobId>,
+    /// Jobs of which some task has begun.
+    begun: BTreeSet<JobId>,
     faults: Vec<Fault>,
 }
 
@@ -82,6 +91,15 @@
         }
     }
 
+    /// A scheduler that knows all of these open jobs says that so many have no task that ever began.
+    pub fn counted(&mut self, said: usize, open: &[JobId]) {
+        let waiting = open.iter().filter(|job| !self.begun.contains(job)).count();
+        let fault = Fault::Undercounted { said, waiting };
+        if said < waiting && !self.faults.contains(&fault) {
+            self.faults.push(fault);
+        }
+    }
+
     /// Returns what was broken so far.
     #[must_use]
     pub fn faults(&self) -> &[Fault] {
@@ -129,6 +147,7 @@
             }
         }
         self.check_attempts(task);
+        self.begun.insert(task.step.job);
         let live = self.live.entry(task).or_default();
         if !live.is_empty() && !step.speculative {
             self.faults.push(Fault::Twice(task));
--- a/crates/sched/src/job.rs
+++ b/crates/sched/src/job.rs
@@ -225,7 +225,7 @@
     /// When it ended.
     pub(crate) ended_at: Option<Millis>,
     pub(crate) ended_at_ms: u64,
-    /// Whether some task has ever started.
+    /// Whether some worker has told of a run of it.
     pub(crate) begun: bool,
 }
 
@@ -253,7 +253,7 @@
         self.spec.id
     }
 
-    /// Takes note that a task of it has started.
+    /// Takes note that a task of it has begun on a worker.
     pub(crate) fn begin(&mut self) {
         self.begun = true;
         if self.state == JobState::Queued {
--- a/crates/sched/src/orders.rs
+++ b/crates/sched/src/orders.rs
@@ -36,6 +36,7 @@
                     of_run.phase = Phase::Running;
                     of_run.percent_at = now;
                 }
+                self.note_begun(task.step.job);
             }
             StartAnswer::Refused(refusal) => self.start_refused(key, task, run, refusal, now),
             StartAnswer::InDoubt => {
--- a/crates/sched/src/place.rs
+++ b/crates/sched/src/place.rs
@@ -318,7 +318,6 @@
             members: workers.iter().copied().map(Some).collect(),
         };
         step.pending -= 1;
-        job.begin();
         for (member, worker) in workers.iter().enumerate() {
             let task = self.jobs[job_key].steps[step_index].task_at(id, unit_index, member);
             self.start_member(job_key, step_index, *worker, task, run, now);
--- a/crates/sched/src/reports.rs
+++ b/crates/sched/src/reports.rs
@@ -5,6 +5,7 @@
 
 use crate::Action;
 use crate::EndReport;
+use crate::JobId;
 use crate::JobState;
 use crate::Note;
 use crate::Run;
@@ -151,6 +152,16 @@
         self.recovery.heard(&id);
     }
 
+    /// Takes note that a worker has told of a run of a job.
+    ///
+    /// An order alone says nothing: its worker may be cut off, and the job waits all the while.
+    pub(crate) fn note_begun(&mut self, id: JobId) {
+        let Some(key) = self.job_keys.get(&id) else {
+            return;
+        };
+        self.jobs[*key].begin();
+    }
+
     fn end_listed(&mut self, key: WorkerKey, ended: &EndReport, now: Millis) {
         let worker = &mut self.workers[key];
         if ended.number <= worker.handled_end {
@@ -162,8 +173,9 @@
             end: Some(ended.end),
             checkpoint: ended.checkpoint.clone(),
         };
-        self.end_run(key, ended.task, ended.run, ending, now);
         let job_id = ended.task.step.job;
+        self.note_begun(job_id);
+        self.end_run(key, ended.task, ended.run, ending, now);
         let job = self.job_keys.get(&job_id).map(|key| &self.jobs[*key]);
         let change = job.map_or(0, |job| job.changes);
         self.workers[key]
@@ -184,12 +196,16 @@
         if of_run.phase == Phase::Starting {
             of_run.phase = Phase::Running;
         }
+        let is_news = of_run.confirmed_at.is_none();
         of_run.confirmed_at.get_or_insert(now);
         of_run.note_percent(listed.percent, now);
         if of_run.checkpoint != listed.checkpoint {
             of_run.checkpoint = listed.checkpoint.clone();
         }
         self.take_load(key, listed);
+        if is_news {
+            self.note_begun(listed.task.step.job);
+        }
         let of_run = &self.workers[key].runs[&(listed.task, listed.run)];
         let stopped_long = now.since(of_run.ordered_at) > self.options.stop_ms * 2;
         if of_run.phase == Phase::Stopping && of_run.stop_taken_at.is_some() && stopped_long {
@@ -258,6 +274,7 @@
 
     /// Takes over a run that the predecessor started, or stops what nobody wants.
     fn adopt_or_stop(&mut self, key: WorkerKey, listed: &RunningReport, now: Millis) {
+        self.note_begun(listed.task.step.job);
         let held = WorkerRun {
             phase: Phase::Running,
             orders: 0,
@@ -344,7 +361,6 @@
             _ => return false,
         }
         unit.started = unit.started.max(run);
-        job.begin();
         true
     }
 }
--- a/crates/sched/src/scheduler.rs
+++ b/crates/sched/src/scheduler.rs
@@ -199,7 +199,8 @@
         Some(&self.jobs[*key].spec.policy.queue)
     }
 
-    /// Counts the open jobs of a queue none of whose tasks has started.
+    /// Counts the open jobs of a queue of which no worker has told that a task began: those whose
+    /// first start is still in doubt wait, as far as anybody knows.
     #[must_use]
     pub fn pending_jobs(&self, queue: &str) -> usize {
         let open = self.open.iter().map(|key| &self.jobs[*key]);
--- a/crates/sched/src/units.rs
+++ b/crates/sched/src/units.rs
@@ -229,7 +229,6 @@
     }
 
     fn count_outcome(&mut self, place: Place, run: Run, outcome: Outcome) {
-        self.jobs[place.job].begun = true;
         let unit = self.unit_mut(place);
         unit.accounted = run;
         unit.started = unit.started.max(run);
--- a/crates/sched/tests/schedules/jobs.rs
+++ b/crates/sched/tests/schedules/jobs.rs
@@ -21,6 +21,9 @@
 /// The service of every worker and job.
 pub const SERVICE: &str = "service";
 
+/// The queue of every job.
+pub const QUEUE: &str = "queue";
+
 /// Failed runs that a queue allows.
 const ATTEMPTS: u32 = 3;
 
@@ -186,7 +189,7 @@
 fn policy(rng: &mut SmallRng) -> QueuePolicy {
     let advised: bool = rng.random();
     QueuePolicy {
-        queue: SmolStr::new_static("queue"),
+        queue: SmolStr::new_static(QUEUE),
         service: ServiceName::new(SERVICE),
         priority: rng.random_range(0..3),
         attempts_limit: ATTEMPTS,
--- a/crates/sched/tests/schedules/main.rs
+++ b/crates/sched/tests/schedules/main.rs
@@ -7,6 +7,8 @@
 mod world;
 
 use syc_fleet::Fault;
+use syc_fleet::Judge;
+use syc_sched::JobId;
 use syc_sched::Options;
 use test_case::test_case;
 use world::Profile;
@@ -103,6 +105,17 @@
     assert!(harmed > 0, "no task's users were seen to wait too long");
 }
 
+#[test]
+fn the_judge_notices_a_count_that_is_too_small() {
+    let mut judge = Judge::default();
+    judge.counted(1, &[JobId(1), JobId(2)]);
+    let expected = Fault::Undercounted {
+        said: 1,
+        waiting: 2,
+    };
+    assert_eq!(judge.faults(), [expected]);
+}
+
 /// The rule that a worker's room counts until an end is listed is broken on purpose.
 #[test]
 fn the_judge_notices_a_worker_that_is_given_too_much() {
--- a/crates/sched/tests/schedules/world.rs
+++ b/crates/sched/tests/schedules/world.rs
@@ -39,6 +39,7 @@
 use syc_types::Zone;
 
 use crate::jobs::Given;
+use crate::jobs::QUEUE;
 use crate::jobs::SERVICE;
 use crate::jobs::cpu;
 use crate::jobs::generate;
@@ -249,6 +250,7 @@
             self.bring_jobs();
             self.renew();
             self.look();
+            self.check_count();
             self.write();
             let all_ended = self.wrong_ends().is_empty() && self.vms.all_completed();
             let over = self.now.0 > FAULTS_UNTIL_MS + 15_000 && all_ended;
@@ -403,6 +405,23 @@
         self.perform(actions);
     }
 
+    /// Asks how many jobs wait, as a caller may at any time.
+    fn check_count(&mut self) {
+        let Some(scheduler) = &self.scheduler else {
+            return;
+        };
+        let mut open = Vec::new();
+        for given in &self.given[..self.next_job] {
+            let id = given.spec.id;
+            let ended = scheduler.state_of(id).is_some_and(JobState::is_terminal);
+            if !ended && !self.cancelled.contains(&id) {
+                open.push(id);
+            }
+        }
+        let said = scheduler.pending_jobs(QUEUE);
+        self.fleet.judge.counted(said, &open);
+    }
+
     fn perform(&mut self, actions: Vec<Action>) {
         for action in actions {
             match action {
