Let a gang ask about more workers only while those allowed could not hold it three times over

Cause: a gang without room asked about more and more workers, again and again, until it had asked about all; each call takes over a second of a node.

Change: who may run a step does not change. Once the workers allowed could hold the gang three times over, were they empty, it waits for room there; room comes as runs end. Workers are no more kept free for gangs that have waited 1.5 s: that idled what many gangs were allowed to use.

--- a/crates/sched/src/gang.rs
+++ b/crates/sched/src/gang.rs
@@ -12,6 +12,9 @@
 /// A ticket that is good for less than this is asked for anew while room is being made.
 const FRESH_MS: u64 = 300;
 
+/// A gang asks about more workers until those that may run it could hold it so many times.
+const CHOICE: u32 = 3;
+
 /// Workers for the members of a gang, and how many of them each takes.
 #[derive(Debug)]
 struct Plan {
@@ -41,7 +44,10 @@
             return;
         }
         let Some(plan) = self.plan_gang(job, step, now) else {
-            self.wait_for_room(job, step, now);
+            // More room comes as runs end; more workers are asked about only where it can't be enough.
+            if !self.could_hold_gang(job, step, now) {
+                self.ask_for_gang(job, step, now);
+            }
             return;
         };
         if plan.preempts {
@@ -104,20 +110,15 @@
             .all(|(key, _)| self.has_ticket(job, step, *key, later))
     }
 
-    /// Asks about more workers, and keeps those that may run it from being filled by others.
-    fn wait_for_room(&mut self, job: JobKey, step: usize, now: Millis) {
-        self.ask_for_gang(job, step, now);
-        let of_job = &self.jobs[job];
-        let of_step = &of_job.steps[step];
-        let waited_ms = now.since(of_step.ready_at.unwrap_or(now));
-        if waited_ms < self.options.gang_patience_ms {
-            return;
-        }
-        let priority = of_job.spec.policy.priority;
-        let candidates = self.gang_candidates(job, step, now);
-        for key in candidates {
-            self.guarded.entry(key).or_insert(priority);
+    /// Says whether the workers that may run a gang have what it takes some times over, if others left.
+    fn could_hold_gang(&self, job: JobKey, step: usize, now: Millis) -> bool {
+        let spec = &self.jobs[job].steps[step].spec;
+        let limit = spec.tasks_per_worker.unwrap_or(spec.tasks).min(spec.tasks);
+        let mut held = 0;
+        for key in self.gang_candidates(job, step, now) {
+            held += fits(&self.workers[key].spec.capacity, &spec.room(), limit);
         }
+        held >= spec.tasks.saturating_mul(CHOICE)
     }
 
     /// Returns the workers that may run a gang, whether or not their tickets are still good.
@@ -199,9 +200,6 @@
         let id = self.step_id(job, step);
         let mut offers = Vec::new();
         for key in candidates {
-            if self.is_guarded_from(*key, job) {
-                continue;
-            }
             let worker = &self.workers[*key];
             let limit = limit.saturating_sub(worker.tasks_of(id));
             let free = fits(&worker.room(), &spec.room(), limit);
--- a/crates/sched/src/options.rs
+++ b/crates/sched/src/options.rs
@@ -34,8 +34,6 @@
     pub quarantine_ms: u64,
     /// Room is kept for a unit at most this long.
     pub reservation_ms: u64,
-    /// A gang that has waited longer than this keeps its workers from being filled by others.
-    pub gang_patience_ms: u64,
     /// A task, or a gang, that failed on some workers goes elsewhere; where there is no room it
     /// waits this long, and then takes them again: others may never be allowed.
     pub avoid_ms: u64,
@@ -77,7 +75,6 @@
             failures_in_row_limit: 3,
             quarantine_ms: 4_000,
             reservation_ms: 3_000,
-            gang_patience_ms: 1_500,
             avoid_ms: 1_000,
             upkeep_ms: 2_000,
             vm_order_pause_ms: 3_500,
--- a/crates/sched/src/place.rs
+++ b/crates/sched/src/place.rs
@@ -23,7 +23,6 @@
 impl Scheduler {
     /// Looks at every waiting task and returns what is to be done.
     pub fn schedule(&mut self, now: Millis) -> Vec<Action> {
-        self.guarded.clear();
         self.measure_headroom(now);
         for (_urgency, job, step) in self.waiting_steps(now) {
             if self.jobs[job].steps[step].spec.gang {
@@ -113,7 +112,7 @@
         let mut fitting = Vec::new();
         for key in allowed {
             let room = self.workers[*key].room();
-            if !need.fits_in(&room) || avoid.contains(key) || self.is_guarded_from(*key, job) {
+            if !need.fits_in(&room) || avoid.contains(key) {
                 continue;
             }
             if self.may_share(*key, job, step, unit) {
@@ -157,13 +156,6 @@
         tasks < bound
     }
 
-    /// Says whether a worker is kept for a gang that has waited too long.
-    pub(crate) fn is_guarded_from(&self, worker: WorkerKey, job: JobKey) -> bool {
-        let priority = self.jobs[job].spec.policy.priority;
-        let guard = self.guarded.get(&worker);
-        guard.is_some_and(|of_gang| *of_gang <= priority)
-    }
-
     /// Stops less urgent work on one worker, and keeps the room for a unit.
     fn make_room(
         &mut self,
--- a/crates/sched/src/reports.rs
+++ b/crates/sched/src/reports.rs
@@ -77,7 +77,6 @@
         };
         self.worker_keys.remove(&worker.spec.id);
         self.recovery.heard(&worker.spec.id);
-        self.guarded.remove(&key);
         self.actions.push(Action::Detach { worker: key });
     }
 
--- a/crates/sched/src/scheduler.rs
+++ b/crates/sched/src/scheduler.rs
@@ -58,8 +58,6 @@
     pub(crate) cancelled_early: BTreeMap<JobId, Millis>,
     pub(crate) queues: HashMap<SmolStr, QueueStats>,
     pub(crate) recovery: Recovery,
-    /// Workers that a gang has waited for too long, with the gang's priority.
-    pub(crate) guarded: BTreeMap<WorkerKey, u32>,
     pub(crate) headroom: Headroom,
     pub(crate) disturbance: Disturbance,
     pub(crate) vms: Vms,
@@ -86,7 +84,6 @@
             cancelled_early: BTreeMap::new(),
             queues: HashMap::new(),
             recovery: Recovery::default(),
-            guarded: BTreeMap::new(),
             headroom: Headroom::default(),
             disturbance: Disturbance::default(),
             vms: Vms::default(),
