--- a/crates/cell/src/leader/readers.rs
+++ b/crates/cell/src/leader/readers.rs
@@ -30,7 +30,7 @@
     P: Platform,
 {
     let node = Rc::clone(&leader.node);
-    let interval_ms = node.settings.timing.jobs_interval_ms;
+    let interval_ms = node.settings.jobs_interval_ms();
     loop {
         match node.read(Topic::Jobs, partition, from, 0).await {
             Ok(page) => {
--- a/crates/cell/src/settings.rs
+++ b/crates/cell/src/settings.rs
@@ -8,6 +8,13 @@
 /// some megabytes, within the time that others wait for a sign of it.
 const AMPLE_LINK_MBPS: f64 = 100.0;
 
+/// Partitions of jobs, at least: one for each of so many nodes. A scheduler reads them all.
+const JOB_PARTITIONS: u32 = 32;
+
+/// Each partition of jobs is read at least this often: a state is told only while each was read in the
+/// last two and a half seconds.
+const JOBS_INTERVAL_LIMIT_MS: u64 = 1_600;
+
 /// What a node is told at its start.
 #[derive(Debug, Clone, PartialEq)]
 pub struct NodeSettings {
@@ -21,7 +28,7 @@
     pub stop_limit_ms: u64,
     /// Time for which a job's state can be asked after it has ended.
     pub status_ms: u64,
-    /// Partitions that a topic has.
+    /// Partitions that a topic of the store has.
     pub partitions: u32,
     /// What its link carries, in megabits a second.
     pub link_mbps: f64,
@@ -67,9 +74,9 @@
     pub store_timeout_ms: u64,
     /// A submit is given up after this time: the caller asks again within its own timeout.
     pub submit_limit_ms: u64,
-    /// Jobs are looked for in the store this often. Nodes tell of what they stored at once, so that
-    /// this finds only what they could not tell; each read is paid for.
-    pub jobs_interval_ms: u64,
+    /// Reads that look for jobs in the store are this far apart, all partitions together. Nodes tell of
+    /// what they stored at once, so that this finds only what they could not tell; each read is paid for.
+    pub jobs_read_spacing_ms: u64,
     /// Appends of progress are at least this far apart, so that more ends share one.
     pub progress_spacing_ms: u64,
     /// The list of workers is read this often: a worker that drains may get nothing new after two
@@ -105,7 +112,7 @@
             peer_timeout_ms: 400,
             store_timeout_ms: 700,
             submit_limit_ms: 1_000,
-            jobs_interval_ms: 400,
+            jobs_read_spacing_ms: 50,
             progress_spacing_ms: 12,
             workers_interval_ms: 250,
             renewal_wait_ms: 1_000,
@@ -141,10 +148,20 @@
     /// Returns the number of partitions over which nodes spread the jobs that they store.
     ///
     /// A partition takes one append at a time, in milliseconds, or a quarter of a second while the
-    /// store is slow; with one for each of a few nodes, a submit waits for one append, not for a
-    /// queue of them.
+    /// store is slow; with one for each of some dozens of nodes, a submit waits for one append, not for
+    /// a queue of them. Where 30 nodes shared 8 partitions of a store that was slow by 43, half of the
+    /// submits of those seconds were in doubt after 1.4 s at the median.
     #[must_use]
     pub fn job_partitions(&self) -> u32 {
-        self.partitions.max(1)
+        let topics = JOB_PARTITIONS.div_ceil(self.partitions.max(1));
+        topics * self.partitions.max(1)
+    }
+
+    /// Returns how often each partition of jobs is read: the more there are, the less often each, so
+    /// that the reads of all cost the same.
+    #[must_use]
+    pub fn jobs_interval_ms(&self) -> u64 {
+        let all_ms = self.timing.jobs_read_spacing_ms * u64::from(self.job_partitions());
+        all_ms.min(JOBS_INTERVAL_LIMIT_MS)
     }
 }
