Read a partition once more beside a read that is not answered, while taking over

Cause: what is sent to a store that is silent is never answered, though the store is back.

Ruled out: the workers (all answered in 50 ms), the number of partitions (8 before: the same).

Change: a read without an answer after 400 ms goes on beside the next one, and the first answer counts; further ones follow after half as long again each. Thin links, which need seconds for a whole partition, keep the long timeout.

The test waits for ever without the change.

--- a/crates/cell/src/leader/load.rs
+++ b/crates/cell/src/leader/load.rs
@@ -7,6 +7,8 @@
 
 use futures_util::future::join_all;
 use futures_util::future::join3;
+use futures_util::stream::FuturesUnordered;
+use futures_util::stream::StreamExt;
 use syc_sched::Event;
 use syc_sched::JobId;
 use syc_sched::JobProgress;
@@ -111,17 +113,36 @@
 
 /// Reads a partition again and again until it answers. Only that one: with all of them read again at each
 /// try, a sound partition was read eight times while another was down for seven tries.
+///
+/// A read without an answer goes on beside the next one, and the first answer counts: after a store was
+/// silent, a takeover went on waiting for 2.1 s for what it had sent before the store was back.
 async fn read_until_there<P>(leader: &Leader<P>, topic: Topic, partition: u32) -> Newest
 where
     P: Platform,
 {
     let mut waits = Waits::new(topic, partition);
+    let mut hedge_ms = leader.node.settings.timing.whole_read_hedge_ms;
+    let mut reads = FuturesUnordered::new();
     loop {
-        match leader.node.newest(topic, partition).await {
-            Ok(newest) => return newest,
-            Err(error) => waits.note(leader.token, "read", &error),
+        reads.push(leader.node.newest(topic, partition));
+        let next_at = pause(hedge_ms);
+        tokio::pin!(next_at);
+        while !reads.is_empty() {
+            tokio::select! {
+                biased;
+                Some(read) = reads.next() => match read {
+                    Ok(newest) => return newest,
+                    Err(error) => waits.note(leader.token, "read", &error),
+                },
+                () = &mut next_at => {
+                    hedge_ms += hedge_ms / 2;
+                    break;
+                }
+            }
+        }
+        if reads.is_empty() {
+            pause(RETRY_MS).await;
         }
-        pause(RETRY_MS).await;
     }
 }
 
--- a/crates/cell/src/settings.rs
+++ b/crates/cell/src/settings.rs
@@ -72,6 +72,12 @@
     /// A call to the store without an answer is given up after this time; sound answers take some
     /// milliseconds, those of a slow store a quarter of a second.
     pub store_timeout_ms: u64,
+    /// A read of a whole partition is given up after this time: megabytes over a thin link take seconds.
+    pub whole_read_timeout_ms: u64,
+    /// A takeover reads a partition once more, beside the read under way, after this time without an
+    /// answer, and again after half as long again each time: what is sent to a store that is silent is
+    /// never answered, though the store is back. A sound one answers in milliseconds, a slow one in 0.25 s.
+    pub whole_read_hedge_ms: u64,
     /// A submit is given up after this time: the caller asks again within its own timeout.
     pub submit_limit_ms: u64,
     /// Reads that look for jobs in the store are this far apart, all partitions together. Nodes tell of
@@ -111,6 +117,8 @@
             probe_timeout_ms: 400,
             peer_timeout_ms: 400,
             store_timeout_ms: 700,
+            whole_read_timeout_ms: 2_800,
+            whole_read_hedge_ms: 400,
             submit_limit_ms: 1_000,
             jobs_read_spacing_ms: 50,
             progress_spacing_ms: 12,
--- a/crates/cell/src/store_calls.rs
+++ b/crates/cell/src/store_calls.rs
@@ -306,7 +306,7 @@
     /// Reads the newest record of each key from the store.
     pub(crate) async fn newest(&self, topic: Topic, partition: u32) -> Result<Newest, ReadError> {
         let began = now();
-        let limit_ms = 4 * self.settings.timing.store_timeout_ms;
+        let limit_ms = self.settings.timing.whole_read_timeout_ms;
         let call = self.platform.newest(topic, partition);
         let outcome = within(limit_ms, call).await;
         self.note_read("newest", &outcome, began);
--- a/crates/cell/tests/cell/cluster.rs
+++ b/crates/cell/tests/cell/cluster.rs
@@ -255,7 +255,11 @@
         link_mbps: 1_000.0,
         upkeep_ms: 300,
         vm_order_pause_ms: 100,
-        timing: Timing::default(),
+        // A read that is never answered must not be waited for.
+        timing: Timing {
+            whole_read_timeout_ms: 600_000,
+            ..Timing::default()
+        },
     }
 }
 
--- a/crates/cell/tests/cell/store.rs
+++ b/crates/cell/tests/cell/store.rs
@@ -201,6 +201,23 @@
     cluster.assert_sound();
 }
 
+/// What was sent to a store that was silent is never answered, though the store is back.
+#[test]
+fn a_takeover_does_not_wait_for_reads_that_are_never_answered() {
+    let mut cluster = Cluster::start(2, 2);
+    let first = cluster.scheduler();
+    cluster.submit(first, 1, vec![step(1, 20)]);
+    cluster.wait_for_state(first, 1, JobState::Completed);
+    cluster.platform.set_faults(SharedFaults {
+        silent_reads: 5,
+        ..SharedFaults::default()
+    });
+    cluster.kill(first);
+    let second = cluster.scheduler();
+    cluster.wait_for_state(second, 1, JobState::Completed);
+    cluster.assert_sound();
+}
+
 #[test]
 fn a_forgotten_history_hides_nothing() {
     let cluster = Cluster::start(2, 2);
--- a/crates/fleet/src/shared.rs
+++ b/crates/fleet/src/shared.rs
@@ -54,6 +54,8 @@
     pub cut_off: BTreeSet<SmolStr>,
     /// Partitions of topics that refuse every call.
     pub down: Vec<(Topic, u32)>,
+    /// Reads of whole partitions that are never answered; so many from now on.
+    pub silent_reads: u32,
     /// Appends that are carried out and not answered; so many from now on.
     pub lost_appends: u32,
     /// Appends of jobs that are carried out and not answered; so many from now on.
@@ -299,6 +301,14 @@
         }
     }
 
+    /// Says whether the next read of a whole partition is never answered.
+    fn take_silent_read(&self) -> bool {
+        let faults = &mut self.lock().faults;
+        let silent = faults.silent_reads > 0;
+        faults.silent_reads = faults.silent_reads.saturating_sub(1);
+        silent
+    }
+
     /// Returns how often all keys of a partition were read.
     #[must_use]
     pub fn whole_reads(&self, topic: Topic, partition: u32) -> u64 {
--- a/crates/fleet/src/shared/ports.rs
+++ b/crates/fleet/src/shared/ports.rs
@@ -103,6 +103,9 @@
         if self.reach_store().await {
             return Err(ReadError::Unavailable(SmolStr::new_static("turned away")));
         }
+        if self.take_silent_read() {
+            std::future::pending::<()>().await;
+        }
         let mut state = self.lock();
         if state.faults.down.contains(&(topic, partition)) {
             state.refused_reads += 1;
