Give the last word of a scheduler a producer of its own, so that it is not taken for a heartbeat

Cause: a scheduler that stops as planned tells the store that the role is free, under the number of its next heartbeat. A heartbeat under way at that moment is broken off but carried out, with the same number, and the store takes the last word for its repeat.

Change: the last word has a producer of its own, and heartbeats of a token that gave up are not believed.

The test waits for ever without the change.

--- a/crates/cell/src/holders.rs
+++ b/crates/cell/src/holders.rs
@@ -39,6 +39,8 @@
     position: Option<u64>,
     /// The newest claim, unless its holder gave the role up.
     holder: Option<Holder>,
+    /// Token of the newest claim whose holder gave the role up.
+    released: u64,
     /// When the newest heartbeat was read.
     seen_at: Millis,
 }
@@ -122,10 +124,13 @@
         let is_claim = read.token == 0;
         let token = if is_claim { offset + 1 } else { read.token };
         let known = self.holder.as_ref().map_or(0, |holder| holder.token);
-        if token < known {
-            // A heartbeat of a predecessor.
+        if token < known || token <= self.released {
+            // A heartbeat of a predecessor, or one that came after its last word.
             return;
         }
+        if read.released {
+            self.released = token;
+        }
         self.seen_at = now();
         self.holder = (!read.released).then_some(Holder {
             node: read.node,
--- a/crates/cell/src/leader.rs
+++ b/crates/cell/src/leader.rs
@@ -81,8 +81,6 @@
     /// Whether new starts are held back because the role is being handed over.
     handing_over: Cell<bool>,
     began_at: Millis,
-    /// Number of the next append of a heartbeat.
-    heartbeat_sequence: Cell<u64>,
     /// Where progress is written.
     progress: ProgressWriter,
     /// The workers that may run something, as the store has them.
@@ -128,7 +126,6 @@
             ended: Cell::new(false),
             handing_over: Cell::new(false),
             began_at: now(),
-            heartbeat_sequence: Cell::new(0),
             progress: ProgressWriter::default(),
             roster: Roster::default(),
             look: Notify::new(),
--- a/crates/cell/src/leader/heartbeat.rs
+++ b/crates/cell/src/leader/heartbeat.rs
@@ -13,6 +13,11 @@
 /// Name of the producer of heartbeats.
 const PRODUCER: &str = "holder";
 
+/// Name of the producer of the last word. It numbers for itself: a heartbeat under way may have been
+/// carried out, and what is sent under its number counts as its repeat. The release was lost so, and the
+/// role was free 0.8 s later, by silence, while the store was slow.
+const RELEASE_PRODUCER: &str = "release";
+
 /// Tries to tell the store that the role is free, before the others find out by the silence.
 const RELEASE_TRIES: u32 = 3;
 
@@ -41,7 +46,6 @@
             // The number stays, so that a sign that was taken after all is not counted twice.
             Err(_noted) => {}
         }
-        leader.heartbeat_sequence.set(sequence);
         pause(leader.node.settings.timing.heartbeat_ms).await;
     }
 }
@@ -64,9 +68,9 @@
     pub(super) async fn release(self: &Rc<Self>, reason: &'static str) {
         self.end(reason);
         let record = records::holder(&self.holder_record(true));
-        let mut sequence = self.heartbeat_sequence.get();
+        let mut sequence = 0;
         for _ in 0..RELEASE_TRIES {
-            let condition = self.fenced(PRODUCER, sequence);
+            let condition = self.fenced(RELEASE_PRODUCER, sequence);
             let appended = self
                 .node
                 .append(Topic::Holders, 0, std::slice::from_ref(&record), &condition)
--- a/crates/cell/tests/cell/cluster.rs
+++ b/crates/cell/tests/cell/cluster.rs
@@ -50,12 +50,23 @@
 pub struct Cluster {
     pub platform: SharedPlatform,
     nodes: Vec<Option<Arbiter>>,
+    timing: Timing,
     _system: actix_rt::SystemRunner,
 }
 
 impl Cluster {
     /// Starts so many nodes over so many workers of eight cores.
     pub fn start(nodes: usize, workers: usize) -> Self {
+        // A read that is never answered must not be waited for.
+        let timing = Timing {
+            whole_read_timeout_ms: 600_000,
+            ..Timing::default()
+        };
+        Self::start_with(nodes, workers, timing)
+    }
+
+    /// The same with other times.
+    pub fn start_with(nodes: usize, workers: usize, timing: Timing) -> Self {
         let system = actix_rt::System::new();
         let platform = SharedPlatform::new();
         platform.publish(configuration(1));
@@ -65,6 +76,7 @@
         let mut cluster = Self {
             platform,
             nodes: Vec::new(),
+            timing,
             _system: system,
         };
         for _ in 0..nodes {
@@ -77,10 +89,14 @@
     pub fn add_node(&mut self) -> usize {
         let number = self.nodes.len();
         let platform = self.platform.for_node(&node_name(number));
+        let timing = self.timing;
         let arbiter = Arbiter::new();
         arbiter.spawn_fn(move || {
             let peers = TcpListener::bind("127.0.0.1:0").expect("a free port");
-            let settings = settings(number, &peers);
+            let settings = NodeSettings {
+                timing,
+                ..settings(number, &peers)
+            };
             let node = Node::start(platform, settings, peers);
             NODE.with(|slot| *slot.borrow_mut() = Some(node));
         });
@@ -255,11 +271,7 @@
         link_mbps: 1_000.0,
         upkeep_ms: 300,
         vm_order_pause_ms: 100,
-        // A read that is never answered must not be waited for.
-        timing: Timing {
-            whole_read_timeout_ms: 600_000,
-            ..Timing::default()
-        },
+        timing: Timing::default(),
     }
 }
 
--- a/crates/cell/tests/cell/takeover.rs
+++ b/crates/cell/tests/cell/takeover.rs
@@ -3,6 +3,7 @@
 use std::net::TcpListener;
 
 use syc_cell::NodeSettings;
+use syc_cell::Timing;
 use syc_cell::ports::Topic;
 use syc_fleet::SharedFaults;
 use syc_sched::JobState;
@@ -136,3 +137,33 @@
     cluster.wait_for_state(spare, 1, JobState::Completed);
     cluster.assert_sound();
 }
+
+/// A heartbeat that was carried out and not answered has the number that the next append would get: one
+/// that took it for its own was never seen, and the others waited until the silence was long enough.
+#[test]
+fn a_role_that_is_handed_on_while_a_heartbeat_is_unanswered_is_free_at_once() {
+    let timing = Timing {
+        silence_ms: 600_000,
+        gone_silence_ms: 600_000,
+        ..Timing::default()
+    };
+    let cluster = Cluster::start_with(2, 1, timing);
+    let first = cluster.scheduler();
+    cluster.platform.set_faults(SharedFaults {
+        lost_appends: 1_000,
+        ..SharedFaults::default()
+    });
+    let signs = || {
+        cluster
+            .platform
+            .with_store(|store| store.newest(Topic::Holders, 0).read_from)
+    };
+    let before = signs();
+    cluster.wait("a heartbeat", || (signs() > before).then_some(()));
+    cluster.on(first, |node| async move { node.begin_stop().await });
+    cluster.platform.set_faults(SharedFaults::default());
+    cluster.wait("a successor", || {
+        let mut others = cluster.up().into_iter().filter(|number| *number != first);
+        others.find(|number| cluster.on(*number, |node| async move { node.is_scheduler() }))
+    });
+}
