Take an entry that can't be used as one that names no worker, and still ask what runs there

Cause: the list of workers may have entries of another writer. A worker in a state that nobody named counted as ready; a list counted as an object by its order; one record whose key is no text made the whole page unreadable, so that no other worker was read; and a successor left out a worker that its predecessor had given work to, once its entry could not be read, for a record stood under its name: its task was never found.

Change: a record that can't be read takes its place and names nothing, and the others hold. An unknown state, a field of another type, a service that the configuration doesn't name, bytes that are no text: the worker gets nothing new, and what runs there is settled as for a worker that is listed no more. It is told once.

--- a/crates/cell/src/configuration.rs
+++ b/crates/cell/src/configuration.rs
@@ -11,12 +11,22 @@
     pub version: u64,
     /// The routes.
     pub routes: Vec<Route>,
+    /// Services that have workers; none where they are not told.
+    pub services: Vec<ServiceName>,
     /// Services whose VMs are off until they are moved to another pool.
     pub standby: Vec<ServiceName>,
     /// Largest body of a request.
     pub body_limit_bytes: usize,
 }
 
+impl Configuration {
+    /// Says whether workers of a service may be used.
+    #[must_use]
+    pub fn names_service(&self, service: &ServiceName) -> bool {
+        self.services.is_empty() || self.services.contains(service)
+    }
+}
+
 /// A way in to a queue.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Route {
--- a/crates/cell/src/leader/readers.rs
+++ b/crates/cell/src/leader/readers.rs
@@ -145,8 +145,9 @@
 {
     let mut listed = BTreeSet::new();
     for (_offset, record) in &newest.records {
-        listed.insert(WorkerId::new(record.key.clone()));
-        take_worker(leader, record);
+        if take_worker(leader, record) {
+            listed.insert(WorkerId::new(record.key.clone()));
+        }
     }
     for id in leader.roster.ids() {
         if !listed.contains(&id) {
@@ -155,18 +156,28 @@
     }
 }
 
-/// Takes one record of the list.
-pub(super) fn take_worker<P>(leader: &Rc<Leader<P>>, record: &Record)
+/// Takes one record of the list. Says whether it names a worker to use.
+///
+/// The list may have records of another writer. One that can't be read, or names a service that nobody
+/// configured, names no worker to use: nothing new starts there, and what runs there is settled as for any
+/// worker that is listed no more.
+pub(super) fn take_worker<P>(leader: &Rc<Leader<P>>, record: &Record) -> bool
 where
     P: Platform,
 {
+    let id = WorkerId::new(record.key.clone());
     if record.value.is_empty() {
-        let id = WorkerId::new(record.key.clone());
         leader.unlist_worker(id);
-        return;
-    }
-    match leader.node.platform.worker(&record.key, &record.value) {
-        Ok(spec) => leader.list_worker(spec),
-        Err(error) => log::unreadable(&record.key, &error.0),
+        return false;
     }
+    let reason = match leader.node.platform.worker(&record.key, &record.value) {
+        Ok(spec) if leader.node.names_service(&spec.service) => {
+            leader.list_worker(spec);
+            return true;
+        }
+        Ok(spec) => format!("no service `{}` is configured", spec.service.as_str()),
+        Err(error) => error.0,
+    };
+    leader.set_aside(id, &reason);
+    false
 }
--- a/crates/cell/src/node.rs
+++ b/crates/cell/src/node.rs
@@ -17,6 +17,7 @@
 use syc_sched::Event;
 use syc_sched::Wave;
 use syc_types::Millis;
+use syc_types::ServiceName;
 use tokio::sync::Notify;
 
 use crate::Configuration;
@@ -132,6 +133,12 @@
         self.configuration.borrow().clone()
     }
 
+    /// Says whether workers of a service may be used; before there is a configuration, any.
+    pub(crate) fn names_service(&self, service: &ServiceName) -> bool {
+        let configuration = self.configuration();
+        configuration.is_none_or(|current| current.names_service(service))
+    }
+
     /// Says whether new connections should come here.
     ///
     /// A node is ready once it has a configuration and knows a scheduler, as long as it can store
--- a/crates/cell/src/ports.rs
+++ b/crates/cell/src/ports.rs
@@ -60,6 +60,17 @@
     pub value: Bytes,
 }
 
+impl Record {
+    /// Returns what stands in the place of a record that can't be read: it names nothing and says nothing.
+    #[must_use]
+    pub const fn nameless() -> Self {
+        Self {
+            key: SmolStr::new_static(""),
+            value: Bytes::new(),
+        }
+    }
+}
+
 /// Under which condition an append is carried out.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Condition {
--- a/crates/cell/tests/cell/cluster.rs
+++ b/crates/cell/tests/cell/cluster.rs
@@ -284,6 +284,7 @@
             timeout_ms: 3_000,
             policy: policy(),
         }],
+        services: Vec::new(),
         standby: Vec::new(),
         body_limit_bytes: 1_000_000,
     }
--- a/crates/cell/tests/cell/workers.rs
+++ b/crates/cell/tests/cell/workers.rs
@@ -1,10 +1,15 @@
 //! Workers that crash and come back.
 
+use syc_cell::Configuration;
+use syc_cell::PendingAnswer;
 use syc_sched::JobState;
 use syc_sched::WorkerSpec;
+use syc_types::ServiceName;
 use syc_types::WorkerId;
 
 use crate::cluster::Cluster;
+use crate::cluster::QUEUE;
+use crate::cluster::configuration;
 use crate::cluster::step;
 use crate::cluster::worker;
 
@@ -25,3 +30,57 @@
     cluster.wait_for_state(node, 1, JobState::Completed);
     cluster.assert_sound();
 }
+
+/// A successor that left out a worker because of its entry never learned what ran there.
+#[test]
+fn a_worker_whose_entry_turns_unreadable_gets_nothing_new_and_is_still_asked() {
+    let mut cluster = Cluster::start(2, 1);
+    let first = cluster.scheduler();
+    cluster.submit(first, 1, vec![step(1, 3_000)]);
+    cluster.wait_for_state(first, 1, JobState::Running);
+    cluster.platform.spoil_entry(worker(0).id.as_str());
+    cluster.kill(first);
+    let second = cluster.scheduler();
+    cluster.submit(second, 2, vec![step(1, 20)]);
+    cluster.wait_for_state(second, 1, JobState::Completed);
+    let waiting = cluster.on(second, |node| async move { node.pending(QUEUE).await });
+    assert_eq!(
+        waiting,
+        PendingAnswer::Known(1),
+        "it would go to the worker"
+    );
+    cluster.platform.register(WorkerSpec {
+        id: WorkerId::new("w-1"),
+        ..worker(1)
+    });
+    cluster.wait_for_state(second, 2, JobState::Completed);
+    cluster.assert_sound();
+}
+
+#[test]
+fn a_worker_of_a_service_that_is_not_configured_is_not_asked() {
+    let mut cluster = Cluster::start(2, 1);
+    cluster.platform.publish(Configuration {
+        services: vec![worker(0).service],
+        ..configuration(2)
+    });
+    cluster.platform.register(WorkerSpec {
+        id: WorkerId::new("stranger"),
+        service: ServiceName::new("another"),
+        ..worker(1)
+    });
+    let first = cluster.scheduler();
+    cluster.submit(first, 1, vec![step(1, 20)]);
+    cluster.wait_for_state(first, 1, JobState::Completed);
+    cluster.kill(first);
+    let second = cluster.scheduler();
+    cluster.submit(second, 2, vec![step(1, 20)]);
+    cluster.wait_for_state(second, 2, JobState::Completed);
+    let page = cluster.on(second, |node| async move { node.metrics_page() });
+    let silent = page.lines().find(|line| line.contains("state=\"silent\""));
+    assert!(
+        silent.is_some_and(|line| line.ends_with(" 0")),
+        "{silent:?}"
+    );
+    cluster.assert_sound();
+}
--- a/crates/fleet/src/shared.rs
+++ b/crates/fleet/src/shared.rs
@@ -145,6 +145,20 @@
             .append(Topic::Workers, 0, &[record], &Condition::None);
     }
 
+    /// Another writer puts something that can't be read in the place of a worker's entry.
+    pub fn spoil_entry(&self, key: &str) {
+        let mut state = self.lock();
+        state.specs.remove(key);
+        let record = Record {
+            key: SmolStr::new(key),
+            value: vec![0xff, 0xfe].into(),
+        };
+        // Without a condition, nothing can be refused.
+        let _appended = state
+            .store
+            .append(Topic::Workers, 0, &[record], &Condition::None);
+    }
+
     /// Adds a VM with a worker on it, which the pool's service registers.
     pub fn add_vm(&self, id: &VmId, pool: &ServiceName, capacity: Resources) {
         let mut state = self.lock();
