--- a/crates/fleet/src/load.rs
+++ b/crates/fleet/src/load.rs
@@ -97,8 +97,8 @@
         let mut work_ms = Vec::new();
         let mut drawn = Vec::new();
         for step in 0..steps {
-            let works_ms = whole(self.work_ms.draw(rng));
-            work_ms.push(works_ms);
+            let drawn_ms = whole(self.work_ms.draw(rng));
+            work_ms.push(drawn_ms);
             drawn.push(StepSpec {
                 tasks: u32::try_from(whole(self.tasks.draw(rng)).max(1)).unwrap_or(u32::MAX),
                 resources: Resources {
@@ -107,7 +107,7 @@
                     ..Resources::ZERO
                 },
                 // Estimates are rough: a quarter off, either way.
-                estimate_ms: works_ms * rng.random_range(75..=125) / 100,
+                estimate_ms: drawn_ms * rng.random_range(75..=125) / 100,
                 after: if step == 0 {
                     Vec::new()
                 } else {
