--- a/crates/sched/tests/overload/main.rs
+++ b/crates/sched/tests/overload/main.rs
@@ -36,6 +36,7 @@
     let until_ms = setup.load_until_ms;
     let mut replay = Replay::new(seed, setup, disruption);
     replay.play();
+    assert_eq!(replay.faults(), []);
     let served = [GANGS, BATCH, LOOKUPS].map(|kind| replay.served(kind, SERVED_FROM_MS, until_ms));
     let [gangs, batch, lookups] = served;
     let worst = gangs.min(batch).min(lookups);
--- a/crates/sched/tests/overload/replay.rs
+++ b/crates/sched/tests/overload/replay.rs
@@ -15,6 +15,7 @@
 use syc_cell::ports::StopCommand;
 use syc_fleet::AdviceModel;
 use syc_fleet::DrawnJob;
+use syc_fleet::Fault;
 use syc_fleet::FleetModel;
 use syc_fleet::Plan;
 use syc_fleet::RequestKind;
@@ -29,8 +30,10 @@
 use syc_sched::JobState;
 use syc_sched::Note;
 use syc_sched::Options;
+use syc_sched::Run;
 use syc_sched::Scheduler;
 use syc_sched::StartAnswer;
+use syc_sched::StartOrder;
 use syc_sched::StepId;
 use syc_sched::TaskId;
 use syc_sched::WorkerKey;
@@ -320,49 +323,10 @@
                 Action::Attach { worker, spec } => {
                     self.sessions.insert(worker, (spec.id, self.now));
                 }
-                Action::Start(order) => {
-                    let id = self.sessions[&order.worker].0.clone();
-                    let command = StartCommand {
-                        task: order.task,
-                        run: order.run,
-                        payload: order.payload.clone(),
-                        lease_until_ms: self.now.0 + LEASE_MS,
-                        token: 1,
-                        ticket: order.ticket.clone(),
-                        checkpoint: order.checkpoint.clone(),
-                    };
-                    let answer = match self.fleet.start(&id, &command, self.now) {
-                        Ok(()) => StartAnswer::Started,
-                        Err(OrderError::Refused(refusal)) => StartAnswer::Refused(refusal),
-                        Err(_) => StartAnswer::InDoubt,
-                    };
-                    let event = Event::StartAnswered {
-                        worker: order.worker,
-                        task: order.task,
-                        run: order.run,
-                        answer,
-                    };
-                    self.later(1, Delivery::Event(event));
-                }
+                Action::Start(order) => self.send_start(&order),
                 Action::Stop {
                     worker, task, run, ..
-                } => {
-                    let id = self.sessions[&worker].0.clone();
-                    let command = StopCommand {
-                        task,
-                        run,
-                        token: 1,
-                    };
-                    let taken = self.fleet.stop(&id, &command, self.now).is_ok();
-                    self.touched.insert(worker);
-                    let event = Event::StopAnswered {
-                        worker,
-                        task,
-                        run,
-                        taken,
-                    };
-                    self.later(1, Delivery::Event(event));
-                }
+                } => self.send_stop(worker, task, run),
                 Action::Ask { step, workers, .. } => self.ask(step, workers),
                 Action::Note(Note::JobEnded {
                     job,
@@ -379,6 +343,49 @@
         }
     }
 
+    fn send_start(&mut self, order: &StartOrder) {
+        let id = self.sessions[&order.worker].0.clone();
+        let command = StartCommand {
+            task: order.task,
+            run: order.run,
+            payload: order.payload.clone(),
+            lease_until_ms: self.now.0 + LEASE_MS,
+            token: 1,
+            ticket: order.ticket.clone(),
+            checkpoint: order.checkpoint.clone(),
+        };
+        let answer = match self.fleet.start(&id, &command, self.now) {
+            Ok(()) => StartAnswer::Started,
+            Err(OrderError::Refused(refusal)) => StartAnswer::Refused(refusal),
+            Err(_) => StartAnswer::InDoubt,
+        };
+        let event = Event::StartAnswered {
+            worker: order.worker,
+            task: order.task,
+            run: order.run,
+            answer,
+        };
+        self.later(1, Delivery::Event(event));
+    }
+
+    fn send_stop(&mut self, worker: WorkerKey, task: TaskId, run: Run) {
+        let id = self.sessions[&worker].0.clone();
+        let command = StopCommand {
+            task,
+            run,
+            token: 1,
+        };
+        let taken = self.fleet.stop(&id, &command, self.now).is_ok();
+        self.touched.insert(worker);
+        let event = Event::StopAnswered {
+            worker,
+            task,
+            run,
+            taken,
+        };
+        self.later(1, Delivery::Event(event));
+    }
+
     fn ask(&mut self, step: StepId, workers: Vec<WorkerKey>) {
         let kind = self.jobs[&step.job].kind;
         let policy = self.setup.kinds[kind].advice;
@@ -420,6 +427,11 @@
         f64::from(met) / f64::from(accepted)
     }
 
+    /// Returns what was broken on the workers.
+    pub fn faults(&self) -> &[Fault] {
+        self.fleet.judge.faults()
+    }
+
     /// Counts the tasks that wait for a start.
     pub fn waiting_tasks(&self) -> u64 {
         self.scheduler.counts(self.now).waiting_tasks
--- a/crates/sched/tests/schedules/world.rs
+++ b/crates/sched/tests/schedules/world.rs
@@ -1,5 +1,6 @@
 //! The world of a generated schedule: jobs come, orders travel, things break.
 
+mod counts;
 mod faults;
 mod orders;
 mod sessions;
@@ -39,7 +40,6 @@
 use syc_types::Zone;
 
 use crate::jobs::Given;
-use crate::jobs::QUEUE;
 use crate::jobs::SERVICE;
 use crate::jobs::cpu;
 use crate::jobs::generate;
@@ -405,23 +405,6 @@
         self.perform(actions);
     }
 
-    /// Asks how many jobs wait, as a caller may at any time.
-    fn check_count(&mut self) {
-        let Some(scheduler) = &self.scheduler else {
-            return;
-        };
-        let mut open = Vec::new();
-        for given in &self.given[..self.next_job] {
-            let id = given.spec.id;
-            let ended = scheduler.state_of(id).is_some_and(JobState::is_terminal);
-            if !ended && !self.cancelled.contains(&id) {
-                open.push(id);
-            }
-        }
-        let said = scheduler.pending_jobs(QUEUE);
-        self.fleet.judge.counted(said, &open);
-    }
-
     fn perform(&mut self, actions: Vec<Action>) {
         for action in actions {
             match action {
--- /dev/null
+++ b/crates/sched/tests/schedules/world/counts.rs
@@ -0,0 +1,25 @@
+//! What callers hear of the jobs that wait.
+
+use syc_sched::JobState;
+
+use super::World;
+use crate::jobs::QUEUE;
+
+impl World {
+    /// Asks how many jobs wait, as a caller may at any time.
+    pub(super) fn check_count(&mut self) {
+        let Some(scheduler) = &self.scheduler else {
+            return;
+        };
+        let mut open = Vec::new();
+        for given in &self.given[..self.next_job] {
+            let id = given.spec.id;
+            let ended = scheduler.state_of(id).is_some_and(JobState::is_terminal);
+            if !ended && !self.cancelled.contains(&id) {
+                open.push(id);
+            }
+        }
+        let said = scheduler.pending_jobs(QUEUE);
+        self.fleet.judge.counted(said, &open);
+    }
+}
