Let the test of dropped lines drop lines again

Since the first five lines of an event in a second come in any case, six were admitted in each second; where the second turned in the middle, six and six, none was dropped.

The test now gives no first lines, as before they existed, so that all but one of a second are dropped.

--- a/crates/obs/tests/lines.rs
+++ b/crates/obs/tests/lines.rs
@@ -137,6 +137,7 @@
         let options = LineOptions {
             lines_per_s: 1,
             failure_lines_per_s: 0,
+            first_lines_per_event: 0,
             ..LineOptions::default()
         };
         start_lines("n", options).expect("a logger");
