--- /dev/null
+++ b/crates/sched/tests/core/counts.rs
@@ -0,0 +1,95 @@
+//! The count of jobs that wait.
+//!
+//! Some seconds after all nodes of a cell had been killed, a queue was said to have no waiting jobs, while
+//! five had waited for five seconds. Their first tasks had been ordered from workers that never answered, and
+//! a job counted as begun from the order on. It went on waiting until the worker's lease had surely lapsed.
+//! The log of such a job had its orders, to one silent worker, and no word of a run:
+//!
+//! ```text
+//! 13.3323  SYC0724 job seen     job=J
+//! 13.3323  SYC0730 run ordered  task=J/0/0 run=1 worker=W
+//! 13.6423  SYC0730 run ordered  task=J/0/0 run=1 worker=W
+//! 13.9464  SYC0730 run ordered  task=J/0/0 run=1 worker=W
+//! 18.51                         0 jobs are said to wait
+//! 21.6609  SYC0725 job decided  state=completed after_ms=8330
+//! ```
+
+use syc_sched::Event;
+use syc_sched::JobProgress;
+use syc_sched::JobState;
+use syc_sched::RunEnd;
+use syc_sched::StartAnswer;
+use syc_sched::StartOrder;
+use test_case::test_case;
+
+use crate::driver::Driver;
+use crate::driver::policy;
+use crate::driver::step;
+
+/// A cell whose only job has been ordered to start on its only worker, which has not answered.
+fn ordered() -> (Driver, StartOrder) {
+    let mut driver = Driver::new(1, 4);
+    driver.submit(1, policy(0), vec![step(1, 1)]);
+    driver.schedule();
+    let order = driver.starts.pop().expect("an order");
+    (driver, order)
+}
+
+fn answer(driver: &mut Driver, order: &StartOrder, answer: StartAnswer) {
+    driver.apply(Event::StartAnswered {
+        worker: order.worker,
+        task: order.task,
+        run: order.run,
+        answer,
+    });
+}
+
+fn waiting(driver: &Driver) -> usize {
+    driver.scheduler.pending_jobs(&policy(0).queue)
+}
+
+#[test]
+fn a_job_whose_orders_are_not_answered_waits() {
+    let (mut driver, order) = ordered();
+    assert_eq!(waiting(&driver), 1, "nothing is known but the order");
+    answer(&mut driver, &order, StartAnswer::InDoubt);
+    driver.apply(Event::RenewalFailed {
+        worker: order.worker,
+    });
+    assert_eq!(waiting(&driver), 1);
+    assert_eq!(driver.state(1), Some(JobState::Queued));
+}
+
+#[test]
+fn a_successor_counts_a_job_of_which_only_the_order_is_known() {
+    let (mut driver, order) = ordered();
+    answer(&mut driver, &order, StartAnswer::InDoubt);
+    let written = driver.scheduler.take_records(usize::MAX, 1);
+    let progress: Option<&JobProgress> = written.first().map(|(_, _, progress)| progress);
+    let mut successor = Driver::new(0, 0);
+    successor.restore(1, policy(0), vec![step(1, 1)], progress);
+    successor.scheduler.begin_recovery(successor.now);
+    assert_eq!(waiting(&successor), 1);
+    assert_eq!(successor.state(1), Some(JobState::Queued));
+}
+
+/// How the worker of a run tells of it.
+#[derive(Debug, Clone, Copy)]
+enum Word {
+    Answered,
+    Listed,
+    Ended,
+}
+
+#[test_case(Word::Answered; "an answered start")]
+#[test_case(Word::Listed; "a run that is listed")]
+#[test_case(Word::Ended; "an end that is listed")]
+fn a_job_has_begun_once_its_worker_has_told_of_a_run(word: Word) {
+    let (mut driver, order) = ordered();
+    match word {
+        Word::Answered => answer(&mut driver, &order, StartAnswer::Started),
+        Word::Listed => driver.hold(order.worker, &[(order.task, order.run, 0)]),
+        Word::Ended => driver.end(&order, RunEnd::Failed, &[]),
+    }
+    assert_eq!(waiting(&driver), 0);
+}
--- a/crates/sched/tests/core/main.rs
+++ b/crates/sched/tests/core/main.rs
@@ -1,6 +1,7 @@
 //! The decision core, driven by hand: one failure a test.
 
 mod advice;
+mod counts;
 mod driver;
 mod lasting;
 mod life;
