--- a/crates/cell/tests/cell/store.rs
+++ b/crates/cell/tests/cell/store.rs
@@ -6,6 +6,7 @@
 use syc_cell::PendingAnswer;
 use syc_cell::StateAnswer;
 use syc_cell::Stored;
+use syc_cell::Timing;
 use syc_cell::ports::Topic;
 use syc_fleet::SharedFaults;
 use syc_sched::JobId;
@@ -155,6 +156,37 @@
     });
 }
 
+/// An answer says what the store had when it was asked. Dated by its arrival, a count could be as old as the
+/// longest read on top of what counts as current: 5.3 s, where a job that has waited for 5 s must be counted.
+#[test]
+fn jobs_are_not_counted_from_answers_that_come_late() {
+    let timing = Timing {
+        store_timeout_ms: 600_000,
+        ..Timing::default()
+    };
+    let cluster = Cluster::start_with(1, 1, timing);
+    let node = cluster.scheduler();
+    let count = || cluster.on(node, |node| async move { node.pending(QUEUE).await });
+    cluster.wait("a count", || {
+        (count() == PendingAnswer::Known(0)).then_some(())
+    });
+    cluster.platform.set_faults(SharedFaults {
+        late_job_reads_ms: 2_600,
+        ..SharedFaults::default()
+    });
+    cluster.wait("no count", || {
+        (count() == PendingAnswer::Unsure).then_some(())
+    });
+    // Each of these asks for as long as a caller waits, and so meets several answers that come late.
+    for _ in 0..4 {
+        assert_eq!(count(), PendingAnswer::Unsure);
+    }
+    cluster.platform.set_faults(SharedFaults::default());
+    cluster.wait("a count again", || {
+        (count() == PendingAnswer::Known(0)).then_some(())
+    });
+}
+
 #[test]
 fn a_partition_of_progress_that_is_down_stops_nothing_and_a_successor_reads_both() {
     let mut cluster = Cluster::start(3, 2);
--- a/crates/fleet/src/shared.rs
+++ b/crates/fleet/src/shared.rs
@@ -56,6 +56,8 @@
     pub down: Vec<(Topic, u32)>,
     /// Reads of whole partitions that are never answered; so many from now on.
     pub silent_reads: u32,
+    /// Time by which answers to reads of jobs arrive later than the store gave them.
+    pub late_job_reads_ms: u64,
     /// Appends that are carried out and not answered; so many from now on.
     pub lost_appends: u32,
     /// Appends of jobs that are carried out and not answered; so many from now on.
@@ -347,6 +349,14 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Waits as long as answers to reads of a topic are under way beyond the usual.
+    async fn hold_back(&self, topic: Topic) {
+        let late_ms = self.lock().faults.late_job_reads_ms;
+        if topic == Topic::Jobs {
+            pause(late_ms).await;
+        }
+    }
+
     /// Waits as long as a call takes, or for ever where the node is cut off; says whether the store
     /// turns it away.
     async fn reach_store(&self) -> bool {
--- a/crates/fleet/src/shared/ports.rs
+++ b/crates/fleet/src/shared/ports.rs
@@ -93,6 +93,7 @@
             }
             let page = self.lock().store.read(topic, partition, from)?;
             if !page.records.is_empty() || now() >= until {
+                self.hold_back(topic).await;
                 return Ok(page);
             }
             pause(LOOK_MS).await;
