Date what is known of the jobs by the question, not by the answer

Cause: a read of a partition of jobs counted as current from the arrival of its answer, and as whole even where its page stopped short of the partition's end. A read has 0.7 s, one of all keys 2.8 s, and what was read counts for 2.5 s more: a count, or "no such job", could rest on what was read 3.2 to 5.3 s before.

Change: the time of the question counts; only a page that reaches the end makes a partition current. A read of all keys that fails after the history was forgotten is tried again after a pause; before, at once, as fast as the store refuses.

The two further changes were found by reading and have no test of their own.

--- a/crates/cell/src/leader.rs
+++ b/crates/cell/src/leader.rs
@@ -56,7 +56,7 @@
 /// Longest time that an order is taken to be under way before its lease counts.
 const ORDER_TRAVEL_MS: u64 = 150;
 
-/// What the store shows counts as current for this long after it was read.
+/// What the store shows counts as current for this long after it was asked.
 const FRESH_MS: u64 = 2_500;
 
 /// A scheduler that hears no other node, or no worker, for this long hands the role over.
@@ -95,7 +95,7 @@
     advisers: RefCell<Advisers>,
     /// Links to the nodes that call for advice, but for the scheduler's own.
     adviser_clients: RefCell<BTreeMap<SmolStr, Rc<PeerClient>>>,
-    /// When each partition of the topic of jobs was last read to its end.
+    /// When each partition of the topic of jobs was last asked for what proved to reach its end.
     jobs_read_at: RefCell<Vec<Millis>>,
     /// Partitions that hold what was submitted of a job; several where its submit was repeated.
     jobs_in: RefCell<HashMap<JobId, Vec<u32>>>,
--- a/crates/cell/src/leader/readers.rs
+++ b/crates/cell/src/leader/readers.rs
@@ -6,6 +6,7 @@
 use syc_obs::Stage;
 use syc_sched::Event;
 use syc_sched::JobId;
+use syc_types::Millis;
 use syc_types::WorkerId;
 
 use crate::clock::now;
@@ -24,32 +25,64 @@
 /// Wait after a read that failed.
 const RETRY_MS: u64 = 60;
 
+/// What a read of a partition of jobs came to.
+#[derive(Debug, Clone, Copy)]
+struct JobsRead {
+    /// Offset from which to read on.
+    next: u64,
+    /// Whether nothing was left to read when the store answered.
+    reached_end: bool,
+}
+
 /// Follows one partition of the topic of jobs.
+///
+/// What is known of it is as old as the question, not as the answer: dated by the answer, "no such job" could
+/// rest on what was read 3.2 s before, where a job has to be known 3 s after it was accepted.
 pub(super) async fn follow_jobs<P>(leader: Rc<Leader<P>>, partition: u32, mut from: u64)
 where
     P: Platform,
 {
-    let node = Rc::clone(&leader.node);
-    let interval_ms = node.settings.jobs_interval_ms();
+    let interval_ms = leader.node.settings.jobs_interval_ms();
     loop {
-        match node.read(Topic::Jobs, partition, from, 0).await {
-            Ok(page) => {
-                let count = u64::try_from(page.records.len()).unwrap_or(0);
-                from = page.first + count;
-                take_jobs(&leader, partition, &page.records);
-                leader.note_jobs_read(partition);
-                pause(interval_ms).await;
-            }
-            Err(ReadError::Gone { .. }) => {
-                if let Ok(newest) = node.newest(Topic::Jobs, partition).await {
-                    from = newest.read_from;
-                    let records: Vec<_> = newest.records.into_iter().map(|(_, r)| r).collect();
-                    take_jobs(&leader, partition, &records);
-                    leader.note_jobs_read(partition);
-                }
-            }
-            Err(_noted) => pause(RETRY_MS).await,
+        let asked_at = now();
+        let Some(read) = read_jobs(&leader, partition, from).await else {
+            pause(RETRY_MS).await;
+            continue;
+        };
+        from = read.next;
+        if !read.reached_end {
+            continue;
+        }
+        leader.note_jobs_read(partition, asked_at);
+        pause(interval_ms).await;
+    }
+}
+
+/// Takes what a partition of jobs has from an offset on; none where the store does not tell, which the call
+/// has logged.
+async fn read_jobs<P>(leader: &Rc<Leader<P>>, partition: u32, from: u64) -> Option<JobsRead>
+where
+    P: Platform,
+{
+    let node = &leader.node;
+    match node.read(Topic::Jobs, partition, from, 0).await {
+        Ok(page) => {
+            let count = u64::try_from(page.records.len()).unwrap_or(0);
+            let next = page.first + count;
+            take_jobs(leader, partition, &page.records);
+            let reached_end = next >= page.end;
+            (reached_end || count > 0).then_some(JobsRead { next, reached_end })
+        }
+        Err(ReadError::Gone { .. }) => {
+            let newest = node.newest(Topic::Jobs, partition).await.ok()?;
+            let records: Vec<_> = newest.records.into_iter().map(|(_, r)| r).collect();
+            take_jobs(leader, partition, &records);
+            Some(JobsRead {
+                next: newest.read_from,
+                reached_end: true,
+            })
         }
+        Err(_noted) => None,
     }
 }
 
@@ -102,10 +135,10 @@
         }
     }
 
-    fn note_jobs_read(&self, partition: u32) {
+    fn note_jobs_read(&self, partition: u32, asked_at: Millis) {
         let index = usize::try_from(partition).unwrap_or(usize::MAX);
         if let Some(read_at) = self.jobs_read_at.borrow_mut().get_mut(index) {
-            *read_at = now();
+            *read_at = asked_at;
         }
     }
 }
