Test that a task on a silent worker counts as out of service

Found while looking for other places where a belief of our own passes for a fact. It fails on this code: 5 s after a worker's last answer, upkeep stops a second task of a step of which one may be missing.

--- a/crates/sched/tests/core/upkeep.rs
+++ b/crates/sched/tests/core/upkeep.rs
@@ -263,3 +263,44 @@
     }
     assert_eq!(asked, 0);
 }
+
+/// A worker that answers no more keeps its tasks for as long as its lease may hold, 6.3 s. Counted as at work
+/// all the while, they let a second task of their step be stopped while their users had no answer.
+#[test]
+fn a_task_on_a_silent_worker_is_out_of_service() {
+    let mut driver = Driver::new(3, 4);
+    let lasting = StepSpec {
+        long_running: true,
+        unavailable_limit: Some(1),
+        tasks_per_worker: Some(1),
+        ..step(3, 1)
+    };
+    driver.submit(1, policy(0), vec![lasting]);
+    driver.schedule();
+    let starts = driver.confirm_starts();
+    for start in &starts {
+        driver.hold(start.worker, &[(start.task, start.run, 100)]);
+        driver.apply(Event::Renewing {
+            worker: start.worker,
+        });
+    }
+    let (lost, others) = starts.split_first().expect("three starts");
+    driver.apply(Event::RenewalFailed {
+        worker: lost.worker,
+    });
+    let mut wave = wave(3, 1);
+    let lost_vm = driver.workers.iter().position(|key| *key == lost.worker);
+    wave.vms
+        .retain(|name| Some(name) != lost_vm.map(vm).as_ref());
+    driver.apply(Event::WavePublished { wave, age_ms: 0 });
+    for _ in 0..50 {
+        for start in others {
+            driver.hold(start.worker, &[(start.task, start.run, 100)]);
+        }
+        pass(&mut driver, 3, &[], 100);
+    }
+    assert_eq!(moving_off(&driver), [], "one of three is away already");
+    driver.hold(lost.worker, &[(lost.task, lost.run, 100)]);
+    pass(&mut driver, 3, &[], 100);
+    assert_eq!(moving_off(&driver).len(), 1);
+}
