Count a task on a silent worker as out of service

Cause: whether a task that serves may be stopped for upkeep was decided by what its worker had told last, however long ago. A worker that answers no more keeps its runs until its lease has surely lapsed, 6.3 s.

Change: tasks on a worker that does not answer are out of service.

Before: 5 s after a worker's last answer a second of three tasks was stopped, where one may be missing. After: it is stopped once the first serves again; the core's 91 tests pass.

--- a/crates/sched/src/vms.rs
+++ b/crates/sched/src/vms.rs
@@ -144,6 +144,10 @@
         };
         let mut at_work = 0;
         for worker in self.workers.values() {
+            // What it told last may be as old as its lease: 6.3 s in which nobody was served there.
+            if worker.silent {
+                continue;
+            }
             let runs = worker.runs_of(step);
             let serving = runs.filter(|(_, run)| run.phase == Phase::Running && run.percent >= 100);
             at_work += u32::try_from(serving.count()).unwrap_or(u32::MAX);
