Test that what a worker tells of a job that was not read yet counts

Found while looking for other places where what a scheduler does not know passes for what is not so. The scheduler can be told up to when all jobs were read, and does nothing with it yet.

--- a/crates/sched/src/scheduler.rs
+++ b/crates/sched/src/scheduler.rs
@@ -58,6 +58,8 @@
     pub(crate) cancelled_early: BTreeMap<JobId, Millis>,
     pub(crate) queues: HashMap<SmolStr, QueueStats>,
     pub(crate) recovery: Recovery,
+    /// The time before which all that was stored has been read.
+    pub(crate) jobs_read_at: Millis,
     pub(crate) headroom: Headroom,
     pub(crate) disturbance: Disturbance,
     pub(crate) vms: Vms,
@@ -84,6 +86,7 @@
             cancelled_early: BTreeMap::new(),
             queues: HashMap::new(),
             recovery: Recovery::default(),
+            jobs_read_at: Millis(u64::MAX),
             headroom: Headroom::default(),
             disturbance: Disturbance::default(),
             vms: Vms::default(),
@@ -95,6 +98,11 @@
         }
     }
 
+    /// Takes note that everything that was stored before a time has been read.
+    pub const fn set_jobs_read(&mut self, asked_at: Millis) {
+        self.jobs_read_at = asked_at;
+    }
+
     /// Returns the times and limits that it works by.
     #[must_use]
     pub const fn options(&self) -> &Options {
--- a/crates/sched/tests/core/main.rs
+++ b/crates/sched/tests/core/main.rs
@@ -12,5 +12,6 @@
 mod silence;
 mod slow;
 mod spread;
+mod strays;
 mod takeover;
 mod upkeep;
