Keep what a worker tells of a run until its job has been read

Cause: a successor took a run of a job that it did not know for a forgotten job's: it dropped and acknowledged its end, or stopped it. But a job can be stored after the successor has read its partition, and be started by a predecessor that does not know of its end yet, before the worker hears of the new fencing token. Read a moment later, it counted as never started.

Change: until all partitions of jobs were asked after the worker told of the run, what it told waits, neither acted on nor acknowledged; when the job is read, it is taken as while taking over. After that, as before.

Left: such a job that runs on a worker that has not answered at all can start elsewhere, as what was submitted since the takeover starts at once.

--- a/crates/cell/src/leader.rs
+++ b/crates/cell/src/leader.rs
@@ -118,10 +118,12 @@
     /// Takes the role, with the fencing token of the claim.
     pub(crate) fn start(node: &Rc<Node<P>>, token: u64) {
         let partitions = usize::try_from(node.settings.job_partitions()).unwrap_or(1);
+        let mut scheduler = Scheduler::new(options(node));
+        scheduler.set_jobs_read(Millis(0));
         let leader = Rc::new(Self {
             node: Rc::clone(node),
             token,
-            scheduler: RefCell::new(Scheduler::new(options(node))),
+            scheduler: RefCell::new(scheduler),
             loaded: Cell::new(false),
             ended: Cell::new(false),
             handing_over: Cell::new(false),
--- a/crates/cell/src/leader/readers.rs
+++ b/crates/cell/src/leader/readers.rs
@@ -137,9 +137,12 @@
 
     fn note_jobs_read(&self, partition: u32, asked_at: Millis) {
         let index = usize::try_from(partition).unwrap_or(usize::MAX);
-        if let Some(read_at) = self.jobs_read_at.borrow_mut().get_mut(index) {
-            *read_at = asked_at;
+        let mut read_at = self.jobs_read_at.borrow_mut();
+        if let Some(of_partition) = read_at.get_mut(index) {
+            *of_partition = asked_at;
         }
+        let oldest = read_at.iter().min().copied().unwrap_or_default();
+        self.scheduler.borrow_mut().set_jobs_read(oldest);
     }
 }
 
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -35,6 +35,7 @@
 mod scheduler;
 mod slowness;
 mod spec;
+mod strays;
 mod units;
 mod upkeep;
 mod vms;
--- a/crates/sched/src/recovery.rs
+++ b/crates/sched/src/recovery.rs
@@ -31,6 +31,16 @@
         self.waiting.remove(worker);
     }
 
+    /// Takes it for a moment that something that runs is unknown. Returns whether nothing was.
+    pub(crate) const fn reopen(&mut self) -> bool {
+        std::mem::replace(&mut self.settled, false)
+    }
+
+    /// Goes back to what was known before [`Recovery::reopen`].
+    pub(crate) const fn close_again(&mut self, settled: bool) {
+        self.settled = settled;
+    }
+
     /// Says whether nothing that runs is unknown.
     pub(crate) const fn is_settled(&self) -> bool {
         self.settled
@@ -97,7 +107,7 @@
     }
 
     /// Ends the gangs of which not every member was found.
-    fn close_torn_gangs(&mut self, now: Millis) {
+    pub(crate) fn close_torn_gangs(&mut self, now: Millis) {
         let mut torn = Vec::new();
         for key in &self.open {
             for (step_index, step) in self.jobs[*key].steps.iter().enumerate() {
--- a/crates/sched/src/reports.rs
+++ b/crates/sched/src/reports.rs
@@ -18,6 +18,7 @@
 use crate::WorkerReport;
 use crate::WorkerSpec;
 use crate::job::UnitState;
+use crate::strays::Told;
 use crate::units::Ending;
 use crate::worker::Phase;
 use crate::worker::Share;
@@ -167,16 +168,14 @@
             return;
         }
         worker.handled_end = ended.number;
-        let ending = Ending {
-            how: ended.end.as_str(),
-            end: Some(ended.end),
-            checkpoint: ended.checkpoint.clone(),
-        };
         let job_id = ended.task.step.job;
-        self.note_begun(job_id);
-        self.end_run(key, ended.task, ended.run, ending, now);
-        let job = self.job_keys.get(&job_id).map(|key| &self.jobs[*key]);
-        let change = job.map_or(0, |job| job.changes);
+        if self.keep_stray(key, Told::Ended(ended.clone()), now) {
+            self.workers[key].remove(ended.task, ended.run);
+        } else {
+            self.note_begun(job_id);
+            self.end_run(key, ended.task, ended.run, Ending::from(ended), now);
+        }
+        let change = self.change_with_end(job_id);
         self.workers[key]
             .unacknowledged
             .push_back(UnacknowledgedEnd {
@@ -215,7 +214,7 @@
     }
 
     fn is_wanted(&self, task: TaskId, run: Run, now: Millis) -> bool {
-        if self.ends_by_itself(task, now) {
+        if self.ends_by_itself(task, now) || self.is_stray(task, run) {
             return true;
         }
         let Some((job, step, unit, _member)) = self.locate(task) else {
@@ -272,7 +271,7 @@
     }
 
     /// Takes over a run that the predecessor started, or stops what nobody wants.
-    fn adopt_or_stop(&mut self, key: WorkerKey, listed: &RunningReport, now: Millis) {
+    pub(crate) fn adopt_or_stop(&mut self, key: WorkerKey, listed: &RunningReport, now: Millis) {
         self.note_begun(listed.task.step.job);
         let held = WorkerRun {
             phase: Phase::Running,
@@ -286,6 +285,9 @@
         };
         self.workers[key].insert(listed.task, listed.run, held);
         self.take_load(key, listed);
+        if self.keep_stray(key, Told::Running(listed.clone()), now) {
+            return;
+        }
         if self.adopt(key, listed.task, listed.run) {
             let worker = self.workers[key].spec.id.clone();
             self.recovery.adopted += 1;
--- a/crates/sched/src/scheduler.rs
+++ b/crates/sched/src/scheduler.rs
@@ -30,6 +30,7 @@
 use crate::pacing::Disturbance;
 use crate::pools::Pools;
 use crate::recovery::Recovery;
+use crate::strays::Stray;
 use crate::upkeep::Upkeep;
 use crate::vms::Vms;
 use crate::worker::Phase;
@@ -58,7 +59,8 @@
     pub(crate) cancelled_early: BTreeMap<JobId, Millis>,
     pub(crate) queues: HashMap<SmolStr, QueueStats>,
     pub(crate) recovery: Recovery,
-    /// The time before which all that was stored has been read.
+    /// Runs of jobs that have not been read yet, and the time before which all that was stored has been.
+    pub(crate) strays: Vec<Stray>,
     pub(crate) jobs_read_at: Millis,
     pub(crate) headroom: Headroom,
     pub(crate) disturbance: Disturbance,
@@ -86,6 +88,7 @@
             cancelled_early: BTreeMap::new(),
             queues: HashMap::new(),
             recovery: Recovery::default(),
+            strays: Vec::new(),
             jobs_read_at: Millis(u64::MAX),
             headroom: Headroom::default(),
             disturbance: Disturbance::default(),
@@ -98,11 +101,6 @@
         }
     }
 
-    /// Takes note that everything that was stored before a time has been read.
-    pub const fn set_jobs_read(&mut self, asked_at: Millis) {
-        self.jobs_read_at = asked_at;
-    }
-
     /// Returns the times and limits that it works by.
     #[must_use]
     pub const fn options(&self) -> &Options {
@@ -250,15 +248,22 @@
             workers,
             jobs,
             job_keys,
+            strays,
             ..
         } = self;
         let Some(worker) = workers.get_mut(worker) else {
             return (0, false);
         };
         let recorded = |id: JobId| {
-            let job = job_keys.get(&id).and_then(|key| jobs.get(*key));
+            if let Some(key) = job_keys.get(&id) {
+                return jobs[*key].recorded;
+            }
+            let mut strays = strays.iter();
+            if strays.any(|stray| stray.told.task().step.job == id) {
+                return 0;
+            }
             // Of a job that is forgotten, nothing has to be kept.
-            job.map_or(u64::MAX, |job| job.recorded)
+            u64::MAX
         };
         let acknowledged = worker.acknowledge_ends(recorded);
         (acknowledged, !worker.unacknowledged.is_empty())
@@ -323,6 +328,7 @@
         }
         let accepted_at = Millis(now.0.saturating_sub(age_ms));
         self.insert_open(Job::new(spec, accepted_at), now);
+        self.meet_strays(id, now);
     }
 
     fn insert_open(&mut self, job: Job, now: Millis) {
--- a/crates/sched/src/units.rs
+++ b/crates/sched/src/units.rs
@@ -4,6 +4,7 @@
 use syc_types::Millis;
 
 use crate::Action;
+use crate::EndReport;
 use crate::JobState;
 use crate::Note;
 use crate::Run;
@@ -42,6 +43,24 @@
             checkpoint: SmolStr::new_static(""),
         }
     }
+
+    pub(crate) const fn outcome(&self) -> Outcome {
+        match self.end {
+            Some(RunEnd::Done) => Outcome::Done,
+            Some(RunEnd::Failed) => Outcome::Failed,
+            _ => Outcome::Interrupted,
+        }
+    }
+}
+
+impl From<&EndReport> for Ending {
+    fn from(report: &EndReport) -> Self {
+        Self {
+            how: report.end.as_str(),
+            end: Some(report.end),
+            checkpoint: report.checkpoint.clone(),
+        }
+    }
 }
 
 impl Scheduler {
@@ -64,15 +83,11 @@
         let worker_id = worker.spec.id.clone();
         self.quarantine_if_failing(key, now);
         let held_ms = held.as_ref().map(|held| now.since(held.held_since));
+        let outcome = ending.outcome();
         let mut checkpoint = ending.checkpoint;
         if checkpoint.is_empty() {
             checkpoint = held.map_or_else(SmolStr::default, |held| held.checkpoint);
         }
-        let outcome = match ending.end {
-            Some(RunEnd::Done) => Outcome::Done,
-            Some(RunEnd::Failed) => Outcome::Failed,
-            _ => Outcome::Interrupted,
-        };
         let noted_at = self.actions.len();
         let failures = self.account(key, task, run, outcome, checkpoint, now);
         let note = Note::RunEnded {
@@ -88,7 +103,7 @@
     }
 
     /// Tells a unit that a member's run has ended. Returns the unit's failed runs.
-    fn account(
+    pub(crate) fn account(
         &mut self,
         worker: WorkerKey,
         task: TaskId,
--- a/crates/sched/src/watch.rs
+++ b/crates/sched/src/watch.rs
@@ -15,6 +15,7 @@
     /// Looks at everything that time alone changes.
     pub(crate) fn watch(&mut self, now: Millis) {
         self.recover(now);
+        self.give_up_strays(now);
         self.watch_headroom();
         let keys: Vec<_> = self.workers.keys().collect();
         for key in keys {
