--- a/crates/cell/src/leader.rs
+++ b/crates/cell/src/leader.rs
@@ -259,7 +259,7 @@
                     workers,
                     expected_ms,
                 } => self.ask(step, workers, expected_ms),
-                Action::ListVms => self.list_vms(),
+                Action::ListVms { asked_at } => self.list_vms(asked_at),
                 Action::OrderVm { vm, duty } => self.order_vm(vm, duty),
                 Action::TellWave { wave, completed } => self.tell_wave(wave, completed),
                 Action::DropSpec(id) => self.drops.borrow_mut().push(id),
--- a/crates/cell/src/leader/vms.rs
+++ b/crates/cell/src/leader/vms.rs
@@ -7,6 +7,7 @@
 use syc_sched::Event;
 use syc_sched::VmInfo;
 use syc_sched::Wave;
+use syc_types::Millis;
 use syc_types::VmId;
 
 use crate::clock::now;
@@ -61,14 +62,15 @@
         }
     }
 
-    pub(super) fn list_vms(self: &Rc<Self>) {
+    pub(super) fn list_vms(self: &Rc<Self>, asked_at: Millis) {
         let leader = Rc::clone(self);
         actix_rt::spawn(async move {
             let listed = leader.read_vms().await;
             if let Err(error) = &listed {
                 log::vms_unlisted(error);
             }
-            leader.apply(Event::VmsListed(listed.ok()));
+            let vms = listed.ok();
+            leader.apply(Event::VmsListed { asked_at, vms });
         });
     }
 
--- a/crates/sched/src/action.rs
+++ b/crates/sched/src/action.rs
@@ -1,6 +1,7 @@
 //! What a scheduler wants done.
 
 use smol_str::SmolStr;
+use syc_types::Millis;
 use syc_types::VmId;
 
 use crate::Duty;
@@ -82,7 +83,10 @@
         expected_ms: f64,
     },
     /// List the VMs.
-    ListVms,
+    ListVms {
+        /// When that is asked for: the list is as old.
+        asked_at: Millis,
+    },
     /// Do something with a VM.
     OrderVm {
         /// The VM.
--- a/crates/sched/src/event.rs
+++ b/crates/sched/src/event.rs
@@ -144,7 +144,12 @@
     /// The services whose VMs are off until they are moved to another pool.
     StandbySet(Vec<ServiceName>),
     /// The platform listed the VMs, or did not.
-    VmsListed(Option<Vec<VmInfo>>),
+    VmsListed {
+        /// When the list was asked for.
+        asked_at: Millis,
+        /// The list, if it came.
+        vms: Option<Vec<VmInfo>>,
+    },
     /// An order about a VM came to something.
     VmOrderAnswered {
         /// The VM.
--- a/crates/sched/src/scheduler.rs
+++ b/crates/sched/src/scheduler.rs
@@ -152,7 +152,7 @@
             Event::WavePublished { wave, age_ms } => self.wave_published(wave, age_ms, now),
             Event::WaveRecorded { wave, change } => self.wave_recorded(wave, change),
             Event::StandbySet(services) => self.set_standby(services),
-            Event::VmsListed(vms) => self.vms_listed(vms, now),
+            Event::VmsListed { asked_at, vms } => self.vms_listed(asked_at, vms),
             Event::VmOrderAnswered { vm, duty, answer } => match duty {
                 Duty::Upkeep { wave } => self.upkeep_answered(wave, &vm, answer, now),
                 Duty::Move { pool } => self.move_answered(&vm, &pool, answer, now),
--- a/crates/sched/src/vms.rs
+++ b/crates/sched/src/vms.rs
@@ -59,15 +59,15 @@
             return;
         }
         vms.asked_at = Some(now);
-        self.actions.push(Action::ListVms);
+        self.actions.push(Action::ListVms { asked_at: now });
     }
 
-    pub(crate) fn vms_listed(&mut self, listed: Option<Vec<VmInfo>>, now: Millis) {
-        let asked_at = self.vms.asked_at.take();
+    pub(crate) fn vms_listed(&mut self, asked_at: Millis, listed: Option<Vec<VmInfo>>) {
+        let latest_asked_at = self.vms.asked_at.take();
         let Some(listed) = listed else {
             return;
         };
-        self.vms.listed_at = Some(asked_at.unwrap_or(now));
+        self.vms.listed_at = Some(latest_asked_at.unwrap_or(asked_at));
         let listed = listed.into_iter().map(|vm| (vm.id.clone(), vm));
         self.vms.known = listed.collect();
     }
--- a/crates/sched/tests/core/driver.rs
+++ b/crates/sched/tests/core/driver.rs
@@ -24,6 +24,7 @@
 use syc_sched::StepSpec;
 use syc_sched::StopReason;
 use syc_sched::TaskId;
+use syc_sched::VmInfo;
 use syc_sched::WorkerKey;
 use syc_sched::WorkerReport;
 use syc_sched::WorkerSpec;
@@ -59,6 +60,8 @@
     /// Paces that were ordered, and not answered yet.
     pub paces: Vec<(WorkerKey, TaskId, Run, u8)>,
     pub vm_orders: Vec<(VmId, Duty)>,
+    /// When each list of VMs was asked for.
+    pub lists_asked: Vec<Millis>,
     /// Waves that operators were told of, and whether as completed.
     pub told: Vec<(u64, bool)>,
     ends: BTreeMap<WorkerKey, u64>,
@@ -76,6 +79,7 @@
             asks: Vec::new(),
             paces: Vec::new(),
             vm_orders: Vec::new(),
+            lists_asked: Vec::new(),
             told: Vec::new(),
             ends: BTreeMap::new(),
         };
@@ -112,6 +116,7 @@
                 }),
                 Action::OrderVm { vm, duty } => self.vm_orders.push((vm, duty)),
                 Action::TellWave { wave, completed } => self.told.push((wave, completed)),
+                Action::ListVms { asked_at } => self.lists_asked.push(asked_at),
                 Action::Ask { step, workers, .. } => self.asks.push((step, workers)),
                 Action::Pace {
                     worker,
@@ -124,6 +129,12 @@
         }
     }
 
+    /// Answers a question of now for the VMs.
+    pub fn list_vms(&mut self, vms: Option<Vec<VmInfo>>) {
+        let asked_at = self.now;
+        self.apply(Event::VmsListed { asked_at, vms });
+    }
+
     pub fn schedule(&mut self) {
         let actions = self.scheduler.schedule(self.now);
         self.take(actions);
--- a/crates/sched/tests/core/pools.rs
+++ b/crates/sched/tests/core/pools.rs
@@ -51,7 +51,7 @@
     for _ in 0..time_ms / 100 {
         driver.pass(100);
         driver.apply(Event::Ticked);
-        driver.apply(Event::VmsListed(Some(listed(here, VmState::Up))));
+        driver.list_vms(Some(listed(here, VmState::Up)));
         driver.schedule();
     }
 }
@@ -122,7 +122,7 @@
     for _ in 0..50 {
         driver.pass(100);
         driver.apply(Event::Ticked);
-        driver.apply(Event::VmsListed(None));
+        driver.list_vms(None);
     }
     assert_eq!(moves(&mut driver), []);
     pass(&mut driver, HERE, 1_500);
--- a/crates/sched/tests/core/upkeep.rs
+++ b/crates/sched/tests/core/upkeep.rs
@@ -56,7 +56,7 @@
     for _ in 0..time_ms / 100 {
         driver.pass(100);
         driver.apply(Event::Ticked);
-        driver.apply(Event::VmsListed(Some(listed(vms, down))));
+        driver.list_vms(Some(listed(vms, down)));
         driver.record();
         driver.schedule();
     }
@@ -258,7 +258,9 @@
     for _ in 0..100 {
         driver.pass(100);
         let actions = driver.scheduler.handle(Event::Ticked, driver.now);
-        let lists = actions.iter().filter(|action| **action == Action::ListVms);
+        let lists = actions
+            .iter()
+            .filter(|action| matches!(action, Action::ListVms { .. }));
         asked += lists.count();
     }
     assert_eq!(asked, 0);
@@ -304,3 +306,58 @@
     pass(&mut driver, 3, &[], 100);
     assert_eq!(moving_off(&driver).len(), 1);
 }
+
+/// A list that is slow to come shows what was so when it was asked for. Dated by the question that followed it,
+/// it showed a VM as back that had only just gone down, and the next one followed it.
+#[test]
+fn a_list_that_comes_late_is_as_old_as_its_own_question() {
+    let mut driver = published(2, 1);
+    pass(&mut driver, 2, &[], 4_000);
+    assert_eq!(ordered(&mut driver), [vm(0)]);
+    // The next list is asked for before the order is carried out, and comes after another was asked for.
+    driver.pass(600);
+    driver.apply(Event::Ticked);
+    let first_asked_at = driver.now;
+    assert_eq!(driver.lists_asked.last(), Some(&first_asked_at));
+    answer(&mut driver, vm(0), DutyAnswer::Done);
+    driver.record();
+    for _ in 0..21 {
+        driver.pass(100);
+        driver.apply(Event::Ticked);
+    }
+    assert!(driver.lists_asked.last() > Some(&first_asked_at));
+    driver.apply(Event::VmsListed {
+        asked_at: first_asked_at,
+        vms: Some(listed(2, &[])),
+    });
+    for _ in 0..3 {
+        driver.pass(100);
+        driver.apply(Event::Ticked);
+        driver.record();
+    }
+    assert_eq!(ordered(&mut driver), [], "the first is still down");
+}
+
+/// A list that was asked for before a wave was seen may lack a VM that joined since. Taken as gone, it was
+/// left out, and the wave was said to be completed.
+#[test]
+fn a_list_from_before_the_wave_does_not_say_that_its_vms_are_gone() {
+    let mut driver = published(1, 1);
+    pass(&mut driver, 1, &[], 4_000);
+    let later = Wave {
+        number: WAVE + 1,
+        vms: vec![vm(1)],
+        limit_ms: 20_000,
+        at_once: 1,
+    };
+    driver.apply(Event::WavePublished {
+        wave: later,
+        age_ms: 0,
+    });
+    driver.pass(100);
+    driver.apply(Event::Ticked);
+    driver.record();
+    assert!(!driver.told.contains(&(WAVE + 1, true)));
+    pass(&mut driver, 1, &[], 1_000);
+    assert!(driver.told.contains(&(WAVE + 1, true)), "now it is gone");
+}
--- a/crates/sched/tests/schedules/world.rs
+++ b/crates/sched/tests/schedules/world.rs
@@ -125,7 +125,7 @@
     ),
     Restored(WorkerId),
     VmOrder(VmCommand),
-    Listed(u64),
+    Listed(u64, Millis),
     NewIncarnation,
     NextScheduler,
 }
@@ -431,9 +431,9 @@
                     percent,
                 } => self.send_pace(worker, (task, run), percent),
                 Action::Ask { step, workers, .. } => self.advise(step, &workers),
-                Action::ListVms => {
+                Action::ListVms { asked_at } => {
                     let delay_ms = self.rng.random_range(2..20);
-                    self.later(delay_ms, Delivery::Listed(self.token));
+                    self.later(delay_ms, Delivery::Listed(self.token, asked_at));
                 }
                 Action::OrderVm { vm, duty } => self.send_vm_order(vm, duty),
                 Action::TellWave { wave, completed } => self.vms.told(wave, completed),
--- a/crates/sched/tests/schedules/world/travel.rs
+++ b/crates/sched/tests/schedules/world/travel.rs
@@ -65,11 +65,12 @@
             Delivery::VmOrder(command) => {
                 let _unheard = self.vms.order(&mut self.fleet, &command, self.now);
             }
-            Delivery::Listed(token) => {
+            Delivery::Listed(token, asked_at) => {
                 let lost = self.is_lost();
                 let listed = self.vms.list();
                 if token == self.token {
-                    self.apply(Event::VmsListed((!lost).then_some(listed)));
+                    let vms = (!lost).then_some(listed);
+                    self.apply(Event::VmsListed { asked_at, vms });
                 }
             }
             Delivery::NewIncarnation => self.new_incarnation(),
