Take a list of VMs for what was so when it was asked for

Cause: when two questions were under way, a list was dated by the later one, though it answered the earlier; and a VM that no list showed was taken as gone, also by a list from before its wave was seen.

Change: a list is as old as its own question, and an older one does not replace a newer; a VM of a wave is gone only by a list that was asked for after the wave was seen.

Before: a second VM was ordered down while the first, of a wave that allows one at a time, was down; a wave was told as completed with a VM whose upkeep had not begun. After: neither; 100 tests of the core, 48 of the cell and the generated schedules with waves pass.

--- a/crates/sched/src/upkeep.rs
+++ b/crates/sched/src/upkeep.rs
@@ -46,6 +46,8 @@
 pub(crate) struct OpenWave {
     wave: Wave,
     began_at: Millis,
+    /// When this scheduler saw it.
+    seen_at: Millis,
     phases: BTreeMap<VmId, VmPhase>,
     /// Changes so far, and how many of them the store has.
     changes: u64,
@@ -90,6 +92,7 @@
         Self {
             wave,
             began_at: Millis(now.0.saturating_sub(age_ms)),
+            seen_at: now,
             phases,
             changes: 0,
             recorded: 0,
@@ -251,7 +254,10 @@
     ) -> Option<VmPhase> {
         let listed = self.vms.known.contains_key(vm);
         match phase {
-            VmPhase::Waiting | VmPhase::Emptying(_) if !listed => {
+            // A list from before the wave was seen may lack a VM that joined since.
+            VmPhase::Waiting | VmPhase::Emptying(_)
+                if !listed && self.vms.listed_at > Some(wave.seen_at) =>
+            {
                 wave.changes += 1;
                 Some(VmPhase::Gone)
             }
--- a/crates/sched/src/vms.rs
+++ b/crates/sched/src/vms.rs
@@ -63,11 +63,18 @@
     }
 
     pub(crate) fn vms_listed(&mut self, asked_at: Millis, listed: Option<Vec<VmInfo>>) {
-        let latest_asked_at = self.vms.asked_at.take();
+        // An earlier list that comes late answers an earlier question: dated by the latest one, it showed a
+        // VM as back that had only just gone down, and the next one of its wave followed.
+        if self.vms.asked_at == Some(asked_at) {
+            self.vms.asked_at = None;
+        }
         let Some(listed) = listed else {
             return;
         };
-        self.vms.listed_at = Some(latest_asked_at.unwrap_or(asked_at));
+        if self.vms.listed_at > Some(asked_at) {
+            return;
+        }
+        self.vms.listed_at = Some(asked_at);
         let listed = listed.into_iter().map(|vm| (vm.id.clone(), vm));
         self.vms.known = listed.collect();
     }
