Work out the workers for a gang once in each look, and a step's bound on a worker in one place

Behaviour is kept: the workers that may run a gang were worked out for the plan and again for whether to ask about more; the same bound stood in two places.

--- a/crates/sched/src/gang.rs
+++ b/crates/sched/src/gang.rs
@@ -46,9 +46,10 @@
             self.ask_for_gang(job, step, now);
             return;
         }
-        let Some(plan) = self.plan_gang(job, step, now) else {
+        let candidates = self.gang_candidates(job, step, now);
+        let Some(plan) = self.plan_gang(job, step, &candidates) else {
             // More room comes as runs end; more workers are asked about only where it can't be enough.
-            if !self.could_hold_gang(job, step, now) {
+            if !self.could_hold_gang(job, step, &candidates) {
                 self.ask_for_gang(job, step, now);
             }
             return;
@@ -114,12 +115,12 @@
     }
 
     /// Says whether the workers that may run a gang have what it takes some times over, if others left.
-    fn could_hold_gang(&self, job: JobKey, step: usize, now: Millis) -> bool {
+    fn could_hold_gang(&self, job: JobKey, step: usize, candidates: &[WorkerKey]) -> bool {
         let spec = &self.jobs[job].steps[step].spec;
-        let limit = spec.tasks_per_worker.unwrap_or(spec.tasks).min(spec.tasks);
+        let limit = spec.limit_on_a_worker();
         let mut held = 0;
-        for key in self.gang_candidates(job, step, now) {
-            held += fits(&self.workers[key].spec.capacity, &spec.room(), limit);
+        for key in candidates {
+            held += fits(&self.workers[*key].spec.capacity, &spec.room(), limit);
         }
         held >= spec.tasks.saturating_mul(CHOICE)
     }
@@ -137,14 +138,13 @@
         candidates
     }
 
-    fn plan_gang(&self, job: JobKey, step: usize, now: Millis) -> Option<Plan> {
-        let candidates = self.gang_candidates(job, step, now);
+    fn plan_gang(&self, job: JobKey, step: usize, candidates: &[WorkerKey]) -> Option<Plan> {
         if self.jobs[job].steps[step].spec.same_rack
-            && let Some(plan) = self.plan_in_one_rack(job, step, &candidates)
+            && let Some(plan) = self.plan_in_one_rack(job, step, candidates)
         {
             return Some(plan);
         }
-        self.plan_among(job, step, &candidates)
+        self.plan_among(job, step, candidates)
     }
 
     fn plan_in_one_rack(&self, job: JobKey, step: usize, candidates: &[WorkerKey]) -> Option<Plan> {
@@ -199,7 +199,7 @@
         let of_job = &self.jobs[job];
         let spec = &of_job.steps[step].spec;
         let priority = of_job.spec.policy.priority;
-        let limit = spec.tasks_per_worker.unwrap_or(spec.tasks).min(spec.tasks);
+        let limit = spec.limit_on_a_worker();
         let id = self.step_id(job, step);
         let mut offers = Vec::new();
         for key in candidates {
--- a/crates/sched/src/spec.rs
+++ b/crates/sched/src/spec.rs
@@ -97,6 +97,11 @@
         }
         self.resources
     }
+
+    /// Returns how many of its tasks one worker may run.
+    pub(crate) fn limit_on_a_worker(&self) -> u32 {
+        self.tasks_per_worker.unwrap_or(self.tasks).min(self.tasks)
+    }
 }
 
 /// What it takes to learn which workers may run a step.
