--- a/crates/sched/tests/core/counts.rs
+++ b/crates/sched/tests/core/counts.rs
@@ -93,3 +93,18 @@
     }
     assert_eq!(waiting(&driver), 0);
 }
+
+/// The record that is written with an order says that the job waits. With none after it, a job that had been
+/// shown as running was shown as queued after a takeover, until its worker had answered.
+#[test]
+fn a_job_that_was_shown_as_running_still_is_after_a_takeover() {
+    let (mut driver, order) = ordered();
+    let _with_the_order = driver.scheduler.take_records(usize::MAX, 1);
+    answer(&mut driver, &order, StartAnswer::Started);
+    assert_eq!(driver.state(1), Some(JobState::Running));
+    let written = driver.scheduler.take_records(usize::MAX, 1);
+    let progress = written.first().map(|(_, _, progress)| progress);
+    let mut successor = Driver::new(0, 0);
+    successor.restore(1, policy(0), vec![step(1, 1)], progress);
+    assert_eq!(successor.state(1), Some(JobState::Running));
+}
