Write that a job has begun beside the next records

Cause: the record that is written with an order says that the job waits, and none followed until something else changed. A successor showed as queued, and counted as waiting, what had been shown as running, until its worker had answered: milliseconds, or up to 9.3 s with a silent one.

Change: jobs that have begun are written beside others, with no append of their own.

--- a/crates/sched/src/reports.rs
+++ b/crates/sched/src/reports.rs
@@ -156,10 +156,14 @@
     ///
     /// An order alone says nothing: its worker may be cut off, and the job waits all the while.
     pub(crate) fn note_begun(&mut self, id: JobId) {
-        let Some(key) = self.job_keys.get(&id) else {
+        let Some(key) = self.job_keys.get(&id).copied() else {
             return;
         };
-        self.jobs[*key].begin();
+        if self.jobs[key].begun {
+            return;
+        }
+        self.jobs[key].begin();
+        self.begun_lately.insert(key);
     }
 
     fn end_listed(&mut self, key: WorkerKey, ended: &EndReport, now: Millis) {
--- a/crates/sched/src/scheduler.rs
+++ b/crates/sched/src/scheduler.rs
@@ -55,6 +55,9 @@
     pub(crate) open: BTreeSet<JobKey>,
     /// Jobs whose progress differs from what the store has.
     pub(crate) dirty: BTreeSet<JobKey>,
+    /// Jobs that have begun since they were written: written beside others, so that a successor does not
+    /// show as queued what was shown as running.
+    pub(crate) begun_lately: BTreeSet<JobKey>,
     /// Cancelled before the job itself was seen, and when that was.
     pub(crate) cancelled_early: BTreeMap<JobId, Millis>,
     pub(crate) queues: HashMap<SmolStr, QueueStats>,
@@ -85,6 +88,7 @@
             job_keys: HashMap::new(),
             open: BTreeSet::new(),
             dirty: BTreeSet::new(),
+            begun_lately: BTreeSet::new(),
             cancelled_early: BTreeMap::new(),
             queues: HashMap::new(),
             recovery: Recovery::default(),
@@ -215,7 +219,8 @@
         !self.dirty.is_empty() || self.upkeep.has_changes()
     }
 
-    /// Takes the progress of the jobs that changed, with the number of the change that it includes.
+    /// Takes the progress of the jobs that changed, and then of those that have begun, each with the number of
+    /// the change that it includes.
     ///
     /// The token of its version is for the caller to fill in. Each must come back in [`Event::Recorded`] once the store has it.
     pub fn take_records(
@@ -225,7 +230,7 @@
     ) -> Vec<(JobId, u64, JobProgress)> {
         let mut records = Vec::new();
         while records.len() < limit {
-            let Some(key) = self.dirty.pop_first() else {
+            let Some(key) = self.next_to_write() else {
                 break;
             };
             let Some(job) = self.jobs.get_mut(key) else {
@@ -241,6 +246,14 @@
         records
     }
 
+    fn next_to_write(&mut self) -> Option<JobKey> {
+        let Some(changed) = self.dirty.pop_first() else {
+            return self.begun_lately.pop_first();
+        };
+        self.begun_lately.remove(&changed);
+        Some(changed)
+    }
+
     /// Returns the number of the latest end of a worker that it may forget, and whether ends are
     /// left that the store has not taken yet.
     pub fn acknowledged_ends(&mut self, worker: WorkerKey) -> (u64, bool) {
