Take a worker off the list once, however often its unreadable entry is written

Change: the roster remembers whether a worker is listed, and only a change of that is news. What runs on such a worker is settled as before.

--- a/crates/cell/src/leader/load.rs
+++ b/crates/cell/src/leader/load.rs
@@ -178,7 +178,7 @@
     }
     leader.scheduler.borrow_mut().begin_recovery(now());
     for id in missing {
-        leader.unlist_worker(id);
+        leader.tell_unlisted(id);
     }
     progress.len()
 }
--- a/crates/cell/src/leader/roster.rs
+++ b/crates/cell/src/leader/roster.rs
@@ -40,6 +40,8 @@
 #[derive(Debug)]
 struct Member {
     spec: WorkerSpec,
+    /// Whether the platform's list names it, as far as is known.
+    listed: bool,
     /// Number of the change that added it.
     added_in: u64,
 }
@@ -60,15 +62,15 @@
         let mut members = self.members.borrow_mut();
         for spec in left {
             let spec = spec.clone();
-            members.insert(spec.id.clone(), Member { spec, added_in: 0 });
+            let member = Member {
+                spec: spec.clone(),
+                listed: false,
+                added_in: 0,
+            };
+            members.insert(spec.id, member);
         }
     }
 
-    /// Says whether a worker may have got orders, or is about to.
-    fn knows(&self, id: &WorkerId) -> bool {
-        self.members.borrow().contains_key(id)
-    }
-
     /// Takes note that a worker's record can't be used. Says whether that is news.
     fn note_set_aside(&self, id: &WorkerId) -> bool {
         let mut set_aside = self.set_aside.borrow_mut();
@@ -84,24 +86,31 @@
         let mut members = self.members.borrow_mut();
         if let Some(member) = members.get_mut(&spec.id) {
             member.spec = spec.clone();
+            member.listed = true;
             return member.added_in <= self.recorded.get();
         }
         let member = Member {
             spec: spec.clone(),
+            listed: true,
             added_in: self.next_change(),
         };
         members.insert(spec.id.clone(), member);
         false
     }
 
-    /// Takes note that a worker is not listed: one that never got an order is of no interest.
-    fn unlist(&self, id: &WorkerId) {
+    /// Takes note that a worker is not listed: one that never got an order is of no interest. Says whether
+    /// that is news.
+    fn unlist(&self, id: &WorkerId) -> bool {
         let mut members = self.members.borrow_mut();
-        let added_in = members.get(id).map(|member| member.added_in);
-        if added_in.is_some_and(|added_in| added_in > self.recorded.get()) {
+        let Some(member) = members.get_mut(id) else {
+            return false;
+        };
+        let was_listed = std::mem::take(&mut member.listed);
+        if member.added_in > self.recorded.get() {
             members.remove(id);
             self.next_change();
         }
+        was_listed
     }
 
     /// Removes a worker on which nothing can run.
@@ -163,10 +172,17 @@
         }
     }
 
-    /// Takes note that a worker is listed no more.
+    /// Takes note that a worker is not listed. Only the first time is news: an entry that can't be used is
+    /// written again with every heartbeat of its writer.
     pub(super) fn unlist_worker(self: &Rc<Self>, id: WorkerId) {
+        if self.roster.unlist(&id) {
+            self.tell_unlisted(id);
+        }
+    }
+
+    /// Tells the scheduler that a worker is not listed.
+    pub(super) fn tell_unlisted(self: &Rc<Self>, id: WorkerId) {
         log::worker_listed(&id, "unlisted");
-        self.roster.unlist(&id);
         self.apply(Event::WorkerUnlisted(id));
     }
 
@@ -175,9 +191,7 @@
         if self.roster.note_set_aside(&id) {
             log::unreadable(id.as_str(), reason);
         }
-        if self.roster.knows(&id) {
-            self.unlist_worker(id);
-        }
+        self.unlist_worker(id);
     }
 
     /// Takes note that the store has a change of the roster.
