Show what becomes of a worker whose entry turns unreadable while it runs our work

Two tests: its tasks end on it under leases that are renewed all the while, and nothing new goes there; and one that falls silent behind such an entry is settled as any silent worker, its tasks starting again only when its leases have lapsed. Both pass without a change of the program. The stand-ins get workers that answer nothing.

--- a/crates/cell/tests/cell/workers.rs
+++ b/crates/cell/tests/cell/workers.rs
@@ -2,6 +2,7 @@
 
 use syc_cell::Configuration;
 use syc_cell::PendingAnswer;
+use syc_fleet::SharedFaults;
 use syc_sched::JobState;
 use syc_sched::WorkerSpec;
 use syc_types::ServiceName;
@@ -57,6 +58,56 @@
     cluster.assert_sound();
 }
 
+#[test]
+fn a_worker_whose_entry_turns_unreadable_ends_what_it_runs_and_gets_nothing_new() {
+    let cluster = Cluster::start(2, 1);
+    let node = cluster.scheduler();
+    // Longer than a lease: it is renewed all the while.
+    cluster.submit(node, 1, vec![step(2, 8_000)]);
+    cluster.wait_for_state(node, 1, JobState::Running);
+    cluster.platform.spoil_entry(worker(0).id.as_str());
+    cluster.wait("the entry to be read", || {
+        let page = cluster.on(node, |node| async move { node.metrics_page() });
+        let usable = page.lines().find(|line| line.contains("state=\"usable\""))?;
+        usable.ends_with(" 0").then_some(())
+    });
+    cluster.submit(node, 2, vec![step(1, 20)]);
+    cluster.wait_for_state(node, 1, JobState::Completed);
+    let waiting = cluster.on(node, |node| async move { node.pending(QUEUE).await });
+    assert_eq!(waiting, PendingAnswer::Known(1), "nothing new went there");
+    cluster.platform.register(WorkerSpec {
+        id: WorkerId::new("w-1"),
+        ..worker(1)
+    });
+    cluster.wait_for_state(node, 2, JobState::Completed);
+    cluster.assert_sound();
+}
+
+/// Its tasks start again only where they surely run no more; the judge sees one that runs twice.
+#[test]
+fn what_runs_on_a_worker_that_falls_silent_behind_an_unreadable_entry_outlasts_its_lease_first() {
+    let cluster = Cluster::start(2, 1);
+    let node = cluster.scheduler();
+    cluster.submit(node, 1, vec![step(2, 600_000)]);
+    cluster.wait_for_state(node, 1, JobState::Running);
+    cluster.platform.spoil_entry(worker(0).id.as_str());
+    cluster.platform.register(WorkerSpec {
+        id: WorkerId::new("w-1"),
+        ..worker(1)
+    });
+    cluster.platform.set_faults(SharedFaults {
+        silent_workers: [worker(0).id].into(),
+        ..SharedFaults::default()
+    });
+    cluster.wait("the tasks to run elsewhere", || {
+        let runs = cluster
+            .platform
+            .with_fleet(|fleet| fleet.runs_on(&WorkerId::new("w-1")));
+        (runs == 2).then_some(())
+    });
+    cluster.assert_sound();
+}
+
 #[test]
 fn a_worker_of_a_service_that_is_not_configured_is_not_asked() {
     let mut cluster = Cluster::start(2, 1);
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -54,6 +54,13 @@
 }
 
 impl FleetModel {
+    /// Returns the number of tasks that run on a worker.
+    #[must_use]
+    pub fn runs_on(&self, id: &WorkerId) -> usize {
+        let worker = self.workers.get(id);
+        worker.map_or(0, |worker| worker.runs.len())
+    }
+
     /// Says how a task goes.
     pub fn plan(&mut self, task: TaskId, plan: Plan) {
         self.plans.insert(task, plan);
--- a/crates/fleet/src/shared.rs
+++ b/crates/fleet/src/shared.rs
@@ -15,6 +15,7 @@
 use syc_cell::now;
 use syc_cell::pause;
 use syc_cell::ports::Condition;
+use syc_cell::ports::OrderError;
 use syc_cell::ports::Record;
 use syc_cell::ports::Topic;
 use syc_sched::Wave;
@@ -52,6 +53,8 @@
     pub turned_away: BTreeSet<SmolStr>,
     /// Nodes whose calls to the store are never answered, and not carried out.
     pub cut_off: BTreeSet<SmolStr>,
+    /// Workers that take no call and answer none.
+    pub silent_workers: BTreeSet<WorkerId>,
     /// Partitions of topics that refuse every call.
     pub down: Vec<(Topic, u32)>,
     /// Reads of whole partitions that are never answered; so many from now on.
@@ -347,6 +350,16 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Waits as long as a call to a worker takes, or until it times out where the worker is silent.
+    async fn reach_worker(&self, worker: &WorkerId, timeout_ms: u64) -> Result<(), OrderError> {
+        pause(CALL_MS).await;
+        if self.lock().faults.silent_workers.contains(worker) {
+            pause(timeout_ms).await;
+            return Err(OrderError::InDoubt(SmolStr::new_static("silent")));
+        }
+        Ok(())
+    }
+
     /// Waits as long as a call takes, or for ever where the node is cut off; says whether the store
     /// turns it away.
     async fn reach_store(&self) -> bool {
--- a/crates/fleet/src/shared/ports.rs
+++ b/crates/fleet/src/shared/ports.rs
@@ -124,8 +124,9 @@
         timeout_ms: u64,
     ) -> Result<(), OrderError> {
         self.begin_order(&worker.id);
-        pause(CALL_MS).await;
+        let reached = self.reach_worker(&worker.id, timeout_ms).await;
         self.end_order(&worker.id);
+        reached?;
         let (started, lost) = {
             let mut state = self.lock();
             let lost = state.faults.lost_starts > 0;
@@ -143,9 +144,9 @@
         &self,
         worker: &WorkerAddress,
         command: &StopCommand,
-        _timeout_ms: u64,
+        timeout_ms: u64,
     ) -> Result<(), OrderError> {
-        pause(CALL_MS).await;
+        self.reach_worker(&worker.id, timeout_ms).await?;
         self.lock().fleet.stop(&worker.id, command, now())
     }
 
@@ -153,9 +154,9 @@
         &self,
         worker: &WorkerAddress,
         command: &PaceCommand,
-        _timeout_ms: u64,
+        timeout_ms: u64,
     ) -> Result<(), OrderError> {
-        pause(CALL_MS).await;
+        self.reach_worker(&worker.id, timeout_ms).await?;
         self.lock().fleet.pace(&worker.id, command, now())
     }
 
@@ -163,9 +164,9 @@
         &self,
         worker: &WorkerAddress,
         renewal: &Renewal,
-        _timeout_ms: u64,
+        timeout_ms: u64,
     ) -> Result<Renewed, OrderError> {
-        pause(CALL_MS).await;
+        self.reach_worker(&worker.id, timeout_ms).await?;
         let until = now().plus(renewal.wait_ms);
         loop {
             let renewed = self.lock().fleet.renew(&worker.id, renewal, now())?;
