--- a/crates/cell/tests/cell/workers.rs
+++ b/crates/cell/tests/cell/workers.rs
@@ -68,7 +68,9 @@
     cluster.platform.spoil_entry(worker(0).id.as_str());
     cluster.wait("the entry to be read", || {
         let page = cluster.on(node, |node| async move { node.metrics_page() });
-        let usable = page.lines().find(|line| line.contains("state=\"usable\""))?;
+        let usable = page
+            .lines()
+            .find(|line| line.contains("state=\"usable\""))?;
         usable.ends_with(" 0").then_some(())
     });
     cluster.submit(node, 2, vec![step(1, 20)]);
