--- a/crates/cell/src/adviser.rs
+++ b/crates/cell/src/adviser.rs
@@ -67,5 +67,6 @@
     Ok(Advice {
         allowed: allowed.collect(),
         validity_ms: reply.validity_ms,
+        ..Advice::default()
     })
 }
--- a/crates/cell/src/ports.rs
+++ b/crates/cell/src/ports.rs
@@ -2,8 +2,11 @@
 //!
 //! An adapter implements these traits; it translates names and formats and decides nothing.
 
+use std::fmt;
+
 use bytes::Bytes;
 use smol_str::SmolStr;
+use smol_str::format_smolstr;
 use syc_sched::Duty;
 use syc_sched::Run;
 use syc_sched::StartRefusal;
@@ -254,13 +257,47 @@
     pub token: u64,
 }
 
+/// Parts of an answer that can't be read, and are left out.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Skipped {
+    /// How many.
+    pub parts: u64,
+    /// What is wrong with the first; empty where there is none.
+    pub reason: SmolStr,
+}
+
+impl Skipped {
+    /// Takes note of one more.
+    pub fn note<T>(&mut self, reason: T)
+    where
+        T: fmt::Display,
+    {
+        if self.parts == 0 {
+            self.reason = format_smolstr!("{reason}");
+        }
+        self.parts += 1;
+    }
+
+    /// Takes note of those of another part of the answer.
+    pub fn add(&mut self, other: Self) {
+        if self.parts == 0 {
+            self.reason = other.reason;
+        }
+        self.parts += other.parts;
+    }
+}
+
 /// What a worker answers to a renewal.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Renewed {
     /// The worker's clock.
     pub clock_ms: u64,
     /// What it lists.
     pub report: WorkerReport,
+    /// What of it can't be read.
+    pub skipped: Skipped,
+    /// Number of the latest end among that; 0 where there is none.
+    pub skipped_end: u64,
 }
 
 /// Why a worker did not do as it was told.
@@ -322,6 +359,8 @@
     pub allowed: Vec<(WorkerId, SmolStr)>,
     /// Time for which the tickets are valid.
     pub validity_ms: u64,
+    /// What of the answer can't be read.
+    pub skipped: Skipped,
 }
 
 /// Why no advice was given.
@@ -347,6 +386,8 @@
     pub vms: Vec<VmInfo>,
     /// Where the next part begins, if there is one.
     pub next: Option<SmolStr>,
+    /// What of the answer can't be read.
+    pub skipped: Skipped,
 }
 
 /// Why the VMs could not be listed.
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -282,6 +282,7 @@
         Ok(Renewed {
             clock_ms: worker.clock_ms(now),
             report,
+            ..Renewed::default()
         })
     }
 
--- a/crates/fleet/src/shared/ports.rs
+++ b/crates/fleet/src/shared/ports.rs
@@ -193,6 +193,7 @@
         Ok(Advice {
             allowed: allowed.collect(),
             validity_ms: TICKET_MS,
+            ..Advice::default()
         })
     }
 }
@@ -237,10 +238,11 @@
             None => VmPage {
                 vms: first.to_vec(),
                 next: Some(SmolStr::new_static("rest")),
+                ..VmPage::default()
             },
             Some(_) => VmPage {
                 vms: rest.to_vec(),
-                next: None,
+                ..VmPage::default()
             },
         })
     }
