Show what an unreadable record of the cell's own topics, of operators or of another node costs

A job of 4,000,000,000 tasks makes the node ask for 704 GB and end; a worker whose clock reads the greatest time ends its session for good (the sum overflows); without a readable roster a task runs twice; a job whose progress or record can't be read starts from its beginning, or is denied; a record of another job or of an unsound one is taken; a notice names a partition that is not there; a reply that comes as a call is sent back; nothing of it is counted.

--- a/crates/cell/tests/cell/cluster.rs
+++ b/crates/cell/tests/cell/cluster.rs
@@ -321,7 +321,8 @@
     }
 }
 
-fn job(id: u64, steps: Vec<StepSpec>) -> JobSpec {
+/// A job of the queue.
+pub fn job(id: u64, steps: Vec<StepSpec>) -> JobSpec {
     JobSpec {
         id: JobId(id),
         payload: SmolStr::new_static("payload"),
--- a/crates/cell/tests/cell/main.rs
+++ b/crates/cell/tests/cell/main.rs
@@ -9,5 +9,6 @@
 mod stages;
 mod store;
 mod takeover;
+mod unreadable;
 mod vms;
 mod workers;
--- /dev/null
+++ b/crates/cell/tests/cell/unreadable.rs
@@ -0,0 +1,312 @@
+//! What another wrote and can't be read: it costs itself, is counted, and changes nothing else.
+
+use bytes::Bytes;
+use syc_cell::StateAnswer;
+use syc_cell::ports::Condition;
+use syc_cell::ports::Record;
+use syc_cell::ports::Topic;
+use syc_cell::records::submitted;
+use syc_fleet::SharedFaults;
+use syc_net::PeerClient;
+use syc_net::PeerOptions;
+use syc_sched::JobId;
+use syc_sched::JobSpec;
+use syc_sched::JobState;
+use syc_sched::StepSpec;
+use syc_sched::WorkerSpec;
+use syc_types::WorkerId;
+use syc_wire::cell::CellBody;
+use syc_wire::cell::CellMessage;
+use syc_wire::cell::Contact;
+use syc_wire::cell::ContactReply;
+use syc_wire::cell::NoticeReply;
+use syc_wire::cell::StoredNotice;
+use test_case::test_case;
+
+use crate::cluster::Cluster;
+use crate::cluster::configuration;
+use crate::cluster::job;
+use crate::cluster::step;
+use crate::cluster::worker;
+
+/// Time that a call between nodes may take here.
+const CALL_MS: u64 = 30_000;
+
+/// Partitions that hold the progress of jobs.
+const PROGRESS_PARTITIONS: u32 = 2;
+
+fn put(cluster: &Cluster, topic: Topic, partition: u32, key: &str, value: &'static [u8]) {
+    let record = Record {
+        key: key.into(),
+        value: Bytes::from_static(value),
+    };
+    append(cluster, topic, partition, &record);
+}
+
+fn append(cluster: &Cluster, topic: Topic, partition: u32, record: &Record) {
+    cluster.platform.with_store(|store| {
+        let records = std::slice::from_ref(record);
+        let appended = store.append(topic, partition, records, &Condition::None);
+        appended.expect("nothing refuses it");
+    });
+}
+
+/// Returns how often a node found something of a source unreadable.
+fn counted(cluster: &Cluster, node: usize, source: &str) -> u64 {
+    let page = cluster.on(node, |node| async move { node.metrics_page() });
+    let label = format!("source=\"{source}\"");
+    let mut lines = page.lines();
+    let line = lines.find(|line| {
+        line.starts_with("syc_cell_unreadable_total") && line.contains(label.as_str())
+    });
+    let count = line.and_then(|line| line.rsplit_once(' '));
+    count.map_or(0, |(_, count)| count.parse().expect("a number"))
+}
+
+fn wait_until_counted(cluster: &Cluster, node: usize, source: &str, count: u64) {
+    cluster.wait("it to be counted", || {
+        (counted(cluster, node, source) >= count).then_some(())
+    });
+}
+
+fn version(cluster: &Cluster, node: usize) -> Option<u64> {
+    cluster.on(node, |node| async move {
+        node.configuration().map(|current| current.version)
+    })
+}
+
+fn state(cluster: &Cluster, node: usize, id: u64) -> StateAnswer {
+    cluster.on(node, move |node| async move { node.state(JobId(id)).await })
+}
+
+#[test]
+fn a_bad_newest_configuration_leaves_the_last_good_one_in_force() {
+    let mut cluster = Cluster::start(1, 1);
+    cluster.scheduler();
+    put(&cluster, Topic::Operators, 0, "config", b"\xff{");
+    wait_until_counted(&cluster, 0, "operators", 1);
+    assert_eq!(version(&cluster, 0), Some(1));
+    cluster.submit(0, 1, vec![step(1, 20)]);
+    cluster.wait_for_state(0, 1, JobState::Completed);
+    // One that starts now has none to keep.
+    let late = cluster.add_node();
+    wait_until_counted(&cluster, late, "operators", 1);
+    assert_eq!(version(&cluster, late), None);
+    assert!(!cluster.on(late, |node| async move { node.is_ready() }));
+    cluster.platform.publish(configuration(3));
+    for node in [0, late] {
+        cluster.wait("the next one to be in force", || {
+            (version(&cluster, node) == Some(3)).then_some(())
+        });
+    }
+    cluster.assert_sound();
+}
+
+/// A later version of ourselves wrote it: what of the job is done is not known here.
+#[test]
+fn nothing_starts_of_a_job_whose_progress_cannot_be_read() {
+    let mut cluster = Cluster::start(2, 2);
+    let first = cluster.scheduler();
+    cluster.submit(first, 1, vec![step(1, 20), after_first(step(1, 600_000))]);
+    cluster.wait_for_state(first, 1, JobState::Running);
+    cluster.wait("the first step to be done", || {
+        let runs = cluster.platform.with_fleet(|fleet| {
+            let running = [0, 1].map(|index| fleet.runs_on(&worker(index).id));
+            let done = fleet.judge.is_step_done(syc_sched::StepId {
+                job: JobId(1),
+                occurrence: 0,
+                step: 0,
+            });
+            (done, running.iter().sum::<usize>())
+        });
+        (runs == (true, 1)).then_some(())
+    });
+    let key = format!("{:016x}", 1);
+    cluster.kill(first);
+    for partition in 0..PROGRESS_PARTITIONS {
+        put(
+            &cluster,
+            Topic::Progress,
+            partition,
+            &key,
+            br#"{"v":{"t":9},"steps":7}"#,
+        );
+    }
+    let second = cluster.scheduler();
+    cluster.submit(second, 2, vec![step(1, 20)]);
+    cluster.wait_for_state(second, 2, JobState::Completed);
+    assert_eq!(state(&cluster, second, 1), StateAnswer::Unsure);
+    assert!(counted(&cluster, second, "progress") >= 1);
+    cluster.assert_sound();
+}
+
+fn after_first(step: StepSpec) -> StepSpec {
+    StepSpec {
+        after: vec![0],
+        ..step
+    }
+}
+
+/// Whoever submitted it must not hear that it does not exist.
+#[test]
+fn a_job_whose_record_cannot_be_read_is_not_denied() {
+    let mut cluster = Cluster::start(2, 1);
+    let first = cluster.scheduler();
+    put(
+        &cluster,
+        Topic::Jobs,
+        1,
+        "00000000000000a1",
+        b"{\"steps\":0}",
+    );
+    put(&cluster, Topic::Jobs, 1, "no job at all", b"{}");
+    wait_until_counted(&cluster, first, "jobs", 2);
+    assert_eq!(state(&cluster, first, 0xa1), StateAnswer::Unsure);
+    cluster.submit(first, 1, vec![step(1, 20)]);
+    cluster.wait_for_state(first, 1, JobState::Completed);
+    cluster.kill(first);
+    let second = cluster.scheduler();
+    assert_eq!(state(&cluster, second, 0xa1), StateAnswer::Unsure);
+    assert!(counted(&cluster, second, "jobs") >= 2);
+    // Once it is removed, it is as any other that there never was.
+    put(&cluster, Topic::Jobs, 1, "00000000000000a1", b"");
+    cluster.wait("it to be forgotten", || {
+        (state(&cluster, second, 0xa1) == StateAnswer::NoSuchJob).then_some(())
+    });
+}
+
+/// The core takes it that a job is sound, and that it is the one that its key names.
+#[test_case(JobSpec { steps: Vec::new(), ..job(0xa2, Vec::new()) }; "no steps")]
+#[test_case(job(0xa2, vec![StepSpec { after: vec![3], ..step(1, 20) }]); "a step after one that is not there")]
+#[test_case(job(0xa2, vec![step(4_000_000_000, 20)]); "more tasks than a job may have")]
+#[test_case(job(0xa2, vec![step(1, u64::MAX), after_first(step(1, u64::MAX))]); "times without end")]
+#[test_case(JobSpec { id: JobId(0xa3), ..job(0xa2, vec![step(1, 20)]) }; "another job")]
+fn a_job_that_makes_no_sense_is_not_taken(spec: JobSpec) {
+    let mut cluster = Cluster::start(2, 1);
+    let first = cluster.scheduler();
+    let record = Record {
+        key: "00000000000000a2".into(),
+        ..submitted(&spec)
+    };
+    append(&cluster, Topic::Jobs, 1, &record);
+    wait_until_counted(&cluster, first, "jobs", 1);
+    cluster.submit(first, 1, vec![step(1, 20)]);
+    cluster.wait_for_state(first, 1, JobState::Completed);
+    assert_eq!(state(&cluster, first, 0xa2), StateAnswer::Unsure);
+    cluster.kill(first);
+    let second = cluster.scheduler();
+    cluster.submit(second, 2, vec![step(1, 20)]);
+    cluster.wait_for_state(second, 2, JobState::Completed);
+    cluster.assert_sound();
+}
+
+/// Without the list of those that may run something, a successor waits until no lease can be left.
+#[test]
+fn a_successor_that_cannot_read_the_roster_starts_nothing_that_may_run() {
+    let mut cluster = Cluster::start(2, 1);
+    let first = cluster.scheduler();
+    cluster.submit(first, 1, vec![step(1, 600_000)]);
+    cluster.wait_for_state(first, 1, JobState::Running);
+    cluster.kill(first);
+    // Its worker is off the list, and nothing says that the job was given to it.
+    cluster.platform.unlist(&worker(0).id);
+    for partition in 0..PROGRESS_PARTITIONS {
+        put(
+            &cluster,
+            Topic::Progress,
+            partition,
+            "workers/0",
+            b"{\"later\":1}",
+        );
+        put(
+            &cluster,
+            Topic::Progress,
+            partition,
+            "0000000000000001",
+            b"",
+        );
+    }
+    cluster.platform.register(WorkerSpec {
+        id: WorkerId::new("w-1"),
+        ..worker(1)
+    });
+    cluster.scheduler();
+    cluster.wait("the task to run on the other worker", || {
+        let runs = cluster
+            .platform
+            .with_fleet(|fleet| fleet.runs_on(&WorkerId::new("w-1")));
+        (runs == 1).then_some(())
+    });
+    cluster.assert_sound();
+}
+
+/// A clock is only added to; one that reads too much must not end the renewals.
+#[test]
+fn a_worker_with_a_clock_beyond_all_time_is_renewed_on() {
+    let cluster = Cluster::start(1, 1);
+    let node = cluster.scheduler();
+    cluster.platform.set_faults(SharedFaults {
+        odd_clocks: [worker(0).id].into(),
+        ..SharedFaults::default()
+    });
+    cluster.submit(node, 1, vec![step(1, 3_000)]);
+    cluster.wait("an odd clock to be read", || {
+        (cluster.platform.odd_clocks_read() > 2).then_some(())
+    });
+    cluster.platform.set_faults(SharedFaults::default());
+    cluster.wait_for_state(node, 1, JobState::Completed);
+    cluster.assert_sound();
+}
+
+/// Calls a node as another would, and returns what it answers.
+fn call(cluster: &Cluster, node: usize, frame: Bytes) -> Bytes {
+    cluster.on(node, move |node| async move {
+        let client = PeerClient::new(node.settings.peer_address, PeerOptions::default());
+        client.call(&frame, CALL_MS).await.expect("an answer")
+    })
+}
+
+#[test]
+fn frames_that_cannot_be_read_are_counted_and_answered_with_nothing() {
+    let cluster = Cluster::start(1, 1);
+    let node = cluster.scheduler();
+    let reply = CellMessage::encoded(CellBody::ContactReply(ContactReply {
+        leading: true,
+        ..ContactReply::default()
+    }));
+    // Bytes that are no message, a message of a later version, and a reply that comes as a call.
+    let later = Bytes::from_static(b"\xa2\x06\x01x");
+    for frame in [Bytes::from_static(b"\xff\xff\xff"), later, reply] {
+        assert_eq!(call(&cluster, node, frame), Bytes::new());
+    }
+    assert_eq!(counted(&cluster, node, "peers"), 3);
+    let contact = CellMessage::encoded(CellBody::Contact(Contact {
+        node: "other".into(),
+        address: "nowhere".into(),
+        ..Contact::default()
+    }));
+    for _ in 0..2 {
+        call(&cluster, node, contact.clone());
+    }
+    assert_eq!(counted(&cluster, node, "peers"), 5);
+    cluster.submit(node, 1, vec![step(1, 20)]);
+    cluster.wait_for_state(node, 1, JobState::Completed);
+}
+
+/// The scheduler removes a job's records where it was told they are: a partition that is not there would
+/// be made, and with it a topic.
+#[test]
+fn a_notice_of_a_partition_that_is_not_there_is_not_taken() {
+    let cluster = Cluster::start(1, 1);
+    let node = cluster.scheduler();
+    let record = submitted(&job(0xa4, vec![step(1, 20)]));
+    let notice = CellMessage::encoded(CellBody::StoredNotice(StoredNotice {
+        key: record.key.to_string(),
+        value: record.value,
+        partition: u32::MAX,
+    }));
+    let answer = call(&cluster, node, notice);
+    let refused = CellBody::NoticeReply(NoticeReply { taken: false });
+    assert_eq!(CellMessage::decoded(&answer).ok(), Some(refused));
+    assert_eq!(counted(&cluster, node, "peers"), 1);
+}
--- a/crates/fleet/src/shared.rs
+++ b/crates/fleet/src/shared.rs
@@ -17,6 +17,7 @@
 use syc_cell::ports::Condition;
 use syc_cell::ports::OrderError;
 use syc_cell::ports::Record;
+use syc_cell::ports::Renewed;
 use syc_cell::ports::Topic;
 use syc_sched::Wave;
 use syc_sched::WorkerSpec;
@@ -53,6 +54,8 @@
     pub turned_away: BTreeSet<SmolStr>,
     /// Nodes whose calls to the store are never answered, and not carried out.
     pub cut_off: BTreeSet<SmolStr>,
+    /// Workers whose answers tell the greatest time that there is.
+    pub odd_clocks: BTreeSet<WorkerId>,
     /// Workers that take no call and answer none.
     pub silent_workers: BTreeSet<WorkerId>,
     /// Partitions of topics that refuse every call.
@@ -81,6 +84,8 @@
     /// Reads of all keys of a partition: those that were answered, and those that were refused.
     whole_reads: HashMap<(Topic, u32), u64>,
     refused_reads: u64,
+    /// Answers with an odd clock that were given.
+    odd_clocks_read: u64,
     /// Start orders under way at each worker, and the most that were at any.
     orders: HashMap<WorkerId, usize>,
     most_orders: usize,
@@ -99,6 +104,7 @@
             advice_calls: 0,
             whole_reads: HashMap::new(),
             refused_reads: 0,
+            odd_clocks_read: 0,
             orders: HashMap::new(),
             most_orders: 0,
         }
@@ -340,6 +346,25 @@
         self.lock().refused_reads
     }
 
+    /// Returns how often a worker's odd clock was told.
+    #[must_use]
+    pub fn odd_clocks_read(&self) -> u64 {
+        self.lock().odd_clocks_read
+    }
+
+    /// Makes the answer of a worker tell an odd clock, where it is to.
+    fn spoil_clock(&self, worker: &WorkerId, renewed: Renewed) -> Renewed {
+        let mut state = self.lock();
+        if !state.faults.odd_clocks.contains(worker) {
+            return renewed;
+        }
+        state.odd_clocks_read += 1;
+        Renewed {
+            clock_ms: u64::MAX,
+            ..renewed
+        }
+    }
+
     /// Returns the number of calls for advice so far.
     #[must_use]
     pub fn advice_calls(&self) -> u64 {
--- a/crates/fleet/src/shared/ports.rs
+++ b/crates/fleet/src/shared/ports.rs
@@ -171,7 +171,7 @@
         loop {
             let renewed = self.lock().fleet.renew(&worker.id, renewal, now())?;
             if !renewed.report.ended.is_empty() || now() >= until {
-                return Ok(renewed);
+                return Ok(self.spoil_clock(&worker.id, renewed));
             }
             pause(LOOK_MS).await;
         }
