Hold back what can't be read of the cell's own, tell each name once, and count all of it

Cause: a successor passed over an unreadable roster and started a task that still ran; a job whose progress it could not read began anew, and one whose record it could not read was denied to its submitter; a record of 4,000,000,000 tasks ended the process; a worker's clock that read too much ended its session without a word; frames and entries that can't be read were told every time and counted nowhere.

Change: behind a roster that can't be read stands a worker that is never asked, so that the takeover waits until no lease can be left. A job of which the record or the progress can't be read is held back: nothing of it starts, and whoever asks hears that nobody can tell. A record counts as that of a job only under the job's key, and if the job is as sound as callers' are. Times of clocks stop at the greatest. A notice of a partition that is not there, and a reply that comes as a call, are answered with nothing. An end of a worker that is not ours is acknowledged once all of ours are. Each name is told once until it could be read, up to 1,000 names; syc_cell_unreadable_total counts.

--- a/crates/cell/src/adviser.rs
+++ b/crates/cell/src/adviser.rs
@@ -16,6 +16,7 @@
 use crate::ports::Advice;
 use crate::ports::AdviceError;
 use crate::ports::Platform;
+use crate::unreadable::Source;
 
 /// Answers a scheduler that asks for advice.
 pub(crate) async fn answer<P>(node: &Rc<Node<P>>, query: AdviceQuery) -> CellBody
@@ -30,7 +31,10 @@
     };
     let advice = node.platform.advise(step, &workers, query.timeout_ms).await;
     let reply = match advice {
-        Ok(advice) => reply_of(&advice),
+        Ok(advice) => {
+            node.note_skipped(Source::Advice, "advice", &advice.skipped);
+            reply_of(&advice)
+        }
         Err(error) => {
             log::advice_failed(step, &error);
             AdviceReply::default()
--- a/crates/cell/src/contact.rs
+++ b/crates/cell/src/contact.rs
@@ -14,6 +14,7 @@
 use syc_wire::cell::ContactReply;
 use syc_wire::cell::NoticeReply;
 use syc_wire::cell::RelayReply;
+use syc_wire::cell::StoredNotice;
 
 use crate::Node;
 use crate::accept::NotStored;
@@ -25,6 +26,7 @@
 use crate::ports::Platform;
 use crate::ports::Record;
 use crate::queries;
+use crate::unreadable::Source;
 
 /// A connection attempt to another node may take this long.
 const CONNECT_TIMEOUT_MS: u64 = 300;
@@ -93,10 +95,8 @@
 ) -> Result<CellBody, CallError> {
     let reply = client.call(&CellMessage::encoded(query), timeout_ms).await;
     let reply = reply.inspect_err(|_| client.reset())?;
-    CellMessage::decoded(&reply).map_err(|error| {
-        log::unreadable("peer", &error.to_string());
-        CallError::NoReply
-    })
+    // A node that can't read the call answers with nothing, and tells it itself.
+    CellMessage::decoded(&reply).map_err(|_unreadable| CallError::NoReply)
 }
 
 /// Tells the scheduler again and again that this node is there, and hears whether it is.
@@ -195,7 +195,7 @@
     let query = match CellMessage::decoded(call) {
         Ok(query) => query,
         Err(error) => {
-            log::unreadable("peer", &error.to_string());
+            node.note_unreadable(Source::Peers, "call", &error.to_string());
             return Bytes::new();
         }
     };
@@ -205,15 +205,7 @@
         CellBody::PendingQuery(query) => queries::answer_pending(node, &query),
         CellBody::AdviceQuery(query) => adviser::answer(node, query).await,
         CellBody::StoredNotice(notice) => {
-            let leader = node.leader();
-            let taken = leader.is_some();
-            if let Some(leader) = leader {
-                let record = Record {
-                    key: notice.key.into(),
-                    value: notice.value,
-                };
-                leader.take_job_record(notice.partition, &record);
-            }
+            let taken = take_notice(node, notice);
             CellBody::NoticeReply(NoticeReply { taken })
         }
         CellBody::Relay(relay) => {
@@ -229,14 +221,36 @@
                 partition: outcome.unwrap_or(0),
             })
         }
-        other => {
-            log::unreadable("peer", "a reply came as a call");
-            other
+        _reply => {
+            node.note_unreadable(Source::Peers, "reply", "a reply came as a call");
+            return Bytes::new();
         }
     };
     CellMessage::encoded(reply)
 }
 
+/// Takes what another node has stored. Says whether the scheduler is here and has it.
+fn take_notice<P>(node: &Rc<Node<P>>, notice: StoredNotice) -> bool
+where
+    P: Platform,
+{
+    if notice.partition >= node.settings.job_partitions() {
+        // Removing the job would make the partition, and with it a topic.
+        let reason = "there is no such partition";
+        node.note_unreadable(Source::Peers, "notice", reason);
+        return false;
+    }
+    let Some(leader) = node.leader() else {
+        return false;
+    };
+    let record = Record {
+        key: notice.key.into(),
+        value: notice.value,
+    };
+    leader.take_job_record(notice.partition, &record);
+    true
+}
+
 fn met<P>(node: &Rc<Node<P>>, contact: &Contact) -> ContactReply
 where
     P: Platform,
--- a/crates/cell/src/follow.rs
+++ b/crates/cell/src/follow.rs
@@ -15,6 +15,8 @@
 use crate::ports::ReadError;
 use crate::ports::Record;
 use crate::ports::Topic;
+use crate::unreadable::NAMELESS;
+use crate::unreadable::Source;
 
 /// A read waits this long for news; it also shows that the connection still works.
 const WAIT_MS: u64 = 800;
@@ -75,14 +77,26 @@
 where
     P: Platform,
 {
+    if record.is_nameless() {
+        node.note_unreadable(Source::Operators, "", NAMELESS);
+    }
     if record.value.is_empty() {
         return;
     }
-    match node.platform.published(&record.key, &record.value) {
-        Ok(Published::Configuration(configuration)) => apply_configuration(node, configuration),
-        Ok(Published::Wave(wave)) => note_wave(node, wave),
-        Ok(Published::Other) => {}
-        Err(error) => log::unreadable(&record.key, &error.0),
+    let published = match node.platform.published(&record.key, &record.value) {
+        Ok(published) => published,
+        Err(error) => {
+            let in_force = node.configuration().map_or(0, |current| current.version);
+            let reason = format!("{error}; configuration {in_force} stays in force");
+            node.note_unreadable(Source::Operators, &record.key, &reason);
+            return;
+        }
+    };
+    node.unreadable.forget(Source::Operators, &record.key);
+    match published {
+        Published::Configuration(configuration) => apply_configuration(node, configuration),
+        Published::Wave(wave) => note_wave(node, wave),
+        Published::Other => {}
     }
 }
 
--- a/crates/cell/src/holders.rs
+++ b/crates/cell/src/holders.rs
@@ -22,6 +22,7 @@
 use crate::records;
 use crate::records::HOLDER_KEY;
 use crate::records::HolderRecord;
+use crate::unreadable::Source;
 
 /// Wait after a read that failed.
 const RETRY_MS: u64 = 60;
@@ -71,7 +72,7 @@
         match node.newest(Topic::Holders, 0).await {
             Ok(newest) => {
                 for (offset, record) in &newest.records {
-                    watch.take(*offset, record);
+                    watch.take(node, *offset, record);
                 }
                 watch.position = Some(newest.read_from);
             }
@@ -88,7 +89,7 @@
         Some(Ok(page)) => {
             let mut offset = page.first;
             for record in &page.records {
-                watch.take(offset, record);
+                watch.take(node, offset, record);
                 offset += 1;
             }
             watch.position = Some(offset);
@@ -110,14 +111,18 @@
 }
 
 impl Watch {
-    fn take(&mut self, offset: u64, record: &Record) {
+    fn take<P>(&mut self, node: &Node<P>, offset: u64, record: &Record)
+    where
+        P: Platform,
+    {
         if record.key != HOLDER_KEY {
             return;
         }
         let read = match serde_json::from_slice::<HolderRecord>(&record.value) {
             Ok(read) => read,
             Err(error) => {
-                log::unreadable(&record.key, &error.to_string());
+                let reason = error.to_string();
+                node.note_unreadable(Source::Holders, &record.key, &reason);
                 return;
             }
         };
@@ -210,7 +215,7 @@
     {
         Ok(appended) => {
             log::chosen(appended.offset + 1, watch.holder.as_ref(), silent_ms);
-            watch.take(appended.offset, &record);
+            watch.take(node, appended.offset, &record);
             watch.position = Some(appended.end);
             show_holder(node, watch);
         }
--- a/crates/cell/src/leader.rs
+++ b/crates/cell/src/leader.rs
@@ -2,6 +2,7 @@
 
 mod advice;
 mod heartbeat;
+mod held_back;
 mod load;
 mod orders;
 mod readers;
@@ -19,6 +20,7 @@
 use std::collections::VecDeque;
 use std::rc::Rc;
 
+use held_back::HeldBack;
 use records::ProgressWriter;
 use roster::Roster;
 use sessions::Session;
@@ -75,6 +77,8 @@
     /// Fencing token of all its orders.
     pub(crate) token: u64,
     scheduler: RefCell<Scheduler>,
+    /// Jobs that can't be read.
+    held_back: HeldBack,
     /// Whether the jobs and workers were read from the store.
     loaded: Cell<bool>,
     ended: Cell<bool>,
@@ -122,6 +126,7 @@
             node: Rc::clone(node),
             token,
             scheduler: RefCell::new(Scheduler::new(options(node))),
+            held_back: HeldBack::default(),
             loaded: Cell::new(false),
             ended: Cell::new(false),
             handing_over: Cell::new(false),
@@ -278,7 +283,7 @@
         if let Some(state) = self.scheduler.borrow().state_of(id) {
             return StateAnswer::Known(state);
         }
-        if self.knows_all_jobs() {
+        if self.knows_all_jobs() && !self.held_back.has(id) {
             StateAnswer::NoSuchJob
         } else {
             StateAnswer::Unsure
--- a/crates/cell/src/leader/advice.rs
+++ b/crates/cell/src/leader/advice.rs
@@ -25,6 +25,7 @@
 use crate::ports::Advice;
 use crate::ports::AdviceError;
 use crate::ports::Platform;
+use crate::unreadable::Source;
 
 /// A call may take this long beyond what its service is expected to.
 const SLACK_MS: u64 = 300;
@@ -36,7 +37,9 @@
     /// Takes note of a node that can call for advice.
     pub(super) fn meet_adviser(&self, contact: &Contact) {
         let Ok(address) = contact.address.parse() else {
-            log::unreadable("peer", "the address of a node is malformed");
+            let reason = "the address of the node is malformed";
+            self.node
+                .note_unreadable(Source::Peers, &contact.node, reason);
             return;
         };
         let name = SmolStr::from(contact.node.as_str());
@@ -97,7 +100,13 @@
         };
         let client = self.adviser_clients.borrow().get(&name).cloned();
         let advice = match client {
-            None => self.node.platform.advise(step, workers, timeout_ms).await,
+            None => {
+                let advice = self.node.platform.advise(step, workers, timeout_ms).await;
+                advice.inspect(|advice| {
+                    self.node
+                        .note_skipped(Source::Advice, "advice", &advice.skipped);
+                })
+            }
             Some(client) => {
                 let query = CellBody::AdviceQuery(AdviceQuery {
                     job: step.job.0,
--- a/crates/cell/src/leader/load.rs
+++ b/crates/cell/src/leader/load.rs
@@ -9,12 +9,18 @@
 use futures_util::future::join3;
 use futures_util::stream::FuturesUnordered;
 use futures_util::stream::StreamExt;
+use smol_str::SmolStr;
+use smol_str::format_smolstr;
 use syc_sched::Event;
 use syc_sched::JobId;
 use syc_sched::JobProgress;
 use syc_sched::JobSpec;
 use syc_sched::WorkerSpec;
+use syc_types::RackId;
+use syc_types::Resources;
+use syc_types::ServiceName;
 use syc_types::WorkerId;
+use syc_types::Zone;
 
 use crate::clock::now;
 use crate::clock::pause;
@@ -34,6 +40,7 @@
 use crate::records;
 use crate::records::JobRecord;
 use crate::records::read_job;
+use crate::unreadable::Source;
 
 /// Wait after a step that failed.
 const RETRY_MS: u64 = 60;
@@ -151,12 +158,13 @@
 where
     P: Platform,
 {
-    let progress = read_progress(&left.progress);
+    let progress = read_progress(leader, &left.progress);
     let mut cancelled = BTreeSet::new();
     let mut specs: Vec<JobSpec> = Vec::new();
     for (partition, newest) in (0..).zip(&left.jobs) {
         for (_offset, record) in &newest.records {
             match read_job(record) {
+                JobRecord::Submitted(spec) if leader.held_back.has_progress_of(spec.id) => {}
                 JobRecord::Submitted(spec) => {
                     leader.note_partition(spec.id, partition);
                     specs.push(*spec);
@@ -166,7 +174,7 @@
                     cancelled.insert(id);
                 }
                 JobRecord::Removed => {}
-                JobRecord::Unreadable { key, reason } => log::unreadable(&key, &reason),
+                JobRecord::Unreadable { key, reason } => leader.hold_back(&key, &reason),
             }
         }
     }
@@ -190,7 +198,8 @@
     P: Platform,
 {
     // An append in doubt can leave the same roster in both partitions.
-    let roster: BTreeMap<_, _> = read_roster(&left.progress)
+    let (roster, unreadable) = read_roster(leader, &left.progress);
+    let roster: BTreeMap<_, _> = roster
         .into_iter()
         .map(|spec| (spec.id.clone(), spec))
         .collect();
@@ -209,17 +218,44 @@
         missing.push(id);
         leader.apply(Event::WorkerListed(spec));
     }
+    for key in unreadable {
+        let unknown = unknown_worker(&key);
+        missing.push(unknown.id.clone());
+        leader.apply(Event::WorkerListed(unknown));
+    }
     missing
 }
 
-/// Reads the latest roster.
-fn read_roster(partitions: &[Newest]) -> Vec<WorkerSpec> {
+/// Stands for workers whose names can't be read. Like any that does not answer, it has the scheduler wait
+/// until no lease can be left before it starts what may run there.
+fn unknown_worker(key: &str) -> WorkerSpec {
+    WorkerSpec {
+        id: WorkerId::new(format_smolstr!("unreadable {key}")),
+        service: ServiceName::new(""),
+        address: SmolStr::default(),
+        zone: Zone::new(""),
+        rack: RackId::new(""),
+        labels: Vec::new(),
+        capacity: Resources::ZERO,
+        draining: false,
+        vm: None,
+    }
+}
+
+/// Reads the latest roster. Returns its workers, and the keys of what can't be read of any.
+fn read_roster<P>(leader: &Leader<P>, partitions: &[Newest]) -> (Vec<WorkerSpec>, BTreeSet<SmolStr>)
+where
+    P: Platform,
+{
     let all = partitions.iter().flat_map(|newest| &newest.records);
     let (workers, unreadable) = records::read_roster(all.map(|(_offset, record)| record));
+    let mut keys = BTreeSet::new();
     for (key, error) in unreadable {
-        log::unreadable(&key, &error.to_string());
+        let reason = error.to_string();
+        leader.node.note_unreadable(Source::Progress, &key, &reason);
+        keys.insert(key);
     }
-    workers
+    (workers, keys)
 }
 
 /// Takes how far the waves are that a predecessor worked on.
@@ -230,31 +266,48 @@
     let all = partitions.iter().flat_map(|newest| &newest.records);
     let (waves, unreadable) = records::read_waves(all.map(|(_offset, record)| record));
     for (key, error) in unreadable {
-        log::unreadable(&key, &error.to_string());
+        let reason = error.to_string();
+        leader.node.note_unreadable(Source::Progress, &key, &reason);
     }
     for wave in waves {
         leader.scheduler.borrow_mut().restore_wave(wave);
     }
 }
 
-/// Reads the latest progress of each job.
-fn read_progress(partitions: &[Newest]) -> HashMap<JobId, JobProgress> {
+/// Reads the latest progress of each job. One of which any record can't be read is held back: that record may
+/// be the latest. Only what has ended stays as it is, whatever was written after it.
+fn read_progress<P>(leader: &Leader<P>, partitions: &[Newest]) -> HashMap<JobId, JobProgress>
+where
+    P: Platform,
+{
     let mut progress: HashMap<JobId, JobProgress> = HashMap::new();
+    let mut unreadable = BTreeSet::new();
     let all = partitions.iter().flat_map(|newest| &newest.records);
     for (_offset, record) in all {
         if record.value.is_empty() || !records::is_of_job(record) {
             continue;
         }
-        let read = serde_json::from_slice::<JobProgress>(&record.value);
-        match (record.key.parse(), read) {
-            (Ok(id), Ok(read)) => {
-                let known = progress.get(&id).map(|known| known.version);
-                if known.is_none_or(|known| read.version > known) {
-                    progress.insert(id, read);
-                }
+        let (id, read) = match records::read_progress(record) {
+            Ok(read) => read,
+            Err(fault) => {
+                let node = &leader.node;
+                node.note_unreadable(Source::Progress, &record.key, &fault.reason);
+                unreadable.extend(fault.job);
+                continue;
             }
-            (Err(error), _) => log::unreadable(&record.key, &format!("{error}")),
-            (_, Err(error)) => log::unreadable(&record.key, &error.to_string()),
+        };
+        let known = progress.get(&id).map(|known| known.version);
+        if known.is_none_or(|known| read.version > known) {
+            progress.insert(id, read);
+        }
+    }
+    for id in unreadable {
+        let ended = progress
+            .get(&id)
+            .is_some_and(|of_job| of_job.state.is_terminal());
+        if !ended {
+            progress.remove(&id);
+            leader.held_back.hold_progress_of(id);
         }
     }
     progress
--- a/crates/cell/src/leader/readers.rs
+++ b/crates/cell/src/leader/readers.rs
@@ -20,6 +20,8 @@
 use crate::ports::Topic;
 use crate::records::JobRecord;
 use crate::records::read_job;
+use crate::unreadable::NAMELESS;
+use crate::unreadable::Source;
 
 /// Wait after a read that failed.
 const RETRY_MS: u64 = 60;
@@ -73,7 +75,9 @@
             return;
         }
         match read_job(record) {
+            JobRecord::Submitted(spec) if self.held_back.has_progress_of(spec.id) => {}
             JobRecord::Submitted(spec) => {
+                self.held_back.take_spec(spec.id);
                 self.note_partition(spec.id, partition);
                 let known = self.scheduler.borrow().state_of(spec.id).is_some();
                 let age_ms = age_ms(spec.accepted_at_ms);
@@ -88,8 +92,12 @@
                 self.note_partition(id, partition);
                 self.apply(Event::JobCancelled(id));
             }
-            JobRecord::Removed => {}
-            JobRecord::Unreadable { key, reason } => log::unreadable(&key, &reason),
+            JobRecord::Removed => {
+                if let Ok(id) = record.key.parse() {
+                    self.held_back.take_spec(id);
+                }
+            }
+            JobRecord::Unreadable { key, reason } => self.hold_back(&key, &reason),
         }
     }
 
@@ -165,19 +173,27 @@
 where
     P: Platform,
 {
+    let node = &leader.node;
     let id = WorkerId::new(record.key.clone());
+    if record.is_nameless() {
+        node.note_unreadable(Source::Workers, "", NAMELESS);
+        return false;
+    }
     if record.value.is_empty() {
+        node.unreadable.forget(Source::Workers, &record.key);
         leader.unlist_worker(id);
         return false;
     }
-    let reason = match leader.node.platform.worker(&record.key, &record.value) {
-        Ok(spec) if leader.node.names_service(&spec.service) => {
+    let reason = match node.platform.worker(&record.key, &record.value) {
+        Ok(spec) if node.names_service(&spec.service) => {
+            node.unreadable.forget(Source::Workers, &record.key);
             leader.list_worker(spec);
             return true;
         }
         Ok(spec) => format!("no service `{}` is configured", spec.service.as_str()),
         Err(error) => error.0,
     };
-    leader.set_aside(id, &reason);
+    node.note_unreadable(Source::Workers, &record.key, &reason);
+    leader.unlist_worker(id);
     false
 }
--- a/crates/cell/src/leader/roster.rs
+++ b/crates/cell/src/leader/roster.rs
@@ -8,7 +8,6 @@
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
-use std::collections::BTreeSet;
 use std::rc::Rc;
 
 use syc_sched::Event;
@@ -22,15 +21,10 @@
 use crate::records;
 use crate::records::RosterRecord;
 
-/// Records that can't be used are remembered, so as to be told once, until there are so many.
-const SET_ASIDE_LIMIT: usize = 1_000;
-
 /// The workers, and how much of them the store has.
 #[derive(Debug, Default)]
 pub(super) struct Roster {
     members: RefCell<BTreeMap<WorkerId, Member>>,
-    /// Workers whose records can't be used.
-    set_aside: RefCell<BTreeSet<WorkerId>>,
     /// Number of the latest change.
     changes: Cell<u64>,
     /// Number of the latest change that the store has.
@@ -71,18 +65,8 @@
         }
     }
 
-    /// Takes note that a worker's record can't be used. Says whether that is news.
-    fn note_set_aside(&self, id: &WorkerId) -> bool {
-        let mut set_aside = self.set_aside.borrow_mut();
-        if set_aside.len() >= SET_ASIDE_LIMIT {
-            set_aside.clear();
-        }
-        set_aside.insert(id.clone())
-    }
-
     /// Takes a worker that is listed. Says whether the store has it, so that it may get orders.
     fn list(&self, spec: &WorkerSpec) -> bool {
-        self.set_aside.borrow_mut().remove(&spec.id);
         let mut members = self.members.borrow_mut();
         if let Some(member) = members.get_mut(&spec.id) {
             member.spec = spec.clone();
@@ -186,14 +170,6 @@
         self.apply(Event::WorkerUnlisted(id));
     }
 
-    /// Takes note that the record of a worker can't be used; the first time is told.
-    pub(super) fn set_aside(self: &Rc<Self>, id: WorkerId, reason: &str) {
-        if self.roster.note_set_aside(&id) {
-            log::unreadable(id.as_str(), reason);
-        }
-        self.unlist_worker(id);
-    }
-
     /// Takes note that the store has a change of the roster.
     pub(super) fn take_recorded(self: &Rc<Self>, change: &RosterChange) {
         for spec in self.roster.note_recorded(change.number) {
--- a/crates/cell/src/leader/sessions.rs
+++ b/crates/cell/src/leader/sessions.rs
@@ -19,6 +19,7 @@
 use crate::ports::Platform;
 use crate::ports::Renewal;
 use crate::ports::WorkerAddress;
+use crate::unreadable::Source;
 
 /// Longest time that a renewal waits for the ends before it to be written.
 const WRITE_WAIT_MS: u64 = 150;
@@ -68,7 +69,7 @@
 impl ClockReading {
     /// Returns what the clock shows now, if it runs as fast as this node's.
     fn estimate_ms(self) -> u64 {
-        self.clock_ms + now().since(self.read_at)
+        self.clock_ms.saturating_add(now().since(self.read_at))
     }
 }
 
@@ -91,7 +92,7 @@
     /// Returns the end of a lease that begins now, on the worker's clock.
     pub(super) fn lease_until_ms(&self, lease_ms: u64) -> Option<u64> {
         let reading = self.clock.get()?;
-        Some(reading.estimate_ms() + lease_ms)
+        Some(reading.estimate_ms().saturating_add(lease_ms))
     }
 }
 
@@ -112,11 +113,13 @@
             Rc::clone(&address),
             Rc::clone(&clock),
         );
+        // One whose name alone is known can't be asked.
+        let is_known = !address.address.is_empty();
         let session = Session {
             address,
             orders: Rc::new(Semaphore::new(ORDERS_AT_ONCE)),
             clock,
-            task: Some(actix_rt::spawn(session)),
+            task: is_known.then(|| actix_rt::spawn(session)),
         };
         self.sessions.borrow_mut().insert(worker, session);
     }
@@ -125,7 +128,11 @@
         if let Some(session) = self.sessions.borrow_mut().remove(worker) {
             log::worker_listed(&session.address.id, "detached");
             session.end();
-            self.roster.remove(&session.address.id);
+            let id = &session.address.id;
+            self.node
+                .unreadable
+                .forget(Source::WorkerAnswers, id.as_str());
+            self.roster.remove(id);
             self.write.notify_one();
         }
     }
@@ -167,8 +174,13 @@
     let timing = leader.node.settings.timing;
     let lease_ms = leader.node.settings.lease_ms();
     let mut failures: u32 = 0;
+    // A worker answers at once as long as it lists an end: one that is not ours has to be forgotten too.
+    let mut skipped_end = 0;
     loop {
-        let (acknowledged, left) = leader.acknowledged_ends(worker).await;
+        let (mut acknowledged, left) = leader.acknowledged_ends(worker).await;
+        if !left {
+            acknowledged = acknowledged.max(skipped_end);
+        }
         if leader.ended.get() {
             return;
         }
@@ -177,7 +189,7 @@
         let lease_until_ms = clock
             .get()
             .filter(|_| failures == 0)
-            .map(|reading| reading.estimate_ms() + lease_ms);
+            .map(|reading| reading.estimate_ms().saturating_add(lease_ms));
         let waits = lease_until_ms.is_some() && !left;
         let wait_ms = if waits {
             leader.renewal_wait_ms(worker)
@@ -203,6 +215,12 @@
         match renewed {
             Ok(renewed) => {
                 failures = 0;
+                skipped_end = renewed.skipped_end;
+                leader.node.note_skipped(
+                    Source::WorkerAnswers,
+                    address.id.as_str(),
+                    &renewed.skipped,
+                );
                 clock.set(Some(ClockReading {
                     clock_ms: renewed.clock_ms,
                     read_at: now(),
--- a/crates/cell/src/leader/vms.rs
+++ b/crates/cell/src/leader/vms.rs
@@ -20,6 +20,7 @@
 use crate::ports::Topic;
 use crate::ports::VmCommand;
 use crate::ports::VmOrderError;
+use crate::unreadable::Source;
 
 /// Name of the producer of what operators are told.
 const PRODUCER: &str = "status";
@@ -78,6 +79,7 @@
         for _ in 0..PAGES_LIMIT {
             let platform = &self.node.platform;
             let page = platform.list_vms(from.as_deref(), CALL_TIMEOUT_MS).await?;
+            self.node.note_skipped(Source::Vms, "list", &page.skipped);
             vms.extend(page.vms);
             from = page.next;
             if from.is_none() {
--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod records;
 mod settings;
 mod store_calls;
+mod unreadable;
 
 pub use accept::Stored;
 pub use clock::now;
@@ -35,3 +36,5 @@
 pub use settings::NodeSettings;
 pub use settings::Timing;
 pub use store_calls::StoreView;
+pub use unreadable::Source;
+pub use unreadable::Unreadable;
--- a/crates/cell/src/log.rs
+++ b/crates/cell/src/log.rs
@@ -82,8 +82,9 @@
     })
 }
 
-pub(crate) fn unreadable(key: &str, reason: &str) {
+pub(crate) fn unreadable(source: &str, key: &str, reason: &str) {
     Line::new(catalogue::STORE_RECORD_UNREADABLE)
+        .text("source", source)
         .text("key", key)
         .text("reason", reason)
         .emit();
--- a/crates/cell/src/node.rs
+++ b/crates/cell/src/node.rs
@@ -33,6 +33,7 @@
 use crate::log;
 use crate::ports::Platform;
 use crate::store_calls::StoreHealth;
+use crate::unreadable::Unreadable;
 
 /// A planned stop looks this often whether the node is idle.
 const IDLE_LOOK_MS: u64 = 50;
@@ -69,6 +70,8 @@
     pub settings: NodeSettings,
     /// Its metrics.
     pub metrics: CellMetrics,
+    /// What others wrote and this node can't read.
+    pub(crate) unreadable: Unreadable,
     /// Names this incarnation of the process.
     pub(crate) incarnation: u64,
     pub(crate) configuration: RefCell<Option<Rc<Configuration>>>,
@@ -101,6 +104,7 @@
         let node = Rc::new(Self {
             platform,
             metrics: CellMetrics::new(),
+            unreadable: Unreadable::default(),
             incarnation: rand::rngs::SmallRng::from_os_rng().random_range(1..=u64::from(u32::MAX)),
             configuration: RefCell::default(),
             waves: RefCell::default(),
--- a/crates/cell/src/ports.rs
+++ b/crates/cell/src/ports.rs
@@ -72,6 +72,12 @@
             value: Bytes::new(),
         }
     }
+
+    /// Says whether it stands in the place of one that can't be read.
+    #[must_use]
+    pub fn is_nameless(&self) -> bool {
+        self.key.is_empty() && self.value.is_empty()
+    }
 }
 
 /// Under which condition an append is carried out.
--- a/crates/cell/src/records.rs
+++ b/crates/cell/src/records.rs
@@ -15,6 +15,7 @@
 use syc_sched::WorkerSpec;
 
 use crate::ports::Record;
+use crate::unreadable::NAMELESS;
 
 /// What follows a job's identity in the key of the record that cancels it.
 const CANCEL_SUFFIX: &str = "/cancel";
@@ -31,6 +32,12 @@
 /// Most workers that one record names: some fifty kilobytes, well within what the store takes.
 const WORKERS_OF_RECORD: usize = 200;
 
+/// Longest time that a step of a job may declare: a day, as callers are read.
+const STEP_MS_LIMIT: u64 = 86_400_000;
+
+/// Longest time that a call for advice, or a worker named in it, may take: a day.
+const ADVICE_MS_LIMIT: f64 = 86_400_000.0;
+
 /// What the topic of jobs holds.
 #[derive(Debug, Clone, PartialEq)]
 pub enum JobRecord {
@@ -260,6 +267,12 @@
 /// Reads a record of the topic of jobs.
 #[must_use]
 pub fn read_job(record: &Record) -> JobRecord {
+    if record.is_nameless() {
+        return JobRecord::Unreadable {
+            key: SmolStr::default(),
+            reason: NAMELESS.to_owned(),
+        };
+    }
     if record.value.is_empty() {
         return JobRecord::Removed;
     }
@@ -273,9 +286,58 @@
             Err(error) => unreadable(format!("{error}")),
         };
     }
+    let spec: JobSpec = match serde_json::from_slice(&record.value) {
+        Ok(spec) => spec,
+        Err(error) => return unreadable(error.to_string()),
+    };
+    if SmolStr::from(spec.id) != record.key {
+        return unreadable(format!("it is that of {}", spec.id));
+    }
+    match unsound(&spec) {
+        Some(finding) => unreadable(finding),
+        None => JobRecord::Submitted(Box::new(spec)),
+    }
+}
+
+/// Says what the scheduler could not bear of a job: each node checks what it stores, but another version
+/// may check something else.
+fn unsound(spec: &JobSpec) -> Option<String> {
+    if let Some(finding) = spec.findings().first() {
+        return Some(finding.text.to_owned());
+    }
+    let mut times_ms = spec.steps.iter().map(|step| step.estimate_ms);
+    if times_ms.any(|time_ms| time_ms > STEP_MS_LIMIT) {
+        return Some("a step takes longer than any may".to_owned());
+    }
+    let advice = spec.policy.advice?;
+    let is_time = |time_ms: f64| (0.0..=ADVICE_MS_LIMIT).contains(&time_ms);
+    let sound = is_time(advice.decision_ms) && is_time(advice.per_worker_ms);
+    (!sound).then(|| "advice takes longer than any may".to_owned())
+}
+
+/// What is wrong with a record of progress.
+#[derive(Debug)]
+pub struct ProgressFault {
+    /// The job, where its key says which.
+    pub job: Option<JobId>,
+    /// Why it can't be read.
+    pub reason: String,
+}
+
+/// Reads the record of a job's progress.
+///
+/// # Errors
+///
+/// Fails where the key names no job, or the value is not in the form that is written.
+pub fn read_progress(record: &Record) -> Result<(JobId, JobProgress), ProgressFault> {
+    let fault = |job, reason| ProgressFault { job, reason };
+    let id: JobId = match record.key.parse() {
+        Ok(id) => id,
+        Err(error) => return Err(fault(None, format!("{error}"))),
+    };
     match serde_json::from_slice(&record.value) {
-        Ok(spec) => JobRecord::Submitted(Box::new(spec)),
-        Err(error) => unreadable(error.to_string()),
+        Ok(progress) => Ok((id, progress)),
+        Err(error) => Err(fault(Some(id), error.to_string())),
     }
 }
 
--- a/crates/cell/tests/cell/unreadable.rs
+++ b/crates/cell/tests/cell/unreadable.rs
@@ -1,7 +1,9 @@
 //! What another wrote and can't be read: it costs itself, is counted, and changes nothing else.
 
 use bytes::Bytes;
+use syc_cell::Source;
 use syc_cell::StateAnswer;
+use syc_cell::Unreadable;
 use syc_cell::ports::Condition;
 use syc_cell::ports::Record;
 use syc_cell::ports::Topic;
@@ -176,17 +178,17 @@
 }
 
 /// The core takes it that a job is sound, and that it is the one that its key names.
-#[test_case(JobSpec { steps: Vec::new(), ..job(0xa2, Vec::new()) }; "no steps")]
-#[test_case(job(0xa2, vec![StepSpec { after: vec![3], ..step(1, 20) }]); "a step after one that is not there")]
-#[test_case(job(0xa2, vec![step(4_000_000_000, 20)]); "more tasks than a job may have")]
-#[test_case(job(0xa2, vec![step(1, u64::MAX), after_first(step(1, u64::MAX))]); "times without end")]
-#[test_case(JobSpec { id: JobId(0xa3), ..job(0xa2, vec![step(1, 20)]) }; "another job")]
-fn a_job_that_makes_no_sense_is_not_taken(spec: JobSpec) {
+#[test_case(&JobSpec { steps: Vec::new(), ..job(0xa2, Vec::new()) }; "no steps")]
+#[test_case(&job(0xa2, vec![StepSpec { after: vec![3], ..step(1, 20) }]); "a step after one that is not there")]
+#[test_case(&job(0xa2, vec![step(4_000_000_000, 20)]); "more tasks than a job may have")]
+#[test_case(&job(0xa2, vec![step(1, u64::MAX), after_first(step(1, u64::MAX))]); "times without end")]
+#[test_case(&JobSpec { id: JobId(0xa3), ..job(0xa2, vec![step(1, 20)]) }; "another job")]
+fn a_job_that_makes_no_sense_is_not_taken(spec: &JobSpec) {
     let mut cluster = Cluster::start(2, 1);
     let first = cluster.scheduler();
     let record = Record {
         key: "00000000000000a2".into(),
-        ..submitted(&spec)
+        ..submitted(spec)
     };
     append(&cluster, Topic::Jobs, 1, &record);
     wait_until_counted(&cluster, first, "jobs", 1);
@@ -258,6 +260,44 @@
     cluster.assert_sound();
 }
 
+#[test]
+fn a_heartbeat_that_cannot_be_read_changes_nothing() {
+    let cluster = Cluster::start(2, 1);
+    let first = cluster.scheduler();
+    put(&cluster, Topic::Holders, 0, "holder", b"{\"node\":7}");
+    for node in [0, 1] {
+        wait_until_counted(&cluster, node, "holders", 1);
+    }
+    cluster.submit(first, 1, vec![step(1, 20)]);
+    cluster.wait_for_state(first, 1, JobState::Completed);
+    assert!(cluster.on(first, |node| async move { node.is_scheduler() }));
+}
+
+#[test]
+fn each_name_is_told_once_until_it_could_be_read() {
+    let unreadable = Unreadable::default();
+    assert!(unreadable.note(Source::Workers, "w-0"));
+    assert!(!unreadable.note(Source::Workers, "w-0"));
+    assert!(unreadable.note(Source::Workers, "w-1"));
+    assert!(unreadable.note(Source::WorkerAnswers, "w-0"));
+    unreadable.forget(Source::Workers, "w-0");
+    assert!(unreadable.note(Source::Workers, "w-0"));
+}
+
+/// Whoever writes new names for ever fills neither the memory nor the log.
+#[test]
+fn beyond_a_thousand_names_no_more_are_told() {
+    let unreadable = Unreadable::default();
+    let mut told = 0;
+    for number in 0..5_000 {
+        let name = format!("w-{number}");
+        told += u32::from(unreadable.note(Source::Workers, &name));
+    }
+    assert_eq!(told, 1_000);
+    unreadable.forget(Source::Workers, "w-7");
+    assert!(unreadable.note(Source::Workers, "w-5000"), "there is room");
+}
+
 /// Calls a node as another would, and returns what it answers.
 fn call(cluster: &Cluster, node: usize, frame: Bytes) -> Bytes {
     cluster.on(node, move |node| async move {
--- a/crates/obs/src/cell_metrics.rs
+++ b/crates/obs/src/cell_metrics.rs
@@ -92,6 +92,7 @@
     stages: Histogram<f64>,
     store_calls: Counter<u64>,
     store_times: Histogram<f64>,
+    unreadable: Counter<u64>,
     gauges: Gauges,
 }
 
@@ -132,6 +133,11 @@
                 "syc_cell_store_time",
                 "Time of calls to the store, by kind.",
             ),
+            unreadable: counter(
+                &meter,
+                "syc_cell_unreadable",
+                "What others wrote and can't be read, by source.",
+            ),
             gauges: Gauges::new(&meter),
             exporter,
         }
@@ -163,6 +169,12 @@
         self.store_times.record(to_seconds(time_ms), &[kind]);
     }
 
+    /// Counts what another wrote and can't be read.
+    pub fn unreadable(&self, source: &'static str, parts: u64) {
+        self.unreadable
+            .add(parts, &[KeyValue::new("source", source)]);
+    }
+
     /// Returns the page to scrape, with the readings taken now.
     #[must_use]
     pub fn page(&self, readings: &CellReadings) -> String {
