Give every reader of what another wrote generated input

Change: bytes, sound bodies with one value changed, and sound bodies of later versions go to each reader of the adapter, of the cell's own topics and of frames; the decision core takes what was read and lets time pass.

--- /dev/null
+++ b/crates/cell/tests/cell/fuzz.rs
@@ -0,0 +1,253 @@
+//! Generated input for every reader of what a cell keeps in the store, and of frames between nodes.
+
+use bytes::Bytes;
+use syc_cell::ports::Record;
+use syc_cell::records;
+use syc_cell::records::HolderRecord;
+use syc_cell::records::JobRecord;
+use syc_cell::records::RosterRecord;
+use syc_fleet::Core;
+use syc_fleet::fuzz::any_bytes;
+use syc_fleet::fuzz::changed_bytes;
+use syc_fleet::fuzz::changed_fields;
+use syc_fleet::fuzz::later_fields;
+use syc_sched::JobId;
+use syc_sched::JobProgress;
+use syc_sched::JobSpec;
+use syc_sched::JobState;
+use syc_sched::Run;
+use syc_sched::Schedule;
+use syc_sched::StepProgress;
+use syc_sched::StepSpec;
+use syc_sched::UnitProgress;
+use syc_sched::Version;
+use syc_sched::WaveProgress;
+use syc_wire::cell::AdviceQuery;
+use syc_wire::cell::AdviceReply;
+use syc_wire::cell::AllowedWorker;
+use syc_wire::cell::CellBody;
+use syc_wire::cell::CellMessage;
+use syc_wire::cell::Contact;
+use syc_wire::cell::StoredNotice;
+
+use crate::cluster::job;
+use crate::cluster::step;
+use crate::cluster::worker;
+
+const JOB: u64 = 0x0a0b_0c0d_0e0f_0001;
+
+/// Plays a reader with input of each kind.
+fn fuzz<T, F>(sound: &[Vec<u8>], read: F)
+where
+    T: PartialEq + std::fmt::Debug,
+    F: Fn(&[u8]) -> Option<T>,
+{
+    any_bytes(&read);
+    changed_bytes(sound, &read);
+    changed_fields(sound, &read);
+    later_fields(sound, false, &read);
+}
+
+fn record(key: &str, value: &[u8]) -> Record {
+    Record {
+        key: key.into(),
+        value: Bytes::copy_from_slice(value),
+    }
+}
+
+fn specs() -> [JobSpec; 2] {
+    let gang = StepSpec {
+        gang: true,
+        after: vec![0],
+        checkpointed: true,
+        tasks_per_worker: Some(1),
+        data_rack: Some("rack".into()),
+        ..step(2, 900)
+    };
+    let lasting = StepSpec {
+        long_running: true,
+        image: "shop".into(),
+        tail_limit_ms: Some(40),
+        unavailable_limit: Some(1),
+        ..step(2, 0)
+    };
+    let repeated = JobSpec {
+        schedule: Schedule {
+            occurrences: 2,
+            first_at_ms: 1_790_000_000_000,
+            interval_ms: 500,
+        },
+        accepted_at_ms: 1_790_000_000_000,
+        ..job(JOB, vec![lasting])
+    };
+    let plain = JobSpec {
+        accepted_at_ms: 1_790_000_000_000,
+        ..job(JOB, vec![step(3, 100), gang])
+    };
+    [plain, repeated]
+}
+
+fn values<const N: usize>(records: [Record; N]) -> Vec<Vec<u8>> {
+    records.map(|record| record.value.to_vec()).to_vec()
+}
+
+fn read_spec(value: &[u8]) -> Option<JobSpec> {
+    let key = format!("{JOB:016x}");
+    match records::read_job(&record(&key, value)) {
+        JobRecord::Submitted(spec) => Some(*spec),
+        JobRecord::Cancelled(_) | JobRecord::Removed | JobRecord::Unreadable { .. } => None,
+    }
+}
+
+#[test]
+fn records_of_jobs() {
+    fuzz(
+        &values(specs().map(|spec| records::submitted(&spec))),
+        |value| {
+            let spec = read_spec(value)?;
+            let mut core = Core::start(Some((spec.clone(), None)));
+            core.settle();
+            Some(spec)
+        },
+    );
+}
+
+fn progress() -> JobProgress {
+    let running = UnitProgress {
+        failures: 1,
+        started: Run(3),
+        accounted: Run(2),
+        failed: Run(2),
+        checkpoint: "c".into(),
+        workers: vec![worker(0).id],
+        ..UnitProgress::default()
+    };
+    let done = UnitProgress {
+        done: true,
+        ..UnitProgress::default()
+    };
+    JobProgress {
+        version: Version {
+            token: 7,
+            change: 3,
+        },
+        state: JobState::Running,
+        steps: vec![
+            StepProgress {
+                done: false,
+                units: [(0, done), (1, running)].into(),
+            },
+            StepProgress::default(),
+        ],
+        ended_at_ms: 0,
+    }
+}
+
+#[test]
+fn records_of_progress() {
+    let ended = JobProgress {
+        state: JobState::Completed,
+        ended_at_ms: 1_790_000_000_000,
+        ..JobProgress::default()
+    };
+    let kept = [progress(), ended].map(|kept| records::progress(JobId(JOB), &kept));
+    fuzz(&values(kept), |value| {
+        let key = format!("{JOB:016x}");
+        let (_, progress) = records::read_progress(&record(&key, value)).ok()?;
+        for spec in specs() {
+            let mut core = Core::start(Some((spec, Some(progress.clone()))));
+            core.settle();
+        }
+        Some(progress)
+    });
+}
+
+#[test]
+fn rosters() {
+    let roster = RosterRecord {
+        token: 7,
+        change: 1,
+        workers: vec![worker(0), worker(1)],
+    };
+    let parts = records::roster(&roster);
+    let sound: Vec<_> = parts.iter().map(|part| part.value.to_vec()).collect();
+    fuzz(&sound, |value| {
+        let (workers, unreadable) = records::read_roster(&[record("workers/0", value)]);
+        let mut core = Core::start(Some((specs()[0].clone(), None)));
+        for worker in workers.clone() {
+            core.handle(syc_sched::Event::WorkerListed(worker));
+        }
+        core.settle();
+        unreadable.is_empty().then_some(workers)
+    });
+}
+
+#[test]
+fn records_of_waves() {
+    let wave = WaveProgress {
+        number: 4,
+        ordered: vec!["m-0".into()],
+        begun: vec!["m-1".into()],
+        completed: false,
+    };
+    fuzz(&values([records::wave(7, 1, &wave)]), |value| {
+        let (waves, unreadable) = records::read_waves(&[record("waves/4", value)]);
+        unreadable.is_empty().then_some(waves)
+    });
+}
+
+#[test]
+fn heartbeats() {
+    let holder = HolderRecord {
+        node: "node-0".into(),
+        address: "10.0.0.1:7000".into(),
+        incarnation: 9,
+        token: 7,
+        released: false,
+    };
+    fuzz(&values([records::holder(&holder)]), |value| {
+        serde_json::from_slice::<HolderRecord>(value).ok()
+    });
+}
+
+#[test]
+fn frames_between_nodes() {
+    let bodies = [
+        CellBody::Contact(Contact {
+            node: "node-1".into(),
+            address: "10.0.0.1:7000".into(),
+            store_answers: true,
+            token: 7,
+        }),
+        CellBody::AdviceQuery(AdviceQuery {
+            job: JOB,
+            step: 1,
+            workers: vec!["w-0".into(), "w-1".into()],
+            timeout_ms: 300,
+            occurrence: 2,
+        }),
+        CellBody::AdviceReply(AdviceReply {
+            given: true,
+            allowed: vec![AllowedWorker {
+                worker: "w-0".into(),
+                ticket: "t".into(),
+            }],
+            validity_ms: 1_800,
+        }),
+        CellBody::StoredNotice(StoredNotice {
+            key: "0a0b0c0d0e0f0001".into(),
+            value: Bytes::from_static(b"{}"),
+            partition: 3,
+        }),
+    ];
+    let sound = bodies.map(|body| CellMessage::encoded(body).to_vec());
+    let read = |frame: &[u8]| CellMessage::decoded(frame).ok();
+    any_bytes(read);
+    changed_bytes(&sound, read);
+    // A field of a later version: number 100, a text.
+    for frame in &sound {
+        let mut later = frame.clone();
+        prost::encoding::string::encode(100, &"later".to_owned(), &mut later);
+        assert_eq!(read(&later), read(frame));
+    }
+}
--- a/crates/cell/tests/cell/main.rs
+++ b/crates/cell/tests/cell/main.rs
@@ -4,6 +4,7 @@
 //! it has not come long after it had to.
 
 mod cluster;
+mod fuzz;
 mod roster;
 mod service;
 mod stages;
--- /dev/null
+++ b/crates/fleet/src/fuzz.rs
@@ -0,0 +1,161 @@
+//! Generated input for readers of what others write.
+//!
+//! `SYC_FUZZ_CASES` sets how many cases there are of each kind, and `SYC_FUZZ_SEED` draws others; without them,
+//! each run plays the same.
+
+use std::fmt;
+
+use proptest::collection::vec;
+use proptest::prelude::Strategy;
+use proptest::prelude::any;
+use proptest::test_runner::Config;
+use proptest::test_runner::RngAlgorithm;
+use proptest::test_runner::TestCaseError;
+use proptest::test_runner::TestRng;
+use proptest::test_runner::TestRunner;
+use serde_json::Value;
+
+use crate::odd::Change;
+use crate::odd::change;
+use crate::odd::count_values;
+use crate::odd::make_later;
+use crate::odd::odd_value;
+
+/// Variable that sets the number of cases of each kind.
+const CASES_VARIABLE: &str = "SYC_FUZZ_CASES";
+
+/// Variable that sets the seed.
+const SEED_VARIABLE: &str = "SYC_FUZZ_SEED";
+
+/// Cases of each kind where nothing is set, as in CI: all readers together take some two seconds.
+const CASES: u32 = 400;
+
+/// Bytes of generated input.
+const BYTES: usize = 300;
+
+/// Bytes of the generator's seed.
+const SEED_BYTES: usize = 32;
+
+/// Returns the number of cases of each kind.
+#[must_use]
+pub fn cases() -> u32 {
+    let set = std::env::var(CASES_VARIABLE).ok();
+    set.and_then(|text| text.parse().ok()).unwrap_or(CASES)
+}
+
+/// Returns a runner for so many cases, the same with each run of the same seed.
+#[must_use]
+pub fn runner() -> TestRunner {
+    let seed = std::env::var(SEED_VARIABLE).ok();
+    let seed: u64 = seed.and_then(|text| text.parse().ok()).unwrap_or(0);
+    let mut bytes = [0; SEED_BYTES];
+    bytes[..8].copy_from_slice(&seed.to_le_bytes());
+    let config = Config {
+        cases: cases(),
+        failure_persistence: None,
+        ..Config::default()
+    };
+    TestRunner::new_with_rng(config, TestRng::from_seed(RngAlgorithm::ChaCha, &bytes))
+}
+
+/// Gives a reader bytes that mean nothing. It reads or refuses them.
+///
+/// # Panics
+///
+/// Panics, with the shortest input found, where the reader does.
+pub fn any_bytes<T, F>(read: F)
+where
+    F: Fn(&[u8]) -> T,
+{
+    play(&vec(any::<u8>(), 0..BYTES), |bytes| {
+        read(bytes);
+        Ok(())
+    });
+}
+
+/// Gives a reader sound bytes that were cut off, or have one byte changed.
+///
+/// # Panics
+///
+/// Panics, with the shortest input found, where the reader does.
+pub fn changed_bytes<T, F>(sound: &[Vec<u8>], read: F)
+where
+    F: Fn(&[u8]) -> T,
+{
+    let change = (0..sound.len(), any::<usize>(), any::<u8>(), any::<bool>());
+    play(&change, |(index, at, byte, cut)| {
+        let mut body = sound[*index].clone();
+        let at = at % body.len();
+        if *cut {
+            body.truncate(at);
+        } else {
+            body[at] = *byte;
+        }
+        read(&body);
+        Ok(())
+    });
+}
+
+/// Gives a reader sound bodies with one value changed: removed, of another type, nothing, huge, negative or
+/// nested.
+///
+/// # Panics
+///
+/// Panics, with the shortest input found, where the reader does.
+pub fn changed_fields<T, F>(sound: &[Vec<u8>], read: F)
+where
+    F: Fn(&[u8]) -> T,
+{
+    let bodies = parsed(sound);
+    let change_of = (0..bodies.len(), any::<usize>(), 0..24_usize);
+    play(&change_of, |(index, position, kind)| {
+        let mut body = bodies[*index].clone();
+        let position = position % count_values(&body);
+        let kind = kind.checked_sub(4).map_or(Change::Remove, Change::Replace);
+        change(&mut body, position, kind);
+        read(body.to_string().as_bytes());
+        Ok(())
+    });
+}
+
+/// Gives a reader sound bodies as a later version writes them: with fields, and where rows are read by their
+/// entries with entries, that are not known. It reads what it reads without them.
+///
+/// # Panics
+///
+/// Panics where it reads something else.
+pub fn later_fields<T, F>(sound: &[Vec<u8>], with_rows: bool, read: F)
+where
+    T: PartialEq + fmt::Debug,
+    F: Fn(&[u8]) -> Option<T>,
+{
+    let bodies = parsed(sound);
+    play(&(0..bodies.len(), any::<usize>()), |(index, odd)| {
+        let before = read(bodies[*index].to_string().as_bytes());
+        let mut body = bodies[*index].clone();
+        make_later(&mut body, *odd, with_rows);
+        let after = read(body.to_string().as_bytes());
+        if before.is_none() || before != after {
+            let odd = odd_value(*odd);
+            let text = format!("{before:?} became {after:?} beside {odd}");
+            return Err(TestCaseError::fail(text));
+        }
+        Ok(())
+    });
+}
+
+fn parsed(sound: &[Vec<u8>]) -> Vec<Value> {
+    let parsed = sound.iter().map(|body| serde_json::from_slice(body));
+    parsed.map(|body| body.expect("a sound body")).collect()
+}
+
+fn play<S, F>(strategy: &S, test: F)
+where
+    S: Strategy,
+    F: Fn(&S::Value) -> Result<(), TestCaseError>,
+{
+    let played = runner().run(strategy, |value| test(&value));
+    if let Err(error) = played {
+        panic!("{error}");
+    }
+}
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -6,9 +6,12 @@
 //! decides which answer is lost, which order late, which worker gone.
 
 mod advice;
+mod core_model;
 mod fleet;
+pub mod fuzz;
 mod judge;
 mod load;
+mod odd;
 mod shared;
 mod sharing;
 mod store;
@@ -16,6 +19,7 @@
 mod worker;
 
 pub use advice::AdviceModel;
+pub use core_model::Core;
 pub use fleet::FleetModel;
 pub use fleet::Plan;
 pub use judge::Fault;
--- /dev/null
+++ b/crates/fleet/src/odd.rs
@@ -0,0 +1,140 @@
+//! Bodies in JSON as another writer, or another version, writes them: one value put in the place of another.
+
+use serde_json::Map;
+use serde_json::Value;
+use serde_json::json;
+
+/// Name of a field that nobody knows.
+const LATER_FIELD: &str = "Later";
+
+/// Nesting beyond what anyone writes.
+const DEPTH: usize = 40;
+
+/// What is done to a value.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Change {
+    /// It is left out of what holds it.
+    Remove,
+    /// Another stands in its place: of another type, nothing, huge, negative, nested.
+    Replace(usize),
+}
+
+/// Returns one of the values that a field should not hold, or only just.
+#[must_use]
+pub fn odd_value(index: usize) -> Value {
+    let values = [
+        Value::Null,
+        json!(true),
+        json!(""),
+        json!("odd"),
+        json!("0a0b0c0d0e0f0001.3.2.31"),
+        json!([]),
+        json!({}),
+        json!(0),
+        json!(-1),
+        json!(0.5),
+        json!(1e308),
+        json!(-1e308),
+        json!(u64::MAX),
+        json!(i64::MIN),
+        json!(u64::from(u32::MAX)),
+        json!(u64::from(u32::MAX) + 1),
+        json!(86_400_000),
+        json!(2_000),
+        json!("x".repeat(5_000)),
+        nested(),
+    ];
+    values[index % values.len()].clone()
+}
+
+fn nested() -> Value {
+    let mut value = json!([1]);
+    for _ in 0..DEPTH {
+        value = json!({ "x": [value] });
+    }
+    value
+}
+
+/// Returns the number of values in a body, itself among them.
+#[must_use]
+pub fn count_values(value: &Value) -> usize {
+    let parts: usize = match value {
+        Value::Array(items) => items.iter().map(count_values).sum(),
+        Value::Object(fields) => fields.values().map(count_values).sum(),
+        _ => 0,
+    };
+    parts + 1
+}
+
+/// Changes the value at a position, counted through the whole body.
+pub fn change(body: &mut Value, position: usize, change: Change) {
+    let _found = change_at(body, &mut { position }, change);
+}
+
+/// Says whether the value is the one that is to be changed, and was left for what holds it to remove.
+fn change_at(value: &mut Value, position: &mut usize, change: Change) -> bool {
+    if *position == 0 {
+        *position = usize::MAX;
+        if let Change::Replace(index) = change {
+            *value = odd_value(index);
+            return false;
+        }
+        return true;
+    }
+    *position -= 1;
+    match value {
+        Value::Array(items) => {
+            items.retain_mut(|item| *position == usize::MAX || !change_at(item, position, change));
+        }
+        Value::Object(fields) => change_fields(fields, position, change),
+        _ => {}
+    }
+    false
+}
+
+fn change_fields(fields: &mut Map<String, Value>, position: &mut usize, change: Change) {
+    let mut removed = None;
+    for (name, field) in fields.iter_mut() {
+        if *position == usize::MAX {
+            break;
+        }
+        if change_at(field, position, change) {
+            removed = Some(name.clone());
+        }
+    }
+    if let Some(name) = removed {
+        fields.remove(&name);
+    }
+}
+
+/// Gives every structure of a body a field of a later version, and every row an entry. What is keyed by
+/// numbers is no structure, and a row is a list of nothing but texts and numbers, the first a text or a number
+/// that names something.
+pub fn make_later(body: &mut Value, odd: usize, with_rows: bool) {
+    match body {
+        Value::Array(items) => {
+            let is_row = !items.is_empty() && items.iter().all(is_scalar);
+            if is_row && with_rows {
+                items.push(odd_value(odd));
+                return;
+            }
+            for item in items {
+                make_later(item, odd, with_rows);
+            }
+        }
+        Value::Object(fields) => {
+            for field in fields.values_mut() {
+                make_later(field, odd, with_rows);
+            }
+            let is_map = fields.keys().any(|key| key.parse::<u64>().is_ok());
+            if !is_map {
+                fields.insert(LATER_FIELD.to_owned(), odd_value(odd));
+            }
+        }
+        _ => {}
+    }
+}
+
+const fn is_scalar(value: &Value) -> bool {
+    !matches!(value, Value::Array(_) | Value::Object(_))
+}
