--- a/crates/cell/tests/cell/main.rs
+++ b/crates/cell/tests/cell/main.rs
@@ -4,10 +4,12 @@
 //! it has not come long after it had to.
 
 mod cluster;
+mod fuzz;
 mod roster;
 mod service;
 mod stages;
 mod store;
 mod takeover;
+mod unreadable;
 mod vms;
 mod workers;
--- a/crates/fleet/src/shared/ports.rs
+++ b/crates/fleet/src/shared/ports.rs
@@ -125,8 +125,9 @@
         timeout_ms: u64,
     ) -> Result<(), OrderError> {
         self.begin_order(&worker.id);
-        pause(CALL_MS).await;
+        let reached = self.reach_worker(&worker.id, timeout_ms).await;
         self.end_order(&worker.id);
+        reached?;
         let (started, lost) = {
             let mut state = self.lock();
             let lost = state.faults.lost_starts > 0;
@@ -144,9 +145,9 @@
         &self,
         worker: &WorkerAddress,
         command: &StopCommand,
-        _timeout_ms: u64,
+        timeout_ms: u64,
     ) -> Result<(), OrderError> {
-        pause(CALL_MS).await;
+        self.reach_worker(&worker.id, timeout_ms).await?;
         self.lock().fleet.stop(&worker.id, command, now())
     }
 
@@ -154,9 +155,9 @@
         &self,
         worker: &WorkerAddress,
         command: &PaceCommand,
-        _timeout_ms: u64,
+        timeout_ms: u64,
     ) -> Result<(), OrderError> {
-        pause(CALL_MS).await;
+        self.reach_worker(&worker.id, timeout_ms).await?;
         self.lock().fleet.pace(&worker.id, command, now())
     }
 
@@ -164,14 +165,14 @@
         &self,
         worker: &WorkerAddress,
         renewal: &Renewal,
-        _timeout_ms: u64,
+        timeout_ms: u64,
     ) -> Result<Renewed, OrderError> {
-        pause(CALL_MS).await;
+        self.reach_worker(&worker.id, timeout_ms).await?;
         let until = now().plus(renewal.wait_ms);
         loop {
             let renewed = self.lock().fleet.renew(&worker.id, renewal, now())?;
             if !renewed.report.ended.is_empty() || now() >= until {
-                return Ok(renewed);
+                return Ok(self.spoil_clock(&worker.id, renewed));
             }
             pause(LOOK_MS).await;
         }
@@ -193,6 +194,7 @@
         Ok(Advice {
             allowed: allowed.collect(),
             validity_ms: TICKET_MS,
+            ..Advice::default()
         })
     }
 }
@@ -237,10 +239,11 @@
             None => VmPage {
                 vms: first.to_vec(),
                 next: Some(SmolStr::new_static("rest")),
+                ..VmPage::default()
             },
             Some(_) => VmPage {
                 vms: rest.to_vec(),
-                next: None,
+                ..VmPage::default()
             },
         })
     }
