--- a/crates/fleet/src/core_model.rs
+++ b/crates/fleet/src/core_model.rs
@@ -81,7 +81,9 @@
 
     /// Takes the list of VMs.
     pub fn take_vms(&mut self, vms: Vec<VmInfo>) {
-        self.handle(Event::VmsListed(Some(vms)));
+        let asked_at = self.now;
+        let vms = Some(vms);
+        self.handle(Event::VmsListed { asked_at, vms });
     }
 
     /// Takes a wave of upkeep.
