Show that a home offers a task again to owners that it knows to be full

Traced from failing runs of `owners_adopt_what_runs_on_the_workers_of_one_that_left` (temporary lines at each acceptance, offer, reply and start; times in ms since the home's start). Acceptance to offer took 0 to 1 ms, a start command 0 to 1 ms, an offer to an owner with room 0 to 2 ms, so neither the log nor a worker holds a start up.

t=799 accepted t=799 offer, entry-0 said to be free: entry-0 0, entry-1 0, entry-2 0 t=1840 no_room said to be free: entry-0 0, entry-1 14000, entry-2 0 t=1841 offer, entry-0 t=2865 no_room entry-1 still 14000 t=2865 offer, entry-2 t=3893 no_room entry-1 still 14000 t=3944 offer, entry-0 its first tasks have ended; started

The home ranks owners anew for each offer, by what they say of their room, and takes the one at the place that the number of offers in vain names. The owner with room is first in the new ranking and the count is past it.

--- a/crates/coord/tests/coord/home.rs
+++ b/crates/coord/tests/coord/home.rs
@@ -11,6 +11,7 @@
 use syc_coord::Jobs;
 use syc_coord::home::Action;
 use syc_coord::home::OwnerRoom;
+use syc_coord::home::Placement;
 use syc_coord::home::Quota;
 use syc_coord::home::StartOutcome;
 use syc_coord::home::split;
@@ -323,3 +324,69 @@
     };
     assert_eq!(second.parts.len(), 2);
 }
+
+fn only_placement(home: &mut Home, jobs: &Jobs, rooms: &[OwnerRoom], now: Millis) -> Placement {
+    let mut actions = home.actions(|_| true, jobs, rooms, true, now);
+    assert_eq!(actions.len(), 1, "{actions:?}");
+    match actions.pop() {
+        Some(Action::Place(placement)) => placement,
+        other => panic!("{other:?}"),
+    }
+}
+
+// Offers once, to an owner that refuses all; returns which one it was.
+fn offer_in_vain(home: &mut Home, jobs: &Jobs, rooms: &[OwnerRoom], now: Millis) -> usize {
+    let placement = only_placement(home, jobs, rooms, now);
+    let [part] = placement.parts.as_slice() else {
+        panic!("{placement:?}");
+    };
+    let refused: Vec<_> = part
+        .indexes
+        .iter()
+        .map(|index| (*index, StartOutcome::NotStarted))
+        .collect();
+    home.placed(&placement, &refused, jobs, now);
+    let asked = (0..3).find(|number| member(*number) == part.owner);
+    asked.expect("member")
+}
+
+#[test_case(1; "one of the others")]
+#[test_case(2; "the other of them")]
+fn what_found_no_room_goes_next_to_the_owner_that_has_some(step: usize) {
+    let (mut home, mut jobs) = entered(HomeOptions::default());
+    accept(&mut home, &mut jobs, 1, &spec("a", Class::Normal, 1));
+    let mut rooms = [room(0, 0), room(1, 0), room(2, 0)];
+    let full = offer_in_vain(&mut home, &jobs, &rooms, Millis(0));
+    let free = (full + step) % 3;
+    rooms[free] = room(free, 4);
+    let next = offer_in_vain(&mut home, &jobs, &rooms, Millis(0));
+    assert_eq!(next, free);
+}
+
+// What an owner has over all its workers may be on no single one, and is as old as its last word.
+#[test_case(JobKind::Batch, 1; "a task")]
+#[test_case(JobKind::Gang, 4; "a gang")]
+fn each_owner_is_asked_once_in_a_turn_whatever_it_says(kind: JobKind, tasks: u32) {
+    for id in 1..=16 {
+        let (mut home, mut jobs) = entered(HomeOptions::default());
+        let job = JobSpec {
+            kind,
+            ..spec("a", Class::Normal, tasks)
+        };
+        accept(&mut home, &mut jobs, id, &job);
+        let mut rooms = [room(0, 0), room(1, 0), room(2, 0)];
+        for turn in 0..2 {
+            let mut asked = Vec::new();
+            for offer in 0..3 {
+                // Later than the longest pause between two offers.
+                let now = Millis((turn * 3 + offer) * 10_000);
+                let owner = offer_in_vain(&mut home, &jobs, &rooms, now);
+                asked.push(owner);
+                rooms = [room(0, 0), room(1, 0), room(2, 0)];
+                rooms[owner] = room(owner, 4);
+            }
+            asked.sort_unstable();
+            assert_eq!(asked, [0, 1, 2], "job {id}, turn {turn}");
+        }
+    }
+}
