Offer what found no room to each owner once before any is asked again

Cause: a home ranks the owners anew for each offer and took the one at the place that its count of offers in vain named. When the owners' words had changed between two offers, that place was another owner's: the one with room, now first, was stepped over, and a full one was asked again and kept the task in its queue for another second.

Change: what is offered again carries the owners that were asked in vain in this turn; the first in the ranking that is not among them is next, and when each has been asked a new turn begins. A gang that one owner says it has room for is no longer offered to it out of turn (a spread of one part). Pauses, numbers of attempts and what a refusal means stay as they are; so do the check of the daemon's test and its times.

Conclusion: a start waits for one refusal where an owner with room is known. The first refusal stays: a home knows an owner's room by its last heartbeat, up to a second old, and an owner without room keeps an offer for a second. Requests, reads of a peer's state and an owner's own choice of workers keep what was tried by name; no other place in the daemon counts through a list that changes.

--- a/crates/coord/src/home.rs
+++ b/crates/coord/src/home.rs
@@ -118,6 +118,8 @@
     pub attempt: u32,
     /// How often the tasks were offered in vain.
     pub tries: u32,
+    /// The owners that were asked in vain in this turn, before these.
+    pub asked: Vec<MemberId>,
     /// Whether they are urgent.
     pub urgent: bool,
     /// Whether the one owner may have started them already. That it was not reached now says
--- a/crates/coord/src/home/offers.rs
+++ b/crates/coord/src/home/offers.rs
@@ -154,6 +154,7 @@
             epoch: self.epoch,
             attempt,
             tries: unit.tries,
+            asked: unit.asked,
             urgent: unit.class == Class::Urgent,
             pinned: unit.pinned.is_some(),
             parts,
@@ -178,17 +179,19 @@
                 indexes: unit.indexes.clone(),
             }]);
         }
-        let tries = unit.tries as usize;
         let several = unit.indexes.len() > 1;
+        // Where one owner says it has room for all, its turn decides whether it is asked.
         if several
-            && tries % 2 == 1
+            && unit.tries % 2 == 1
             && let Some(parts) = split(&unit.indexes, &spec.resources, rooms)
+            && parts.len() > 1
         {
             return Some(parts);
         }
         let ranked = rank_owners(unit.job_id, &unit.indexes, spec, &self.members, rooms);
-        let step = if several { tries / 2 } else { tries };
-        let owner = ranked.get(step % ranked.len().max(1))?.clone();
+        // What the owners say changes between two offers, so a place in the ranking names nobody.
+        let unasked = ranked.iter().find(|owner| !unit.asked.contains(owner));
+        let owner = unasked.or(ranked.first())?.clone();
         Some(vec![Part {
             owner,
             indexes: unit.indexes.clone(),
@@ -220,7 +223,7 @@
             }
         }
         let whole = refused.len() == outcomes.len();
-        self.offer_again(job, placement.tries, refused, whole, now);
+        self.offer_again(job, placement, refused, whole, now);
     }
 
     // Returns whether the task waits again.
@@ -302,6 +305,7 @@
             indexes: vec![task.index],
             class: Class::Urgent,
             tries: 0,
+            asked: Vec::new(),
             pinned: Some(owner.clone()),
         };
         if let Some(state) = self.teams.get_mut(team) {
@@ -309,9 +313,17 @@
         }
     }
 
-    fn offer_again(&mut self, job: &Job, tries: u32, refused: Vec<u32>, whole: bool, now: Millis) {
+    fn offer_again(
+        &mut self,
+        job: &Job,
+        placement: &Placement,
+        refused: Vec<u32>,
+        whole: bool,
+        now: Millis,
+    ) {
         let owners = u32::try_from(self.members.len()).unwrap_or(u32::MAX).max(1);
-        let tries = tries.saturating_add(1);
+        let tries = placement.tries.saturating_add(1);
+        let asked = self.asked_in_turn(placement);
         let turns = tries / owners;
         let pause_ms = if turns == 0 {
             0
@@ -333,11 +345,25 @@
                 indexes,
                 class: job.spec.class,
                 tries,
+                asked: asked.clone(),
                 pinned: None,
             };
             team.queue.push_at(now.plus(pause_ms), unit);
         }
     }
+
+    // Of several owners that were asked together it is not known which one refused. When each has
+    // been asked alone, the next turn begins.
+    fn asked_in_turn(&self, placement: &Placement) -> Vec<MemberId> {
+        let mut asked = placement.asked.clone();
+        if let [only] = placement.parts.as_slice() {
+            asked.push(only.owner.clone());
+        }
+        if self.members.iter().all(|member| asked.contains(member)) {
+            asked.clear();
+        }
+        asked
+    }
 }
 
 impl super::Team {
--- a/crates/coord/src/home/queue.rs
+++ b/crates/coord/src/home/queue.rs
@@ -19,6 +19,8 @@
     pub class: Class,
     /// How often they were offered in vain.
     pub tries: u32,
+    /// The owners that were asked in vain in this turn.
+    pub asked: Vec<MemberId>,
     /// The owner that may have started them; no other may be asked.
     pub pinned: Option<MemberId>,
 }
--- a/crates/coord/src/home/rooms.rs
+++ b/crates/coord/src/home/rooms.rs
@@ -20,7 +20,8 @@
 }
 
 /// Orders the owners that a unit is offered to: those with room by what they last said, without a
-/// queue before those with one, and different tasks begin at different owners.
+/// queue before those with one, and different tasks begin at different owners. The order holds for
+/// as long as they say nothing new.
 #[must_use]
 pub fn rank_owners(
     job_id: JobId,
--- a/crates/coord/src/home/tasks.rs
+++ b/crates/coord/src/home/tasks.rs
@@ -122,6 +122,7 @@
             indexes,
             class: spec.class,
             tries: 0,
+            asked: Vec::new(),
             pinned: None,
         };
         if let Some(team) = self.teams.get_mut(&spec.team) {
