--- a/crates/coord/src/home.rs
+++ b/crates/coord/src/home.rs
@@ -5,6 +5,7 @@
 mod ends;
 mod offers;
 mod queue;
+mod rooms;
 mod round;
 mod tasks;
 mod view;
@@ -15,11 +16,11 @@
 use std::collections::VecDeque;
 
 pub use ends::EndVerdict;
-pub use offers::OwnerRoom;
-pub use offers::rank_owners;
-pub use offers::split;
 use queue::ReadyQueue;
 pub use queue::Unit;
+pub use rooms::OwnerRoom;
+pub use rooms::rank_owners;
+pub use rooms::split;
 use round::Round;
 pub use round::Told;
 use syc_types::Epoch;
@@ -117,6 +118,8 @@
     pub attempt: u32,
     /// How often the tasks were offered in vain.
     pub tries: u32,
+    /// The owners that were asked in vain in this turn, before these.
+    pub asked: Vec<MemberId>,
     /// Whether they are urgent.
     pub urgent: bool,
     /// Whether the one owner may have started them already. That it was not reached now says
--- a/crates/coord/src/home/offers.rs
+++ b/crates/coord/src/home/offers.rs
@@ -1,15 +1,12 @@
 //! Which tasks are offered next, and to whom: classes in order, the teams of a class in turn.
 
 use syc_types::Class;
-use syc_types::JobId;
 use syc_types::JobKind;
 use syc_types::JobSpec;
 use syc_types::MemberId;
 use syc_types::Millis;
-use syc_types::Resources;
 use syc_types::TaskRef;
 use syc_types::TeamId;
-use syc_types::hash;
 
 use super::Action;
 use super::Home;
@@ -19,23 +16,15 @@
 use super::StartOutcome;
 use super::Unit;
 use super::queue::class_index;
+use super::rooms::OwnerRoom;
+use super::rooms::rank_owners;
+use super::rooms::split;
 use crate::Job;
 use crate::Jobs;
 
 /// Pause of a start that waits for the log.
 const LOG_PAUSE_MS: u64 = 500;
 
-/// What an owner last said it has to give.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct OwnerRoom {
-    /// The owner.
-    pub owner: MemberId,
-    /// What no task holds, over all its workers.
-    pub free: Resources,
-    /// Tasks in its queue.
-    pub queued_tasks: u64,
-}
-
 impl Home {
     /// Returns what is to be done now for the teams that `acting` allows. `log_up` says whether
     /// intents can be recorded.
@@ -165,6 +154,7 @@
             epoch: self.epoch,
             attempt,
             tries: unit.tries,
+            asked: unit.asked,
             urgent: unit.class == Class::Urgent,
             pinned: unit.pinned.is_some(),
             parts,
@@ -189,17 +179,19 @@
                 indexes: unit.indexes.clone(),
             }]);
         }
-        let tries = unit.tries as usize;
         let several = unit.indexes.len() > 1;
+        // Where one owner says it has room for all, its turn decides whether it is asked.
         if several
-            && tries % 2 == 1
+            && unit.tries % 2 == 1
             && let Some(parts) = split(&unit.indexes, &spec.resources, rooms)
+            && parts.len() > 1
         {
             return Some(parts);
         }
         let ranked = rank_owners(unit.job_id, &unit.indexes, spec, &self.members, rooms);
-        let step = if several { tries / 2 } else { tries };
-        let owner = ranked.get(step % ranked.len().max(1))?.clone();
+        // What the owners say changes between two offers, so a place in the ranking names nobody.
+        let unasked = ranked.iter().find(|owner| !unit.asked.contains(owner));
+        let owner = unasked.or(ranked.first())?.clone();
         Some(vec![Part {
             owner,
             indexes: unit.indexes.clone(),
@@ -231,7 +223,7 @@
             }
         }
         let whole = refused.len() == outcomes.len();
-        self.offer_again(job, placement.tries, refused, whole, now);
+        self.offer_again(job, placement, refused, whole, now);
     }
 
     // Returns whether the task waits again.
@@ -313,6 +305,7 @@
             indexes: vec![task.index],
             class: Class::Urgent,
             tries: 0,
+            asked: Vec::new(),
             pinned: Some(owner.clone()),
         };
         if let Some(state) = self.teams.get_mut(team) {
@@ -320,9 +313,17 @@
         }
     }
 
-    fn offer_again(&mut self, job: &Job, tries: u32, refused: Vec<u32>, whole: bool, now: Millis) {
+    fn offer_again(
+        &mut self,
+        job: &Job,
+        placement: &Placement,
+        refused: Vec<u32>,
+        whole: bool,
+        now: Millis,
+    ) {
         let owners = u32::try_from(self.members.len()).unwrap_or(u32::MAX).max(1);
-        let tries = tries.saturating_add(1);
+        let tries = placement.tries.saturating_add(1);
+        let asked = self.asked_in_turn(placement);
         let turns = tries / owners;
         let pause_ms = if turns == 0 {
             0
@@ -344,11 +345,25 @@
                 indexes,
                 class: job.spec.class,
                 tries,
+                asked: asked.clone(),
                 pinned: None,
             };
             team.queue.push_at(now.plus(pause_ms), unit);
         }
     }
+
+    // Of several owners that were asked together it is not known which one refused. When each has
+    // been asked alone, the next turn begins.
+    fn asked_in_turn(&self, placement: &Placement) -> Vec<MemberId> {
+        let mut asked = placement.asked.clone();
+        if let [only] = placement.parts.as_slice() {
+            asked.push(only.owner.clone());
+        }
+        if self.members.iter().all(|member| asked.contains(member)) {
+            asked.clear();
+        }
+        asked
+    }
 }
 
 impl super::Team {
@@ -371,60 +386,3 @@
         sum.fits_in(&quota)
     }
 }
-
-/// Orders the owners that a unit is offered to: those with room by what they last said, without a
-/// queue before those with one, and different tasks begin at different owners.
-#[must_use]
-pub fn rank_owners(
-    job_id: JobId,
-    indexes: &[u32],
-    spec: &JobSpec,
-    members: &[MemberId],
-    rooms: &[OwnerRoom],
-) -> Vec<MemberId> {
-    let first = indexes.first().copied().unwrap_or_default();
-    let key = format!("{job_id}/{first}");
-    let mut ranked: Vec<_> = members.iter().collect();
-    ranked.sort_by_cached_key(|member| {
-        let room = rooms.iter().find(|room| room.owner == **member);
-        let fits = room.is_none_or(|room| fitting(room, &spec.resources) >= indexes.len());
-        let queued = room.is_some_and(|room| room.queued_tasks > 0);
-        let score = hash::score(&key, member.as_str());
-        (!fits, queued, u64::MAX - score)
-    });
-    ranked.into_iter().cloned().collect()
-}
-
-/// Spreads a gang's tasks over several owners by what they last said; `None` where they have not
-/// enough together.
-#[must_use]
-pub fn split(indexes: &[u32], size: &Resources, rooms: &[OwnerRoom]) -> Option<Vec<Part>> {
-    let mut ordered: Vec<_> = rooms.iter().collect();
-    ordered.sort_by_key(|room| std::cmp::Reverse((fitting(room, size), room.owner.clone())));
-    let mut parts = Vec::new();
-    let mut left = indexes;
-    for room in ordered {
-        let count = fitting(room, size).min(left.len());
-        if count == 0 {
-            break;
-        }
-        let (taken, rest) = left.split_at(count);
-        parts.push(Part {
-            owner: room.owner.clone(),
-            indexes: taken.to_vec(),
-        });
-        left = rest;
-    }
-    (left.is_empty() && !parts.is_empty()).then_some(parts)
-}
-
-fn fitting(room: &OwnerRoom, size: &Resources) -> usize {
-    let times = |free: u64, each: u64| free.checked_div(each).unwrap_or(u64::MAX);
-    let fitting = times(room.free.cpu_millis, size.cpu_millis)
-        .min(times(room.free.memory_bytes, size.memory_bytes))
-        .min(times(
-            u64::from(room.free.accelerators),
-            u64::from(size.accelerators),
-        ));
-    usize::try_from(fitting).unwrap_or(usize::MAX)
-}
