--- a/crates/cell/tests/cell/fuzz.rs
+++ b/crates/cell/tests/cell/fuzz.rs
@@ -22,6 +22,11 @@
 use syc_sched::UnitProgress;
 use syc_sched::Version;
 use syc_sched::WaveProgress;
+use syc_wire::Body;
+use syc_wire::Message;
+use syc_wire::RunRequest;
+use syc_wire::Submit;
+use syc_wire::WireSpec;
 use syc_wire::cell::AdviceQuery;
 use syc_wire::cell::AdviceReply;
 use syc_wire::cell::AllowedWorker;
@@ -251,3 +256,47 @@
         assert_eq!(read(&later), read(frame));
     }
 }
+
+/// The daemons' frames have the same decoder.
+#[test]
+fn frames_between_daemons() {
+    let spec = WireSpec {
+        team: "team".into(),
+        name: "name".into(),
+        kind: 1,
+        class: 2,
+        tasks: 3,
+        cpu_millis: 250,
+        payload: "p".into(),
+        ..WireSpec::default()
+    };
+    let bodies = [
+        Body::Submit(Submit {
+            job_id: vec![7; 16],
+            spec,
+        }),
+        Body::RunRequest(RunRequest {
+            request_id: vec![9; 16],
+            service: "s".into(),
+            path: "/p".into(),
+            class: 1,
+            remaining_ms: 900,
+            ..RunRequest::default()
+        }),
+    ];
+    let sound = bodies.map(|body| Message::new(3, body).to_bytes().to_vec());
+    let read = |frame: &[u8]| {
+        let (epoch, body) = Message::from_bytes(Bytes::copy_from_slice(frame)).ok()?;
+        if let Body::Submit(submit) = &body {
+            let _spec = syc_types::JobSpec::try_from(submit.spec.clone()).ok()?;
+        }
+        Some((epoch, body))
+    };
+    any_bytes(read);
+    changed_bytes(&sound, read);
+    for frame in &sound {
+        let mut later = frame.clone();
+        prost::encoding::string::encode(100, &"later".to_owned(), &mut later);
+        assert_eq!(read(&later), read(frame));
+    }
+}
