--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -1,8 +1,9 @@
 //! Workers: fencing tokens, leases by a deadline on their own clock, numbered ends, stops that also
 //! forbid a later start, gangs that work only together.
 
+mod ends;
+
 use std::collections::BTreeMap;
-use std::collections::BTreeSet;
 
 use smol_str::SmolStr;
 use syc_cell::ports::OrderError;
@@ -11,8 +12,6 @@
 use syc_cell::ports::Renewed;
 use syc_cell::ports::StartCommand;
 use syc_cell::ports::StopCommand;
-use syc_sched::Run;
-use syc_sched::RunEnd;
 use syc_sched::RunningReport;
 use syc_sched::StartRefusal;
 use syc_sched::StepId;
@@ -40,6 +39,30 @@
     pub failing_runs: u32,
 }
 
+/// What holds for all workers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct FleetLimits {
+    /// Longest lease; a longer one is shortened.
+    pub lease_ms: u64,
+    /// Time that a stop takes; the run does no work in it, and keeps its room.
+    pub stop_ms: u64,
+    /// Time that a member of a gang waits for the others.
+    pub gang_wait_ms: u64,
+    /// Whether workers refuse what does not fit.
+    pub admission_control: bool,
+}
+
+impl Default for FleetLimits {
+    fn default() -> Self {
+        Self {
+            lease_ms: u64::MAX,
+            stop_ms: 0,
+            gang_wait_ms: u64::MAX,
+            admission_control: false,
+        }
+    }
+}
+
 /// All workers, and how their tasks go.
 #[derive(Debug, Clone, Default)]
 pub struct FleetModel {
@@ -47,6 +70,8 @@
     pub workers: BTreeMap<WorkerId, WorkerModel>,
     /// Watches all of them.
     pub judge: Judge,
+    /// What holds for all of them.
+    pub limits: FleetLimits,
     plans: BTreeMap<TaskId, Plan>,
     tails: TailModels,
     failed_runs: BTreeMap<TaskId, u32>,
@@ -111,7 +136,7 @@
             return;
         };
         for (task, live) in &worker.runs {
-            self.judge.ended(id, *task, live.run, false);
+            self.judge.crashed(id, *task, live.run);
         }
     }
 
@@ -142,12 +167,11 @@
         if command.lease_until_ms <= worker.clock_ms(now) {
             return Err(OrderError::Refused(StartRefusal::Late));
         }
+        worker.extend_lease(command.lease_until_ms, self.limits.lease_ms, now);
         let known = worker.runs.get(&command.task);
-        if known.is_some_and(|live| live.run == command.run) {
-            worker.lease_until_ms = worker.lease_until_ms.max(command.lease_until_ms);
+        if known.is_some_and(|live| live.run == command.run && live.stops_at.is_none()) {
             return Ok(());
         }
-        worker.lease_until_ms = worker.lease_until_ms.max(command.lease_until_ms);
         let latest = worker.latest.get(&command.task);
         if latest.is_some_and(|latest| command.run <= *latest) || known.is_some() {
             return Err(OrderError::Refused(StartRefusal::OldRun));
@@ -156,6 +180,10 @@
             self.judge.started(id, command.task, command.run);
             return Ok(());
         };
+        let wanted = worker.used().saturating_add(&step.room());
+        if self.limits.admission_control && !wanted.fits_in(&worker.capacity) {
+            return Err(OrderError::Refused(StartRefusal::NoRoom));
+        }
         let done_ms = command.checkpoint.parse().unwrap_or(0);
         worker.runs.insert(
             command.task,
@@ -165,6 +193,7 @@
                 gang: step.gang,
                 lasts: step.long_running,
                 began_at: now,
+                stops_at: None,
                 done_ms,
                 plan,
                 saves: step.checkpointed,
@@ -194,13 +223,13 @@
         let others = self.at_work(command.task.step).saturating_sub(1);
         let worker = self.workers.get_mut(id).ok_or(OrderError::Replaced)?;
         worker.check_token(command.token)?;
-        let live = worker.runs.get(&command.task);
-        if live.is_some_and(|live| live.run == command.run) {
-            if is_at_work {
+        let live = worker.runs.get_mut(&command.task);
+        if let Some(live) = live.filter(|live| live.run == command.run) {
+            if is_at_work && live.stops_at.is_none() {
                 self.judge.interrupted(command.task, others);
             }
-            worker.end(command.task, RunEnd::Stopped, &mut self.judge);
-            self.break_gang(command.task.step, command.run);
+            live.stops_at.get_or_insert(now.plus(self.limits.stop_ms));
+            self.end_stopped(now);
             return Ok(());
         }
         // A run that is not there yet must never begin.
@@ -246,13 +275,12 @@
         let worker = self.workers.get_mut(id).ok_or(OrderError::Replaced)?;
         worker.check_token(renewal.token)?;
         if let Some(until_ms) = renewal.lease_until_ms {
-            worker.lease_until_ms = worker.lease_until_ms.max(until_ms);
+            worker.extend_lease(until_ms, self.limits.lease_ms, now);
         }
         for ended in &worker.ends {
-            if ended.number <= renewal.acknowledged && ended.number > worker.void_ends {
-                let done = ended.end == RunEnd::Done;
-                let failed = ended.end == RunEnd::Failed;
-                self.judge.acknowledged(ended.task, ended.run, done, failed);
+            if ended.number <= renewal.acknowledged {
+                let void = ended.number <= worker.void_ends;
+                self.judge.acknowledged(id, ended, void);
             }
         }
         worker
@@ -286,6 +314,8 @@
         }
         self.advanced_to = now;
         self.lapse(now);
+        self.end_stopped(now);
+        self.end_lonely(now);
         let whole = self.whole_gangs();
         let mut over = Vec::new();
         for worker in self.workers.values_mut() {
@@ -297,7 +327,8 @@
                 {
                     self.judge.harmed(*task);
                 }
-                if live.gang && !whole.contains(&(task.step, live.run)) {
+                let waits = live.gang && !whole.contains(&(task.step, live.run));
+                if waits || live.stops_at.is_some() {
                     continue;
                 }
                 let worked_ms = passed_ms.min(now.since(live.began_at));
@@ -310,94 +341,7 @@
             }
         }
         for (id, task, run, gang) in over {
-            self.finish(&id, task, run, gang);
-        }
-    }
-
-    fn lapse(&mut self, now: Millis) {
-        let mut broken = Vec::new();
-        for worker in self.workers.values_mut() {
-            if worker.lease_until_ms > worker.clock_ms(now) {
-                continue;
-            }
-            worker.void_ends = worker.last_end;
-            let lapsed: Vec<_> = worker
-                .runs
-                .iter()
-                .map(|(task, live)| (*task, live.run))
-                .collect();
-            for (task, run) in lapsed {
-                worker.end(task, RunEnd::Lapsed, &mut self.judge);
-                broken.push((task.step, run));
-            }
-        }
-        for (step, run) in broken {
-            self.break_gang(step, run);
-        }
-    }
-
-    /// Returns the gangs of which every member is there.
-    fn whole_gangs(&self) -> BTreeSet<(StepId, Run)> {
-        let mut present: BTreeMap<(StepId, Run), u32> = BTreeMap::new();
-        for worker in self.workers.values() {
-            for (task, live) in &worker.runs {
-                *present.entry((task.step, live.run)).or_default() += 1;
-            }
-        }
-        let mut whole = BTreeSet::new();
-        for ((step, run), count) in present {
-            let first = TaskId { step, index: 0 };
-            let spec = self.judge.step_of(first);
-            if spec.is_some_and(|spec| spec.tasks == count) {
-                whole.insert((step, run));
-            }
-        }
-        whole
-    }
-
-    fn finish(&mut self, id: &WorkerId, task: TaskId, run: Run, gang: bool) {
-        let Some(worker) = self.workers.get_mut(id) else {
-            return;
-        };
-        let Some(live) = worker.runs.get(&task).filter(|live| live.run == run) else {
-            return;
-        };
-        let failed = self.failed_runs.entry(task).or_default();
-        let fails = *failed < live.plan.failing_runs;
-        *failed += u32::from(fails);
-        let end = if fails { RunEnd::Failed } else { RunEnd::Done };
-        worker.end(task, end, &mut self.judge);
-        if !gang {
-            return;
-        }
-        if fails {
-            self.break_gang(task.step, run);
-        } else {
-            self.finish_gang(task.step, run);
-        }
-    }
-
-    /// Ends the other members of a gang, one of which has ended.
-    fn break_gang(&mut self, step: StepId, run: Run) {
-        self.end_members(step, run, RunEnd::Broken);
-    }
-
-    /// Ends the other members of a gang that is done.
-    fn finish_gang(&mut self, step: StepId, run: Run) {
-        self.end_members(step, run, RunEnd::Done);
-    }
-
-    fn end_members(&mut self, step: StepId, run: Run, end: RunEnd) {
-        for worker in self.workers.values_mut() {
-            let members: Vec<_> = worker
-                .runs
-                .iter()
-                .filter(|(task, live)| task.step == step && live.run == run && live.gang)
-                .map(|(task, _)| *task)
-                .collect();
-            for task in members {
-                worker.end(task, end, &mut self.judge);
-            }
+            self.finish(&id, task, run, gang, now);
         }
     }
 }
--- /dev/null
+++ b/crates/fleet/src/fleet/ends.rs
@@ -0,0 +1,154 @@
+//! How runs end: by themselves, with their lease, by a stop, with their gang.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use syc_sched::Run;
+use syc_sched::RunEnd;
+use syc_sched::StepId;
+use syc_sched::TaskId;
+use syc_types::Millis;
+use syc_types::WorkerId;
+
+use super::FleetModel;
+use crate::worker::LiveRun;
+
+impl FleetModel {
+    pub(super) fn lapse(&mut self, now: Millis) {
+        let mut broken = Vec::new();
+        for worker in self.workers.values_mut() {
+            if worker.lease_until_ms > worker.clock_ms(now) {
+                continue;
+            }
+            worker.void_ends = worker.last_end;
+            let at = worker.lease_end().min(now);
+            let lapsed: Vec<_> = worker
+                .runs
+                .iter()
+                .map(|(task, live)| (*task, live.run))
+                .collect();
+            for (task, run) in lapsed {
+                worker.end(task, RunEnd::Lapsed, at, &mut self.judge);
+                broken.push((task.step, run));
+            }
+        }
+        for (step, run) in broken {
+            self.break_gang(step, run, now);
+        }
+    }
+
+    /// Ends the runs whose stop is over.
+    pub(super) fn end_stopped(&mut self, now: Millis) {
+        let is_over = |_: &TaskId, live: &LiveRun| live.stops_at.is_some_and(|at| at <= now);
+        self.end_those(RunEnd::Stopped, now, is_over);
+    }
+
+    /// Ends the members of gangs that have waited too long for the others.
+    pub(super) fn end_lonely(&mut self, now: Millis) {
+        let wait_ms = self.limits.gang_wait_ms;
+        if wait_ms == u64::MAX {
+            return;
+        }
+        let whole = self.whole_gangs();
+        let lonely = |task: &TaskId, live: &LiveRun| {
+            let waits = live.gang && !whole.contains(&(task.step, live.run));
+            waits && now.since(live.began_at) >= wait_ms
+        };
+        self.end_those(RunEnd::Alone, now, lonely);
+    }
+
+    /// Ends those runs of which something holds, and the gangs that they are members of.
+    fn end_those<F>(&mut self, end: RunEnd, now: Millis, holds: F)
+    where
+        F: Fn(&TaskId, &LiveRun) -> bool,
+    {
+        let mut broken = Vec::new();
+        for worker in self.workers.values_mut() {
+            let over: Vec<_> = worker
+                .runs
+                .iter()
+                .filter(|(task, live)| holds(task, live))
+                .map(|(task, live)| (*task, live.run))
+                .collect();
+            for (task, run) in over {
+                worker.end(task, end, now, &mut self.judge);
+                broken.push((task.step, run));
+            }
+        }
+        for (step, run) in broken {
+            self.break_gang(step, run, now);
+        }
+    }
+
+    /// Returns the gangs of which every member is there.
+    pub(super) fn whole_gangs(&self) -> BTreeSet<(StepId, Run)> {
+        let mut present: BTreeMap<(StepId, Run), u32> = BTreeMap::new();
+        for worker in self.workers.values() {
+            for (task, live) in &worker.runs {
+                *present.entry((task.step, live.run)).or_default() += 1;
+            }
+        }
+        let mut whole = BTreeSet::new();
+        for ((step, run), count) in present {
+            let first = TaskId { step, index: 0 };
+            let spec = self.judge.step_of(first);
+            if spec.is_some_and(|spec| spec.tasks == count) {
+                whole.insert((step, run));
+            }
+        }
+        whole
+    }
+
+    pub(super) fn finish(
+        &mut self,
+        id: &WorkerId,
+        task: TaskId,
+        run: Run,
+        gang: bool,
+        now: Millis,
+    ) {
+        let Some(worker) = self.workers.get_mut(id) else {
+            return;
+        };
+        let Some(live) = worker.runs.get(&task).filter(|live| live.run == run) else {
+            return;
+        };
+        let failed = self.failed_runs.entry(task).or_default();
+        let fails = *failed < live.plan.failing_runs;
+        *failed += u32::from(fails);
+        let end = if fails { RunEnd::Failed } else { RunEnd::Done };
+        worker.end(task, end, now, &mut self.judge);
+        if !gang {
+            return;
+        }
+        if fails {
+            self.break_gang(task.step, run, now);
+        } else {
+            self.finish_gang(task.step, run, now);
+        }
+    }
+
+    /// Ends the other members of a gang, one of which has ended.
+    fn break_gang(&mut self, step: StepId, run: Run, now: Millis) {
+        self.end_members(step, run, RunEnd::Broken, now);
+    }
+
+    /// Ends the other members of a gang that is done.
+    fn finish_gang(&mut self, step: StepId, run: Run, now: Millis) {
+        self.end_members(step, run, RunEnd::Done, now);
+    }
+
+    fn end_members(&mut self, step: StepId, run: Run, end: RunEnd, now: Millis) {
+        for worker in self.workers.values_mut() {
+            let members: Vec<_> = worker
+                .runs
+                .iter()
+                .filter(|(task, live)| task.step == step && live.run == run && live.gang)
+                .map(|(task, _)| *task)
+                .collect();
+            for task in members {
+                worker.end(task, end, now, &mut self.judge);
+            }
+        }
+    }
+}
--- a/crates/fleet/src/judge.rs
+++ b/crates/fleet/src/judge.rs
@@ -3,14 +3,19 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 
+use syc_sched::EndReport;
 use syc_sched::JobId;
 use syc_sched::JobSpec;
 use syc_sched::Run;
+use syc_sched::RunEnd;
 use syc_sched::StepId;
 use syc_sched::TaskId;
+use syc_types::Millis;
 use syc_types::Resources;
 use syc_types::WorkerId;
 
+use crate::RunEvent;
+
 /// A rule that was broken.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Fault {
@@ -59,6 +64,8 @@
     /// Jobs of which some task has begun.
     begun: BTreeSet<JobId>,
     faults: Vec<Fault>,
+    /// What happened since it was last taken, where somebody takes it.
+    events: Option<Vec<RunEvent>>,
 }
 
 impl Judge {
@@ -67,6 +74,22 @@
         self.jobs.insert(spec.id, spec);
     }
 
+    /// From now on, keeps what happens for [`Judge::take_events`].
+    pub fn keep_events(&mut self) {
+        self.events = Some(Vec::new());
+    }
+
+    /// Returns what happened since the last time.
+    pub fn take_events(&mut self) -> Vec<RunEvent> {
+        self.events.as_mut().map(std::mem::take).unwrap_or_default()
+    }
+
+    fn keep(&mut self, event: RunEvent) {
+        if let Some(events) = &mut self.events {
+            events.push(event);
+        }
+    }
+
     /// From now on, no task of the job may be ordered to start.
     pub fn forbid(&mut self, job: JobId) {
         self.forbidden.insert(job);
@@ -127,6 +150,11 @@
     }
 
     pub(crate) fn started(&mut self, worker: &WorkerId, task: TaskId, run: Run) {
+        self.keep(RunEvent::Started {
+            worker: worker.clone(),
+            task,
+            run,
+        });
         let Some(step) = self.step_of(task).cloned() else {
             self.faults.push(Fault::Unasked(task));
             return;
@@ -183,20 +211,52 @@
         }
     }
 
-    pub(crate) fn ended(&mut self, worker: &WorkerId, task: TaskId, run: Run, done: bool) {
+    /// A run ended in a way that its worker will report.
+    pub(crate) fn ended(
+        &mut self,
+        worker: &WorkerId,
+        task: TaskId,
+        run: Run,
+        end: RunEnd,
+        at: Millis,
+    ) {
+        self.keep(RunEvent::Ended {
+            worker: worker.clone(),
+            task,
+            run,
+            end,
+            at,
+        });
+        self.crashed(worker, task, run);
+        if end == RunEnd::Done {
+            self.done.insert(task);
+        }
+    }
+
+    /// A run ended with its worker.
+    pub(crate) fn crashed(&mut self, worker: &WorkerId, task: TaskId, run: Run) {
         if let Some(live) = self.live.get_mut(&task) {
             live.remove(&(worker.clone(), run));
         }
-        if done {
-            self.done.insert(task);
-        }
     }
 
-    pub(crate) fn acknowledged(&mut self, task: TaskId, run: Run, done: bool, failed: bool) {
-        if done {
+    /// A scheduler has noted an end; a void one may have been given up before, and proves nothing.
+    pub(crate) fn acknowledged(&mut self, worker: &WorkerId, ended: &EndReport, void: bool) {
+        let EndReport { task, run, end, .. } = *ended;
+        self.keep(RunEvent::Acknowledged {
+            worker: worker.clone(),
+            task,
+            run,
+            end,
+            void,
+        });
+        if void {
+            return;
+        }
+        if end == RunEnd::Done {
             self.acknowledged_done.insert(task);
         }
-        if failed {
+        if end == RunEnd::Failed {
             let of_step = self.acknowledged_failures.entry(task.step).or_default();
             of_step.entry(task.index).or_default().insert(run);
         }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -6,6 +6,7 @@
 //! decides which answer is lost, which order late, which worker gone.
 
 mod advice;
+mod events;
 mod fleet;
 mod judge;
 mod load;
@@ -16,6 +17,8 @@
 mod worker;
 
 pub use advice::AdviceModel;
+pub use events::RunEvent;
+pub use fleet::FleetLimits;
 pub use fleet::FleetModel;
 pub use fleet::Plan;
 pub use judge::Fault;
--- a/crates/fleet/src/worker.rs
+++ b/crates/fleet/src/worker.rs
@@ -48,6 +48,8 @@
     /// Whether it runs until it is stopped.
     pub(crate) lasts: bool,
     pub(crate) began_at: Millis,
+    /// When its stop will be over, once one was ordered.
+    pub(crate) stops_at: Option<Millis>,
     /// Work done, and work that was done before it began here.
     pub(crate) done_ms: u64,
     pub(crate) plan: Plan,
@@ -79,6 +81,18 @@
         now.0 - now.0 * self.slow_per_mille / 1_000
     }
 
+    /// Returns when its clock will show the end of its lease.
+    pub(crate) fn lease_end(&self) -> Millis {
+        let runs_per_mille = 1_000 - self.slow_per_mille.min(999);
+        Millis((self.lease_until_ms.saturating_mul(1_000)).div_ceil(runs_per_mille))
+    }
+
+    /// Extends the lease, at most to the longest there is; it never shortens.
+    pub(crate) fn extend_lease(&mut self, until_ms: u64, limit_ms: u64, now: Millis) {
+        let last_ms = self.clock_ms(now).saturating_add(limit_ms);
+        self.lease_until_ms = self.lease_until_ms.max(until_ms.min(last_ms));
+    }
+
     /// Returns the number of runs on it.
     #[must_use]
     pub fn run_count(&self) -> usize {
@@ -118,7 +132,7 @@
         Ok(())
     }
 
-    pub(crate) fn end(&mut self, task: TaskId, end: RunEnd, judge: &mut Judge) {
+    pub(crate) fn end(&mut self, task: TaskId, end: RunEnd, at: Millis, judge: &mut Judge) {
         let Some(live) = self.runs.remove(&task) else {
             return;
         };
@@ -132,7 +146,7 @@
             end,
             checkpoint,
         });
-        judge.ended(&self.id, task, live.run, end == RunEnd::Done);
+        judge.ended(&self.id, task, live.run, end, at);
     }
 }
 
