--- a/crates/fleet/src/store.rs
+++ b/crates/fleet/src/store.rs
@@ -102,6 +102,13 @@
         }
     }
 
+    /// Returns the offset of the first record that is left of the history.
+    #[must_use]
+    pub fn first(&self, topic: Topic, partition: u32) -> u64 {
+        let partition = self.partitions.get(&(topic, partition));
+        partition.map_or(0, |partition| partition.first)
+    }
+
     /// Forgets the history of a topic; the newest record of each key stays.
     pub fn forget_history(&mut self, topic: Topic) {
         for ((of_topic, _), partition) in &mut self.partitions {
