--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod advice;
 mod core_model;
+mod events;
 mod fleet;
 pub mod fuzz;
 mod judge;
@@ -20,6 +21,8 @@
 
 pub use advice::AdviceModel;
 pub use core_model::Core;
+pub use events::RunEvent;
+pub use fleet::FleetLimits;
 pub use fleet::FleetModel;
 pub use fleet::Plan;
 pub use judge::Fault;
