Read no roster in which a worker has more than any VM

Cause: the room of all workers is added up, and a sum that overflows ends the node's thread in a build with checks and wraps in one without.

--- a/crates/cell/src/ports.rs
+++ b/crates/cell/src/ports.rs
@@ -16,12 +16,20 @@
 use syc_sched::Wave;
 use syc_sched::WorkerReport;
 use syc_sched::WorkerSpec;
+use syc_types::Resources;
 use syc_types::VmId;
 use syc_types::WorkerId;
 use thiserror::Error;
 
 use crate::Configuration;
 
+/// No VM has more: a million cores, a petabyte, a million accelerators. Amounts of many VMs are added up.
+pub const CAPACITY_LIMIT: Resources = Resources {
+    cpu_millis: 1_000_000_000,
+    memory_bytes: 1 << 50,
+    accelerators: 1_000_000,
+};
+
 /// The topics of the store that a cell uses.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub enum Topic {
--- a/crates/cell/src/records.rs
+++ b/crates/cell/src/records.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use serde::Deserialize;
 use serde::Serialize;
+use serde::de::Error as _;
 use smol_str::SmolStr;
 use smol_str::format_smolstr;
 use syc_sched::JobId;
@@ -14,6 +15,7 @@
 use syc_sched::WaveProgress;
 use syc_sched::WorkerSpec;
 
+use crate::ports::CAPACITY_LIMIT;
 use crate::ports::Record;
 use crate::unreadable::NAMELESS;
 
@@ -248,7 +250,7 @@
         if !is_roster(record) {
             continue;
         }
-        let read = match serde_json::from_slice::<RosterRecord>(&record.value) {
+        let read = match read_roster_part(&record.value) {
             Ok(read) => read,
             Err(error) => {
                 unreadable.push((record.key.clone(), error));
@@ -264,6 +266,15 @@
     (latest.workers, unreadable)
 }
 
+fn read_roster_part(value: &[u8]) -> Result<RosterRecord, serde_json::Error> {
+    let read: RosterRecord = serde_json::from_slice(value)?;
+    let mut workers = read.workers.iter();
+    if workers.all(|worker| worker.capacity.fits_in(&CAPACITY_LIMIT)) {
+        return Ok(read);
+    }
+    Err(serde_json::Error::custom("more than any VM has"))
+}
+
 /// Reads a record of the topic of jobs.
 #[must_use]
 pub fn read_job(record: &Record) -> JobRecord {
