--- a/crates/cell/src/leader/roster.rs
+++ b/crates/cell/src/leader/roster.rs
@@ -55,13 +55,12 @@
     {
         let mut members = self.members.borrow_mut();
         for spec in left {
-            let spec = spec.clone();
             let member = Member {
                 spec: spec.clone(),
                 listed: false,
                 added_in: 0,
             };
-            members.insert(spec.id, member);
+            members.insert(spec.id.clone(), member);
         }
     }
 
