Keep the workers full in the test of daemons that die at once

Cause: the test's own premise. One run beside load found a task of the third job `unknown` instead of done. The first two jobs were to fill both workers, but never did: of two workers of 4 cores a pool keeps a core for urgent tasks, of two pools each keeps one. So the third job was submitted where there was room, its home wrote intents at once, and the kill raced with that. The check of eight starts does not see it: an intent on its way to the log is taken after the daemons have died. That a task with an intent and no known start is then `unknown` is what is promised.

A trace of the former test, killed 5 ms later (ms from the kill; 8 begun, 6 run, 2 have ended):

-3,173 job 0 accepted -3,165 job 1 accepted -3,156 intent 1/3 -2,126 intents 1/0, 1/1, 1/2 -659 end of 0/3 -647 end of 1/3 -15 job 2 accepted -7 intent 2/0 0 kill; the log has the 9 entries up to `job 2 accepted`, and then takes the intent as the tenth +14 views of the new daemons +248 end of 2/0: unknown; intent 2/1, which is then done

The failed run shows the same: job 0 had wholly ended 136 ms before the third job was accepted, 3.1 s after job 1.

Left: the kept tasks still depend on their leases of 3 s being renewed after the restart, which took some 0.6 s in the traces.

--- a/crates/standin/src/log.rs
+++ b/crates/standin/src/log.rs
@@ -97,6 +97,12 @@
         lock(&self.state).appends
     }
 
+    /// Returns the entries that it keeps, in order.
+    #[must_use]
+    pub fn entries(&self) -> Vec<LogEntry> {
+        lock(&self.state).entries.iter().cloned().collect()
+    }
+
     /// Returns the number of calls that were refused in an outage.
     #[must_use]
     pub fn refused(&self) -> u64 {
--- a/crates/standin/src/worker.rs
+++ b/crates/standin/src/worker.rs
@@ -89,6 +89,7 @@
     finished: HashMap<TaskRef, FinishedTask>,
     changes: ChangeLog,
     losing: bool,
+    keeping: bool,
     counts: WorkerCounts,
     executions: Executions<TaskRef>,
 }
@@ -117,6 +118,7 @@
             finished: HashMap::new(),
             changes: ChangeLog::default(),
             losing: false,
+            keeping: false,
             counts: WorkerCounts::default(),
             executions,
         }));
@@ -159,6 +161,11 @@
         lock(&self.state).losing = losing;
     }
 
+    /// Makes its tasks run on past their run time from now on, or end again.
+    pub fn set_keeping(&self, keeping: bool) {
+        lock(&self.state).keeping = keeping;
+    }
+
     /// Makes it fail every task from now on, or work again.
     pub fn set_fails_all(&self, fails_all: bool) {
         lock(&self.state).options.fails_all = fails_all;
@@ -398,7 +405,7 @@
             } else if self.options.fails_all {
                 let reason = SmolStr::new("worker fails everything");
                 due.push((*task, Some(TaskOutcome::Failed(reason))));
-            } else if running.ends.is_some_and(|ends| ends <= now) {
+            } else if !self.keeping && running.ends.is_some_and(|ends| ends <= now) {
                 let result = format_smolstr!("result:{}", running.start.payload);
                 due.push((*task, Some(TaskOutcome::Done(result))));
             }
