--- a/crates/sched/tests/core/strays.rs
+++ b/crates/sched/tests/core/strays.rs
@@ -153,3 +153,38 @@
     driver.hold(only, &[(task(0), Run(1), 10)]);
     assert_eq!(driver.stops.len(), 1);
 }
+
+/// Two nodes overlapped for 0.8 s, with two fifths of the calls late: the former scheduler still ordered starts of
+/// a job that its successor read only after it had read all the others. The successor heard of the ends a moment
+/// after it had read the job, took it as one that nobody had started, and ran all four tasks once more.
+#[test]
+fn what_ended_counts_also_where_its_job_was_read_just_before() {
+    let mut driver = successor(2);
+    let first = driver.workers[0];
+    driver.submit(JOB, policy(0), vec![step(2, 1)]);
+    let ended = [
+        (task(0), Run(1), RunEnd::Done),
+        (task(1), Run(1), RunEnd::Done),
+    ];
+    driver.report(first, &[], &ended);
+    others_answer(&mut driver);
+    driver.schedule();
+    assert!(driver.starts.is_empty(), "both are done");
+    driver.record();
+    assert_eq!(driver.state(JOB), Some(JobState::Completed));
+}
+
+#[test]
+fn what_runs_goes_on_also_where_its_job_was_read_just_before() {
+    let mut driver = successor(2);
+    let first = driver.workers[0];
+    driver.submit(JOB, policy(0), vec![step(1, 1)]);
+    driver.hold(first, &[(task(0), Run(1), 40)]);
+    others_answer(&mut driver);
+    driver.schedule();
+    assert!(driver.starts.is_empty(), "it runs");
+    assert_eq!(driver.stops, []);
+    driver.report(first, &[], &[(task(0), Run(1), RunEnd::Done)]);
+    driver.record();
+    assert_eq!(driver.state(JOB), Some(JobState::Completed));
+}
