Count what a worker tells of a run wherever its task waits

Cause: an end, or a run that is listed, counted only for jobs that were inherited, and only while taking over. A job that was read a moment after the takeover's reading counted as one that nobody had started, though the former scheduler, which did not know of its end yet, had.

Change: the end of a later run than is known settles a task that waits, whoever ordered it, and a single task that runs is taken over. Members of a gang still are only while a takeover waits for the others.

--- a/crates/sched/src/reports.rs
+++ b/crates/sched/src/reports.rs
@@ -337,12 +337,19 @@
         let Some((job_key, step, unit, member)) = self.locate(task) else {
             return false;
         };
+        let settled = self.recovery.is_settled();
         let job = &mut self.jobs[job_key];
-        if !job.inherited || job.state.is_terminal() || self.recovery.is_settled() {
+        if job.state.is_terminal() {
             return false;
         }
+        let is_taken_over = job.inherited && !settled;
         let step = &mut job.steps[step];
         let members = usize::try_from(step.members()).unwrap_or(1);
+        // A single task goes on wherever it is found. Members of a gang do so only while a takeover waits for
+        // the others.
+        if members > 1 && !is_taken_over {
+            return false;
+        }
         let unit = &mut step.units[unit];
         if run <= unit.accounted {
             return false;
--- a/crates/sched/src/units.rs
+++ b/crates/sched/src/units.rs
@@ -115,7 +115,6 @@
         let Some((job_key, step_index, unit_index, member)) = self.locate(task) else {
             return 0;
         };
-        let settled = self.recovery.is_settled();
         let job = &mut self.jobs[job_key];
         // A task that lasts is started again however it ends.
         let lasts = job.steps[step_index].spec.long_running;
@@ -144,7 +143,6 @@
         if failed_here && !lasts && !unit.avoid.contains(&worker) {
             unit.avoid.push(worker);
         }
-        let inherited = job.inherited && !settled;
         match &mut unit.state {
             UnitState::Placed {
                 run: placed,
@@ -166,7 +164,8 @@
                     self.close_further(place, run, outcome, now);
                 }
             }
-            UnitState::Pending if inherited => {
+            // A predecessor started it, or a copy of an order that was taken as refused: it ran all the same.
+            UnitState::Pending => {
                 step.pending -= 1;
                 self.settle(place, run, outcome, now);
             }
