--- a/crates/cell/tests/cell/fuzz.rs
+++ b/crates/cell/tests/cell/fuzz.rs
@@ -267,8 +267,16 @@
     let read = |frame: &[u8]| CellMessage::decoded(frame).ok();
     any_bytes(read);
     changed_bytes(&sound, read);
-    // A field of a later version: number 100, a text.
-    for frame in &sound {
+    later_frames(&sound, read);
+}
+
+/// Gives a reader sound frames with a field of a later version: number 100, a text.
+fn later_frames<T, F>(sound: &[Vec<u8>], read: F)
+where
+    T: PartialEq + std::fmt::Debug,
+    F: Fn(&[u8]) -> Option<T>,
+{
+    for frame in sound {
         let mut later = frame.clone();
         prost::encoding::string::encode(100, &"later".to_owned(), &mut later);
         assert_eq!(read(&later), read(frame));
@@ -312,9 +320,5 @@
     };
     any_bytes(read);
     changed_bytes(&sound, read);
-    for frame in &sound {
-        let mut later = frame.clone();
-        prost::encoding::string::encode(100, &"later".to_owned(), &mut later);
-        assert_eq!(read(&later), read(frame));
-    }
+    later_frames(&sound, read);
 }
--- a/crates/daemon/tests/daemon/bed.rs
+++ b/crates/daemon/tests/daemon/bed.rs
@@ -6,6 +6,7 @@
 use awc::Client;
 use syc_config::Document;
 use syc_config::Limits;
+use syc_config::Policy;
 use syc_config::Settings;
 use syc_config::Timing;
 use syc_daemon::Daemon;
@@ -159,6 +160,17 @@
             .await
     }
 
+    /// Publishes a policy that keeps nothing for urgent tasks, so that all that no task holds is free.
+    pub async fn keep_no_headroom(&self) {
+        let policy = Document::Policy(Policy {
+            name: "default".into(),
+            waiting_weight: 0,
+            ..Policy::default()
+        });
+        let (status, text) = self.publish(0, 0, policy).await;
+        assert_eq!(status, 200, "{text}");
+    }
+
     /// Publishes a document under a publication id of its own choosing; returns status and body.
     pub async fn publish_as(
         &self,
--- a/crates/daemon/tests/daemon/home_crash.rs
+++ b/crates/daemon/tests/daemon/home_crash.rs
@@ -10,7 +10,6 @@
 use syc_config::Document;
 use syc_config::Limits;
 use syc_config::PeerSettings;
-use syc_config::Policy;
 use syc_config::Settings;
 use syc_config::Timing;
 use syc_coord::records::Content;
@@ -157,13 +156,7 @@
 
 // What is kept for urgent tasks would leave one or two of eight without room.
 async fn keep_no_headroom(bed: &Bed) {
-    let policy = Document::Policy(Policy {
-        name: "default".into(),
-        waiting_weight: 0,
-        ..Policy::default()
-    });
-    let (status, text) = bed.publish(0, 0, policy).await;
-    assert_eq!(status, 200, "{text}");
+    bed.keep_no_headroom().await;
     for number in 0..DAEMONS {
         bed.await_config(number, 2).await;
     }
--- a/crates/daemon/tests/daemon/owner.rs
+++ b/crates/daemon/tests/daemon/owner.rs
@@ -2,8 +2,6 @@
 
 use std::time::Duration;
 
-use syc_config::Document;
-use syc_config::Policy;
 use syc_member::Member;
 use syc_member::View;
 use syc_net::PeerClient;
@@ -86,13 +84,7 @@
 /// Starts a bed whose policy keeps nothing for urgent tasks, so that all that no task holds is free.
 async fn start(options: &BedOptions) -> Bed {
     let bed = Bed::start(options.clone()).await;
-    let policy = Document::Policy(Policy {
-        name: "default".into(),
-        waiting_weight: 0,
-        ..Policy::default()
-    });
-    let (status, text) = bed.publish(0, 0, policy).await;
-    assert_eq!(status, 200, "{text}");
+    bed.keep_no_headroom().await;
     bed
 }
 
