--- a/crates/cell/src/leader/heartbeat.rs
+++ b/crates/cell/src/leader/heartbeat.rs
@@ -13,9 +13,8 @@
 /// Name of the producer of heartbeats.
 const PRODUCER: &str = "holder";
 
-/// Name of the producer of the last word. It numbers for itself: a heartbeat under way may have been
-/// carried out, and what is sent under its number counts as its repeat. The release was lost so, and the
-/// role was free 0.8 s later, by silence, while the store was slow.
+/// Name of the producer of the release. It numbers for itself: a heartbeat under way may be carried out, and
+/// a release under the same number would count as its repeat.
 const RELEASE_PRODUCER: &str = "release";
 
 /// Tries to tell the store that the role is free, before the others find out by the silence.
--- a/crates/cell/src/leader/load.rs
+++ b/crates/cell/src/leader/load.rs
@@ -118,11 +118,11 @@
     join_all(reads).await
 }
 
-/// Reads a partition again and again until it answers. Only that one: with all of them read again at each
-/// try, a sound partition was read eight times while another was down for seven tries.
+/// Reads a partition again and again until it answers. Only that one: the others need not be read once more
+/// for it.
 ///
-/// A read without an answer goes on beside the next one, and the first answer counts: after a store was
-/// silent, a takeover went on waiting for 2.1 s for what it had sent before the store was back.
+/// A read without an answer goes on beside the next one, and the first answer counts: a store that was
+/// silent never answers what was sent before it was back.
 async fn read_until_there<P>(leader: &Leader<P>, topic: Topic, partition: u32) -> Newest
 where
     P: Platform,
--- a/crates/cell/src/leader/readers.rs
+++ b/crates/cell/src/leader/readers.rs
@@ -39,7 +39,7 @@
 /// Follows one partition of the topic of jobs.
 ///
 /// What is known of it is as old as the question, not as the answer: dated by the answer, "no such job" could
-/// rest on what was read 3.2 s before, where a job has to be known 3 s after it was accepted.
+/// be said of a job that was accepted long enough ago to be known.
 pub(super) async fn follow_jobs<P>(leader: Rc<Leader<P>>, partition: u32, mut from: u64)
 where
     P: Platform,
--- a/crates/cell/src/leader/sessions.rs
+++ b/crates/cell/src/leader/sessions.rs
@@ -30,8 +30,7 @@
 /// Longest such wait.
 const RETRY_LIMIT_MS: u64 = 400;
 
-/// Orders under way at one worker: each takes a connection, and workers reset those beyond their
-/// bound, which is some sixty.
+/// Orders under way at one worker: each takes a connection, and workers reset those beyond their bound.
 const ORDERS_AT_ONCE: usize = 24;
 
 /// A session with a worker.
--- a/crates/cell/src/leader/vms.rs
+++ b/crates/cell/src/leader/vms.rs
@@ -29,8 +29,7 @@
 /// Wait after an append that failed.
 const RETRY_MS: u64 = 100;
 
-/// A call about VMs without an answer is given up after this time: the platform answers in
-/// milliseconds, or fifty times as late while it is slow.
+/// A call about VMs without an answer is given up after this time: above the answers of a slow platform.
 const CALL_TIMEOUT_MS: u64 = 1_000;
 
 /// Most parts of a list of VMs: far beyond what a cell has.
--- a/crates/cell/src/settings.rs
+++ b/crates/cell/src/settings.rs
@@ -40,7 +40,7 @@
     pub timing: Timing,
 }
 
-/// Times that a node works by, each with its unit and origin.
+/// Times that a node works by.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Timing {
     /// Lease of a run from its latest renewal: long enough to outlast a change of the scheduler,
@@ -69,14 +69,14 @@
     pub probe_timeout_ms: u64,
     /// Time that the scheduler has for an answer to another node.
     pub peer_timeout_ms: u64,
-    /// A call to the store without an answer is given up after this time; sound answers take some
-    /// milliseconds, those of a slow store a quarter of a second.
+    /// A call to the store without an answer is given up after this time: above the answers of a slow
+    /// store.
     pub store_timeout_ms: u64,
-    /// A read of a whole partition is given up after this time: megabytes over a thin link take seconds.
+    /// A read of a whole partition is given up after this time: enough for a thin link.
     pub whole_read_timeout_ms: u64,
     /// A takeover reads a partition once more, beside the read under way, after this time without an
     /// answer, and again after half as long again each time: what is sent to a store that is silent is
-    /// never answered, though the store is back. A sound one answers in milliseconds, a slow one in 0.25 s.
+    /// never answered, though the store is back.
     pub whole_read_hedge_ms: u64,
     /// A submit is given up after this time: the caller asks again within its own timeout.
     pub submit_limit_ms: u64,
@@ -142,8 +142,8 @@
 
     /// Returns the time that the node leaves others to claim first.
     ///
-    /// A scheduler reads all that its predecessor left, and cannot be reached meanwhile over a thin
-    /// link: megabytes take a second at 10 Mbit/s, in which it was taken to be gone, again and again.
+    /// A scheduler reads all that its predecessor left. Over a thin link it cannot be reached meanwhile,
+    /// and would be taken to be gone.
     #[must_use]
     pub fn claim_delay_ms(&self) -> u64 {
         if self.link_mbps < AMPLE_LINK_MBPS {
@@ -155,10 +155,8 @@
 
     /// Returns the number of partitions over which nodes spread the jobs that they store.
     ///
-    /// A partition takes one append at a time, in milliseconds, or a quarter of a second while the
-    /// store is slow; with one for each of some dozens of nodes, a submit waits for one append, not for
-    /// a queue of them. Where 30 nodes shared 8 partitions of a store that was slow by 43 for 3.5 s, 931 submits
-    /// were in doubt, after 1.4 s at the median.
+    /// A partition takes one append at a time; with one for each of some dozens of nodes, a submit waits
+    /// for one append, not for a queue of them, which a slow store would not get done within its timeout.
     #[must_use]
     pub fn job_partitions(&self) -> u32 {
         let topics = JOB_PARTITIONS.div_ceil(self.partitions.max(1));
--- a/crates/cell/src/store_calls.rs
+++ b/crates/cell/src/store_calls.rs
@@ -24,7 +24,7 @@
 /// An append without an answer is sent again after this many times the usual time.
 const HEDGE_FACTOR: u64 = 4;
 
-/// It is sent again no sooner than this: a sound answer takes some ten milliseconds.
+/// It is sent again no sooner than this: above the time of a sound answer.
 const HEDGE_LEAST_MS: u64 = 50;
 
 /// Times that an append is sent in all; the waits between double.
--- a/crates/cell/tests/cell/fuzz.rs
+++ b/crates/cell/tests/cell/fuzz.rs
@@ -191,7 +191,7 @@
     unreadable.is_empty().then_some(workers)
 }
 
-/// Amounts of all workers are added up; this one was drawn with seed 1 and 50,000 cases.
+/// Amounts of all workers are added up: one must not overflow the sum.
 #[test]
 fn a_roster_with_more_than_any_vm_has_is_not_read() {
     let mut workers = vec![worker(0), worker(1)];
--- a/crates/cell/tests/cell/store.rs
+++ b/crates/cell/tests/cell/store.rs
@@ -156,8 +156,8 @@
     });
 }
 
-/// An answer says what the store had when it was asked. Dated by its arrival, a count could be as old as the
-/// longest read on top of what counts as current: 5.3 s, where a job that has waited for 5 s must be counted.
+/// An answer says what the store had when it was asked. Dated by its arrival, a count could be older than what
+/// counts as current, by the longest read, and miss a job that must be counted.
 #[test]
 fn jobs_are_not_counted_from_answers_that_come_late() {
     let timing = Timing {
@@ -210,7 +210,7 @@
     cluster.assert_sound();
 }
 
-/// Reading everything again at each try kept a slow node from ever being done.
+/// A slow node that read everything again at each try would never be done.
 #[test]
 fn a_takeover_reads_again_only_what_did_not_answer() {
     let mut cluster = Cluster::start(2, 2);
--- a/crates/cell/tests/cell/takeover.rs
+++ b/crates/cell/tests/cell/takeover.rs
@@ -138,8 +138,8 @@
     cluster.assert_sound();
 }
 
-/// A heartbeat that was carried out and not answered has the number that the next append would get: one
-/// that took it for its own was never seen, and the others waited until the silence was long enough.
+/// A heartbeat that was carried out and not answered has the number that the next append would get: a release
+/// under that number is never seen, and the others wait until the silence is long enough.
 #[test]
 fn a_role_that_is_handed_on_while_a_heartbeat_is_unanswered_is_free_at_once() {
     let timing = Timing {
--- a/crates/cell/tests/cell/workers.rs
+++ b/crates/cell/tests/cell/workers.rs
@@ -32,7 +32,7 @@
     cluster.assert_sound();
 }
 
-/// A successor that left out a worker because of its entry never learned what ran there.
+/// A successor that leaves out a worker because of its entry never learns what runs there.
 #[test]
 fn a_worker_whose_entry_turns_unreadable_gets_nothing_new_and_is_still_asked() {
     let mut cluster = Cluster::start(2, 1);
