--- a/crates/sched/src/advice.rs
+++ b/crates/sched/src/advice.rs
@@ -158,9 +158,8 @@
         if advice.asked_at.is_some() || now < advice.not_before {
             return None;
         }
-        // Whom to ask is worked out only where the shortest call can be made: after nine seconds
-        // without a look, one that did so for each waiting step took 28 ms of a core on average and 72 ms at
-        // most, and its node was taken to be gone.
+        // Whom to ask is worked out only where the shortest call can be made: a look that did so for each
+        // waiting step would hold up the scheduler's own answers where many wait.
         let policy = job.spec.policy.advice?;
         self.has_slot(policy.call_ms(1)).then_some(policy)
     }
--- a/crates/sched/src/advisers.rs
+++ b/crates/sched/src/advisers.rs
@@ -1,8 +1,8 @@
 //! The nodes that call the advice service, and what each has under way there.
 //!
 //! The service serves one call at a time for each calling node, so the calls that can be served at once
-//! are a resource like cores. What is waiting is asked about only when a node is free: calls that were
-//! queued at the service kept short ones behind long ones (513 ms at the median in place of 11).
+//! are a resource like cores. What is waiting is asked about only when a node is free: among calls that
+//! queue at the service, short ones wait behind long ones.
 
 use std::collections::BTreeMap;
 
--- a/crates/sched/src/gang.rs
+++ b/crates/sched/src/gang.rs
@@ -12,10 +12,8 @@
 /// A ticket that is good for less than this is asked for anew while room is being made.
 const FRESH_MS: u64 = 300;
 
-/// A gang asks about more workers until those that may run it could hold it so many times.
-///
-/// With no bound, gangs that lack room take all calls for advice: near what the workers hold, 0.627 of the
-/// worth of five days was earned in place of 0.673, and twice or once left gangs too little choice.
+/// A gang asks about more workers until those that may run it could hold it so many times: with no bound,
+/// gangs that lack room take all calls for advice.
 const CHOICE: u32 = 3;
 
 /// Workers for the members of a gang, and how many of them each takes.
--- a/crates/sched/src/options.rs
+++ b/crates/sched/src/options.rs
@@ -1,4 +1,4 @@
-//! The times and limits of a scheduler, each with its unit and origin.
+//! The times and limits of a scheduler.
 
 use crate::CallLength;
 
@@ -14,8 +14,8 @@
     pub stop_ms: u64,
     /// Time for which a job's state can be asked after it has ended.
     pub status_ms: u64,
-    /// A start or stop order without an answer is sent again after this time. Workers answer in
-    /// about a millisecond; the rest is for a busy link.
+    /// A start or stop order without an answer is sent again after this time: above an answer over a busy
+    /// link.
     pub order_retry_ms: u64,
     /// Starts without an answer before the run is given up and stopped.
     pub start_orders_limit: u32,
--- a/crates/sched/src/place.rs
+++ b/crates/sched/src/place.rs
@@ -348,7 +348,7 @@
 /// where nothing has to stop.
 ///
 /// Members of gangs are left alone: with one of them the whole gang ends, and needs room on all its
-/// workers at once to go on. Stopping them made one task's room cost a gang's work again and again.
+/// workers at once to go on: one task's room would cost a gang's work again and again.
 pub(crate) fn victims(worker: &Worker, need: &Resources, priority: u32) -> Option<Victims> {
     let mut candidates: Vec<_> = worker
         .runs
--- a/crates/sched/src/reports.rs
+++ b/crates/sched/src/reports.rs
@@ -235,8 +235,7 @@
     }
 
     /// Says whether a run belongs to a job that has just completed: the members of a gang end within
-    /// milliseconds of each other. Orders to stop the rest were three in four of all stops on a calm
-    /// day: 426 of 561 in its log.
+    /// milliseconds of each other, and need no orders to stop.
     fn ends_by_itself(&self, task: TaskId, now: Millis) -> bool {
         let Some(key) = self.job_keys.get(&task.step.job) else {
             return false;
--- a/crates/sched/src/slowness.rs
+++ b/crates/sched/src/slowness.rs
@@ -22,8 +22,7 @@
 use crate::worker::WorkerRun;
 use crate::worker::fits;
 
-/// A run says something after it has been listed for this long: reports come some tens of milliseconds
-/// late.
+/// A run says something after it has been listed for this long: reports come a little late.
 const LEAST_MS: u64 = 200;
 
 /// Tasks of the same step elsewhere that a run is compared with, at least.
@@ -32,8 +31,8 @@
 /// Tasks that a run is compared with, at most: they are sorted at each report, and a step may have 10,000.
 const OTHERS_LIMIT: usize = 64;
 
-/// A worker counts as slow from this factor on; the fewer steps say so, the more is asked of them: three
-/// times as long by one step, 2.3 times by two.
+/// A worker counts as slow from this factor on, in the geometric mean over its steps and one more with factor
+/// 1: the fewer steps say so, the more is asked of them.
 const SLOW_FACTOR: f64 = 1.75;
 
 /// Each step has to show at least this factor: a slow worker is slow for all.
--- a/crates/sched/src/spec.rs
+++ b/crates/sched/src/spec.rs
@@ -11,8 +11,8 @@
 /// Most tasks that a step may have.
 pub const STEP_TASKS_LIMIT: u32 = 10_000;
 
-/// Most tasks that all steps and occurrences of a job may have together. A task takes some 200 bytes of a
-/// scheduler: a job of 1,000 steps with 10,000 tasks each took two gigabytes.
+/// Most tasks that all steps and occurrences of a job may have together: the other two limits alone would
+/// let one job take gigabytes of a scheduler.
 pub const JOB_TASKS_LIMIT: u64 = 50_000;
 
 /// Most steps that a job may have.
--- a/crates/sched/src/strays.rs
+++ b/crates/sched/src/strays.rs
@@ -2,7 +2,7 @@
 //!
 //! A job can be stored, and started by a predecessor that does not know of its end yet, after a successor has
 //! read that partition of jobs. What a worker tells of such a run waits for the job: taken as a forgotten one's,
-//! its end was dropped, and the task ran once more.
+//! its end would be dropped, and the task would run once more.
 
 use syc_types::Millis;
 
--- a/crates/sched/src/vms.rs
+++ b/crates/sched/src/vms.rs
@@ -63,8 +63,8 @@
     }
 
     pub(crate) fn vms_listed(&mut self, asked_at: Millis, listed: Option<Vec<VmInfo>>) {
-        // An earlier list that comes late answers an earlier question: dated by the latest one, it showed a
-        // VM as back that had only just gone down, and the next one of its wave followed.
+        // An earlier list that comes late answers an earlier question: dated by the latest one, it would show a
+        // VM as back that has only just gone down, and the next one of its wave would follow.
         if self.vms.asked_at == Some(asked_at) {
             self.vms.asked_at = None;
         }
@@ -151,7 +151,7 @@
         };
         let mut at_work = 0;
         for worker in self.workers.values() {
-            // What it told last may be as old as its lease: 6.3 s in which nobody was served there.
+            // What it told last may be as old as its lease, and nobody is served there meanwhile.
             if worker.silent {
                 continue;
             }
--- a/crates/sched/src/waiting.rs
+++ b/crates/sched/src/waiting.rs
@@ -22,9 +22,8 @@
 pub(crate) struct Urgency {
     /// Whether the work is of no use any more, however soon it is done.
     ///
-    /// What is late but still of use keeps its turn. Served after all that was not late yet, it became
-    /// useless in its turn: on ten days near what the workers hold, 0.686 of the worth was earned, and
-    /// 0.708 as it is.
+    /// What is late but still of use keeps its turn: served after all that is not late yet, it would become
+    /// useless while it waits.
     past_use: bool,
     priority: u32,
     due_at: Millis,
--- a/crates/sched/tests/core/counts.rs
+++ b/crates/sched/tests/core/counts.rs
@@ -1,18 +1,7 @@
 //! The count of jobs that wait.
 //!
-//! Some seconds after all nodes of a cell had been killed, a queue was said to have no waiting jobs, while
-//! five had waited for five seconds. Their first tasks had been ordered from workers that never answered, and
-//! a job counted as begun from the order on. It went on waiting until the worker's lease had surely lapsed.
-//! The log of such a job had its orders, to one silent worker, and no word of a run:
-//!
-//! ```text
-//! 13.3323  SYC0724 job seen     job=J
-//! 13.3323  SYC0730 run ordered  task=J/0/0 run=1 worker=W
-//! 13.6423  SYC0730 run ordered  task=J/0/0 run=1 worker=W
-//! 13.9464  SYC0730 run ordered  task=J/0/0 run=1 worker=W
-//! 18.51                         0 jobs are said to wait
-//! 21.6609  SYC0725 job decided  state=completed after_ms=8330
-//! ```
+//! An order alone is no start: a job whose first task is ordered from a worker that never answers goes on
+//! waiting until the worker's lease has surely lapsed, and counts as waiting until a run of it is seen.
 
 use syc_sched::Event;
 use syc_sched::JobProgress;
@@ -94,8 +83,8 @@
     assert_eq!(waiting(&driver), 0);
 }
 
-/// The record that is written with an order says that the job waits. With none after it, a job that had been
-/// shown as running was shown as queued after a takeover, until its worker had answered.
+/// The record that is written with an order says that the job waits. With none after it, a job that was shown
+/// as running would be shown as queued after a takeover, until its worker answers.
 #[test]
 fn a_job_that_was_shown_as_running_still_is_after_a_takeover() {
     let (mut driver, order) = ordered();
--- a/crates/sched/tests/core/order.rs
+++ b/crates/sched/tests/core/order.rs
@@ -7,8 +7,8 @@
 use crate::driver::policy;
 use crate::driver::step;
 
-/// The objective is three seconds here, and of use is what is done within three times that. A job that was
-/// served after all that was not late yet became useless in its turn.
+/// The objective is three seconds here, and of use is what is done within three times that. A job that is
+/// served after all that is not late yet becomes useless while it waits.
 #[test_case(2_000, 1; "in time")]
 #[test_case(7_000, 1; "late, but of use")]
 #[test_case(10_000, 2; "past use")]
--- a/crates/sched/tests/core/upkeep.rs
+++ b/crates/sched/tests/core/upkeep.rs
@@ -231,7 +231,7 @@
     assert_eq!(ordered(&mut driver), []);
 }
 
-/// Work that moved to the next VM of the wave had to move again, at each of them.
+/// Work that moves to the next VM of the wave has to move again, at each of them.
 #[test]
 fn what_starts_goes_to_vms_that_have_had_their_upkeep_where_it_can() {
     let mut driver = published(3, 1);
@@ -266,8 +266,8 @@
     assert_eq!(asked, 0);
 }
 
-/// A worker that answers no more keeps its tasks for as long as its lease may hold, 6.3 s. Counted as at work
-/// all the while, they let a second task of their step be stopped while their users had no answer.
+/// A worker that answers no more keeps its tasks for as long as its lease may hold. Counted as at work all the
+/// while, they would let a second task of their step be stopped while their users have no answer.
 #[test]
 fn a_task_on_a_silent_worker_is_out_of_service() {
     let mut driver = Driver::new(3, 4);
@@ -308,7 +308,7 @@
 }
 
 /// A list that is slow to come shows what was so when it was asked for. Dated by the question that followed it,
-/// it showed a VM as back that had only just gone down, and the next one followed it.
+/// it would show a VM as back that has only just gone down, and the next one would follow it.
 #[test]
 fn a_list_that_comes_late_is_as_old_as_its_own_question() {
     let mut driver = published(2, 1);
@@ -338,8 +338,8 @@
     assert_eq!(ordered(&mut driver), [], "the first is still down");
 }
 
-/// A list that was asked for before a wave was seen may lack a VM that joined since. Taken as gone, it was
-/// left out, and the wave was said to be completed.
+/// A list that was asked for before a wave was seen may lack a VM that joined since. Taken as gone, it would
+/// be left out, and the wave be said to be completed.
 #[test]
 fn a_list_from_before_the_wave_does_not_say_that_its_vms_are_gone() {
     let mut driver = published(1, 1);
--- a/crates/sched/tests/overload/main.rs
+++ b/crates/sched/tests/overload/main.rs
@@ -44,7 +44,7 @@
     assert!(lookups > 0.98, "gangs, batch, lookups: {served:.2?}");
 }
 
-/// A look that worked out whom to ask about each waiting step took up to 72 ms of a core.
+/// A look that worked out whom to ask about each waiting step would hold up the scheduler.
 #[test]
 fn a_look_works_out_whom_to_ask_only_while_a_call_can_be_made() {
     let setup = Setup {
