--- a/crates/fleet/src/fuzz.rs
+++ b/crates/fleet/src/fuzz.rs
@@ -27,7 +27,7 @@
 /// Variable that sets the seed.
 const SEED_VARIABLE: &str = "SYC_FUZZ_SEED";
 
-/// Cases of each kind where nothing is set, as in CI: all readers together take some two seconds.
+/// Cases of each kind where nothing is set: few enough for CI.
 const CASES: u32 = 400;
 
 /// Bytes of generated input.
--- a/crates/obs/tests/lines.rs
+++ b/crates/obs/tests/lines.rs
@@ -78,7 +78,7 @@
     assert!(lines.len() < 500, "{}", lines.len());
 }
 
-/// A burst of one event used to hide all others of the same second.
+/// A burst of one event must not hide the others of the same second.
 #[test]
 fn one_event_leaves_room_for_others() {
     if is_writer() {
--- a/crates/place/benches/replay/workload.rs
+++ b/crates/place/benches/replay/workload.rs
@@ -16,7 +16,7 @@
 pub const GIB: u64 = 1 << 30;
 /// Offered processor time as a share of what there is, in thousandths.
 pub const LOAD_PERMILLE: u64 = 1_050;
-/// Mean processor time of a job here, in core milliseconds; found by the generator below.
+/// Mean processor time of a job that the generator below draws, in core milliseconds.
 pub const MEAN_VOLUME: u64 = 2_004_000;
 
 #[derive(Clone, Copy)]
