--- a/crates/args/src/lib.rs
+++ b/crates/args/src/lib.rs
@@ -1,4 +1,4 @@
-//! The command line that the daemons share: settings to read or to check, and the exit codes.
+//! Command lines: reading one, what the daemons' have in common, and the exit codes.
 
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -15,6 +15,28 @@
 /// Exit code of an address that can't be listened on.
 pub const EXIT_LISTEN: u8 = 4;
 
+/// Reads the command line; `parse` returns nothing where it printed all that was asked for.
+///
+/// # Errors
+///
+/// Fails with the code to exit with, where there is nothing to run: after what was printed, or with
+/// [`EXIT_USAGE`] after saying what is wrong.
+pub fn read<T, F>(help: &str, parse: F) -> Result<T, ExitCode>
+where
+    F: FnOnce(Parser) -> Result<Option<T>, lexopt::Error>,
+{
+    match parse(Parser::from_env()) {
+        Ok(Some(arguments)) => Ok(arguments),
+        Ok(None) => Err(ExitCode::SUCCESS),
+        Err(error) => Err(usage(help, &error.to_string())),
+    }
+}
+
+fn usage(help: &str, error: &str) -> ExitCode {
+    eprintln!("{error}\n\n{help}");
+    ExitCode::from(EXIT_USAGE)
+}
+
 /// A program that runs a daemon.
 #[derive(Debug, Clone, Copy)]
 pub struct Program {
@@ -41,18 +63,13 @@
     /// Fails with the code to exit with, where there is nothing to run: after the help or the
     /// version, or with [`EXIT_USAGE`] after saying what is wrong.
     pub fn arguments(&self) -> Result<Arguments, ExitCode> {
-        match self.parse(Parser::from_env()) {
-            Ok(Some(arguments)) => Ok(arguments),
-            Ok(None) => Err(ExitCode::SUCCESS),
-            Err(error) => Err(self.usage(&error.to_string())),
-        }
+        read(self.help, |parser| self.parse(parser))
     }
 
     /// Says what is wrong with the command line, and returns the code to exit with.
     #[must_use]
     pub fn usage(&self, error: &str) -> ExitCode {
-        eprintln!("{error}\n\n{}", self.help);
-        ExitCode::from(EXIT_USAGE)
+        usage(self.help, error)
     }
 
     fn parse(&self, mut parser: Parser) -> Result<Option<Arguments>, lexopt::Error> {
--- a/crates/bench/src/bin/syc-faults/main.rs
+++ b/crates/bench/src/bin/syc-faults/main.rs
@@ -11,6 +11,7 @@
 use std::process::ExitCode;
 
 use lexopt::Arg;
+use lexopt::Parser;
 use lexopt::ValueExt;
 use miette::Result;
 use syc_bench::cluster::Cluster;
@@ -60,13 +61,9 @@
 }
 
 fn main() -> ExitCode {
-    let options = match parse() {
-        Ok(Some(options)) => options,
-        Ok(None) => return ExitCode::SUCCESS,
-        Err(error) => {
-            eprintln!("{error}\n\n{HELP}");
-            return ExitCode::from(EXIT_FAILED);
-        }
+    let options = match syc_args::read(HELP, parse) {
+        Ok(options) => options,
+        Err(code) => return code,
     };
     match actix_rt::System::new().block_on(run(&options)) {
         Ok(true) => ExitCode::SUCCESS,
@@ -78,9 +75,8 @@
     }
 }
 
-fn parse() -> Result<Option<Options>, lexopt::Error> {
+fn parse(mut parser: Parser) -> Result<Option<Options>, lexopt::Error> {
     let mut options = Options::default();
-    let mut parser = lexopt::Parser::from_env();
     while let Some(argument) = parser.next()? {
         match argument {
             Arg::Long("daemon") => options.daemon = parser.value()?.into(),
--- a/crates/tryout/src/main.rs
+++ b/crates/tryout/src/main.rs
@@ -8,6 +8,7 @@
 use std::process::ExitCode;
 
 use lexopt::Arg;
+use lexopt::Parser;
 use lexopt::ValueExt;
 use mimalloc::MiMalloc;
 
@@ -17,8 +18,8 @@
 /// Exit code of a run that lost, doubled or over-gave something.
 const EXIT_BROKEN: u8 = 1;
 
-/// Exit code of a wrong command line, or of a run that could not be set up.
-const EXIT_USAGE: u8 = 2;
+/// Exit code of a run that could not be set up.
+const EXIT_FAILED: u8 = 2;
 
 const HELP: &str = "\
 Usage: syc-tryout [--seconds N] [--json]
@@ -48,22 +49,17 @@
 }
 
 fn main() -> ExitCode {
-    let options = match parse() {
-        Ok(Some(options)) => options,
-        Ok(None) => return ExitCode::SUCCESS,
-        Err(error) => {
-            eprintln!("{error}\n\n{HELP}");
-            return ExitCode::from(EXIT_USAGE);
-        }
+    let options = match syc_args::read(HELP, parse) {
+        Ok(options) => options,
+        Err(code) => return code,
     };
     spdlog::default_logger()
         .set_level_filter(spdlog::LevelFilter::MoreSevereEqual(spdlog::Level::Error));
     actix_rt::System::new().block_on(run(options))
 }
 
-fn parse() -> Result<Option<Options>, lexopt::Error> {
+fn parse(mut parser: Parser) -> Result<Option<Options>, lexopt::Error> {
     let mut options = Options::default();
-    let mut parser = lexopt::Parser::from_env();
     while let Some(argument) = parser.next()? {
         match argument {
             Arg::Long("seconds") => options.seconds = parser.value()?.parse()?,
@@ -85,7 +81,7 @@
             Ok(report) => reports.push(report),
             Err(error) => {
                 eprintln!("{}: {error}", deployment.name);
-                return ExitCode::from(EXIT_USAGE);
+                return ExitCode::from(EXIT_FAILED);
             }
         }
     }
