Split the fleet's shared platform by job, and write its records in one place

One file held the faults, the VMs and their workers, how calls fare on their way, and what tests set up and look at. Faults, VMs and calls have a file each now; five copies of an append that can't be refused are one.

--- /dev/null
+++ b/crates/fleet/src/shared/faults.rs
@@ -0,0 +1,32 @@
+//! What goes wrong for some nodes.
+
+use std::collections::BTreeSet;
+
+use smol_str::SmolStr;
+use syc_cell::ports::Topic;
+use syc_types::WorkerId;
+
+/// What goes wrong for some nodes.
+#[derive(Debug, Clone, Default)]
+pub struct SharedFaults {
+    /// Nodes whose calls to the store are refused.
+    pub turned_away: BTreeSet<SmolStr>,
+    /// Nodes whose calls to the store are never answered, and not carried out.
+    pub cut_off: BTreeSet<SmolStr>,
+    /// Workers whose answers tell the greatest time that there is.
+    pub odd_clocks: BTreeSet<WorkerId>,
+    /// Workers that take no call and answer none.
+    pub silent_workers: BTreeSet<WorkerId>,
+    /// Partitions of topics that refuse every call.
+    pub down: Vec<(Topic, u32)>,
+    /// Reads of whole partitions that are never answered; so many from now on.
+    pub silent_reads: u32,
+    /// Time by which answers to reads of jobs arrive later than the store gave them.
+    pub late_job_reads_ms: u64,
+    /// Appends that are carried out and not answered; so many from now on.
+    pub lost_appends: u32,
+    /// Appends of jobs that are carried out and not answered; so many from now on.
+    pub lost_submits: u32,
+    /// Starts that are carried out and not answered; so many from now on.
+    pub lost_starts: u32,
+}
--- a/crates/fleet/src/shared/ports.rs
+++ b/crates/fleet/src/shared/ports.rs
@@ -36,12 +36,16 @@
 use syc_sched::WorkerSpec;
 use syc_types::WorkerId;
 
-use super::CALL_MS;
-use super::LOOK_MS;
 use super::SharedPlatform;
 use super::State;
-use super::TICKET_MS;
-use super::WAVE_PREFIX;
+use super::calls::CALL_MS;
+use super::vms::WAVE_PREFIX;
+
+/// A waiting call looks this often whether there is news.
+const LOOK_MS: u64 = 2;
+
+/// Time for which tickets are valid.
+const TICKET_MS: u64 = 2_000;
 
 impl Store for SharedPlatform {
     async fn append(
