--- a/crates/place/src/owner.rs
+++ b/crates/place/src/owner.rs
@@ -7,6 +7,7 @@
 mod ends;
 mod explain;
 mod guard;
+mod holds;
 mod offers;
 mod pass;
 mod preempt;
