--- a/crates/member/tests/member/cluster.rs
+++ b/crates/member/tests/member/cluster.rs
@@ -1,5 +1,8 @@
 //! Members, a network, a log and a VM list, all stepped by one true clock.
 
+mod holders;
+mod network;
+
 use std::collections::BTreeSet;
 
 use rand::Rng;
@@ -7,32 +10,27 @@
 use rand::rngs::SmallRng;
 use smol_str::SmolStr;
 use smol_str::format_smolstr;
-use syc_member::Ack;
-use syc_member::Action;
 use syc_member::Event;
-use syc_member::Heartbeat;
-use syc_member::Key;
 use syc_member::Member;
 use syc_member::Membership;
 use syc_member::Options;
 use syc_member::Seed;
-use syc_member::Views;
 use syc_member::incarnation;
 use syc_types::Epoch;
-use syc_types::MemberId;
 use syc_types::Millis;
 use syc_types::RackId;
 use syc_types::Zone;
 
+use self::holders::racks;
+use self::network::Sent;
+use self::network::address;
+
 /// True time between two looks at the cluster.
 pub const STEP_MS: u64 = 50;
 
 /// Interval of reading the VM list.
 const VM_POLL_MS: u64 = 1_000;
 
-/// Racks whose holders are compared.
-const RACKS: usize = 6;
-
 /// Whether a process runs.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Run {
@@ -58,21 +56,6 @@
     was_acting: bool,
 }
 
-enum Packet {
-    Heartbeat(Heartbeat),
-    Ack(MemberId, Ack),
-    Views(MemberId, Views),
-    Fetch(usize, MemberId),
-    ProposalEnded(MemberId, bool),
-}
-
-struct Sent {
-    due: u64,
-    from: usize,
-    to: usize,
-    packet: Packet,
-}
-
 pub struct Cluster {
     pub nodes: Vec<Node>,
     pub now: u64,
@@ -289,157 +272,6 @@
         self.carry_out(slot, actions);
     }
 
-    fn carry_out(&mut self, slot: usize, actions: Vec<Action>) {
-        let id = self.nodes[slot].member.me().id.clone();
-        for action in actions {
-            match action {
-                Action::Send { to, heartbeat } => {
-                    self.send(slot, slot_of(&to), || Packet::Heartbeat(heartbeat.clone()));
-                }
-                Action::FetchViews { from } => {
-                    self.send(slot, slot_of(&from), || Packet::Fetch(slot, id.clone()));
-                }
-                Action::Propose { base, members } => {
-                    let taken = self.log_up && self.nodes[slot].log;
-                    if taken {
-                        self.log.push((base, members));
-                    }
-                    let told = taken && !self.lose_append_answers;
-                    let packet = Packet::ProposalEnded(id.clone(), told);
-                    self.sent.push(Sent {
-                        due: self.now + STEP_MS,
-                        from: slot,
-                        to: slot,
-                        packet,
-                    });
-                }
-                Action::ViewChanged | Action::BecomeActive | Action::StepDown => {}
-            }
-        }
-    }
-
-    fn send<F>(&mut self, from: usize, to: usize, packet: F)
-    where
-        F: Fn() -> Packet,
-    {
-        let copies = if self.loss_percent > 0 { 2 } else { 1 };
-        for _copy in 0..copies {
-            if self.rng.random_range(0..100) < self.loss_percent {
-                continue;
-            }
-            let due = self.now + self.rng.random_range(0..=self.delay_ms);
-            let packet = packet();
-            self.sent.push(Sent {
-                due,
-                from,
-                to,
-                packet,
-            });
-        }
-    }
-
-    fn deliver(&mut self) {
-        let mut waiting = std::mem::take(&mut self.sent);
-        waiting.sort_by_key(|sent| sent.due);
-        for sent in waiting {
-            if self.cuts.contains(&(sent.from, sent.to)) {
-                continue;
-            }
-            let run = self.nodes[sent.to].run;
-            if sent.due > self.now || run == Run::Paused || run == Run::Suspended {
-                self.sent.push(sent);
-                continue;
-            }
-            if run == Run::Up {
-                self.take(sent);
-            }
-        }
-    }
-
-    fn take(&mut self, sent: Sent) {
-        let slot = sent.to;
-        let own = |id: &MemberId| *id == self.nodes[slot].member.me().id;
-        match sent.packet {
-            Packet::Heartbeat(heartbeat) => {
-                let to = heartbeat.from.clone();
-                let now = self.clock(slot);
-                let (ack, actions) = self.nodes[slot].member.receive(heartbeat, now);
-                self.check(slot);
-                self.carry_out(slot, actions);
-                self.send(slot, sent.from, || Packet::Ack(to.clone(), ack.clone()));
-            }
-            Packet::Ack(to, ack) if own(&to) => self.tell(slot, Event::Acked(ack)),
-            Packet::Views(to, views) if own(&to) => self.tell(slot, Event::ViewsLearned(views)),
-            Packet::Fetch(from, id) => {
-                let views = self.nodes[slot].member.views().clone();
-                self.send(slot, from, || Packet::Views(id.clone(), views.clone()));
-            }
-            Packet::ProposalEnded(to, appended) if own(&to) => {
-                self.tell(slot, Event::ProposalEnded { appended });
-            }
-            Packet::Ack(..) | Packet::Views(..) | Packet::ProposalEnded(..) => {}
-        }
-    }
-
-    fn held_by(&self, slot: usize) -> u32 {
-        let node = &self.nodes[slot];
-        if node.run != Run::Up && node.run != Run::Paused {
-            return 0;
-        }
-        let now = self.clock(slot);
-        let mut bits = 0;
-        if !node.member.holds_lease(now) {
-            return bits;
-        }
-        for (index, rack) in self.racks.iter().enumerate() {
-            if node.member.may_act_for(Key::Rack(rack), now) {
-                bits |= 1 << index;
-            }
-        }
-        bits
-    }
-
-    /// Looks at one slot after it learned something.
-    fn check(&mut self, slot: usize) {
-        self.held[slot] = self.held_by(slot);
-        self.compare(slot);
-    }
-
-    fn compare(&mut self, slot: usize) {
-        for other in 0..self.nodes.len() {
-            let both = self.held[slot] & self.held[other];
-            if other != slot && both != 0 {
-                let found = format!("{} ms: {slot} and {other} hold {both:b}", self.now);
-                self.violations.push(found);
-            }
-        }
-    }
-
-    /// Looks at all slots after time has passed.
-    fn check_all(&mut self) {
-        for slot in 0..self.nodes.len() {
-            self.held[slot] = self.held_by(slot);
-        }
-        for slot in 0..self.nodes.len() {
-            self.compare(slot);
-        }
-    }
-
-    /// Says whether every rack has its one holder.
-    pub fn all_held(&self) -> bool {
-        let slots = 0..self.nodes.len();
-        let held = slots.fold(0, |all, slot| all | self.held_by(slot));
-        held == (1 << RACKS) - 1
-    }
-
-    /// Returns the racks that a slot may act for at this instant.
-    pub fn racks_of(&self, slot: usize) -> Vec<RackId> {
-        let bits = self.held_by(slot);
-        let mine = self.racks.iter().enumerate();
-        let mine = mine.filter(|(index, _)| bits & (1 << index) != 0);
-        mine.map(|(_, rack)| rack.clone()).collect()
-    }
-
     /// Returns the slot's epoch.
     pub fn epoch(&self, slot: usize) -> u64 {
         self.nodes[slot].member.view().epoch.0
@@ -468,21 +300,6 @@
     }
 }
 
-/// Returns the racks whose holders are compared.
-fn racks() -> Vec<RackId> {
-    let names = (0..RACKS).map(|rack| format_smolstr!("rack-{rack}"));
-    names.map(RackId::new).collect()
-}
-
-fn address(slot: usize) -> SmolStr {
-    format_smolstr!("10.0.0.{slot}:1")
-}
-
-fn slot_of(address: &SmolStr) -> usize {
-    let last = address.trim_end_matches(":1").rsplit('.').next();
-    last.and_then(|text| text.parse().ok()).expect("an address")
-}
-
 fn local(now: u64, offset_ms: u64, rate_ppm: i64) -> Millis {
     let drift_ms = i64::try_from(now).expect("a short run") * rate_ppm / 1_000_000;
     Millis((offset_ms + now).saturating_add_signed(drift_ms))
