--- a/crates/coord/tests/coord/append_batch.rs
+++ b/crates/coord/tests/coord/append_batch.rs
@@ -1,9 +1,6 @@
 //! Group commit, the cap on appends, back-off, and settling an append in doubt.
 
 use proptest::prelude::*;
-use proptest::test_runner::RngAlgorithm;
-use proptest::test_runner::TestRng;
-use proptest::test_runner::TestRunner;
 use syc_coord::AppendOptions;
 use syc_coord::AppendPace;
 use syc_coord::Doubt;
@@ -18,6 +15,8 @@
 use test_case::test_case;
 use uuid::Uuid;
 
+use crate::runner::runner;
+
 const OPTIONS: AppendOptions = AppendOptions {
     prompt_delay_ms: 5,
     relaxed_delay_ms: 500,
@@ -158,13 +157,7 @@
         Just(Entry::Other),
         Just(Entry::Unreadable),
     ];
-    let config = ProptestConfig {
-        cases: 500,
-        failure_persistence: None,
-        ..ProptestConfig::default()
-    };
-    let rng = TestRng::deterministic_rng(RngAlgorithm::ChaCha);
-    let mut runner = TestRunner::new_with_rng(config, rng);
+    let mut runner = runner(500);
     let entries = proptest::collection::vec(entry, 0..12);
     let checked = runner.run(&entries, |entries| {
         let group = Group {
--- a/crates/coord/tests/coord/home.rs
+++ b/crates/coord/tests/coord/home.rs
@@ -2,9 +2,6 @@
 //! homes that change. What must hold is checked against the world that the schedules run in.
 
 use proptest::prelude::*;
-use proptest::test_runner::RngAlgorithm;
-use proptest::test_runner::TestRng;
-use proptest::test_runner::TestRunner;
 use syc_coord::Home;
 use syc_coord::HomeOptions;
 use syc_coord::Job;
@@ -31,6 +28,7 @@
 use crate::home_world::Fate;
 use crate::home_world::Op;
 use crate::home_world::World;
+use crate::runner::runner;
 
 const SCHEDULES: u32 = 2_000;
 
@@ -71,13 +69,7 @@
 
 #[test]
 fn nothing_is_lost_or_doubled_under_any_schedule() {
-    let config = ProptestConfig {
-        cases: SCHEDULES,
-        failure_persistence: None,
-        ..ProptestConfig::default()
-    };
-    let rng = TestRng::deterministic_rng(RngAlgorithm::ChaCha);
-    let mut runner = TestRunner::new_with_rng(config, rng);
+    let mut runner = runner(SCHEDULES);
     let schedule = proptest::collection::vec(op(), 0..120);
     let checked = runner.run(&schedule, |schedule| {
         let mut world = World::new();
--- a/crates/coord/tests/coord/main.rs
+++ b/crates/coord/tests/coord/main.rs
@@ -5,4 +5,5 @@
 mod home;
 mod home_world;
 mod intents;
+mod runner;
 mod snapshot;
--- a/crates/coord/tests/coord/snapshot.rs
+++ b/crates/coord/tests/coord/snapshot.rs
@@ -1,9 +1,6 @@
 //! A snapshot and what follows it make the same state as the whole log.
 
 use proptest::prelude::*;
-use proptest::test_runner::RngAlgorithm;
-use proptest::test_runner::TestRng;
-use proptest::test_runner::TestRunner;
 use syc_config::Document;
 use syc_config::Team;
 use syc_coord::AuditTrail;
@@ -31,6 +28,8 @@
 use test_case::test_case;
 use uuid::Uuid;
 
+use crate::runner::runner;
+
 const JOBS: u8 = 4;
 const TASKS: u32 = 3;
 const KEPT_MS: u64 = 5;
@@ -187,13 +186,7 @@
 
 #[test]
 fn a_snapshot_and_its_tail_equal_the_whole_log() {
-    let config = ProptestConfig {
-        cases: 500,
-        failure_persistence: None,
-        ..ProptestConfig::default()
-    };
-    let rng = TestRng::deterministic_rng(RngAlgorithm::ChaCha);
-    let mut runner = TestRunner::new_with_rng(config, rng);
+    let mut runner = runner(500);
     let schedule = (
         proptest::collection::vec(op(), 0..60),
         any::<prop::sample::Index>(),
@@ -224,13 +217,7 @@
 // The naive store: a list of everything accepted, searched from its beginning.
 #[test]
 fn the_store_decides_as_a_list_of_all_records_does() {
-    let config = ProptestConfig {
-        cases: 500,
-        failure_persistence: None,
-        ..ProptestConfig::default()
-    };
-    let rng = TestRng::deterministic_rng(RngAlgorithm::ChaCha);
-    let mut runner = TestRunner::new_with_rng(config, rng);
+    let mut runner = runner(500);
     let record = (0..12_u8, 0..5_u8, 0..2_u8);
     let records = proptest::collection::vec(record, 0..40);
     let checked = runner.run(&records, |records| {
