Start the daemons of a test on arbiters of their own in one place

members.rs and home_crash.rs each started, killed and restarted them, and one had a copy of what makes the daemons know each other. At the end of a test of home_crash the arbiters are told to stop and no longer joined, as in members.

--- a/crates/daemon/tests/daemon/home_crash.rs
+++ b/crates/daemon/tests/daemon/home_crash.rs
@@ -1,22 +1,16 @@
-//! Daemons that end at once, each on an arbiter of its own, while jobs run.
+//! Daemons that end at once while jobs run.
 
 use std::collections::BTreeSet;
 
-use actix_rt::Arbiter;
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
 use serde_json::Value;
 use serde_json::json;
-use syc_config::Document;
 use syc_config::Limits;
-use syc_config::PeerSettings;
 use syc_config::Settings;
 use syc_config::Timing;
 use syc_coord::records::Content;
 use syc_coord::records::Group;
-use syc_daemon::Daemon;
-use syc_daemon::Listeners;
-use syc_platform::types::VmState;
 use syc_standin::LogFaults;
 use syc_standin::WorkerStandIn;
 use syc_types::JobId;
@@ -24,15 +18,12 @@
 use uuid::Uuid;
 
 use crate::bed::Bed;
-use crate::bed::BedOptions;
 use crate::bed::TOKEN;
+use crate::cluster::Cluster;
+use crate::cluster::DAEMONS;
 
-const DAEMONS: usize = 3;
-
-struct Cluster {
-    bed: Bed,
-    arbiters: Vec<Arbiter>,
-}
+/// Workers of every test here.
+const WORKERS: usize = 2;
 
 fn settings(bed: &Bed, number: usize) -> Settings {
     Settings {
@@ -55,91 +46,6 @@
     }
 }
 
-fn run(settings: Settings, listeners: Listeners) -> Arbiter {
-    let arbiter = Arbiter::new();
-    arbiter.spawn_fn(move || {
-        actix_rt::spawn(async move {
-            let _running = Daemon::start(settings, listeners).expect("daemon");
-            std::future::pending::<()>().await;
-        });
-    });
-    arbiter
-}
-
-impl Cluster {
-    async fn start() -> Self {
-        let options = BedOptions {
-            daemons: 0,
-            workers: 2,
-            ..BedOptions::default()
-        };
-        let mut bed = Bed::start_unconfigured(&options);
-        let mut sockets = Vec::new();
-        for number in 0..DAEMONS {
-            let settings = settings(&bed, number);
-            bed.vms.set(&settings.name, Some(VmState::Live));
-            let listeners = Listeners::bind(&settings).expect("sockets");
-            let resolved = listeners.resolve(settings).expect("addresses");
-            bed.settings.push(resolved);
-            sockets.push(listeners);
-        }
-        introduce(&mut bed.settings);
-        let started = bed.settings.iter().cloned().zip(sockets);
-        let arbiters = started.map(|(settings, listeners)| run(settings, listeners));
-        let arbiters = arbiters.collect();
-        let cluster = Self { bed, arbiters };
-        let bed = &cluster.bed;
-        for number in 0..DAEMONS {
-            bed.await_ready(number).await;
-        }
-        let inventory = Document::Inventory(bed.inventory());
-        let (status, text) = bed.publish(0, 0, inventory).await;
-        assert_eq!(status, 200, "{text}");
-        for number in 0..DAEMONS {
-            bed.await_config(number, 1).await;
-        }
-        cluster
-    }
-
-    fn kill_all(&mut self) {
-        for arbiter in self.arbiters.drain(..) {
-            arbiter.stop();
-            arbiter.join().expect("the end of its thread");
-        }
-    }
-
-    async fn restart_all(&mut self) {
-        for settings in &self.bed.settings {
-            let listeners = Listeners::bind(settings).expect("the same sockets");
-            self.arbiters.push(run(settings.clone(), listeners));
-        }
-        for number in 0..DAEMONS {
-            self.bed.await_ready(number).await;
-        }
-    }
-}
-
-impl Drop for Cluster {
-    fn drop(&mut self) {
-        self.kill_all();
-    }
-}
-
-fn introduce(all: &mut [Settings]) {
-    let mut peers = Vec::new();
-    for settings in &*all {
-        peers.push(PeerSettings {
-            name: settings.name.clone(),
-            zone: settings.zone.clone(),
-            address: settings.listen.peers.clone(),
-        });
-    }
-    for settings in all {
-        let others = peers.iter().filter(|peer| peer.name != settings.name);
-        settings.peers = others.cloned().collect();
-    }
-}
-
 fn job(id: Uuid, team: &str, run_time_ms: u64, idempotent: bool) -> Value {
     json!({
         "job_id": id,
@@ -198,7 +104,7 @@
 
 #[actix_rt::test]
 async fn all_daemons_that_die_at_once_lose_and_double_nothing() {
-    let mut cluster = Cluster::start().await;
+    let mut cluster = Cluster::start(WORKERS, settings).await;
     keep_no_headroom(&cluster.bed).await;
     keep_tasks(&cluster.bed, true);
     let ids = [Uuid::now_v7(), Uuid::now_v7(), Uuid::now_v7()];
@@ -220,7 +126,10 @@
         8,
         "the workers were to be full"
     );
-    cluster.restart_all().await;
+    cluster.restart_all();
+    for number in 0..DAEMONS {
+        cluster.bed.await_ready(number).await;
+    }
     // The log has now taken what was on its way when the daemons died.
     assert_eq!(running_tasks(&cluster.bed), 8, "they were to stay full");
     let (intents, ends) = logged_tasks(&cluster.bed);
@@ -242,7 +151,7 @@
 
 #[actix_rt::test]
 async fn daemons_that_die_in_an_outage_of_the_log_start_nothing_before_it_returns() {
-    let mut cluster = Cluster::start().await;
+    let mut cluster = Cluster::start(WORKERS, settings).await;
     let id = Uuid::now_v7();
     let body = job(id, "team-1", 1_000, false);
     cluster.bed.submit_until_accepted(0, &body).await;
@@ -254,10 +163,7 @@
     });
     cluster.kill_all();
     let refused = cluster.bed.log.refused();
-    for settings in &cluster.bed.settings {
-        let listeners = Listeners::bind(settings).expect("the same sockets");
-        cluster.arbiters.push(run(settings.clone(), listeners));
-    }
+    cluster.restart_all();
     let read = |bed: &Bed| bed.log.refused() >= refused + 9;
     cluster.bed.until("some reads", read).await;
     cluster.bed.log.set_faults(LogFaults::default());
--- a/crates/daemon/tests/daemon/main.rs
+++ b/crates/daemon/tests/daemon/main.rs
@@ -1,6 +1,7 @@
 //! The daemon against stand-ins, everything on one arbiter and on ports that the system chooses.
 
 mod bed;
+mod cluster;
 mod control;
 mod home;
 mod home_crash;
--- a/crates/daemon/tests/daemon/members.rs
+++ b/crates/daemon/tests/daemon/members.rs
@@ -1,26 +1,17 @@
-//! Deaths, restarts, planned leaves and log outages, with each daemon on an arbiter of its own.
+//! Deaths, restarts, planned leaves and log outages of daemons.
 
 use std::time::Duration;
 
-use actix_rt::Arbiter;
 use serde_json::Value;
-use syc_config::Document;
 use syc_config::Settings;
 use syc_config::Timing;
-use syc_daemon::Daemon;
-use syc_daemon::Listeners;
-use syc_platform::types::VmState;
 use syc_standin::LogFaults;
-use syc_standin::introduce;
-use tokio::sync::oneshot;
 use uuid::Uuid;
 
 use crate::bed::Bed;
-use crate::bed::BedOptions;
 use crate::bed::TOKEN;
-
-/// Daemons of every test here.
-const DAEMONS: usize = 3;
+use crate::cluster::Cluster;
+use crate::cluster::DAEMONS;
 
 /// Workers of every test here, each in a rack of its own.
 const WORKERS: usize = 4;
@@ -31,17 +22,6 @@
 /// How often it is looked at before the test gives up.
 const CHECKS: usize = 1_500;
 
-struct Running {
-    arbiter: Arbiter,
-    stop: oneshot::Sender<()>,
-    stopped: oneshot::Receiver<()>,
-}
-
-struct Cluster {
-    bed: Bed,
-    running: Vec<Option<Running>>,
-}
-
 fn timing() -> Timing {
     Timing {
         log_poll_ms: 100,
@@ -58,81 +38,7 @@
     }
 }
 
-fn run(settings: Settings, listeners: Listeners) -> Running {
-    let arbiter = Arbiter::new();
-    let (stop, stopping) = oneshot::channel();
-    let (done, stopped) = oneshot::channel();
-    arbiter.spawn_fn(move || {
-        actix_rt::spawn(async move {
-            let daemon = Daemon::start(settings, listeners).expect("daemon");
-            if stopping.await.is_ok() {
-                daemon.stop().await;
-            }
-            let _ = done.send(());
-        });
-    });
-    Running {
-        arbiter,
-        stop,
-        stopped,
-    }
-}
-
 impl Cluster {
-    async fn start() -> Self {
-        let options = BedOptions {
-            daemons: 0,
-            workers: WORKERS,
-            ..BedOptions::default()
-        };
-        let mut bed = Bed::start_unconfigured(&options);
-        let mut sockets = Vec::new();
-        for number in 0..DAEMONS {
-            let settings = settings(&bed, number);
-            bed.vms.set(&settings.name, Some(VmState::Live));
-            let listeners = Listeners::bind(&settings).expect("sockets");
-            bed.settings
-                .push(listeners.resolve(settings).expect("addresses"));
-            sockets.push(listeners);
-        }
-        introduce(&mut bed.settings);
-        let all = bed.settings.iter().cloned().zip(sockets);
-        let running = all.map(|(settings, listeners)| Some(run(settings, listeners)));
-        let running = running.collect();
-        let cluster = Self { bed, running };
-        for number in 0..DAEMONS {
-            cluster.bed.await_ready(number).await;
-        }
-        let inventory = cluster.bed.inventory();
-        let document = Document::Inventory(inventory);
-        let (status, text) = cluster.bed.publish(0, 0, document).await;
-        assert_eq!(status, 200, "{text}");
-        for number in 0..DAEMONS {
-            cluster.bed.await_config(number, 1).await;
-        }
-        cluster
-    }
-
-    /// Ends a daemon at once, as a crash does.
-    fn kill(&mut self, number: usize) {
-        let running = self.running[number].take().expect("a running daemon");
-        running.arbiter.stop();
-        running.arbiter.join().expect("the end of its thread");
-    }
-
-    fn restart(&mut self, number: usize) {
-        let settings = self.bed.settings[number].clone();
-        let listeners = Listeners::bind(&settings).expect("the same sockets");
-        self.running[number] = Some(run(settings, listeners));
-    }
-
-    async fn stop(&mut self, number: usize) {
-        let running = self.running[number].take().expect("a running daemon");
-        running.stop.send(()).expect("a daemon that waits");
-        running.stopped.await.expect("the end of the stop");
-        running.arbiter.stop();
-    }
-
     async fn status(&self, number: usize) -> Value {
         let url = self.bed.control_url(number, "/v1/status");
         self.bed.get_json(url).await
@@ -177,14 +83,6 @@
     }
 }
 
-impl Drop for Cluster {
-    fn drop(&mut self) {
-        for running in self.running.iter().flatten() {
-            running.arbiter.stop();
-        }
-    }
-}
-
 fn settings(bed: &Bed, number: usize) -> Settings {
     Settings {
         timing: timing(),
@@ -201,7 +99,7 @@
 
 #[actix_rt::test]
 async fn the_racks_and_teams_of_a_killed_daemon_are_taken_over() {
-    let mut cluster = Cluster::start().await;
+    let mut cluster = Cluster::start(WORKERS, settings).await;
     cluster.run_on_every_worker(0, "freight").await;
     cluster.kill(2);
     for survivor in 0..2 {
@@ -214,7 +112,7 @@
 
 #[actix_rt::test]
 async fn a_restarted_daemon_is_a_new_member() {
-    let mut cluster = Cluster::start().await;
+    let mut cluster = Cluster::start(WORKERS, settings).await;
     let before = ids(&cluster.await_acting(0, 3).await);
     cluster.kill(1);
     cluster.restart(1);
@@ -228,7 +126,7 @@
 
 #[actix_rt::test]
 async fn a_daemon_that_stops_as_planned_hands_over() {
-    let mut cluster = Cluster::start().await;
+    let mut cluster = Cluster::start(WORKERS, settings).await;
     cluster.stop(0).await;
     // It said goodbye: the others hold its part as soon as it has stopped.
     cluster.await_acting(1, 2).await;
@@ -240,7 +138,7 @@
 
 #[actix_rt::test]
 async fn all_daemons_killed_at_once_come_back_with_the_configuration() {
-    let mut cluster = Cluster::start().await;
+    let mut cluster = Cluster::start(WORKERS, settings).await;
     let before = cluster.await_acting(0, 3).await;
     for number in 0..DAEMONS {
         cluster.kill(number);
@@ -259,7 +157,7 @@
 
 #[actix_rt::test]
 async fn a_daemon_is_not_ready_while_the_log_is_down_at_its_start() {
-    let mut cluster = Cluster::start().await;
+    let mut cluster = Cluster::start(WORKERS, settings).await;
     cluster.kill(1);
     cluster.bed.log.set_faults(LogFaults {
         outage: true,
