Say why a stop is not taken, and count connections opened to workers

What callers saw: tasks of accepted jobs that never ran, while a worker answered renewals. The log told why a start was not taken, but nothing of a stop, and nowhere how many connections a node opens to a worker; so it could not be told whether our orders use the worker's connections up, those of nodes that are gone do, or the worker refuses for a reason of its own. Orders that are not taken now say how many are under way at that worker and how many connections to it were opened; a counter adds the latter up. No decision changes.

--- a/crates/cell/src/leader/orders.rs
+++ b/crates/cell/src/leader/orders.rs
@@ -74,7 +74,7 @@
             Ok(()) => StartAnswer::Started,
             Err(error) if self.is_settled_by(worker, &error) => return,
             Err(error) => {
-                log::start_failed(command, &address.id, &error);
+                log::start_failed(&self.untaken(command.task, command.run, link, &error));
                 match error {
                     OrderError::Refused(refusal) => StartAnswer::Refused(refusal),
                     _ => StartAnswer::InDoubt,
@@ -89,6 +89,24 @@
         });
     }
 
+    fn untaken<'a>(
+        &self,
+        task: TaskId,
+        run: Run,
+        link: &'a WorkerLink,
+        error: &'a OrderError,
+    ) -> log::Untaken<'a> {
+        let platform = &self.node.platform;
+        log::Untaken {
+            task,
+            run,
+            worker: &link.address.id,
+            error,
+            under_way: link.under_way(),
+            connections_opened: platform.connections_opened_to(&link.address),
+        }
+    }
+
     /// Acts on an answer that says more than what became of the order: the worker's incarnation is over, or
     /// this scheduler's role is. Says whether it did.
     fn is_settled_by(self: &Rc<Self>, worker: WorkerKey, error: &OrderError) -> bool {
@@ -135,7 +153,8 @@
             Ok(()) => true,
             Err(error) if self.is_settled_by(worker, &error) => return,
             Err(error) => {
-                log::pace_failed(&command, &address.id, &error);
+                let untaken = self.untaken(command.task, command.run, link, &error);
+                log::pace_failed(&untaken, command.percent);
                 false
             }
         };
@@ -183,7 +202,10 @@
             Ok(()) => true,
             Err(error) if self.is_settled_by(worker, &error) => return,
             // It is sent again until it is taken.
-            Err(_untaken) => false,
+            Err(error) => {
+                log::stop_failed(&self.untaken(command.task, command.run, link, &error));
+                false
+            }
         };
         self.apply(Event::StopAnswered {
             worker,
--- a/crates/cell/src/leader/sessions.rs
+++ b/crates/cell/src/leader/sessions.rs
@@ -53,6 +53,11 @@
 }
 
 impl WorkerLink {
+    /// Counts the orders that have a place.
+    pub(super) fn under_way(&self) -> usize {
+        ORDERS_AT_ONCE - self.orders.available_permits().min(ORDERS_AT_ONCE)
+    }
+
     /// Waits for a free place for an order; none where the session has ended.
     pub(super) async fn place(&self) -> Option<SemaphorePermit<'_>> {
         self.orders.acquire().await.ok()
--- a/crates/cell/src/log.rs
+++ b/crates/cell/src/log.rs
@@ -2,6 +2,7 @@
 
 use std::fmt::Display;
 
+use syc_obs::Event;
 use syc_obs::Line;
 use syc_obs::catalogue;
 use syc_sched::Counts;
@@ -27,8 +28,6 @@
 use crate::ports::AppendError;
 use crate::ports::ListError;
 use crate::ports::OrderError;
-use crate::ports::PaceCommand;
-use crate::ports::StartCommand;
 use crate::ports::VmCommand;
 use crate::ports::VmOrderError;
 
@@ -208,27 +207,44 @@
         .emit();
 }
 
-pub(crate) fn start_failed(command: &StartCommand, worker: &WorkerId, error: &OrderError) {
-    Line::new(catalogue::START_FAILED)
-        .display("job", command.task.step.job)
-        .display("task", command.task)
-        .number("run", command.run.0)
-        .text("worker", worker.as_str())
-        .display("reason", error)
-        .emit();
+/// An order that was refused or has no answer, and what was under way then.
+#[derive(Debug)]
+pub(crate) struct Untaken<'a> {
+    pub(crate) task: TaskId,
+    pub(crate) run: Run,
+    pub(crate) worker: &'a WorkerId,
+    pub(crate) error: &'a OrderError,
+    /// Orders to this worker that wait for an answer, this one included.
+    pub(crate) under_way: usize,
+    /// Connections to this worker that were opened so far.
+    pub(crate) connections_opened: u64,
 }
 
-pub(crate) fn pace_failed(command: &PaceCommand, worker: &WorkerId, error: &OrderError) {
-    Line::new(catalogue::PACE_FAILED)
-        .display("job", command.task.step.job)
-        .display("task", command.task)
-        .number("run", command.run.0)
-        .text("worker", worker.as_str())
-        .number("percent", command.percent)
-        .display("reason", error)
+pub(crate) fn start_failed(order: &Untaken<'_>) {
+    untaken(catalogue::START_FAILED, order).emit();
+}
+
+pub(crate) fn stop_failed(order: &Untaken<'_>) {
+    untaken(catalogue::STOP_FAILED, order).emit();
+}
+
+pub(crate) fn pace_failed(order: &Untaken<'_>, percent: u8) {
+    untaken(catalogue::PACE_FAILED, order)
+        .number("percent", percent)
         .emit();
 }
 
+fn untaken(event: Event, order: &Untaken<'_>) -> Line {
+    Line::new(event)
+        .display("job", order.task.step.job)
+        .display("task", order.task)
+        .number("run", order.run.0)
+        .text("worker", order.worker.as_str())
+        .display("reason", order.error)
+        .number("under_way", order.under_way)
+        .number("connections_opened", order.connections_opened)
+}
+
 pub(crate) fn stop_ordered(task: TaskId, run: Run, worker: &WorkerId, reason: StopReason) {
     Line::new(catalogue::STOP_ORDERED)
         .display("job", task.step.job)
--- a/crates/cell/src/node.rs
+++ b/crates/cell/src/node.rs
@@ -172,6 +172,7 @@
     #[must_use]
     pub fn metrics_page(&self) -> String {
         let mut readings = CellReadings::default();
+        readings.worker_connections_opened = self.platform.connections_opened();
         if let Some(configuration) = self.configuration() {
             readings.configuration = configuration.version;
         }
--- a/crates/cell/src/ports.rs
+++ b/crates/cell/src/ports.rs
@@ -364,6 +364,16 @@
         renewal: &Renewal,
         timeout_ms: u64,
     ) -> impl Future<Output = Result<Renewed, OrderError>>;
+
+    /// Returns how many connections to workers were opened so far; 0 where there are none.
+    fn connections_opened(&self) -> u64 {
+        0
+    }
+
+    /// Returns how many connections to one worker were opened so far.
+    fn connections_opened_to(&self, _worker: &WorkerAddress) -> u64 {
+        0
+    }
 }
 
 /// The workers of those asked about that may run a step.
--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -5,6 +5,9 @@
 use awc::Client;
 use awc::Connector;
 
+use crate::dial::Dialer;
+use crate::dial::Dials;
+
 /// Bounds of a client's connections.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct HttpClientOptions {
@@ -32,7 +35,14 @@
 /// number of connections is not bounded: a call that waits for a free one would be late unseen.
 #[must_use]
 pub fn http_client(options: HttpClientOptions) -> Client {
+    counted_http_client(options, Dials::default())
+}
+
+/// Makes such a client that counts the connections it opens.
+#[must_use]
+pub fn counted_http_client(options: HttpClientOptions, dials: Dials) -> Client {
     let connector = Connector::new()
+        .connector(Dialer::new(dials))
         .timeout(Duration::from_millis(options.connect_timeout_ms))
         .conn_keep_alive(Duration::from_millis(options.keep_alive_ms))
         .conn_lifetime(Duration::from_millis(options.lifetime_ms))
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -5,6 +5,7 @@
 mod body;
 mod client;
 mod connection;
+mod dial;
 pub mod http;
 pub mod peer;
 
@@ -12,7 +13,9 @@
 pub use body::json_text;
 pub use body::read_body;
 pub use client::HttpClientOptions;
+pub use client::counted_http_client;
 pub use client::http_client;
+pub use dial::Dials;
 pub use http::HttpListener;
 pub use http::HttpOptions;
 pub use http::Surplus;
--- a/crates/obs/src/cell_metrics.rs
+++ b/crates/obs/src/cell_metrics.rs
@@ -1,5 +1,6 @@
 //! The metrics of a node of a cell; `docs/METRICS.md` is their catalogue.
 
+use std::cell::Cell;
 use std::fmt;
 
 use opentelemetry::KeyValue;
@@ -83,6 +84,8 @@
     pub longest_silence_ms: u64,
     /// Time until the last lease on a silent worker has surely lapsed.
     pub longest_lease_ms: u64,
+    /// Connections to workers that this node has opened.
+    pub worker_connections_opened: u64,
 }
 
 /// The metrics of one node of a cell.
@@ -93,6 +96,9 @@
     store_calls: Counter<u64>,
     store_times: Histogram<f64>,
     unreadable: Counter<u64>,
+    worker_connections: Counter<u64>,
+    /// Connections to workers that are counted already.
+    worker_connections_counted: Cell<u64>,
     gauges: Gauges,
 }
 
@@ -138,6 +144,12 @@
                 "syc_cell_unreadable",
                 "What others wrote and can't be read, by source.",
             ),
+            worker_connections: counter(
+                &meter,
+                "syc_cell_worker_connections_opened",
+                "Connections to workers that were opened.",
+            ),
+            worker_connections_counted: Cell::new(0),
             gauges: Gauges::new(&meter),
             exporter,
         }
@@ -179,8 +191,15 @@
     #[must_use]
     pub fn page(&self, readings: &CellReadings) -> String {
         self.gauges.set(readings);
+        self.count_connections(readings.worker_connections_opened);
         self.exporter.page()
     }
+
+    fn count_connections(&self, opened: u64) {
+        let counted = self.worker_connections_counted.replace(opened);
+        self.worker_connections
+            .add(opened.saturating_sub(counted), &[]);
+    }
 }
 
 struct Gauges {
--- a/crates/obs/src/events.rs
+++ b/crates/obs/src/events.rs
@@ -180,6 +180,8 @@
     ADVICE_ANSWERED = 736, Info, "advice answered";
     /// An order to go at another pace was refused or not answered.
     PACE_FAILED = 737, Warn, "pace not taken";
+    /// A stop order was refused or not answered.
+    STOP_FAILED = 738, Warn, "stop not taken";
     /// A worker is believed to be able or not.
     WORKER_BELIEF = 740, Warn, "belief about worker changed";
     /// A worker registered or left.
