--- a/crates/cell/src/node.rs
+++ b/crates/cell/src/node.rs
@@ -171,8 +171,10 @@
     /// Returns the page of metrics.
     #[must_use]
     pub fn metrics_page(&self) -> String {
-        let mut readings = CellReadings::default();
-        readings.worker_connections_opened = self.platform.connections_opened();
+        let mut readings = CellReadings {
+            worker_connections_opened: self.platform.connections_opened(),
+            ..CellReadings::default()
+        };
         if let Some(configuration) = self.configuration() {
             readings.configuration = configuration.version;
         }
