Show that a worker which takes no order keeps its tasks for ever (failing tests)

What callers saw: after all nodes had lost power, tasks of accepted jobs never ran, though most workers were free. One worker answered renewals and reset each order: its starts were repeated four times within milliseconds, and their stops every 0.3 s without end; it was never believed silent, so its leases were renewed all the while.

Added without effect yet: the answer that a start never left this node, and the question whether the leases of a worker may be renewed. A site of a few workers in virtual time shows what must hold, and does not yet.

--- a/crates/sched/src/options.rs
+++ b/crates/sched/src/options.rs
@@ -17,6 +17,9 @@
     /// A start or stop order without an answer is sent again after this time. Workers answer in
     /// about a millisecond; the rest is for a busy link.
     pub order_retry_ms: u64,
+    /// A start or a stop that has been in doubt for longer lets the lease of its worker lapse on purpose: what
+    /// else runs there is lost with it, so it is longer than a few lost answers in a row take.
+    pub doubt_limit_ms: u64,
     /// Starts without an answer before the run is given up and stopped.
     pub start_orders_limit: u32,
     /// A ticket is not used in the last part of its validity: the order has still to arrive.
@@ -67,6 +70,7 @@
             stop_ms: 900,
             status_ms: 120_000,
             order_retry_ms: 300,
+            doubt_limit_ms: 5_000,
             start_orders_limit: 4,
             ticket_margin_ms: 60,
             advice_slack_ms: 600,
--- a/crates/sched/src/orders.rs
+++ b/crates/sched/src/orders.rs
@@ -39,7 +39,7 @@
                 self.note_begun(task.step.job);
             }
             StartAnswer::Refused(refusal) => self.start_refused(key, task, run, refusal, now),
-            StartAnswer::InDoubt => {
+            StartAnswer::InDoubt | StartAnswer::NotSent => {
                 if of_run.phase == Phase::Starting {
                     self.start_in_doubt(key, task, run, now);
                 }
--- a/crates/sched/src/scheduler.rs
+++ b/crates/sched/src/scheduler.rs
@@ -111,6 +111,13 @@
         &self.options
     }
 
+    /// Says whether renewals may set leases on a worker. Where they may not, its lease is let lapse on
+    /// purpose: it is only asked what runs, and no [`Event::Renewing`] is made.
+    #[must_use]
+    pub const fn may_renew(&self, _worker: WorkerKey) -> bool {
+        true
+    }
+
     /// Takes an event and returns what is to be done at once.
     ///
     /// Waiting tasks are looked at by [`Scheduler::schedule`] only, so that several events share
--- a/crates/sched/src/worker_report.rs
+++ b/crates/sched/src/worker_report.rs
@@ -118,6 +118,9 @@
     Refused(StartRefusal),
     /// It may run, now or later.
     InDoubt,
+    /// The order surely never left this node: it waited too long for its turn, or no connection could be
+    /// opened.
+    NotSent,
 }
 
 /// Why a worker refused a start.
--- a/crates/sched/tests/core/driver.rs
+++ b/crates/sched/tests/core/driver.rs
@@ -11,6 +11,7 @@
 use syc_sched::JobProgress;
 use syc_sched::JobSpec;
 use syc_sched::JobState;
+use syc_sched::Note;
 use syc_sched::Options;
 use syc_sched::QueuePolicy;
 use syc_sched::Run;
@@ -62,6 +63,8 @@
     pub vm_orders: Vec<(VmId, Duty)>,
     /// When each list of VMs was asked for.
     pub lists_asked: Vec<Millis>,
+    /// What was believed of workers, in turn.
+    pub beliefs: Vec<(WorkerId, &'static str)>,
     /// Waves that operators were told of, and whether as completed.
     pub told: Vec<(u64, bool)>,
     ends: BTreeMap<WorkerKey, u64>,
@@ -81,6 +84,7 @@
             vm_orders: Vec::new(),
             lists_asked: Vec::new(),
             told: Vec::new(),
+            beliefs: Vec::new(),
             ends: BTreeMap::new(),
         };
         for index in 0..count {
@@ -124,6 +128,9 @@
                     run,
                     percent,
                 } => self.paces.push((worker, task, run, percent)),
+                Action::Note(Note::WorkerBelief { worker, belief, .. }) => {
+                    self.beliefs.push((worker, belief));
+                }
                 _ => {}
             }
         }
--- a/crates/sched/tests/core/main.rs
+++ b/crates/sched/tests/core/main.rs
@@ -2,6 +2,7 @@
 
 mod advice;
 mod counts;
+mod doubts;
 mod driver;
 mod lasting;
 mod life;
@@ -10,6 +11,7 @@
 mod preempt;
 mod sharing;
 mod silence;
+mod site;
 mod slow;
 mod spread;
 mod strays;
--- /dev/null
+++ b/crates/sched/tests/core/site.rs
@@ -0,0 +1,249 @@
+//! A few workers in virtual time, some of which answer renewals and take no order.
+
+use std::collections::BTreeMap;
+
+use syc_sched::Event;
+use syc_sched::JobState;
+use syc_sched::Run;
+use syc_sched::RunEnd;
+use syc_sched::StartAnswer;
+use syc_sched::TaskId;
+use syc_sched::WorkerKey;
+use syc_types::Millis;
+
+use crate::driver::Driver;
+use crate::driver::policy;
+use crate::driver::step;
+
+const STEP_MS: u64 = 10;
+const RENEW_MS: u64 = 200;
+const LEASE_MS: u64 = 6_000;
+
+/// An order that a worker was sent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Sent {
+    pub at: Millis,
+    pub worker: WorkerKey,
+    pub task: TaskId,
+    pub run: Run,
+    pub is_start: bool,
+}
+
+#[derive(Debug, Default)]
+struct Model {
+    /// Until then each order that it is sent is reset at once.
+    shut_until: Millis,
+    lease_until: Millis,
+    renew_at: Millis,
+    running: BTreeMap<(TaskId, Run), Millis>,
+    ended: Vec<(TaskId, Run, RunEnd)>,
+}
+
+/// Workers, the scheduler that drives them, and what was sent.
+#[derive(Debug)]
+pub struct Site {
+    pub driver: Driver,
+    pub sent: Vec<Sent>,
+    /// Tasks that ran on two workers at a time.
+    pub twice: Vec<TaskId>,
+    pub lapsed: usize,
+    pub work_ms: u64,
+    models: BTreeMap<WorkerKey, Model>,
+}
+
+impl Site {
+    pub fn new(workers: usize, cores: u64) -> Self {
+        let driver = Driver::new(workers, cores);
+        let models = driver.workers.iter();
+        let models = models.map(|key| (*key, Model::default())).collect();
+        Self {
+            driver,
+            sent: Vec::new(),
+            twice: Vec::new(),
+            lapsed: 0,
+            work_ms: 500,
+            models,
+        }
+    }
+
+    /// Lets a worker reset each order from now on, for so long.
+    pub fn shut(&mut self, index: usize, time_ms: u64) {
+        let key = self.driver.workers[index];
+        let until = self.driver.now.0.saturating_add(time_ms);
+        self.model(key).shut_until = Millis(until);
+    }
+
+    /// Submits jobs of one task each.
+    pub fn submit(&mut self, jobs: std::ops::Range<u64>) {
+        for id in jobs {
+            self.driver.submit(id, policy(0), vec![step(1, 1)]);
+        }
+    }
+
+    /// Lets time pass until all of the jobs are done, or the limit is reached; returns the time that passed.
+    pub fn play_until_done(&mut self, jobs: std::ops::Range<u64>, limit_ms: u64) -> u64 {
+        let from = self.driver.now;
+        let is_done = |site: &Self, id| site.driver.state(id) == Some(JobState::Completed);
+        while self.driver.now.since(from) < limit_ms {
+            if jobs.clone().all(|id| is_done(self, id)) {
+                break;
+            }
+            self.step();
+        }
+        self.driver.now.since(from)
+    }
+
+    pub fn play(&mut self, time_ms: u64) {
+        let until = self.driver.now.plus(time_ms);
+        while self.driver.now < until {
+            self.step();
+        }
+    }
+
+    /// Returns what a worker was sent.
+    pub fn sent_to(&self, index: usize) -> Vec<Sent> {
+        let key = self.driver.workers[index];
+        let sent = self.sent.iter().filter(|sent| sent.worker == key);
+        sent.copied().collect()
+    }
+
+    /// Returns what was believed of a worker, in turn.
+    pub fn beliefs_of(&self, index: usize) -> Vec<&'static str> {
+        let name = format!("w-{index}");
+        let beliefs = self.driver.beliefs.iter();
+        let of_worker = beliefs.filter(|(worker, _)| worker.as_str() == name);
+        of_worker.map(|(_, belief)| *belief).collect()
+    }
+
+    fn model(&mut self, key: WorkerKey) -> &mut Model {
+        self.models.get_mut(&key).expect("a worker of the site")
+    }
+
+    fn step(&mut self) {
+        self.driver.pass(STEP_MS);
+        self.advance();
+        for key in self.driver.workers.clone() {
+            self.renew(key);
+        }
+        self.driver.apply(Event::Ticked);
+        self.driver.record();
+        self.driver.schedule();
+        self.carry_out();
+    }
+
+    /// Carries out orders until there are none: a reset comes at once, and may bring the next order.
+    fn carry_out(&mut self) {
+        for _ in 0..100 {
+            let starts = std::mem::take(&mut self.driver.starts);
+            let stops = std::mem::take(&mut self.driver.stops);
+            if starts.is_empty() && stops.is_empty() {
+                return;
+            }
+            for start in starts {
+                let taken = self.start(start.worker, start.task, start.run);
+                self.driver.apply(Event::StartAnswered {
+                    worker: start.worker,
+                    task: start.task,
+                    run: start.run,
+                    answer: if taken {
+                        StartAnswer::Started
+                    } else {
+                        StartAnswer::InDoubt
+                    },
+                });
+            }
+            for stop in stops {
+                let taken = self.stop(stop.worker, stop.task, stop.run);
+                self.driver.apply(Event::StopAnswered {
+                    worker: stop.worker,
+                    task: stop.task,
+                    run: stop.run,
+                    taken,
+                });
+            }
+        }
+        panic!("orders are repeated without any time between them");
+    }
+
+    fn note(&mut self, worker: WorkerKey, task: TaskId, run: Run, is_start: bool) {
+        self.sent.push(Sent {
+            at: self.driver.now,
+            worker,
+            task,
+            run,
+            is_start,
+        });
+    }
+
+    fn start(&mut self, worker: WorkerKey, task: TaskId, run: Run) -> bool {
+        self.note(worker, task, run, true);
+        let now = self.driver.now;
+        if self.model(worker).shut_until > now {
+            return false;
+        }
+        let mut elsewhere = self.models.iter().filter(|(key, _)| **key != worker);
+        if elsewhere.any(|(_, model)| model.running.keys().any(|(other, _)| *other == task)) {
+            self.twice.push(task);
+        }
+        let ends_at = now.plus(self.work_ms);
+        let model = self.model(worker);
+        model.lease_until = model.lease_until.max(now.plus(LEASE_MS));
+        model.running.insert((task, run), ends_at);
+        true
+    }
+
+    fn stop(&mut self, worker: WorkerKey, task: TaskId, run: Run) -> bool {
+        self.note(worker, task, run, false);
+        let now = self.driver.now;
+        let model = self.model(worker);
+        if model.shut_until > now {
+            return false;
+        }
+        if model.running.remove(&(task, run)).is_some() {
+            model.ended.push((task, run, RunEnd::Stopped));
+        }
+        true
+    }
+
+    /// Ends what is done, and what holds no lease any more.
+    fn advance(&mut self) {
+        let now = self.driver.now;
+        for model in self.models.values_mut() {
+            let lapsed = model.lease_until <= now;
+            let over = |ends_at: &Millis| lapsed || *ends_at <= now;
+            let (ended, running): (Vec<_>, Vec<_>) = std::mem::take(&mut model.running)
+                .into_iter()
+                .partition(|(_, ends_at)| over(ends_at));
+            model.running = running.into_iter().collect();
+            for ((task, run), ends_at) in ended {
+                let end = if ends_at <= now {
+                    RunEnd::Done
+                } else {
+                    RunEnd::Lapsed
+                };
+                self.lapsed += usize::from(end == RunEnd::Lapsed);
+                model.ended.push((task, run, end));
+            }
+        }
+    }
+
+    fn renew(&mut self, key: WorkerKey) {
+        let now = self.driver.now;
+        let may_renew = self.driver.scheduler.may_renew(key);
+        let model = self.model(key);
+        if model.renew_at > now {
+            return;
+        }
+        model.renew_at = now.plus(RENEW_MS);
+        if may_renew {
+            model.lease_until = model.lease_until.max(now.plus(LEASE_MS));
+        }
+        let running = model.running.keys().map(|(task, run)| (*task, *run, 50));
+        let running: Vec<_> = running.collect();
+        let ended = std::mem::take(&mut model.ended);
+        if may_renew {
+            self.driver.apply(Event::Renewing { worker: key });
+        }
+        self.driver.report(key, &running, &ended);
+    }
+}
