Open few connections to each worker, whatever becomes of the orders

What callers saw: tasks of accepted jobs that never ran, with most workers free. A worker answered renewals over the connection that they kept, and reset every order.

Cause: each order without a free connection opened one, and each was repeated over another, for every run alone. A worker takes 64 connections and counts one that was cut for seconds. After all nodes had lost power, the first worker to answer was nearly full of connections of nodes that were gone; 53 a second came on top (1,664 in 32 s), more than it forgets, so it never had a free one again. A node that was the scheduler no more kept its idle ones.

A node that is the scheduler no more closes its connections.

--- a/crates/cell/src/leader.rs
+++ b/crates/cell/src/leader.rs
@@ -185,6 +185,7 @@
         for session in self.sessions.borrow().values() {
             session.end();
         }
+        self.node.platform.close_connections();
         let mut leader = self.node.leader.borrow_mut();
         if leader
             .as_ref()
--- a/crates/cell/src/leader/orders.rs
+++ b/crates/cell/src/leader/orders.rs
@@ -13,6 +13,7 @@
 
 use crate::clock::now;
 use crate::leader::Leader;
+use crate::leader::sessions::OrderKind;
 use crate::leader::sessions::WorkerLink;
 use crate::log;
 use crate::ports::OrderError;
@@ -64,10 +65,13 @@
         command: &StartCommand,
     ) {
         let address = &link.address;
-        let _place = link.place().await;
         let timeout_ms = self.node.settings.timing.order_timeout_ms;
         let sent_at = now();
-        let started = self.node.platform.start(address, command, timeout_ms).await;
+        let started = async {
+            let _place = link.place(OrderKind::Start, timeout_ms).await?;
+            self.node.platform.start(address, command, timeout_ms).await
+        };
+        let started = started.await;
         let took_ms = now().since(sent_at);
         self.measure(command.task.step.job, Stage::Order, took_ms);
         let answer = match started {
@@ -77,6 +81,7 @@
                 log::start_failed(&self.untaken(command.task, command.run, link, &error));
                 match error {
                     OrderError::Refused(refusal) => StartAnswer::Refused(refusal),
+                    OrderError::NotSent(_) => StartAnswer::NotSent,
                     _ => StartAnswer::InDoubt,
                 }
             }
@@ -113,7 +118,9 @@
         match error {
             OrderError::Replaced => self.apply(Event::Replaced { worker }),
             OrderError::Fenced => self.end("fenced_by_worker"),
-            OrderError::Refused(_) | OrderError::InDoubt(_) => return false,
+            OrderError::Refused(_) | OrderError::NotSent(_) | OrderError::InDoubt(_) => {
+                return false;
+            }
         }
         true
     }
@@ -146,9 +153,12 @@
         command: PaceCommand,
     ) {
         let address = &link.address;
-        let _place = link.place().await;
         let timeout_ms = self.node.settings.timing.order_timeout_ms;
-        let paced = self.node.platform.pace(address, &command, timeout_ms).await;
+        let paced = async {
+            let _place = link.place(OrderKind::Control, timeout_ms).await?;
+            self.node.platform.pace(address, &command, timeout_ms).await
+        };
+        let paced = paced.await;
         let taken = match paced {
             Ok(()) => true,
             Err(error) if self.is_settled_by(worker, &error) => return,
@@ -195,9 +205,12 @@
         command: StopCommand,
     ) {
         let address = &link.address;
-        let _place = link.place().await;
         let timeout_ms = self.node.settings.timing.order_timeout_ms;
-        let stopped = self.node.platform.stop(address, &command, timeout_ms).await;
+        let stopped = async {
+            let _place = link.place(OrderKind::Control, timeout_ms).await?;
+            self.node.platform.stop(address, &command, timeout_ms).await
+        };
+        let stopped = stopped.await;
         let taken = match stopped {
             Ok(()) => true,
             Err(error) if self.is_settled_by(worker, &error) => return,
--- a/crates/cell/src/leader/sessions.rs
+++ b/crates/cell/src/leader/sessions.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use smol_str::SmolStr;
 use syc_sched::Event;
 use syc_sched::WorkerKey;
 use syc_sched::WorkerSpec;
@@ -30,16 +31,17 @@
 /// Longest such wait.
 const RETRY_LIMIT_MS: u64 = 400;
 
-/// Orders under way at one worker: each takes a connection, and workers reset those beyond their
-/// bound, which is some sixty.
-const ORDERS_AT_ONCE: usize = 24;
+/// Starts under way at one worker: each takes a connection, and workers bound those that they take.
+const STARTS_AT_ONCE: usize = 3;
+
+/// Other orders under way at one worker: what ends a run never waits behind starts.
+const CONTROLS_AT_ONCE: usize = 2;
 
 /// A session with a worker.
 #[derive(Debug)]
 pub(super) struct Session {
     pub(super) address: Rc<WorkerAddress>,
-    /// Free places for orders.
-    orders: Rc<Semaphore>,
+    places: Rc<Places>,
     /// The worker's clock, as last read.
     clock: Rc<Cell<Option<ClockReading>>>,
     task: Option<actix_rt::task::JoinHandle<()>>,
@@ -49,18 +51,54 @@
 #[derive(Debug, Clone)]
 pub(super) struct WorkerLink {
     pub(super) address: Rc<WorkerAddress>,
-    orders: Rc<Semaphore>,
+    places: Rc<Places>,
+}
+
+/// Free places for orders to a worker.
+#[derive(Debug)]
+struct Places {
+    starts: Semaphore,
+    controls: Semaphore,
+}
+
+/// What an order does.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum OrderKind {
+    /// It starts a run.
+    Start,
+    /// It ends one, or changes its pace.
+    Control,
 }
 
 impl WorkerLink {
     /// Counts the orders that have a place.
     pub(super) fn under_way(&self) -> usize {
-        ORDERS_AT_ONCE - self.orders.available_permits().min(ORDERS_AT_ONCE)
+        let free =
+            self.places.starts.available_permits() + self.places.controls.available_permits();
+        (STARTS_AT_ONCE + CONTROLS_AT_ONCE).saturating_sub(free)
     }
 
-    /// Waits for a free place for an order; none where the session has ended.
-    pub(super) async fn place(&self) -> Option<SemaphorePermit<'_>> {
-        self.orders.acquire().await.ok()
+    /// Waits for a free place for an order, so long at most.
+    ///
+    /// # Errors
+    ///
+    /// Fails where none has become free: the order has not been sent then.
+    pub(super) async fn place(
+        &self,
+        kind: OrderKind,
+        limit_ms: u64,
+    ) -> Result<SemaphorePermit<'_>, OrderError> {
+        let places = match kind {
+            OrderKind::Start => &self.places.starts,
+            OrderKind::Control => &self.places.controls,
+        };
+        let limit = Duration::from_millis(limit_ms);
+        match tokio::time::timeout(limit, places.acquire()).await {
+            Ok(Ok(place)) => Ok(place),
+            Ok(Err(_)) | Err(_) => Err(OrderError::NotSent(SmolStr::new_static(
+                "others to the worker were under way for too long",
+            ))),
+        }
     }
 }
 
@@ -90,7 +128,7 @@
     pub(super) fn link(&self) -> WorkerLink {
         WorkerLink {
             address: Rc::clone(&self.address),
-            orders: Rc::clone(&self.orders),
+            places: Rc::clone(&self.places),
         }
     }
 
@@ -122,7 +160,10 @@
         let is_known = !address.address.is_empty();
         let session = Session {
             address,
-            orders: Rc::new(Semaphore::new(ORDERS_AT_ONCE)),
+            places: Rc::new(Places {
+                starts: Semaphore::new(STARTS_AT_ONCE),
+                controls: Semaphore::new(CONTROLS_AT_ONCE),
+            }),
             clock,
             task: is_known.then(|| actix_rt::spawn(session)),
         };
@@ -191,9 +232,11 @@
         }
         // A worker that did not answer is only asked: each renewal may arrive, and would put off
         // the time at which its leases have surely lapsed.
+        // One that takes no orders is only asked too, where its lease is let lapse on purpose.
+        let renews = failures == 0 && leader.scheduler.borrow().may_renew(worker);
         let lease_until_ms = clock
             .get()
-            .filter(|_| failures == 0)
+            .filter(|_| renews)
             .map(|reading| reading.estimate_ms().saturating_add(lease_ms));
         let waits = lease_until_ms.is_some() && !left;
         let wait_ms = if waits {
@@ -244,7 +287,7 @@
                 leader.end("fenced_by_worker");
                 return;
             }
-            Err(OrderError::Refused(_) | OrderError::InDoubt(_)) => {
+            Err(OrderError::Refused(_) | OrderError::NotSent(_) | OrderError::InDoubt(_)) => {
                 failures += 1;
                 leader.apply(Event::RenewalFailed { worker });
                 let wait_ms = (RETRY_MS << failures.min(4)).min(RETRY_LIMIT_MS);
--- a/crates/cell/src/node.rs
+++ b/crates/cell/src/node.rs
@@ -171,8 +171,10 @@
     /// Returns the page of metrics.
     #[must_use]
     pub fn metrics_page(&self) -> String {
+        let connections = self.platform.connections();
         let mut readings = CellReadings {
-            worker_connections_opened: self.platform.connections_opened(),
+            worker_connections_opened: connections.opened,
+            worker_connections_withheld: connections.withheld,
             ..CellReadings::default()
         };
         if let Some(configuration) = self.configuration() {
--- a/crates/cell/src/ports.rs
+++ b/crates/cell/src/ports.rs
@@ -326,11 +326,23 @@
     /// It refused, and did nothing.
     #[error("the worker refused: {}", .0.as_str())]
     Refused(StartRefusal),
+    /// It surely did not and never will: the order has not left this node.
+    #[error("the order was not sent: {0}")]
+    NotSent(SmolStr),
     /// It may have done it, now or later.
     #[error("the worker's answer was lost: {0}")]
     InDoubt(SmolStr),
 }
 
+/// Connections to workers, counted.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct ConnectionCounts {
+    /// Those that were opened.
+    pub opened: u64,
+    /// Those that were not, as too many were opened to their worker lately.
+    pub withheld: u64,
+}
+
 /// The workers' task interface.
 pub trait WorkerPort {
     /// Starts a run.
@@ -365,15 +377,18 @@
         timeout_ms: u64,
     ) -> impl Future<Output = Result<Renewed, OrderError>>;
 
-    /// Returns how many connections to workers were opened so far; 0 where there are none.
-    fn connections_opened(&self) -> u64 {
-        0
+    /// Returns what became of connections to workers so far.
+    fn connections(&self) -> ConnectionCounts {
+        ConnectionCounts::default()
     }
 
     /// Returns how many connections to one worker were opened so far.
     fn connections_opened_to(&self, _worker: &WorkerAddress) -> u64 {
         0
     }
+
+    /// Closes the idle connections to workers: a node that gives no more orders keeps none of what they take.
+    fn close_connections(&self) {}
 }
 
 /// The workers of those asked about that may run a step.
--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -5,6 +5,7 @@
 use awc::Client;
 use awc::Connector;
 
+use crate::dial::DialBudget;
 use crate::dial::Dialer;
 use crate::dial::Dials;
 
@@ -17,6 +18,8 @@
     pub keep_alive_ms: u64,
     /// Time after which a connection is used no more.
     pub lifetime_ms: u64,
+    /// Connections that may be opened to each address; a call that would open more fails without having been sent.
+    pub dial_budget: Option<DialBudget>,
 }
 
 impl Default for HttpClientOptions {
@@ -25,6 +28,7 @@
             connect_timeout_ms: 500,
             keep_alive_ms: 15_000,
             lifetime_ms: 75_000,
+            dial_budget: None,
         }
     }
 }
@@ -32,7 +36,7 @@
 /// Makes a client for one arbiter.
 ///
 /// It follows no redirect and sets no time for an answer; that is the caller's, for each call. The
-/// number of connections is not bounded: a call that waits for a free one would be late unseen.
+/// number of open connections is not bounded: a call that waits for a free one would be late unseen.
 #[must_use]
 pub fn http_client(options: HttpClientOptions) -> Client {
     counted_http_client(options, Dials::default())
@@ -42,7 +46,7 @@
 #[must_use]
 pub fn counted_http_client(options: HttpClientOptions, dials: Dials) -> Client {
     let connector = Connector::new()
-        .connector(Dialer::new(dials))
+        .connector(Dialer::new(dials, options.dial_budget))
         .timeout(Duration::from_millis(options.connect_timeout_ms))
         .conn_keep_alive(Duration::from_millis(options.keep_alive_ms))
         .conn_lifetime(Duration::from_millis(options.lifetime_ms))
--- a/crates/net/src/dial.rs
+++ b/crates/net/src/dial.rs
@@ -1,8 +1,11 @@
-//! Opening connections, counted for each address.
+//! Opening connections: counted, and within a budget for each address.
 
 use std::cell::RefCell;
 use std::collections::HashMap;
+use std::io;
 use std::rc::Rc;
+use std::time::Duration;
+use std::time::Instant;
 
 use actix_rt::net::TcpStream;
 use actix_service::Service;
@@ -13,10 +16,26 @@
 use actix_tls::connect::ConnectorService;
 use awc::http::Uri;
 use futures_util::future::LocalBoxFuture;
+use futures_util::future::ready;
 
-/// Addresses whose counts are kept; beyond them, all counts of single addresses begin anew.
+/// Addresses whose counts are kept; beyond them, those whose whole budget is free again are dropped.
 const ADDRESSES_LIMIT: usize = 4_096;
 
+/// How many connections may be opened to one address: so many at once, and one more each time after that.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct DialBudget {
+    /// Connections that may be opened at once.
+    pub burst: u32,
+    /// Time after which one more may be.
+    pub refill_ms: u64,
+}
+
+impl DialBudget {
+    const fn refill(self) -> Duration {
+        Duration::from_millis(self.refill_ms)
+    }
+}
+
 /// Connections that a client opened.
 #[derive(Debug, Clone, Default)]
 pub struct Dials {
@@ -26,7 +45,16 @@
 #[derive(Debug, Default)]
 struct Counts {
     opened: u64,
-    opened_to: HashMap<String, u64>,
+    withheld: u64,
+    by_address: HashMap<String, Address>,
+}
+
+/// What was opened to one address.
+#[derive(Debug, Clone, Copy)]
+struct Address {
+    opened: u64,
+    /// When its whole budget is free again.
+    full_at: Instant,
 }
 
 impl Dials {
@@ -36,24 +64,58 @@
         self.counts.borrow().opened
     }
 
+    /// Returns how many were not opened, since the budget of their address was used up.
+    #[must_use]
+    pub fn withheld(&self) -> u64 {
+        self.counts.borrow().withheld
+    }
+
     /// Returns how many were opened to an address (`host:port`).
     #[must_use]
     pub fn opened_to(&self, address: &str) -> u64 {
         let counts = self.counts.borrow();
-        counts.opened_to.get(address).copied().unwrap_or(0)
+        counts.by_address.get(address).map_or(0, |of| of.opened)
     }
 
-    fn count(&self, address: &str) {
+    /// Counts a connection that is to be opened now. Says whether the budget allows it.
+    #[must_use]
+    pub fn open(&self, address: &str, budget: Option<DialBudget>, now: Instant) -> bool {
         let mut counts = self.counts.borrow_mut();
+        let of_address = counts.address(address, now);
+        if let Some(budget) = budget
+            && !of_address.spend(budget, now)
+        {
+            counts.withheld += 1;
+            return false;
+        }
+        of_address.opened += 1;
         counts.opened += 1;
-        if let Some(opened) = counts.opened_to.get_mut(address) {
-            *opened += 1;
-            return;
+        true
+    }
+}
+
+impl Counts {
+    fn address(&mut self, address: &str, now: Instant) -> &mut Address {
+        if self.by_address.len() >= ADDRESSES_LIMIT && !self.by_address.contains_key(address) {
+            self.by_address.retain(|_, of| of.full_at > now);
         }
-        if counts.opened_to.len() >= ADDRESSES_LIMIT {
-            counts.opened_to.clear();
+        let fresh = Address {
+            opened: 0,
+            full_at: now,
+        };
+        self.by_address.entry(address.to_owned()).or_insert(fresh)
+    }
+}
+
+impl Address {
+    /// Takes one connection of the budget; says whether there was one.
+    fn spend(&mut self, budget: DialBudget, now: Instant) -> bool {
+        let full_at = self.full_at.max(now) + budget.refill();
+        if full_at.duration_since(now) > budget.refill() * budget.burst {
+            return false;
         }
-        counts.opened_to.insert(address.to_owned(), 1);
+        self.full_at = full_at;
+        true
     }
 }
 
@@ -62,13 +124,15 @@
 pub(crate) struct Dialer {
     connector: ConnectorService,
     dials: Dials,
+    budget: Option<DialBudget>,
 }
 
 impl Dialer {
-    pub(crate) fn new(dials: Dials) -> Self {
+    pub(crate) fn new(dials: Dials, budget: Option<DialBudget>) -> Self {
         Self {
             connector: Connector::default().service(),
             dials,
+            budget,
         }
     }
 }
@@ -81,9 +145,11 @@
     actix_service::always_ready!();
 
     fn call(&self, req: ConnectInfo<Uri>) -> Self::Future {
-        if let Some(authority) = req.request().authority() {
-            self.dials.count(authority.as_str());
+        let address = req.request().authority().map_or("", |of| of.as_str());
+        if self.dials.open(address, self.budget, Instant::now()) {
+            return Box::pin(self.connector.call(req));
         }
-        Box::pin(self.connector.call(req))
+        let withheld = io::Error::other("too many connections were opened to it lately");
+        Box::pin(ready(Err(ConnectError::Io(withheld))))
     }
 }
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -15,6 +15,7 @@
 pub use client::HttpClientOptions;
 pub use client::counted_http_client;
 pub use client::http_client;
+pub use dial::DialBudget;
 pub use dial::Dials;
 pub use http::HttpListener;
 pub use http::HttpOptions;
--- a/crates/net/tests/client.rs
+++ b/crates/net/tests/client.rs
@@ -1,12 +1,17 @@
-//! The HTTP client: what it counts of the connections that it opens.
+//! The HTTP client: what it counts of the connections that it opens, and how many it may open.
 
 use std::net::SocketAddr;
 use std::net::TcpListener;
+use std::time::Duration;
+use std::time::Instant;
 
 use actix_http::Response;
 use actix_http::StatusCode;
 use actix_http::body::BoxBody;
+use awc::error::ConnectError;
+use awc::error::SendRequestError;
 use futures_util::future::join_all;
+use syc_net::DialBudget;
 use syc_net::Dials;
 use syc_net::HttpClientOptions;
 use syc_net::HttpListener;
@@ -49,3 +54,52 @@
     assert_eq!(dials.opened_to(&second.address.to_string()), 3);
     assert_eq!(dials.opened(), 4);
 }
+
+const BUDGET: DialBudget = DialBudget {
+    burst: 3,
+    refill_ms: 100,
+};
+
+#[test]
+fn a_budget_allows_a_burst_and_then_one_connection_at_a_time() {
+    let dials = Dials::default();
+    let start = Instant::now();
+    let at = |time_ms| start + Duration::from_millis(time_ms);
+    let open = |time_ms| dials.open("a:1", Some(BUDGET), at(time_ms));
+    assert_eq!(
+        [open(0), open(0), open(0), open(0)],
+        [true, true, true, false]
+    );
+    assert_eq!([open(99), open(100), open(101)], [false, true, false]);
+    assert_eq!(
+        [open(1_000), open(1_000), open(1_000), open(1_000)],
+        [true, true, true, false]
+    );
+    assert!(
+        dials.open("b:1", Some(BUDGET), at(1_000)),
+        "each address has its own"
+    );
+    assert_eq!((dials.opened(), dials.withheld()), (8, 4));
+    assert_eq!(dials.opened_to("a:1"), 7);
+}
+
+#[actix_rt::test]
+async fn a_call_beyond_the_budget_is_surely_not_sent() {
+    let server = serve();
+    let options = HttpClientOptions {
+        dial_budget: Some(DialBudget {
+            burst: 1,
+            refill_ms: 3_600_000,
+        }),
+        ..HttpClientOptions::default()
+    };
+    let client = counted_http_client(options, Dials::default());
+    let url = format!("http://{}/", server.address);
+    let (first, second) = tokio::join!(client.get(&url).send(), client.get(&url).send());
+    let withheld = second.expect_err("no connection");
+    let is_withheld = matches!(withheld, SendRequestError::Connect(ConnectError::Io(_)));
+    assert!(is_withheld, "{withheld}");
+    let body = first.expect("a response").body().await;
+    assert_eq!(body.expect("a body"), "answer");
+    call(&client, server.address).await;
+}
--- a/crates/obs/src/cell_metrics.rs
+++ b/crates/obs/src/cell_metrics.rs
@@ -86,6 +86,8 @@
     pub longest_lease_ms: u64,
     /// Connections to workers that this node has opened.
     pub worker_connections_opened: u64,
+    /// Connections to workers that it did not open, as too many were opened lately.
+    pub worker_connections_withheld: u64,
 }
 
 /// The metrics of one node of a cell.
@@ -96,9 +98,7 @@
     store_calls: Counter<u64>,
     store_times: Histogram<f64>,
     unreadable: Counter<u64>,
-    worker_connections: Counter<u64>,
-    /// Connections to workers that are counted already.
-    worker_connections_counted: Cell<u64>,
+    worker_connections: WorkerConnections,
     gauges: Gauges,
 }
 
@@ -144,12 +144,7 @@
                 "syc_cell_unreadable",
                 "What others wrote and can't be read, by source.",
             ),
-            worker_connections: counter(
-                &meter,
-                "syc_cell_worker_connections_opened",
-                "Connections to workers that were opened.",
-            ),
-            worker_connections_counted: Cell::new(0),
+            worker_connections: WorkerConnections::new(&meter),
             gauges: Gauges::new(&meter),
             exporter,
         }
@@ -191,14 +186,40 @@
     #[must_use]
     pub fn page(&self, readings: &CellReadings) -> String {
         self.gauges.set(readings);
-        self.count_connections(readings.worker_connections_opened);
+        self.worker_connections.set(readings);
         self.exporter.page()
     }
+}
+
+/// Connections to workers, of which the node knows the sums.
+struct WorkerConnections {
+    counter: Counter<u64>,
+    /// Sums that are counted already: of those opened, and of those withheld.
+    counted: Cell<(u64, u64)>,
+}
+
+impl WorkerConnections {
+    fn new(meter: &Meter) -> Self {
+        Self {
+            counter: counter(
+                meter,
+                "syc_cell_worker_connections",
+                "Connections to workers that were opened, or withheld.",
+            ),
+            counted: Cell::new((0, 0)),
+        }
+    }
+
+    fn set(&self, readings: &CellReadings) {
+        let opened = readings.worker_connections_opened;
+        let withheld = readings.worker_connections_withheld;
+        let before = self.counted.replace((opened, withheld));
+        self.add("opened", opened.saturating_sub(before.0));
+        self.add("withheld", withheld.saturating_sub(before.1));
+    }
 
-    fn count_connections(&self, opened: u64) {
-        let counted = self.worker_connections_counted.replace(opened);
-        self.worker_connections
-            .add(opened.saturating_sub(counted), &[]);
+    fn add(&self, result: &'static str, count: u64) {
+        self.counter.add(count, &[KeyValue::new("result", result)]);
     }
 }
 
--- a/crates/sched/tests/schedules/world/orders.rs
+++ b/crates/sched/tests/schedules/world/orders.rs
@@ -84,6 +84,7 @@
                 );
                 return;
             }
+            Err(OrderError::NotSent(_)) => StartAnswer::NotSent,
             Err(OrderError::Fenced | OrderError::InDoubt(_)) => StartAnswer::InDoubt,
         };
         let delay_ms = self.rng.random_range(1..30);
