Let every doubt about a worker end, and hold no worker shut

What callers saw: tasks of accepted jobs never ran, though most workers were free. A worker answered renewals and reset every order; all that had been ordered there stayed in doubt for as long as it did.

Cause: a start was repeated at once when it came back, four times within milliseconds, and its stop every 0.3 s without end, for each run by itself. That a worker takes no orders was not believed of any worker that answered renewals, so it got more tasks, and its leases were renewed, so that nothing there ever counted as ended.

Change: orders are sent again with exponential backoff and jitter, paid for by a token bucket of the worker and one of the cell, which orders that are taken fill. After five orders in a row that were not taken, a worker gets no new starts and one order at a time as a probe, until it has taken one. What has been in doubt for 5 s, or 10 s where the worker took others since, lets its lease lapse on purpose: renewals set none, nothing starts there, and when it has surely lapsed the runs have ended and go elsewhere. A start that never left the node is over at once. Whether an earlier copy of a start may be under way is counted apart from the repeats of its stop: a refusal after a stop ended runs of which a copy was still under way.

Why it holds: no lease is set after the doubt, and an order that is carried out late is refused once its own lease is over, so what is counted as ended has ended whether or not the worker ever answers again.

Five profiles of generated schedules are new: workers that answer renewals and take no orders, also with orders carried out late, four of ten answers lost, four of ten orders late, and all at once; the judge sees it where such leases are not waited for. One test counted repeats 0.3 s apart and now lets the longest wait pass before each. The drivers of two others gave a worker no renewal for 6 s and more; they renew now, as a session does.

--- a/crates/sched/src/action.rs
+++ b/crates/sched/src/action.rs
@@ -130,6 +130,8 @@
     Emptying,
     /// Its worker is slow, and it would end sooner elsewhere.
     Slow,
+    /// It is over: whether its worker takes orders is to be seen.
+    Probe,
 }
 
 impl StopReason {
@@ -146,6 +148,7 @@
             Self::StartInDoubt => "start_in_doubt",
             Self::Emptying => "emptying",
             Self::Slow => "slow",
+            Self::Probe => "probe",
         }
     }
 }
--- /dev/null
+++ b/crates/sched/src/backoff.rs
@@ -0,0 +1,81 @@
+//! When an order is sent again, and how many are: exponential backoff with equal jitter, and token buckets.
+//!
+//! Both are of the published forms: M. Brooker, "Exponential Backoff And Jitter" (AWS, 2015), and the retry
+//! budgets of Finagle and gRPC, where each success pays for a later repeat.
+
+use syc_types::Millis;
+
+use crate::Run;
+use crate::TaskId;
+
+/// Most times that a wait doubles; each limit is reached long before.
+const DOUBLINGS_LIMIT: u32 = 16;
+
+/// One token, in the unit in which tokens are counted.
+const TOKEN: u64 = 1_000;
+
+/// Returns the wait before the repeat of an order: it doubles with each one up to a limit, and half of it is
+/// jitter, which `seed` decides.
+pub(crate) fn backoff_ms(base_ms: u64, limit_ms: u64, repeats: u32, seed: u64) -> u64 {
+    let doubled_ms = base_ms.saturating_mul(1 << repeats.min(DOUBLINGS_LIMIT));
+    let half_ms = doubled_ms.min(limit_ms) / 2;
+    half_ms + mix(seed ^ u64::from(repeats)) % (half_ms + 1)
+}
+
+/// Returns what scatters the repeats of orders about a run: the core draws no random numbers.
+pub(crate) fn seed_of(task: TaskId, run: Run) -> u64 {
+    let place = u64::from(task.step.occurrence) << 16 | u64::from(task.step.step);
+    let number = u64::from(task.index) << 32 | u64::from(run.0);
+    mix(task.step.job.0) ^ mix(place) ^ mix(number)
+}
+
+/// Scatters the bits of a number (the finalizer of `SplitMix64`).
+const fn mix(number: u64) -> u64 {
+    let mut mixed = number.wrapping_add(0x9e37_79b9_7f4a_7c15);
+    mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    mixed ^ (mixed >> 31)
+}
+
+/// A token bucket that pays for repeats: it fills with time, and with each order that is taken.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Budget {
+    burst: u64,
+    per_s: u64,
+    /// In thousandths of a token.
+    left: u64,
+    filled_at: Millis,
+}
+
+impl Budget {
+    /// Makes a full bucket of so many tokens that gets so many back a second.
+    pub(crate) const fn new(burst: u64, per_s: u64) -> Self {
+        Self {
+            burst,
+            per_s,
+            left: burst * TOKEN,
+            filled_at: Millis(0),
+        }
+    }
+
+    /// Takes a token if one is left, and says whether one was.
+    pub(crate) fn take(&mut self, now: Millis) -> bool {
+        let filled = now.since(self.filled_at).saturating_mul(self.per_s);
+        self.filled_at = now;
+        self.add(filled);
+        let has_one = self.left >= TOKEN;
+        if has_one {
+            self.left -= TOKEN;
+        }
+        has_one
+    }
+
+    /// Gives a token back.
+    pub(crate) fn give(&mut self) {
+        self.add(TOKEN);
+    }
+
+    fn add(&mut self, tokens: u64) {
+        self.left = self.left.saturating_add(tokens).min(self.burst * TOKEN);
+    }
+}
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -16,6 +16,8 @@
 mod action;
 mod advice;
 mod advisers;
+mod backoff;
+mod contact;
 mod counts;
 mod duty;
 mod event;
@@ -31,6 +33,7 @@
 mod pools;
 mod progress;
 mod recovery;
+mod repeats;
 mod reports;
 mod scheduler;
 mod slowness;
--- a/crates/sched/src/options.rs
+++ b/crates/sched/src/options.rs
@@ -20,6 +20,12 @@
     /// A start or a stop that has been in doubt for longer lets the lease of its worker lapse on purpose: what
     /// else runs there is lost with it, so it is longer than a few lost answers in a row take.
     pub doubt_limit_ms: u64,
+    /// Orders in a row that were not taken after which a worker gets no new starts until it has taken one.
+    pub order_misses_limit: u32,
+    /// Longest wait before an order is sent again to a worker that takes others.
+    pub repeat_limit_ms: u64,
+    /// Longest wait before a worker that takes no orders is sent one again.
+    pub probe_limit_ms: u64,
     /// Starts without an answer before the run is given up and stopped.
     pub start_orders_limit: u32,
     /// A ticket is not used in the last part of its validity: the order has still to arrive.
@@ -71,6 +77,9 @@
             status_ms: 120_000,
             order_retry_ms: 300,
             doubt_limit_ms: 5_000,
+            order_misses_limit: 5,
+            repeat_limit_ms: 1_000,
+            probe_limit_ms: 4_000,
             start_orders_limit: 4,
             ticket_margin_ms: 60,
             advice_slack_ms: 600,
--- a/crates/sched/src/orders.rs
+++ b/crates/sched/src/orders.rs
@@ -29,6 +29,10 @@
         let Some(of_run) = worker.runs.get_mut(&(task, run)) else {
             return;
         };
+        let ordered_at = of_run.ordered_at;
+        if of_run.phase == Phase::Starting {
+            of_run.in_flight = false;
+        }
         match answer {
             StartAnswer::Started => {
                 of_run.confirmed_at.get_or_insert(now);
@@ -36,17 +40,37 @@
                     of_run.phase = Phase::Running;
                     of_run.percent_at = now;
                 }
+                self.order_taken(key, ordered_at, now);
                 self.note_begun(task.step.job);
             }
-            StartAnswer::Refused(refusal) => self.start_refused(key, task, run, refusal, now),
-            StartAnswer::InDoubt | StartAnswer::NotSent => {
-                if of_run.phase == Phase::Starting {
-                    self.start_in_doubt(key, task, run, now);
-                }
+            StartAnswer::Refused(refusal) => {
+                self.order_taken(key, ordered_at, now);
+                self.start_refused(key, task, run, refusal, now);
+            }
+            StartAnswer::InDoubt => self.order_missed(key, (task, run), ordered_at, now),
+            StartAnswer::NotSent => {
+                self.order_missed(key, (task, run), ordered_at, now);
+                self.start_not_sent(key, task, run, now);
             }
         }
     }
 
+    /// Ends a run whose start surely never left this node, unless an earlier copy did.
+    fn start_not_sent(&mut self, key: WorkerKey, task: TaskId, run: Run, now: Millis) {
+        let worker = &mut self.workers[key];
+        let Some(of_run) = worker.runs.get_mut(&(task, run)) else {
+            return;
+        };
+        of_run.copies = of_run.copies.saturating_sub(1);
+        if of_run.copies > 0 || of_run.listed {
+            return;
+        }
+        // It goes elsewhere first.
+        let until = now.plus(self.options.order_retry_ms);
+        worker.quarantined_until = worker.quarantined_until.max(until);
+        self.end_run(key, task, run, Ending::without_report("not_sent"), now);
+    }
+
     fn start_refused(
         &mut self,
         key: WorkerKey,
@@ -60,7 +84,7 @@
             return;
         };
         // An earlier copy of the order may have been carried out: the reports tell.
-        let in_doubt = of_run.orders > 1 && refusal == StartRefusal::OldRun;
+        let in_doubt = of_run.copies > 1 && refusal == StartRefusal::OldRun;
         if in_doubt || of_run.listed {
             self.stop_run(key, task, run, StopReason::StartInDoubt, now);
             return;
@@ -82,7 +106,7 @@
         let retried = self.workers[key]
             .runs
             .get(&(task, run))
-            .is_some_and(|of_run| of_run.orders > 1);
+            .is_some_and(|of_run| of_run.copies > 1);
         if retried {
             // The first copy of the order may still be under way.
             self.stop_run(key, task, run, StopReason::StartInDoubt, now);
@@ -92,22 +116,6 @@
         self.end_run(key, task, run, ending, now);
     }
 
-    fn start_in_doubt(&mut self, key: WorkerKey, task: TaskId, run: Run, now: Millis) {
-        let limit = self.options.start_orders_limit;
-        let Some(of_run) = self.workers[key].runs.get_mut(&(task, run)) else {
-            return;
-        };
-        if of_run.orders >= limit {
-            self.stop_run(key, task, run, StopReason::StartInDoubt, now);
-            return;
-        }
-        of_run.orders += 1;
-        of_run.ordered_at = now;
-        let retries = of_run.orders - 1;
-        let ticket = of_run.ticket.clone();
-        self.order_start(key, task, run, ticket, retries, now);
-    }
-
     /// Sends a start order; the lease that it sets counts from now.
     pub(crate) fn order_start(
         &mut self,
@@ -151,9 +159,11 @@
         if of_run.phase == Phase::Stopping {
             return;
         }
-        of_run.phase = Phase::Stopping;
-        of_run.orders = 0;
-        self.order_stop(key, task, run, reason, now);
+        of_run.begin_stop(now);
+        // What takes no orders gets them one at a time.
+        if !self.workers[key].contact.shut {
+            self.order_stop(key, task, run, reason, now);
+        }
     }
 
     pub(crate) fn order_stop(
@@ -169,6 +179,7 @@
         };
         of_run.ordered_at = now;
         of_run.orders += 1;
+        of_run.in_flight = true;
         self.actions.push(Action::Stop {
             worker: key,
             task,
@@ -188,10 +199,18 @@
         let Some(worker) = self.workers.get_mut(key) else {
             return;
         };
-        if let Some(of_run) = worker.runs.get_mut(&(task, run))
-            && taken
-        {
-            of_run.stop_taken_at.get_or_insert(now);
+        let mut ordered_at = now;
+        if let Some(of_run) = worker.runs.get_mut(&(task, run)) {
+            ordered_at = of_run.ordered_at;
+            of_run.in_flight = false;
+            if taken {
+                of_run.stop_taken_at.get_or_insert(now);
+            }
+        }
+        if taken {
+            self.order_taken(key, ordered_at, now);
+        } else {
+            self.order_missed(key, (task, run), ordered_at, now);
         }
     }
 }
--- a/crates/sched/src/reports.rs
+++ b/crates/sched/src/reports.rs
@@ -128,6 +128,7 @@
         };
         if worker.silent {
             worker.silent = false;
+            worker.contact.probe_soon(now);
             let note = belief(worker, "answers", now);
             self.actions.push(note);
         }
@@ -195,7 +196,9 @@
             self.adopt_or_stop(key, listed, now);
             return;
         };
-        if of_run.phase == Phase::Starting {
+        let was_in_doubt = of_run.phase == Phase::Starting;
+        let ordered_at = of_run.ordered_at;
+        if was_in_doubt {
             of_run.phase = Phase::Running;
         }
         let is_news = of_run.confirmed_at.is_none();
@@ -205,6 +208,9 @@
             of_run.checkpoint = listed.checkpoint.clone();
         }
         self.take_load(key, listed);
+        if was_in_doubt {
+            self.order_taken(key, ordered_at, now);
+        }
         if is_news {
             self.note_begun(listed.task.step.job);
         }
@@ -280,6 +286,8 @@
         let held = WorkerRun {
             phase: Phase::Running,
             orders: 0,
+            copies: 0,
+            in_flight: false,
             confirmed_at: Some(now),
             listed: true,
             resumed: true,
--- a/crates/sched/src/scheduler.rs
+++ b/crates/sched/src/scheduler.rs
@@ -23,6 +23,7 @@
 use crate::StopReason;
 use crate::TaskId;
 use crate::WorkerKey;
+use crate::backoff::Budget;
 use crate::headroom::Headroom;
 use crate::ids::JobKey;
 use crate::job::Job;
@@ -36,6 +37,12 @@
 use crate::worker::Phase;
 use crate::worker::Worker;
 
+/// Orders that may be sent again at once in a cell, beside those that orders that were taken pay for.
+const REPEATS_BURST: u64 = 64;
+
+/// Orders that are sent again a second in a cell at most, beside those that orders that were taken pay for.
+const REPEATS_PER_S: u64 = 20;
+
 /// What was learned of a queue's advice.
 #[derive(Debug, Clone, Copy, Default)]
 pub(crate) struct QueueStats {
@@ -71,6 +78,8 @@
     pub(crate) upkeep: Upkeep,
     pub(crate) pools: Pools,
     pub(crate) advice_slots: AdviceSlots,
+    /// What pays for orders that are sent again, to all workers together.
+    pub(crate) repeats: Budget,
     pub(crate) actions: Vec<Action>,
     /// Workers examined so far, to find whom to ask or where to start.
     pub(crate) examined: Cell<u64>,
@@ -100,6 +109,7 @@
             upkeep: Upkeep::default(),
             pools: Pools::default(),
             advice_slots: AdviceSlots::UNBOUNDED,
+            repeats: Budget::new(REPEATS_BURST, REPEATS_PER_S),
             actions: Vec::new(),
             examined: Cell::new(0),
         }
@@ -111,13 +121,6 @@
         &self.options
     }
 
-    /// Says whether renewals may set leases on a worker. Where they may not, its lease is let lapse on
-    /// purpose: it is only asked what runs, and no [`Event::Renewing`] is made.
-    #[must_use]
-    pub const fn may_renew(&self, _worker: WorkerKey) -> bool {
-        true
-    }
-
     /// Takes an event and returns what is to be done at once.
     ///
     /// Waiting tasks are looked at by [`Scheduler::schedule`] only, so that several events share
--- a/crates/sched/src/watch.rs
+++ b/crates/sched/src/watch.rs
@@ -17,10 +17,14 @@
         self.recover(now);
         self.give_up_strays(now);
         self.watch_headroom();
-        let keys: Vec<_> = self.workers.keys().collect();
+        let mut keys: Vec<_> = self.workers.keys().collect();
+        // Whoever comes first may use up what the cell has for repeats.
+        let turn = usize::try_from(now.0).unwrap_or(0) % keys.len().max(1);
+        keys.rotate_left(turn);
         for key in keys {
-            self.repeat_stops(key, now);
+            self.repeat_orders(key, now);
             self.watch_progress(key, now);
+            self.watch_doubts(key, now);
             self.watch_lease(key, now);
         }
         self.give_up_advice(now);
@@ -29,29 +33,16 @@
         self.forget_old(now);
     }
 
-    /// Takes what ran on a silent worker as ended once its leases have surely lapsed.
+    /// Takes what ran on a worker as ended once its leases have surely lapsed: it is silent, or they are let
+    /// lapse on purpose.
     pub(crate) fn watch_lease(&mut self, key: WorkerKey, now: Millis) {
         let worker = &self.workers[key];
-        if worker.silent && worker.lapse_at <= now {
+        if (worker.silent || worker.contact.lapsing) && worker.lapse_at <= now {
             self.lose_runs(key, "lease_lapsed", now);
         }
         self.detach_if_over(key, now);
     }
 
-    fn repeat_stops(&mut self, key: WorkerKey, now: Millis) {
-        let retry_ms = self.options.order_retry_ms;
-        let mut again = Vec::new();
-        for ((task, run), of_run) in &self.workers[key].runs {
-            let untaken = of_run.phase == Phase::Stopping && of_run.stop_taken_at.is_none();
-            if untaken && now.since(of_run.ordered_at) > retry_ms {
-                again.push((*task, *run));
-            }
-        }
-        for (task, run) in again {
-            self.order_stop(key, task, run, StopReason::Unwanted, now);
-        }
-    }
-
     /// Stops runs that stand still, and quarantines their worker.
     fn watch_progress(&mut self, key: WorkerKey, now: Millis) {
         let worker = &self.workers[key];
--- a/crates/sched/src/worker.rs
+++ b/crates/sched/src/worker.rs
@@ -13,6 +13,7 @@
 use crate::StepSpec;
 use crate::TaskId;
 use crate::WorkerSpec;
+use crate::contact::Contact;
 use crate::pacing::Fill;
 use crate::pacing::PaceControl;
 
@@ -42,6 +43,12 @@
     pub(crate) ordered_at: Millis,
     /// Orders of that kind sent so far.
     pub(crate) orders: u32,
+    /// Copies of its start order that may be under way, or were carried out.
+    pub(crate) copies: u32,
+    /// Whether the latest order has no answer yet.
+    pub(crate) in_flight: bool,
+    /// Since when it has been in doubt, while it is.
+    pub(crate) doubt_since: Millis,
     /// When the worker first said that it runs.
     pub(crate) confirmed_at: Option<Millis>,
     /// Whether some report listed it.
@@ -103,6 +110,9 @@
             held_since: now,
             ordered_at: now,
             orders: 1,
+            copies: 1,
+            in_flight: true,
+            doubt_since: now,
             confirmed_at: None,
             listed: false,
             stop_taken_at: None,
@@ -153,7 +163,19 @@
             Phase::Running => false,
             Phase::Stopping => self.stop_taken_at.is_none(),
         };
-        is_open.then_some(self.ordered_at)
+        is_open.then_some(self.doubt_since)
+    }
+
+    /// Takes note that it is to be stopped from now on.
+    pub(crate) fn begin_stop(&mut self, now: Millis) {
+        // The doubt whether it was started goes on.
+        if self.phase != Phase::Starting {
+            self.doubt_since = now;
+        }
+        self.phase = Phase::Stopping;
+        self.orders = 0;
+        self.ordered_at = now;
+        self.in_flight = false;
     }
 
     /// Returns the processor time that it takes from others, in thousandths of a core.
@@ -214,6 +236,7 @@
     pub(crate) emptying: bool,
     /// How fast the runs may go that fill what is left over.
     pub(crate) pace: PaceControl,
+    pub(crate) contact: Contact,
 }
 
 impl Worker {
@@ -237,6 +260,7 @@
             slow_until: Millis(0),
             emptying: false,
             pace: PaceControl::new(),
+            contact: Contact::new(),
         }
     }
 
@@ -245,6 +269,8 @@
         self.listed
             && self.answered
             && !self.silent
+            && !self.contact.shut
+            && !self.contact.lapsing
             && !self.spec.draining
             && !self.emptying
             && self.quarantined_until <= now
--- a/crates/sched/tests/core/driver.rs
+++ b/crates/sched/tests/core/driver.rs
@@ -220,6 +220,15 @@
         });
     }
 
+    /// Sends renewals that set leases, where they may, and that are not answered yet.
+    pub fn renew_leases(&mut self) {
+        for worker in self.workers.clone() {
+            if self.scheduler.may_renew(worker) {
+                self.apply(Event::Renewing { worker });
+            }
+        }
+    }
+
     /// Answers a renewal with these runs, none of which has a checkpoint.
     pub fn hold(&mut self, worker: WorkerKey, running: &[(TaskId, Run, u8)]) {
         self.report(worker, running, &[]);
--- a/crates/sched/tests/core/pools.rs
+++ b/crates/sched/tests/core/pools.rs
@@ -50,6 +50,7 @@
 fn pass(driver: &mut Driver, here: usize, time_ms: u64) {
     for _ in 0..time_ms / 100 {
         driver.pass(100);
+        driver.renew_leases();
         driver.apply(Event::Ticked);
         driver.list_vms(Some(listed(here, VmState::Up)));
         driver.schedule();
--- a/crates/sched/tests/core/silence.rs
+++ b/crates/sched/tests/core/silence.rs
@@ -57,8 +57,9 @@
         answer: StartAnswer::InDoubt,
     };
     for _ in 0..Options::default().start_orders_limit {
-        driver.pass(300);
+        driver.pass(Options::default().repeat_limit_ms);
         driver.apply(doubt.clone());
+        driver.apply(Event::Ticked);
     }
     assert_eq!(driver.starts.len(), 4, "the same order, four times in all");
     assert!(driver.starts.iter().all(|start| start.run == first.run));
--- a/crates/sched/tests/core/site.rs
+++ b/crates/sched/tests/core/site.rs
@@ -230,6 +230,7 @@
     fn renew(&mut self, key: WorkerKey) {
         let now = self.driver.now;
         let may_renew = self.driver.scheduler.may_renew(key);
+        let work_ms = self.work_ms;
         let model = self.model(key);
         if model.renew_at > now {
             return;
@@ -238,8 +239,12 @@
         if may_renew {
             model.lease_until = model.lease_until.max(now.plus(LEASE_MS));
         }
-        let running = model.running.keys().map(|(task, run)| (*task, *run, 50));
-        let running: Vec<_> = running.collect();
+        let mut running = Vec::new();
+        for ((task, run), ends_at) in &model.running {
+            let left = ends_at.since(now) * 100 / work_ms;
+            let percent = u8::try_from(100 - left.min(100)).unwrap_or(0);
+            running.push((*task, *run, percent));
+        }
         let ended = std::mem::take(&mut model.ended);
         if may_renew {
             self.driver.apply(Event::Renewing { worker: key });
--- a/crates/sched/tests/core/upkeep.rs
+++ b/crates/sched/tests/core/upkeep.rs
@@ -55,6 +55,7 @@
 fn pass(driver: &mut Driver, vms: usize, down: &[usize], time_ms: u64) {
     for _ in 0..time_ms / 100 {
         driver.pass(100);
+        driver.renew_leases();
         driver.apply(Event::Ticked);
         driver.list_vms(Some(listed(vms, down)));
         driver.record();
--- a/crates/sched/tests/overload/replay.rs
+++ b/crates/sched/tests/overload/replay.rs
@@ -301,7 +301,10 @@
         for (key, id) in due {
             let (acknowledged, _) = self.scheduler.acknowledged_ends(key);
             let renewal = Renewal {
-                lease_until_ms: Some(self.now.0 + LEASE_MS),
+                lease_until_ms: self
+                    .scheduler
+                    .may_renew(key)
+                    .then_some(self.now.0 + LEASE_MS),
                 acknowledged,
                 token: 1,
                 wait_ms: 0,
--- a/crates/sched/tests/schedules/main.rs
+++ b/crates/sched/tests/schedules/main.rs
@@ -23,6 +23,11 @@
 #[test_case(Profile { crashes: 4, ..Profile::CALM }; "workers crash")]
 #[test_case(Profile { lost: 80, ..Profile::CALM }; "answers are lost")]
 #[test_case(Profile { late: 60, ..Profile::CALM }; "orders are carried out late")]
+#[test_case(Profile { shuts: 6, ..Profile::CALM }; "workers answer renewals and take no orders")]
+#[test_case(Profile { shuts: 6, late: 60, ..Profile::CALM }; "workers take no orders and others are late")]
+#[test_case(Profile { lost: 400, ..Profile::CALM }; "four answers of ten are lost")]
+#[test_case(Profile { late: 400, ..Profile::CALM }; "four orders of ten are carried out late")]
+#[test_case(Profile { shuts: 4, ..Profile::ALL }; "everything at once and workers that take no orders")]
 #[test_case(Profile { store_pauses: 4, ..Profile::CALM }; "the store pauses")]
 #[test_case(Profile::ALL; "everything at once")]
 #[test_case(Profile { sharing: true, ..Profile::CALM }; "some serve and some fill")]
@@ -41,18 +46,15 @@
     }
 }
 
-/// The rule that a silent worker's lease has to lapse is broken on purpose: the judge must see it.
-#[test]
-fn the_judge_notices_a_scheduler_that_does_not_wait_for_leases() {
+/// The rule that a worker's lease has to lapse is broken on purpose: the judge must see it.
+#[test_case(Profile { cuts: 10, ..Profile::CALM }; "of workers that are cut off")]
+#[test_case(Profile { shuts: 10, ..Profile::CALM }; "of workers that take no orders")]
+fn the_judge_notices_a_scheduler_that_does_not_wait_for_leases(profile: Profile) {
     let options = Options {
         lease_bound_ms: 0,
         authority_ms: 0,
         ..Options::default()
     };
-    let profile = Profile {
-        cuts: 10,
-        ..Profile::CALM
-    };
     let mut twice = 0;
     for seed in 1..=SEEDS {
         let mut world = World::new(seed, profile, options);
--- a/crates/sched/tests/schedules/world.rs
+++ b/crates/sched/tests/schedules/world.rs
@@ -73,6 +73,8 @@
     pub lost: u32,
     pub late: u32,
     pub store_pauses: u32,
+    /// Workers that answer renewals and reset each order for a while, some of which they carry out later.
+    pub shuts: u32,
     /// Workers have less than they say: the judge must see it.
     pub understated: bool,
     /// Jobs that serve users of their own, and others that fill what they leave unused.
@@ -94,6 +96,7 @@
         lost: 0,
         late: 0,
         store_pauses: 0,
+        shuts: 0,
         understated: false,
         sharing: false,
         unpaced: false,
@@ -156,6 +159,7 @@
     writing: bool,
     store_paused_until: Millis,
     cut: BTreeMap<WorkerId, Millis>,
+    shut_until: BTreeMap<WorkerId, Millis>,
     registered: BTreeMap<WorkerId, Life>,
     lives: u64,
     vms: VmsModel,
@@ -176,6 +180,7 @@
     Cut,
     Crash,
     StorePauses,
+    Shut,
 }
 
 impl World {
@@ -201,6 +206,7 @@
             (Trouble::Cut, profile.cuts),
             (Trouble::Crash, profile.crashes),
             (Trouble::StorePauses, profile.store_pauses),
+            (Trouble::Shut, profile.shuts),
         ];
         for (trouble, count) in troubles {
             for _ in 0..count {
@@ -227,6 +233,7 @@
             writing: false,
             store_paused_until: Millis(0),
             cut: BTreeMap::new(),
+            shut_until: BTreeMap::new(),
             registered: BTreeMap::new(),
             lives: 0,
             vms: VmsModel::new(VM_ORDER_MS),
--- a/crates/sched/tests/schedules/world/faults.rs
+++ b/crates/sched/tests/schedules/world/faults.rs
@@ -9,6 +9,13 @@
 use super::Trouble;
 use super::World;
 
+/// What becomes of an order that a worker resets.
+#[derive(Debug, Clone, Copy)]
+pub(super) enum Reset {
+    Lost,
+    CarriedOutAfter(u64),
+}
+
 impl World {
     pub(super) fn strike(&mut self) {
         while let Some((at, trouble)) = self.faults_at.first().copied() {
@@ -42,6 +49,13 @@
                     let delay_ms = self.rng.random_range(500..4_000);
                     self.later(delay_ms, Delivery::NewIncarnation);
                 }
+                Trouble::Shut => {
+                    let Some(id) = self.any_worker() else {
+                        continue;
+                    };
+                    let until = self.now.plus(self.rng.random_range(500..30_000));
+                    self.shut_until.insert(id, until);
+                }
                 Trouble::StorePauses => {
                     let pause_ms = self.rng.random_range(500..5_000);
                     self.store_paused_until = self.now.plus(pause_ms);
@@ -50,6 +64,19 @@
         }
     }
 
+    /// Says what becomes of an order that a worker resets; none where it resets no orders.
+    pub(super) fn reset(&mut self, id: &WorkerId) -> Option<Reset> {
+        let until = self.shut_until.get(id)?;
+        if *until <= self.now {
+            return None;
+        }
+        if self.rng.random_ratio(2, 3) {
+            return Some(Reset::Lost);
+        }
+        let late_ms = self.rng.random_range(100..8_000);
+        Some(Reset::CarriedOutAfter(late_ms))
+    }
+
     fn any_worker(&mut self) -> Option<WorkerId> {
         let ids: Vec<_> = self.registered.keys().cloned().collect();
         if ids.is_empty() {
--- a/crates/sched/tests/schedules/world/orders.rs
+++ b/crates/sched/tests/schedules/world/orders.rs
@@ -26,6 +26,7 @@
 use super::ORDER_TIMEOUT_MS;
 use super::WORKERS;
 use super::World;
+use super::faults::Reset;
 
 impl World {
     pub(super) fn send_start(&mut self, order: &StartOrder) {
@@ -57,6 +58,13 @@
             run: order.run,
             answer: StartAnswer::InDoubt,
         };
+        if let Some(reset) = self.reset(&id) {
+            if let Reset::CarriedOutAfter(late_ms) = reset {
+                self.later(late_ms, Delivery::Start(id, command));
+            }
+            self.answer(1, in_doubt);
+            return;
+        }
         if self.is_late() {
             let delay_ms = self.rng.random_range(2_000..12_000);
             self.later(delay_ms, Delivery::Start(id, command));
@@ -114,6 +122,13 @@
             run,
             taken,
         };
+        if let Some(reset) = self.reset(&id) {
+            if let Reset::CarriedOutAfter(late_ms) = reset {
+                self.later(late_ms, Delivery::Stop(id, command));
+            }
+            self.answer(1, answer(false));
+            return;
+        }
         if self.is_late() {
             let delay_ms = self.rng.random_range(2_000..12_000);
             self.later(delay_ms, Delivery::Stop(id, command));
@@ -149,6 +164,13 @@
             percent,
             taken,
         };
+        if let Some(reset) = self.reset(&id) {
+            if let Reset::CarriedOutAfter(late_ms) = reset {
+                self.later(late_ms, Delivery::Pace(id, command));
+            }
+            self.answer(1, answer(false));
+            return;
+        }
         if self.is_late() {
             let delay_ms = self.rng.random_range(2_000..12_000);
             self.later(delay_ms, Delivery::Pace(id, command));
--- a/crates/sched/tests/schedules/world/sessions.rs
+++ b/crates/sched/tests/schedules/world/sessions.rs
@@ -29,7 +29,9 @@
             return;
         };
         session.renew_at = self.now.plus(RENEW_MS);
-        let extends = session.clock_read && !session.failed;
+        let may_renew = self.scheduler.as_ref();
+        let may_renew = may_renew.is_none_or(|scheduler| scheduler.may_renew(key));
+        let extends = session.clock_read && !session.failed && may_renew;
         let acknowledged = self
             .scheduler
             .as_mut()
