Search takeovers exhaustively in a small size, and show how a run number is used twice

Two schedulers that overlap, one job, one worker more than it needs, over the real core and the models of workers, in virtual time. Each play picks when either scheduler reads the job, when the predecessor ends, for how long the successor does not reach each worker, how long the task takes, and what becomes of the first order of each.

Two tests by hand show the same: what a predecessor may have started begins elsewhere at once, and the end of another run of the same number is taken for that of the run that goes on.

--- a/crates/sched/tests/core/takeover.rs
+++ b/crates/sched/tests/core/takeover.rs
@@ -1,4 +1,8 @@
 //! Taking over from a predecessor: what runs is found out before anything starts again.
+//!
+//! A predecessor goes on giving orders for a while, also of jobs that its successor reads only after all the others.
+//! Its run and the successor's then had the same number. The end of the one was taken for that of the other, whose
+//! own end as done counted for nothing, and the task ran once more.
 
 use syc_sched::Event;
 use syc_sched::JobId;
@@ -11,6 +15,7 @@
 use syc_sched::StepSpec;
 use syc_sched::StopReason;
 use syc_sched::TaskId;
+use test_case::test_case;
 
 use crate::driver::Driver;
 use crate::driver::policy;
@@ -157,3 +162,88 @@
     driver.record();
     assert_eq!(driver.state(1), Some(JobState::Failed));
 }
+
+/// A successor that has read all that was stored before it began, and then reads on: a job that was stored since,
+/// which its predecessor may have read too.
+fn successor_of_one_that_may_order(workers: usize) -> Driver {
+    let mut driver = Driver::new(0, 0);
+    driver.scheduler.set_jobs_read(driver.now);
+    for index in 0..workers {
+        driver.apply(Event::WorkerListed(worker(index, 4)));
+    }
+    driver.scheduler.begin_recovery(driver.now);
+    driver
+}
+
+#[test]
+fn what_a_predecessor_may_have_started_waits_for_the_workers_that_have_not_answered() {
+    let mut driver = successor_of_one_that_may_order(2);
+    driver.hold(driver.workers[1], &[]);
+    driver.submit(1, policy(0), vec![step(1, 1)]);
+    driver.schedule();
+    assert!(driver.starts.is_empty(), "it may run on the other worker");
+    let failed = (task(0), Run(1), RunEnd::Failed);
+    driver.report(driver.workers[0], &[], &[failed]);
+    driver.apply(Event::Ticked);
+    driver.record();
+    driver.schedule();
+    let runs: Vec<_> = driver.starts.iter().map(|start| start.run).collect();
+    assert_eq!(runs, [Run(2)]);
+}
+
+#[test]
+fn what_was_stored_after_the_predecessor_is_surely_over_starts_at_once() {
+    let mut driver = successor_of_one_that_may_order(2);
+    driver.hold(driver.workers[1], &[]);
+    driver.pass(Options::default().authority_ms);
+    driver.scheduler.set_jobs_read(driver.now);
+    driver.submit(1, policy(0), vec![step(1, 1)]);
+    driver.schedule();
+    assert_eq!(driver.starts.len(), 1);
+}
+
+/// The end of a run of the same number, on a worker that was taken as gone with all that ran there.
+#[test_case(RunEnd::Failed; "that failed")]
+#[test_case(RunEnd::Lapsed; "whose lease lapsed")]
+fn an_end_counts_for_its_own_run_only(end: RunEnd) {
+    let mut driver = successor(2, vec![step(1, 1)], None);
+    driver.hold(driver.workers[1], &[]);
+    driver.apply(Event::RenewalFailed {
+        worker: driver.workers[0],
+    });
+    let options = Options::default();
+    driver.pass(options.authority_ms + options.lease_bound_ms);
+    driver.apply(Event::Ticked);
+    driver.record();
+    driver.schedule();
+    let starts = driver.confirm_starts();
+    assert_eq!(starts.len(), 1);
+    driver.report(driver.workers[0], &[], &[(task(0), Run(1), end)]);
+    driver.record();
+    driver.schedule();
+    assert!(driver.starts.is_empty(), "its run goes on");
+    let done = (task(0), starts[0].run, RunEnd::Done);
+    driver.report(starts[0].worker, &[], &[done]);
+    driver.record();
+    assert_eq!(driver.state(1), Some(JobState::Completed));
+}
+
+#[test]
+fn a_run_that_was_done_ends_its_task_also_where_it_was_given_up() {
+    let mut driver = successor(2, vec![step(1, 1)], None);
+    driver.hold(driver.workers[1], &[]);
+    driver.apply(Event::RenewalFailed {
+        worker: driver.workers[0],
+    });
+    let options = Options::default();
+    driver.pass(options.authority_ms + options.lease_bound_ms);
+    driver.apply(Event::Ticked);
+    driver.record();
+    driver.schedule();
+    driver.confirm_starts();
+    driver.report(driver.workers[0], &[], &[(task(0), Run(1), RunEnd::Done)]);
+    driver.record();
+    assert_eq!(driver.state(1), Some(JobState::Completed));
+    driver.schedule();
+    assert!(driver.starts.is_empty());
+}
--- /dev/null
+++ b/crates/sched/tests/takeovers/main.rs
@@ -0,0 +1,83 @@
+//! Takeovers, searched exhaustively in a small size: two schedulers that overlap, one job,
+//! and one worker more than it needs.
+//!
+//! A predecessor read a job that its successor did not know yet, and started it as run 1. The successor took what
+//! was submitted since its takeover as started by nobody, and started it as run 1 on another worker. Then the
+//! failure of the one run was told, and taken for the end of the other: that run's own end, as done, counted for
+//! nothing, and the task ran once more. Where the first run was still at work, two ran at once.
+//!
+//! Each play picks when either of them reads the job, when the predecessor ends, for how long the successor does
+//! not reach each worker, how long the task takes, and what becomes of the first order of each: answered, its
+//! answer lost, or carried out 2 or 12 s late.
+
+mod search;
+mod side;
+mod world;
+
+use std::collections::BTreeSet;
+
+use syc_fleet::Fault;
+use syc_sched::JobState;
+use syc_sched::StepSpec;
+use test_case::test_case;
+
+use crate::search::Choices;
+use crate::world::World;
+use crate::world::cpu;
+
+/// What a search came to.
+#[derive(Debug, Default)]
+struct Found {
+    plays: u64,
+    states: usize,
+    broken: u64,
+    not_completed: u64,
+    first: Option<Vec<Fault>>,
+}
+
+fn search(step: &StepSpec, failing_runs: u32) -> Found {
+    let mut choices = Choices::default();
+    let mut seen = BTreeSet::new();
+    let mut found = Found::default();
+    loop {
+        let world = World::new(&mut choices, step.clone(), failing_runs);
+        let played = world.play(&mut seen);
+        found.plays += 1;
+        found.broken += u64::from(!played.faults.is_empty());
+        found.not_completed += u64::from(played.state != Some(JobState::Completed));
+        if !played.faults.is_empty() {
+            found.first.get_or_insert(played.faults);
+        }
+        if !choices.advance() {
+            break;
+        }
+    }
+    found.states = seen.len();
+    found
+}
+
+fn task() -> StepSpec {
+    StepSpec {
+        tasks: 1,
+        resources: cpu(1),
+        estimate_ms: 1_000,
+        ..StepSpec::default()
+    }
+}
+
+#[test_case(false, 0; "a task that is done at once")]
+#[test_case(false, 1; "a task that fails once")]
+#[test_case(true, 0; "a gang that is done at once")]
+#[test_case(true, 1; "a gang that fails once")]
+fn nothing_runs_twice_whatever_overlaps(gang: bool, failing_runs: u32) {
+    let tasks = if gang { 2 } else { 1 };
+    let step = StepSpec {
+        tasks,
+        gang,
+        ..task()
+    };
+    let found = search(&step, failing_runs);
+    println!("{found:?}");
+    let broken = (found.broken, found.not_completed);
+    assert_eq!(broken, (0, 0), "of {} plays: {found:?}", found.plays);
+}
--- /dev/null
+++ b/crates/sched/tests/takeovers/side.rs
@@ -0,0 +1,92 @@
+//! One of the two schedulers, and what it knows of the workers.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use syc_sched::Action;
+use syc_sched::Event;
+use syc_sched::Options;
+use syc_sched::Run;
+use syc_sched::Scheduler;
+use syc_sched::StartOrder;
+use syc_sched::TaskId;
+use syc_sched::WorkerKey;
+use syc_types::Millis;
+use syc_types::WorkerId;
+
+/// An order that a scheduler gives.
+#[derive(Debug)]
+pub enum Order {
+    Start(StartOrder),
+    Stop(WorkerKey, TaskId, Run),
+}
+
+/// A scheduler and its sessions.
+#[derive(Debug)]
+pub struct Side {
+    pub scheduler: Scheduler,
+    pub workers: BTreeMap<WorkerKey, WorkerId>,
+    /// Workers whose clock was read.
+    pub heard: BTreeSet<WorkerKey>,
+    pub ended: bool,
+    pub has_read_job: bool,
+    /// Start orders so far.
+    pub starts: u32,
+    orders: Vec<Order>,
+}
+
+impl Side {
+    pub fn new() -> Self {
+        let mut scheduler = Scheduler::new(Options::default());
+        scheduler.set_jobs_read(Millis(0));
+        Self {
+            scheduler,
+            workers: BTreeMap::new(),
+            heard: BTreeSet::new(),
+            ended: false,
+            has_read_job: false,
+            starts: 0,
+            orders: Vec::new(),
+        }
+    }
+
+    pub fn apply(&mut self, event: Event, now: Millis) {
+        if self.ended {
+            return;
+        }
+        let actions = self.scheduler.handle(event, now);
+        self.take(actions);
+    }
+
+    pub fn look(&mut self, now: Millis) {
+        if self.ended {
+            return;
+        }
+        self.apply(Event::Ticked, now);
+        let actions = self.scheduler.schedule(now);
+        self.take(actions);
+    }
+
+    /// Returns the orders given since the last call.
+    pub fn take_orders(&mut self) -> Vec<Order> {
+        std::mem::take(&mut self.orders)
+    }
+
+    fn take(&mut self, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Attach { worker, spec } => {
+                    self.workers.insert(worker, spec.id);
+                }
+                Action::Detach { worker } => {
+                    self.workers.remove(&worker);
+                }
+                Action::Start(order) => self.orders.push(Order::Start(order)),
+                Action::Stop {
+                    worker, task, run, ..
+                } => self.orders.push(Order::Stop(worker, task, run)),
+                _ => {}
+            }
+        }
+    }
+}
