--- a/crates/sched/src/scheduler.rs
+++ b/crates/sched/src/scheduler.rs
@@ -23,6 +23,7 @@
 use crate::StopReason;
 use crate::TaskId;
 use crate::WorkerKey;
+use crate::backoff::Budget;
 use crate::headroom::Headroom;
 use crate::ids::JobKey;
 use crate::job::Job;
@@ -36,6 +37,12 @@
 use crate::worker::Phase;
 use crate::worker::Worker;
 
+/// Orders that may be sent again at once in a cell, beside those that orders that were taken pay for.
+const REPEATS_BURST: u64 = 64;
+
+/// Orders that are sent again a second in a cell at most, beside those that orders that were taken pay for.
+const REPEATS_PER_S: u64 = 20;
+
 /// What was learned of a queue's advice.
 #[derive(Debug, Clone, Copy, Default)]
 pub(crate) struct QueueStats {
@@ -71,6 +78,8 @@
     pub(crate) upkeep: Upkeep,
     pub(crate) pools: Pools,
     pub(crate) advice_slots: AdviceSlots,
+    /// What pays for orders that are sent again, to all workers together.
+    pub(crate) repeats: Budget,
     pub(crate) actions: Vec<Action>,
     /// Workers examined so far, to find whom to ask or where to start.
     pub(crate) examined: Cell<u64>,
@@ -100,6 +109,7 @@
             upkeep: Upkeep::default(),
             pools: Pools::default(),
             advice_slots: AdviceSlots::UNBOUNDED,
+            repeats: Budget::new(REPEATS_BURST, REPEATS_PER_S),
             actions: Vec::new(),
             examined: Cell::new(0),
         }
@@ -340,11 +350,13 @@
             return;
         }
         let accepted_at = Millis(now.0.saturating_sub(age_ms));
-        self.insert_open(Job::new(spec, accepted_at), now);
+        let key = self.insert_open(Job::new(spec, accepted_at), now);
+        self.inherit_if_known_before(key);
         self.meet_strays(id, now);
+        self.give_up_unknown_runs_of(key, now);
     }
 
-    fn insert_open(&mut self, job: Job, now: Millis) {
+    fn insert_open(&mut self, job: Job, now: Millis) -> JobKey {
         let id = job.id();
         let key = self.jobs.insert(job);
         self.job_keys.insert(id, key);
@@ -352,6 +364,7 @@
         if self.cancelled_early.remove(&id).is_some() {
             self.end_job(key, JobState::Cancelled, now);
         }
+        key
     }
 
     fn cancel(&mut self, id: JobId, now: Millis) {
