--- a/crates/api/src/lib.rs
+++ b/crates/api/src/lib.rs
@@ -99,7 +99,7 @@
     pub author: SmolStr,
     /// The revision that the author has seen; 0 for none.
     pub base: Revision,
-    /// The document.
+    /// What is to be in force in place of that revision.
     pub document: Document,
 }
 
@@ -115,10 +115,10 @@
 pub struct ConfigEntry {
     /// The document's scope.
     pub scope: SmolStr,
-    /// Its revision.
+    /// Number of the document in its scope; each publication that is accepted adds one.
     pub revision: Revision,
     /// Who published it.
     pub author: SmolStr,
-    /// The document.
+    /// What is in force.
     pub document: Document,
 }
--- a/crates/api/src/operators.rs
+++ b/crates/api/src/operators.rs
@@ -93,7 +93,7 @@
 /// Who owns a rack.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RackStatus {
-    /// The rack.
+    /// Name in the inventory.
     pub rack: RackId,
     /// Its owner; none where there is no view.
     pub owner: Option<MemberId>,
@@ -104,9 +104,9 @@
 /// A job with tasks that wait.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WaitingJob {
-    /// The job.
+    /// The id that its submitter chose.
     pub job_id: JobId,
-    /// Its team.
+    /// Whose quota its tasks are taken from.
     pub team: TeamId,
     /// Its team's home.
     pub home: Option<MemberId>,
@@ -164,7 +164,7 @@
 pub struct ExplainBody {
     /// The daemon that answers.
     pub member: MemberId,
-    /// The job.
+    /// The id that was asked about.
     pub job_id: JobId,
     /// Its team's home.
     pub home: Option<MemberId>,
--- a/crates/coord/src/append_batch.rs
+++ b/crates/coord/src/append_batch.rs
@@ -212,7 +212,7 @@
 pub enum Settled {
     /// It stands in the log and counts.
     Counts {
-        /// Its offset.
+        /// Where in the log it stands.
         offset: u64,
     },
     /// A tombstone stands before it, or in its place: it never counts.
--- a/crates/coord/src/audit.rs
+++ b/crates/coord/src/audit.rs
@@ -50,7 +50,7 @@
 pub enum Action {
     /// A document was published and is or was in force.
     Published {
-        /// Its scope.
+        /// Which document it replaced, as `kind/name`.
         scope: SmolStr,
         /// The revision that it replaced.
         from: Revision,
@@ -59,7 +59,7 @@
     },
     /// A document was published and refused: its base was not in force any more.
     Refused {
-        /// Its scope.
+        /// Which document it was to replace, as `kind/name`.
         scope: SmolStr,
         /// The revision that its author had seen.
         base: Revision,
--- a/crates/coord/src/config_store.rs
+++ b/crates/coord/src/config_store.rs
@@ -35,7 +35,7 @@
     pub offset: u64,
     /// Who published it.
     pub author: SmolStr,
-    /// The document.
+    /// What was published.
     pub document: Document,
 }
 
--- a/crates/coord/src/home.rs
+++ b/crates/coord/src/home.rs
@@ -89,9 +89,9 @@
     Place(Placement),
     /// Ask an owner what runs; [`Home::told`] takes the answer.
     Ask {
-        /// The team.
+        /// Whose tasks are asked for.
         team: TeamId,
-        /// The owner.
+        /// Who is asked.
         owner: MemberId,
         /// The round of questions that this belongs to.
         round: u64,
@@ -100,7 +100,7 @@
     Stop(Stop),
     /// Append the end of a task that nobody will report; then [`Home::recorded`].
     RecordEnd {
-        /// The task.
+        /// Which task, and of which job.
         task: TaskRef,
         /// How it ended.
         outcome: TaskOutcome,
@@ -110,7 +110,7 @@
 /// Tasks to be started together.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Placement {
-    /// The job.
+    /// Whose tasks they are.
     pub job_id: JobId,
     /// The epoch that it was decided in; in no other may a command of it be sent.
     pub epoch: Epoch,
@@ -132,20 +132,20 @@
 /// The tasks that one owner is to start.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Part {
-    /// The owner.
+    /// Who is to start them.
     pub owner: MemberId,
-    /// The tasks.
+    /// Positions of the tasks in the job.
     pub indexes: Vec<u32>,
 }
 
 /// Tasks that an owner is to end.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Stop {
-    /// The owner.
+    /// Who is to end them.
     pub owner: MemberId,
-    /// The job.
+    /// Whose tasks they are.
     pub job_id: JobId,
-    /// The tasks.
+    /// Positions of the tasks in the job.
     pub indexes: Vec<u32>,
 }
 
@@ -156,14 +156,14 @@
     Started {
         /// The owner of the worker.
         owner: MemberId,
-        /// The worker.
+        /// Where it runs.
         worker: WorkerId,
     },
     /// It surely was not started.
     NotStarted,
     /// It may have been started by this owner.
     InDoubt {
-        /// The owner.
+        /// Who may have started it.
         owner: MemberId,
     },
 }
@@ -179,11 +179,11 @@
 /// A task that an owner knows of.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct KnownTask {
-    /// The task.
+    /// Which task, and of which job.
     pub task: TaskRef,
     /// Which attempt runs.
     pub attempt: u32,
-    /// The worker.
+    /// Where it runs.
     pub worker: WorkerId,
 }
 
--- a/crates/coord/src/home/queue.rs
+++ b/crates/coord/src/home/queue.rs
@@ -11,7 +11,7 @@
 /// Tasks that are offered together.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Unit {
-    /// The job.
+    /// Whose tasks they are.
     pub job_id: JobId,
     /// The tasks: all of a gang, or one.
     pub indexes: Vec<u32>,
--- a/crates/coord/src/home/rooms.rs
+++ b/crates/coord/src/home/rooms.rs
@@ -11,7 +11,7 @@
 /// What an owner last said it has to give.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct OwnerRoom {
-    /// The owner.
+    /// Who said it.
     pub owner: MemberId,
     /// What no task holds, over all its workers.
     pub free: Resources,
--- a/crates/coord/src/home/round.rs
+++ b/crates/coord/src/home/round.rs
@@ -26,7 +26,7 @@
 pub struct Told {
     /// The round that it was asked in.
     pub round: u64,
-    /// The owner.
+    /// Who told it.
     pub owner: MemberId,
     /// Whether it is sure of all its workers; false also where it did not answer.
     pub settled: bool,
--- a/crates/coord/src/log_state.rs
+++ b/crates/coord/src/log_state.rs
@@ -14,7 +14,7 @@
     pub config: &'a ConfigStore,
     /// The audit trail.
     pub audit: &'a AuditTrail,
-    /// The jobs.
+    /// Jobs, and which of their tasks have ended or have an intent.
     pub jobs: &'a Jobs,
     /// The current view, and the former ones that are not settled.
     pub views: &'a Views,
--- a/crates/coord/src/records.rs
+++ b/crates/coord/src/records.rs
@@ -43,26 +43,26 @@
     Config(ConfigRecord),
     /// A job was accepted.
     JobAccepted {
-        /// The job.
+        /// The id that its submitter chose.
         job_id: JobId,
-        /// Its declaration.
+        /// What was submitted.
         spec: JobSpec,
     },
     /// A non-idempotent task is about to be started.
     Intent {
-        /// The task.
+        /// Which task, and of which job.
         task: TaskRef,
     },
     /// A task whose intent was written was surely not started after all.
     IntentWithdrawn {
-        /// The task.
+        /// Which task, and of which job.
         task: TaskRef,
         /// The record of the intent.
         of: Uuid,
     },
     /// A job is to be ended, whatever its state.
     JobCancelled {
-        /// The job.
+        /// Which job.
         job_id: JobId,
     },
     /// The member list changes, if `base` is the epoch in force when the log's order reaches it.
@@ -78,7 +78,7 @@
     Snapshot(SnapshotPart),
     /// A task ended.
     TaskEnded {
-        /// The task.
+        /// Which task, and of which job.
         task: TaskRef,
         /// How it ended.
         outcome: TaskOutcome,
@@ -95,7 +95,7 @@
     pub author: SmolStr,
     /// The revision that the author had seen of this scope; 0 for none.
     pub base: Revision,
-    /// The document.
+    /// What is to be in force in place of that revision.
     pub document: Document,
 }
 
--- a/crates/coord/src/snapshot.rs
+++ b/crates/coord/src/snapshot.rs
@@ -48,25 +48,25 @@
     Config(InForce),
     /// What became of a recent publication.
     Verdict {
-        /// The publication.
+        /// Which publication, as its record named it.
         publication: Uuid,
-        /// The verdict.
+        /// Whether it was accepted.
         verdict: Verdict,
     },
     /// An entry of the audit trail.
     Audit(AuditEntry),
     /// A job; its tasks follow.
     Job {
-        /// The job.
+        /// The id that its submitter chose.
         job_id: JobId,
-        /// Its declaration.
+        /// What was submitted.
         spec: JobSpec,
         /// When it ended, in the log's own milliseconds.
         ended_at_ms: Option<u64>,
     },
     /// Tasks of a job that have ended, or may have been started without being idempotent.
     Tasks {
-        /// The job.
+        /// Whose tasks they are.
         job_id: JobId,
         /// Which ended, and how.
         ends: Vec<(u32, TaskOutcome)>,
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -45,7 +45,7 @@
     /// An address can't be listened on.
     #[error("can't listen on {address}")]
     Listen {
-        /// The address.
+        /// The address in the settings, `ip:port`.
         address: SmolStr,
         /// The system's reason.
         source: std::io::Error,
--- a/crates/place/src/event.rs
+++ b/crates/place/src/event.rs
@@ -23,11 +23,11 @@
 /// Tasks of a job that a home wants placed: all of them, or none.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Order {
-    /// The job.
+    /// Whose tasks they are.
     pub job_id: JobId,
-    /// Its declaration.
+    /// What the job's submitter declared.
     pub spec: Rc<JobSpec>,
-    /// The tasks.
+    /// Positions of the tasks in the job.
     pub indexes: Vec<u32>,
     /// Which attempt this is.
     pub attempt: u32,
@@ -53,7 +53,7 @@
 /// A task as a worker reports or echoes it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Reported {
-    /// The task.
+    /// Which task, and of which job.
     pub task: TaskRef,
     /// Which attempt it is.
     pub attempt: u32,
@@ -72,7 +72,7 @@
 /// The end of an attempt.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Ended {
-    /// The task.
+    /// Which task, and of which job.
     pub task: TaskRef,
     /// Which attempt it was.
     pub attempt: u32,
@@ -115,7 +115,7 @@
     Held {
         /// Names the answer.
         offer: OfferKey,
-        /// The job.
+        /// Whose tasks they are.
         job_id: JobId,
         /// The attempt that the reservations are for.
         attempt: u32,
@@ -124,28 +124,28 @@
     },
     /// A home cancels tasks.
     Stopped {
-        /// The job.
+        /// Whose tasks they are.
         job_id: JobId,
-        /// The tasks.
+        /// Positions of the tasks in the job.
         indexes: Vec<u32>,
     },
     /// A team has a new home: what its former home queued or reserved is dropped.
     HomeChanged {
-        /// The team.
+        /// Whose tasks the home keeps.
         team: TeamId,
     },
     /// A start command came to something.
     StartAnswered {
-        /// The task.
+        /// Which task was to be started.
         task: TaskRef,
-        /// The attempt.
+        /// Which attempt at it.
         attempt: u32,
         /// What it came to.
         answer: StartAnswer,
     },
     /// A worker answered a poll.
     Polled {
-        /// The worker.
+        /// Who answered.
         worker: WorkerKey,
         /// The poll, as [`PollPlan`] numbered it.
         seq: u64,
@@ -154,7 +154,7 @@
     },
     /// A worker did not answer a poll.
     PollFailed {
-        /// The worker.
+        /// Who was asked.
         worker: WorkerKey,
         /// The poll, as [`PollPlan`] numbered it.
         seq: u64,
@@ -163,9 +163,9 @@
     },
     /// A home has kept the end of an attempt.
     EndKept {
-        /// The task.
+        /// Which task has ended.
         task: TaskRef,
-        /// The attempt.
+        /// Which attempt at it.
         attempt: u32,
     },
     /// The inventory of the owned racks changed, or racks were gained.
@@ -175,7 +175,7 @@
     },
     /// Workers belong to another owner from now on.
     Disowned {
-        /// The workers.
+        /// Keys of the workers that are given up.
         workers: Vec<WorkerKey>,
     },
     /// The weights of teams and of policy changed.
@@ -204,9 +204,9 @@
     Start {
         /// Where.
         worker: WorkerKey,
-        /// The task.
+        /// Which task, and of which job.
         task: TaskRef,
-        /// The attempt.
+        /// Which attempt at it.
         attempt: u32,
         /// Its job's declaration.
         spec: Rc<JobSpec>,
@@ -215,14 +215,14 @@
     Stop {
         /// Where it runs.
         worker: WorkerKey,
-        /// The task.
+        /// Which task, and of which job.
         task: TaskRef,
         /// Whether its progress is to be saved.
         checkpoint: bool,
     },
     /// Answer an offer with the worker of each task.
     Answer {
-        /// The offer.
+        /// Which offer, as its home named it.
         offer: OfferKey,
         /// The workers in the order of the offer, or the reason why nothing was started.
         outcome: Result<Vec<WorkerId>, Refusal>,
@@ -234,7 +234,7 @@
     },
     /// Poll a worker from now on, for as long as [`crate::Owner::plan_poll`] has a plan.
     Poll {
-        /// The worker.
+        /// Which worker, as the ledger names it.
         worker: WorkerKey,
     },
 }
@@ -255,8 +255,8 @@
 /// An attempt whose end its home has kept, so that the worker may forget it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct KeptEnd {
-    /// The task.
+    /// Which task, and of which job.
     pub task: TaskRef,
-    /// The attempt.
+    /// Which attempt at it.
     pub attempt: u32,
 }
--- a/crates/place/src/ledger.rs
+++ b/crates/place/src/ledger.rs
@@ -31,7 +31,7 @@
     pub address: SmolStr,
     /// Its availability zone.
     pub zone: Zone,
-    /// Its rack.
+    /// Which rack it is in; each rack has one owner.
     pub rack: RackId,
     /// What it has.
     pub capacity: Resources,
--- a/crates/place/src/owner.rs
+++ b/crates/place/src/owner.rs
@@ -214,11 +214,11 @@
 /// A task that an owner knows of.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct KnownTask {
-    /// The task.
+    /// Which task, and of which job.
     pub task: TaskRef,
     /// Which attempt.
     pub attempt: u32,
-    /// Its worker.
+    /// Where it runs, or ran.
     pub worker: WorkerId,
 }
 
--- a/crates/platform/src/types.rs
+++ b/crates/platform/src/types.rs
@@ -83,7 +83,7 @@
 /// One attempt at a task.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct TaskAttempt {
-    /// The task.
+    /// Which task, and of which job.
     pub task: TaskRef,
     /// Which attempt it is.
     pub attempt: u32,
@@ -92,7 +92,7 @@
 /// Starts a task on a worker.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StartTask {
-    /// The task.
+    /// Which task, and of which job.
     pub task: TaskRef,
     /// Which attempt at the task this is.
     pub attempt: u32,
@@ -146,7 +146,7 @@
 /// A task that runs on a worker.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RunningTask {
-    /// The task.
+    /// Which task, and of which job.
     pub task: TaskRef,
     /// Which attempt it is.
     pub attempt: u32,
@@ -162,7 +162,7 @@
 /// A task that ended on a worker and is not yet acknowledged.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct FinishedTask {
-    /// The task.
+    /// Which task, and of which job.
     pub task: TaskRef,
     /// Which attempt it was.
     pub attempt: u32,
@@ -210,7 +210,7 @@
 /// Commands something of a task.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TaskCommand {
-    /// The task.
+    /// Which task, and of which job.
     pub task: TaskRef,
     /// The commanding owner's epoch.
     pub epoch: Epoch,
--- a/crates/standin/src/cell.rs
+++ b/crates/standin/src/cell.rs
@@ -70,13 +70,13 @@
 /// A cell's stand-ins.
 #[derive(Debug)]
 pub struct Cell {
-    /// The log.
+    /// The service that keeps the log.
     pub log: LogStandIn,
     /// The VM list.
     pub vms: VmListStandIn,
-    /// The endpoints.
+    /// Endpoints of the service, by number.
     pub endpoints: Vec<EndpointStandIn>,
-    /// The workers.
+    /// Workers, by number.
     pub workers: Vec<WorkerStandIn>,
     /// Executions of requests, by request id.
     pub requests: Executions<String>,
