Give a worker no more than it takes in

What callers saw: after a takeover many steps are ready at once, and the first worker that answers is given as many as it has room for. Where it takes no orders, all of them wait for its lease.

Cause: a start went by room alone, whatever had become of those before it.

Change: a worker has at most two starts without an answer until it has taken an order, eight from then on, and half as many for each order in a row that it has not taken. A task goes to another that fits; where only sound workers fit that are about to answer, it waits for that answer, and neither asks for advice nor stops work elsewhere meanwhile. Members of gangs are not counted out: they start together or not at all.

Why it holds: what a worker that takes nothing can hold is bounded by two, or by eight where it took orders before, and sound workers answer within a millisecond or so, after which the rest is looked at again.

--- a/crates/sched/src/contact.rs
+++ b/crates/sched/src/contact.rs
@@ -1,5 +1,6 @@
 //! Whether a worker takes orders, which says something else than whether it answers renewals.
 //!
+//! What it is given at once is little until it has taken an order, and less with each one that it has not.
 //! One that leaves several orders in a row untaken gets no new starts, and one order at a time as a probe, until it
 //! has taken one (a circuit breaker, half open for each probe). A doubt that outlasts its bound lets the lease of
 //! the worker lapse on purpose, so that each doubt has an end that needs no answer of the worker.
@@ -25,6 +26,12 @@
 /// Repeats that a worker is sent a second at most, beside those that orders that it took pay for.
 const REPEATS_PER_S: u64 = 2;
 
+/// Starts without an answer that a worker has at most before it has taken an order.
+const FIRST_STARTS: u32 = 2;
+
+/// Starts without an answer that a worker has at most.
+const STARTS_LIMIT: u32 = 8;
+
 /// What is known of the orders to a worker.
 #[derive(Debug, Clone)]
 pub(crate) struct Contact {
@@ -32,6 +39,8 @@
     misses: u32,
     /// When the latest order that it took had been sent.
     taken_sent_at: Option<Millis>,
+    /// Starts without an answer that it may have, while it takes what it is sent.
+    window: u32,
     /// Whether it is believed to take no orders.
     pub(crate) shut: bool,
     /// Whether its lease is let lapse.
@@ -51,6 +60,7 @@
         Self {
             misses: 0,
             taken_sent_at: None,
+            window: FIRST_STARTS,
             shut: false,
             lapsing: false,
             repeats: Budget::new(REPEATS_BURST, REPEATS_PER_S),
@@ -66,6 +76,17 @@
         self.taken_sent_at.is_some_and(|taken| taken >= at)
     }
 
+    /// Returns how many starts without an answer it may have.
+    pub(crate) fn starts_limit(&self) -> u32 {
+        let halved = self.window.checked_shr(self.misses);
+        halved.unwrap_or(0).max(1)
+    }
+
+    /// Says whether the latest order that was answered was taken.
+    pub(crate) const fn is_sound(&self) -> bool {
+        self.misses == 0
+    }
+
     /// Lets the next probe go at once.
     pub(crate) const fn probe_soon(&mut self, now: Millis) {
         self.probes = 0;
@@ -91,6 +112,7 @@
         let contact = &mut worker.contact;
         contact.repeats.give();
         contact.misses = 0;
+        contact.window = STARTS_LIMIT;
         contact.taken_sent_at = contact.taken_sent_at.max(Some(sent_at));
         contact.probe_sent_at = None;
         if contact.shut {
@@ -122,6 +144,7 @@
             return;
         }
         contact.shut = true;
+        contact.window = FIRST_STARTS;
         contact.probes = 0;
         let note = belief(worker, "takes_no_orders", now);
         self.actions.push(note);
--- a/crates/sched/src/place.rs
+++ b/crates/sched/src/place.rs
@@ -49,10 +49,15 @@
             if self.would_use_headroom(job, step) {
                 break;
             }
-            if let Some(worker) = self.pick(job, step, unit, &allowed, now) {
+            let fitting = self.fitting(job, step, unit, &allowed, now);
+            if let Some(worker) = self.pick(job, step, &fitting, now) {
                 self.start_unit(job, step, unit, &[worker], now);
                 continue;
             }
+            // There is room on workers whose next answer is awaited.
+            if fitting.iter().any(|key| self.is_awaited(*key)) {
+                return;
+            }
             let may_preempt =
                 preemptions < PREEMPTIONS_PER_LOOK && !self.jobs[job].steps[step].spec.fills;
             if may_preempt && self.make_room(job, step, unit, &allowed, now) {
@@ -69,32 +74,44 @@
         }
     }
 
-    /// Picks the worker that a unit's task fits best.
+    /// Says whether a worker takes in no more before its next answer, which comes within moments.
+    fn is_awaited(&self, key: WorkerKey) -> bool {
+        let worker = &self.workers[key];
+        !worker.takes_in() && worker.contact.is_sound()
+    }
+
+    /// Picks the worker that a task fits best, of those on which it fits and that take in more.
     fn pick(
         &self,
         job: JobKey,
         step: usize,
-        unit: usize,
-        allowed: &[WorkerKey],
+        fitting: &[WorkerKey],
         now: Millis,
     ) -> Option<WorkerKey> {
         let spec = &self.jobs[job].steps[step].spec;
-        let mut fitting = self.fitting(job, step, unit, allowed, now);
+        let takes_in = |key: &WorkerKey| self.workers[*key].takes_in();
+        // One that is better is waited for.
+        let is_choice = |key: &WorkerKey| takes_in(key) || self.is_awaited(*key);
+        let mut choice: Vec<_> = fitting.iter().copied().filter(is_choice).collect();
         let is_far = |key: &WorkerKey| is_far(&self.workers[*key], spec.data_rack.as_ref());
-        if spec.data_rack.is_some() && !fitting.iter().all(is_far) {
-            fitting.retain(|key| !is_far(key));
+        if spec.data_rack.is_some() && !choice.iter().all(is_far) {
+            choice.retain(|key| !is_far(key));
         }
         if spec.fills {
-            return self.pick_to_fill(job, step, &fitting, now);
+            choice.retain(takes_in);
+            return self.pick_to_fill(job, step, &choice, now);
+        }
+        if choice.iter().any(|key| !self.awaits_upkeep(*key)) {
+            choice.retain(|key| !self.awaits_upkeep(*key));
         }
+        choice.retain(takes_in);
         let need = spec.room();
         let serves = spec.tail_limit_ms.is_some();
-        fitting.into_iter().min_by_key(|key| {
+        choice.into_iter().min_by_key(|key| {
             let worker = &self.workers[*key];
             // Runs that serve disturb each other.
             let others = if serves { worker.serving() } else { 0 };
-            let leaves = self.awaits_upkeep(*key);
-            (leaves, others, left_over(worker, &worker.room(), &need))
+            (others, left_over(worker, &worker.room(), &need))
         })
     }
 
@@ -172,7 +189,8 @@
         let mut best: Option<(WorkerKey, Victims)> = None;
         for key in allowed {
             let worker = &self.workers[*key];
-            if avoid.contains(key) || !self.may_share(*key, job, step, unit) {
+            let avoided = avoid.contains(key) || !worker.takes_in();
+            if avoided || !self.may_share(*key, job, step, unit) {
                 continue;
             }
             let Some(victims) = victims(worker, &need, priority) else {
--- a/crates/sched/src/worker.rs
+++ b/crates/sched/src/worker.rs
@@ -276,6 +276,16 @@
             && self.quarantined_until <= now
     }
 
+    /// Says whether it may be sent another start before it has answered those under way.
+    pub(crate) fn takes_in(&self) -> bool {
+        let starting = self
+            .runs
+            .values()
+            .filter(|run| run.phase == Phase::Starting);
+        let limit = usize::try_from(self.contact.starts_limit()).unwrap_or(usize::MAX);
+        starting.take(limit).count() < limit
+    }
+
     /// Returns what no run holds and no reservation claims.
     pub(crate) fn room(&self) -> Resources {
         let free = self.spec.capacity.saturating_sub(&self.used);
--- a/crates/sched/tests/core/doubts.rs
+++ b/crates/sched/tests/core/doubts.rs
@@ -5,6 +5,7 @@
 use syc_sched::StartAnswer;
 use syc_sched::StartOrder;
 use syc_sched::StartRefusal;
+use syc_sched::StepSpec;
 use test_case::test_case;
 
 use crate::driver::Driver;
@@ -15,6 +16,9 @@
 
 const FOR_EVER_MS: u64 = 1_000_000;
 
+/// Starts without an answer that a worker has at most.
+const STARTS_IN_FLIGHT: usize = 8;
+
 /// Longest time that a task may wait for a worker that takes no order, beside its own run and its next start.
 fn longest_doubt_ms() -> u64 {
     let options = Options::default();
@@ -146,6 +150,88 @@
     );
 }
 
+/// Many steps become ready at once after a takeover, and the first worker to answer has room for all of them.
+#[test]
+fn no_worker_is_given_more_than_it_takes_in() {
+    for (mut driver, most) in [
+        (Driver::untried(3, 100), 2),
+        (Driver::new(3, 100), STARTS_IN_FLIGHT),
+    ] {
+        driver.submit(1, policy(0), vec![step(100, 1)]);
+        driver.schedule();
+        driver.schedule();
+        for worker in driver.workers.clone() {
+            let given = driver.starts.iter().filter(|s| s.worker == worker);
+            assert_eq!(given.count(), most);
+        }
+    }
+}
+
+#[test]
+fn sound_workers_are_given_all_that_they_have_room_for_within_a_few_answers() {
+    let mut driver = Driver::untried(3, 100);
+    driver.submit(1, policy(0), vec![step(200, 1)]);
+    let mut started = 0;
+    let mut answers = 0;
+    while started < 200 {
+        driver.schedule();
+        started += driver.confirm_starts().len();
+        answers += 1;
+    }
+    // Two each, and then eight each time: 3 * 2 + 9 * 24 are more than 200.
+    assert!(answers <= 10, "{answers}");
+}
+
+#[test]
+fn room_that_waits_for_answers_is_neither_reserved_nor_made_free() {
+    let mut driver = Driver::new(1, 40);
+    let patient = StepSpec {
+        checkpointed: true,
+        ..step(10, 1)
+    };
+    driver.submit(1, policy(2), vec![patient]);
+    let mut running = Vec::new();
+    for _ in 0..5 {
+        driver.schedule();
+        for start in driver.confirm_starts() {
+            running.push((start.task, start.run, 50));
+        }
+    }
+    assert_eq!(running.len(), 10);
+    driver.hold(driver.workers[0], &running);
+    driver.submit(2, policy(0), vec![step(20, 1)]);
+    for _ in 0..3 {
+        driver.schedule();
+    }
+    assert_eq!(driver.stops, []);
+    assert!(driver.starts.len() <= STARTS_IN_FLIGHT);
+}
+
+#[test]
+fn an_urgent_task_does_not_wait_for_room_where_orders_are_not_taken() {
+    let mut driver = Driver::new(2, 4);
+    driver.pass(10);
+    driver.submit(1, policy(0), vec![step(3, 1)]);
+    driver.schedule();
+    let untaken = std::mem::take(&mut driver.starts);
+    for start in &untaken {
+        answer(&mut driver, start, StartAnswer::InDoubt);
+    }
+    let patient = StepSpec {
+        checkpointed: true,
+        ..step(4, 1)
+    };
+    driver.submit(2, policy(2), vec![patient]);
+    let running = driver.start_all();
+    let held: Vec<_> = running.iter().map(|s| (s.task, s.run, 50)).collect();
+    driver.hold(running[0].worker, &held);
+    assert_eq!(held.len(), 4);
+    driver.submit(3, policy(0), vec![step(1, 1)]);
+    driver.schedule();
+    let stopped: Vec<_> = driver.stops.iter().map(|stop| stop.worker).collect();
+    assert_eq!(stopped, [running[0].worker]);
+}
+
 /// On a day when four of ten orders go without an answer, workers are still of use.
 #[test]
 fn a_worker_that_leaves_some_orders_unanswered_goes_on_getting_tasks() {
--- a/crates/sched/tests/core/driver.rs
+++ b/crates/sched/tests/core/driver.rs
@@ -71,8 +71,28 @@
 }
 
 impl Driver {
-    /// Makes a scheduler with `count` workers of so many whole cores, all of which have answered.
+    /// Makes a scheduler with `count` workers of so many whole cores, all of which have answered, and have taken
+    /// an order.
     pub fn new(count: usize, cores: u64) -> Self {
+        let mut driver = Self::untried(count, cores);
+        let step = StepId {
+            job: JobId(0),
+            occurrence: 0,
+            step: 0,
+        };
+        for worker in driver.workers.clone() {
+            driver.apply(Event::StopAnswered {
+                worker,
+                task: TaskId { step, index: 0 },
+                run: Run(1),
+                taken: true,
+            });
+        }
+        driver
+    }
+
+    /// Makes a scheduler with such workers, none of which has been sent an order yet.
+    pub fn untried(count: usize, cores: u64) -> Self {
         let mut driver = Self {
             scheduler: Scheduler::new(Options::default()),
             now: Millis(1_000),
@@ -206,6 +226,19 @@
         starts
     }
 
+    /// Lets the workers answer at once until nothing more starts.
+    pub fn start_all(&mut self) -> Vec<StartOrder> {
+        let mut started = Vec::new();
+        loop {
+            self.schedule();
+            let confirmed = self.confirm_starts();
+            if confirmed.is_empty() {
+                return started;
+            }
+            started.extend(confirmed);
+        }
+    }
+
     pub fn cancel(&mut self, id: u64) {
         self.apply(Event::JobCancelled(JobId(id)));
     }
