Test that a wrong time of day loses nothing and starts nothing too early

A node reads the time of day through its settings now, so that tests can set a node's clock back or ahead.

Callers saw completed jobs answered as unknown after a takeover: a scheduler writes when a job has ended by its own clock, and its successor takes the difference to its own clock for the job's age.

--- a/crates/cell/src/clock.rs
+++ b/crates/cell/src/clock.rs
@@ -1,5 +1,8 @@
-//! The steady clock of a node.
+//! The clocks of a node: the steady one, and the time of day.
 
+use std::sync::Arc;
+use std::sync::atomic::AtomicI64;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
@@ -18,11 +21,33 @@
     Millis(seconds.saturating_mul(1_000).saturating_add(millis))
 }
 
-/// Returns the time of day in milliseconds since 1970; it may jump.
-#[must_use]
-pub fn time_of_day_ms() -> u64 {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH);
-    since.map_or(0, |since| u64::try_from(since.as_millis()).unwrap_or(0))
+/// Where a node reads the time of day. It may jump; tests make it.
+#[derive(Debug, Clone, Default)]
+pub struct DayClock {
+    shift_ms: Arc<AtomicI64>,
+}
+
+impl DayClock {
+    /// Returns the time of day in milliseconds since 1970.
+    #[must_use]
+    pub fn read_ms(&self) -> u64 {
+        let since = SystemTime::now().duration_since(UNIX_EPOCH);
+        let read_ms = since.map_or(0, |since| u64::try_from(since.as_millis()).unwrap_or(0));
+        read_ms.saturating_add_signed(self.shift_ms.load(Ordering::Relaxed))
+    }
+
+    /// Sets how far it is off from the clock of the VM.
+    pub fn set_shift_ms(&self, shift_ms: i64) {
+        self.shift_ms.store(shift_ms, Ordering::Relaxed);
+    }
+}
+
+/// Clocks that are off by as much are the same for a node.
+impl PartialEq for DayClock {
+    fn eq(&self, other: &Self) -> bool {
+        let shift_ms = |clock: &Self| clock.shift_ms.load(Ordering::Relaxed);
+        shift_ms(self) == shift_ms(other)
+    }
 }
 
 /// Waits for a time.
--- a/crates/cell/src/leader/load.rs
+++ b/crates/cell/src/leader/load.rs
@@ -24,7 +24,6 @@
 
 use crate::clock::now;
 use crate::clock::pause;
-use crate::clock::time_of_day_ms;
 use crate::leader::Leader;
 use crate::leader::readers;
 use crate::leader::records::PROGRESS_PARTITIONS;
@@ -322,9 +321,10 @@
 {
     let mut scheduler = leader.scheduler.borrow_mut();
     let now = now();
+    let day_ms = leader.node.settings.day_clock.read_ms();
     for (id, of_job) in progress {
         if of_job.state.is_terminal() {
-            let ended_ago_ms = age_ms(of_job.ended_at_ms);
+            let ended_ago_ms = age_ms(of_job.ended_at_ms, day_ms);
             scheduler.restore_ended(*id, of_job.state, ended_ago_ms, now);
         }
     }
@@ -334,12 +334,12 @@
             leader.drops.borrow_mut().push(spec.id);
             continue;
         }
-        let age_ms = age_ms(spec.accepted_at_ms);
+        let age_ms = age_ms(spec.accepted_at_ms, day_ms);
         scheduler.restore_job(spec, of_job, age_ms, now);
     }
 }
 
-/// Returns the time since a time of day, within what clocks that differ leave sensible.
-pub(super) fn age_ms(at_ms: u64) -> u64 {
-    time_of_day_ms().saturating_sub(at_ms).min(AGE_LIMIT_MS)
+/// Returns the time from one time of day to another, within what clocks that differ leave sensible.
+pub(super) fn age_ms(at_ms: u64, day_ms: u64) -> u64 {
+    day_ms.saturating_sub(at_ms).min(AGE_LIMIT_MS)
 }
--- a/crates/cell/src/leader/readers.rs
+++ b/crates/cell/src/leader/readers.rs
@@ -113,7 +113,8 @@
                 self.held_back.take_spec(spec.id);
                 self.note_partition(spec.id, partition);
                 let known = self.scheduler.borrow().state_of(spec.id).is_some();
-                let age_ms = age_ms(spec.accepted_at_ms);
+                let day_ms = self.node.settings.day_clock.read_ms();
+                let age_ms = age_ms(spec.accepted_at_ms, day_ms);
                 if !known {
                     log::job_seen(&spec, age_ms);
                     let queue = &spec.policy.queue;
--- a/crates/cell/src/leader/records.rs
+++ b/crates/cell/src/leader/records.rs
@@ -12,7 +12,6 @@
 
 use crate::clock::now;
 use crate::clock::pause;
-use crate::clock::time_of_day_ms;
 use crate::leader::Leader;
 use crate::leader::waits::Waits;
 use crate::log;
@@ -153,7 +152,7 @@
 
     /// Writes the progress of some jobs. Says whether there was any.
     async fn write_batch(self: &Rc<Self>) -> bool {
-        let wall_ms = time_of_day_ms();
+        let wall_ms = self.node.settings.day_clock.read_ms();
         let mut taken = self
             .scheduler
             .borrow_mut()
--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -25,9 +25,9 @@
 mod unreadable;
 
 pub use accept::Stored;
+pub use clock::DayClock;
 pub use clock::now;
 pub use clock::pause;
-pub use clock::time_of_day_ms;
 pub use configuration::Configuration;
 pub use configuration::Route;
 pub use node::Node;
--- a/crates/cell/src/settings.rs
+++ b/crates/cell/src/settings.rs
@@ -4,6 +4,8 @@
 
 use smol_str::SmolStr;
 
+use crate::DayClock;
+
 /// A link that carries this much, in megabits a second, brings a scheduler what it reads at its start,
 /// some megabytes, within the time that others wait for a sign of it.
 const AMPLE_LINK_MBPS: f64 = 100.0;
@@ -36,6 +38,8 @@
     pub upkeep_ms: u64,
     /// A new scheduler gives no orders about VMs for this long: those of its predecessor are old then.
     pub vm_order_pause_ms: u64,
+    /// Where it reads the time of day.
+    pub day_clock: DayClock,
     /// Times that it works by.
     pub timing: Timing,
 }
--- /dev/null
+++ b/crates/cell/tests/cell/clocks.rs
@@ -0,0 +1,169 @@
+//! Clocks that show a wrong time of day: nothing is forgotten, and nothing runs twice, too early or not at all.
+//!
+//! A scheduler wrote when a job had ended, by its clock. Its successor took the time since then for the job's
+//! age, by its own, and forgot the job if that was more than two minutes: what had ended four seconds before, on
+//! a node whose clock had been set back, was answered as unknown, and its progress was removed from the store.
+//! Where the job itself was still there at the next takeover, its tasks ran again.
+
+use syc_cell::StateAnswer;
+use syc_cell::ports::Topic;
+use syc_sched::JobId;
+use syc_sched::JobSpec;
+use syc_sched::JobState;
+use syc_sched::Schedule;
+use test_case::test_case;
+
+use crate::cluster::Cluster;
+use crate::cluster::job;
+use crate::cluster::step;
+
+/// Long enough that a scheduler has looked several times at what is old meanwhile.
+const LOOKS_MS: u64 = 500;
+
+const STEP_MS: i64 = 200_000;
+const DAY_MS: i64 = 86_400_000;
+
+/// Whose clock is off.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Off {
+    Acceptor,
+    Scheduler,
+    Successor,
+    Everyone,
+}
+
+impl Off {
+    fn shift_ms(self, node: Self, shift_ms: i64) -> i64 {
+        if self == node || self == Self::Everyone {
+            shift_ms
+        } else {
+            0
+        }
+    }
+}
+
+fn has_progress(cluster: &Cluster, id: u64) -> bool {
+    cluster.platform.with_store(|store| {
+        let partitions = (0..2).map(|partition| store.newest(Topic::Progress, partition));
+        let records = partitions.flat_map(|newest| newest.records);
+        let mut records = records.map(|(_offset, record)| record);
+        records.any(|record| record.key.parse() == Ok(JobId(id)))
+    })
+}
+
+/// The clocks are off until the first scheduler ends, and right from then on, but for the successor's.
+#[test_case(Off::Acceptor, -STEP_MS; "the acceptor is behind by 200 s")]
+#[test_case(Off::Acceptor, DAY_MS; "the acceptor is ahead by a day")]
+#[test_case(Off::Scheduler, -STEP_MS; "the scheduler is behind by 200 s")]
+#[test_case(Off::Scheduler, STEP_MS; "the scheduler is ahead by 200 s")]
+#[test_case(Off::Scheduler, -DAY_MS; "the scheduler is behind by a day")]
+#[test_case(Off::Scheduler, DAY_MS; "the scheduler is ahead by a day")]
+#[test_case(Off::Successor, -STEP_MS; "the successor is behind by 200 s")]
+#[test_case(Off::Successor, STEP_MS; "the successor is ahead by 200 s")]
+#[test_case(Off::Successor, -DAY_MS; "the successor is behind by a day")]
+#[test_case(Off::Successor, DAY_MS; "the successor is ahead by a day")]
+#[test_case(Off::Everyone, -STEP_MS; "all are behind by 200 s")]
+#[test_case(Off::Everyone, DAY_MS; "all are ahead by a day")]
+fn what_has_ended_is_known_whatever_the_clocks_show(off: Off, shift_ms: i64) {
+    let mut cluster = Cluster::start(2, 2);
+    let first = cluster.scheduler();
+    let other = 1 - first;
+    cluster.set_clock(first, off.shift_ms(Off::Scheduler, shift_ms));
+    cluster.set_clock(other, off.shift_ms(Off::Acceptor, shift_ms));
+    cluster.submit(other, 1, vec![step(2, 20)]);
+    cluster.wait_for_state(other, 1, JobState::Completed);
+    cluster.set_clock(other, off.shift_ms(Off::Successor, shift_ms));
+    cluster.kill(first);
+    let second = cluster.scheduler();
+    cluster.submit(second, 2, vec![step(1, LOOKS_MS)]);
+    cluster.wait_for_state(second, 2, JobState::Completed);
+    let kept = StateAnswer::Known(JobState::Completed);
+    assert_eq!(cluster.state(second, 1), kept);
+    assert!(has_progress(&cluster, 1), "removed from the store");
+    let third = cluster.add_node();
+    cluster.kill(second);
+    cluster.wait_for_state(third, 2, JobState::Completed);
+    assert_eq!(cluster.state(third, 1), kept);
+    cluster.assert_sound();
+}
+
+/// A step while one scheduler goes on.
+#[test_case(-STEP_MS; "back by 200 s")]
+#[test_case(STEP_MS; "ahead by 200 s")]
+#[test_case(-DAY_MS; "back by a day")]
+#[test_case(DAY_MS; "ahead by a day")]
+fn a_step_in_the_midst_of_the_work_loses_nothing(shift_ms: i64) {
+    let cluster = Cluster::start(1, 2);
+    let node = cluster.scheduler();
+    cluster.submit(node, 1, vec![step(1, 20)]);
+    cluster.wait_for_state(node, 1, JobState::Completed);
+    cluster.submit(node, 2, vec![step(1, LOOKS_MS)]);
+    cluster.set_clock(node, shift_ms);
+    cluster.wait_for_state(node, 2, JobState::Completed);
+    cluster.submit(node, 3, vec![step(1, 20)]);
+    cluster.set_clock(node, 0);
+    cluster.wait_for_state(node, 3, JobState::Completed);
+    cluster.submit(node, 4, vec![step(1, LOOKS_MS)]);
+    cluster.wait_for_state(node, 4, JobState::Completed);
+    for id in 1..=4 {
+        let kept = StateAnswer::Known(JobState::Completed);
+        assert_eq!(cluster.state(node, id), kept, "job {id}");
+    }
+    cluster.assert_sound();
+}
+
+/// Due long after the test, by a clock that is right.
+fn due_in(cluster: &Cluster, node: usize, time_ms: u64) -> JobSpec {
+    JobSpec {
+        schedule: Schedule {
+            occurrences: 1,
+            first_at_ms: cluster.day_ms(node) + time_ms,
+            interval_ms: 0,
+        },
+        ..job(1, vec![step(1, 20)])
+    }
+}
+
+/// The step is in the midst of the scheduler's work, before the job comes.
+#[test_case(Off::Scheduler, STEP_MS; "the scheduler is ahead by 200 s")]
+#[test_case(Off::Scheduler, DAY_MS; "the scheduler is ahead by a day")]
+#[test_case(Off::Acceptor, STEP_MS; "the acceptor is ahead by 200 s")]
+#[test_case(Off::Acceptor, DAY_MS; "the acceptor is ahead by a day")]
+#[test_case(Off::Everyone, DAY_MS; "all are ahead by a day")]
+fn a_timed_job_does_not_start_before_its_time(off: Off, shift_ms: i64) {
+    let cluster = Cluster::start(3, 2);
+    let scheduler = cluster.scheduler();
+    let acceptor = (scheduler + 1) % 3;
+    let timed = due_in(&cluster, acceptor, 150_000);
+    for node in 0..3 {
+        cluster.set_clock(node, off.shift_ms(Off::Everyone, shift_ms));
+    }
+    cluster.set_clock(scheduler, off.shift_ms(Off::Scheduler, shift_ms));
+    cluster.set_clock(acceptor, off.shift_ms(Off::Acceptor, shift_ms));
+    cluster.submit_job(acceptor, &timed);
+    cluster.submit(acceptor, 2, vec![step(1, LOOKS_MS)]);
+    cluster.wait_for_state(acceptor, 2, JobState::Completed);
+    let waits = StateAnswer::Known(JobState::Queued);
+    assert_eq!(cluster.state(acceptor, 1), waits);
+}
+
+/// The clock is behind when the job comes; it is due at once.
+#[test_case(Off::Scheduler, -STEP_MS; "the scheduler is behind by 200 s")]
+#[test_case(Off::Scheduler, -DAY_MS; "the scheduler is behind by a day")]
+#[test_case(Off::Acceptor, -STEP_MS; "the acceptor is behind by 200 s")]
+#[test_case(Off::Acceptor, -DAY_MS; "the acceptor is behind by a day")]
+#[test_case(Off::Everyone, -DAY_MS; "all are behind by a day")]
+fn a_timed_job_starts_in_time(off: Off, shift_ms: i64) {
+    let cluster = Cluster::start(3, 2);
+    let scheduler = cluster.scheduler();
+    let acceptor = (scheduler + 1) % 3;
+    let timed = due_in(&cluster, acceptor, 0);
+    for node in 0..3 {
+        cluster.set_clock(node, off.shift_ms(Off::Everyone, shift_ms));
+    }
+    cluster.set_clock(scheduler, off.shift_ms(Off::Scheduler, shift_ms));
+    cluster.set_clock(acceptor, off.shift_ms(Off::Acceptor, shift_ms));
+    cluster.submit_job(acceptor, &timed);
+    cluster.wait_for_state(acceptor, 1, JobState::Completed);
+    cluster.assert_sound();
+}
--- a/crates/cell/tests/cell/cluster.rs
+++ b/crates/cell/tests/cell/cluster.rs
@@ -9,6 +9,7 @@
 use actix_rt::Arbiter;
 use smol_str::SmolStr;
 use syc_cell::Configuration;
+use syc_cell::DayClock;
 use syc_cell::Node;
 use syc_cell::NodeSettings;
 use syc_cell::Route;
@@ -50,6 +51,8 @@
 pub struct Cluster {
     pub platform: SharedPlatform,
     nodes: Vec<Option<Arbiter>>,
+    /// Where each node reads the time of day.
+    clocks: Vec<DayClock>,
     timing: Timing,
     _system: actix_rt::SystemRunner,
 }
@@ -76,6 +79,7 @@
         let mut cluster = Self {
             platform,
             nodes: Vec::new(),
+            clocks: Vec::new(),
             timing,
             _system: system,
         };
@@ -87,7 +91,15 @@
 
     /// Starts one more node and returns its number.
     pub fn add_node(&mut self) -> usize {
+        self.add_node_with_clock(0)
+    }
+
+    /// The same with a clock that is off by so much.
+    pub fn add_node_with_clock(&mut self, shift_ms: i64) -> usize {
         let number = self.nodes.len();
+        let clock = DayClock::default();
+        clock.set_shift_ms(shift_ms);
+        self.clocks.push(clock.clone());
         let platform = self.platform.for_node(&node_name(number));
         let timing = self.timing;
         let arbiter = Arbiter::new();
@@ -95,6 +107,7 @@
             let peers = TcpListener::bind("127.0.0.1:0").expect("a free port");
             let settings = NodeSettings {
                 timing,
+                day_clock: clock,
                 ..settings(number, &peers)
             };
             let node = Node::start(platform, settings, peers);
@@ -104,6 +117,11 @@
         number
     }
 
+    /// Sets by how much the clock of a node is off.
+    pub fn set_clock(&self, number: usize, shift_ms: i64) {
+        self.clocks[number].set_shift_ms(shift_ms);
+    }
+
     /// Runs something on the thread of a node and returns what it gave.
     pub fn on<T, F, R>(&self, number: usize, ask: F) -> T
     where
@@ -170,13 +188,30 @@
 
     /// Submits a job at a node, again and again until it is stored, as a caller does.
     pub fn submit(&self, number: usize, id: u64, steps: Vec<StepSpec>) {
-        let spec = job(id, steps);
-        self.expect(&spec);
+        self.submit_job(number, &job(id, steps));
+    }
+
+    /// The same with a job of any kind.
+    pub fn submit_job(&self, number: usize, spec: &JobSpec) {
+        self.expect(spec);
         self.wait("the submit to be stored", || {
-            (self.send(number, &spec) == Stored::Stored).then_some(())
+            (self.send(number, spec) == Stored::Stored).then_some(())
         });
     }
 
+    /// Returns the time of day of a node, in milliseconds since 1970.
+    pub fn day_ms(&self, number: usize) -> u64 {
+        self.clocks[number].read_ms()
+    }
+
+    /// Returns the state of a job as a node shows it.
+    pub fn state(&self, number: usize, id: u64) -> StateAnswer {
+        self.on(
+            number,
+            move |node| async move { node.state(JobId(id)).await },
+        )
+    }
+
     /// Submits a job at a node, once.
     pub fn submit_once(&self, number: usize, id: u64, steps: Vec<StepSpec>) -> Stored {
         let spec = job(id, steps);
@@ -199,7 +234,10 @@
     }
 
     fn send(&self, number: usize, spec: &JobSpec) -> Stored {
-        let spec = spec.clone();
+        let spec = JobSpec {
+            accepted_at_ms: self.clocks[number].read_ms(),
+            ..spec.clone()
+        };
         self.on(number, move |node| async move { node.submit(&spec).await })
     }
 
@@ -271,6 +309,7 @@
         link_mbps: 1_000.0,
         upkeep_ms: 300,
         vm_order_pause_ms: 100,
+        day_clock: DayClock::default(),
         timing: Timing::default(),
     }
 }
@@ -329,7 +368,7 @@
         steps,
         policy: policy(),
         schedule: Schedule::default(),
-        accepted_at_ms: syc_cell::time_of_day_ms(),
+        accepted_at_ms: DayClock::default().read_ms(),
     }
 }
 
--- a/crates/cell/tests/cell/main.rs
+++ b/crates/cell/tests/cell/main.rs
@@ -3,6 +3,7 @@
 //! Nothing here asserts on elapsed time: a test waits for what must come to be, and fails only where
 //! it has not come long after it had to.
 
+mod clocks;
 mod cluster;
 mod fuzz;
 mod roster;
