Measure how long a job that has ended is kept by the cell's own time

Callers saw completed jobs answered as unknown seconds after their end, and ended tasks start again, when the clock of a node had been set back and was right again.

Cause: the scheduler wrote the time of day of an end; its successor took the difference to its own clock for the age, forgot what was older than the time for which a state can be asked, and removed it from the store.

Change: a record of an end says when it was written in the time for which schedulers of the cell have worked. Each counts by its steady clock, and its successor goes on from the latest that is written, after all predecessors are fenced off. What was shown later than it was written counts from when it was shown. The bound has room for a clock that runs 2.5% fast. Records of earlier versions count from the takeover on, and earlier versions still find the time of day.

A job's progress is removed only after what was submitted of it is: one that is read without its progress would run again. A cancelling that comes after the end is removed like a repeated submit. The age of a waiting job is bounded by what the steady clock has measured since its partition was read; across a takeover only the order of ages is kept.

A time of day has a type of its own, which can't be compared or mixed with a point of the steady clock; one structure ties the two together.

--- a/crates/cell/src/clock.rs
+++ b/crates/cell/src/clock.rs
@@ -10,6 +10,7 @@
 use rustix::time::ClockId;
 use rustix::time::clock_gettime;
 use syc_types::Millis;
+use syc_types::TimeOfDay;
 
 /// Returns the time on the clock that also counts while the VM is suspended, so that a lease that
 /// lapsed meanwhile is seen as lapsed.
@@ -28,12 +29,12 @@
 }
 
 impl DayClock {
-    /// Returns the time of day in milliseconds since 1970.
+    /// Returns the time of day.
     #[must_use]
-    pub fn read_ms(&self) -> u64 {
+    pub fn read(&self) -> TimeOfDay {
         let since = SystemTime::now().duration_since(UNIX_EPOCH);
         let read_ms = since.map_or(0, |since| u64::try_from(since.as_millis()).unwrap_or(0));
-        read_ms.saturating_add_signed(self.shift_ms.load(Ordering::Relaxed))
+        TimeOfDay(read_ms.saturating_add_signed(self.shift_ms.load(Ordering::Relaxed)))
     }
 
     /// Sets how far it is off from the clock of the VM.
--- a/crates/cell/src/leader/load.rs
+++ b/crates/cell/src/leader/load.rs
@@ -11,6 +11,7 @@
 use futures_util::stream::StreamExt;
 use smol_str::SmolStr;
 use smol_str::format_smolstr;
+use syc_sched::EndedJob;
 use syc_sched::Event;
 use syc_sched::JobId;
 use syc_sched::JobProgress;
@@ -44,7 +45,7 @@
 /// Wait after a step that failed.
 const RETRY_MS: u64 = 60;
 
-/// Longest time that a job is taken to have waited: clocks of VMs differ by seconds.
+/// Longest time by which a job is taken to have waited longer than another: clocks of VMs differ.
 const AGE_LIMIT_MS: u64 = 600_000;
 
 /// What predecessors left.
@@ -321,25 +322,26 @@
 {
     let mut scheduler = leader.scheduler.borrow_mut();
     let now = now();
-    let day_ms = leader.node.settings.day_clock.read_ms();
-    for (id, of_job) in progress {
-        if of_job.state.is_terminal() {
-            let ended_ago_ms = age_ms(of_job.ended_at_ms, day_ms);
-            scheduler.restore_ended(*id, of_job.state, ended_ago_ms, now);
-        }
-    }
+    let ended: Vec<_> = progress.iter().filter_map(ended_job).collect();
+    scheduler.restore_ended(&ended, now);
+    // Which job waits longest is all that counts: no clock of this node is asked.
+    let newest = specs.iter().map(|spec| spec.accepted_at_ms).max();
+    let newest = newest.unwrap_or_default();
     for spec in specs {
         let of_job = progress.get(&spec.id);
         if of_job.is_some_and(|of_job| of_job.state.is_terminal()) {
             leader.drops.borrow_mut().push(spec.id);
             continue;
         }
-        let age_ms = age_ms(spec.accepted_at_ms, day_ms);
+        let age_ms = newest.ahead_of(spec.accepted_at_ms).min(AGE_LIMIT_MS);
         scheduler.restore_job(spec, of_job, age_ms, now);
     }
 }
 
-/// Returns the time from one time of day to another, within what clocks that differ leave sensible.
-pub(super) fn age_ms(at_ms: u64, day_ms: u64) -> u64 {
-    day_ms.saturating_sub(at_ms).min(AGE_LIMIT_MS)
+fn ended_job((id, progress): (&JobId, &JobProgress)) -> Option<EndedJob> {
+    progress.state.is_terminal().then_some(EndedJob {
+        id: *id,
+        state: progress.state,
+        ended_at: progress.ended_at_cell_ms,
+    })
 }
--- a/crates/cell/src/leader/readers.rs
+++ b/crates/cell/src/leader/readers.rs
@@ -6,13 +6,13 @@
 use syc_obs::Stage;
 use syc_sched::Event;
 use syc_sched::JobId;
+use syc_sched::JobSpec;
 use syc_types::Millis;
 use syc_types::WorkerId;
 
 use crate::clock::now;
 use crate::clock::pause;
 use crate::leader::Leader;
-use crate::leader::load::age_ms;
 use crate::log;
 use crate::ports::Newest;
 use crate::ports::Platform;
@@ -113,8 +113,7 @@
                 self.held_back.take_spec(spec.id);
                 self.note_partition(spec.id, partition);
                 let known = self.scheduler.borrow().state_of(spec.id).is_some();
-                let day_ms = self.node.settings.day_clock.read_ms();
-                let age_ms = age_ms(spec.accepted_at_ms, day_ms);
+                let age_ms = self.age_ms(partition, &spec);
                 if !known {
                     log::job_seen(&spec, age_ms);
                     let queue = &spec.policy.queue;
@@ -144,6 +143,16 @@
         }
     }
 
+    /// Returns the time since a job was accepted: by the clocks of two nodes, yet no more than has passed
+    /// since its partition was read without it.
+    fn age_ms(&self, partition: u32, spec: &JobSpec) -> u64 {
+        let index = usize::try_from(partition).unwrap_or(usize::MAX);
+        let read_at = self.jobs_read_at.borrow().get(index).copied();
+        let unread_ms = now().since(read_at.unwrap_or_default().max(self.began_at));
+        let day = self.node.settings.day_clock.read();
+        day.ahead_of(spec.accepted_at_ms).min(unread_ms)
+    }
+
     fn note_jobs_read(&self, partition: u32, asked_at: Millis) {
         let index = usize::try_from(partition).unwrap_or(usize::MAX);
         let mut read_at = self.jobs_read_at.borrow_mut();
--- a/crates/cell/src/leader/records.rs
+++ b/crates/cell/src/leader/records.rs
@@ -152,11 +152,11 @@
 
     /// Writes the progress of some jobs. Says whether there was any.
     async fn write_batch(self: &Rc<Self>) -> bool {
-        let wall_ms = self.node.settings.day_clock.read_ms();
+        let day = self.node.settings.day_clock.read();
         let mut taken = self
             .scheduler
             .borrow_mut()
-            .take_records(BATCH_JOBS, wall_ms);
+            .take_records(BATCH_JOBS, now(), day);
         let roster = self.roster.change(self.token);
         let waves = self.scheduler.borrow().wave_records();
         if taken.is_empty() && roster.is_none() && waves.is_empty() {
@@ -241,8 +241,11 @@
     }
 
     /// Removes the progress of jobs that nobody can ask for any more.
+    ///
+    /// What was submitted of a job must be gone before: a successor that read it without its progress would
+    /// run the job again.
     async fn remove_forgotten(&self) {
-        let forgets = std::mem::take(&mut *self.forgets.borrow_mut());
+        let forgets = self.take_forgets();
         if forgets.is_empty() {
             return;
         }
@@ -260,6 +263,17 @@
         }
     }
 
+    fn take_forgets(&self) -> Vec<JobId> {
+        let jobs_in = self.jobs_in.borrow();
+        let scheduler = self.scheduler.borrow();
+        let mut forgets = self.forgets.borrow_mut();
+        // A job that was submitted once more is the scheduler's to forget again.
+        forgets.retain(|id| scheduler.state_of(*id).is_none());
+        forgets
+            .extract_if(.., |id| !jobs_in.contains_key(id))
+            .collect()
+    }
+
     /// Waits until what is known now is written, or the time for that is over.
     pub(super) async fn write_rest(self: &Rc<Self>) {
         let until = now().plus(LAST_WRITE_MS);
--- a/crates/cell/tests/cell/clocks.rs
+++ b/crates/cell/tests/cell/clocks.rs
@@ -7,6 +7,7 @@
 
 use syc_cell::StateAnswer;
 use syc_cell::ports::Topic;
+use syc_fleet::SharedFaults;
 use syc_sched::JobId;
 use syc_sched::JobSpec;
 use syc_sched::JobState;
@@ -20,6 +21,9 @@
 /// Long enough that a scheduler has looked several times at what is old meanwhile.
 const LOOKS_MS: u64 = 500;
 
+/// More than any topic has.
+const PARTITIONS: u32 = 64;
+
 const STEP_MS: i64 = 200_000;
 const DAY_MS: i64 = 86_400_000;
 
@@ -43,11 +47,15 @@
 }
 
 fn has_progress(cluster: &Cluster, id: u64) -> bool {
+    has_record(cluster, Topic::Progress, &JobId(id).to_string())
+}
+
+fn has_record(cluster: &Cluster, topic: Topic, key: &str) -> bool {
     cluster.platform.with_store(|store| {
-        let partitions = (0..2).map(|partition| store.newest(Topic::Progress, partition));
+        let partitions = (0..PARTITIONS).map(|partition| store.newest(topic, partition));
         let records = partitions.flat_map(|newest| newest.records);
         let mut records = records.map(|(_offset, record)| record);
-        records.any(|record| record.key.parse() == Ok(JobId(id)))
+        records.any(|record| record.key == key)
     })
 }
 
@@ -117,7 +125,7 @@
     JobSpec {
         schedule: Schedule {
             occurrences: 1,
-            first_at_ms: cluster.day_ms(node) + time_ms,
+            first_at_ms: cluster.day(node).plus(time_ms),
             interval_ms: 0,
         },
         ..job(1, vec![step(1, 20)])
@@ -167,3 +175,31 @@
     cluster.wait_for_state(acceptor, 1, JobState::Completed);
     cluster.assert_sound();
 }
+
+/// A successor that read what was submitted without its progress would run the job again.
+#[test]
+fn progress_is_kept_as_long_as_what_was_submitted() {
+    let cluster = Cluster::start_forgetful(2, 200);
+    let node = cluster.scheduler();
+    let submitted = JobId(1).to_string();
+    cluster.submit(node, 1, vec![step(1, LOOKS_MS)]);
+    cluster.wait_for_state(node, 1, JobState::Running);
+    let down = (0..PARTITIONS).map(|partition| (Topic::Jobs, partition));
+    cluster.platform.set_faults(SharedFaults {
+        down: down.collect(),
+        ..SharedFaults::default()
+    });
+    cluster.wait("the job to be forgotten", || {
+        let known = matches!(cluster.state(node, 1), StateAnswer::Known(_));
+        (!known).then_some(())
+    });
+    // Some rounds in which what is forgotten is removed.
+    std::thread::sleep(std::time::Duration::from_millis(3 * LOOKS_MS));
+    assert!(has_record(&cluster, Topic::Jobs, &submitted));
+    assert!(has_progress(&cluster, 1));
+    cluster.platform.set_faults(SharedFaults::default());
+    cluster.wait("both to be removed", || {
+        let left = has_record(&cluster, Topic::Jobs, &submitted) || has_progress(&cluster, 1);
+        (!left).then_some(())
+    });
+}
--- a/crates/cell/tests/cell/cluster.rs
+++ b/crates/cell/tests/cell/cluster.rs
@@ -31,12 +31,16 @@
 use syc_types::RackId;
 use syc_types::Resources;
 use syc_types::ServiceName;
+use syc_types::TimeOfDay;
 use syc_types::WorkerId;
 use syc_types::Zone;
 
 /// The queue and service of every test.
 pub const QUEUE: &str = "queue";
 
+/// Time for which what has ended is kept.
+const STATUS_MS: u64 = 120_000;
+
 /// Something that must come to be has failed to when this is over.
 const LIMIT: Duration = Duration::from_mins(1);
 
@@ -53,6 +57,7 @@
     nodes: Vec<Option<Arbiter>>,
     /// Where each node reads the time of day.
     clocks: Vec<DayClock>,
+    status_ms: u64,
     timing: Timing,
     _system: actix_rt::SystemRunner,
 }
@@ -68,6 +73,14 @@
         Self::start_with(nodes, workers, timing)
     }
 
+    /// Starts one node that keeps what has ended for so long.
+    pub fn start_forgetful(workers: usize, status_ms: u64) -> Self {
+        let mut cluster = Self::start(0, workers);
+        cluster.status_ms = status_ms;
+        cluster.add_node();
+        cluster
+    }
+
     /// The same with other times.
     pub fn start_with(nodes: usize, workers: usize, timing: Timing) -> Self {
         let system = actix_rt::System::new();
@@ -80,6 +93,7 @@
             platform,
             nodes: Vec::new(),
             clocks: Vec::new(),
+            status_ms: STATUS_MS,
             timing,
             _system: system,
         };
@@ -102,11 +116,13 @@
         self.clocks.push(clock.clone());
         let platform = self.platform.for_node(&node_name(number));
         let timing = self.timing;
+        let status_ms = self.status_ms;
         let arbiter = Arbiter::new();
         arbiter.spawn_fn(move || {
             let peers = TcpListener::bind("127.0.0.1:0").expect("a free port");
             let settings = NodeSettings {
                 timing,
+                status_ms,
                 day_clock: clock,
                 ..settings(number, &peers)
             };
@@ -199,9 +215,9 @@
         });
     }
 
-    /// Returns the time of day of a node, in milliseconds since 1970.
-    pub fn day_ms(&self, number: usize) -> u64 {
-        self.clocks[number].read_ms()
+    /// Returns the time of day of a node.
+    pub fn day(&self, number: usize) -> TimeOfDay {
+        self.clocks[number].read()
     }
 
     /// Returns the state of a job as a node shows it.
@@ -235,7 +251,7 @@
 
     fn send(&self, number: usize, spec: &JobSpec) -> Stored {
         let spec = JobSpec {
-            accepted_at_ms: self.clocks[number].read_ms(),
+            accepted_at_ms: self.clocks[number].read(),
             ..spec.clone()
         };
         self.on(number, move |node| async move { node.submit(&spec).await })
@@ -304,7 +320,7 @@
         peer_address: peers.local_addr().expect("a bound socket"),
         lease_limit_ms: 10_000,
         stop_limit_ms: 900,
-        status_ms: 120_000,
+        status_ms: STATUS_MS,
         partitions: 4,
         link_mbps: 1_000.0,
         upkeep_ms: 300,
@@ -368,7 +384,7 @@
         steps,
         policy: policy(),
         schedule: Schedule::default(),
-        accepted_at_ms: DayClock::default().read_ms(),
+        accepted_at_ms: DayClock::default().read(),
     }
 }
 
--- a/crates/cell/tests/cell/fuzz.rs
+++ b/crates/cell/tests/cell/fuzz.rs
@@ -24,6 +24,8 @@
 use syc_sched::Version;
 use syc_sched::WaveProgress;
 use syc_sched::WorkerSpec;
+use syc_types::CellTime;
+use syc_types::TimeOfDay;
 use syc_wire::Body;
 use syc_wire::Message;
 use syc_wire::RunRequest;
@@ -81,14 +83,14 @@
     let repeated = JobSpec {
         schedule: Schedule {
             occurrences: 2,
-            first_at_ms: 1_790_000_000_000,
+            first_at_ms: TimeOfDay(1_790_000_000_000),
             interval_ms: 500,
         },
-        accepted_at_ms: 1_790_000_000_000,
+        accepted_at_ms: TimeOfDay(1_790_000_000_000),
         ..job(JOB, vec![lasting])
     };
     let plain = JobSpec {
-        accepted_at_ms: 1_790_000_000_000,
+        accepted_at_ms: TimeOfDay(1_790_000_000_000),
         ..job(JOB, vec![step(3, 100), gang])
     };
     [plain, repeated]
@@ -146,7 +148,8 @@
             },
             StepProgress::default(),
         ],
-        ended_at_ms: 0,
+        ended_at_ms: TimeOfDay(0),
+        ended_at_cell_ms: None,
     }
 }
 
@@ -154,7 +157,8 @@
 fn records_of_progress() {
     let ended = JobProgress {
         state: JobState::Completed,
-        ended_at_ms: 1_790_000_000_000,
+        ended_at_ms: TimeOfDay(1_790_000_000_000),
+        ended_at_cell_ms: Some(CellTime(86_400_000)),
         ..JobProgress::default()
     };
     let kept = [progress(), ended].map(|kept| records::progress(JobId(JOB), &kept));
--- a/crates/fleet/src/core_model.rs
+++ b/crates/fleet/src/core_model.rs
@@ -15,6 +15,7 @@
 use syc_types::RackId;
 use syc_types::Resources;
 use syc_types::ServiceName;
+use syc_types::TimeOfDay;
 use syc_types::WorkerId;
 use syc_types::Zone;
 
@@ -97,7 +98,7 @@
         for after_ms in TICKS_MS {
             let _actions = self.scheduler.schedule(self.now);
             let _counts = self.scheduler.counts(self.now);
-            let _records = self.scheduler.take_records(1_000, 0);
+            let _records = self.scheduler.take_records(1_000, self.now, TimeOfDay(0));
             self.now = began.plus(after_ms);
             self.handle(Event::Ticked);
         }
--- a/crates/fleet/src/load.rs
+++ b/crates/fleet/src/load.rs
@@ -11,6 +11,7 @@
 use syc_sched::StepSpec;
 use syc_types::Resources;
 use syc_types::ServiceName;
+use syc_types::TimeOfDay;
 
 /// Bytes of a mebibyte.
 const MIB: u64 = 1 << 20;
@@ -124,7 +125,7 @@
             steps: drawn,
             policy: self.policy(service),
             schedule: Schedule::default(),
-            accepted_at_ms: 0,
+            accepted_at_ms: TimeOfDay(0),
         };
         DrawnJob { spec, work_ms }
     }
--- a/crates/sched/src/job.rs
+++ b/crates/sched/src/job.rs
@@ -4,7 +4,10 @@
 use std::collections::BTreeSet;
 
 use smol_str::SmolStr;
+use syc_types::CellTime;
+use syc_types::DayAnchor;
 use syc_types::Millis;
+use syc_types::TimeOfDay;
 use syc_types::WorkerId;
 
 use crate::JobId;
@@ -17,6 +20,7 @@
 use crate::TaskId;
 use crate::Version;
 use crate::WorkerKey;
+use crate::keeping::EndStamp;
 use crate::progress::StepProgress;
 use crate::progress::UnitProgress;
 
@@ -224,14 +228,22 @@
     pub(crate) inherited: bool,
     /// When it ended.
     pub(crate) ended_at: Option<Millis>,
-    pub(crate) ended_at_ms: u64,
+    /// When its end was first written down.
+    pub(crate) ended: Option<EndStamp>,
+    /// When its end was shown: from then on it is kept for its time.
+    pub(crate) shown_ended_at: Option<CellTime>,
     /// Whether some worker has told of a run of it.
     pub(crate) begun: bool,
 }
 
 impl Job {
-    pub(crate) fn new(spec: JobSpec, accepted_at: Millis) -> Self {
-        let steps = steps_of(&spec, accepted_at);
+    /// Makes a job of which nothing has begun. Until the time of day is told, its acceptance tells it.
+    pub(crate) fn new(spec: JobSpec, accepted_at: Millis, day: Option<DayAnchor>) -> Self {
+        let accepted = DayAnchor {
+            at: accepted_at,
+            day: spec.accepted_at_ms,
+        };
+        let steps = steps_of(&spec, accepted_at, day.unwrap_or(accepted));
         let objective_ms = objective_ms(&spec);
         Self {
             steps,
@@ -243,7 +255,8 @@
             objective_ms,
             inherited: false,
             ended_at: None,
-            ended_at_ms: 0,
+            ended: None,
+            shown_ended_at: None,
             begun: false,
             spec,
         }
@@ -261,6 +274,16 @@
         }
     }
 
+    /// Takes the time of day for its due times.
+    pub(crate) fn set_day(&mut self, day: DayAnchor) {
+        let of_one = self.spec.steps.len().max(1);
+        for (index, step) in self.steps.iter_mut().enumerate() {
+            let occurrence = u32::try_from(index / of_one).unwrap_or(u32::MAX);
+            let due_at = self.spec.schedule.due_at(occurrence);
+            step.due_at = due_at.map(|due_at| day.steady_at(due_at).max(self.accepted_at));
+        }
+    }
+
     /// Says whether a step is due, and the steps before it are all done.
     pub(crate) fn is_ready(&self, step: usize, now: Millis) -> bool {
         if self.steps[step].due_at.is_some_and(|due_at| due_at > now) {
@@ -320,7 +343,8 @@
             },
             state: self.state,
             steps: Vec::new(),
-            ended_at_ms: self.ended_at_ms,
+            ended_at_ms: self.ended.map_or(TimeOfDay::default(), |ended| ended.day),
+            ended_at_cell_ms: self.ended.map(|ended| ended.cell),
         };
         if self.state.is_terminal() {
             return progress;
@@ -333,14 +357,11 @@
 }
 
 /// Makes the steps of all occurrences.
-fn steps_of(spec: &JobSpec, accepted_at: Millis) -> Vec<Step> {
+fn steps_of(spec: &JobSpec, accepted_at: Millis, day: DayAnchor) -> Vec<Step> {
     let mut steps = Vec::new();
     for occurrence in 0..spec.schedule.times() {
-        let due_at_ms = spec.schedule.due_at_ms(occurrence);
-        let due_at = due_at_ms.map(|due_at_ms| {
-            let after_ms = due_at_ms.saturating_sub(spec.accepted_at_ms);
-            accepted_at.plus(after_ms)
-        });
+        let due_at = spec.schedule.due_at(occurrence);
+        let due_at = due_at.map(|due_at| day.steady_at(due_at).max(accepted_at));
         for step in &spec.steps {
             steps.push(Step::new(step, due_at));
         }
--- a/crates/sched/src/progress.rs
+++ b/crates/sched/src/progress.rs
@@ -5,6 +5,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 use smol_str::SmolStr;
+use syc_types::CellTime;
+use syc_types::TimeOfDay;
 use syc_types::WorkerId;
 
 use crate::Run;
@@ -59,9 +61,12 @@
     /// Progress of each step; empty once the job has ended.
     #[serde(skip_serializing_if = "Vec::is_empty")]
     pub steps: Vec<StepProgress>,
-    /// Time of day at which the job ended, in milliseconds since 1970.
-    #[serde(skip_serializing_if = "is_zero")]
-    pub ended_at_ms: u64,
+    /// When the job ended, by the clock of the node that wrote it; for people, and for earlier versions.
+    #[serde(skip_serializing_if = "is_no_day")]
+    pub ended_at_ms: TimeOfDay,
+    /// When the job ended, by the cell's own time; none where an earlier version wrote it.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub ended_at_cell_ms: Option<CellTime>,
 }
 
 /// What is kept of a step.
@@ -115,8 +120,8 @@
     clippy::trivially_copy_pass_by_ref,
     reason = "the serializer calls it with a reference"
 )]
-const fn is_zero(value: &u64) -> bool {
-    *value == 0
+const fn is_no_day(value: &TimeOfDay) -> bool {
+    value.0 == 0
 }
 
 #[expect(
--- a/crates/sched/src/scheduler.rs
+++ b/crates/sched/src/scheduler.rs
@@ -7,7 +7,9 @@
 
 use slotmap::SlotMap;
 use smol_str::SmolStr;
+use syc_types::DayAnchor;
 use syc_types::Millis;
+use syc_types::TimeOfDay;
 use syc_types::WorkerId;
 
 use crate::Action;
@@ -27,6 +29,8 @@
 use crate::ids::JobKey;
 use crate::job::Job;
 use crate::job::UnitState;
+use crate::keeping::CellClock;
+use crate::keeping::EndStamp;
 use crate::pacing::Disturbance;
 use crate::pools::Pools;
 use crate::recovery::Recovery;
@@ -36,6 +40,9 @@
 use crate::worker::Phase;
 use crate::worker::Worker;
 
+/// A time of day that moved by less leaves the due times as they are.
+const DAY_MOVE_MS: u64 = 20;
+
 /// What was learned of a queue's advice.
 #[derive(Debug, Clone, Copy, Default)]
 pub(crate) struct QueueStats {
@@ -65,6 +72,9 @@
     /// Runs of jobs that have not been read yet, and the time before which all that was stored has been.
     pub(crate) strays: Vec<Stray>,
     pub(crate) jobs_read_at: Millis,
+    pub(crate) cell_clock: CellClock,
+    /// The time of day, once it was told.
+    pub(crate) day: Option<DayAnchor>,
     pub(crate) headroom: Headroom,
     pub(crate) disturbance: Disturbance,
     pub(crate) vms: Vms,
@@ -94,6 +104,8 @@
             recovery: Recovery::default(),
             strays: Vec::new(),
             jobs_read_at: Millis(u64::MAX),
+            cell_clock: CellClock::default(),
+            day: None,
             headroom: Headroom::default(),
             disturbance: Disturbance::default(),
             vms: Vms::default(),
@@ -161,7 +173,7 @@
                 Duty::Upkeep { wave } => self.upkeep_answered(wave, &vm, answer, now),
                 Duty::Move { pool } => self.move_answered(&vm, &pool, answer, now),
             },
-            Event::Recorded { jobs } => self.recorded(&jobs),
+            Event::Recorded { jobs } => self.recorded(&jobs, now),
             Event::Ticked => self.watch(now),
         }
         std::mem::take(&mut self.actions)
@@ -226,9 +238,11 @@
     pub fn take_records(
         &mut self,
         limit: usize,
-        now_wall_ms: u64,
+        now: Millis,
+        day: TimeOfDay,
     ) -> Vec<(JobId, u64, JobProgress)> {
         let mut records = Vec::new();
+        let cell = self.cell_clock.read(now);
         while records.len() < limit {
             let Some(key) = self.next_to_write() else {
                 break;
@@ -236,8 +250,8 @@
             let Some(job) = self.jobs.get_mut(key) else {
                 continue;
             };
-            if job.state.is_terminal() && job.ended_at_ms == 0 {
-                job.ended_at_ms = now_wall_ms;
+            if job.state.is_terminal() {
+                job.ended.get_or_insert(EndStamp { cell, day });
             }
             let job = &self.jobs[key];
             let progress = job.progress(|worker| self.name_of(worker));
@@ -282,6 +296,20 @@
         (acknowledged, !worker.unacknowledged.is_empty())
     }
 
+    /// Tells the time of day, by which timed jobs are due.
+    pub fn set_day(&mut self, day: DayAnchor) {
+        let moved = self
+            .day
+            .is_none_or(|known| known.differs_ms(day) >= DAY_MOVE_MS);
+        if !moved {
+            return;
+        }
+        self.day = Some(day);
+        for key in &self.open {
+            self.jobs[*key].set_day(day);
+        }
+    }
+
     /// Returns the name of a worker.
     #[must_use]
     pub fn name_of(&self, worker: WorkerKey) -> Option<WorkerId> {
@@ -301,7 +329,8 @@
         if self.job_keys.contains_key(&id) {
             return;
         }
-        let mut job = Job::new(spec, Millis(now.0.saturating_sub(age_ms)));
+        let accepted_at = Millis(now.0.saturating_sub(age_ms));
+        let mut job = Job::new(spec, accepted_at, self.day);
         job.inherited = true;
         if let Some(progress) = progress {
             job.restore(progress);
@@ -309,27 +338,6 @@
         self.insert_open(job, now);
     }
 
-    /// Adds a job that has ended, so that its state can be asked.
-    pub fn restore_ended(&mut self, id: JobId, state: JobState, ended_ago_ms: u64, now: Millis) {
-        if self.job_keys.contains_key(&id) {
-            return;
-        }
-        let spec = JobSpec {
-            id,
-            payload: SmolStr::default(),
-            steps: Vec::new(),
-            policy: crate::QueuePolicy::default(),
-            schedule: crate::Schedule::default(),
-            accepted_at_ms: 0,
-        };
-        let mut job = Job::new(spec, now);
-        job.state = state;
-        job.shown = state;
-        job.ended_at = Some(Millis(now.0.saturating_sub(ended_ago_ms)));
-        let key = self.jobs.insert(job);
-        self.job_keys.insert(id, key);
-    }
-
     fn add_job(&mut self, spec: JobSpec, age_ms: u64, now: Millis) {
         let id = spec.id;
         if let Some(key) = self.job_keys.get(&id) {
@@ -340,7 +348,7 @@
             return;
         }
         let accepted_at = Millis(now.0.saturating_sub(age_ms));
-        self.insert_open(Job::new(spec, accepted_at), now);
+        self.insert_open(Job::new(spec, accepted_at, self.day), now);
         self.meet_strays(id, now);
     }
 
@@ -359,7 +367,12 @@
             self.cancelled_early.insert(id, now);
             return;
         };
-        if self.jobs[key].state.is_terminal() {
+        let job = &self.jobs[key];
+        if job.shown.is_terminal() {
+            // A cancelling that comes after the end leaves its record behind.
+            self.actions.push(Action::DropSpec(id));
+        }
+        if job.state.is_terminal() {
             return;
         }
         self.end_job(key, JobState::Cancelled, now);
@@ -408,7 +421,8 @@
         }
     }
 
-    fn recorded(&mut self, jobs: &[(JobId, u64)]) {
+    fn recorded(&mut self, jobs: &[(JobId, u64)], now: Millis) {
+        let cell_now = self.cell_clock.read(now);
         for (id, change) in jobs {
             let Some(key) = self.job_keys.get(id).copied() else {
                 continue;
@@ -419,6 +433,7 @@
             if job.state.is_terminal() {
                 if complete && !job.shown.is_terminal() {
                     job.shown = job.state;
+                    job.shown_ended_at = Some(cell_now);
                     job.steps = Vec::new();
                     job.spec.payload = SmolStr::default();
                     self.actions.push(Action::DropSpec(*id));
@@ -461,25 +476,4 @@
         let (unit, member) = step.unit_of(task.index)?;
         Some((key, index, unit, member))
     }
-
-    /// Removes what is kept of jobs that ended long ago.
-    pub(crate) fn forget_old(&mut self, now: Millis) {
-        let keep_ms = self.options.status_ms;
-        let mut old = Vec::new();
-        for (key, job) in &self.jobs {
-            let ended_at = job.ended_at.filter(|_| job.shown.is_terminal());
-            if ended_at.is_some_and(|at| now.since(at) > keep_ms) {
-                old.push(key);
-            }
-        }
-        for key in old {
-            let Some(job) = self.jobs.remove(key) else {
-                continue;
-            };
-            self.job_keys.remove(&job.id());
-            self.actions.push(Action::Forget(job.id()));
-        }
-        self.cancelled_early
-            .retain(|_, at| now.since(*at) <= keep_ms);
-    }
 }
--- a/crates/sched/src/spec.rs
+++ b/crates/sched/src/spec.rs
@@ -5,6 +5,7 @@
 use smol_str::SmolStr;
 use syc_types::Resources;
 use syc_types::ServiceName;
+use syc_types::TimeOfDay;
 
 use crate::JobId;
 
@@ -164,8 +165,8 @@
 pub struct Schedule {
     /// How often they run; 0 for once, as soon as possible.
     pub occurrences: u32,
-    /// When the first is due, in milliseconds since 1970.
-    pub first_at_ms: u64,
+    /// When the first is due.
+    pub first_at_ms: TimeOfDay,
     /// Time from one to the next; they may overlap.
     pub interval_ms: u64,
 }
@@ -181,14 +182,14 @@
         }
     }
 
-    /// Returns when an occurrence is due, in milliseconds since 1970; none for as soon as possible.
+    /// Returns when an occurrence is due; none for as soon as possible.
     #[must_use]
-    pub fn due_at_ms(&self, occurrence: u32) -> Option<u64> {
+    pub fn due_at(&self, occurrence: u32) -> Option<TimeOfDay> {
         if self.occurrences == 0 {
             return None;
         }
         let later_ms = self.interval_ms.saturating_mul(u64::from(occurrence));
-        Some(self.first_at_ms.saturating_add(later_ms))
+        Some(self.first_at_ms.plus(later_ms))
     }
 }
 
@@ -206,8 +207,8 @@
     /// When its steps run.
     #[serde(default)]
     pub schedule: Schedule,
-    /// Time of day at which it was accepted, in milliseconds since 1970.
-    pub accepted_at_ms: u64,
+    /// When it was accepted, by the clock of the node that did.
+    pub accepted_at_ms: TimeOfDay,
 }
 
 impl JobSpec {
--- a/crates/sched/tests/core/counts.rs
+++ b/crates/sched/tests/core/counts.rs
@@ -20,6 +20,7 @@
 use syc_sched::RunEnd;
 use syc_sched::StartAnswer;
 use syc_sched::StartOrder;
+use syc_types::TimeOfDay;
 use test_case::test_case;
 
 use crate::driver::Driver;
@@ -64,7 +65,9 @@
 fn a_successor_counts_a_job_of_which_only_the_order_is_known() {
     let (mut driver, order) = ordered();
     answer(&mut driver, &order, StartAnswer::InDoubt);
-    let written = driver.scheduler.take_records(usize::MAX, 1);
+    let written = driver
+        .scheduler
+        .take_records(usize::MAX, driver.now, TimeOfDay(1));
     let progress: Option<&JobProgress> = written.first().map(|(_, _, progress)| progress);
     let mut successor = Driver::new(0, 0);
     successor.restore(1, policy(0), vec![step(1, 1)], progress);
@@ -99,10 +102,14 @@
 #[test]
 fn a_job_that_was_shown_as_running_still_is_after_a_takeover() {
     let (mut driver, order) = ordered();
-    let _with_the_order = driver.scheduler.take_records(usize::MAX, 1);
+    let _with_the_order = driver
+        .scheduler
+        .take_records(usize::MAX, driver.now, TimeOfDay(1));
     answer(&mut driver, &order, StartAnswer::Started);
     assert_eq!(driver.state(1), Some(JobState::Running));
-    let written = driver.scheduler.take_records(usize::MAX, 1);
+    let written = driver
+        .scheduler
+        .take_records(usize::MAX, driver.now, TimeOfDay(1));
     let progress = written.first().map(|(_, _, progress)| progress);
     let mut successor = Driver::new(0, 0);
     successor.restore(1, policy(0), vec![step(1, 1)], progress);
--- a/crates/sched/tests/core/driver.rs
+++ b/crates/sched/tests/core/driver.rs
@@ -32,6 +32,7 @@
 use syc_types::RackId;
 use syc_types::Resources;
 use syc_types::ServiceName;
+use syc_types::TimeOfDay;
 use syc_types::VmId;
 use syc_types::WorkerId;
 use syc_types::Zone;
@@ -155,7 +156,7 @@
         steps: Vec<StepSpec>,
         schedule: Schedule,
     ) {
-        self.submit_accepted_at(id, policy, steps, schedule, 0);
+        self.submit_accepted_at(id, policy, steps, schedule, TimeOfDay(0));
     }
 
     pub fn submit_accepted_at(
@@ -164,7 +165,7 @@
         policy: QueuePolicy,
         steps: Vec<StepSpec>,
         schedule: Schedule,
-        accepted_at_ms: u64,
+        accepted_at_ms: TimeOfDay,
     ) {
         let spec = Box::new(JobSpec {
             accepted_at_ms,
@@ -297,7 +298,9 @@
 
     /// Lets the store take all progress.
     pub fn record(&mut self) {
-        let records = self.scheduler.take_records(usize::MAX, 1);
+        let records = self
+            .scheduler
+            .take_records(usize::MAX, self.now, TimeOfDay(1));
         let jobs = records
             .into_iter()
             .map(|(id, change, _progress)| (id, change))
@@ -314,14 +317,14 @@
     }
 }
 
-fn job(id: u64, policy: QueuePolicy, steps: Vec<StepSpec>, schedule: Schedule) -> JobSpec {
+pub fn job(id: u64, policy: QueuePolicy, steps: Vec<StepSpec>, schedule: Schedule) -> JobSpec {
     JobSpec {
         id: JobId(id),
         payload: SmolStr::new_static("payload"),
         steps,
         policy,
         schedule,
-        accepted_at_ms: 0,
+        accepted_at_ms: TimeOfDay(0),
     }
 }
 
--- a/crates/sched/tests/core/lasting.rs
+++ b/crates/sched/tests/core/lasting.rs
@@ -5,6 +5,7 @@
 use syc_sched::RunEnd;
 use syc_sched::Schedule;
 use syc_sched::StepSpec;
+use syc_types::TimeOfDay;
 use test_case::test_case;
 
 use crate::driver::Driver;
@@ -79,7 +80,7 @@
     let schedule = Schedule {
         occurrences: 2,
         // The job is accepted at 0 of the time of day.
-        first_at_ms: 5_000,
+        first_at_ms: TimeOfDay(5_000),
         interval_ms: 10_000,
     };
     driver.submit_scheduled(1, policy(0), vec![step(1, 1), second], schedule);
@@ -112,7 +113,7 @@
     let mut driver = Driver::new(1, 4);
     let schedule = Schedule {
         occurrences: 3,
-        first_at_ms: 0,
+        first_at_ms: TimeOfDay(0),
         interval_ms: 100,
     };
     driver.submit_scheduled(1, policy(0), vec![step(1, 1)], schedule);
@@ -128,13 +129,14 @@
 #[test_case(60_000; "a clock that is right")]
 #[test_case(62_400; "a clock 2.4 s ahead")]
 fn an_occurrence_starts_its_time_after_the_acceptance_by_whatever_clock(accepted_at_ms: u64) {
+    let accepted_at = TimeOfDay(accepted_at_ms);
     let mut driver = Driver::new(1, 4);
     let schedule = Schedule {
         occurrences: 1,
-        first_at_ms: accepted_at_ms + 5_000,
+        first_at_ms: accepted_at.plus(5_000),
         interval_ms: 0,
     };
-    driver.submit_accepted_at(1, policy(0), vec![step(1, 1)], schedule, accepted_at_ms);
+    driver.submit_accepted_at(1, policy(0), vec![step(1, 1)], schedule, accepted_at);
     driver.pass(4_990);
     driver.schedule();
     assert!(driver.starts.is_empty(), "not due yet");
--- a/crates/sched/tests/core/main.rs
+++ b/crates/sched/tests/core/main.rs
@@ -3,6 +3,7 @@
 mod advice;
 mod counts;
 mod driver;
+mod keeping;
 mod lasting;
 mod life;
 mod order;
--- a/crates/sched/tests/overload/replay.rs
+++ b/crates/sched/tests/overload/replay.rs
@@ -41,6 +41,7 @@
 use syc_types::Millis;
 use syc_types::RackId;
 use syc_types::ServiceName;
+use syc_types::TimeOfDay;
 use syc_types::WorkerId;
 use syc_types::Zone;
 
@@ -227,7 +228,7 @@
     }
 
     fn write(&mut self) {
-        let records = self.scheduler.take_records(10_000, 1);
+        let records = self.scheduler.take_records(10_000, self.now, TimeOfDay(1));
         if records.is_empty() {
             return;
         }
--- a/crates/sched/tests/schedules/jobs.rs
+++ b/crates/sched/tests/schedules/jobs.rs
@@ -17,6 +17,7 @@
 use syc_sched::TaskId;
 use syc_types::Resources;
 use syc_types::ServiceName;
+use syc_types::TimeOfDay;
 
 /// The service of every worker and job.
 pub const SERVICE: &str = "service";
@@ -47,7 +48,7 @@
         steps,
         policy: policy(rng),
         schedule: Schedule::default(),
-        accepted_at_ms: 0,
+        accepted_at_ms: TimeOfDay(0),
     };
     let hopeless = rng.random_ratio(1, 12);
     for (index, step) in (0..).zip(&spec.steps) {
@@ -131,7 +132,7 @@
             ..policy(rng)
         },
         schedule: Schedule::default(),
-        accepted_at_ms: 0,
+        accepted_at_ms: TimeOfDay(0),
     };
     for index in 0..spec.steps[0].tasks {
         let step = StepId {
--- a/crates/sched/tests/schedules/world.rs
+++ b/crates/sched/tests/schedules/world.rs
@@ -22,6 +22,7 @@
 use syc_fleet::VmsModel;
 use syc_fleet::WorkerModel;
 use syc_sched::Action;
+use syc_sched::EndedJob;
 use syc_sched::Event;
 use syc_sched::JobId;
 use syc_sched::JobProgress;
@@ -323,10 +324,18 @@
         self.sessions.clear();
         self.writing = false;
         let mut scheduler = Scheduler::new(self.options);
+        let ended = self.kept.iter().filter_map(|(id, progress)| {
+            progress.state.is_terminal().then_some(EndedJob {
+                id: *id,
+                state: progress.state,
+                ended_at: progress.ended_at_cell_ms,
+            })
+        });
+        let ended: Vec<_> = ended.collect();
+        scheduler.restore_ended(&ended, self.now);
         for given in &self.given[..self.next_job] {
             let progress = self.kept.get(&given.spec.id);
-            if let Some(progress) = progress.filter(|progress| progress.state.is_terminal()) {
-                scheduler.restore_ended(given.spec.id, progress.state, 0, self.now);
+            if progress.is_some_and(|progress| progress.state.is_terminal()) {
                 continue;
             }
             let age_ms = self.now.0 - given.at_ms.min(self.now.0);
--- a/crates/sched/tests/schedules/world/sessions.rs
+++ b/crates/sched/tests/schedules/world/sessions.rs
@@ -4,6 +4,7 @@
 use syc_cell::ports::Renewal;
 use syc_sched::Event;
 use syc_sched::WorkerKey;
+use syc_types::TimeOfDay;
 use syc_types::WorkerId;
 
 use super::Delivery;
@@ -86,7 +87,7 @@
         let Some(scheduler) = &mut self.scheduler else {
             return;
         };
-        let records = scheduler.take_records(50, 1);
+        let records = scheduler.take_records(50, self.now, TimeOfDay(1));
         let waves = scheduler.wave_records();
         if records.is_empty() && waves.is_empty() {
             return;
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -28,4 +28,7 @@
 pub use job::TaskOutcome;
 pub use resources::ResourceError;
 pub use resources::Resources;
+pub use time::CellTime;
+pub use time::DayAnchor;
 pub use time::Millis;
+pub use time::TimeOfDay;
