--- a/crates/sched/tests/core/main.rs
+++ b/crates/sched/tests/core/main.rs
@@ -4,6 +4,7 @@
 mod counts;
 mod doubts;
 mod driver;
+mod keeping;
 mod lasting;
 mod life;
 mod order;
--- a/crates/sched/tests/takeovers/world.rs
+++ b/crates/sched/tests/takeovers/world.rs
@@ -35,6 +35,7 @@
 use syc_types::RackId;
 use syc_types::Resources;
 use syc_types::ServiceName;
+use syc_types::TimeOfDay;
 use syc_types::WorkerId;
 use syc_types::Zone;
 
@@ -124,7 +125,7 @@
             steps: vec![step],
             policy: policy(),
             schedule: Schedule::default(),
-            accepted_at_ms: 0,
+            accepted_at_ms: TimeOfDay(0),
         };
         let mut fleet = FleetModel::default();
         fleet.limits.lease_ms = LEASE_MS;
@@ -428,7 +429,10 @@
         if self.side(token).ended {
             return;
         }
-        let records = self.side(token).scheduler.take_records(usize::MAX, 1);
+        let records = self
+            .side(token)
+            .scheduler
+            .take_records(usize::MAX, now, TimeOfDay(1));
         let mut jobs = Vec::new();
         for (id, change, progress) in records {
             self.kept = Some(progress);
