Take a run as not done that is told after its lease had surely lapsed

What callers saw: nothing yet. With an end as done counting whichever run it is of, one that a worker lists only after the scheduler took its lease as lapsed would have shown a job as completed by it. Such an end can't be taken note of any more, so the task runs again, as before the change.

Change: a unit remembers the latest run that was given up since its lease had lapsed; the end of it, or of one before, as done changes nothing. An end as done of a run that was taken as gone for another reason still ends its task, and has a test of its own.

--- a/crates/sched/src/job.rs
+++ b/crates/sched/src/job.rs
@@ -62,6 +62,8 @@
     pub(crate) accounted: Run,
     /// Number of the latest start that counts as failed.
     pub(crate) failed: Run,
+    /// Number of the latest start that was given up since its lease had surely lapsed.
+    pub(crate) lapsed: Run,
     pub(crate) checkpoint: SmolStr,
     /// Time that its latest run takes as a whole, at the speed seen.
     pub(crate) whole_ms: Option<u64>,
@@ -90,6 +92,7 @@
             started: Run(0),
             accounted: Run(0),
             failed: Run(0),
+            lapsed: Run(0),
             checkpoint: SmolStr::new_static(""),
             whole_ms: None,
             moves: 0,
--- a/crates/sched/src/recovery.rs
+++ b/crates/sched/src/recovery.rs
@@ -176,6 +176,7 @@
             return;
         }
         let run = unit.accounted.next();
+        unit.lapsed = run;
         self.jobs[place.job].steps[place.step].pending -= 1;
         self.settle(place, run, Outcome::Interrupted, now);
     }
--- a/crates/sched/src/reports.rs
+++ b/crates/sched/src/reports.rs
@@ -116,6 +116,18 @@
         }
     }
 
+    /// Takes everything that ran on a worker as ended, since its leases have surely lapsed.
+    pub(crate) fn lapse_runs(&mut self, key: WorkerKey, now: Millis) {
+        for (task, run) in self.workers[key].runs.keys() {
+            let Some((job, step, unit, _member)) = self.locate(*task) else {
+                continue;
+            };
+            let unit = &mut self.jobs[job].steps[step].units[unit];
+            unit.lapsed = unit.lapsed.max(*run);
+        }
+        self.lose_runs(key, "lease_lapsed", now);
+    }
+
     pub(crate) fn renewed(
         &mut self,
         key: WorkerKey,
--- a/crates/sched/src/units.rs
+++ b/crates/sched/src/units.rs
@@ -174,9 +174,11 @@
     }
 
     /// Takes a unit as done, whichever of its runs was: nothing of it may start once that end is acknowledged.
+    ///
+    /// An end that is acknowledged only after the lease has lapsed proves nothing.
     fn finish(&mut self, place: Place, worker: WorkerKey, member: usize, run: Run, now: Millis) {
         let unit = self.unit_mut(place);
-        if unit.is_done() {
+        if unit.is_done() || run <= unit.lapsed {
             return;
         }
         let other = match &unit.state {
--- a/crates/sched/src/watch.rs
+++ b/crates/sched/src/watch.rs
@@ -33,7 +33,7 @@
     pub(crate) fn watch_lease(&mut self, key: WorkerKey, now: Millis) {
         let worker = &self.workers[key];
         if worker.silent && worker.lapse_at <= now {
-            self.lose_runs(key, "lease_lapsed", now);
+            self.lapse_runs(key, now);
         }
         self.detach_if_over(key, now);
     }
--- a/crates/sched/tests/core/takeover.rs
+++ b/crates/sched/tests/core/takeover.rs
@@ -212,6 +212,7 @@
 /// The end of a run of the same number, on a worker that was taken as gone with all that ran there.
 #[test_case(RunEnd::Failed; "that failed")]
 #[test_case(RunEnd::Lapsed; "whose lease lapsed")]
+#[test_case(RunEnd::Done; "that was done, and told after its lease had lapsed")]
 fn an_end_counts_for_its_own_run_only(end: RunEnd) {
     let mut driver = successor(2, vec![step(1, 1)], None);
     driver.hold(driver.workers[1], &[]);
@@ -236,21 +237,20 @@
 }
 
 #[test]
-fn a_run_that_was_done_ends_its_task_also_where_it_was_given_up() {
-    let mut driver = successor(2, vec![step(1, 1)], None);
-    driver.hold(driver.workers[1], &[]);
-    driver.apply(Event::RenewalFailed {
-        worker: driver.workers[0],
-    });
-    let options = Options::default();
-    driver.pass(options.authority_ms + options.lease_bound_ms);
-    driver.apply(Event::Ticked);
+fn a_run_that_was_done_ends_its_task_also_where_it_was_taken_as_gone() {
+    let mut driver = Driver::new(2, 4);
+    driver.submit(1, policy(0), vec![step(1, 1)]);
+    driver.schedule();
+    let first = driver.confirm_starts().remove(0);
+    driver.pass(1);
+    driver.hold(first.worker, &[]);
     driver.record();
     driver.schedule();
-    driver.confirm_starts();
-    driver.report(driver.workers[0], &[], &[(task(0), Run(1), RunEnd::Done)]);
+    let second = driver.confirm_starts().remove(0);
+    assert_eq!(second.run, Run(2));
+    driver.report(first.worker, &[], &[(task(0), Run(1), RunEnd::Done)]);
     driver.record();
     assert_eq!(driver.state(1), Some(JobState::Completed));
-    driver.schedule();
-    assert!(driver.starts.is_empty());
+    let stops: Vec<_> = driver.stops.iter().map(|stop| stop.run).collect();
+    assert_eq!(stops, [Run(2)]);
 }
