--- a/crates/sched/src/watch.rs
+++ b/crates/sched/src/watch.rs
@@ -38,7 +38,7 @@
     pub(crate) fn watch_lease(&mut self, key: WorkerKey, now: Millis) {
         let worker = &self.workers[key];
         if (worker.silent || worker.contact.lapsing) && worker.lapse_at <= now {
-            self.lose_runs(key, "lease_lapsed", now);
+            self.lapse_runs(key, now);
         }
         self.detach_if_over(key, now);
     }
