Have timed jobs due by the time of day that the nodes of a cell agree on

Change: each contact with the scheduler tells the caller's time of day. The scheduler takes the clock in the middle of all nodes (of two, the earlier), follows what moves slowly, and believes a step only once it has lasted for 30 s, or where more clocks agree on it than were ever heard. The answer tells what it believes, and a successor goes on from that. Due times are points of that time of day; when it moves, what has not started moves with it. What is done stays done, so no occurrence runs twice, and each is due at some point of the steady clock, so none is left out.

Nodes of earlier versions tell no time of day and are not counted.

Left: where all nodes begin at once and the one that becomes the scheduler has a wrong clock, a timed job can be due by that until the first other node is heard (150 ms between contacts).

--- a/crates/cell/src/contact.rs
+++ b/crates/cell/src/contact.rs
@@ -144,12 +144,14 @@
         address: node.settings.peer_address.to_string(),
         store_answers: node.store_answers(),
         token: link.token,
+        day_ms: node.read_day().day.0,
     });
     let timeout_ms = node.settings.timing.contact_timeout_ms;
     let reply = link.call(query, timeout_ms).await;
     if let Ok(CellBody::ContactReply(reply)) = &reply {
         let partitions = node.settings.job_partitions();
         node.partition.set(reply.partition % partitions);
+        node.take_agreed_day(reply);
     }
     let (answers, store_answers) = match &reply {
         Ok(CellBody::ContactReply(reply)) => (reply.leading, reply.store_answers),
@@ -262,10 +264,13 @@
     let store = node.store_view();
     let unanswered = !store.answers && store.answered_ms > TURNED_AWAY_MS;
     let turned_away = contact.store_answers && unanswered;
+    let agreed = leader.as_ref().map(|leader| leader.agreed_day());
     ContactReply {
         leading: leader.is_some() && !turned_away,
         token: leader.map_or(0, |leader| leader.token),
         store_answers: store.answers,
         partition,
+        day_ms: agreed.map_or(0, |agreed| agreed.day.day_at(now()).0),
+        day_clocks: agreed.map_or(0, |agreed| agreed.clocks),
     }
 }
--- a/crates/cell/src/leader.rs
+++ b/crates/cell/src/leader.rs
@@ -44,6 +44,9 @@
 use crate::StateAnswer;
 use crate::clock::now;
 use crate::clock::pause;
+use crate::day::AgreedDay;
+use crate::day::CellDay;
+use crate::day::told_day;
 use crate::log;
 use crate::ports::Condition;
 use crate::ports::Platform;
@@ -111,6 +114,7 @@
     /// Asks for that to be written.
     tell: Notify,
     met_others_at: Cell<Option<Millis>>,
+    day: RefCell<CellDay>,
     heard_workers_at: Cell<Millis>,
     tasks: RefCell<Vec<actix_rt::task::JoinHandle<()>>>,
 }
@@ -148,9 +152,11 @@
             statuses: RefCell::default(),
             tell: Notify::new(),
             met_others_at: Cell::new(None),
+            day: RefCell::new(CellDay::after(node.told_day.get())),
             heard_workers_at: Cell::new(now()),
             tasks: RefCell::default(),
         });
+        leader.follow_day();
         node.partition.set(0);
         *node.leader.borrow_mut() = Some(Rc::clone(&leader));
         leader.spawn(heartbeat::send_heartbeats(Rc::clone(&leader)));
@@ -323,9 +329,24 @@
     pub(crate) fn met(&self, contact: &Contact) -> u32 {
         self.met_others_at.set(Some(now()));
         self.meet_adviser(contact);
+        if let Some(day) = told_day(now(), contact.day_ms) {
+            let name = SmolStr::from(contact.node.as_str());
+            self.day.borrow_mut().note(name, day);
+        }
         1 + self.advisers.borrow().others_before(&contact.node)
     }
 
+    /// Returns the time of day that timed jobs are due by.
+    pub(crate) fn agreed_day(&self) -> AgreedDay {
+        self.day.borrow_mut().look(self.node.read_day())
+    }
+
+    /// Has timed jobs due by the time of day that the nodes agree on.
+    pub(crate) fn follow_day(&self) {
+        let agreed = self.agreed_day();
+        self.scheduler.borrow_mut().set_day(agreed.day);
+    }
+
     /// Says whether neither the store nor another node was heard for so long that a successor may
     /// have been chosen.
     ///
--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -12,6 +12,7 @@
 mod clock;
 mod configuration;
 mod contact;
+pub mod day;
 mod follow;
 mod holders;
 mod leader;
--- a/crates/cell/src/node.rs
+++ b/crates/cell/src/node.rs
@@ -16,8 +16,10 @@
 use syc_obs::flush_lines;
 use syc_sched::Event;
 use syc_sched::Wave;
+use syc_types::DayAnchor;
 use syc_types::Millis;
 use syc_types::ServiceName;
+use syc_wire::cell::ContactReply;
 use tokio::sync::Notify;
 
 use crate::Configuration;
@@ -27,6 +29,8 @@
 use crate::clock::pause;
 use crate::contact;
 use crate::contact::HolderLink;
+use crate::day::AgreedDay;
+use crate::day::told_day;
 use crate::follow;
 use crate::holders;
 use crate::leader::Leader;
@@ -91,6 +95,8 @@
     pub(crate) stopping: Cell<bool>,
     /// No claim before this time, after having given the role up.
     pub(crate) claim_not_before: Cell<Millis>,
+    /// The time of day that the scheduler last told.
+    pub(crate) told_day: Cell<Option<AgreedDay>>,
     pub(crate) unsent_replies: UnsentReplies,
 }
 
@@ -118,6 +124,7 @@
             holder_gone: Cell::new(false),
             stopping: Cell::new(false),
             claim_not_before: Cell::new(began),
+            told_day: Cell::new(None),
             unsent_replies: UnsentReplies::default(),
             settings,
         });
@@ -168,6 +175,27 @@
         self.leader.borrow().clone()
     }
 
+    /// Reads this node's clock of the day.
+    pub(crate) fn read_day(&self) -> DayAnchor {
+        let day = self.settings.day_clock.read();
+        DayAnchor { at: now(), day }
+    }
+
+    /// Returns the time of day that the scheduler believes in, as far as it is known here.
+    #[must_use]
+    pub fn agreed_day(&self) -> Option<AgreedDay> {
+        let leader = self.leader();
+        leader.map_or(self.told_day.get(), |leader| Some(leader.agreed_day()))
+    }
+
+    pub(crate) fn take_agreed_day(&self, reply: &ContactReply) {
+        let Some(day) = told_day(now(), reply.day_ms) else {
+            return;
+        };
+        let clocks = reply.day_clocks;
+        self.told_day.set(Some(AgreedDay { day, clocks }));
+    }
+
     /// Returns the page of metrics.
     #[must_use]
     pub fn metrics_page(&self) -> String {
@@ -226,6 +254,7 @@
     loop {
         pause(node.settings.timing.tick_ms).await;
         if let Some(leader) = node.leader() {
+            leader.follow_day();
             leader.apply(Event::Ticked);
             leader.watch_self();
         }
--- a/crates/cell/tests/cell/clocks.rs
+++ b/crates/cell/tests/cell/clocks.rs
@@ -120,6 +120,15 @@
     cluster.assert_sound();
 }
 
+/// Waits until a node knows that the scheduler has heard all clocks.
+fn wait_for_clocks(cluster: &Cluster, number: usize, clocks: u32) {
+    cluster.wait("all clocks to be heard", || {
+        let agreed = cluster.on(number, |node| async move { node.agreed_day() });
+        let agreed = agreed.filter(|agreed| agreed.clocks == clocks);
+        agreed.map(|_| ())
+    });
+}
+
 /// Due long after the test, by a clock that is right.
 fn due_in(cluster: &Cluster, node: usize, time_ms: u64) -> JobSpec {
     JobSpec {
@@ -142,6 +151,7 @@
     let cluster = Cluster::start(3, 2);
     let scheduler = cluster.scheduler();
     let acceptor = (scheduler + 1) % 3;
+    wait_for_clocks(&cluster, acceptor, 3);
     let timed = due_in(&cluster, acceptor, 150_000);
     for node in 0..3 {
         cluster.set_clock(node, off.shift_ms(Off::Everyone, shift_ms));
@@ -165,6 +175,7 @@
     let cluster = Cluster::start(3, 2);
     let scheduler = cluster.scheduler();
     let acceptor = (scheduler + 1) % 3;
+    wait_for_clocks(&cluster, acceptor, 3);
     let timed = due_in(&cluster, acceptor, 0);
     for node in 0..3 {
         cluster.set_clock(node, off.shift_ms(Off::Everyone, shift_ms));
@@ -176,6 +187,24 @@
     cluster.assert_sound();
 }
 
+/// A process that begins while its clock is off: the others' clocks count, and what the former scheduler told.
+#[test_case(STEP_MS; "ahead by 200 s")]
+#[test_case(DAY_MS; "ahead by a day")]
+fn a_timed_job_waits_under_a_successor_whose_clock_was_always_off(shift_ms: i64) {
+    let mut cluster = Cluster::start(1, 2);
+    let first = cluster.scheduler();
+    let late = cluster.add_node_with_clock(shift_ms);
+    wait_for_clocks(&cluster, late, 2);
+    cluster.submit_job(first, &due_in(&cluster, first, 150_000));
+    cluster.kill(first);
+    let second = cluster.scheduler();
+    assert_eq!(second, late);
+    cluster.submit(second, 2, vec![step(1, LOOKS_MS)]);
+    cluster.wait_for_state(second, 2, JobState::Completed);
+    let waits = StateAnswer::Known(JobState::Queued);
+    assert_eq!(cluster.state(second, 1), waits);
+}
+
 /// A successor that read what was submitted without its progress would run the job again.
 #[test]
 fn progress_is_kept_as_long_as_what_was_submitted() {
--- a/crates/cell/tests/cell/fuzz.rs
+++ b/crates/cell/tests/cell/fuzz.rs
@@ -245,6 +245,7 @@
             address: "10.0.0.1:7000".into(),
             store_answers: true,
             token: 7,
+            day_ms: 1_790_000_000_000,
         }),
         CellBody::AdviceQuery(AdviceQuery {
             job: JOB,
--- a/crates/cell/tests/cell/main.rs
+++ b/crates/cell/tests/cell/main.rs
@@ -5,6 +5,7 @@
 
 mod clocks;
 mod cluster;
+mod day;
 mod fuzz;
 mod roster;
 mod service;
--- a/crates/sched/tests/core/lasting.rs
+++ b/crates/sched/tests/core/lasting.rs
@@ -1,16 +1,20 @@
 //! Tasks that last, and jobs whose steps run at set times.
 
 use syc_sched::Event;
+use syc_sched::JobSpec;
 use syc_sched::JobState;
 use syc_sched::RunEnd;
 use syc_sched::Schedule;
 use syc_sched::StepSpec;
+use syc_types::DayAnchor;
 use syc_types::TimeOfDay;
 use test_case::test_case;
 
 use crate::driver::Driver;
+use crate::driver::job;
 use crate::driver::policy;
 use crate::driver::step;
+use crate::driver::worker;
 
 fn lasting(tasks: u32, cores: u64) -> StepSpec {
     StepSpec {
@@ -144,3 +148,102 @@
     driver.schedule();
     assert_eq!(driver.starts.len(), 1);
 }
+
+fn due_at(first_at: TimeOfDay) -> Schedule {
+    Schedule {
+        occurrences: 2,
+        first_at_ms: first_at,
+        interval_ms: 10_000,
+    }
+}
+
+/// Tells the driver's scheduler the time of day.
+fn set_day(driver: &mut Driver, day_ms: u64) {
+    let day = TimeOfDay(day_ms);
+    let at = driver.now;
+    driver.scheduler.set_day(DayAnchor { at, day });
+}
+
+const NOON_MS: u64 = 1_790_000_000_000;
+
+/// Whatever clock the node that accepted it had.
+#[test_case(0; "a clock far behind")]
+#[test_case(NOON_MS - 200_000; "a clock 200 s behind")]
+#[test_case(NOON_MS; "a clock that is right")]
+#[test_case(NOON_MS + 200_000; "a clock 200 s ahead")]
+#[test_case(NOON_MS + 86_400_000; "a clock a day ahead")]
+fn an_occurrence_is_due_by_the_time_of_day_that_was_told(accepted_at_ms: u64) {
+    let mut driver = Driver::new(1, 4);
+    set_day(&mut driver, NOON_MS);
+    let schedule = due_at(TimeOfDay(NOON_MS + 5_000));
+    let accepted_at = TimeOfDay(accepted_at_ms);
+    driver.submit_accepted_at(1, policy(0), vec![step(1, 1)], schedule, accepted_at);
+    driver.pass(4_990);
+    driver.schedule();
+    assert!(driver.starts.is_empty(), "not due yet");
+    driver.pass(20);
+    driver.schedule();
+    assert_eq!(driver.starts.len(), 1);
+}
+
+/// A job that waits for hours was due as if it had been accepted ten minutes before the takeover.
+#[test]
+fn a_takeover_leaves_the_due_time_of_a_job_that_waits_for_long() {
+    const HOUR_MS: u64 = 3_600_000;
+    let mut driver = Driver::new(0, 4);
+    set_day(&mut driver, NOON_MS);
+    let schedule = due_at(TimeOfDay(NOON_MS + HOUR_MS));
+    let spec = job(1, policy(0), vec![step(1, 1)], schedule);
+    let spec = JobSpec {
+        accepted_at_ms: TimeOfDay(NOON_MS - HOUR_MS),
+        ..spec
+    };
+    driver
+        .scheduler
+        .restore_job(spec, None, 600_000, driver.now);
+    driver.apply(Event::WorkerListed(worker(0, 4)));
+    driver.scheduler.begin_recovery(driver.now);
+    driver.hold(driver.workers[0], &[]);
+    driver.apply(Event::Ticked);
+    driver.pass(HOUR_MS - 10);
+    driver.schedule();
+    assert!(driver.starts.is_empty(), "not due yet");
+    driver.pass(20);
+    driver.schedule();
+    assert_eq!(driver.starts.len(), 1);
+}
+
+/// The clocks are set, back or ahead, before an occurrence and after it has run.
+#[test_case(2_000; "by 2 s")]
+#[test_case(200_000; "by 200 s")]
+#[test_case(86_400_000; "by a day")]
+fn a_step_runs_no_occurrence_twice_and_leaves_none_out(step_ms: u64) {
+    for (before_ms, after_ms) in [(0, step_ms), (step_ms, 0)] {
+        let mut driver = Driver::new(1, 4);
+        set_day(&mut driver, NOON_MS + before_ms);
+        let schedule = due_at(TimeOfDay(NOON_MS + before_ms));
+        driver.submit_scheduled(1, policy(0), vec![step(1, 1)], schedule);
+        driver.schedule();
+        let started = driver.confirm_starts();
+        assert_eq!(started.len(), 1);
+        driver.end(&started[0], RunEnd::Done, &[]);
+        driver.record();
+        set_day(&mut driver, NOON_MS + after_ms);
+        driver.schedule();
+        let mut second = driver.confirm_starts();
+        if second.is_empty() {
+            driver.pass(step_ms + 10_000);
+            driver.schedule();
+            second = driver.confirm_starts();
+        }
+        let occurrences: Vec<_> = second.iter().map(|s| s.task.step.occurrence).collect();
+        assert_eq!(occurrences, [1]);
+        set_day(&mut driver, NOON_MS + before_ms);
+        driver.end(&second[0], RunEnd::Done, &[]);
+        driver.record();
+        driver.pass(step_ms * 2);
+        driver.schedule();
+        assert!(driver.starts.is_empty());
+        assert_eq!(driver.state(1), Some(JobState::Completed));
+    }
+}
--- a/crates/wire/src/cell.rs
+++ b/crates/wire/src/cell.rs
@@ -70,6 +70,9 @@
     /// Fencing token of the scheduler that it believes in.
     #[prost(uint64, tag = "4")]
     pub token: u64,
+    /// Time of day on its clock, in milliseconds since 1970; 0 where an earlier version sends it.
+    #[prost(uint64, tag = "5")]
+    pub day_ms: u64,
 }
 
 /// Answer to [`Contact`].
@@ -87,6 +90,12 @@
     /// The partition that the calling node should write jobs to.
     #[prost(uint32, tag = "4")]
     pub partition: u32,
+    /// Time of day that the scheduler believes in, in milliseconds since 1970; 0 where it is not here.
+    #[prost(uint64, tag = "5")]
+    pub day_ms: u64,
+    /// Clocks that this rests on.
+    #[prost(uint32, tag = "6")]
+    pub day_clocks: u32,
 }
 
 /// Asks for a job's state.
