Let no lease lapse on purpose that too many of a step's tasks serve under

What callers saw: nothing yet. A lease that is let lapse ends all that runs on its worker, also tasks that serve and of which only so many may be missing at a time; two workers in doubt at once would have taken two.

Change: the lease of a worker is let lapse only while what serves there may be missing, and what is on a worker whose lease is being let lapse counts as away, also for waves of upkeep. Where a step may miss none, what waits there goes on waiting, and is told.

--- a/crates/sched/src/contact.rs
+++ b/crates/sched/src/contact.rs
@@ -205,7 +205,7 @@
     /// Lets the lease of a worker lapse while it holds something that has been in doubt for too long.
     pub(crate) fn watch_doubts(&mut self, key: WorkerKey, now: Millis) {
         let limit_ms = self.options.doubt_limit_ms;
-        let worker = &mut self.workers[key];
+        let worker = &self.workers[key];
         let contact = &worker.contact;
         let is_overdue = |run: &WorkerRun| {
             let Some(since) = unsettled_since(run) else {
@@ -216,7 +216,10 @@
             now.since(since) > limit_ms * patience
         };
         let lapses = worker.runs.values().any(is_overdue);
-        if lapses == contact.lapsing {
+        // Once it has begun, what serves there counts as away.
+        let may_begin = contact.lapsing || self.may_end_serving(key);
+        let worker = &mut self.workers[key];
+        if lapses == worker.contact.lapsing || !may_begin {
             return;
         }
         worker.contact.lapsing = lapses;
--- a/crates/sched/src/vms.rs
+++ b/crates/sched/src/vms.rs
@@ -120,6 +120,23 @@
         for (task, _) in self.workers[key].runs.keys() {
             *steps.entry(task.step).or_default() += 1;
         }
+        self.may_interrupt_bounded(steps)
+    }
+
+    /// Says whether all that serves on a worker may be missing for a while.
+    pub(crate) fn may_end_serving(&self, key: WorkerKey) -> bool {
+        let mut steps: BTreeMap<_, u32> = BTreeMap::new();
+        for ((task, _), run) in &self.workers[key].runs {
+            if run.is_at_work() {
+                *steps.entry(task.step).or_default() += 1;
+            }
+        }
+        self.may_interrupt_bounded(steps)
+    }
+
+    /// Says whether so many tasks of each of these steps may be taken out of service now, where their number has
+    /// a bound.
+    fn may_interrupt_bounded(&self, steps: BTreeMap<StepId, u32>) -> bool {
         let is_bounded = |step| {
             let spec = self.step_spec(step);
             spec.is_some_and(|spec| spec.unavailable_limit.is_some())
@@ -151,12 +168,13 @@
         };
         let mut at_work = 0;
         for worker in self.workers.values() {
-            // What it told last may be as old as its lease, and nobody is served there meanwhile.
-            if worker.silent {
+            // What a silent one told last may be as old as its lease, and nobody is served there meanwhile; what
+            // runs on one whose lease is let lapse ends.
+            if worker.silent || worker.contact.lapsing {
                 continue;
             }
             let runs = worker.runs_of(step);
-            let serving = runs.filter(|(_, run)| run.phase == Phase::Running && run.percent >= 100);
+            let serving = runs.filter(|(_, run)| run.is_at_work());
             at_work += u32::try_from(serving.count()).unwrap_or(u32::MAX);
         }
         let away = spec.tasks.saturating_sub(at_work);
--- a/crates/sched/src/worker.rs
+++ b/crates/sched/src/worker.rs
@@ -135,6 +135,11 @@
         matches!(self.share, Share::Serves { .. })
     }
 
+    /// Says whether it runs until its job is cancelled, and is at work.
+    pub(crate) fn is_at_work(&self) -> bool {
+        self.lasts && self.phase == Phase::Running && self.percent >= 100
+    }
+
     /// Says whether it gets what others leave unused.
     pub(crate) const fn fills(&self) -> bool {
         matches!(self.share, Share::Fills(_))
--- a/crates/sched/tests/core/doubts.rs
+++ b/crates/sched/tests/core/doubts.rs
@@ -136,6 +136,63 @@
     assert_eq!(site.twice, []);
 }
 
+/// Two workers, each with one task of a step of which so many may be missing, and with a start that it did not take.
+fn serving_workers_in_doubt(unavailable_limit: u32) -> (Driver, Vec<StartOrder>) {
+    let mut driver = Driver::new(2, 4);
+    let lasting = StepSpec {
+        long_running: true,
+        unavailable_limit: Some(unavailable_limit),
+        tasks_per_worker: Some(1),
+        ..step(2, 2)
+    };
+    driver.submit(1, policy(0), vec![lasting]);
+    let serving = driver.start_all();
+    driver.submit(2, policy(0), vec![step(2, 2)]);
+    driver.pass(10);
+    driver.schedule();
+    let untaken = std::mem::take(&mut driver.starts);
+    assert_eq!((serving.len(), untaken.len()), (2, 2));
+    (driver, serving)
+}
+
+/// Lets time pass while the workers answer renewals, serve, and take no order.
+fn pass_without_orders(driver: &mut Driver, serving: &[StartOrder], time_ms: u64) {
+    for _ in 0..time_ms / 100 {
+        driver.pass(100);
+        driver.renew_leases();
+        for start in serving {
+            driver.hold(start.worker, &[(start.task, start.run, 100)]);
+        }
+        for start in std::mem::take(&mut driver.starts) {
+            answer(driver, &start, StartAnswer::InDoubt);
+        }
+        for stop in std::mem::take(&mut driver.stops) {
+            driver.apply(Event::StopAnswered {
+                worker: stop.worker,
+                task: stop.task,
+                run: stop.run,
+                taken: false,
+            });
+        }
+        driver.apply(Event::Ticked);
+    }
+}
+
+fn lapsing(driver: &Driver) -> usize {
+    let may_renew = |key: &&_| !driver.scheduler.may_renew(**key);
+    driver.workers.iter().filter(may_renew).count()
+}
+
+#[test_case(0, 0; "none may be missing")]
+#[test_case(1, 1; "one may be missing")]
+#[test_case(2, 2; "both may be missing")]
+fn leases_are_let_lapse_as_far_as_what_serves_there_may_be_missing(limit: u32, expected: usize) {
+    let (mut driver, serving) = serving_workers_in_doubt(limit);
+    let limit_ms = Options::default().doubt_limit_ms;
+    pass_without_orders(&mut driver, &serving, 2 * limit_ms);
+    assert_eq!(lapsing(&driver), expected);
+}
+
 #[test]
 fn what_is_believed_of_it_is_told_once_on_each_change() {
     let mut site = site_with_a_shut_worker(2_000);
--- a/crates/sched/tests/schedules/main.rs
+++ b/crates/sched/tests/schedules/main.rs
@@ -36,6 +36,7 @@
 #[test_case(Profile { wave_at_once: 2, lost: 40, late: 40, ..Profile::CALM }; "a wave of upkeep with orders lost and late")]
 #[test_case(Profile { wave_at_once: 2, scheduler_ends: 4, ..Profile::CALM }; "a wave of upkeep while schedulers end")]
 #[test_case(Profile { wave_at_once: 2, ..Profile::ALL }; "a wave of upkeep and everything at once")]
+#[test_case(Profile { wave_at_once: 2, shuts: 6, ..Profile::CALM }; "a wave of upkeep while workers take no orders")]
 fn nothing_runs_twice_and_every_job_ends_as_it_must(profile: Profile) {
     for seed in 1..=SEEDS {
         let mut world = World::new(seed, profile, Options::default());
