Show that a worker is asked without any wait while its lease is let lapse (failing test)

A worker of the shared stand-in can reset each order and answer renewals; renewals of each are counted.

--- a/crates/cell/tests/cell/workers.rs
+++ b/crates/cell/tests/cell/workers.rs
@@ -110,6 +110,27 @@
     cluster.assert_sound();
 }
 
+/// It answers renewals all the while. A node that asked it again without any wait sent it a thousand a second.
+#[test]
+fn tasks_of_a_worker_that_resets_orders_run_elsewhere_once_its_lease_was_let_lapse() {
+    let cluster = Cluster::start(2, 2);
+    let resetting = worker(0).id;
+    cluster.platform.set_faults(SharedFaults {
+        resetting_workers: [resetting.clone()].into(),
+        ..SharedFaults::default()
+    });
+    let node = cluster.scheduler();
+    for id in 1..=4 {
+        cluster.submit(node, id, vec![step(2, 20)]);
+    }
+    for id in 1..=4 {
+        cluster.wait_for_state(node, id, JobState::Completed);
+    }
+    let renewals = cluster.platform.renewals_of(&resetting);
+    assert!(renewals < 500, "{renewals}");
+    cluster.assert_sound();
+}
+
 #[test]
 fn a_worker_of_a_service_that_is_not_configured_is_not_asked() {
     let mut cluster = Cluster::start(2, 1);
--- a/crates/fleet/src/shared.rs
+++ b/crates/fleet/src/shared.rs
@@ -48,6 +48,8 @@
     /// Start orders under way at each worker, and the most that were at any.
     orders: HashMap<WorkerId, usize>,
     most_orders: usize,
+    /// Renewals that were sent to each worker.
+    renewals: HashMap<WorkerId, u64>,
 }
 
 impl State {
@@ -73,6 +75,7 @@
             odd_clocks_read: 0,
             orders: HashMap::new(),
             most_orders: 0,
+            renewals: HashMap::new(),
         }
     }
 }
@@ -103,6 +106,12 @@
         }
     }
 
+    /// Returns the number of renewals that a worker was sent.
+    #[must_use]
+    pub fn renewals_of(&self, id: &WorkerId) -> u64 {
+        self.lock().renewals.get(id).copied().unwrap_or(0)
+    }
+
     /// Registers a worker.
     pub fn register(&self, spec: WorkerSpec) {
         let mut state = self.lock();
--- a/crates/fleet/src/shared/calls.rs
+++ b/crates/fleet/src/shared/calls.rs
@@ -70,6 +70,19 @@
         Ok(())
     }
 
+    /// The same for an order, which some workers reset.
+    pub(super) async fn reach_with_order(
+        &self,
+        worker: &WorkerId,
+        timeout_ms: u64,
+    ) -> Result<(), OrderError> {
+        self.reach_worker(worker, timeout_ms).await?;
+        if self.lock().faults.resetting_workers.contains(worker) {
+            return Err(OrderError::InDoubt(SmolStr::new_static("reset")));
+        }
+        Ok(())
+    }
+
     /// Waits as long as a call takes, or for ever where the node is cut off; says whether the store
     /// turns it away.
     pub(super) async fn reach_store(&self) -> bool {
--- a/crates/fleet/src/shared/faults.rs
+++ b/crates/fleet/src/shared/faults.rs
@@ -17,6 +17,8 @@
     pub odd_clocks: BTreeSet<WorkerId>,
     /// Workers that take no call and answer none.
     pub silent_workers: BTreeSet<WorkerId>,
+    /// Workers that answer renewals and reset each order.
+    pub resetting_workers: BTreeSet<WorkerId>,
     /// Partitions of topics that refuse every call.
     pub down: Vec<(Topic, u32)>,
     /// Reads of whole partitions that are never answered; so many from now on.
--- a/crates/fleet/src/shared/ports.rs
+++ b/crates/fleet/src/shared/ports.rs
@@ -129,7 +129,7 @@
         timeout_ms: u64,
     ) -> Result<(), OrderError> {
         self.begin_order(&worker.id);
-        let reached = self.reach_worker(&worker.id, timeout_ms).await;
+        let reached = self.reach_with_order(&worker.id, timeout_ms).await;
         self.end_order(&worker.id);
         reached?;
         let (started, lost) = {
@@ -151,7 +151,7 @@
         command: &StopCommand,
         timeout_ms: u64,
     ) -> Result<(), OrderError> {
-        self.reach_worker(&worker.id, timeout_ms).await?;
+        self.reach_with_order(&worker.id, timeout_ms).await?;
         self.lock().fleet.stop(&worker.id, command, now())
     }
 
@@ -161,7 +161,7 @@
         command: &PaceCommand,
         timeout_ms: u64,
     ) -> Result<(), OrderError> {
-        self.reach_worker(&worker.id, timeout_ms).await?;
+        self.reach_with_order(&worker.id, timeout_ms).await?;
         self.lock().fleet.pace(&worker.id, command, now())
     }
 
@@ -171,6 +171,7 @@
         renewal: &Renewal,
         timeout_ms: u64,
     ) -> Result<Renewed, OrderError> {
+        *self.lock().renewals.entry(worker.id.clone()).or_default() += 1;
         self.reach_worker(&worker.id, timeout_ms).await?;
         let until = now().plus(renewal.wait_ms);
         loop {
