--- a/crates/cell/src/leader/orders.rs
+++ b/crates/cell/src/leader/orders.rs
@@ -13,6 +13,7 @@
 
 use crate::clock::now;
 use crate::leader::Leader;
+use crate::leader::sessions::OrderKind;
 use crate::leader::sessions::WorkerLink;
 use crate::log;
 use crate::ports::OrderError;
@@ -64,19 +65,23 @@
         command: &StartCommand,
     ) {
         let address = &link.address;
-        let _place = link.place().await;
         let timeout_ms = self.node.settings.timing.order_timeout_ms;
         let sent_at = now();
-        let started = self.node.platform.start(address, command, timeout_ms).await;
+        let started = async {
+            let _place = link.place(OrderKind::Start, timeout_ms).await?;
+            self.node.platform.start(address, command, timeout_ms).await
+        };
+        let started = started.await;
         let took_ms = now().since(sent_at);
         self.measure(command.task.step.job, Stage::Order, took_ms);
         let answer = match started {
             Ok(()) => StartAnswer::Started,
             Err(error) if self.is_settled_by(worker, &error) => return,
             Err(error) => {
-                log::start_failed(command, &address.id, &error);
+                log::start_failed(&self.untaken(command.task, command.run, link, &error));
                 match error {
                     OrderError::Refused(refusal) => StartAnswer::Refused(refusal),
+                    OrderError::NotSent(_) => StartAnswer::NotSent,
                     _ => StartAnswer::InDoubt,
                 }
             }
@@ -89,13 +94,33 @@
         });
     }
 
+    fn untaken<'a>(
+        &self,
+        task: TaskId,
+        run: Run,
+        link: &'a WorkerLink,
+        error: &'a OrderError,
+    ) -> log::Untaken<'a> {
+        let platform = &self.node.platform;
+        log::Untaken {
+            task,
+            run,
+            worker: &link.address.id,
+            error,
+            under_way: link.under_way(),
+            connections_opened: platform.connections_opened_to(&link.address),
+        }
+    }
+
     /// Acts on an answer that says more than what became of the order: the worker's incarnation is over, or
     /// this scheduler's role is. Says whether it did.
     fn is_settled_by(self: &Rc<Self>, worker: WorkerKey, error: &OrderError) -> bool {
         match error {
             OrderError::Replaced => self.apply(Event::Replaced { worker }),
             OrderError::Fenced => self.end("fenced_by_worker"),
-            OrderError::Refused(_) | OrderError::InDoubt(_) => return false,
+            OrderError::Refused(_) | OrderError::NotSent(_) | OrderError::InDoubt(_) => {
+                return false;
+            }
         }
         true
     }
@@ -128,14 +153,18 @@
         command: PaceCommand,
     ) {
         let address = &link.address;
-        let _place = link.place().await;
         let timeout_ms = self.node.settings.timing.order_timeout_ms;
-        let paced = self.node.platform.pace(address, &command, timeout_ms).await;
+        let paced = async {
+            let _place = link.place(OrderKind::Control, timeout_ms).await?;
+            self.node.platform.pace(address, &command, timeout_ms).await
+        };
+        let paced = paced.await;
         let taken = match paced {
             Ok(()) => true,
             Err(error) if self.is_settled_by(worker, &error) => return,
             Err(error) => {
-                log::pace_failed(&command, &address.id, &error);
+                let untaken = self.untaken(command.task, command.run, link, &error);
+                log::pace_failed(&untaken, command.percent);
                 false
             }
         };
@@ -176,14 +205,20 @@
         command: StopCommand,
     ) {
         let address = &link.address;
-        let _place = link.place().await;
         let timeout_ms = self.node.settings.timing.order_timeout_ms;
-        let stopped = self.node.platform.stop(address, &command, timeout_ms).await;
+        let stopped = async {
+            let _place = link.place(OrderKind::Control, timeout_ms).await?;
+            self.node.platform.stop(address, &command, timeout_ms).await
+        };
+        let stopped = stopped.await;
         let taken = match stopped {
             Ok(()) => true,
             Err(error) if self.is_settled_by(worker, &error) => return,
             // It is sent again until it is taken.
-            Err(_untaken) => false,
+            Err(error) => {
+                log::stop_failed(&self.untaken(command.task, command.run, link, &error));
+                false
+            }
         };
         self.apply(Event::StopAnswered {
             worker,
--- a/crates/sched/tests/core/driver.rs
+++ b/crates/sched/tests/core/driver.rs
@@ -11,6 +11,7 @@
 use syc_sched::JobProgress;
 use syc_sched::JobSpec;
 use syc_sched::JobState;
+use syc_sched::Note;
 use syc_sched::Options;
 use syc_sched::QueuePolicy;
 use syc_sched::Run;
@@ -62,14 +63,36 @@
     pub vm_orders: Vec<(VmId, Duty)>,
     /// When each list of VMs was asked for.
     pub lists_asked: Vec<Millis>,
+    /// What was believed of workers, in turn.
+    pub beliefs: Vec<(WorkerId, &'static str)>,
     /// Waves that operators were told of, and whether as completed.
     pub told: Vec<(u64, bool)>,
     ends: BTreeMap<WorkerKey, u64>,
 }
 
 impl Driver {
-    /// Makes a scheduler with `count` workers of so many whole cores, all of which have answered.
+    /// Makes a scheduler with `count` workers of so many whole cores, all of which have answered, and have taken
+    /// an order.
     pub fn new(count: usize, cores: u64) -> Self {
+        let mut driver = Self::untried(count, cores);
+        let step = StepId {
+            job: JobId(0),
+            occurrence: 0,
+            step: 0,
+        };
+        for worker in driver.workers.clone() {
+            driver.apply(Event::StopAnswered {
+                worker,
+                task: TaskId { step, index: 0 },
+                run: Run(1),
+                taken: true,
+            });
+        }
+        driver
+    }
+
+    /// Makes a scheduler with such workers, none of which has been sent an order yet.
+    pub fn untried(count: usize, cores: u64) -> Self {
         let mut driver = Self {
             scheduler: Scheduler::new(Options::default()),
             now: Millis(1_000),
@@ -81,6 +104,7 @@
             vm_orders: Vec::new(),
             lists_asked: Vec::new(),
             told: Vec::new(),
+            beliefs: Vec::new(),
             ends: BTreeMap::new(),
         };
         for index in 0..count {
@@ -124,6 +148,9 @@
                     run,
                     percent,
                 } => self.paces.push((worker, task, run, percent)),
+                Action::Note(Note::WorkerBelief { worker, belief, .. }) => {
+                    self.beliefs.push((worker, belief));
+                }
                 _ => {}
             }
         }
@@ -199,6 +226,19 @@
         starts
     }
 
+    /// Lets the workers answer at once until nothing more starts.
+    pub fn start_all(&mut self) -> Vec<StartOrder> {
+        let mut started = Vec::new();
+        loop {
+            self.schedule();
+            let confirmed = self.confirm_starts();
+            if confirmed.is_empty() {
+                return started;
+            }
+            started.extend(confirmed);
+        }
+    }
+
     pub fn cancel(&mut self, id: u64) {
         self.apply(Event::JobCancelled(JobId(id)));
     }
@@ -213,6 +253,15 @@
         });
     }
 
+    /// Sends renewals that set leases, where they may, and that are not answered yet.
+    pub fn renew_leases(&mut self) {
+        for worker in self.workers.clone() {
+            if self.scheduler.may_renew(worker) {
+                self.apply(Event::Renewing { worker });
+            }
+        }
+    }
+
     /// Answers a renewal with these runs, none of which has a checkpoint.
     pub fn hold(&mut self, worker: WorkerKey, running: &[(TaskId, Run, u8)]) {
         self.report(worker, running, &[]);
