--- a/crates/cell/tests/cell/clocks.rs
+++ b/crates/cell/tests/cell/clocks.rs
@@ -1,9 +1,8 @@
 //! Clocks that show a wrong time of day: nothing is forgotten, and nothing runs twice, too early or not at all.
 //!
-//! A scheduler wrote when a job had ended, by its clock. Its successor took the time since then for the job's
-//! age, by its own, and forgot the job if that was more than two minutes: what had ended four seconds before, on
-//! a node whose clock had been set back, was answered as unknown, and its progress was removed from the store.
-//! Where the job itself was still there at the next takeover, its tasks ran again.
+//! A scheduler must not take the time since a job's end by two clocks for the job's age: what ended a moment ago on
+//! a node whose clock is behind would be forgotten and its progress removed, and where the job itself is still in
+//! the store at the next takeover, its tasks would run again.
 
 use syc_cell::StateAnswer;
 use syc_cell::ports::Topic;
--- a/crates/sched/tests/core/lasting.rs
+++ b/crates/sched/tests/core/lasting.rs
@@ -186,7 +186,7 @@
     assert_eq!(driver.starts.len(), 1);
 }
 
-/// A job that waits for hours was due as if it had been accepted ten minutes before the takeover.
+/// A job that waits for hours is due by when it was accepted, and not by a limit on its age at the takeover.
 #[test]
 fn a_takeover_leaves_the_due_time_of_a_job_that_waits_for_long() {
     const HOUR_MS: u64 = 3_600_000;
