Keep what came of placements apart from what is offered next

home/offers.rs chose what to offer and took in what came of it. The latter is in home/placed.rs; the code is the same. coord's 45 tests pass.

--- a/crates/coord/src/home.rs
+++ b/crates/coord/src/home.rs
@@ -4,6 +4,7 @@
 mod cancel;
 mod ends;
 mod offers;
+mod placed;
 mod queue;
 mod rooms;
 mod round;
