Count a predecessor's authority from the choice of its successor

What callers saw: jobs that were accepted up to 3 s after a takeover had read what was stored waited for each worker, and for seconds where one did not answer. The 3 s within which a predecessor may still give orders run from the choice of its successor; counted from the end of the reading, which takes a slow store 1.9 s, they covered jobs that no predecessor can have started.

Change: the node tells when it was chosen, and the time counts from then. Until when leases are waited for is as before. Why it holds: a predecessor that hears the store learns of the choice; one that hears neither the store nor another node gives no orders after 3 s.

--- a/crates/cell/src/leader.rs
+++ b/crates/cell/src/leader.rs
@@ -124,6 +124,7 @@
         let partitions = usize::try_from(node.settings.job_partitions()).unwrap_or(1);
         let mut scheduler = Scheduler::new(options(node));
         scheduler.set_jobs_read(Millis(0));
+        scheduler.set_chosen(now());
         let leader = Rc::new(Self {
             node: Rc::clone(node),
             token,
--- a/crates/sched/src/recovery.rs
+++ b/crates/sched/src/recovery.rs
@@ -21,6 +21,8 @@
     waiting: BTreeSet<WorkerId>,
     /// When everything unknown has surely ended.
     over_at: Millis,
+    /// When this scheduler was chosen, where that is told.
+    chosen_at: Option<Millis>,
     /// When the predecessor surely gives no orders any more.
     predecessor_over_at: Millis,
     begun: bool,
@@ -65,6 +67,12 @@
 }
 
 impl Scheduler {
+    /// Takes note of when this scheduler was chosen: its predecessor's authority ends a bounded time after that.
+    /// Without a call, it counts from the beginning of the takeover on.
+    pub const fn set_chosen(&mut self, chosen_at: Millis) {
+        self.recovery.chosen_at = Some(chosen_at);
+    }
+
     /// Begins the takeover, once the restored jobs and the registered workers are known.
     ///
     /// Jobs that were restored, or that the predecessor may know all the same, start nothing before every worker
@@ -88,10 +96,12 @@
         for worker in self.workers.values_mut() {
             worker.lapse_at = worker.lapse_at.max(now.plus(bound_ms));
         }
+        let chosen_at = self.recovery.chosen_at;
         self.recovery = Recovery {
             waiting,
             over_at: now.plus(bound_ms),
-            predecessor_over_at: now.plus(self.options.authority_ms),
+            chosen_at,
+            predecessor_over_at: chosen_at.unwrap_or(now).plus(self.options.authority_ms),
             begun: true,
             settled: false,
             is_partial: false,
--- a/crates/sched/tests/core/takeover.rs
+++ b/crates/sched/tests/core/takeover.rs
@@ -209,6 +209,23 @@
     assert_eq!(driver.starts.len(), 1);
 }
 
+/// Reading what is stored takes a slow store seconds, in which the predecessor's authority ends.
+#[test_case(1, 0; "a moment before its end")]
+#[test_case(0, 1; "from its end on")]
+fn a_predecessors_authority_counts_from_the_choice_of_its_successor(before_ms: u64, starts: usize) {
+    let mut driver = Driver::new(0, 0);
+    driver.scheduler.set_chosen(driver.now);
+    driver.apply(Event::WorkerListed(worker(0, 4)));
+    driver.apply(Event::WorkerListed(worker(1, 4)));
+    driver.pass(Options::default().authority_ms - before_ms);
+    driver.scheduler.set_jobs_read(driver.now);
+    driver.scheduler.begin_recovery(driver.now);
+    driver.hold(driver.workers[1], &[]);
+    driver.submit(1, policy(0), vec![step(1, 1)]);
+    driver.schedule();
+    assert_eq!(driver.starts.len(), starts);
+}
+
 /// The end of a run of the same number, on a worker that was taken as gone with all that ran there.
 #[test_case(RunEnd::Failed; "that failed")]
 #[test_case(RunEnd::Lapsed; "whose lease lapsed")]
