Search takeovers also with answers lost that tell of an end, and test numbers over two takeovers

The first answer in which the successor would hear of an end may get lost now. A test by hand holds that a number which may have been used is left out at each takeover.

--- a/crates/sched/tests/core/takeover.rs
+++ b/crates/sched/tests/core/takeover.rs
@@ -271,3 +271,24 @@
     let stops: Vec<_> = driver.stops.iter().map(|stop| stop.run).collect();
     assert_eq!(stops, [Run(2)]);
 }
+
+/// The predecessor had the number stored that may have been used before it, and started the task under the next one
+/// just before its end.
+#[test]
+fn a_number_that_may_be_used_is_left_out_at_each_takeover() {
+    let progress: JobProgress =
+        serde_json::from_str(r#"{"state":"queued","steps":[{"units":{"0":{"r":1,"a":1}}}]}"#)
+            .expect("a record as it is kept");
+    let mut driver = successor(2, vec![step(1, 1)], Some(&progress));
+    driver.hold(driver.workers[1], &[]);
+    driver.apply(Event::RenewalFailed {
+        worker: driver.workers[0],
+    });
+    let options = Options::default();
+    driver.pass(options.authority_ms + options.lease_bound_ms);
+    driver.apply(Event::Ticked);
+    driver.record();
+    driver.schedule();
+    let runs: Vec<_> = driver.starts.iter().map(|start| start.run).collect();
+    assert_eq!(runs, [Run(3)]);
+}
--- a/crates/sched/tests/takeovers/main.rs
+++ b/crates/sched/tests/takeovers/main.rs
@@ -7,8 +7,8 @@
 //! nothing, and the task ran once more. Where the first run was still at work, two ran at once.
 //!
 //! Each play picks when either of them reads the job, when the predecessor ends, for how long the successor does
-//! not reach each worker, how long the task takes, and what becomes of the first order of each: answered, its
-//! answer lost, or carried out 2 or 12 s late.
+//! not reach each worker, how long the task takes, whether the first answer that tells the successor of an end gets
+//! lost, and what becomes of the first order of each: answered, its answer lost, or carried out 2 or 12 s late.
 
 mod search;
 mod side;
--- a/crates/sched/tests/takeovers/world.rs
+++ b/crates/sched/tests/takeovers/world.rs
@@ -9,6 +9,7 @@
 use smol_str::SmolStr;
 use syc_cell::ports::OrderError;
 use syc_cell::ports::Renewal;
+use syc_cell::ports::Renewed;
 use syc_cell::ports::StartCommand;
 use syc_cell::ports::StopCommand;
 use syc_fleet::Fault;
@@ -112,6 +113,8 @@
     late: Vec<(Millis, WorkerId, StartCommand)>,
     /// Answers to the scheduler of a token that come in the next slot.
     doubts: Vec<(u64, Event)>,
+    /// Whether the successor's first answer that tells of an end has been decided on.
+    has_told_end: bool,
 }
 
 impl<'a> World<'a> {
@@ -152,6 +155,7 @@
             silent_until: BTreeMap::new(),
             late: Vec::new(),
             doubts: Vec::new(),
+            has_told_end: false,
         };
         for index in 0..workers {
             let listed = Event::WorkerListed(worker(index));
@@ -312,6 +316,13 @@
             token,
         };
         let renewed = self.fleet.renew(id, &renewal, now);
+        if renewed
+            .as_ref()
+            .is_ok_and(|renewed| self.is_lost(token, renewed))
+        {
+            self.side(token).apply(Event::RenewalFailed { worker }, now);
+            return;
+        }
         let side = self.side(token);
         match renewed {
             Ok(renewed) => {
@@ -328,6 +339,15 @@
         }
     }
 
+    /// Says whether an answer of a worker gets lost: it may be the first in which the successor would hear of an end.
+    fn is_lost(&mut self, token: u64, renewed: &Renewed) -> bool {
+        if token == 1 || self.has_told_end || renewed.report.ended.is_empty() {
+            return false;
+        }
+        self.has_told_end = true;
+        self.choices.pick(&[false, true])
+    }
+
     fn carry_out(&mut self, token: u64) {
         loop {
             let orders = self.side(token).take_orders();
