--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -16,6 +16,8 @@
 mod action;
 mod advice;
 mod advisers;
+mod backoff;
+mod contact;
 mod counts;
 mod duty;
 mod event;
@@ -32,6 +34,7 @@
 mod pools;
 mod progress;
 mod recovery;
+mod repeats;
 mod reports;
 mod scheduler;
 mod slowness;
--- a/crates/sched/src/options.rs
+++ b/crates/sched/src/options.rs
@@ -1,4 +1,4 @@
-//! The times and limits of a scheduler, each with its unit and origin.
+//! The times and limits of a scheduler.
 
 use crate::CallLength;
 
@@ -14,9 +14,18 @@
     pub stop_ms: u64,
     /// Time for which a job's state can be asked after it has ended.
     pub status_ms: u64,
-    /// A start or stop order without an answer is sent again after this time. Workers answer in
-    /// about a millisecond; the rest is for a busy link.
+    /// A start or stop order without an answer is sent again after this time: above an answer over a busy
+    /// link.
     pub order_retry_ms: u64,
+    /// A start or a stop that has been in doubt for longer lets the lease of its worker lapse on purpose: what
+    /// else runs there is lost with it, so it is longer than a few lost answers in a row take.
+    pub doubt_limit_ms: u64,
+    /// Orders in a row that were not taken after which a worker gets no new starts until it has taken one.
+    pub order_misses_limit: u32,
+    /// Longest wait before an order is sent again to a worker that takes others.
+    pub repeat_limit_ms: u64,
+    /// Longest wait before a worker that takes no orders is sent one again.
+    pub probe_limit_ms: u64,
     /// Starts without an answer before the run is given up and stopped.
     pub start_orders_limit: u32,
     /// A ticket is not used in the last part of its validity: the order has still to arrive.
@@ -67,6 +76,10 @@
             stop_ms: 900,
             status_ms: 120_000,
             order_retry_ms: 300,
+            doubt_limit_ms: 5_000,
+            order_misses_limit: 5,
+            repeat_limit_ms: 1_000,
+            probe_limit_ms: 4_000,
             start_orders_limit: 4,
             ticket_margin_ms: 60,
             advice_slack_ms: 600,
--- a/crates/sched/tests/core/main.rs
+++ b/crates/sched/tests/core/main.rs
@@ -2,6 +2,7 @@
 
 mod advice;
 mod counts;
+mod doubts;
 mod driver;
 mod keeping;
 mod lasting;
@@ -11,6 +12,7 @@
 mod preempt;
 mod sharing;
 mod silence;
+mod site;
 mod slow;
 mod spread;
 mod strays;
