--- a/crates/sched/src/scheduler.rs
+++ b/crates/sched/src/scheduler.rs
@@ -41,15 +41,15 @@
 use crate::worker::Phase;
 use crate::worker::Worker;
 
-/// A time of day that moved by less leaves the due times as they are.
-const DAY_MOVE_MS: u64 = 20;
-
 /// Orders that may be sent again at once in a cell, beside those that orders that were taken pay for.
 const REPEATS_BURST: u64 = 64;
 
 /// Orders that are sent again a second in a cell at most, beside those that orders that were taken pay for.
 const REPEATS_PER_S: u64 = 20;
 
+/// A time of day that moved by less leaves the due times as they are.
+const DAY_MOVE_MS: u64 = 20;
+
 /// What was learned of a queue's advice.
 #[derive(Debug, Clone, Copy, Default)]
 pub(crate) struct QueueStats {
--- a/crates/sched/tests/takeovers/world.rs
+++ b/crates/sched/tests/takeovers/world.rs
@@ -429,8 +429,10 @@
         if self.side(token).ended {
             return;
         }
-        let scheduler = &mut self.side(token).scheduler;
-        let records = scheduler.take_records(usize::MAX, now, TimeOfDay(1));
+        let records = self
+            .side(token)
+            .scheduler
+            .take_records(usize::MAX, now, TimeOfDay(1));
         let mut jobs = Vec::new();
         for (id, change, progress) in records {
             self.kept = Some(progress);
