Ask a worker as often as usual while its lease is let lapse

What callers saw: a node that let the lease of a worker lapse asked it again at once after each answer: 2,515 renewals to one worker within 12 s.

Cause: a renewal waited for an end only where it set a lease.

Change: it waits wherever the worker's clock is known and its latest renewal was answered.

--- a/crates/cell/src/leader/sessions.rs
+++ b/crates/cell/src/leader/sessions.rs
@@ -233,12 +233,12 @@
         // A worker that did not answer is only asked: each renewal may arrive, and would put off
         // the time at which its leases have surely lapsed.
         // One that takes no orders is only asked too, where its lease is let lapse on purpose.
-        let renews = failures == 0 && leader.scheduler.borrow().may_renew(worker);
-        let lease_until_ms = clock
-            .get()
-            .filter(|_| renews)
+        let answering = clock.get().filter(|_| failures == 0);
+        let may_renew = leader.scheduler.borrow().may_renew(worker);
+        let lease_until_ms = answering
+            .filter(|_| may_renew)
             .map(|reading| reading.estimate_ms().saturating_add(lease_ms));
-        let waits = lease_until_ms.is_some() && !left;
+        let waits = answering.is_some() && !left;
         let wait_ms = if waits {
             leader.renewal_wait_ms(worker)
         } else {
