Take what the node held back as no word on the worker

What callers saw: a worker with a few starts without an answer could be taken as one that takes no orders, since those that waited behind them on the node for too long counted, too.

Change: a start that never left the node ends its run, or leaves it in doubt where an earlier copy did, and says nothing of the worker, which gets no other start for as long as an order may be without an answer.

Tests: eight starts that were held back changed the belief before, and change nothing now.

--- a/crates/sched/src/contact.rs
+++ b/crates/sched/src/contact.rs
@@ -82,6 +82,11 @@
         halved.unwrap_or(0).max(1)
     }
 
+    /// Takes note that the latest probe has come to something.
+    pub(crate) const fn probe_over(&mut self) {
+        self.probe_sent_at = None;
+    }
+
     /// Says whether the latest order that was answered was taken.
     pub(crate) const fn is_sound(&self) -> bool {
         self.misses == 0
@@ -114,7 +119,7 @@
         contact.misses = 0;
         contact.window = STARTS_LIMIT;
         contact.taken_sent_at = contact.taken_sent_at.max(Some(sent_at));
-        contact.probe_sent_at = None;
+        contact.probe_over();
         if contact.shut {
             contact.shut = false;
             let note = belief(worker, "takes_orders", now);
@@ -133,7 +138,7 @@
         let limit = self.options.order_misses_limit;
         let worker = &mut self.workers[key];
         let contact = &mut worker.contact;
-        contact.probe_sent_at = None;
+        contact.probe_over();
         contact.untaken = Some(name);
         // Of orders that were sent together, some may be lost: those that are taken speak for the rest.
         if contact.has_taken_since(sent_at) {
--- a/crates/sched/src/orders.rs
+++ b/crates/sched/src/orders.rs
@@ -48,8 +48,9 @@
                 self.start_refused(key, task, run, refusal, now);
             }
             StartAnswer::InDoubt => self.order_missed(key, (task, run), ordered_at, now),
+            // What the node itself held back says nothing of the worker.
             StartAnswer::NotSent => {
-                self.order_missed(key, (task, run), ordered_at, now);
+                worker.contact.probe_over();
                 self.start_not_sent(key, task, run, now);
             }
         }
--- a/crates/sched/tests/core/doubts.rs
+++ b/crates/sched/tests/core/doubts.rs
@@ -338,6 +338,24 @@
     assert_ne!(driver.starts[0].worker, first.worker);
 }
 
+/// Others were under way for too long: what the node itself held back says nothing of the worker.
+#[test]
+fn starts_that_never_left_say_nothing_of_their_worker() {
+    let mut driver = Driver::new(1, 8);
+    driver.pass(10);
+    driver.submit(1, policy(0), vec![step(8, 1)]);
+    driver.schedule();
+    let starts = std::mem::take(&mut driver.starts);
+    assert_eq!(starts.len(), 8);
+    for start in &starts {
+        answer(&mut driver, start, StartAnswer::NotSent);
+    }
+    assert_eq!(driver.beliefs, []);
+    driver.pass(Options::default().order_retry_ms);
+    driver.record();
+    assert_eq!(driver.start_all().len(), 8);
+}
+
 #[test]
 fn a_repeat_that_never_left_leaves_its_start_in_doubt() {
     let mut driver = Driver::new(2, 2);
