Start a job once the store has taken something after it, so that a successor need not wait

What callers saw: after a takeover in which some workers did not answer, everything submitted within 3 s of it waited until they did, or their leases had lapsed: since the mend of run numbers used twice, a successor took it that its predecessor might have started such jobs too.

Change: a scheduler starts a job only once the store has taken something of it that was sent after it learned of the job: progress that is written anyway, or an append of nothing. A claim says that its holder keeps to that; a successor of such a holder starts what it reads after the first read of all at once.

Why it holds: a successor has the store refuse the predecessor's appends before it reads the jobs. So an append that the store took came before that read, and so did each job that was known when it was sent. A repeated submit that is stored later changes nothing: the predecessor never starts it by that.

A test that kept the store from every write of a start now has a timed job, which the store knows of before its due time. While neither partition of progress can be written, no job that comes then is started.

--- a/crates/cell/src/holders.rs
+++ b/crates/cell/src/holders.rs
@@ -33,6 +33,9 @@
 /// Shortest wait of a read.
 const SHORT_WAIT_MS: u64 = 20;
 
+/// A holder of which nothing was read for this long gives no orders any more.
+const UNPROVING_MS: u64 = 15_000;
+
 /// What a node has read of the claims.
 #[derive(Debug, Default)]
 struct Watch {
@@ -44,6 +47,8 @@
     released: u64,
     /// When the newest heartbeat was read.
     seen_at: Millis,
+    /// When the newest record was read of a holder that starts jobs without a proof.
+    unproving_at: Option<Millis>,
 }
 
 /// Follows the claims, and claims when there is no scheduler.
@@ -111,6 +116,12 @@
 }
 
 impl Watch {
+    /// Says whether no holder that starts jobs without a proof can give orders any more.
+    fn predecessors_prove(&self) -> bool {
+        self.unproving_at
+            .is_none_or(|at| now().since(at) > UNPROVING_MS)
+    }
+
     fn take<P>(&mut self, node: &Node<P>, offset: u64, record: &Record)
     where
         P: Platform,
@@ -126,6 +137,9 @@
                 return;
             }
         };
+        if !read.proves {
+            self.unproving_at = Some(now());
+        }
         let is_claim = read.token == 0;
         let token = if is_claim { offset + 1 } else { read.token };
         let known = self.holder.as_ref().map_or(0, |holder| holder.token);
@@ -207,6 +221,7 @@
         incarnation: node.incarnation,
         token: 0,
         released: false,
+        proves: true,
     });
     let condition = Condition::EndsAt(end);
     match node
@@ -250,7 +265,9 @@
         leading.end("another_was_chosen");
     }
     match own {
-        Some(own) if node.leader().is_none() => Leader::start(node, own.token),
+        Some(own) if node.leader().is_none() => {
+            Leader::start(node, own.token, watch.predecessors_prove());
+        }
         Some(_) => {}
         None => log::holder(watch.holder.as_ref()),
     }
--- a/crates/cell/src/leader.rs
+++ b/crates/cell/src/leader.rs
@@ -124,11 +124,13 @@
     P: Platform,
 {
     /// Takes the role, with the fencing token of the claim.
-    pub(crate) fn start(node: &Rc<Node<P>>, token: u64) {
+    pub(crate) fn start(node: &Rc<Node<P>>, token: u64, predecessors_prove: bool) {
         let partitions = usize::try_from(node.settings.job_partitions()).unwrap_or(1);
         let mut scheduler = Scheduler::new(options(node));
         scheduler.set_jobs_read(Millis(0));
         scheduler.set_chosen(now());
+        scheduler.set_jobs_proved(0);
+        scheduler.set_predecessors_prove(predecessors_prove);
         let leader = Rc::new(Self {
             node: Rc::clone(node),
             token,
--- a/crates/cell/src/leader/heartbeat.rs
+++ b/crates/cell/src/leader/heartbeat.rs
@@ -60,6 +60,7 @@
             incarnation: self.node.incarnation,
             token: self.token,
             released,
+            proves: true,
         }
     }
 
--- a/crates/cell/src/leader/readers.rs
+++ b/crates/cell/src/leader/readers.rs
@@ -120,6 +120,9 @@
                     self.node.metrics.stage(queue, Stage::HandOver, age_ms);
                 }
                 self.apply(Event::JobStored { spec, age_ms });
+                if self.scheduler.borrow().has_unproved_jobs() {
+                    self.write.notify_one();
+                }
             }
             JobRecord::Cancelled(id) => {
                 self.note_partition(id, partition);
--- a/crates/cell/src/leader/records.rs
+++ b/crates/cell/src/leader/records.rs
@@ -160,7 +160,7 @@
         let roster = self.roster.change(self.token);
         let waves = self.scheduler.borrow().wave_records();
         if taken.is_empty() && roster.is_none() && waves.is_empty() {
-            return false;
+            return self.prove_jobs().await;
         }
         let mut batch: Vec<Record> = Vec::with_capacity(taken.len() + 1);
         if let Some(change) = &roster {
@@ -174,9 +174,11 @@
             batch.push(records::progress(*id, progress));
         }
         let began = now();
+        let jobs_added = self.scheduler.borrow().jobs_added();
         if !self.append_progress(&batch).await {
             return false;
         }
+        self.take_proof(jobs_added);
         let written_ms = now().since(began);
         for (id, _change, progress) in &taken {
             if progress.state.is_terminal() {
@@ -197,6 +199,48 @@
         true
     }
 
+    /// Has the store take something where nothing else is to be written, if jobs wait for that. Says whether it did.
+    async fn prove_jobs(self: &Rc<Self>) -> bool {
+        let jobs_added = {
+            let scheduler = self.scheduler.borrow();
+            if !scheduler.has_unproved_jobs() {
+                return false;
+            }
+            scheduler.jobs_added()
+        };
+        // It appends nothing, so its number is not one of those of the appends.
+        let condition = self.fenced(PRODUCER, 0);
+        let partition = self.progress.partition.get();
+        let node = &self.node;
+        let taken = node
+            .append(Topic::Progress, partition, &[], &condition)
+            .await;
+        match taken {
+            Ok(_) | Err(AppendError::OutOfSequence { .. }) => self.take_proof(jobs_added),
+            Err(AppendError::Fenced) => {
+                self.end("fenced_by_store");
+                return false;
+            }
+            Err(_noted) => {
+                self.progress.switch(false);
+                pause(RETRY_MS).await;
+            }
+        }
+        true
+    }
+
+    fn take_proof(&self, jobs_added: u64) {
+        let had_unproved = {
+            let mut scheduler = self.scheduler.borrow_mut();
+            let had_unproved = scheduler.has_unproved_jobs();
+            scheduler.set_jobs_proved(jobs_added);
+            had_unproved
+        };
+        if had_unproved {
+            self.look.notify_one();
+        }
+    }
+
     /// Appends until the store has it. Says whether it has.
     async fn append_progress(&self, batch: &[Record]) -> bool {
         let writer = &self.progress;
--- a/crates/cell/src/records.rs
+++ b/crates/cell/src/records.rs
@@ -72,6 +72,9 @@
     /// Whether the holder gives the role up.
     #[serde(default)]
     pub released: bool,
+    /// Whether the holder starts jobs only once the store has taken something after it learned of them.
+    #[serde(default)]
+    pub proves: bool,
 }
 
 /// Names the workers that may run something of a scheduler.
--- a/crates/cell/tests/cell/fuzz.rs
+++ b/crates/cell/tests/cell/fuzz.rs
@@ -231,6 +231,7 @@
         incarnation: 9,
         token: 7,
         released: false,
+        proves: true,
     };
     fuzz(&values([records::holder(&holder)]), |value| {
         serde_json::from_slice::<HolderRecord>(value).ok()
--- a/crates/cell/tests/cell/takeover.rs
+++ b/crates/cell/tests/cell/takeover.rs
@@ -6,9 +6,12 @@
 use syc_cell::Timing;
 use syc_cell::ports::Topic;
 use syc_fleet::SharedFaults;
+use syc_sched::JobSpec;
 use syc_sched::JobState;
+use syc_sched::Schedule;
 
 use crate::cluster::Cluster;
+use crate::cluster::job;
 use crate::cluster::node_name;
 use crate::cluster::settings;
 use crate::cluster::step;
@@ -66,12 +69,22 @@
     let first = cluster.scheduler();
     cluster.submit(first, 1, vec![step(1, 20)]);
     cluster.wait_for_state(first, 1, JobState::Completed);
-    // Nothing of the start is written, so that the worker alone knows of it.
+    // The store has the job before it is due, and nothing of its start: the worker alone knows of that.
+    let timed = JobSpec {
+        schedule: Schedule {
+            occurrences: 1,
+            first_at_ms: cluster.day(first).plus(1_500),
+            interval_ms: 0,
+        },
+        ..job(2, vec![step(1, 2_000)])
+    };
+    cluster.submit_job(first, &timed);
+    cluster.submit(first, 3, vec![step(1, 20)]);
+    cluster.wait_for_state(first, 3, JobState::Completed);
     cluster.platform.set_faults(SharedFaults {
         down: vec![(Topic::Progress, 0), (Topic::Progress, 1)],
         ..SharedFaults::default()
     });
-    cluster.submit(first, 2, vec![step(1, 2_000)]);
     let worker = cluster.wait("the run", || {
         cluster.platform.with_fleet(|fleet| {
             let mut workers = fleet.workers.values();
--- a/crates/sched/src/job.rs
+++ b/crates/sched/src/job.rs
@@ -244,6 +244,8 @@
     pub(crate) objective_ms: u64,
     /// Whether a predecessor may have started tasks that are not known.
     pub(crate) inherited: bool,
+    /// Its number among the jobs that were added since this scheduler began; 0 for those that it found.
+    pub(crate) number: u64,
     /// When it ended.
     pub(crate) ended_at: Option<Millis>,
     /// When its end was first written down.
@@ -272,6 +274,7 @@
             accepted_at,
             objective_ms,
             inherited: false,
+            number: 0,
             ended_at: None,
             ended: None,
             shown_ended_at: None,
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -33,6 +33,7 @@
 mod place;
 mod pools;
 mod progress;
+mod proof;
 mod recovery;
 mod repeats;
 mod reports;
--- a/crates/sched/src/recovery.rs
+++ b/crates/sched/src/recovery.rs
@@ -139,9 +139,10 @@
 
     /// Takes it that a predecessor may have started a job that has just been read, if it may have read it too.
     ///
-    /// Such a job waits as those that were restored do. Started at once, its task ran on two workers.
+    /// Such a job waits as those that were restored do. Started at once, its task ran on two workers. Predecessors that
+    /// start nothing without a proof have started none of these.
     pub(crate) fn inherit_if_known_before(&mut self, job: JobKey) {
-        if self.recovery.may_know(self.jobs_read_at) {
+        if !self.predecessors_prove && self.recovery.may_know(self.jobs_read_at) {
             self.jobs[job].inherited = true;
         }
     }
--- a/crates/sched/src/scheduler.rs
+++ b/crates/sched/src/scheduler.rs
@@ -79,6 +79,10 @@
     /// Runs of jobs that have not been read yet, and the time before which all that was stored has been.
     pub(crate) strays: Vec<Stray>,
     pub(crate) jobs_read_at: Millis,
+    /// Jobs that were added since this scheduler began, and those of them that may be started.
+    pub(crate) jobs_added: u64,
+    pub(crate) jobs_proved: u64,
+    pub(crate) predecessors_prove: bool,
     pub(crate) cell_clock: CellClock,
     /// The time of day, once it was told.
     pub(crate) day: Option<DayAnchor>,
@@ -113,6 +117,9 @@
             recovery: Recovery::default(),
             strays: Vec::new(),
             jobs_read_at: Millis(u64::MAX),
+            jobs_added: 0,
+            jobs_proved: u64::MAX,
+            predecessors_prove: false,
             cell_clock: CellClock::default(),
             day: None,
             headroom: Headroom::default(),
@@ -359,6 +366,8 @@
         }
         let accepted_at = Millis(now.0.saturating_sub(age_ms));
         let key = self.insert_open(Job::new(spec, accepted_at, self.day), now);
+        self.jobs_added += 1;
+        self.jobs[key].number = self.jobs_added;
         self.inherit_if_known_before(key);
         self.meet_strays(id, now);
         self.give_up_unknown_runs_of(key, now);
--- a/crates/sched/tests/core/main.rs
+++ b/crates/sched/tests/core/main.rs
@@ -10,6 +10,7 @@
 mod order;
 mod pools;
 mod preempt;
+mod proof;
 mod sharing;
 mod silence;
 mod site;
--- a/crates/sched/tests/takeovers/main.rs
+++ b/crates/sched/tests/takeovers/main.rs
@@ -22,6 +22,7 @@
 use test_case::test_case;
 
 use crate::search::Choices;
+use crate::world::Rule;
 use crate::world::World;
 use crate::world::cpu;
 
@@ -36,12 +37,12 @@
     first: Option<Vec<Fault>>,
 }
 
-fn search(step: &StepSpec, failing_runs: u32) -> Found {
+fn search(step: &StepSpec, failing_runs: u32, rule: Rule) -> Found {
     let mut choices = Choices::default();
     let mut seen = BTreeSet::new();
     let mut found = Found::default();
     loop {
-        let world = World::new(&mut choices, step.clone(), failing_runs);
+        let world = World::new(&mut choices, step.clone(), failing_runs, rule);
         let played = world.play(&mut seen);
         found.plays += 1;
         found.broken += u64::from(!played.faults.is_empty());
@@ -67,18 +68,22 @@
     }
 }
 
-#[test_case(false, 0; "a task that is done at once")]
-#[test_case(false, 1; "a task that fails once")]
-#[test_case(true, 0; "a gang that is done at once")]
-#[test_case(true, 1; "a gang that fails once")]
-fn nothing_runs_twice_whatever_overlaps(gang: bool, failing_runs: u32) {
+#[test_case(false, 0, Rule::Waits; "a task that is done at once")]
+#[test_case(false, 1, Rule::Waits; "a task that fails once")]
+#[test_case(true, 0, Rule::Waits; "a gang that is done at once")]
+#[test_case(true, 1, Rule::Waits; "a gang that fails once")]
+#[test_case(false, 0, Rule::Proves; "a task that is done at once and proved before")]
+#[test_case(false, 1, Rule::Proves; "a task that fails once and is proved before")]
+#[test_case(true, 0, Rule::Proves; "a gang that is done at once and proved before")]
+#[test_case(true, 1, Rule::Proves; "a gang that fails once and is proved before")]
+fn nothing_runs_twice_whatever_overlaps(gang: bool, failing_runs: u32, rule: Rule) {
     let tasks = if gang { 2 } else { 1 };
     let step = StepSpec {
         tasks,
         gang,
         ..task()
     };
-    let found = search(&step, failing_runs);
+    let found = search(&step, failing_runs, rule);
     println!("{found:?}");
     let broken = (found.broken, found.not_completed, found.used_twice);
     assert_eq!(broken, (0, 0, 0), "of {} plays: {found:?}", found.plays);
--- a/crates/sched/tests/takeovers/world.rs
+++ b/crates/sched/tests/takeovers/world.rs
@@ -97,9 +97,21 @@
     pub state: Option<JobState>,
 }
 
+/// By which rule a scheduler starts what was stored lately.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Rule {
+    /// As soon as it has read it; its successor waits until nothing unknown runs.
+    Waits,
+    /// Once the store has taken something that was sent after that; its successor need not wait.
+    Proves,
+}
+
 /// The world of one play.
 #[derive(Debug)]
 pub struct World<'a> {
+    rule: Rule,
+    /// Jobs that were known when the predecessor last sent the store something.
+    sent_with: u64,
     choices: &'a mut Choices,
     now: Millis,
     spec: JobSpec,
@@ -120,7 +132,7 @@
 
 impl<'a> World<'a> {
     /// Makes a world in which the predecessor knows all workers and no job.
-    pub fn new(choices: &'a mut Choices, step: StepSpec, failing_runs: u32) -> Self {
+    pub fn new(choices: &'a mut Choices, step: StepSpec, failing_runs: u32, rule: Rule) -> Self {
         let workers = u64::from(step.tasks) + 1;
         let spec = JobSpec {
             id: JOB,
@@ -145,6 +157,8 @@
             fleet.add(WorkerModel::new(worker(index).id, cpu(1), 0));
         }
         let mut world = Self {
+            rule,
+            sent_with: 0,
             choices,
             now: Millis(SLOT_MS),
             spec,
@@ -163,6 +177,12 @@
             world.predecessor.apply(listed, world.now);
         }
         world.predecessor.scheduler.begin_recovery(world.now);
+        if rule == Rule::Proves {
+            world.predecessor.scheduler.set_jobs_proved(0);
+            world.successor.scheduler.set_jobs_proved(0);
+            let successor = &mut world.successor.scheduler;
+            successor.set_predecessors_prove(true);
+        }
         world
     }
 
@@ -187,6 +207,7 @@
             if slot == ends_in {
                 self.predecessor.ended = true;
             }
+            self.take_proof(slot);
             self.act(1);
             if slot < TAKEOVER {
                 self.record(1);
@@ -203,6 +224,10 @@
                 }
                 self.act(2);
                 self.record(2);
+                if self.rule == Rule::Proves {
+                    let scheduler = &mut self.successor.scheduler;
+                    scheduler.set_jobs_proved(scheduler.jobs_added());
+                }
             }
             seen.insert(self.digest());
             if slot > TAKEOVER + 20 && self.is_over() {
@@ -216,6 +241,19 @@
         }
     }
 
+    /// Lets the predecessor hear that the store took what it sent a slot before, and send it something again.
+    fn take_proof(&mut self, slot: u64) {
+        if self.rule == Rule::Waits {
+            return;
+        }
+        let is_taken = slot <= TAKEOVER;
+        if is_taken {
+            let scheduler = &mut self.predecessor.scheduler;
+            scheduler.set_jobs_proved(self.sent_with);
+        }
+        self.sent_with = self.predecessor.scheduler.jobs_added();
+    }
+
     fn is_over(&self) -> bool {
         let state = self.successor.scheduler.state_of(JOB);
         state.is_some_and(JobState::is_terminal) && self.late.is_empty()
