Show what workers that take no orders still do to themselves and to others (failing tests)

What callers would see: tasks that wait beside a free worker, and tasks lost on a sound one.

- A worker that is believed to take no orders is probed with the oldest doubt, or with a stop of the latest run of which an order was not taken, if that run is over.
Where that one is listed as running and nothing is in doubt, nothing is ever sent: the worker gets nothing new for as long as that run lasts.

--- a/crates/sched/tests/core/main.rs
+++ b/crates/sched/tests/core/main.rs
@@ -9,6 +9,7 @@
 mod order;
 mod pools;
 mod preempt;
+mod review;
 mod sharing;
 mod silence;
 mod site;
--- /dev/null
+++ b/crates/sched/tests/core/review.rs
@@ -0,0 +1,127 @@
+//! What a worker that is believed to take no orders is sent, and what becomes of sound ones beside such workers.
+//!
+//! Such a worker is probed with the oldest run in doubt, or with a stop of the latest run of which an order was not
+//! taken, if that run is over. Where that one runs, there is nothing to probe with: the worker gets nothing new for as
+//! long as it runs. The repeats to such workers use up what the cell has for all: a sound worker that lost a few
+//! stops does not get them again in time, and its lease is let lapse with all that runs there. Orders about the pace
+//! of a run know neither the belief nor a budget nor a wait.
+
+use std::collections::BTreeMap;
+
+use syc_sched::Event;
+use syc_sched::Options;
+use syc_sched::StartAnswer;
+use syc_sched::StartOrder;
+use syc_sched::StepSpec;
+
+use crate::driver::Driver;
+use crate::driver::policy;
+use crate::driver::step;
+use crate::site::Site;
+
+fn answer(driver: &mut Driver, start: &StartOrder, answer: StartAnswer) {
+    driver.apply(Event::StartAnswered {
+        worker: start.worker,
+        task: start.task,
+        run: start.run,
+        answer,
+    });
+}
+
+/// The answer to the start of a long run is lost, a report lists it, and the starts after it never leave the node:
+/// no order is in doubt.
+#[test]
+fn a_worker_without_any_doubt_is_probed_and_used_again() {
+    let mut driver = Driver::new(1, 64);
+    driver.submit(1, policy(0), vec![step(1, 1)]);
+    driver.schedule();
+    let long = driver.starts.remove(0);
+    driver.pass(50);
+    driver.hold(long.worker, &[(long.task, long.run, 0)]);
+    driver.submit(2, policy(0), vec![step(6, 1)]);
+    driver.schedule();
+    let unsent = std::mem::take(&mut driver.starts);
+    assert_eq!(unsent.len(), 6);
+    for start in &unsent {
+        answer(&mut driver, start, StartAnswer::NotSent);
+    }
+    driver.pass(200);
+    answer(&mut driver, &long, StartAnswer::InDoubt);
+    for percent in 1..100 {
+        driver.pass(600);
+        driver.renew_leases();
+        driver.hold(long.worker, &[(long.task, long.run, percent)]);
+        driver.apply(Event::Ticked);
+        driver.record();
+        driver.schedule();
+    }
+    assert!(
+        !(driver.starts.is_empty() && driver.stops.is_empty()),
+        "nothing was sent to a sound worker for a minute: {:?}",
+        driver.beliefs
+    );
+}
+
+/// Many workers take no orders, and one loses the orders of half a second: what it runs is not to be lost with theirs.
+#[test]
+fn a_sound_worker_keeps_its_lease_while_others_use_up_the_repeats() {
+    let mut lapsed: Vec<usize> = Vec::new();
+    for sound in (0..60).step_by(6) {
+        if sound_worker_lapses(60, sound) {
+            lapsed.push(sound);
+        }
+    }
+    assert!(lapsed.is_empty(), "{lapsed:?}");
+}
+
+/// Says whether the lease of the only sound worker is let lapse. Of the four tasks of each, three are cancelled.
+fn sound_worker_lapses(workers: usize, sound: usize) -> bool {
+    let mut site = Site::new(workers, 4);
+    site.work_ms = 60_000;
+    let tasks = 4 * u64::try_from(workers).expect("few");
+    site.submit(1..tasks + 1);
+    site.play(500);
+    for index in 0..workers {
+        let time_ms = if index == sound { 500 } else { 1_000_000 };
+        site.shut(index, time_ms);
+    }
+    let mut cancelled = BTreeMap::new();
+    for sent in site.sent.clone() {
+        let count = cancelled.entry(sent.worker).or_insert(0);
+        if *count < 3 {
+            *count += 1;
+            site.driver.cancel(sent.task.step.job.0);
+        }
+    }
+    site.play(2 * Options::default().doubt_limit_ms);
+    site.beliefs_of(sound).contains(&"lease_let_lapse")
+}
+
+/// A reset comes within a millisecond, and so may the next report of a worker that lists an end.
+#[test]
+fn a_pace_that_was_not_taken_is_not_sent_again_within_milliseconds() {
+    let mut driver = Driver::new(1, 8);
+    let serves = StepSpec {
+        long_running: true,
+        tail_limit_ms: Some(100),
+        ..step(1, 3)
+    };
+    let fills = StepSpec {
+        fills: true,
+        ..step(1, 4)
+    };
+    driver.submit(1, policy(0), vec![serves]);
+    driver.submit(2, policy(1), vec![fills]);
+    driver.schedule();
+    let starts = driver.confirm_starts();
+    driver.pass(500);
+    let loads = [(&starts[0], 90), (&starts[1], 4_000)];
+    driver.hold_loads(starts[0].worker, &loads);
+    assert!(driver.answer_paces(false).is_some(), "the first order");
+    let mut repeats = 0;
+    for _ in 0..Options::default().order_retry_ms / 2 {
+        driver.hold_loads(starts[0].worker, &loads);
+        repeats += u32::from(driver.answer_paces(false).is_some());
+    }
+    assert_eq!(repeats, 0, "orders sent again within 150 ms");
+}
