--- a/crates/fleet/src/shared/ports.rs
+++ b/crates/fleet/src/shared/ports.rs
@@ -36,12 +36,16 @@
 use syc_sched::WorkerSpec;
 use syc_types::WorkerId;
 
-use super::CALL_MS;
-use super::LOOK_MS;
 use super::SharedPlatform;
 use super::State;
-use super::TICKET_MS;
-use super::WAVE_PREFIX;
+use super::calls::CALL_MS;
+use super::vms::WAVE_PREFIX;
+
+/// A waiting call looks this often whether there is news.
+const LOOK_MS: u64 = 2;
+
+/// Time for which tickets are valid.
+const TICKET_MS: u64 = 2_000;
 
 impl Store for SharedPlatform {
     async fn append(
@@ -125,7 +129,7 @@
         timeout_ms: u64,
     ) -> Result<(), OrderError> {
         self.begin_order(&worker.id);
-        let reached = self.reach_worker(&worker.id, timeout_ms).await;
+        let reached = self.reach_with_order(&worker.id, timeout_ms).await;
         self.end_order(&worker.id);
         reached?;
         let (started, lost) = {
@@ -147,7 +151,7 @@
         command: &StopCommand,
         timeout_ms: u64,
     ) -> Result<(), OrderError> {
-        self.reach_worker(&worker.id, timeout_ms).await?;
+        self.reach_with_order(&worker.id, timeout_ms).await?;
         self.lock().fleet.stop(&worker.id, command, now())
     }
 
@@ -157,7 +161,7 @@
         command: &PaceCommand,
         timeout_ms: u64,
     ) -> Result<(), OrderError> {
-        self.reach_worker(&worker.id, timeout_ms).await?;
+        self.reach_with_order(&worker.id, timeout_ms).await?;
         self.lock().fleet.pace(&worker.id, command, now())
     }
 
@@ -167,6 +171,7 @@
         renewal: &Renewal,
         timeout_ms: u64,
     ) -> Result<Renewed, OrderError> {
+        *self.lock().renewals.entry(worker.id.clone()).or_default() += 1;
         self.reach_worker(&worker.id, timeout_ms).await?;
         let until = now().plus(renewal.wait_ms);
         loop {
--- a/crates/sched/tests/core/driver.rs
+++ b/crates/sched/tests/core/driver.rs
@@ -33,6 +33,7 @@
 use syc_types::RackId;
 use syc_types::Resources;
 use syc_types::ServiceName;
+use syc_types::TimeOfDay;
 use syc_types::VmId;
 use syc_types::WorkerId;
 use syc_types::Zone;
@@ -71,8 +72,28 @@
 }
 
 impl Driver {
-    /// Makes a scheduler with `count` workers of so many whole cores, all of which have answered.
+    /// Makes a scheduler with `count` workers of so many whole cores, all of which have answered, and have taken
+    /// an order.
     pub fn new(count: usize, cores: u64) -> Self {
+        let mut driver = Self::untried(count, cores);
+        let step = StepId {
+            job: JobId(0),
+            occurrence: 0,
+            step: 0,
+        };
+        for worker in driver.workers.clone() {
+            driver.apply(Event::StopAnswered {
+                worker,
+                task: TaskId { step, index: 0 },
+                run: Run(1),
+                taken: true,
+            });
+        }
+        driver
+    }
+
+    /// Makes a scheduler with such workers, none of which has been sent an order yet.
+    pub fn untried(count: usize, cores: u64) -> Self {
         let mut driver = Self {
             scheduler: Scheduler::new(Options::default()),
             now: Millis(1_000),
@@ -162,7 +183,7 @@
         steps: Vec<StepSpec>,
         schedule: Schedule,
     ) {
-        self.submit_accepted_at(id, policy, steps, schedule, 0);
+        self.submit_accepted_at(id, policy, steps, schedule, TimeOfDay(0));
     }
 
     pub fn submit_accepted_at(
@@ -171,7 +192,7 @@
         policy: QueuePolicy,
         steps: Vec<StepSpec>,
         schedule: Schedule,
-        accepted_at_ms: u64,
+        accepted_at_ms: TimeOfDay,
     ) {
         let spec = Box::new(JobSpec {
             accepted_at_ms,
@@ -206,6 +227,19 @@
         starts
     }
 
+    /// Lets the workers answer at once until nothing more starts.
+    pub fn start_all(&mut self) -> Vec<StartOrder> {
+        let mut started = Vec::new();
+        loop {
+            self.schedule();
+            let confirmed = self.confirm_starts();
+            if confirmed.is_empty() {
+                return started;
+            }
+            started.extend(confirmed);
+        }
+    }
+
     pub fn cancel(&mut self, id: u64) {
         self.apply(Event::JobCancelled(JobId(id)));
     }
@@ -313,7 +347,9 @@
 
     /// Lets the store take all progress.
     pub fn record(&mut self) {
-        let records = self.scheduler.take_records(usize::MAX, 1);
+        let records = self
+            .scheduler
+            .take_records(usize::MAX, self.now, TimeOfDay(1));
         let jobs = records
             .into_iter()
             .map(|(id, change, _progress)| (id, change))
@@ -330,14 +366,14 @@
     }
 }
 
-fn job(id: u64, policy: QueuePolicy, steps: Vec<StepSpec>, schedule: Schedule) -> JobSpec {
+pub fn job(id: u64, policy: QueuePolicy, steps: Vec<StepSpec>, schedule: Schedule) -> JobSpec {
     JobSpec {
         id: JobId(id),
         payload: SmolStr::new_static("payload"),
         steps,
         policy,
         schedule,
-        accepted_at_ms: 0,
+        accepted_at_ms: TimeOfDay(0),
     }
 }
 
--- a/crates/sched/tests/core/review.rs
+++ b/crates/sched/tests/core/review.rs
@@ -125,3 +125,52 @@
     }
     assert_eq!(repeats, 0, "orders sent again within 150 ms");
 }
+
+/// A worker with more tasks of a step than may be missing resets every order. A task that was to start there is
+/// accepted, and could run elsewhere.
+#[test]
+fn a_task_does_not_wait_for_ever_for_a_worker_on_which_too_many_serve() {
+    let mut driver = Driver::new(2, 4);
+    let lasting = StepSpec {
+        long_running: true,
+        unavailable_limit: Some(1),
+        ..step(2, 1)
+    };
+    driver.submit(1, policy(0), vec![lasting]);
+    driver.schedule();
+    let serving = driver.confirm_starts();
+    let shut = serving[0].worker;
+    assert!(serving.iter().all(|start| start.worker == shut));
+    driver.pass(10);
+    driver.submit(2, policy(0), vec![step(1, 1)]);
+    driver.schedule();
+    let untaken = driver.starts.remove(0);
+    assert_eq!(untaken.worker, shut);
+    answer(&mut driver, &untaken, StartAnswer::InDoubt);
+    let running: Vec<_> = serving.iter().map(|s| (s.task, s.run, 100)).collect();
+    for _ in 0..600 {
+        driver.pass(100);
+        driver.renew_leases();
+        let workers = driver.workers.clone();
+        driver.hold(workers[0], if workers[0] == shut { &running } else { &[] });
+        driver.hold(workers[1], if workers[1] == shut { &running } else { &[] });
+        driver.apply(Event::Ticked);
+        driver.record();
+        driver.schedule();
+        for stop in std::mem::take(&mut driver.stops) {
+            driver.apply(Event::StopAnswered {
+                worker: stop.worker,
+                task: stop.task,
+                run: stop.run,
+                taken: false,
+            });
+        }
+        for start in std::mem::take(&mut driver.starts) {
+            if start.worker != shut && start.task == untaken.task {
+                return;
+            }
+            answer(&mut driver, &start, StartAnswer::InDoubt);
+        }
+    }
+    panic!("it waited for a minute: {:?}", driver.beliefs);
+}
