--- a/crates/sched/tests/core/main.rs
+++ b/crates/sched/tests/core/main.rs
@@ -11,6 +11,7 @@
 mod pools;
 mod preempt;
 mod proof;
+mod review;
 mod sharing;
 mod silence;
 mod site;
