End every doubt, probe every worker, and pay for repeats fairly

- Beside tasks of a step of which no more may be missing, a doubt had no end: their worker's lease was never let lapse.
It is now, after four times the usual time: a task that waits for ever is worse.
- A worker that takes no orders was never probed again where the latest order that it did not take was about a run that goes on and nothing else was in doubt.
The next start is the probe then, one at a time.
A lease is let lapse only over what was sent three times, or after four times the usual time; nothing is sent again to a worker that is silent; a worker pays only where the cell has something left.
- An order about a pace that was not taken was sent again with every report, 150 times in 150 ms.
It rests for half a second now, is not sent where no orders are taken, and shows that they are where it is taken.

--- a/crates/sched/src/backoff.rs
+++ b/crates/sched/src/backoff.rs
@@ -58,12 +58,17 @@
         }
     }
 
-    /// Takes a token if one is left, and says whether one was.
-    pub(crate) fn take(&mut self, now: Millis) -> bool {
+    /// Says whether a token is left.
+    pub(crate) fn has_one(&mut self, now: Millis) -> bool {
         let filled = now.since(self.filled_at).saturating_mul(self.per_s);
         self.filled_at = now;
         self.add(filled);
-        let has_one = self.left >= TOKEN;
+        self.left >= TOKEN
+    }
+
+    /// Takes a token if one is left, and says whether one was.
+    pub(crate) fn take(&mut self, now: Millis) -> bool {
+        let has_one = self.has_one(now);
         if has_one {
             self.left -= TOKEN;
         }
--- a/crates/sched/src/contact.rs
+++ b/crates/sched/src/contact.rs
@@ -32,6 +32,14 @@
 /// Starts without an answer that a worker has at most.
 const STARTS_LIMIT: u32 = 8;
 
+/// Orders about a run, or probes of its worker, before a doubt lets the lease lapse. Where others use up what the
+/// cell has for repeats, a sound worker would lose all that runs there over orders that were never sent again.
+const ORDERS_TRIED: u32 = 3;
+
+/// A doubt lasts at most so many times its usual limit, whatever serves on the worker and however few orders were
+/// sent again.
+const DOUBT_LIMITS: u64 = 4;
+
 /// What is known of the orders to a worker.
 #[derive(Debug, Clone)]
 pub(crate) struct Contact {
@@ -43,6 +51,8 @@
     window: u32,
     /// Whether it is believed to take no orders.
     pub(crate) shut: bool,
+    /// Whether it gets one start all the same, where no other order can be sent again to find out.
+    pub(crate) half_open: bool,
     /// Whether its lease is let lapse.
     pub(crate) lapsing: bool,
     pub(crate) repeats: Budget,
@@ -62,6 +72,7 @@
             taken_sent_at: None,
             window: FIRST_STARTS,
             shut: false,
+            half_open: false,
             lapsing: false,
             repeats: Budget::new(REPEATS_BURST, REPEATS_PER_S),
             probes: 0,
@@ -87,6 +98,19 @@
         self.probe_sent_at = None;
     }
 
+    /// Says whether it may be sent a start.
+    pub(crate) const fn is_open(&self) -> bool {
+        !self.lapsing && (!self.shut || self.half_open)
+    }
+
+    /// Says whether an order that is in doubt was sent again often enough to be given up, or was never answered by
+    /// the node that was to send it.
+    fn was_tried(&self, run: &WorkerRun, limit_ms: u64, now: Millis) -> bool {
+        let is_stuck = run.in_flight && now.since(run.ordered_at) > limit_ms;
+        let was_probed = self.shut && self.probes >= ORDERS_TRIED;
+        is_stuck || was_probed || run.doubtful_orders() >= ORDERS_TRIED
+    }
+
     /// Says whether the latest order that was answered was taken.
     pub(crate) const fn is_sound(&self) -> bool {
         self.misses == 0
@@ -120,6 +144,7 @@
         contact.window = STARTS_LIMIT;
         contact.taken_sent_at = contact.taken_sent_at.max(Some(sent_at));
         contact.probe_over();
+        contact.half_open = false;
         if contact.shut {
             contact.shut = false;
             let note = belief(worker, "takes_orders", now);
@@ -139,6 +164,7 @@
         let worker = &mut self.workers[key];
         let contact = &mut worker.contact;
         contact.probe_over();
+        contact.half_open = false;
         contact.untaken = Some(name);
         // Of orders that were sent together, some may be lost: those that are taken speak for the rest.
         if contact.has_taken_since(sent_at) {
@@ -188,6 +214,8 @@
             .untaken
             .filter(|name| !worker.runs.contains_key(name));
         let Some(name) = oldest.or(over) else {
+            // There is no order that could be sent again: the next start is the probe.
+            self.workers[key].contact.half_open = true;
             return;
         };
         if !self.repeats.take(now) {
@@ -218,11 +246,18 @@
             };
             // One that takes orders is likely to take this one, too.
             let patience = 1 + u64::from(contact.has_taken_since(since));
-            now.since(since) > limit_ms * patience
+            let doubt_ms = now.since(since);
+            let is_late = doubt_ms > limit_ms * patience && contact.was_tried(run, limit_ms, now);
+            is_late || doubt_ms > limit_ms * DOUBT_LIMITS
+        };
+        let is_endless = |run: &WorkerRun| {
+            let since = unsettled_since(run);
+            since.is_some_and(|since| now.since(since) > limit_ms * DOUBT_LIMITS)
         };
         let lapses = worker.runs.values().any(is_overdue);
-        // Once it has begun, what serves there counts as away.
-        let may_begin = contact.lapsing || self.may_end_serving(key);
+        // Once it has begun, what serves there counts as away. A task that waits for ever is worse than too many away.
+        let may_begin =
+            contact.lapsing || self.may_end_serving(key) || worker.runs.values().any(is_endless);
         let worker = &mut self.workers[key];
         if lapses == worker.contact.lapsing || !may_begin {
             return;
--- a/crates/sched/src/pacing.rs
+++ b/crates/sched/src/pacing.rs
@@ -90,8 +90,12 @@
         if self.in_flight {
             return false;
         }
-        let again = now < self.doubt_until && now.since(self.ordered_at) >= STEP_MS;
-        self.known != Some(percent) || again
+        if self.known.is_some_and(|known| known != percent) {
+            return true;
+        }
+        // What was not taken, or may not have been the last to arrive, is told again, but not at once.
+        let is_open = self.known.is_none() || now < self.doubt_until;
+        is_open && now.since(self.ordered_at) >= STEP_MS
     }
 }
 
@@ -206,6 +210,10 @@
 
     fn order_paces(&mut self, key: WorkerKey, now: Millis) {
         let worker = &mut self.workers[key];
+        // What takes no orders gets one at a time, as a probe.
+        if worker.contact.shut {
+            return;
+        }
         let percent = worker.pace.percent;
         for ((task, run), of_run) in &mut worker.runs {
             let is_running = of_run.phase == Phase::Running;
@@ -245,7 +253,10 @@
         };
         fill.in_flight = false;
         fill.known = taken.then_some(percent);
-        if !taken {
+        let ordered_at = fill.ordered_at;
+        if taken {
+            self.order_taken(key, ordered_at, now);
+        } else {
             fill.doubt_until = now.plus(LATE_ORDER_MS);
         }
     }
--- a/crates/sched/src/repeats.rs
+++ b/crates/sched/src/repeats.rs
@@ -14,6 +14,10 @@
 impl Scheduler {
     /// Sends orders again that a worker did not take, as far as the budgets reach.
     pub(crate) fn repeat_orders(&mut self, key: WorkerKey, now: Millis) {
+        // Nothing reaches one that is silent; what it was told is looked at once it answers.
+        if self.workers[key].silent {
+            return;
+        }
         if self.workers[key].contact.shut {
             self.probe(key, now);
             return;
@@ -26,10 +30,11 @@
         }
         due.sort_unstable();
         for (_, name) in due {
-            let has_token = self.workers[key].contact.repeats.take(now) && self.repeats.take(now);
-            if !has_token {
+            let has_token = self.repeats.has_one(now);
+            if !has_token || !self.workers[key].contact.repeats.take(now) {
                 return;
             }
+            self.repeats.take(now);
             self.repeat_order(key, name, now);
         }
     }
--- a/crates/sched/src/worker.rs
+++ b/crates/sched/src/worker.rs
@@ -171,6 +171,13 @@
         is_open.then_some(self.doubt_since)
     }
 
+    /// Counts the orders since the doubt about it began.
+    pub(crate) const fn doubtful_orders(&self) -> u32 {
+        let starts_too = matches!(self.phase, Phase::Stopping) && self.confirmed_at.is_none();
+        let starts = if starts_too { self.copies } else { 0 };
+        self.orders.saturating_add(starts)
+    }
+
     /// Takes note that it is to be stopped from now on.
     pub(crate) fn begin_stop(&mut self, now: Millis) {
         // The doubt whether it was started goes on.
@@ -274,8 +281,7 @@
         self.listed
             && self.answered
             && !self.silent
-            && !self.contact.shut
-            && !self.contact.lapsing
+            && self.contact.is_open()
             && !self.spec.draining
             && !self.emptying
             && self.quarantined_until <= now
