--- a/crates/sched/tests/core/main.rs
+++ b/crates/sched/tests/core/main.rs
@@ -10,6 +10,8 @@
 mod order;
 mod pools;
 mod preempt;
+mod proof;
+mod review;
 mod sharing;
 mod silence;
 mod site;
--- a/crates/sched/tests/takeovers/world.rs
+++ b/crates/sched/tests/takeovers/world.rs
@@ -9,6 +9,7 @@
 use smol_str::SmolStr;
 use syc_cell::ports::OrderError;
 use syc_cell::ports::Renewal;
+use syc_cell::ports::Renewed;
 use syc_cell::ports::StartCommand;
 use syc_cell::ports::StopCommand;
 use syc_fleet::Fault;
@@ -96,9 +97,21 @@
     pub state: Option<JobState>,
 }
 
+/// By which rule a scheduler starts what was stored lately.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Rule {
+    /// As soon as it has read it; its successor waits until nothing unknown runs.
+    Waits,
+    /// Once the store has taken something that was sent after that; its successor need not wait.
+    Proves,
+}
+
 /// The world of one play.
 #[derive(Debug)]
 pub struct World<'a> {
+    rule: Rule,
+    /// Jobs that were known when the predecessor last sent the store something.
+    sent_with: u64,
     choices: &'a mut Choices,
     now: Millis,
     spec: JobSpec,
@@ -113,11 +126,13 @@
     late: Vec<(Millis, WorkerId, StartCommand)>,
     /// Answers to the scheduler of a token that come in the next slot.
     doubts: Vec<(u64, Event)>,
+    /// Whether the successor's first answer that tells of an end has been decided on.
+    has_told_end: bool,
 }
 
 impl<'a> World<'a> {
     /// Makes a world in which the predecessor knows all workers and no job.
-    pub fn new(choices: &'a mut Choices, step: StepSpec, failing_runs: u32) -> Self {
+    pub fn new(choices: &'a mut Choices, step: StepSpec, failing_runs: u32, rule: Rule) -> Self {
         let workers = u64::from(step.tasks) + 1;
         let spec = JobSpec {
             id: JOB,
@@ -142,6 +157,8 @@
             fleet.add(WorkerModel::new(worker(index).id, cpu(1), 0));
         }
         let mut world = Self {
+            rule,
+            sent_with: 0,
             choices,
             now: Millis(SLOT_MS),
             spec,
@@ -153,12 +170,19 @@
             silent_until: BTreeMap::new(),
             late: Vec::new(),
             doubts: Vec::new(),
+            has_told_end: false,
         };
         for index in 0..workers {
             let listed = Event::WorkerListed(worker(index));
             world.predecessor.apply(listed, world.now);
         }
         world.predecessor.scheduler.begin_recovery(world.now);
+        if rule == Rule::Proves {
+            world.predecessor.scheduler.set_jobs_proved(0);
+            world.successor.scheduler.set_jobs_proved(0);
+            let successor = &mut world.successor.scheduler;
+            successor.set_predecessors_prove(true);
+        }
         world
     }
 
@@ -183,6 +207,7 @@
             if slot == ends_in {
                 self.predecessor.ended = true;
             }
+            self.take_proof(slot);
             self.act(1);
             if slot < TAKEOVER {
                 self.record(1);
@@ -199,6 +224,10 @@
                 }
                 self.act(2);
                 self.record(2);
+                if self.rule == Rule::Proves {
+                    let scheduler = &mut self.successor.scheduler;
+                    scheduler.set_jobs_proved(scheduler.jobs_added());
+                }
             }
             seen.insert(self.digest());
             if slot > TAKEOVER + 20 && self.is_over() {
@@ -212,6 +241,19 @@
         }
     }
 
+    /// Lets the predecessor hear that the store took what it sent a slot before, and send it something again.
+    fn take_proof(&mut self, slot: u64) {
+        if self.rule == Rule::Waits {
+            return;
+        }
+        let is_taken = slot <= TAKEOVER;
+        if is_taken {
+            let scheduler = &mut self.predecessor.scheduler;
+            scheduler.set_jobs_proved(self.sent_with);
+        }
+        self.sent_with = self.predecessor.scheduler.jobs_added();
+    }
+
     fn is_over(&self) -> bool {
         let state = self.successor.scheduler.state_of(JOB);
         state.is_some_and(JobState::is_terminal) && self.late.is_empty()
@@ -313,6 +355,13 @@
             token,
         };
         let renewed = self.fleet.renew(id, &renewal, now);
+        if renewed
+            .as_ref()
+            .is_ok_and(|renewed| self.is_lost(token, renewed))
+        {
+            self.side(token).apply(Event::RenewalFailed { worker }, now);
+            return;
+        }
         let side = self.side(token);
         match renewed {
             Ok(renewed) => {
@@ -329,6 +378,15 @@
         }
     }
 
+    /// Says whether an answer of a worker gets lost: it may be the first in which the successor would hear of an end.
+    fn is_lost(&mut self, token: u64, renewed: &Renewed) -> bool {
+        if token == 1 || self.has_told_end || renewed.report.ended.is_empty() {
+            return false;
+        }
+        self.has_told_end = true;
+        self.choices.pick(&[false, true])
+    }
+
     fn carry_out(&mut self, token: u64) {
         loop {
             let orders = self.side(token).take_orders();
