Append at once while jobs wait for an append to be started

Jobs that are started once the store has taken something after them waited for progress to be shared by more ends as well.

--- a/crates/cell/src/leader/records.rs
+++ b/crates/cell/src/leader/records.rs
@@ -106,7 +106,10 @@
     loop {
         let spacing_ms = leader.node.settings.timing.progress_spacing_ms;
         while leader.write_batch().await {
-            pause(spacing_ms).await;
+            // Jobs that wait for an append to be started don't wait for others to share it.
+            if !leader.scheduler.borrow().has_unproved_jobs() {
+                pause(spacing_ms).await;
+            }
         }
         if leader.ended.get() {
             return;
