Start new jobs within a second of what the store took last, in place of an append for each

What callers saw: while the store was slow, every job waited for one of its answers more before it was started, and in a burst many came too late for that.

Cause: since the last change to this a job was started only once the store had taken something that was sent after the scheduler learned of it.

Change: what was sent within the last second does, too. So jobs wait for nothing while progress is written; a successor lets what is stored within that second of its own reading wait for the workers, in place of the 3 s of a predecessor's whole authority.

Why it holds: a successor fences first. What the store took before that was sent before, so nothing is started by it a second later.

--- a/crates/cell/src/leader.rs
+++ b/crates/cell/src/leader.rs
@@ -129,7 +129,7 @@
         let mut scheduler = Scheduler::new(options(node));
         scheduler.set_jobs_read(Millis(0));
         scheduler.set_chosen(now());
-        scheduler.set_jobs_proved(0);
+        scheduler.require_proof();
         scheduler.set_predecessors_prove(predecessors_prove);
         let leader = Rc::new(Self {
             node: Rc::clone(node),
--- a/crates/cell/src/leader/readers.rs
+++ b/crates/cell/src/leader/readers.rs
@@ -120,9 +120,7 @@
                     self.node.metrics.stage(queue, Stage::HandOver, age_ms);
                 }
                 self.apply(Event::JobStored { spec, age_ms });
-                if self.scheduler.borrow().has_unproved_jobs() {
-                    self.write.notify_one();
-                }
+                self.renew_proof();
             }
             JobRecord::Cancelled(id) => {
                 self.note_partition(id, partition);
--- a/crates/cell/src/leader/records.rs
+++ b/crates/cell/src/leader/records.rs
@@ -106,10 +106,7 @@
     loop {
         let spacing_ms = leader.node.settings.timing.progress_spacing_ms;
         while leader.write_batch().await {
-            // Jobs that wait for an append to be started don't wait for others to share it.
-            if !leader.scheduler.borrow().has_unproved_jobs() {
-                pause(spacing_ms).await;
-            }
+            pause(spacing_ms).await;
         }
         if leader.ended.get() {
             return;
@@ -178,10 +175,10 @@
         }
         let began = now();
         let jobs_added = self.scheduler.borrow().jobs_added();
-        if !self.append_progress(&batch).await {
+        let Some(sent_at) = self.append_progress(&batch).await else {
             return false;
-        }
-        self.take_proof(jobs_added);
+        };
+        self.take_proof(jobs_added, sent_at);
         let written_ms = now().since(began);
         for (id, _change, progress) in &taken {
             if progress.state.is_terminal() {
@@ -204,22 +201,22 @@
 
     /// Has the store take something where nothing else is to be written, if jobs wait for that. Says whether it did.
     async fn prove_jobs(self: &Rc<Self>) -> bool {
-        let jobs_added = {
-            let scheduler = self.scheduler.borrow();
-            if !scheduler.has_unproved_jobs() {
-                return false;
-            }
-            scheduler.jobs_added()
-        };
+        let sent_at = now();
+        if !self.scheduler.borrow().wants_proof(sent_at) {
+            return false;
+        }
+        let jobs_added = self.scheduler.borrow().jobs_added();
         // It appends nothing, so its number is not one of those of the appends.
         let condition = self.fenced(PRODUCER, 0);
         let partition = self.progress.partition.get();
-        let node = &self.node;
-        let taken = node
+        let taken = self
+            .node
             .append(Topic::Progress, partition, &[], &condition)
             .await;
         match taken {
-            Ok(_) | Err(AppendError::OutOfSequence { .. }) => self.take_proof(jobs_added),
+            Ok(_) | Err(AppendError::OutOfSequence { .. }) => {
+                self.take_proof(jobs_added, sent_at);
+            }
             Err(AppendError::Fenced) => {
                 self.end("fenced_by_store");
                 return false;
@@ -232,20 +229,24 @@
         true
     }
 
-    fn take_proof(&self, jobs_added: u64) {
-        let had_unproved = {
-            let mut scheduler = self.scheduler.borrow_mut();
-            let had_unproved = scheduler.has_unproved_jobs();
-            scheduler.set_jobs_proved(jobs_added);
-            had_unproved
-        };
-        if had_unproved {
+    /// Asks for a proof if jobs wait for one, or soon will.
+    pub(crate) fn renew_proof(&self) {
+        if self.scheduler.borrow().wants_proof(now()) {
+            self.write.notify_one();
+        }
+    }
+
+    fn take_proof(&self, jobs_added: u64, sent_at: Millis) {
+        let mut scheduler = self.scheduler.borrow_mut();
+        let had_waiting = scheduler.wants_proof(now());
+        scheduler.set_proof(jobs_added, sent_at);
+        if had_waiting {
             self.look.notify_one();
         }
     }
 
-    /// Appends until the store has it. Says whether it has.
-    async fn append_progress(&self, batch: &[Record]) -> bool {
+    /// Appends until the store has it. Returns when what it took was sent; none where the role is over.
+    async fn append_progress(&self, batch: &[Record]) -> Option<Millis> {
         let writer = &self.progress;
         let mut refusals = 0;
         loop {
@@ -253,6 +254,7 @@
             let lane = writer.lane(partition);
             let sequence = lane.sequence.get();
             let condition = self.fenced(PRODUCER, sequence);
+            let sent_at = now();
             let appended = self
                 .node
                 .append(Topic::Progress, partition, batch, &condition)
@@ -260,11 +262,11 @@
             match appended {
                 Ok(_) => {
                     lane.sequence.set(sequence + 1);
-                    return true;
+                    return Some(sent_at);
                 }
                 Err(AppendError::Fenced) => {
                     self.end("fenced_by_store");
-                    return false;
+                    return None;
                 }
                 Err(AppendError::OutOfSequence { expected }) => {
                     lane.sequence.set(expected);
--- a/crates/cell/src/node.rs
+++ b/crates/cell/src/node.rs
@@ -261,6 +261,7 @@
         if let Some(leader) = node.leader() {
             leader.follow_day();
             leader.apply(Event::Ticked);
+            leader.renew_proof();
             leader.watch_self();
         }
         flush_lines();
--- a/crates/sched/src/options.rs
+++ b/crates/sched/src/options.rs
@@ -10,6 +10,8 @@
     pub lease_bound_ms: u64,
     /// Time that a predecessor may go on giving orders after its successor was chosen.
     pub authority_ms: u64,
+    /// Time for which a scheduler starts what it learns of after the store took something of it.
+    pub job_authority_ms: u64,
     /// Time that a stop takes at most on a worker.
     pub stop_ms: u64,
     /// Time for which a job's state can be asked after it has ended.
@@ -73,6 +75,7 @@
         Self {
             lease_bound_ms: 6_500,
             authority_ms: 3_000,
+            job_authority_ms: 1_000,
             stop_ms: 900,
             status_ms: 120_000,
             order_retry_ms: 300,
--- a/crates/sched/src/recovery.rs
+++ b/crates/sched/src/recovery.rs
@@ -14,6 +14,9 @@
 use crate::job::UnitState;
 use crate::units::Place;
 
+/// A predecessor's clock may be slower than this one's by so much within the time that it starts jobs.
+const CLOCK_SLACK_MS: u64 = 50;
+
 /// How far a takeover is.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct Recovery {
@@ -25,6 +28,8 @@
     chosen_at: Option<Millis>,
     /// When the predecessor surely gives no orders any more.
     predecessor_over_at: Millis,
+    /// When predecessors surely start nothing any more that they learned of since they were fenced off.
+    new_jobs_over_at: Millis,
     begun: bool,
     settled: bool,
     /// Whether some worker never told what ran on it: runs may have been started there that nobody knows of.
@@ -46,8 +51,13 @@
 
     /// Says whether a predecessor may have read, and started, a job that comes after all jobs stored before a time
     /// have been read.
-    fn may_know(&self, jobs_read_at: Millis) -> bool {
-        self.begun && jobs_read_at < self.predecessor_over_at
+    fn may_know(&self, jobs_read_at: Millis, prove: bool) -> bool {
+        let over_at = if prove {
+            self.new_jobs_over_at
+        } else {
+            self.predecessor_over_at
+        };
+        self.begun && jobs_read_at < over_at
     }
 
     /// Takes it for a moment that something that runs is unknown. Returns whether nothing was.
@@ -101,6 +111,7 @@
             waiting,
             over_at: now.plus(bound_ms),
             chosen_at,
+            new_jobs_over_at: now.plus(self.options.job_authority_ms + CLOCK_SLACK_MS),
             predecessor_over_at: chosen_at.unwrap_or(now).plus(self.options.authority_ms),
             begun: true,
             settled: false,
@@ -139,10 +150,12 @@
 
     /// Takes it that a predecessor may have started a job that has just been read, if it may have read it too.
     ///
-    /// Such a job waits as those that were restored do. Started at once, its task ran on two workers. Predecessors that
-    /// start nothing without a proof have started none of these.
+    /// Such a job waits as those that were restored do. Started at once, its task ran on two workers.
     pub(crate) fn inherit_if_known_before(&mut self, job: JobKey) {
-        if !self.predecessors_prove && self.recovery.may_know(self.jobs_read_at) {
+        if self
+            .recovery
+            .may_know(self.jobs_read_at, self.predecessors_prove)
+        {
             self.jobs[job].inherited = true;
         }
     }
--- a/crates/sched/src/scheduler.rs
+++ b/crates/sched/src/scheduler.rs
@@ -34,6 +34,7 @@
 use crate::keeping::EndStamp;
 use crate::pacing::Disturbance;
 use crate::pools::Pools;
+use crate::proof::Proof;
 use crate::recovery::Recovery;
 use crate::strays::Stray;
 use crate::upkeep::Upkeep;
@@ -79,9 +80,9 @@
     /// Runs of jobs that have not been read yet, and the time before which all that was stored has been.
     pub(crate) strays: Vec<Stray>,
     pub(crate) jobs_read_at: Millis,
-    /// Jobs that were added since this scheduler began, and those of them that may be started.
+    /// Jobs that were added since this scheduler began.
     pub(crate) jobs_added: u64,
-    pub(crate) jobs_proved: u64,
+    pub(crate) proof: Proof,
     pub(crate) predecessors_prove: bool,
     pub(crate) cell_clock: CellClock,
     /// The time of day, once it was told.
@@ -118,7 +119,7 @@
             strays: Vec::new(),
             jobs_read_at: Millis(u64::MAX),
             jobs_added: 0,
-            jobs_proved: u64::MAX,
+            proof: Proof::ETERNAL,
             predecessors_prove: false,
             cell_clock: CellClock::default(),
             day: None,
--- a/crates/sched/src/waiting.rs
+++ b/crates/sched/src/waiting.rs
@@ -37,7 +37,7 @@
         let settled = self.recovery.is_settled();
         for key in &self.open {
             let job = &self.jobs[*key];
-            if job.inherited && !settled || job.number > self.jobs_proved {
+            if job.inherited && !settled || !self.is_proved(job.number, now) {
                 continue;
             }
             for step in 0..job.steps.len() {
