Scatter repeats by the libraries of the project

The jitter of repeats came from a mixing function of our own; it comes from a seeded generator and a hash of the libraries now.

--- a/crates/sched/src/backoff.rs
+++ b/crates/sched/src/backoff.rs
@@ -3,7 +3,14 @@
 //! Both are of the published forms: M. Brooker, "Exponential Backoff And Jitter" (AWS, 2015), and the retry
 //! budgets of Finagle and gRPC, where each success pays for a later repeat.
 
+use std::hash::Hash;
+use std::hash::Hasher;
+
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
 use syc_types::Millis;
+use xxhash_rust::xxh3::Xxh3;
 
 use crate::Run;
 use crate::TaskId;
@@ -19,22 +26,15 @@
 pub(crate) fn backoff_ms(base_ms: u64, limit_ms: u64, repeats: u32, seed: u64) -> u64 {
     let doubled_ms = base_ms.saturating_mul(1 << repeats.min(DOUBLINGS_LIMIT));
     let half_ms = doubled_ms.min(limit_ms) / 2;
-    half_ms + mix(seed ^ u64::from(repeats)) % (half_ms + 1)
+    let mut rng = SmallRng::seed_from_u64(seed ^ u64::from(repeats));
+    half_ms + rng.random_range(0..=half_ms)
 }
 
-/// Returns what scatters the repeats of orders about a run: the core draws no random numbers.
+/// Returns what scatters the repeats of orders about a run: the core draws no random numbers of its own.
 pub(crate) fn seed_of(task: TaskId, run: Run) -> u64 {
-    let place = u64::from(task.step.occurrence) << 16 | u64::from(task.step.step);
-    let number = u64::from(task.index) << 32 | u64::from(run.0);
-    mix(task.step.job.0) ^ mix(place) ^ mix(number)
-}
-
-/// Scatters the bits of a number (the finalizer of `SplitMix64`).
-const fn mix(number: u64) -> u64 {
-    let mut mixed = number.wrapping_add(0x9e37_79b9_7f4a_7c15);
-    mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    mixed ^ (mixed >> 31)
+    let mut hasher = Xxh3::new();
+    (task, run).hash(&mut hasher);
+    hasher.finish()
 }
 
 /// A token bucket that pays for repeats: it fills with time, and with each order that is taken.
