Give budgets of repeats and backoff a crate of their own

Moves the token bucket and the backoff of the scheduling core to syc-retry, without a change of either, so that admission to the store can use the same.

--- a/crates/sched/src/contact.rs
+++ b/crates/sched/src/contact.rs
@@ -5,6 +5,8 @@
 //! has taken one (a circuit breaker, half open for each probe). A doubt that outlasts its bound lets the lease of
 //! the worker lapse on purpose, so that each doubt has an end that needs no answer of the worker.
 
+use syc_retry::Budget;
+use syc_retry::backoff_ms;
 use syc_types::Millis;
 
 use crate::Action;
@@ -13,8 +15,6 @@
 use crate::StopReason;
 use crate::TaskId;
 use crate::WorkerKey;
-use crate::backoff::Budget;
-use crate::backoff::backoff_ms;
 use crate::backoff::seed_of;
 use crate::reports::belief;
 use crate::worker::Phase;
--- a/crates/sched/src/repeats.rs
+++ b/crates/sched/src/repeats.rs
@@ -1,5 +1,6 @@
 //! Orders that were not taken, and are sent again.
 
+use syc_retry::backoff_ms;
 use syc_types::Millis;
 
 use crate::Run;
@@ -7,7 +8,6 @@
 use crate::StopReason;
 use crate::TaskId;
 use crate::WorkerKey;
-use crate::backoff::backoff_ms;
 use crate::backoff::seed_of;
 use crate::worker::Phase;
 
--- a/crates/sched/src/scheduler.rs
+++ b/crates/sched/src/scheduler.rs
@@ -7,6 +7,7 @@
 
 use slotmap::SlotMap;
 use smol_str::SmolStr;
+use syc_retry::Budget;
 use syc_types::DayAnchor;
 use syc_types::Millis;
 use syc_types::TimeOfDay;
@@ -25,7 +26,6 @@
 use crate::StopReason;
 use crate::TaskId;
 use crate::WorkerKey;
-use crate::backoff::Budget;
 use crate::headroom::Headroom;
 use crate::ids::JobKey;
 use crate::job::Job;
