Count a node's patience from when it may claim, so that one with an ample link is chosen at the start

What was seen: on the large site, the scheduler sat behind a link of 20 Mbit/s though fifteen nodes had 200: an append of progress took 50 to 130 ms at the calm load, and 700 to 800 ms while the store was slow; 60 claims were lost at once.

Cause: nodes with thin links leave others half a second to claim. All of them wait for the first configuration, which comes later than that, so the wait was over for all at the same time, and chance chose.

Patience counts from the first configuration on. The new test has ten nodes of which one has an ample link, and publishes the configuration late: another was chosen before, that one now.

--- a/crates/cell/src/holders.rs
+++ b/crates/cell/src/holders.rs
@@ -47,6 +47,8 @@
     released: u64,
     /// When the newest heartbeat was read.
     seen_at: Millis,
+    /// When the first configuration was known; without one, no node may claim.
+    configured_at: Option<Millis>,
     /// When the newest record was read of a holder that starts jobs without a proof.
     unproving_at: Option<Millis>,
 }
@@ -62,6 +64,7 @@
     };
     loop {
         read_news(&node, &mut watch).await;
+        watch.note_configured(&node);
         show_holder(&node, &watch);
         if claim_is_due(&node, &watch) {
             claim(&node, &mut watch).await;
@@ -122,6 +125,15 @@
             .is_none_or(|at| now().since(at) > UNPROVING_MS)
     }
 
+    fn note_configured<P>(&mut self, node: &Node<P>)
+    where
+        P: Platform,
+    {
+        if self.configured_at.is_none() && node.configuration().is_some() {
+            self.configured_at = Some(now());
+        }
+    }
+
     fn take<P>(&mut self, node: &Node<P>, offset: u64, record: &Record)
     where
         P: Platform,
@@ -160,12 +172,17 @@
     }
 }
 
-/// Returns the time since which the store has answered without any heartbeat.
+/// Returns the time since which this node could have claimed, and the store has answered without any heartbeat.
+///
+/// Nodes wait for the first configuration at the same time. Were that wait a part of their patience, it would be over
+/// for all of them at once, and a node with a thin link would be as likely to be chosen as any.
 fn quiet_since<P>(node: &Rc<Node<P>>, watch: &Watch) -> Millis
 where
     P: Platform,
 {
-    watch.seen_at.max(node.store_failed_at())
+    let configured_at = watch.configured_at.unwrap_or_else(now);
+    let heard_at = watch.seen_at.max(node.store_failed_at());
+    heard_at.max(configured_at)
 }
 
 /// Returns how long a node waits for a heartbeat before it claims.
--- a/crates/cell/tests/cell/cluster.rs
+++ b/crates/cell/tests/cell/cluster.rs
@@ -38,6 +38,9 @@
 /// The queue and service of every test.
 pub const QUEUE: &str = "queue";
 
+/// What the link of a node carries, in megabits a second.
+const LINK_MBPS: f64 = 1_000.0;
+
 /// Time for which what has ended is kept.
 const STATUS_MS: u64 = 120_000;
 
@@ -81,6 +84,17 @@
         cluster
     }
 
+    /// Starts nodes with links of so many megabits a second, without a configuration.
+    pub fn start_unconfigured(links_mbps: &[f64], timing: Timing) -> Self {
+        let mut cluster = Self::start_with(0, 1, timing);
+        cluster.platform = SharedPlatform::new();
+        cluster.platform.register(worker(0));
+        for link_mbps in links_mbps {
+            cluster.add_node_with(0, *link_mbps);
+        }
+        cluster
+    }
+
     /// The same with other times.
     pub fn start_with(nodes: usize, workers: usize, timing: Timing) -> Self {
         let system = actix_rt::System::new();
@@ -110,6 +124,10 @@
 
     /// The same with a clock that is off by so much.
     pub fn add_node_with_clock(&mut self, shift_ms: i64) -> usize {
+        self.add_node_with(shift_ms, LINK_MBPS)
+    }
+
+    fn add_node_with(&mut self, shift_ms: i64, link_mbps: f64) -> usize {
         let number = self.nodes.len();
         let clock = DayClock::default();
         clock.set_shift_ms(shift_ms);
@@ -123,6 +141,7 @@
             let settings = NodeSettings {
                 timing,
                 status_ms,
+                link_mbps,
                 day_clock: clock,
                 ..settings(number, &peers)
             };
@@ -322,7 +341,7 @@
         stop_limit_ms: 900,
         status_ms: STATUS_MS,
         partitions: 4,
-        link_mbps: 1_000.0,
+        link_mbps: LINK_MBPS,
         upkeep_ms: 300,
         vm_order_pause_ms: 100,
         day_clock: DayClock::default(),
--- a/crates/cell/tests/cell/takeover.rs
+++ b/crates/cell/tests/cell/takeover.rs
@@ -1,6 +1,7 @@
 //! The scheduler ends, as planned or not, and another goes on.
 
 use std::net::TcpListener;
+use std::time::Duration;
 
 use syc_cell::NodeSettings;
 use syc_cell::Timing;
@@ -12,6 +13,7 @@
 use syc_sched::Schedule;
 
 use crate::cluster::Cluster;
+use crate::cluster::configuration;
 use crate::cluster::job;
 use crate::cluster::node_name;
 use crate::cluster::settings;
@@ -139,6 +141,22 @@
     assert!(thin.claim_delay_ms() > 2 * latest_of_ample_ms);
 }
 
+/// All nodes wait for the first configuration. Once it is there, one with a thin link was as likely to be chosen as
+/// any: what it reads and writes as the scheduler then took several times as long as the store needed.
+#[test]
+fn a_node_with_an_ample_link_is_chosen_when_the_first_configuration_comes() {
+    let timing = Timing {
+        thin_link_delay_ms: 3_000,
+        ..Timing::default()
+    };
+    let mut links_mbps = [10.0; 10];
+    links_mbps[9] = 1_000.0;
+    let cluster = Cluster::start_unconfigured(&links_mbps, timing);
+    std::thread::sleep(Duration::from_millis(timing.thin_link_delay_ms + 500));
+    cluster.platform.publish(configuration(1));
+    assert_eq!(cluster.scheduler(), 9);
+}
+
 #[test]
 fn a_node_that_joins_later_serves_and_can_take_over() {
     let mut cluster = Cluster::start(1, 2);
