Write up to a thousand jobs' progress in one append

While the store is slow by 73, an append takes 0.5 to 0.6 s, and two a second with 200 jobs each were less than the 800 a second that changed: what ended was shown seconds later. 200 records have some 60 KB, so that a thousand are well within what one call may have.

--- a/crates/cell/src/leader/records.rs
+++ b/crates/cell/src/leader/records.rs
@@ -26,7 +26,7 @@
 const PRODUCER: &str = "scheduler";
 
 /// Most jobs whose progress shares one append.
-const BATCH_JOBS: usize = 200;
+const BATCH_JOBS: usize = 1_000;
 
 /// Wait after an append that failed.
 const RETRY_MS: u64 = 50;
