Take a store that answers slowly for slow, not for away, and hear the scheduler itself before replacing it

With the store slower by 150, an answer takes more than a second. Calls were given up after 0.7 s whatever earlier answers had taken, two nodes in three took the store for away within a second and turned callers away, and claimed the role since heartbeats in the store came late, though the scheduler answered them.

Limits follow what answers took (twice that, or the limit for a sound store), learned from answers alone: a store that is away is not slow. A scheduler that tells a node itself that it is there and has the store is waited for four times as long.

--- a/crates/cell/src/contact.rs
+++ b/crates/cell/src/contact.rs
@@ -33,6 +33,9 @@
 /// be turned away: two heartbeats and their repeats have failed by then.
 const TURNED_AWAY_MS: u64 = 300;
 
+/// A scheduler that said something within this time is there: a few calls.
+const SOUND_MS: u64 = 600;
+
 /// Calls without an answer after which the scheduler is suspected to be gone.
 const MISSES_OF_GONE: u32 = 2;
 
@@ -71,6 +74,11 @@
         self.store_answers.get() && self.answers.get()
     }
 
+    /// Says whether the scheduler has just said that it is there, and that the store answers it.
+    pub(crate) fn is_sound(&self) -> bool {
+        self.relays() && now().since(self.answered_at.get()) < SOUND_MS
+    }
+
     /// Returns the time that an append takes at the scheduler's node, as it told last.
     pub(crate) const fn append_ms(&self) -> u64 {
         self.append_ms.get()
--- a/crates/cell/src/holders.rs
+++ b/crates/cell/src/holders.rs
@@ -30,6 +30,9 @@
 /// Longest wait of a read for news: it also shows that the connection still works.
 const WAIT_MS: u64 = 800;
 
+/// A scheduler that is heard of otherwise is waited for so many times as long.
+const SILENCES_IN_TOUCH: u64 = 4;
+
 /// Shortest wait of a read.
 const SHORT_WAIT_MS: u64 = 20;
 
@@ -198,11 +201,22 @@
         // An earlier incarnation of this very node held the role, and it is over.
         Some(holder) if is_earlier_incarnation(node, holder) => 0,
         Some(_) if node.holder_gone.get() => timing.gone_silence_ms,
+        // Its heartbeats are late where the store is slow.
+        Some(_) if is_in_touch(node) => timing.silence_ms * SILENCES_IN_TOUCH,
         Some(_) => timing.silence_ms,
     };
     silence_ms + spread_ms + delay_ms
 }
 
+/// Says whether the scheduler itself tells this node that it is there and that the store answers it.
+fn is_in_touch<P>(node: &Node<P>) -> bool
+where
+    P: Platform,
+{
+    let link = node.link.borrow();
+    link.as_ref().is_some_and(|link| link.is_sound())
+}
+
 fn is_earlier_incarnation<P>(node: &Node<P>, holder: &Holder) -> bool
 where
     P: Platform,
--- a/crates/cell/src/store_calls.rs
+++ b/crates/cell/src/store_calls.rs
@@ -42,6 +42,9 @@
 /// The store is away when it has answered nothing for this long, and something failed since.
 const AWAY_MS: u64 = 200;
 
+/// A store that is slow is given so many times the time that its answers take.
+const SLOW_FACTOR: u64 = 2;
+
 /// An append is given up after this many times the usual time, or the store's timeout.
 const TIMEOUT_FACTOR: u64 = 3;
 
@@ -59,6 +62,9 @@
     last_answer_at: Cell<Millis>,
     /// How long appends take, but for those of jobs, which have a pace of their own.
     pace: Cell<Pace>,
+    /// How long the calls took that were answered. Unlike the pace, it says nothing of those that were not: a store
+    /// that is away is not slow.
+    answers_took: Cell<Pace>,
     /// When the latest of the appends that were answered had been sent.
     answered_sent_at: Cell<Millis>,
 }
@@ -71,11 +77,25 @@
             last_failure_at: Cell::new(began),
             last_answer_at: Cell::new(began),
             pace: Cell::new(Pace::new(FIRST_USUAL_MS)),
+            answers_took: Cell::new(Pace::new(0)),
             answered_sent_at: Cell::new(began),
         }
     }
 
+    fn note_answer(&self, sent_at: Millis) {
+        let mut took = self.answers_took.get();
+        took.took(now().since(sent_at));
+        self.answers_took.set(took);
+    }
+
+    /// Returns the time that a call is given which a sound store answers within the least.
+    fn limit_ms(&self, least_ms: u64) -> u64 {
+        let by_answers = self.answers_took.get().usual_ms() * SLOW_FACTOR;
+        by_answers.max(least_ms)
+    }
+
     fn took(&self, sent_at: Millis) {
+        self.note_answer(sent_at);
         let mut pace = self.pace.get();
         pace.took(now().since(sent_at));
         self.pace.set(pace);
@@ -226,7 +246,8 @@
             .platform
             .append(Topic::Jobs, partition, records, &Condition::None);
         let mut call = std::pin::pin!(call);
-        let early_ms = self.settings.timing.store_timeout_ms;
+        let least_ms = self.settings.timing.store_timeout_ms;
+        let early_ms = self.store.limit_ms(least_ms).min(JOBS_LIMIT_MS);
         let early = tokio::time::timeout(Duration::from_millis(early_ms), call.as_mut()).await;
         let outcome = match early {
             Ok(outcome) => outcome,
@@ -237,6 +258,9 @@
                 late.unwrap_or_else(|_elapsed| Err(timed_out()))
             }
         };
+        if outcome.is_ok() {
+            self.store.note_answer(began);
+        }
         self.note_store("append", result_of(&outcome), began);
         outcome
     }
@@ -307,7 +331,8 @@
         wait_ms: u64,
     ) -> Result<Page, ReadError> {
         let began = now();
-        let limit_ms = wait_ms + self.settings.timing.store_timeout_ms;
+        let least_ms = self.settings.timing.store_timeout_ms;
+        let limit_ms = wait_ms + self.store.limit_ms(least_ms);
         let call = self.platform.read(topic, partition, from, wait_ms);
         let outcome = within(limit_ms, call).await;
         self.note_read("read", &outcome, began);
@@ -328,7 +353,11 @@
     pub(crate) async fn probe(&self) {
         let began = now();
         let read = self.platform.read(Topic::Holders, 0, 0, 0);
-        let outcome = within(self.settings.timing.probe_timeout_ms, read).await;
+        let least_ms = self.settings.timing.probe_timeout_ms;
+        let outcome = within(self.store.limit_ms(least_ms), read).await;
+        if outcome.is_ok() {
+            self.store.note_answer(began);
+        }
         self.note_read("probe", &outcome, began);
     }
 
@@ -367,7 +396,7 @@
         let answered_at = self.store.last_answer_at.get();
         let failed_since = self.store.last_failure_at.get() > answered_at;
         let silent_ms = now().since(answered_at);
-        let answers = !(failed_since && silent_ms > AWAY_MS);
+        let answers = !(failed_since && silent_ms > self.store.limit_ms(AWAY_MS));
         if self.store.answers.replace(answers) != answers {
             log::store_health(answers, kind, result, silent_ms);
             self.accepting.look_soon();
