--- a/crates/cell/src/holders.rs
+++ b/crates/cell/src/holders.rs
@@ -30,6 +30,9 @@
 /// Longest wait of a read for news: it also shows that the connection still works.
 const WAIT_MS: u64 = 800;
 
+/// A scheduler that is heard of otherwise is waited for so many times as long.
+const SILENCES_IN_TOUCH: u64 = 4;
+
 /// Shortest wait of a read.
 const SHORT_WAIT_MS: u64 = 20;
 
@@ -47,6 +50,8 @@
     released: u64,
     /// When the newest heartbeat was read.
     seen_at: Millis,
+    /// When the first configuration was known; without one, no node may claim.
+    configured_at: Option<Millis>,
     /// When the newest record was read of a holder that starts jobs without a proof.
     unproving_at: Option<Millis>,
 }
@@ -62,6 +67,7 @@
     };
     loop {
         read_news(&node, &mut watch).await;
+        watch.note_configured(&node);
         show_holder(&node, &watch);
         if claim_is_due(&node, &watch) {
             claim(&node, &mut watch).await;
@@ -122,6 +128,15 @@
             .is_none_or(|at| now().since(at) > UNPROVING_MS)
     }
 
+    fn note_configured<P>(&mut self, node: &Node<P>)
+    where
+        P: Platform,
+    {
+        if self.configured_at.is_none() && node.configuration().is_some() {
+            self.configured_at = Some(now());
+        }
+    }
+
     fn take<P>(&mut self, node: &Node<P>, offset: u64, record: &Record)
     where
         P: Platform,
@@ -160,12 +175,17 @@
     }
 }
 
-/// Returns the time since which the store has answered without any heartbeat.
+/// Returns the time since which this node could have claimed, and the store has answered without any heartbeat.
+///
+/// Nodes wait for the first configuration at the same time. Were that wait a part of their patience, it would be over
+/// for all of them at once, and a node with a thin link would be as likely to be chosen as any.
 fn quiet_since<P>(node: &Rc<Node<P>>, watch: &Watch) -> Millis
 where
     P: Platform,
 {
-    watch.seen_at.max(node.store_failed_at())
+    let configured_at = watch.configured_at.unwrap_or_else(now);
+    let heard_at = watch.seen_at.max(node.store_failed_at());
+    heard_at.max(configured_at)
 }
 
 /// Returns how long a node waits for a heartbeat before it claims.
@@ -181,11 +201,22 @@
         // An earlier incarnation of this very node held the role, and it is over.
         Some(holder) if is_earlier_incarnation(node, holder) => 0,
         Some(_) if node.holder_gone.get() => timing.gone_silence_ms,
+        // Its heartbeats are late where the store is slow.
+        Some(_) if is_in_touch(node) => timing.silence_ms * SILENCES_IN_TOUCH,
         Some(_) => timing.silence_ms,
     };
     silence_ms + spread_ms + delay_ms
 }
 
+/// Says whether the scheduler itself tells this node that it is there and that the store answers it.
+fn is_in_touch<P>(node: &Node<P>) -> bool
+where
+    P: Platform,
+{
+    let link = node.link.borrow();
+    link.as_ref().is_some_and(|link| link.is_sound())
+}
+
 fn is_earlier_incarnation<P>(node: &Node<P>, holder: &Holder) -> bool
 where
     P: Platform,
