Make the calls for advice about a wide gang at the same time

Cause: calls about one step were made one after the other, each 1.2 s; the tickets of the first are good for 2 s, and were asked for again when the last had come. The widest gangs went round in that.

A step that needs more workers than one call may name, to hold it three times over were they empty, gets up to four calls at the same time; the second and each further one only while four times as many could be made, so that others do not wait for it.

--- a/crates/sched/src/advice.rs
+++ b/crates/sched/src/advice.rs
@@ -11,6 +11,7 @@
 use crate::StepId;
 use crate::TaskId;
 use crate::WorkerKey;
+use crate::gang::CHOICE;
 use crate::ids::JobKey;
 use crate::job::Ticket;
 use crate::scheduler::QueueStats;
@@ -19,6 +20,14 @@
 /// Most workers that one call may name.
 const CALL_WORKERS_LIMIT: usize = 100;
 
+/// Most calls about one step at a time. One after the other, the tickets of the first calls about a wide gang are too
+/// old when the last has its answer, and are asked for again.
+const CALLS_AT_ONCE: usize = 4;
+
+/// A step takes a second call, and each further one, only where so many times as many can be made: the others' calls
+/// must not wait for those of one wide gang.
+const SPARED_SLOTS: u32 = 4;
+
 /// Share of workers that is taken to be allowed before a queue has shown its own.
 const FIRST_SHARE: f64 = 0.4;
 
@@ -112,7 +121,8 @@
             let wanted = usize::try_from(wanted).unwrap_or(usize::MAX);
             most_room(known, wanted.saturating_add(1), self.step_id(job, step))
         };
-        self.ask(job, step, policy, picked, now);
+        let one_call = picked.len().min(CALL_WORKERS_LIMIT);
+        self.ask(job, step, policy, &picked[..one_call], now);
     }
 
     /// Asks about all workers that a gang could use, for the first time or beyond those known.
@@ -133,9 +143,30 @@
             unknown.push((room, key));
         }
         let count = self.first_call_size(job, step, &unknown);
-        let count = count.max(self.options.gang_advice_workers);
+        let count = count
+            .max(self.options.gang_advice_workers)
+            .min(CALL_WORKERS_LIMIT)
+            .max(self.width_to_ask(job, step));
         let picked = most_room(unknown, count, self.step_id(job, step));
-        self.ask(job, step, policy, picked, now);
+        self.ask(job, step, policy, &picked, now);
+    }
+
+    /// Returns how many workers to ask about so that those allowed could hold a gang, were they empty.
+    fn width_to_ask(&self, job: JobKey, step: usize) -> usize {
+        let of_job = &self.jobs[job];
+        let spec = &of_job.steps[step].spec;
+        let limit = spec.limit_on_a_worker();
+        let mut workers: u32 = 0;
+        let mut held: u32 = 0;
+        for worker in self.workers.values() {
+            workers += 1;
+            held = held.saturating_add(fits(&worker.spec.capacity, &spec.room(), limit));
+        }
+        let each = f64::from(held) / f64::from(workers.max(1));
+        let share = self.allowed_share(&of_job.spec.policy.queue);
+        let wanted = f64::from(spec.tasks) * f64::from(CHOICE) / each.max(0.5) / share;
+        let wanted = std::time::Duration::from_secs_f64(wanted.clamp(0.0, 1_000.0)).as_secs();
+        usize::try_from(wanted).unwrap_or(CALL_WORKERS_LIMIT)
     }
 
     /// Asks again about workers whose tickets are too old.
@@ -143,7 +174,7 @@
         &mut self,
         job: JobKey,
         step: usize,
-        workers: Vec<WorkerKey>,
+        workers: &[WorkerKey],
         now: Millis,
     ) {
         let Some(policy) = self.advice_due(job, step, now) else {
@@ -201,22 +232,28 @@
         job: JobKey,
         step: usize,
         policy: AdvicePolicy,
-        mut workers: Vec<WorkerKey>,
+        workers: &[WorkerKey],
         now: Millis,
     ) {
-        workers.truncate(CALL_WORKERS_LIMIT);
-        if workers.is_empty() || !self.take_slot(policy.call_ms(workers.len())) {
-            return;
-        }
         let id = self.step_id(job, step);
-        let advice = &mut self.jobs[job].steps[step].advice;
-        advice.asked_at = Some(now);
-        advice.calls += 1;
-        self.actions.push(Action::Ask {
-            step: id,
-            expected_ms: policy.call_ms(workers.len()),
-            workers,
-        });
+        let slots = self.advice_slots.long / SPARED_SLOTS;
+        let calls = usize::try_from(slots).unwrap_or(CALLS_AT_ONCE);
+        let calls = calls.clamp(1, CALLS_AT_ONCE);
+        for part in workers.chunks(CALL_WORKERS_LIMIT).take(calls) {
+            let expected_ms = policy.call_ms(part.len());
+            if !self.take_slot(expected_ms) {
+                return;
+            }
+            let advice = &mut self.jobs[job].steps[step].advice;
+            advice.asked_at = Some(now);
+            advice.under_way += 1;
+            advice.calls += 1;
+            self.actions.push(Action::Ask {
+                step: id,
+                expected_ms,
+                workers: part.to_vec(),
+            });
+        }
     }
 
     /// Takes a free place for a call. Says whether there was one.
@@ -252,7 +289,10 @@
         };
         let of_step = &mut job.steps[index];
         let advice = &mut of_step.advice;
-        advice.asked_at = None;
+        advice.under_way = advice.under_way.saturating_sub(1);
+        if advice.under_way == 0 {
+            advice.asked_at = None;
+        }
         let AdviceAnswer::Given {
             allowed,
             validity_ms,
@@ -303,6 +343,7 @@
                 let asked_at = step.advice.asked_at;
                 if asked_at.is_some_and(|at| now.since(at) > bound_ms) {
                     step.advice.asked_at = None;
+                    step.advice.under_way = 0;
                 }
             }
         }
--- a/crates/sched/src/gang.rs
+++ b/crates/sched/src/gang.rs
@@ -14,7 +14,7 @@
 
 /// A gang asks about more workers until those that may run it could hold it so many times: with no bound,
 /// gangs that lack room take all calls for advice.
-const CHOICE: u32 = 3;
+pub(crate) const CHOICE: u32 = 3;
 
 /// Workers for the members of a gang, and how many of them each takes.
 #[derive(Debug)]
@@ -79,8 +79,8 @@
         }
         if !stale.is_empty() || (!has_room && !self.is_fresh(job, step, &reservation.workers, now))
         {
-            let workers = reservation.workers.iter().map(|(key, _)| *key).collect();
-            self.ask_again(job, step, workers, now);
+            let workers: Vec<_> = reservation.workers.iter().map(|(key, _)| *key).collect();
+            self.ask_again(job, step, &workers, now);
         }
         if has_room && stale.is_empty() {
             self.release_reservation(job, step, 0);
--- a/crates/sched/src/job.rs
+++ b/crates/sched/src/job.rs
@@ -141,8 +141,10 @@
     pub(crate) tickets: BTreeMap<WorkerKey, Ticket>,
     /// Workers that may not.
     pub(crate) denied: BTreeSet<WorkerKey>,
-    /// When the call under way was made.
+    /// When the calls under way were made.
     pub(crate) asked_at: Option<Millis>,
+    /// Calls under way.
+    pub(crate) under_way: u32,
     /// No call before this time.
     pub(crate) not_before: Millis,
     /// Calls made.
--- a/crates/sched/src/place.rs
+++ b/crates/sched/src/place.rs
@@ -276,7 +276,7 @@
                 self.start_unit(job, step, unit, &[worker], now);
                 return;
             }
-            self.ask_again(job, step, vec![worker], now);
+            self.ask_again(job, step, &[worker], now);
         }
         if over || !usable {
             self.release_reservation(job, step, unit);
--- a/crates/sched/tests/overload/main.rs
+++ b/crates/sched/tests/overload/main.rs
@@ -24,6 +24,12 @@
     surge: 1.9,
 };
 
+/// Load of the calm days, in hundredths of what the workers hold.
+const CALM_PERCENT: u32 = 87;
+
+/// By then the workers are as full as they get at that load.
+const CALM_FROM_MS: u64 = 8_000;
+
 /// From ten seconds after the disruption on, each kind is served as before it.
 const SERVED_FROM_MS: u64 = 30_000;
 
@@ -65,3 +71,40 @@
         "{examined} workers examined for {waiting} tasks"
     );
 }
+
+/// Wide gangs need advice about more workers than one call may name. Asked one after the other, the first tickets were
+/// too old when the last came, and the widest gangs waited for ever.
+#[test_case(1; "some jobs")]
+#[test_case(2; "other jobs")]
+fn the_largest_gangs_are_served_like_the_others(seed: u64) {
+    let setup = Setup::wide(CALM_PERCENT);
+    let until_ms = setup.load_until_ms;
+    let mut replay = Replay::new(seed, setup, None);
+    replay.play();
+    assert_eq!(replay.faults(), []);
+    let all = replay.served(GANGS, CALM_FROM_MS, until_ms);
+    let largest = replay.largest_served(GANGS, CALM_FROM_MS, until_ms);
+    assert!(
+        all >= 0.93 && largest >= 0.9 * all,
+        "{all:.2}, largest {largest:.2}"
+    );
+}
+
+/// How each kind is served at more load than room, and what is stopped for it.
+#[test]
+#[ignore = "prints a curve, and takes minutes"]
+fn curve_by_load() {
+    for load_percent in [CALM_PERCENT, 100, 113, 130, 150] {
+        let setup = Setup::wide(load_percent);
+        let until_ms = setup.load_until_ms;
+        let mut replay = Replay::new(1, setup, None);
+        replay.play();
+        let kinds = [GANGS, BATCH, LOOKUPS];
+        let served = kinds.map(|kind| replay.served(kind, CALM_FROM_MS, until_ms));
+        let largest = kinds.map(|kind| replay.largest_served(kind, CALM_FROM_MS, until_ms));
+        println!(
+            "{load_percent}%: gangs, batch, lookups {served:.2?}, largest {largest:.2?}, {:?}",
+            replay.preemptions()
+        );
+    }
+}
--- a/crates/sched/tests/overload/replay.rs
+++ b/crates/sched/tests/overload/replay.rs
@@ -35,6 +35,7 @@
 use syc_sched::StartAnswer;
 use syc_sched::StartOrder;
 use syc_sched::StepId;
+use syc_sched::StopReason;
 use syc_sched::TaskId;
 use syc_sched::WorkerKey;
 use syc_sched::WorkerSpec;
@@ -73,9 +74,18 @@
     kind: usize,
     accepted_at: Millis,
     objective_ms: u64,
+    /// What all of its tasks take, in thousandths of a core times milliseconds.
+    core_ms: u64,
     ended_after_ms: Option<u64>,
 }
 
+impl Course {
+    fn is_met(&self) -> bool {
+        let ended = self.ended_after_ms;
+        ended.is_some_and(|after_ms| after_ms <= self.objective_ms)
+    }
+}
+
 pub struct Replay {
     rng: SmallRng,
     setup: Setup,
@@ -91,6 +101,20 @@
     sent: u64,
     jobs: BTreeMap<JobId, Course>,
     due: Vec<f64>,
+    starts: u64,
+    /// Tasks that were stopped for more urgent work, and how often each was.
+    preempted: BTreeMap<TaskId, u32>,
+}
+
+/// What was stopped for more urgent work.
+#[derive(Debug, Clone, Copy)]
+pub struct Preemptions {
+    /// Runs that were started.
+    pub starts: u64,
+    /// Runs of them that were stopped.
+    pub stops: u64,
+    /// Most often that one task was.
+    pub most_of_a_task: u32,
 }
 
 impl Replay {
@@ -111,6 +135,8 @@
             deliveries: BTreeMap::new(),
             sent: 0,
             jobs: BTreeMap::new(),
+            starts: 0,
+            preempted: BTreeMap::new(),
         };
         for number in 0..replay.setup.workers {
             let id = WorkerId::new(format!("w-{number:03}"));
@@ -207,6 +233,7 @@
             kind: index,
             accepted_at: self.now,
             objective_ms: objective_ms(kind, &drawn),
+            core_ms: core_ms(&drawn),
             ended_after_ms: None,
         };
         self.jobs.insert(id, course);
@@ -327,10 +354,21 @@
                 Action::Attach { worker, spec } => {
                     self.sessions.insert(worker, (spec.id, self.now));
                 }
-                Action::Start(order) => self.send_start(&order),
+                Action::Start(order) => {
+                    self.starts += 1;
+                    self.send_start(&order);
+                }
                 Action::Stop {
-                    worker, task, run, ..
-                } => self.send_stop(worker, task, run),
+                    worker,
+                    task,
+                    run,
+                    reason,
+                } => {
+                    if reason == StopReason::Preempted {
+                        *self.preempted.entry(task).or_default() += 1;
+                    }
+                    self.send_stop(worker, task, run);
+                }
                 Action::Ask { step, workers, .. } => self.ask(step, workers),
                 Action::Note(Note::JobEnded {
                     job,
@@ -425,12 +463,34 @@
                 continue;
             }
             accepted += 1;
-            let ended = course.ended_after_ms;
-            met += u32::from(ended.is_some_and(|after_ms| after_ms <= course.objective_ms));
+            met += u32::from(course.is_met());
         }
         f64::from(met) / f64::from(accepted)
     }
 
+    /// Returns the same for the largest tenth of a kind's jobs.
+    pub fn largest_served(&self, kind: usize, from_ms: u64, until_ms: u64) -> f64 {
+        let in_time = |course: &&Course| {
+            course.kind == kind && (from_ms..until_ms).contains(&course.accepted_at.0)
+        };
+        let mut courses: Vec<_> = self.jobs.values().filter(in_time).collect();
+        courses.sort_by_key(|course| std::cmp::Reverse(course.core_ms));
+        courses.truncate(courses.len().div_ceil(10));
+        let is_met = |course: &&&Course| course.is_met();
+        let met = u32::try_from(courses.iter().filter(is_met).count()).unwrap_or(0);
+        let all = u32::try_from(courses.len()).unwrap_or(1);
+        f64::from(met) / f64::from(all)
+    }
+
+    /// Returns what was stopped for more urgent work.
+    pub fn preemptions(&self) -> Preemptions {
+        Preemptions {
+            starts: self.starts,
+            stops: self.preempted.values().map(|times| u64::from(*times)).sum(),
+            most_of_a_task: self.preempted.values().copied().max().unwrap_or(0),
+        }
+    }
+
     /// Returns what was broken on the workers.
     pub fn faults(&self) -> &[Fault] {
         self.fleet.judge.faults()
@@ -447,6 +507,14 @@
     }
 }
 
+fn core_ms(drawn: &DrawnJob) -> u64 {
+    let mut core_ms = 0;
+    for (step, work_ms) in drawn.spec.steps.iter().zip(&drawn.work_ms) {
+        core_ms += u64::from(step.tasks) * step.resources.cpu_millis * work_ms;
+    }
+    core_ms
+}
+
 /// Returns the time that a job may take: its objective counts from the work that it has.
 fn objective_ms(kind: &RequestKind, drawn: &DrawnJob) -> u64 {
     let chain_ms: u64 = drawn.work_ms.iter().sum();
--- a/crates/sched/tests/overload/setup.rs
+++ b/crates/sched/tests/overload/setup.rs
@@ -45,8 +45,27 @@
             end_ms: 70_000,
         }
     }
+
+    /// More workers, and tasks that are larger against them, with a load of so many hundredths of their room.
+    pub fn wide(load_percent: u32) -> Self {
+        let kinds = [wide_gangs(), wide_batch(), wide_lookups()];
+        let kinds = kinds.map(|kind| RequestKind {
+            jobs_per_s: kind.jobs_per_s * f64::from(load_percent) / WIDE_LOAD_PERCENT,
+            ..kind
+        });
+        Self {
+            workers: 540,
+            advisers: 97,
+            kinds: kinds.to_vec(),
+            load_until_ms: 30_000,
+            end_ms: 42_000,
+        }
+    }
 }
 
+/// The load of the kinds below on 540 workers, in hundredths of their room.
+const WIDE_LOAD_PERCENT: f64 = 87.0;
+
 /// What each worker has.
 pub fn capacity() -> Resources {
     Resources {
@@ -128,6 +147,53 @@
     }
 }
 
+fn wide_gangs() -> RequestKind {
+    RequestKind {
+        jobs_per_s: 9.15,
+        tasks: spread(20.0, 0.8, 120.0),
+        memory_mib: spread(34_000.0, 0.5, 68_000.0),
+        work_ms: spread(4_000.0, 0.5, 10_000.0),
+        advice: AdvicePolicy {
+            decision_ms: 507.0,
+            per_worker_ms: 7.28,
+            validity_ms: 2_000,
+        },
+        allowed_per_mille: 300,
+        ..gangs()
+    }
+}
+
+fn wide_batch() -> RequestKind {
+    RequestKind {
+        jobs_per_s: 12.2,
+        tasks: spread(19.0, 0.6, 96.0),
+        cpu_millis: spread(5_500.0, 0.45, 17_000.0),
+        memory_mib: spread(11_000.0, 0.6, 34_000.0),
+        work_ms: spread(2_700.0, 0.5, 6_800.0),
+        advice: AdvicePolicy {
+            decision_ms: 182.0,
+            per_worker_ms: 2.6,
+            validity_ms: 2_000,
+        },
+        ..batch()
+    }
+}
+
+fn wide_lookups() -> RequestKind {
+    RequestKind {
+        jobs_per_s: 108.0,
+        cpu_millis: spread(7_900.0, 0.45, 24_000.0),
+        memory_mib: spread(23_000.0, 0.6, 68_000.0),
+        work_ms: spread(800.0, 0.5, 2_000.0),
+        advice: AdvicePolicy {
+            decision_ms: 20.8,
+            per_worker_ms: 0.299,
+            validity_ms: 2_000,
+        },
+        ..lookups()
+    }
+}
+
 const fn spread(mean: f64, sigma: f64, most: f64) -> Spread {
     Spread { mean, sigma, most }
 }
