--- a/crates/cell/tests/cell/store.rs
+++ b/crates/cell/tests/cell/store.rs
@@ -1,23 +1,31 @@
 //! The store turns nodes away, does not answer, loses answers, forgets its history.
 
 use std::collections::BTreeSet;
+use std::rc::Rc;
+use std::time::Duration;
 
+use futures_util::FutureExt;
 use smol_str::SmolStr;
 use syc_cell::PendingAnswer;
 use syc_cell::StateAnswer;
 use syc_cell::Stored;
 use syc_cell::Timing;
+use syc_cell::now;
 use syc_cell::ports::Topic;
 use syc_fleet::SharedFaults;
 use syc_sched::JobId;
 use syc_sched::JobState;
 
+use crate::cluster;
 use crate::cluster::Cluster;
 use crate::cluster::QUEUE;
 use crate::cluster::configuration;
 use crate::cluster::node_name;
 use crate::cluster::step;
 
+/// Time that a planned stop has: less than a submit waits for an answer.
+const STOP_MS: u64 = 300;
+
 fn names<I>(numbers: I) -> BTreeSet<SmolStr>
 where
     I: IntoIterator<Item = usize>,
@@ -117,6 +125,44 @@
     assert_eq!(shown, StateAnswer::NoSuchJob);
 }
 
+/// A planned stop ends when its time is over. A submit that came late in it, over a connection that was kept, waited
+/// for an answer of the store that was lost for longer than that, and was cut without one of its own.
+#[test]
+fn a_planned_stop_answers_what_is_submitted_before_it_ends() {
+    let cluster = Cluster::start(1, 1);
+    let node = cluster.scheduler();
+    cluster.platform.set_faults(SharedFaults {
+        lost_submits: u32::MAX,
+        ..SharedFaults::default()
+    });
+    let spec = cluster::job(1, vec![step(1, 20)]);
+    let outcome = cluster.on(node, move |node| async move {
+        let submitting = Rc::clone(&node);
+        let submitted = actix_rt::spawn(async move { submitting.submit(&spec).await });
+        actix_rt::time::sleep(Duration::from_millis(10)).await;
+        node.begin_stop(now().plus(STOP_MS)).await;
+        node.finish_stop(STOP_MS).await;
+        // What has no answer now is cut.
+        submitted.now_or_never()
+    });
+    let outcome = outcome
+        .expect("an answer before the end")
+        .expect("an outcome");
+    assert_eq!(outcome, Stored::InDoubt);
+}
+
+#[test]
+fn a_submit_after_the_end_of_a_planned_stop_is_refused_at_once() {
+    let cluster = Cluster::start(1, 1);
+    let node = cluster.scheduler();
+    let spec = cluster::job(1, vec![step(1, 20)]);
+    let outcome = cluster.on(node, move |node| async move {
+        node.begin_stop(now()).await;
+        node.submit(&spec).await
+    });
+    assert!(matches!(outcome, Stored::Refused { .. }), "{outcome:?}");
+}
+
 #[test]
 fn a_partition_of_jobs_that_is_down_stops_no_node() {
     let cluster = Cluster::start(4, 2);
