Take a late answer for late, not for the pace of the store

An append that was answered after later ones had been is one whose answer was held up. It set the pace, which moves up at once and down slowly: the limits of all calls, and the time after which an append is sent again, followed the slowest of the answers.

--- a/crates/admit/src/admission.rs
+++ b/crates/admit/src/admission.rs
@@ -157,7 +157,10 @@
         };
         match answer {
             AppendAnswer::Stored => {
-                self.pace.took(now.since(append.sent_at));
+                // A single late answer says nothing of how long appends take now.
+                if !self.is_lost(&append) {
+                    self.pace.took(now.since(append.sent_at));
+                }
                 self.answered_sent_at = self.answered_sent_at.max(append.sent_at);
                 self.repeats.give_per_mille(self.options.repeats_per_mille);
                 self.failures = 0;
--- a/crates/cell/src/store_calls.rs
+++ b/crates/cell/src/store_calls.rs
@@ -82,7 +82,13 @@
         }
     }
 
+    /// Takes note of an answer, unless something that was sent later was answered before it: a single late answer says
+    /// nothing of how long calls take now.
     fn note_answer(&self, sent_at: Millis) {
+        if self.is_lost(sent_at) {
+            return;
+        }
+        self.answered_sent_at.set(sent_at);
         let mut took = self.answers_took.get();
         took.took(now().since(sent_at));
         self.answers_took.set(took);
@@ -91,7 +97,7 @@
     /// Returns the time that a call is given which a sound store answers within the least.
     fn limit_ms(&self, least_ms: u64) -> u64 {
         let by_answers = self.answers_took.get().usual_ms() * SLOW_FACTOR;
-        by_answers.max(least_ms)
+        by_answers.min(TIMEOUT_MOST_MS).max(least_ms)
     }
 
     fn took(&self, sent_at: Millis) {
@@ -99,8 +105,6 @@
         let mut pace = self.pace.get();
         pace.took(now().since(sent_at));
         self.pace.set(pace);
-        let latest = self.answered_sent_at.get().max(sent_at);
-        self.answered_sent_at.set(latest);
     }
 
     fn got_none(&self) {
