--- a/crates/admit/src/view.rs
+++ b/crates/admit/src/view.rs
@@ -7,7 +7,7 @@
 pub struct View {
     /// Whether the store answers this node.
     pub store_answers: bool,
-    /// When the latest call to the store that it answered had been sent, of those that wait in no row of appends.
+    /// When the latest of the calls to the store that were answered had been sent, but for reads that may wait.
     pub answered_sent_at: Millis,
     /// Whether the scheduler's node, another one, takes records to store them.
     pub is_taken_over: bool,
--- a/crates/cell/src/store_calls.rs
+++ b/crates/cell/src/store_calls.rs
@@ -60,12 +60,12 @@
     answers: Cell<bool>,
     last_failure_at: Cell<Millis>,
     last_answer_at: Cell<Millis>,
-    /// How long appends take, but for those of jobs, which have a pace of their own.
+    /// How long appends take, but for those of jobs: admission keeps the pace of these.
     pace: Cell<Pace>,
     /// How long the calls took that were answered. Unlike the pace, it says nothing of those that were not: a store
     /// that is away is not slow.
     answers_took: Cell<Pace>,
-    /// When the latest of the appends that were answered had been sent.
+    /// When the latest of the calls that were answered had been sent, but for reads that may wait.
     answered_sent_at: Cell<Millis>,
 }
 
@@ -118,7 +118,7 @@
         self.pace.get().usual_ms()
     }
 
-    /// Returns when the latest of the appends that were answered had been sent, but for those of jobs.
+    /// Returns when the latest of the calls that were answered had been sent, but for reads that may wait.
     pub(crate) const fn answered_sent_at(&self) -> Millis {
         self.answered_sent_at.get()
     }
--- a/crates/sched/tests/overload/main.rs
+++ b/crates/sched/tests/overload/main.rs
@@ -102,9 +102,11 @@
         let kinds = [GANGS, BATCH, LOOKUPS];
         let served = kinds.map(|kind| replay.served(kind, CALM_FROM_MS, until_ms));
         let largest = kinds.map(|kind| replay.largest_served(kind, CALM_FROM_MS, until_ms));
+        let preemptions = replay.preemptions();
         println!(
-            "{load_percent}%: gangs, batch, lookups {served:.2?}, largest {largest:.2?}, {:?}",
-            replay.preemptions()
+            "{load_percent}%: gangs, batch, lookups {served:.2?}, largest {largest:.2?}, \
+             {} of {} runs stopped, {} of one task",
+            preemptions.stops, preemptions.starts, preemptions.most_of_a_task
         );
     }
 }
