Name what stayed behind after the move of budgets, and convert a wanted number of workers in one place

Read once more as a whole. `sched::backoff` held nothing of backoff any more: it is `scatter`. The number of workers to name in a call was rounded by the same two lines in two functions. The comment of `append` spoke of submits, which go another way since admission. No behaviour changes, and no test.

--- a/crates/cell/src/store_calls.rs
+++ b/crates/cell/src/store_calls.rs
@@ -205,7 +205,7 @@
     ///
     /// An append that a producer numbers is carried out once, however often it is sent; it is sent
     /// again while its answer is missing: answers get lost, and to wait for one until the time is
-    /// over costs a submit its caller's patience.
+    /// over holds up all that is to be written next.
     pub(crate) async fn append(
         &self,
         topic: Topic,
--- a/crates/sched/src/advice.rs
+++ b/crates/sched/src/advice.rs
@@ -165,8 +165,7 @@
         let each = f64::from(held) / f64::from(workers.max(1));
         let share = self.allowed_share(&of_job.spec.policy.queue);
         let wanted = f64::from(spec.tasks) * f64::from(CHOICE) / each.max(0.5) / share;
-        let wanted = std::time::Duration::from_secs_f64(wanted.clamp(0.0, 1_000.0)).as_secs();
-        usize::try_from(wanted).unwrap_or(CALL_WORKERS_LIMIT)
+        whole_workers(wanted)
     }
 
     /// Asks again about workers whose tickets are too old.
@@ -214,9 +213,7 @@
         let per_worker = (f64::from(room) / f64::from(workers)).max(0.5);
         let share = self.allowed_share(&job.spec.policy.queue);
         let wanted = f64::from(tasks) / per_worker / share * SPARE_FACTOR;
-        let wanted = std::time::Duration::from_secs_f64(wanted.clamp(0.0, 1_000.0)).as_secs();
-        let wanted = usize::try_from(wanted).unwrap_or(CALL_WORKERS_LIMIT);
-        wanted.max(self.options.task_advice_workers)
+        whole_workers(wanted).max(self.options.task_advice_workers)
     }
 
     fn allowed_share(&self, queue: &str) -> f64 {
@@ -362,6 +359,12 @@
     }
 }
 
+/// Returns how many whole workers a wanted number is, within what makes sense.
+fn whole_workers(wanted: f64) -> usize {
+    let whole = std::time::Duration::from_secs_f64(wanted.clamp(0.0, 1_000.0)).as_secs();
+    usize::try_from(whole).unwrap_or(CALL_WORKERS_LIMIT)
+}
+
 /// Picks the workers with the most room; among equals, others for each step.
 fn most_room(mut workers: Vec<(u32, WorkerKey)>, count: usize, step: StepId) -> Vec<WorkerKey> {
     let order = |key: &WorkerKey| mix(key.data().as_ffi() ^ step.job.0);
--- a/crates/sched/src/contact.rs
+++ b/crates/sched/src/contact.rs
@@ -15,8 +15,8 @@
 use crate::StopReason;
 use crate::TaskId;
 use crate::WorkerKey;
-use crate::backoff::seed_of;
 use crate::reports::belief;
+use crate::scatter::seed_of;
 use crate::worker::Phase;
 use crate::worker::WorkerRun;
 
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -16,7 +16,6 @@
 mod action;
 mod advice;
 mod advisers;
-mod backoff;
 mod contact;
 mod counts;
 mod duty;
@@ -37,6 +36,7 @@
 mod recovery;
 mod repeats;
 mod reports;
+mod scatter;
 mod scheduler;
 mod slowness;
 mod spec;
--- a/crates/sched/src/repeats.rs
+++ b/crates/sched/src/repeats.rs
@@ -8,7 +8,7 @@
 use crate::StopReason;
 use crate::TaskId;
 use crate::WorkerKey;
-use crate::backoff::seed_of;
+use crate::scatter::seed_of;
 use crate::worker::Phase;
 
 impl Scheduler {
