Tell the log of each worker that is lost, with the age of its youngest run

The log could not distinguish a task that takes its workers down from workers that are reclaimed: it told the ends of runs one by one, without saying how long each had been there when its worker was last heard of.

--- a/crates/cell/src/log.rs
+++ b/crates/cell/src/log.rs
@@ -18,6 +18,7 @@
 use syc_sched::StopReason;
 use syc_sched::TaskId;
 use syc_sched::VmNote;
+use syc_sched::YoungestRun;
 use syc_types::WorkerId;
 
 use crate::Configuration;
@@ -320,6 +321,29 @@
         .emit();
 }
 
+fn worker_lost(
+    worker: &WorkerId,
+    how: &'static str,
+    silent_ms: u64,
+    runs: usize,
+    youngest: Option<&YoungestRun>,
+) {
+    let line = Line::new(catalogue::WORKER_LOST)
+        .text("worker", worker.as_str())
+        .text("how", how)
+        .number("silent_ms", silent_ms)
+        .number("runs", runs);
+    let Some(youngest) = youngest else {
+        line.emit();
+        return;
+    };
+    line.display("job", youngest.task.step.job)
+        .display("youngest", youngest.task)
+        .number("run", youngest.run.0)
+        .number("seen_ms", youngest.seen_ms)
+        .emit();
+}
+
 /// Writes what the scheduler noted.
 pub(crate) fn note(note: &Note) {
     match note {
@@ -398,6 +422,13 @@
             .display("least_step", least)
             .number("least_percent", *least_percent)
             .emit(),
+        Note::WorkerLost {
+            worker,
+            how,
+            silent_ms,
+            runs,
+            youngest,
+        } => worker_lost(worker, how, *silent_ms, *runs, youngest.as_ref()),
         Note::Paced {
             worker,
             before_percent,
--- a/crates/obs/src/events.rs
+++ b/crates/obs/src/events.rs
@@ -200,6 +200,8 @@
     VMS_UNLISTED = 747, Warn, "VMs not listed";
     /// A worker's runs take longer than others of their steps.
     WORKER_SLOW = 748, Warn, "worker taken as slow";
+    /// A worker is gone, and what ran on it with it.
+    WORKER_LOST = 749, Warn, "worker lost with its runs";
     /// A configuration came into force, or was held back.
     CONFIGURATION_SEEN = 750, Info, "configuration seen";
     /// A record of the store can't be read.
--- a/crates/sched/src/note.rs
+++ b/crates/sched/src/note.rs
@@ -9,6 +9,17 @@
 use crate::TaskId;
 use crate::VmNote;
 
+/// The run of a worker that had been ordered last when the worker was lost.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct YoungestRun {
+    /// The task.
+    pub task: TaskId,
+    /// Which start of it.
+    pub run: Run,
+    /// Time for which it was there when the worker last answered: little of one that took its worker down.
+    pub seen_ms: u64,
+}
+
 /// A decision that the log should tell.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Note {
@@ -86,6 +97,19 @@
         /// How much longer by that step, in hundredths.
         least_percent: u64,
     },
+    /// A worker is gone, and what ran on it with it.
+    WorkerLost {
+        /// The worker.
+        worker: WorkerId,
+        /// What was concluded of it.
+        how: &'static str,
+        /// Time since it last answered.
+        silent_ms: u64,
+        /// Runs that ended with it.
+        runs: usize,
+        /// The run of these that had been ordered last.
+        youngest: Option<YoungestRun>,
+    },
     /// The runs that fill a worker go at another pace.
     Paced {
         /// The worker.
--- a/crates/sched/src/reports.rs
+++ b/crates/sched/src/reports.rs
@@ -17,6 +17,7 @@
 use crate::WorkerKey;
 use crate::WorkerReport;
 use crate::WorkerSpec;
+use crate::YoungestRun;
 use crate::job::UnitState;
 use crate::strays::Told;
 use crate::units::Ending;
@@ -111,6 +112,10 @@
     /// Takes everything that ran on a worker as ended without a result.
     pub(crate) fn lose_runs(&mut self, key: WorkerKey, how: &'static str, now: Millis) {
         let runs: Vec<_> = self.workers[key].runs.keys().copied().collect();
+        if !runs.is_empty() {
+            let note = lost(&self.workers[key], how, now);
+            self.actions.push(note);
+        }
         for (task, run) in runs {
             self.end_run(key, task, run, Ending::without_report(how), now);
         }
@@ -396,6 +401,22 @@
     }
 }
 
+fn lost(worker: &Worker, how: &'static str, now: Millis) -> Action {
+    let youngest = worker.runs.iter().max_by_key(|(_, run)| run.held_since);
+    let youngest = youngest.map(|((task, run), held)| YoungestRun {
+        task: *task,
+        run: *run,
+        seen_ms: worker.last_answer_at.since(held.held_since),
+    });
+    Action::Note(Note::WorkerLost {
+        worker: worker.spec.id.clone(),
+        how,
+        silent_ms: now.since(worker.last_answer_at),
+        runs: worker.runs.len(),
+        youngest,
+    })
+}
+
 pub(crate) fn belief(worker: &Worker, belief: &'static str, now: Millis) -> Action {
     Action::Note(Note::WorkerBelief {
         worker: worker.spec.id.clone(),
--- a/crates/sched/tests/core/driver.rs
+++ b/crates/sched/tests/core/driver.rs
@@ -29,6 +29,7 @@
 use syc_sched::WorkerKey;
 use syc_sched::WorkerReport;
 use syc_sched::WorkerSpec;
+use syc_sched::YoungestRun;
 use syc_types::Millis;
 use syc_types::RackId;
 use syc_types::Resources;
@@ -50,6 +51,14 @@
     pub reason: StopReason,
 }
 
+/// A worker that was lost, and what was on it.
+#[derive(Debug)]
+pub struct Lost {
+    pub how: &'static str,
+    pub runs: usize,
+    pub youngest: Option<YoungestRun>,
+}
+
 /// A scheduler, the time, and what it wanted done so far.
 #[derive(Debug)]
 pub struct Driver {
@@ -66,6 +75,8 @@
     pub lists_asked: Vec<Millis>,
     /// What was believed of workers, in turn.
     pub beliefs: Vec<(WorkerId, &'static str)>,
+    /// Workers that were lost with what ran on them.
+    pub lost: Vec<Lost>,
     /// Waves that operators were told of, and whether as completed.
     pub told: Vec<(u64, bool)>,
     ends: BTreeMap<WorkerKey, u64>,
@@ -106,6 +117,7 @@
             lists_asked: Vec::new(),
             told: Vec::new(),
             beliefs: Vec::new(),
+            lost: Vec::new(),
             ends: BTreeMap::new(),
         };
         for index in 0..count {
@@ -152,6 +164,16 @@
                 Action::Note(Note::WorkerBelief { worker, belief, .. }) => {
                     self.beliefs.push((worker, belief));
                 }
+                Action::Note(Note::WorkerLost {
+                    how,
+                    runs,
+                    youngest,
+                    ..
+                }) => self.lost.push(Lost {
+                    how,
+                    runs,
+                    youngest,
+                }),
                 _ => {}
             }
         }
--- a/crates/sched/tests/core/main.rs
+++ b/crates/sched/tests/core/main.rs
@@ -2,6 +2,7 @@
 
 mod advice;
 mod counts;
+mod crashes;
 mod doubts;
 mod driver;
 mod keeping;
