Show that a task that takes its workers down is started without limit

The generated schedules' stand-in learns tasks that crash the worker that starts them (alone, beside others, all of a step, a member of a gang, one that lasts, with every other start); the worker is back on its VM after seconds, its entry lapses in between. The judge counts starts after the third worker crashed under such a task, and jobs that are given up though fewer than two crashed under any task of theirs.

--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -1,6 +1,7 @@
 //! Workers: fencing tokens, leases by a deadline on their own clock, numbered ends, stops that also
 //! forbid a later start, gangs that work only together.
 
+mod crashes;
 mod ends;
 
 use std::collections::BTreeMap;
@@ -22,6 +23,7 @@
 use syc_types::WorkerId;
 
 use crate::Judge;
+pub use crate::fleet::crashes::CrashPlan;
 use crate::sharing::FULL;
 use crate::sharing::SharingRun;
 use crate::sharing::TailModel;
@@ -75,6 +77,11 @@
     plans: BTreeMap<TaskId, Plan>,
     tails: TailModels,
     failed_runs: BTreeMap<TaskId, u32>,
+    crash_plans: BTreeMap<TaskId, CrashPlan>,
+    /// Starts so far of the tasks that take their workers down.
+    crash_starts: BTreeMap<TaskId, u32>,
+    /// Workers that were taken down and that nobody has asked for yet.
+    crashed: Vec<WorkerId>,
     advanced_to: Millis,
 }
 
@@ -191,6 +198,8 @@
         if self.limits.admission_control && !wanted.fits_in(&worker.capacity) {
             return Err(OrderError::Refused(StartRefusal::NoRoom));
         }
+        let crashes_at = self.next_crash(command.task, now);
+        let worker = self.workers.get_mut(id).ok_or(OrderError::Replaced)?;
         let done_ms = command.checkpoint.parse().unwrap_or(0);
         worker.runs.insert(
             command.task,
@@ -205,11 +214,12 @@
                 plan,
                 saves: step.checkpointed,
                 sharing: SharingRun::of_step(&step),
+                crashes_at,
             },
         );
         self.judge.started(id, command.task, command.run);
         let used = worker.used();
-        let capacity = worker.capacity;
+        let capacity = worker.capacity_that_counts(now);
         self.judge.check_room(id, &used, &capacity);
         Ok(())
     }
@@ -321,6 +331,7 @@
             return;
         }
         self.advanced_to = now;
+        self.crash_due(now);
         self.lapse(now);
         self.end_stopped(now);
         self.end_lonely(now);
--- a/crates/fleet/src/judge.rs
+++ b/crates/fleet/src/judge.rs
@@ -29,6 +29,10 @@
     OutOfOrder(TaskId),
     /// A start after so many failed runs as the queue allows.
     BeyondAttempts(TaskId),
+    /// A task that takes its workers down was started three times more after three had crashed under it.
+    BeyondCrashes(TaskId),
+    /// A job was given up, and no task of it had failed too often or had two workers crash under it.
+    GivenUpEarly(JobId),
     /// More tasks of a step on one worker than it may have.
     TooClose(TaskId),
     /// More VMs of a wave down at a time than may be.
@@ -50,6 +54,21 @@
     },
 }
 
+/// Workers that may crash under a task that takes them down before its starts are counted.
+const CRASHES_LIMIT: u32 = 3;
+
+/// Starts after that which break the rule.
+const STARTS_LIMIT: u32 = 3;
+
+/// What a task that takes its workers down has done.
+#[derive(Debug, Clone, Copy, Default)]
+struct Guilt {
+    /// Workers that it took down.
+    workers: u32,
+    /// Starts since these were as many as may be.
+    starts: u32,
+}
+
 /// Watches every start and end on all workers.
 #[derive(Debug, Clone, Default)]
 pub struct Judge {
@@ -58,6 +77,12 @@
     done: BTreeSet<TaskId>,
     acknowledged_done: BTreeSet<TaskId>,
     acknowledged_failures: BTreeMap<StepId, BTreeMap<u32, BTreeSet<Run>>>,
+    /// Runs that ended as failed, whether or not that was acknowledged.
+    failures: BTreeMap<TaskId, BTreeSet<Run>>,
+    /// Workers that crashed while a task ran on them, whatever took them down.
+    crashes_under: BTreeMap<TaskId, u32>,
+    /// Tasks that take their workers down.
+    guilty: BTreeMap<TaskId, Guilt>,
     forbidden: BTreeSet<JobId>,
     /// Jobs whose tasks may end: they were cancelled.
     released: BTreeSet<JobId>,
@@ -175,6 +200,7 @@
             }
         }
         self.check_attempts(task);
+        self.check_crashes(task);
         self.begun.insert(task.step.job);
         let live = self.live.entry(task).or_default();
         if !live.is_empty() && !step.speculative {
@@ -197,6 +223,44 @@
         }
     }
 
+    fn check_crashes(&mut self, task: TaskId) {
+        let Some(guilt) = self.guilty.get_mut(&task) else {
+            return;
+        };
+        guilt.starts += u32::from(guilt.workers >= CRASHES_LIMIT);
+        if guilt.starts == STARTS_LIMIT {
+            self.faults.push(Fault::BeyondCrashes(task));
+        }
+    }
+
+    /// A task takes the worker down that it runs on.
+    pub(crate) fn took_down(&mut self, task: TaskId) {
+        self.guilty.entry(task).or_default().workers += 1;
+    }
+
+    /// Returns how many workers each task has taken down that does so.
+    pub fn taken_down(&self) -> impl Iterator<Item = (TaskId, u32)> {
+        self.guilty
+            .iter()
+            .map(|(task, guilt)| (*task, guilt.workers))
+    }
+
+    /// A job is shown as failed.
+    pub fn given_up(&mut self, job: JobId) {
+        let Some(spec) = self.jobs.get(&job) else {
+            return;
+        };
+        let limit = usize::try_from(spec.policy.attempts_limit).unwrap_or(usize::MAX);
+        let mut failures = self.failures.iter();
+        let spent = failures.any(|(task, runs)| task.step.job == job && runs.len() >= limit);
+        let mut crashes = self.crashes_under.iter();
+        let crashed = crashes.any(|(task, count)| task.step.job == job && *count >= 2);
+        let fault = Fault::GivenUpEarly(job);
+        if !spent && !crashed && !self.faults.contains(&fault) {
+            self.faults.push(fault);
+        }
+    }
+
     fn check_spread(&mut self, worker: &WorkerId, task: TaskId, bound: Option<u32>) {
         let Some(bound) = bound else {
             return;
@@ -227,14 +291,22 @@
             end,
             at,
         });
-        self.crashed(worker, task, run);
+        self.remove_live(worker, task, run);
         if end == RunEnd::Done {
             self.done.insert(task);
         }
+        if end == RunEnd::Failed {
+            self.failures.entry(task).or_default().insert(run);
+        }
     }
 
     /// A run ended with its worker.
     pub(crate) fn crashed(&mut self, worker: &WorkerId, task: TaskId, run: Run) {
+        *self.crashes_under.entry(task).or_default() += 1;
+        self.remove_live(worker, task, run);
+    }
+
+    fn remove_live(&mut self, worker: &WorkerId, task: TaskId, run: Run) {
         if let Some(live) = self.live.get_mut(&task) {
             live.remove(&(worker.clone(), run));
         }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -23,6 +23,7 @@
 pub use advice::AdviceModel;
 pub use core_model::Core;
 pub use events::RunEvent;
+pub use fleet::CrashPlan;
 pub use fleet::FleetLimits;
 pub use fleet::FleetModel;
 pub use fleet::Plan;
--- a/crates/fleet/src/worker.rs
+++ b/crates/fleet/src/worker.rs
@@ -27,6 +27,8 @@
     pub id: WorkerId,
     /// What it has.
     pub capacity: Resources,
+    /// What it had before its room changed, and until when each still counts.
+    pub(crate) before: Vec<(Resources, Millis)>,
     /// By how much its clock runs slow, in thousandths.
     pub slow_per_mille: u64,
     pub(crate) token: u64,
@@ -55,6 +57,8 @@
     pub(crate) plan: Plan,
     pub(crate) saves: bool,
     pub(crate) sharing: SharingRun,
+    /// When it takes the worker down.
+    pub(crate) crashes_at: Option<Millis>,
 }
 
 impl WorkerModel {
@@ -64,6 +68,7 @@
         Self {
             id,
             capacity,
+            before: Vec::new(),
             slow_per_mille,
             token: 0,
             lease_until_ms: 0,
@@ -75,6 +80,17 @@
         }
     }
 
+    /// Returns the room that starts are held to: of one that has just shrunk, what it was before.
+    pub(crate) fn capacity_that_counts(&self, now: Millis) -> Resources {
+        let mut counts = self.capacity;
+        for (before, until) in &self.before {
+            if now < *until && counts.fits_in(before) {
+                counts = *before;
+            }
+        }
+        counts
+    }
+
     /// Returns what its clock shows.
     #[must_use]
     pub const fn clock_ms(&self, now: Millis) -> u64 {
--- a/crates/sched/tests/schedules/jobs.rs
+++ b/crates/sched/tests/schedules/jobs.rs
@@ -3,6 +3,7 @@
 use rand::Rng;
 use rand::rngs::SmallRng;
 use smol_str::SmolStr;
+use syc_fleet::CrashPlan;
 use syc_fleet::FleetModel;
 use syc_fleet::Plan;
 use syc_fleet::TailModel;
@@ -35,6 +36,8 @@
     pub at_ms: u64,
     pub cancel_at_ms: Option<u64>,
     pub ends_as: JobState,
+    /// Whether it may be given up instead: a task of it takes workers down now and then.
+    pub may_fail: bool,
 }
 
 /// Makes a job, and tells the workers how its tasks go.
@@ -71,6 +74,7 @@
         at_ms,
         cancel_at_ms: cancelled.then(|| at_ms + rng.random_range(0..3_000)),
         ends_as,
+        may_fail: false,
     }
 }
 
@@ -165,9 +169,90 @@
         } else {
             JobState::Completed
         },
+        may_fail: false,
     }
 }
 
+/// Makes a job with tasks that take their workers down, in one of the forms that such a job has.
+pub fn generate_guilty(rng: &mut SmallRng, id: u64, fleet: &mut FleetModel) -> Given {
+    let form = Form::ALL[rng.random_range(0..Form::ALL.len())];
+    let spec = JobSpec {
+        id: JobId(id),
+        payload: SmolStr::new_static("payload"),
+        steps: vec![StepSpec {
+            tasks: if form == Form::Alone { 1 } else { 4 },
+            resources: cpu(rng.random_range(1..=2)),
+            estimate_ms: 1_000,
+            gang: form == Form::Member,
+            long_running: form == Form::Lasting,
+            ..StepSpec::default()
+        }],
+        policy: policy(rng),
+        schedule: Schedule::default(),
+        accepted_at_ms: TimeOfDay(0),
+    };
+    let step = StepId {
+        job: spec.id,
+        occurrence: 0,
+        step: 0,
+    };
+    let guilty = if form == Form::All { 4 } else { 1 };
+    for index in 0..spec.steps[0].tasks {
+        let task = TaskId { step, index };
+        let plan = Plan {
+            work_ms: rng.random_range(50..2_500),
+            failing_runs: 0,
+        };
+        fleet.plan(task, plan);
+        if index < guilty {
+            let plan = CrashPlan {
+                every: if form == Form::Sometimes { 2 } else { 1 },
+                after_ms: 10,
+            };
+            fleet.plan_crash(task, plan);
+        }
+    }
+    Given {
+        spec,
+        at_ms: rng.random_range(0..20_000),
+        cancel_at_ms: None,
+        ends_as: if form == Form::Sometimes {
+            JobState::Completed
+        } else {
+            JobState::Failed
+        },
+        may_fail: form == Form::Sometimes,
+    }
+}
+
+/// Which tasks of a job take their workers down.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Form {
+    /// The only one.
+    Alone,
+    /// One beside others that don't.
+    Beside,
+    /// All.
+    All,
+    /// A member of a gang.
+    Member,
+    /// One that lasts.
+    Lasting,
+    /// One, with every other start.
+    Sometimes,
+}
+
+impl Form {
+    const ALL: [Self; 6] = [
+        Self::Alone,
+        Self::Beside,
+        Self::All,
+        Self::Member,
+        Self::Lasting,
+        Self::Sometimes,
+    ];
+}
+
 fn step(rng: &mut SmallRng, index: u16) -> StepSpec {
     let gang = rng.random_ratio(1, 4);
     StepSpec {
--- a/crates/sched/tests/schedules/main.rs
+++ b/crates/sched/tests/schedules/main.rs
@@ -47,6 +47,21 @@
     }
 }
 
+#[test_case(Profile { guilty: 1, ..Profile::CALM }; "one job")]
+#[test_case(Profile { guilty: 6, ..Profile::CALM }; "many jobs")]
+#[test_case(Profile { guilty: 3, scheduler_ends: 6, ..Profile::CALM }; "while schedulers end")]
+#[test_case(Profile { guilty: 3, store_pauses: 4, ..Profile::CALM }; "while the store pauses")]
+#[test_case(Profile { guilty: 3, crashes: 4, cuts: 4, ..Profile::CALM }; "beside workers that are lost for other reasons")]
+#[test_case(Profile { guilty: 3, ..Profile::ALL }; "and everything at once")]
+fn a_task_that_takes_its_workers_down_is_given_up_and_no_other_is(profile: Profile) {
+    for seed in 1..=SEEDS {
+        let mut world = World::new(seed, profile, Options::default());
+        world.play();
+        assert_eq!(world.faults(), [], "seed {seed}");
+        assert_eq!(world.wrong_ends(), [], "seed {seed}");
+    }
+}
+
 /// The rule that a worker's lease has to lapse is broken on purpose: the judge must see it.
 #[test_case(Profile { cuts: 10, ..Profile::CALM }; "of workers that are cut off")]
 #[test_case(Profile { shuts: 10, ..Profile::CALM }; "of workers that take no orders")]
--- a/crates/sched/tests/schedules/world.rs
+++ b/crates/sched/tests/schedules/world.rs
@@ -1,6 +1,7 @@
 //! The world of a generated schedule: jobs come, orders travel, things break.
 
 mod counts;
+mod crashes;
 mod faults;
 mod orders;
 mod sessions;
@@ -44,6 +45,7 @@
 use crate::jobs::SERVICE;
 use crate::jobs::cpu;
 use crate::jobs::generate;
+use crate::jobs::generate_guilty;
 use crate::jobs::generate_lasting;
 use crate::jobs::generate_sharing;
 
@@ -76,6 +78,10 @@
     pub store_pauses: u32,
     /// Workers that answer renewals and reset each order for a while, some of which they carry out later.
     pub shuts: u32,
+    /// Jobs with a task that takes its workers down.
+    pub guilty: u32,
+    /// Workers whose room shrinks or grows while they run.
+    pub rooms: u32,
     /// Workers have less than they say: the judge must see it.
     pub understated: bool,
     /// Jobs that serve users of their own, and others that fill what they leave unused.
@@ -98,6 +104,8 @@
         late: 0,
         store_pauses: 0,
         shuts: 0,
+        guilty: 0,
+        rooms: 0,
         understated: false,
         sharing: false,
         unpaced: false,
@@ -130,6 +138,14 @@
     Restored(WorkerId),
     VmOrder(VmCommand),
     Listed(u64, Millis),
+    /// A worker that was taken down is back, on the same VM.
+    Back(VmId),
+    /// The entry of a worker that was taken down has lapsed.
+    Unlisted(WorkerId),
+    /// A worker has so many cores from now on.
+    Room(WorkerId, u64),
+    /// A worker tells of itself.
+    Told(WorkerId),
     NewIncarnation,
     NextScheduler,
 }
@@ -162,6 +178,10 @@
     cut: BTreeMap<WorkerId, Millis>,
     shut_until: BTreeMap<WorkerId, Millis>,
     registered: BTreeMap<WorkerId, Life>,
+    /// Workers that may run something of a scheduler, as a successor finds them in the store.
+    roster: BTreeMap<WorkerId, Life>,
+    /// Until when nothing is at the address of a worker that was taken down.
+    down_until: BTreeMap<WorkerId, Millis>,
     lives: u64,
     vms: VmsModel,
     wave: Option<Wave>,
@@ -173,6 +193,10 @@
 struct Life {
     number: u64,
     vm: VmId,
+    /// What it has.
+    cores: u64,
+    /// What it said last that it has.
+    told_cores: u64,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -182,6 +206,7 @@
     Crash,
     StorePauses,
     Shut,
+    Room,
 }
 
 impl World {
@@ -194,6 +219,9 @@
         if profile.wave_at_once > 0 {
             given.push(generate_lasting(&mut rng, &mut fleet));
         }
+        for id in 1..=u64::from(profile.guilty) {
+            given.push(generate_guilty(&mut rng, JOBS + id, &mut fleet));
+        }
         if profile.sharing {
             given = generate_sharing(&mut rng, &mut fleet);
         }
@@ -208,6 +236,7 @@
             (Trouble::Crash, profile.crashes),
             (Trouble::StorePauses, profile.store_pauses),
             (Trouble::Shut, profile.shuts),
+            (Trouble::Room, profile.rooms),
         ];
         for (trouble, count) in troubles {
             for _ in 0..count {
@@ -236,6 +265,8 @@
             cut: BTreeMap::new(),
             shut_until: BTreeMap::new(),
             registered: BTreeMap::new(),
+            roster: BTreeMap::new(),
+            down_until: BTreeMap::new(),
             lives: 0,
             vms: VmsModel::new(VM_ORDER_MS),
             wave: None,
@@ -252,6 +283,7 @@
         while self.now.0 < END_MS {
             self.now = self.now.plus(TICK_MS);
             self.fleet.advance(self.now);
+            self.meet_crashes();
             self.strike();
             self.deliver();
             self.bring_vms();
@@ -269,7 +301,13 @@
     }
 
     pub fn faults(&self) -> Vec<Fault> {
-        let mut faults = self.fleet.judge.faults().to_vec();
+        let mut judge = self.fleet.judge.clone();
+        for (id, progress) in &self.kept {
+            if progress.state == JobState::Failed {
+                judge.given_up(*id);
+            }
+        }
+        let mut faults = judge.faults().to_vec();
         faults.extend_from_slice(self.vms.faults());
         faults
     }
@@ -288,6 +326,7 @@
             let ended = kept.is_some_and(JobState::is_terminal);
             let right = match given.ends_as {
                 JobState::Cancelled => ended,
+                _ if given.may_fail && kept == Some(JobState::Failed) => true,
                 other => kept == Some(other),
             };
             if !right {
@@ -319,9 +358,12 @@
         let life = Life {
             number: self.lives,
             vm: vm.clone(),
+            cores: CORES,
+            told_cores: CORES,
         };
         self.vms.set_worker(vm, id.clone());
         self.registered.insert(id.clone(), life.clone());
+        self.roster.insert(id.clone(), life.clone());
         let spec = spec_of(&id, &life);
         self.apply(Event::WorkerListed(spec));
     }
@@ -349,9 +391,15 @@
             scheduler.restore_job(given.spec.clone(), progress, age_ms, self.now);
         }
         self.scheduler = Some(scheduler);
-        let registered: Vec<_> = self.registered.clone().into_iter().collect();
-        for (id, life) in registered {
-            self.apply(Event::WorkerListed(spec_of(&id, &life)));
+        let registered = self.registered.clone();
+        for (id, life) in &registered {
+            self.apply(Event::WorkerListed(spec_of(id, life)));
+        }
+        let mut left = self.roster.clone();
+        // Other schedules know of those alone that are registered.
+        left.retain(|id, _| self.profile.guilty > 0 && !registered.contains_key(id));
+        for (id, life) in &left {
+            self.apply(Event::WorkerListed(spec_of(id, life)));
         }
         for left in self.kept_waves.values().cloned() {
             if let Some(scheduler) = &mut self.scheduler {
@@ -367,6 +415,9 @@
         if let Some(scheduler) = &mut self.scheduler {
             scheduler.begin_recovery(self.now);
         }
+        for id in left.into_keys() {
+            self.apply(Event::WorkerUnlisted(id));
+        }
     }
 
     /// Publishes the wave when its time has come, and starts workers on VMs that are back.
@@ -434,7 +485,9 @@
                     self.sessions.insert(worker, session);
                 }
                 Action::Detach { worker } => {
-                    self.sessions.remove(&worker);
+                    if let Some(session) = self.sessions.remove(&worker) {
+                        self.roster.remove(&session.id);
+                    }
                 }
                 Action::Start(order) => self.send_start(&order),
                 Action::Stop {
@@ -498,7 +551,7 @@
         zone: Zone::new("zone"),
         rack: RackId::new(format!("r-{}", life.number % 2)),
         labels: Vec::new(),
-        capacity: cpu(CORES),
+        capacity: cpu(life.told_cores),
         draining: false,
         vm: Some(life.vm.clone()),
     }
--- a/crates/sched/tests/schedules/world/faults.rs
+++ b/crates/sched/tests/schedules/world/faults.rs
@@ -56,6 +56,11 @@
                     let until = self.now.plus(self.rng.random_range(500..30_000));
                     self.shut_until.insert(id, until);
                 }
+                Trouble::Room => {
+                    if let Some(id) = self.any_worker() {
+                        self.change_room(&id);
+                    }
+                }
                 Trouble::StorePauses => {
                     let pause_ms = self.rng.random_range(500..5_000);
                     self.store_paused_until = self.now.plus(pause_ms);
--- a/crates/sched/tests/schedules/world/orders.rs
+++ b/crates/sched/tests/schedules/world/orders.rs
@@ -34,6 +34,22 @@
             return;
         };
         let id = session.id.clone();
+        let started = |answer| Event::StartAnswered {
+            worker: order.worker,
+            task: order.task,
+            run: order.run,
+            answer,
+        };
+        if self.is_down(&id) {
+            let is_refused = self.rng.random::<bool>();
+            let answer = if is_refused {
+                StartAnswer::NotSent
+            } else {
+                StartAnswer::InDoubt
+            };
+            self.answer(1, started(answer));
+            return;
+        }
         let Some(model) = self.fleet.workers.get(&id) else {
             self.answer(
                 1,
@@ -52,12 +68,7 @@
             ticket: order.ticket.clone(),
             checkpoint: order.checkpoint.clone(),
         };
-        let in_doubt = Event::StartAnswered {
-            worker: order.worker,
-            task: order.task,
-            run: order.run,
-            answer: StartAnswer::InDoubt,
-        };
+        let in_doubt = started(StartAnswer::InDoubt);
         if let Some(reset) = self.reset(&id) {
             if let Reset::CarriedOutAfter(late_ms) = reset {
                 self.later(late_ms, Delivery::Start(id, command));
@@ -96,15 +107,13 @@
             Err(OrderError::Fenced | OrderError::InDoubt(_)) => StartAnswer::InDoubt,
         };
         let delay_ms = self.rng.random_range(1..30);
-        self.answer(
-            delay_ms,
-            Event::StartAnswered {
-                worker: order.worker,
-                task: order.task,
-                run: order.run,
-                answer,
-            },
-        );
+        // What a worker had still to say when it was taken down is lost.
+        let answer = if self.fleet.is_down_by(&id, self.now.plus(delay_ms)) {
+            StartAnswer::InDoubt
+        } else {
+            answer
+        };
+        self.answer(delay_ms, started(answer));
     }
 
     pub(super) fn send_stop(&mut self, worker: WorkerKey, task: TaskId, run: Run) {
--- a/crates/sched/tests/schedules/world/sessions.rs
+++ b/crates/sched/tests/schedules/world/sessions.rs
@@ -40,6 +40,10 @@
         if extends {
             self.apply(Event::Renewing { worker: key });
         }
+        if self.is_down(id) {
+            self.renewal_failed(key);
+            return;
+        }
         let Some(model) = self.fleet.workers.get(id) else {
             // Another incarnation is at the address of a worker that crashed.
             self.apply(Event::Replaced { worker: key });
--- a/crates/sched/tests/schedules/world/travel.rs
+++ b/crates/sched/tests/schedules/world/travel.rs
@@ -61,6 +61,9 @@
             }
             Delivery::Restored(id) => {
                 self.cut.remove(&id);
+                if self.profile.rooms > 0 {
+                    self.tell_soon(id);
+                }
             }
             Delivery::VmOrder(command) => {
                 let _unheard = self.vms.order(&mut self.fleet, &command, self.now);
@@ -73,6 +76,10 @@
                     self.apply(Event::VmsListed { asked_at, vms });
                 }
             }
+            Delivery::Back(vm) => self.new_life(&vm),
+            Delivery::Unlisted(id) => self.unlist(id),
+            Delivery::Room(id, cores) => self.set_room(&id, cores),
+            Delivery::Told(id) => self.tell(id),
             Delivery::NewIncarnation => self.new_incarnation(),
             Delivery::NextScheduler => self.start_scheduler(),
         }
