Show that a worker whose room shrank behind a cut is given too much

The schedules let rooms shrink and grow while tasks run: told within a heartbeat, or only once the worker is not cut off any more.

--- a/crates/sched/tests/schedules/main.rs
+++ b/crates/sched/tests/schedules/main.rs
@@ -37,6 +37,9 @@
 #[test_case(Profile { wave_at_once: 2, scheduler_ends: 4, ..Profile::CALM }; "a wave of upkeep while schedulers end")]
 #[test_case(Profile { wave_at_once: 2, ..Profile::ALL }; "a wave of upkeep and everything at once")]
 #[test_case(Profile { wave_at_once: 2, shuts: 6, ..Profile::CALM }; "a wave of upkeep while workers take no orders")]
+#[test_case(Profile { rooms: 20, ..Profile::CALM }; "rooms shrink and grow")]
+#[test_case(Profile { rooms: 20, cuts: 6, ..Profile::CALM }; "rooms shrink on workers that are cut off")]
+#[test_case(Profile { rooms: 20, ..Profile::ALL }; "rooms shrink and everything at once")]
 fn nothing_runs_twice_and_every_job_ends_as_it_must(profile: Profile) {
     for seed in 1..=SEEDS {
         let mut world = World::new(seed, profile, Options::default());
@@ -52,7 +55,7 @@
 #[test_case(Profile { guilty: 3, scheduler_ends: 6, ..Profile::CALM }; "while schedulers end")]
 #[test_case(Profile { guilty: 3, store_pauses: 4, ..Profile::CALM }; "while the store pauses")]
 #[test_case(Profile { guilty: 3, crashes: 4, cuts: 4, ..Profile::CALM }; "beside workers that are lost for other reasons")]
-#[test_case(Profile { guilty: 3, ..Profile::ALL }; "and everything at once")]
+#[test_case(Profile { guilty: 3, rooms: 10, ..Profile::ALL }; "and everything at once")]
 fn a_task_that_takes_its_workers_down_is_given_up_and_no_other_is(profile: Profile) {
     for seed in 1..=SEEDS {
         let mut world = World::new(seed, profile, Options::default());
