--- a/crates/cell/src/log.rs
+++ b/crates/cell/src/log.rs
@@ -1,5 +1,7 @@
 //! The lines that a node writes, one for each decision and each change of belief.
 
+mod workers;
+
 use std::fmt::Display;
 
 use syc_obs::Event;
@@ -18,7 +20,6 @@
 use syc_sched::StopReason;
 use syc_sched::TaskId;
 use syc_sched::VmNote;
-use syc_sched::YoungestRun;
 use syc_types::WorkerId;
 
 use crate::Configuration;
@@ -321,29 +322,6 @@
         .emit();
 }
 
-fn worker_lost(
-    worker: &WorkerId,
-    how: &'static str,
-    silent_ms: u64,
-    runs: usize,
-    youngest: Option<&YoungestRun>,
-) {
-    let line = Line::new(catalogue::WORKER_LOST)
-        .text("worker", worker.as_str())
-        .text("how", how)
-        .number("silent_ms", silent_ms)
-        .number("runs", runs);
-    let Some(youngest) = youngest else {
-        line.emit();
-        return;
-    };
-    line.display("job", youngest.task.step.job)
-        .display("youngest", youngest.task)
-        .number("run", youngest.run.0)
-        .number("seen_ms", youngest.seen_ms)
-        .emit();
-}
-
 /// Writes what the scheduler noted.
 pub(crate) fn note(note: &Note) {
     match note {
@@ -400,49 +378,7 @@
             .number("allowed", *allowed)
             .number("tasks", *tasks)
             .emit(),
-        Note::WorkerBelief {
-            worker,
-            belief,
-            silent_ms,
-        } => Line::new(catalogue::WORKER_BELIEF)
-            .text("worker", worker.as_str())
-            .text("belief", belief)
-            .number("silent_ms", *silent_ms)
-            .emit(),
-        Note::WorkerSlow {
-            worker,
-            slowness_percent,
-            steps,
-            least,
-            least_percent,
-        } => Line::new(catalogue::WORKER_SLOW)
-            .text("worker", worker.as_str())
-            .number("slowness_percent", *slowness_percent)
-            .number("steps", *steps)
-            .display("least_step", least)
-            .number("least_percent", *least_percent)
-            .emit(),
-        Note::WorkerLost {
-            worker,
-            how,
-            silent_ms,
-            runs,
-            youngest,
-        } => worker_lost(worker, how, *silent_ms, *runs, youngest.as_ref()),
-        Note::Paced {
-            worker,
-            before_percent,
-            percent,
-            tail_percent,
-            fills,
-        } => Line::new(catalogue::PACE_CHANGED)
-            .text("worker", worker.as_str())
-            .number("before_percent", *before_percent)
-            .number("percent", *percent)
-            .number("tail_percent", tail_percent.unwrap_or(0))
-            .flag("serves", tail_percent.is_some())
-            .number("fills", *fills)
-            .emit(),
+        Note::Worker { worker, note } => workers::note(worker, note),
         Note::Vm(note) => vm_note(note),
         Note::Recovered {
             adopted,
--- a/crates/fleet/src/judge.rs
+++ b/crates/fleet/src/judge.rs
@@ -251,12 +251,14 @@
             return;
         };
         let limit = usize::try_from(spec.policy.attempts_limit).unwrap_or(usize::MAX);
-        let mut failures = self.failures.iter();
-        let spent = failures.any(|(task, runs)| task.step.job == job && runs.len() >= limit);
-        let mut crashes = self.crashes_under.iter();
-        let crashed = crashes.any(|(task, count)| task.step.job == job && *count >= 2);
+        let of_job = |task: &TaskId| task.step.job == job;
+        let spent = self.failures.iter();
+        let spent = spent.filter(|(task, runs)| of_job(task) && runs.len() >= limit);
+        let crashed = self.crashes_under.iter();
+        let crashed = crashed.filter(|(task, workers)| of_job(task) && **workers >= 2);
+        let has_cause = spent.count() + crashed.count() > 0;
         let fault = Fault::GivenUpEarly(job);
-        if !spent && !crashed && !self.faults.contains(&fault) {
+        if !has_cause && !self.faults.contains(&fault) {
             self.faults.push(fault);
         }
     }
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -73,6 +73,7 @@
 pub use ids::WorkerKey;
 pub use keeping::EndedJob;
 pub use note::Note;
+pub use note::WorkerNote;
 pub use note::YoungestRun;
 pub use options::Options;
 pub use progress::JobProgress;
--- a/crates/sched/src/note.rs
+++ b/crates/sched/src/note.rs
@@ -74,10 +74,29 @@
         /// Tasks that wait.
         tasks: u32,
     },
-    /// A worker is believed unable to run more, or able again.
-    WorkerBelief {
+    /// Something about one worker.
+    Worker {
         /// The worker.
         worker: WorkerId,
+        /// What is told of it.
+        note: WorkerNote,
+    },
+    /// Something about whole VMs.
+    Vm(VmNote),
+    /// The takeover is complete: nothing that runs is unknown any more.
+    Recovered {
+        /// Runs that were adopted.
+        adopted: usize,
+        /// Workers that never answered.
+        unanswered: usize,
+    },
+}
+
+/// What the log should tell of a worker.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum WorkerNote {
+    /// A worker is believed unable to run more, or able again.
+    Belief {
         /// What is believed.
         belief: &'static str,
         /// Time since it last answered.
@@ -85,9 +104,7 @@
     },
     /// A worker's runs take longer than others of their steps elsewhere, so that it gets nothing new for
     /// a while.
-    WorkerSlow {
-        /// The worker.
-        worker: WorkerId,
+    Slow {
         /// How much longer they take, in hundredths.
         slowness_percent: u64,
         /// Steps that say so.
@@ -98,9 +115,7 @@
         least_percent: u64,
     },
     /// A worker is gone, and what ran on it with it.
-    WorkerLost {
-        /// The worker.
-        worker: WorkerId,
+    Lost {
         /// What was concluded of it.
         how: &'static str,
         /// Time since it last answered.
@@ -112,8 +127,6 @@
     },
     /// The runs that fill a worker go at another pace.
     Paced {
-        /// The worker.
-        worker: WorkerId,
         /// The pace before, 0 to 100.
         before_percent: u8,
         /// The pace from now on.
@@ -123,13 +136,4 @@
         /// Runs that fill.
         fills: usize,
     },
-    /// Something about whole VMs.
-    Vm(VmNote),
-    /// The takeover is complete: nothing that runs is unknown any more.
-    Recovered {
-        /// Runs that were adopted.
-        adopted: usize,
-        /// Workers that never answered.
-        unanswered: usize,
-    },
 }
--- a/crates/sched/src/pacing.rs
+++ b/crates/sched/src/pacing.rs
@@ -10,11 +10,11 @@
 use syc_types::Millis;
 
 use crate::Action;
-use crate::Note;
 use crate::Run;
 use crate::Scheduler;
 use crate::TaskId;
 use crate::WorkerKey;
+use crate::WorkerNote;
 use crate::ids::JobKey;
 use crate::worker::Phase;
 use crate::worker::Share;
@@ -195,14 +195,13 @@
         }
         let percent = worker.pace.percent;
         if percent != before {
-            let note = Note::Paced {
-                worker: worker.spec.id.clone(),
+            let note = worker.note(WorkerNote::Paced {
                 before_percent: before,
                 percent,
                 tail_percent,
                 fills,
-            };
-            self.actions.push(Action::Note(note));
+            });
+            self.actions.push(note);
         }
         self.learn_disturbance(key);
         self.order_paces(key, now);
--- a/crates/sched/src/reports.rs
+++ b/crates/sched/src/reports.rs
@@ -15,6 +15,7 @@
 use crate::StopReason;
 use crate::TaskId;
 use crate::WorkerKey;
+use crate::WorkerNote;
 use crate::WorkerReport;
 use crate::WorkerSpec;
 use crate::YoungestRun;
@@ -408,8 +409,7 @@
         run: *run,
         seen_ms: worker.last_answer_at.since(held.held_since),
     });
-    Action::Note(Note::WorkerLost {
-        worker: worker.spec.id.clone(),
+    worker.note(WorkerNote::Lost {
         how,
         silent_ms: now.since(worker.last_answer_at),
         runs: worker.runs.len(),
@@ -418,8 +418,7 @@
 }
 
 pub(crate) fn belief(worker: &Worker, belief: &'static str, now: Millis) -> Action {
-    Action::Note(Note::WorkerBelief {
-        worker: worker.spec.id.clone(),
+    worker.note(WorkerNote::Belief {
         belief,
         silent_ms: now.since(worker.last_answer_at),
     })
--- a/crates/sched/src/slowness.rs
+++ b/crates/sched/src/slowness.rs
@@ -8,14 +8,13 @@
 
 use syc_types::Millis;
 
-use crate::Action;
-use crate::Note;
 use crate::Run;
 use crate::Scheduler;
 use crate::StepId;
 use crate::StopReason;
 use crate::TaskId;
 use crate::WorkerKey;
+use crate::WorkerNote;
 use crate::job::Step;
 use crate::units::Place;
 use crate::worker::Phase;
@@ -201,14 +200,13 @@
         worker.quarantined_until = worker.quarantined_until.max(until);
         if is_news {
             let (least, least_log) = slowness.least;
-            let note = Note::WorkerSlow {
-                worker: worker.spec.id.clone(),
+            let note = worker.note(WorkerNote::Slow {
                 slowness_percent: percent_of(slowness.log),
                 steps: slowness.steps,
                 least,
                 least_percent: percent_of(least_log),
-            };
-            self.actions.push(Action::Note(note));
+            });
+            self.actions.push(note);
         }
     }
 
--- a/crates/sched/src/worker.rs
+++ b/crates/sched/src/worker.rs
@@ -7,11 +7,14 @@
 use syc_types::Millis;
 use syc_types::Resources;
 
+use crate::Action;
 use crate::JobId;
+use crate::Note;
 use crate::Run;
 use crate::StepId;
 use crate::StepSpec;
 use crate::TaskId;
+use crate::WorkerNote;
 use crate::WorkerSpec;
 use crate::contact::Contact;
 use crate::pacing::Fill;
@@ -276,6 +279,12 @@
         }
     }
 
+    /// Returns what the log should tell of it.
+    pub(crate) fn note(&self, note: WorkerNote) -> Action {
+        let worker = self.spec.id.clone();
+        Action::Note(Note::Worker { worker, note })
+    }
+
     /// Says whether it may get new work.
     pub(crate) fn usable(&self, now: Millis) -> bool {
         self.listed
--- a/crates/sched/tests/core/driver.rs
+++ b/crates/sched/tests/core/driver.rs
@@ -27,6 +27,7 @@
 use syc_sched::TaskId;
 use syc_sched::VmInfo;
 use syc_sched::WorkerKey;
+use syc_sched::WorkerNote;
 use syc_sched::WorkerReport;
 use syc_sched::WorkerSpec;
 use syc_sched::YoungestRun;
@@ -161,24 +162,29 @@
                     run,
                     percent,
                 } => self.paces.push((worker, task, run, percent)),
-                Action::Note(Note::WorkerBelief { worker, belief, .. }) => {
-                    self.beliefs.push((worker, belief));
-                }
-                Action::Note(Note::WorkerLost {
-                    how,
-                    runs,
-                    youngest,
-                    ..
-                }) => self.lost.push(Lost {
-                    how,
-                    runs,
-                    youngest,
-                }),
+                Action::Note(Note::Worker { worker, note }) => self.hear(worker, &note),
                 _ => {}
             }
         }
     }
 
+    fn hear(&mut self, worker: WorkerId, note: &WorkerNote) {
+        match note {
+            WorkerNote::Belief { belief, .. } => self.beliefs.push((worker, belief)),
+            WorkerNote::Lost {
+                how,
+                runs,
+                youngest,
+                ..
+            } => self.lost.push(Lost {
+                how,
+                runs: *runs,
+                youngest: *youngest,
+            }),
+            _ => {}
+        }
+    }
+
     /// Answers a question of now for the VMs.
     pub fn list_vms(&mut self, vms: Option<Vec<VmInfo>>) {
         let asked_at = self.now;
--- a/crates/sched/tests/schedules/world/crashes.rs
+++ b/crates/sched/tests/schedules/world/crashes.rs
@@ -69,15 +69,15 @@
     }
 
     /// A worker says what it has; one that is cut off does so once it is not.
-    pub(super) fn tell(&mut self, id: WorkerId) {
-        if self.cut.contains_key(&id) {
+    pub(super) fn tell(&mut self, id: &WorkerId) {
+        if self.cut.contains_key(id) {
             return;
         }
-        let Some(life) = self.registered.get_mut(&id) else {
+        let Some(life) = self.registered.get_mut(id) else {
             return;
         };
         life.told_cores = life.cores;
-        let spec = spec_of(&id, life);
+        let spec = spec_of(id, life);
         self.apply(Event::WorkerListed(spec));
     }
 }
--- a/crates/sched/tests/schedules/world/travel.rs
+++ b/crates/sched/tests/schedules/world/travel.rs
@@ -79,7 +79,7 @@
             Delivery::Back(vm) => self.new_life(&vm),
             Delivery::Unlisted(id) => self.unlist(id),
             Delivery::Room(id, cores) => self.set_room(&id, cores),
-            Delivery::Told(id) => self.tell(id),
+            Delivery::Told(id) => self.tell(&id),
             Delivery::NewIncarnation => self.new_incarnation(),
             Delivery::NextScheduler => self.start_scheduler(),
         }
