Start nothing on a worker that may have less room than it told last

A worker whose room shrank while it was cut off answered again before its entry was written, and was given starts as if it had the old room; and a start without an answer was sent again to a worker whose room had shrunk meanwhile.

Change: one that was silent for more than 2.5 s, or that a new scheduler finds silent, gets nothing new until it has told of itself again, within a heartbeat. A start in doubt gives way to a stop where its worker has no room for it any more. What runs goes on: a shrunk room withholds starts, and stops nothing.

--- a/crates/fleet/src/fleet/crashes.rs
+++ b/crates/fleet/src/fleet/crashes.rs
@@ -1,5 +1,7 @@
 //! Tasks that take their worker down, and rooms that shrink.
 
+use syc_cell::ports::OrderError;
+use syc_cell::ports::StartCommand;
 use syc_sched::TaskId;
 use syc_types::Millis;
 use syc_types::Resources;
@@ -65,6 +67,26 @@
         }
     }
 
+    /// Carries a start order out long after it was sent: how much room there was then is not held against its sender.
+    ///
+    /// # Errors
+    ///
+    /// Fails as a worker refuses.
+    pub fn start_late(
+        &mut self,
+        id: &WorkerId,
+        command: &StartCommand,
+        now: Millis,
+    ) -> Result<(), OrderError> {
+        if let Some(worker) = self.workers.get_mut(id) {
+            let counts_until = now.plus(1);
+            for (_, until) in &mut worker.before {
+                *until = (*until).max(counts_until);
+            }
+        }
+        self.start(id, command, now)
+    }
+
     /// Gives a worker another room. What was more of the one before still counts until a time: nobody can know
     /// sooner.
     pub fn resize(&mut self, id: &WorkerId, capacity: Resources, counts_until: Millis) {
--- a/crates/sched/src/options.rs
+++ b/crates/sched/src/options.rs
@@ -43,6 +43,9 @@
     pub failures_in_row_limit: u32,
     /// Time for which a worker is quarantined the first time; each further time doubles it.
     pub quarantine_ms: u64,
+    /// A worker that was silent for longer gets nothing new until it has told again what it has: its room may have
+    /// shrunk meanwhile.
+    pub room_told_ms: u64,
     /// Room is kept for a unit at most this long.
     pub reservation_ms: u64,
     /// A task, or a gang, that failed on some workers goes elsewhere; where there is no room it
@@ -90,6 +93,7 @@
             stall_ms: 2_000,
             failures_in_row_limit: 3,
             quarantine_ms: 4_000,
+            room_told_ms: 2_500,
             reservation_ms: 3_000,
             avoid_ms: 1_000,
             upkeep_ms: 2_000,
--- a/crates/sched/src/repeats.rs
+++ b/crates/sched/src/repeats.rs
@@ -60,6 +60,7 @@
         let (task, run) = name;
         let worker = &mut self.workers[key];
         let lapsing = worker.contact.lapsing;
+        let is_overfull = worker.is_overfull() || worker.room_in_doubt;
         let Some(of_run) = worker.runs.get_mut(&name) else {
             return;
         };
@@ -67,8 +68,8 @@
             self.order_stop(key, task, run, StopReason::Unwanted, now);
             return;
         }
-        // A start would set a lease.
-        if lapsing || of_run.orders >= self.options.start_orders_limit {
+        // A start would set a lease, and what has no room any more must not be started.
+        if lapsing || is_overfull || of_run.orders >= self.options.start_orders_limit {
             of_run.begin_stop(now);
             self.order_stop(key, task, run, StopReason::StartInDoubt, now);
             return;
--- a/crates/sched/src/reports.rs
+++ b/crates/sched/src/reports.rs
@@ -39,6 +39,8 @@
             let begins_draining = spec.draining && !worker.spec.draining;
             worker.listed = true;
             worker.spec = spec;
+            worker.told_at = now;
+            worker.room_in_doubt = false;
             if begins_draining {
                 self.move_off_draining(key, now);
             }
@@ -153,6 +155,7 @@
         };
         if worker.silent {
             worker.silent = false;
+            worker.room_in_doubt |= worker.may_have_shrunk(self.options.room_told_ms, now);
             worker.contact.probe_soon(now);
             let note = belief(worker, "answers", now);
             self.actions.push(note);
--- a/crates/sched/src/worker.rs
+++ b/crates/sched/src/worker.rs
@@ -233,6 +233,10 @@
     /// Whether its latest renewal went without an answer.
     pub(crate) silent: bool,
     pub(crate) last_answer_at: Millis,
+    /// When it last told what it has.
+    pub(crate) told_at: Millis,
+    /// Whether it was silent for so long that it may have less than it told last.
+    pub(crate) room_in_doubt: bool,
     /// When its latest silence began to show.
     pub(crate) silent_since: Millis,
     /// When the last of its leases has surely lapsed.
@@ -272,6 +276,8 @@
             answered: false,
             silent: false,
             last_answer_at: now,
+            told_at: Millis(0),
+            room_in_doubt: false,
             silent_since: now,
             lapse_at: now,
             runs: BTreeMap::new(),
@@ -308,6 +314,7 @@
         self.listed
             && self.answered
             && !self.silent
+            && !self.room_in_doubt
             && self.contact.is_open()
             && !self.spec.draining
             && !self.emptying
@@ -335,6 +342,18 @@
         self.spec.capacity.saturating_sub(&self.used)
     }
 
+    /// Says whether its room may have shrunk in a silence that has just ended without being told.
+    pub(crate) fn may_have_shrunk(&self, limit_ms: u64, now: Millis) -> bool {
+        // How old the entry was that a new scheduler found, it does not know.
+        let was_long = !self.answered || now.since(self.last_answer_at) > limit_ms;
+        was_long && now.since(self.told_at) > limit_ms
+    }
+
+    /// Says whether its runs take more than it has: its room shrank under them.
+    pub(crate) fn is_overfull(&self) -> bool {
+        !self.used.fits_in(&self.spec.capacity)
+    }
+
     /// Returns the processor time that no run uses or waits for, in thousandths of a core.
     pub(crate) fn unused_cpu_millis(&self) -> u64 {
         let used = self.runs.values().map(WorkerRun::used_cpu_millis);
--- a/crates/sched/tests/core/main.rs
+++ b/crates/sched/tests/core/main.rs
@@ -13,6 +13,7 @@
 mod preempt;
 mod proof;
 mod review;
+mod rooms;
 mod sharing;
 mod silence;
 mod site;
--- /dev/null
+++ b/crates/sched/tests/core/rooms.rs
@@ -0,0 +1,75 @@
+//! Rooms that shrink while tasks run, and workers that may have less than they told last.
+
+use syc_sched::Event;
+use syc_sched::StartAnswer;
+use syc_sched::WorkerSpec;
+
+use crate::driver::Driver;
+use crate::driver::cpu;
+use crate::driver::policy;
+use crate::driver::step;
+use crate::driver::worker;
+
+fn shrink(driver: &mut Driver, cores: u64) {
+    let spec = WorkerSpec {
+        capacity: cpu(cores),
+        ..worker(0, 8)
+    };
+    driver.apply(Event::WorkerListed(spec));
+}
+
+#[test]
+fn a_worker_whose_room_shrank_under_what_runs_gets_nothing_before_enough_has_ended() {
+    let mut driver = Driver::new(1, 8);
+    driver.submit(1, policy(0), vec![step(2, 3)]);
+    let started = driver.settle();
+    assert_eq!(started.len(), 2);
+    shrink(&mut driver, 4);
+    driver.submit(2, policy(0), vec![step(1, 1)]);
+    assert!(driver.settle().is_empty());
+    driver.end(
+        &started[0],
+        syc_sched::RunEnd::Done,
+        &[(started[1].task, started[1].run, 10)],
+    );
+    driver.record();
+    assert_eq!(driver.settle().len(), 1);
+}
+
+#[test]
+fn a_worker_that_was_silent_for_long_gets_nothing_before_it_has_told_its_room_again() {
+    let mut driver = Driver::new(1, 8);
+    let worker = driver.workers[0];
+    driver.apply(Event::RenewalFailed { worker });
+    driver.pass(4_000);
+    driver.hold(worker, &[]);
+    driver.submit(1, policy(0), vec![step(1, 4)]);
+    assert!(driver.settle().is_empty());
+    shrink(&mut driver, 2);
+    assert!(driver.settle().is_empty(), "it has less");
+    shrink(&mut driver, 8);
+    assert_eq!(driver.settle().len(), 1);
+}
+
+#[test]
+fn a_worker_whose_room_shrank_is_not_sent_again_what_it_may_not_have_started() {
+    let mut driver = Driver::new(1, 8);
+    driver.submit(1, policy(0), vec![step(2, 4)]);
+    driver.schedule();
+    let starts = std::mem::take(&mut driver.starts);
+    for start in &starts {
+        driver.apply(Event::StartAnswered {
+            worker: start.worker,
+            task: start.task,
+            run: start.run,
+            answer: StartAnswer::InDoubt,
+        });
+    }
+    shrink(&mut driver, 4);
+    for _ in 0..20 {
+        driver.pass(100);
+        driver.apply(Event::Ticked);
+    }
+    assert!(driver.starts.is_empty());
+    assert!(!driver.stops.is_empty(), "what may run there is stopped");
+}
