Count what a shrunk worker lacks before work is stopped to make room there

Work that saves its progress was stopped for something urgent on a worker whose room had shrunk under it, though its end did not make the room: what was freed counted from nothing on, not from what the runs had too much. The urgent task waited out its reservation, and the same was done again. The new test failed before: two runs of four cores were stopped on a worker that had three left.

--- a/crates/sched/src/place.rs
+++ b/crates/sched/src/place.rs
@@ -438,16 +438,17 @@
         })
         .collect();
     candidates.sort_by_key(|(_, of_run)| std::cmp::Reverse(of_run.resources.cpu_millis));
-    let mut room = worker.room();
+    let mut freed = Resources::ZERO;
     let mut victims = Vec::new();
     for (name, of_run) in candidates {
-        if need.fits_in(&room) {
+        if need.fits_in(&worker.room_without(&freed)) {
             break;
         }
-        room = room.saturating_add(&of_run.resources);
+        freed = freed.saturating_add(&of_run.resources);
         victims.push(*name);
     }
-    need.fits_in(&room).then_some(victims)
+    need.fits_in(&worker.room_without(&freed))
+        .then_some(victims)
 }
 
 fn is_far(worker: &Worker, rack: Option<&SmolStr>) -> bool {
--- a/crates/sched/src/worker.rs
+++ b/crates/sched/src/worker.rs
@@ -333,8 +333,15 @@
 
     /// Returns what no run holds and no reservation claims.
     pub(crate) fn room(&self) -> Resources {
-        let free = self.spec.capacity.saturating_sub(&self.used);
-        free.saturating_sub(&self.reserved)
+        self.room_without(&Resources::ZERO)
+    }
+
+    /// Returns what no run would hold and no reservation claim, were so much of it freed: of a worker whose room shrank
+    /// under its runs, some of that was never there.
+    pub(crate) fn room_without(&self, freed: &Resources) -> Resources {
+        let taken = self.used.saturating_add(&self.reserved);
+        let taken = taken.saturating_sub(freed);
+        self.spec.capacity.saturating_sub(&taken)
     }
 
     /// Returns what no run holds.
--- a/crates/sched/tests/core/rooms.rs
+++ b/crates/sched/tests/core/rooms.rs
@@ -2,6 +2,7 @@
 
 use syc_sched::Event;
 use syc_sched::StartAnswer;
+use syc_sched::StepSpec;
 use syc_sched::WorkerSpec;
 
 use crate::driver::Driver;
@@ -73,3 +74,23 @@
     assert!(driver.starts.is_empty());
     assert!(!driver.stops.is_empty(), "what may run there is stopped");
 }
+
+/// What is stopped for urgent work has to make the room that it takes, beyond what is lacking already.
+#[test]
+fn nothing_is_stopped_for_urgent_work_where_that_would_not_make_room() {
+    let mut driver = Driver::new(1, 8);
+    let patient = StepSpec {
+        checkpointed: true,
+        ..step(2, 4)
+    };
+    driver.submit(1, policy(2), vec![patient]);
+    let started = driver.settle();
+    assert_eq!(started.len(), 2);
+    shrink(&mut driver, 3);
+    driver.submit(2, policy(0), vec![step(1, 4)]);
+    driver.settle();
+    assert!(driver.stops.is_empty(), "it has no room for it at all");
+    driver.submit(3, policy(0), vec![step(1, 3)]);
+    driver.settle();
+    assert_eq!(driver.stops.len(), 2, "one of them does not make room");
+}
