--- a/crates/cell/src/log.rs
+++ b/crates/cell/src/log.rs
@@ -387,6 +387,8 @@
             eligible,
             required_label,
             allowed,
+            denied,
+            known,
             tasks,
         } => Line::new(catalogue::STEP_WAITS)
             .display("job", step.job)
@@ -395,6 +397,8 @@
             .number("eligible", *eligible)
             .text("required_label", required_label)
             .number("allowed", *allowed)
+            .number("denied", *denied)
+            .number("known", *known)
             .number("tasks", *tasks)
             .emit(),
         Note::Worker { worker, note } => workers::note(worker, note),
--- a/crates/sched/src/note.rs
+++ b/crates/sched/src/note.rs
@@ -91,6 +91,10 @@
         required_label: SmolStr,
         /// Workers that may run it and that tickets are held for.
         allowed: usize,
+        /// Workers that were asked about and may not run it.
+        denied: usize,
+        /// Workers that might run it, with tickets that may be too old.
+        known: usize,
         /// Tasks that wait.
         tasks: u32,
     },
--- a/crates/sched/src/waiting.rs
+++ b/crates/sched/src/waiting.rs
@@ -90,6 +90,8 @@
             eligible,
             required_label: required_label.cloned().unwrap_or_default(),
             allowed,
+            denied: of_step.advice.denied.len(),
+            known: of_step.advice.tickets.len(),
             tasks: of_step.pending * of_step.members(),
         }
     }
