Show that a worker that starts again under its name is taken for the one before

Workers of the generated schedules end and start again under their names: at once, after some time, after their leases, twice within moments, all together, as another kind of worker; beside takeovers, cuts, lost answers and a store that pauses.

--- a/crates/fleet/src/worker.rs
+++ b/crates/fleet/src/worker.rs
@@ -25,6 +25,8 @@
 pub struct WorkerModel {
     /// Its name.
     pub id: WorkerId,
+    /// When it started, by which a life of it is told from the one before under the same name.
+    pub started_at: Millis,
     /// What it has.
     pub capacity: Resources,
     /// What it had before its room changed, and until when each still counts.
@@ -67,6 +69,7 @@
     pub const fn new(id: WorkerId, capacity: Resources, slow_per_mille: u64) -> Self {
         Self {
             id,
+            started_at: Millis(0),
             capacity,
             before: Vec::new(),
             slow_per_mille,
@@ -91,16 +94,27 @@
         counts
     }
 
+    /// Returns the next life of it, which knows nothing of this one, and whose counts and clock start anew.
+    #[must_use]
+    pub fn next_life(&self, now: Millis) -> Self {
+        Self {
+            started_at: now,
+            ..Self::new(self.id.clone(), self.capacity, self.slow_per_mille)
+        }
+    }
+
     /// Returns what its clock shows.
     #[must_use]
-    pub const fn clock_ms(&self, now: Millis) -> u64 {
-        now.0 - now.0 * self.slow_per_mille / 1_000
+    pub fn clock_ms(&self, now: Millis) -> u64 {
+        let passed_ms = now.since(self.started_at);
+        passed_ms - passed_ms * self.slow_per_mille / 1_000
     }
 
     /// Returns when its clock will show the end of its lease.
     pub(crate) fn lease_end(&self) -> Millis {
         let runs_per_mille = 1_000 - self.slow_per_mille.min(999);
-        Millis((self.lease_until_ms.saturating_mul(1_000)).div_ceil(runs_per_mille))
+        let passed_ms = (self.lease_until_ms.saturating_mul(1_000)).div_ceil(runs_per_mille);
+        Millis(self.started_at.0.saturating_add(passed_ms))
     }
 
     /// Extends the lease, at most to the longest there is; it never shortens.
--- a/crates/sched/tests/schedules/main.rs
+++ b/crates/sched/tests/schedules/main.rs
@@ -40,6 +40,12 @@
 #[test_case(Profile { rooms: 20, ..Profile::CALM }; "rooms shrink and grow")]
 #[test_case(Profile { rooms: 20, cuts: 6, ..Profile::CALM }; "rooms shrink on workers that are cut off")]
 #[test_case(Profile { rooms: 20, ..Profile::ALL }; "rooms shrink and everything at once")]
+#[test_case(Profile { rebirths: 8, ..Profile::CALM }; "workers start again under their names")]
+#[test_case(Profile { rebirths: 6, scheduler_ends: 6, ..Profile::CALM }; "workers start again while schedulers end")]
+#[test_case(Profile { rebirths: 6, cuts: 6, ..Profile::CALM }; "workers start again behind a cut")]
+#[test_case(Profile { rebirths: 6, lost: 80, ..Profile::CALM }; "workers start again and answers are lost")]
+#[test_case(Profile { rebirths: 6, store_pauses: 4, ..Profile::CALM }; "workers start again while the store pauses")]
+#[test_case(Profile { rebirths: 6, ..Profile::ALL }; "workers start again and everything at once")]
 fn nothing_runs_twice_and_every_job_ends_as_it_must(profile: Profile) {
     for seed in 1..=SEEDS {
         let mut world = World::new(seed, profile, Options::default());
--- a/crates/sched/tests/schedules/world.rs
+++ b/crates/sched/tests/schedules/world.rs
@@ -4,6 +4,7 @@
 mod crashes;
 mod faults;
 mod orders;
+mod rebirths;
 mod sessions;
 mod travel;
 
@@ -83,6 +84,8 @@
     pub guilty: u32,
     /// Workers whose room shrinks or grows while they run.
     pub rooms: u32,
+    /// Times that a worker, or all of them, start again under their names.
+    pub rebirths: u32,
     /// Workers have less than they say: the judge must see it.
     pub understated: bool,
     /// Jobs that serve users of their own, and others that fill what they leave unused.
@@ -107,6 +110,7 @@
         shuts: 0,
         guilty: 0,
         rooms: 0,
+        rebirths: 0,
         understated: false,
         sharing: false,
         unpaced: false,
@@ -143,6 +147,10 @@
     Back(VmId, u64),
     /// The entry of a worker that was taken down has lapsed.
     Unlisted(WorkerId),
+    /// A worker ends, to start again at once.
+    EndLife(WorkerId),
+    /// A worker starts again under its name.
+    Reborn(WorkerModel),
     /// A worker has so many cores from now on.
     Room(WorkerId, u64),
     /// A worker tells of itself.
@@ -197,6 +205,8 @@
     number: u64,
     /// What advice goes by: of a worker that is back on its VM, that of the one before.
     slot: u64,
+    /// Times that it started again under its name, each time as another kind of worker.
+    rebirths: u64,
     vm: VmId,
     /// What it has.
     cores: u64,
@@ -212,6 +222,7 @@
     StorePauses,
     Shut,
     Room,
+    Rebirth,
 }
 
 impl World {
@@ -242,6 +253,7 @@
             (Trouble::StorePauses, profile.store_pauses),
             (Trouble::Shut, profile.shuts),
             (Trouble::Room, profile.rooms),
+            (Trouble::Rebirth, profile.rebirths),
         ];
         for (trouble, count) in troubles {
             for _ in 0..count {
@@ -391,6 +403,7 @@
         let life = Life {
             number: self.lives,
             slot,
+            rebirths: 0,
             vm: vm.clone(),
             cores: CORES,
             told_cores: CORES,
--- a/crates/sched/tests/schedules/world/faults.rs
+++ b/crates/sched/tests/schedules/world/faults.rs
@@ -56,6 +56,7 @@
                     let until = self.now.plus(self.rng.random_range(500..30_000));
                     self.shut_until.insert(id, until);
                 }
+                Trouble::Rebirth => self.strike_rebirths(),
                 Trouble::Room => {
                     if let Some(id) = self.any_worker() {
                         self.change_room(&id);
--- a/crates/sched/tests/schedules/world/orders.rs
+++ b/crates/sched/tests/schedules/world/orders.rs
@@ -231,7 +231,7 @@
             };
             // Of five lives in a row, one may not run a step; a gang needs two that may.
             let life = self.registered.get(&session.id);
-            let incarnation = life.map_or(0, |life| life.slot);
+            let incarnation = life.map_or(0, |life| life.slot + life.rebirths % 2);
             let denied = (step.job.0 + u64::from(step.step)) % WORKERS;
             if incarnation % WORKERS != denied {
                 allowed.push(Allowed {
--- /dev/null
+++ b/crates/sched/tests/schedules/world/rebirths.rs
@@ -0,0 +1,59 @@
+//! Workers that start again under the names that they had.
+
+use rand::Rng;
+use syc_fleet::WorkerModel;
+use syc_types::WorkerId;
+
+use super::Delivery;
+use super::World;
+
+/// Of so many times, one has all workers start again together.
+const ALL_OF: u32 = 5;
+
+impl World {
+    /// Lets a worker, or all of them, end and start again: at once, after some time, or after their leases.
+    pub(super) fn strike_rebirths(&mut self) {
+        let mut ids: Vec<_> = self.registered.keys().cloned().collect();
+        if !self.rng.random_ratio(1, ALL_OF) {
+            let one = self.rng.random_range(0..ids.len().max(1));
+            ids = ids.into_iter().skip(one).take(1).collect();
+        }
+        let down_ms = match self.rng.random_range(0..4) {
+            0 => self.rng.random_range(1..20),
+            1 => self.rng.random_range(20..300),
+            2 => self.rng.random_range(300..4_000),
+            _ => self.rng.random_range(7_000..9_000),
+        };
+        let is_twice = self.rng.random_ratio(1, 4);
+        for id in ids {
+            self.end_life(&id, down_ms);
+            if is_twice {
+                let again_ms = self.rng.random_range(1..400);
+                self.later(down_ms + again_ms, Delivery::EndLife(id));
+            }
+        }
+    }
+
+    /// Ends a life of a worker; the next one begins after so long.
+    pub(super) fn end_life(&mut self, id: &WorkerId, down_ms: u64) {
+        let Some(model) = self.fleet.workers.get(id).cloned() else {
+            return;
+        };
+        self.fleet.crash(id);
+        self.down_until.insert(id.clone(), self.now.plus(down_ms));
+        self.later(down_ms, Delivery::Reborn(model));
+    }
+
+    /// The next life of a worker begins, and tells of itself within a heartbeat.
+    pub(super) fn reborn(&mut self, ended: &WorkerModel) {
+        // Only one next life follows, however often the one before was ended.
+        if self.fleet.workers.contains_key(&ended.id) || !self.registered.contains_key(&ended.id) {
+            return;
+        }
+        self.fleet.add(ended.next_life(self.now));
+        if let Some(life) = self.registered.get_mut(&ended.id) {
+            life.rebirths += 1;
+        }
+        self.tell_soon(ended.id.clone());
+    }
+}
