Tell the lives of a worker apart that have one name

Cause: a worker's id stood for one life of it. What the life before had told was held against the next one: the number up to which its ends were handled, so that its own ends, from 1 on, were passed over and acknowledged unread, and the answers about who may run a step, so that a step that all had denied once asked nobody any more.

Change: a worker's identity is its name and when its life began, wherever it is kept: keys, tickets, denials, leases, counts, the roster, placements, log lines. Each list says which life gave it; one of a later life ends the session. Orders name the worker alone, so that what the earlier life had not listed may have reached the next one: it holds its room there, and is stopped there before its task starts again, or is over when the longest lease is that a worker grants. That an end may be forgotten is told once, and not to a worker that did not answer the last call: a later life would forget its own. A birth that is not told, or not in whole milliseconds, counts for every life of the name.

Of many workers that go silent at one moment, none counts as crashed under a task with nothing else to blame, but under one that was isolated.

The stand-in's orders that are carried out late end with their worker now, and a renewal that is under way fails with it, as a connection does.

--- a/crates/cell/src/leader.rs
+++ b/crates/cell/src/leader.rs
@@ -403,9 +403,12 @@
     let settings = &node.settings;
     let lease_ms = settings.lease_ms();
     let drift_ms = lease_ms * CLOCK_DRIFT_PER_MILLE / 1_000;
+    let longest_ms = settings.lease_limit_ms;
+    let longest_drift_ms = longest_ms * CLOCK_DRIFT_PER_MILLE / 1_000;
     let status_drift_ms = settings.status_ms * CLOCK_DRIFT_PER_MILLE / 1_000;
     Options {
         lease_bound_ms: lease_ms + drift_ms + ORDER_TRAVEL_MS,
+        longest_lease_ms: longest_ms + longest_drift_ms + ORDER_TRAVEL_MS,
         stop_ms: settings.stop_limit_ms,
         status_ms: settings.status_ms + status_drift_ms,
         upkeep_ms: settings.upkeep_ms,
--- a/crates/cell/src/leader/load.rs
+++ b/crates/cell/src/leader/load.rs
@@ -206,9 +206,7 @@
     leader.roster.restore(roster.values());
     let mut listed = BTreeSet::new();
     for (_offset, record) in &left.workers.records {
-        if readers::take_worker(leader, record) {
-            listed.insert(WorkerId::new(record.key.clone()));
-        }
+        listed.extend(readers::take_worker(leader, record));
     }
     let mut missing = Vec::new();
     for (id, spec) in roster {
--- a/crates/cell/src/leader/orders.rs
+++ b/crates/cell/src/leader/orders.rs
@@ -117,6 +117,7 @@
     fn is_settled_by(self: &Rc<Self>, worker: WorkerKey, error: &OrderError) -> bool {
         match error {
             OrderError::Replaced => self.apply(Event::Replaced { worker }),
+            OrderError::Reborn => self.apply(Event::Reborn { worker }),
             OrderError::Fenced => self.end("fenced_by_worker"),
             OrderError::Refused(_) | OrderError::NotSent(_) | OrderError::InDoubt(_) => {
                 return false;
--- a/crates/cell/src/leader/readers.rs
+++ b/crates/cell/src/leader/readers.rs
@@ -200,47 +200,45 @@
 {
     let mut listed = BTreeSet::new();
     for (_offset, record) in &newest.records {
-        if take_worker(leader, record) {
-            listed.insert(WorkerId::new(record.key.clone()));
-        }
+        listed.extend(take_worker(leader, record));
     }
     for id in leader.roster.ids() {
         if !listed.contains(&id) {
-            leader.unlist_worker(id);
+            leader.unlist_life(id);
         }
     }
 }
 
-/// Takes one record of the list. Says whether it names a worker to use.
+/// Takes one record of the list. Returns the life of a worker that it names, if that is to be used.
 ///
 /// The list may have records of another writer. One that can't be read, or names a service that nobody
 /// configured, names no worker to use: nothing new starts there, and what runs there is settled as for any
 /// worker that is listed no more.
-pub(super) fn take_worker<P>(leader: &Rc<Leader<P>>, record: &Record) -> bool
+pub(super) fn take_worker<P>(leader: &Rc<Leader<P>>, record: &Record) -> Option<WorkerId>
 where
     P: Platform,
 {
     let node = &leader.node;
-    let id = WorkerId::new(record.key.clone());
     if record.is_nameless() {
         node.note_unreadable(Source::Workers, "", NAMELESS);
-        return false;
+        return None;
     }
     if record.value.is_empty() {
         node.unreadable.forget(Source::Workers, &record.key);
-        leader.unlist_worker(id);
-        return false;
+        leader.unlist_worker(&record.key);
+        return None;
     }
     let reason = match node.platform.worker(&record.key, &record.value) {
         Ok(spec) if node.names_service(&spec.service) => {
             node.unreadable.forget(Source::Workers, &record.key);
-            leader.list_worker(spec);
-            return true;
+            let id = spec.id.clone();
+            leader.list_worker(&record.key, spec);
+            return Some(id);
         }
         Ok(spec) => format!("no service `{}` is configured", spec.service.as_str()),
         Err(error) => error.0,
     };
     node.note_unreadable(Source::Workers, &record.key, &reason);
-    leader.unlist_worker(id);
-    false
+    leader.unlist_worker(&record.key);
+    None
 }
--- a/crates/cell/src/leader/roster.rs
+++ b/crates/cell/src/leader/roster.rs
@@ -10,6 +10,7 @@
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
+use smol_str::SmolStr;
 use syc_sched::Event;
 use syc_sched::WorkerSpec;
 use syc_types::WorkerId;
@@ -25,6 +26,8 @@
 #[derive(Debug, Default)]
 pub(super) struct Roster {
     members: RefCell<BTreeMap<WorkerId, Member>>,
+    /// The life that the platform's list has of each worker, by the worker's key there.
+    lives: RefCell<BTreeMap<SmolStr, WorkerId>>,
     /// Number of the latest change.
     changes: Cell<u64>,
     /// Number of the latest change that the store has.
@@ -103,6 +106,16 @@
         }
     }
 
+    /// Takes note of the life that is listed of a worker. Returns the one that was listed before, if it is another.
+    fn note_life(&self, key: &str, id: Option<&WorkerId>) -> Option<WorkerId> {
+        let mut lives = self.lives.borrow_mut();
+        let before = match id {
+            Some(id) => lives.insert(SmolStr::new(key), id.clone()),
+            None => lives.remove(key),
+        };
+        before.filter(|before| Some(before) != id)
+    }
+
     fn next_change(&self) -> u64 {
         self.changes.set(self.changes.get() + 1);
         self.changes.get()
@@ -146,8 +159,11 @@
 where
     P: Platform,
 {
-    /// Takes a worker that is listed; it gets orders once the store has it in the roster.
-    pub(super) fn list_worker(self: &Rc<Self>, spec: WorkerSpec) {
+    /// Takes a worker that is listed under a key; it gets orders once the store has it in the roster.
+    pub(super) fn list_worker(self: &Rc<Self>, key: &str, spec: WorkerSpec) {
+        if let Some(before) = self.roster.note_life(key, Some(&spec.id)) {
+            self.unlist_life(before);
+        }
         if self.roster.list(&spec) {
             self.apply(Event::WorkerListed(spec));
         } else {
@@ -155,9 +171,16 @@
         }
     }
 
-    /// Takes note that a worker is not listed. Only the first time is news: an entry that can't be used is
+    /// Takes note that no worker is listed under a key.
+    pub(super) fn unlist_worker(self: &Rc<Self>, key: &str) {
+        let before = self.roster.note_life(key, None);
+        // A predecessor may have listed one whose life nobody told.
+        self.unlist_life(before.unwrap_or_else(|| WorkerId::of_life(key, None)));
+    }
+
+    /// Takes note that a life of a worker is not listed. Only the first time is news: an entry that can't be used is
     /// written again with every heartbeat of its writer.
-    pub(super) fn unlist_worker(self: &Rc<Self>, id: WorkerId) {
+    pub(super) fn unlist_life(self: &Rc<Self>, id: WorkerId) {
         if self.roster.unlist(&id) {
             self.tell_unlisted(id);
         }
--- a/crates/cell/src/leader/sessions.rs
+++ b/crates/cell/src/leader/sessions.rs
@@ -283,12 +283,17 @@
                 leader.apply(Event::Replaced { worker });
                 return;
             }
+            Err(OrderError::Reborn) => {
+                leader.apply(Event::Reborn { worker });
+                return;
+            }
             Err(OrderError::Fenced) => {
                 leader.end("fenced_by_worker");
                 return;
             }
             Err(OrderError::Refused(_) | OrderError::NotSent(_) | OrderError::InDoubt(_)) => {
                 failures += 1;
+                skipped_end = 0;
                 leader.apply(Event::RenewalFailed { worker });
                 let wait_ms = (RETRY_MS << failures.min(4)).min(RETRY_LIMIT_MS);
                 pause(wait_ms).await;
--- a/crates/cell/src/ports.rs
+++ b/crates/cell/src/ports.rs
@@ -312,6 +312,8 @@
 pub struct Renewed {
     /// The worker's clock.
     pub clock_ms: u64,
+    /// When the life of the worker began that answered, in milliseconds since 1970, where that is told.
+    pub born_ms: Option<u64>,
     /// What it lists.
     pub report: WorkerReport,
     /// What of it can't be read.
@@ -326,6 +328,9 @@
     /// Another incarnation of the worker answers at its address.
     #[error("another incarnation of the worker is at its address")]
     Replaced,
+    /// A later life of the worker answers under its name.
+    #[error("a later life of the worker answers under its name")]
+    Reborn,
     /// The worker has seen a greater fencing token.
     #[error("the worker has seen a greater fencing token")]
     Fenced,
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -319,6 +319,7 @@
         }
         Ok(Renewed {
             clock_ms: worker.clock_ms(now),
+            born_ms: Some(worker.started_at.0),
             report,
             ..Renewed::default()
         })
--- a/crates/sched/src/blame.rs
+++ b/crates/sched/src/blame.rs
@@ -48,6 +48,19 @@
 /// probation is given up only then: but for its start, it looks like one whose workers crash by themselves.
 const CRASHES_LIMIT: u32 = 5;
 
+/// Of a run that was not isolated, nothing else is blamed only where its worker went silent within this time.
+const SUDDEN_MS: u64 = 100;
+
+/// Silences of workers that are gone that are remembered: more than go at one moment in a rack.
+const SILENCES_KEPT: usize = 64;
+
+/// Workers that go silent within this time of each other have done so at one moment.
+const MOMENT_MS: u64 = 500;
+
+/// Others that go silent at one moment with a worker, from which on something else than a task is the likelier cause: a
+/// rack without power, a switch.
+const OTHERS_AT_ONCE: usize = 2;
+
 /// What a task is suspected of.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub(crate) struct Blame {
@@ -234,13 +247,20 @@
             now
         };
         let suspects = worker.suspects(silent_at);
+        let is_one_of_many = self.others_silent_at(key, silent_at) >= OTHERS_AT_ONCE;
+        self.silences.push_back(silent_at);
+        if self.silences.len() > SILENCES_KEPT {
+            self.silences.pop_front();
+        }
         let units: BTreeSet<_> = suspects
             .iter()
             .map(|(task, _)| self.unit_key(*task))
             .collect();
-        let alone = units.len() == 1;
+        let is_one = units.len() == 1;
         for (task, number) in suspects {
             let run = &self.workers[key].runs[&(task, number)];
+            let is_sudden = run.there_ms(silent_at) <= SUDDEN_MS && !is_one_of_many;
+            let alone = is_one && (run.is_isolated() || is_sudden);
             let crash = Crash {
                 worker: id.clone(),
                 alone,
@@ -251,6 +271,15 @@
         }
     }
 
+    /// Counts the other workers that are silent, or are gone, since the same moment.
+    fn others_silent_at(&self, key: WorkerKey, silent_at: Millis) -> usize {
+        let is_then = |at: Millis| at.since(silent_at).max(silent_at.since(at)) <= MOMENT_MS;
+        let gone = self.silences.iter().filter(|at| is_then(**at)).count();
+        let others = self.workers.iter().filter(|(other, _)| *other != key);
+        let silent = others.filter(|(_, worker)| worker.silent && is_then(worker.silent_since));
+        gone + silent.count()
+    }
+
     /// Names the unit of a task: of a gang, all members are one.
     fn unit_key(&self, task: TaskId) -> (StepId, usize) {
         let unit = self.locate(task).map(|(_, _, unit, _)| unit);
--- a/crates/sched/src/event.rs
+++ b/crates/sched/src/event.rs
@@ -83,6 +83,12 @@
         /// The worker.
         worker: WorkerKey,
     },
+    /// A later life of the worker answers under its name: all that ran on this one has ended, but what this scheduler
+    /// ordered lately may have reached that one.
+    Reborn {
+        /// The worker.
+        worker: WorkerKey,
+    },
     /// A start order came to something.
     StartAnswered {
         /// The worker.
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -34,6 +34,7 @@
 mod pools;
 mod progress;
 mod proof;
+mod rebirth;
 mod recovery;
 mod repeats;
 mod reports;
--- a/crates/sched/src/options.rs
+++ b/crates/sched/src/options.rs
@@ -8,6 +8,8 @@
     /// Time after sending a renewal within which the lease that it set has surely lapsed: the
     /// lease itself, the drift of the worker's clock, and what an order may be under way.
     pub lease_bound_ms: u64,
+    /// The same where the worker's clock may have begun anew, so that it sets the longest lease that it grants.
+    pub longest_lease_ms: u64,
     /// Time that a predecessor may go on giving orders after its successor was chosen.
     pub authority_ms: u64,
     /// Time for which a scheduler starts what it learns of after the store took something of it.
@@ -77,6 +79,7 @@
     fn default() -> Self {
         Self {
             lease_bound_ms: 6_500,
+            longest_lease_ms: 10_500,
             authority_ms: 3_000,
             job_authority_ms: 1_000,
             stop_ms: 900,
--- /dev/null
+++ b/crates/sched/src/rebirth.rs
@@ -0,0 +1,154 @@
+//! Workers that start again under their names: what was meant for the life before may have reached the next one.
+//!
+//! Orders name the worker, not its life. What a life has listed ended with it. What it has not, the next life may run
+//! or may yet receive, so that it goes on holding room there until it has been stopped.
+
+use smol_str::SmolStr;
+use syc_types::Millis;
+
+use crate::Run;
+use crate::Scheduler;
+use crate::StopReason;
+use crate::TaskId;
+use crate::WorkerKey;
+use crate::job::Outcome;
+use crate::job::UnitState;
+use crate::worker::WorkerRun;
+
+/// A run that may have reached a later life of its worker.
+#[derive(Debug, Clone)]
+pub(crate) struct Misdirected {
+    /// The life that it was meant for.
+    meant_for: WorkerKey,
+    /// The name of the worker.
+    name: SmolStr,
+    task: TaskId,
+    run: Run,
+    held: WorkerRun,
+    /// When it has surely ended, whatever the later life does.
+    ended_at: Millis,
+}
+
+impl Scheduler {
+    pub(crate) fn reborn(&mut self, key: WorkerKey, now: Millis) {
+        if !self.workers.contains_key(key) {
+            return;
+        }
+        self.blame_for_crash(key, now);
+        self.set_misdirected_aside(key, now);
+        self.lose_runs(key, "reborn", now);
+        self.detach(key);
+        self.meet_misdirected(now);
+    }
+
+    fn set_misdirected_aside(&mut self, key: WorkerKey, now: Millis) {
+        let ended_at = now.plus(self.options.longest_lease_ms);
+        let worker = &mut self.workers[key];
+        let name = SmolStr::new(worker.spec.id.name());
+        let unlisted = worker.runs.iter().filter(|(_, run)| !run.listed);
+        let unlisted: Vec<_> = unlisted.map(|(name, _)| *name).collect();
+        for (task, run) in unlisted {
+            let Some(held) = worker.remove(task, run) else {
+                continue;
+            };
+            self.misdirected.push(Misdirected {
+                meant_for: key,
+                name: name.clone(),
+                task,
+                run,
+                held,
+                ended_at,
+            });
+        }
+    }
+
+    /// Has runs stopped on the lives of their workers that they may have reached, as far as these are known.
+    pub(crate) fn meet_misdirected(&mut self, now: Millis) {
+        for misdirected in std::mem::take(&mut self.misdirected) {
+            let name = misdirected.name.as_str();
+            let mut workers = self.workers.iter();
+            let found = workers.find(|(key, worker)| {
+                *key != misdirected.meant_for && worker.listed && worker.spec.id.name() == name
+            });
+            match found.map(|(key, _)| key) {
+                Some(key) => self.stop_misdirected(key, misdirected, now),
+                None => self.misdirected.push(misdirected),
+            }
+        }
+    }
+
+    fn stop_misdirected(&mut self, key: WorkerKey, misdirected: Misdirected, now: Millis) {
+        let Misdirected {
+            meant_for,
+            task,
+            run,
+            held,
+            ended_at,
+            ..
+        } = misdirected;
+        self.move_member(task, run, meant_for, key);
+        let worker = &mut self.workers[key];
+        worker.lapse_at = worker.lapse_at.max(ended_at);
+        worker.insert(task, run, held.unsettled(now));
+        self.stop_run(key, task, run, StopReason::StartInDoubt, now);
+    }
+
+    /// Takes note that a member of a unit is on another life of its worker, if anywhere.
+    fn move_member(&mut self, task: TaskId, run: Run, from: WorkerKey, to: WorkerKey) {
+        let Some((job, step, unit, member)) = self.locate(task) else {
+            return;
+        };
+        let Some(step) = self.jobs[job].steps.get_mut(step) else {
+            return;
+        };
+        let UnitState::Placed {
+            run: placed,
+            members,
+        } = &mut step.units[unit].state
+        else {
+            return;
+        };
+        if *placed == run && members[member] == Some(from) {
+            members[member] = Some(to);
+        }
+    }
+
+    /// Takes the runs as ended whose workers nobody has heard of again.
+    pub(crate) fn give_up_misdirected(&mut self, now: Millis) {
+        let (over, waiting): (Vec<_>, Vec<_>) = std::mem::take(&mut self.misdirected)
+            .into_iter()
+            .partition(|misdirected| misdirected.ended_at <= now);
+        self.misdirected = waiting;
+        for Misdirected {
+            meant_for,
+            task,
+            run,
+            held,
+            ..
+        } in over
+        {
+            if let Some((job, step, unit, _)) = self.locate(task)
+                && let Some(step) = self.jobs[job].steps.get_mut(step)
+            {
+                let unit = &mut step.units[unit];
+                unit.lapsed = unit.lapsed.max(run);
+            }
+            let checkpoint = held.checkpoint;
+            self.account(meant_for, task, run, Outcome::Interrupted, checkpoint, now);
+        }
+    }
+}
+
+impl WorkerRun {
+    /// Returns it as one of which nothing is known but that it may run.
+    fn unsettled(self, now: Millis) -> Self {
+        Self {
+            phase: crate::worker::Phase::Starting,
+            confirmed_at: None,
+            stop_taken_at: None,
+            doubt_since: now,
+            in_flight: false,
+            ..self
+        }
+    }
+}
--- a/crates/sched/src/reports.rs
+++ b/crates/sched/src/reports.rs
@@ -50,6 +50,7 @@
         let key = self.workers.insert(Worker::new(spec.clone(), now));
         self.worker_keys.insert(id, key);
         self.actions.push(Action::Attach { worker: key, spec });
+        self.meet_misdirected(now);
     }
 
     pub(crate) fn worker_unlisted(&mut self, id: &WorkerId, now: Millis) {
@@ -77,7 +78,7 @@
         }
     }
 
-    fn detach(&mut self, key: WorkerKey) {
+    pub(crate) fn detach(&mut self, key: WorkerKey) {
         let Some(worker) = self.workers.remove(key) else {
             return;
         };
@@ -161,7 +162,8 @@
             self.actions.push(note);
         }
         let worker = &mut self.workers[key];
-        if !worker.answered {
+        worker.note_call_answered();
+        if !worker.answered && worker.runs.is_empty() {
             // From its first answer on, it refuses a predecessor's orders.
             let bound = now.plus(self.options.lease_bound_ms);
             worker.lapse_at = worker.lapse_at.min(bound);
--- a/crates/sched/src/scheduler.rs
+++ b/crates/sched/src/scheduler.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::collections::HashMap;
+use std::collections::VecDeque;
 
 use slotmap::SlotMap;
 use smol_str::SmolStr;
@@ -35,6 +36,7 @@
 use crate::pacing::Disturbance;
 use crate::pools::Pools;
 use crate::proof::Proof;
+use crate::rebirth::Misdirected;
 use crate::recovery::Recovery;
 use crate::strays::Stray;
 use crate::upkeep::Upkeep;
@@ -80,6 +82,10 @@
     /// Runs of jobs that have not been read yet, and the time before which all that was stored has been.
     pub(crate) strays: Vec<Stray>,
     pub(crate) jobs_read_at: Millis,
+    /// When workers went silent that are gone, the latest ones.
+    pub(crate) silences: VecDeque<Millis>,
+    /// Runs that may have reached a life of their worker that is not known yet.
+    pub(crate) misdirected: Vec<Misdirected>,
     /// Jobs that were added since this scheduler began.
     pub(crate) jobs_added: u64,
     pub(crate) proof: Proof,
@@ -118,6 +124,8 @@
             recovery: Recovery::default(),
             strays: Vec::new(),
             jobs_read_at: Millis(u64::MAX),
+            silences: VecDeque::new(),
+            misdirected: Vec::new(),
             jobs_added: 0,
             proof: Proof::ETERNAL,
             predecessors_prove: false,
@@ -159,6 +167,7 @@
             Event::Renewing { worker } => self.renewing(worker, now),
             Event::RenewalFailed { worker } => self.renewal_failed(worker, now),
             Event::Replaced { worker } => self.replaced(worker, now),
+            Event::Reborn { worker } => self.reborn(worker, now),
             Event::StartAnswered {
                 worker,
                 task,
@@ -286,8 +295,8 @@
         Some(changed)
     }
 
-    /// Returns the number of the latest end of a worker that it may forget, and whether ends are
-    /// left that the store has not taken yet.
+    /// Returns the number of the latest end that a worker is to be told that it may forget, and whether ends are left
+    /// that the store has not taken yet. It is 0 where that was told already, or another life of the worker may hear it.
     pub fn acknowledged_ends(&mut self, worker: WorkerKey) -> (u64, bool) {
         let Self {
             workers,
@@ -310,8 +319,9 @@
             // Of a job that is forgotten, nothing has to be kept.
             u64::MAX
         };
-        let acknowledged = worker.acknowledge_ends(recorded);
-        (acknowledged, !worker.unacknowledged.is_empty())
+        worker.acknowledge_ends(recorded);
+        let left = !worker.unacknowledged.is_empty();
+        (worker.next_acknowledgement(), left)
     }
 
     /// Tells the time of day, by which timed jobs are due.
--- a/crates/sched/src/watch.rs
+++ b/crates/sched/src/watch.rs
@@ -16,6 +16,7 @@
     pub(crate) fn watch(&mut self, now: Millis) {
         self.recover(now);
         self.give_up_strays(now);
+        self.give_up_misdirected(now);
         self.watch_headroom();
         let mut keys: Vec<_> = self.workers.keys().collect();
         // Whoever comes first may use up what the cell has for repeats.
--- a/crates/sched/src/worker.rs
+++ b/crates/sched/src/worker.rs
@@ -247,8 +247,10 @@
     /// Number of the latest end that was handled.
     pub(crate) handled_end: u64,
     pub(crate) unacknowledged: VecDeque<UnacknowledgedEnd>,
-    /// Number of the latest end that may be forgotten.
+    /// Number of the latest end that may be forgotten, as told last, and as told in a call that was answered.
     pub(crate) acknowledged: u64,
+    acknowledged_in_call: u64,
+    acknowledged_surely: u64,
     /// Failed ends since the last good one.
     pub(crate) failures_in_row: u32,
     /// It gets nothing new before this time.
@@ -286,6 +288,8 @@
             handled_end: 0,
             unacknowledged: VecDeque::new(),
             acknowledged: 0,
+            acknowledged_in_call: 0,
+            acknowledged_surely: 0,
             failures_in_row: 0,
             quarantined_until: Millis(0),
             quarantines: 0,
@@ -388,8 +392,28 @@
         Some(removed)
     }
 
-    /// Returns the number of the latest end that the worker may forget.
-    pub(crate) fn acknowledge_ends<F>(&mut self, recorded: F) -> u64
+    /// Returns what the next call tells of ends that may be forgotten; 0 for nothing new.
+    ///
+    /// A later life of a worker counts its ends anew, and would forget its own. So nothing is told twice, nor to one
+    /// that has not answered the last call.
+    pub(crate) const fn next_acknowledgement(&mut self) -> u64 {
+        if self.silent || self.acknowledged <= self.acknowledged_surely {
+            self.acknowledged_in_call = 0;
+            return 0;
+        }
+        self.acknowledged_in_call = self.acknowledged;
+        self.acknowledged
+    }
+
+    /// Takes note that the latest call was answered.
+    pub(crate) const fn note_call_answered(&mut self) {
+        if self.acknowledged_in_call > self.acknowledged_surely {
+            self.acknowledged_surely = self.acknowledged_in_call;
+        }
+    }
+
+    /// Finds out up to which end the worker may forget.
+    pub(crate) fn acknowledge_ends<F>(&mut self, recorded: F)
     where
         F: Fn(JobId) -> u64,
     {
@@ -400,7 +424,6 @@
             self.acknowledged = first.number;
             self.unacknowledged.pop_front();
         }
-        self.acknowledged
     }
 
     /// Returns the runs of a step on it.
--- a/crates/sched/tests/core/main.rs
+++ b/crates/sched/tests/core/main.rs
@@ -12,6 +12,7 @@
 mod pools;
 mod preempt;
 mod proof;
+mod rebirth;
 mod review;
 mod rooms;
 mod sharing;
--- a/crates/sched/tests/schedules/world.rs
+++ b/crates/sched/tests/schedules/world.rs
@@ -207,6 +207,8 @@
     slot: u64,
     /// Times that it started again under its name, each time as another kind of worker.
     rebirths: u64,
+    /// When the life of it began that it told of last.
+    told_birth: Millis,
     vm: VmId,
     /// What it has.
     cores: u64,
@@ -404,13 +406,14 @@
             number: self.lives,
             slot,
             rebirths: 0,
+            told_birth: Millis(0),
             vm: vm.clone(),
             cores: CORES,
             told_cores: CORES,
         };
         self.vms.set_worker(vm, id.clone());
         self.registered.insert(id.clone(), life.clone());
-        self.roster.insert(id.clone(), life.clone());
+        self.roster.insert(life_id(&id, &life), life.clone());
         let spec = spec_of(&id, &life);
         self.apply(Event::WorkerListed(spec));
     }
@@ -444,9 +447,17 @@
         }
         let mut left = self.roster.clone();
         // Other schedules know of those alone that are registered.
-        left.retain(|id, _| self.profile.guilty > 0 && !registered.contains_key(id));
+        let listed: Vec<_> = registered
+            .iter()
+            .map(|(id, life)| life_id(id, life))
+            .collect();
+        let keeps = self.profile.guilty > 0 || self.profile.rebirths > 0;
+        left.retain(|id, _| keeps && !listed.contains(id));
         for (id, life) in &left {
-            self.apply(Event::WorkerListed(spec_of(id, life)));
+            self.apply(Event::WorkerListed(spec_of(
+                &WorkerId::new(id.name()),
+                life,
+            )));
         }
         for left in self.kept_waves.values().cloned() {
             if let Some(scheduler) = &mut self.scheduler {
@@ -494,8 +505,7 @@
             });
         }
         for id in self.vms.take_ended() {
-            self.registered.remove(&id);
-            self.apply(Event::WorkerUnlisted(id));
+            self.unlist(&id);
         }
         for (vm, _pool) in self.vms.advance(self.now) {
             self.new_life(&vm);
@@ -590,9 +600,14 @@
     }
 }
 
+/// Names the life of a worker that it told of last.
+fn life_id(name: &WorkerId, life: &Life) -> WorkerId {
+    WorkerId::of_life(name.as_str(), Some(life.told_birth.0))
+}
+
 fn spec_of(id: &WorkerId, life: &Life) -> WorkerSpec {
     WorkerSpec {
-        id: id.clone(),
+        id: life_id(id, life),
         service: ServiceName::new(SERVICE),
         address: SmolStr::new_static("10.0.0.1:1"),
         zone: Zone::new("zone"),
--- a/crates/sched/tests/schedules/world/crashes.rs
+++ b/crates/sched/tests/schedules/world/crashes.rs
@@ -8,6 +8,7 @@
 use super::CORES;
 use super::Delivery;
 use super::World;
+use super::life_id;
 use super::spec_of;
 use crate::jobs::cpu;
 
@@ -50,9 +51,10 @@
             .is_some_and(|until| self.now < *until)
     }
 
-    pub(super) fn unlist(&mut self, id: WorkerId) {
-        self.registered.remove(&id);
-        self.apply(Event::WorkerUnlisted(id));
+    pub(super) fn unlist(&mut self, id: &WorkerId) {
+        if let Some(life) = self.registered.remove(id) {
+            self.apply(Event::WorkerUnlisted(life_id(id, &life)));
+        }
     }
 
     /// Gives a worker another room, for a while.
@@ -87,8 +89,17 @@
         let Some(life) = self.registered.get_mut(id) else {
             return;
         };
+        let before = life_id(id, life);
         life.told_cores = life.cores;
-        let spec = spec_of(id, life);
+        if let Some(model) = self.fleet.workers.get(id) {
+            life.told_birth = model.started_at;
+        }
+        let life = life.clone();
+        let spec = spec_of(id, &life);
+        if spec.id != before {
+            self.roster.insert(spec.id.clone(), life);
+            self.apply(Event::WorkerUnlisted(before));
+        }
         self.apply(Event::WorkerListed(spec));
     }
 }
--- a/crates/sched/tests/schedules/world/faults.rs
+++ b/crates/sched/tests/schedules/world/faults.rs
@@ -1,7 +1,6 @@
 //! What goes wrong, and when.
 
 use rand::Rng;
-use syc_sched::Event;
 use syc_types::WorkerId;
 
 use super::Delivery;
@@ -42,10 +41,10 @@
                         continue;
                     };
                     self.fleet.crash(&id);
-                    if let Some(life) = self.registered.remove(&id) {
+                    if let Some(life) = self.registered.get(&id) {
                         self.vms.remove(&life.vm);
                     }
-                    self.apply(Event::WorkerUnlisted(id));
+                    self.unlist(&id);
                     let delay_ms = self.rng.random_range(500..4_000);
                     self.later(delay_ms, Delivery::NewIncarnation);
                 }
--- a/crates/sched/tests/schedules/world/orders.rs
+++ b/crates/sched/tests/schedules/world/orders.rs
@@ -20,6 +20,7 @@
 use syc_sched::TaskId;
 use syc_sched::WorkerKey;
 use syc_types::VmId;
+use syc_types::WorkerId;
 
 use super::Delivery;
 use super::LEASE_MS;
@@ -33,7 +34,7 @@
         let Some(session) = self.sessions.get(&order.worker) else {
             return;
         };
-        let id = session.id.clone();
+        let id = WorkerId::new(session.id.name());
         let started = |answer| Event::StartAnswered {
             worker: order.worker,
             task: order.task,
@@ -104,7 +105,9 @@
                 return;
             }
             Err(OrderError::NotSent(_)) => StartAnswer::NotSent,
-            Err(OrderError::Fenced | OrderError::InDoubt(_)) => StartAnswer::InDoubt,
+            Err(OrderError::Reborn | OrderError::Fenced | OrderError::InDoubt(_)) => {
+                StartAnswer::InDoubt
+            }
         };
         let delay_ms = self.rng.random_range(1..30);
         // What a worker had still to say when it was taken down is lost.
@@ -120,7 +123,7 @@
         let Some(session) = self.sessions.get(&worker) else {
             return;
         };
-        let id = session.id.clone();
+        let id = WorkerId::new(session.id.name());
         let command = StopCommand {
             task,
             run,
@@ -159,7 +162,7 @@
         let Some(session) = self.sessions.get(&worker) else {
             return;
         };
-        let id = session.id.clone();
+        let id = WorkerId::new(session.id.name());
         let (task, run) = name;
         let command = PaceCommand {
             task,
@@ -230,7 +233,7 @@
                 continue;
             };
             // Of five lives in a row, one may not run a step; a gang needs two that may.
-            let life = self.registered.get(&session.id);
+            let life = self.registered.get(&WorkerId::new(session.id.name()));
             let incarnation = life.map_or(0, |life| life.slot + life.rebirths % 2);
             let denied = (step.job.0 + u64::from(step.step)) % WORKERS;
             if incarnation % WORKERS != denied {
--- a/crates/sched/tests/schedules/world/rebirths.rs
+++ b/crates/sched/tests/schedules/world/rebirths.rs
@@ -40,10 +40,28 @@
             return;
         };
         self.fleet.crash(id);
+        self.break_renewals(id);
+        // What it had still to carry out ends with it.
+        self.deliveries.retain(|(_, delivery)| match delivery {
+            Delivery::Start(to, _) | Delivery::Stop(to, _) | Delivery::Pace(to, _) => to != id,
+            _ => true,
+        });
         self.down_until.insert(id.clone(), self.now.plus(down_ms));
         self.later(down_ms, Delivery::Reborn(model));
     }
 
+    /// A renewal is under way at a worker nearly all the time: it waits there for an end, and fails with the worker.
+    fn break_renewals(&mut self, id: &WorkerId) {
+        if self.cut.contains_key(id) {
+            return;
+        }
+        let sessions = self.sessions.iter();
+        let broken = sessions.filter(|(_, session)| session.id.name() == id.as_str());
+        for key in broken.map(|(key, _)| *key).collect::<Vec<_>>() {
+            self.renewal_failed(key);
+        }
+    }
+
     /// The next life of a worker begins, and tells of itself within a heartbeat.
     pub(super) fn reborn(&mut self, ended: &WorkerModel) {
         // Only one next life follows, however often the one before was ended.
--- a/crates/sched/tests/schedules/world/sessions.rs
+++ b/crates/sched/tests/schedules/world/sessions.rs
@@ -40,26 +40,28 @@
         if extends {
             self.apply(Event::Renewing { worker: key });
         }
-        if self.is_down(id) {
+        let name = WorkerId::new(id.name());
+        if self.is_down(&name) {
             self.renewal_failed(key);
             return;
         }
-        let Some(model) = self.fleet.workers.get(id) else {
+        let Some(model) = self.fleet.workers.get(&name) else {
             // Another incarnation is at the address of a worker that crashed.
             self.apply(Event::Replaced { worker: key });
             return;
         };
+        let birth = model.started_at;
         let renewal = Renewal {
             lease_until_ms: extends.then(|| model.clock_ms(self.now) + LEASE_MS),
             acknowledged,
             wait_ms: 0,
             token: self.token,
         };
-        if self.cut.contains_key(id) {
+        if self.cut.contains_key(&name) {
             self.renewal_failed(key);
             return;
         }
-        let renewed = self.fleet.renew(id, &renewal, self.now);
+        let renewed = self.fleet.renew(&name, &renewal, self.now);
         if self.is_lost() {
             self.renewal_failed(key);
             return;
@@ -68,6 +70,10 @@
             self.renewal_failed(key);
             return;
         };
+        if !id.is_of_life(Some(birth.0)) {
+            self.apply(Event::Reborn { worker: key });
+            return;
+        }
         if let Some(session) = self.sessions.get_mut(&key) {
             session.clock_read = true;
             session.failed = false;
--- a/crates/sched/tests/schedules/world/travel.rs
+++ b/crates/sched/tests/schedules/world/travel.rs
@@ -80,7 +80,7 @@
                 }
             }
             Delivery::Back(vm, slot) => self.new_life_of(&vm, slot),
-            Delivery::Unlisted(id) => self.unlist(id),
+            Delivery::Unlisted(id) => self.unlist(&id),
             Delivery::EndLife(id) => self.end_life(&id, 5),
             Delivery::Reborn(model) => self.reborn(&model),
             Delivery::Room(id, cores) => self.set_room(&id, cores),
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod hash;
 mod ids;
+mod incarnation;
 mod job;
 mod resources;
 mod time;
