--- a/crates/sched/tests/takeovers/world.rs
+++ b/crates/sched/tests/takeovers/world.rs
@@ -327,6 +327,7 @@
             self.side(token).apply(event, now);
         }
         for (key, id) in self.side(token).workers.clone() {
+            self.tell(token, &id);
             self.renew(token, key, &id);
         }
         self.side(token).look(now);
@@ -338,6 +339,15 @@
         until.is_none_or(|until| *until <= self.now)
     }
 
+    /// A worker tells of itself where workers register, whether or not it is reached.
+    fn tell(&mut self, token: u64, id: &WorkerId) {
+        let now = self.now;
+        let mut specs = (0..self.workers).map(worker);
+        if let Some(spec) = specs.find(|spec| spec.id == *id) {
+            self.side(token).apply(Event::WorkerListed(spec), now);
+        }
+    }
+
     fn renew(&mut self, token: u64, worker: WorkerKey, id: &WorkerId) {
         let now = self.now;
         if self.side(token).ended {
