Part what tasks are suspected of from how suspects are started, and count suspected runs

A look over the workers passed over all runs of each to see whether one is suspected; a count says at once that none is. A step without suspects is looked at as before, without a list of its units. No decision changes: the tests of the core, the schedules and the searches pass as they were.

--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -43,6 +43,7 @@
 mod slowness;
 mod spec;
 mod strays;
+mod suspects;
 mod units;
 mod upkeep;
 mod vms;
--- a/crates/sched/src/place.rs
+++ b/crates/sched/src/place.rs
@@ -41,7 +41,12 @@
     fn serve_tasks(&mut self, job: JobKey, step: usize, now: Millis) {
         let allowed = self.allowed_now(job, step, now);
         let mut preemptions = 0;
-        for unit in self.units_to_serve(job, step) {
+        let turn = self.turn_of(job, step);
+        for unit in 0..self.jobs[job].steps[step].units.len() {
+            let is_pending = self.jobs[job].steps[step].units[unit].state == UnitState::Pending;
+            if !is_pending || !turn.is_of(unit) {
+                continue;
+            }
             if self.jobs[job].steps[step].units[unit].reservation.is_some() {
                 self.serve_reserved_task(job, step, unit, now);
                 continue;
--- /dev/null
+++ b/crates/sched/src/suspects.rs
@@ -0,0 +1,299 @@
+//! Tasks that take down the workers that start them: which task it was, and how it is started until that is known.
+//!
+//! A worker does not say why it crashed. What had been there long enough before is not suspected, where anything was
+//! there that had not. So one crash leaves few suspects, and the next one fewer: suspects of one crash are started
+//! apart from each other, and one that two workers have crashed under is started where nothing else can be blamed.
+
+use std::cmp::Reverse;
+use std::collections::BTreeSet;
+
+use syc_types::Millis;
+use syc_types::WorkerId;
+
+use crate::Action;
+use crate::Note;
+use crate::Run;
+use crate::Scheduler;
+use crate::StepId;
+use crate::TaskId;
+use crate::WorkerKey;
+use crate::blame::Crash;
+use crate::blame::YOUNG_MS;
+use crate::ids::JobKey;
+use crate::job::Announced;
+use crate::job::Step;
+use crate::job::UnitState;
+use crate::units::Place;
+
+/// Of a run that was not isolated, nothing else is blamed only where its worker went silent within this time.
+const SUDDEN_MS: u64 = 100;
+
+/// Workers that go silent within this time of each other have done so at one moment.
+const MOMENT_MS: u64 = 500;
+
+/// Others that go silent at one moment with a worker, from which on something else than a task is the likelier cause: a
+/// rack without power, a switch.
+const OTHERS_AT_ONCE: usize = 2;
+
+/// Silences of workers that are gone that are remembered: more than go at one moment in a rack.
+const SILENCES_KEPT: usize = 64;
+
+/// Which units of a step may be started now.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Turn {
+    All,
+    Only(usize),
+    None,
+}
+
+impl Turn {
+    /// Says whether a unit may be.
+    pub(crate) const fn is_of(self, unit: usize) -> bool {
+        match self {
+            Self::All => true,
+            Self::Only(only) => only == unit,
+            Self::None => false,
+        }
+    }
+}
+
+impl Step {
+    /// Clears its tasks in general, once one that was started after they were suspected has not taken its worker
+    /// down.
+    fn clear(&mut self, started_at: Millis) {
+        self.suspected_at = self.suspected_at.filter(|at| *at > started_at);
+    }
+}
+
+impl Scheduler {
+    /// Blames what may have taken down a worker that is gone without having said that it leaves.
+    pub(crate) fn blame_for_crash(&mut self, key: WorkerKey, now: Millis) {
+        let worker = &self.workers[key];
+        if worker.spec.draining || worker.emptying {
+            return;
+        }
+        let id = worker.spec.id.clone();
+        if !worker.answered {
+            self.blame_unheard(&id, now);
+            return;
+        }
+        let silent_at = if worker.silent {
+            worker.silent_since
+        } else {
+            now
+        };
+        let suspects = worker.suspects(silent_at);
+        let is_one_of_many = self.others_silent_at(key, silent_at) >= OTHERS_AT_ONCE;
+        self.silences.push_back(silent_at);
+        if self.silences.len() > SILENCES_KEPT {
+            self.silences.pop_front();
+        }
+        let units: BTreeSet<_> = suspects
+            .iter()
+            .map(|(task, _)| self.unit_key(*task))
+            .collect();
+        let is_one = units.len() == 1;
+        for (task, number) in suspects {
+            let run = &self.workers[key].runs[&(task, number)];
+            let is_sudden = run.there_ms(silent_at) <= SUDDEN_MS && !is_one_of_many;
+            let alone = is_one && (run.is_isolated() || is_sudden);
+            let crash = Crash {
+                worker: id.clone(),
+                alone,
+                late: !run.is_on_probation(),
+                there_ms: run.there_ms(silent_at),
+            };
+            self.blame(task, number, crash, now);
+        }
+    }
+
+    /// Counts the other workers that are silent, or are gone, since the same moment.
+    fn others_silent_at(&self, key: WorkerKey, silent_at: Millis) -> usize {
+        let is_then = |at: Millis| at.since(silent_at).max(silent_at.since(at)) <= MOMENT_MS;
+        let gone = self.silences.iter().filter(|at| is_then(**at)).count();
+        let others = self.workers.iter().filter(|(other, _)| *other != key);
+        let silent = others.filter(|(_, worker)| worker.silent && is_then(worker.silent_since));
+        gone + silent.count()
+    }
+
+    /// Names the unit of a task: of a gang, all members are one.
+    fn unit_key(&self, task: TaskId) -> (StepId, usize) {
+        let unit = self.locate(task).map(|(_, _, unit, _)| unit);
+        (task.step, unit.unwrap_or(usize::MAX))
+    }
+
+    /// Blames what a predecessor had started on a worker that is gone before it told what ran on it.
+    fn blame_unheard(&mut self, worker: &WorkerId, now: Millis) {
+        let mut suspects = Vec::new();
+        for key in &self.open {
+            for (index, step) in self.jobs[*key].steps.iter().enumerate() {
+                let id = self.step_id(*key, index);
+                for (unit_index, unit) in step.units.iter().enumerate() {
+                    let members = unit.placed_before.iter().enumerate();
+                    let here =
+                        members.filter(|(member, at)| *at == worker && unit.is_not_found(*member));
+                    let tasks = here.map(|(member, _)| step.task_at(id, unit_index, member));
+                    // What is suspected was announced before it was started, and isolated as it would be here.
+                    let alone = unit.is_isolated();
+                    suspects.extend(tasks.map(|task| (task, unit.started, alone)));
+                }
+            }
+        }
+        for (task, run, alone) in suspects {
+            let crash = Crash {
+                worker: worker.clone(),
+                alone,
+                late: false,
+                there_ms: 0,
+            };
+            self.blame(task, run, crash, now);
+        }
+    }
+
+    fn blame(&mut self, task: TaskId, run: Run, crash: Crash, now: Millis) {
+        let Some((job, step, unit, member)) = self.locate(task) else {
+            return;
+        };
+        let of_job = &self.jobs[job];
+        let known = of_job.steps.get(step).map(|step| &step.units[unit].blames);
+        let is_known = known.and_then(|blames| blames.get(&member));
+        if of_job.state.is_terminal() || is_known.is_some_and(|blame| blame.run >= run) {
+            return;
+        }
+        // Room that was found for the others was found for all of them at once.
+        for unit in 0..self.jobs[job].steps[step].units.len() {
+            self.release_reservation(job, step, unit);
+        }
+        let of_step = &mut self.jobs[job].steps[step];
+        of_step.suspected_at = Some(now);
+        let blame = of_step.units[unit].blames.entry(member).or_default();
+        blame.run = run;
+        blame.add(&crash);
+        let note = Note::TaskBlamed {
+            task,
+            worker: crash.worker,
+            crashes: blame.count.workers,
+            alone: crash.alone,
+            there_ms: crash.there_ms,
+        };
+        self.actions.push(Action::Note(note));
+        self.changed(job);
+    }
+
+    /// Takes note that a worker lists a run: what has been there for long enough is no longer suspected.
+    pub(crate) fn watch_probation(&mut self, key: WorkerKey, name: (TaskId, Run), now: Millis) {
+        let Some(run) = self.workers[key].runs.get_mut(&name) else {
+            return;
+        };
+        let there_ms = run.there_ms(now);
+        let held_since = run.held_since;
+        let probation = &mut run.probation;
+        let ends = !probation.is_over && there_ms >= probation.limit_ms;
+        let is_cleared = probation.crashes > 0 && there_ms >= probation.limit_ms.max(YOUNG_MS);
+        probation.is_over |= ends;
+        if is_cleared {
+            probation.crashes = 0;
+        }
+        if ends {
+            self.clear_step(name.0, held_since);
+        }
+        if is_cleared {
+            self.forgive(name.0);
+        }
+    }
+
+    /// Takes note that a run did not take its worker down that was started at a time.
+    pub(crate) fn clear_step(&mut self, task: TaskId, started_at: Millis) {
+        if let Some((job, step, _, _)) = self.locate(task)
+            && let Some(of_step) = self.jobs[job].steps.get_mut(step)
+        {
+            of_step.clear(started_at);
+        }
+    }
+
+    fn forgive(&mut self, task: TaskId) {
+        let Some((job, step, unit, _)) = self.locate(task) else {
+            return;
+        };
+        let unit = &mut self.jobs[job].steps[step].units[unit];
+        if !unit.blames.is_empty() {
+            unit.blames.clear();
+            self.changed(job);
+        }
+    }
+
+    /// Returns which units of a step may be started now.
+    ///
+    /// While its tasks are suspected, that is one at a time, the one first that most workers have crashed under: all
+    /// of them may be alike.
+    pub(crate) fn turn_of(&self, job: JobKey, step: usize) -> Turn {
+        let of_step = &self.jobs[job].steps[step];
+        if of_step.suspected_at.is_none() {
+            return Turn::All;
+        }
+        if self.has_probation(job, step) {
+            return Turn::None;
+        }
+        let units = of_step.units.iter().enumerate();
+        let pending = units.filter(|(_, unit)| unit.state == UnitState::Pending);
+        let first = pending.max_by_key(|(index, unit)| {
+            let is_expected = unit.reservation.is_some();
+            (is_expected, unit.crashes(), Reverse(*index))
+        });
+        first.map_or(Turn::None, |(index, _)| Turn::Only(index))
+    }
+
+    /// Says whether some run of a step may still take its worker down.
+    fn has_probation(&self, job: JobKey, step: usize) -> bool {
+        let id = self.step_id(job, step);
+        let mut workers = self.workers.values();
+        workers.any(|worker| {
+            let mut runs = worker.runs_of(id);
+            runs.any(|(_, run)| run.is_on_probation())
+        })
+    }
+
+    /// Keeps room for a task that workers crashed under on the worker that has least to lose.
+    pub(crate) fn start_suspect(&mut self, place: Place, fitting: &[WorkerKey], now: Millis) {
+        let Place { job, step, unit } = place;
+        let open = fitting.iter().filter(|key| self.workers[**key].takes_in());
+        let least = open.min_by_key(|key| {
+            let worker = &self.workers[**key];
+            (worker.has_probation(), worker.runs.len())
+        });
+        let Some(worker) = least.copied() else {
+            return;
+        };
+        self.reserve(job, step, unit, vec![(worker, 1)], now);
+        self.serve_reserved_task(job, step, unit, now);
+    }
+
+    /// Says whether a unit may be started where room is kept for it: of one that is suspected, the store has to know
+    /// where. So a successor knows what to blame if a worker crashes under it while nobody is the scheduler.
+    pub(crate) fn is_announced(&mut self, place: Place) -> bool {
+        let Place { job, step, unit } = place;
+        let of_unit = &self.jobs[job].steps[step].units[unit];
+        if of_unit.crashes() == 0 {
+            return true;
+        }
+        if let Some(announced) = of_unit.announced {
+            return self.jobs[job].recorded >= announced.change;
+        }
+        let before = of_unit.started;
+        let change = self.changed(job);
+        let of_unit = self.unit_mut(place);
+        of_unit.started = before.max(of_unit.accounted).next();
+        of_unit.announced = Some(Announced { before, change });
+        false
+    }
+
+    /// Takes back what was announced of a unit: it is not started there.
+    pub(crate) fn take_back_announced(&mut self, place: Place) {
+        let of_unit = self.unit_mut(place);
+        let Some(announced) = of_unit.announced.take() else {
+            return;
+        };
+        of_unit.started = announced.before;
+        self.changed(place.job);
+    }
+}
--- a/crates/sched/src/worker.rs
+++ b/crates/sched/src/worker.rs
@@ -263,6 +263,8 @@
     pub(crate) suspects: u32,
     /// Those of them for which it is to take nothing else.
     pub(crate) isolations: u32,
+    /// Runs there whose tasks were suspected when they began.
+    pub(crate) suspected_runs: u32,
     /// Whether its work moves off, since its VM is about to be taken.
     pub(crate) emptying: bool,
     /// How fast the runs may go that fill what is left over.
@@ -296,6 +298,7 @@
             slow_until: Millis(0),
             suspects: 0,
             isolations: 0,
+            suspected_runs: 0,
             emptying: false,
             pace: PaceControl::new(),
             contact: Contact::new(),
@@ -378,16 +381,16 @@
 
     /// Adds a run; its room is taken from now on.
     pub(crate) fn insert(&mut self, task: TaskId, run: Run, held: WorkerRun) {
+        self.remove(task, run);
         self.used = self.used.saturating_add(&held.resources);
-        let replaced = self.runs.insert((task, run), held);
-        if let Some(replaced) = replaced {
-            self.used = self.used.saturating_sub(&replaced.resources);
-        }
+        self.suspected_runs += u32::from(held.probation.is_of_suspect);
+        self.runs.insert((task, run), held);
     }
 
     /// Removes a run and frees its room.
     pub(crate) fn remove(&mut self, task: TaskId, run: Run) -> Option<WorkerRun> {
         let removed = self.runs.remove(&(task, run))?;
+        self.suspected_runs -= u32::from(removed.probation.is_of_suspect);
         self.used = self.used.saturating_sub(&removed.resources);
         Some(removed)
     }
