Count a crash once, however many successors learn of it

A job could be given up though one worker alone had crashed under its task: each successor that found the placement of a lost run on that worker counted the crash anew, four times within a second of takeovers. The number of the run that a crash was counted for is now part of what is written.

The figures of many schedules, by hand, cover workers that start again.

--- a/crates/sched/src/blame.rs
+++ b/crates/sched/src/blame.rs
@@ -35,8 +35,6 @@
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub(crate) struct Blame {
     pub(crate) count: CrashCount,
-    /// The latest run of it that a worker crashed under.
-    pub(crate) run: Run,
     /// Longest time that it had been there when its worker went silent.
     longest_ms: u64,
 }
@@ -58,7 +56,6 @@
     pub(crate) const fn restored(count: CrashCount) -> Self {
         Self {
             count,
-            run: Run(0),
             longest_ms: 0,
         }
     }
@@ -76,6 +73,7 @@
             workers,
             alone,
             late,
+            ..
         } = self.count;
         let is_certain = workers >= CRASHES_TO_GIVE_UP && alone >= ALONE_TO_GIVE_UP;
         workers >= CRASHES_LIMIT || is_certain && !late
--- a/crates/sched/src/progress.rs
+++ b/crates/sched/src/progress.rs
@@ -118,6 +118,9 @@
     /// All of them.
     #[serde(rename = "n")]
     pub workers: u32,
+    /// Number of the latest start that one crashed under: each counts once, whoever learns of it.
+    #[serde(rename = "r")]
+    pub run: Run,
     /// Those for which nothing else could be blamed.
     #[serde(rename = "a", skip_serializing_if = "is_zero_u32")]
     pub alone: u32,
--- a/crates/sched/src/suspects.rs
+++ b/crates/sched/src/suspects.rs
@@ -157,7 +157,7 @@
         let of_job = &self.jobs[job];
         let known = of_job.steps.get(step).map(|step| &step.units[unit].blames);
         let is_known = known.and_then(|blames| blames.get(&member));
-        if of_job.state.is_terminal() || is_known.is_some_and(|blame| blame.run >= run) {
+        if of_job.state.is_terminal() || is_known.is_some_and(|blame| blame.count.run >= run) {
             return;
         }
         // Room that was found for the others was found for all of them at once.
@@ -167,7 +167,7 @@
         let of_step = &mut self.jobs[job].steps[step];
         of_step.suspected_at = Some(now);
         let blame = of_step.units[unit].blames.entry(member).or_default();
-        blame.run = run;
+        blame.count.run = run;
         blame.add(&crash);
         let note = Note::TaskBlamed {
             task,
--- a/crates/sched/tests/core/crashes.rs
+++ b/crates/sched/tests/core/crashes.rs
@@ -216,6 +216,30 @@
     assert_eq!(count.workers, 2);
 }
 
+#[test]
+fn a_crash_counts_once_however_many_successors_learn_of_it() {
+    let mut driver = Driver::new(2, 8);
+    driver.submit(1, policy(0), vec![step(1, 1)]);
+    driver.settle();
+    let mut left = driver.kept.remove(&JobId(1)).expect("it was written");
+    let at = left.steps[0].units[&0].workers[0].clone();
+    for _ in 0..3 {
+        let mut successor = Driver::untried(0, 8);
+        successor.restore(1, policy(0), vec![step(1, 1)], Some(&left));
+        for id in [at.clone(), "other".into()] {
+            let spec = WorkerSpec { id, ..worker(0, 8) };
+            successor.apply(Event::WorkerListed(spec));
+        }
+        successor.scheduler.begin_recovery(successor.now);
+        let gone = successor.workers[0];
+        successor.apply(Event::Replaced { worker: gone });
+        successor.record();
+        left = successor.kept.remove(&JobId(1)).unwrap_or(left);
+    }
+    let count = left.steps[0].units[&0].crashes[&0];
+    assert_eq!(count.workers, 1);
+}
+
 #[test]
 fn a_worker_that_said_that_it_leaves_blames_nobody() {
     let mut driver = Driver::new(1, 8);
--- a/crates/sched/tests/schedules/main.rs
+++ b/crates/sched/tests/schedules/main.rs
@@ -17,6 +17,9 @@
 /// Seeds of each profile: enough that each fault meets each phase of a job, few enough for CI.
 const SEEDS: u64 = 40;
 
+/// Seeds of each profile of those that are played by hand.
+const MANY_SEEDS: u64 = 1_000;
+
 #[test_case(Profile::CALM; "calm")]
 #[test_case(Profile { scheduler_ends: 6, ..Profile::CALM }; "schedulers end")]
 #[test_case(Profile { cuts: 6, ..Profile::CALM }; "workers are cut off")]
@@ -71,48 +74,31 @@
     }
 }
 
-/// What the tasks cost that take their workers down, and how many others are given up beside them. Run by hand.
-#[test]
+/// Of many schedules, how many break a rule or end a job wrongly, and what tasks cost that take their workers down. Run
+/// by hand.
+#[test_case(Profile { guilty: 3, ..Profile::CALM }; "guilty tasks")]
+#[test_case(Profile { guilty: 3, scheduler_ends: 6, ..Profile::CALM }; "guilty tasks while schedulers end")]
+#[test_case(Profile { guilty: 3, crashes: 4, ..Profile::CALM }; "guilty tasks beside workers that crash")]
+#[test_case(Profile { guilty: 3, ..Profile::ALL }; "guilty tasks and everything at once")]
+#[test_case(Profile { rebirths: 8, ..Profile::CALM }; "rebirths")]
+#[test_case(Profile { rebirths: 6, scheduler_ends: 6, ..Profile::CALM }; "rebirths while schedulers end")]
+#[test_case(Profile { rebirths: 6, ..Profile::ALL }; "rebirths and everything at once")]
 #[ignore = "prints figures of many schedules"]
-fn figures_of_tasks_that_take_their_workers_down() {
-    let profiles = [
-        ("calm", Profile::CALM),
-        (
-            "schedulers end",
-            Profile {
-                scheduler_ends: 6,
-                ..Profile::CALM
-            },
-        ),
-        (
-            "workers crash",
-            Profile {
-                crashes: 4,
-                ..Profile::CALM
-            },
-        ),
-        ("everything", Profile::ALL),
-    ];
-    for (name, profile) in profiles {
-        let profile = Profile {
-            guilty: 3,
-            ..profile
-        };
-        let mut workers = [0; 8];
-        let (mut broken, mut innocent) = (0, 0);
-        for seed in 1..=1_000 {
-            let mut world = World::new(seed, profile, Options::default());
-            world.play();
-            broken += world.faults().len();
-            innocent += world.wrong_ends().len();
-            for count in world.taken_down() {
-                workers[usize::try_from(count).unwrap_or(7).min(7)] += 1;
-            }
+fn figures_of_lost_workers(profile: Profile) {
+    let mut workers = [0; 8];
+    let (mut broken, mut wrong) = (Vec::new(), Vec::new());
+    for seed in 1..=MANY_SEEDS {
+        let mut world = World::new(seed, profile, Options::default());
+        world.play();
+        broken.extend(world.faults().into_iter().map(|fault| (seed, fault)));
+        wrong.extend(world.wrong_ends().into_iter().map(|end| (seed, end)));
+        for count in world.taken_down() {
+            workers[usize::try_from(count).unwrap_or(7).min(7)] += 1;
         }
-        println!(
-            "{name}: {broken} faults, {innocent} wrong ends, guilty tasks by workers taken down {workers:?}"
-        );
     }
+    println!(
+        "{profile:?}: {broken:?}, wrong ends {wrong:?}, guilty tasks by workers taken down {workers:?}"
+    );
 }
 
 #[test]
