--- a/crates/sched/tests/schedules/main.rs
+++ b/crates/sched/tests/schedules/main.rs
@@ -74,6 +74,30 @@
     }
 }
 
+/// Crashes that are not written before the scheduler that learned of them is lost: the task is started once too often.
+#[test_case(301, Profile { guilty: 3, scheduler_ends: 6, ..Profile::CALM }; "while schedulers end, first")]
+#[test_case(808, Profile { guilty: 3, scheduler_ends: 6, ..Profile::CALM }; "while schedulers end, second")]
+#[test_case(732, Profile { guilty: 3, ..Profile::ALL }; "and everything at once, first")]
+#[test_case(751, Profile { guilty: 3, ..Profile::ALL }; "and everything at once, second")]
+fn a_crash_that_several_schedulers_in_a_row_miss_counts(seed: u64, profile: Profile) {
+    let mut world = World::new(seed, profile, Options::default());
+    world.play();
+    assert_eq!(world.faults(), []);
+}
+
+#[test]
+fn a_job_is_not_given_up_for_one_crash_that_several_successors_learn_of() {
+    let profile = Profile {
+        guilty: 3,
+        scheduler_ends: 6,
+        ..Profile::CALM
+    };
+    let mut world = World::new(909, profile, Options::default());
+    world.play();
+    assert_eq!(world.faults(), []);
+    assert_eq!(world.wrong_ends(), []);
+}
+
 /// Of many schedules, how many break a rule or end a job wrongly, and what tasks cost that take their workers down. Run
 /// by hand.
 #[test_case(Profile { guilty: 3, ..Profile::CALM }; "guilty tasks")]
