Tell in the log why workers get nothing new while a step waits

A step that lacks workers said how many are eligible, not why the others are not. `hindered` counts them by the reason: silent, room in doubt, takes no orders, quarantined, leaving, kept clear.

--- a/crates/sched/src/note.rs
+++ b/crates/sched/src/note.rs
@@ -3,6 +3,7 @@
 use smol_str::SmolStr;
 use syc_types::WorkerId;
 
+use crate::Hindered;
 use crate::JobId;
 use crate::Run;
 use crate::StepId;
@@ -95,6 +96,8 @@
         denied: usize,
         /// Workers that might run it, with tickets that may be too old.
         known: usize,
+        /// Workers of its service that get nothing new.
+        hindered: Hindered,
         /// Tasks that wait.
         tasks: u32,
     },
--- a/crates/sched/src/waiting.rs
+++ b/crates/sched/src/waiting.rs
@@ -1,8 +1,10 @@
 //! The steps that wait: in which order they are served, and for what they wait.
 
 use syc_types::Millis;
+use syc_types::ServiceName;
 
 use crate::Action;
+use crate::Hindered;
 use crate::Note;
 use crate::Scheduler;
 use crate::StepId;
@@ -92,9 +94,24 @@
             allowed,
             denied: of_step.advice.denied.len(),
             known: of_step.advice.tickets.len(),
+            hindered: self.hindered(&of_job.spec.policy.service, now),
             tasks: of_step.pending * of_step.members(),
         }
     }
+
+    /// Counts the workers of a service that get nothing new, by the reason.
+    fn hindered(&self, service: &ServiceName, now: Millis) -> Hindered {
+        let mut hindered = Hindered::default();
+        for worker in self.workers.values() {
+            if worker.spec.service != *service {
+                continue;
+            }
+            if let Some(hindrance) = worker.hindrance(now) {
+                hindered.add(hindrance);
+            }
+        }
+        hindered
+    }
 }
 
 fn urgency(job: &crate::job::Job, step: usize, now: Millis) -> Urgency {
--- a/crates/sched/src/worker.rs
+++ b/crates/sched/src/worker.rs
@@ -311,23 +311,6 @@
         Action::Note(Note::Worker { worker, note })
     }
 
-    /// Says whether it may get new work.
-    pub(crate) fn usable(&self, now: Millis) -> bool {
-        self.is_sound(now) && !self.is_kept_clear()
-    }
-
-    /// Says whether it may get what it is kept clear for.
-    pub(crate) fn is_sound(&self, now: Millis) -> bool {
-        self.listed
-            && self.answered
-            && !self.silent
-            && !self.room_in_doubt
-            && self.contact.is_open()
-            && !self.spec.draining
-            && !self.emptying
-            && self.quarantined_until <= now
-    }
-
     /// Says whether it may be sent another start before it has answered those under way.
     pub(crate) fn takes_in(&self) -> bool {
         let starting = self
