End the doubt about a worker's room where its registration stays as it is

Cause: a worker that was silent for over 2.5 s gets nothing new before it has told its room again. A registration is written again only where something in it is new, so a worker with nothing new to say never told: after a minute all workers were in that state.

Change: a worker that is still registered three heartbeats after it answered has told what it has, else its registration would have lapsed. While registrations can't be read, the wait begins anew. The time between heartbeats is a setting.

--- a/crates/cell/src/leader.rs
+++ b/crates/cell/src/leader.rs
@@ -61,6 +61,12 @@
 /// Longest time that an order is taken to be under way before its lease counts.
 const ORDER_TRAVEL_MS: u64 = 150;
 
+/// Heartbeats that a worker may miss before its registration lapses.
+const HEARTBEATS_MISSED: u64 = 3;
+
+/// Longest time from a worker's heartbeat until the store shows it, beside that.
+const HEARTBEAT_TRAVEL_MS: u64 = 500;
+
 /// What the store shows counts as current for this long after it was asked.
 const FRESH_MS: u64 = 2_500;
 
@@ -414,6 +420,7 @@
         upkeep_ms: settings.upkeep_ms,
         vm_order_pause_ms: settings.vm_order_pause_ms,
         order_retry_ms: settings.timing.order_timeout_ms,
+        told_within_ms: settings.worker_heartbeat_ms * HEARTBEATS_MISSED + HEARTBEAT_TRAVEL_MS,
         ..Options::default()
     }
 }
--- a/crates/cell/src/leader/readers.rs
+++ b/crates/cell/src/leader/readers.rs
@@ -174,6 +174,7 @@
     let interval_ms = node.settings.timing.workers_interval_ms;
     loop {
         pause(interval_ms).await;
+        let asked_at = now();
         match node.read(Topic::Workers, 0, from, 0).await {
             Ok(page) => {
                 let count = u64::try_from(page.records.len()).unwrap_or(0);
@@ -181,6 +182,9 @@
                 for record in &page.records {
                     take_worker(&leader, record);
                 }
+                if from >= page.end {
+                    leader.apply(Event::WorkersRead { asked_at });
+                }
             }
             Err(ReadError::Gone { .. }) => {
                 if let Ok(newest) = node.newest(Topic::Workers, 0).await {
--- a/crates/cell/src/settings.rs
+++ b/crates/cell/src/settings.rs
@@ -34,6 +34,8 @@
     pub partitions: u32,
     /// What its link carries, in megabits a second.
     pub link_mbps: f64,
+    /// Time from one heartbeat of a worker to the next.
+    pub worker_heartbeat_ms: u64,
     /// Time that the upkeep of a VM takes.
     pub upkeep_ms: u64,
     /// A new scheduler gives no orders about VMs for this long: those of its predecessor are old then.
--- a/crates/cell/tests/cell/cluster.rs
+++ b/crates/cell/tests/cell/cluster.rs
@@ -342,6 +342,7 @@
         status_ms: STATUS_MS,
         partitions: 4,
         link_mbps: LINK_MBPS,
+        worker_heartbeat_ms: 1_500,
         upkeep_ms: 300,
         vm_order_pause_ms: 100,
         day_clock: DayClock::default(),
--- a/crates/sched/src/event.rs
+++ b/crates/sched/src/event.rs
@@ -50,6 +50,11 @@
     WorkerListed(WorkerSpec),
     /// A worker is registered no more.
     WorkerUnlisted(WorkerId),
+    /// All that was told where workers register before a time has been read.
+    WorkersRead {
+        /// When that was asked for.
+        asked_at: Millis,
+    },
     /// A job is in the store.
     JobStored {
         /// The job.
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -38,6 +38,7 @@
 mod recovery;
 mod repeats;
 mod reports;
+mod rooms;
 mod scatter;
 mod scheduler;
 mod slowness;
--- a/crates/sched/src/options.rs
+++ b/crates/sched/src/options.rs
@@ -48,6 +48,9 @@
     /// A worker that was silent for longer gets nothing new until it has told again what it has: its room may have
     /// shrunk meanwhile.
     pub room_told_ms: u64,
+    /// A worker that is still registered after this time has told meanwhile what it has: else its registration would
+    /// have lapsed.
+    pub told_within_ms: u64,
     /// Room is kept for a unit at most this long.
     pub reservation_ms: u64,
     /// A task, or a gang, that failed on some workers goes elsewhere; where there is no room it
@@ -97,6 +100,7 @@
             failures_in_row_limit: 3,
             quarantine_ms: 4_000,
             room_told_ms: 2_500,
+            told_within_ms: 5_000,
             reservation_ms: 3_000,
             avoid_ms: 1_000,
             upkeep_ms: 2_000,
--- a/crates/sched/src/reports.rs
+++ b/crates/sched/src/reports.rs
@@ -40,7 +40,7 @@
             worker.listed = true;
             worker.spec = spec;
             worker.told_at = now;
-            worker.room_in_doubt = false;
+            worker.room_doubt_since = None;
             if begins_draining {
                 self.move_off_draining(key, now);
             }
@@ -156,10 +156,10 @@
         };
         if worker.silent {
             worker.silent = false;
-            worker.room_in_doubt |= worker.may_have_shrunk(self.options.room_told_ms, now);
             worker.contact.probe_soon(now);
             let note = belief(worker, "answers", now);
             self.actions.push(note);
+            self.doubt_room(key, now);
         }
         let worker = &mut self.workers[key];
         worker.note_call_answered();
--- a/crates/sched/src/scheduler.rs
+++ b/crates/sched/src/scheduler.rs
@@ -68,6 +68,8 @@
     pub(crate) worker_keys: HashMap<WorkerId, WorkerKey>,
     pub(crate) jobs: SlotMap<JobKey, Job>,
     pub(crate) job_keys: HashMap<JobId, JobKey>,
+    /// When the registrations were last asked for that were read.
+    pub(crate) workers_read_at: Millis,
     /// Jobs that have not ended.
     pub(crate) open: BTreeSet<JobKey>,
     /// Jobs whose progress differs from what the store has.
@@ -114,6 +116,7 @@
             options,
             workers: SlotMap::with_key(),
             worker_keys: HashMap::new(),
+            workers_read_at: Millis(0),
             jobs: SlotMap::with_key(),
             job_keys: HashMap::new(),
             open: BTreeSet::new(),
@@ -157,6 +160,7 @@
         match event {
             Event::WorkerListed(spec) => self.worker_listed(spec, now),
             Event::WorkerUnlisted(id) => self.worker_unlisted(&id, now),
+            Event::WorkersRead { asked_at } => self.workers_read(asked_at, now),
             Event::JobStored { spec, age_ms } => self.add_job(*spec, age_ms, now),
             Event::JobCancelled(id) => self.cancel(id, now),
             Event::Renewed {
--- a/crates/sched/src/worker.rs
+++ b/crates/sched/src/worker.rs
@@ -235,8 +235,8 @@
     pub(crate) last_answer_at: Millis,
     /// When it last told what it has.
     pub(crate) told_at: Millis,
-    /// Whether it was silent for so long that it may have less than it told last.
-    pub(crate) room_in_doubt: bool,
+    /// Since when it may have less than it told last, as it was silent for long before.
+    pub(crate) room_doubt_since: Option<Millis>,
     /// When its latest silence began to show.
     pub(crate) silent_since: Millis,
     /// When the last of its leases has surely lapsed.
@@ -281,7 +281,7 @@
             silent: false,
             last_answer_at: now,
             told_at: Millis(0),
-            room_in_doubt: false,
+            room_doubt_since: None,
             silent_since: now,
             lapse_at: now,
             runs: BTreeMap::new(),
@@ -339,13 +339,6 @@
         self.spec.capacity.saturating_sub(&self.used)
     }
 
-    /// Says whether its room may have shrunk in a silence that has just ended without being told.
-    pub(crate) fn may_have_shrunk(&self, limit_ms: u64, now: Millis) -> bool {
-        // How old the entry was that a new scheduler found, it does not know.
-        let was_long = !self.answered || now.since(self.last_answer_at) > limit_ms;
-        was_long && now.since(self.told_at) > limit_ms
-    }
-
     /// Says whether its runs take more than it has: its room shrank under them.
     pub(crate) fn is_overfull(&self) -> bool {
         !self.used.fits_in(&self.spec.capacity)
--- a/crates/sched/tests/core/driver.rs
+++ b/crates/sched/tests/core/driver.rs
@@ -190,6 +190,12 @@
         }
     }
 
+    /// Lets the scheduler read all that was told where workers register.
+    pub fn read_workers(&mut self) {
+        let asked_at = self.now;
+        self.apply(Event::WorkersRead { asked_at });
+    }
+
     /// Answers a question of now for the VMs.
     pub fn list_vms(&mut self, vms: Option<Vec<VmInfo>>) {
         let asked_at = self.now;
--- a/crates/sched/tests/core/rooms.rs
+++ b/crates/sched/tests/core/rooms.rs
@@ -1,6 +1,7 @@
 //! Rooms that shrink while tasks run, and workers that may have less than they told last.
 
 use syc_sched::Event;
+use syc_sched::Options;
 use syc_sched::StartAnswer;
 use syc_sched::StepSpec;
 use syc_sched::WorkerSpec;
@@ -94,3 +95,48 @@
     driver.settle();
     assert_eq!(driver.stops.len(), 2, "one of them does not make room");
 }
+
+/// A worker with nothing new to say is not written again where workers register, and got nothing for good.
+#[test]
+fn a_worker_that_is_still_registered_after_its_silence_has_the_room_that_it_told_last() {
+    let mut driver = Driver::new(1, 8);
+    let worker = driver.workers[0];
+    driver.read_workers();
+    driver.apply(Event::RenewalFailed { worker });
+    driver.pass(4_000);
+    driver.hold(worker, &[]);
+    let answered_at = driver.now;
+    driver.submit(1, policy(0), vec![step(1, 4)]);
+    let told_within_ms = Options::default().told_within_ms;
+    while driver.now < answered_at.plus(told_within_ms) {
+        driver.read_workers();
+        assert!(driver.settle().is_empty(), "it may have told nothing since");
+        driver.pass(250);
+        driver.hold(worker, &[]);
+    }
+    driver.read_workers();
+    assert_eq!(driver.settle().len(), 1);
+}
+
+/// While the registrations can't be read, nobody knows whether they would have lapsed.
+#[test]
+fn a_worker_whose_registration_could_not_be_read_meanwhile_is_waited_for_anew() {
+    let mut driver = Driver::new(1, 8);
+    let worker = driver.workers[0];
+    driver.read_workers();
+    driver.apply(Event::RenewalFailed { worker });
+    driver.pass(4_000);
+    driver.hold(worker, &[]);
+    driver.submit(1, policy(0), vec![step(1, 4)]);
+    let told_within_ms = Options::default().told_within_ms;
+    driver.pass(told_within_ms);
+    driver.read_workers();
+    assert!(driver.settle().is_empty());
+    let read_again_at = driver.now;
+    while driver.now < read_again_at.plus(told_within_ms) {
+        driver.pass(250);
+        driver.hold(worker, &[]);
+        driver.read_workers();
+    }
+    assert_eq!(driver.settle().len(), 1);
+}
--- a/crates/sched/tests/schedules/world.rs
+++ b/crates/sched/tests/schedules/world.rs
@@ -59,6 +59,8 @@
 const CORES: u64 = 8;
 const LEASE_MS: u64 = 6_000;
 const RENEW_MS: u64 = 200;
+/// The scheduler reads the registrations of workers this often.
+const READ_MS: u64 = 250;
 const ORDER_TIMEOUT_MS: u64 = 300;
 const FIRST_MS: u64 = 1_000;
 const VM_ORDER_MS: u64 = 1_500;
@@ -525,6 +527,10 @@
             return;
         };
         let mut actions = scheduler.handle(Event::Ticked, self.now);
+        if self.now.0.is_multiple_of(READ_MS) {
+            let asked_at = self.now;
+            actions.extend(scheduler.handle(Event::WorkersRead { asked_at }, asked_at));
+        }
         actions.extend(scheduler.schedule(self.now));
         self.perform(actions);
     }
--- a/crates/sched/tests/schedules/world/travel.rs
+++ b/crates/sched/tests/schedules/world/travel.rs
@@ -4,7 +4,6 @@
 
 use super::Delivery;
 use super::World;
-use super::crashes::HEARTBEAT_MS;
 
 impl World {
     pub(super) fn deliver(&mut self) {
@@ -62,10 +61,9 @@
             }
             Delivery::Restored(id) => {
                 self.cut.remove(&id);
+                // The entry of a worker that has nothing new to say is not written again.
                 if self.profile.rooms > 0 {
                     self.tell_soon(id);
-                } else {
-                    self.later(HEARTBEAT_MS / 2, Delivery::Told(id));
                 }
             }
             Delivery::VmOrder(command) => {
--- a/crates/sched/tests/takeovers/world.rs
+++ b/crates/sched/tests/takeovers/world.rs
@@ -327,9 +327,10 @@
             self.side(token).apply(event, now);
         }
         for (key, id) in self.side(token).workers.clone() {
-            self.tell(token, &id);
             self.renew(token, key, &id);
         }
+        let asked_at = now;
+        self.side(token).apply(Event::WorkersRead { asked_at }, now);
         self.side(token).look(now);
         self.carry_out(token);
     }
@@ -339,15 +340,6 @@
         until.is_none_or(|until| *until <= self.now)
     }
 
-    /// A worker tells of itself where workers register, whether or not it is reached.
-    fn tell(&mut self, token: u64, id: &WorkerId) {
-        let now = self.now;
-        let mut specs = (0..self.workers).map(worker);
-        if let Some(spec) = specs.find(|spec| spec.id == *id) {
-            self.side(token).apply(Event::WorkerListed(spec), now);
-        }
-    }
-
     fn renew(&mut self, token: u64, worker: WorkerKey, id: &WorkerId) {
         let now = self.now;
         if self.side(token).ended {
