Wait for answers of workers and of the advice service as long as they usually take

Callers saw work wait beside workers that are free but slow to answer.

Cause: fixed times (400 ms for renewals beyond their wait, 300 ms for orders and for advice, 1.5 s until a scheduler takes itself to be cut off from workers) over answers that are late by as much.

Change: the time follows the answers, between those times and 2 s: the estimator of Jacobson and Karels (RFC 6298), one for each worker and one for the advice service. An answer that did not come counts as one that took all of its time, as what is only timed where it comes in time would never show more. Calls that were not sent count for nothing, so that a cut worker is found as soon as before. What may run where hangs on leases and tokens alone, as before. One method sends orders of all kinds; the way to a worker has a module of its own.

--- a/crates/cell/src/leader.rs
+++ b/crates/cell/src/leader.rs
@@ -3,8 +3,10 @@
 mod advice;
 mod heartbeat;
 mod held_back;
+mod links;
 mod load;
 mod orders;
+mod patience;
 mod readers;
 mod records;
 mod roster;
@@ -21,6 +23,7 @@
 use std::rc::Rc;
 
 use held_back::HeldBack;
+use patience::Patience;
 use records::ProgressWriter;
 use roster::Roster;
 use sessions::Session;
@@ -70,7 +73,8 @@
 /// What the store shows counts as current for this long after it was asked.
 const FRESH_MS: u64 = 2_500;
 
-/// A scheduler that hears no other node, or no worker, for this long hands the role over.
+/// A scheduler that hears no other node for this long hands the role over, and one that hears no worker for as long
+/// beyond the time that workers are given.
 const CUT_OFF_MS: u64 = 1_500;
 
 /// A node that handed the role over does not claim it again for this long.
@@ -106,6 +110,8 @@
     written: Notify,
     sessions: RefCell<SecondaryMap<WorkerKey, Session>>,
     advisers: RefCell<Advisers>,
+    /// Time beyond the expected that answers of the advice service take.
+    advice_patience: Patience,
     /// Links to the nodes that call for advice, but for the scheduler's own.
     adviser_clients: RefCell<BTreeMap<SmolStr, Rc<PeerClient>>>,
     /// When each partition of the topic of jobs was last asked for what proved to reach its end.
@@ -153,6 +159,7 @@
             written: Notify::new(),
             sessions: RefCell::default(),
             advisers: RefCell::new(Advisers::with_own(node.settings.name.clone(), now())),
+            advice_patience: Patience::default(),
             adviser_clients: RefCell::default(),
             jobs_read_at: RefCell::new(vec![Millis(0); partitions]),
             jobs_in: RefCell::default(),
@@ -371,6 +378,17 @@
         hears_nobody && self.node.store_view().answered_ms > authority_ms
     }
 
+    /// Says whether half of the workers have been silent for longer than they are given to answer.
+    ///
+    /// With a fixed time, nodes handed the role round over workers that are all slow to answer.
+    fn is_cut_from_workers(&self, now: Millis) -> bool {
+        if self.scheduler.borrow().hears_half() {
+            self.heard_workers_at.set(now);
+            return false;
+        }
+        now.since(self.heard_workers_at.get()) > CUT_OFF_MS + self.usual_slack_ms()
+    }
+
     /// Hands the role on if this node seems cut off while the store, and so the others, may not be.
     pub(crate) fn watch_self(self: &Rc<Self>) {
         if self.is_isolated() {
@@ -385,10 +403,7 @@
             .met_others_at
             .get()
             .is_some_and(|at| now.since(at) > CUT_OFF_MS);
-        if self.scheduler.borrow().hears_half() {
-            self.heard_workers_at.set(now);
-        }
-        let cut_from_workers = now.since(self.heard_workers_at.get()) > CUT_OFF_MS;
+        let cut_from_workers = self.is_cut_from_workers(now);
         if !cut_from_nodes && !cut_from_workers {
             return;
         }
--- a/crates/cell/src/leader/advice.rs
+++ b/crates/cell/src/leader/advice.rs
@@ -27,7 +27,7 @@
 use crate::ports::Platform;
 use crate::unreadable::Source;
 
-/// A call may take this long beyond what its service is expected to.
+/// A call may take at least this long beyond what its service is expected to.
 const SLACK_MS: u64 = 300;
 
 impl<P> Leader<P>
@@ -94,11 +94,13 @@
         expected_ms: u64,
         length: CallLength,
     ) -> Result<Advice, AdviceError> {
-        let timeout_ms = expected_ms + SLACK_MS;
+        let slack_ms = self.advice_patience.timeout_ms(SLACK_MS);
+        let timeout_ms = expected_ms + slack_ms;
         let Some(name) = self.advisers.borrow_mut().take(length, now()) else {
             return Err(AdviceError(SmolStr::new_static("no node is free")));
         };
         let client = self.adviser_clients.borrow().get(&name).cloned();
+        let sent_at = now();
         let advice = match client {
             None => {
                 let advice = self.node.platform.advise(step, workers, timeout_ms).await;
@@ -120,6 +122,12 @@
                 reply.map_err(lost).and_then(adviser::advice_of)
             }
         };
+        let took_ms = now().since(sent_at);
+        // One that failed at once says nothing of how long an answer takes.
+        if advice.is_ok() || took_ms >= timeout_ms {
+            let beyond_ms = took_ms.saturating_sub(expected_ms);
+            self.advice_patience.note(beyond_ms.min(slack_ms));
+        }
         let mut advisers = self.advisers.borrow_mut();
         advisers.give_back(&name, length, advice.is_ok(), now());
         advice
@@ -133,7 +141,7 @@
         let mut allowed = Vec::with_capacity(advice.allowed.len());
         for (worker, ticket) in advice.allowed {
             let mut known = sessions.iter();
-            let key = known.find(|(_, session)| session.address.id == worker);
+            let key = known.find(|(_, session)| *session.worker() == worker);
             let Some((key, _)) = key else {
                 continue;
             };
--- /dev/null
+++ b/crates/cell/src/leader/links.rs
@@ -0,0 +1,132 @@
+//! What is known of the way to a worker: its clock, how long its answers take, and the places that its orders have.
+
+use std::cell::Cell;
+use std::time::Duration;
+
+use smol_str::SmolStr;
+use syc_types::Millis;
+use tokio::sync::Semaphore;
+use tokio::sync::SemaphorePermit;
+
+use crate::clock::now;
+use crate::leader::patience::Patience;
+use crate::ports::OrderError;
+use crate::ports::WorkerAddress;
+
+/// Starts under way at one worker: each takes a connection, and workers bound those that they take.
+const STARTS_AT_ONCE: usize = 3;
+
+/// Other orders under way at one worker: what ends a run never waits behind starts.
+const CONTROLS_AT_ONCE: usize = 2;
+
+/// What an order does.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum OrderKind {
+    /// It starts a run.
+    Start,
+    /// It ends one, or changes its pace.
+    Control,
+}
+
+/// A reading of a worker's clock.
+#[derive(Debug, Clone, Copy)]
+struct ClockReading {
+    clock_ms: u64,
+    read_at: Millis,
+}
+
+/// The way to one worker.
+#[derive(Debug)]
+pub(super) struct WorkerLink {
+    pub(super) address: WorkerAddress,
+    /// For how long its answers are waited for.
+    pub(super) patience: Patience,
+    /// The worker's clock, as last read.
+    clock: Cell<Option<ClockReading>>,
+    starts: Semaphore,
+    controls: Semaphore,
+}
+
+impl WorkerLink {
+    pub(super) fn new(address: WorkerAddress) -> Self {
+        Self {
+            address,
+            patience: Patience::default(),
+            clock: Cell::new(None),
+            starts: Semaphore::new(STARTS_AT_ONCE),
+            controls: Semaphore::new(CONTROLS_AT_ONCE),
+        }
+    }
+
+    /// Takes note of what the worker's clock has just shown.
+    pub(super) fn note_clock(&self, clock_ms: u64) {
+        self.clock.set(Some(ClockReading {
+            clock_ms,
+            read_at: now(),
+        }));
+    }
+
+    /// Says whether the worker's clock was read.
+    pub(super) const fn knows_clock(&self) -> bool {
+        self.clock.get().is_some()
+    }
+
+    /// Returns the end of a lease that begins now, on the worker's clock, if that was read.
+    pub(super) fn lease_until_ms(&self, lease_ms: u64) -> Option<u64> {
+        let reading = self.clock.get()?;
+        // It is taken to run as fast as this node's.
+        let clock_ms = reading
+            .clock_ms
+            .saturating_add(now().since(reading.read_at));
+        Some(clock_ms.saturating_add(lease_ms))
+    }
+
+    /// Counts the orders that have a place.
+    pub(super) fn under_way(&self) -> usize {
+        let free = self.starts.available_permits() + self.controls.available_permits();
+        (STARTS_AT_ONCE + CONTROLS_AT_ONCE).saturating_sub(free)
+    }
+
+    /// Sends an order once a place is free, and waits for its answer, at least for the time that a sound worker needs.
+    ///
+    /// # Errors
+    ///
+    /// Fails as the call does, and where no place has become free: the order has not been sent then.
+    pub(super) async fn send<F>(
+        &self,
+        kind: OrderKind,
+        least_ms: u64,
+        call: F,
+    ) -> Result<(), OrderError>
+    where
+        F: AsyncFnOnce(u64) -> Result<(), OrderError>,
+    {
+        let timeout_ms = self.patience.timeout_ms(least_ms);
+        let _place = self.place(kind, timeout_ms).await?;
+        let sent_at = now();
+        let outcome = call(timeout_ms).await;
+        // Orders without an answer may be lost: renewals tell how late answers are.
+        if matches!(outcome, Ok(()) | Err(OrderError::Refused(_))) {
+            self.patience.note(now().since(sent_at));
+        }
+        outcome
+    }
+
+    async fn place(
+        &self,
+        kind: OrderKind,
+        limit_ms: u64,
+    ) -> Result<SemaphorePermit<'_>, OrderError> {
+        let places = match kind {
+            OrderKind::Start => &self.starts,
+            OrderKind::Control => &self.controls,
+        };
+        let limit = Duration::from_millis(limit_ms);
+        match tokio::time::timeout(limit, places.acquire()).await {
+            Ok(Ok(place)) => Ok(place),
+            Ok(Err(_)) | Err(_) => Err(OrderError::NotSent(SmolStr::new_static(
+                "others to the worker were under way for too long",
+            ))),
+        }
+    }
+}
--- a/crates/cell/src/leader/orders.rs
+++ b/crates/cell/src/leader/orders.rs
@@ -13,8 +13,8 @@
 
 use crate::clock::now;
 use crate::leader::Leader;
-use crate::leader::sessions::OrderKind;
-use crate::leader::sessions::WorkerLink;
+use crate::leader::links::OrderKind;
+use crate::leader::links::WorkerLink;
 use crate::log;
 use crate::ports::OrderError;
 use crate::ports::PaceCommand;
@@ -26,22 +26,21 @@
 where
     P: Platform,
 {
-    fn link_to(&self, worker: WorkerKey) -> Option<WorkerLink> {
+    fn link_to(&self, worker: WorkerKey) -> Option<Rc<WorkerLink>> {
         let sessions = self.sessions.borrow();
         Some(sessions.get(worker)?.link())
     }
 
     pub(super) fn order_start(self: &Rc<Self>, order: StartOrder) {
         let lease_ms = self.node.settings.lease_ms();
-        let session = {
-            let sessions = self.sessions.borrow();
-            let session = sessions.get(order.worker);
-            session.and_then(|session| Some((session.link(), session.lease_until_ms(lease_ms)?)))
-        };
-        let Some((link, lease_until_ms)) = session else {
+        let Some(link) = self.link_to(order.worker) else {
             // The session has just ended; what it held is ended by the event that did so.
             return;
         };
+        let Some(lease_until_ms) = link.lease_until_ms(lease_ms) else {
+            // Only workers that have answered get starts, and each answer tells the clock.
+            return;
+        };
         log::run_ordered(&order, &link.address.id, self.token);
         self.measure_room(&order);
         let command = StartCommand {
@@ -64,14 +63,13 @@
         link: &WorkerLink,
         command: &StartCommand,
     ) {
-        let address = &link.address;
-        let timeout_ms = self.node.settings.timing.order_timeout_ms;
         let sent_at = now();
-        let started = async {
-            let _place = link.place(OrderKind::Start, timeout_ms).await?;
-            self.node.platform.start(address, command, timeout_ms).await
+        let least_ms = self.node.settings.timing.order_timeout_ms;
+        let start = async |timeout_ms| {
+            let platform = &self.node.platform;
+            platform.start(&link.address, command, timeout_ms).await
         };
-        let started = started.await;
+        let started = link.send(OrderKind::Start, least_ms, start).await;
         let took_ms = now().since(sent_at);
         self.measure(command.task.step.job, Stage::Order, took_ms);
         let answer = match started {
@@ -153,13 +151,12 @@
         link: &WorkerLink,
         command: PaceCommand,
     ) {
-        let address = &link.address;
-        let timeout_ms = self.node.settings.timing.order_timeout_ms;
-        let paced = async {
-            let _place = link.place(OrderKind::Control, timeout_ms).await?;
-            self.node.platform.pace(address, &command, timeout_ms).await
+        let least_ms = self.node.settings.timing.order_timeout_ms;
+        let pace = async |timeout_ms| {
+            let platform = &self.node.platform;
+            platform.pace(&link.address, &command, timeout_ms).await
         };
-        let paced = paced.await;
+        let paced = link.send(OrderKind::Control, least_ms, pace).await;
         let taken = match paced {
             Ok(()) => true,
             Err(error) if self.is_settled_by(worker, &error) => return,
@@ -205,13 +202,12 @@
         link: &WorkerLink,
         command: StopCommand,
     ) {
-        let address = &link.address;
-        let timeout_ms = self.node.settings.timing.order_timeout_ms;
-        let stopped = async {
-            let _place = link.place(OrderKind::Control, timeout_ms).await?;
-            self.node.platform.stop(address, &command, timeout_ms).await
+        let least_ms = self.node.settings.timing.order_timeout_ms;
+        let stop = async |timeout_ms| {
+            let platform = &self.node.platform;
+            platform.stop(&link.address, &command, timeout_ms).await
         };
-        let stopped = stopped.await;
+        let stopped = link.send(OrderKind::Control, least_ms, stop).await;
         let taken = match stopped {
             Ok(()) => true,
             Err(error) if self.is_settled_by(worker, &error) => return,
--- a/crates/cell/src/leader/sessions.rs
+++ b/crates/cell/src/leader/sessions.rs
@@ -1,20 +1,17 @@
 //! Sessions with workers: one renewal after the other keeps the leases and brings what ended.
 
-use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
-use smol_str::SmolStr;
 use syc_sched::Event;
 use syc_sched::WorkerKey;
 use syc_sched::WorkerSpec;
-use syc_types::Millis;
-use tokio::sync::Semaphore;
-use tokio::sync::SemaphorePermit;
+use syc_types::WorkerId;
 
 use crate::clock::now;
 use crate::clock::pause;
 use crate::leader::Leader;
+use crate::leader::links::WorkerLink;
 use crate::log;
 use crate::ports::OrderError;
 use crate::ports::Platform;
@@ -31,91 +28,13 @@
 /// Longest such wait.
 const RETRY_LIMIT_MS: u64 = 400;
 
-/// Starts under way at one worker: each takes a connection, and workers bound those that they take.
-const STARTS_AT_ONCE: usize = 3;
-
-/// Other orders under way at one worker: what ends a run never waits behind starts.
-const CONTROLS_AT_ONCE: usize = 2;
-
 /// A session with a worker.
 #[derive(Debug)]
 pub(super) struct Session {
-    pub(super) address: Rc<WorkerAddress>,
-    places: Rc<Places>,
-    /// The worker's clock, as last read.
-    clock: Rc<Cell<Option<ClockReading>>>,
+    link: Rc<WorkerLink>,
     task: Option<actix_rt::task::JoinHandle<()>>,
 }
 
-/// What orders to a worker need.
-#[derive(Debug, Clone)]
-pub(super) struct WorkerLink {
-    pub(super) address: Rc<WorkerAddress>,
-    places: Rc<Places>,
-}
-
-/// Free places for orders to a worker.
-#[derive(Debug)]
-struct Places {
-    starts: Semaphore,
-    controls: Semaphore,
-}
-
-/// What an order does.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) enum OrderKind {
-    /// It starts a run.
-    Start,
-    /// It ends one, or changes its pace.
-    Control,
-}
-
-impl WorkerLink {
-    /// Counts the orders that have a place.
-    pub(super) fn under_way(&self) -> usize {
-        let free =
-            self.places.starts.available_permits() + self.places.controls.available_permits();
-        (STARTS_AT_ONCE + CONTROLS_AT_ONCE).saturating_sub(free)
-    }
-
-    /// Waits for a free place for an order, so long at most.
-    ///
-    /// # Errors
-    ///
-    /// Fails where none has become free: the order has not been sent then.
-    pub(super) async fn place(
-        &self,
-        kind: OrderKind,
-        limit_ms: u64,
-    ) -> Result<SemaphorePermit<'_>, OrderError> {
-        let places = match kind {
-            OrderKind::Start => &self.places.starts,
-            OrderKind::Control => &self.places.controls,
-        };
-        let limit = Duration::from_millis(limit_ms);
-        match tokio::time::timeout(limit, places.acquire()).await {
-            Ok(Ok(place)) => Ok(place),
-            Ok(Err(_)) | Err(_) => Err(OrderError::NotSent(SmolStr::new_static(
-                "others to the worker were under way for too long",
-            ))),
-        }
-    }
-}
-
-/// A reading of a worker's clock.
-#[derive(Debug, Clone, Copy)]
-struct ClockReading {
-    clock_ms: u64,
-    read_at: Millis,
-}
-
-impl ClockReading {
-    /// Returns what the clock shows now, if it runs as fast as this node's.
-    fn estimate_ms(self) -> u64 {
-        self.clock_ms.saturating_add(now().since(self.read_at))
-    }
-}
-
 impl Session {
     /// Ends it.
     pub(super) fn end(&self) {
@@ -125,17 +44,13 @@
     }
 
     /// Returns what orders to the worker need.
-    pub(super) fn link(&self) -> WorkerLink {
-        WorkerLink {
-            address: Rc::clone(&self.address),
-            places: Rc::clone(&self.places),
-        }
+    pub(super) fn link(&self) -> Rc<WorkerLink> {
+        Rc::clone(&self.link)
     }
 
-    /// Returns the end of a lease that begins now, on the worker's clock.
-    pub(super) fn lease_until_ms(&self, lease_ms: u64) -> Option<u64> {
-        let reading = self.clock.get()?;
-        Some(reading.estimate_ms().saturating_add(lease_ms))
+    /// Returns which worker it is.
+    pub(super) fn worker(&self) -> &WorkerId {
+        &self.link.address.id
     }
 }
 
@@ -145,36 +60,44 @@
 {
     pub(super) fn attach(self: &Rc<Self>, worker: WorkerKey, spec: &WorkerSpec) {
         log::worker_listed(&spec.id, "listed");
-        let address = Rc::new(WorkerAddress {
+        let link = Rc::new(WorkerLink::new(WorkerAddress {
             id: spec.id.clone(),
             address: spec.address.clone(),
-        });
-        let clock = Rc::new(Cell::new(None));
-        let session = renew_leases(
-            Rc::clone(self),
-            worker,
-            Rc::clone(&address),
-            Rc::clone(&clock),
-        );
+        }));
         // One whose name alone is known can't be asked.
-        let is_known = !address.address.is_empty();
+        let is_known = !link.address.address.is_empty();
+        let session = renew_leases(Rc::clone(self), worker, Rc::clone(&link));
         let session = Session {
-            address,
-            places: Rc::new(Places {
-                starts: Semaphore::new(STARTS_AT_ONCE),
-                controls: Semaphore::new(CONTROLS_AT_ONCE),
-            }),
-            clock,
+            link,
             task: is_known.then(|| actix_rt::spawn(session)),
         };
         self.sessions.borrow_mut().insert(worker, session);
     }
 
+    /// Returns the time that half of the workers are given at most to answer a renewal.
+    pub(super) fn usual_slack_ms(&self) -> u64 {
+        let sessions = self.sessions.borrow();
+        let slacks_ms = sessions
+            .values()
+            .map(|session| self.renewal_slack_ms(&session.link));
+        let mut slacks_ms: Vec<_> = slacks_ms.collect();
+        slacks_ms.sort_unstable();
+        slacks_ms.get(slacks_ms.len() / 2).copied().unwrap_or(0)
+    }
+
+    /// Returns the time that the answer of a worker to a renewal is given beyond the wait that it asks for.
+    fn renewal_slack_ms(&self, link: &WorkerLink) -> u64 {
+        let settings = &self.node.settings;
+        let least_ms = settings.timing.renewal_slack_ms;
+        link.patience
+            .renewal_slack_ms(least_ms, settings.lease_ms())
+    }
+
     pub(super) fn detach(&self, worker: WorkerKey) {
         if let Some(session) = self.sessions.borrow_mut().remove(worker) {
-            log::worker_listed(&session.address.id, "detached");
+            let id = session.worker();
+            log::worker_listed(id, "detached");
             session.end();
-            let id = &session.address.id;
             self.node
                 .unreadable
                 .forget(Source::WorkerAnswers, id.as_str());
@@ -209,15 +132,10 @@
 }
 
 /// Renews the leases on a worker until the session ends.
-async fn renew_leases<P>(
-    leader: Rc<Leader<P>>,
-    worker: WorkerKey,
-    address: Rc<WorkerAddress>,
-    clock: Rc<Cell<Option<ClockReading>>>,
-) where
+async fn renew_leases<P>(leader: Rc<Leader<P>>, worker: WorkerKey, link: Rc<WorkerLink>)
+where
     P: Platform,
 {
-    let timing = leader.node.settings.timing;
     let lease_ms = leader.node.settings.lease_ms();
     let mut failures: u32 = 0;
     // A worker answers at once as long as it lists an end: one that is not ours has to be forgotten too.
@@ -233,12 +151,14 @@
         // A worker that did not answer is only asked: each renewal may arrive, and would put off
         // the time at which its leases have surely lapsed.
         // One that takes no orders is only asked too, where its lease is let lapse on purpose.
-        let answering = clock.get().filter(|_| failures == 0);
-        let may_renew = leader.scheduler.borrow().may_renew(worker);
-        let lease_until_ms = answering
-            .filter(|_| may_renew)
-            .map(|reading| reading.estimate_ms().saturating_add(lease_ms));
-        let waits = answering.is_some() && !left;
+        let is_answering = failures == 0 && link.knows_clock();
+        let may_renew = is_answering && leader.scheduler.borrow().may_renew(worker);
+        let lease_until_ms = if may_renew {
+            link.lease_until_ms(lease_ms)
+        } else {
+            None
+        };
+        let waits = is_answering && !left;
         let wait_ms = if waits {
             leader.renewal_wait_ms(worker)
         } else {
@@ -254,25 +174,25 @@
             wait_ms,
             token: leader.token,
         };
-        let timeout_ms = wait_ms + timing.renewal_slack_ms;
-        let renewed = leader
-            .node
-            .platform
-            .renew(&address, &renewal, timeout_ms)
+        let patience = &link.patience;
+        let slack_ms = leader.renewal_slack_ms(&link);
+        let platform = &leader.node.platform;
+        let renewed = platform
+            .renew(&link.address, &renewal, wait_ms + slack_ms)
             .await;
+        let took_ms = now().since(sent_at);
         match renewed {
             Ok(renewed) => {
                 failures = 0;
                 skipped_end = renewed.skipped_end;
+                let told_ends = skipped_end > 0 || !renewed.report.ended.is_empty();
+                patience.note_renewal(took_ms, wait_ms, told_ends);
                 leader.node.note_skipped(
                     Source::WorkerAnswers,
-                    address.id.as_str(),
+                    link.address.id.as_str(),
                     &renewed.skipped,
                 );
-                clock.set(Some(ClockReading {
-                    clock_ms: renewed.clock_ms,
-                    read_at: now(),
-                }));
+                link.note_clock(renewed.clock_ms);
                 leader.apply(Event::Renewed {
                     worker,
                     sent_at,
@@ -291,9 +211,13 @@
                 leader.end("fenced_by_worker");
                 return;
             }
-            Err(OrderError::Refused(_) | OrderError::NotSent(_) | OrderError::InDoubt(_)) => {
+            Err(error) => {
                 failures += 1;
                 skipped_end = 0;
+                // What was not sent, or was cut, says nothing of how long an answer takes.
+                if matches!(error, OrderError::InDoubt(_)) && took_ms >= wait_ms + slack_ms {
+                    patience.note(slack_ms);
+                }
                 leader.apply(Event::RenewalFailed { worker });
                 let wait_ms = (RETRY_MS << failures.min(4)).min(RETRY_LIMIT_MS);
                 pause(wait_ms).await;
--- a/crates/cell/tests/cell/workers.rs
+++ b/crates/cell/tests/cell/workers.rs
@@ -158,3 +158,21 @@
     );
     cluster.assert_sound();
 }
+
+/// Renewals and orders were given up before their answers came, so that each worker counted as silent for good.
+#[test]
+fn workers_that_answer_everything_late_are_given_work() {
+    let cluster = Cluster::start(2, 2);
+    cluster.platform.set_faults(SharedFaults {
+        late_worker_answers_ms: 1_500,
+        ..SharedFaults::default()
+    });
+    let node = cluster.scheduler();
+    for id in 1..=4 {
+        cluster.submit(node, id, vec![step(2, 20)]);
+    }
+    for id in 1..=4 {
+        cluster.wait_for_state(node, id, JobState::Completed);
+    }
+    cluster.assert_sound();
+}
--- a/crates/fleet/src/shared/calls.rs
+++ b/crates/fleet/src/shared/calls.rs
@@ -83,6 +83,21 @@
         Ok(())
     }
 
+    /// Waits for the answer of a worker to a call that it has carried out, or until the call times out.
+    pub(super) async fn await_answer(
+        &self,
+        spent_ms: u64,
+        timeout_ms: u64,
+    ) -> Result<(), OrderError> {
+        let late_ms = self.lock().faults.late_worker_answers_ms;
+        let left_ms = timeout_ms.saturating_sub(spent_ms);
+        pause(late_ms.min(left_ms)).await;
+        if late_ms > left_ms {
+            return Err(OrderError::InDoubt(SmolStr::new_static("late")));
+        }
+        Ok(())
+    }
+
     /// Waits as long as a call takes, or for ever where the node is cut off; says whether the store
     /// turns it away.
     pub(super) async fn reach_store(&self) -> bool {
--- a/crates/fleet/src/shared/faults.rs
+++ b/crates/fleet/src/shared/faults.rs
@@ -19,6 +19,8 @@
     pub silent_workers: BTreeSet<WorkerId>,
     /// Workers that answer renewals and reset each order.
     pub resetting_workers: BTreeSet<WorkerId>,
+    /// Time by which all workers answer later than they carry a call out.
+    pub late_worker_answers_ms: u64,
     /// Partitions of topics that refuse every call.
     pub down: Vec<(Topic, u32)>,
     /// Reads of whole partitions that are never answered; so many from now on.
--- a/crates/fleet/src/shared/ports.rs
+++ b/crates/fleet/src/shared/ports.rs
@@ -142,6 +142,7 @@
             pause(timeout_ms).await;
             return Err(OrderError::InDoubt(SmolStr::new_static("lost")));
         }
+        self.await_answer(CALL_MS, timeout_ms).await?;
         started
     }
 
@@ -152,7 +153,9 @@
         timeout_ms: u64,
     ) -> Result<(), OrderError> {
         self.reach_with_order(&worker.id, timeout_ms).await?;
-        self.lock().fleet.stop(&worker.id, command, now())
+        let stopped = self.lock().fleet.stop(&worker.id, command, now());
+        self.await_answer(CALL_MS, timeout_ms).await?;
+        stopped
     }
 
     async fn pace(
@@ -162,7 +165,9 @@
         timeout_ms: u64,
     ) -> Result<(), OrderError> {
         self.reach_with_order(&worker.id, timeout_ms).await?;
-        self.lock().fleet.pace(&worker.id, command, now())
+        let paced = self.lock().fleet.pace(&worker.id, command, now());
+        self.await_answer(CALL_MS, timeout_ms).await?;
+        paced
     }
 
     async fn renew(
@@ -173,10 +178,13 @@
     ) -> Result<Renewed, OrderError> {
         *self.lock().renewals.entry(worker.id.clone()).or_default() += 1;
         self.reach_worker(&worker.id, timeout_ms).await?;
-        let until = now().plus(renewal.wait_ms);
+        let began = now();
+        let until = began.plus(renewal.wait_ms);
         loop {
             let renewed = self.lock().fleet.renew(&worker.id, renewal, now())?;
             if !renewed.report.ended.is_empty() || now() >= until {
+                let spent_ms = now().since(began);
+                self.await_answer(spent_ms, timeout_ms).await?;
                 return Ok(self.spoil_clock(&worker.id, renewed));
             }
             pause(LOOK_MS).await;
--- a/crates/sched/src/options.rs
+++ b/crates/sched/src/options.rs
@@ -94,7 +94,7 @@
             probe_limit_ms: 4_000,
             start_orders_limit: 4,
             ticket_margin_ms: 60,
-            advice_slack_ms: 600,
+            advice_slack_ms: 2_600,
             short_call_ms: 40.0,
             stall_ms: 2_000,
             failures_in_row_limit: 3,
