Count leases from the evidence that a scheduler has no successor

Cause: a lease was worked out anew when its order was sent, and whether there may be a successor was looked at every 100 ms only, after the orders of that look. A node that stood still for over 3 s and went on gave leases that outlasted those that its successor waits for. What others had sent it before came out of its buffers then, and counted as word of that moment; and any one node that followed it counted, though that may be cut off from the store beside it.

Evidence: the exhaustive search has a predecessor that stands still for 5 or 8 s from the takeover on, before its decisions or between them and its orders.

Change: a lease counts from its decision, and from no later than 3 s after the latest evidence was sent for: an append under the token that the store took, or, where the store takes none, the answers that at least half of the nodes that were in touch last had of this one, which their contacts tell. Without such evidence nothing is sent, orders about VMs neither; an order that waited for its turn is not sent once the role is over. So whenever a node stands still, its leases end before its successor takes them as lapsed. A successor begins only once the store refuses its predecessor's heartbeats, too.

--- a/crates/cell/src/contact.rs
+++ b/crates/cell/src/contact.rs
@@ -50,6 +50,8 @@
     append_ms: Cell<u64>,
     /// When it last answered.
     answered_at: Cell<Millis>,
+    /// When it gave that answer, on its own clock.
+    heard_at: Cell<Millis>,
     answers: Cell<bool>,
     /// Calls in a row without an answer.
     misses: Cell<u32>,
@@ -64,6 +66,7 @@
             store_answers: Cell::new(false),
             append_ms: Cell::new(0),
             answered_at: Cell::new(now()),
+            heard_at: Cell::new(Millis(0)),
             answers: Cell::new(true),
             misses: Cell::new(0),
         })
@@ -174,6 +177,7 @@
         store_answers: node.store_answers(),
         token: link.token,
         day_ms: node.read_day().day.0,
+        heard_at_ms: link.heard_at.get().0,
     });
     let timeout_ms = node.settings.timing.contact_timeout_ms;
     let reply = link.call(query, timeout_ms).await;
@@ -195,6 +199,9 @@
     if answers {
         link.answered_at.set(now());
     }
+    if let Ok(CellBody::ContactReply(reply)) = &reply {
+        link.heard_at.set(Millis(reply.answered_at_ms));
+    }
     // What waits goes another way where the scheduler's node has come or gone.
     node.accepting.look_soon();
     note_gone(node, link, &reply);
@@ -296,5 +303,6 @@
         day_ms: agreed.map_or(0, |agreed| agreed.day.day_at(now()).0),
         day_clocks: agreed.map_or(0, |agreed| agreed.clocks),
         append_ms: node.accepting.append_ms(),
+        answered_at_ms: now().0,
     }
 }
--- a/crates/cell/src/leader.rs
+++ b/crates/cell/src/leader.rs
@@ -32,6 +32,7 @@
 use syc_net::PeerClient;
 use syc_sched::Action;
 use syc_sched::Advisers;
+use syc_sched::Authority;
 use syc_sched::Counts;
 use syc_sched::Event;
 use syc_sched::JobId;
@@ -126,6 +127,11 @@
     /// Asks for that to be written.
     tell: Notify,
     met_others_at: Cell<Option<Millis>>,
+    /// What shows that there is no successor.
+    authority: RefCell<Authority>,
+    /// Tells that the store took the first heartbeat.
+    heartbeat_taken: Cell<bool>,
+    heartbeat: Notify,
     day: RefCell<CellDay>,
     heard_workers_at: Cell<Millis>,
     tasks: RefCell<Vec<actix_rt::task::JoinHandle<()>>>,
@@ -138,7 +144,8 @@
     /// Takes the role, with the fencing token of the claim.
     pub(crate) fn start(node: &Rc<Node<P>>, token: u64, predecessors_prove: bool) {
         let partitions = usize::try_from(node.settings.job_partitions()).unwrap_or(1);
-        let mut scheduler = Scheduler::new(options(node));
+        let options = options(node);
+        let mut scheduler = Scheduler::new(options);
         scheduler.set_jobs_read(Millis(0));
         scheduler.set_chosen(now());
         scheduler.require_proof();
@@ -168,6 +175,9 @@
             statuses: RefCell::default(),
             tell: Notify::new(),
             met_others_at: Cell::new(None),
+            authority: RefCell::new(Authority::new(options.authority_ms)),
+            heartbeat_taken: Cell::new(false),
+            heartbeat: Notify::new(),
             day: RefCell::new(CellDay::after(node.told_day.get())),
             heard_workers_at: Cell::new(now()),
             tasks: RefCell::default(),
@@ -346,6 +356,7 @@
     pub(crate) fn met(&self, contact: &Contact) -> u32 {
         self.met_others_at.set(Some(now()));
         self.meet_adviser(contact);
+        self.note_follower(contact);
         if let Some(day) = told_day(now(), contact.day_ms) {
             let name = SmolStr::from(contact.node.as_str());
             self.day.borrow_mut().note(name, day);
@@ -364,18 +375,27 @@
         self.scheduler.borrow_mut().set_day(agreed.day);
     }
 
-    /// Says whether neither the store nor another node was heard for so long that a successor may
-    /// have been chosen.
+    /// Takes note that another node follows this scheduler.
     ///
-    /// A successor takes it that its predecessor gives no orders after this time. One that went on
-    /// renewing leases on workers that the successor cannot reach would have their tasks run twice.
-    fn is_isolated(&self) -> bool {
-        let authority_ms = self.scheduler.borrow().options().authority_ms;
-        let hears_nobody = self
-            .met_others_at
-            .get()
-            .is_some_and(|at| now().since(at) > authority_ms);
-        hears_nobody && self.node.store_view().answered_ms > authority_ms
+    /// What it says is as old as the last answer that it had: it may have waited here while this node stood still.
+    fn note_follower(&self, contact: &Contact) {
+        if contact.token != self.token {
+            return;
+        }
+        let name = SmolStr::from(contact.node.as_str());
+        let heard_at = Millis(contact.heard_at_ms).min(now());
+        self.authority.borrow_mut().note_follower(&name, heard_at);
+    }
+
+    /// Takes note that the store took an append under the fencing token that was sent at a time.
+    fn note_taken(&self, sent_at: Millis) {
+        self.authority.borrow_mut().note_taken(sent_at);
+    }
+
+    /// Returns the time from which a lease counts that was decided on at a time; none where a successor may have been
+    /// chosen so long ago that this node must give no orders any more.
+    fn lease_from(&self, decided_at: Millis) -> Option<Millis> {
+        self.authority.borrow().lease_from(decided_at, now())
     }
 
     /// Says whether half of the workers have been silent for longer than they are given to answer.
@@ -391,7 +411,7 @@
 
     /// Hands the role on if this node seems cut off while the store, and so the others, may not be.
     pub(crate) fn watch_self(self: &Rc<Self>) {
-        if self.is_isolated() {
+        if self.authority.borrow().is_over(now()) {
             self.end("isolated");
             return;
         }
--- a/crates/cell/src/leader/heartbeat.rs
+++ b/crates/cell/src/leader/heartbeat.rs
@@ -2,6 +2,9 @@
 
 use std::rc::Rc;
 
+use syc_types::Millis;
+
+use crate::clock::now;
 use crate::clock::pause;
 use crate::leader::Leader;
 use crate::ports::AppendError;
@@ -31,17 +34,24 @@
     loop {
         let record = records::holder(&leader.holder_record(false));
         let condition = leader.fenced(PRODUCER, sequence);
+        let sent_at = now();
         let appended = leader
             .node
             .append(Topic::Holders, 0, &[record], &condition)
             .await;
         match appended {
-            Ok(_) => sequence += 1,
+            Ok(_) => {
+                sequence += 1;
+                leader.note_heartbeat(sent_at);
+            }
             Err(AppendError::Fenced) => {
                 leader.end("fenced_by_store");
                 return;
             }
-            Err(AppendError::OutOfSequence { expected }) => sequence = expected,
+            Err(AppendError::OutOfSequence { expected }) => {
+                sequence = expected;
+                leader.note_heartbeat(sent_at);
+            }
             // The number stays, so that a sign that was taken after all is not counted twice.
             Err(_noted) => {}
         }
@@ -53,6 +63,25 @@
 where
     P: Platform,
 {
+    /// Takes note that the store took a heartbeat that was sent at a time, or would have: it refuses those of
+    /// predecessors from then on.
+    fn note_heartbeat(&self, sent_at: Millis) {
+        self.note_taken(sent_at);
+        self.heartbeat_taken.set(true);
+        self.heartbeat.notify_waiters();
+    }
+
+    /// Waits until the store refuses the heartbeats of predecessors, by which they would give orders still.
+    pub(super) async fn fence_heartbeats(&self) {
+        loop {
+            let taken = self.heartbeat.notified();
+            if self.heartbeat_taken.get() {
+                return;
+            }
+            taken.await;
+        }
+    }
+
     fn holder_record(&self, released: bool) -> HolderRecord {
         HolderRecord {
             node: self.node.settings.name.clone(),
--- a/crates/cell/src/leader/links.rs
+++ b/crates/cell/src/leader/links.rs
@@ -71,14 +71,14 @@
         self.clock.get().is_some()
     }
 
-    /// Returns the end of a lease that begins now, on the worker's clock, if that was read.
-    pub(super) fn lease_until_ms(&self, lease_ms: u64) -> Option<u64> {
+    /// Returns the end of a lease that counts from a time, on the worker's clock, if that was read.
+    pub(super) fn lease_until_ms(&self, from: Millis, lease_ms: u64) -> Option<u64> {
         let reading = self.clock.get()?;
         // It is taken to run as fast as this node's.
-        let clock_ms = reading
-            .clock_ms
-            .saturating_add(now().since(reading.read_at));
-        Some(clock_ms.saturating_add(lease_ms))
+        let since_ms = from.since(reading.read_at);
+        let before_ms = reading.read_at.since(from);
+        let until_ms = reading.clock_ms.saturating_add(lease_ms);
+        Some(until_ms.saturating_add(since_ms).saturating_sub(before_ms))
     }
 
     /// Counts the orders that have a place.
--- a/crates/cell/src/leader/load.rs
+++ b/crates/cell/src/leader/load.rs
@@ -5,6 +5,7 @@
 use std::collections::HashMap;
 use std::rc::Rc;
 
+use futures_util::future::join;
 use futures_util::future::join_all;
 use futures_util::future::join3;
 use futures_util::stream::FuturesUnordered;
@@ -62,7 +63,8 @@
     P: Platform,
 {
     let began = now();
-    if !leader.fence_progress().await {
+    let (is_fenced, ()) = join(leader.fence_progress(), leader.fence_heartbeats()).await;
+    if !is_fenced {
         return;
     }
     let fenced_ms = now().since(began);
--- a/crates/cell/src/leader/orders.rs
+++ b/crates/cell/src/leader/orders.rs
@@ -2,6 +2,7 @@
 
 use std::rc::Rc;
 
+use smol_str::SmolStr;
 use syc_obs::Stage;
 use syc_sched::Event;
 use syc_sched::Run;
@@ -22,10 +23,22 @@
 use crate::ports::StartCommand;
 use crate::ports::StopCommand;
 
+/// Why an order is not sent by a scheduler that may have a successor.
+pub(super) const ANOTHER_MAY_BE_CHOSEN: SmolStr =
+    SmolStr::new_static("another scheduler may have been chosen");
+
 impl<P> Leader<P>
 where
     P: Platform,
 {
+    /// Fails where the role has ended while an order waited for its turn.
+    fn check_role(&self) -> Result<(), OrderError> {
+        if self.ended.get() {
+            return Err(OrderError::NotSent(ANOTHER_MAY_BE_CHOSEN));
+        }
+        Ok(())
+    }
+
     fn link_to(&self, worker: WorkerKey) -> Option<Rc<WorkerLink>> {
         let sessions = self.sessions.borrow();
         Some(sessions.get(worker)?.link())
@@ -37,13 +50,12 @@
             // The session has just ended; what it held is ended by the event that did so.
             return;
         };
-        let Some(lease_until_ms) = link.lease_until_ms(lease_ms) else {
-            // Only workers that have answered get starts, and each answer tells the clock.
-            return;
-        };
         log::run_ordered(&order, &link.address.id, self.token);
         self.measure_room(&order);
-        let command = StartCommand {
+        let lease_from = self.lease_from(order.decided_at);
+        let lease_until_ms = lease_from.and_then(|from| link.lease_until_ms(from, lease_ms));
+        let worker = order.worker;
+        let command = lease_until_ms.map(|lease_until_ms| StartCommand {
             task: order.task,
             run: order.run,
             payload: order.payload,
@@ -51,32 +63,47 @@
             token: self.token,
             ticket: order.ticket,
             checkpoint: order.checkpoint,
-        };
+        });
+        let (task, run) = (order.task, order.run);
         let leader = Rc::clone(self);
-        let worker = order.worker;
-        actix_rt::spawn(async move { leader.send_start(worker, &link, &command).await });
+        actix_rt::spawn(async move {
+            let started = match &command {
+                Some(command) => leader.send_start(&link, command).await,
+                None => Err(OrderError::NotSent(ANOTHER_MAY_BE_CHOSEN)),
+            };
+            leader.take_start_answer(worker, (task, run), &link, started);
+        });
     }
 
     async fn send_start(
-        self: &Rc<Self>,
-        worker: WorkerKey,
+        &self,
         link: &WorkerLink,
         command: &StartCommand,
-    ) {
+    ) -> Result<(), OrderError> {
         let sent_at = now();
         let least_ms = self.node.settings.timing.order_timeout_ms;
         let start = async |timeout_ms| {
+            self.check_role()?;
             let platform = &self.node.platform;
             platform.start(&link.address, command, timeout_ms).await
         };
         let started = link.send(OrderKind::Start, least_ms, start).await;
-        let took_ms = now().since(sent_at);
-        self.measure(command.task.step.job, Stage::Order, took_ms);
+        self.measure(command.task.step.job, Stage::Order, now().since(sent_at));
+        started
+    }
+
+    fn take_start_answer(
+        self: &Rc<Self>,
+        worker: WorkerKey,
+        (task, run): (TaskId, Run),
+        link: &WorkerLink,
+        started: Result<(), OrderError>,
+    ) {
         let answer = match started {
             Ok(()) => StartAnswer::Started,
             Err(error) if self.is_settled_by(worker, &error) => return,
             Err(error) => {
-                log::start_failed(&self.untaken(command.task, command.run, link, &error));
+                log::start_failed(&self.untaken(task, run, link, &error));
                 match error {
                     OrderError::Refused(refusal) => StartAnswer::Refused(refusal),
                     OrderError::NotSent(_) => StartAnswer::NotSent,
@@ -86,8 +113,8 @@
         };
         self.apply(Event::StartAnswered {
             worker,
-            task: command.task,
-            run: command.run,
+            task,
+            run,
             answer,
         });
     }
@@ -153,6 +180,7 @@
     ) {
         let least_ms = self.node.settings.timing.order_timeout_ms;
         let pace = async |timeout_ms| {
+            self.check_role()?;
             let platform = &self.node.platform;
             platform.pace(&link.address, &command, timeout_ms).await
         };
@@ -204,6 +232,7 @@
     ) {
         let least_ms = self.node.settings.timing.order_timeout_ms;
         let stop = async |timeout_ms| {
+            self.check_role()?;
             let platform = &self.node.platform;
             platform.stop(&link.address, &command, timeout_ms).await
         };
--- a/crates/cell/src/leader/records.rs
+++ b/crates/cell/src/leader/records.rs
@@ -130,11 +130,15 @@
         loop {
             let condition = self.fenced(PRODUCER, 0);
             let node = &self.node;
+            let sent_at = now();
             let fenced = node
                 .append(Topic::Progress, partition, &[], &condition)
                 .await;
             match fenced {
-                Ok(_) => return true,
+                Ok(_) => {
+                    self.note_taken(sent_at);
+                    return true;
+                }
                 Err(AppendError::Fenced) => {
                     self.end("fenced_by_store");
                     return false;
@@ -237,6 +241,7 @@
     }
 
     fn take_proof(&self, jobs_added: u64, sent_at: Millis) {
+        self.note_taken(sent_at);
         let mut scheduler = self.scheduler.borrow_mut();
         let had_waiting = scheduler.wants_proof(now());
         scheduler.set_proof(jobs_added, sent_at);
--- a/crates/cell/src/leader/sessions.rs
+++ b/crates/cell/src/leader/sessions.rs
@@ -153,11 +153,9 @@
         // One that takes no orders is only asked too, where its lease is let lapse on purpose.
         let is_answering = failures == 0 && link.knows_clock();
         let may_renew = is_answering && leader.scheduler.borrow().may_renew(worker);
-        let lease_until_ms = if may_renew {
-            link.lease_until_ms(lease_ms)
-        } else {
-            None
-        };
+        let sent_at = now();
+        let lease_from = leader.lease_from(sent_at).filter(|_| may_renew);
+        let lease_until_ms = lease_from.and_then(|from| link.lease_until_ms(from, lease_ms));
         let waits = is_answering && !left;
         let wait_ms = if waits {
             leader.renewal_wait_ms(worker)
@@ -167,7 +165,6 @@
         if lease_until_ms.is_some() {
             leader.apply(Event::Renewing { worker });
         }
-        let sent_at = now();
         let renewal = Renewal {
             lease_until_ms,
             acknowledged,
--- a/crates/cell/src/leader/vms.rs
+++ b/crates/cell/src/leader/vms.rs
@@ -13,6 +13,7 @@
 use crate::clock::now;
 use crate::clock::pause;
 use crate::leader::Leader;
+use crate::leader::orders::ANOTHER_MAY_BE_CHOSEN;
 use crate::log;
 use crate::ports::AppendError;
 use crate::ports::ListError;
@@ -106,7 +107,12 @@
             return;
         }
         let platform = &self.node.platform;
-        let ordered = platform.order_vm(&command, CALL_TIMEOUT_MS).await;
+        let ordered = if self.lease_from(now()).is_some() {
+            platform.order_vm(&command, CALL_TIMEOUT_MS).await
+        } else {
+            // A successor may have given orders about the VM: one of an earlier scheduler must not come after them.
+            Err(VmOrderError::InDoubt(ANOTHER_MAY_BE_CHOSEN))
+        };
         let answer = match &ordered {
             Ok(()) => DutyAnswer::Done,
             Err(VmOrderError::Fenced) => {
--- a/crates/cell/tests/cell/fuzz.rs
+++ b/crates/cell/tests/cell/fuzz.rs
@@ -247,6 +247,7 @@
             store_answers: true,
             token: 7,
             day_ms: 1_790_000_000_000,
+            heard_at_ms: 11,
         }),
         CellBody::AdviceQuery(AdviceQuery {
             job: JOB,
--- a/crates/sched/src/action.rs
+++ b/crates/sched/src/action.rs
@@ -28,6 +28,8 @@
     pub ticket: SmolStr,
     /// Where it goes on from; empty to begin.
     pub checkpoint: SmolStr,
+    /// When it was decided on: the lease that it sets counts from then, however much later it is sent.
+    pub decided_at: Millis,
     /// How often the same order was sent before.
     pub retries: u32,
     /// Time since the step could first start.
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -16,6 +16,7 @@
 mod action;
 mod advice;
 mod advisers;
+mod authority;
 mod blame;
 mod contact;
 mod counts;
@@ -60,6 +61,7 @@
 pub use advisers::AdviceSlots;
 pub use advisers::Advisers;
 pub use advisers::CallLength;
+pub use authority::Authority;
 pub use counts::Counts;
 pub use duty::Duty;
 pub use duty::DutyAnswer;
--- a/crates/sched/src/orders.rs
+++ b/crates/sched/src/orders.rs
@@ -140,6 +140,7 @@
             payload: job.spec.payload.clone(),
             ticket,
             checkpoint: job.steps[step].units[unit].checkpoint.clone(),
+            decided_at: now,
             retries,
             ready_ms: now.since(ready_at),
         }));
--- a/crates/sched/tests/core/main.rs
+++ b/crates/sched/tests/core/main.rs
@@ -1,6 +1,7 @@
 //! The decision core, driven by hand: one failure a test.
 
 mod advice;
+mod authority;
 mod counts;
 mod crashes;
 mod doubts;
--- a/crates/sched/tests/takeovers/main.rs
+++ b/crates/sched/tests/takeovers/main.rs
@@ -22,7 +22,9 @@
 use test_case::test_case;
 
 use crate::search::Choices;
+use crate::world::Leases;
 use crate::world::Rule;
+use crate::world::Rules;
 use crate::world::World;
 use crate::world::cpu;
 
@@ -37,12 +39,12 @@
     first: Option<Vec<Fault>>,
 }
 
-fn search(step: &StepSpec, failing_runs: u32, rule: Rule) -> Found {
+fn search(step: &StepSpec, failing_runs: u32, rules: Rules) -> Found {
     let mut choices = Choices::default();
     let mut seen = BTreeSet::new();
     let mut found = Found::default();
     loop {
-        let world = World::new(&mut choices, step.clone(), failing_runs, rule);
+        let world = World::new(&mut choices, step.clone(), failing_runs, rules);
         let played = world.play(&mut seen);
         found.plays += 1;
         found.broken += u64::from(!played.faults.is_empty());
@@ -59,6 +61,15 @@
     found
 }
 
+fn step_of(gang: bool) -> StepSpec {
+    let tasks = if gang { 2 } else { 1 };
+    StepSpec {
+        tasks,
+        gang,
+        ..task()
+    }
+}
+
 fn task() -> StepSpec {
     StepSpec {
         tasks: 1,
@@ -77,14 +88,44 @@
 #[test_case(true, 0, Rule::Proves; "a gang that is done at once and proved before")]
 #[test_case(true, 1, Rule::Proves; "a gang that fails once and is proved before")]
 fn nothing_runs_twice_whatever_overlaps(gang: bool, failing_runs: u32, rule: Rule) {
-    let tasks = if gang { 2 } else { 1 };
-    let step = StepSpec {
-        tasks,
-        gang,
-        ..task()
+    let rules = Rules {
+        rule,
+        leases: Leases::OfOneThatGoesOn,
+    };
+    let found = search(&step_of(gang), failing_runs, rules);
+    println!("{found:?}");
+    let broken = (found.broken, found.not_completed, found.used_twice);
+    assert_eq!(broken, (0, 0, 0), "of {} plays: {found:?}", found.plays);
+}
+
+/// It goes on for a moment with what it knew before: leases that it worked out anew outlasted those that its successor
+/// waited for, and a task ran twice on a worker that the successor did not reach.
+#[test_case(false, 0, Rule::Waits; "a task that is done at once")]
+#[test_case(false, 1, Rule::Waits; "a task that fails once")]
+#[test_case(true, 0, Rule::Waits; "a gang that is done at once")]
+#[test_case(false, 0, Rule::Proves; "a task that is done at once and proved before")]
+#[test_case(false, 1, Rule::Proves; "a task that fails once and is proved before")]
+#[test_case(true, 0, Rule::Proves; "a gang that is done at once and proved before")]
+fn nothing_runs_twice_where_a_predecessor_stands_still(gang: bool, failing_runs: u32, rule: Rule) {
+    let rules = Rules {
+        rule,
+        leases: Leases::FromEvidence,
     };
-    let found = search(&step, failing_runs, rule);
+    let found = search(&step_of(gang), failing_runs, rules);
     println!("{found:?}");
     let broken = (found.broken, found.not_completed, found.used_twice);
     assert_eq!(broken, (0, 0, 0), "of {} plays: {found:?}", found.plays);
 }
+
+/// Leases count from the sending of an order, on purpose.
+#[test_case(false, Rule::Waits; "a task")]
+#[test_case(true, Rule::Proves; "a gang that is proved before")]
+fn the_judge_notices_leases_that_a_predecessor_works_out_anew(gang: bool, rule: Rule) {
+    let rules = Rules {
+        rule,
+        leases: Leases::FromSending,
+    };
+    let found = search(&step_of(gang), 0, rules);
+    println!("{found:?}");
+    assert!(found.broken > 0, "of {} plays: {found:?}", found.plays);
+}
--- a/crates/sched/tests/takeovers/side.rs
+++ b/crates/sched/tests/takeovers/side.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeSet;
 
 use syc_sched::Action;
+use syc_sched::Authority;
 use syc_sched::Event;
 use syc_sched::Options;
 use syc_sched::Run;
@@ -32,6 +33,8 @@
     pub has_read_job: bool,
     /// Start orders so far.
     pub starts: u32,
+    /// What shows that there is no successor.
+    pub authority: Authority,
     orders: Vec<Order>,
 }
 
@@ -40,10 +43,11 @@
 
 impl Side {
     pub fn new() -> Self {
-        let mut scheduler = Scheduler::new(Options {
+        let options = Options {
             job_authority_ms: JOB_AUTHORITY_MS,
             ..Options::default()
-        });
+        };
+        let mut scheduler = Scheduler::new(options);
         scheduler.set_jobs_read(Millis(0));
         Self {
             scheduler,
@@ -52,6 +56,7 @@
             ended: false,
             has_read_job: false,
             starts: 0,
+            authority: Authority::new(options.authority_ms),
             orders: Vec::new(),
         }
     }
--- a/crates/sched/tests/takeovers/world.rs
+++ b/crates/sched/tests/takeovers/world.rs
@@ -70,6 +70,9 @@
 /// Slots after the takeover in which the predecessor ends: all that its authority allows.
 const ENDS: [u64; 3] = [1, 2, 3];
 
+/// Slots for which the predecessor stands still from the takeover on.
+const STILL: [u64; 3] = [0, 5, 8];
+
 /// How long tasks take.
 const WORK_MS: [u64; 2] = [500, 4_500];
 
@@ -97,6 +100,13 @@
     pub state: Option<JobState>,
 }
 
+/// The rules of a play.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Rules {
+    pub rule: Rule,
+    pub leases: Leases,
+}
+
 /// By which rule a scheduler starts what was stored lately.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Rule {
@@ -106,10 +116,33 @@
     Proves,
 }
 
+/// Where the predecessor stands still, and then goes on once before it looks whether it has a successor.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum StandsStill {
+    /// Before it renews leases and decides on anything.
+    BeforeDecisions,
+    /// With its decisions made, and no order sent.
+    BeforeOrders,
+}
+
+const STAND_STILLS: [StandsStill; 2] = [StandsStill::BeforeDecisions, StandsStill::BeforeOrders];
+
+/// From when the leases of a predecessor that stood still count.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Leases {
+    /// It does not stand still.
+    OfOneThatGoesOn,
+    /// From the decision, and no later than what showed that it has no successor allows.
+    FromEvidence,
+    /// From the sending of the order, on purpose: the judge must see it.
+    FromSending,
+}
+
 /// The world of one play.
 #[derive(Debug)]
 pub struct World<'a> {
     rule: Rule,
+    leases: Leases,
     /// Jobs that were known when the predecessor last sent the store something.
     sent_with: u64,
     choices: &'a mut Choices,
@@ -132,7 +165,8 @@
 
 impl<'a> World<'a> {
     /// Makes a world in which the predecessor knows all workers and no job.
-    pub fn new(choices: &'a mut Choices, step: StepSpec, failing_runs: u32, rule: Rule) -> Self {
+    pub fn new(choices: &'a mut Choices, step: StepSpec, failing_runs: u32, rules: Rules) -> Self {
+        let Rules { rule, leases } = rules;
         let workers = u64::from(step.tasks) + 1;
         let spec = JobSpec {
             id: JOB,
@@ -158,6 +192,7 @@
         }
         let mut world = Self {
             rule,
+            leases,
             sent_with: 0,
             choices,
             now: Millis(SLOT_MS),
@@ -196,7 +231,11 @@
         } else {
             TAKEOVER + self.choices.pick(&READS_AFTER)
         };
-        let ends_in = TAKEOVER + self.choices.pick(&ENDS);
+        let still = self.pick_still();
+        let ends_in = match still {
+            Some((slots, _)) => TAKEOVER + slots + 1,
+            None => TAKEOVER + self.choices.pick(&ENDS),
+        };
         for slot in 1..SLOTS {
             self.now = Millis(slot * SLOT_MS);
             self.fleet.advance(self.now);
@@ -208,7 +247,10 @@
                 self.predecessor.ended = true;
             }
             self.take_proof(slot);
-            self.act(1);
+            match still {
+                Some((slots, at)) => self.act_still(slot, TAKEOVER + slots, at),
+                None => self.act(1),
+            }
             if slot < TAKEOVER {
                 self.record(1);
             }
@@ -216,6 +258,7 @@
                 self.take_over(read_after == TAKEOVER);
             }
             if slot >= TAKEOVER {
+                self.successor.authority.note_taken(self.now);
                 // All that was stored before the job may have been read by then, but no more.
                 let read_at = Millis(slot.min(read_before) * SLOT_MS);
                 self.successor.scheduler.set_jobs_read(read_at);
@@ -244,12 +287,35 @@
         }
     }
 
+    /// Decides for how long the predecessor stands still, and where; none where it goes on.
+    fn pick_still(&mut self) -> Option<(u64, StandsStill)> {
+        if self.leases == Leases::OfOneThatGoesOn {
+            return None;
+        }
+        let slots = self.choices.pick(&STILL);
+        let at = self.choices.pick(&STAND_STILLS);
+        Some((slots, at))
+    }
+
+    /// Lets the predecessor act that stands still from the takeover until a slot.
+    fn act_still(&mut self, slot: u64, until: u64, at: StandsStill) {
+        if slot < TAKEOVER || slot == until {
+            self.act(1);
+        } else if slot == TAKEOVER && at == StandsStill::BeforeOrders {
+            self.decide(1);
+        }
+    }
+
     /// Lets the predecessor hear that the store took what it sent a slot before, and send it something again.
     fn take_proof(&mut self, slot: u64) {
+        let is_taken = slot <= TAKEOVER;
+        if is_taken {
+            // What was sent at the last moment: a successor refuses it from then on.
+            self.predecessor.authority.note_taken(self.now);
+        }
         if self.rule == Rule::Waits {
             return;
         }
-        let is_taken = slot <= TAKEOVER;
         if is_taken {
             let scheduler = &mut self.predecessor.scheduler;
             let sent_at = Millis(self.now.0 - SLOT_MS);
@@ -318,6 +384,12 @@
 
     /// Lets a scheduler renew the leases, hear what is reported and look at what waits.
     fn act(&mut self, token: u64) {
+        self.decide(token);
+        self.carry_out(token);
+    }
+
+    /// Does all that but the sending of the orders.
+    fn decide(&mut self, token: u64) {
         let now = self.now;
         let (due, rest) = std::mem::take(&mut self.doubts)
             .into_iter()
@@ -332,7 +404,6 @@
         let asked_at = now;
         self.side(token).apply(Event::WorkersRead { asked_at }, now);
         self.side(token).look(now);
-        self.carry_out(token);
     }
 
     fn is_reached(&self, token: u64, id: &WorkerId) -> bool {
@@ -354,8 +425,9 @@
             self.side(token).apply(Event::RenewalFailed { worker }, now);
             return;
         }
+        let lease_until_ms = self.lease_until_ms(token, now).filter(|_| knows_clock);
         let renewal = Renewal {
-            lease_until_ms: knows_clock.then_some(now.0 + LEASE_MS),
+            lease_until_ms,
             acknowledged,
             wait_ms: 0,
             token,
@@ -421,11 +493,15 @@
         } else {
             Fate::Answered
         };
+        let Some(lease_until_ms) = self.lease_until_ms(token, order.decided_at) else {
+            self.withhold(token, order);
+            return;
+        };
         let command = StartCommand {
             task: order.task,
             run: order.run,
             payload: order.payload.clone(),
-            lease_until_ms: now.0 + LEASE_MS,
+            lease_until_ms,
             token,
             ticket: order.ticket.clone(),
             checkpoint: order.checkpoint.clone(),
@@ -458,6 +534,30 @@
         self.side(token).apply(answered(answer), now);
     }
 
+    /// Returns when a lease ends that was decided on at a time; none where its scheduler may have a successor.
+    fn lease_until_ms(&mut self, token: u64, decided_at: Millis) -> Option<u64> {
+        let now = self.now;
+        let from = match self.leases {
+            Leases::FromSending => Some(now),
+            Leases::OfOneThatGoesOn | Leases::FromEvidence => {
+                self.side(token).authority.lease_from(decided_at, now)
+            }
+        };
+        from.map(|from| from.0 + LEASE_MS)
+    }
+
+    /// Tells a scheduler that an order was not sent.
+    fn withhold(&mut self, token: u64, order: &StartOrder) {
+        let event = Event::StartAnswered {
+            worker: order.worker,
+            task: order.task,
+            run: order.run,
+            answer: StartAnswer::NotSent,
+        };
+        let now = self.now;
+        self.side(token).apply(event, now);
+    }
+
     fn stop(&mut self, token: u64, worker: WorkerKey, task: TaskId, run: Run) {
         let now = self.now;
         let Some(id) = self.side(token).workers.get(&worker).cloned() else {
--- a/crates/wire/src/cell.rs
+++ b/crates/wire/src/cell.rs
@@ -73,6 +73,10 @@
     /// Time of day on its clock, in milliseconds since 1970; 0 where an earlier version sends it.
     #[prost(uint64, tag = "5")]
     pub day_ms: u64,
+    /// Of the latest answer of that scheduler, when it was given, on the scheduler's clock; 0 where there was none,
+    /// and where an earlier version sends it.
+    #[prost(uint64, tag = "6")]
+    pub heard_at_ms: u64,
 }
 
 /// Answer to [`Contact`].
@@ -100,6 +104,9 @@
     /// sends it.
     #[prost(uint64, tag = "7")]
     pub append_ms: u64,
+    /// When it is given, on the answering node's clock; 0 where an earlier version sends it.
+    #[prost(uint64, tag = "8")]
+    pub answered_at_ms: u64,
 }
 
 /// Asks for a job's state.
