Take nothing as gone that a worker may not have listed yet

What ran there and was in neither list was taken as gone, by a successor as by a scheduler that goes on.

Change: where as many ends are listed as a worker lists at a time, nothing that is missing is taken as gone, and a takeover goes on waiting for that worker. The ends are acknowledged as before, so that the next list has the others.

--- a/crates/sched/src/reports.rs
+++ b/crates/sched/src/reports.rs
@@ -177,10 +177,13 @@
         for running in &report.running {
             self.run_listed(key, running, now);
         }
-        self.end_absent(key, sent_at, report, now);
+        // What is not listed may be among the ends that are not: taken as gone, what is done would start again.
+        if !report.has_more_ends {
+            self.end_absent(key, sent_at, report, now);
+            self.recovery.heard(&id);
+        }
         self.pace_fills(key, now);
         self.judge_slowness(key, now);
-        self.recovery.heard(&id);
     }
 
     /// Takes note that a worker has told of a run of a job.
--- a/crates/sched/src/worker_report.rs
+++ b/crates/sched/src/worker_report.rs
@@ -105,8 +105,10 @@
 pub struct WorkerReport {
     /// What runs.
     pub running: Vec<RunningReport>,
-    /// What ended and is not acknowledged.
+    /// What ended and is not acknowledged, the earliest first.
     pub ended: Vec<EndReport>,
+    /// Whether more has ended than is listed at a time.
+    pub has_more_ends: bool,
 }
 
 /// What a start order came to.
--- a/crates/sched/tests/core/driver.rs
+++ b/crates/sched/tests/core/driver.rs
@@ -409,6 +409,21 @@
         });
     }
 
+    /// Answers a renewal with ends that say nothing, and says that there are more.
+    pub fn report_some_ends(&mut self, worker: WorkerKey) {
+        let report = WorkerReport {
+            has_more_ends: true,
+            ..WorkerReport::default()
+        };
+        let sent_at = self.now;
+        self.pass(1);
+        self.apply(Event::Renewed {
+            worker,
+            sent_at,
+            report,
+        });
+    }
+
     /// Lets the store take all progress.
     pub fn record(&mut self) {
         let records = self
--- a/crates/sched/tests/core/takeover.rs
+++ b/crates/sched/tests/core/takeover.rs
@@ -292,3 +292,34 @@
     let runs: Vec<_> = driver.starts.iter().map(|start| start.run).collect();
     assert_eq!(runs, [Run(3)]);
 }
+
+/// A worker lists so many ends at a time. What it does not list may have ended as done all the same.
+#[test]
+fn a_worker_that_has_more_ends_to_tell_is_not_heard_out() {
+    let mut driver = successor(1, vec![step(1, 1)], None);
+    let worker = driver.workers[0];
+    driver.report_some_ends(worker);
+    driver.apply(Event::Ticked);
+    driver.schedule();
+    assert!(driver.starts.is_empty(), "its end may be among the others");
+    driver.report(worker, &[], &[(task(0), Run(1), RunEnd::Done)]);
+    driver.record();
+    assert_eq!(driver.state(1), Some(JobState::Completed));
+    assert!(driver.starts.is_empty());
+}
+
+#[test]
+fn a_run_whose_end_may_be_among_those_not_listed_goes_on() {
+    let mut driver = Driver::new(1, 4);
+    driver.submit(1, policy(0), vec![step(1, 1)]);
+    driver.schedule();
+    let start = driver.confirm_starts().remove(0);
+    driver.hold(start.worker, &[(start.task, start.run, 10)]);
+    driver.report_some_ends(start.worker);
+    driver.record();
+    driver.schedule();
+    assert!(driver.starts.is_empty(), "it may be done");
+    driver.end(&start, RunEnd::Done, &[]);
+    driver.record();
+    assert_eq!(driver.state(1), Some(JobState::Completed));
+}
