Show that what may have reached a worker's next life starts nowhere else before it was stopped

With `set_misdirected_aside` taken out, all tests of the core passed: in the one meant for it no other worker had room. The new test has one, and fails without that call ("it may run in the next life").

--- a/crates/sched/tests/core/rebirth.rs
+++ b/crates/sched/tests/core/rebirth.rs
@@ -216,3 +216,39 @@
     driver.schedule();
     assert_eq!(driver.asks, [(id, vec![next])]);
 }
+
+/// Its worker started again before it had listed the run, and another worker has room: a start there would run beside
+/// the one that may have reached the next life.
+#[test]
+fn a_start_that_may_have_reached_the_next_life_goes_nowhere_else_before_it_was_stopped() {
+    let (mut driver, first) = with_a_worker();
+    driver.hold(first, &[]);
+    driver.submit(1, policy(0), vec![step(1, 1)]);
+    let start = driver.settle().remove(0);
+    driver.apply(Event::WorkerListed(worker(1, 8)));
+    let other = driver.workers[driver.workers.len() - 1];
+    driver.hold(other, &[]);
+    driver.apply(Event::Reborn { worker: first });
+    driver.record();
+    assert!(driver.settle().is_empty(), "it may run in the next life");
+    unlist_life(&mut driver, 1);
+    let next = list_life(&mut driver, 2);
+    let stops: Vec<_> = driver.stops.iter().map(|stop| stop.worker).collect();
+    assert_eq!(stops, [next]);
+    driver.hold(next, &[]);
+    driver.record();
+    assert!(
+        driver.settle().is_empty(),
+        "it may still arrive: its stop has no answer"
+    );
+    driver.stop_taken(&syc_sched::StartOrder {
+        worker: next,
+        ..start.clone()
+    });
+    driver.pass(10);
+    driver.hold(next, &[]);
+    driver.record();
+    let again = driver.settle();
+    let runs: Vec<_> = again.iter().map(|start| start.run).collect();
+    assert_eq!(runs, [start.run.next()]);
+}
