Count a crash under a gang whose other members are being ended

Change: the workers of members that have not ended stay written, each at the place of its member, with the number of the start, also where the start is accounted for and over a further takeover. A successor blames them by that number, so that each crash still counts once. It waits for them only where the start is not accounted for, as before. A worker that is gone leaves the roster no sooner than what was concluded of it is stored, also where that takes several appends.

--- a/crates/cell/src/leader/records.rs
+++ b/crates/cell/src/leader/records.rs
@@ -161,7 +161,14 @@
             .scheduler
             .borrow_mut()
             .take_records(BATCH_JOBS, now(), day);
-        let roster = self.roster.change(self.token);
+        // A worker that is gone leaves the roster no sooner than what was concluded of it is stored: a successor that
+        // does not know its name can't conclude it again.
+        let all_taken = taken.len() < BATCH_JOBS;
+        let roster = if all_taken {
+            self.roster.change(self.token)
+        } else {
+            None
+        };
         let waves = self.scheduler.borrow().wave_records();
         if taken.is_empty() && roster.is_none() && waves.is_empty() {
             return self.prove_jobs().await;
--- a/crates/sched/src/blame.rs
+++ b/crates/sched/src/blame.rs
@@ -7,7 +7,6 @@
 use crate::Run;
 use crate::TaskId;
 use crate::job::Unit;
-use crate::job::UnitState;
 use crate::worker::Worker;
 use crate::worker::WorkerRun;
 
@@ -126,15 +125,6 @@
         self.crashes() >= CRASHES_TO_ISOLATE
     }
 
-    /// Says whether a member of it may run somewhere that a predecessor knew of.
-    pub(crate) fn is_not_found(&self, member: usize) -> bool {
-        match &self.state {
-            UnitState::Pending => true,
-            UnitState::Placed { members, .. } => members.get(member).is_some_and(Option::is_none),
-            _ => false,
-        }
-    }
-
     /// Says whether it surely takes its workers down.
     pub(crate) fn is_proved_guilty(&self) -> bool {
         self.blames.values().any(|blame| blame.is_proved())
--- a/crates/sched/src/job.rs
+++ b/crates/sched/src/job.rs
@@ -48,7 +48,8 @@
     /// A member has ended, and the others are being stopped.
     Closing {
         run: Run,
-        left: u32,
+        /// Workers of those.
+        members: Vec<Option<WorkerKey>>,
         outcome: Outcome,
     },
     /// Its run has ended, and the record of that is under way.
@@ -79,14 +80,49 @@
     pub(crate) avoid: Vec<WorkerKey>,
     /// What its members are suspected of, by their position.
     pub(crate) blames: BTreeMap<usize, Blame>,
-    /// Workers of a start by a predecessor, by name.
-    pub(crate) placed_before: Vec<WorkerId>,
+    pub(crate) placed_before: PlacedBefore,
     /// Room that is kept for it, and until when.
     pub(crate) reservation: Option<Reservation>,
     /// Whether the store is told where it is about to be started.
     pub(crate) announced: Option<Announced>,
 }
 
+/// The latest start of a unit by predecessors.
+#[derive(Debug, Clone)]
+pub(crate) struct PlacedBefore {
+    /// Its number.
+    pub(crate) run: Run,
+    /// Workers of the members that are not known to have ended, by name.
+    pub(crate) workers: Vec<Option<WorkerId>>,
+}
+
+impl PlacedBefore {
+    fn restored(kept: &UnitProgress) -> Self {
+        let names = kept.workers.iter();
+        let workers = names.map(|name| (!name.as_str().is_empty()).then(|| name.clone()));
+        Self {
+            run: kept.started,
+            workers: workers.collect(),
+        }
+    }
+
+    /// Takes note that a member's run has ended.
+    pub(crate) fn ended(&mut self, member: usize, run: Run) {
+        if run == self.run
+            && let Some(worker) = self.workers.get_mut(member)
+        {
+            *worker = None;
+        }
+    }
+
+    /// Takes note that a later start has ended.
+    pub(crate) fn forget_before(&mut self, run: Run) {
+        if run > self.run {
+            self.workers.clear();
+        }
+    }
+}
+
 /// Room that is kept for a unit until what is in it has ended.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) struct Reservation {
@@ -131,7 +167,10 @@
             moves: 0,
             avoid: Vec::new(),
             blames: BTreeMap::new(),
-            placed_before: Vec::new(),
+            placed_before: PlacedBefore {
+                run: Run(0),
+                workers: Vec::new(),
+            },
             reservation: None,
             announced: None,
         }
@@ -445,7 +484,7 @@
         unit.accounted = of_unit.accounted;
         unit.failed = of_unit.failed;
         unit.checkpoint = of_unit.checkpoint.clone();
-        unit.placed_before.clone_from(&of_unit.workers);
+        unit.placed_before = PlacedBefore::restored(of_unit);
         for (member, count) in &of_unit.crashes {
             let member = usize::try_from(*member).unwrap_or(usize::MAX);
             unit.blames.insert(member, Blame::restored(*count));
@@ -496,21 +535,40 @@
     crashes
 }
 
+/// Returns the names of the workers of the members that have not ended, each at its position.
+///
+/// Of a gang that is being ended, the others count too: where one of their workers is lost, a successor has to know
+/// which task may have taken it down.
 fn placed_names<N>(unit: &Unit, name_of: &N) -> Vec<WorkerId>
 where
     N: Fn(WorkerKey) -> Option<WorkerId>,
 {
-    let UnitState::Placed { members, .. } = &unit.state else {
-        let announced = unit.announced.and(unit.reservation.as_ref());
-        return match announced {
-            Some(reservation) => reservation.members().filter_map(name_of).collect(),
-            None => unit.placed_before.clone(),
-        };
+    let before = &unit.placed_before;
+    let mut names: Vec<_> = match (&unit.state, &unit.reservation) {
+        (UnitState::Placed { members, run } | UnitState::Closing { members, run, .. }, _) => {
+            // Of a predecessor's start, members that were not found may have taken their workers down.
+            let not_found = |member| {
+                let workers = before.workers.get(member).filter(|_| *run == before.run);
+                workers.cloned().flatten()
+            };
+            let members = members.iter().enumerate();
+            let name = |(member, worker): (usize, &Option<WorkerKey>)| {
+                worker.and_then(name_of).or_else(|| not_found(member))
+            };
+            members.map(name).collect()
+        }
+        (_, Some(reservation)) if unit.announced.is_some() => {
+            reservation.members().map(name_of).collect()
+        }
+        _ => before.workers.clone(),
     };
-    members
-        .iter()
-        .flatten()
-        .filter_map(|worker| name_of(*worker))
+    while names.last().is_some_and(Option::is_none) {
+        names.pop();
+    }
+    let no_name = || WorkerId::new("");
+    names
+        .into_iter()
+        .map(|name| name.unwrap_or_else(no_name))
         .collect()
 }
 
--- a/crates/sched/src/progress.rs
+++ b/crates/sched/src/progress.rs
@@ -103,7 +103,7 @@
     /// Where it can go on from.
     #[serde(rename = "c", skip_serializing_if = "SmolStr::is_empty")]
     pub checkpoint: SmolStr,
-    /// Workers of its latest start, while that has not ended.
+    /// Workers of its latest start, of each member that has not ended; an empty name for one that has.
     #[serde(rename = "w", skip_serializing_if = "Vec::is_empty")]
     pub workers: Vec<WorkerId>,
     /// Members under which workers crashed.
--- a/crates/sched/src/rebirth.rs
+++ b/crates/sched/src/rebirth.rs
@@ -101,10 +101,15 @@
         let Some(step) = self.jobs[job].steps.get_mut(step) else {
             return;
         };
-        let UnitState::Placed {
+        let (UnitState::Placed {
             run: placed,
             members,
-        } = &mut step.units[unit].state
+        }
+        | UnitState::Closing {
+            run: placed,
+            members,
+            ..
+        }) = &mut step.units[unit].state
         else {
             return;
         };
--- a/crates/sched/src/recovery.rs
+++ b/crates/sched/src/recovery.rs
@@ -7,7 +7,6 @@
 
 use crate::Action;
 use crate::Note;
-use crate::Run;
 use crate::Scheduler;
 use crate::ids::JobKey;
 use crate::job::Outcome;
@@ -97,7 +96,11 @@
         for key in &self.open {
             for step in &self.jobs[*key].steps {
                 for unit in &step.units {
-                    waiting.extend(unit.placed_before.iter().cloned());
+                    // What of an accounted start is left has been dealt with where its worker is gone.
+                    if unit.started > unit.accounted {
+                        let workers = unit.placed_before.workers.iter();
+                        waiting.extend(workers.flatten().cloned());
+                    }
                 }
             }
         }
@@ -214,24 +217,19 @@
                     let UnitState::Placed { run, members } = &unit.state else {
                         continue;
                     };
-                    let found = members.iter().flatten().count();
-                    if found < members.len() {
+                    if members.iter().any(Option::is_none) {
                         let place = Place {
                             job: *key,
                             step: step_index,
                             unit: unit_index,
                         };
-                        torn.push((place, *run, found));
+                        torn.push((place, *run, members.clone()));
                     }
                 }
             }
         }
         for (place, run, found) in torn {
-            self.close_torn(place, run, found, now);
+            self.close(place, run, Outcome::Interrupted, found, now);
         }
     }
-
-    fn close_torn(&mut self, place: Place, run: Run, found: usize, now: Millis) {
-        self.close(place, run, Outcome::Interrupted, found, now);
-    }
 }
--- a/crates/sched/src/suspects.rs
+++ b/crates/sched/src/suspects.rs
@@ -129,13 +129,13 @@
             for (index, step) in self.jobs[*key].steps.iter().enumerate() {
                 let id = self.step_id(*key, index);
                 for (unit_index, unit) in step.units.iter().enumerate() {
-                    let members = unit.placed_before.iter().enumerate();
-                    let here =
-                        members.filter(|(member, at)| *at == worker && unit.is_not_found(*member));
+                    let before = &unit.placed_before;
+                    let members = before.workers.iter().enumerate();
+                    let here = members.filter(|(_, at)| at.as_ref() == Some(worker));
                     let tasks = here.map(|(member, _)| step.task_at(id, unit_index, member));
                     // What is suspected was announced before it was started, and isolated as it would be here.
                     let alone = unit.is_isolated();
-                    suspects.extend(tasks.map(|task| (task, unit.started, alone)));
+                    suspects.extend(tasks.map(|task| (task, before.run, alone)));
                 }
             }
         }
--- a/crates/sched/src/units.rs
+++ b/crates/sched/src/units.rs
@@ -122,6 +122,7 @@
         let outcome = if lasts { Outcome::Interrupted } else { outcome };
         let step = &mut job.steps[step_index];
         let unit = &mut step.units[unit_index];
+        unit.placed_before.ended(member, run);
         let is_closing =
             matches!(unit.state, UnitState::Closing { run: closing, .. } if closing == run);
         if job.state.is_terminal() {
@@ -151,15 +152,15 @@
         match &mut unit.state {
             UnitState::Placed { members, .. } if is_placed => {
                 members[member] = None;
-                let others = members.iter().flatten().count();
-                if others == 0 {
+                if members.iter().all(Option::is_none) {
                     self.settle(place, run, outcome, now);
                 } else {
+                    let others = members.clone();
                     self.close(place, run, outcome, others, now);
                 }
             }
-            UnitState::Closing { left, .. } if is_closing => {
-                *left = left.saturating_sub(1);
+            UnitState::Closing { members, .. } if is_closing => {
+                members[member] = None;
                 self.close_further(place, run, outcome, now);
             }
             // A predecessor started it, or a copy of an order that was taken as refused: it ran all the same.
@@ -220,11 +221,14 @@
         place: Place,
         run: Run,
         outcome: Outcome,
-        others: usize,
+        others: Vec<Option<WorkerKey>>,
         now: Millis,
     ) {
-        let left = u32::try_from(others).unwrap_or(u32::MAX);
-        self.unit_mut(place).state = UnitState::Closing { run, left, outcome };
+        self.unit_mut(place).state = UnitState::Closing {
+            run,
+            members: others,
+            outcome,
+        };
         self.count_outcome(place, run, outcome);
         self.changed(place.job);
         if !self.fail_if_spent(place, now) {
@@ -236,14 +240,14 @@
     fn close_further(&mut self, place: Place, run: Run, outcome: Outcome, now: Millis) {
         let unit = self.unit_mut(place);
         let UnitState::Closing {
-            left,
+            members,
             outcome: so_far,
             ..
         } = &mut unit.state
         else {
             return;
         };
-        let left = *left;
+        let all_ended = members.iter().all(Option::is_none);
         // The end of one member breaks the others: the failed one may be listed after them.
         if outcome == Outcome::Failed && *so_far == Outcome::Interrupted {
             *so_far = Outcome::Failed;
@@ -253,7 +257,7 @@
                 return;
             }
         }
-        if left == 0 {
+        if all_ended {
             let change = self.changed(place.job);
             let outcome = Outcome::Interrupted;
             self.unit_mut(place).state = UnitState::Recording { outcome, change };
@@ -268,7 +272,7 @@
         let unit = self.unit_mut(place);
         unit.accounted = unit.accounted.max(run);
         unit.started = unit.started.max(run);
-        unit.placed_before.clear();
+        unit.placed_before.forget_before(run);
         if outcome == Outcome::Failed && run > unit.failed {
             unit.failed = run;
             unit.failures += 1;
--- a/crates/sched/tests/core/crashes.rs
+++ b/crates/sched/tests/core/crashes.rs
@@ -307,3 +307,70 @@
     }
     assert_eq!(driver.settle().len(), 1);
 }
+
+/// A gang with members on two workers, one of which has crashed: the member on the other is stopped, and the end of it is
+/// stored before the crash is known.
+#[test]
+fn a_successor_counts_a_crash_under_a_gang_that_was_being_ended() {
+    let mut driver = Driver::new(2, 2);
+    let gang = StepSpec {
+        gang: true,
+        ..step(2, 2)
+    };
+    driver.submit(1, policy(0), vec![gang.clone()]);
+    let started = driver.settle();
+    let (guilty, other) = (&started[0], &started[1]);
+    assert_ne!(guilty.worker, other.worker);
+    driver.apply(Event::RenewalFailed {
+        worker: guilty.worker,
+    });
+    driver.end(other, RunEnd::Alone, &[]);
+    driver.record();
+    let left = driver.kept[&JobId(1)].clone();
+    let name = driver.scheduler.name_of(guilty.worker).expect("a worker");
+    let unit = &left.steps[0].units[&0];
+    assert_eq!(unit.accounted, guilty.run);
+
+    let mut successor = Driver::untried(0, 2);
+    successor.restore(1, policy(0), vec![gang], Some(&left));
+    for index in 0..2 {
+        successor.apply(Event::WorkerListed(worker(index, 2)));
+    }
+    successor.scheduler.begin_recovery(successor.now);
+    let keys = successor.workers.clone();
+    let is_gone = |driver: &Driver, key| driver.scheduler.name_of(key).as_ref() == Some(&name);
+    let (gone, sound): (Vec<_>, Vec<_>) =
+        keys.into_iter().partition(|key| is_gone(&successor, *key));
+    successor.hold(sound[0], &[]);
+    successor.apply(Event::Replaced { worker: gone[0] });
+    successor.record();
+    let crashes = &successor.kept[&JobId(1)].steps[0].units[&0].crashes;
+    let member = guilty.task.index;
+    assert_eq!(crashes.keys().copied().collect::<Vec<_>>(), [member]);
+    assert_eq!(crashes[&member].workers, 1);
+}
+
+/// What is left of a start that is accounted for is on workers that are registered, or gone with it.
+#[test]
+fn a_successor_waits_for_no_worker_of_a_start_that_is_accounted_for() {
+    let left: syc_sched::JobProgress = serde_json::from_str(
+        r#"{"state":"running","steps":[{"units":{"0":{"r":1,"a":1,"w":["","w-9"]}}}]}"#,
+    )
+    .expect("a record as it is kept");
+    let gang = StepSpec {
+        gang: true,
+        ..step(2, 2)
+    };
+    let mut successor = Driver::untried(0, 2);
+    successor.restore(1, policy(0), vec![gang], Some(&left));
+    for index in 0..2 {
+        successor.apply(Event::WorkerListed(worker(index, 2)));
+    }
+    successor.scheduler.begin_recovery(successor.now);
+    for key in successor.workers.clone() {
+        successor.hold(key, &[]);
+    }
+    successor.apply(Event::Ticked);
+    assert!(successor.scheduler.is_recovered());
+    assert_eq!(successor.settle().len(), 2);
+}
