Let orders wait for a free connection instead of giving their runs up

Each connection of a worker was busy, and the budget for new ones used up. Such a run was taken as ended, its worker got nothing for 0.3 s, and the task was started again under the next number, elsewhere or there, in vain: a bound that was made to protect workers in a storm starved them in calm.

Change: an order that finds no connection free waits for one, as long as its answer would be waited for, in the place that it has. The budget is as it was.

Evidence: the new test of the nodes failed before (runs 2 and 3 of tasks that were never started), and passes.

--- a/crates/cell/src/leader/links.rs
+++ b/crates/cell/src/leader/links.rs
@@ -9,6 +9,7 @@
 use tokio::sync::SemaphorePermit;
 
 use crate::clock::now;
+use crate::clock::pause;
 use crate::leader::patience::Patience;
 use crate::ports::OrderError;
 use crate::ports::WorkerAddress;
@@ -19,6 +20,9 @@
 /// Other orders under way at one worker: what ends a run never waits behind starts.
 const CONTROLS_AT_ONCE: usize = 2;
 
+/// An order that found no connection free looks for one again after this time.
+const CONNECTION_WAIT_MS: u64 = 30;
+
 /// What an order does.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum OrderKind {
@@ -87,7 +91,8 @@
         (STARTS_AT_ONCE + CONTROLS_AT_ONCE).saturating_sub(free)
     }
 
-    /// Sends an order once a place is free, and waits for its answer, at least for the time that a sound worker needs.
+    /// Sends an order once a place and a connection are free, and waits for its answer, at least for the time that a
+    /// sound worker needs.
     ///
     /// # Errors
     ///
@@ -99,12 +104,19 @@
         call: F,
     ) -> Result<(), OrderError>
     where
-        F: AsyncFnOnce(u64) -> Result<(), OrderError>,
+        F: AsyncFn(u64) -> Result<(), OrderError>,
     {
         let timeout_ms = self.patience.timeout_ms(least_ms);
+        let wait_until = now().plus(timeout_ms);
         let _place = self.place(kind, timeout_ms).await?;
-        let sent_at = now();
-        let outcome = call(timeout_ms).await;
+        let mut sent_at = now();
+        let mut outcome = call(timeout_ms).await;
+        // One is free once another order has its answer, or may be opened soon.
+        while matches!(outcome, Err(OrderError::NoConnection(_))) && now() < wait_until {
+            pause(CONNECTION_WAIT_MS).await;
+            sent_at = now();
+            outcome = call(timeout_ms).await;
+        }
         // Orders without an answer may be lost: renewals tell how late answers are.
         if matches!(outcome, Ok(()) | Err(OrderError::Refused(_))) {
             self.patience.note(now().since(sent_at));
--- a/crates/cell/src/leader/orders.rs
+++ b/crates/cell/src/leader/orders.rs
@@ -106,7 +106,7 @@
                 log::start_failed(&self.untaken(task, run, link, &error));
                 match error {
                     OrderError::Refused(refusal) => StartAnswer::Refused(refusal),
-                    OrderError::NotSent(_) => StartAnswer::NotSent,
+                    OrderError::NotSent(_) | OrderError::NoConnection(_) => StartAnswer::NotSent,
                     _ => StartAnswer::InDoubt,
                 }
             }
@@ -144,7 +144,10 @@
             OrderError::Replaced => self.apply(Event::Replaced { worker }),
             OrderError::Reborn => self.apply(Event::Reborn { worker }),
             OrderError::Fenced => self.end("fenced_by_worker"),
-            OrderError::Refused(_) | OrderError::NotSent(_) | OrderError::InDoubt(_) => {
+            OrderError::Refused(_)
+            | OrderError::NotSent(_)
+            | OrderError::NoConnection(_)
+            | OrderError::InDoubt(_) => {
                 return false;
             }
         }
--- a/crates/cell/src/ports.rs
+++ b/crates/cell/src/ports.rs
@@ -340,6 +340,9 @@
     /// It surely did not and never will: the order has not left this node.
     #[error("the order was not sent: {0}")]
     NotSent(SmolStr),
+    /// The same, as no connection to it was free and no other may be opened now.
+    #[error("the order was not sent: {0}")]
+    NoConnection(SmolStr),
     /// It may have done it, now or later.
     #[error("the worker's answer was lost: {0}")]
     InDoubt(SmolStr),
--- a/crates/cell/tests/cell/workers.rs
+++ b/crates/cell/tests/cell/workers.rs
@@ -2,6 +2,7 @@
 
 use syc_cell::Configuration;
 use syc_cell::PendingAnswer;
+use syc_fleet::RunEvent;
 use syc_fleet::SharedFaults;
 use syc_sched::JobState;
 use syc_sched::WorkerSpec;
@@ -176,3 +177,29 @@
     }
     cluster.assert_sound();
 }
+
+/// It was taken as not sent, its run as ended, and its worker got nothing for a while: what a worker that is slow to
+/// answer was given was given up over and over.
+#[test]
+fn a_start_that_finds_no_connection_free_waits_for_one() {
+    let cluster = Cluster::start(2, 1);
+    let node = cluster.scheduler();
+    cluster
+        .platform
+        .with_fleet(|fleet| fleet.judge.keep_events());
+    cluster.platform.set_faults(SharedFaults {
+        busy_starts: 3,
+        ..SharedFaults::default()
+    });
+    cluster.submit(node, 1, vec![step(2, 20)]);
+    cluster.wait_for_state(node, 1, JobState::Completed);
+    let events = cluster
+        .platform
+        .with_fleet(|fleet| fleet.judge.take_events());
+    let runs = events.into_iter().filter_map(|event| match event {
+        RunEvent::Started { run, .. } => Some(run.0),
+        RunEvent::Ended { .. } | RunEvent::Acknowledged { .. } => None,
+    });
+    assert_eq!(runs.collect::<Vec<_>>(), [1, 1]);
+    cluster.assert_sound();
+}
--- a/crates/fleet/src/shared/calls.rs
+++ b/crates/fleet/src/shared/calls.rs
@@ -35,6 +35,14 @@
         silent
     }
 
+    /// Says whether no connection is free for the next start.
+    pub(super) fn take_busy_start(&self) -> bool {
+        let faults = &mut self.lock().faults;
+        let busy = faults.busy_starts > 0;
+        faults.busy_starts = faults.busy_starts.saturating_sub(1);
+        busy
+    }
+
     /// Makes the answer of a worker tell an odd clock, where it is to.
     pub(super) fn spoil_clock(&self, worker: &WorkerId, renewed: Renewed) -> Renewed {
         let mut state = self.lock();
--- a/crates/fleet/src/shared/faults.rs
+++ b/crates/fleet/src/shared/faults.rs
@@ -21,6 +21,8 @@
     pub resetting_workers: BTreeSet<WorkerId>,
     /// Time by which all workers answer later than they carry a call out.
     pub late_worker_answers_ms: u64,
+    /// Starts for which no connection is free; so many from now on.
+    pub busy_starts: u32,
     /// Partitions of topics that refuse every call.
     pub down: Vec<(Topic, u32)>,
     /// Reads of whole partitions that are never answered; so many from now on.
--- a/crates/fleet/src/shared/ports.rs
+++ b/crates/fleet/src/shared/ports.rs
@@ -128,6 +128,10 @@
         command: &StartCommand,
         timeout_ms: u64,
     ) -> Result<(), OrderError> {
+        if self.take_busy_start() {
+            let busy = SmolStr::new_static("no connection is free");
+            return Err(OrderError::NoConnection(busy));
+        }
         self.begin_order(&worker.id);
         let reached = self.reach_with_order(&worker.id, timeout_ms).await;
         self.end_order(&worker.id);
--- a/crates/net/src/dial.rs
+++ b/crates/net/src/dial.rs
@@ -14,9 +14,11 @@
 use actix_tls::connect::Connection;
 use actix_tls::connect::Connector;
 use actix_tls::connect::ConnectorService;
+use awc::error::SendRequestError;
 use awc::http::Uri;
 use futures_util::future::LocalBoxFuture;
 use futures_util::future::ready;
+use thiserror::Error;
 
 /// Addresses whose counts are kept; beyond them, those whose whole budget is free again are dropped.
 const ADDRESSES_LIMIT: usize = 4_096;
@@ -44,6 +46,23 @@
     }
 }
 
+/// Says that a connection was not opened, as the budget of its address is used up.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
+#[error("too many connections were opened to it lately")]
+struct Withheld;
+
+/// Says whether a call was not sent since no connection was free and the budget allowed no other.
+#[must_use]
+pub fn is_withheld(error: &SendRequestError) -> bool {
+    let SendRequestError::Connect(awc::error::ConnectError::Io(error)) = error else {
+        return false;
+    };
+    let Some(inner) = error.get_ref() else {
+        return false;
+    };
+    inner.is::<Withheld>()
+}
+
 /// Connections that a client opened.
 #[derive(Debug, Clone, Default)]
 pub struct Dials {
@@ -158,7 +177,7 @@
         if self.dials.open(address, self.budget, Instant::now()) {
             return Box::pin(self.connector.call(req));
         }
-        let withheld = io::Error::other("too many connections were opened to it lately");
+        let withheld = io::Error::other(Withheld);
         Box::pin(ready(Err(ConnectError::Io(withheld))))
     }
 }
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -17,6 +17,7 @@
 pub use client::http_client;
 pub use dial::DialBudget;
 pub use dial::Dials;
+pub use dial::is_withheld;
 pub use http::HttpListener;
 pub use http::HttpOptions;
 pub use http::Surplus;
--- a/crates/sched/tests/schedules/world/orders.rs
+++ b/crates/sched/tests/schedules/world/orders.rs
@@ -104,7 +104,7 @@
                 );
                 return;
             }
-            Err(OrderError::NotSent(_)) => StartAnswer::NotSent,
+            Err(OrderError::NotSent(_) | OrderError::NoConnection(_)) => StartAnswer::NotSent,
             Err(OrderError::Reborn | OrderError::Fenced | OrderError::InDoubt(_)) => {
                 StartAnswer::InDoubt
             }
