--- a/crates/sched/src/job.rs
+++ b/crates/sched/src/job.rs
@@ -23,6 +23,8 @@
 use crate::WorkerKey;
 use crate::blame::Blame;
 use crate::keeping::EndStamp;
+use crate::placed::PlacedBefore;
+use crate::placed::placed_names;
 use crate::progress::StepProgress;
 use crate::progress::UnitProgress;
 
@@ -80,6 +82,7 @@
     pub(crate) avoid: Vec<WorkerKey>,
     /// What its members are suspected of, by their position.
     pub(crate) blames: BTreeMap<usize, Blame>,
+    /// Where a predecessor started it last.
     pub(crate) placed_before: PlacedBefore,
     /// Room that is kept for it, and until when.
     pub(crate) reservation: Option<Reservation>,
@@ -87,42 +90,6 @@
     pub(crate) announced: Option<Announced>,
 }
 
-/// The latest start of a unit by predecessors.
-#[derive(Debug, Clone)]
-pub(crate) struct PlacedBefore {
-    /// Its number.
-    pub(crate) run: Run,
-    /// Workers of the members that are not known to have ended, by name.
-    pub(crate) workers: Vec<Option<WorkerId>>,
-}
-
-impl PlacedBefore {
-    fn restored(kept: &UnitProgress) -> Self {
-        let names = kept.workers.iter();
-        let workers = names.map(|name| (!name.as_str().is_empty()).then(|| name.clone()));
-        Self {
-            run: kept.started,
-            workers: workers.collect(),
-        }
-    }
-
-    /// Takes note that a member's run has ended.
-    pub(crate) fn ended(&mut self, member: usize, run: Run) {
-        if run == self.run
-            && let Some(worker) = self.workers.get_mut(member)
-        {
-            *worker = None;
-        }
-    }
-
-    /// Takes note that a later start has ended.
-    pub(crate) fn forget_before(&mut self, run: Run) {
-        if run > self.run {
-            self.workers.clear();
-        }
-    }
-}
-
 /// Room that is kept for a unit until what is in it has ended.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) struct Reservation {
@@ -167,10 +134,7 @@
             moves: 0,
             avoid: Vec::new(),
             blames: BTreeMap::new(),
-            placed_before: PlacedBefore {
-                run: Run(0),
-                workers: Vec::new(),
-            },
+            placed_before: PlacedBefore::NOWHERE,
             reservation: None,
             announced: None,
         }
@@ -535,43 +499,6 @@
     crashes
 }
 
-/// Returns the names of the workers of the members that have not ended, each at its position.
-///
-/// Of a gang that is being ended, the others count too: where one of their workers is lost, a successor has to know
-/// which task may have taken it down.
-fn placed_names<N>(unit: &Unit, name_of: &N) -> Vec<WorkerId>
-where
-    N: Fn(WorkerKey) -> Option<WorkerId>,
-{
-    let before = &unit.placed_before;
-    let mut names: Vec<_> = match (&unit.state, &unit.reservation) {
-        (UnitState::Placed { members, run } | UnitState::Closing { members, run, .. }, _) => {
-            // Of a predecessor's start, members that were not found may have taken their workers down.
-            let not_found = |member| {
-                let workers = before.workers.get(member).filter(|_| *run == before.run);
-                workers.cloned().flatten()
-            };
-            let members = members.iter().enumerate();
-            let name = |(member, worker): (usize, &Option<WorkerKey>)| {
-                worker.and_then(name_of).or_else(|| not_found(member))
-            };
-            members.map(name).collect()
-        }
-        (_, Some(reservation)) if unit.announced.is_some() => {
-            reservation.members().map(name_of).collect()
-        }
-        _ => before.workers.clone(),
-    };
-    while names.last().is_some_and(Option::is_none) {
-        names.pop();
-    }
-    let no_name = || WorkerId::new("");
-    names
-        .into_iter()
-        .map(|name| name.unwrap_or_else(no_name))
-        .collect()
-}
-
 /// Works out a job's objective from its declared run times.
 fn objective_ms(spec: &JobSpec) -> u64 {
     let chain_ms = std::time::Duration::from_millis(spec.longest_chain_ms());
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -32,6 +32,7 @@
 mod orders;
 mod pacing;
 mod place;
+mod placed;
 mod pools;
 mod progress;
 mod proof;
--- a/crates/sched/tests/core/driver.rs
+++ b/crates/sched/tests/core/driver.rs
@@ -349,6 +349,11 @@
                 load: Some(*load),
             });
         }
+        self.answer(worker, report);
+    }
+
+    /// Answers a renewal of now, a moment later.
+    fn answer(&mut self, worker: WorkerKey, report: WorkerReport) {
         let sent_at = self.now;
         self.pass(1);
         self.apply(Event::Renewed {
@@ -400,13 +405,7 @@
                 checkpoint: SmolStr::default(),
             });
         }
-        let sent_at = self.now;
-        self.pass(1);
-        self.apply(Event::Renewed {
-            worker,
-            sent_at,
-            report,
-        });
+        self.answer(worker, report);
     }
 
     /// Answers a renewal with ends that say nothing, and says that there are more.
@@ -415,13 +414,7 @@
             has_more_ends: true,
             ..WorkerReport::default()
         };
-        let sent_at = self.now;
-        self.pass(1);
-        self.apply(Event::Renewed {
-            worker,
-            sent_at,
-            report,
-        });
+        self.answer(worker, report);
     }
 
     /// Lets the store take all progress.
--- a/crates/sched/tests/core/rooms.rs
+++ b/crates/sched/tests/core/rooms.rs
@@ -4,6 +4,7 @@
 use syc_sched::Options;
 use syc_sched::StartAnswer;
 use syc_sched::StepSpec;
+use syc_sched::WorkerKey;
 use syc_sched::WorkerSpec;
 
 use crate::driver::Driver;
@@ -96,15 +97,21 @@
     assert_eq!(driver.stops.len(), 2, "one of them does not make room");
 }
 
-/// A worker with nothing new to say is not written again where workers register, and got nothing for good.
-#[test]
-fn a_worker_that_is_still_registered_after_its_silence_has_the_room_that_it_told_last() {
+/// Makes a scheduler that reads registrations, and one worker that has just answered after four seconds.
+fn answering_after_a_long_silence() -> (Driver, WorkerKey) {
     let mut driver = Driver::new(1, 8);
     let worker = driver.workers[0];
     driver.read_workers();
     driver.apply(Event::RenewalFailed { worker });
     driver.pass(4_000);
     driver.hold(worker, &[]);
+    (driver, worker)
+}
+
+/// A worker with nothing new to say is not written again where workers register, and got nothing for good.
+#[test]
+fn a_worker_that_is_still_registered_after_its_silence_has_the_room_that_it_told_last() {
+    let (mut driver, worker) = answering_after_a_long_silence();
     let answered_at = driver.now;
     driver.submit(1, policy(0), vec![step(1, 4)]);
     let told_within_ms = Options::default().told_within_ms;
@@ -121,12 +128,7 @@
 /// While the registrations can't be read, nobody knows whether they would have lapsed.
 #[test]
 fn a_worker_whose_registration_could_not_be_read_meanwhile_is_waited_for_anew() {
-    let mut driver = Driver::new(1, 8);
-    let worker = driver.workers[0];
-    driver.read_workers();
-    driver.apply(Event::RenewalFailed { worker });
-    driver.pass(4_000);
-    driver.hold(worker, &[]);
+    let (mut driver, worker) = answering_after_a_long_silence();
     driver.submit(1, policy(0), vec![step(1, 4)]);
     let told_within_ms = Options::default().told_within_ms;
     driver.pass(told_within_ms);
