Add the time up between slow reads of registrations

The doubt ends once registrations have been read for some heartbeats, and each read that came more than 1.5 s after the one before began that anew: over a store whose answers are late by as much, nearly each.

Change: the time between two reads counts up to 1.5 s, and adds up. A store that was away for longer still counts for no more than that.

The new test of the core failed before.

--- a/crates/sched/src/repeats.rs
+++ b/crates/sched/src/repeats.rs
@@ -60,7 +60,7 @@
         let (task, run) = name;
         let worker = &mut self.workers[key];
         let lapsing = worker.contact.lapsing;
-        let is_overfull = worker.is_overfull() || worker.room_doubt_since.is_some();
+        let is_overfull = worker.is_overfull() || worker.room_doubt.is_some();
         let Some(of_run) = worker.runs.get_mut(&name) else {
             return;
         };
--- a/crates/sched/src/reports.rs
+++ b/crates/sched/src/reports.rs
@@ -40,7 +40,7 @@
             worker.listed = true;
             worker.spec = spec;
             worker.told_at = now;
-            worker.room_doubt_since = None;
+            worker.room_doubt = None;
             if begins_draining {
                 self.move_off_draining(key, now);
             }
--- a/crates/sched/src/scheduler.rs
+++ b/crates/sched/src/scheduler.rs
@@ -38,6 +38,7 @@
 use crate::proof::Proof;
 use crate::rebirth::Misdirected;
 use crate::recovery::Recovery;
+use crate::rooms::Registrations;
 use crate::strays::Stray;
 use crate::upkeep::Upkeep;
 use crate::vms::Vms;
@@ -68,8 +69,7 @@
     pub(crate) worker_keys: HashMap<WorkerId, WorkerKey>,
     pub(crate) jobs: SlotMap<JobKey, Job>,
     pub(crate) job_keys: HashMap<JobId, JobKey>,
-    /// When the registrations were last asked for that were read.
-    pub(crate) workers_read_at: Millis,
+    pub(crate) registrations: Registrations,
     /// Jobs that have not ended.
     pub(crate) open: BTreeSet<JobKey>,
     /// Jobs whose progress differs from what the store has.
@@ -116,7 +116,7 @@
             options,
             workers: SlotMap::with_key(),
             worker_keys: HashMap::new(),
-            workers_read_at: Millis(0),
+            registrations: Registrations::default(),
             jobs: SlotMap::with_key(),
             job_keys: HashMap::new(),
             open: BTreeSet::new(),
--- a/crates/sched/src/usable.rs
+++ b/crates/sched/src/usable.rs
@@ -94,7 +94,7 @@
             (!self.listed, Hindrance::Unlisted),
             (!self.answered, Hindrance::Unheard),
             (self.silent, Hindrance::Silent),
-            (self.room_doubt_since.is_some(), Hindrance::RoomInDoubt),
+            (self.room_doubt.is_some(), Hindrance::RoomInDoubt),
             (!self.contact.is_open(), Hindrance::TakesNoOrders),
             (self.spec.draining || self.emptying, Hindrance::Leaving),
             (self.quarantined_until > now, Hindrance::Quarantined),
--- a/crates/sched/src/worker.rs
+++ b/crates/sched/src/worker.rs
@@ -21,6 +21,7 @@
 use crate::contact::Contact;
 use crate::pacing::Fill;
 use crate::pacing::PaceControl;
+use crate::rooms::RoomDoubt;
 
 /// How far a run is on a worker.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -235,8 +236,8 @@
     pub(crate) last_answer_at: Millis,
     /// When it last told what it has.
     pub(crate) told_at: Millis,
-    /// Since when it may have less than it told last, as it was silent for long before.
-    pub(crate) room_doubt_since: Option<Millis>,
+    /// The doubt whether it has less than it told last, as it was silent for long before.
+    pub(crate) room_doubt: Option<RoomDoubt>,
     /// When its latest silence began to show.
     pub(crate) silent_since: Millis,
     /// When the last of its leases has surely lapsed.
@@ -281,7 +282,7 @@
             silent: false,
             last_answer_at: now,
             told_at: Millis(0),
-            room_doubt_since: None,
+            room_doubt: None,
             silent_since: now,
             lapse_at: now,
             runs: BTreeMap::new(),
--- a/crates/sched/tests/core/rooms.rs
+++ b/crates/sched/tests/core/rooms.rs
@@ -142,3 +142,16 @@
     }
     assert_eq!(driver.settle().len(), 1);
 }
+
+/// Each read of a slow store takes seconds, and each began the wait anew.
+#[test]
+fn reads_that_take_long_add_up_to_the_wait_for_a_registration_that_stays() {
+    let (mut driver, worker) = answering_after_a_long_silence();
+    driver.submit(1, policy(0), vec![step(1, 4)]);
+    for _ in 0..5 {
+        driver.pass(2_000);
+        driver.hold(worker, &[]);
+        driver.read_workers();
+    }
+    assert_eq!(driver.settle().len(), 1);
+}
