Test what a waiting step tells of hindered workers, and complete jobs in one place

The reasons why workers get nothing new, which told the causes of the jobs that were not served apart, had no test. Two tests of the nodes submitted and awaited the same jobs.

--- a/crates/cell/tests/cell/workers.rs
+++ b/crates/cell/tests/cell/workers.rs
@@ -15,6 +15,16 @@
 use crate::cluster::step;
 use crate::cluster::worker;
 
+/// Submits so many jobs of two short tasks each, and waits until all are completed.
+fn complete_jobs(cluster: &Cluster, node: usize, count: u64) {
+    for id in 1..=count {
+        cluster.submit(node, id, vec![step(2, 20)]);
+    }
+    for id in 1..=count {
+        cluster.wait_for_state(node, id, JobState::Completed);
+    }
+}
+
 /// A worker that crashed is another incarnation when it is back: what ran on the first is over.
 #[test]
 fn tasks_of_a_worker_that_was_replaced_start_on_its_next_incarnation() {
@@ -121,12 +131,7 @@
         ..SharedFaults::default()
     });
     let node = cluster.scheduler();
-    for id in 1..=4 {
-        cluster.submit(node, id, vec![step(2, 20)]);
-    }
-    for id in 1..=4 {
-        cluster.wait_for_state(node, id, JobState::Completed);
-    }
+    complete_jobs(&cluster, node, 4);
     let renewals = cluster.platform.renewals_of(&resetting);
     assert!(renewals < 500, "{renewals}");
     cluster.assert_sound();
@@ -169,12 +174,7 @@
         ..SharedFaults::default()
     });
     let node = cluster.scheduler();
-    for id in 1..=4 {
-        cluster.submit(node, id, vec![step(2, 20)]);
-    }
-    for id in 1..=4 {
-        cluster.wait_for_state(node, id, JobState::Completed);
-    }
+    complete_jobs(&cluster, node, 4);
     cluster.assert_sound();
 }
 
--- a/crates/sched/tests/core/rooms.rs
+++ b/crates/sched/tests/core/rooms.rs
@@ -1,6 +1,9 @@
 //! Rooms that shrink while tasks run, and workers that may have less than they told last.
 
+use syc_sched::Action;
 use syc_sched::Event;
+use syc_sched::Hindrance;
+use syc_sched::Note;
 use syc_sched::Options;
 use syc_sched::StartAnswer;
 use syc_sched::StepSpec;
@@ -155,3 +158,20 @@
     }
     assert_eq!(driver.settle().len(), 1);
 }
+
+/// Without it, nobody could tell why free workers were given nothing.
+#[test]
+fn a_step_that_waits_tells_why_workers_get_nothing_new() {
+    let (mut driver, _worker) = answering_after_a_long_silence();
+    driver.submit(1, policy(0), vec![step(1, 4)]);
+    driver.schedule();
+    driver.pass(1_000);
+    let actions = driver.scheduler.schedule(driver.now);
+    let told = actions.into_iter().find_map(|action| match action {
+        Action::Note(Note::Waiting { hindered, .. }) => Some(hindered),
+        _ => None,
+    });
+    let hindered = told.expect("it has waited for a second");
+    assert_eq!(hindered.count(Hindrance::RoomInDoubt), 1);
+    assert_eq!(hindered.to_string(), "room_in_doubt=1");
+}
