--- a/crates/sched/tests/core/driver.rs
+++ b/crates/sched/tests/core/driver.rs
@@ -66,6 +66,8 @@
     pub scheduler: Scheduler,
     pub now: Millis,
     pub workers: Vec<WorkerKey>,
+    /// Workers that the scheduler no longer keeps, in order.
+    pub detached: Vec<WorkerKey>,
     pub starts: Vec<StartOrder>,
     pub stops: Vec<Stop>,
     pub advice_requests: Vec<(StepId, Vec<WorkerKey>)>,
@@ -115,6 +117,7 @@
             scheduler: Scheduler::new(Options::default()),
             now: Millis(1_000),
             workers: Vec::new(),
+            detached: Vec::new(),
             starts: Vec::new(),
             stops: Vec::new(),
             advice_requests: Vec::new(),
@@ -148,6 +151,7 @@
         for action in actions {
             match action {
                 Action::Attach { worker, .. } => self.workers.push(worker),
+                Action::Detach { worker } => self.detached.push(worker),
                 Action::Start(order) => self.starts.push(order),
                 Action::Stop {
                     worker,
--- a/crates/sched/tests/core/main.rs
+++ b/crates/sched/tests/core/main.rs
@@ -28,5 +28,6 @@
 mod stale_capacity;
 mod succession;
 mod takeover;
+mod takeover_units;
 mod unanswered_orders;
 mod worker_clock;
