--- a/crates/sched/tests/core/takeover_units.rs
+++ b/crates/sched/tests/core/takeover_units.rs
@@ -463,3 +463,35 @@
     driver.record();
     assert_eq!(driver.state(1), Some(JobState::Cancelled));
 }
+
+// Guards against a later start that is excluded because the record still names a worker of the run written off: such a
+// name stays when the run is written off by a takeover, and for a gang that was being stopped until its next record.
+#[test_case(1, r#"["w-9"]"#; "task written off by a takeover")]
+#[test_case(2, r#"["","w-9"]"#; "gang that was being stopped")]
+fn end_waits_for_the_other_workers_even_if_the_record_names_a_worker(members: u32, named: &str) {
+    let units = format!(r#"{{"0":{{"r":1,"a":1,"w":{named}}}}}"#);
+    let text = format!(r#"{{"state":"running","steps":[{{"units":{units}}}]}}"#);
+    let step = if members > 1 {
+        gang(members)
+    } else {
+        step(1, 4)
+    };
+    let mut driver = successor(3, step, 3, Some(&progress(&text)));
+    let at = driver.workers[0];
+    driver.report(at, &[], &[done(0, 1)]);
+    driver.record();
+    assert!(!driver.scheduler.is_recovered());
+    assert_eq!(driver.scheduler.acknowledged_ends(at), (0, true));
+}
+
+// Guards against an end that is acknowledged since its own worker has answered, while another one has not.
+#[test]
+fn end_waits_for_the_other_workers_even_if_its_own_has_answered_twice() {
+    let mut driver = successor_after_write_off(2);
+    let at = driver.workers[0];
+    driver.report_running(at, &[]);
+    driver.report(at, &[], &[done(0, 1)]);
+    driver.record();
+    assert!(!driver.scheduler.is_recovered());
+    assert_eq!(driver.scheduler.acknowledged_ends(at), (0, true));
+}
