--- a/crates/sched/tests/core/takeover_units.rs
+++ b/crates/sched/tests/core/takeover_units.rs
@@ -495,3 +495,16 @@
     assert!(!driver.scheduler.is_recovered());
     assert_eq!(driver.scheduler.acknowledged_ends(at), (0, true));
 }
+
+// Guards against a start beside a run whose worker is stored by name, but drains and is only cut off.
+#[test]
+fn unit_placed_on_a_draining_worker_that_is_cut_off_waits_for_its_lease() {
+    let placed = r#"{"state":"running","steps":[{"units":{"0":{"r":1,"w":["w-0"]}}}]}"#;
+    let mut driver = successor(2, step(1, 4), 3, Some(&progress(placed)));
+    driver.report_running(driver.workers[1], &[]);
+    cut_off_while_draining(&mut driver, 0);
+    driver.advance(Options::default().lease_bound_ms - 100);
+    driver.apply(Event::Ticked);
+    let early = driver.settle();
+    assert!(early.is_empty(), "run 1 goes on: {early:?}");
+}
