Search generated schedules over a range of seeds, on several threads

What was seen: fresh seeds needed an edit of the number of seeds in the source, and a search of 1,000 seeds used one core per profile at best.

The manual searches take the first seed, the number of seeds and the number of threads from SYC_SCHEDULES_SEED, SYC_SCHEDULES_CASES and SYC_SCHEDULES_THREADS. Seeds are independent, so std threads share them, and the results are put in the order of the seeds. A value that is no number ends the search, so that no other range is searched than the one asked for.

--- a/crates/sched/tests/schedules/gangs.rs
+++ b/crates/sched/tests/schedules/gangs.rs
@@ -21,9 +21,9 @@
 use syc_types::WorkerId;
 use test_case::test_case;
 
-use crate::MANY_SEEDS;
 use crate::SEEDS;
 use crate::jobs::cpu;
+use crate::search::search;
 use crate::simulation::Profile;
 use crate::simulation::Simulation;
 
@@ -131,10 +131,12 @@
 #[test_case("everything", EVERYTHING; "everything at once")]
 #[ignore = "prints the failing seeds of many schedules"]
 fn print_failing_gang_schedules(name: &str, profile: Profile) {
-    for seed in 1..=MANY_SEEDS {
+    let results = search(|seed| {
         let mut simulation = Simulation::new(seed, profile, Options::default());
         simulation.run();
-        let (faults, unexpected) = (simulation.faults(), simulation.unexpected_states());
+        (simulation.faults(), simulation.unexpected_states())
+    });
+    for (seed, (faults, unexpected)) in results {
         if !faults.is_empty() || !unexpected.is_empty() {
             println!("{name}, seed {seed}: faults {faults:?}, unexpected states {unexpected:?}");
         }
--- a/crates/sched/tests/schedules/main.rs
+++ b/crates/sched/tests/schedules/main.rs
@@ -6,8 +6,10 @@
 
 mod gangs;
 mod jobs;
+mod search;
 mod simulation;
 
+use search::search;
 use simulation::Profile;
 use simulation::Simulation;
 use syc_fleet::InvariantChecker;
@@ -19,9 +21,6 @@
 /// Seeds per profile. These are enough for each fault to occur in each phase of a job, and few enough for CI.
 const SEEDS: u64 = 40;
 
-/// Seeds per profile in tests that are run manually.
-const MANY_SEEDS: u64 = 1_000;
-
 /// Reports leave out all ends but the oldest, and no end is acknowledged while the store is paused.
 const ENDS_LEFT_OUT: Profile = Profile {
     ends_per_report: Some(1),
@@ -165,19 +164,21 @@
     let mut workers = [0; 8];
     let (mut faults, mut unexpected) = (Vec::new(), Vec::new());
     let mut missing_runs = Vec::new();
-    for seed in 1..=MANY_SEEDS {
+    let results = search(|seed| {
         let mut simulation = Simulation::new(seed, profile, Options::default());
         simulation.run();
-        faults.extend(simulation.faults().into_iter().map(|fault| (seed, fault)));
-        unexpected.extend(
-            simulation
-                .unexpected_states()
-                .into_iter()
-                .map(|end| (seed, end)),
-        );
-        let missing = simulation.missing_runs().iter().cloned();
-        missing_runs.extend(missing.map(|note| (seed, note)));
-        for count in simulation.crashed_workers_per_task() {
+        (
+            simulation.faults(),
+            simulation.unexpected_states(),
+            simulation.missing_runs().to_vec(),
+            simulation.crashed_workers_per_task(),
+        )
+    });
+    for (seed, (seed_faults, seed_unexpected, seed_missing, crashed_workers)) in results {
+        faults.extend(seed_faults.into_iter().map(|fault| (seed, fault)));
+        unexpected.extend(seed_unexpected.into_iter().map(|end| (seed, end)));
+        missing_runs.extend(seed_missing.into_iter().map(|note| (seed, note)));
+        for count in crashed_workers {
             workers[usize::try_from(count).unwrap_or(7).min(7)] += 1;
         }
     }
