Let workers of the generated schedules drain, leave, and be cut off meanwhile

What was missing: no generated schedule had a worker that drains, so that the search could not show what a takeover does with one that is cut off.

A registered worker announces that it drains, goes on running for 2 s or more, and leaves: everything on it ends, its registration is removed at once. Half of them are cut off meanwhile: the registration is removed after three heartbeats of silence, runs go on under their leases, and the worker may be back before it leaves. As in the cell, the roster is written only as a worker joins or is removed, so a successor finds `draining` in it as it was last written. The end of a run with a worker that leaves counts as no crash in the checker, so it is no cause to give up a job.

--- a/crates/fleet/src/checker.rs
+++ b/crates/fleet/src/checker.rs
@@ -367,6 +367,11 @@
         self.remove_live(worker, task, run);
     }
 
+    /// Handles the end of a run by the announced end of its worker.
+    pub(crate) fn left(&mut self, worker: &WorkerId, task: TaskId, run: Run) {
+        self.remove_live(worker, task, run);
+    }
+
     /// Handles the loss of a worker, whose unacknowledged ends are lost with it.
     pub(crate) fn lost(&mut self, worker: &WorkerId) {
         for done_runs in self.unacknowledged_done.values_mut() {
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -157,6 +157,19 @@
         self.checker.lost(id);
     }
 
+    /// Takes a worker away that has announced its end. All its runs end at once, without a report.
+    ///
+    /// Such an end is no crash, so it is no cause to give up the tasks.
+    pub fn leave(&mut self, id: &WorkerId) {
+        let Some(worker) = self.workers.remove(id) else {
+            return;
+        };
+        for (task, live) in &worker.runs {
+            self.checker.left(id, *task, live.run);
+        }
+        self.checker.lost(id);
+    }
+
     /// Returns the plan of a task. All members of a gang follow the plan of the first one.
     fn plan_for(&self, task: TaskId, step: Option<&StepSpec>) -> Option<TaskPlan> {
         let gang = step.is_some_and(|step| step.gang);
--- a/crates/sched/tests/schedules/main.rs
+++ b/crates/sched/tests/schedules/main.rs
@@ -30,6 +30,22 @@
     ..Profile::FAULT_FREE
 };
 
+/// Workers drain and leave, and some are partitioned before they do.
+const DRAINS: Profile = Profile {
+    worker_drains: 6,
+    ..Profile::FAULT_FREE
+};
+
+const DRAINS_WHILE_SCHEDULERS_CRASH: Profile = Profile {
+    scheduler_crashes: 6,
+    ..DRAINS
+};
+
+const DRAINS_AND_EVERYTHING: Profile = Profile {
+    worker_drains: 6,
+    ..Profile::ALL_FAULTS
+};
+
 #[test_case(Profile::FAULT_FREE; "no faults")]
 #[test_case(Profile { scheduler_crashes: 6, ..Profile::FAULT_FREE }; "schedulers crash")]
 #[test_case(Profile { partitions: 6, ..Profile::FAULT_FREE }; "network partitions")]
@@ -59,6 +75,9 @@
 #[test_case(Profile { worker_restarts: 6, lost_per_mille: 80, ..Profile::FAULT_FREE }; "workers start again and answers are lost")]
 #[test_case(Profile { worker_restarts: 6, store_pauses: 4, ..Profile::FAULT_FREE }; "workers start again while the store pauses")]
 #[test_case(Profile { worker_restarts: 6, ..Profile::ALL_FAULTS }; "workers start again and everything at once")]
+#[test_case(DRAINS; "workers drain")]
+#[test_case(Profile { partitions: 6, ..DRAINS }; "workers drain behind a cut")]
+#[test_case(Profile { lost_per_mille: 80, late_per_mille: 60, ..DRAINS }; "workers drain and orders are lost and late")]
 #[test_case(ENDS_LEFT_OUT; "reports leave out ends while the store pauses and schedulers crash")]
 #[test_case(Profile { ends_per_report: Some(1), late_scheduler_crash: true, ..Profile::ALL_FAULTS }; "reports leave out ends and everything at once")]
 fn random_schedules_violate_no_invariant(profile: Profile) {
@@ -72,6 +91,39 @@
     }
 }
 
+/// A successor starts again what still runs on a draining worker that is cut off.
+#[test_case(DRAINS_WHILE_SCHEDULERS_CRASH; "schedulers crash")]
+#[test_case(DRAINS_AND_EVERYTHING; "everything at once")]
+fn successors_start_nothing_twice_while_workers_drain(profile: Profile) {
+    let mut failed = Vec::new();
+    for seed in 1..=SEEDS {
+        let mut simulation = Simulation::new(seed, profile, Options::default());
+        simulation.run();
+        let (faults, unexpected) = (simulation.faults(), simulation.unexpected_states());
+        let missing_runs = simulation.missing_runs().to_vec();
+        if !faults.is_empty() || !unexpected.is_empty() || !missing_runs.is_empty() {
+            failed.push((seed, faults, unexpected, missing_runs));
+        }
+    }
+    assert!(failed.is_empty(), "{failed:?}");
+}
+
+/// A draining worker is cut off, and a takeover takes it as gone while its lease holds. Its task runs or ends there, and is
+/// started again.
+#[test_case(94, DRAINS_WHILE_SCHEDULERS_CRASH; "schedulers crash, first")]
+#[test_case(182, DRAINS_WHILE_SCHEDULERS_CRASH; "schedulers crash, second")]
+#[test_case(183, DRAINS_WHILE_SCHEDULERS_CRASH; "schedulers crash, third")]
+#[test_case(35, DRAINS_AND_EVERYTHING; "everything at once, first")]
+#[test_case(384, DRAINS_AND_EVERYTHING; "everything at once, a late start")]
+#[test_case(748, DRAINS_AND_EVERYTHING; "everything at once, three tasks")]
+fn successor_takes_a_draining_worker_that_is_cut_off_as_gone(seed: u64, profile: Profile) {
+    let mut simulation = Simulation::new(seed, profile, Options::default());
+    simulation.run();
+    assert_eq!(simulation.faults(), []);
+    assert_eq!(simulation.unexpected_states(), []);
+    assert_eq!(simulation.missing_runs(), []);
+}
+
 #[test_case(Profile { crashing_jobs: 1, ..Profile::FAULT_FREE }; "one job")]
 #[test_case(Profile { crashing_jobs: 6, ..Profile::FAULT_FREE }; "many jobs")]
 #[test_case(Profile { crashing_jobs: 3, scheduler_crashes: 6, ..Profile::FAULT_FREE }; "while schedulers crash")]
@@ -159,6 +211,9 @@
 #[test_case(Profile { worker_restarts: 8, ..Profile::FAULT_FREE }; "worker restarts")]
 #[test_case(Profile { worker_restarts: 6, scheduler_crashes: 6, ..Profile::FAULT_FREE }; "worker restarts while schedulers crash")]
 #[test_case(Profile { worker_restarts: 6, ..Profile::ALL_FAULTS }; "worker restarts and everything at once")]
+#[test_case(DRAINS; "worker drains")]
+#[test_case(DRAINS_WHILE_SCHEDULERS_CRASH; "worker drains while schedulers crash")]
+#[test_case(DRAINS_AND_EVERYTHING; "worker drains and everything at once")]
 #[ignore = "prints figures of many schedules"]
 fn print_lost_worker_statistics(profile: Profile) {
     let mut workers = [0; 8];
--- a/crates/sched/tests/schedules/simulation/delivery.rs
+++ b/crates/sched/tests/schedules/simulation/delivery.rs
@@ -52,6 +52,9 @@
                     jobs.push((id, change));
                 }
                 self.write_in_flight = false;
+                if !detached.is_empty() {
+                    self.write_roster();
+                }
                 for id in detached {
                     self.roster.remove(&id);
                 }
@@ -86,6 +89,7 @@
             Delivery::IncarnationEnds(id) => self.end_incarnation(&id, 5),
             Delivery::IncarnationStarts(model) => self.start_next_incarnation(&model),
             Delivery::CapacityChanges(id, cores) => self.set_capacity(&id, cores),
+            Delivery::WorkerLeaves(id, started_at) => self.leave(&id, started_at),
             Delivery::WorkerReports(id) => self.report_worker(&id),
             Delivery::WorkerStarts => self.start_worker_on_new_vm(),
             Delivery::SchedulerStarts => self.start_scheduler(),
--- a/crates/sched/tests/schedules/simulation/restarts.rs
+++ b/crates/sched/tests/schedules/simulation/restarts.rs
@@ -72,6 +72,7 @@
         self.fleet.add(ended.restarted(self.now));
         if let Some(incarnation) = self.registered.get_mut(&ended.id) {
             incarnation.restarts += 1;
+            incarnation.draining_since = None;
         }
         self.schedule_report(ended.id.clone());
     }
