Let workers join late in schedules whose advice allows too few of them

Cause, the same for all ten, in the stand-in: advice denies each step one in five consecutive slots, "since a gang needs two workers that may". After crashes and restarts the slots of the workers that are left are not consecutive: in each of the ten, four of five workers are in the slot that the waiting step is denied, the fifth has 8 cores, and the step is a gang that needs 9 to 16. Nothing ran on any worker, all five were usable, and the last log entry of the step was, each time, that it waits for "allowed_workers" with eligible 5, denied 4 or more (lives that are gone count on).

Mend: at 120 s, 95 s after the last fault, if some job waits only for workers that may run it (by the slots and cores of the live workers, not by what the scheduler says), five workers in consecutive slots join, and the job has to end like any other: the checks are as they were. A job that has not ended by then for another reason is reported as an unexpected state even if it ends later, so the joining workers can't hide one that stands still. Before 120 s nothing is different, and no random number is drawn.

--- a/crates/sched/tests/schedules/main.rs
+++ b/crates/sched/tests/schedules/main.rs
@@ -15,7 +15,9 @@
 use syc_fleet::InvariantChecker;
 use syc_fleet::Violation;
 use syc_sched::JobId;
+use syc_sched::JobState;
 use syc_sched::Options;
+use syc_types::Millis;
 use test_case::test_case;
 
 /// Seeds per profile. These are enough for each fault to occur in each phase of a job, and few enough for CI.
@@ -41,6 +43,17 @@
     ..DRAINS
 };
 
+const RESTARTS_AND_EVERYTHING: Profile = Profile {
+    worker_restarts: 6,
+    ..Profile::ALL_FAULTS
+};
+
+const CRASHING_TASKS_BESIDE_CRASHES: Profile = Profile {
+    crashing_jobs: 3,
+    worker_crashes: 4,
+    ..Profile::FAULT_FREE
+};
+
 const DRAINS_AND_EVERYTHING: Profile = Profile {
     worker_drains: 6,
     ..Profile::ALL_FAULTS
@@ -165,6 +178,26 @@
     assert_eq!(simulation.faults(), []);
 }
 
+/// Advice allows a gang on too few of the workers that are left after crashes and restarts. It has to be started once
+/// others join.
+#[test_case(50365, RESTARTS_AND_EVERYTHING; "restarts, first")]
+#[test_case(50755, RESTARTS_AND_EVERYTHING; "restarts, second")]
+#[test_case(50842, RESTARTS_AND_EVERYTHING; "restarts, third")]
+#[test_case(51100, RESTARTS_AND_EVERYTHING; "restarts, fourth")]
+#[test_case(51163, RESTARTS_AND_EVERYTHING; "restarts, fifth")]
+#[test_case(51178, RESTARTS_AND_EVERYTHING; "restarts, sixth")]
+#[test_case(52047, RESTARTS_AND_EVERYTHING; "restarts, seventh")]
+#[test_case(52801, RESTARTS_AND_EVERYTHING; "restarts, eighth")]
+#[test_case(50804, CRASHING_TASKS_BESIDE_CRASHES; "crashes, first")]
+#[test_case(167, CRASHING_TASKS_BESIDE_CRASHES; "crashes, second")]
+fn gang_never_starts_while_advice_allows_too_few_workers(seed: u64, profile: Profile) {
+    let mut simulation = Simulation::new(seed, profile, Options::default());
+    simulation.run();
+    assert_eq!(simulation.faults(), []);
+    assert_eq!(simulation.unexpected_states(), []);
+    assert_eq!(simulation.missing_runs(), []);
+}
+
 /// Three workers on which a task was started are lost, but it had ended on two of them, unread, before they were.
 #[test]
 fn crashes_of_workers_on_which_the_task_had_ended_do_not_fail_the_job() {
@@ -274,6 +307,23 @@
     assert_eq!(checker.violations(), expected);
 }
 
+/// Advice is deliberately withheld for so long that jobs which enough workers may run end too late.
+#[test]
+fn checker_detects_jobs_that_stand_still_although_workers_are_allowed() {
+    let mut simulation = Simulation::new(1, Profile::FAULT_FREE, Options::default());
+    simulation.withhold_advice_until(Millis(125_000));
+    simulation.run();
+    let stood_still = simulation.unexpected_states();
+    assert!(!stood_still.is_empty(), "no job was reported");
+    let completed: Vec<_> = simulation.completed().collect();
+    for (job, expected, _) in stood_still {
+        assert!(
+            expected == JobState::Failed || completed.contains(&job),
+            "{job} did not end at all"
+        );
+    }
+}
+
 /// The scheduler deliberately does not wait for leases to expire, which the checker must detect.
 #[test_case(Profile { partitions: 10, ..Profile::FAULT_FREE }; "partitioned workers")]
 #[test_case(Profile { resetting_workers: 10, ..Profile::FAULT_FREE }; "workers that accept no orders")]
--- a/crates/sched/tests/schedules/simulation.rs
+++ b/crates/sched/tests/schedules/simulation.rs
@@ -4,6 +4,7 @@
 mod delivery;
 mod drains;
 mod faults;
+mod late_workers;
 mod orders;
 mod renewals;
 mod restarts;
@@ -227,6 +228,10 @@
     vms: VmsModel,
     wave: Option<Wave>,
     stored_waves: BTreeMap<u64, WaveProgress>,
+    /// Jobs that stood still although enough workers were allowed to run them, with their stored state.
+    stood_still: Vec<(JobId, Option<JobState>)>,
+    /// Until when no call for advice is answered.
+    advice_withheld_until: Millis,
     /// Whether crashed workers are reported to the scheduler as draining before the crash.
     crashes_reported_as_draining: bool,
 }
@@ -344,6 +349,8 @@
             vms: VmsModel::new(VM_ORDER_MS),
             wave: None,
             stored_waves: BTreeMap::new(),
+            stood_still: Vec::new(),
+            advice_withheld_until: Millis(0),
             crashes_reported_as_draining: false,
         };
         for _ in 0..WORKERS {
@@ -363,6 +370,7 @@
             self.deliver();
             self.advance_vms();
             self.submit_due_jobs();
+            self.add_late_workers();
             self.renew();
             self.run_scheduler();
             self.check_count();
@@ -417,6 +425,11 @@
         self.crashes_reported_as_draining = true;
     }
 
+    /// Leaves calls for advice unanswered until then.
+    pub fn withhold_advice_until(&mut self, until: Millis) {
+        self.advice_withheld_until = until;
+    }
+
     pub fn waves_are_completed(&self) -> bool {
         self.vms.all_completed()
     }
@@ -436,6 +449,9 @@
             };
             if !as_expected {
                 unexpected.push((id, job.expected_state, stored));
+            } else if let Some((_, state)) = self.stood_still.iter().find(|(still, _)| *still == id)
+            {
+                unexpected.push((id, job.expected_state, *state));
             }
         }
         unexpected
--- a/crates/sched/tests/schedules/simulation/orders.rs
+++ b/crates/sched/tests/schedules/simulation/orders.rs
@@ -23,6 +23,7 @@
 use syc_types::WorkerId;
 
 use super::Delivery;
+use super::Incarnation;
 use super::LEASE_MS;
 use super::ORDER_TIMEOUT_MS;
 use super::Simulation;
@@ -237,19 +238,16 @@
             let Some(session) = self.sessions.get(worker) else {
                 continue;
             };
-            // One in five consecutive slots may not run a step, since a gang needs two workers that may.
             let incarnation = self.registered.get(&WorkerId::new(session.id.name()));
-            let advice_slot =
-                incarnation.map_or(0, |incarnation| incarnation.slot + incarnation.restarts % 2);
-            let denied = (step.job.0 + u64::from(step.step)) % WORKERS;
-            if advice_slot % WORKERS != denied {
+            if is_allowed(step, incarnation) {
                 allowed.push(AllowedWorker {
                     worker: *worker,
                     ticket: format_smolstr!("{step}"),
                 });
             }
         }
-        let answer = if self.is_lost() {
+        let is_withheld = self.now < self.advice_withheld_until;
+        let answer = if self.is_lost() || is_withheld {
             AdviceAnswer::Failed
         } else {
             AdviceAnswer::Given {
@@ -268,3 +266,11 @@
         );
     }
 }
+
+/// Returns whether a worker may run a step. One in five consecutive slots may not.
+pub(super) fn is_allowed(step: StepId, incarnation: Option<&Incarnation>) -> bool {
+    let advice_slot =
+        incarnation.map_or(0, |incarnation| incarnation.slot + incarnation.restarts % 2);
+    let denied = (step.job.0 + u64::from(step.step)) % WORKERS;
+    advice_slot % WORKERS != denied
+}
