Hold an end back while a later start of its task may still be carried out

What callers saw: a job shown as completed, or as failed after its last attempt, of which a task started again afterwards.

Cause: a task that is started again because its run was presumed lost can still be reported as done, or as failed. A scheduler in office held an end as done back while its own later start was unconfirmed, but no successor asked whether a predecessor's later start may be carried out on a worker that has not answered; and nobody did so for a failure that uses up the attempts.

Change: one module, `late_starts`, answers for both whether a later start may come. A predecessor starts a task again only once the end of its earlier run is stored, so an end with a greater number than the stored one is recorded at once, also in a takeover. Any other end waits for the workers that have not answered, or for those that the record names, until their first answer, from which on they refuse the predecessor, or until their leases have expired. It never waits for the takeover itself, which may wait for the worker whose end is held. A successor that finds a task without an attempt left ends its job by the same rule.

--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -27,6 +27,7 @@
 mod ids;
 mod jitter;
 mod job;
+mod late_starts;
 mod leadership_proof;
 mod maintenance;
 mod misdirected;
--- a/crates/sched/src/predecessor_placement.rs
+++ b/crates/sched/src/predecessor_placement.rs
@@ -14,6 +14,8 @@
 pub(crate) struct PredecessorPlacement {
     /// The number of that start.
     pub(crate) run: Run,
+    /// Number of the latest start whose end that scheduler had stored. It gave no start order beyond the next number.
+    pub(crate) accounted: Run,
     /// Names of the workers whose members are not known to have ended, by member.
     pub(crate) workers: Vec<Option<WorkerId>>,
 }
@@ -22,6 +24,7 @@
     /// The value for a unit that no predecessor started.
     pub(crate) const NONE: Self = Self {
         run: Run(0),
+        accounted: Run(0),
         workers: Vec::new(),
     };
 
@@ -31,10 +34,19 @@
         let workers = names.map(|name| (!name.as_str().is_empty()).then(|| name.clone()));
         Self {
             run: kept.last_started,
+            accounted: kept.last_accounted,
             workers: workers.collect(),
         }
     }
 
+    /// Returns whether that scheduler may have ordered a start of which the end is not stored on a worker.
+    ///
+    /// A recorded start was ordered on the recorded workers only, any other one on any worker.
+    pub(crate) fn may_include(&self, worker: &WorkerId) -> bool {
+        let is_recorded = self.run > self.accounted && !self.workers.is_empty();
+        !is_recorded || self.workers.iter().flatten().any(|at| at == worker)
+    }
+
     /// Records that a member's run has ended.
     pub(crate) fn mark_ended(&mut self, member: usize, run: Run) {
         if run == self.run
--- a/crates/sched/src/recovery.rs
+++ b/crates/sched/src/recovery.rs
@@ -37,9 +37,26 @@
     /// Number of workers that crashed before they reported what runs on them.
     unreported_crashes: u32,
     pub(crate) adopted: usize,
+    /// Units that have ended, of which a predecessor's later start may still be carried out.
+    held_ends: Vec<UnitRef>,
 }
 
 impl Recovery {
+    /// Remembers a unit that has ended, to be recorded once no later start of it can be carried out.
+    pub(crate) fn hold_end(&mut self, unit_ref: UnitRef) {
+        self.held_ends.push(unit_ref);
+    }
+
+    /// Takes the units that have ended and are not recorded as such.
+    pub(crate) fn take_held_ends(&mut self) -> Vec<UnitRef> {
+        std::mem::take(&mut self.held_ends)
+    }
+
+    /// Returns whether predecessors' orders may still be carried out on workers that have not answered.
+    pub(crate) const fn may_orders_arrive(&self) -> bool {
+        self.begun && !self.is_complete
+    }
+
     /// Records that a worker has reported what runs on it.
     pub(crate) fn worker_reported(&mut self, worker: &WorkerId) {
         self.unreported_workers.remove(worker);
@@ -138,7 +155,9 @@
             is_partial: false,
             unreported_crashes: 0,
             adopted: self.recovery.adopted,
+            held_ends: Vec::new(),
         };
+        self.hold_exhausted_units(now);
         self.try_complete_recovery(now);
     }
 
@@ -153,6 +172,7 @@
         if !self.recovery.begun || self.recovery.is_complete {
             return;
         }
+        self.record_held_ends(now);
         let unanswered = self.recovery.unreported_workers.len();
         if unanswered > 0 && !self.have_unreported_leases_expired(now) {
             return;
@@ -165,6 +185,7 @@
             adopted,
             unanswered,
         }));
+        self.record_held_ends(now);
         self.stop_incomplete_gangs(now);
         self.expire_unknown_runs(now);
     }
