Take a draining worker that is cut off as gone only if all runs on it are recorded

What callers saw: a task that ran twice at a time, after a takeover while its worker drained and was cut off.

Cause: a takeover cannot tell a draining worker that has left from one that is cut off. What a predecessor may have started on a worker was asked for the whole cell, though a draining worker gets nothing new.

Change: when a worker drains, its scheduler records the runs on it, and once they are stored, that they are (a small record beside the roster, which an earlier version passes over). A successor then assumes that just those runs go on until the worker answers or its lease has expired, and waits for nothing else of it. A worker without that record is waited for like any silent one. A worker that stops draining is taken off the record before it gets a start. A single task whose only possible run is known to have ended no longer waits for the takeover.

--- a/crates/cell/tests/cell/roster.rs
+++ b/crates/cell/tests/cell/roster.rs
@@ -1,7 +1,12 @@
 //! Encoding of the worker roster in the store.
 
 use syc_cell::ports::Record;
+use syc_cell::records::DRAINS_KEY;
+use syc_cell::records::DrainsRecord;
 use syc_cell::records::RosterRecord;
+use syc_cell::records::drains;
+use syc_cell::records::is_job_progress;
+use syc_cell::records::read_drains;
 use syc_cell::records::read_roster;
 use syc_cell::records::roster;
 use syc_sched::WorkerSpec;
@@ -65,3 +70,42 @@
     assert!(workers.is_empty());
     assert_eq!(unreadable[0].0, records[0].key);
 }
+
+fn drains_of(workers: usize, token: u64, change: u64) -> Record {
+    drains(&DrainsRecord {
+        token,
+        change,
+        workers: (0..workers).map(|index| worker(index).id).collect(),
+    })
+}
+
+#[test_case(7, 2; "a later change")]
+#[test_case(8, 1; "a later scheduler")]
+fn the_latest_drains_are_read(token: u64, change: u64) {
+    // An append in doubt may have left a record in each partition.
+    let records = [drains_of(1, token, change), drains_of(3, 7, 1)];
+    let (read, unreadable) = read_drains(&records);
+    assert!(unreadable.is_empty());
+    assert_eq!(read, [worker(0).id]);
+    assert!(!is_job_progress(&records[0]), "it is not read as a job");
+}
+
+/// A scheduler of an earlier version may have used the workers again without taking them off this record.
+#[test]
+fn drains_of_an_earlier_scheduler_than_the_roster_do_not_hold() {
+    let mut records = roster(&roster_of(3, 8, 1));
+    records.push(drains_of(2, 7, 5));
+    assert_eq!(read_drains(&records).0, []);
+    records.push(drains_of(1, 8, 1));
+    assert_eq!(read_drains(&records).0, [worker(0).id]);
+}
+
+#[test]
+fn unreadable_drains_are_reported_and_do_not_hold() {
+    let mut record = drains_of(2, 7, 1);
+    record.value = b"{".to_vec().into();
+    let (read, unreadable) = read_drains([&record]);
+    assert_eq!(read, []);
+    assert_eq!(unreadable.len(), 1);
+    assert_eq!(record.key, DRAINS_KEY);
+}
--- a/crates/sched/src/late_starts.rs
+++ b/crates/sched/src/late_starts.rs
@@ -15,6 +15,7 @@
 use crate::Run;
 use crate::Scheduler;
 use crate::StopReason;
+use crate::drain_record::DrainRecord;
 use crate::run_ends::UnitRef;
 use crate::unit::Outcome;
 use crate::unit::UnitState;
@@ -49,7 +50,8 @@
         let mut workers = self.workers.values();
         workers.any(|worker| {
             let may_carry_out = !worker.runs_known && worker.leases_expire_at > now;
-            may_carry_out && placement.may_include(&worker.spec.id)
+            let all_recorded = worker.drain_record == DrainRecord::Recorded;
+            may_carry_out && placement.may_include(&worker.spec.id, all_recorded)
         })
     }
 
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -21,6 +21,7 @@
 mod consistency;
 mod counts;
 mod crash_history;
+mod drain_record;
 mod event;
 mod gang;
 mod headroom;
--- a/crates/sched/src/predecessor_placement.rs
+++ b/crates/sched/src/predecessor_placement.rs
@@ -41,10 +41,17 @@
 
     /// Returns whether that scheduler may have ordered a start of which the end is not stored on a worker.
     ///
-    /// A recorded start was ordered on the recorded workers only, any other one on any worker.
-    pub(crate) fn may_include(&self, worker: &WorkerId) -> bool {
+    /// A recorded start was ordered on the recorded workers only, any other one on any worker but those of which all runs
+    /// are recorded.
+    pub(crate) fn may_include(&self, worker: &WorkerId, all_runs_recorded: bool) -> bool {
         let is_recorded = self.run > self.accounted && !self.workers.is_empty();
-        !is_recorded || self.workers.iter().flatten().any(|at| at == worker)
+        !is_recorded && !all_runs_recorded || self.member_at(worker).is_some()
+    }
+
+    /// Returns the first member that is recorded on a worker and is not known to have ended.
+    pub(crate) fn member_at(&self, worker: &WorkerId) -> Option<usize> {
+        let mut workers = self.workers.iter();
+        workers.position(|at| at.as_ref() == Some(worker))
     }
 
     /// Records that a member's run has ended.
--- a/crates/sched/src/recovery.rs
+++ b/crates/sched/src/recovery.rs
@@ -8,6 +8,7 @@
 use crate::Action;
 use crate::Note;
 use crate::Scheduler;
+use crate::drain_record::DrainRecord;
 use crate::ids::JobKey;
 use crate::run_ends::UnitRef;
 use crate::unit::Outcome;
@@ -123,7 +124,7 @@
     pub fn begin_recovery(&mut self, now: Millis) {
         let mut unreported_workers = BTreeSet::new();
         for worker in self.workers.values() {
-            if !worker.runs_known {
+            if !worker.runs_known && worker.drain_record != DrainRecord::Recorded {
                 unreported_workers.insert(worker.spec.id.clone());
             }
         }
@@ -131,9 +132,13 @@
             for step in &self.jobs[*key].steps {
                 for unit in &step.units {
                     // Members of an accounted start whose worker is gone need not be waited for.
-                    if unit.last_started > unit.last_accounted {
-                        let workers = unit.predecessor_placement.workers.iter();
-                        unreported_workers.extend(workers.flatten().cloned());
+                    if unit.last_started <= unit.last_accounted {
+                        continue;
+                    }
+                    for id in unit.predecessor_placement.workers.iter().flatten() {
+                        if !self.is_drain_recorded(id) {
+                            unreported_workers.insert(id.clone());
+                        }
                     }
                 }
             }
@@ -158,6 +163,7 @@
             held_ends: Vec::new(),
         };
         self.hold_exhausted_units(now);
+        self.assume_recorded_placements(now);
         self.try_complete_recovery(now);
     }
 
@@ -173,6 +179,7 @@
             return;
         }
         self.record_held_ends(now);
+        self.expire_absent_runs(now);
         let unanswered = self.recovery.unreported_workers.len();
         if unanswered > 0 && !self.have_unreported_leases_expired(now) {
             return;
@@ -190,6 +197,59 @@
         self.expire_unknown_runs(now);
     }
 
+    /// Returns whether a unit must not be started because a predecessor may have started it unknown to this scheduler.
+    ///
+    /// Of a single task, that is ruled out once the end of the only run that it may have started is known.
+    pub(crate) fn is_unit_awaited(&self, job: JobKey, step: usize, unit: usize) -> bool {
+        let job = &self.jobs[job];
+        if !job.inherited || self.recovery.is_complete {
+            return false;
+        }
+        let step = &job.steps[step];
+        let unit = &step.units[unit];
+        step.members() > 1 || unit.last_accounted <= unit.predecessor_placement.accounted
+    }
+
+    /// Treats recorded runs of single tasks as ended if their worker has reported everything and they are not there.
+    fn expire_absent_runs(&mut self, now: Millis) {
+        let mut absent = Vec::new();
+        for job in &self.open_jobs {
+            for (step, of_step) in self.jobs[*job].steps.iter().enumerate() {
+                if of_step.members() > 1 {
+                    continue;
+                }
+                for (unit, of_unit) in of_step.units.iter().enumerate() {
+                    let unit_ref = UnitRef {
+                        job: *job,
+                        step,
+                        unit,
+                    };
+                    let placement = &of_unit.predecessor_placement;
+                    if of_unit.state != UnitState::Pending || placement.run <= placement.accounted {
+                        continue;
+                    }
+                    let [Some(worker)] = placement.workers.as_slice() else {
+                        continue;
+                    };
+                    if self.has_reported_everything(worker) {
+                        absent.push((unit_ref, placement.run));
+                    }
+                }
+            }
+        }
+        for (unit_ref, run) in absent {
+            self.jobs[unit_ref.job].steps[unit_ref.step].pending_units -= 1;
+            self.record_outcome(unit_ref, run, Outcome::Interrupted, now);
+        }
+    }
+
+    fn has_reported_everything(&self, id: &WorkerId) -> bool {
+        let key = self.worker_keys.get(id);
+        let worker = key.and_then(|key| self.workers.get(*key));
+        let is_unreported = self.recovery.unreported_workers.contains(id);
+        worker.is_some_and(|worker| worker.runs_known && !is_unreported)
+    }
+
     /// Returns whether no worker that has not reported everything can hold a lease any more.
     ///
     /// A worker that has answered, but has more ends to report, keeps its lease by this scheduler's renewals. If it
--- a/crates/sched/src/unit.rs
+++ b/crates/sched/src/unit.rs
@@ -161,6 +161,23 @@
         *placed == run && members[member].is_none_or(|at| at == worker)
     }
 
+    /// Returns whether its record names a worker as that of a member's run.
+    pub(crate) fn names_member(&self, worker: WorkerKey, member: usize, run: Run) -> bool {
+        let (UnitState::Placed {
+            run: current,
+            members,
+        }
+        | UnitState::Stopping {
+            run: current,
+            members,
+            ..
+        }) = &self.state
+        else {
+            return false;
+        };
+        *current == run && members[member] == Some(worker)
+    }
+
     /// Returns whether it is done, and a later run of it is being stopped before that is recorded.
     pub(crate) const fn is_completion_pending(&self) -> bool {
         matches!(
--- a/crates/sched/tests/core/driver.rs
+++ b/crates/sched/tests/core/driver.rs
@@ -68,6 +68,8 @@
     pub workers: Vec<WorkerKey>,
     /// Workers that the scheduler no longer keeps, in order.
     pub detached: Vec<WorkerKey>,
+    /// Draining workers of which all runs are recorded.
+    pub recorded_drains: Vec<WorkerId>,
     pub starts: Vec<StartOrder>,
     pub stops: Vec<Stop>,
     pub advice_requests: Vec<(StepId, Vec<WorkerKey>)>,
@@ -118,6 +120,7 @@
             now: Millis(1_000),
             workers: Vec::new(),
             detached: Vec::new(),
+            recorded_drains: Vec::new(),
             starts: Vec::new(),
             stops: Vec::new(),
             advice_requests: Vec::new(),
@@ -152,6 +155,7 @@
             match action {
                 Action::Attach { worker, .. } => self.workers.push(worker),
                 Action::Detach { worker } => self.detached.push(worker),
+                Action::RecordDrain(id) => self.recorded_drains.push(id),
                 Action::Start(order) => self.starts.push(order),
                 Action::Stop {
                     worker,
--- a/crates/sched/tests/core/main.rs
+++ b/crates/sched/tests/core/main.rs
@@ -6,6 +6,7 @@
 mod counts;
 mod crashes;
 mod crashes_between_schedulers;
+mod drains;
 mod driver;
 mod expired_leases;
 mod lifecycle;
