Keep a crashed worker in the roster until what its crash may mean is recorded

What callers saw: a task that takes its workers down was given up only after six of them, where five is the limit.

It is neither that a takeover counts but one crash, as was presumed, nor the limits.

Change: leaving the roster is an action of its own; a worker that is detached before it reported anything stays in it until the takeover is complete. If it is listed again meanwhile, it just stays.

--- a/crates/sched/src/recovery.rs
+++ b/crates/sched/src/recovery.rs
@@ -37,12 +37,24 @@
     is_partial: bool,
     /// Number of workers that crashed before they reported what runs on them.
     unreported_crashes: u32,
+    /// Workers that were detached unreported. A successor that does not know them could not count their crashes, so they
+    /// stay in the roster until what that means for the units is decided.
+    detached: Vec<WorkerId>,
     pub(crate) adopted: usize,
     /// Units that have ended, of which a predecessor's later start may still be carried out.
     held_ends: Vec<UnitRef>,
 }
 
 impl Recovery {
+    /// Keeps a worker in the roster that was detached unreported. Returns whether it is kept.
+    pub(crate) fn keep_in_roster(&mut self, worker: &WorkerId) -> bool {
+        let keeps = self.may_orders_arrive();
+        if keeps {
+            self.detached.push(worker.clone());
+        }
+        keeps
+    }
+
     /// Remembers a unit that has ended, to be recorded once no later start of it can be carried out.
     pub(crate) fn hold_end(&mut self, unit_ref: UnitRef) {
         self.held_ends.push(unit_ref);
@@ -159,6 +171,7 @@
             is_complete: false,
             is_partial: false,
             unreported_crashes: 0,
+            detached: Vec::new(),
             adopted: self.recovery.adopted,
             held_ends: Vec::new(),
         };
@@ -195,6 +208,11 @@
         self.record_held_ends(now);
         self.stop_incomplete_gangs(now);
         self.expire_unknown_runs(now);
+        for worker in std::mem::take(&mut self.recovery.detached) {
+            if !self.worker_keys.contains_key(&worker) {
+                self.actions.push(Action::ForgetWorker(worker));
+            }
+        }
     }
 
     /// Returns whether a unit must not be started because a predecessor may have started it unknown to this scheduler.
--- a/crates/sched/src/reports.rs
+++ b/crates/sched/src/reports.rs
@@ -93,8 +93,12 @@
             return;
         };
         self.worker_keys.remove(&worker.spec.id);
-        self.recovery.worker_gone(&worker.spec.id);
+        let id = worker.spec.id;
+        self.recovery.worker_gone(&id);
         self.actions.push(Action::Detach { worker: key });
+        if worker.runs_known || !self.recovery.keep_in_roster(&id) {
+            self.actions.push(Action::ForgetWorker(id));
+        }
     }
 
     pub(crate) fn renewing(&mut self, key: WorkerKey, now: Millis) {
--- a/crates/sched/tests/schedules/simulation.rs
+++ b/crates/sched/tests/schedules/simulation.rs
@@ -649,9 +649,7 @@
                     self.sessions.insert(worker, session);
                 }
                 Action::Detach { worker } => {
-                    if let Some(session) = self.sessions.remove(&worker) {
-                        self.detached.push(session.id);
-                    }
+                    self.sessions.remove(&worker);
                 }
                 Action::Start(order) => self.send_start(&order),
                 Action::Stop {
@@ -671,6 +669,7 @@
                 Action::OrderVm { vm, operation } => self.send_vm_order(vm, operation),
                 Action::ReportWave { wave, completed } => self.vms.wave_reported(wave, completed),
                 Action::Note(note @ Note::RunMissing { .. }) => self.missing_runs.push(note),
+                Action::ForgetWorker(id) => self.detached.push(id),
                 Action::RecordDrain(id) => self.drains_to_store.push(id),
                 Action::DeleteSpec(_) | Action::DeleteJob(_) | Action::Note(_) => {}
             }
