Count a possible crash for the members of a gang that a takeover does not find

What callers saw: a gang that takes its workers down was given up only after six of them, where five is the limit.

The members whose worker crashed unreported are stopped with it, and only units that are pending got a possible crash.

Change: it is counted where gangs found in part are stopped, by the same rule.

Left: if a member is recorded before that takeover is complete and its scheduler is lost then, the start counts as recorded.

--- a/crates/sched/src/recovery.rs
+++ b/crates/sched/src/recovery.rs
@@ -7,6 +7,7 @@
 
 use crate::Action;
 use crate::Note;
+use crate::Run;
 use crate::Scheduler;
 use crate::drain_record::DrainRecord;
 use crate::ids::JobKey;
@@ -335,21 +336,28 @@
     }
 
     fn expire_unknown_run(&mut self, unit_ref: UnitRef, now: Millis) {
-        let worker_crashed = self.recovery.unreported_crashes > 0;
         let unit = self.unit_mut(unit_ref);
         if unit.state != UnitState::Pending {
             return;
         }
         let run = unit.last_accounted.next();
-        let may_be_unrecorded = unit.crashes() == 0 && unit.last_started < run;
-        if worker_crashed && may_be_unrecorded {
-            unit.possible_crashes = unit.possible_crashes.saturating_add(1);
+        if unit.last_started < run {
+            self.count_possible_crash(unit_ref, run);
         }
         self.jobs[unit_ref.job].steps[unit_ref.step].pending_units -= 1;
         self.record_outcome(unit_ref, run, Outcome::Interrupted, now);
     }
 
-    /// Stops the gangs of which not every member was found.
+    /// Counts a possible crash under a start of which the store has no placement.
+    fn count_possible_crash(&mut self, unit_ref: UnitRef, run: Run) {
+        let worker_crashed = self.recovery.unreported_crashes > 0;
+        let unit = self.unit_mut(unit_ref);
+        if worker_crashed && unit.crashes() == 0 && unit.predecessor_placement.run < run {
+            unit.possible_crashes = unit.possible_crashes.saturating_add(1);
+        }
+    }
+
+    /// Stops the gangs of which not every member was found. The members that were not may have crashed their workers.
     pub(crate) fn stop_incomplete_gangs(&mut self, now: Millis) {
         let mut incomplete = Vec::new();
         for key in &self.open_jobs {
@@ -370,6 +378,7 @@
             }
         }
         for (unit_ref, run, found) in incomplete {
+            self.count_possible_crash(unit_ref, run);
             self.stop_gang(unit_ref, run, Outcome::Interrupted, found, now);
         }
     }
--- a/crates/sched/tests/schedules/main.rs
+++ b/crates/sched/tests/schedules/main.rs
@@ -445,3 +445,15 @@
     simulation.run();
     assert_eq!(simulation.faults(), []);
 }
+
+/// Of a gang whose start no scheduler recorded, one member is found elsewhere, and the worker of the others has crashed.
+#[test]
+fn crash_under_the_missing_members_of_a_gang_is_counted() {
+    let profile = Profile {
+        crashing_jobs: 3,
+        ..Profile::ALL_FAULTS
+    };
+    let mut simulation = Simulation::new(50_360, profile, Options::default());
+    simulation.run();
+    assert_eq!(simulation.faults(), []);
+}
