Tell nodes that the store refuses which scheduler was elected, through the one before

Cause: a node learned who the scheduler is only from the claims in the store. It went on following the replaced scheduler, which stores nothing for it: its replies say that it is not the scheduler, so nothing is relayed to it. The replaced scheduler itself was told only that it had been replaced, not by whom.

The notice to the replaced scheduler now names the elected one. The replaced scheduler follows it, and names it in its replies to the nodes that still follow the one before; these follow it, too, and relay to it. Which reports count is decided without I/O in sched::election_report. The wire messages have new optional fields only.

Tests: nodes_refused_together_with_the_scheduler_store_jobs_through_its_successor timed out before (no submit was stored for a minute) and passes. The order of events is forced: the store refuses the scheduler and two of four followers, another node is the scheduler, and only then a job is submitted at each refused node, the replaced scheduler among them. The decision is replayed in tests/core/election_report.rs.

Why it holds: a report counts only for a greater token, and only with an incarnation that is known from the store of the cell: a notice names that of its receiver, a reply must come from the process that is followed. So a late report, one from another cell and a message of an earlier version, which has neither, change nothing. Nobody takes the role by a report: a node becomes the scheduler only by its own claim that it has read in the store, and a report does not count as a heartbeat. A claim is still taken by the store only from a node that has read up to it.

Not covered: a replaced scheduler that has ended, that no served node reaches, or that is of an earlier version.

--- a/crates/cell/src/claims.rs
+++ b/crates/cell/src/claims.rs
@@ -69,6 +69,7 @@
     loop {
         poll_claims(&node, &mut claims).await;
         claims.record_configured(&node);
+        claims.take_report(&node);
         update_holder(&node, &claims);
         if claim_is_due(&node, &claims) {
             claim(&node, &mut claims).await;
@@ -138,6 +139,20 @@
         }
     }
 
+    /// Follows a scheduler that another node reported. It does not count as a heartbeat.
+    fn take_report<P>(&mut self, node: &Node<P>)
+    where
+        P: Platform,
+    {
+        let Some(reported) = node.reported_holder.borrow_mut().take() else {
+            return;
+        };
+        let known = self.holder.as_ref().map_or(0, |holder| holder.token);
+        if reported.token > known.max(self.released_token) {
+            self.holder = Some(reported);
+        }
+    }
+
     fn apply<P>(&mut self, node: &Node<P>, offset: u64, record: &Record)
     where
         P: Platform,
--- a/crates/cell/src/contact.rs
+++ b/crates/cell/src/contact.rs
@@ -183,6 +183,7 @@
         day_ms: node.read_wall_clock().day.0,
         heard_at_ms: link.remote_answered_at.get().0,
         predecessor_incarnation: 0,
+        elected: None,
     });
     let timeout_ms = node.settings.timing.contact_timeout_ms;
     let reply = link.call(query, timeout_ms).await;
@@ -191,6 +192,7 @@
         node.partition.set(reply.partition % partitions);
         node.record_reported_time(reply);
         link.append_ms.set(reply.append_ms);
+        succession::apply_reply(node, reply);
     }
     let (answers, store_answers) = match &reply {
         Ok(CellBody::ContactReply(reply)) => (reply.leading, reply.store_answers),
@@ -314,5 +316,7 @@
         day_clocks: agreed.map_or(0, |agreed| agreed.clocks),
         append_ms: node.submit_queue.append_ms(),
         answered_at_ms: now().0,
+        incarnation: node.incarnation,
+        elected: succession::newer_scheduler(node, contact.token),
     }
 }
--- a/crates/cell/src/node.rs
+++ b/crates/cell/src/node.rs
@@ -84,6 +84,8 @@
     pub(crate) waves: RefCell<Vec<PublishedWave>>,
     pub(crate) store: StoreHealth,
     pub(crate) holder: RefCell<Option<Holder>>,
+    /// Newer scheduler that another node reported and that this node does not follow yet.
+    pub(crate) reported_holder: RefCell<Option<Holder>>,
     pub(crate) link: RefCell<Option<Rc<HolderLink>>>,
     pub(crate) leader: RefCell<Option<Rc<Leader<P>>>>,
     pub(crate) submit_queue: SubmitQueue,
@@ -117,6 +119,7 @@
             waves: RefCell::default(),
             store: StoreHealth::new(started_at),
             holder: RefCell::default(),
+            reported_holder: RefCell::default(),
             link: RefCell::default(),
             leader: RefCell::default(),
             partition: Cell::new(0),
--- a/crates/cell/src/succession.rs
+++ b/crates/cell/src/succession.rs
@@ -1,13 +1,20 @@
-//! Tells a scheduler that was replaced about its successor, which it may be unable to read in the store.
+//! Tells a scheduler that was replaced, and the nodes that still follow it, about its successor, which they may be
+//! unable to read in the store.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 
 use syc_net::PeerClient;
+use syc_sched::ElectionReport;
+use syc_sched::KnownScheduler;
 use syc_sched::PendingNotice;
+use syc_sched::ReportOrigin;
 use syc_sched::SuccessionNotice;
 use syc_sched::Tenure;
 use syc_wire::cell::CellBody;
 use syc_wire::cell::Contact;
+use syc_wire::cell::ContactReply;
+use syc_wire::cell::ElectedScheduler;
 
 use crate::Node;
 use crate::clock::now;
@@ -15,6 +22,7 @@
 use crate::contact;
 use crate::node::Holder;
 use crate::ports::Platform;
+use crate::unreadable::Source;
 
 impl Holder {
     pub(crate) const fn tenure(&self) -> Tenure {
@@ -23,6 +31,24 @@
             token: self.token,
         }
     }
+
+    fn to_wire(&self) -> ElectedScheduler {
+        ElectedScheduler {
+            node: self.node.to_string(),
+            address: self.address.to_string(),
+            incarnation: self.incarnation,
+            token: self.token,
+        }
+    }
+
+    fn from_wire(elected: &ElectedScheduler) -> Self {
+        Self {
+            node: elected.node.as_str().into(),
+            address: elected.address.as_str().into(),
+            incarnation: elected.incarnation,
+            token: elected.token,
+        }
+    }
 }
 
 /// Starts to tell the former scheduler that another one was elected, unless it is this process.
@@ -30,15 +56,18 @@
 where
     P: Platform,
 {
-    let (before_tenure, elected) = (before.tenure(), elected.tenure());
-    let notice = SuccessionNotice::to_predecessor(before_tenure, elected, node.incarnation);
+    let before_tenure = before.tenure();
+    let notice =
+        SuccessionNotice::to_predecessor(before_tenure, elected.tenure(), node.incarnation);
     let (Some(notice), Ok(address)) = (notice, before.address.parse()) else {
         return;
     };
     let client = PeerClient::new(address, contact::peer_options());
     let interval_ms = node.settings.timing.contact_interval_ms;
     let pending = PendingNotice::new(before_tenure, now(), interval_ms);
-    actix_rt::spawn(send_notice(Rc::clone(node), client, notice, pending));
+    let elected = elected.to_wire();
+    let sending = send_notice(Rc::clone(node), client, notice, elected, pending);
+    actix_rt::spawn(sending);
 }
 
 /// Repeats a notice until it is confirmed or given up.
@@ -46,6 +75,7 @@
     node: Rc<Node<P>>,
     client: PeerClient,
     notice: SuccessionNotice,
+    elected: ElectedScheduler,
     pending: PendingNotice,
 ) where
     P: Platform,
@@ -59,6 +89,7 @@
             day_ms: node.read_wall_clock().day.0,
             heard_at_ms: 0,
             predecessor_incarnation: notice.predecessor_incarnation,
+            elected: Some(elected.clone()),
         });
         let timeout_ms = node.settings.timing.contact_timeout_ms;
         let reply = contact::call(&client, query, timeout_ms).await;
@@ -74,8 +105,76 @@
     }
 }
 
-/// Ends this node's scheduler role if a contact reports that it was replaced.
+/// Returns the scheduler that this node knows, if it is newer than the one with this token.
+pub(crate) fn newer_scheduler<P>(node: &Node<P>, token: u64) -> Option<ElectedScheduler>
+where
+    P: Platform,
+{
+    let holder = node.holder.borrow();
+    let newer = holder.as_ref().filter(|holder| holder.token > token);
+    newer.map(Holder::to_wire)
+}
+
+/// Follows a newer scheduler that a reply to a contact names.
+pub(crate) fn apply_reply<P>(node: &Node<P>, reply: &ContactReply)
+where
+    P: Platform,
+{
+    let origin = ReportOrigin::Reply {
+        sender_incarnation: reply.incarnation,
+    };
+    if let Some(elected) = &reply.elected {
+        apply_report(node, origin, Holder::from_wire(elected));
+    }
+}
+
+/// Follows a newer scheduler that a contact names, and ends this node's scheduler role if the contact reports that it
+/// was replaced.
 pub(crate) fn apply_notice<P>(node: &Node<P>, contact: &Contact)
+where
+    P: Platform,
+{
+    step_down_if_replaced(node, contact);
+    let origin = ReportOrigin::Notice {
+        addressee_incarnation: contact.predecessor_incarnation,
+    };
+    if let Some(elected) = &contact.elected {
+        apply_report(node, origin, Holder::from_wire(elected));
+    }
+}
+
+/// Records a reported scheduler that this node should follow. The task that follows the claims takes it up.
+fn apply_report<P>(node: &Node<P>, origin: ReportOrigin, reported: Holder)
+where
+    P: Platform,
+{
+    let known = KnownScheduler {
+        own_incarnation: node.incarnation,
+        followed: node.holder.borrow().as_ref().map(Holder::tenure),
+    };
+    let report = ElectionReport {
+        origin,
+        elected: reported.tenure(),
+    };
+    if !known.accepts(report) {
+        return;
+    }
+    if reported.address.parse::<SocketAddr>().is_err() {
+        let reason = "the address of the scheduler can't be decoded";
+        node.report_unreadable(Source::Peers, "scheduler", reason);
+        return;
+    }
+    let mut pending = node.reported_holder.borrow_mut();
+    if pending
+        .as_ref()
+        .is_none_or(|pending| pending.token < reported.token)
+    {
+        *pending = Some(reported);
+    }
+    node.holder_changed.notify_waiters();
+}
+
+fn step_down_if_replaced<P>(node: &Node<P>, contact: &Contact)
 where
     P: Platform,
 {
--- a/crates/cell/tests/cell/fuzz.rs
+++ b/crates/cell/tests/cell/fuzz.rs
@@ -37,6 +37,8 @@
 use syc_wire::cell::CellBody;
 use syc_wire::cell::CellMessage;
 use syc_wire::cell::Contact;
+use syc_wire::cell::ContactReply;
+use syc_wire::cell::ElectedScheduler;
 use syc_wire::cell::StoredNotice;
 
 use crate::cluster::job;
@@ -238,6 +240,15 @@
     });
 }
 
+fn elected_scheduler() -> ElectedScheduler {
+    ElectedScheduler {
+        node: "node-2".into(),
+        address: "10.0.0.2:7000".into(),
+        incarnation: 14,
+        token: 9,
+    }
+}
+
 #[test]
 fn frames_between_nodes() {
     let bodies = [
@@ -249,6 +260,13 @@
             day_ms: 1_790_000_000_000,
             heard_at_ms: 11,
             predecessor_incarnation: 12,
+            elected: Some(elected_scheduler()),
+        }),
+        CellBody::ContactReply(ContactReply {
+            token: 7,
+            incarnation: 13,
+            elected: Some(elected_scheduler()),
+            ..ContactReply::default()
         }),
         CellBody::AdviceQuery(AdviceQuery {
             job: JOB,
--- a/crates/cell/tests/cell/succession.rs
+++ b/crates/cell/tests/cell/succession.rs
@@ -81,3 +81,34 @@
     assert_ne!(running_on, second);
     cluster.assert_no_violations();
 }
+
+/// Starts a cell whose scheduler is replaced because the store refuses it together with half of the other nodes, and
+/// returns the refused nodes. The replaced scheduler is the first of them.
+fn replace_refused_scheduler(cluster: &Cluster) -> Vec<usize> {
+    let first = cluster.scheduler();
+    let mut others = cluster.live_nodes();
+    others.retain(|number| *number != first);
+    let (refused, served) = others.split_at(2);
+    let refused = [&[first], refused].concat();
+    cluster.platform.set_faults(SharedFaults {
+        refused_nodes: names(&refused).collect(),
+        ..SharedFaults::default()
+    });
+    cluster.wait("another scheduler", || {
+        let mut served = served.iter();
+        served.find(|number| cluster.on(**number, |node| async move { node.is_scheduler() }))
+    });
+    refused
+}
+
+/// The refused nodes followed the replaced scheduler until the store served them again, and refused all submits.
+#[test]
+fn nodes_refused_together_with_the_scheduler_store_jobs_through_its_successor() {
+    let cluster = Cluster::start(5, WORKERS);
+    let refused = replace_refused_scheduler(&cluster);
+    for (id, node) in (1..).zip(refused) {
+        cluster.submit(node, id, vec![step(1, 20)]);
+        cluster.wait_for_state(node, id, JobState::Completed);
+    }
+    cluster.assert_no_violations();
+}
--- a/crates/cell/tests/cell/unreadable.rs
+++ b/crates/cell/tests/cell/unreadable.rs
@@ -21,6 +21,7 @@
 use syc_wire::cell::CellMessage;
 use syc_wire::cell::Contact;
 use syc_wire::cell::ContactReply;
+use syc_wire::cell::ElectedScheduler;
 use syc_wire::cell::NoticeReply;
 use syc_wire::cell::StoredNotice;
 use test_case::test_case;
@@ -355,3 +356,55 @@
     assert_eq!(CellMessage::decode_body(&answer).ok(), Some(refused));
     assert_eq!(unreadable_count(&cluster, node, "peers"), 1);
 }
+
+/// Contacts a node and returns its reply.
+fn contact(cluster: &Cluster, node: usize, contact: Contact) -> ContactReply {
+    let frame = CellMessage::encode_body(CellBody::Contact(contact));
+    match CellMessage::decode_body(&call(cluster, node, frame)) {
+        Ok(CellBody::ContactReply(reply)) => reply,
+        other => panic!("no reply to a contact: {other:?}"),
+    }
+}
+
+/// Creates a notice to the process with this incarnation that a scheduler at this address was elected.
+fn notice(predecessor_incarnation: u64, address: &str) -> Contact {
+    let elected = ElectedScheduler {
+        node: "other".into(),
+        address: address.into(),
+        incarnation: 1,
+        token: u64::MAX,
+    };
+    Contact {
+        token: elected.token,
+        predecessor_incarnation,
+        elected: Some(elected),
+        ..Contact::default()
+    }
+}
+
+/// The address of an ended process may belong to a process of another cell by now.
+#[test]
+fn a_notice_for_a_process_of_another_cell_changes_nothing() {
+    let cluster = Cluster::start(1, 1);
+    let node = cluster.scheduler();
+    let before = contact(&cluster, node, Contact::default());
+    let stray = notice(before.incarnation + 1, "127.0.0.1:1");
+    contact(&cluster, node, stray);
+    cluster.submit(node, 1, vec![step(1, 20)]);
+    cluster.wait_for_state(node, 1, JobState::Completed);
+    let after = contact(&cluster, node, Contact::default());
+    assert_eq!((after.leading, after.token), (true, before.token));
+}
+
+/// A node that followed a scheduler without an address would claim nothing and forward nothing.
+#[test]
+fn a_notice_with_an_unreadable_address_is_counted_and_not_followed() {
+    let cluster = Cluster::start(1, 1);
+    let node = cluster.scheduler();
+    let before = contact(&cluster, node, Contact::default());
+    let counted = unreadable_count(&cluster, node, "peers");
+    contact(&cluster, node, notice(before.incarnation, "nowhere"));
+    assert_eq!(unreadable_count(&cluster, node, "peers"), counted + 1);
+    cluster.submit(node, 1, vec![step(1, 20)]);
+    cluster.wait_for_state(node, 1, JobState::Completed);
+}
--- a/crates/sched/tests/core/main.rs
+++ b/crates/sched/tests/core/main.rs
@@ -7,6 +7,7 @@
 mod crashes;
 mod crashes_between_schedulers;
 mod driver;
+mod election_report;
 mod expired_leases;
 mod lifecycle;
 mod long_running;
--- a/crates/wire/src/cell.rs
+++ b/crates/wire/src/cell.rs
@@ -81,6 +81,27 @@
     /// scheduler's process. Otherwise 0, also from earlier versions. Earlier versions ignore it.
     #[prost(uint64, tag = "7")]
     pub predecessor_incarnation: u64,
+    /// If the contact tells a scheduler that it was replaced: the one that replaced it. Absent from earlier versions,
+    /// which ignore it.
+    #[prost(message, optional, tag = "8")]
+    pub elected: Option<ElectedScheduler>,
+}
+
+/// A scheduler that was elected, as it is named to nodes that may be unable to read its claim.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct ElectedScheduler {
+    /// Name of its node.
+    #[prost(string, tag = "1")]
+    pub node: String,
+    /// Address for calls from other nodes, `ip:port`.
+    #[prost(string, tag = "2")]
+    pub address: String,
+    /// Incarnation of its process.
+    #[prost(uint64, tag = "3")]
+    pub incarnation: u64,
+    /// Its fencing token.
+    #[prost(uint64, tag = "4")]
+    pub token: u64,
 }
 
 /// Reply to [`Contact`].
@@ -111,6 +132,13 @@
     /// Time of the reply, on the replying node's clock; 0 from earlier versions.
     #[prost(uint64, tag = "8")]
     pub answered_at_ms: u64,
+    /// Incarnation of the replying process; 0 from earlier versions.
+    #[prost(uint64, tag = "9")]
+    pub incarnation: u64,
+    /// The scheduler that the replying node knows, if its token is greater than that of the contact. Earlier versions
+    /// ignore it.
+    #[prost(message, optional, tag = "10")]
+    pub elected: Option<ElectedScheduler>,
 }
 
 /// Queries a job's state.
