Repeat notices to a lost predecessor with jitter and at growing intervals

A predecessor that was lost for good was called by each node of its cell for a minute, once a second after the first 3 s. All nodes read of the new scheduler at about the same time and so called in step.

Cause: the interval between two notices was fixed and the same for all nodes.

The interval now has jitter by syc_retry::backoff_ms, seeded with the node's incarnation: in the first 3 s at most the interval of contacts as before, after that up to 1 s and doubling to 2.5 s.

Tests: interval_between_notices_grows and nodes_of_a_cell_do_not_repeat_their_notices_in_step failed before (each interval was 1,000 ms; the first repeats of 48 nodes were all after 150 ms) and pass. unconfirmed_notice_is_repeated compared the exact intervals, which are drawn now. It is replaced by notice_is_repeated_often_while_the_takeover_waits (no interval that begins in the first 3 s is above that of contacts, each later one is), notice_is_repeated_until_the_limit, and predecessor_that_becomes_reachable_is_told_within_its_authority, each for 48 nodes over the whole minute.

Why it holds: a successor waits 3 s and a lease, so that it is enough if its predecessor is told within 3 s. In those first 3 s the notices are no rarer than before. Afterwards the longest interval and the call take 3 s together, so a predecessor that becomes reachable within the minute is still told within that time, though up to 1.5 s later than before.

--- a/crates/cell/src/succession.rs
+++ b/crates/cell/src/succession.rs
@@ -64,7 +64,7 @@
     };
     let client = PeerClient::new(address, contact::peer_options());
     let interval_ms = node.settings.timing.contact_interval_ms;
-    let pending = PendingNotice::new(before_tenure, now(), interval_ms);
+    let pending = PendingNotice::new(before_tenure, now(), interval_ms, node.incarnation);
     let elected = elected.to_wire();
     let sending = send_notice(Rc::clone(node), client, notice, elected, pending);
     actix_rt::spawn(sending);
@@ -76,7 +76,7 @@
     client: PeerClient,
     notice: SuccessionNotice,
     elected: ElectedScheduler,
-    pending: PendingNotice,
+    mut pending: PendingNotice,
 ) where
     P: Platform,
 {
--- a/crates/sched/src/succession.rs
+++ b/crates/sched/src/succession.rs
@@ -6,15 +6,20 @@
 //! than the successor waits. Every node that reads of a new scheduler therefore tells the one that it followed before,
 //! and repeats this until it is confirmed.
 
+use syc_retry::backoff_ms;
 use syc_types::Millis;
 
 /// The interval between two notices is extended once a notice has not been confirmed for this long. A predecessor that
 /// answers nobody by then has most likely ended.
 const FREQUENT_NOTICES_MS: u64 = 3_000;
 
-/// Extended interval between two notices.
+/// First extended interval between two notices.
 const RARE_NOTICE_INTERVAL_MS: u64 = 1_000;
 
+/// Longest interval between two notices. With the call, a predecessor that becomes reachable is told within the 3 s
+/// for which it stays in office without evidence and for which its successor waits.
+const MAX_NOTICE_INTERVAL_MS: u64 = 2_500;
+
 /// A notice that was not confirmed for this long is given up.
 const NOTICE_LIMIT_MS: u64 = 60_000;
 
@@ -57,21 +62,31 @@
 }
 
 /// Determines when a notice is sent and when it is no longer needed.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 pub struct PendingNotice {
     predecessor: Tenure,
     since: Millis,
     interval_ms: u64,
+    /// Seed of the jitter.
+    seed: u64,
+    /// Number of repeats so far at the usual interval.
+    frequent_repeats: u32,
+    /// Number of repeats so far at an extended interval.
+    rare_repeats: u32,
 }
 
 impl PendingNotice {
-    /// Creates a notice that is first sent at `since` and at first repeated every `interval_ms`.
+    /// Creates a notice that is first sent at `since` and at first repeated at least every `interval_ms`. `seed` is
+    /// random, such as the sender's incarnation, so that the nodes of a cell do not repeat their notices in step.
     #[must_use]
-    pub const fn new(predecessor: Tenure, since: Millis, interval_ms: u64) -> Self {
+    pub const fn new(predecessor: Tenure, since: Millis, interval_ms: u64, seed: u64) -> Self {
         Self {
             predecessor,
             since,
             interval_ms,
+            seed,
+            frequent_repeats: 0,
+            rare_repeats: 0,
         }
     }
 
@@ -84,16 +99,26 @@
         replied_token != self.predecessor.token
     }
 
-    /// Returns how long to wait before the notice is repeated, or `None` if it is given up.
+    /// Returns how long to wait before the notice is repeated, or `None` if it is given up. Counts as a repeat.
     #[must_use]
-    pub fn repeat_after_ms(&self, now: Millis) -> Option<u64> {
+    pub fn repeat_after_ms(&mut self, now: Millis) -> Option<u64> {
         let unconfirmed_ms = now.since(self.since);
         if unconfirmed_ms >= NOTICE_LIMIT_MS {
             return None;
         }
-        if unconfirmed_ms >= FREQUENT_NOTICES_MS {
-            return Some(RARE_NOTICE_INTERVAL_MS);
+        if unconfirmed_ms < FREQUENT_NOTICES_MS {
+            let repeat = self.frequent_repeats;
+            self.frequent_repeats += 1;
+            return Some(backoff_ms(
+                self.interval_ms,
+                self.interval_ms,
+                repeat,
+                self.seed,
+            ));
         }
-        Some(self.interval_ms)
+        let repeat = self.rare_repeats;
+        self.rare_repeats += 1;
+        let (base_ms, max_ms) = (RARE_NOTICE_INTERVAL_MS, MAX_NOTICE_INTERVAL_MS);
+        Some(backoff_ms(base_ms, max_ms, repeat, self.seed))
     }
 }
