--- a/crates/sched/tests/core/main.rs
+++ b/crates/sched/tests/core/main.rs
@@ -8,6 +8,7 @@
 mod crashes_between_schedulers;
 mod drains;
 mod driver;
+mod election_report;
 mod expired_leases;
 mod lifecycle;
 mod long_running;
