--- a/crates/cell/src/leader/roster.rs
+++ b/crates/cell/src/leader/roster.rs
@@ -8,6 +8,7 @@
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::rc::Rc;
 
 use smol_str::SmolStr;
@@ -20,6 +21,7 @@
 use crate::ports::Platform;
 use crate::ports::Record;
 use crate::records;
+use crate::records::DrainsRecord;
 use crate::records::RosterRecord;
 
 /// The workers of the roster and which of them are recorded in the store.
@@ -28,8 +30,12 @@
     members: RefCell<BTreeMap<WorkerId, Member>>,
     /// The incarnation in the platform's list, by the worker's key there.
     incarnations: RefCell<BTreeMap<SmolStr, WorkerId>>,
+    /// Draining workers of which all runs are recorded.
+    drained: RefCell<BTreeSet<WorkerId>>,
     /// Number of the latest change.
     latest_change: Cell<u64>,
+    /// Number of the latest change of the members.
+    members_changed_in: Cell<u64>,
     /// Number of the latest change that is recorded in the store.
     recorded: Cell<u64>,
 }
@@ -41,6 +47,19 @@
     listed: bool,
     /// Number of the change that added it.
     added_in: u64,
+    /// Number of the change that removed it from the drained workers.
+    used_again_in: u64,
+}
+
+/// How a listed worker may be used.
+#[derive(Debug)]
+enum Listing {
+    /// As it is listed.
+    Usable,
+    /// Only as a draining worker, until the store has it that its runs are no longer all recorded.
+    StillDraining,
+    /// Not at all before the store has it in the roster.
+    Unrecorded,
 }
 
 /// A version of the roster to be written.
@@ -62,27 +81,55 @@
                 spec: spec.clone(),
                 listed: false,
                 added_in: 0,
+                used_again_in: 0,
             };
             members.insert(spec.id.clone(), member);
         }
     }
 
-    /// Adds or updates a listed worker. Returns whether the store has it, so that it may get
-    /// orders.
-    fn list(&self, spec: &WorkerSpec) -> bool {
-        let mut members = self.members.borrow_mut();
-        if let Some(member) = members.get_mut(&spec.id) {
-            member.spec = spec.clone();
-            member.listed = true;
-            return member.added_in <= self.recorded.get();
+    /// Adds the draining workers of which a predecessor recorded all runs.
+    pub(super) fn restore_drained(&self, stored: Vec<WorkerId>) {
+        self.drained.borrow_mut().extend(stored);
+    }
+
+    /// Returns the draining workers of which all runs are recorded.
+    pub(super) fn drained(&self) -> BTreeSet<WorkerId> {
+        self.drained.borrow().clone()
+    }
+
+    /// Adds a draining worker of which all runs are recorded.
+    pub(super) fn add_drained(&self, id: WorkerId) {
+        if self.members.borrow().contains_key(&id) && self.drained.borrow_mut().insert(id) {
+            self.next_change();
         }
-        let member = Member {
-            spec: spec.clone(),
-            listed: true,
-            added_in: self.next_change(),
+    }
+
+    /// Adds or updates a listed worker. Returns whether it may get orders: only if the store has it.
+    fn list(&self, spec: &WorkerSpec) -> Listing {
+        let mut members = self.members.borrow_mut();
+        let Some(member) = members.get_mut(&spec.id) else {
+            let member = Member {
+                spec: spec.clone(),
+                listed: true,
+                added_in: self.next_member_change(),
+                used_again_in: 0,
+            };
+            members.insert(spec.id.clone(), member);
+            return Listing::Unrecorded;
         };
-        members.insert(spec.id.clone(), member);
-        false
+        member.spec = spec.clone();
+        member.listed = true;
+        if !spec.draining && self.drained.borrow_mut().remove(&spec.id) {
+            member.used_again_in = self.next_change();
+        }
+        let recorded = self.recorded.get();
+        if member.added_in > recorded {
+            Listing::Unrecorded
+        } else if member.used_again_in > recorded {
+            Listing::StillDraining
+        } else {
+            Listing::Usable
+        }
     }
 
     /// Marks a worker as not listed, and removes it if it was never recorded and thus got no
@@ -95,15 +142,16 @@
         let was_listed = std::mem::take(&mut member.listed);
         if member.added_in > self.recorded.get() {
             members.remove(id);
-            self.next_change();
+            self.next_member_change();
         }
         was_listed
     }
 
     /// Removes a worker on which no task can be running.
     pub(super) fn remove(&self, id: &WorkerId) {
+        self.drained.borrow_mut().remove(id);
         if self.members.borrow_mut().remove(id).is_some() {
-            self.next_change();
+            self.next_member_change();
         }
     }
 
@@ -117,6 +165,12 @@
         previous.filter(|previous| Some(previous) != id)
     }
 
+    fn next_member_change(&self) -> u64 {
+        let number = self.next_change();
+        self.members_changed_in.set(number);
+        number
+    }
+
     fn next_change(&self) -> u64 {
         self.latest_change.set(self.latest_change.get() + 1);
         self.latest_change.get()
@@ -133,14 +187,22 @@
         if number == self.recorded.get() {
             return None;
         }
-        let members = self.members.borrow();
-        let record = RosterRecord {
+        let mut written = Vec::new();
+        if self.members_changed_in.get() > self.recorded.get() {
+            let members = self.members.borrow();
+            written = records::roster(&RosterRecord {
+                token,
+                change: number,
+                workers: members.values().map(|member| member.spec.clone()).collect(),
+            });
+        }
+        written.push(records::drains(&DrainsRecord {
             token,
             change: number,
-            workers: members.values().map(|member| member.spec.clone()).collect(),
-        };
+            workers: self.drained.borrow().iter().cloned().collect(),
+        }));
         Some(RosterChange {
-            records: records::roster(&record),
+            records: written,
             number,
         })
     }
@@ -149,10 +211,11 @@
     fn mark_recorded(&self, number: u64) -> Vec<WorkerSpec> {
         let previous = self.recorded.replace(number);
         let members = self.members.borrow();
-        let added = members
-            .values()
-            .filter(|member| member.added_in > previous && member.added_in <= number);
-        added.map(|member| member.spec.clone()).collect()
+        let usable = members.values().filter(|member| {
+            let usable_from = member.added_in.max(member.used_again_in);
+            member.listed && usable_from > previous && usable_from <= number
+        });
+        usable.map(|member| member.spec.clone()).collect()
     }
 }
 
@@ -165,10 +228,16 @@
         if let Some(previous) = self.roster.set_incarnation(key, Some(&spec.id)) {
             self.unlist_incarnation(previous);
         }
-        if self.roster.list(&spec) {
-            self.apply(Event::WorkerListed(spec));
-        } else {
-            self.progress_notify.notify_one();
+        match self.roster.list(&spec) {
+            Listing::Usable => self.apply(Event::WorkerListed(spec)),
+            Listing::StillDraining => {
+                self.progress_notify.notify_one();
+                self.apply(Event::WorkerListed(WorkerSpec {
+                    draining: true,
+                    ..spec
+                }));
+            }
+            Listing::Unrecorded => self.progress_notify.notify_one(),
         }
     }
 
@@ -193,6 +262,12 @@
         self.apply(Event::WorkerUnlisted(id));
     }
 
+    /// Records that all runs on a draining worker are recorded.
+    pub(super) fn record_drain(&self, id: WorkerId) {
+        self.roster.add_drained(id);
+        self.progress_notify.notify_one();
+    }
+
     /// Handles a roster change that has been stored.
     pub(super) fn apply_roster_recorded(self: &Rc<Self>, change: &RosterChange) {
         for spec in self.roster.mark_recorded(change.number) {
--- a/crates/cell/src/leader/takeover.rs
+++ b/crates/cell/src/leader/takeover.rs
@@ -206,18 +206,25 @@
         .map(|spec| (spec.id.clone(), spec))
         .collect();
     leader.roster.restore(roster.values());
+    leader
+        .roster
+        .restore_drained(read_drains(leader, &stored.progress));
     let mut listed = BTreeSet::new();
     for (_offset, record) in &stored.workers.records {
         listed.extend(readers::apply_worker_record(leader, record));
     }
     let mut unlisted = Vec::new();
-    for (id, spec) in roster {
+    let drained = leader.roster.drained();
+    for (id, mut spec) in roster {
         if listed.contains(&id) {
             continue;
         }
+        // The roster may have been written before the worker began to drain.
+        spec.draining |= drained.contains(&id);
         unlisted.push(id);
         leader.apply(Event::WorkerListed(spec));
     }
+    leader.scheduler.borrow_mut().restore_drains(&drained);
     for key in unreadable {
         let placeholder = placeholder_worker(&key);
         unlisted.push(placeholder.id.clone());
@@ -260,6 +267,23 @@
     (workers, keys)
 }
 
+/// Reads the draining workers of which a predecessor recorded all runs. Without a readable record, every such worker is
+/// waited for like any silent one.
+fn read_drains<P>(leader: &Leader<P>, partitions: &[Newest]) -> Vec<WorkerId>
+where
+    P: Platform,
+{
+    let all = partitions.iter().flat_map(|newest| &newest.records);
+    let (workers, unreadable) = records::read_drains(all.map(|(_offset, record)| record));
+    for error in unreadable {
+        let reason = error.to_string();
+        leader
+            .node
+            .report_unreadable(Source::Progress, records::DRAINS_KEY, &reason);
+    }
+    workers
+}
+
 /// Restores the progress of waves that a predecessor worked on.
 fn restore_waves<P>(leader: &Rc<Leader<P>>, partitions: &[Newest])
 where
--- a/crates/cell/src/records.rs
+++ b/crates/cell/src/records.rs
@@ -14,6 +14,7 @@
 use syc_sched::JobSpec;
 use syc_sched::WaveProgress;
 use syc_sched::WorkerSpec;
+use syc_types::WorkerId;
 
 use crate::ports::MAX_VM_CAPACITY;
 use crate::ports::Record;
@@ -31,6 +32,9 @@
 /// Prefix of the keys of records with the progress of an maintenance wave.
 const WAVE_PREFIX: &str = "waves/";
 
+/// Key of the record of draining workers of which all runs are recorded.
+pub const DRAINS_KEY: &str = "drains";
+
 /// Most workers in one roster record: about 50 kB, well below the store's size limit.
 const WORKERS_PER_RECORD: usize = 200;
 
@@ -96,6 +100,17 @@
     }
 }
 
+/// Draining workers of which all runs are recorded in the progress of their jobs.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DrainsRecord {
+    /// Fencing token of the scheduler.
+    pub token: u64,
+    /// Number of the change of the roster with which it was written.
+    pub change: u64,
+    /// The workers.
+    pub workers: Vec<WorkerId>,
+}
+
 /// Creates the record of a submitted job.
 #[must_use]
 pub fn submitted(spec: &JobSpec) -> Record {
@@ -176,7 +191,16 @@
     }
 }
 
-/// Progress of an maintenance wave.
+/// Creates the record of the draining workers of which all runs are recorded.
+#[must_use]
+pub fn drains(drains: &DrainsRecord) -> Record {
+    Record {
+        key: SmolStr::new_static(DRAINS_KEY),
+        value: encode(drains),
+    }
+}
+
+/// Progress of a maintenance wave.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WaveRecord {
     /// Fencing token of the scheduler.
@@ -233,7 +257,7 @@
 /// Returns whether a record of the progress topic belongs to a job.
 #[must_use]
 pub fn is_job_progress(record: &Record) -> bool {
-    !is_roster(record) && !record.key.starts_with(WAVE_PREFIX)
+    !is_roster(record) && !record.key.starts_with(WAVE_PREFIX) && record.key != DRAINS_KEY
 }
 
 /// Returns whether a record is part of a roster.
@@ -242,6 +266,38 @@
     record.key.starts_with(ROSTER_PREFIX)
 }
 
+/// Decodes the latest record of drained workers. Also returns the errors of unreadable ones.
+///
+/// It holds only for the scheduler that wrote the latest roster: a later one may have used these workers again.
+#[must_use]
+pub fn read_drains<'a, I>(records: I) -> (Vec<WorkerId>, Vec<serde_json::Error>)
+where
+    I: IntoIterator<Item = &'a Record>,
+{
+    let mut latest = DrainsRecord::default();
+    let mut roster_token = 0;
+    let mut unreadable = Vec::new();
+    for record in records {
+        if is_roster(record) {
+            let roster = read_roster_part(&record.value);
+            roster_token = roster_token.max(roster.map_or(0, |roster| roster.token));
+            continue;
+        }
+        if record.key != DRAINS_KEY || record.value.is_empty() {
+            continue;
+        }
+        match serde_json::from_slice::<DrainsRecord>(&record.value) {
+            Ok(read) if (read.token, read.change) > (latest.token, latest.change) => latest = read,
+            Ok(_older) => {}
+            Err(error) => unreadable.push(error),
+        }
+    }
+    if latest.token < roster_token {
+        latest.workers.clear();
+    }
+    (latest.workers, unreadable)
+}
+
 /// Decodes the workers of the latest roster. Also returns the keys and errors of unreadable records of any roster.
 #[must_use]
 pub fn read_roster<'a, I>(records: I) -> (Vec<WorkerSpec>, Vec<(SmolStr, serde_json::Error)>)
--- a/crates/sched/src/action.rs
+++ b/crates/sched/src/action.rs
@@ -3,6 +3,7 @@
 use smol_str::SmolStr;
 use syc_types::Millis;
 use syc_types::VmId;
+use syc_types::WorkerId;
 
 use crate::JobId;
 use crate::Note;
@@ -103,6 +104,9 @@
         /// Whether maintenance has begun on every VM that stays.
         completed: bool,
     },
+    /// Record that all runs on a draining worker are recorded. A successor then need not wait for the worker with tasks
+    /// that are not recorded there, even if it does not answer.
+    RecordDrain(WorkerId),
     /// Delete the stored specification of a job: only its state can still be queried.
     DeleteSpec(JobId),
     /// Delete everything that is stored of a job.
--- /dev/null
+++ b/crates/sched/src/drain_record.rs
@@ -0,0 +1,192 @@
+//! Draining workers of which all runs are recorded, so that a successor knows what may run on them.
+//!
+//! A worker that drains soon leaves, and is then neither registered nor answers. To a successor it looks like a worker that
+//! is cut off, on which any task may run that the predecessor had started without recording that. Since a draining worker
+//! gets no new starts, its runs are recorded once, and then the fact that they are. A successor waits for such a worker
+//! with the recorded runs alone.
+
+use syc_types::Millis;
+use syc_types::WorkerId;
+
+use crate::Action;
+use crate::Scheduler;
+use crate::WorkerKey;
+use crate::ids::JobKey;
+use crate::run_ends::UnitRef;
+use crate::unit::Outcome;
+use crate::unit::UnitState;
+use crate::worker::Phase;
+use crate::worker::WorkerRun;
+
+/// How far the runs of a draining worker are recorded.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub(crate) enum DrainRecord {
+    /// Not all of them are, or the worker is not draining.
+    #[default]
+    Incomplete,
+    /// Changes of jobs that record them, and that are not all stored.
+    Writing(Vec<(JobKey, u64)>),
+    /// All of them are.
+    Recorded,
+}
+
+impl Scheduler {
+    /// Restores that a predecessor had recorded all runs of draining workers. Called before
+    /// [`Scheduler::begin_recovery`], once the workers are known.
+    pub fn restore_drains<'a, I>(&mut self, workers: I)
+    where
+        I: IntoIterator<Item = &'a WorkerId>,
+    {
+        for id in workers {
+            let key = self.worker_keys.get(id).copied();
+            let worker = key.and_then(|key| self.workers.get_mut(key));
+            if let Some(worker) = worker.filter(|worker| worker.spec.draining) {
+                worker.drain_record = DrainRecord::Recorded;
+            }
+        }
+    }
+
+    pub(crate) fn is_drain_recorded(&self, id: &WorkerId) -> bool {
+        let key = self.worker_keys.get(id);
+        let worker = key.and_then(|key| self.workers.get(*key));
+        worker.is_some_and(|worker| worker.drain_record == DrainRecord::Recorded)
+    }
+
+    /// Records the runs of workers that drain.
+    pub(crate) fn record_drains(&mut self) {
+        let mut draining = Vec::new();
+        for (key, worker) in &self.workers {
+            let is_recorded = worker.drain_record == DrainRecord::Recorded;
+            if worker.spec.draining && worker.runs_known && !is_recorded {
+                draining.push(key);
+            }
+        }
+        for key in draining {
+            self.record_drain(key);
+        }
+    }
+
+    fn record_drain(&mut self, key: WorkerKey) {
+        let Some(jobs) = self.jobs_to_record(key) else {
+            self.workers[key].drain_record = DrainRecord::Incomplete;
+            return;
+        };
+        if let DrainRecord::Writing(changes) = &self.workers[key].drain_record
+            && jobs
+                .iter()
+                .all(|job| changes.iter().any(|(written, _)| written == job))
+        {
+            let is_stored = |(job, change): &(JobKey, u64)| {
+                let job = self.jobs.get(*job);
+                job.is_none_or(|job| job.recorded_change >= *change)
+            };
+            if changes.iter().all(is_stored) {
+                let worker = &mut self.workers[key];
+                worker.drain_record = DrainRecord::Recorded;
+                let id = worker.spec.id.clone();
+                self.actions.push(Action::RecordDrain(id));
+            }
+            return;
+        }
+        let changes = jobs.into_iter().map(|job| (job, self.mark_changed(job)));
+        let changes = changes.collect();
+        self.workers[key].drain_record = DrainRecord::Writing(changes);
+    }
+
+    /// Returns the jobs whose progress names a worker for each run that may be on it, or `None` if that of some run does
+    /// not: its job is not known, or another run of its unit is recorded.
+    fn jobs_to_record(&self, key: WorkerKey) -> Option<Vec<JobKey>> {
+        let worker = &self.workers[key];
+        let name = worker.spec.id.name();
+        if self.misdirected.iter().any(|run| run.worker_name() == name) {
+            return None;
+        }
+        let mut jobs = Vec::new();
+        for (task, run) in worker.runs.keys() {
+            if self.is_orphan(*task, *run) {
+                return None;
+            }
+            let Some((job, step, unit, member)) = self.locate_task(*task) else {
+                continue;
+            };
+            if self.jobs[job].state.is_terminal() {
+                continue;
+            }
+            let unit = &self.jobs[job].steps[step].units[unit];
+            if !unit.names_member(key, member, *run) {
+                return None;
+            }
+            if !jobs.contains(&job) {
+                jobs.push(job);
+            }
+        }
+        Some(jobs)
+    }
+
+    /// Assumes that what a predecessor recorded on draining workers still runs there, until they report or their leases
+    /// have expired.
+    pub(crate) fn assume_recorded_placements(&mut self, now: Millis) {
+        let mut placed = Vec::new();
+        for job in &self.open_jobs {
+            for (step, of_step) in self.jobs[*job].steps.iter().enumerate() {
+                for (unit, of_unit) in of_step.units.iter().enumerate() {
+                    let unit_ref = UnitRef {
+                        job: *job,
+                        step,
+                        unit,
+                    };
+                    let workers = of_unit.predecessor_placement.workers.iter();
+                    for (member, id) in workers.enumerate() {
+                        let Some(id) = id.as_ref().filter(|id| self.is_drain_recorded(id)) else {
+                            continue;
+                        };
+                        placed.push((unit_ref, member, self.worker_keys[id]));
+                    }
+                }
+            }
+        }
+        for (unit_ref, member, worker) in placed {
+            self.assume_placed(unit_ref, member, worker, now);
+        }
+    }
+
+    fn assume_placed(&mut self, unit_ref: UnitRef, member: usize, worker: WorkerKey, now: Millis) {
+        let step_id = self.step_id(unit_ref.job, unit_ref.step);
+        let step = &mut self.jobs[unit_ref.job].steps[unit_ref.step];
+        let task = step.task_at(step_id, unit_ref.unit, member);
+        let member_count = usize::try_from(step.members()).unwrap_or(1);
+        let unit = &mut step.units[unit_ref.unit];
+        let run = unit.predecessor_placement.run;
+        if unit.state == UnitState::Pending {
+            let members = vec![None; member_count];
+            // Of a gang whose end is stored, the other members have ended or are being stopped.
+            unit.state = if run > unit.last_accounted {
+                UnitState::Placed { run, members }
+            } else {
+                UnitState::Stopping {
+                    run,
+                    members,
+                    outcome: Outcome::Interrupted,
+                }
+            };
+            step.pending_units -= 1;
+        }
+        let (UnitState::Placed { members, .. } | UnitState::Stopping { members, .. }) =
+            &mut step.units[unit_ref.unit].state
+        else {
+            return;
+        };
+        members[member] = Some(worker);
+        // It is not confirmed: the order may still be on its way.
+        let held = WorkerRun {
+            phase: Phase::Running,
+            orders: 0,
+            start_copies: 0,
+            in_flight: false,
+            reported: true,
+            resumed: true,
+            ..self.unordered_run(worker, task, now)
+        };
+        self.workers[worker].insert(task, run, held);
+    }
+}
--- a/crates/sched/src/misdirected.rs
+++ b/crates/sched/src/misdirected.rs
@@ -31,6 +31,11 @@
 }
 
 impl MisdirectedRun {
+    /// Returns the name of the worker, without its incarnation.
+    pub(crate) fn worker_name(&self) -> &str {
+        &self.name
+    }
+
     pub(crate) const fn name(&self) -> (TaskId, Run) {
         (self.task, self.run)
     }
--- a/crates/sched/src/predecessor_placement.rs
+++ b/crates/sched/src/predecessor_placement.rs
@@ -14,6 +14,8 @@
 pub(crate) struct PredecessorPlacement {
     /// The number of that start.
     pub(crate) run: Run,
+    /// Number of the latest start whose end that scheduler had stored. It gave no start order beyond the next number.
+    pub(crate) accounted: Run,
     /// Names of the workers whose members are not known to have ended, by member.
     pub(crate) workers: Vec<Option<WorkerId>>,
 }
@@ -22,6 +24,7 @@
     /// The value for a unit that no predecessor started.
     pub(crate) const NONE: Self = Self {
         run: Run(0),
+        accounted: Run(0),
         workers: Vec::new(),
     };
 
@@ -31,10 +34,26 @@
         let workers = names.map(|name| (!name.as_str().is_empty()).then(|| name.clone()));
         Self {
             run: kept.last_started,
+            accounted: kept.last_accounted,
             workers: workers.collect(),
         }
     }
 
+    /// Returns whether that scheduler may have ordered a start of which the end is not stored on a worker.
+    ///
+    /// A recorded start was ordered on the recorded workers only, any other one on any worker but those of which all runs
+    /// are recorded.
+    pub(crate) fn may_include(&self, worker: &WorkerId, all_runs_recorded: bool) -> bool {
+        let is_recorded = self.run > self.accounted && !self.workers.is_empty();
+        !is_recorded && !all_runs_recorded || self.member_at(worker).is_some()
+    }
+
+    /// Returns the first member that is recorded on a worker and is not known to have ended.
+    pub(crate) fn member_at(&self, worker: &WorkerId) -> Option<usize> {
+        let mut workers = self.workers.iter();
+        workers.position(|at| at.as_ref() == Some(worker))
+    }
+
     /// Records that a member's run has ended.
     pub(crate) fn mark_ended(&mut self, member: usize, run: Run) {
         if run == self.run
--- a/crates/sched/src/recovery.rs
+++ b/crates/sched/src/recovery.rs
@@ -8,6 +8,7 @@
 use crate::Action;
 use crate::Note;
 use crate::Scheduler;
+use crate::drain_record::DrainRecord;
 use crate::ids::JobKey;
 use crate::run_ends::UnitRef;
 use crate::unit::Outcome;
@@ -37,9 +38,26 @@
     /// Number of workers that crashed before they reported what runs on them.
     unreported_crashes: u32,
     pub(crate) adopted: usize,
+    /// Units that are done, of which a predecessor's later start may still be carried out.
+    held_completions: Vec<UnitRef>,
 }
 
 impl Recovery {
+    /// Remembers a unit that is done, to be recorded once no later start of it can be carried out.
+    pub(crate) fn hold_completion(&mut self, unit_ref: UnitRef) {
+        self.held_completions.push(unit_ref);
+    }
+
+    /// Takes the units that are done and not recorded as such.
+    pub(crate) fn take_held_completions(&mut self) -> Vec<UnitRef> {
+        std::mem::take(&mut self.held_completions)
+    }
+
+    /// Returns whether predecessors' orders may still be carried out on workers that have not answered.
+    pub(crate) const fn may_orders_arrive(&self) -> bool {
+        self.begun && !self.is_complete
+    }
+
     /// Records that a worker has reported what runs on it.
     pub(crate) fn worker_reported(&mut self, worker: &WorkerId) {
         self.unreported_workers.remove(worker);
@@ -106,7 +124,7 @@
     pub fn begin_recovery(&mut self, now: Millis) {
         let mut unreported_workers = BTreeSet::new();
         for worker in self.workers.values() {
-            if !worker.runs_known {
+            if !worker.runs_known && worker.drain_record != DrainRecord::Recorded {
                 unreported_workers.insert(worker.spec.id.clone());
             }
         }
@@ -114,9 +132,13 @@
             for step in &self.jobs[*key].steps {
                 for unit in &step.units {
                     // Members of an accounted start whose worker is gone need not be waited for.
-                    if unit.last_started > unit.last_accounted {
-                        let workers = unit.predecessor_placement.workers.iter();
-                        unreported_workers.extend(workers.flatten().cloned());
+                    if unit.last_started <= unit.last_accounted {
+                        continue;
+                    }
+                    for id in unit.predecessor_placement.workers.iter().flatten() {
+                        if !self.is_drain_recorded(id) {
+                            unreported_workers.insert(id.clone());
+                        }
                     }
                 }
             }
@@ -138,7 +160,9 @@
             is_partial: false,
             unreported_crashes: 0,
             adopted: self.recovery.adopted,
+            held_completions: Vec::new(),
         };
+        self.assume_recorded_placements(now);
         self.try_complete_recovery(now);
     }
 
@@ -153,6 +177,7 @@
         if !self.recovery.begun || self.recovery.is_complete {
             return;
         }
+        self.record_held_completions(now);
         let unanswered = self.recovery.unreported_workers.len();
         if unanswered > 0 && !self.have_unreported_leases_expired(now) {
             return;
@@ -165,6 +190,7 @@
             adopted,
             unanswered,
         }));
+        self.record_held_completions(now);
         self.stop_incomplete_gangs(now);
         self.expire_unknown_runs(now);
     }
--- a/crates/sched/src/reports.rs
+++ b/crates/sched/src/reports.rs
@@ -20,6 +20,7 @@
 use crate::WorkerReport;
 use crate::WorkerSpec;
 use crate::crash_history::Probation;
+use crate::drain_record::DrainRecord;
 use crate::orphans::RunReport;
 use crate::orphans::UNKNOWN_CHANGE;
 use crate::run_ends::RunTermination;
@@ -40,6 +41,9 @@
             let begins_draining = spec.draining && !worker.spec.draining;
             worker.registered = true;
             worker.spec = spec;
+            if !worker.spec.draining {
+                worker.drain_record = DrainRecord::Incomplete;
+            }
             worker.capacity_reported_at = now;
             worker.stale_capacity = None;
             if begins_draining {
@@ -67,9 +71,9 @@
 
     /// Detaches a worker that is no longer registered and holds no runs.
     ///
-    /// A draining worker that is silent and no longer registered has probably left, but may also be cut off. Runs known
-    /// to be on it are therefore given up only once its lease has expired. A takeover assumes that such a worker has left
-    /// if it has reported nothing: waiting for the lease of each worker that left would hold up all inherited jobs.
+    /// A draining worker that is silent and no longer registered has probably left, but may also be cut off. Runs that may
+    /// be on it are therefore given up only once its lease has expired. During a takeover, these are the recorded ones if
+    /// the predecessor had recorded all of them, and otherwise any run that it may have started.
     pub(crate) fn detach_if_idle(&mut self, key: WorkerKey, now: Millis) {
         let worker = &self.workers[key];
         if worker.registered || !worker.runs.is_empty() {
@@ -78,8 +82,8 @@
         let lapsed = worker.leases_expire_at <= now;
         let has_all_ends = worker.all_ends_reported_at >= worker.last_answer_at;
         let is_known_idle = worker.runs_known && has_all_ends;
-        let has_left = !worker.runs_known && worker.silent;
-        if lapsed || worker.spec.draining && (is_known_idle || has_left) {
+        let is_recorded_idle = worker.silent && worker.drain_record == DrainRecord::Recorded;
+        if lapsed || worker.spec.draining && (is_known_idle || is_recorded_idle) {
             self.detach(key);
         }
     }
@@ -384,7 +388,7 @@
 
     /// Creates the state of a run that this scheduler did not order. A run of an unknown job is assumed to use the
     /// whole worker.
-    fn unordered_run(&self, key: WorkerKey, task: TaskId, now: Millis) -> WorkerRun {
+    pub(crate) fn unordered_run(&self, key: WorkerKey, task: TaskId, now: Millis) -> WorkerRun {
         let job = self.job_keys.get(&task.step.job);
         let spec = job.map(|job| &self.jobs[*job].spec);
         let step = spec.and_then(|spec| spec.steps.get(usize::from(task.step.step)));
--- a/crates/sched/src/run_ends.rs
+++ b/crates/sched/src/run_ends.rs
@@ -203,6 +203,11 @@
             _ => None,
         };
         let was_pending = unit.is_completion_pending();
+        let accounted = unit.predecessor_placement.accounted;
+        if run <= accounted && self.may_be_started_late(unit_ref, now) {
+            self.hold_completion(unit_ref, now);
+            return;
+        }
         if let Some(other) = other
             && self.has_unconfirmed_start(unit_ref, other)
         {
@@ -241,7 +246,7 @@
     }
 
     /// Returns whether a start order of a unit's run may not have been carried out yet.
-    fn has_unconfirmed_start(&self, unit_ref: UnitRef, run: Run) -> bool {
+    pub(crate) fn has_unconfirmed_start(&self, unit_ref: UnitRef, run: Run) -> bool {
         let step = self.step_id(unit_ref.job, unit_ref.step);
         let step_state = &self.jobs[unit_ref.job].steps[unit_ref.step];
         let is_unconfirmed = |((task, held_run), state): (&(TaskId, Run), &WorkerRun)| {
@@ -337,8 +342,9 @@
             return;
         }
         if self.unit_mut(unit_ref).is_completion_pending() {
-            self.record_outcome(unit_ref, run, Outcome::Done, now);
-            self.assign_end_changes(self.jobs[unit_ref.job].id());
+            if !self.may_be_started_late(unit_ref, now) {
+                self.record_pending_completion(unit_ref, run, now);
+            }
             return;
         }
         let change = self.mark_changed(unit_ref.job);
@@ -346,6 +352,12 @@
         self.unit_mut(unit_ref).state = UnitState::Recording { outcome, change };
     }
 
+    /// Records that a unit is done, now that no later run of it can start.
+    pub(crate) fn record_pending_completion(&mut self, unit_ref: UnitRef, run: Run, now: Millis) {
+        self.record_outcome(unit_ref, run, Outcome::Done, now);
+        self.assign_end_changes(self.jobs[unit_ref.job].id());
+    }
+
     pub(crate) fn unit_mut(&mut self, unit_ref: UnitRef) -> &mut Unit {
         &mut self.jobs[unit_ref.job].steps[unit_ref.step].units[unit_ref.unit]
     }
@@ -404,7 +416,13 @@
     }
 
     /// Stops the members of a unit's run that still hold resources.
-    fn stop_members(&mut self, unit_ref: UnitRef, run: Run, reason: StopReason, now: Millis) {
+    pub(crate) fn stop_members(
+        &mut self,
+        unit_ref: UnitRef,
+        run: Run,
+        reason: StopReason,
+        now: Millis,
+    ) {
         let step = self.step_id(unit_ref.job, unit_ref.step);
         let step_state = &self.jobs[unit_ref.job].steps[unit_ref.step];
         let mut stops = Vec::new();
--- a/crates/sched/src/unit.rs
+++ b/crates/sched/src/unit.rs
@@ -159,6 +159,23 @@
         *placed == run && members[member].is_none_or(|at| at == worker)
     }
 
+    /// Returns whether its record names a worker as that of a member's run.
+    pub(crate) fn names_member(&self, worker: WorkerKey, member: usize, run: Run) -> bool {
+        let (UnitState::Placed {
+            run: current,
+            members,
+        }
+        | UnitState::Stopping {
+            run: current,
+            members,
+            ..
+        }) = &self.state
+        else {
+            return false;
+        };
+        *current == run && members[member] == Some(worker)
+    }
+
     /// Returns whether it is done, and a later run of it is being stopped before that is recorded.
     pub(crate) const fn is_completion_pending(&self) -> bool {
         matches!(
@@ -170,6 +187,17 @@
         )
     }
 
+    /// Returns whether a worker is known on which its latest start is, or was until it ended.
+    pub(crate) fn is_located(&self) -> bool {
+        match &self.state {
+            UnitState::Pending => false,
+            UnitState::Placed { members, .. } | UnitState::Stopping { members, .. } => {
+                members.iter().any(Option::is_some)
+            }
+            UnitState::Recording { .. } | UnitState::Done => true,
+        }
+    }
+
     /// Returns whether a run on a worker is the run of a member that is being stopped. Runs with the same number on
     /// different workers are different runs.
     pub(crate) fn is_stopping_at(&self, worker: WorkerKey, member: usize, run: Run) -> bool {
--- a/crates/sched/src/worker.rs
+++ b/crates/sched/src/worker.rs
@@ -18,6 +18,7 @@
 use crate::WorkerSpec;
 use crate::circuit_breaker::CircuitBreaker;
 use crate::crash_history::Probation;
+use crate::drain_record::DrainRecord;
 use crate::pacing::Backfill;
 use crate::pacing::PaceControl;
 use crate::stale_capacity::StaleCapacity;
@@ -276,6 +277,8 @@
     pub(crate) suspected_runs: u32,
     /// Whether its runs are being moved off, because its VM is about to go down or to move to another pool.
     pub(crate) evacuating: bool,
+    /// Whether a successor can learn from the store what may run on it, because it is draining.
+    pub(crate) drain_record: DrainRecord,
     /// Controls the pace of the runs that fill unused processor time.
     pub(crate) pace: PaceControl,
     pub(crate) breaker: CircuitBreaker,
@@ -310,6 +313,7 @@
             reserved_isolations: 0,
             suspected_runs: 0,
             evacuating: false,
+            drain_record: DrainRecord::Incomplete,
             pace: PaceControl::new(),
             breaker: CircuitBreaker::new(),
         }
--- a/crates/sched/tests/schedules/simulation.rs
+++ b/crates/sched/tests/schedules/simulation.rs
@@ -631,7 +631,10 @@
                 Action::OrderVm { vm, operation } => self.send_vm_order(vm, operation),
                 Action::ReportWave { wave, completed } => self.vms.wave_reported(wave, completed),
                 Action::Note(note @ Note::RunMissing { .. }) => self.missing_runs.push(note),
-                Action::DeleteSpec(_) | Action::DeleteJob(_) | Action::Note(_) => {}
+                Action::RecordDrain(_)
+                | Action::DeleteSpec(_)
+                | Action::DeleteJob(_)
+                | Action::Note(_) => {}
             }
         }
     }
