--- a/crates/cell/src/leader.rs
+++ b/crates/cell/src/leader.rs
@@ -308,6 +308,7 @@
                 Action::ListVms { asked_at } => self.list_vms(asked_at),
                 Action::OrderVm { vm, operation } => self.order_vm(vm, operation),
                 Action::ReportWave { wave, completed } => self.queue_wave_status(wave, completed),
+                Action::ForgetWorker(id) => self.forget_worker(&id),
                 Action::RecordDrain(id) => self.record_drain(id),
                 Action::DeleteSpec(id) => self.specs_to_remove.borrow_mut().push(id),
                 Action::DeleteJob(id) => self.progress_to_remove.borrow_mut().push(id),
--- a/crates/cell/src/leader/roster.rs
+++ b/crates/cell/src/leader/roster.rs
@@ -262,6 +262,12 @@
         self.apply(Event::WorkerUnlisted(id));
     }
 
+    /// Removes a worker from the roster on which no task can be running.
+    pub(super) fn forget_worker(&self, id: &WorkerId) {
+        self.roster.remove(id);
+        self.progress_notify.notify_one();
+    }
+
     /// Records that all runs on a draining worker are recorded.
     pub(super) fn record_drain(&self, id: WorkerId) {
         self.roster.add_drained(id);
--- a/crates/cell/src/leader/sessions.rs
+++ b/crates/cell/src/leader/sessions.rs
@@ -101,8 +101,6 @@
             self.node
                 .unreadable
                 .forget(Source::WorkerAnswers, id.as_str());
-            self.roster.remove(id);
-            self.progress_notify.notify_one();
         }
     }
 
--- a/crates/sched/src/action.rs
+++ b/crates/sched/src/action.rs
@@ -107,6 +107,8 @@
     /// Record that all runs on a draining worker are recorded. A successor then need not wait for the worker with tasks
     /// that are not recorded there, even if it does not answer.
     RecordDrain(WorkerId),
+    /// Remove a worker from the roster, since nothing that was ordered can still run on it.
+    ForgetWorker(WorkerId),
     /// Delete the stored specification of a job: only its state can still be queried.
     DeleteSpec(JobId),
     /// Delete everything that is stored of a job.
--- a/crates/sched/src/late_starts.rs
+++ b/crates/sched/src/late_starts.rs
@@ -1,14 +1,17 @@
-//! Tasks that a worker reports as done during a takeover while a predecessor's later start of them may still be carried
-//! out.
+//! Ends of units whose later start may still be carried out.
 //!
-//! A predecessor starts a task again only once the end of its earlier run is stored. An end as done with a greater number
-//! than the stored one therefore rules out any later start, and is recorded immediately. An end with that number or a
-//! smaller one is of a run that had been presumed lost, so the next start may be on its way to a worker that has not
-//! answered this scheduler. Until that is ruled out, the unit is neither recorded as done, nor is its end acknowledged. The
-//! first answer of a worker suffices: from then on it refuses the predecessor's orders, and it lists what it runs.
+//! A task that is started again because its run was presumed lost can still be reported as done, or as failed without an
+//! attempt left. A caller must not be told of that, nor may the worker forget it, before it is certain that the later start
+//! is not carried out any more. Until then the later run is being stopped.
+//!
+//! During a takeover, that start may be a predecessor's. A predecessor starts a task again only once the end of its
+//! earlier run is stored. An end with a greater number than the stored one therefore rules out any later start. After an end
+//! with that number or a smaller one, the next start may be on its way to a worker that has not answered this scheduler.
+//! The first answer of a worker suffices: from then on it refuses the predecessor's orders, and it lists what it runs.
 
 use syc_types::Millis;
 
+use crate::JobState;
 use crate::Run;
 use crate::Scheduler;
 use crate::StopReason;
@@ -18,6 +21,19 @@
 use crate::unit::UnitState;
 
 impl Scheduler {
+    /// Returns whether a start of a unit later than a run may still be carried out.
+    pub(crate) fn may_start_after(&self, unit_ref: UnitRef, run: Run, now: Millis) -> bool {
+        let unit = &self.jobs[unit_ref.job].steps[unit_ref.step].units[unit_ref.unit];
+        if let UnitState::Placed { run: later, .. } | UnitState::Stopping { run: later, .. } =
+            &unit.state
+            && *later > run
+            && self.has_unconfirmed_start(unit_ref, *later)
+        {
+            return true;
+        }
+        run <= unit.predecessor_placement.accounted && self.may_be_started_late(unit_ref, now)
+    }
+
     /// Returns whether a worker that has not answered may still carry out a predecessor's start of a unit.
     pub(crate) fn may_be_started_late(&self, unit_ref: UnitRef, now: Millis) -> bool {
         let job = &self.jobs[unit_ref.job];
@@ -39,8 +55,8 @@
         })
     }
 
-    /// Marks a unit as done, and stops its later run wherever that is found, before this is recorded.
-    pub(crate) fn hold_completion(&mut self, unit_ref: UnitRef, now: Millis) {
+    /// Marks a unit as ended, and stops its later run wherever that is found, before this is recorded.
+    pub(crate) fn hold_end(&mut self, unit_ref: UnitRef, outcome: Outcome, now: Millis) {
         let step = &mut self.jobs[unit_ref.job].steps[unit_ref.step];
         let member_count = usize::try_from(step.members()).unwrap_or(1);
         let unit = &mut step.units[unit_ref.unit];
@@ -57,37 +73,71 @@
         unit.state = UnitState::Stopping {
             run,
             members,
-            outcome: Outcome::Done,
+            outcome,
         };
         if was_pending {
             step.pending_units -= 1;
             self.release_reservation(unit_ref.job, unit_ref.step, unit_ref.unit);
         }
-        self.recovery.hold_completion(unit_ref);
+        self.recovery.hold_end(unit_ref);
         self.stop_members(unit_ref, run, StopReason::Unwanted, now);
     }
 
-    /// Records the units as done of which no later start can be carried out any more.
-    pub(crate) fn record_held_completions(&mut self, now: Millis) {
-        for unit_ref in self.recovery.take_held_completions() {
+    /// Records the ends of which no later start can be carried out any more.
+    pub(crate) fn record_held_ends(&mut self, now: Millis) {
+        for unit_ref in self.recovery.take_held_ends() {
             let Some(run) = self.held_run(unit_ref) else {
                 continue;
             };
-            let is_unconfirmed = self.has_unconfirmed_start(unit_ref, run);
-            if self.may_be_started_late(unit_ref, now) {
-                self.recovery.hold_completion(unit_ref);
-            } else if !is_unconfirmed {
-                self.record_pending_completion(unit_ref, run, now);
+            if self.may_be_started_late(unit_ref, now) || self.has_unconfirmed_start(unit_ref, run)
+            {
+                self.recovery.hold_end(unit_ref);
+                continue;
             }
+            self.record_pending_end(unit_ref, run, now);
+        }
+    }
+
+    /// Records the end of a unit, now that its later run has ended or can't start.
+    pub(crate) fn record_pending_end(&mut self, unit_ref: UnitRef, run: Run, now: Millis) {
+        let is_done = self.unit_mut(unit_ref).is_completion_pending();
+        if !is_done {
+            self.end_job(unit_ref.job, JobState::Failed, now);
+            return;
+        }
+        self.record_outcome(unit_ref, run, Outcome::Done, now);
+        self.assign_end_changes(self.jobs[unit_ref.job].id());
+    }
+
+    /// Holds the units back that had no attempt left when a predecessor was lost, before it ended their jobs.
+    pub(crate) fn hold_exhausted_units(&mut self, now: Millis) {
+        let mut exhausted = Vec::new();
+        for job in &self.open_jobs {
+            for (step, of_step) in self.jobs[*job].steps.iter().enumerate() {
+                for unit in 0..of_step.units.len() {
+                    let unit_ref = UnitRef {
+                        job: *job,
+                        step,
+                        unit,
+                    };
+                    let is_pending = of_step.units[unit].state == UnitState::Pending;
+                    if is_pending && self.is_exhausted(unit_ref) {
+                        exhausted.push(unit_ref);
+                    }
+                }
+            }
+        }
+        for unit_ref in exhausted {
+            self.hold_end(unit_ref, Outcome::Exhausted, now);
         }
     }
 
-    /// Returns the run that a unit which is done waits for, or `None` if it does not wait for any, or for one that a
-    /// worker holds and whose end is awaited there.
+    /// Returns the run that the end of a unit waits for, or `None` if it does not wait for any, or for one whose worker is
+    /// known and reports its end.
     fn held_run(&self, unit_ref: UnitRef) -> Option<Run> {
         let job = self.jobs.get(unit_ref.job)?;
         let unit = job.steps.get(unit_ref.step)?.units.get(unit_ref.unit)?;
-        if job.state.is_terminal() || !unit.is_completion_pending() {
+        if job.state.is_terminal() || !unit.is_end_pending() {
             return None;
         }
         let UnitState::Stopping { run, members, .. } = &unit.state else {
--- a/crates/sched/src/placement.rs
+++ b/crates/sched/src/placement.rs
@@ -43,7 +43,7 @@
         let startable = self.startable_units(job, step);
         for unit in 0..self.jobs[job].steps[step].units.len() {
             let is_pending = self.jobs[job].steps[step].units[unit].state == UnitState::Pending;
-            if !is_pending || !startable.includes(unit) {
+            if !is_pending || !startable.includes(unit) || self.is_unit_awaited(job, step, unit) {
                 continue;
             }
             if self.jobs[job].steps[step].units[unit].reservation.is_some() {
--- a/crates/sched/src/recovery.rs
+++ b/crates/sched/src/recovery.rs
@@ -37,20 +37,32 @@
     is_partial: bool,
     /// Number of workers that crashed before they reported what runs on them.
     unreported_crashes: u32,
+    /// Workers that were detached unreported. A successor that does not know them could not count their crashes, so they
+    /// stay in the roster until what that means for the units is decided.
+    detached: Vec<WorkerId>,
     pub(crate) adopted: usize,
-    /// Units that are done, of which a predecessor's later start may still be carried out.
-    held_completions: Vec<UnitRef>,
+    /// Units that have ended, of which a predecessor's later start may still be carried out.
+    held_ends: Vec<UnitRef>,
 }
 
 impl Recovery {
-    /// Remembers a unit that is done, to be recorded once no later start of it can be carried out.
-    pub(crate) fn hold_completion(&mut self, unit_ref: UnitRef) {
-        self.held_completions.push(unit_ref);
+    /// Keeps a worker in the roster that was detached unreported. Returns whether it is kept.
+    pub(crate) fn keep_in_roster(&mut self, worker: &WorkerId) -> bool {
+        let keeps = self.may_orders_arrive();
+        if keeps {
+            self.detached.push(worker.clone());
+        }
+        keeps
+    }
+
+    /// Remembers a unit that has ended, to be recorded once no later start of it can be carried out.
+    pub(crate) fn hold_end(&mut self, unit_ref: UnitRef) {
+        self.held_ends.push(unit_ref);
     }
 
-    /// Takes the units that are done and not recorded as such.
-    pub(crate) fn take_held_completions(&mut self) -> Vec<UnitRef> {
-        std::mem::take(&mut self.held_completions)
+    /// Takes the units that have ended and are not recorded as such.
+    pub(crate) fn take_held_ends(&mut self) -> Vec<UnitRef> {
+        std::mem::take(&mut self.held_ends)
     }
 
     /// Returns whether predecessors' orders may still be carried out on workers that have not answered.
@@ -159,9 +171,11 @@
             is_complete: false,
             is_partial: false,
             unreported_crashes: 0,
+            detached: Vec::new(),
             adopted: self.recovery.adopted,
-            held_completions: Vec::new(),
+            held_ends: Vec::new(),
         };
+        self.hold_exhausted_units(now);
         self.assume_recorded_placements(now);
         self.try_complete_recovery(now);
     }
@@ -177,7 +191,8 @@
         if !self.recovery.begun || self.recovery.is_complete {
             return;
         }
-        self.record_held_completions(now);
+        self.record_held_ends(now);
+        self.expire_absent_runs(now);
         let unanswered = self.recovery.unreported_workers.len();
         if unanswered > 0 && !self.have_unreported_leases_expired(now) {
             return;
@@ -190,9 +205,67 @@
             adopted,
             unanswered,
         }));
-        self.record_held_completions(now);
+        self.record_held_ends(now);
         self.stop_incomplete_gangs(now);
         self.expire_unknown_runs(now);
+        for worker in std::mem::take(&mut self.recovery.detached) {
+            if !self.worker_keys.contains_key(&worker) {
+                self.actions.push(Action::ForgetWorker(worker));
+            }
+        }
+    }
+
+    /// Returns whether a unit must not be started because a predecessor may have started it unknown to this scheduler.
+    ///
+    /// Of a single task, that is ruled out once the end of the only run that it may have started is known.
+    pub(crate) fn is_unit_awaited(&self, job: JobKey, step: usize, unit: usize) -> bool {
+        let job = &self.jobs[job];
+        if !job.inherited || self.recovery.is_complete {
+            return false;
+        }
+        let step = &job.steps[step];
+        let unit = &step.units[unit];
+        step.members() > 1 || unit.last_accounted <= unit.predecessor_placement.accounted
+    }
+
+    /// Treats recorded runs of single tasks as ended if their worker has reported everything and they are not there.
+    fn expire_absent_runs(&mut self, now: Millis) {
+        let mut absent = Vec::new();
+        for job in &self.open_jobs {
+            for (step, of_step) in self.jobs[*job].steps.iter().enumerate() {
+                if of_step.members() > 1 {
+                    continue;
+                }
+                for (unit, of_unit) in of_step.units.iter().enumerate() {
+                    let unit_ref = UnitRef {
+                        job: *job,
+                        step,
+                        unit,
+                    };
+                    let placement = &of_unit.predecessor_placement;
+                    if of_unit.state != UnitState::Pending || placement.run <= placement.accounted {
+                        continue;
+                    }
+                    let [Some(worker)] = placement.workers.as_slice() else {
+                        continue;
+                    };
+                    if self.has_reported_everything(worker) {
+                        absent.push((unit_ref, placement.run));
+                    }
+                }
+            }
+        }
+        for (unit_ref, run) in absent {
+            self.jobs[unit_ref.job].steps[unit_ref.step].pending_units -= 1;
+            self.record_outcome(unit_ref, run, Outcome::Interrupted, now);
+        }
+    }
+
+    fn has_reported_everything(&self, id: &WorkerId) -> bool {
+        let key = self.worker_keys.get(id);
+        let worker = key.and_then(|key| self.workers.get(*key));
+        let is_unreported = self.recovery.unreported_workers.contains(id);
+        worker.is_some_and(|worker| worker.runs_known && !is_unreported)
     }
 
     /// Returns whether no worker that has not reported everything can hold a lease any more.
@@ -262,21 +335,28 @@
     }
 
     fn expire_unknown_run(&mut self, unit_ref: UnitRef, now: Millis) {
-        let worker_crashed = self.recovery.unreported_crashes > 0;
         let unit = self.unit_mut(unit_ref);
         if unit.state != UnitState::Pending {
             return;
         }
         let run = unit.last_accounted.next();
-        let may_be_unrecorded = unit.crashes() == 0 && unit.last_started < run;
-        if worker_crashed && may_be_unrecorded {
-            unit.possible_crashes = unit.possible_crashes.saturating_add(1);
+        if unit.last_started < run {
+            self.count_possible_crash(unit_ref, run);
         }
         self.jobs[unit_ref.job].steps[unit_ref.step].pending_units -= 1;
         self.record_outcome(unit_ref, run, Outcome::Interrupted, now);
     }
 
-    /// Stops the gangs of which not every member was found.
+    /// Counts a possible crash under a start of which the store has no placement.
+    fn count_possible_crash(&mut self, unit_ref: UnitRef, run: Run) {
+        let worker_crashed = self.recovery.unreported_crashes > 0;
+        let unit = self.unit_mut(unit_ref);
+        if worker_crashed && unit.crashes() == 0 && unit.predecessor_placement.run < run {
+            unit.possible_crashes = unit.possible_crashes.saturating_add(1);
+        }
+    }
+
+    /// Stops the gangs of which not every member was found. The members that were not may have crashed their workers.
     pub(crate) fn stop_incomplete_gangs(&mut self, now: Millis) {
         let mut incomplete = Vec::new();
         for key in &self.open_jobs {
@@ -297,6 +377,7 @@
             }
         }
         for (unit_ref, run, found) in incomplete {
+            self.count_possible_crash(unit_ref, run);
             self.stop_gang(unit_ref, run, Outcome::Interrupted, found, now);
         }
     }
--- a/crates/sched/src/reports.rs
+++ b/crates/sched/src/reports.rs
@@ -93,8 +93,12 @@
             return;
         };
         self.worker_keys.remove(&worker.spec.id);
-        self.recovery.worker_gone(&worker.spec.id);
+        let id = worker.spec.id;
+        self.recovery.worker_gone(&id);
         self.actions.push(Action::Detach { worker: key });
+        if worker.runs_known || !self.recovery.keep_in_roster(&id) {
+            self.actions.push(Action::ForgetWorker(id));
+        }
     }
 
     pub(crate) fn renewing(&mut self, key: WorkerKey, now: Millis) {
@@ -234,7 +238,7 @@
             }
             self.end_run(key, ended.task, ended.run, RunTermination::from(ended), now);
         }
-        let change = if self.is_completion_pending(ended.task) {
+        let change = if self.is_end_pending(ended.task) {
             UNKNOWN_CHANGE
         } else {
             self.change_covering_end(job_id)
@@ -343,7 +347,7 @@
                 || known_before(held_run.confirmed_at)
                 || known_before(held_run.stop_accepted_at);
             let may_have_ended_as_done =
-                report.has_more_ends && !self.is_completion_pending(name.0);
+                report.has_more_ends && !self.is_end_pending(name.0);
             if was_known && !may_have_ended_as_done {
                 absent.push(*name);
             }
--- a/crates/sched/src/run_ends.rs
+++ b/crates/sched/src/run_ends.rs
@@ -205,13 +205,13 @@
         let was_pending = unit.is_completion_pending();
         let accounted = unit.predecessor_placement.accounted;
         if run <= accounted && self.may_be_started_late(unit_ref, now) {
-            self.hold_completion(unit_ref, now);
+            self.hold_end(unit_ref, Outcome::Done, now);
             return;
         }
         if let Some(other) = other
             && self.has_unconfirmed_start(unit_ref, other)
         {
-            self.stop_before_completion(unit_ref, other, now);
+            self.hold_end(unit_ref, Outcome::Done, now);
             return;
         }
         if self.unit_mut(unit_ref).state == UnitState::Pending {
@@ -227,24 +227,6 @@
         }
     }
 
-    /// Stops a run of a unit that is done, and records that it is done only when that run has ended.
-    ///
-    /// The start may still be carried out. A caller must not be told that a task is done, nor may the worker that has
-    /// done it forget that, before it is certain that the task does not start again.
-    fn stop_before_completion(&mut self, unit_ref: UnitRef, run: Run, now: Millis) {
-        let unit = self.unit_mut(unit_ref);
-        let (UnitState::Placed { members, .. } | UnitState::Stopping { members, .. }) = &unit.state
-        else {
-            return;
-        };
-        unit.state = UnitState::Stopping {
-            run,
-            members: members.clone(),
-            outcome: Outcome::Done,
-        };
-        self.stop_members(unit_ref, run, StopReason::Unwanted, now);
-    }
-
     /// Returns whether a start order of a unit's run may not have been carried out yet.
     pub(crate) fn has_unconfirmed_start(&self, unit_ref: UnitRef, run: Run) -> bool {
         let step = self.step_id(unit_ref.job, unit_ref.step);
@@ -262,13 +244,14 @@
         is_set_aside || workers.any(|worker| worker.runs_of(step).any(is_unconfirmed))
     }
 
-    /// Returns whether a task is done and that is not recorded yet because a later run of it has to end first.
-    pub(crate) fn is_completion_pending(&self, task: TaskId) -> bool {
+    /// Returns whether a task has ended, as done or without an attempt left, and that is not recorded yet because a later
+    /// run of it has to end first.
+    pub(crate) fn is_end_pending(&self, task: TaskId) -> bool {
         let Some((job, step, unit, _member)) = self.locate_task(task) else {
             return false;
         };
         let job = &self.jobs[job];
-        !job.state.is_terminal() && job.steps[step].units[unit].is_completion_pending()
+        !job.state.is_terminal() && job.steps[step].units[unit].is_end_pending()
     }
 
     /// Counts a failure of a run whose end was already attributed to another reason: a worker can report the
@@ -290,7 +273,11 @@
         }
         let failures = unit.failures;
         self.mark_changed(unit_ref.job);
-        self.fail_if_exhausted(unit_ref, now);
+        if self.is_exhausted(unit_ref) && self.may_start_after(unit_ref, run, now) {
+            self.hold_end(unit_ref, Outcome::Exhausted, now);
+        } else {
+            self.fail_if_exhausted(unit_ref, now);
+        }
         failures
     }
 
@@ -329,6 +316,7 @@
             return;
         };
         let all_ended = members.iter().all(Option::is_none);
+        let is_single = members.len() == 1;
         // The failed member may be reported after the members that its failure broke.
         if outcome == Outcome::Failed && *so_far == Outcome::Interrupted {
             *so_far = Outcome::Failed;
@@ -341,9 +329,10 @@
         if !all_ended {
             return;
         }
-        if self.unit_mut(unit_ref).is_completion_pending() {
-            if !self.may_be_started_late(unit_ref, now) {
-                self.record_pending_completion(unit_ref, run, now);
+        if self.unit_mut(unit_ref).is_end_pending() {
+            // A start order of a single task goes to one worker.
+            if is_single || !self.may_be_started_late(unit_ref, now) {
+                self.record_pending_end(unit_ref, run, now);
             }
             return;
         }
@@ -352,12 +341,6 @@
         self.unit_mut(unit_ref).state = UnitState::Recording { outcome, change };
     }
 
-    /// Records that a unit is done, now that no later run of it can start.
-    pub(crate) fn record_pending_completion(&mut self, unit_ref: UnitRef, run: Run, now: Millis) {
-        self.record_outcome(unit_ref, run, Outcome::Done, now);
-        self.assign_end_changes(self.jobs[unit_ref.job].id());
-    }
-
     pub(crate) fn unit_mut(&mut self, unit_ref: UnitRef) -> &mut Unit {
         &mut self.jobs[unit_ref.job].steps[unit_ref.step].units[unit_ref.unit]
     }
@@ -372,13 +355,19 @@
         }
     }
 
+    /// Returns whether a unit has used up its attempts.
+    pub(crate) fn is_exhausted(&self, unit_ref: UnitRef) -> bool {
+        let job = &self.jobs[unit_ref.job];
+        let unit = &job.steps[unit_ref.step].units[unit_ref.unit];
+        unit.failures >= job.spec.policy.attempts_limit.max(1)
+    }
+
     /// Fails the job if the unit has used up its attempts or is proven to crash its workers.
     pub(crate) fn fail_if_exhausted(&mut self, unit_ref: UnitRef, now: Millis) -> bool {
-        let limit = self.jobs[unit_ref.job].spec.policy.attempts_limit.max(1);
         let unit = self.unit_mut(unit_ref);
         let is_guilty = unit.exceeds_crash_limit();
         let crashes = unit.crashes();
-        let spent = unit.failures >= limit || is_guilty;
+        let spent = is_guilty || self.is_exhausted(unit_ref);
         if is_guilty {
             let step = self.step_id(unit_ref.job, unit_ref.step);
             let task = self.jobs[unit_ref.job].steps[unit_ref.step].task_at(step, unit_ref.unit, 0);
--- a/crates/sched/src/unit.rs
+++ b/crates/sched/src/unit.rs
@@ -18,6 +18,8 @@
     Failed,
     /// Ended for a reason that does not count against the unit.
     Interrupted,
+    /// Failed, and no attempt is left. Only of a run that is being stopped before that takes effect.
+    Exhausted,
 }
 
 /// State of a unit.
@@ -30,8 +32,8 @@
         run: Run,
         members: Vec<Option<WorkerKey>>,
     },
-    /// A member has ended and the others are being stopped. With the outcome `Done`, the unit is done by another run, and
-    /// this one is being stopped before that is recorded.
+    /// A member has ended and the others are being stopped. With the outcome `Done` or `Exhausted`, the unit has ended by
+    /// an earlier run, and this one is being stopped before that is recorded.
     Stopping {
         run: Run,
         /// Workers of the members that have not ended.
@@ -198,6 +200,18 @@
         }
     }
 
+    /// Returns whether it has ended, as done or without an attempt left, and a later run of it is being stopped before that
+    /// is recorded.
+    pub(crate) const fn is_end_pending(&self) -> bool {
+        matches!(
+            self.state,
+            UnitState::Stopping {
+                outcome: Outcome::Done | Outcome::Exhausted,
+                ..
+            }
+        )
+    }
+
     /// Returns whether a run on a worker is the run of a member that is being stopped. Runs with the same number on
     /// different workers are different runs.
     pub(crate) fn is_stopping_at(&self, worker: WorkerKey, member: usize, run: Run) -> bool {
--- a/crates/sched/src/waiting.rs
+++ b/crates/sched/src/waiting.rs
@@ -9,6 +9,7 @@
 use crate::StepId;
 use crate::UnusableWorkers;
 use crate::ids::JobKey;
+use crate::unit::UnitState;
 
 /// How long a step waits before the log reports why. The interval doubles with each report.
 const WAIT_LOG_INTERVAL_MS: u64 = 1_000;
@@ -39,13 +40,17 @@
         let recovery_complete = self.recovery.is_complete();
         for key in &self.open_jobs {
             let job = &self.jobs[*key];
-            if job.inherited && !recovery_complete || !self.may_start_job(job.arrival_number, now) {
+            if !self.may_start_job(job.arrival_number, now) {
                 continue;
             }
+            let is_awaited = job.inherited && !recovery_complete;
             for step in 0..job.steps.len() {
                 if job.steps[step].pending_units == 0 || !job.is_ready(step, now) {
                     continue;
                 }
+                if is_awaited && !self.has_startable_unit(*key, step) {
+                    continue;
+                }
                 waiting.push((urgency(job, step, now), *key, step));
             }
         }
@@ -57,6 +62,13 @@
         waiting
     }
 
+    /// Returns whether a step has a unit that may be started although a takeover waits for others.
+    fn has_startable_unit(&self, job: JobKey, step: usize) -> bool {
+        let units = self.jobs[job].steps[step].units.iter().enumerate();
+        let mut pending = units.filter(|(_, unit)| unit.state == UnitState::Pending);
+        pending.any(|(unit, _)| !self.is_unit_awaited(job, step, unit))
+    }
+
     /// Logs at increasing intervals what a step waits for.
     pub(crate) fn log_waiting(&mut self, job_key: JobKey, step_index: usize, now: Millis) {
         let step = &mut self.jobs[job_key].steps[step_index];
