--- a/crates/sched/tests/schedules/main.rs
+++ b/crates/sched/tests/schedules/main.rs
@@ -6,22 +6,23 @@
 
 mod gangs;
 mod jobs;
+mod search;
 mod simulation;
 
+use search::search;
 use simulation::Profile;
 use simulation::Simulation;
 use syc_fleet::InvariantChecker;
 use syc_fleet::Violation;
 use syc_sched::JobId;
+use syc_sched::JobState;
 use syc_sched::Options;
+use syc_types::Millis;
 use test_case::test_case;
 
 /// Seeds per profile. These are enough for each fault to occur in each phase of a job, and few enough for CI.
 const SEEDS: u64 = 40;
 
-/// Seeds per profile in tests that are run manually.
-const MANY_SEEDS: u64 = 1_000;
-
 /// Reports leave out all ends but the oldest, and no end is acknowledged while the store is paused.
 const ENDS_LEFT_OUT: Profile = Profile {
     ends_per_report: Some(1),
@@ -31,6 +32,33 @@
     ..Profile::FAULT_FREE
 };
 
+/// Workers drain and leave, and some are partitioned before they do.
+const DRAINS: Profile = Profile {
+    worker_drains: 6,
+    ..Profile::FAULT_FREE
+};
+
+const DRAINS_WHILE_SCHEDULERS_CRASH: Profile = Profile {
+    scheduler_crashes: 6,
+    ..DRAINS
+};
+
+const RESTARTS_AND_EVERYTHING: Profile = Profile {
+    worker_restarts: 6,
+    ..Profile::ALL_FAULTS
+};
+
+const CRASHING_TASKS_BESIDE_CRASHES: Profile = Profile {
+    crashing_jobs: 3,
+    worker_crashes: 4,
+    ..Profile::FAULT_FREE
+};
+
+const DRAINS_AND_EVERYTHING: Profile = Profile {
+    worker_drains: 6,
+    ..Profile::ALL_FAULTS
+};
+
 #[test_case(Profile::FAULT_FREE; "no faults")]
 #[test_case(Profile { scheduler_crashes: 6, ..Profile::FAULT_FREE }; "schedulers crash")]
 #[test_case(Profile { partitions: 6, ..Profile::FAULT_FREE }; "network partitions")]
@@ -60,6 +88,9 @@
 #[test_case(Profile { worker_restarts: 6, lost_per_mille: 80, ..Profile::FAULT_FREE }; "workers start again and answers are lost")]
 #[test_case(Profile { worker_restarts: 6, store_pauses: 4, ..Profile::FAULT_FREE }; "workers start again while the store pauses")]
 #[test_case(Profile { worker_restarts: 6, ..Profile::ALL_FAULTS }; "workers start again and everything at once")]
+#[test_case(DRAINS; "workers drain")]
+#[test_case(Profile { partitions: 6, ..DRAINS }; "workers drain behind a cut")]
+#[test_case(Profile { lost_per_mille: 80, late_per_mille: 60, ..DRAINS }; "workers drain and orders are lost and late")]
 #[test_case(ENDS_LEFT_OUT; "reports leave out ends while the store pauses and schedulers crash")]
 #[test_case(Profile { ends_per_report: Some(1), late_scheduler_crash: true, ..Profile::ALL_FAULTS }; "reports leave out ends and everything at once")]
 fn random_schedules_violate_no_invariant(profile: Profile) {
@@ -73,6 +104,39 @@
     }
 }
 
+/// A successor starts again what still runs on a draining worker that is cut off.
+#[test_case(DRAINS_WHILE_SCHEDULERS_CRASH; "schedulers crash")]
+#[test_case(DRAINS_AND_EVERYTHING; "everything at once")]
+fn successors_start_nothing_twice_while_workers_drain(profile: Profile) {
+    let mut failed = Vec::new();
+    for seed in 1..=SEEDS {
+        let mut simulation = Simulation::new(seed, profile, Options::default());
+        simulation.run();
+        let (faults, unexpected) = (simulation.faults(), simulation.unexpected_states());
+        let missing_runs = simulation.missing_runs().to_vec();
+        if !faults.is_empty() || !unexpected.is_empty() || !missing_runs.is_empty() {
+            failed.push((seed, faults, unexpected, missing_runs));
+        }
+    }
+    assert!(failed.is_empty(), "{failed:?}");
+}
+
+/// A draining worker is cut off, and a takeover takes it as gone while its lease holds. Its task runs or ends there, and is
+/// started again.
+#[test_case(94, DRAINS_WHILE_SCHEDULERS_CRASH; "schedulers crash, first")]
+#[test_case(182, DRAINS_WHILE_SCHEDULERS_CRASH; "schedulers crash, second")]
+#[test_case(183, DRAINS_WHILE_SCHEDULERS_CRASH; "schedulers crash, third")]
+#[test_case(35, DRAINS_AND_EVERYTHING; "everything at once, first")]
+#[test_case(384, DRAINS_AND_EVERYTHING; "everything at once, a late start")]
+#[test_case(748, DRAINS_AND_EVERYTHING; "everything at once, three tasks")]
+fn successor_takes_a_draining_worker_that_is_cut_off_as_gone(seed: u64, profile: Profile) {
+    let mut simulation = Simulation::new(seed, profile, Options::default());
+    simulation.run();
+    assert_eq!(simulation.faults(), []);
+    assert_eq!(simulation.unexpected_states(), []);
+    assert_eq!(simulation.missing_runs(), []);
+}
+
 #[test_case(Profile { crashing_jobs: 1, ..Profile::FAULT_FREE }; "one job")]
 #[test_case(Profile { crashing_jobs: 6, ..Profile::FAULT_FREE }; "many jobs")]
 #[test_case(Profile { crashing_jobs: 3, scheduler_crashes: 6, ..Profile::FAULT_FREE }; "while schedulers crash")]
@@ -114,6 +178,26 @@
     assert_eq!(simulation.faults(), []);
 }
 
+/// Advice allows a gang on too few of the workers that are left after crashes and restarts. It has to be started once
+/// others join.
+#[test_case(50365, RESTARTS_AND_EVERYTHING; "restarts, first")]
+#[test_case(50755, RESTARTS_AND_EVERYTHING; "restarts, second")]
+#[test_case(50842, RESTARTS_AND_EVERYTHING; "restarts, third")]
+#[test_case(51100, RESTARTS_AND_EVERYTHING; "restarts, fourth")]
+#[test_case(51163, RESTARTS_AND_EVERYTHING; "restarts, fifth")]
+#[test_case(51178, RESTARTS_AND_EVERYTHING; "restarts, sixth")]
+#[test_case(52047, RESTARTS_AND_EVERYTHING; "restarts, seventh")]
+#[test_case(52801, RESTARTS_AND_EVERYTHING; "restarts, eighth")]
+#[test_case(50804, CRASHING_TASKS_BESIDE_CRASHES; "crashes, first")]
+#[test_case(167, CRASHING_TASKS_BESIDE_CRASHES; "crashes, second")]
+fn gang_never_starts_while_advice_allows_too_few_workers(seed: u64, profile: Profile) {
+    let mut simulation = Simulation::new(seed, profile, Options::default());
+    simulation.run();
+    assert_eq!(simulation.faults(), []);
+    assert_eq!(simulation.unexpected_states(), []);
+    assert_eq!(simulation.missing_runs(), []);
+}
+
 /// Three workers on which a task was started are lost, but it had ended on two of them, unread, before they were.
 #[test]
 fn crashes_of_workers_on_which_the_task_had_ended_do_not_fail_the_job() {
@@ -160,24 +244,29 @@
 #[test_case(Profile { worker_restarts: 8, ..Profile::FAULT_FREE }; "worker restarts")]
 #[test_case(Profile { worker_restarts: 6, scheduler_crashes: 6, ..Profile::FAULT_FREE }; "worker restarts while schedulers crash")]
 #[test_case(Profile { worker_restarts: 6, ..Profile::ALL_FAULTS }; "worker restarts and everything at once")]
+#[test_case(DRAINS; "worker drains")]
+#[test_case(DRAINS_WHILE_SCHEDULERS_CRASH; "worker drains while schedulers crash")]
+#[test_case(DRAINS_AND_EVERYTHING; "worker drains and everything at once")]
 #[ignore = "prints figures of many schedules"]
 fn print_lost_worker_statistics(profile: Profile) {
     let mut workers = [0; 8];
     let (mut faults, mut unexpected) = (Vec::new(), Vec::new());
     let mut missing_runs = Vec::new();
-    for seed in 1..=MANY_SEEDS {
+    let results = search(|seed| {
         let mut simulation = Simulation::new(seed, profile, Options::default());
         simulation.run();
-        faults.extend(simulation.faults().into_iter().map(|fault| (seed, fault)));
-        unexpected.extend(
-            simulation
-                .unexpected_states()
-                .into_iter()
-                .map(|end| (seed, end)),
-        );
-        let missing = simulation.missing_runs().iter().cloned();
-        missing_runs.extend(missing.map(|note| (seed, note)));
-        for count in simulation.crashed_workers_per_task() {
+        (
+            simulation.faults(),
+            simulation.unexpected_states(),
+            simulation.missing_runs().to_vec(),
+            simulation.crashed_workers_per_task(),
+        )
+    });
+    for (seed, (seed_faults, seed_unexpected, seed_missing, crashed_workers)) in results {
+        faults.extend(seed_faults.into_iter().map(|fault| (seed, fault)));
+        unexpected.extend(seed_unexpected.into_iter().map(|end| (seed, end)));
+        missing_runs.extend(seed_missing.into_iter().map(|note| (seed, note)));
+        for count in crashed_workers {
             workers[usize::try_from(count).unwrap_or(7).min(7)] += 1;
         }
     }
@@ -218,6 +307,23 @@
     assert_eq!(checker.violations(), expected);
 }
 
+/// Advice is deliberately withheld for so long that jobs which enough workers may run end too late.
+#[test]
+fn checker_detects_jobs_that_stand_still_although_workers_are_allowed() {
+    let mut simulation = Simulation::new(1, Profile::FAULT_FREE, Options::default());
+    simulation.withhold_advice_until(Millis(125_000));
+    simulation.run();
+    let stood_still = simulation.unexpected_states();
+    assert!(!stood_still.is_empty(), "no job was reported");
+    let completed: Vec<_> = simulation.completed().collect();
+    for (job, expected, _) in stood_still {
+        assert!(
+            expected == JobState::Failed || completed.contains(&job),
+            "{job} did not end at all"
+        );
+    }
+}
+
 /// The scheduler deliberately does not wait for leases to expire, which the checker must detect.
 #[test_case(Profile { partitions: 10, ..Profile::FAULT_FREE }; "partitioned workers")]
 #[test_case(Profile { resetting_workers: 10, ..Profile::FAULT_FREE }; "workers that accept no orders")]
--- a/crates/sched/tests/schedules/simulation.rs
+++ b/crates/sched/tests/schedules/simulation.rs
@@ -2,7 +2,9 @@
 
 mod counts;
 mod delivery;
+mod drains;
 mod faults;
+mod late_workers;
 mod orders;
 mod renewals;
 mod restarts;
@@ -94,6 +96,8 @@
     pub capacity_changes: u32,
     /// Times that a worker, or all of them, restart under the same name.
     pub worker_restarts: u32,
+    /// Times that a worker drains and leaves. Some of these workers are partitioned meanwhile.
+    pub worker_drains: u32,
     /// Whether workers have less capacity than they report, which the checker must detect.
     pub overstates_capacity: bool,
     /// Whether the schedule consists of a latency-bound job and backfill jobs instead of the usual ones.
@@ -127,6 +131,7 @@
         crashing_jobs: 0,
         capacity_changes: 0,
         worker_restarts: 0,
+        worker_drains: 0,
         overstates_capacity: false,
         mixed_workload: false,
         gang_workload: false,
@@ -175,6 +180,8 @@
     IncarnationStarts(WorkerModel),
     /// The capacity of a worker changes to this number of cores.
     CapacityChanges(WorkerId, u64),
+    /// A draining worker that began its life at this time leaves.
+    WorkerLeaves(WorkerId, Millis),
     /// A worker updates its registration.
     WorkerReports(WorkerId),
     WorkerStarts,
@@ -221,6 +228,10 @@
     vms: VmsModel,
     wave: Option<Wave>,
     stored_waves: BTreeMap<u64, WaveProgress>,
+    /// Jobs that stood still although enough workers were allowed to run them, with their stored state.
+    stood_still: Vec<(JobId, Option<JobState>)>,
+    /// Until when no call for advice is answered.
+    advice_withheld_until: Millis,
     /// Whether crashed workers are reported to the scheduler as draining before the crash.
     crashes_reported_as_draining: bool,
 }
@@ -244,6 +255,8 @@
     unreported_since: Option<Millis>,
     /// Whether the registration has expired during a partition.
     expired: bool,
+    /// When it announced that it drains.
+    draining_since: Option<Millis>,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -256,6 +269,7 @@
     CapacityChange,
     WorkerRestart,
     GangPartition,
+    WorkerDrain,
 }
 
 impl Simulation {
@@ -294,6 +308,7 @@
             (FaultKind::CapacityChange, profile.capacity_changes),
             (FaultKind::WorkerRestart, profile.worker_restarts),
             (FaultKind::GangPartition, profile.gang_partitions),
+            (FaultKind::WorkerDrain, profile.worker_drains),
         ];
         for (fault, count) in fault_counts {
             for _ in 0..count {
@@ -334,6 +349,8 @@
             vms: VmsModel::new(VM_ORDER_MS),
             wave: None,
             stored_waves: BTreeMap::new(),
+            stood_still: Vec::new(),
+            advice_withheld_until: Millis(0),
             crashes_reported_as_draining: false,
         };
         for _ in 0..WORKERS {
@@ -353,6 +370,7 @@
             self.deliver();
             self.advance_vms();
             self.submit_due_jobs();
+            self.add_late_workers();
             self.renew();
             self.run_scheduler();
             self.check_count();
@@ -407,6 +425,11 @@
         self.crashes_reported_as_draining = true;
     }
 
+    /// Leaves calls for advice unanswered until then.
+    pub fn withhold_advice_until(&mut self, until: Millis) {
+        self.advice_withheld_until = until;
+    }
+
     pub fn waves_are_completed(&self) -> bool {
         self.vms.all_completed()
     }
@@ -426,6 +449,9 @@
             };
             if !as_expected {
                 unexpected.push((id, job.expected_state, stored));
+            } else if let Some((_, state)) = self.stood_still.iter().find(|(still, _)| *still == id)
+            {
+                unexpected.push((id, job.expected_state, *state));
             }
         }
         unexpected
@@ -465,11 +491,13 @@
             reported_cores: CORES,
             unreported_since: None,
             expired: false,
+            draining_since: None,
         };
         self.vms.set_worker(vm, id.clone());
         self.registered.insert(id.clone(), incarnation.clone());
         self.roster
             .insert(incarnation_id(&id, &incarnation), incarnation.clone());
+        self.write_roster();
         let spec = spec_of(&id, &incarnation);
         self.apply(Event::WorkerListed(spec));
     }
@@ -511,7 +539,8 @@
             .collect();
         let restores_roster = self.profile.crashing_jobs > 0
             || self.profile.worker_restarts > 0
-            || self.profile.capacity_changes > 0;
+            || self.profile.capacity_changes > 0
+            || self.profile.worker_drains > 0;
         unregistered.retain(|id, _| restores_roster && !listed.contains(id));
         for (id, incarnation) in &unregistered {
             self.apply(Event::WorkerListed(spec_of(
@@ -685,7 +714,7 @@
         rack: RackId::new(format!("r-{}", incarnation.number % 2)),
         labels: Vec::new(),
         capacity: cpu(incarnation.reported_cores),
-        draining: false,
+        draining: incarnation.draining_since.is_some(),
         vm: Some(incarnation.vm.clone()),
     }
 }
