--- a/crates/sched/src/orphans.rs
+++ b/crates/sched/src/orphans.rs
@@ -183,9 +183,7 @@
             .values()
             .flat_map(|worker| &worker.unacknowledged);
         let waiting = ends.filter(|end| is_waiting(end)).map(|end| end.task);
-        let pending: BTreeSet<_> = waiting
-            .filter(|task| self.is_end_pending(*task))
-            .collect();
+        let pending: BTreeSet<_> = waiting.filter(|task| self.is_end_pending(*task)).collect();
         for worker in self.workers.values_mut() {
             for end in &mut worker.unacknowledged {
                 if is_waiting(end) && !pending.contains(&end.task) {
--- a/crates/sched/src/recovery.rs
+++ b/crates/sched/src/recovery.rs
@@ -7,6 +7,7 @@
 
 use crate::Action;
 use crate::Note;
+use crate::Run;
 use crate::Scheduler;
 use crate::drain_record::DrainRecord;
 use crate::ids::JobKey;
--- a/crates/sched/src/reports.rs
+++ b/crates/sched/src/reports.rs
@@ -346,8 +346,7 @@
             let was_known = held_run.reported
                 || known_before(held_run.confirmed_at)
                 || known_before(held_run.stop_accepted_at);
-            let may_have_ended_as_done =
-                report.has_more_ends && !self.is_end_pending(name.0);
+            let may_have_ended_as_done = report.has_more_ends && !self.is_end_pending(name.0);
             if was_known && !may_have_ended_as_done {
                 absent.push(*name);
             }
--- a/crates/sched/tests/schedules/simulation.rs
+++ b/crates/sched/tests/schedules/simulation.rs
@@ -11,6 +11,7 @@
 mod workers;
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 
 use rand::Rng;
@@ -165,6 +166,7 @@
         Vec<(JobId, u64, JobProgress)>,
         Vec<(WaveProgress, u64)>,
         Vec<WorkerId>,
+        Vec<WorkerId>,
     ),
     PartitionBegins(WorkerId, u64),
     PartitionHealed(WorkerId),
@@ -222,6 +224,10 @@
     roster: BTreeMap<WorkerId, Incarnation>,
     /// Detached workers, which are removed from the roster together with the next write.
     detached: Vec<WorkerId>,
+    /// Draining workers of which all runs are recorded, to be stored together with the next write.
+    drains_to_store: Vec<WorkerId>,
+    /// Draining workers of which all runs are recorded, as stored for the scheduler's successors.
+    drained: BTreeSet<WorkerId>,
     /// Until when the addresses of crashed workers do not respond.
     down_until: BTreeMap<WorkerId, Millis>,
     incarnations: u64,
@@ -344,6 +350,8 @@
             registered: BTreeMap::new(),
             roster: BTreeMap::new(),
             detached: Vec::new(),
+            drains_to_store: Vec::new(),
+            drained: BTreeSet::new(),
             down_until: BTreeMap::new(),
             incarnations: 0,
             vms: VmsModel::new(VM_ORDER_MS),
@@ -506,6 +514,7 @@
         self.token += 1;
         self.sessions.clear();
         self.detached.clear();
+        self.drains_to_store.clear();
         self.write_in_flight = false;
         let mut scheduler = Scheduler::new(self.options);
         let ended = self.stored.iter().filter_map(|(id, progress)| {
@@ -543,10 +552,12 @@
             || self.profile.worker_drains > 0;
         unregistered.retain(|id, _| restores_roster && !listed.contains(id));
         for (id, incarnation) in &unregistered {
-            self.apply(Event::WorkerListed(spec_of(
-                &WorkerId::new(id.name()),
-                incarnation,
-            )));
+            let mut spec = spec_of(&WorkerId::new(id.name()), incarnation);
+            spec.draining |= self.drained.contains(id);
+            self.apply(Event::WorkerListed(spec));
+        }
+        if let Some(scheduler) = &mut self.scheduler {
+            scheduler.restore_drains(&self.drained);
         }
         for progress in self.stored_waves.values().cloned() {
             if let Some(scheduler) = &mut self.scheduler {
@@ -638,9 +649,7 @@
                     self.sessions.insert(worker, session);
                 }
                 Action::Detach { worker } => {
-                    if let Some(session) = self.sessions.remove(&worker) {
-                        self.detached.push(session.id);
-                    }
+                    self.sessions.remove(&worker);
                 }
                 Action::Start(order) => self.send_start(&order),
                 Action::Stop {
@@ -660,10 +669,9 @@
                 Action::OrderVm { vm, operation } => self.send_vm_order(vm, operation),
                 Action::ReportWave { wave, completed } => self.vms.wave_reported(wave, completed),
                 Action::Note(note @ Note::RunMissing { .. }) => self.missing_runs.push(note),
-                Action::RecordDrain(_)
-                | Action::DeleteSpec(_)
-                | Action::DeleteJob(_)
-                | Action::Note(_) => {}
+                Action::ForgetWorker(id) => self.detached.push(id),
+                Action::RecordDrain(id) => self.drains_to_store.push(id),
+                Action::DeleteSpec(_) | Action::DeleteJob(_) | Action::Note(_) => {}
             }
         }
     }
--- a/crates/sched/tests/schedules/simulation/delivery.rs
+++ b/crates/sched/tests/schedules/simulation/delivery.rs
@@ -41,7 +41,7 @@
                     self.apply(event);
                 }
             }
-            Delivery::Recorded(token, records, waves, detached) => {
+            Delivery::Recorded(token, records, waves, detached, drained) => {
                 // The store refuses writes of a predecessor.
                 if token != self.token {
                     return;
@@ -52,6 +52,7 @@
                     jobs.push((id, change));
                 }
                 self.write_in_flight = false;
+                self.drained.extend(drained);
                 if !detached.is_empty() {
                     self.write_roster();
                 }
--- a/crates/sched/tests/schedules/simulation/renewals.rs
+++ b/crates/sched/tests/schedules/simulation/renewals.rs
@@ -102,7 +102,9 @@
         let records = scheduler.take_records(50, self.now, TimeOfDay(1));
         let waves = scheduler.wave_records();
         let detached = std::mem::take(&mut self.detached);
-        if records.is_empty() && waves.is_empty() && detached.is_empty() {
+        let drained = std::mem::take(&mut self.drains_to_store);
+        let has_workers = !detached.is_empty() || !drained.is_empty();
+        if records.is_empty() && waves.is_empty() && !has_workers {
             return;
         }
         self.write_in_flight = true;
@@ -110,7 +112,7 @@
         let delay_ms = self.rng.random_range(5..40);
         self.schedule(
             delay_ms,
-            Delivery::Recorded(token, records, waves, detached),
+            Delivery::Recorded(token, records, waves, detached, drained),
         );
     }
 }
