--- a/crates/cell/tests/cell/main.rs
+++ b/crates/cell/tests/cell/main.rs
@@ -7,6 +7,7 @@
 mod clocks;
 mod cluster;
 mod fuzz;
+mod review_drains;
 mod roster;
 mod service;
 mod stages;
--- a/crates/sched/tests/core/main.rs
+++ b/crates/sched/tests/core/main.rs
@@ -19,6 +19,7 @@
 mod restarts;
 mod retention;
 mod review;
+mod review_late_starts;
 mod serving_order;
 mod sharing;
 mod silence;
