Trust a record of drains only if nothing newer may contradict it

What callers would see: a task started beside its first run, after a takeover, on a cell one of whose workers stopped draining; found by a review, not seen.

Cause: a worker that stops draining was stored as drained again if its scheduler recorded the drain before it could use the worker; and an older record of drains counted where a newer one, or a newer part of the roster, could not be read.

Change: only a worker that the roster still has as draining is added, and one that is listed for the first time is dropped; nothing holds if any record of either kind is unreadable.

--- a/crates/cell/src/leader/roster.rs
+++ b/crates/cell/src/leader/roster.rs
@@ -99,7 +99,10 @@
 
     /// Adds a draining worker of which all runs are recorded.
     pub(super) fn add_drained(&self, id: WorkerId) {
-        if self.members.borrow().contains_key(&id) && self.drained.borrow_mut().insert(id) {
+        // It may have stopped draining, which the scheduler learns only once the store has that.
+        let is_draining = |member: &Member| member.spec.draining || !member.listed;
+        let is_draining = self.members.borrow().get(&id).is_some_and(is_draining);
+        if is_draining && self.drained.borrow_mut().insert(id) {
             self.next_change();
         }
     }
@@ -108,6 +111,7 @@
     fn list(&self, spec: &WorkerSpec) -> Listing {
         let mut members = self.members.borrow_mut();
         let Some(member) = members.get_mut(&spec.id) else {
+            self.drained.borrow_mut().remove(&spec.id);
             let member = Member {
                 spec: spec.clone(),
                 listed: true,
--- a/crates/cell/src/records.rs
+++ b/crates/cell/src/records.rs
@@ -268,7 +268,8 @@
 
 /// Decodes the latest record of drained workers. Also returns the errors of unreadable ones.
 ///
-/// It holds only for the scheduler that wrote the latest roster: a later one may have used these workers again.
+/// It holds only for the scheduler that wrote the latest roster: a later one may have used these workers again. For the same
+/// reason, nothing holds if some record of either kind can't be read, since that may be the latest.
 #[must_use]
 pub fn read_drains<'a, I>(records: I) -> (Vec<WorkerId>, Vec<serde_json::Error>)
 where
@@ -279,8 +280,9 @@
     let mut unreadable = Vec::new();
     for record in records {
         if is_roster(record) {
+            // An unreadable part is reported by the reader of the roster.
             let roster = read_roster_part(&record.value);
-            roster_token = roster_token.max(roster.map_or(0, |roster| roster.token));
+            roster_token = roster_token.max(roster.map_or(u64::MAX, |roster| roster.token));
             continue;
         }
         if record.key != DRAINS_KEY || record.value.is_empty() {
@@ -292,7 +294,7 @@
             Err(error) => unreadable.push(error),
         }
     }
-    if latest.token < roster_token {
+    if latest.token < roster_token || !unreadable.is_empty() {
         latest.workers.clear();
     }
     (latest.workers, unreadable)
--- a/crates/cell/tests/cell/review_drains.rs
+++ b/crates/cell/tests/cell/review_drains.rs
@@ -76,18 +76,19 @@
     cluster.platform.register(ready.clone());
     cluster.kill(first);
     let full_reads = || {
-        let reads = [0, 1].map(|partition| cluster.platform.full_reads(Topic::Progress, partition));
-        reads.into_iter().min()
+        let counts =
+            [0, 1].map(|partition| cluster.platform.full_reads(Topic::Progress, partition));
+        counts.into_iter().min()
     };
-    let before = full_reads();
+    let reads_before = full_reads();
     cluster.platform.set_faults(SharedFaults::default());
     // The store refuses the successor's first appends, beginning between its reads and the first append.
-    while full_reads() == before {
+    while full_reads() == reads_before {
         std::thread::yield_now();
     }
     cluster.platform.set_faults(refuse_progress());
     let second = cluster.scheduler();
-    std::thread::sleep(std::time::Duration::from_millis(3_000));
+    std::thread::sleep(std::time::Duration::from_secs(3));
     cluster.platform.set_faults(SharedFaults::default());
     cluster.submit(second, 2, vec![step(16, 3_000)]);
     cluster.wait("a run on the worker", || {
