--- a/crates/sched/src/drain_record.rs
+++ b/crates/sched/src/drain_record.rs
@@ -5,6 +5,8 @@
 //! gets no new starts, its runs are recorded once, and then the fact that they are. A successor waits for such a worker
 //! with the recorded runs alone.
 
+use std::collections::BTreeSet;
+
 use syc_types::Millis;
 use syc_types::WorkerId;
 
@@ -57,7 +59,10 @@
         let mut draining = Vec::new();
         for (key, worker) in &self.workers {
             let is_recorded = worker.drain_record == DrainRecord::Recorded;
-            if worker.spec.draining && worker.runs_known && !is_recorded {
+            // An end that is not listed yet may be of a run that no scheduler knows of.
+            let has_all_ends = worker.all_ends_reported_at >= worker.last_answer_at;
+            let is_known = worker.runs_known && has_all_ends;
+            if worker.spec.draining && is_known && !is_recorded {
                 draining.push(key);
             }
         }
@@ -126,6 +131,19 @@
     /// Assumes that what a predecessor recorded on draining workers still runs there, until they report or their leases
     /// have expired.
     pub(crate) fn assume_recorded_placements(&mut self, now: Millis) {
+        let drained: BTreeSet<_> = self
+            .workers
+            .values()
+            .filter(|worker| worker.drain_record == DrainRecord::Recorded)
+            .map(|worker| worker.spec.id.clone())
+            .collect();
+        self.assume_placements(now, |at| drained.contains(at));
+    }
+
+    fn assume_placements<F>(&mut self, now: Millis, is_on: F)
+    where
+        F: Fn(&WorkerId) -> bool,
+    {
         let mut placed = Vec::new();
         for job in &self.open_jobs {
             for (step, of_step) in self.jobs[*job].steps.iter().enumerate() {
@@ -137,7 +155,7 @@
                     };
                     let workers = of_unit.predecessor_placement.workers.iter();
                     for (member, id) in workers.enumerate() {
-                        let Some(id) = id.as_ref().filter(|id| self.is_drain_recorded(id)) else {
+                        let Some(id) = id.as_ref().filter(|id| is_on(id)) else {
                             continue;
                         };
                         placed.push((unit_ref, member, self.worker_keys[id]));
@@ -150,6 +168,16 @@
         }
     }
 
+    /// Assumes that what a predecessor recorded on a worker was ordered there, if the worker has not reported anything.
+    pub(crate) fn assume_unreported_placements(&mut self, key: WorkerKey, now: Millis) {
+        let worker = &self.workers[key];
+        if worker.runs_known || !self.recovery.may_orders_arrive() {
+            return;
+        }
+        let id = worker.spec.id.clone();
+        self.assume_placements(now, |at| *at == id);
+    }
+
     fn assume_placed(&mut self, unit_ref: UnitRef, member: usize, worker: WorkerKey, now: Millis) {
         let step_id = self.step_id(unit_ref.job, unit_ref.step);
         let step = &mut self.jobs[unit_ref.job].steps[unit_ref.step];
@@ -176,7 +204,11 @@
         else {
             return;
         };
-        members[member] = Some(worker);
+        // A record of another writer may name more workers than there are members.
+        let Some(at) = members.get_mut(member) else {
+            return;
+        };
+        *at = Some(worker);
         // It is not confirmed: the order may still be on its way.
         let held = WorkerRun {
             phase: Phase::Running,
--- a/crates/sched/src/late_starts.rs
+++ b/crates/sched/src/late_starts.rs
@@ -9,13 +9,18 @@
 //! with that number or a smaller one, the next start may be on its way to a worker that has not answered this scheduler.
 //! The first answer of a worker suffices: from then on it refuses the predecessor's orders, and it lists what it runs.
 
+use std::collections::BTreeSet;
+
 use syc_types::Millis;
 
 use crate::JobState;
 use crate::Run;
 use crate::Scheduler;
 use crate::StopReason;
+use crate::TaskId;
 use crate::drain_record::DrainRecord;
+use crate::misdirected::MisdirectedRun;
+use crate::orphans::UNKNOWN_CHANGE;
 use crate::run_ends::UnitRef;
 use crate::unit::Outcome;
 use crate::unit::UnitState;
@@ -42,11 +47,15 @@
         }
         let step = &job.steps[unit_ref.step];
         let unit = &step.units[unit_ref.unit];
-        // A start order of a single task goes to one worker.
-        if step.members() == 1 && unit.is_located() {
+        let placement = &unit.predecessor_placement;
+        // A start order of a single task goes to one worker, and none follows before its end is stored.
+        let is_known = unit.is_located() || unit.last_accounted > placement.accounted;
+        if step.members() == 1 && is_known {
             return false;
         }
-        let placement = &unit.predecessor_placement;
+        if self.recovery.awaits_unattached(placement) {
+            return true;
+        }
         let mut workers = self.workers.values();
         workers.any(|worker| {
             let may_carry_out = !worker.runs_known && worker.leases_expire_at > now;
@@ -86,11 +95,12 @@
     /// Records the ends of which no later start can be carried out any more.
     pub(crate) fn record_held_ends(&mut self, now: Millis) {
         for unit_ref in self.recovery.take_held_ends() {
-            let Some(run) = self.held_run(unit_ref) else {
+            let Some((run, is_located)) = self.held_run(unit_ref) else {
                 continue;
             };
-            if self.may_be_started_late(unit_ref, now) || self.has_unconfirmed_start(unit_ref, run)
-            {
+            let may_start = self.may_be_started_late(unit_ref, now)
+                || self.has_unconfirmed_start(unit_ref, run);
+            if is_located || may_start {
                 self.recovery.hold_end(unit_ref);
                 continue;
             }
@@ -106,7 +116,51 @@
             return;
         }
         self.record_outcome(unit_ref, run, Outcome::Done, now);
-        self.assign_end_changes(self.jobs[unit_ref.job].id());
+        self.assign_end_changes(self.jobs[unit_ref.job].id(), now);
+    }
+
+    /// Returns whether an end must not be acknowledged yet because a later start of its task may still be carried out.
+    pub(crate) fn is_end_withheld(&self, task: TaskId, is_done: bool, now: Millis) -> bool {
+        let key = self.job_keys.get(&task.step.job);
+        let Some(job) = key.map(|key| &self.jobs[*key]) else {
+            return false;
+        };
+        match job.state {
+            JobState::Queued | JobState::Running => self.is_end_pending(task),
+            JobState::Completed => false,
+            JobState::Failed | JobState::Cancelled => {
+                is_done && self.may_start_after_job_end(task, now)
+            }
+        }
+    }
+
+    /// Returns whether a task of a job that was ended may still be started by an order that is on its way.
+    fn may_start_after_job_end(&self, task: TaskId, now: Millis) -> bool {
+        let awaits_orders = self.recovery.may_orders_arrive();
+        let is_set_aside = |run: &MisdirectedRun| run.name().0.step == task.step;
+        let mut workers = self.workers.values();
+        self.misdirected.iter().any(is_set_aside)
+            || workers.any(|worker| {
+                let mut runs = worker.runs_of(task.step);
+                let is_unanswered = !worker.runs_known && worker.leases_expire_at > now;
+                awaits_orders && is_unanswered || runs.any(|(_, run)| run.confirmed_at.is_none())
+            })
+    }
+
+    /// Allows the ends of ended jobs to be acknowledged that no later start is awaited for any more.
+    pub(crate) fn release_ends_of_ended_jobs(&mut self, now: Millis) {
+        let ends = self
+            .workers
+            .values()
+            .flat_map(|worker| &worker.unacknowledged);
+        let withheld = ends.filter(|end| end.is_done && end.change == UNKNOWN_CHANGE);
+        let jobs: BTreeSet<_> = withheld.map(|end| end.job).collect();
+        for id in jobs {
+            let job = self.job_keys.get(&id).map(|key| &self.jobs[*key]);
+            if job.is_some_and(|job| job.state.is_terminal()) {
+                self.assign_end_changes(id, now);
+            }
+        }
     }
 
     /// Holds the units back that had no attempt left when a predecessor was lost, before it ended their jobs.
@@ -120,8 +174,7 @@
                         step,
                         unit,
                     };
-                    let is_pending = of_step.units[unit].state == UnitState::Pending;
-                    if is_pending && self.is_exhausted(unit_ref) {
+                    if !of_step.units[unit].is_done() && self.is_exhausted(unit_ref) {
                         exhausted.push(unit_ref);
                     }
                 }
@@ -132,9 +185,8 @@
         }
     }
 
-    /// Returns the run that the end of a unit waits for, or `None` if it does not wait for any, or for one whose worker is
-    /// known and reports its end.
-    fn held_run(&self, unit_ref: UnitRef) -> Option<Run> {
+    /// Returns the run that the end of a unit waits for, and whether a worker is known that reports its end.
+    fn held_run(&self, unit_ref: UnitRef) -> Option<(Run, bool)> {
         let job = self.jobs.get(unit_ref.job)?;
         let unit = job.steps.get(unit_ref.step)?.units.get(unit_ref.unit)?;
         if job.state.is_terminal() || !unit.is_end_pending() {
@@ -143,6 +195,6 @@
         let UnitState::Stopping { run, members, .. } = &unit.state else {
             return None;
         };
-        members.iter().all(Option::is_none).then_some(*run)
+        Some((*run, members.iter().any(Option::is_some)))
     }
 }
--- a/crates/sched/src/misdirected.rs
+++ b/crates/sched/src/misdirected.rs
@@ -47,6 +47,7 @@
             return;
         }
         self.record_worker_crash(key, now);
+        self.assume_unreported_placements(key, now);
         self.set_unreported_runs_aside(key, now);
         self.lose_runs(key, "reborn", now);
         self.detach(key);
@@ -57,7 +58,8 @@
         let ended_at = now.plus(self.options.max_lease_ms);
         let worker = &mut self.workers[key];
         let name = SmolStr::new(worker.spec.id.name());
-        let unreported = worker.runs.iter().filter(|(_, run)| !run.reported);
+        let may_arrive = |run: &WorkerRun| !run.reported || run.confirmed_at.is_none();
+        let unreported = worker.runs.iter().filter(|(_, run)| may_arrive(run));
         let unreported: Vec<_> = unreported.map(|(name, _)| *name).collect();
         for (task, run) in unreported {
             let Some(held) = worker.remove(task, run) else {
--- a/crates/sched/src/orphans.rs
+++ b/crates/sched/src/orphans.rs
@@ -122,7 +122,7 @@
         for orphan in &orphans {
             self.resolve_orphan(orphan, now);
         }
-        self.assign_end_changes(id);
+        self.assign_end_changes(id, now);
         self.recovery.restore_completion(was_complete);
         if was_complete {
             self.stop_incomplete_gangs(now);
@@ -170,23 +170,24 @@
             if self.workers.contains_key(orphan.worker) {
                 self.stop_run(orphan.worker, task, run, StopReason::Unwanted, now);
             }
-            self.assign_end_changes(task.step.job);
+            self.assign_end_changes(task.step.job, now);
         }
     }
 
     /// Allows the ends of a job to be acknowledged once the store has the changes that resulted from them.
-    pub(crate) fn assign_end_changes(&mut self, job: JobId) {
+    pub(crate) fn assign_end_changes(&mut self, job: JobId, now: Millis) {
         let change = self.change_covering_end(job);
         let is_waiting = |end: &UnacknowledgedEnd| end.job == job && end.change == UNKNOWN_CHANGE;
         let ends = self
             .workers
             .values()
             .flat_map(|worker| &worker.unacknowledged);
-        let waiting = ends.filter(|end| is_waiting(end)).map(|end| end.task);
-        let pending: BTreeSet<_> = waiting.filter(|task| self.is_end_pending(*task)).collect();
+        let waiting = ends.filter(|end| is_waiting(end));
+        let withheld = waiting.filter(|end| self.is_end_withheld(end.task, end.is_done, now));
+        let withheld: BTreeSet<_> = withheld.map(|end| (end.task, end.is_done)).collect();
         for worker in self.workers.values_mut() {
             for end in &mut worker.unacknowledged {
-                if is_waiting(end) && !pending.contains(&end.task) {
+                if is_waiting(end) && !withheld.contains(&(end.task, end.is_done)) {
                     end.change = change;
                 }
             }
--- a/crates/sched/src/recovery.rs
+++ b/crates/sched/src/recovery.rs
@@ -11,6 +11,7 @@
 use crate::Scheduler;
 use crate::drain_record::DrainRecord;
 use crate::ids::JobKey;
+use crate::predecessor_placement::PredecessorPlacement;
 use crate::run_ends::UnitRef;
 use crate::unit::Outcome;
 use crate::unit::UnitState;
@@ -24,6 +25,8 @@
 pub(crate) struct Recovery {
     /// Workers that may run something unknown and have not reported yet.
     unreported_workers: BTreeSet<WorkerId>,
+    /// Those of them that are only named by recorded starts, and cannot be asked.
+    unattached_workers: BTreeSet<WorkerId>,
     /// When all leases that a predecessor may have set have expired.
     leases_expired_at: Millis,
     /// When this scheduler was elected, if known.
@@ -66,6 +69,13 @@
         std::mem::take(&mut self.held_ends)
     }
 
+    /// Returns whether a recorded start was ordered on a worker that is in no readable part of the roster, and whose lease
+    /// may still hold.
+    pub(crate) fn awaits_unattached(&self, placement: &PredecessorPlacement) -> bool {
+        let mut workers = placement.workers.iter().flatten();
+        workers.any(|id| self.unattached_workers.contains(id))
+    }
+
     /// Returns whether predecessors' orders may still be carried out on workers that have not answered.
     pub(crate) const fn may_orders_arrive(&self) -> bool {
         self.begun && !self.is_complete
@@ -162,8 +172,12 @@
             worker.leases_expire_at = worker.leases_expire_at.max(now.plus(bound_ms));
         }
         let elected_at = self.recovery.elected_at;
+        let is_unattached = |id: &&WorkerId| !self.worker_keys.contains_key(*id);
+        let unattached_workers = unreported_workers.iter().filter(is_unattached);
+        let unattached_workers = unattached_workers.cloned().collect();
         self.recovery = Recovery {
             unreported_workers,
+            unattached_workers,
             leases_expired_at: now.plus(bound_ms),
             elected_at,
             new_job_starts_end_at: now.plus(self.options.proof_validity_ms + CLOCK_SLACK_MS),
@@ -176,8 +190,8 @@
             adopted: self.recovery.adopted,
             held_ends: Vec::new(),
         };
-        self.hold_exhausted_units(now);
         self.assume_recorded_placements(now);
+        self.hold_exhausted_units(now);
         self.try_complete_recovery(now);
     }
 
@@ -209,6 +223,7 @@
         self.record_held_ends(now);
         self.stop_incomplete_gangs(now);
         self.expire_unknown_runs(now);
+        self.expire_absent_runs(now);
         for worker in std::mem::take(&mut self.recovery.detached) {
             if !self.worker_keys.contains_key(&worker) {
                 self.actions.push(Action::ForgetWorker(worker));
@@ -229,14 +244,13 @@
         step.members() > 1 || unit.last_accounted <= unit.predecessor_placement.accounted
     }
 
-    /// Treats recorded runs of single tasks as ended if their worker has reported everything and they are not there.
+    /// Treats recorded runs as ended that their workers don't have, once these have reported everything.
+    ///
+    /// That is stored before the next start: a successor has to know on which workers each start was ordered.
     fn expire_absent_runs(&mut self, now: Millis) {
         let mut absent = Vec::new();
         for job in &self.open_jobs {
             for (step, of_step) in self.jobs[*job].steps.iter().enumerate() {
-                if of_step.members() > 1 {
-                    continue;
-                }
                 for (unit, of_unit) in of_step.units.iter().enumerate() {
                     let unit_ref = UnitRef {
                         job: *job,
@@ -244,13 +258,11 @@
                         unit,
                     };
                     let placement = &of_unit.predecessor_placement;
-                    if of_unit.state != UnitState::Pending || placement.run <= placement.accounted {
-                        continue;
-                    }
-                    let [Some(worker)] = placement.workers.as_slice() else {
-                        continue;
-                    };
-                    if self.has_reported_everything(worker) {
+                    let is_accounted = of_unit.last_accounted >= placement.run;
+                    if of_unit.state == UnitState::Pending
+                        && !is_accounted
+                        && self.is_absent(placement)
+                    {
                         absent.push((unit_ref, placement.run));
                     }
                 }
@@ -262,6 +274,17 @@
         }
     }
 
+    /// Returns whether a recorded start is on none of its workers, given that it was not found.
+    fn is_absent(&self, placement: &PredecessorPlacement) -> bool {
+        if self.recovery.is_complete {
+            return true;
+        }
+        match placement.workers.as_slice() {
+            [Some(worker)] => self.has_reported_everything(worker),
+            _ => false,
+        }
+    }
+
     fn has_reported_everything(&self, id: &WorkerId) -> bool {
         let key = self.worker_keys.get(id);
         let worker = key.and_then(|key| self.workers.get(*key));
--- a/crates/sched/src/reports.rs
+++ b/crates/sched/src/reports.rs
@@ -10,6 +10,7 @@
 use crate::LatestRun;
 use crate::Note;
 use crate::Run;
+use crate::RunEnd;
 use crate::RunningReport;
 use crate::Scheduler;
 use crate::StepSpec;
@@ -238,7 +239,8 @@
             }
             self.end_run(key, ended.task, ended.run, RunTermination::from(ended), now);
         }
-        let change = if self.is_end_pending(ended.task) {
+        let is_done = ended.end == RunEnd::Done;
+        let change = if self.is_end_withheld(ended.task, is_done, now) {
             UNKNOWN_CHANGE
         } else {
             self.change_covering_end(job_id)
@@ -249,6 +251,7 @@
                 number: ended.number,
                 job: job_id,
                 task: ended.task,
+                is_done,
                 change,
             });
     }
--- a/crates/sched/src/run_ends.rs
+++ b/crates/sched/src/run_ends.rs
@@ -202,7 +202,7 @@
             UnitState::Stopping { run: stopping, .. } if !is_stopping => Some(*stopping),
             _ => None,
         };
-        let was_pending = unit.is_completion_pending();
+        let was_pending = unit.is_end_pending();
         let accounted = unit.predecessor_placement.accounted;
         if run <= accounted && self.may_be_started_late(unit_ref, now) {
             self.hold_end(unit_ref, Outcome::Done, now);
@@ -220,7 +220,7 @@
         }
         self.record_outcome(unit_ref, run, Outcome::Done, now);
         if was_pending {
-            self.assign_end_changes(self.jobs[unit_ref.job].id());
+            self.assign_end_changes(self.jobs[unit_ref.job].id(), now);
         }
         if let Some(other) = other {
             self.stop_members(unit_ref, other, StopReason::Unwanted, now);
--- a/crates/sched/src/scheduler.rs
+++ b/crates/sched/src/scheduler.rs
@@ -459,7 +459,7 @@
         self.mark_changed(key);
         // Remaining members of a completed gang end by themselves.
         if state != JobState::Completed {
-            self.assign_end_changes(id);
+            self.assign_end_changes(id, now);
             self.stop_runs_of(id, now);
         }
     }
--- a/crates/sched/src/tick.rs
+++ b/crates/sched/src/tick.rs
@@ -28,6 +28,7 @@
             self.check_in_doubt_orders(key, now);
             self.expire_lease(key, now);
         }
+        self.release_ends_of_ended_jobs(now);
         self.record_drains();
         self.check_consistency(now);
         self.time_out_advice_calls(now);
--- a/crates/sched/src/worker.rs
+++ b/crates/sched/src/worker.rs
@@ -220,6 +220,8 @@
     pub(crate) number: u64,
     pub(crate) job: JobId,
     pub(crate) task: TaskId,
+    /// Whether the run ended as done.
+    pub(crate) is_done: bool,
     /// The change of the job's progress that includes the end.
     pub(crate) change: u64,
 }
--- a/crates/sched/tests/core/expired_leases.rs
+++ b/crates/sched/tests/core/expired_leases.rs
@@ -136,11 +136,19 @@
     let (mut driver, first) = expired_task(2);
     driver.record();
     driver.schedule();
+    let second = driver.starts.remove(0);
     driver.report_end(&first, RunEnd::Done, &[]);
     driver.cancel(1);
     driver.record();
     let acknowledged = driver.scheduler.acknowledged_ends(first.worker);
-    assert_eq!(acknowledged, (1, false));
+    assert_eq!(acknowledged, (0, true), "the start may be carried out yet");
+    driver.accept_stop(&second);
+    driver.advance(10);
+    driver.report_running(second.worker, &[]);
+    driver.apply(Event::Ticked);
+    driver.record();
+    let acknowledged = driver.scheduler.acknowledged_ends(first.worker);
+    assert_eq!(acknowledged, (1, false), "kept for good");
 }
 
 #[test]
--- a/crates/sched/tests/core/review_late_starts.rs
+++ b/crates/sched/tests/core/review_late_starts.rs
@@ -470,7 +470,7 @@
 }
 
 // Guards against a start beyond the number that follows the stored end: a first successor found no member of a recorded
-// start, and starts the gang again before it has stored that. A second one takes the recorded workers for the only ones.
+// start, and started the gang again before it had stored that. A second one took the recorded workers for the only ones.
 #[test]
 fn gang_started_by_a_first_successor_elsewhere_than_recorded_is_not_shown_as_done_by_a_second_one()
 {
@@ -489,9 +489,14 @@
     assert!(first.scheduler.is_recovered());
     first.schedule();
     assert!(first.stored_progress.is_empty(), "nothing is stored yet");
-    assert_eq!(first.starts.len(), 2, "not stored as ended, and started");
+    assert!(first.starts.is_empty(), "not stored as ended, and started");
+    first.record();
+    first.schedule();
+    assert_eq!(first.starts.len(), 2, "stored as ended");
     assert_eq!(first.starts[0].worker, first.workers[2]);
-    let mut second = successor(&workers, &[], gang(2), 3, placed);
+    let stored = serde_json::to_string(&first.stored_progress[&JobId(1)]);
+    let stored = stored.expect("a progress record");
+    let mut second = successor(&workers, &[], gang(2), 3, &stored);
     let at = second.workers[0];
     second.report(at, &[], &[(task(0), Run(1), RunEnd::Done)]);
     second.report_running(second.workers[1], &[]);
