Check each crash that schedulers name, and each job given up, by the evidence

What was seen: 25 jobs of 21,000 schedules were given up though none of their tasks crashes a worker, and nothing said which of them the stated limit allows.

The simulation now keeps the evidence itself. A crash is evidence against a task if a life of a worker is over (or not listed any more) without having announced it, and a run of the task had been given to it (started there, ordered, or stored as its placement) whose end nobody had acknowledged. Each crash that a scheduler names is checked against that; where a job is given up, the lives count, each once, by the limit of docs/design/0053-lost-workers.md: three of which two have nothing else to blame, or three with one such or four, where the possible crashes in the store make it five. That nothing else can be blamed, and the possible crashes, are taken from the scheduler; the lives and runs are not.

New checks, beside those there were: every profile of random_schedules_violate_no_invariant and only_jobs_that_crash_workers_fail asserts that no named crash is unfounded and no job is given up without enough evidence. The states that jobs must end in are asserted as before. The manual searches print the jobs that the limit allows apart from the other unexpected states.

--- a/crates/sched/tests/schedules/main.rs
+++ b/crates/sched/tests/schedules/main.rs
@@ -100,6 +100,8 @@
         assert_eq!(simulation.faults(), [], "seed {seed}");
         assert_eq!(simulation.unexpected_states(), [], "seed {seed}");
         assert_eq!(simulation.missing_runs(), [], "seed {seed}");
+        assert_eq!(simulation.unfounded_crashes(), [], "seed {seed}");
+        assert_eq!(simulation.given_up_without_evidence(), [], "seed {seed}");
         assert!(simulation.waves_are_completed(), "seed {seed}");
     }
 }
@@ -150,6 +152,8 @@
         assert_eq!(simulation.faults(), [], "seed {seed}");
         assert_eq!(simulation.unexpected_states(), [], "seed {seed}");
         assert_eq!(simulation.missing_runs(), [], "seed {seed}");
+        assert_eq!(simulation.unfounded_crashes(), [], "seed {seed}");
+        assert_eq!(simulation.given_up_without_evidence(), [], "seed {seed}");
     }
 }
 
@@ -235,6 +239,28 @@
     assert_eq!(simulation.unexpected_states(), []);
 }
 
+/// A job that crashed nothing is given up although its workers show less than the stated limit asks for.
+#[test_case(&[50010, 50148, 50402, 50625, 50630, 50813, 50867, 51936, 52229, 52329], Profile { worker_restarts: 8, ..Profile::FAULT_FREE }; "worker restarts")]
+#[test_case(&[50306, 50645, 50690, 51916, 52127], Profile { worker_restarts: 6, scheduler_crashes: 6, ..Profile::FAULT_FREE }; "worker restarts while schedulers crash")]
+#[test_case(&[50820, 50856, 50893, 50942, 51166, 51436, 51891], RESTARTS_AND_EVERYTHING; "worker restarts and everything at once")]
+#[test_case(&[50433], Profile { crashing_jobs: 3, scheduler_crashes: 6, ..Profile::FAULT_FREE }; "crashing tasks while schedulers crash")]
+#[test_case(&[52870], CRASHING_TASKS_BESIDE_CRASHES; "crashing tasks beside workers that crash")]
+fn innocent_jobs_are_given_up_without_evidence(seeds: &[u64], profile: Profile) {
+    for seed in seeds {
+        let mut simulation = Simulation::new(*seed, profile, Options::default());
+        simulation.run();
+        assert_eq!(simulation.faults(), [], "seed {seed}");
+        assert_eq!(simulation.missing_runs(), [], "seed {seed}");
+        assert_eq!(simulation.unfounded_crashes(), [], "seed {seed}");
+        assert_eq!(simulation.given_up_without_evidence(), [], "seed {seed}");
+        for (job, _, stored) in simulation.unexpected_states() {
+            assert_eq!(stored, Some(JobState::Failed), "seed {seed}, job {job}");
+            let is_by_limit = simulation.given_up().contains_key(&job);
+            assert!(is_by_limit, "seed {seed}, job {job}");
+        }
+    }
+}
+
 /// Prints how many of many schedules violate an invariant or end a job in an unexpected state, and how many workers
 /// crashing tasks take down. Run manually.
 #[test_case(Profile { crashing_jobs: 3, ..Profile::FAULT_FREE }; "crashing tasks")]
@@ -260,9 +286,25 @@
             simulation.unexpected_states(),
             simulation.missing_runs().to_vec(),
             simulation.crashed_workers_per_task(),
+            simulation.given_up().clone(),
+            simulation.unfounded_crashes().to_vec(),
         )
     });
-    for (seed, (seed_faults, seed_unexpected, seed_missing, crashed_workers)) in results {
+    let (mut by_limit, mut unfounded) = (Vec::new(), Vec::new());
+    let mut without_evidence = Vec::new();
+    for (seed, result) in results {
+        let (seed_faults, mut seed_unexpected, seed_missing, crashed_workers, given_up, named) =
+            result;
+        seed_unexpected.retain(|(job, _, stored)| {
+            let is_by_limit = *stored == Some(JobState::Failed) && given_up.get(job) == Some(&true);
+            if is_by_limit {
+                by_limit.push((seed, *job));
+            }
+            !is_by_limit
+        });
+        let weak = given_up.iter().filter(|(_, is_enough)| !**is_enough);
+        without_evidence.extend(weak.map(|(job, _)| (seed, *job)));
+        unfounded.extend(named.into_iter().map(|crash| (seed, crash)));
         faults.extend(seed_faults.into_iter().map(|fault| (seed, fault)));
         unexpected.extend(seed_unexpected.into_iter().map(|end| (seed, end)));
         missing_runs.extend(seed_missing.into_iter().map(|note| (seed, note)));
@@ -271,7 +313,7 @@
         }
     }
     println!(
-        "{profile:?}: faults {faults:?}, unexpected states {unexpected:?}, missing runs {missing_runs:?}, crashing tasks by workers taken down {workers:?}"
+        "{profile:?}: faults {faults:?}, unexpected states {unexpected:?}, given up by the stated limit {by_limit:?}, given up without evidence {without_evidence:?}, unfounded crashes {unfounded:?}, missing runs {missing_runs:?}, crashing tasks by workers taken down {workers:?}"
     );
 }
 
--- a/crates/sched/tests/schedules/simulation.rs
+++ b/crates/sched/tests/schedules/simulation.rs
@@ -3,6 +3,7 @@
 mod counts;
 mod delivery;
 mod drains;
+mod evidence;
 mod faults;
 mod late_workers;
 mod orders;
@@ -13,6 +14,7 @@
 use std::collections::BTreeMap;
 use std::collections::HashMap;
 
+use evidence::Evidence;
 use rand::Rng;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -230,6 +232,7 @@
     stored_waves: BTreeMap<u64, WaveProgress>,
     /// Jobs that stood still although enough workers were allowed to run them, with their stored state.
     stood_still: Vec<(JobId, Option<JobState>)>,
+    evidence: Evidence,
     /// Until when no call for advice is answered.
     advice_withheld_until: Millis,
     /// Whether crashed workers are reported to the scheduler as draining before the crash.
@@ -350,9 +353,11 @@
             wave: None,
             stored_waves: BTreeMap::new(),
             stood_still: Vec::new(),
+            evidence: Evidence::default(),
             advice_withheld_until: Millis(0),
             crashes_reported_as_draining: false,
         };
+        simulation.fleet.checker.record_events();
         for _ in 0..WORKERS {
             simulation.start_worker_on_new_vm();
         }
@@ -363,9 +368,11 @@
     pub fn run(&mut self) {
         while self.now.0 < END_MS {
             self.now = self.now.plus(TICK_MS);
+            self.observe_workers();
             self.fleet.advance(self.now);
             self.schedule_crash_recoveries();
             self.expire_registrations();
+            self.observe_workers();
             self.inject_faults();
             self.deliver();
             self.advance_vms();
@@ -642,7 +649,12 @@
                         self.detached.push(session.id);
                     }
                 }
-                Action::Start(order) => self.send_start(&order),
+                Action::Start(order) => {
+                    if let Some(session) = self.sessions.get(&order.worker) {
+                        self.note_placement(order.task, session.id.clone(), order.run);
+                    }
+                    self.send_start(&order);
+                }
                 Action::Stop {
                     worker, task, run, ..
                 } => self.send_stop(worker, task, run),
@@ -660,7 +672,8 @@
                 Action::OrderVm { vm, operation } => self.send_vm_order(vm, operation),
                 Action::ReportWave { wave, completed } => self.vms.wave_reported(wave, completed),
                 Action::Note(note @ Note::RunMissing { .. }) => self.missing_runs.push(note),
-                Action::DeleteSpec(_) | Action::DeleteJob(_) | Action::Note(_) => {}
+                Action::Note(note) => self.check_note(&note),
+                Action::DeleteSpec(_) | Action::DeleteJob(_) => {}
             }
         }
     }
--- a/crates/sched/tests/schedules/simulation/delivery.rs
+++ b/crates/sched/tests/schedules/simulation/delivery.rs
@@ -49,6 +49,7 @@
                 let mut jobs = Vec::new();
                 for (id, change, progress) in records {
                     self.stored.insert(id, progress);
+                    self.note_stored_placements(id);
                     jobs.push((id, change));
                 }
                 self.write_in_flight = false;
--- a/crates/sched/tests/schedules/simulation/drains.rs
+++ b/crates/sched/tests/schedules/simulation/drains.rs
@@ -63,6 +63,7 @@
             self.schedule(LEAVE_AGAIN_MS, again);
             return;
         }
+        self.note_announced_end(id);
         self.fleet.leave(id);
         if let Some(incarnation) = self.registered.get(id) {
             self.vms.remove(&incarnation.vm);
--- a/crates/sched/tests/schedules/simulation/restarts.rs
+++ b/crates/sched/tests/schedules/simulation/restarts.rs
@@ -39,6 +39,7 @@
         let Some(model) = self.fleet.workers.get(id).cloned() else {
             return;
         };
+        self.observe_workers();
         self.fleet.crash(id);
         self.fail_renewals_in_flight(id);
         // Orders that were still to be carried out are lost.
