Add schedules in which a crash is laid to a task that had told its end

What callers can see: a crash counts against a task that was not on that worker any more, one step towards giving its job up. The test fails on this program; it is not mended.

--- a/crates/sched/tests/schedules/main.rs
+++ b/crates/sched/tests/schedules/main.rs
@@ -261,6 +261,19 @@
     }
 }
 
+/// A successor lays a crash to a task whose end on that worker a predecessor had acknowledged: the stored placement
+/// still names the worker.
+#[test_case(50944, Profile { worker_restarts: 6, scheduler_crashes: 6, ..Profile::FAULT_FREE }; "schedulers crash, first")]
+#[test_case(51500, Profile { worker_restarts: 6, scheduler_crashes: 6, ..Profile::FAULT_FREE }; "schedulers crash, second")]
+#[test_case(50214, RESTARTS_AND_EVERYTHING; "everything at once, first")]
+#[test_case(50257, RESTARTS_AND_EVERYTHING; "everything at once, second")]
+#[test_case(50397, RESTARTS_AND_EVERYTHING; "everything at once, third")]
+fn crash_is_laid_to_a_task_whose_end_was_acknowledged(seed: u64, profile: Profile) {
+    let mut simulation = Simulation::new(seed, profile, Options::default());
+    simulation.run();
+    assert_eq!(simulation.unfounded_crashes(), []);
+}
+
 /// A job is given up for three lost workers, though its task ran on only one of them when it was lost: on the two others it
 /// had ended as done, unread.
 #[test]
