--- a/crates/sched/tests/schedules/simulation.rs
+++ b/crates/sched/tests/schedules/simulation.rs
@@ -3,6 +3,7 @@
 mod counts;
 mod delivery;
 mod drains;
+mod evidence;
 mod faults;
 mod late_workers;
 mod orders;
@@ -14,6 +15,7 @@
 use std::collections::BTreeSet;
 use std::collections::HashMap;
 
+use evidence::Evidence;
 use rand::Rng;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -236,6 +238,7 @@
     stored_waves: BTreeMap<u64, WaveProgress>,
     /// Jobs that stood still although enough workers were allowed to run them, with their stored state.
     stood_still: Vec<(JobId, Option<JobState>)>,
+    evidence: Evidence,
     /// Until when no call for advice is answered.
     advice_withheld_until: Millis,
     /// Whether crashed workers are reported to the scheduler as draining before the crash.
@@ -358,9 +361,11 @@
             wave: None,
             stored_waves: BTreeMap::new(),
             stood_still: Vec::new(),
+            evidence: Evidence::default(),
             advice_withheld_until: Millis(0),
             crashes_reported_as_draining: false,
         };
+        simulation.fleet.checker.record_events();
         for _ in 0..WORKERS {
             simulation.start_worker_on_new_vm();
         }
@@ -371,9 +376,11 @@
     pub fn run(&mut self) {
         while self.now.0 < END_MS {
             self.now = self.now.plus(TICK_MS);
+            self.observe_workers();
             self.fleet.advance(self.now);
             self.schedule_crash_recoveries();
             self.expire_registrations();
+            self.observe_workers();
             self.inject_faults();
             self.deliver();
             self.advance_vms();
@@ -651,7 +658,12 @@
                 Action::Detach { worker } => {
                     self.sessions.remove(&worker);
                 }
-                Action::Start(order) => self.send_start(&order),
+                Action::Start(order) => {
+                    if let Some(session) = self.sessions.get(&order.worker) {
+                        self.note_placement(order.task, session.id.clone(), order.run);
+                    }
+                    self.send_start(&order);
+                }
                 Action::Stop {
                     worker, task, run, ..
                 } => self.send_stop(worker, task, run),
@@ -669,9 +681,10 @@
                 Action::OrderVm { vm, operation } => self.send_vm_order(vm, operation),
                 Action::ReportWave { wave, completed } => self.vms.wave_reported(wave, completed),
                 Action::Note(note @ Note::RunMissing { .. }) => self.missing_runs.push(note),
+                Action::Note(note) => self.check_note(&note),
                 Action::ForgetWorker(id) => self.detached.push(id),
                 Action::RecordDrain(id) => self.drains_to_store.push(id),
-                Action::DeleteSpec(_) | Action::DeleteJob(_) | Action::Note(_) => {}
+                Action::DeleteSpec(_) | Action::DeleteJob(_) => {}
             }
         }
     }
