Acknowledge the end of a member only once the store no longer names its worker

What callers saw: a job given up, or its tasks isolated, for crashes of workers on which its task had ended long before.

Cause: the end of a member of a gang that is being stopped, and an end heard in a takeover of a run that is written off, changed nothing that is stored. They were acknowledged at once, while the store still named the worker for that task. If that worker crashed later, a successor that did not hear of the end again laid the crash to the task.

Change: both mark the job as changed, so that the acknowledgement waits for a record without the name.

--- a/crates/sched/src/predecessor_placement.rs
+++ b/crates/sched/src/predecessor_placement.rs
@@ -54,13 +54,13 @@
         workers.position(|at| at.as_ref() == Some(worker))
     }
 
-    /// Records that a member's run has ended.
-    pub(crate) fn mark_ended(&mut self, member: usize, run: Run) {
-        if run == self.run
-            && let Some(worker) = self.workers.get_mut(member)
-        {
-            *worker = None;
+    /// Records that a member's run has ended. Returns whether its worker was named until now.
+    pub(crate) fn mark_ended(&mut self, member: usize, run: Run) -> bool {
+        if run != self.run {
+            return false;
         }
+        let worker = self.workers.get_mut(member);
+        worker.is_some_and(|worker| worker.take().is_some())
     }
 
     /// Drops the recorded workers once a later start has ended.
--- a/crates/sched/src/run_ends.rs
+++ b/crates/sched/src/run_ends.rs
@@ -127,11 +127,19 @@
         };
         let step = &mut job.steps[step_index];
         let unit = &mut step.units[unit_index];
-        unit.predecessor_placement.mark_ended(member, run);
+        let was_named = unit.predecessor_placement.mark_ended(member, run);
         let is_stopping = unit.is_stopping_at(worker, member, run);
         if job.state.is_terminal() {
             return unit.failures;
         }
+        if was_named {
+            // The end must not be acknowledged before the store names the worker no more: a successor would lay its next
+            // crash to this task.
+            self.mark_changed(job_key);
+        }
+        let job = &mut self.jobs[job_key];
+        let step = &mut job.steps[step_index];
+        let unit = &mut step.units[unit_index];
         let unit_ref = UnitRef {
             job: job_key,
             step: step_index,
@@ -327,6 +335,8 @@
             }
         }
         if !all_ended {
+            // Nor must it be acknowledged before the store has that the member is not there any more.
+            self.mark_changed(unit_ref.job);
             return;
         }
         if self.unit_mut(unit_ref).is_end_pending() {
