Count a task as unavailable by a crash only once that can have been noticed

The checker took an order that ends a task as a fault if another task of its step had been lost to a crash at any time before. The rule counts what is out of service for another reason than an order only after the time for notice, 4.5 s. What an order ends counts at once, as before, and so does a crash after that time.

--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -5,6 +5,7 @@
 mod ends;
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
 use smol_str::SmolStr;
 use syc_cell::ports::OrderError;
@@ -32,6 +33,10 @@
 use crate::worker::WorkerModel;
 use crate::worker::checkpoint_of;
 
+/// A task whose worker has crashed counts as unavailable only after this time. An order to stop another one may have been
+/// given before the crash could be noticed.
+const CRASH_NOTICE_MS: u64 = 4_500;
+
 /// Predetermined behaviour of a task.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct TaskPlan {
@@ -82,6 +87,8 @@
     crash_plans: BTreeMap<TaskId, CrashPlan>,
     /// Number of starts of each task that crashes its workers.
     crash_starts: BTreeMap<TaskId, u32>,
+    /// Long-running tasks that were in service on a worker when it crashed, with the time of the crash.
+    lost_in_service: Vec<(TaskId, Millis)>,
     /// Workers that crashed since the last call of [`FleetModel::take_crashed`].
     crashed: Vec<WorkerId>,
     advanced_to: Millis,
@@ -122,11 +129,15 @@
             let before = gone.entry(task.step).or_default();
             if self.is_in_service(id, task) {
                 *before += 1;
-                let others = self.in_service_count(task.step).saturating_sub(*before);
+                let others = self.in_service_count(task.step).saturating_sub(*before)
+                    + self.unnoticed_loss_count(task.step, now);
                 self.checker.interrupted(task, others);
             }
         }
+        // What an order ends is out of service at once.
+        let lost_before = self.lost_in_service.len();
         self.crash(id);
+        self.lost_in_service.truncate(lost_before);
     }
 
     fn is_in_service(&self, id: &WorkerId, task: TaskId) -> bool {
@@ -146,6 +157,19 @@
         count
     }
 
+    /// Counts the tasks of a step that are out of service since a crash that nobody can have noticed yet.
+    fn unnoticed_loss_count(&self, step: StepId, now: Millis) -> u32 {
+        let mut lost = BTreeSet::new();
+        for (task, lost_at) in &self.lost_in_service {
+            let is_unnoticed = now.since(*lost_at) < CRASH_NOTICE_MS;
+            let is_back = self.workers.keys().any(|id| self.is_in_service(id, *task));
+            if task.step == step && is_unnoticed && !is_back {
+                lost.insert(*task);
+            }
+        }
+        u32::try_from(lost.len()).unwrap_or(u32::MAX)
+    }
+
     /// Crashes a worker. All its runs end at once, without a report.
     pub fn crash(&mut self, id: &WorkerId) {
         let Some(worker) = self.workers.remove(id) else {
@@ -153,6 +177,9 @@
         };
         for (task, live) in &worker.runs {
             self.checker.crashed(id, *task, live.run);
+            if live.long_running && live.percent() == 100 {
+                self.lost_in_service.push((*task, self.advanced_to));
+            }
         }
         self.checker.lost(id);
     }
@@ -253,7 +280,8 @@
     ) -> Result<(), OrderError> {
         self.advance(now);
         let is_in_service = self.is_in_service(id, command.task);
-        let others = self.in_service_count(command.task.step).saturating_sub(1);
+        let others = self.in_service_count(command.task.step).saturating_sub(1)
+            + self.unnoticed_loss_count(command.task.step, now);
         let worker = self.workers.get_mut(id).ok_or(OrderError::Replaced)?;
         worker.check_token(command.token)?;
         let live = worker.runs.get_mut(&command.task);
