--- a/crates/cell/tests/cell/fuzz.rs
+++ b/crates/cell/tests/cell/fuzz.rs
@@ -3,6 +3,7 @@
 use bytes::Bytes;
 use syc_cell::ports::Record;
 use syc_cell::records;
+use syc_cell::records::DrainsRecord;
 use syc_cell::records::HolderRecord;
 use syc_cell::records::JobRecord;
 use syc_cell::records::RosterRecord;
@@ -26,6 +27,7 @@
 use syc_sched::WorkerSpec;
 use syc_types::CellTime;
 use syc_types::TimeOfDay;
+use syc_types::WorkerId;
 use syc_wire::Body;
 use syc_wire::Message;
 use syc_wire::RunRequest;
@@ -197,6 +199,22 @@
     unreadable.is_empty().then_some(workers)
 }
 
+#[test]
+fn records_of_drains() {
+    let drains = DrainsRecord {
+        token: 7,
+        change: 1,
+        workers: vec![worker(0).id, worker(1).id],
+    };
+    let valid = records::drains(&drains).value.to_vec();
+    fuzz(&[valid], read_drains);
+}
+
+fn read_drains(value: &[u8]) -> Option<Vec<WorkerId>> {
+    let (workers, unreadable) = records::read_drains(&[record(records::DRAINS_KEY, value)]);
+    unreadable.is_empty().then_some(workers)
+}
+
 /// The capacities of all workers are summed, and one worker must not overflow the sum.
 #[test]
 fn a_roster_with_an_impossible_capacity_is_rejected() {
--- a/crates/cell/tests/cell/main.rs
+++ b/crates/cell/tests/cell/main.rs
@@ -6,8 +6,8 @@
 mod clock_agreement;
 mod clocks;
 mod cluster;
+mod drains;
 mod fuzz;
-mod review_drains;
 mod roster;
 mod service;
 mod stages;
