--- a/crates/sched/tests/core/driver.rs
+++ b/crates/sched/tests/core/driver.rs
@@ -531,3 +531,18 @@
         ..StepSpec::default()
     }
 }
+
+/// Returns a task of the only step of job 1.
+pub fn task(index: u32) -> TaskId {
+    let step = StepId {
+        job: JobId(1),
+        occurrence: 0,
+        step: 0,
+    };
+    TaskId { step, index }
+}
+
+/// Reads the progress that a predecessor stored.
+pub fn progress(text: &str) -> JobProgress {
+    serde_json::from_str(text).expect("valid progress record")
+}
--- a/crates/sched/tests/core/late_starts.rs
+++ b/crates/sched/tests/core/late_starts.rs
@@ -3,15 +3,12 @@
 use syc_sched::Action;
 use syc_sched::Event;
 use syc_sched::JobId;
-use syc_sched::JobProgress;
 use syc_sched::JobState;
 use syc_sched::Options;
 use syc_sched::Run;
 use syc_sched::RunEnd;
 use syc_sched::StartOrder;
-use syc_sched::StepId;
 use syc_sched::StepSpec;
-use syc_sched::TaskId;
 use syc_sched::WorkerReport;
 use syc_sched::WorkerSpec;
 use syc_types::WorkerId;
@@ -19,21 +16,14 @@
 
 use crate::driver::Driver;
 use crate::driver::policy;
+use crate::driver::progress;
 use crate::driver::step;
+use crate::driver::task;
 use crate::driver::worker;
 
 /// The first run is written off, and that is stored.
 const WRITTEN_OFF: &str = r#"{"state":"running","steps":[{"units":{"0":{"r":1,"a":1}}}]}"#;
 
-fn task(index: u32) -> TaskId {
-    let step = StepId {
-        job: JobId(1),
-        occurrence: 0,
-        step: 0,
-    };
-    TaskId { step, index }
-}
-
 fn gang(tasks: u32) -> StepSpec {
     StepSpec {
         gang: true,
@@ -41,10 +31,6 @@
     }
 }
 
-fn progress(text: &str) -> JobProgress {
-    serde_json::from_str(text).expect("valid progress record")
-}
-
 fn draining(index: usize) -> WorkerSpec {
     WorkerSpec {
         draining: true,
--- a/crates/sched/tests/core/takeover.rs
+++ b/crates/sched/tests/core/takeover.rs
@@ -5,32 +5,21 @@
 //! end as done was ignored, and the task ran again.
 
 use syc_sched::Event;
-use syc_sched::JobId;
 use syc_sched::JobProgress;
 use syc_sched::JobState;
 use syc_sched::Options;
 use syc_sched::Run;
 use syc_sched::RunEnd;
-use syc_sched::StepId;
 use syc_sched::StepSpec;
 use syc_sched::StopReason;
-use syc_sched::TaskId;
 use test_case::test_case;
 
 use crate::driver::Driver;
 use crate::driver::policy;
 use crate::driver::step;
+use crate::driver::task;
 use crate::driver::worker;
 
-fn task(index: u32) -> TaskId {
-    let step = StepId {
-        job: JobId(1),
-        occurrence: 0,
-        step: 0,
-    };
-    TaskId { step, index }
-}
-
 /// Creates a successor that has read a job and the list of workers, none of which has answered yet.
 fn successor(workers: usize, steps: Vec<StepSpec>, progress: Option<&JobProgress>) -> Driver {
     let mut driver = Driver::new(0, 0);
