--- a/crates/sched/tests/schedules/main.rs
+++ b/crates/sched/tests/schedules/main.rs
@@ -274,6 +274,14 @@
     assert_eq!(simulation.unfounded_crashes(), []);
 }
 
+/// Crashes are laid to tasks without evidence while workers drain.
+#[test]
+fn crash_is_laid_to_a_task_without_evidence_while_workers_drain() {
+    let mut simulation = Simulation::new(80_156, DRAINS_AND_EVERYTHING, Options::default());
+    simulation.run();
+    assert_eq!(simulation.unfounded_crashes(), []);
+}
+
 /// A job is given up for three lost workers, though its task ran on only one of them when it was lost: on the two others it
 /// had ended as done, unread.
 #[test]
