Leave a task that has started again in a takeover out of its last write-off

What callers would have seen: a job that stands still for 11 s and ends late.

Cause: since a single task whose only possible run has ended may start before its takeover is complete, it can be announced under its next number, or wait to be, when the takeover ends. If some worker never answered, all pending units are written off then under just that number. The task then started with a number that counted as over, so its end was passed over, and its unit named a worker that was gone.

Change: a task that no longer waits for the takeover is not written off with those that do.

--- a/crates/sched/src/recovery.rs
+++ b/crates/sched/src/recovery.rs
@@ -11,6 +11,7 @@
 use crate::Scheduler;
 use crate::drain_record::DrainRecord;
 use crate::ids::JobKey;
+use crate::job::Step;
 use crate::predecessor_placement::PredecessorPlacement;
 use crate::run_ends::UnitRef;
 use crate::unit::Outcome;
@@ -239,9 +240,7 @@
         if !job.inherited || self.recovery.is_complete {
             return false;
         }
-        let step = &job.steps[step];
-        let unit = &step.units[unit];
-        step.members() > 1 || unit.last_accounted <= unit.predecessor_placement.accounted
+        !is_only_start_over(&job.steps[step], unit)
     }
 
     /// Treats recorded runs as ended that their workers don't have, once these have reported everything.
@@ -359,6 +358,11 @@
     }
 
     fn expire_unknown_run(&mut self, unit_ref: UnitRef, now: Millis) {
+        // It may have been announced or started again under the next number since.
+        let step = &self.jobs[unit_ref.job].steps[unit_ref.step];
+        if is_only_start_over(step, unit_ref.unit) {
+            return;
+        }
         let unit = self.unit_mut(unit_ref);
         if unit.state != UnitState::Pending {
             return;
@@ -406,3 +410,9 @@
         }
     }
 }
+
+/// Returns whether the only start of a single task that a predecessor may have ordered is known to have ended.
+fn is_only_start_over(step: &Step, unit: usize) -> bool {
+    let unit = &step.units[unit];
+    step.members() == 1 && unit.last_accounted > unit.predecessor_placement.accounted
+}
--- a/crates/sched/tests/schedules/main.rs
+++ b/crates/sched/tests/schedules/main.rs
@@ -529,3 +529,18 @@
     simulation.run();
     assert_eq!(simulation.faults(), []);
 }
+
+/// A task that was announced again during a takeover is written off with the unknown runs when the takeover ends, under the
+/// number that it then starts with.
+#[test]
+fn task_announced_in_a_takeover_is_not_written_off_at_its_end() {
+    let profile = Profile {
+        crashing_jobs: 3,
+        ..Profile::ALL_FAULTS
+    };
+    let mut simulation = Simulation::new(72_038, profile, Options::default());
+    simulation.run();
+    assert_eq!(simulation.faults(), []);
+    assert_eq!(simulation.unexpected_states(), []);
+    assert_eq!(simulation.missing_runs(), []);
+}
