Leave a recorded run out of a unit that waits for another one

Found by reading the change once more, not seen in a run.

Cause: a worker that restarts during a takeover is assumed to hold the recorded members. A gang that was written off, and has been heard to be done, waits for its next run by then; the member of the earlier run was entered there, with a worker that was detached at once.

Change: a recorded run is entered only into a unit in the state of that run.

Before: `held_end_of_a_gang_does_not_wait_for_a_worker_of_its_earlier_run_that_restarts` failed, with the guard alone taken out. After: it passes.

--- a/crates/sched/src/drain_record.rs
+++ b/crates/sched/src/drain_record.rs
@@ -199,11 +199,22 @@
             };
             step.pending_units -= 1;
         }
-        let (UnitState::Placed { members, .. } | UnitState::Stopping { members, .. }) =
-            &mut step.units[unit_ref.unit].state
+        let (UnitState::Placed {
+            run: current,
+            members,
+        }
+        | UnitState::Stopping {
+            run: current,
+            members,
+            ..
+        }) = &mut step.units[unit_ref.unit].state
         else {
             return;
         };
+        // A unit that has ended by the recorded run waits for the next one.
+        if *current != run {
+            return;
+        }
         // A record of another writer may name more workers than there are members.
         let Some(at) = members.get_mut(member) else {
             return;
--- a/crates/sched/tests/core/late_starts.rs
+++ b/crates/sched/tests/core/late_starts.rs
@@ -524,3 +524,33 @@
     driver.apply(Event::Ticked);
     assert!(driver.scheduler.is_recovered());
 }
+
+// Guards against a held end that waits for a worker that is gone: an earlier run on it was taken for the later one.
+#[test]
+fn held_end_of_a_gang_does_not_wait_for_a_worker_of_its_earlier_run_that_restarts() {
+    let closing = r#"{"state":"running","steps":[{"units":{"0":{"r":1,"a":1,"w":["w-0","W"]}}}]}"#;
+    let old = life(1, false);
+    let closing = closing.replace('W', old.id.as_str());
+    let workers = [worker(0, 4), old, worker(1, 4)];
+    let mut driver = successor(&workers, &[], gang(2), 3, &closing);
+    let at = driver.workers[0];
+    driver.report(at, &[], &[(task(0), Run(1), RunEnd::Done)]);
+    driver.apply(Event::Restarted {
+        worker: driver.workers[1],
+    });
+    driver.apply(Event::WorkerListed(life(2, false)));
+    for worker in [driver.workers[2], driver.workers[3]] {
+        driver.report_running(worker, &[]);
+    }
+    for start in std::mem::take(&mut driver.stops) {
+        let task = (start.task, start.run, RunEnd::Stopped);
+        driver.report(start.worker, &[], &[task]);
+    }
+    driver.apply(Event::Ticked);
+    driver.record();
+    driver.apply(Event::Ticked);
+    driver.record();
+    assert!(driver.scheduler.is_recovered());
+    assert_eq!(driver.state(1), Some(JobState::Completed));
+    assert_eq!(driver.scheduler.acknowledged_ends(at), (1, false));
+}
