Keep the decisions of the roster apart from its I/O, and test them without clocks

Which workers may be used, what is stored of them, and when a worker that stops draining may be used again were decided inside the scheduler's role, where only a whole cell could show it. The test of that spun until the store was read and slept for 3 s: it could miss the fault. The decisions are a module of their own now, and four tests replay them, one of them the spun case for a scheduler in office and one for a takeover; each fails with the line taken out that it guards. Nothing is decided otherwise.

--- a/crates/cell/src/leader.rs
+++ b/crates/cell/src/leader.rs
@@ -24,7 +24,6 @@
 
 use adaptive_timeout::AdaptiveTimeout;
 use progress_writer::ProgressWriter;
-use roster::Roster;
 use sessions::Session;
 use slotmap::SecondaryMap;
 use smol_str::SmolStr;
@@ -56,6 +55,7 @@
 use crate::ports::Condition;
 use crate::ports::Platform;
 use crate::ports::Record;
+use crate::roster::Roster;
 
 /// Minimum time between two scheduling passes, so that events in between share one pass.
 const SCHEDULE_INTERVAL_MS: u64 = 3;
@@ -309,7 +309,7 @@
                 Action::OrderVm { vm, operation } => self.order_vm(vm, operation),
                 Action::ReportWave { wave, completed } => self.queue_wave_status(wave, completed),
                 Action::ForgetWorker(id) => self.forget_worker(&id),
-                Action::RecordDrain(id) => self.record_drain(id),
+                Action::RecordDrain(id) => self.record_drain(&id),
                 Action::DeleteSpec(id) => self.specs_to_remove.borrow_mut().push(id),
                 Action::DeleteJob(id) => self.progress_to_remove.borrow_mut().push(id),
                 Action::Note(note) => {
--- a/crates/cell/src/leader/takeover.rs
+++ b/crates/cell/src/leader/takeover.rs
@@ -208,23 +208,26 @@
     leader.roster.restore(roster.values());
     leader
         .roster
-        .restore_drained(read_drains(leader, &stored.progress));
+        .restore_recorded_drains(read_drains(leader, &stored.progress));
     let mut listed = BTreeSet::new();
     for (_offset, record) in &stored.workers.records {
         listed.extend(readers::apply_worker_record(leader, record));
     }
     let mut unlisted = Vec::new();
-    let drained = leader.roster.drained();
+    let recorded_drains = leader.roster.recorded_drains();
     for (id, mut spec) in roster {
         if listed.contains(&id) {
             continue;
         }
         // The roster may have been written before the worker began to drain.
-        spec.draining |= drained.contains(&id);
+        spec.draining |= recorded_drains.contains(&id);
         unlisted.push(id);
         leader.apply(Event::WorkerListed(spec));
     }
-    leader.scheduler.borrow_mut().restore_drains(&drained);
+    leader
+        .scheduler
+        .borrow_mut()
+        .restore_drains(&recorded_drains);
     for key in unreadable {
         let placeholder = placeholder_worker(&key);
         unlisted.push(placeholder.id.clone());
@@ -267,8 +270,8 @@
     (workers, keys)
 }
 
-/// Reads the draining workers of which a predecessor recorded all runs. Without a readable record, every such worker is
-/// waited for like any silent one.
+/// Reads which draining workers the store names for each run that may be on them. Without a readable record, a draining
+/// worker is waited for like any silent one.
 fn read_drains<P>(leader: &Leader<P>, partitions: &[Newest]) -> Vec<WorkerId>
 where
     P: Platform,
--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod ports;
 mod queries;
 pub mod records;
+pub mod roster;
 mod settings;
 mod store_calls;
 mod submit;
--- a/crates/cell/src/records.rs
+++ b/crates/cell/src/records.rs
@@ -32,7 +32,7 @@
 /// Prefix of the keys of records with the progress of an maintenance wave.
 const WAVE_PREFIX: &str = "waves/";
 
-/// Key of the record of draining workers of which all runs are recorded.
+/// Key of the record of drains.
 pub const DRAINS_KEY: &str = "drains";
 
 /// Most workers in one roster record: about 50 kB, well below the store's size limit.
@@ -100,7 +100,7 @@
     }
 }
 
-/// Draining workers of which all runs are recorded in the progress of their jobs.
+/// Draining workers that the progress of the jobs names for each run that may be on them.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct DrainsRecord {
     /// Fencing token of the scheduler.
@@ -191,7 +191,7 @@
     }
 }
 
-/// Creates the record of the draining workers of which all runs are recorded.
+/// Creates the record of drains.
 #[must_use]
 pub fn drains(drains: &DrainsRecord) -> Record {
     Record {
@@ -266,7 +266,7 @@
     record.key.starts_with(ROSTER_PREFIX)
 }
 
-/// Decodes the latest record of drained workers. Also returns the errors of unreadable ones.
+/// Decodes the latest record of drains. Also returns the errors of unreadable ones.
 ///
 /// It holds only for the scheduler that wrote the latest roster: a later one may have used these workers again. For the same
 /// reason, nothing holds if some record of either kind can't be read, since that may be the latest.
--- a/crates/cell/tests/cell/main.rs
+++ b/crates/cell/tests/cell/main.rs
@@ -6,7 +6,6 @@
 mod clock_agreement;
 mod clocks;
 mod cluster;
-mod drains;
 mod fuzz;
 mod roster;
 mod service;
--- a/crates/cell/tests/cell/roster.rs
+++ b/crates/cell/tests/cell/roster.rs
@@ -9,7 +9,10 @@
 use syc_cell::records::read_drains;
 use syc_cell::records::read_roster;
 use syc_cell::records::roster;
+use syc_cell::roster::Listing;
+use syc_cell::roster::Roster;
 use syc_sched::WorkerSpec;
+use syc_types::WorkerId;
 use test_case::test_case;
 
 use crate::cluster::worker;
@@ -109,3 +112,100 @@
     assert_eq!(unreadable.len(), 1);
     assert_eq!(record.key, DRAINS_KEY);
 }
+
+// Guards against an older record of the other partition that is trusted although the newest can't be read.
+#[test]
+fn an_older_record_does_not_count_if_the_newest_is_unreadable() {
+    let mut newest = drains_of(0, 7, 3);
+    newest.value = b"{".to_vec().into();
+    let mut records = roster(&roster_of(1, 7, 1));
+    records.extend([drains_of(1, 7, 2), newest]);
+    let (trusted, unreadable) = read_drains(&records);
+    assert_eq!(unreadable.len(), 1);
+    assert_eq!(trusted, [], "they may be in use again");
+}
+
+fn draining(index: usize) -> WorkerSpec {
+    WorkerSpec {
+        draining: true,
+        ..worker(index)
+    }
+}
+
+/// Stores the pending change. Returns the drains that a successor would read then.
+fn store(roster: &Roster, stored: &mut Vec<Record>) -> Vec<WorkerId> {
+    if let Some(change) = roster.pending_change(7) {
+        for record in change.records {
+            stored.retain(|older| older.key != record.key);
+            stored.push(record);
+        }
+        roster.mark_recorded(change.number);
+    }
+    read_drains(&*stored).0
+}
+
+/// Creates the roster of a scheduler that has recorded the drain of a worker.
+fn with_recorded_drain(stored: &mut Vec<Record>) -> Roster {
+    let roster = Roster::default();
+    roster.list(&worker(0));
+    store(&roster, stored);
+    assert_eq!(roster.list(&draining(0)), Listing::Usable);
+    assert!(roster.add_recorded_drain(worker(0).id));
+    assert_eq!(store(&roster, stored), [worker(0).id]);
+    roster
+}
+
+/// A successor would take what is started on the worker as over.
+#[test]
+fn a_worker_that_stops_draining_is_used_only_once_the_store_has_that() {
+    let mut stored = Vec::new();
+    let roster = with_recorded_drain(&mut stored);
+    assert_eq!(roster.list(&worker(0)), Listing::StillDraining);
+    let change = roster.pending_change(7).expect("a change to be stored");
+    assert_eq!(roster.list(&worker(0)), Listing::StillDraining);
+    let usable = roster.mark_recorded(change.number);
+    assert_eq!(usable, [worker(0)], "as it is listed");
+    assert_eq!(read_drains(&change.records).0, []);
+    assert_eq!(roster.list(&worker(0)), Listing::Usable);
+}
+
+/// The scheduler still takes the worker as draining until the store has the change, and records the drain again. A worker in
+/// use would be stored as drained.
+#[test]
+fn a_worker_that_stopped_draining_is_not_recorded_again() {
+    let mut stored = Vec::new();
+    let roster = with_recorded_drain(&mut stored);
+    assert_eq!(roster.list(&worker(0)), Listing::StillDraining);
+    assert!(!roster.add_recorded_drain(worker(0).id));
+    assert_eq!(store(&roster, &mut stored), []);
+    assert_eq!(roster.list(&worker(0)), Listing::Usable);
+    assert_eq!(store(&roster, &mut stored), []);
+}
+
+/// The same in a takeover: the successor finds the drain in the store and the worker listed as ready.
+#[test]
+fn a_worker_that_stopped_draining_between_schedulers_is_not_recorded_again() {
+    let mut stored = Vec::new();
+    with_recorded_drain(&mut stored);
+    let successor = Roster::default();
+    successor.restore([&draining(0)]);
+    successor.restore_recorded_drains(read_drains(&stored).0);
+    assert_eq!(successor.list(&worker(0)), Listing::StillDraining);
+    assert_eq!(successor.recorded_drains().len(), 0, "it is waited for");
+    assert!(!successor.add_recorded_drain(worker(0).id));
+    let change = successor.pending_change(8).expect("a change to be stored");
+    assert_eq!(successor.list(&worker(0)), Listing::StillDraining);
+    assert_eq!(successor.mark_recorded(change.number), [worker(0)]);
+    assert_eq!(read_drains(&change.records).0, []);
+}
+
+/// A worker that is gone by the time that the store has the change would be registered again.
+#[test]
+fn a_worker_that_left_after_it_stopped_draining_is_not_listed_again() {
+    let mut stored = Vec::new();
+    let roster = with_recorded_drain(&mut stored);
+    roster.list(&worker(0));
+    assert!(roster.unlist(&worker(0).id));
+    let change = roster.pending_change(7).expect("a change to be stored");
+    assert_eq!(roster.mark_recorded(change.number), []);
+}
