Check held ends on each tick, count and log them, and walk the open units in one place

An end that is held outside of a takeover stayed in the list of held ends for as long as the scheduler did: a reference each. Units are checked, and dropped once they are recorded, on each tick; `ends_held_in_office_are_not_kept_once_they_are_recorded` fails without that.

Nothing is decided otherwise.

--- a/crates/cell/src/log.rs
+++ b/crates/cell/src/log.rs
@@ -352,12 +352,12 @@
             found,
             missing_ms,
         } => run_missing(*task, *run, worker.as_ref(), found, *missing_ms),
-        Note::Adopted { task, run, worker } => Line::new(catalogue::RUN_ADOPTED)
-            .display("job", task.step.job)
-            .display("task", task)
-            .number("run", run.0)
-            .text("worker", worker.as_str())
-            .emit(),
+        Note::EndHeld {
+            task,
+            later_run,
+            is_done,
+        } => end_held(*task, *later_run, *is_done),
+        Note::Adopted { task, run, worker } => run_adopted(*task, *run, worker),
         Note::TaskBlamed {
             task,
             worker,
@@ -422,6 +422,24 @@
     }
 }
 
+fn run_adopted(task: TaskId, run: Run, worker: &WorkerId) {
+    Line::new(catalogue::RUN_ADOPTED)
+        .display("job", task.step.job)
+        .display("task", task)
+        .number("run", run.0)
+        .text("worker", worker.as_str())
+        .emit();
+}
+
+fn end_held(task: TaskId, later_run: Run, is_done: bool) {
+    Line::new(catalogue::END_HELD)
+        .display("job", task.step.job)
+        .display("task", task)
+        .number("later_run", later_run.0)
+        .flag("done", is_done)
+        .emit();
+}
+
 fn run_missing(task: TaskId, run: Run, worker: Option<&WorkerId>, found: &str, missing_ms: u64) {
     Line::new(catalogue::RUN_MISSING)
         .display("job", task.step.job)
--- a/crates/obs/src/cell_metrics.rs
+++ b/crates/obs/src/cell_metrics.rs
@@ -76,6 +76,8 @@
     pub usable_workers: usize,
     /// Workers that do not answer.
     pub silent_workers: usize,
+    /// Tasks and gangs whose end is held while a later start of them may be carried out.
+    pub held_ends: usize,
     /// Runs whose latest order has no answer yet.
     pub doubtful_runs: usize,
     /// Time for which the oldest of these has been in doubt.
@@ -242,6 +244,7 @@
     tasks: Gauge<u64>,
     workers: Gauge<u64>,
     doubtful: Gauge<u64>,
+    held_ends: Gauge<u64>,
     oldest_doubt: Gauge<f64>,
     longest_silence: Gauge<f64>,
     longest_lease: Gauge<f64>,
@@ -261,6 +264,10 @@
                 "syc_cell_doubtful_runs",
                 "Runs whose latest order has no answer yet.",
             ),
+            held_ends: gauge(
+                "syc_cell_held_ends",
+                "Ends that are not shown while a later start may be carried out.",
+            ),
             oldest_doubt: time(
                 "syc_cell_oldest_doubt",
                 "Time for which the oldest run has been in doubt.",
@@ -297,6 +304,7 @@
         self.configuration.record(readings.configuration, &[]);
         self.jobs.record(to_u64(readings.open_jobs), &[]);
         self.doubtful.record(to_u64(readings.doubtful_runs), &[]);
+        self.held_ends.record(to_u64(readings.held_ends), &[]);
         let times = [
             (&self.oldest_doubt, readings.oldest_doubt_ms),
             (&self.longest_silence, readings.longest_silence_ms),
--- a/crates/obs/src/events.rs
+++ b/crates/obs/src/events.rs
@@ -212,4 +212,6 @@
     TASK_GIVEN_UP = 753, Warn, "task given up";
     /// A task was recorded as running, and no worker held its run.
     RUN_MISSING = 754, Error, "run missing";
+    /// The end of a task is not shown before a later start of it is ruled out.
+    END_HELD = 755, Info, "end held";
 }
--- a/crates/sched/src/action.rs
+++ b/crates/sched/src/action.rs
@@ -104,8 +104,8 @@
         /// Whether maintenance has begun on every VM that stays.
         completed: bool,
     },
-    /// Record that all runs on a draining worker are recorded. A successor then need not wait for the worker with tasks
-    /// that are not recorded there, even if it does not answer.
+    /// Store that the progress of the jobs names a draining worker for each run that may be on it. A successor then knows
+    /// that no other task can be there, even if the worker does not answer.
     RecordDrain(WorkerId),
     /// Remove a worker from the roster, since nothing that was ordered can still run on it.
     ForgetWorker(WorkerId),
--- a/crates/sched/src/counts.rs
+++ b/crates/sched/src/counts.rs
@@ -20,6 +20,8 @@
     pub silent_workers: usize,
     /// Attached workers.
     pub workers: usize,
+    /// Tasks and gangs whose end is held because a later start of them may still be carried out.
+    pub held_ends: usize,
     /// Runs whose latest order has not been answered yet, so that it is unknown whether they run.
     pub doubtful_runs: usize,
     /// Time since the oldest unanswered order.
@@ -59,6 +61,7 @@
         let mut counts = Counts {
             open_jobs: self.open_jobs.len(),
             workers: self.workers.len(),
+            held_ends: self.held_ends.len(),
             ..Counts::default()
         };
         for key in &self.open_jobs {
--- a/crates/sched/src/drain_record.rs
+++ b/crates/sched/src/drain_record.rs
@@ -2,8 +2,8 @@
 //!
 //! A worker that drains soon leaves, and is then neither registered nor answers. To a successor it looks like a worker that
 //! is cut off, on which any task may run that the predecessor had started without recording that. Since a draining worker
-//! gets no new starts, its runs are recorded once, and then the fact that they are. A successor waits for such a worker
-//! with the recorded runs alone.
+//! gets no new starts, the scheduler stores its runs once, and then that it has done so. A successor then knows that no
+//! other task can be on such a worker.
 
 use std::collections::BTreeSet;
 
@@ -20,15 +20,15 @@
 use crate::worker::Phase;
 use crate::worker::WorkerRun;
 
-/// How far the runs of a draining worker are recorded.
+/// Whether the store names a draining worker for each run that may be on it.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub(crate) enum DrainRecord {
-    /// Not all of them are, or the worker is not draining.
+    /// It does not, or the worker is not draining.
     #[default]
     Incomplete,
-    /// Changes of jobs that record them, and that are not all stored.
+    /// It does once these changes of the jobs concerned are stored.
     Writing(Vec<(JobKey, u64)>),
-    /// All of them are.
+    /// It does.
     Recorded,
 }
 
@@ -54,7 +54,7 @@
         worker.is_some_and(|worker| worker.drain_record == DrainRecord::Recorded)
     }
 
-    /// Records the runs of workers that drain.
+    /// Stores the runs on workers that drain, and then that these are all.
     pub(crate) fn record_drains(&mut self) {
         let mut draining = Vec::new();
         for (key, worker) in &self.workers {
@@ -145,22 +145,12 @@
         F: Fn(&WorkerId) -> bool,
     {
         let mut placed = Vec::new();
-        for job in &self.open_jobs {
-            for (step, of_step) in self.jobs[*job].steps.iter().enumerate() {
-                for (unit, of_unit) in of_step.units.iter().enumerate() {
-                    let unit_ref = UnitRef {
-                        job: *job,
-                        step,
-                        unit,
-                    };
-                    let workers = of_unit.predecessor_placement.workers.iter();
-                    for (member, id) in workers.enumerate() {
-                        let Some(id) = id.as_ref().filter(|id| is_on(id)) else {
-                            continue;
-                        };
-                        placed.push((unit_ref, member, self.worker_keys[id]));
-                    }
-                }
+        for (unit_ref, unit) in self.open_units() {
+            for (member, id) in unit.predecessor_placement.workers.iter().enumerate() {
+                let Some(id) = id.as_ref().filter(|id| is_on(id)) else {
+                    continue;
+                };
+                placed.push((unit_ref, member, self.worker_keys[id]));
             }
         }
         for (unit_ref, member, worker) in placed {
@@ -171,7 +161,7 @@
     /// Assumes that what a predecessor recorded on a worker was ordered there, if the worker has not reported anything.
     pub(crate) fn assume_unreported_placements(&mut self, key: WorkerKey, now: Millis) {
         let worker = &self.workers[key];
-        if worker.runs_known || !self.recovery.may_orders_arrive() {
+        if worker.runs_known || !self.recovery.may_predecessor_orders_arrive() {
             return;
         }
         let id = worker.spec.id.clone();
--- a/crates/sched/src/late_starts.rs
+++ b/crates/sched/src/late_starts.rs
@@ -13,7 +13,9 @@
 
 use syc_types::Millis;
 
+use crate::Action;
 use crate::JobState;
+use crate::Note;
 use crate::Run;
 use crate::Scheduler;
 use crate::StopReason;
@@ -42,7 +44,7 @@
     /// Returns whether a worker that has not answered may still carry out a predecessor's start of a unit.
     pub(crate) fn may_be_started_late(&self, unit_ref: UnitRef, now: Millis) -> bool {
         let job = &self.jobs[unit_ref.job];
-        if !self.recovery.may_orders_arrive() || !job.inherited {
+        if !self.recovery.may_predecessor_orders_arrive() || !job.inherited {
             return false;
         }
         let step = &job.steps[unit_ref.step];
@@ -64,7 +66,8 @@
         })
     }
 
-    /// Marks a unit as ended, and stops its later run wherever that is found, before this is recorded.
+    /// Marks a unit as ended, as done or without an attempt left. That is recorded once its later run, which is stopped
+    /// wherever it is found, has ended or can't start.
     pub(crate) fn hold_end(&mut self, unit_ref: UnitRef, outcome: Outcome, now: Millis) {
         let step = &mut self.jobs[unit_ref.job].steps[unit_ref.step];
         let member_count = usize::try_from(step.members()).unwrap_or(1);
@@ -88,20 +91,27 @@
             step.pending_units -= 1;
             self.release_reservation(unit_ref.job, unit_ref.step, unit_ref.unit);
         }
-        self.recovery.hold_end(unit_ref);
+        self.held_ends.push(unit_ref);
+        let step_id = self.step_id(unit_ref.job, unit_ref.step);
+        let step = &self.jobs[unit_ref.job].steps[unit_ref.step];
+        self.actions.push(Action::Note(Note::EndHeld {
+            task: step.task_at(step_id, unit_ref.unit, 0),
+            later_run: run,
+            is_done: outcome == Outcome::Done,
+        }));
         self.stop_members(unit_ref, run, StopReason::Unwanted, now);
     }
 
     /// Records the ends of which no later start can be carried out any more.
     pub(crate) fn record_held_ends(&mut self, now: Millis) {
-        for unit_ref in self.recovery.take_held_ends() {
+        for unit_ref in std::mem::take(&mut self.held_ends) {
             let Some((run, is_located)) = self.held_run(unit_ref) else {
                 continue;
             };
             let may_start = self.may_be_started_late(unit_ref, now)
                 || self.has_unconfirmed_start(unit_ref, run);
             if is_located || may_start {
-                self.recovery.hold_end(unit_ref);
+                self.held_ends.push(unit_ref);
                 continue;
             }
             self.record_pending_end(unit_ref, run, now);
@@ -136,7 +146,7 @@
 
     /// Returns whether a task of a job that was ended may still be started by an order that is on its way.
     fn may_start_after_job_end(&self, task: TaskId, now: Millis) -> bool {
-        let awaits_orders = self.recovery.may_orders_arrive();
+        let awaits_orders = self.recovery.may_predecessor_orders_arrive();
         let is_set_aside = |run: &MisdirectedRun| run.name().0.step == task.step;
         let mut workers = self.workers.values();
         self.misdirected.iter().any(is_set_aside)
@@ -163,21 +173,12 @@
         }
     }
 
-    /// Holds the units back that had no attempt left when a predecessor was lost, before it ended their jobs.
+    /// Holds the ends of units that had no attempt left when a predecessor was lost before it had ended their jobs.
     pub(crate) fn hold_exhausted_units(&mut self, now: Millis) {
         let mut exhausted = Vec::new();
-        for job in &self.open_jobs {
-            for (step, of_step) in self.jobs[*job].steps.iter().enumerate() {
-                for unit in 0..of_step.units.len() {
-                    let unit_ref = UnitRef {
-                        job: *job,
-                        step,
-                        unit,
-                    };
-                    if !of_step.units[unit].is_done() && self.is_exhausted(unit_ref) {
-                        exhausted.push(unit_ref);
-                    }
-                }
+        for (unit_ref, unit) in self.open_units() {
+            if !unit.is_done() && self.is_exhausted(unit_ref) {
+                exhausted.push(unit_ref);
             }
         }
         for unit_ref in exhausted {
--- a/crates/sched/src/note.rs
+++ b/crates/sched/src/note.rs
@@ -53,6 +53,16 @@
         /// How long that had stood when the task was treated as ended.
         missing_ms: u64,
     },
+    /// A task or gang has ended, as done or without an attempt left. That is neither shown nor acknowledged while a later
+    /// start of it may still be carried out.
+    EndHeld {
+        /// The task, or the first member of the gang.
+        task: TaskId,
+        /// Number of the later start.
+        later_run: Run,
+        /// Whether it is done; otherwise it has no attempt left.
+        is_done: bool,
+    },
     /// A run that the predecessor had started was adopted.
     Adopted {
         /// The task.
--- a/crates/sched/src/recovery.rs
+++ b/crates/sched/src/recovery.rs
@@ -26,7 +26,7 @@
 pub(crate) struct Recovery {
     /// Workers that may run something unknown and have not reported yet.
     unreported_workers: BTreeSet<WorkerId>,
-    /// Those of them that are only named by recorded starts, and cannot be asked.
+    /// Those of them that are named by recorded starts alone, so that their addresses are not known.
     unattached_workers: BTreeSet<WorkerId>,
     /// When all leases that a predecessor may have set have expired.
     leases_expired_at: Millis,
@@ -42,34 +42,22 @@
     is_partial: bool,
     /// Number of workers that crashed before they reported what runs on them.
     unreported_crashes: u32,
-    /// Workers that were detached unreported. A successor that does not know them could not count their crashes, so they
-    /// stay in the roster until what that means for the units is decided.
+    /// Workers that were detached before they reported anything. They stay in the roster until their possible crashes are
+    /// counted: a successor that did not know them could not count these.
     detached: Vec<WorkerId>,
     pub(crate) adopted: usize,
-    /// Units that have ended, of which a predecessor's later start may still be carried out.
-    held_ends: Vec<UnitRef>,
 }
 
 impl Recovery {
     /// Keeps a worker in the roster that was detached unreported. Returns whether it is kept.
     pub(crate) fn keep_in_roster(&mut self, worker: &WorkerId) -> bool {
-        let keeps = self.may_orders_arrive();
+        let keeps = self.may_predecessor_orders_arrive();
         if keeps {
             self.detached.push(worker.clone());
         }
         keeps
     }
 
-    /// Remembers a unit that has ended, to be recorded once no later start of it can be carried out.
-    pub(crate) fn hold_end(&mut self, unit_ref: UnitRef) {
-        self.held_ends.push(unit_ref);
-    }
-
-    /// Takes the units that have ended and are not recorded as such.
-    pub(crate) fn take_held_ends(&mut self) -> Vec<UnitRef> {
-        std::mem::take(&mut self.held_ends)
-    }
-
     /// Returns whether a recorded start was ordered on a worker that is in no readable part of the roster, and whose lease
     /// may still hold.
     pub(crate) fn awaits_unattached(&self, placement: &PredecessorPlacement) -> bool {
@@ -77,8 +65,8 @@
         workers.any(|id| self.unattached_workers.contains(id))
     }
 
-    /// Returns whether predecessors' orders may still be carried out on workers that have not answered.
-    pub(crate) const fn may_orders_arrive(&self) -> bool {
+    /// Returns whether the orders of predecessors may still be carried out on workers that have not answered.
+    pub(crate) const fn may_predecessor_orders_arrive(&self) -> bool {
         self.begun && !self.is_complete
     }
 
@@ -152,18 +140,14 @@
                 unreported_workers.insert(worker.spec.id.clone());
             }
         }
-        for key in &self.open_jobs {
-            for step in &self.jobs[*key].steps {
-                for unit in &step.units {
-                    // Members of an accounted start whose worker is gone need not be waited for.
-                    if unit.last_started <= unit.last_accounted {
-                        continue;
-                    }
-                    for id in unit.predecessor_placement.workers.iter().flatten() {
-                        if !self.is_drain_recorded(id) {
-                            unreported_workers.insert(id.clone());
-                        }
-                    }
+        for (_, unit) in self.open_units() {
+            // Members of an accounted start whose worker is gone need not be waited for.
+            if unit.last_started <= unit.last_accounted {
+                continue;
+            }
+            for id in unit.predecessor_placement.workers.iter().flatten() {
+                if !self.is_drain_recorded(id) {
+                    unreported_workers.insert(id.clone());
                 }
             }
         }
@@ -189,7 +173,6 @@
             unreported_crashes: 0,
             detached: Vec::new(),
             adopted: self.recovery.adopted,
-            held_ends: Vec::new(),
         };
         self.assume_recorded_placements(now);
         self.hold_exhausted_units(now);
@@ -207,7 +190,6 @@
         if !self.recovery.begun || self.recovery.is_complete {
             return;
         }
-        self.record_held_ends(now);
         self.expire_absent_runs(now);
         let unanswered = self.recovery.unreported_workers.len();
         if unanswered > 0 && !self.have_unreported_leases_expired(now) {
@@ -240,7 +222,7 @@
         if !job.inherited || self.recovery.is_complete {
             return false;
         }
-        !is_only_start_over(&job.steps[step], unit)
+        !has_only_start_ended(&job.steps[step], unit)
     }
 
     /// Treats recorded runs as ended that their workers don't have, once these have reported everything.
@@ -248,24 +230,13 @@
     /// That is stored before the next start: a successor has to know on which workers each start was ordered.
     fn expire_absent_runs(&mut self, now: Millis) {
         let mut absent = Vec::new();
-        for job in &self.open_jobs {
-            for (step, of_step) in self.jobs[*job].steps.iter().enumerate() {
-                for (unit, of_unit) in of_step.units.iter().enumerate() {
-                    let unit_ref = UnitRef {
-                        job: *job,
-                        step,
-                        unit,
-                    };
-                    let placement = &of_unit.predecessor_placement;
-                    let is_accounted = of_unit.last_accounted >= placement.run;
-                    if of_unit.state == UnitState::Pending
-                        && !is_accounted
-                        && self.is_absent(placement)
-                    {
-                        absent.push((unit_ref, placement.run));
-                    }
-                }
+        for (unit_ref, unit) in self.open_units() {
+            let placement = &unit.predecessor_placement;
+            let is_accounted = unit.last_accounted >= placement.run;
+            if unit.state != UnitState::Pending || is_accounted || !self.is_absent(placement) {
+                continue;
             }
+            absent.push((unit_ref, placement.run));
         }
         for (unit_ref, run) in absent {
             self.jobs[unit_ref.job].steps[unit_ref.step].pending_units -= 1;
@@ -358,9 +329,9 @@
     }
 
     fn expire_unknown_run(&mut self, unit_ref: UnitRef, now: Millis) {
-        // It may have been announced or started again under the next number since.
+        // Its next start may have been announced since, or ordered.
         let step = &self.jobs[unit_ref.job].steps[unit_ref.step];
-        if is_only_start_over(step, unit_ref.unit) {
+        if has_only_start_ended(step, unit_ref.unit) {
             return;
         }
         let unit = self.unit_mut(unit_ref);
@@ -387,21 +358,12 @@
     /// Stops the gangs of which not every member was found. The members that were not may have crashed their workers.
     pub(crate) fn stop_incomplete_gangs(&mut self, now: Millis) {
         let mut incomplete = Vec::new();
-        for key in &self.open_jobs {
-            for (step_index, step) in self.jobs[*key].steps.iter().enumerate() {
-                for (unit_index, unit) in step.units.iter().enumerate() {
-                    let UnitState::Placed { run, members } = &unit.state else {
-                        continue;
-                    };
-                    if members.iter().any(Option::is_none) {
-                        let unit_ref = UnitRef {
-                            job: *key,
-                            step: step_index,
-                            unit: unit_index,
-                        };
-                        incomplete.push((unit_ref, *run, members.clone()));
-                    }
-                }
+        for (unit_ref, unit) in self.open_units() {
+            let UnitState::Placed { run, members } = &unit.state else {
+                continue;
+            };
+            if members.iter().any(Option::is_none) {
+                incomplete.push((unit_ref, *run, members.clone()));
             }
         }
         for (unit_ref, run, found) in incomplete {
@@ -412,7 +374,7 @@
 }
 
 /// Returns whether the only start of a single task that a predecessor may have ordered is known to have ended.
-fn is_only_start_over(step: &Step, unit: usize) -> bool {
+fn has_only_start_ended(step: &Step, unit: usize) -> bool {
     let unit = &step.units[unit];
     step.members() == 1 && unit.last_accounted > unit.predecessor_placement.accounted
 }
--- a/crates/sched/src/run_ends.rs
+++ b/crates/sched/src/run_ends.rs
@@ -65,6 +65,19 @@
 }
 
 impl Scheduler {
+    /// Returns all units of the jobs that have not ended.
+    pub(crate) fn open_units(&self) -> impl Iterator<Item = (UnitRef, &Unit)> {
+        let jobs = self.open_jobs.iter().copied();
+        let steps = jobs.flat_map(|job| {
+            let steps = self.jobs[job].steps.iter().enumerate();
+            steps.map(move |(step, of_step)| (job, step, of_step))
+        });
+        steps.flat_map(|(job, step, of_step)| {
+            let units = of_step.units.iter().enumerate();
+            units.map(move |(unit, of_unit)| (UnitRef { job, step, unit }, of_unit))
+        })
+    }
+
     /// Ends a run: releases its resources and applies the outcome to its unit.
     pub(crate) fn end_run(
         &mut self,
--- a/crates/sched/src/scheduler.rs
+++ b/crates/sched/src/scheduler.rs
@@ -40,6 +40,7 @@
 use crate::recovery::Recovery;
 use crate::retention::CellClock;
 use crate::retention::EndStamp;
+use crate::run_ends::UnitRef;
 use crate::stale_capacity::RegistrationReads;
 use crate::unit::UnitState;
 use crate::vms::VmInventory;
@@ -90,6 +91,8 @@
     pub(crate) recent_silences: VecDeque<Millis>,
     /// Runs whose start may have reached an incarnation of the worker that is not registered yet.
     pub(crate) misdirected: Vec<MisdirectedRun>,
+    /// Units that have ended, of which a later start may still be carried out.
+    pub(crate) held_ends: Vec<UnitRef>,
     pub(crate) consistency: ConsistencyCheck,
     /// Number of jobs added since this scheduler took over.
     pub(crate) jobs_added: u64,
@@ -132,6 +135,7 @@
             jobs_read_at: Millis(u64::MAX),
             recent_silences: VecDeque::new(),
             misdirected: Vec::new(),
+            held_ends: Vec::new(),
             consistency: ConsistencyCheck::default(),
             jobs_added: 0,
             leadership_proof: LeadershipProof::NOT_REQUIRED,
--- a/crates/sched/src/tick.rs
+++ b/crates/sched/src/tick.rs
@@ -14,6 +14,7 @@
 impl Scheduler {
     /// Performs all periodic checks.
     pub(crate) fn tick(&mut self, now: Millis) {
+        self.record_held_ends(now);
         self.try_complete_recovery(now);
         self.discard_orphans(now);
         self.expire_misdirected(now);
--- a/crates/sched/tests/core/late_starts.rs
+++ b/crates/sched/tests/core/late_starts.rs
@@ -554,3 +554,16 @@
     assert_eq!(driver.state(1), Some(JobState::Completed));
     assert_eq!(driver.scheduler.acknowledged_ends(at), (1, false));
 }
+
+// Guards against memory that grows with each end that is held while no takeover is under way.
+#[test]
+fn ends_held_in_office_are_not_kept_once_they_are_recorded() {
+    let (mut driver, first, second) = second_starts_under_way(1, 3);
+    driver.report_end(&first[0], RunEnd::Done, &[]);
+    assert_eq!(driver.scheduler.counts(driver.now).held_ends, 1);
+    driver.report_end(&second[0], RunEnd::Stopped, &[]);
+    driver.record();
+    driver.apply(Event::Ticked);
+    assert_eq!(driver.state(1), Some(JobState::Completed));
+    assert_eq!(driver.scheduler.counts(driver.now).held_ends, 0);
+}
