--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -29,6 +29,7 @@
 mod ids;
 mod jitter;
 mod job;
+mod job_lifecycle;
 mod late_starts;
 mod leadership_proof;
 mod maintenance;
--- a/crates/sched/src/scheduler.rs
+++ b/crates/sched/src/scheduler.rs
@@ -1,4 +1,4 @@
-//! The scheduler's state, its event handling, and the lifecycle and persistence of jobs.
+//! The scheduler's state and its event handling.
 
 use std::cell::Cell;
 use std::collections::BTreeMap;
@@ -11,19 +11,14 @@
 use syc_retry::Budget;
 use syc_types::DayAnchor;
 use syc_types::Millis;
-use syc_types::TimeOfDay;
 use syc_types::WorkerId;
 
 use crate::Action;
 use crate::AdviceSlots;
 use crate::Event;
 use crate::JobId;
-use crate::JobProgress;
-use crate::JobSpec;
 use crate::JobState;
-use crate::Note;
 use crate::Options;
-use crate::StopReason;
 use crate::TaskId;
 use crate::VmOperation;
 use crate::WorkerKey;
@@ -39,12 +34,9 @@
 use crate::pools::Pools;
 use crate::recovery::Recovery;
 use crate::retention::CellClock;
-use crate::retention::EndStamp;
 use crate::run_ends::UnitRef;
 use crate::stale_capacity::RegistrationReads;
-use crate::unit::UnitState;
 use crate::vms::VmInventory;
-use crate::worker::Phase;
 use crate::worker::Worker;
 
 /// Burst size of the cell-wide retry budget. Accepted orders refill the budget on top of this.
@@ -278,47 +270,6 @@
         !self.dirty.is_empty() || self.maintenance.has_changes()
     }
 
-    /// Takes the progress of changed jobs, then of jobs that started, each with the number of the last change
-    /// that it includes.
-    ///
-    /// The caller fills in the token of the version, and passes each record back in [`Event::Recorded`] once it
-    /// is stored.
-    pub fn take_records(
-        &mut self,
-        limit: usize,
-        now: Millis,
-        day: TimeOfDay,
-    ) -> Vec<(JobId, u64, JobProgress)> {
-        let mut records = Vec::new();
-        let cell_time = self.cell_clock.read(now);
-        while records.len() < limit {
-            let Some(key) = self.next_to_record() else {
-                break;
-            };
-            let Some(job) = self.jobs.get_mut(key) else {
-                continue;
-            };
-            if job.state.is_terminal() {
-                job.end_stamp.get_or_insert(EndStamp {
-                    cell_time,
-                    wall_time: day,
-                });
-            }
-            let job = &self.jobs[key];
-            let progress = job.progress(|worker| self.name_of(worker));
-            records.push((job.id(), job.latest_change, progress));
-        }
-        records
-    }
-
-    fn next_to_record(&mut self) -> Option<JobKey> {
-        let Some(changed) = self.dirty.pop_first() else {
-            return self.started_since_recorded.pop_first();
-        };
-        self.started_since_recorded.remove(&changed);
-        Some(changed)
-    }
-
     /// Returns the number of the latest run end that a worker may forget, and whether there are ends that are not
     /// stored yet.
     ///
@@ -372,163 +323,6 @@
         Some(worker.spec.id.clone())
     }
 
-    /// Adds a job of a predecessor, with its stored progress if there is any.
-    pub fn restore_job(
-        &mut self,
-        spec: JobSpec,
-        progress: Option<&JobProgress>,
-        age_ms: u64,
-        now: Millis,
-    ) {
-        let id = spec.id;
-        if self.job_keys.contains_key(&id) {
-            return;
-        }
-        let accepted_at = Millis(now.0.saturating_sub(age_ms));
-        let mut job = Job::new(spec, accepted_at, self.wall_clock);
-        job.inherited = true;
-        if let Some(progress) = progress {
-            job.restore(progress);
-        }
-        self.insert_open_job(job, now);
-    }
-
-    fn add_job(&mut self, spec: JobSpec, age_ms: u64, now: Millis) {
-        let id = spec.id;
-        if let Some(key) = self.job_keys.get(&id) {
-            // A repeated submit stored the specification of an ended job again.
-            if self.jobs[*key].visible_state.is_terminal() {
-                self.actions.push(Action::DeleteSpec(id));
-            }
-            return;
-        }
-        let accepted_at = Millis(now.0.saturating_sub(age_ms));
-        let key = self.insert_open_job(Job::new(spec, accepted_at, self.wall_clock), now);
-        self.jobs_added += 1;
-        self.jobs[key].arrival_number = self.jobs_added;
-        self.inherit_if_known_to_predecessor(key);
-        self.resolve_orphans(id, now);
-        self.expire_unknown_runs_of_job(key, now);
-    }
-
-    fn insert_open_job(&mut self, job: Job, now: Millis) -> JobKey {
-        let id = job.id();
-        let key = self.jobs.insert(job);
-        self.job_keys.insert(id, key);
-        self.open_jobs.insert(key);
-        if self.early_cancellations.remove(&id).is_some() {
-            self.end_job(key, JobState::Cancelled, now);
-        }
-        key
-    }
-
-    fn cancel(&mut self, id: JobId, now: Millis) {
-        let Some(key) = self.job_keys.get(&id).copied() else {
-            self.early_cancellations.insert(id, now);
-            return;
-        };
-        let job = &self.jobs[key];
-        if job.visible_state.is_terminal() {
-            // The cancellation arrived after the end and left a record in the store.
-            self.actions.push(Action::DeleteSpec(id));
-        }
-        if job.state.is_terminal() {
-            return;
-        }
-        self.end_job(key, JobState::Cancelled, now);
-    }
-
-    /// Marks a job as changed and returns the change number.
-    pub(crate) fn mark_changed(&mut self, key: JobKey) -> u64 {
-        let job = &mut self.jobs[key];
-        job.latest_change += 1;
-        self.dirty.insert(key);
-        job.latest_change
-    }
-
-    /// Ends a job: stops its runs and prevents further starts.
-    pub(crate) fn end_job(&mut self, key: JobKey, state: JobState, now: Millis) {
-        let job = &mut self.jobs[key];
-        job.state = state;
-        job.ended_at = Some(now);
-        let id = job.id();
-        self.actions.push(Action::Note(Note::JobEnded {
-            job: id,
-            state,
-            after_ms: now.since(job.accepted_at),
-            objective_ms: job.objective_ms,
-        }));
-        self.open_jobs.remove(&key);
-        self.release_reservations(key);
-        self.mark_changed(key);
-        // Remaining members of a completed gang end by themselves.
-        if state != JobState::Completed {
-            self.assign_end_changes(id, now);
-            self.stop_runs_of(id, now);
-        }
-    }
-
-    fn stop_runs_of(&mut self, id: JobId, now: Millis) {
-        let mut stops = Vec::new();
-        for (worker, held) in &self.workers {
-            for ((task, run), run_state) in &held.runs {
-                if task.step.job == id && run_state.phase != Phase::Stopping {
-                    stops.push((worker, *task, *run));
-                }
-            }
-        }
-        for (worker, task, run) in stops {
-            self.stop_run(worker, task, run, StopReason::JobEnded, now);
-        }
-    }
-
-    fn recorded(&mut self, jobs: &[(JobId, u64)], now: Millis) {
-        let cell_now = self.cell_clock.read(now);
-        for (id, change) in jobs {
-            let Some(key) = self.job_keys.get(id).copied() else {
-                continue;
-            };
-            let job = &mut self.jobs[key];
-            job.recorded_change = job.recorded_change.max(*change);
-            let complete = job.recorded_change == job.latest_change;
-            if job.state.is_terminal() {
-                if complete && !job.visible_state.is_terminal() {
-                    job.visible_state = job.state;
-                    job.end_visible_at = Some(cell_now);
-                    job.steps = Vec::new();
-                    job.spec.payload = SmolStr::default();
-                    self.actions.push(Action::DeleteSpec(*id));
-                }
-                continue;
-            }
-            self.apply_recorded_outcomes(key);
-        }
-    }
-
-    /// Applies the unit outcomes that are now stored.
-    fn apply_recorded_outcomes(&mut self, key: JobKey) {
-        let job = &mut self.jobs[key];
-        let recorded = job.recorded_change;
-        for step in &mut job.steps {
-            for unit in &mut step.units {
-                let UnitState::Recording { outcome, change } = unit.state else {
-                    continue;
-                };
-                if change > recorded {
-                    continue;
-                }
-                if outcome == crate::unit::Outcome::Done {
-                    unit.state = UnitState::Done;
-                    step.unfinished_units -= 1;
-                    continue;
-                }
-                unit.state = UnitState::Pending;
-                step.pending_units += 1;
-                step.ready_at = None;
-            }
-        }
-    }
-
     /// Returns the job, step, unit and gang member of a task.
     pub(crate) fn locate_task(&self, task: TaskId) -> Option<(JobKey, usize, usize, usize)> {
         let key = *self.job_keys.get(&task.step.job)?;
--- a/crates/sched/tests/core/takeover_units.rs
+++ b/crates/sched/tests/core/takeover_units.rs
@@ -79,7 +79,10 @@
 }
 
 /// Lets all leases of a predecessor expire on silent workers, while the others are renewed and answer.
-fn pass_longest_wait(driver: &mut Driver, answer: &mut dyn FnMut(&mut Driver)) {
+fn pass_longest_wait<F>(driver: &mut Driver, mut answer: F)
+where
+    F: FnMut(&mut Driver),
+{
     let options = Options::default();
     let wait_ms = options.authority_ms + options.lease_bound_ms + 200;
     for _ in 0..wait_ms / 100 {
@@ -171,7 +174,7 @@
     let silent = driver.workers[1];
     driver.apply(Event::RenewalFailed { worker: silent });
     let mut is_acknowledged = false;
-    pass_longest_wait(&mut driver, &mut |driver| {
+    pass_longest_wait(&mut driver, |driver| {
         report_first_of_many(driver, 0, done(0, 1), &mut is_acknowledged);
     });
     assert!(is_acknowledged, "kept though no lease is left");
@@ -204,7 +207,7 @@
     first.report_running(idle, &[]);
     first.report_running(first.workers[2], &[]);
     first.apply(Event::RenewalFailed { worker: cut_off });
-    pass_longest_wait(&mut first, &mut |driver| {
+    pass_longest_wait(&mut first, |driver| {
         for worker in [driver.workers[1], driver.workers[2]] {
             driver.apply(Event::Renewing { worker });
             driver.report_running(worker, &[]);
@@ -383,7 +386,7 @@
     let mut driver = successor(2, step(1, 4), 3, None);
     driver.report_running(driver.workers[1], &[]);
     cut_off_while_draining(&mut driver, 0);
-    pass_longest_wait(&mut driver, &mut |driver| {
+    pass_longest_wait(&mut driver, |driver| {
         let worker = driver.workers[1];
         driver.apply(Event::Renewing { worker });
         driver.report_running(worker, &[]);
