--- a/crates/sched/src/unit.rs
+++ b/crates/sched/src/unit.rs
@@ -18,7 +18,7 @@
     Failed,
     /// Ended for a reason that does not count against the unit.
     Interrupted,
-    /// Failed, and no attempt is left. Only of a run that is being stopped before that takes effect.
+    /// No attempt is left. Only used while a later run is being stopped before the job fails.
     Exhausted,
 }
 
