Store at once which workers drain, so that a successor does not take their leave for a crash

Callers saw: tasks suspected of crashing a worker that had left as announced, and so started isolated and one at a time for a while; nobody was given up by it.

Cause: a successor learns from the roster that a worker drains, but the roster is written only when a worker joins or leaves it. A worker that began to drain, and left while there was no scheduler, looked like one that crashed.

Change: the record of drains names all workers that drain, and is written when that changes. A successor takes these as draining. The stand-in of the generated schedules stores it with the next write, as a node does. The failing test first: a_successor_reads_which_workers_drain.

Why the mend holds for the class: what the store has of the drain is read in every takeover.

--- a/crates/cell/src/leader/roster.rs
+++ b/crates/cell/src/leader/roster.rs
@@ -22,7 +22,12 @@
             self.unlist_incarnation(previous);
         }
         match self.roster.list(&spec) {
-            Listing::Usable => self.apply(Event::WorkerListed(spec)),
+            Listing::Usable => {
+                if spec.draining {
+                    self.progress_notify.notify_one();
+                }
+                self.apply(Event::WorkerListed(spec));
+            }
             Listing::StillDraining => {
                 self.progress_notify.notify_one();
                 self.apply(Event::WorkerListed(WorkerSpec {
--- a/crates/cell/src/leader/takeover.rs
+++ b/crates/cell/src/leader/takeover.rs
@@ -201,10 +201,16 @@
 {
     // An append in doubt may have left the same roster in both partitions.
     let (roster, unreadable) = read_roster(leader, &stored.progress);
-    let roster: BTreeMap<_, _> = roster
+    let mut roster: BTreeMap<_, _> = roster
         .into_iter()
         .map(|spec| (spec.id.clone(), spec))
         .collect();
+    // The roster may have been written before they began to drain.
+    for id in read_draining(&stored.progress) {
+        if let Some(spec) = roster.get_mut(&id) {
+            spec.draining = true;
+        }
+    }
     leader.roster.restore(roster.values());
     leader
         .roster
@@ -219,7 +225,6 @@
         if listed.contains(&id) {
             continue;
         }
-        // The roster may have been written before the worker began to drain.
         spec.draining |= recorded_drains.contains(&id);
         unlisted.push(id);
         leader.apply(Event::WorkerListed(spec));
@@ -287,6 +292,12 @@
     workers
 }
 
+/// Reads which workers were draining. What can't be read is reported with the recorded drains.
+fn read_draining(partitions: &[Newest]) -> Vec<WorkerId> {
+    let all = partitions.iter().flat_map(|newest| &newest.records);
+    records::read_draining(all.map(|(_offset, record)| record))
+}
+
 /// Restores the progress of waves that a predecessor worked on.
 fn restore_waves<P>(leader: &Rc<Leader<P>>, partitions: &[Newest])
 where
--- a/crates/cell/src/records.rs
+++ b/crates/cell/src/records.rs
@@ -100,15 +100,18 @@
     }
 }
 
-/// Draining workers that the progress of the jobs names for each run that may be on them.
+/// Draining workers, and those that the progress of the jobs names for each run that may be on them.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct DrainsRecord {
     /// Fencing token of the scheduler.
     pub token: u64,
     /// Number of the change of the roster with which it was written.
     pub change: u64,
-    /// The workers.
+    /// Workers that are named for each run that may be on them.
     pub workers: Vec<WorkerId>,
+    /// All workers that are draining; none from earlier versions.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub draining: Vec<WorkerId>,
 }
 
 /// Creates the record of a submitted job.
@@ -266,12 +269,32 @@
     record.key.starts_with(ROSTER_PREFIX)
 }
 
+/// Decodes which draining workers are named for each run that may be on them. Also returns the errors of unreadable
+/// records.
+#[must_use]
+pub fn read_drains<'a, I>(records: I) -> (Vec<WorkerId>, Vec<serde_json::Error>)
+where
+    I: IntoIterator<Item = &'a Record>,
+{
+    let (latest, unreadable) = read_latest_drains(records);
+    (latest.workers, unreadable)
+}
+
+/// Decodes which workers were draining.
+#[must_use]
+pub fn read_draining<'a, I>(records: I) -> Vec<WorkerId>
+where
+    I: IntoIterator<Item = &'a Record>,
+{
+    let (latest, _reported_with_the_drains) = read_latest_drains(records);
+    latest.draining
+}
+
 /// Decodes the latest record of drains. Also returns the errors of unreadable ones.
 ///
 /// It holds only for the scheduler that wrote the latest roster: a later one may have used these workers again. For the same
 /// reason, nothing holds if some record of either kind can't be read, since that may be the latest.
-#[must_use]
-pub fn read_drains<'a, I>(records: I) -> (Vec<WorkerId>, Vec<serde_json::Error>)
+fn read_latest_drains<'a, I>(records: I) -> (DrainsRecord, Vec<serde_json::Error>)
 where
     I: IntoIterator<Item = &'a Record>,
 {
@@ -295,9 +318,9 @@
         }
     }
     if latest.token < roster_token || !unreadable.is_empty() {
-        latest.workers.clear();
+        latest = DrainsRecord::default();
     }
-    (latest.workers, unreadable)
+    (latest, unreadable)
 }
 
 /// Decodes the workers of the latest roster. Also returns the keys and errors of unreadable records of any roster.
--- a/crates/cell/src/roster.rs
+++ b/crates/cell/src/roster.rs
@@ -6,6 +6,9 @@
 //!
 //! Of a draining worker, the roster also says whether the store names it for each run that may be on it. While it says so,
 //! the worker gets no orders, even if it stops draining.
+//!
+//! It also names all workers that drain: one that leaves while there is no scheduler has left as it announced, and its
+//! end says nothing about the tasks that were on it.
 
 use std::cell::Cell;
 use std::cell::RefCell;
@@ -123,6 +126,9 @@
             members.insert(spec.id.clone(), member);
             return Listing::Unrecorded;
         };
+        if member.spec.draining != spec.draining {
+            self.next_change();
+        }
         member.spec = spec.clone();
         member.listed = true;
         if !spec.draining && self.recorded_drains.borrow_mut().remove(&spec.id) {
@@ -196,8 +202,8 @@
             return None;
         }
         let mut written = Vec::new();
+        let members = self.members.borrow();
         if self.members_changed_in.get() > self.recorded.get() {
-            let members = self.members.borrow();
             written = records::roster(&RosterRecord {
                 token,
                 change: number,
@@ -208,6 +214,7 @@
             token,
             change: number,
             workers: self.recorded_drains.borrow().iter().cloned().collect(),
+            draining: draining_ids(&members),
         }));
         Some(RosterChange {
             records: written,
@@ -226,3 +233,8 @@
         usable.map(|member| member.spec.clone()).collect()
     }
 }
+
+fn draining_ids(members: &BTreeMap<WorkerId, Member>) -> Vec<WorkerId> {
+    let draining = members.iter().filter(|(_, member)| member.spec.draining);
+    draining.map(|(id, _)| id.clone()).collect()
+}
--- a/crates/cell/tests/cell/fuzz.rs
+++ b/crates/cell/tests/cell/fuzz.rs
@@ -205,6 +205,7 @@
         token: 7,
         change: 1,
         workers: vec![worker(0).id, worker(1).id],
+        draining: vec![worker(2).id],
     };
     let valid = records::drains(&drains).value.to_vec();
     fuzz(&[valid], read_drains);
--- a/crates/cell/tests/cell/roster.rs
+++ b/crates/cell/tests/cell/roster.rs
@@ -6,6 +6,7 @@
 use syc_cell::records::RosterRecord;
 use syc_cell::records::drains;
 use syc_cell::records::is_job_progress;
+use syc_cell::records::read_draining;
 use syc_cell::records::read_drains;
 use syc_cell::records::read_roster;
 use syc_cell::records::roster;
@@ -79,6 +80,7 @@
         token,
         change,
         workers: (0..workers).map(|index| worker(index).id).collect(),
+        ..DrainsRecord::default()
     })
 }
 
@@ -155,6 +157,25 @@
     roster
 }
 
+/// The roster itself is written only if a worker joins or leaves it. A successor that did not know that a worker drains
+/// would take its end for a crash, and lay it to the tasks that were there.
+#[test]
+fn a_successor_reads_which_workers_drain() {
+    let mut stored = Vec::new();
+    let roster = Roster::default();
+    roster.list(&worker(0));
+    roster.list(&worker(1));
+    store(&roster, &mut stored);
+    assert_eq!(read_draining(&stored), []);
+    roster.list(&draining(0));
+    store(&roster, &mut stored);
+    assert_eq!(read_draining(&stored), [worker(0).id]);
+    assert!(roster.pending_change(7).is_none(), "it is written once");
+    assert_eq!(roster.list(&worker(0)), Listing::Usable);
+    store(&roster, &mut stored);
+    assert_eq!(read_draining(&stored), []);
+}
+
 /// A successor would take what is started on the worker as over.
 #[test]
 fn a_worker_that_stops_draining_is_used_only_once_the_store_has_that() {
--- a/crates/sched/tests/schedules/simulation.rs
+++ b/crates/sched/tests/schedules/simulation.rs
@@ -169,6 +169,7 @@
         Vec<(WaveProgress, u64)>,
         Vec<WorkerId>,
         Vec<WorkerId>,
+        Vec<WorkerId>,
     ),
     PartitionBegins(WorkerId, u64),
     PartitionHealed(WorkerId),
@@ -228,6 +229,8 @@
     detached: Vec<WorkerId>,
     /// Draining workers of which all runs are recorded, to be stored together with the next write.
     drains_to_store: Vec<WorkerId>,
+    /// Draining workers that the scheduler was told of, to be stored together with the next write.
+    announced_drains: Vec<WorkerId>,
     /// Draining workers of which all runs are recorded, as stored for the scheduler's successors.
     drained: BTreeSet<WorkerId>,
     /// Until when the addresses of crashed workers do not respond.
@@ -354,6 +357,7 @@
             roster: BTreeMap::new(),
             detached: Vec::new(),
             drains_to_store: Vec::new(),
+            announced_drains: Vec::new(),
             drained: BTreeSet::new(),
             down_until: BTreeMap::new(),
             incarnations: 0,
@@ -522,6 +526,7 @@
         self.sessions.clear();
         self.detached.clear();
         self.drains_to_store.clear();
+        self.announced_drains.clear();
         self.write_in_flight = false;
         let mut scheduler = Scheduler::new(self.options);
         let ended = self.stored.iter().filter_map(|(id, progress)| {
@@ -626,6 +631,11 @@
         let Some(scheduler) = &mut self.scheduler else {
             return;
         };
+        if let Event::WorkerListed(spec) = &event
+            && spec.draining
+        {
+            self.announced_drains.push(spec.id.clone());
+        }
         let actions = scheduler.handle(event, self.now);
         self.perform(actions);
     }
--- a/crates/sched/tests/schedules/simulation/delivery.rs
+++ b/crates/sched/tests/schedules/simulation/delivery.rs
@@ -41,7 +41,7 @@
                     self.apply(event);
                 }
             }
-            Delivery::Recorded(token, records, waves, detached, drained) => {
+            Delivery::Recorded(token, records, waves, detached, drained, draining) => {
                 // The store refuses writes of a predecessor.
                 if token != self.token {
                     return;
@@ -54,6 +54,7 @@
                 }
                 self.write_in_flight = false;
                 self.drained.extend(drained);
+                self.store_draining(&draining);
                 if !detached.is_empty() {
                     self.write_roster();
                 }
--- a/crates/sched/tests/schedules/simulation/drains.rs
+++ b/crates/sched/tests/schedules/simulation/drains.rs
@@ -75,8 +75,18 @@
         self.schedule(delay_ms, Delivery::WorkerStarts);
     }
 
-    /// Brings the stored roster up to date. It is written only when a worker joins or is removed, so until then a
-    /// successor does not find in it that a worker drains.
+    /// Stores which workers drain.
+    pub(super) fn store_draining(&mut self, draining: &[WorkerId]) {
+        let now = self.now;
+        for id in draining {
+            if let Some(recorded) = self.roster.get_mut(id) {
+                recorded.draining_since.get_or_insert(now);
+            }
+        }
+    }
+
+    /// Brings the stored roster up to date. It is written only when a worker joins or is removed. Which workers drain is
+    /// stored by itself.
     pub(super) fn write_roster(&mut self) {
         if self.scheduler.is_none() {
             return;
--- a/crates/sched/tests/schedules/simulation/renewals.rs
+++ b/crates/sched/tests/schedules/simulation/renewals.rs
@@ -103,7 +103,8 @@
         let waves = scheduler.wave_records();
         let detached = std::mem::take(&mut self.detached);
         let drained = std::mem::take(&mut self.drains_to_store);
-        let has_workers = !detached.is_empty() || !drained.is_empty();
+        let draining = std::mem::take(&mut self.announced_drains);
+        let has_workers = !detached.is_empty() || !drained.is_empty() || !draining.is_empty();
         if records.is_empty() && waves.is_empty() && !has_workers {
             return;
         }
@@ -112,7 +113,7 @@
         let delay_ms = self.rng.random_range(5..40);
         self.schedule(
             delay_ms,
-            Delivery::Recorded(token, records, waves, detached, drained),
+            Delivery::Recorded(token, records, waves, detached, drained, draining),
         );
     }
 }
