Deny calls without the key of a workspace, before anything of them is processed

Callers saw: a call with an unknown or withdrawn key was served like any other.

Cause: the cell read no workspaces from the configuration and no key from a call.

Change: syc-workspace holds the workspaces of a configuration and the digests of their keys. A route needs a key unless it is anonymous or the configuration has no workspaces. A workspace that can't be read keeps its last good definition.

--- a/crates/cell/src/configuration.rs
+++ b/crates/cell/src/configuration.rs
@@ -1,8 +1,12 @@
-//! Configuration of a cell: queues and the routes of requests to them.
+//! Configuration of a cell: queues, the routes of requests to them, and the workspaces of their callers.
 
 use smol_str::SmolStr;
 use syc_sched::QueuePolicy;
 use syc_types::ServiceName;
+use syc_types::WorkspaceName;
+use syc_workspace::Credential;
+use syc_workspace::Denied;
+use syc_workspace::Workspaces;
 
 /// One version of the configuration that operators publish.
 #[derive(Debug, Clone, Default, PartialEq)]
@@ -17,9 +21,48 @@
     pub standby: Vec<ServiceName>,
     /// Largest request body in bytes.
     pub body_limit_bytes: usize,
+    /// The workspaces, with their keys and policies.
+    pub workspaces: Workspaces,
+    /// Workspaces that could not be read.
+    pub skipped_workspaces: Vec<SkippedWorkspace>,
+}
+
+/// A workspace of a configuration that could not be read.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct SkippedWorkspace {
+    /// Its name, if at least that could be read.
+    pub name: Option<WorkspaceName>,
+    /// Reason why it was skipped. It contains nothing of the record, in which keys stand.
+    pub reason: SmolStr,
 }
 
 impl Configuration {
+    /// Identifies the workspace of a call on a route.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the route needs a key and the call carries none that is known.
+    pub fn authenticate(
+        &self,
+        route: &Route,
+        credential: &Credential,
+    ) -> Result<Option<&WorkspaceName>, Denied> {
+        self.workspaces.authenticate(credential, route.needs_key)
+    }
+
+    /// Defines the workspaces that could not be read as an earlier configuration did.
+    ///
+    /// Otherwise one malformed entry would refuse all callers of its workspace.
+    pub(crate) fn keep_skipped_workspaces(&mut self, earlier: &Self) {
+        for skipped in &self.skipped_workspaces {
+            let Some(name) = &skipped.name else {
+                continue;
+            };
+            // One that can't be added now was skipped since it clashes with another.
+            let _skipped = self.workspaces.add_from(&earlier.workspaces, name);
+        }
+    }
+
     /// Returns whether workers of a service may be used.
     #[must_use]
     pub fn allows_service(&self, service: &ServiceName) -> bool {
@@ -36,6 +79,8 @@
     pub path_prefix: SmolStr,
     /// Timeout of a request.
     pub timeout_ms: u64,
+    /// Whether a call needs the key of a workspace.
+    pub needs_key: bool,
     /// Policy of the queue.
     pub policy: QueuePolicy,
 }
--- a/crates/cell/src/follow.rs
+++ b/crates/cell/src/follow.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 
 use syc_sched::Wave;
+use syc_types::WorkspaceName;
 
 use crate::Configuration;
 use crate::Node;
@@ -120,14 +121,22 @@
     }
 }
 
-fn apply_configuration<P>(node: &Node<P>, configuration: Configuration)
+fn apply_configuration<P>(node: &Node<P>, mut configuration: Configuration)
 where
     P: Platform,
 {
-    let in_force = node.configuration().map_or(0, |current| current.version);
+    let current = node.configuration();
+    let in_force = current.as_ref().map_or(0, |current| current.version);
     let newer = configuration.version > in_force;
     log::configuration(&configuration, in_force, newer);
     if newer {
+        for skipped in &configuration.skipped_workspaces {
+            let name = skipped.name.as_ref().map_or("", WorkspaceName::as_str);
+            node.report_unreadable(Source::Workspaces, name, &skipped.reason);
+        }
+        if let Some(current) = current {
+            configuration.keep_skipped_workspaces(&current);
+        }
         *node.configuration.borrow_mut() = Some(Rc::new(configuration));
         if let Some(leader) = node.leader() {
             leader.apply_standby();
--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -33,6 +33,7 @@
 pub use clock::pause;
 pub use configuration::Configuration;
 pub use configuration::Route;
+pub use configuration::SkippedWorkspace;
 pub use node::Node;
 pub use queries::PendingAnswer;
 pub use queries::StateAnswer;
--- a/crates/cell/src/unreadable.rs
+++ b/crates/cell/src/unreadable.rs
@@ -24,6 +24,8 @@
     Workers,
     /// Records that operators publish.
     Operators,
+    /// Workspaces of a configuration.
+    Workspaces,
     /// Job records.
     Jobs,
     /// Records of schedulers: progress of jobs and waves, and the roster.
@@ -47,6 +49,7 @@
         match self {
             Self::Workers => "workers",
             Self::Operators => "operators",
+            Self::Workspaces => "workspaces",
             Self::Jobs => "jobs",
             Self::Progress => "progress",
             Self::Holders => "holders",
--- a/crates/cell/tests/cell/cluster.rs
+++ b/crates/cell/tests/cell/cluster.rs
@@ -357,11 +357,11 @@
             host: SmolStr::new_static("host"),
             path_prefix: SmolStr::new_static("/queue/"),
             timeout_ms: 3_000,
+            needs_key: false,
             policy: policy(),
         }],
-        services: Vec::new(),
-        standby: Vec::new(),
         body_limit_bytes: 1_000_000,
+        ..Configuration::default()
     }
 }
 
--- a/crates/obs/src/events.rs
+++ b/crates/obs/src/events.rs
@@ -164,6 +164,8 @@
     STATE_UNKNOWN = 726, Warn, "state unknown";
     /// The store has taken the final state of a job.
     JOB_SHOWN = 727, Info, "job state shown";
+    /// A call was denied for want of a known key.
+    CALL_DENIED = 728, Warn, "call denied";
     /// A start order was sent.
     RUN_ORDERED = 730, Info, "run ordered";
     /// A start order was refused or not answered.
--- a/crates/types/src/ids.rs
+++ b/crates/types/src/ids.rs
@@ -80,6 +80,10 @@
     /// Names a VM of the platform; what runs on it comes and goes.
     VmId
 }
+name_type! {
+    /// Names a workspace: the customer that jobs belong to.
+    WorkspaceName
+}
 name_type! {
     /// Names an availability zone.
     Zone
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -22,6 +22,7 @@
 pub use ids::TeamId;
 pub use ids::VmId;
 pub use ids::WorkerId;
+pub use ids::WorkspaceName;
 pub use ids::Zone;
 pub use job::Class;
 pub use job::JobKind;
