Store whose job it is, and let only its workspace see, repeat and cancel it

Callers saw: whoever had a known key and the ID of a job could see it, cancel it, and replace its record in the store.

Cause: jobs belonged to nobody.

Change: a job's record and its progress name its workspace. The key of a record has a digest of the workspace's name: the store keeps the newest record of a key, so a caller of another workspace could replace a job's record and a successor would read the wrong one. Of two records a successor takes the one that the progress names, or the one accepted first. A record without a workspace belongs to none.

--- a/crates/cell/src/leader.rs
+++ b/crates/cell/src/leader.rs
@@ -39,6 +39,7 @@
 use syc_sched::WorkerKey;
 use syc_sched::clock_drift_ms;
 use syc_types::Millis;
+use syc_types::WorkspaceName;
 use syc_wire::cell::Contact;
 use tokio::sync::Notify;
 use unreadable_jobs::UnreadableJobs;
@@ -55,6 +56,7 @@
 use crate::ports::Condition;
 use crate::ports::Platform;
 use crate::ports::Record;
+use crate::records;
 use crate::roster::Roster;
 
 /// Minimum time between two scheduling passes, so that events in between share one pass.
@@ -80,6 +82,13 @@
 /// Time for which a node that gave up the role does not claim it again.
 const RECLAIM_DELAY_MS: u64 = 5_000;
 
+/// A place in the store with a submit or a cancellation of a job.
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct StoredRecord {
+    partition: u32,
+    key: SmolStr,
+}
+
 /// The scheduler role, held by this node.
 #[derive(Debug)]
 pub(crate) struct Leader<P>
@@ -116,9 +125,9 @@
     advice_clients: RefCell<BTreeMap<SmolStr, Rc<PeerClient>>>,
     /// For each jobs partition, when the last read that reached its end was sent.
     jobs_read_at: RefCell<Vec<Millis>>,
-    /// Partitions that hold the submitted records of each job; several if its submit was
+    /// Where the store has submits and cancellations of each job; in several places if a submit was
     /// retried.
-    partitions_by_job: RefCell<HashMap<JobId, Vec<u32>>>,
+    records_by_job: RefCell<HashMap<JobId, Vec<StoredRecord>>>,
     /// Jobs whose submitted records are to be removed from the store.
     specs_to_remove: RefCell<Vec<JobId>>,
     /// Jobs whose progress is to be removed once their submitted records are gone.
@@ -175,7 +184,7 @@
             advice_timeout: AdaptiveTimeout::default(),
             advice_clients: RefCell::default(),
             jobs_read_at: RefCell::new(vec![Millis(0); partitions]),
-            partitions_by_job: RefCell::default(),
+            records_by_job: RefCell::default(),
             specs_to_remove: RefCell::default(),
             progress_to_remove: RefCell::default(),
             statuses: RefCell::default(),
@@ -320,12 +329,32 @@
         }
     }
 
-    /// Returns the state of a job. The answer is `Unsure` if the jobs read from the store are not
-    /// current.
-    pub(crate) fn job_state(&self, id: JobId) -> StateAnswer {
+    /// Returns whether another workspace than the caller's has a job with this ID.
+    pub(crate) fn is_id_taken(&self, id: JobId, caller: Option<&WorkspaceName>) -> bool {
+        self.loaded.get() && !self.scheduler.borrow().may_access(id, caller)
+    }
+
+    /// Returns whether the key of a submit or cancellation names the job of another workspace than
+    /// that of its caller.
+    pub(crate) fn is_key_of_another(&self, key: &str) -> bool {
+        let Some(id) = records::job_of_key(key) else {
+            return false;
+        };
+        let scheduler = self.scheduler.borrow();
+        let owner = scheduler.owner_of(id);
+        owner.is_some_and(|owner| !records::is_key_for(key, id, owner))
+    }
+
+    /// Returns the state of a job, as a caller of a workspace may know it: the job of another
+    /// workspace does not exist for it. The answer is `Unsure` if the jobs read from the store are
+    /// not current.
+    pub(crate) fn job_state(&self, id: JobId, caller: Option<&WorkspaceName>) -> StateAnswer {
         if !self.loaded.get() {
             return StateAnswer::Unsure;
         }
+        if self.is_id_taken(id, caller) {
+            return StateAnswer::NoSuchJob;
+        }
         if let Some(state) = self.scheduler.borrow().state_of(id) {
             return StateAnswer::Known(state);
         }
--- a/crates/cell/src/leader/progress_writer.rs
+++ b/crates/cell/src/leader/progress_writer.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 
 use futures_util::future::join_all;
+use smol_str::SmolStr;
 use syc_obs::Stage;
 use syc_sched::Event;
 use syc_sched::JobId;
@@ -13,6 +14,7 @@
 use crate::clock::now;
 use crate::clock::pause;
 use crate::leader::Leader;
+use crate::leader::StoredRecord;
 use crate::leader::retry_report::RetryReport;
 use crate::log;
 use crate::ports::AppendError;
@@ -339,14 +341,14 @@
     }
 
     fn take_removable_progress(&self) -> Vec<JobId> {
-        let partitions_by_job = self.partitions_by_job.borrow();
+        let records_by_job = self.records_by_job.borrow();
         let scheduler = self.scheduler.borrow();
         let mut progress_to_remove = self.progress_to_remove.borrow_mut();
         // A job that was submitted again is known to the scheduler, which will ask for its removal
         // later.
         progress_to_remove.retain(|id| scheduler.state_of(*id).is_none());
         progress_to_remove
-            .extract_if(.., |id| !partitions_by_job.contains_key(id))
+            .extract_if(.., |id| !records_by_job.contains_key(id))
             .collect()
     }
 
@@ -369,17 +371,17 @@
         pause(REMOVE_INTERVAL_MS).await;
         leader.remove_progress().await;
         let specs_to_remove = std::mem::take(&mut *leader.specs_to_remove.borrow_mut());
-        let mut by_partition: BTreeMap<u32, Vec<JobId>> = BTreeMap::new();
+        let mut by_partition: BTreeMap<u32, Vec<(JobId, SmolStr)>> = BTreeMap::new();
         for id in specs_to_remove {
-            let partitions = leader.partitions_by_job.borrow_mut().remove(&id);
-            for partition in partitions.unwrap_or_default() {
-                by_partition.entry(partition).or_default().push(id);
+            let stored = leader.records_by_job.borrow_mut().remove(&id);
+            for StoredRecord { partition, key } in stored.unwrap_or_default() {
+                by_partition.entry(partition).or_default().push((id, key));
             }
         }
-        for (partition, ids) in by_partition {
-            let removals: Vec<_> = ids
+        for (partition, stored) in by_partition {
+            let removals: Vec<_> = stored
                 .iter()
-                .flat_map(|id| records::job_tombstones(*id))
+                .map(|(_id, key)| records::job_tombstone(key.clone()))
                 .collect();
             let removed = leader
                 .node
@@ -388,8 +390,8 @@
             if removed.is_err() {
                 // Retried in the next round. A late removal does no harm: it is only needed before
                 // the job's progress is removed.
-                for id in ids {
-                    leader.track_job_partition(id, partition);
+                for (id, key) in stored {
+                    leader.track_job_record(id, partition, &key);
                     leader.specs_to_remove.borrow_mut().push(id);
                 }
             }
--- a/crates/cell/src/leader/readers.rs
+++ b/crates/cell/src/leader/readers.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeSet;
 use std::rc::Rc;
 
+use smol_str::SmolStr;
 use syc_obs::Stage;
 use syc_sched::Event;
 use syc_sched::JobId;
@@ -13,12 +14,14 @@
 use crate::clock::now;
 use crate::clock::pause;
 use crate::leader::Leader;
+use crate::leader::StoredRecord;
 use crate::log;
 use crate::ports::Newest;
 use crate::ports::Platform;
 use crate::ports::ReadError;
 use crate::ports::Record;
 use crate::ports::Topic;
+use crate::records;
 use crate::records::JobRecord;
 use crate::records::read_job;
 use crate::unreadable::Source;
@@ -112,7 +115,11 @@
             }
             JobRecord::Submitted(spec) => {
                 self.unreadable_jobs.mark_spec_readable(spec.id);
-                self.track_job_partition(spec.id, partition);
+                self.track_job_record(spec.id, partition, &record.key);
+                if self.is_id_taken(spec.id, spec.workspace.as_ref()) {
+                    log::job_id_taken(&spec);
+                    return;
+                }
                 let known = self.scheduler.borrow().state_of(spec.id).is_some();
                 let age_ms = self.age_ms(partition, &spec);
                 if !known {
@@ -123,12 +130,12 @@
                 self.apply(Event::JobStored { spec, age_ms });
                 self.request_leadership_proof();
             }
-            JobRecord::Cancelled(id) => {
-                self.track_job_partition(id, partition);
-                self.apply(Event::JobCancelled(id));
+            JobRecord::Cancelled(cancellation) => {
+                self.track_job_record(cancellation.job, partition, &record.key);
+                self.apply(Event::JobCancelled(cancellation));
             }
             JobRecord::Removed => {
-                if let Ok(id) = record.key.parse() {
+                if let Some(id) = records::job_of_key(&record.key) {
                     self.unreadable_jobs.mark_spec_readable(id);
                 }
             }
@@ -136,12 +143,14 @@
         }
     }
 
-    /// Remembers which partitions hold records of a job until they are removed.
-    pub(super) fn track_job_partition(&self, id: JobId, partition: u32) {
-        let mut partitions_by_job = self.partitions_by_job.borrow_mut();
-        let partitions = partitions_by_job.entry(id).or_default();
-        if !partitions.contains(&partition) {
-            partitions.push(partition);
+    /// Remembers a record of a job until it is removed.
+    pub(super) fn track_job_record(&self, id: JobId, partition: u32, key: &SmolStr) {
+        let mut records_by_job = self.records_by_job.borrow_mut();
+        let records = records_by_job.entry(id).or_default();
+        let key = key.clone();
+        let record = StoredRecord { partition, key };
+        if !records.contains(&record) {
+            records.push(record);
         }
     }
 
--- a/crates/cell/src/leader/takeover.rs
+++ b/crates/cell/src/leader/takeover.rs
@@ -168,12 +168,12 @@
                 JobRecord::Submitted(spec)
                     if leader.unreadable_jobs.has_unreadable_progress(spec.id) => {}
                 JobRecord::Submitted(spec) => {
-                    leader.track_job_partition(spec.id, partition);
+                    leader.track_job_record(spec.id, partition, &record.key);
                     specs.push(*spec);
                 }
-                JobRecord::Cancelled(id) => {
-                    leader.track_job_partition(id, partition);
-                    cancelled.insert(id);
+                JobRecord::Cancelled(cancellation) => {
+                    leader.track_job_record(cancellation.job, partition, &record.key);
+                    cancelled.insert(cancellation);
                 }
                 JobRecord::Removed => {}
                 JobRecord::Unreadable { key, reason } => leader.mark_spec_unreadable(&key, &reason),
@@ -183,8 +183,8 @@
     restore_jobs(leader, specs, &progress);
     restore_waves(leader, &stored.progress);
     let unlisted = restore_workers(leader, stored);
-    for id in cancelled {
-        leader.apply(Event::JobCancelled(id));
+    for cancellation in cancelled {
+        leader.apply(Event::JobCancelled(cancellation));
     }
     leader.scheduler.borrow_mut().begin_recovery(now());
     for id in unlisted {
@@ -369,7 +369,7 @@
     // Only the relative ages matter, so this node's clock is not used.
     let newest = specs.iter().map(|spec| spec.accepted_at_ms).max();
     let newest = newest.unwrap_or_default();
-    for spec in specs {
+    for spec in choose_specs(specs, progress) {
         let job_progress = progress.get(&spec.id);
         if job_progress.is_some_and(|job_progress| job_progress.state.is_terminal()) {
             leader.specs_to_remove.borrow_mut().push(spec.id);
@@ -382,10 +382,28 @@
     }
 }
 
+/// Chooses one specification of each job. Several have the same ID if callers of other workspaces submitted it too.
+///
+/// It is the one whose workspace the progress names, or otherwise the one that was accepted first, which is the one that
+/// the predecessor knew first unless the clocks of two nodes differ by more than the time in between.
+fn choose_specs(
+    mut specs: Vec<JobSpec>,
+    progress: &HashMap<JobId, JobProgress>,
+) -> impl Iterator<Item = JobSpec> {
+    let is_foreign = |spec: &JobSpec| {
+        let progress = progress.get(&spec.id);
+        progress.is_some_and(|progress| progress.workspace != spec.workspace)
+    };
+    specs.sort_by_key(|spec| (spec.id, is_foreign(spec), spec.accepted_at_ms));
+    specs.dedup_by_key(|spec| spec.id);
+    specs.into_iter()
+}
+
 fn ended_job((id, progress): (&JobId, &JobProgress)) -> Option<EndedJob> {
     progress.state.is_terminal().then_some(EndedJob {
         id: *id,
         state: progress.state,
+        workspace: progress.workspace.clone(),
         ended_at: progress.ended_at_cell_ms,
     })
 }
--- a/crates/cell/src/log.rs
+++ b/crates/cell/src/log.rs
@@ -21,6 +21,7 @@
 use syc_sched::VmOperation;
 use syc_sched::VmOrderAnswer;
 use syc_types::WorkerId;
+use syc_types::WorkspaceName;
 
 use crate::Configuration;
 use crate::NodeSettings;
@@ -100,6 +101,15 @@
         .emit();
 }
 
+pub(crate) fn job_id_taken(spec: &JobSpec) {
+    let workspace = spec.workspace.as_ref().map_or("", WorkspaceName::as_str);
+    Line::new(catalogue::JOB_ID_TAKEN)
+        .display("job", spec.id)
+        .text("workspace", workspace)
+        .text("queue", &spec.policy.queue)
+        .emit();
+}
+
 pub(crate) fn holder_changed(holder: Option<&Holder>) {
     Line::new(catalogue::HOLDER_SEEN)
         .text("scheduler", holder.map_or("", |holder| &holder.node))
--- a/crates/cell/src/queries.rs
+++ b/crates/cell/src/queries.rs
@@ -4,6 +4,7 @@
 
 use syc_sched::JobId;
 use syc_sched::JobState;
+use syc_types::WorkspaceName;
 use syc_wire::cell::CellBody;
 use syc_wire::cell::JobStateQuery;
 use syc_wire::cell::JobStateReply;
@@ -74,13 +75,13 @@
 where
     P: Platform,
 {
-    /// Returns the state of a job.
-    pub async fn state(self: &Rc<Self>, id: JobId) -> StateAnswer {
+    /// Returns the state of a job, as a caller of a workspace may know it.
+    pub async fn state(self: &Rc<Self>, id: JobId, caller: Option<&WorkspaceName>) -> StateAnswer {
         let deadline = now().plus(QUERY_TIMEOUT_MS);
         loop {
             let answer = match self.leader() {
-                Some(leader) => leader.job_state(id),
-                None => self.query_state(id).await,
+                Some(leader) => leader.job_state(id, caller),
+                None => self.query_state(id, caller).await,
             };
             if answer != StateAnswer::Unsure || now() >= deadline || self.stopping.get() {
                 return answer;
@@ -104,8 +105,11 @@
         }
     }
 
-    async fn query_state(&self, id: JobId) -> StateAnswer {
-        let query = CellBody::JobStateQuery(JobStateQuery { job: id.0 });
+    async fn query_state(&self, id: JobId, caller: Option<&WorkspaceName>) -> StateAnswer {
+        let query = CellBody::JobStateQuery(JobStateQuery {
+            job: id.0,
+            workspace: caller.map(ToString::to_string),
+        });
         let Some(CellBody::JobStateReply(reply)) = self.query_scheduler(query).await else {
             return StateAnswer::Unsure;
         };
@@ -136,8 +140,9 @@
     P: Platform,
 {
     let leader = node.leader();
+    let caller = query.workspace.as_deref().map(WorkspaceName::from);
     let answer = leader.map_or(StateAnswer::Unsure, |leader| {
-        leader.job_state(JobId(query.job))
+        leader.job_state(JobId(query.job), caller.as_ref())
     });
     let mut reply = JobStateReply::default();
     reply.set_knowledge(answer.into());
--- a/crates/cell/src/records.rs
+++ b/crates/cell/src/records.rs
@@ -9,20 +9,26 @@
 use serde::de::Error as _;
 use smol_str::SmolStr;
 use smol_str::format_smolstr;
+use syc_sched::Cancellation;
 use syc_sched::JobId;
 use syc_sched::JobProgress;
 use syc_sched::JobSpec;
 use syc_sched::WaveProgress;
 use syc_sched::WorkerSpec;
 use syc_types::WorkerId;
+use syc_types::WorkspaceName;
+use syc_types::hash::name_digest;
 
 use crate::ports::MAX_VM_CAPACITY;
 use crate::ports::Record;
 use crate::unreadable::UNREADABLE_KEY;
 
-/// Suffix after the job ID in the key of a cancellation record.
+/// Suffix after the job's key in the key of a cancellation record.
 const CANCEL_SUFFIX: &str = "/cancel";
 
+/// Separates the job ID from the digest of the workspace's name in a key.
+const WORKSPACE_SEPARATOR: char = '.';
+
 /// Key of claims and heartbeats.
 pub const HOLDER_KEY: &str = "holder";
 
@@ -50,7 +56,7 @@
     /// A job was submitted.
     Submitted(Box<JobSpec>),
     /// A job was cancelled.
-    Cancelled(JobId),
+    Cancelled(Cancellation),
     /// The record was removed.
     Removed,
     /// The record can't be decoded or is invalid.
@@ -114,32 +120,74 @@
     pub draining: Vec<WorkerId>,
 }
 
+/// The caller of a cancellation, as it is stored.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+#[serde(default)]
+struct CancelRecord {
+    /// The workspace; none if the job's queue needs no key, or an earlier version wrote the record.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    workspace: Option<WorkspaceName>,
+}
+
 /// Creates the record of a submitted job.
 #[must_use]
 pub fn submitted(spec: &JobSpec) -> Record {
     Record {
-        key: SmolStr::from(spec.id),
+        key: job_key(spec.id, spec.workspace.as_ref()),
         value: encode(spec),
     }
 }
 
 /// Creates the record that cancels a job.
 #[must_use]
-pub fn cancelled(id: JobId) -> Record {
+pub fn cancelled(cancellation: &Cancellation) -> Record {
+    let workspace = cancellation.workspace.clone();
     Record {
-        key: cancel_key(id),
-        value: Bytes::from_static(b"{}"),
+        key: cancel_key(cancellation.job, workspace.as_ref()),
+        value: encode(&CancelRecord { workspace }),
     }
 }
 
-/// Creates the records that remove a submitted job and its cancellation.
+/// Creates the record that removes a submitted job or a cancellation.
 #[must_use]
-pub fn job_tombstones(id: JobId) -> [Record; 2] {
-    let key = SmolStr::from(id);
-    [key, cancel_key(id)].map(|key| Record {
+pub const fn job_tombstone(key: SmolStr) -> Record {
+    Record {
         key,
         value: Bytes::new(),
-    })
+    }
+}
+
+/// Returns the key of a submitted job.
+///
+/// It differs by workspace: the store keeps only the newest record of a key, so a caller of another workspace could
+/// otherwise replace the record of a job whose ID it knows. It has no name of a workspace, since keys are short.
+#[must_use]
+pub fn job_key(id: JobId, workspace: Option<&WorkspaceName>) -> SmolStr {
+    workspace.map_or_else(
+        || SmolStr::from(id),
+        |name| {
+            let digest = name_digest(name.as_str());
+            format_smolstr!("{id}{WORKSPACE_SEPARATOR}{digest:016x}")
+        },
+    )
+}
+
+/// Returns the job ID in the key of a submitted job or of a cancellation, if the key has one.
+#[must_use]
+pub fn job_of_key(key: &str) -> Option<JobId> {
+    let key = without_cancel_suffix(key);
+    let id = key.split(WORKSPACE_SEPARATOR).next()?;
+    id.parse().ok()
+}
+
+/// Returns whether a record with this key, which names the job, was written for a caller of the workspace.
+#[must_use]
+pub fn is_key_for(key: &str, id: JobId, workspace: &WorkspaceName) -> bool {
+    job_key(id, Some(workspace)) == without_cancel_suffix(key)
+}
+
+fn without_cancel_suffix(key: &str) -> &str {
+    key.strip_suffix(CANCEL_SUFFIX).unwrap_or(key)
 }
 
 /// Creates the record of a job's progress.
@@ -378,17 +426,17 @@
         key: record.key.clone(),
         reason,
     };
-    if let Some(id) = record.key.strip_suffix(CANCEL_SUFFIX) {
-        return match id.parse() {
-            Ok(id) => JobRecord::Cancelled(id),
-            Err(error) => unreadable(format!("{error}")),
+    if record.key.ends_with(CANCEL_SUFFIX) {
+        return match read_cancellation(record) {
+            Ok(cancellation) => JobRecord::Cancelled(cancellation),
+            Err(reason) => unreadable(reason),
         };
     }
     let spec: JobSpec = match serde_json::from_slice(&record.value) {
         Ok(spec) => spec,
         Err(error) => return unreadable(error.to_string()),
     };
-    if SmolStr::from(spec.id) != record.key {
+    if job_key(spec.id, spec.workspace.as_ref()) != record.key {
         return unreadable(format!("the value is that of job {}", spec.id));
     }
     match find_invalid(&spec) {
@@ -397,6 +445,17 @@
     }
 }
 
+fn read_cancellation(record: &Record) -> Result<Cancellation, String> {
+    let job = job_of_key(&record.key).ok_or("the key names no job")?;
+    let read: CancelRecord =
+        serde_json::from_slice(&record.value).map_err(|error| error.to_string())?;
+    let workspace = read.workspace;
+    if cancel_key(job, workspace.as_ref()) != record.key {
+        return Err("the value is that of another workspace".to_owned());
+    }
+    Ok(Cancellation { job, workspace })
+}
+
 /// Returns why the scheduler can't process a job, if it can't. Nodes validate jobs before storing them, but a node
 /// of another version may apply other rules.
 fn find_invalid(spec: &JobSpec) -> Option<String> {
@@ -439,8 +498,9 @@
     }
 }
 
-fn cancel_key(id: JobId) -> SmolStr {
-    format_smolstr!("{id}{CANCEL_SUFFIX}")
+fn cancel_key(id: JobId, workspace: Option<&WorkspaceName>) -> SmolStr {
+    let key = job_key(id, workspace);
+    format_smolstr!("{key}{CANCEL_SUFFIX}")
 }
 
 fn encode<T>(value: &T) -> Bytes
--- a/crates/cell/src/submit.rs
+++ b/crates/cell/src/submit.rs
@@ -17,9 +17,11 @@
 use syc_admit::Outcome;
 use syc_admit::RecordKey;
 use syc_admit::View;
+use syc_sched::Cancellation;
 use syc_sched::JobId;
 use syc_sched::JobSpec;
 use syc_types::Millis;
+use syc_types::WorkspaceName;
 use syc_wire::cell::CellBody;
 use syc_wire::cell::Relay;
 use syc_wire::cell::RelayReply;
@@ -50,6 +52,8 @@
         /// Time after which the caller should retry.
         retry_after_ms: u64,
     },
+    /// The record is not in the store and never will be: the job with this ID is that of another workspace.
+    IdTaken,
     /// The record may be in the store, or may still be stored.
     InDoubt,
 }
@@ -60,6 +64,8 @@
     outcome: Outcome,
     /// Whether the scheduler already knows the record.
     is_known_to_scheduler: bool,
+    /// Whether it was refused because another workspace has a job with this ID.
+    is_id_taken: bool,
 }
 
 /// Records that are being stored.
@@ -77,6 +83,7 @@
 struct PendingRecord {
     record: Record,
     is_known_to_scheduler: bool,
+    is_id_taken: bool,
     reply: oneshot::Sender<Completion>,
 }
 
@@ -135,6 +142,7 @@
         let completion = Completion {
             outcome,
             is_known_to_scheduler: pending.is_known_to_scheduler,
+            is_id_taken: pending.is_id_taken,
         };
         // A caller that has disconnected needs no answer.
         let _abandoned = pending.reply.send(completion);
@@ -154,17 +162,30 @@
     /// Stores a job for a caller that waits for the answer for at most `timeout_ms`.
     pub async fn submit_within(self: &Rc<Self>, spec: &JobSpec, timeout_ms: u64) -> StoreOutcome {
         let timeout_ms = timeout_ms.min(self.settings.timing.submit_timeout_ms);
+        if self.is_id_taken(spec.id, spec.workspace.as_ref()) {
+            return StoreOutcome::IdTaken;
+        }
         let record = records::submitted(spec);
         self.store_and_notify(record, timeout_ms).await
     }
 
-    /// Stores the cancellation of a job.
-    pub async fn cancel(self: &Rc<Self>, id: JobId) -> StoreOutcome {
+    /// Stores the cancellation of a job, which is heeded only if its caller may access the job.
+    pub async fn cancel(self: &Rc<Self>, cancellation: &Cancellation) -> StoreOutcome {
+        let Cancellation { job, workspace } = cancellation;
+        if self.is_id_taken(*job, workspace.as_ref()) {
+            return StoreOutcome::IdTaken;
+        }
         let timeout_ms = self.settings.timing.submit_timeout_ms;
-        self.store_and_notify(records::cancelled(id), timeout_ms)
+        self.store_and_notify(records::cancelled(cancellation), timeout_ms)
             .await
     }
 
+    /// Returns whether this node is the scheduler and knows a job of another workspace with this ID.
+    fn is_id_taken(&self, id: JobId, caller: Option<&WorkspaceName>) -> bool {
+        let leader = self.leader();
+        leader.is_some_and(|leader| leader.is_id_taken(id, caller))
+    }
+
     /// Stores a record, then notifies the scheduler without waiting for its reply.
     ///
     /// The scheduler would find the record in the store by itself, but one store round trip later, which takes a
@@ -185,6 +206,7 @@
                 }
                 StoreOutcome::Stored
             }
+            Outcome::Refused { .. } if completion.is_id_taken => StoreOutcome::IdTaken,
             Outcome::Refused { retry_after_ms } => StoreOutcome::Refused { retry_after_ms },
             Outcome::InDoubt => StoreOutcome::InDoubt,
         }
@@ -195,6 +217,7 @@
         let pending = PendingRecord {
             record,
             is_known_to_scheduler: false,
+            is_id_taken: false,
             reply,
         };
         self.submit_queue.records.borrow_mut().insert(key, pending);
@@ -202,6 +225,7 @@
         answer.await.unwrap_or(Completion {
             outcome: Outcome::InDoubt,
             is_known_to_scheduler: false,
+            is_id_taken: false,
         })
     }
 
@@ -236,6 +260,14 @@
             key: relay.key.into(),
             value: relay.value,
         };
+        let leader = self.leader();
+        if leader.is_some_and(|leader| leader.is_key_of_another(&record.key)) {
+            return RelayReply {
+                refused: true,
+                id_taken: true,
+                ..RelayReply::default()
+            };
+        }
         let deadline = now().plus(timeout_ms);
         let key = self
             .submit_queue
@@ -358,9 +390,14 @@
                     partition: reply.partition,
                 }
             }
-            Ok(CellBody::RelayReply(reply)) if reply.refused => ForwardAnswer::Refused {
-                retry_after_ms: reply.come_back_ms.max(self.settings.timing.retry_after_ms),
-            },
+            Ok(CellBody::RelayReply(reply)) if reply.refused => {
+                if let Some(pending) = self.submit_queue.records.borrow_mut().get_mut(key) {
+                    pending.is_id_taken = reply.id_taken;
+                }
+                ForwardAnswer::Refused {
+                    retry_after_ms: reply.come_back_ms.max(self.settings.timing.retry_after_ms),
+                }
+            }
             Err(syc_net::CallError::NotSent) => ForwardAnswer::NotSent,
             Ok(_) | Err(syc_net::CallError::NoReply) => ForwardAnswer::InDoubt,
         }
--- a/crates/cell/tests/cell/cluster.rs
+++ b/crates/cell/tests/cell/cluster.rs
@@ -241,10 +241,9 @@
 
     /// Returns the state of a job as reported by a node.
     pub fn state(&self, number: usize, id: u64) -> StateAnswer {
-        self.on(
-            number,
-            move |node| async move { node.state(JobId(id)).await },
-        )
+        self.on(number, move |node| async move {
+            node.state(JobId(id), None).await
+        })
     }
 
     /// Submits a job at a node without retrying.
@@ -304,10 +303,9 @@
     pub fn wait_for_state(&self, number: usize, id: u64, state: JobState) {
         let what = format!("job {id} in state {state:?} at node {number}");
         self.wait(&what, || {
-            let shown = self.on(
-                number,
-                move |node| async move { node.state(JobId(id)).await },
-            );
+            let shown = self.on(number, move |node| async move {
+                node.state(JobId(id), None).await
+            });
             (shown == StateAnswer::Known(state)).then_some(())
         });
     }
@@ -405,6 +403,7 @@
         policy: policy(),
         schedule: Schedule::default(),
         accepted_at_ms: WallClock::default().read(),
+        workspace: None,
     }
 }
 
--- a/crates/cell/tests/cell/fuzz.rs
+++ b/crates/cell/tests/cell/fuzz.rs
@@ -152,6 +152,7 @@
             },
             StepProgress::default(),
         ],
+        workspace: Some("a".into()),
         ended_at_ms: TimeOfDay(0),
         ended_at_cell_ms: None,
     }
--- a/crates/cell/tests/cell/main.rs
+++ b/crates/cell/tests/cell/main.rs
@@ -16,3 +16,4 @@
 mod unreadable;
 mod vms;
 mod workers;
+mod workspaces;
--- a/crates/cell/tests/cell/service.rs
+++ b/crates/cell/tests/cell/service.rs
@@ -50,7 +50,7 @@
     cluster.scheduler();
     cluster.submit(0, 1, vec![step(4, 600_000)]);
     cluster.wait_for_state(1, 1, JobState::Running);
-    let stored = cluster.on(1, |node| async move { node.cancel(JobId(1)).await });
+    let stored = cluster.on(1, |node| async move { node.cancel(&JobId(1).into()).await });
     assert_eq!(stored, StoreOutcome::Stored);
     cluster.wait_for_state(0, 1, JobState::Cancelled);
     cluster.submit(0, 2, vec![step(4, 20)]);
@@ -64,7 +64,10 @@
     cluster.scheduler();
     for number in cluster.live_nodes() {
         cluster.wait("the job to be reported as missing", || {
-            let shown = cluster.on(number, |node| async move { node.state(JobId(9)).await });
+            let shown = cluster.on(
+                number,
+                |node| async move { node.state(JobId(9), None).await },
+            );
             (shown == StateAnswer::NoSuchJob).then_some(())
         });
     }
--- a/crates/cell/tests/cell/store.rs
+++ b/crates/cell/tests/cell/store.rs
@@ -124,7 +124,7 @@
     cluster.platform.set_faults(SharedFaults::default());
     cluster.submit(node, 3, vec![step(1, 20)]);
     cluster.wait_for_state(node, 3, JobState::Completed);
-    let shown = cluster.on(node, |node| async move { node.state(JobId(2)).await });
+    let shown = cluster.on(node, |node| async move { node.state(JobId(2), None).await });
     assert_eq!(shown, StateAnswer::NoSuchJob);
 }
 
--- a/crates/cell/tests/cell/unreadable.rs
+++ b/crates/cell/tests/cell/unreadable.rs
@@ -79,7 +79,9 @@
 }
 
 fn state(cluster: &Cluster, node: usize, id: u64) -> StateAnswer {
-    cluster.on(node, move |node| async move { node.state(JobId(id)).await })
+    cluster.on(node, move |node| async move {
+        node.state(JobId(id), None).await
+    })
 }
 
 #[test]
--- a/crates/fleet/src/load.rs
+++ b/crates/fleet/src/load.rs
@@ -126,6 +126,7 @@
             policy: self.policy(service),
             schedule: Schedule::default(),
             accepted_at_ms: TimeOfDay(0),
+            workspace: None,
         };
         GeneratedJob { spec, work_ms }
     }
--- a/crates/obs/src/events.rs
+++ b/crates/obs/src/events.rs
@@ -166,6 +166,8 @@
     JOB_SHOWN = 727, Info, "job state shown";
     /// A call was denied for want of a known key.
     CALL_DENIED = 728, Warn, "call denied";
+    /// A submit has the ID of another workspace's job.
+    JOB_ID_TAKEN = 729, Warn, "job ID taken";
     /// A start order was sent.
     RUN_ORDERED = 730, Info, "run ordered";
     /// A start order was refused or not answered.
--- a/crates/sched/src/event.rs
+++ b/crates/sched/src/event.rs
@@ -5,6 +5,7 @@
 use syc_types::ServiceName;
 use syc_types::VmId;
 use syc_types::WorkerId;
+use syc_types::WorkspaceName;
 
 use crate::JobId;
 use crate::JobSpec;
@@ -43,6 +44,24 @@
     Failed,
 }
 
+/// A request to cancel a job, which is heeded only if its caller may access the job.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Cancellation {
+    /// The job.
+    pub job: JobId,
+    /// The workspace of the caller; none if the job's queue needs no key.
+    pub workspace: Option<WorkspaceName>,
+}
+
+impl From<JobId> for Cancellation {
+    fn from(job: JobId) -> Self {
+        Self {
+            job,
+            workspace: None,
+        }
+    }
+}
+
 /// An input of the scheduler.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Event {
@@ -63,7 +82,7 @@
         age_ms: u64,
     },
     /// The cancellation of a job has been stored.
-    JobCancelled(JobId),
+    JobCancelled(Cancellation),
     /// A worker answered a renewal of its leases.
     Renewed {
         /// The worker.
--- a/crates/sched/src/job.rs
+++ b/crates/sched/src/job.rs
@@ -269,6 +269,7 @@
             },
             state: self.state,
             steps: Vec::new(),
+            workspace: self.spec.workspace.clone(),
             ended_at_ms: self
                 .end_stamp
                 .map_or(TimeOfDay::default(), |ended| ended.wall_time),
--- a/crates/sched/src/job_lifecycle.rs
+++ b/crates/sched/src/job_lifecycle.rs
@@ -3,8 +3,10 @@
 use smol_str::SmolStr;
 use syc_types::Millis;
 use syc_types::TimeOfDay;
+use syc_workspace::may_access;
 
 use crate::Action;
+use crate::Cancellation;
 use crate::JobId;
 use crate::JobProgress;
 use crate::JobSpec;
@@ -64,18 +66,33 @@
         let key = self.jobs.insert(job);
         self.job_keys.insert(id, key);
         self.open_jobs.insert(key);
-        if self.early_cancellations.remove(&id).is_some() {
+        if self.take_early_cancellation(key) {
             self.end_job(key, JobState::Cancelled, now);
         }
         key
     }
 
-    pub(crate) fn cancel(&mut self, id: JobId, now: Millis) {
+    /// Forgets the cancellations of a job that arrived before it. Returns whether one of them is heeded.
+    fn take_early_cancellation(&mut self, key: JobKey) -> bool {
+        let spec = &self.jobs[key].spec;
+        let (id, owner) = (spec.id, spec.workspace.as_ref());
+        let is_of_job = |cancellation: &Cancellation, _at: &mut Millis| cancellation.job == id;
+        let mut taken = self.early_cancellations.extract_if(.., is_of_job);
+        taken.fold(false, |is_heeded, (cancellation, _at)| {
+            is_heeded | may_access(owner, cancellation.workspace.as_ref())
+        })
+    }
+
+    pub(crate) fn cancel(&mut self, cancellation: Cancellation, now: Millis) {
+        let id = cancellation.job;
         let Some(key) = self.job_keys.get(&id).copied() else {
-            self.early_cancellations.insert(id, now);
+            self.early_cancellations.insert(cancellation, now);
             return;
         };
         let job = &self.jobs[key];
+        if !may_access(job.spec.workspace.as_ref(), cancellation.workspace.as_ref()) {
+            return;
+        }
         if job.visible_state.is_terminal() {
             // The cancellation arrived after the end and left a record in the store.
             self.actions.push(Action::DeleteSpec(id));
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -77,6 +77,7 @@
 pub use election_report::ReportOrigin;
 pub use event::AdviceAnswer;
 pub use event::AllowedWorker;
+pub use event::Cancellation;
 pub use event::Event;
 pub use ids::JobId;
 pub use ids::Run;
--- a/crates/sched/src/progress.rs
+++ b/crates/sched/src/progress.rs
@@ -9,6 +9,7 @@
 use syc_types::CellTime;
 use syc_types::TimeOfDay;
 use syc_types::WorkerId;
+use syc_types::WorkspaceName;
 
 use crate::Run;
 
@@ -62,6 +63,9 @@
     /// Progress of each step; empty once the job has ended.
     #[serde(skip_serializing_if = "Vec::is_empty")]
     pub steps: Vec<StepProgress>,
+    /// The workspace that the job belongs to; none if it belongs to none, or an earlier version wrote the record.
+    #[serde(rename = "o", skip_serializing_if = "Option::is_none")]
+    pub workspace: Option<WorkspaceName>,
     /// When the job ended, by the clock of the node that wrote the record; for display and for earlier versions.
     #[serde(skip_serializing_if = "is_no_day")]
     pub ended_at_ms: TimeOfDay,
--- a/crates/sched/src/retention.rs
+++ b/crates/sched/src/retention.rs
@@ -12,6 +12,7 @@
 use syc_types::CellTime;
 use syc_types::Millis;
 use syc_types::TimeOfDay;
+use syc_types::WorkspaceName;
 
 use crate::Action;
 use crate::JobId;
@@ -23,12 +24,14 @@
 use crate::job::Job;
 
 /// A job that had ended before this scheduler took over.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct EndedJob {
     /// Identifier of the job.
     pub id: JobId,
     /// Final state.
     pub state: JobState,
+    /// The workspace that it belonged to.
+    pub workspace: Option<WorkspaceName>,
     /// When it ended, in cell time; none if an earlier version wrote the record.
     pub ended_at: Option<CellTime>,
 }
@@ -88,6 +91,7 @@
             policy: QueuePolicy::default(),
             schedule: Schedule::default(),
             accepted_at_ms: TimeOfDay::default(),
+            workspace: ended.workspace.clone(),
         };
         let mut job = Job::new(spec, now, self.wall_clock);
         job.state = ended.state;
--- a/crates/sched/src/scheduler.rs
+++ b/crates/sched/src/scheduler.rs
@@ -12,9 +12,12 @@
 use syc_types::DayAnchor;
 use syc_types::Millis;
 use syc_types::WorkerId;
+use syc_types::WorkspaceName;
+use syc_workspace::may_access;
 
 use crate::Action;
 use crate::AdviceSlots;
+use crate::Cancellation;
 use crate::Event;
 use crate::JobId;
 use crate::JobState;
@@ -72,7 +75,7 @@
     /// successor does not report a job as queued that was already reported as running.
     pub(crate) started_since_recorded: BTreeSet<JobKey>,
     /// Cancellations that arrived before their jobs, with the time of arrival.
-    pub(crate) early_cancellations: BTreeMap<JobId, Millis>,
+    pub(crate) early_cancellations: BTreeMap<Cancellation, Millis>,
     pub(crate) queues: HashMap<SmolStr, QueueStats>,
     pub(crate) recovery: Recovery,
     /// Reported runs whose jobs have not been loaded yet.
@@ -162,7 +165,7 @@
             Event::WorkerUnlisted(id) => self.worker_unlisted(&id, now),
             Event::WorkersRead { asked_at } => self.workers_read(asked_at, now),
             Event::JobStored { spec, age_ms } => self.add_job(*spec, age_ms, now),
-            Event::JobCancelled(id) => self.cancel(id, now),
+            Event::JobCancelled(cancellation) => self.cancel(cancellation, now),
             Event::Renewed {
                 worker,
                 sent_at,
@@ -234,6 +237,20 @@
         Some(job.visible_state)
     }
 
+    /// Returns whether a caller of a workspace, or of none, may access a job. Anyone may access an unknown one.
+    #[must_use]
+    pub fn may_access(&self, id: JobId, caller: Option<&WorkspaceName>) -> bool {
+        let key = self.job_keys.get(&id);
+        key.is_none_or(|key| may_access(self.jobs[*key].spec.workspace.as_ref(), caller))
+    }
+
+    /// Returns the workspace that a known job belongs to, if it belongs to one.
+    #[must_use]
+    pub fn owner_of(&self, id: JobId) -> Option<&WorkspaceName> {
+        let key = self.job_keys.get(&id)?;
+        self.jobs[*key].spec.workspace.as_ref()
+    }
+
     /// Returns the queue that a job belongs to.
     #[must_use]
     pub fn queue_of(&self, id: JobId) -> Option<&SmolStr> {
--- a/crates/sched/src/spec.rs
+++ b/crates/sched/src/spec.rs
@@ -6,6 +6,7 @@
 use syc_types::Resources;
 use syc_types::ServiceName;
 use syc_types::TimeOfDay;
+use syc_types::WorkspaceName;
 
 use crate::JobId;
 
@@ -209,6 +210,9 @@
     pub schedule: Schedule,
     /// When it was accepted, by the clock of the accepting node.
     pub accepted_at_ms: TimeOfDay,
+    /// The workspace that it belongs to; none if its queue needs no key, or an earlier version stored it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub workspace: Option<WorkspaceName>,
 }
 
 impl JobSpec {
--- a/crates/sched/tests/core/driver.rs
+++ b/crates/sched/tests/core/driver.rs
@@ -330,7 +330,7 @@
     }
 
     pub fn cancel(&mut self, id: u64) {
-        self.apply(Event::JobCancelled(JobId(id)));
+        self.apply(Event::JobCancelled(JobId(id).into()));
     }
 
     /// Accepts the order to stop a run.
--- a/crates/sched/tests/core/driver/builders.rs
+++ b/crates/sched/tests/core/driver/builders.rs
@@ -28,6 +28,7 @@
         policy,
         schedule,
         accepted_at_ms: TimeOfDay(0),
+        workspace: None,
     }
 }
 
--- a/crates/sched/tests/core/retention.rs
+++ b/crates/sched/tests/core/retention.rs
@@ -78,6 +78,7 @@
         let ended = self.stored.iter().map(|(id, progress)| EndedJob {
             id: *id,
             state: progress.state,
+            workspace: progress.workspace.clone(),
             ended_at: progress.ended_at_cell_ms,
         });
         let ended: Vec<_> = ended.collect();
@@ -110,7 +111,7 @@
         self.next_job += 1;
         let spec = Box::new(job(id, policy(0), vec![step(1, 1)], Schedule::default()));
         self.apply(Event::JobStored { spec, age_ms: 0 });
-        self.apply(Event::JobCancelled(JobId(id)));
+        self.apply(Event::JobCancelled(JobId(id).into()));
         let (now, day) = (self.now(), self.day());
         let mut records = self.scheduler.take_records(10, now, day);
         assert_eq!(records.len(), 1);
@@ -281,6 +282,8 @@
     let id = end.0;
     simulation.record(end);
     let now = simulation.now();
-    let actions = simulation.scheduler.handle(Event::JobCancelled(id), now);
+    let actions = simulation
+        .scheduler
+        .handle(Event::JobCancelled(id.into()), now);
     assert_eq!(actions, [Action::DeleteSpec(id)]);
 }
--- a/crates/sched/tests/schedules/gangs.rs
+++ b/crates/sched/tests/schedules/gangs.rs
@@ -174,6 +174,7 @@
             },
             schedule: Schedule::default(),
             accepted_at_ms: TimeOfDay(0),
+            workspace: None,
         });
         let plan = TaskPlan {
             work_ms: 1_000,
--- a/crates/sched/tests/schedules/jobs.rs
+++ b/crates/sched/tests/schedules/jobs.rs
@@ -55,6 +55,7 @@
         policy: policy(rng),
         schedule: Schedule::default(),
         accepted_at_ms: TimeOfDay(0),
+        workspace: None,
     };
     let always_fails = rng.random_ratio(1, 12);
     for (index, step) in (0..).zip(&spec.steps) {
@@ -145,6 +146,7 @@
         },
         schedule: Schedule::default(),
         accepted_at_ms: TimeOfDay(0),
+        workspace: None,
     };
     for index in (0..).take(spec.steps.len()) {
         let step = StepId {
@@ -197,6 +199,7 @@
         },
         schedule: Schedule::default(),
         accepted_at_ms: TimeOfDay(0),
+        workspace: None,
     };
     for index in 0..spec.steps[0].tasks {
         let step = StepId {
@@ -254,6 +257,7 @@
         policy: policy(rng),
         schedule: Schedule::default(),
         accepted_at_ms: TimeOfDay(0),
+        workspace: None,
     };
     let step = StepId {
         job: spec.id,
--- a/crates/sched/tests/schedules/simulation.rs
+++ b/crates/sched/tests/schedules/simulation.rs
@@ -533,6 +533,7 @@
             progress.state.is_terminal().then_some(EndedJob {
                 id: *id,
                 state: progress.state,
+                workspace: progress.workspace.clone(),
                 ended_at: progress.ended_at_cell_ms,
             })
         });
@@ -580,7 +581,7 @@
             self.apply(Event::WavePublished { wave, age_ms: 0 });
         }
         for id in self.cancelled.clone() {
-            self.apply(Event::JobCancelled(id));
+            self.apply(Event::JobCancelled(id.into()));
         }
         if let Some(scheduler) = &mut self.scheduler {
             scheduler.begin_recovery(self.now);
@@ -726,7 +727,7 @@
         for id in cancels {
             self.cancelled.push(id);
             self.fleet.checker.ignore_availability(id);
-            self.apply(Event::JobCancelled(id));
+            self.apply(Event::JobCancelled(id.into()));
         }
     }
 }
--- a/crates/sched/tests/takeovers/simulation.rs
+++ b/crates/sched/tests/takeovers/simulation.rs
@@ -200,6 +200,7 @@
             policy: policy(),
             schedule: Schedule::default(),
             accepted_at_ms: TimeOfDay(0),
+            workspace: None,
         };
         let mut fleet = FleetModel::default();
         fleet.limits.lease_ms = LEASE_MS;
--- a/crates/sched/tests/takeovers/succession.rs
+++ b/crates/sched/tests/takeovers/succession.rs
@@ -129,6 +129,7 @@
             policy: limited,
             schedule: Schedule::default(),
             accepted_at_ms: TimeOfDay(0),
+            workspace: None,
         };
         let mut fleet = FleetModel::default();
         fleet.limits.lease_ms = LEASE_MS;
@@ -253,6 +254,7 @@
                 let ended = EndedJob {
                     id: JOB,
                     state: stored.state,
+                    workspace: stored.workspace.clone(),
                     ended_at: stored.ended_at_cell_ms,
                 };
                 node.scheduler.restore_ended_jobs(&[ended], now);
--- a/crates/wire/src/cell.rs
+++ b/crates/wire/src/cell.rs
@@ -147,6 +147,9 @@
     /// The job.
     #[prost(fixed64, tag = "1")]
     pub job: u64,
+    /// The caller's workspace, without which it sees only jobs of no workspace. Absent from earlier versions.
+    #[prost(string, optional, tag = "2")]
+    pub workspace: Option<String>,
 }
 
 /// Reply to [`JobStateQuery`].
@@ -273,6 +276,9 @@
     /// Whether the scheduler has processed the record.
     #[prost(bool, tag = "5")]
     pub taken: bool,
+    /// Whether the record was refused because another workspace has a job with this ID.
+    #[prost(bool, tag = "6")]
+    pub id_taken: bool,
 }
 
 /// Notifies the scheduler of a newly stored record.
