--- a/crates/cell/src/follow.rs
+++ b/crates/cell/src/follow.rs
@@ -11,6 +11,7 @@
 use crate::clock::pause;
 use crate::log;
 use crate::node::PublishedWave;
+use crate::ports::Newest;
 use crate::ports::Platform;
 use crate::ports::Published;
 use crate::ports::ReadError;
@@ -47,10 +48,18 @@
     P: Platform,
 {
     let newest = node.newest(Topic::Operators, 0).await.ok()?;
+    apply_newest(node, &newest);
+    Some(newest.read_from)
+}
+
+/// Applies the newest records that operators published.
+pub(crate) fn apply_newest<P>(node: &Node<P>, newest: &Newest)
+where
+    P: Platform,
+{
     for (_offset, record) in &newest.records {
         apply_record(node, record);
     }
-    Some(newest.read_from)
 }
 
 /// Reads the records at `from` and returns the next position. The position is kept if the store does not answer.
@@ -140,6 +149,7 @@
         *node.configuration.borrow_mut() = Some(Rc::new(configuration));
         if let Some(leader) = node.leader() {
             leader.apply_standby();
+            leader.apply_workspaces();
         }
     }
 }
--- a/crates/cell/src/leader.rs
+++ b/crates/cell/src/leader.rs
@@ -28,6 +28,7 @@
 use slotmap::SecondaryMap;
 use smol_str::SmolStr;
 use syc_net::PeerClient;
+use syc_obs::WorkspaceReading;
 use syc_sched::Action;
 use syc_sched::AdviceNodes;
 use syc_sched::Authority;
@@ -41,6 +42,7 @@
 use syc_types::Millis;
 use syc_types::WorkspaceName;
 use syc_wire::cell::Contact;
+use syc_workspace::UNLIMITED;
 use tokio::sync::Notify;
 use unreadable_jobs::UnreadableJobs;
 
@@ -394,6 +396,20 @@
         self.scheduler.borrow().counts(now())
     }
 
+    /// Returns what the workspaces have running.
+    pub(crate) fn workspace_readings(&self) -> Vec<WorkspaceReading> {
+        let usages = self.scheduler.borrow().workspace_usage();
+        let readings = usages.into_iter().map(|usage| {
+            let cap = usage.cap.cpu_millis;
+            WorkspaceReading {
+                name: usage.name.to_string(),
+                running_cpu_millis: usage.running.cpu_millis,
+                cap_cpu_millis: (cap < UNLIMITED.cpu_millis).then_some(cap),
+            }
+        });
+        readings.collect()
+    }
+
     /// Records a contact from another node.
     ///
     /// Returns the jobs partition that node should write to. Nodes get distinct partitions as far
--- a/crates/cell/src/leader/takeover.rs
+++ b/crates/cell/src/leader/takeover.rs
@@ -7,7 +7,7 @@
 
 use futures_util::future::join;
 use futures_util::future::join_all;
-use futures_util::future::join3;
+use futures_util::future::join4;
 use futures_util::stream::FuturesUnordered;
 use futures_util::stream::StreamExt;
 use smol_str::SmolStr;
@@ -26,6 +26,7 @@
 
 use crate::clock::now;
 use crate::clock::pause;
+use crate::follow;
 use crate::leader::Leader;
 use crate::leader::progress_writer::PROGRESS_PARTITIONS;
 use crate::leader::progress_writer::remove_ended_jobs;
@@ -55,6 +56,7 @@
     progress: Vec<Newest>,
     jobs: Vec<Newest>,
     workers: Newest,
+    published: Newest,
 }
 
 /// Takes over the role and starts the tasks that serve it.
@@ -70,6 +72,7 @@
     let fenced_ms = now().since(started_at);
     let stored = read_stored_state(&leader).await;
     let read_ms = now().since(started_at) - fenced_ms;
+    follow::apply_newest(&leader.node, &stored.published);
     let progress_records = restore_all(&leader, &stored);
     let loaded = LoadedState {
         counts: leader.counts(),
@@ -104,11 +107,15 @@
     let all_jobs = read_partitions(leader, Topic::Jobs, partitions);
     let all_progress = read_partitions(leader, Topic::Progress, PROGRESS_PARTITIONS);
     let workers = read_with_retries(leader, Topic::Workers, 0);
-    let (progress, workers, jobs) = join3(all_progress, workers, all_jobs).await;
+    // Caps may have fallen since this node last reached the store.
+    let published = read_with_retries(leader, Topic::Operators, 0);
+    let (progress, workers, jobs, published) =
+        join4(all_progress, workers, all_jobs, published).await;
     StoredState {
         progress,
         jobs,
         workers,
+        published,
     }
 }
 
--- a/crates/cell/src/leader/vms.rs
+++ b/crates/cell/src/leader/vms.rs
@@ -54,9 +54,20 @@
         self.apply(Event::StandbySet(standby.unwrap_or_default()));
     }
 
+    /// Passes the policies of the workspaces to the scheduler. Without a configuration they are not known, and work of
+    /// workspaces waits for it.
+    pub(crate) fn apply_workspaces(self: &Rc<Self>) {
+        let Some(configuration) = self.node.configuration() else {
+            return;
+        };
+        let policies = configuration.workspaces.policies().cloned();
+        self.apply(Event::WorkspacesSet(policies.collect()));
+    }
+
     /// Applies everything operators published before this node became the scheduler.
     pub(super) fn apply_published(self: &Rc<Self>) {
         self.apply_standby();
+        self.apply_workspaces();
         let waves = self.node.waves.borrow().clone();
         for seen in waves {
             self.apply_wave(seen.wave, now().since(seen.seen_at));
--- a/crates/cell/src/log.rs
+++ b/crates/cell/src/log.rs
@@ -362,6 +362,14 @@
             found,
             missing_ms,
         } => run_missing(*task, *run, worker.as_ref(), found, *missing_ms),
+        Note::WorkspaceChanged(policy) => Line::new(catalogue::WORKSPACE_CHANGED)
+            .text("workspace", policy.name.as_str())
+            .display("weight", policy.weight)
+            .number("cap_cpu_millis", policy.cap.cpu_millis)
+            .number("cap_memory_bytes", policy.cap.memory_bytes)
+            .number("cap_accelerators", u64::from(policy.cap.accelerators))
+            .emit(),
+        Note::UsageWrong => Line::new(catalogue::USAGE_WRONG).emit(),
         Note::EndHeld {
             task,
             later_run,
--- a/crates/cell/src/node.rs
+++ b/crates/cell/src/node.rs
@@ -231,6 +231,7 @@
             readings.oldest_doubt_ms = counts.oldest_doubt_ms;
             readings.longest_silence_ms = counts.longest_silence_ms;
             readings.longest_lease_ms = counts.longest_lease_ms;
+            self.metrics.workspaces(&leader.workspace_readings());
         }
         self.metrics.page(&readings)
     }
--- a/crates/fleet/src/checker.rs
+++ b/crates/fleet/src/checker.rs
@@ -14,6 +14,7 @@
 use syc_types::Millis;
 use syc_types::Resources;
 use syc_types::WorkerId;
+use syc_types::WorkspaceName;
 
 use crate::RunEvent;
 
@@ -37,6 +38,8 @@
     FailedTooEarly(JobId),
     /// More tasks of a step ran on one worker than the step allows.
     TooManyOnWorker(TaskId),
+    /// A start brought what a workspace had running above its cap. A task that alone exceeds the cap may run alone.
+    CapExceeded(TaskId),
     /// More VMs of a maintenance wave were down at the same time than the wave allows.
     TooManyDown(u64),
     /// A maintenance wave was reported as completed although one of its VMs had no maintenance.
@@ -92,6 +95,8 @@
     /// Tasks that crash their workers.
     crash_records: BTreeMap<TaskId, CrashRecord>,
     forbidden_jobs: BTreeSet<JobId>,
+    /// Caps of workspaces; one without an entry has none.
+    caps: BTreeMap<WorkspaceName, Resources>,
     /// Cancelled jobs, whose tasks may all be unavailable.
     availability_ignored: BTreeSet<JobId>,
     /// Jobs with at least one started task.
@@ -128,6 +133,11 @@
         self.forbidden_jobs.insert(job);
     }
 
+    /// Sets the highest cap of a workspace that may be in force.
+    pub fn set_cap(&mut self, workspace: WorkspaceName, cap: Resources) {
+        self.caps.insert(workspace, cap);
+    }
+
     /// Stops checking how many tasks of the job are unavailable.
     pub fn ignore_availability(&mut self, job: JobId) {
         self.availability_ignored.insert(job);
@@ -220,6 +230,37 @@
         }
         live_runs.insert((worker.clone(), run));
         self.check_tasks_per_worker(worker, task, step.tasks_per_worker);
+        self.check_cap(task);
+    }
+
+    /// Checks after the start of a task what its workspace has running.
+    fn check_cap(&mut self, started: TaskId) {
+        let workspace = self.workspace_of(started);
+        let cap = workspace.and_then(|workspace| self.caps.get(workspace));
+        let Some(cap) = cap else {
+            return;
+        };
+        let mut used = Resources::ZERO;
+        let mut runs = 0;
+        for (task, places) in &self.live_runs {
+            if places.is_empty() || self.workspace_of(*task) != workspace {
+                continue;
+            }
+            let need = self
+                .step_of(*task)
+                .map_or(Resources::ZERO, |step| step.resources);
+            let count = u32::try_from(places.len()).unwrap_or(u32::MAX);
+            used = used.saturating_add(&need.saturating_mul(count));
+            runs += places.len();
+        }
+        if !used.fits_in(cap) && runs > 1 {
+            self.violations.push(Violation::CapExceeded(started));
+        }
+    }
+
+    fn workspace_of(&self, task: TaskId) -> Option<&WorkspaceName> {
+        let job = self.jobs.get(&task.step.job)?;
+        job.workspace.as_ref()
     }
 
     /// Checks that no acknowledged end as done counts for a task that starts, and notes the start for the ends that may be
--- a/crates/obs/src/cell_metrics.rs
+++ b/crates/obs/src/cell_metrics.rs
@@ -16,9 +16,6 @@
     0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 4.0, 8.0, 16.0, 60.0,
 ];
 
-/// Milliseconds of a second.
-const MS_PER_S: f64 = 1_000.0;
-
 /// A stage of a job's wait.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Stage {
@@ -92,6 +89,20 @@
     pub worker_connections_withheld: u64,
 }
 
+/// Largest number of workspaces whose use is shown.
+const WORKSPACES_LIMIT: usize = 100;
+
+/// What a workspace has running, in thousandths of a core.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct WorkspaceReading {
+    /// Its name.
+    pub name: String,
+    /// Processor time that its runs requested.
+    pub running_cpu_millis: u64,
+    /// Its cap on that, if there is one.
+    pub cap_cpu_millis: Option<u64>,
+}
+
 /// The metrics of one node of a cell.
 pub struct CellMetrics {
     exporter: Exporter,
@@ -102,6 +113,7 @@
     unreadable: Counter<u64>,
     missing_runs: Counter<u64>,
     worker_connections: WorkerConnections,
+    workspace_cpu: Gauge<f64>,
     gauges: Gauges,
 }
 
@@ -153,6 +165,10 @@
                 "Runs treated as ended because no worker held them.",
             ),
             worker_connections: WorkerConnections::new(&meter),
+            workspace_cpu: meter
+                .f64_gauge("syc_cell_workspace_cpu_cores")
+                .with_description("Processor time that workspaces have running, and their caps.")
+                .build(),
             gauges: Gauges::new(&meter),
             exporter,
         }
@@ -195,6 +211,24 @@
         self.missing_runs.add(1, &[KeyValue::new("found", found)]);
     }
 
+    /// Sets the use of workspaces. Only the first ones are shown.
+    pub fn workspaces(&self, readings: &[WorkspaceReading]) {
+        for reading in readings.iter().take(WORKSPACES_LIMIT) {
+            self.workspace_cores(&reading.name, "running", reading.running_cpu_millis);
+            if let Some(cap) = reading.cap_cpu_millis {
+                self.workspace_cores(&reading.name, "cap", cap);
+            }
+        }
+    }
+
+    fn workspace_cores(&self, workspace: &str, kind: &'static str, cpu_millis: u64) {
+        let labels = [
+            KeyValue::new("workspace", workspace.to_owned()),
+            KeyValue::new("kind", kind),
+        ];
+        self.workspace_cpu.record(to_thousands(cpu_millis), &labels);
+    }
+
     /// Returns the page to scrape, with the readings taken now.
     #[must_use]
     pub fn page(&self, readings: &CellReadings) -> String {
@@ -339,6 +373,11 @@
 }
 
 fn to_seconds(time_ms: u64) -> f64 {
-    let time_ms = u32::try_from(time_ms).unwrap_or(u32::MAX);
-    f64::from(time_ms) / MS_PER_S
+    to_thousands(time_ms)
+}
+
+/// Converts an amount in thousandths.
+fn to_thousands(amount_millis: u64) -> f64 {
+    let amount_millis = u32::try_from(amount_millis).unwrap_or(u32::MAX);
+    f64::from(amount_millis) / 1_000.0
 }
--- a/crates/obs/src/events.rs
+++ b/crates/obs/src/events.rs
@@ -218,4 +218,8 @@
     RUN_MISSING = 754, Error, "run missing";
     /// The end of a task is not shown before a later start of it is ruled out.
     END_HELD = 755, Info, "end held";
+    /// The cap or the weight of a workspace changed.
+    WORKSPACE_CHANGED = 756, Info, "workspace changed";
+    /// What is counted as occupied is not what the runs occupy.
+    USAGE_WRONG = 757, Error, "usage wrong";
 }
--- a/crates/obs/tests/catalogues.rs
+++ b/crates/obs/tests/catalogues.rs
@@ -9,6 +9,7 @@
 use syc_obs::Metrics;
 use syc_obs::Readings;
 use syc_obs::Stage;
+use syc_obs::WorkspaceReading;
 use syc_types::Class;
 
 fn page(name: &str) -> String {
@@ -79,6 +80,11 @@
     cell.store_call("append", "ok", 1);
     cell.unreadable("workers", 1);
     cell.missing_run("no_run");
+    cell.workspaces(&[WorkspaceReading {
+        name: "workspace".to_owned(),
+        running_cpu_millis: 1,
+        cap_cpu_millis: Some(2),
+    }]);
     let mut scraped = metrics.page(&Readings::default());
     scraped.push_str(&cell.page(&CellReadings::default()));
     let mut listed = rows(&page("METRICS.md"), "syc_");
--- a/crates/sched/src/consistency.rs
+++ b/crates/sched/src/consistency.rs
@@ -67,6 +67,8 @@
     missing_since: BTreeMap<MissingMember, Millis>,
     /// The latest logged run of each unit of which a member was missing.
     logged_runs: BTreeMap<(JobKey, usize, usize), Run>,
+    /// Whether it was logged that the usage is wrong.
+    logged_usage: bool,
 }
 
 impl Scheduler {
@@ -79,6 +81,7 @@
             return;
         }
         self.consistency.next_at = now.plus(CHECK_INTERVAL_MS);
+        self.check_usage();
         let open_jobs = &self.open_jobs;
         let logged_runs = &mut self.consistency.logged_runs;
         logged_runs.retain(|(job, _, _), _| open_jobs.contains(job));
@@ -92,6 +95,14 @@
         }
     }
 
+    /// Checks that usage is counted as the runs say. A wrong count could start work beyond a cap, or none at all.
+    fn check_usage(&mut self) {
+        if !self.consistency.logged_usage && !self.has_consistent_usage() {
+            self.consistency.logged_usage = true;
+            self.actions.push(Action::Note(Note::UsageWrong));
+        }
+    }
+
     fn missing_members(&self) -> Vec<MissingMember> {
         let mut missing = Vec::new();
         for job in &self.open_jobs {
--- a/crates/sched/src/counts.rs
+++ b/crates/sched/src/counts.rs
@@ -1,9 +1,12 @@
 //! Counts of a scheduler's jobs, runs and workers, for metrics.
 
 use syc_types::Millis;
+use syc_types::Resources;
+use syc_types::WorkspaceName;
 
 use crate::Scheduler;
 use crate::worker::Worker;
+use crate::workspaces::RunOwner;
 
 /// Counts of a scheduler's jobs, runs and workers, for metrics.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -32,6 +35,17 @@
     pub longest_lease_ms: u64,
 }
 
+/// What a workspace has running, and the most that it may have.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct WorkspaceUsage {
+    /// The workspace.
+    pub name: WorkspaceName,
+    /// What its runs requested.
+    pub running: Resources,
+    /// Its cap; a kind without a limit has the largest value.
+    pub cap: Resources,
+}
+
 impl Counts {
     fn add_doubts(&mut self, worker: &Worker, now: Millis) {
         for run in worker.runs.values() {
@@ -55,6 +69,21 @@
 }
 
 impl Scheduler {
+    /// Returns what each workspace has running, the largest amount of processor time first.
+    #[must_use]
+    pub fn workspace_usage(&self) -> Vec<WorkspaceUsage> {
+        let mut usages = Vec::new();
+        for (key, workspace) in self.workspaces.iter() {
+            usages.push(WorkspaceUsage {
+                name: workspace.policy.name.clone(),
+                running: self.running_of(RunOwner::Workspace(key)),
+                cap: workspace.policy.cap,
+            });
+        }
+        usages.sort_by_key(|usage| std::cmp::Reverse(usage.running.cpu_millis));
+        usages
+    }
+
     /// Returns the current counts.
     #[must_use]
     pub fn counts(&self, now: Millis) -> Counts {
--- a/crates/sched/src/event.rs
+++ b/crates/sched/src/event.rs
@@ -6,6 +6,7 @@
 use syc_types::VmId;
 use syc_types::WorkerId;
 use syc_types::WorkspaceName;
+use syc_workspace::WorkspacePolicy;
 
 use crate::JobId;
 use crate::JobSpec;
@@ -171,6 +172,8 @@
         /// Number of the latest change that was written.
         change: u64,
     },
+    /// Sets the policies of the configured workspaces.
+    WorkspacesSet(Vec<WorkspacePolicy>),
     /// Sets the services whose VMs are powered off until they are moved to another pool.
     StandbySet(Vec<ServiceName>),
     /// A request for the list of VMs was answered or has failed.
--- a/crates/sched/src/gang.rs
+++ b/crates/sched/src/gang.rs
@@ -44,6 +44,9 @@
             self.start_reserved_gang(job_key, step_index, now);
             return;
         }
+        if self.is_capped(job_key, step_index, now) {
+            return;
+        }
         let needs_advice = self.jobs[job_key].spec.policy.advice.is_some();
         if needs_advice && self.jobs[job_key].steps[step_index].advice.call_count == 0 {
             self.request_gang_advice(job_key, step_index, now);
@@ -70,7 +73,7 @@
         let Some(reservation) = step.units[0].reservation.clone() else {
             return;
         };
-        let mut has_capacity = true;
+        let mut has_capacity = self.cap_allows_reserved(job_key, step_index);
         let mut stale = Vec::new();
         for (key, count) in &reservation.workers {
             if !self.may_use_reserved(*key, reservation.isolated, now) {
--- a/crates/sched/src/ids.rs
+++ b/crates/sched/src/ids.rs
@@ -16,6 +16,9 @@
 
     /// Key of a job in one [`crate::Scheduler`].
     pub(crate) struct JobKey;
+
+    /// Key of a workspace in one [`crate::Scheduler`].
+    pub(crate) struct WorkspaceKey;
 }
 
 /// Identifies a job. The submitter chooses it, which makes a repeated submit idempotent.
--- a/crates/sched/src/job.rs
+++ b/crates/sched/src/job.rs
@@ -22,6 +22,7 @@
 use crate::Version;
 use crate::WorkerKey;
 use crate::crash_history::CrashHistory;
+use crate::ids::WorkspaceKey;
 use crate::predecessor_placement::PredecessorPlacement;
 use crate::predecessor_placement::member_worker_names;
 use crate::progress::StepProgress;
@@ -74,6 +75,8 @@
     /// When the log last reported that it waits, and how often it has done so.
     pub(crate) wait_logged_at: Millis,
     pub(crate) wait_log_count: u32,
+    /// Since when the cap of its workspace has kept its next unit from starting.
+    pub(crate) capped_since: Option<Millis>,
 }
 
 impl Step {
@@ -90,6 +93,7 @@
             suspected_at: None,
             wait_logged_at: Millis(0),
             wait_log_count: 0,
+            capped_since: None,
         }
     }
 
@@ -146,6 +150,8 @@
     pub(crate) objective_ms: u64,
     /// Whether a predecessor may have started tasks of it that this scheduler does not know of.
     pub(crate) inherited: bool,
+    /// The workspace that it belongs to.
+    pub(crate) workspace: Option<WorkspaceKey>,
     /// Sequence number among the jobs added since this scheduler began; 0 for jobs that it restored.
     pub(crate) arrival_number: u64,
     /// When it ended, by the scheduler's clock.
@@ -177,6 +183,7 @@
             accepted_at,
             objective_ms,
             inherited: false,
+            workspace: None,
             arrival_number: 0,
             ended_at: None,
             end_stamp: None,
--- a/crates/sched/src/job_lifecycle.rs
+++ b/crates/sched/src/job_lifecycle.rs
@@ -61,8 +61,10 @@
         self.expire_unknown_runs_of_job(key, now);
     }
 
-    fn insert_open_job(&mut self, job: Job, now: Millis) -> JobKey {
+    fn insert_open_job(&mut self, mut job: Job, now: Millis) -> JobKey {
         let id = job.id();
+        let workspace = job.spec.workspace.as_ref();
+        job.workspace = workspace.map(|name| self.workspaces.key_of(name));
         let key = self.jobs.insert(job);
         self.job_keys.insert(id, key);
         self.open_jobs.insert(key);
@@ -77,7 +79,7 @@
         let spec = &self.jobs[key].spec;
         let (id, owner) = (spec.id, spec.workspace.as_ref());
         let is_of_job = |cancellation: &Cancellation, _at: &mut Millis| cancellation.job == id;
-        let mut taken = self.early_cancellations.extract_if(.., is_of_job);
+        let taken = self.early_cancellations.extract_if(.., is_of_job);
         taken.fold(false, |is_heeded, (cancellation, _at)| {
             is_heeded | may_access(owner, cancellation.workspace.as_ref())
         })
--- a/crates/sched/src/misdirected.rs
+++ b/crates/sched/src/misdirected.rs
@@ -6,6 +6,7 @@
 
 use smol_str::SmolStr;
 use syc_types::Millis;
+use syc_types::Resources;
 
 use crate::Run;
 use crate::Scheduler;
@@ -15,6 +16,7 @@
 use crate::unit::Outcome;
 use crate::unit::UnitState;
 use crate::worker::WorkerRun;
+use crate::workspaces::RunOwner;
 
 /// A run that may have reached a later incarnation of its worker.
 #[derive(Debug, Clone)]
@@ -36,6 +38,11 @@
         &self.name
     }
 
+    /// Returns what it may occupy on the later incarnation, and whose usage that is.
+    pub(crate) const fn usage(&self) -> (RunOwner, Resources) {
+        (self.held.owner, self.held.requested)
+    }
+
     pub(crate) const fn name(&self) -> (TaskId, Run) {
         (self.task, self.run)
     }
--- a/crates/sched/src/note.rs
+++ b/crates/sched/src/note.rs
@@ -2,6 +2,7 @@
 
 use smol_str::SmolStr;
 use syc_types::WorkerId;
+use syc_workspace::WorkspacePolicy;
 
 use crate::JobId;
 use crate::Run;
@@ -53,6 +54,11 @@
         /// How long that had stood when the task was treated as ended.
         missing_ms: u64,
     },
+    /// The policy of a workspace changed.
+    WorkspaceChanged(WorkspacePolicy),
+    /// What workers or workspaces count as occupied differs from what runs and reservations occupy, which only a fault
+    /// of the scheduler causes. Logged once.
+    UsageWrong,
     /// A task or gang has ended, as done or without an attempt left. That is neither shown nor acknowledged while a later
     /// start of it may still be carried out.
     EndHeld {
--- a/crates/sched/src/placement.rs
+++ b/crates/sched/src/placement.rs
@@ -15,6 +15,7 @@
 use crate::run_ends::UnitRef;
 use crate::unit::Reservation;
 use crate::unit::UnitState;
+use crate::waiting::WaitingStep;
 use crate::worker::Phase;
 use crate::worker::Worker;
 use crate::worker::WorkerRun;
@@ -26,7 +27,8 @@
     /// Runs a scheduling pass over every waiting task and returns the actions to perform.
     pub fn schedule(&mut self, now: Millis) -> Vec<Action> {
         self.measure_headroom(now);
-        for (_urgency, job, step) in self.waiting_steps(now) {
+        self.measure_workspaces();
+        for WaitingStep { job, step, .. } in self.waiting_steps(now) {
             if self.jobs[job].steps[step].spec.gang {
                 self.schedule_gang(job, step, now);
             } else {
@@ -40,6 +42,7 @@
     fn place_tasks(&mut self, job: JobKey, step: usize, now: Millis) {
         let allowed = self.currently_allowed_workers(job, step, now);
         let mut preemptions = 0;
+        let mut is_capped = false;
         let startable = self.startable_units(job, step);
         for unit in 0..self.jobs[job].steps[step].units.len() {
             let is_pending = self.jobs[job].steps[step].units[unit].state == UnitState::Pending;
@@ -50,6 +53,10 @@
                 self.place_reserved_task(job, step, unit, now);
                 continue;
             }
+            if is_capped || self.is_capped(job, step, now) {
+                is_capped = true;
+                continue;
+            }
             if self.would_use_headroom(job, step) {
                 break;
             }
@@ -81,11 +88,27 @@
                 break;
             }
         }
-        if self.jobs[job].steps[step].pending_units > 0 {
+        if self.jobs[job].steps[step].pending_units > 0 && !is_capped {
             self.request_task_advice(job, step, now);
         }
     }
 
+    /// Returns whether the cap of its workspace keeps the next unit of a step from starting. What the unit needs is then
+    /// kept free of less urgent units of the workspace.
+    pub(crate) fn is_capped(&mut self, job: JobKey, step: usize, now: Millis) -> bool {
+        let is_capped = !self.cap_allows(job, step);
+        if is_capped {
+            self.claim_cap(job, step, now);
+        }
+        let capped_since = &mut self.jobs[job].steps[step].capped_since;
+        if is_capped {
+            capped_since.get_or_insert(now);
+        } else {
+            *capped_since = None;
+        }
+        is_capped
+    }
+
     /// Returns whether a worker accepts no more starts until its next answer, which is expected shortly.
     fn is_awaiting_answer(&self, key: WorkerKey) -> bool {
         let worker = &self.workers[key];
@@ -257,6 +280,8 @@
         let need = of_step.spec.reserved_resources();
         let isolated = of_step.units[unit].is_isolated();
         let suspected = of_step.units[unit].crashes() > 0;
+        let cap_need = self.cap_need(job, step);
+        self.workspaces.reserve(self.jobs[job].workspace, &cap_need);
         for (worker, count) in &workers {
             let worker = &mut self.workers[*worker];
             worker.reserved = worker.reserved.saturating_add(&need.saturating_mul(*count));
@@ -286,6 +311,8 @@
         let Some(reservation) = of_step.units[unit].reservation.take() else {
             return;
         };
+        let cap_need = self.cap_need(job, step);
+        self.workspaces.release(self.jobs[job].workspace, &cap_need);
         for (worker, count) in reservation.workers {
             if let Some(worker) = self.workers.get_mut(worker) {
                 worker.reserved = worker.reserved.saturating_sub(&need.saturating_mul(count));
@@ -334,7 +361,8 @@
         let isolated = reservation.isolated;
         let usable = self.may_use_reserved(worker, isolated, now);
         let is_clear = usable && !(isolated && self.workers[worker].has_run_on_probation());
-        let fits = is_clear && need.fits_in(&self.workers[worker].free());
+        let has_room = is_clear && need.fits_in(&self.workers[worker].free());
+        let fits = has_room && self.cap_allows_reserved(job, step);
         if fits && self.is_below_task_limit(worker, job, step, unit) {
             if !self.has_ticket(job, step, worker, now) {
                 self.renew_tickets(job, step, &[worker], now);
@@ -393,8 +421,15 @@
                 return;
             }
         }
+        // Whoever starts a unit has asked that before, but nothing may start beyond the cap.
+        if !self.cap_allows(job_key, step_index) {
+            return;
+        }
+        let cap_need = self.cap_need(job_key, step_index);
         let job = &mut self.jobs[job_key];
+        self.workspaces.consume(job.workspace, &cap_need);
         let step = &mut job.steps[step_index];
+        step.capped_since = None;
         let unit = &mut step.units[unit_index];
         let run = match unit.start_intent.take() {
             Some(_) => unit.last_started,
@@ -432,6 +467,7 @@
         let held = WorkerRun {
             probation: unit.map_or_else(Probation::without_crashes, Probation::of),
             ticket: ticket.clone(),
+            owner: self.owner_of_runs(Some(job)),
             resumed: of_step.resumes_from_checkpoint(task.index),
             ..WorkerRun::starting(&of_step.spec, of_job.spec.policy.priority, now)
         };
--- a/crates/sched/src/recovery.rs
+++ b/crates/sched/src/recovery.rs
@@ -3,7 +3,9 @@
 use std::collections::BTreeSet;
 
 use syc_types::Millis;
+use syc_types::Resources;
 use syc_types::WorkerId;
+use syc_workspace::UNLIMITED;
 
 use crate::Action;
 use crate::Note;
@@ -179,6 +181,24 @@
         self.try_complete_recovery(now);
     }
 
+    /// Returns what may run, unknown to this scheduler, on workers that have not reported since the takeover began.
+    ///
+    /// A predecessor keeps each worker within its capacity, so it is at most that of these workers. Of a worker that is
+    /// named by a recorded start alone, or in a part of the roster that can't be read, the capacity is not known.
+    pub(crate) fn unreported_capacity(&self) -> Resources {
+        if !self.recovery.may_predecessor_orders_arrive() {
+            return Resources::ZERO;
+        }
+        let mut capacity = Resources::ZERO;
+        for id in &self.recovery.unreported_workers {
+            let key = self.worker_keys.get(id);
+            let of_worker = key.map(|key| self.workers[*key].spec.capacity);
+            let known = of_worker.filter(|of_worker| *of_worker != Resources::ZERO);
+            capacity = capacity.saturating_add(&known.unwrap_or(UNLIMITED));
+        }
+        capacity
+    }
+
     /// Returns whether the takeover is complete.
     #[must_use]
     pub const fn is_recovered(&self) -> bool {
--- a/crates/sched/src/reports.rs
+++ b/crates/sched/src/reports.rs
@@ -404,6 +404,7 @@
         };
         let priority = spec.map_or(0, |spec| spec.policy.priority);
         let mut run = WorkerRun::starting(step.unwrap_or(&whole), priority, now);
+        run.owner = self.owner_of_runs(job.copied());
         if let CpuShare::Fills(fill) = &mut run.share {
             fill.forget_pace();
         }
--- a/crates/sched/src/retention.rs
+++ b/crates/sched/src/retention.rs
@@ -94,6 +94,8 @@
             workspace: ended.workspace.clone(),
         };
         let mut job = Job::new(spec, now, self.wall_clock);
+        let workspace = job.spec.workspace.as_ref();
+        job.workspace = workspace.map(|name| self.workspaces.key_of(name));
         job.state = ended.state;
         job.visible_state = ended.state;
         job.ended_at = Some(self.cell_clock.steady_at(shown_at, now));
--- a/crates/sched/src/retries.rs
+++ b/crates/sched/src/retries.rs
@@ -58,19 +58,25 @@
     /// Sends the latest order about a run again. A start that reached its attempt limit is replaced by a stop.
     pub(crate) fn retry_order(&mut self, key: WorkerKey, task_run: (TaskId, Run), now: Millis) {
         let (task, run) = task_run;
-        let worker = &mut self.workers[key];
+        let worker = &self.workers[key];
         let withholds_lease = worker.breaker.withholds_lease;
         let is_overcommitted = worker.is_overcommitted() || worker.stale_capacity.is_some();
-        let Some(run_state) = worker.runs.get_mut(&task_run) else {
+        let Some(run_state) = worker.runs.get(&task_run) else {
             return;
         };
         if run_state.phase == Phase::Stopping {
             self.send_stop(key, task, run, StopReason::Unwanted, now);
             return;
         }
-        // A start would set a lease, and a run whose capacity is gone must not be started.
+        let is_over_cap = self.is_over_cap(run_state.owner);
+        let Some(run_state) = self.workers[key].runs.get_mut(&task_run) else {
+            return;
+        };
+        // A start would set a lease, and a run whose capacity is gone, or that its workspace's cap no longer allows,
+        // must not be started.
         if withholds_lease
             || is_overcommitted
+            || is_over_cap
             || run_state.orders >= self.options.start_attempts_limit
         {
             run_state.begin_stop(now);
--- a/crates/sched/src/scheduler.rs
+++ b/crates/sched/src/scheduler.rs
@@ -41,6 +41,7 @@
 use crate::stale_capacity::RegistrationReads;
 use crate::vms::VmInventory;
 use crate::worker::Worker;
+use crate::workspaces::Workspaces;
 
 /// Burst size of the cell-wide retry budget. Accepted orders refill the budget on top of this.
 const RETRY_BURST: u64 = 64;
@@ -97,6 +98,7 @@
     /// The wall clock, once it is known.
     pub(crate) wall_clock: Option<DayAnchor>,
     pub(crate) headroom: Headroom,
+    pub(crate) workspaces: Workspaces,
     pub(crate) interference: Interference,
     pub(crate) vms: VmInventory,
     pub(crate) maintenance: Maintenance,
@@ -138,6 +140,7 @@
             cell_clock: CellClock::default(),
             wall_clock: None,
             headroom: Headroom::default(),
+            workspaces: Workspaces::default(),
             interference: Interference::default(),
             vms: VmInventory::default(),
             maintenance: Maintenance::default(),
@@ -201,6 +204,7 @@
             } => self.advice_answered(step, &asked, answer, now),
             Event::WavePublished { wave, age_ms } => self.wave_published(wave, age_ms, now),
             Event::WaveRecorded { wave, change } => self.wave_recorded(wave, change),
+            Event::WorkspacesSet(policies) => self.set_workspaces(policies),
             Event::StandbySet(services) => self.set_standby_pools(services),
             Event::VmsListed { asked_at, vms } => self.vms_listed(asked_at, vms),
             Event::VmOrderAnswered {
--- a/crates/sched/src/spec.rs
+++ b/crates/sched/src/spec.rs
@@ -231,6 +231,16 @@
         ends_ms.into_iter().max().unwrap_or(0)
     }
 
+    /// Returns the index of a step that can't run under a cap on what the job's workspace has running: one of its tasks
+    /// alone exceeds it, or the tasks of a gang together.
+    #[must_use]
+    pub fn step_beyond_cap(&self, cap: &Resources) -> Option<usize> {
+        self.steps.iter().position(|step| {
+            let at_once = if step.gang { step.tasks } else { 1 };
+            !step.resources.saturating_mul(at_once).fits_in(cap)
+        })
+    }
+
     /// Validates the job and returns all violations.
     #[must_use]
     pub fn findings(&self) -> Vec<SpecFinding> {
--- a/crates/sched/src/waiting.rs
+++ b/crates/sched/src/waiting.rs
@@ -1,6 +1,7 @@
 //! Waiting steps: the order in which they are served, and what they wait for.
 
 use syc_types::Millis;
+use syc_types::Resources;
 use syc_types::ServiceName;
 
 use crate::Action;
@@ -9,6 +10,7 @@
 use crate::StepId;
 use crate::UnusableWorkers;
 use crate::ids::JobKey;
+use crate::ids::WorkspaceKey;
 use crate::unit::UnitState;
 
 /// How long a step waits before the log reports why. The interval doubles with each report.
@@ -17,6 +19,10 @@
 /// Maximum number of times that the interval doubles.
 const WAIT_LOG_DOUBLINGS_LIMIT: u32 = 5;
 
+/// A unit that its workspace's cap has kept waiting for this long goes before the workspace's other work, also the more
+/// urgent: a steady stream of that could keep a gang waiting for ever.
+const CAP_PATIENCE_MS: u64 = 1_000;
+
 /// A late job is still of partial value up to this many times its objective.
 const EXPIRY_FACTOR: u64 = 3;
 
@@ -33,9 +39,28 @@
     id: StepId,
 }
 
+impl Urgency {
+    /// Returns what goes before shares of workspaces and due times.
+    pub(crate) const fn class(&self) -> (bool, u32) {
+        (self.is_expired, self.priority)
+    }
+}
+
+/// A step that is ready and has tasks to start.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct WaitingStep {
+    pub(crate) urgency: Urgency,
+    pub(crate) job: JobKey,
+    pub(crate) step: usize,
+    /// The workspace that the job belongs to.
+    pub(crate) workspace: Option<WorkspaceKey>,
+    /// What its waiting tasks need together.
+    pub(crate) need: Resources,
+}
+
 impl Scheduler {
-    /// Returns the steps that are ready and have tasks to start, the most urgent first.
-    pub(crate) fn waiting_steps(&mut self, now: Millis) -> Vec<(Urgency, JobKey, usize)> {
+    /// Returns the steps that are ready and have tasks to start, in the order in which they are served.
+    pub(crate) fn waiting_steps(&mut self, now: Millis) -> Vec<WaitingStep> {
         let mut waiting = Vec::new();
         let recovery_complete = self.recovery.is_complete();
         for key in &self.open_jobs {
@@ -51,13 +76,25 @@
                 if is_awaited && !self.has_startable_unit(*key, step) {
                     continue;
                 }
-                waiting.push((urgency(job, step, now), *key, step));
+                let of_step = &job.steps[step];
+                let tasks = of_step.pending_units * of_step.members();
+                waiting.push(WaitingStep {
+                    urgency: urgency(job, step, now),
+                    job: *key,
+                    step,
+                    workspace: job.workspace,
+                    need: of_step.spec.resources.saturating_mul(tasks),
+                });
             }
         }
-        waiting.sort_unstable_by_key(|(urgency, _, _)| *urgency);
-        for (_, job, step) in &waiting {
-            let step = &mut self.jobs[*job].steps[*step];
-            step.ready_at.get_or_insert(now);
+        waiting.sort_unstable_by_key(|step| step.urgency);
+        for WaitingStep { job, step, .. } in &waiting {
+            let of_step = &mut self.jobs[*job].steps[*step];
+            of_step.ready_at.get_or_insert(now);
+            let capped_since = of_step.capped_since;
+            if capped_since.is_some_and(|since| now.since(since) >= CAP_PATIENCE_MS) {
+                self.claim_cap_first(*job, *step, now);
+            }
         }
         waiting
     }
@@ -91,7 +128,9 @@
         let allowed = self
             .currently_allowed_workers(job_key, step_index, now)
             .len();
-        let waits_for = if eligible == 0 {
+        let waits_for = if step.capped_since.is_some() {
+            "cap"
+        } else if eligible == 0 {
             "workers"
         } else if step.advice.asked_at.is_some() {
             "advice"
--- a/crates/sched/src/worker.rs
+++ b/crates/sched/src/worker.rs
@@ -22,6 +22,7 @@
 use crate::pacing::Backfill;
 use crate::pacing::PaceControl;
 use crate::stale_capacity::StaleCapacity;
+use crate::workspaces::RunOwner;
 
 /// The phase of a run on a worker.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -42,6 +43,10 @@
 )]
 pub(crate) struct WorkerRun {
     pub(crate) resources: Resources,
+    /// What its task requested, which counts towards the cap of its workspace.
+    pub(crate) requested: Resources,
+    /// Whose usage it counts towards.
+    pub(crate) owner: RunOwner,
     pub(crate) phase: Phase,
     /// When the start was decided or the run was adopted.
     pub(crate) held_since: Millis,
@@ -113,6 +118,8 @@
     pub(crate) fn starting(spec: &StepSpec, priority: u32, now: Millis) -> Self {
         Self {
             resources: spec.reserved_resources(),
+            requested: spec.resources,
+            owner: RunOwner::Unknown,
             phase: Phase::Starting,
             held_since: now,
             ordered_at: now,
@@ -253,6 +260,8 @@
     pub(crate) leases_expire_at: Millis,
     pub(crate) runs: BTreeMap<(TaskId, Run), WorkerRun>,
     used: Resources,
+    /// What its runs requested, by the owner of the runs. It holds few owners, so it is not sorted.
+    used_by_owner: Vec<(RunOwner, Resources)>,
     pub(crate) reserved: Resources,
     /// Number of the latest end that was handled.
     pub(crate) handled_end: u64,
@@ -301,6 +310,7 @@
             leases_expire_at: now,
             runs: BTreeMap::new(),
             used: Resources::ZERO,
+            used_by_owner: Vec::new(),
             reserved: Resources::ZERO,
             handled_end: 0,
             unacknowledged: VecDeque::new(),
@@ -378,6 +388,7 @@
     pub(crate) fn insert(&mut self, task: TaskId, run: Run, held: WorkerRun) {
         self.remove(task, run);
         self.used = self.used.saturating_add(&held.resources);
+        self.add_requested(held.owner, &held.requested);
         self.suspected_runs += u32::from(held.probation.began_suspected);
         self.runs.insert((task, run), held);
     }
@@ -387,9 +398,47 @@
         let removed = self.runs.remove(&(task, run))?;
         self.suspected_runs -= u32::from(removed.probation.began_suspected);
         self.used = self.used.saturating_sub(&removed.resources);
+        self.subtract_requested(removed.owner, &removed.requested);
         Some(removed)
     }
 
+    fn add_requested(&mut self, owner: RunOwner, requested: &Resources) {
+        let mut used = self.used_by_owner.iter_mut();
+        match used.find(|(other, _)| *other == owner) {
+            Some((_, sum)) => *sum = sum.saturating_add(requested),
+            None => self.used_by_owner.push((owner, *requested)),
+        }
+    }
+
+    fn subtract_requested(&mut self, owner: RunOwner, requested: &Resources) {
+        let mut used = self.used_by_owner.iter_mut();
+        if let Some((_, sum)) = used.find(|(other, _)| *other == owner) {
+            *sum = sum.saturating_sub(requested);
+        }
+        self.used_by_owner
+            .retain(|(_, sum)| *sum != Resources::ZERO);
+    }
+
+    /// Returns what its runs requested, by the owner of the runs.
+    pub(crate) fn used_by_owner(&self) -> &[(RunOwner, Resources)] {
+        &self.used_by_owner
+    }
+
+    /// Returns whether what it counts as occupied is what its runs occupy.
+    pub(crate) fn has_consistent_usage(&self) -> bool {
+        let mut used = Resources::ZERO;
+        let mut requested = Resources::ZERO;
+        for run in self.runs.values() {
+            used = used.saturating_add(&run.resources);
+            requested = requested.saturating_add(&run.requested);
+        }
+        let mut by_owner = Resources::ZERO;
+        for (_, sum) in &self.used_by_owner {
+            by_owner = by_owner.saturating_add(sum);
+        }
+        used == self.used && requested == by_owner
+    }
+
     /// Returns the number of the latest end that the next call tells the worker to discard, or 0 if there is nothing
     /// new.
     ///
--- /dev/null
+++ b/crates/sched/src/workspaces.rs
@@ -0,0 +1,399 @@
+//! The workspaces of a scheduler: their policies, what they have running, and what their caps still allow.
+//!
+//! The usage of a workspace is the sum over the runs that the workers hold, so it includes whatever may run: orders
+//! that are unanswered, runs that are being stopped, and runs on workers that are silent or leave. It is summed up at the
+//! beginning of each scheduling pass, and grows with each start in the pass.
+
+use std::collections::HashMap;
+
+use slotmap::SlotMap;
+use syc_types::Millis;
+use syc_types::Resources;
+use syc_types::WorkspaceName;
+use syc_workspace::UNLIMITED;
+use syc_workspace::WorkspacePolicy;
+
+use crate::Action;
+use crate::Note;
+use crate::Scheduler;
+use crate::ids::JobKey;
+use crate::ids::WorkspaceKey;
+use crate::worker::Phase;
+use crate::worker::Worker;
+
+/// Whose usage a run counts towards.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum RunOwner {
+    /// That of a workspace.
+    Workspace(WorkspaceKey),
+    /// Nobody's: its job belongs to no workspace.
+    Nobody,
+    /// That of each workspace, because its job is not known.
+    Unknown,
+}
+
+/// A fault of the count of what workspaces have running, for tests of the checks that must find it.
+#[doc(hidden)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PlantedUsageFault {
+    /// Starts that are unanswered don't count.
+    UnansweredStarts,
+    /// What a predecessor may have started on workers that have not reported doesn't count.
+    UnreportedWorkers,
+}
+
+/// A step whose next unit waits for the cap of its workspace, and what the unit needs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Claim {
+    job: JobKey,
+    step: usize,
+    need: Resources,
+    /// Since when it has waited.
+    since: Millis,
+}
+
+impl Claim {
+    fn is_of(&self, job: JobKey, step: usize) -> bool {
+        (self.job, self.step) == (job, step)
+    }
+}
+
+/// A workspace, with what it occupies and waits for in the current scheduling pass.
+#[derive(Debug, Clone)]
+pub(crate) struct Workspace {
+    pub(crate) policy: WorkspacePolicy,
+    /// What its runs occupy.
+    pub(crate) used: Resources,
+    /// What is reserved for its units that are about to start. It is kept over all passes.
+    pub(crate) reserved: Resources,
+    /// The most urgent unit that its cap did not allow. Less urgent units of the workspace leave free what it needs, so
+    /// that small tasks don't keep a gang from starting.
+    first_capped: Option<Claim>,
+    /// A unit that was not allowed for long. All other units of the workspace leave free what it needs.
+    overdue: Option<Claim>,
+}
+
+impl Workspace {
+    const fn new(policy: WorkspacePolicy) -> Self {
+        Self {
+            policy,
+            used: Resources::ZERO,
+            reserved: Resources::ZERO,
+            first_capped: None,
+            overdue: None,
+        }
+    }
+
+    const fn begin_pass(&mut self) {
+        self.used = Resources::ZERO;
+        self.first_capped = None;
+        self.overdue = None;
+    }
+
+    /// Returns what a unit of a step has to leave free for others that wait.
+    fn claimed_by_others(&self, job: JobKey, step: usize) -> Resources {
+        // Nothing goes before the overdue unit. If it left anything free, it could wait for ever.
+        if self.overdue.is_some_and(|claim| claim.is_of(job, step)) {
+            return Resources::ZERO;
+        }
+        let claims = [self.first_capped, self.overdue];
+        let others = claims.iter().flatten();
+        let others = others.filter(|claim| !claim.is_of(job, step));
+        others.fold(Resources::ZERO, |sum, claim| {
+            sum.saturating_add(&claim.need)
+        })
+    }
+
+    /// Returns whether its cap allows a start beside `taken`, which is what others may occupy or are to get before.
+    ///
+    /// A task that alone exceeds the cap, as one can that was accepted before the cap fell, runs only if nothing else
+    /// does. It would never run otherwise.
+    fn allows(&self, taken: &Resources, need: &Resources, is_single: bool) -> bool {
+        if taken.saturating_add(need).fits_in(&self.policy.cap) {
+            return true;
+        }
+        is_single && *taken == Resources::ZERO && !need.fits_in(&self.policy.cap)
+    }
+}
+
+/// All workspaces that are configured or that jobs belong to.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Workspaces {
+    by_key: SlotMap<WorkspaceKey, Workspace>,
+    keys: HashMap<WorkspaceName, WorkspaceKey>,
+    /// Whether the policies have been set. Until then, no cap is known.
+    are_set: bool,
+    /// What may run for any workspace in the current pass: runs of unknown jobs, and workers that have not reported.
+    unknown: Resources,
+    planted_fault: Option<PlantedUsageFault>,
+}
+
+impl Workspaces {
+    /// Returns the key of a workspace. One that is not configured has no cap and the least weight that counts.
+    pub(crate) fn key_of(&mut self, name: &WorkspaceName) -> WorkspaceKey {
+        if let Some(key) = self.keys.get(name) {
+            return *key;
+        }
+        let policy = WorkspacePolicy::unlimited(name.clone());
+        let key = self.by_key.insert(Workspace::new(policy));
+        self.keys.insert(name.clone(), key);
+        key
+    }
+
+    pub(crate) fn get(&self, key: WorkspaceKey) -> &Workspace {
+        &self.by_key[key]
+    }
+
+    /// Iterates over all workspaces.
+    pub(crate) fn iter(&self) -> impl Iterator<Item = (WorkspaceKey, &Workspace)> {
+        self.by_key.iter()
+    }
+
+    /// Sets a policy. Returns whether it differs from the previous one.
+    fn set(&mut self, policy: WorkspacePolicy) -> bool {
+        let key = self.key_of(&policy.name);
+        let workspace = &mut self.by_key[key];
+        let differs = workspace.policy != policy;
+        workspace.policy = policy;
+        differs
+    }
+
+    pub(crate) fn reserve(&mut self, key: Option<WorkspaceKey>, need: &Resources) {
+        if let Some(key) = key {
+            let workspace = &mut self.by_key[key];
+            workspace.reserved = workspace.reserved.saturating_add(need);
+        }
+    }
+
+    pub(crate) fn release(&mut self, key: Option<WorkspaceKey>, need: &Resources) {
+        if let Some(key) = key {
+            let workspace = &mut self.by_key[key];
+            workspace.reserved = workspace.reserved.saturating_sub(need);
+        }
+    }
+
+    /// Counts a start in the current pass.
+    pub(crate) fn consume(&mut self, key: Option<WorkspaceKey>, need: &Resources) {
+        if let Some(key) = key {
+            let workspace = &mut self.by_key[key];
+            workspace.used = workspace.used.saturating_add(need);
+        }
+    }
+
+    fn add_use(&mut self, owner: RunOwner, resources: &Resources) {
+        match owner {
+            RunOwner::Workspace(key) => self.consume(Some(key), resources),
+            RunOwner::Unknown => self.unknown = self.unknown.saturating_add(resources),
+            RunOwner::Nobody => {}
+        }
+    }
+}
+
+impl Scheduler {
+    /// Applies the policies of a configuration.
+    ///
+    /// A workspace that is not among them keeps the policy that it had, since its jobs are still to be run: what is
+    /// missing can't raise its cap.
+    pub(crate) fn set_workspaces(&mut self, policies: Vec<WorkspacePolicy>) {
+        self.workspaces.are_set = true;
+        for policy in policies {
+            let note = Note::WorkspaceChanged(policy.clone());
+            if self.workspaces.set(policy) {
+                self.actions.push(Action::Note(note));
+            }
+        }
+    }
+
+    /// Returns the owner of a job's runs.
+    pub(crate) fn owner_of_runs(&self, job: Option<JobKey>) -> RunOwner {
+        let Some(job) = job else {
+            return RunOwner::Unknown;
+        };
+        self.jobs[job]
+            .workspace
+            .map_or(RunOwner::Nobody, RunOwner::Workspace)
+    }
+
+    /// Sums up at the beginning of a scheduling pass what each workspace may have running.
+    pub(crate) fn measure_workspaces(&mut self) {
+        if self.workspaces.by_key.is_empty() {
+            return;
+        }
+        for workspace in self.workspaces.by_key.values_mut() {
+            workspace.begin_pass();
+        }
+        if self.workspaces.planted_fault != Some(PlantedUsageFault::UnreportedWorkers) {
+            self.workspaces.unknown = self.unreported_capacity();
+        }
+        for worker in self.workers.values() {
+            for (owner, resources) in worker.used_by_owner() {
+                self.workspaces.add_use(*owner, resources);
+            }
+        }
+        for misdirected in &self.misdirected {
+            let (owner, resources) = misdirected.usage();
+            self.workspaces.add_use(owner, &resources);
+        }
+        if self.workspaces.planted_fault == Some(PlantedUsageFault::UnansweredStarts) {
+            self.forget_unanswered_starts();
+        }
+    }
+
+    fn forget_unanswered_starts(&mut self) {
+        for worker in self.workers.values() {
+            let runs = worker.runs.values();
+            for run in runs.filter(|run| run.phase == Phase::Starting) {
+                if let RunOwner::Workspace(key) = run.owner {
+                    let used = &mut self.workspaces.by_key[key].used;
+                    *used = used.saturating_sub(&run.requested);
+                }
+            }
+        }
+    }
+
+    /// Plants a fault, so that tests can observe that it is found.
+    #[doc(hidden)]
+    pub const fn plant_usage_fault(&mut self, fault: PlantedUsageFault) {
+        self.workspaces.planted_fault = Some(fault);
+    }
+
+    /// Returns whether the owner of a run has more running than its cap allows, because the cap fell.
+    pub(crate) fn is_over_cap(&self, owner: RunOwner) -> bool {
+        let RunOwner::Workspace(key) = owner else {
+            return false;
+        };
+        let running = self.running_of(owner);
+        !running.fits_in(&self.workspaces.get(key).policy.cap)
+    }
+
+    /// Sums up what the runs of an owner requested on all workers.
+    pub(crate) fn running_of(&self, owner: RunOwner) -> Resources {
+        let mut running = Resources::ZERO;
+        for worker in self.workers.values() {
+            let of_owner = worker.used_by_owner().iter();
+            for (_, resources) in of_owner.filter(|(other, _)| *other == owner) {
+                running = running.saturating_add(resources);
+            }
+        }
+        running
+    }
+
+    /// Returns what a unit needs of its workspace's cap. Processor time that a task only fills counts too: the cap is on
+    /// what runs, not on the room that it takes from others.
+    pub(crate) fn cap_need(&self, job: JobKey, step: usize) -> Resources {
+        let step = &self.jobs[job].steps[step];
+        step.spec.resources.saturating_mul(step.members())
+    }
+
+    /// Returns whether the cap of a job's workspace allows a unit of a step to start or to get a reservation.
+    pub(crate) fn cap_allows(&self, job: JobKey, step: usize) -> bool {
+        let reserved = |workspace: &Workspace| workspace.reserved;
+        self.cap_allows_beside(job, step, reserved)
+    }
+
+    /// Returns whether the cap allows a unit to start that has a reservation, which counts towards the cap itself.
+    pub(crate) fn cap_allows_reserved(&self, job: JobKey, step: usize) -> bool {
+        let need = self.cap_need(job, step);
+        self.cap_allows_beside(job, step, |workspace| {
+            workspace.reserved.saturating_sub(&need)
+        })
+    }
+
+    fn cap_allows_beside<R>(&self, job: JobKey, step: usize, reserved: R) -> bool
+    where
+        R: Fn(&Workspace) -> Resources,
+    {
+        let Some(key) = self.jobs[job].workspace else {
+            return true;
+        };
+        if !self.workspaces.are_set {
+            return false;
+        }
+        let workspace = &self.workspaces.by_key[key];
+        if workspace.policy.cap == UNLIMITED {
+            return true;
+        }
+        let taken = workspace.used.saturating_add(&reserved(workspace));
+        let taken = taken.saturating_add(&workspace.claimed_by_others(job, step));
+        let taken = taken.saturating_add(&self.workspaces.unknown);
+        let is_single = !self.jobs[job].steps[step].spec.gang;
+        workspace.allows(&taken, &self.cap_need(job, step), is_single)
+    }
+
+    /// Keeps what a unit needs of its workspace's cap free of less urgent units in the current pass, unless that is done
+    /// for a more urgent one.
+    pub(crate) fn claim_cap(&mut self, job: JobKey, step: usize, now: Millis) {
+        let has_claim = |workspace: &Workspace| workspace.first_capped.is_some();
+        if let Some((key, claim)) = self.new_claim(job, step, has_claim, now) {
+            self.workspaces.by_key[key].first_capped = Some(claim);
+        }
+    }
+
+    /// Keeps what a unit needs of its workspace's cap free of all others in the current pass, unless one has waited
+    /// longer.
+    pub(crate) fn claim_cap_first(&mut self, job: JobKey, step: usize, now: Millis) {
+        let since = self.jobs[job].steps[step].capped_since.unwrap_or(now);
+        let has_claim = |workspace: &Workspace| {
+            let overdue = workspace.overdue;
+            overdue.is_some_and(|claim| claim.since <= since)
+        };
+        if let Some((key, claim)) = self.new_claim(job, step, has_claim, now) {
+            self.workspaces.by_key[key].overdue = Some(claim);
+        }
+    }
+
+    /// Returns the claim of a unit. There is none if the unit can't start under the cap at all or on no worker, since
+    /// nothing would ever end the claim.
+    fn new_claim<C>(
+        &self,
+        job: JobKey,
+        step: usize,
+        is_claimed: C,
+        now: Millis,
+    ) -> Option<(WorkspaceKey, Claim)>
+    where
+        C: Fn(&Workspace) -> bool,
+    {
+        let key = self.jobs[job].workspace?;
+        let workspace = &self.workspaces.by_key[key];
+        let need = self.cap_need(job, step);
+        if is_claimed(workspace) || !need.fits_in(&workspace.policy.cap) {
+            return None;
+        }
+        let since = self.jobs[job].steps[step].capped_since.unwrap_or(now);
+        let claim = Claim {
+            job,
+            step,
+            need,
+            since,
+        };
+        self.is_runnable(job, step, now).then_some((key, claim))
+    }
+
+    /// Returns whether some usable worker could run a task of a step if it were idle.
+    fn is_runnable(&self, job: JobKey, step: usize, now: Millis) -> bool {
+        let of_job = &self.jobs[job];
+        let spec = &of_job.steps[step].spec;
+        let need = spec.reserved_resources();
+        let eligible = self.eligible_workers(spec.required_label.as_ref(), of_job, now);
+        let mut eligible = eligible.iter();
+        eligible.any(|key| need.fits_in(&self.workers[*key].spec.capacity))
+    }
+
+    /// Returns whether what the workspaces and the workers count agrees with the runs and the reservations.
+    pub(crate) fn has_consistent_usage(&self) -> bool {
+        let mut reserved = Resources::ZERO;
+        for (unit_ref, unit) in self.open_units() {
+            let is_counted = self.jobs[unit_ref.job].workspace.is_some();
+            if is_counted && unit.reservation.is_some() {
+                reserved = reserved.saturating_add(&self.cap_need(unit_ref.job, unit_ref.step));
+            }
+        }
+        let mut counted = Resources::ZERO;
+        for (_, workspace) in self.workspaces.iter() {
+            counted = counted.saturating_add(&workspace.reserved);
+        }
+        let mut workers = self.workers.values();
+        reserved == counted && workers.all(Worker::has_consistent_usage)
+    }
+}
--- a/crates/sched/tests/core/driver.rs
+++ b/crates/sched/tests/core/driver.rs
@@ -41,9 +41,13 @@
 use syc_sched::WorkerNote;
 use syc_sched::WorkerReport;
 use syc_types::Millis;
+use syc_types::Resources;
 use syc_types::TimeOfDay;
 use syc_types::VmId;
 use syc_types::WorkerId;
+use syc_types::WorkspaceName;
+use syc_workspace::UNLIMITED;
+use syc_workspace::WorkspacePolicy;
 
 /// The service of every worker and job.
 pub const SERVICE: &str = "intake";
@@ -265,6 +269,33 @@
         self.apply(Event::JobStored { spec, age_ms: 0 });
     }
 
+    /// Submits a job of a workspace.
+    pub fn submit_for(
+        &mut self,
+        workspace: &str,
+        id: u64,
+        policy: QueuePolicy,
+        steps: Vec<StepSpec>,
+    ) {
+        let spec = Box::new(JobSpec {
+            workspace: Some(WorkspaceName::new(workspace)),
+            ..job(id, policy, steps, Schedule::default())
+        });
+        self.apply(Event::JobStored { spec, age_ms: 0 });
+    }
+
+    /// Sets the caps of workspaces, in cores. All have the same weight.
+    pub fn set_caps(&mut self, caps: &[(&str, u64)]) {
+        let policies = caps.iter().map(|(name, cores)| WorkspacePolicy {
+            cap: Resources {
+                cpu_millis: cores * 1_000,
+                ..UNLIMITED
+            },
+            ..WorkspacePolicy::unlimited(WorkspaceName::new(*name))
+        });
+        self.apply(Event::WorkspacesSet(policies.collect()));
+    }
+
     /// Restores a job with the progress that a predecessor stored.
     pub fn restore(
         &mut self,
--- a/crates/sched/tests/core/main.rs
+++ b/crates/sched/tests/core/main.rs
@@ -2,6 +2,7 @@
 
 mod advice;
 mod authority;
+mod caps;
 mod consistency;
 mod counts;
 mod crashes;
--- a/crates/sched/tests/schedules/main.rs
+++ b/crates/sched/tests/schedules/main.rs
@@ -17,6 +17,7 @@
 use syc_sched::JobId;
 use syc_sched::JobState;
 use syc_sched::Options;
+use syc_sched::PlantedUsageFault;
 use syc_types::Millis;
 use test_case::test_case;
 
@@ -59,7 +60,26 @@
     ..Profile::ALL_FAULTS
 };
 
+/// Caps of workspaces rise and fall.
+const CAPS: Profile = Profile {
+    cap_changes: 20,
+    ..Profile::FAULT_FREE
+};
+
+const CAPS_AND_EVERYTHING: Profile = Profile {
+    cap_changes: 20,
+    ..Profile::ALL_FAULTS
+};
+
 #[test_case(Profile::FAULT_FREE; "no faults")]
+#[test_case(CAPS; "caps change")]
+#[test_case(Profile { scheduler_crashes: 6, ..CAPS }; "caps change while schedulers crash")]
+#[test_case(Profile { partitions: 6, ..CAPS }; "caps change while workers are cut off")]
+#[test_case(Profile { late_per_mille: 60, lost_per_mille: 80, ..CAPS }; "caps change and orders are lost and late")]
+#[test_case(Profile { worker_restarts: 6, scheduler_crashes: 6, ..CAPS }; "caps change while workers start again and schedulers crash")]
+#[test_case(Profile { worker_drains: 6, scheduler_crashes: 6, ..CAPS }; "caps change while workers drain and schedulers crash")]
+#[test_case(Profile { gang_workload: true, scheduler_crashes: 4, gang_partitions: 4, ..CAPS }; "caps change under gangs")]
+#[test_case(CAPS_AND_EVERYTHING; "caps change and everything at once")]
 #[test_case(Profile { scheduler_crashes: 6, ..Profile::FAULT_FREE }; "schedulers crash")]
 #[test_case(Profile { partitions: 6, ..Profile::FAULT_FREE }; "network partitions")]
 #[test_case(Profile { worker_crashes: 4, ..Profile::FAULT_FREE }; "workers crash")]
@@ -274,6 +294,20 @@
     assert_eq!(simulation.unfounded_crashes(), []);
 }
 
+/// The checker finds each way in which a workspace can get more than its cap.
+#[test_case(Profile { planted_usage_fault: Some(PlantedUsageFault::UnansweredStarts), lost_per_mille: 80, ..CAPS }; "unanswered starts are not counted")]
+#[test_case(Profile { planted_usage_fault: Some(PlantedUsageFault::UnreportedWorkers), scheduler_crashes: 6, partitions: 6, ..CAPS }; "what a predecessor started is not counted")]
+#[test_case(Profile { hides_cap_changes: true, ..CAPS }; "the caps are those of an old version")]
+fn a_workspace_beyond_its_cap_is_found(profile: Profile) {
+    let is_found = (1..=SEEDS).any(|seed| {
+        let mut simulation = Simulation::new(seed, profile, Options::default());
+        simulation.run();
+        let mut faults = simulation.faults().into_iter();
+        faults.any(|fault| matches!(fault, Violation::CapExceeded(_)))
+    });
+    assert!(is_found);
+}
+
 /// Crashes are laid to tasks without evidence while workers drain.
 #[test]
 fn crash_is_laid_to_a_task_without_evidence_while_workers_drain() {
@@ -300,6 +334,10 @@
 #[test_case(Profile { worker_restarts: 8, ..Profile::FAULT_FREE }; "worker restarts")]
 #[test_case(Profile { worker_restarts: 6, scheduler_crashes: 6, ..Profile::FAULT_FREE }; "worker restarts while schedulers crash")]
 #[test_case(Profile { worker_restarts: 6, ..Profile::ALL_FAULTS }; "worker restarts and everything at once")]
+#[test_case(CAPS; "cap changes")]
+#[test_case(Profile { scheduler_crashes: 6, partitions: 6, ..CAPS }; "cap changes while schedulers crash and workers are cut off")]
+#[test_case(Profile { worker_restarts: 6, scheduler_crashes: 6, ..CAPS }; "cap changes while workers restart and schedulers crash")]
+#[test_case(CAPS_AND_EVERYTHING; "cap changes and everything at once")]
 #[test_case(DRAINS; "worker drains")]
 #[test_case(DRAINS_WHILE_SCHEDULERS_CRASH; "worker drains while schedulers crash")]
 #[test_case(DRAINS_AND_EVERYTHING; "worker drains and everything at once")]
--- a/crates/sched/tests/schedules/simulation.rs
+++ b/crates/sched/tests/schedules/simulation.rs
@@ -1,5 +1,6 @@
 //! The simulation of a generated schedule, with jobs, workers, message delays and faults.
 
+mod caps;
 mod counts;
 mod delivery;
 mod drains;
@@ -15,6 +16,7 @@
 use std::collections::BTreeSet;
 use std::collections::HashMap;
 
+use caps::Caps;
 use evidence::Evidence;
 use rand::Rng;
 use rand::SeedableRng;
@@ -37,6 +39,7 @@
 use syc_sched::JobState;
 use syc_sched::Note;
 use syc_sched::Options;
+use syc_sched::PlantedUsageFault;
 use syc_sched::Scheduler;
 use syc_sched::Wave;
 use syc_sched::WaveProgress;
@@ -101,6 +104,12 @@
     pub worker_restarts: u32,
     /// Times that a worker drains and leaves. Some of these workers are partitioned meanwhile.
     pub worker_drains: u32,
+    /// Times that the cap of a workspace changes. The jobs belong to workspaces if there are any.
+    pub cap_changes: u32,
+    /// A fault of the scheduler's count of what workspaces have running, which the checker must detect.
+    pub planted_usage_fault: Option<PlantedUsageFault>,
+    /// Whether the scheduler never hears of changed caps, which the checker must detect.
+    pub hides_cap_changes: bool,
     /// Whether workers have less capacity than they report, which the checker must detect.
     pub overstates_capacity: bool,
     /// Whether the schedule consists of a latency-bound job and backfill jobs instead of the usual ones.
@@ -135,6 +144,9 @@
         capacity_changes: 0,
         worker_restarts: 0,
         worker_drains: 0,
+        cap_changes: 0,
+        planted_usage_fault: None,
+        hides_cap_changes: false,
         overstates_capacity: false,
         mixed_workload: false,
         gang_workload: false,
@@ -185,6 +197,8 @@
     IncarnationStarts(WorkerModel),
     /// The capacity of a worker changes to this number of cores.
     CapacityChanges(WorkerId, u64),
+    /// The scheduler reads the caps that are published.
+    CapsRead(u64),
     /// A draining worker that began its life at this time leaves.
     WorkerLeaves(WorkerId, Millis),
     /// A worker updates its registration.
@@ -242,6 +256,7 @@
     /// Jobs that stood still although enough workers were allowed to run them, with their stored state.
     stood_still: Vec<(JobId, Option<JobState>)>,
     evidence: Evidence,
+    caps: Caps,
     /// Until when no call for advice is answered.
     advice_withheld_until: Millis,
     /// Whether crashed workers are reported to the scheduler as draining before the crash.
@@ -282,6 +297,7 @@
     WorkerRestart,
     GangPartition,
     WorkerDrain,
+    CapChange,
 }
 
 impl Simulation {
@@ -306,6 +322,11 @@
                 .map(|id| generate_gangs(&mut rng, id, &mut fleet))
                 .collect();
         }
+        if profile.cap_changes > 0 {
+            for job in &mut jobs {
+                job.spec.workspace = Some(caps::workspace_of(job.spec.id));
+            }
+        }
         jobs.sort_by_key(|job| job.at_ms);
         for job in &jobs {
             fleet.checker.submitted(job.spec.clone());
@@ -321,6 +342,7 @@
             (FaultKind::WorkerRestart, profile.worker_restarts),
             (FaultKind::GangPartition, profile.gang_partitions),
             (FaultKind::WorkerDrain, profile.worker_drains),
+            (FaultKind::CapChange, profile.cap_changes),
         ];
         for (fault, count) in fault_counts {
             for _ in 0..count {
@@ -366,10 +388,12 @@
             stored_waves: BTreeMap::new(),
             stood_still: Vec::new(),
             evidence: Evidence::default(),
+            caps: Caps::default(),
             advice_withheld_until: Millis(0),
             crashes_reported_as_draining: false,
         };
         simulation.fleet.checker.record_events();
+        simulation.publish_first_caps();
         for _ in 0..WORKERS {
             simulation.start_worker_on_new_vm();
         }
@@ -386,6 +410,7 @@
             self.expire_registrations();
             self.observe_workers();
             self.inject_faults();
+            self.enforce_caps();
             self.deliver();
             self.advance_vms();
             self.submit_due_jobs();
@@ -548,6 +573,7 @@
             scheduler.restore_job(job.spec.clone(), progress, age_ms, self.now);
         }
         self.scheduler = Some(scheduler);
+        self.read_caps();
         let mut registered = self.registered.clone();
         registered.retain(|_, incarnation| !incarnation.expired);
         for (id, incarnation) in &registered {
@@ -581,7 +607,7 @@
             self.apply(Event::WavePublished { wave, age_ms: 0 });
         }
         for id in self.cancelled.clone() {
-            self.apply(Event::JobCancelled(id.into()));
+            self.apply(Event::JobCancelled(self.cancellation_of(id)));
         }
         if let Some(scheduler) = &mut self.scheduler {
             scheduler.begin_recovery(self.now);
@@ -713,7 +739,10 @@
                     step.long_running = false;
                 }
             }
+            let id = spec.id;
+            self.cancel_as_another(id);
             self.apply(Event::JobStored { spec, age_ms: 0 });
+            self.cancel_as_another(id);
         }
         let mut cancels = Vec::new();
         for job in &self.jobs[..self.next_job] {
@@ -727,7 +756,7 @@
         for id in cancels {
             self.cancelled.push(id);
             self.fleet.checker.ignore_availability(id);
-            self.apply(Event::JobCancelled(id.into()));
+            self.apply(Event::JobCancelled(self.cancellation_of(id)));
         }
     }
 }
--- a/crates/sched/tests/schedules/simulation/delivery.rs
+++ b/crates/sched/tests/schedules/simulation/delivery.rs
@@ -92,6 +92,11 @@
             Delivery::IncarnationEnds(id) => self.end_incarnation(&id, 5),
             Delivery::IncarnationStarts(model) => self.start_next_incarnation(&model),
             Delivery::CapacityChanges(id, cores) => self.set_capacity(&id, cores),
+            Delivery::CapsRead(token) => {
+                if token == self.token {
+                    self.read_caps();
+                }
+            }
             Delivery::WorkerLeaves(id, started_at) => self.leave(&id, started_at),
             Delivery::WorkerReports(id) => self.report_worker(&id),
             Delivery::WorkerStarts => self.start_worker_on_new_vm(),
--- a/crates/sched/tests/schedules/simulation/faults.rs
+++ b/crates/sched/tests/schedules/simulation/faults.rs
@@ -57,6 +57,7 @@
                 }
                 FaultKind::WorkerRestart => self.restart_workers(),
                 FaultKind::WorkerDrain => self.drain_worker(),
+                FaultKind::CapChange => self.change_cap(),
                 FaultKind::CapacityChange => {
                     if let Some(id) = self.any_worker() {
                         self.reduce_capacity(&id);
--- a/crates/types/src/resources.rs
+++ b/crates/types/src/resources.rs
@@ -97,6 +97,30 @@
         }
     }
 
+    /// Returns the greater amount of each kind.
+    #[must_use]
+    pub fn max_each(&self, other: &Self) -> Self {
+        Self {
+            cpu_millis: self.cpu_millis.max(other.cpu_millis),
+            memory_bytes: self.memory_bytes.max(other.memory_bytes),
+            accelerators: self.accelerators.max(other.accelerators),
+        }
+    }
+
+    /// Returns the greatest part that it is of any kind of `pool`, which may be above 1.
+    #[must_use]
+    #[expect(
+        clippy::cast_precision_loss,
+        reason = "a part needs no more digits than a float has"
+    )]
+    pub fn dominant_part(&self, pool: &Self) -> f64 {
+        let part = |amount: u64, all: u64| amount as f64 / all.max(1) as f64;
+        let cpu = part(self.cpu_millis, pool.cpu_millis);
+        let memory = part(self.memory_bytes, pool.memory_bytes);
+        let accelerators = part(u64::from(self.accelerators), u64::from(pool.accelerators));
+        cpu.max(memory).max(accelerators)
+    }
+
     /// Multiplies it, stopping at the greatest amount in each kind.
     #[must_use]
     pub fn saturating_mul(&self, count: u32) -> Self {
