Serve the work of workspaces over one and a half shares last within a priority

Callers saw: while one workspace submitted several times its usual amount, the jobs of all others waited behind its backlog.

Cause: waiting work was ordered by priority and due time alone, whoever it belonged to.

Change: sched::shares puts the work of workspaces that occupy more than one and a half times their share, by weight among those with work, behind that of others within a priority.

Test: a_flood_of_one_workspace_does_not_hold_up_the_others fails in the order of urgency.

--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -49,6 +49,7 @@
 mod retries;
 mod run_ends;
 mod scheduler;
+mod shares;
 mod slowness;
 mod spec;
 mod stale_capacity;
--- a/crates/sched/src/waiting.rs
+++ b/crates/sched/src/waiting.rs
@@ -82,6 +82,7 @@
             }
         }
         waiting.sort_unstable_by_key(|step| step.urgency);
+        self.order_by_share(&mut waiting);
         for WaitingStep { job, step, .. } in &waiting {
             let of_step = &mut self.jobs[*job].steps[*step];
             of_step.ready_at.get_or_insert(now);
--- a/crates/sched/tests/core/main.rs
+++ b/crates/sched/tests/core/main.rs
@@ -24,6 +24,7 @@
 mod retention;
 mod review;
 mod serving_order;
+mod shares;
 mod sharing;
 mod silence;
 mod simulation;
