Hold a job of a workspace back if its record can't be read

Callers saw: nothing yet; a job of a workspace whose record a node of another version wrote would be reported as missing (410).

Cause: the ID was read from the whole key of the record, which has the digest of the workspace's name now.

Change: both readers of such keys take the ID by records::submitted_job.

--- a/crates/cell/src/leader/readers.rs
+++ b/crates/cell/src/leader/readers.rs
@@ -135,7 +135,7 @@
                 self.apply(Event::JobCancelled(cancellation));
             }
             JobRecord::Removed => {
-                if let Some(id) = records::job_of_key(&record.key) {
+                if let Some(id) = records::submitted_job(&record.key) {
                     self.unreadable_jobs.mark_spec_readable(id);
                 }
             }
--- a/crates/cell/src/leader/unreadable_jobs.rs
+++ b/crates/cell/src/leader/unreadable_jobs.rs
@@ -12,6 +12,7 @@
 
 use crate::leader::Leader;
 use crate::ports::Platform;
+use crate::records;
 use crate::unreadable::Source;
 
 /// The jobs that are held back.
@@ -52,7 +53,7 @@
     /// Marks the specification of a job as unreadable and reports it.
     pub(super) fn mark_spec_unreadable(&self, key: &str, reason: &str) {
         self.node.report_unreadable(Source::Jobs, key, reason);
-        if let Ok(id) = key.parse() {
+        if let Some(id) = records::submitted_job(key) {
             self.unreadable_jobs.specs.borrow_mut().insert(id);
         }
     }
--- a/crates/cell/src/records.rs
+++ b/crates/cell/src/records.rs
@@ -180,6 +180,13 @@
     id.parse().ok()
 }
 
+/// Returns the job ID in the key of a submitted job, and none for the key of a cancellation.
+#[must_use]
+pub fn submitted_job(key: &str) -> Option<JobId> {
+    let is_cancellation = key.ends_with(CANCEL_SUFFIX);
+    job_of_key(key).filter(|_| !is_cancellation)
+}
+
 /// Returns whether a record with this key, which names the job, was written for a caller of the workspace.
 #[must_use]
 pub fn is_key_for(key: &str, id: JobId, workspace: &WorkspaceName) -> bool {
