--- a/crates/cell/tests/cell/unreadable.rs
+++ b/crates/cell/tests/cell/unreadable.rs
@@ -154,17 +154,12 @@
 }
 
 /// The caller that submitted the job must not be told that it does not exist.
-#[test]
-fn a_job_with_an_unreadable_record_is_not_reported_as_missing() {
+#[test_case("00000000000000a1"; "of no workspace")]
+#[test_case("00000000000000a1.0123456789abcdef"; "of a workspace")]
+fn a_job_with_an_unreadable_record_is_not_reported_as_missing(key: &str) {
     let mut cluster = Cluster::start(2, 1);
     let first = cluster.scheduler();
-    append_value(
-        &cluster,
-        Topic::Jobs,
-        1,
-        "00000000000000a1",
-        b"{\"steps\":0}",
-    );
+    append_value(&cluster, Topic::Jobs, 1, key, b"{\"steps\":0}");
     append_value(&cluster, Topic::Jobs, 1, "no job at all", b"{}");
     wait_until_counted(&cluster, first, "jobs", 2);
     assert_eq!(state(&cluster, first, 0xa1), StateAnswer::Unsure);
@@ -175,7 +170,7 @@
     assert_eq!(state(&cluster, second, 0xa1), StateAnswer::Unsure);
     assert!(unreadable_count(&cluster, second, "jobs") >= 2);
     // Once the record is removed, the job is reported as missing.
-    append_value(&cluster, Topic::Jobs, 1, "00000000000000a1", b"");
+    append_value(&cluster, Topic::Jobs, 1, key, b"");
     cluster.wait("the job to be forgotten", || {
         (state(&cluster, second, 0xa1) == StateAnswer::NoSuchJob).then_some(())
     });
--- a/crates/cell/tests/cell/workspaces.rs
+++ b/crates/cell/tests/cell/workspaces.rs
@@ -1,6 +1,5 @@
 //! Jobs of workspaces: only callers of a job's workspace see, repeat and cancel it.
 
-use bytes::Bytes;
 use syc_cell::StateAnswer;
 use syc_cell::StoreOutcome;
 use syc_cell::WallClock;
@@ -148,26 +147,6 @@
     cluster.assert_no_violations();
 }
 
-/// A node of another version may have written it. Its caller would be told that the job was never accepted.
-#[test]
-fn an_unreadable_job_of_a_workspace_is_not_reported_as_missing() {
-    let cluster = Cluster::start(1, 1);
-    let scheduler = cluster.scheduler();
-    let record = Record {
-        key: records::submitted(&owned_by("a", 20)).key,
-        value: Bytes::from_static(b"{"),
-    };
-    cluster.platform.with_store(|store| {
-        let appended = store.append(Topic::Jobs, 0, &[record], &Condition::None);
-        appended.expect("the append succeeds");
-    });
-    // A job that is stored after it is known only once it was read.
-    let later = job(ID + 1, vec![step(1, 20)]);
-    cluster.submit_job(scheduler, &later);
-    cluster.wait_for_state(scheduler, ID + 1, JobState::Completed);
-    assert_eq!(state(&cluster, scheduler, Some("a")), StateAnswer::Unsure);
-}
-
 /// The store keeps only the newest record of a key.
 #[test]
 fn records_of_two_workspaces_have_different_keys() {
