Let no claim on the cap hold up a reserved unit, or a workspace under half of its cap

Cause: a gang with a reservation waited until the claim of another gang of its workspace fitted in the cap as well, and that gang waited for the reservation. As reservations ran out, they changed places, again and again.

Change: what has a reservation starts beside what runs, whatever others claim; the guard at each start asks the same. A claim does not count while the workspace is under half of its cap, and the claim of a gang that goes before all ends after 2.5 s and comes again a second later, since it may find neither advice nor room.

Why it holds for the class: whoever waits for the cap under half of it is allowed by what runs alone, and no claim lasts while its holder can't start. Tests: a_gang_with_a_reservation_does_not_wait_for_claims, a_workspace_under_half_of_its_cap_always_moves, the_claim_of_a_gang_ends.

--- a/crates/cell/src/log.rs
+++ b/crates/cell/src/log.rs
@@ -22,6 +22,7 @@
 use syc_sched::VmOrderAnswer;
 use syc_types::WorkerId;
 use syc_types::WorkspaceName;
+use syc_workspace::WorkspacePolicy;
 
 use crate::Configuration;
 use crate::NodeSettings;
@@ -101,6 +102,16 @@
         .emit();
 }
 
+fn workspace_changed(policy: &WorkspacePolicy) {
+    Line::new(catalogue::WORKSPACE_CHANGED)
+        .text("workspace", policy.name.as_str())
+        .display("weight", policy.weight)
+        .number("cap_cpu_millis", policy.cap.cpu_millis)
+        .number("cap_memory_bytes", policy.cap.memory_bytes)
+        .number("cap_accelerators", u64::from(policy.cap.accelerators))
+        .emit();
+}
+
 pub(crate) fn job_id_taken(spec: &JobSpec) {
     let workspace = spec.workspace.as_ref().map_or("", WorkspaceName::as_str);
     Line::new(catalogue::JOB_ID_TAKEN)
@@ -362,13 +373,7 @@
             found,
             missing_ms,
         } => run_missing(*task, *run, worker.as_ref(), found, *missing_ms),
-        Note::WorkspaceChanged(policy) => Line::new(catalogue::WORKSPACE_CHANGED)
-            .text("workspace", policy.name.as_str())
-            .display("weight", policy.weight)
-            .number("cap_cpu_millis", policy.cap.cpu_millis)
-            .number("cap_memory_bytes", policy.cap.memory_bytes)
-            .number("cap_accelerators", u64::from(policy.cap.accelerators))
-            .emit(),
+        Note::WorkspaceChanged(policy) => workspace_changed(policy),
         Note::UsageWrong => Line::new(catalogue::USAGE_WRONG).emit(),
         Note::EndHeld {
             task,
--- a/crates/sched/src/gang.rs
+++ b/crates/sched/src/gang.rs
@@ -73,7 +73,7 @@
         let Some(reservation) = step.units[0].reservation.clone() else {
             return;
         };
-        let mut has_capacity = self.cap_allows_reserved(job_key, step_index);
+        let mut has_capacity = self.cap_allows_start(job_key, step_index);
         let mut stale = Vec::new();
         for (key, count) in &reservation.workers {
             if !self.may_use_reserved(*key, reservation.isolated, now) {
--- a/crates/sched/src/job.rs
+++ b/crates/sched/src/job.rs
@@ -77,6 +77,8 @@
     pub(crate) wait_log_count: u32,
     /// Since when the cap of its workspace has kept its next unit from starting.
     pub(crate) capped_since: Option<Millis>,
+    /// Since when its next unit has waited for the cap, or for room and advice after that.
+    pub(crate) claims_since: Option<Millis>,
 }
 
 impl Step {
@@ -94,6 +96,7 @@
             wait_logged_at: Millis(0),
             wait_log_count: 0,
             capped_since: None,
+            claims_since: None,
         }
     }
 
--- a/crates/sched/src/placement.rs
+++ b/crates/sched/src/placement.rs
@@ -100,11 +100,12 @@
         if is_capped {
             self.claim_cap(job, step, now);
         }
-        let capped_since = &mut self.jobs[job].steps[step].capped_since;
+        let step = &mut self.jobs[job].steps[step];
         if is_capped {
-            capped_since.get_or_insert(now);
+            step.capped_since.get_or_insert(now);
+            step.claims_since.get_or_insert(now);
         } else {
-            *capped_since = None;
+            step.capped_since = None;
         }
         is_capped
     }
@@ -362,7 +363,7 @@
         let usable = self.may_use_reserved(worker, isolated, now);
         let is_clear = usable && !(isolated && self.workers[worker].has_run_on_probation());
         let has_room = is_clear && need.fits_in(&self.workers[worker].free());
-        let fits = has_room && self.cap_allows_reserved(job, step);
+        let fits = has_room && self.cap_allows_start(job, step);
         if fits && self.is_below_task_limit(worker, job, step, unit) {
             if !self.has_ticket(job, step, worker, now) {
                 self.renew_tickets(job, step, &[worker], now);
@@ -422,7 +423,7 @@
             }
         }
         // Whoever starts a unit has asked that before, but nothing may start beyond the cap.
-        if !self.cap_allows(job_key, step_index) {
+        if !self.cap_allows_start(job_key, step_index) {
             return;
         }
         let cap_need = self.cap_need(job_key, step_index);
@@ -430,6 +431,7 @@
         self.workspaces.consume(job.workspace, &cap_need);
         let step = &mut job.steps[step_index];
         step.capped_since = None;
+        step.claims_since = None;
         let unit = &mut step.units[unit_index];
         let run = match unit.start_intent.take() {
             Some(_) => unit.last_started,
--- a/crates/sched/src/waiting.rs
+++ b/crates/sched/src/waiting.rs
@@ -10,6 +10,7 @@
 use crate::UnusableWorkers;
 use crate::ids::JobKey;
 use crate::ids::WorkspaceKey;
+use crate::job::Step;
 use crate::unit::UnitState;
 
 /// How long a step waits before the log reports why. The interval doubles with each report.
@@ -22,6 +23,10 @@
 /// urgent: a steady stream of small tasks could keep it waiting for ever. A single task finds room among them.
 const CAP_PATIENCE_MS: u64 = 1_000;
 
+/// For how long it does so at a time. It may need advice and room then, and must not hold up the others for long if there
+/// is none.
+const CLAIM_LIMIT_MS: u64 = 2_500;
+
 /// A late job is still of partial value up to this many times its objective.
 const EXPIRY_FACTOR: u64 = 3;
 
@@ -45,6 +50,21 @@
     }
 }
 
+impl Step {
+    /// Returns whether its next unit goes before the other work of its workspace. After some time, the others have a turn.
+    fn claims_cap_first(&mut self, now: Millis) -> bool {
+        let Some(since) = self.claims_since else {
+            return false;
+        };
+        let waited_ms = now.since(since);
+        if waited_ms >= CAP_PATIENCE_MS + CLAIM_LIMIT_MS {
+            self.claims_since = Some(now);
+            return false;
+        }
+        waited_ms >= CAP_PATIENCE_MS
+    }
+}
+
 /// A step that is ready and has tasks to start.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct WaitingStep {
@@ -86,8 +106,8 @@
         for WaitingStep { job, step, .. } in &waiting {
             let of_step = &mut self.jobs[*job].steps[*step];
             of_step.ready_at.get_or_insert(now);
-            let capped_since = of_step.capped_since.filter(|_| of_step.spec.gang);
-            if capped_since.is_some_and(|since| now.since(since) >= CAP_PATIENCE_MS) {
+            let is_claiming = of_step.spec.gang && of_step.claims_cap_first(now);
+            if is_claiming {
                 self.claim_cap_first(*job, *step, now);
             }
         }
--- a/crates/sched/src/workspaces.rs
+++ b/crates/sched/src/workspaces.rs
@@ -96,7 +96,9 @@
         if self.overdue.is_some_and(|claim| claim.is_of(job, step)) {
             return Resources::ZERO;
         }
-        let claims = [self.first_capped, self.overdue];
+        // A workspace under half of its cap always moves, whatever it waits for.
+        let first_capped = self.first_capped.filter(|_| !self.is_under_half());
+        let claims = [first_capped, self.overdue];
         let others = claims.iter().flatten();
         let others = others.filter(|claim| !claim.is_of(job, step));
         others.fold(Resources::ZERO, |sum, claim| {
@@ -104,6 +106,11 @@
         })
     }
 
+    fn is_under_half(&self) -> bool {
+        let taken = self.used.saturating_add(&self.reserved);
+        taken.saturating_mul(2).fits_in(&self.policy.cap)
+    }
+
     /// Returns whether its cap allows a start beside `taken`, which is what others may occupy or are to get before.
     ///
     /// A task that alone exceeds the cap, because it was accepted before the cap fell, starts if nothing else runs. It
@@ -286,23 +293,25 @@
         step.spec.resources.saturating_mul(step.members())
     }
 
-    /// Returns whether the cap of a job's workspace allows a unit of a step to start or to get a reservation.
+    /// Returns whether the cap of a job's workspace allows a unit of a step to start or to get a reservation, beside what
+    /// is reserved for others and claimed by them.
     pub(crate) fn cap_allows(&self, job: JobKey, step: usize) -> bool {
-        let reserved = |workspace: &Workspace| workspace.reserved;
-        self.cap_allows_beside(job, step, reserved)
-    }
-
-    /// Returns whether the cap allows a unit to start that has a reservation, which counts towards the cap itself.
-    pub(crate) fn cap_allows_reserved(&self, job: JobKey, step: usize) -> bool {
-        let need = self.cap_need(job, step);
         self.cap_allows_beside(job, step, |workspace| {
-            workspace.reserved.saturating_sub(&need)
+            let claimed = workspace.claimed_by_others(job, step);
+            workspace.reserved.saturating_add(&claimed)
         })
     }
 
-    fn cap_allows_beside<R>(&self, job: JobKey, step: usize, reserved: R) -> bool
+    /// Returns whether the cap allows a unit to start beside what runs. That suffices for a unit with a reservation: if it
+    /// waited for claims of others, these would wait for its reservation.
+    pub(crate) fn cap_allows_start(&self, job: JobKey, step: usize) -> bool {
+        self.cap_allows_beside(job, step, |_workspace| Resources::ZERO)
+    }
+
+    /// `others` is what waiting units of the workspace are to get before.
+    fn cap_allows_beside<F>(&self, job: JobKey, step: usize, others: F) -> bool
     where
-        R: Fn(&Workspace) -> Resources,
+        F: Fn(&Workspace) -> Resources,
     {
         let Some(key) = self.jobs[job].workspace else {
             return true;
@@ -314,8 +323,7 @@
         if workspace.policy.cap == UNLIMITED {
             return true;
         }
-        let taken = workspace.used.saturating_add(&reserved(workspace));
-        let taken = taken.saturating_add(&workspace.claimed_by_others(job, step));
+        let taken = workspace.used.saturating_add(&others(workspace));
         let taken = taken.saturating_add(&self.workspaces.unknown);
         let is_single = !self.jobs[job].steps[step].spec.gang;
         workspace.allows(&taken, &self.cap_need(job, step), is_single)
@@ -333,7 +341,7 @@
     /// Keeps what a gang needs of its workspace's cap free of all others in the current pass, unless one has waited
     /// longer.
     pub(crate) fn claim_cap_first(&mut self, job: JobKey, step: usize, now: Millis) {
-        let since = self.jobs[job].steps[step].capped_since.unwrap_or(now);
+        let since = self.jobs[job].steps[step].claims_since.unwrap_or(now);
         let has_claim = |workspace: &Workspace| {
             let overdue = workspace.overdue;
             overdue.is_some_and(|claim| claim.since <= since)
@@ -361,7 +369,7 @@
         if is_claimed(workspace) || !need.fits_in(&workspace.policy.cap) {
             return None;
         }
-        let since = self.jobs[job].steps[step].capped_since.unwrap_or(now);
+        let since = self.jobs[job].steps[step].claims_since.unwrap_or(now);
         let claim = Claim {
             job,
             step,
--- a/crates/sched/tests/core/caps.rs
+++ b/crates/sched/tests/core/caps.rs
@@ -332,6 +332,64 @@
     assert_eq!(jobs.len(), 4);
 }
 
+/// If the reserved gang waited for what another claims, and that one for the reservation, neither would ever start.
+#[test]
+fn a_gang_with_a_reservation_does_not_wait_for_claims() {
+    let mut driver = Driver::new(1, 8);
+    driver.set_caps(&[("a", 8)]);
+    let saves = StepSpec {
+        checkpointed: true,
+        ..step(8, 1)
+    };
+    driver.submit(1, policy(2), vec![saves]);
+    let batch = driver.start_all();
+    let running: Vec<_> = batch.iter().map(|run| (run.task, run.run, 50)).collect();
+    driver.report_running(batch[0].worker, &running);
+    driver.submit_for("a", 2, policy(1), vec![gang(6, 1)]);
+    driver.schedule();
+    assert_eq!(driver.stops.len(), 6, "room is made for it");
+    driver.submit_for("a", 3, policy(0), vec![gang(5, 1)]);
+    driver.schedule();
+    driver.advance(1_500);
+    driver.schedule();
+    for (index, start) in batch.iter().enumerate() {
+        driver.report_end(start, RunEnd::Stopped, &running[index + 1..]);
+    }
+    driver.record();
+    let started = driver.start_all();
+    assert!(!started.is_empty());
+}
+
+/// What waits for the cap must not hold up the rest while half of the cap is free.
+#[test]
+fn a_workspace_under_half_of_its_cap_always_moves() {
+    let mut driver = Driver::new(2, 8);
+    driver.set_caps(&[("a", 10)]);
+    driver.submit_for("a", 1, policy(1), vec![step(4, 1)]);
+    let running = driver.start_all();
+    assert_eq!(running.len(), 4);
+    driver.submit_for("a", 2, policy(1), vec![gang(8, 1)]);
+    driver.submit_for("a", 3, policy(2), vec![step(1, 1)]);
+    assert_eq!(driver.start_all().len(), 1, "the task beside the gang");
+}
+
+/// A gang that finds no room after all holds up the others for a while only.
+#[test]
+fn the_claim_of_a_gang_ends() {
+    let mut driver = Driver::new(2, 8);
+    driver.set_caps(&[("a", 10)]);
+    driver.submit_for("a", 1, policy(1), vec![step(6, 1)]);
+    let running = driver.start_all();
+    assert_eq!(running.len(), 6);
+    driver.submit_for("a", 2, policy(2), vec![gang(8, 1)]);
+    driver.schedule();
+    driver.advance(1_000);
+    driver.submit_for("a", 3, policy(1), vec![step(1, 1)]);
+    assert!(driver.start_all().is_empty(), "the gang goes first");
+    driver.advance(2_500);
+    assert_eq!(driver.start_all().len(), 1, "the others have a turn");
+}
+
 /// Otherwise the backlog of a workspace that floods would hold up its own urgent work, one task after the other.
 #[test]
 fn single_tasks_that_wait_for_long_stay_behind_more_urgent_ones() {
--- a/crates/wire/src/cell.rs
+++ b/crates/wire/src/cell.rs
@@ -260,6 +260,10 @@
 
 /// Reply to [`Relay`].
 #[derive(Clone, PartialEq, Eq, prost::Message)]
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "each has been on the wire since the version that added it"
+)]
 pub struct RelayReply {
     /// Whether the store has the record.
     #[prost(bool, tag = "1")]
--- a/crates/workspace/src/policy.rs
+++ b/crates/workspace/src/policy.rs
@@ -41,8 +41,10 @@
     /// Sets the weight, limited to the range that can be computed with.
     #[must_use]
     pub fn with_weight(self, weight: f64) -> Self {
-        // A weight that is not a number counts as the smallest.
-        let weight = weight.max(MIN_WEIGHT).min(MAX_WEIGHT);
-        Self { weight, ..self }
+        let known = if weight.is_nan() { MIN_WEIGHT } else { weight };
+        Self {
+            weight: known.clamp(MIN_WEIGHT, MAX_WEIGHT),
+            ..self
+        }
     }
 }
