--- a/crates/cell/src/configuration.rs
+++ b/crates/cell/src/configuration.rs
@@ -32,7 +32,7 @@
 pub struct SkippedWorkspace {
     /// Its name, if at least that could be read.
     pub name: Option<WorkspaceName>,
-    /// Reason why it was skipped. It contains nothing of the record, in which keys stand.
+    /// Reason why it was skipped. It contains no key.
     pub reason: SmolStr,
 }
 
--- a/crates/obs/src/cell_metrics.rs
+++ b/crates/obs/src/cell_metrics.rs
@@ -226,7 +226,8 @@
             KeyValue::new("workspace", workspace.to_owned()),
             KeyValue::new("kind", kind),
         ];
-        self.workspace_cpu.record(to_thousands(cpu_millis), &labels);
+        self.workspace_cpu
+            .record(from_thousandths(cpu_millis), &labels);
     }
 
     /// Returns the page to scrape, with the readings taken now.
@@ -373,11 +374,11 @@
 }
 
 fn to_seconds(time_ms: u64) -> f64 {
-    to_thousands(time_ms)
+    from_thousandths(time_ms)
 }
 
 /// Converts an amount in thousandths.
-fn to_thousands(amount_millis: u64) -> f64 {
+fn from_thousandths(amount_millis: u64) -> f64 {
     let amount_millis = u32::try_from(amount_millis).unwrap_or(u32::MAX);
     f64::from(amount_millis) / 1_000.0
 }
--- a/crates/sched/src/shares.rs
+++ b/crates/sched/src/shares.rs
@@ -2,7 +2,7 @@
 //!
 //! Load pattern: one workspace submits several times its usual amount. In order of urgency alone, its older jobs go before
 //! the new jobs of all others, which wait behind a backlog that is not theirs. So within a priority, the work of workspaces
-//! that occupy more than their share goes last. While there is room for everything, the order makes no difference.
+//! that occupy clearly more than their share goes last. While there is room for everything, the order makes no difference.
 
 use std::collections::BTreeSet;
 
@@ -30,7 +30,7 @@
         steps.sort_by_cached_key(|step| (step.urgency.class(), is_over(step)));
     }
 
-    /// Returns the workspaces that occupy more than their share of the workers, by weight among those that run or wait for
+    /// Returns the workspaces that count as over their share of the workers, by weight among those that run or wait for
     /// something.
     fn over_share(&self, waiting: &BTreeSet<WorkspaceKey>) -> BTreeSet<WorkspaceKey> {
         let mut weights = 0.0;
--- a/crates/workspace/src/digest.rs
+++ b/crates/workspace/src/digest.rs
@@ -25,7 +25,7 @@
     }
 
     /// Returns the first digits of the digest, by which an operator can tell keys in a log apart. They don't help to
-    /// guess the key.
+    /// guess a random key, but confirm the guess of a weak one.
     #[must_use]
     pub fn fingerprint(&self) -> SmolStr {
         let mut digits = String::with_capacity(FINGERPRINT_BYTES * 2);
