Slow elections down while live schedulers are replaced in a row

Cause: a scheduler short of processor time answers and writes heartbeats late, is replaced after 0.56 s although it is alive, and so is each successor. Change: from the second replacement of a live scheduler within 10 s on, heartbeat timeouts are doubled, up to four times. A scheduling pass is followed by a pause as long as itself, so that heartbeats and contacts have their turn.

--- a/crates/cell/src/claims.rs
+++ b/crates/cell/src/claims.rs
@@ -204,7 +204,8 @@
     last_sign_at.max(configured_at)
 }
 
-/// Returns how long this node waits for a heartbeat before it claims the role.
+/// Returns how long this node waits for a heartbeat before it claims the role. It is longer while live schedulers are
+/// replaced one after the other, see [`syc_sched::ElectionBackoff`].
 fn election_timeout_ms<P>(node: &Rc<Node<P>>, claims: &ClaimLog) -> u64
 where
     P: Platform,
@@ -212,16 +213,19 @@
     let timing = &node.settings.timing;
     let jitter_ms = node.incarnation % timing.claim_jitter_ms.max(1);
     let delay_ms = node.settings.claim_delay_ms();
+    let backoff_factor = node.election_backoff.borrow().timeout_factor(now());
     let heartbeat_timeout_ms = match &claims.holder {
         None => 0,
         // An earlier process of this node held the role, and it has ended.
         Some(holder) if is_own_predecessor(node, holder) => 0,
-        Some(_) if node.holder_suspected.get() => timing.suspected_heartbeat_timeout_ms,
+        Some(_) if node.holder_suspected.get() => {
+            timing.suspected_heartbeat_timeout_ms * backoff_factor
+        }
         // A slow store delays heartbeats of a scheduler that is alive.
         Some(_) if is_scheduler_reachable(node) => {
-            timing.heartbeat_timeout_ms * REACHABLE_TIMEOUT_FACTOR
+            timing.heartbeat_timeout_ms * REACHABLE_TIMEOUT_FACTOR.max(backoff_factor)
         }
-        Some(_) => timing.heartbeat_timeout_ms,
+        Some(_) => timing.heartbeat_timeout_ms * backoff_factor,
     };
     heartbeat_timeout_ms + jitter_ms + delay_ms
 }
@@ -278,7 +282,9 @@
         .await
     {
         Ok(appended) => {
-            log::claim_won(appended.offset + 1, claims.holder.as_ref(), silent_ms);
+            let timeout_factor = node.election_backoff.borrow().timeout_factor(now());
+            let before = claims.holder.as_ref();
+            log::claim_won(appended.offset + 1, before, silent_ms, timeout_factor);
             claims.apply(node, appended.offset, &record);
             claims.position = Some(appended.end);
             update_holder(node, claims);
--- a/crates/cell/src/leader.rs
+++ b/crates/cell/src/leader.rs
@@ -84,6 +84,9 @@
 /// Time for which a node that gave up the role does not claim it again.
 const RECLAIM_DELAY_MS: u64 = 5_000;
 
+/// Maximum pause after a long scheduling pass.
+const MAX_SCHEDULE_PAUSE_MS: u64 = 100;
+
 /// A place in the store with a submit or a cancellation of a job.
 #[derive(Debug, Clone, PartialEq, Eq)]
 struct StoredRecord {
@@ -279,17 +282,21 @@
             if self.handing_over.get() {
                 continue;
             }
-            let slots = self.advice_nodes.borrow().slots(now());
+            let started_at = now();
+            let slots = self.advice_nodes.borrow().slots(started_at);
             let actions = {
                 let mut scheduler = self.scheduler.borrow_mut();
                 scheduler.set_advice_slots(slots);
-                scheduler.schedule(now())
+                scheduler.schedule(started_at)
             };
             self.perform(actions);
             if self.scheduler.borrow().has_unrecorded_changes() {
                 self.progress_notify.notify_one();
             }
-            pause(SCHEDULE_INTERVAL_MS).await;
+            // Passes over a large backlog leave at least as much time to heartbeats, contacts and workers. Otherwise other
+            // nodes would take this one for failed.
+            let pass_ms = now().since(started_at);
+            pause(pass_ms.clamp(SCHEDULE_INTERVAL_MS, MAX_SCHEDULE_PAUSE_MS)).await;
         }
     }
 
--- a/crates/cell/src/log.rs
+++ b/crates/cell/src/log.rs
@@ -128,11 +128,12 @@
         .emit();
 }
 
-pub(crate) fn claim_won(token: u64, before: Option<&Holder>, silent_ms: u64) {
+pub(crate) fn claim_won(token: u64, before: Option<&Holder>, silent_ms: u64, timeout_factor: u64) {
     Line::new(catalogue::HOLDER_CHOSEN)
         .number("token", token)
         .number("before", before.map_or(0, |before| before.token))
         .number("silent_ms", silent_ms)
+        .number("timeout_factor", timeout_factor)
         .emit();
 }
 
--- a/crates/cell/src/node.rs
+++ b/crates/cell/src/node.rs
@@ -14,6 +14,7 @@
 use syc_obs::CellMetrics;
 use syc_obs::CellReadings;
 use syc_obs::flush_lines;
+use syc_sched::ElectionBackoff;
 use syc_sched::Event;
 use syc_sched::Wave;
 use syc_types::DayAnchor;
@@ -95,6 +96,8 @@
     pub(crate) holder_changed: Notify,
     /// Whether the holder's process is suspected to have ended.
     pub(crate) holder_suspected: Cell<bool>,
+    /// Lengthens election timeouts while live schedulers are replaced one after the other.
+    pub(crate) election_backoff: RefCell<ElectionBackoff>,
     pub(crate) stopping: Cell<bool>,
     /// Earliest time for the next claim, set when this node gives up the role.
     pub(crate) claim_not_before: Cell<Millis>,
@@ -126,6 +129,7 @@
             submit_queue: SubmitQueue::new(),
             holder_changed: Notify::new(),
             holder_suspected: Cell::new(false),
+            election_backoff: RefCell::default(),
             stopping: Cell::new(false),
             claim_not_before: Cell::new(started_at),
             reported_time: Cell::new(None),
--- a/crates/cell/src/succession.rs
+++ b/crates/cell/src/succession.rs
@@ -66,7 +66,14 @@
     let interval_ms = node.settings.timing.contact_interval_ms;
     let pending = PendingNotice::new(before_tenure, now(), interval_ms, node.incarnation);
     let elected = elected.to_wire();
-    let sending = send_notice(Rc::clone(node), client, notice, elected, pending);
+    let sending = send_notice(
+        Rc::clone(node),
+        client,
+        before_tenure,
+        notice,
+        elected,
+        pending,
+    );
     actix_rt::spawn(sending);
 }
 
@@ -74,6 +81,7 @@
 async fn send_notice<P>(
     node: Rc<Node<P>>,
     client: PeerClient,
+    before: Tenure,
     notice: SuccessionNotice,
     elected: ElectedScheduler,
     mut pending: PendingNotice,
@@ -93,10 +101,13 @@
         });
         let timeout_ms = node.settings.timing.contact_timeout_ms;
         let reply = contact::call(&client, query, timeout_ms).await;
-        if let Ok(CellBody::ContactReply(reply)) = reply
-            && pending.is_confirmed_by(reply.token)
-        {
-            return;
+        if let Ok(CellBody::ContactReply(reply)) = reply {
+            if reply.incarnation == notice.predecessor_incarnation {
+                record_live_predecessor(&node, before);
+            }
+            if pending.is_confirmed_by(reply.token) {
+                return;
+            }
         }
         let Some(repeat_after_ms) = pending.repeat_after_ms(now()) else {
             return;
@@ -105,6 +116,15 @@
     }
 }
 
+/// Records that a replaced scheduler answers, so that its election may have been premature.
+fn record_live_predecessor<P>(node: &Node<P>, predecessor: Tenure)
+where
+    P: Platform,
+{
+    let mut backoff = node.election_backoff.borrow_mut();
+    backoff.record_live_predecessor(predecessor, now());
+}
+
 /// Returns the scheduler that this node knows, if it is newer than the one with this token.
 pub(crate) fn newer_scheduler<P>(node: &Node<P>, token: u64) -> Option<ElectedScheduler>
 where
--- a/crates/sched/tests/core/main.rs
+++ b/crates/sched/tests/core/main.rs
@@ -9,6 +9,7 @@
 mod crashes_between_schedulers;
 mod drains;
 mod driver;
+mod election_backoff;
 mod election_report;
 mod expired_leases;
 mod late_starts;
