Let the timeout of contacts follow how fast schedulers answer

Cause: a scheduler of 3,000 workers answers contacts after 0.2 to 1 s once its processor time is used up. Two contacts of 200 ms without an answer made each node suspect it, and it was replaced, as were its successors. Notices to a replaced scheduler wait 0.8 s for its answer.

--- a/crates/cell/src/contact.rs
+++ b/crates/cell/src/contact.rs
@@ -39,7 +39,7 @@
 const HEALTHY_WITHIN_MS: u64 = 600;
 
 /// Consecutive unanswered calls after which the scheduler is suspected to have failed.
-const SUSPECTED_MISSES: u32 = 2;
+pub(crate) const SUSPECTED_MISSES: u32 = 2;
 
 /// Link to the node that is the scheduler.
 #[derive(Debug)]
@@ -185,9 +185,13 @@
         predecessor_incarnation: 0,
         elected: None,
     });
-    let timeout_ms = node.settings.timing.contact_timeout_ms;
-    let reply = link.call(query, timeout_ms).await;
+    let min_timeout_ms = node.settings.timing.contact_timeout_ms;
+    let mut timeout = node.contact_timeout.get();
+    let sent_at = now();
+    let reply = link.call(query, timeout.timeout_ms(min_timeout_ms)).await;
     if let Ok(CellBody::ContactReply(reply)) = &reply {
+        timeout.record_answer(now().since(sent_at), link.misses.get(), min_timeout_ms);
+        node.contact_timeout.set(timeout);
         let partitions = node.settings.job_partitions();
         node.partition.set(reply.partition % partitions);
         node.record_reported_time(reply);
--- a/crates/cell/src/node.rs
+++ b/crates/cell/src/node.rs
@@ -14,6 +14,7 @@
 use syc_obs::CellMetrics;
 use syc_obs::CellReadings;
 use syc_obs::flush_lines;
+use syc_sched::ContactTimeout;
 use syc_sched::ElectionBackoff;
 use syc_sched::Event;
 use syc_sched::Wave;
@@ -96,6 +97,8 @@
     pub(crate) holder_changed: Notify,
     /// Whether the holder's process is suspected to have ended.
     pub(crate) holder_suspected: Cell<bool>,
+    /// Timeout of contacts to the scheduler.
+    pub(crate) contact_timeout: Cell<ContactTimeout>,
     /// Lengthens election timeouts while live schedulers are replaced one after the other.
     pub(crate) election_backoff: RefCell<ElectionBackoff>,
     pub(crate) stopping: Cell<bool>,
@@ -129,6 +132,7 @@
             submit_queue: SubmitQueue::new(),
             holder_changed: Notify::new(),
             holder_suspected: Cell::new(false),
+            contact_timeout: Cell::default(),
             election_backoff: RefCell::default(),
             stopping: Cell::new(false),
             claim_not_before: Cell::new(started_at),
--- a/crates/cell/src/succession.rs
+++ b/crates/cell/src/succession.rs
@@ -24,6 +24,10 @@
 use crate::ports::Platform;
 use crate::unreadable::Source;
 
+/// Timeout of a notice to a scheduler that was replaced. It is longer than that of a contact, since a scheduler that was
+/// replaced because it answers late has to be recognized as alive.
+const NOTICE_TIMEOUT_MS: u64 = 800;
+
 impl Holder {
     pub(crate) const fn tenure(&self) -> Tenure {
         Tenure {
@@ -99,7 +103,7 @@
             predecessor_incarnation: notice.predecessor_incarnation,
             elected: Some(elected.clone()),
         });
-        let timeout_ms = node.settings.timing.contact_timeout_ms;
+        let timeout_ms = NOTICE_TIMEOUT_MS;
         let reply = contact::call(&client, query, timeout_ms).await;
         if let Ok(CellBody::ContactReply(reply)) = reply {
             if reply.incarnation == notice.predecessor_incarnation {
@@ -122,7 +126,13 @@
     P: Platform,
 {
     let mut backoff = node.election_backoff.borrow_mut();
-    backoff.record_live_predecessor(predecessor, now());
+    let is_news = backoff.record_live_predecessor(predecessor, now());
+    if is_news {
+        let mut timeout = node.contact_timeout.get();
+        let min_timeout_ms = node.settings.timing.contact_timeout_ms;
+        timeout.record_unanswered(contact::SUSPECTED_MISSES, min_timeout_ms);
+        node.contact_timeout.set(timeout);
+    }
 }
 
 /// Returns the scheduler that this node knows, if it is newer than the one with this token.
--- a/crates/sched/src/election_backoff.rs
+++ b/crates/sched/src/election_backoff.rs
@@ -29,13 +29,15 @@
 }
 
 impl ElectionBackoff {
-    /// Records that a replaced scheduler has answered, so that it was alive. Reports of the same one count once.
-    pub fn record_live_predecessor(&mut self, predecessor: Tenure, now: Millis) {
+    /// Records that a replaced scheduler has answered, so that it was alive. Reports of the same one count once. Returns
+    /// whether it is the first report.
+    pub fn record_live_predecessor(&mut self, predecessor: Tenure, now: Millis) -> bool {
         if self.latest.is_some_and(|(known, _)| known == predecessor) {
-            return;
+            return false;
         }
         self.replacements = self.replacements_in_window(now).saturating_add(1);
         self.latest = Some((predecessor, now));
+        true
     }
 
     /// Returns the factor by which heartbeat timeouts are longer than usual, at least 1.
--- a/crates/sched/tests/core/election_backoff.rs
+++ b/crates/sched/tests/core/election_backoff.rs
@@ -30,7 +30,8 @@
 fn one_live_scheduler_does_not_slow_elections_down() {
     let mut backoff = ElectionBackoff::default();
     for at in [1_000, 1_100, 1_250] {
-        backoff.record_live_predecessor(tenure(7), Millis(at));
+        let is_first = backoff.record_live_predecessor(tenure(7), Millis(at));
+        assert_eq!(is_first, at == 1_000);
         assert_eq!(backoff.timeout_factor(Millis(at)), 1);
     }
 }
