Reject submits whose jobs would end too late

Workspaces that send many times their rate build up a backlog of which nothing ends in time for its caller. The scheduler now tells each node with the reply to its contact which workspaces are beyond their rate, and how long their jobs wait. A node answers 429 with Retry-After to a submit of such a workspace whose job would end after three objectives, if the scheduler says that there is no such job and the node is not storing it itself. Nothing is stored then.

The scheduler is now also notified of a stored job whose caller has disconnected, which it found only with the next read of the store before.

--- a/crates/cell/src/contact.rs
+++ b/crates/cell/src/contact.rs
@@ -2,6 +2,7 @@
 //! no other. Notices to a scheduler that was replaced are sent in addition.
 
 use std::cell::Cell;
+use std::cell::RefCell;
 use std::rc::Rc;
 
 use bytes::Bytes;
@@ -25,6 +26,7 @@
 use crate::ports::Platform;
 use crate::ports::Record;
 use crate::queries;
+use crate::shedding::ShedView;
 use crate::succession;
 use crate::unreadable::Source;
 
@@ -50,6 +52,8 @@
     store_answers: Cell<bool>,
     /// Append time at the scheduler's node.
     append_ms: Cell<u64>,
+    /// The scheduler's newest view of the workspaces whose submits may be rejected.
+    shed_view: RefCell<Option<Rc<ShedView>>>,
     /// Time of the scheduler's last reply.
     answered_at: Cell<Millis>,
     /// Time of that reply on the scheduler's own clock.
@@ -67,6 +71,7 @@
             token: holder.token,
             store_answers: Cell::new(false),
             append_ms: Cell::new(0),
+            shed_view: RefCell::default(),
             answered_at: Cell::new(now()),
             remote_answered_at: Cell::new(Millis(0)),
             answers: Cell::new(true),
@@ -89,6 +94,16 @@
         self.append_ms.get()
     }
 
+    /// Returns the view of the workspaces whose submits may be rejected that the scheduler last sent.
+    pub(crate) fn shed_view(&self) -> Option<Rc<ShedView>> {
+        self.shed_view.borrow().clone()
+    }
+
+    fn set_shed_view(&self, reply: &ContactReply, sent_at: Millis) {
+        let view = reply.leading.then(|| ShedView::from_reply(reply, sent_at));
+        *self.shed_view.borrow_mut() = view.map(Rc::new);
+    }
+
     /// Makes a call that the scheduler's node may answer late. A timeout does not reset the link, because it does not
     /// show that the link is broken.
     pub(crate) async fn call_without_reset(
@@ -186,12 +201,14 @@
         elected: None,
     });
     let timeout_ms = node.settings.timing.contact_timeout_ms;
+    let sent_at = now();
     let reply = link.call(query, timeout_ms).await;
     if let Ok(CellBody::ContactReply(reply)) = &reply {
         let partitions = node.settings.job_partitions();
         node.partition.set(reply.partition % partitions);
         node.record_reported_time(reply);
         link.append_ms.set(reply.append_ms);
+        link.set_shed_view(reply, sent_at);
         succession::apply_reply(node, reply);
     }
     let (answers, store_answers) = match &reply {
@@ -307,7 +324,8 @@
     let unanswered = !store.answers && store.answered_ms > STORE_UNREACHABLE_MS;
     let cut_off_from_store = contact.store_answers && unanswered;
     let agreed = leader.as_ref().map(|leader| leader.agreed_time());
-    ContactReply {
+    let shed_view = leader.as_ref().and_then(|leader| leader.shed_view());
+    let mut reply = ContactReply {
         leading: leader.is_some() && !cut_off_from_store,
         token: leader.map_or(0, |leader| leader.token),
         store_answers: store.answers,
@@ -318,5 +336,10 @@
         answered_at_ms: now().0,
         incarnation: node.incarnation,
         elected: succession::newer_scheduler(node, contact.token),
+        ..ContactReply::default()
+    };
+    if let Some(view) = shed_view {
+        view.write_to(&mut reply, now());
     }
+    reply
 }
--- a/crates/cell/src/leader.rs
+++ b/crates/cell/src/leader.rs
@@ -60,6 +60,7 @@
 use crate::ports::Record;
 use crate::records;
 use crate::roster::Roster;
+use crate::shedding::ShedView;
 
 /// Minimum time between two scheduling passes, so that events in between share one pass.
 const SCHEDULE_INTERVAL_MS: u64 = 3;
@@ -148,6 +149,8 @@
     clock_agreement: RefCell<ClockAgreement>,
     /// When at least half of the workers were last answering.
     workers_heard_at: Cell<Millis>,
+    /// Workspaces that send more than their rate, computed at the last tick.
+    shed_view: RefCell<Option<Rc<ShedView>>>,
     tasks: RefCell<Vec<actix_rt::task::JoinHandle<()>>>,
 }
 
@@ -197,6 +200,7 @@
             heartbeat_notify: Notify::new(),
             clock_agreement: RefCell::new(ClockAgreement::resume(node.reported_time.get())),
             workers_heard_at: Cell::new(now()),
+            shed_view: RefCell::default(),
             tasks: RefCell::default(),
         });
         leader.update_agreed_time();
@@ -377,6 +381,26 @@
             .all(|at| now.since(*at) < MAX_JOBS_READ_AGE_MS)
     }
 
+    /// Computes the view of the workspaces whose submits may be rejected. There is none before the jobs were loaded, and
+    /// once a successor may have been chosen.
+    pub(crate) fn update_shed_view(&self) {
+        let now = now();
+        let may_decide = self.loaded.get() && !self.handing_over.get() && !self.ended.get();
+        let view = if may_decide && self.lease_from(now).is_some() {
+            let rows = self.scheduler.borrow_mut().shed_rows(now);
+            let computed_at = now;
+            Some(Rc::new(ShedView { computed_at, rows }))
+        } else {
+            None
+        };
+        *self.shed_view.borrow_mut() = view;
+    }
+
+    /// Returns the view of the workspaces whose submits may be rejected.
+    pub(crate) fn shed_view(&self) -> Option<Rc<ShedView>> {
+        self.shed_view.borrow().clone()
+    }
+
     /// Returns the number of jobs in a queue that have not started.
     pub(crate) fn pending_jobs(&self, queue: &str) -> PendingAnswer {
         if !self.loaded.get() || !self.knows_all_jobs() {
--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -23,8 +23,10 @@
 pub mod records;
 pub mod roster;
 mod settings;
+pub mod shedding;
 mod store_calls;
 mod submit;
+mod submit_shedding;
 mod succession;
 mod unreadable;
 
--- a/crates/cell/src/node.rs
+++ b/crates/cell/src/node.rs
@@ -38,6 +38,7 @@
 use crate::store_calls::StoreHealth;
 use crate::submit::SubmitQueue;
 use crate::submit::run_admission_timer;
+use crate::submit_shedding::SubmitsUnderWay;
 use crate::unreadable::Unreadable;
 
 /// Interval at which a planned stop checks whether the node is idle.
@@ -89,6 +90,7 @@
     pub(crate) link: RefCell<Option<Rc<HolderLink>>>,
     pub(crate) leader: RefCell<Option<Rc<Leader<P>>>>,
     pub(crate) submit_queue: SubmitQueue,
+    pub(crate) submits: Rc<SubmitsUnderWay>,
     /// Partition to which this node appends jobs.
     pub(crate) partition: Cell<u32>,
     /// Notifies that the scheduler changed or is suspected to have failed.
@@ -124,6 +126,7 @@
             leader: RefCell::default(),
             partition: Cell::new(0),
             submit_queue: SubmitQueue::new(),
+            submits: Rc::default(),
             holder_changed: Notify::new(),
             holder_suspected: Cell::new(false),
             stopping: Cell::new(false),
@@ -272,6 +275,7 @@
         if let Some(leader) = node.leader() {
             leader.update_agreed_time();
             leader.apply(Event::Ticked);
+            leader.update_shed_view();
             leader.request_leadership_proof();
             leader.hand_over_if_isolated();
         }
--- a/crates/cell/src/queries.rs
+++ b/crates/cell/src/queries.rs
@@ -105,11 +105,30 @@
         }
     }
 
+    /// Returns the state of a job without retries. The answer is `Unsure` if the scheduler's node gives none in time.
+    ///
+    /// A timeout does not reset the link to the scheduler, because it may be much shorter than other calls take.
+    pub(crate) async fn state_within(
+        &self,
+        id: JobId,
+        caller: Option<&WorkspaceName>,
+        timeout_ms: u64,
+    ) -> StateAnswer {
+        if let Some(leader) = self.leader() {
+            return leader.job_state(id, caller);
+        }
+        let Some(link) = self.link.borrow().clone() else {
+            return StateAnswer::Unsure;
+        };
+        let query = state_query(id, caller);
+        match link.call_without_reset(query, timeout_ms).await {
+            Ok(CellBody::JobStateReply(reply)) => reply.knowledge().into(),
+            Ok(_) | Err(_) => StateAnswer::Unsure,
+        }
+    }
+
     async fn query_state(&self, id: JobId, caller: Option<&WorkspaceName>) -> StateAnswer {
-        let query = CellBody::JobStateQuery(JobStateQuery {
-            job: id.0,
-            workspace: caller.map(ToString::to_string),
-        });
+        let query = state_query(id, caller);
         let Some(CellBody::JobStateReply(reply)) = self.query_scheduler(query).await else {
             return StateAnswer::Unsure;
         };
@@ -134,6 +153,13 @@
     }
 }
 
+fn state_query(id: JobId, caller: Option<&WorkspaceName>) -> CellBody {
+    CellBody::JobStateQuery(JobStateQuery {
+        job: id.0,
+        workspace: caller.map(ToString::to_string),
+    })
+}
+
 /// Answers another node's query for the state of a job.
 pub(crate) fn answer_state<P>(node: &Rc<Node<P>>, query: &JobStateQuery) -> CellBody
 where
--- a/crates/cell/src/submit.rs
+++ b/crates/cell/src/submit.rs
@@ -37,6 +37,8 @@
 use crate::ports::Platform;
 use crate::ports::Record;
 use crate::records;
+use crate::shedding::Rejection;
+use crate::submit_shedding::SubmitGuard;
 
 /// A node that stores a relayed record answers this long before the sender's timeout, so that the answer arrives
 /// in time.
@@ -52,6 +54,8 @@
         /// Time after which the caller should retry.
         retry_after_ms: u64,
     },
+    /// The record is not in the store and never will be: its job would end too late to be useful to the caller.
+    Shed(Rejection),
     /// The record is not in the store and never will be: the job with this ID is that of another workspace.
     IdTaken,
     /// The record may be in the store, or may still be stored.
@@ -119,6 +123,13 @@
         }
     }
 
+    /// Returns whether the store has not yet acknowledged a submit of this job.
+    pub(crate) fn is_storing(&self, spec: &JobSpec) -> bool {
+        let key = records::job_key(spec.id, spec.workspace.as_ref());
+        let records = self.records.borrow();
+        records.values().any(|pending| pending.record.key == key)
+    }
+
     fn set_due(&self, at: Option<Millis>) {
         let before = self.due_at.replace(at);
         let Some(at) = at else {
@@ -135,17 +146,17 @@
         known.map(|pending| pending.record.clone()).collect()
     }
 
-    fn answer(&self, key: RecordKey, outcome: Outcome) {
-        let Some(pending) = self.records.borrow_mut().remove(key) else {
-            return;
-        };
+    /// Answers the caller of a record. Returns the record if the caller has disconnected, so that nothing else notifies
+    /// the scheduler of it.
+    fn answer(&self, key: RecordKey, outcome: Outcome) -> Option<Record> {
+        let pending = self.records.borrow_mut().remove(key)?;
         let completion = Completion {
             outcome,
             is_known_to_scheduler: pending.is_known_to_scheduler,
             is_id_taken: pending.is_id_taken,
         };
-        // A caller that has disconnected needs no answer.
-        let _abandoned = pending.reply.send(completion);
+        let abandoned = pending.reply.send(completion).is_err();
+        abandoned.then_some(pending.record)
     }
 }
 
@@ -165,8 +176,15 @@
         if self.is_id_taken(spec.id, spec.workspace.as_ref()) {
             return StoreOutcome::IdTaken;
         }
+        let deadline = now().plus(timeout_ms);
+        let submit = self.submits.begin(spec.id);
+        if let Some(rejection) = self.rejection(spec, &submit, timeout_ms).await {
+            return StoreOutcome::Shed(rejection);
+        }
         let record = records::submitted(spec);
-        self.store_and_notify(record, timeout_ms).await
+        let timeout_ms = deadline.since(now());
+        self.store_and_notify(record, timeout_ms, Some(submit))
+            .await
     }
 
     /// Stores the cancellation of a job, which is heeded only if its caller may access the job.
@@ -176,8 +194,8 @@
             return StoreOutcome::IdTaken;
         }
         let timeout_ms = self.settings.timing.submit_timeout_ms;
-        self.store_and_notify(records::cancelled(cancellation), timeout_ms)
-            .await
+        let record = records::cancelled(cancellation);
+        self.store_and_notify(record, timeout_ms, None).await
     }
 
     /// Returns whether this node is the scheduler and knows a job of another workspace with this ID.
@@ -189,8 +207,13 @@
     /// Stores a record, then notifies the scheduler without waiting for its reply.
     ///
     /// The scheduler would find the record in the store by itself, but one store round trip later, which takes a
-    /// quarter of a second while the store is slow.
-    async fn store_and_notify(self: &Rc<Self>, record: Record, timeout_ms: u64) -> StoreOutcome {
+    /// quarter of a second while the store is slow. The submit counts as under way until the scheduler was notified.
+    async fn store_and_notify(
+        self: &Rc<Self>,
+        record: Record,
+        timeout_ms: u64,
+        submit: Option<SubmitGuard>,
+    ) -> StoreOutcome {
         let deadline = now().plus(timeout_ms);
         let key = self
             .submit_queue
@@ -202,13 +225,19 @@
             Outcome::Stored { partition } => {
                 if !completion.is_known_to_scheduler {
                     let node = Rc::clone(self);
-                    actix_rt::spawn(async move { node.notify_scheduler(partition, record).await });
+                    actix_rt::spawn(async move {
+                        node.notify_scheduler(partition, record).await;
+                        drop(submit);
+                    });
                 }
                 StoreOutcome::Stored
             }
             Outcome::Refused { .. } if completion.is_id_taken => StoreOutcome::IdTaken,
             Outcome::Refused { retry_after_ms } => StoreOutcome::Refused { retry_after_ms },
-            Outcome::InDoubt => StoreOutcome::InDoubt,
+            Outcome::InDoubt => {
+                self.submits.note_in_doubt();
+                StoreOutcome::InDoubt
+            }
         }
     }
 
@@ -236,6 +265,7 @@
         }
         let link = self.link.borrow().clone();
         let Some(link) = link else {
+            self.submits.note_in_doubt();
             return;
         };
         let notice = CellBody::StoredNotice(StoredNotice {
@@ -243,10 +273,13 @@
             value: record.value,
             partition,
         });
-        // If this notice is lost, the scheduler still finds the record in the store.
-        let _notified = link
-            .call(notice, self.settings.timing.peer_timeout_ms)
-            .await;
+        let timeout_ms = self.settings.timing.peer_timeout_ms;
+        let reply = link.call(notice, timeout_ms).await;
+        let notified = matches!(&reply, Ok(CellBody::NoticeReply(reply)) if reply.taken);
+        if !notified {
+            // The scheduler still finds the record in the store, but does not know of it until then.
+            self.submits.note_in_doubt();
+        }
     }
 
     /// Stores a record that another node relayed and notifies the scheduler, if this node still holds the role.
@@ -293,7 +326,10 @@
                 come_back_ms: retry_after_ms,
                 ..RelayReply::default()
             },
-            Outcome::InDoubt => RelayReply::default(),
+            Outcome::InDoubt => {
+                self.submits.note_in_doubt();
+                RelayReply::default()
+            }
         }
     }
 
@@ -332,13 +368,32 @@
                 Action::Forward { record, timeout_ms } => {
                     actix_rt::spawn(Rc::clone(self).relay_record(record, timeout_ms));
                 }
-                Action::Answer { record, outcome } => queue.answer(record, outcome),
+                Action::Answer { record, outcome } => {
+                    let abandoned = queue.answer(record, outcome);
+                    self.note_abandoned(abandoned, outcome);
+                }
             }
         }
         let due_at = queue.admission.borrow().next_decision_at(now());
         queue.set_due(due_at);
     }
 
+    /// Notifies the scheduler of a stored record whose caller has disconnected. Such a caller often retries at once,
+    /// through another node.
+    fn note_abandoned(self: &Rc<Self>, record: Option<Record>, outcome: Outcome) {
+        let Some(record) = record else {
+            return;
+        };
+        match outcome {
+            Outcome::Stored { partition } => {
+                let node = Rc::clone(self);
+                actix_rt::spawn(async move { node.notify_scheduler(partition, record).await });
+            }
+            Outcome::InDoubt => self.submits.note_in_doubt(),
+            Outcome::Refused { .. } => {}
+        }
+    }
+
     async fn append_batch(self: Rc<Self>, append: AppendKey, partition: u32, records: Vec<Record>) {
         let answer = match self.append_jobs(partition, &records).await {
             Ok(_) => AppendAnswer::Stored,
--- a/crates/cell/tests/cell/fuzz.rs
+++ b/crates/cell/tests/cell/fuzz.rs
@@ -7,6 +7,7 @@
 use syc_cell::records::HolderRecord;
 use syc_cell::records::JobRecord;
 use syc_cell::records::RosterRecord;
+use syc_cell::shedding::ShedView;
 use syc_fleet::SchedulerHarness;
 use syc_fleet::fuzz::mutated_bytes;
 use syc_fleet::fuzz::mutated_fields;
@@ -26,6 +27,7 @@
 use syc_sched::WaveProgress;
 use syc_sched::WorkerSpec;
 use syc_types::CellTime;
+use syc_types::Millis;
 use syc_types::TimeOfDay;
 use syc_types::WorkerId;
 use syc_wire::Body;
@@ -41,6 +43,8 @@
 use syc_wire::cell::Contact;
 use syc_wire::cell::ContactReply;
 use syc_wire::cell::ElectedScheduler;
+use syc_wire::cell::SHED_ROWS_LIMIT;
+use syc_wire::cell::ShedRow;
 use syc_wire::cell::StoredNotice;
 
 use crate::cluster::job;
@@ -269,6 +273,14 @@
     }
 }
 
+fn shed_row(workspace: &str) -> ShedRow {
+    ShedRow {
+        workspace: workspace.into(),
+        queue: "queue".into(),
+        wait_ms: 9_000,
+    }
+}
+
 #[test]
 fn frames_between_nodes() {
     let bodies = [
@@ -286,6 +298,8 @@
             token: 7,
             incarnation: 13,
             elected: Some(elected_scheduler()),
+            shed_rows: vec![shed_row("a"), shed_row("b")],
+            shed_rows_age_ms: 90,
             ..ContactReply::default()
         }),
         CellBody::AdviceQuery(AdviceQuery {
@@ -310,7 +324,14 @@
         }),
     ];
     let valid = bodies.map(|body| CellMessage::encode_body(body).to_vec());
-    let read = |frame: &[u8]| CellMessage::decode_body(frame).ok();
+    let read = |frame: &[u8]| {
+        let body = CellMessage::decode_body(frame).ok()?;
+        if let CellBody::ContactReply(reply) = &body {
+            let view = ShedView::from_reply(reply, Millis(7));
+            assert!(view.rows.len() <= SHED_ROWS_LIMIT);
+        }
+        Some(body)
+    };
     random_bytes(read);
     mutated_bytes(&valid, read);
     frames_with_an_unknown_field(&valid, read);
--- a/crates/cell/tests/cell/main.rs
+++ b/crates/cell/tests/cell/main.rs
@@ -6,9 +6,12 @@
 mod clock_agreement;
 mod clocks;
 mod cluster;
+mod fake_scheduler;
 mod fuzz;
+mod rejections;
 mod roster;
 mod service;
+mod shedding;
 mod stages;
 mod store;
 mod succession;
--- a/crates/obs/src/cell_metrics.rs
+++ b/crates/obs/src/cell_metrics.rs
@@ -112,6 +112,7 @@
     store_times: Histogram<f64>,
     unreadable: Counter<u64>,
     missing_runs: Counter<u64>,
+    shed_decisions: Counter<u64>,
     worker_connections: WorkerConnections,
     workspace_cpu: Gauge<f64>,
     gauges: Gauges,
@@ -164,6 +165,11 @@
                 "syc_cell_missing_runs",
                 "Runs treated as ended because no worker held them.",
             ),
+            shed_decisions: counter(
+                &meter,
+                "syc_cell_shed_decisions",
+                "Submits that load shedding considered, by queue, decision and reason.",
+            ),
             worker_connections: WorkerConnections::new(&meter),
             workspace_cpu: meter
                 .f64_gauge("syc_cell_workspace_cpu_cores")
@@ -211,6 +217,16 @@
         self.missing_runs.add(1, &[KeyValue::new("found", found)]);
     }
 
+    /// Counts a submit of a job that would end too late for its caller. The queue is one of the configuration.
+    pub fn shed_decision(&self, queue: &str, decision: &'static str, reason: &'static str) {
+        let labels = [
+            KeyValue::new("queue", queue.to_owned()),
+            KeyValue::new("decision", decision),
+            KeyValue::new("reason", reason),
+        ];
+        self.shed_decisions.add(1, &labels);
+    }
+
     /// Sets the use of workspaces. Only the first ones are shown.
     pub fn workspaces(&self, readings: &[WorkspaceReading]) {
         for reading in readings.iter().take(WORKSPACES_LIMIT) {
--- a/crates/obs/src/events.rs
+++ b/crates/obs/src/events.rs
@@ -222,4 +222,6 @@
     WORKSPACE_CHANGED = 756, Info, "workspace changed";
     /// What is counted as occupied is not what the runs occupy.
     USAGE_WRONG = 757, Error, "usage wrong";
+    /// A submit was rejected because its job would end too late for its caller.
+    SUBMIT_SHED = 758, Warn, "submit shed";
 }
--- a/crates/sched/src/job.rs
+++ b/crates/sched/src/job.rs
@@ -386,8 +386,10 @@
     crashes
 }
 
-/// Computes a job's objective from its declared run times.
-fn objective_ms(spec: &JobSpec) -> u64 {
+/// Returns a job's objective: the time from its acceptance within which it should end, computed from its declared run
+/// times.
+#[must_use]
+pub fn objective_ms(spec: &JobSpec) -> u64 {
     let chain_ms = std::time::Duration::from_millis(spec.longest_chain_ms());
     let stretched = chain_ms.mul_f64(spec.policy.stretch.clamp(0.0, 1_000.0));
     let stretched_ms = u64::try_from(stretched.as_millis()).unwrap_or(u64::MAX);
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -89,6 +89,7 @@
 pub use ids::StepId;
 pub use ids::TaskId;
 pub use ids::WorkerKey;
+pub use job::objective_ms;
 pub use note::LatestRun;
 pub use note::Note;
 pub use note::WorkerNote;
--- a/crates/wire/src/cell.rs
+++ b/crates/wire/src/cell.rs
@@ -6,6 +6,9 @@
 
 use crate::DecodeError;
 
+/// Largest number of [`ShedRow`]s in a [`ContactReply`]. Rows beyond it are neither sent nor read.
+pub const SHED_ROWS_LIMIT: usize = 64;
+
 /// A message: a call or its reply.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct CellMessage {
@@ -139,6 +142,27 @@
     /// ignore it.
     #[prost(message, optional, tag = "10")]
     pub elected: Option<ElectedScheduler>,
+    /// If the replying node is the scheduler: the workspaces whose jobs may be rejected at submit, by queue; at most
+    /// [`SHED_ROWS_LIMIT`]. Empty from earlier versions, which ignore it.
+    #[prost(message, repeated, tag = "11")]
+    pub shed_rows: Vec<ShedRow>,
+    /// Age of these rows, in milliseconds.
+    #[prost(uint64, tag = "12")]
+    pub shed_rows_age_ms: u64,
+}
+
+/// A workspace that sends more than its rate, and a queue in which its jobs wait too long.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct ShedRow {
+    /// The workspace.
+    #[prost(string, tag = "1")]
+    pub workspace: String,
+    /// The queue.
+    #[prost(string, tag = "2")]
+    pub queue: String,
+    /// Lower bound of the wait of a job that is submitted now, in milliseconds.
+    #[prost(uint64, tag = "3")]
+    pub wait_ms: u64,
 }
 
 /// Queries a job's state.
