--- a/crates/obs/src/events.rs
+++ b/crates/obs/src/events.rs
@@ -222,6 +222,8 @@
     WORKSPACE_CHANGED = 756, Info, "workspace changed";
     /// What is counted as occupied is not what the runs occupy.
     USAGE_WRONG = 757, Error, "usage wrong";
+    /// A workspace began or ended sending beyond its guaranteed rate.
+    WORKSPACE_RATE_USE = 758, Info, "use of workspace rate changed";
     /// A submit was rejected because its job would end too late for its caller.
-    SUBMIT_SHED = 758, Warn, "submit shed";
+    SUBMIT_SHED = 759, Warn, "submit shed";
 }
