--- a/crates/cell/tests/cell/rejections.rs
+++ b/crates/cell/tests/cell/rejections.rs
@@ -1,8 +1,10 @@
 //! Submits that a node rejects because of load: what is rejected is not stored, and what may be stored is not rejected.
 
 use std::cell::Cell;
+use std::net::TcpListener;
 use std::rc::Rc;
 
+use syc_cell::StateAnswer;
 use syc_cell::StoreOutcome;
 use syc_cell::ports::Topic;
 use syc_cell::records;
@@ -10,10 +12,12 @@
 use syc_sched::JobSpec;
 use syc_wire::cell::Knowledge;
 use syc_wire::cell::ShedRow;
+use syc_workspace::WorkspacePolicy;
 use test_case::test_case;
 
 use crate::cluster::Cluster;
 use crate::cluster::QUEUE;
+use crate::cluster::configuration;
 use crate::cluster::job;
 use crate::cluster::settings;
 use crate::cluster::step;
@@ -94,18 +98,23 @@
     }
 
     fn is_stored(&self, id: u64) -> bool {
-        let key = records::job_key(JobId(id), Some(&"a".into()));
-        let peers = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
-        let partitions = settings(NODE, &peers).job_partitions();
-        self.cluster.platform.with_store(|store| {
-            (0..partitions).any(|partition| {
-                let newest = store.newest(Topic::Jobs, partition);
-                newest.records.iter().any(|(_, record)| record.key == key)
-            })
-        })
+        is_stored(&self.cluster, id)
     }
 }
 
+/// Returns whether the store has a job of workspace `a`.
+fn is_stored(cluster: &Cluster, id: u64) -> bool {
+    let key = records::job_key(JobId(id), Some(&"a".into()));
+    let peers = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let partitions = settings(NODE, &peers).job_partitions();
+    cluster.platform.with_store(|store| {
+        (0..partitions).any(|partition| {
+            let newest = store.newest(Topic::Jobs, partition);
+            newest.records.iter().any(|(_, record)| record.key == key)
+        })
+    })
+}
+
 #[test]
 fn a_rejected_job_is_not_stored_and_may_be_accepted_later() {
     let cell = Overload::start();
@@ -209,3 +218,57 @@
     }
     assert_eq!(cell.scheduler.answers().queried, Vec::<u64>::new());
 }
+
+/// Publishes a workspace that may send one job a second.
+fn publish_workspace(cluster: &Cluster) {
+    let mut configuration = configuration(2);
+    let policy = WorkspacePolicy::unlimited("a".into()).with_rate(Some(1.0), Some(1.0));
+    let added = configuration.workspaces.add(policy, &[]);
+    added.expect("a new workspace");
+    cluster.platform.publish(configuration);
+}
+
+/// The scheduler's own view, at its node and at another one.
+#[test_case(true; "at the scheduler's node")]
+#[test_case(false; "at another node")]
+fn a_workspace_far_beyond_its_rate_is_rejected_and_its_accepted_jobs_are_not(at_scheduler: bool) {
+    let cluster = Cluster::start(2, 1);
+    publish_workspace(&cluster);
+    let scheduler = cluster.scheduler();
+    let node = if at_scheduler {
+        scheduler
+    } else {
+        1 - scheduler
+    };
+    // Each job takes the whole worker for a second, and is useful for nine.
+    let spec = |id| JobSpec {
+        workspace: Some("a".into()),
+        ..job(id, vec![step(4, 1_000)])
+    };
+    let submit =
+        |spec: JobSpec| cluster.on(node, move |node| async move { node.submit(&spec).await });
+    let next_id = Cell::new(1);
+    let rejected = cluster.wait("a rejection", || {
+        let id = next_id.replace(next_id.get() + 1);
+        match submit(spec(id)) {
+            StoreOutcome::Shed(_) => Some(id),
+            outcome => {
+                assert_eq!(outcome, StoreOutcome::Stored);
+                None
+            }
+        }
+    });
+    assert!(!is_stored(&cluster, rejected));
+    for accepted in 1..rejected {
+        assert_eq!(submit(spec(accepted)), StoreOutcome::Stored);
+    }
+    let unowned = JobSpec {
+        workspace: None,
+        ..spec(rejected + 1)
+    };
+    assert_eq!(submit(unowned), StoreOutcome::Stored);
+    let state = cluster.on(scheduler, move |node| async move {
+        node.state(JobId(rejected), Some(&"a".into())).await
+    });
+    assert_eq!(state, StateAnswer::NoSuchJob);
+}
