--- a/crates/cell/src/leader.rs
+++ b/crates/cell/src/leader.rs
@@ -388,14 +388,12 @@
     pub(crate) fn update_shed_view(&self) {
         let now = now();
         let may_decide = self.loaded.get() && !self.handing_over.get() && !self.ended.get();
-        let view = if may_decide && self.lease_from(now).is_some() {
-            let rows = self.scheduler.borrow_mut().shed_rows(now);
-            let computed_at = now;
-            Some(Rc::new(ShedView { computed_at, rows }))
-        } else {
-            None
-        };
-        *self.shed_view.borrow_mut() = view;
+        let may_decide = may_decide && self.lease_from(now).is_some();
+        let view = may_decide.then(|| ShedView {
+            computed_at: now,
+            rows: self.scheduler.borrow_mut().shed_rows(now),
+        });
+        *self.shed_view.borrow_mut() = view.map(Rc::new);
     }
 
     /// Returns the view of the workspaces whose submits may be rejected.
