--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -94,6 +94,7 @@
 pub use job::objective_ms;
 pub use note::LatestRun;
 pub use note::Note;
+pub use note::RateUseChange;
 pub use note::WorkerNote;
 pub use options::Options;
 pub use progress::CrashCount;
