--- a/crates/cell/tests/cell/rejections.rs
+++ b/crates/cell/tests/cell/rejections.rs
@@ -165,11 +165,8 @@
 fn a_node_cut_off_from_the_scheduler_rejects_nothing() {
     let cell = Overload::start();
     cell.wait_for_rejection();
-    {
-        let mut answers = cell.scheduler.answers();
-        answers.contacts = false;
-        answers.knowledge = None;
-    }
+    cell.scheduler.answers().contacts = false;
+    cell.scheduler.answers().knowledge = None;
     for _ in 0..SUBMITS {
         let (_, outcome) = cell.submit_new(Some("a"));
         assert_eq!(outcome, StoreOutcome::Stored);
