--- a/crates/cell/src/leader.rs
+++ b/crates/cell/src/leader.rs
@@ -28,6 +28,7 @@
 use slotmap::SecondaryMap;
 use smol_str::SmolStr;
 use syc_net::PeerClient;
+use syc_obs::RateReading;
 use syc_obs::WorkspaceReading;
 use syc_sched::Action;
 use syc_sched::AdviceNodes;
@@ -60,6 +61,7 @@
 use crate::ports::Record;
 use crate::records;
 use crate::roster::Roster;
+use crate::shedding::ShedView;
 
 /// Minimum time between two scheduling passes, so that events in between share one pass.
 const SCHEDULE_INTERVAL_MS: u64 = 3;
@@ -151,6 +153,8 @@
     clock_agreement: RefCell<ClockAgreement>,
     /// When at least half of the workers were last answering.
     workers_heard_at: Cell<Millis>,
+    /// Workspaces that send more than their rate, computed at the last tick.
+    shed_view: RefCell<Option<Rc<ShedView>>>,
     tasks: RefCell<Vec<actix_rt::task::JoinHandle<()>>>,
 }
 
@@ -200,6 +204,7 @@
             heartbeat_notify: Notify::new(),
             clock_agreement: RefCell::new(ClockAgreement::resume(node.reported_time.get())),
             workers_heard_at: Cell::new(now()),
+            shed_view: RefCell::default(),
             tasks: RefCell::default(),
         });
         leader.update_agreed_time();
@@ -290,6 +295,7 @@
                 scheduler.schedule(started_at)
             };
             self.perform(actions);
+            self.record_wait_errors();
             if self.scheduler.borrow().has_unrecorded_changes() {
                 self.progress_notify.notify_one();
             }
@@ -384,6 +390,24 @@
             .all(|at| now.since(*at) < MAX_JOBS_READ_AGE_MS)
     }
 
+    /// Computes the view of the workspaces whose submits may be rejected. There is none before the jobs were loaded, and
+    /// once a successor may have been chosen.
+    pub(crate) fn update_shed_view(&self) {
+        let now = now();
+        let may_decide = self.loaded.get() && !self.handing_over.get() && !self.ended.get();
+        let may_decide = may_decide && self.lease_from(now).is_some();
+        let view = may_decide.then(|| ShedView {
+            computed_at: now,
+            rows: self.scheduler.borrow_mut().shed_rows(now),
+        });
+        *self.shed_view.borrow_mut() = view.map(Rc::new);
+    }
+
+    /// Returns the view of the workspaces whose submits may be rejected.
+    pub(crate) fn shed_view(&self) -> Option<Rc<ShedView>> {
+        self.shed_view.borrow().clone()
+    }
+
     /// Returns the number of jobs in a queue that have not started.
     pub(crate) fn pending_jobs(&self, queue: &str) -> PendingAnswer {
         if !self.loaded.get() || !self.knows_all_jobs() {
@@ -405,7 +429,7 @@
 
     /// Returns what the workspaces have running.
     pub(crate) fn workspace_readings(&self) -> Vec<WorkspaceReading> {
-        let usages = self.scheduler.borrow().workspace_usage();
+        let usages = self.scheduler.borrow().workspace_usage(now());
         let readings = usages.into_iter().map(|usage| {
             let cap = usage.cap.cpu_millis;
             WorkspaceReading {
@@ -417,6 +441,22 @@
         readings.collect()
     }
 
+    /// Returns how the workspaces use their rates. Those without a rate are left out.
+    pub(crate) fn rate_readings(&self) -> Vec<RateReading> {
+        let usages = self.scheduler.borrow().workspace_usage(now());
+        let limited = usages
+            .into_iter()
+            .filter(|usage| usage.rate_per_s.is_finite());
+        let readings = limited.map(|usage| RateReading {
+            name: usage.name.to_string(),
+            rate_per_s: usage.rate_per_s,
+            burst_left_jobs: usage.burst_left_jobs,
+            excess_jobs: usage.excess_jobs,
+            predicted_wait_ms: usage.predicted_wait_ms,
+        });
+        readings.collect()
+    }
+
     /// Records a contact from another node.
     ///
     /// Returns the jobs partition that node should write to. Nodes get distinct partitions as far
--- a/crates/cell/src/log.rs
+++ b/crates/cell/src/log.rs
@@ -12,6 +12,7 @@
 use syc_sched::JobSpec;
 use syc_sched::JobState;
 use syc_sched::Note;
+use syc_sched::RateUseChange;
 use syc_sched::Run;
 use syc_sched::StartOrder;
 use syc_sched::StepId;
@@ -106,12 +107,23 @@
     Line::new(catalogue::WORKSPACE_CHANGED)
         .text("workspace", policy.name.as_str())
         .display("weight", policy.weight)
+        .display("rate_per_s", policy.rate_per_s)
+        .display("burst_jobs", policy.burst_jobs)
         .number("cap_cpu_millis", policy.cap.cpu_millis)
         .number("cap_memory_bytes", policy.cap.memory_bytes)
         .number("cap_accelerators", u64::from(policy.cap.accelerators))
         .emit();
 }
 
+fn rate_use_changed(change: &RateUseChange) {
+    Line::new(catalogue::WORKSPACE_RATE_USE)
+        .text("workspace", change.workspace.as_str())
+        .flag("beyond", change.is_beyond)
+        .display("rate_per_s", change.rate_per_s)
+        .display("burst_jobs", change.burst_jobs)
+        .emit();
+}
+
 pub(crate) fn job_id_taken(spec: &JobSpec) {
     let workspace = spec.workspace.as_ref().map_or("", WorkspaceName::as_str);
     Line::new(catalogue::JOB_ID_TAKEN)
@@ -375,6 +387,7 @@
             missing_ms,
         } => run_missing(*task, *run, worker.as_ref(), found, *missing_ms),
         Note::WorkspaceChanged(policy) => workspace_changed(policy),
+        Note::RateUseChanged(change) => rate_use_changed(change),
         Note::UsageWrong => Line::new(catalogue::USAGE_WRONG).emit(),
         Note::EndHeld {
             task,
--- a/crates/cell/src/node.rs
+++ b/crates/cell/src/node.rs
@@ -40,6 +40,7 @@
 use crate::store_calls::StoreHealth;
 use crate::submit::SubmitQueue;
 use crate::submit::run_admission_timer;
+use crate::submit_shedding::SubmitsUnderWay;
 use crate::unreadable::Unreadable;
 
 /// Interval at which a planned stop checks whether the node is idle.
@@ -91,6 +92,7 @@
     pub(crate) link: RefCell<Option<Rc<HolderLink>>>,
     pub(crate) leader: RefCell<Option<Rc<Leader<P>>>>,
     pub(crate) submit_queue: SubmitQueue,
+    pub(crate) submits: Rc<SubmitsUnderWay>,
     /// Partition to which this node appends jobs.
     pub(crate) partition: Cell<u32>,
     /// Notifies that the scheduler changed or is suspected to have failed.
@@ -130,6 +132,7 @@
             leader: RefCell::default(),
             partition: Cell::new(0),
             submit_queue: SubmitQueue::new(),
+            submits: Rc::default(),
             holder_changed: Notify::new(),
             holder_suspected: Cell::new(false),
             contact_timeout: Cell::default(),
@@ -240,6 +243,7 @@
             readings.longest_silence_ms = counts.longest_silence_ms;
             readings.longest_lease_ms = counts.longest_lease_ms;
             self.metrics.workspaces(&leader.workspace_readings());
+            self.metrics.workspace_rates(&leader.rate_readings());
         }
         self.metrics.page(&readings)
     }
@@ -280,6 +284,7 @@
         if let Some(leader) = node.leader() {
             leader.update_agreed_time();
             leader.apply(Event::Ticked);
+            leader.update_shed_view();
             leader.request_leadership_proof();
             leader.hand_over_if_isolated();
         }
