Relay calls to workers through other nodes

Cause: the scheduler's node holds a connection to each worker for renewals and up to five for orders.

Change: where two connections to each worker would take more than half of the scheduler's descriptors, renewals and orders go through other nodes. `cell::carriers` assigns workers to nodes by rendezvous hashing, without clock or I/O; `leader/worker_calls.rs` is the only place that calls workers; `carrier.rs` makes the calls on the other nodes. Nodes report their descriptor limit and zone with each contact. `PeerClient` makes one connection attempt at a time, so that concurrent first calls share one connection.

Result: cells below that size, or without a known limit, call workers as before. The tests of syc-cell pass, among them a cell of 36 workers on nodes with 128 descriptors that completes its jobs while one carrier is killed and another is frozen, without a second run of a task.

--- a/crates/cell/src/contact.rs
+++ b/crates/cell/src/contact.rs
@@ -18,6 +18,7 @@
 
 use crate::Node;
 use crate::advice_query;
+use crate::carrier;
 use crate::clock::now;
 use crate::clock::pause;
 use crate::log;
@@ -25,6 +26,7 @@
 use crate::ports::Platform;
 use crate::ports::Record;
 use crate::queries;
+use crate::remote_clock::RemoteClock;
 use crate::succession;
 use crate::unreadable::Source;
 
@@ -54,6 +56,7 @@
     answered_at: Cell<Millis>,
     /// Time of that reply on the scheduler's own clock.
     remote_answered_at: Cell<Millis>,
+    remote_clock: Cell<RemoteClock>,
     answers: Cell<bool>,
     /// Consecutive calls without an answer.
     misses: Cell<u32>,
@@ -69,6 +72,7 @@
             append_ms: Cell::new(0),
             answered_at: Cell::new(now()),
             remote_answered_at: Cell::new(Millis(0)),
+            remote_clock: Cell::default(),
             answers: Cell::new(true),
             misses: Cell::new(0),
         })
@@ -89,6 +93,18 @@
         self.append_ms.get()
     }
 
+    /// Returns a time that the scheduler's clock has reached by `now`, or none if it has not told its time.
+    pub(crate) fn scheduler_time(&self, now: Millis) -> Option<Millis> {
+        self.remote_clock.get().earliest(now)
+    }
+
+    fn record_remote_time(&self, remote: Millis) {
+        self.remote_answered_at.set(remote);
+        let mut clock = self.remote_clock.get();
+        clock.record(remote, now());
+        self.remote_clock.set(clock);
+    }
+
     /// Makes a call that the scheduler's node may answer late. A timeout does not reset the link, because it does not
     /// show that the link is broken.
     pub(crate) async fn call_without_reset(
@@ -184,6 +200,8 @@
         heard_at_ms: link.remote_answered_at.get().0,
         predecessor_incarnation: 0,
         elected: None,
+        files_limit: node.settings.files_limit,
+        zone: node.settings.zone.to_string(),
     });
     let timeout_ms = node.settings.timing.contact_timeout_ms;
     let reply = link.call(query, timeout_ms).await;
@@ -207,7 +225,7 @@
         link.answered_at.set(now());
     }
     if let Ok(CellBody::ContactReply(reply)) = &reply {
-        link.remote_answered_at.set(Millis(reply.answered_at_ms));
+        link.record_remote_time(Millis(reply.answered_at_ms));
     }
     // Whether pending records can be relayed may have changed.
     node.submit_queue.decide_soon();
@@ -252,6 +270,7 @@
         CellBody::JobStateQuery(query) => queries::answer_state(node, &query),
         CellBody::PendingQuery(query) => queries::answer_pending(node, &query),
         CellBody::AdviceQuery(query) => advice_query::handle(node, query).await,
+        CellBody::WorkerCall(call) => carrier::handle(node, call).await,
         CellBody::StoredNotice(notice) => {
             let taken = record_stored_notice(node, notice);
             CellBody::NoticeReply(NoticeReply { taken })
--- a/crates/cell/src/leader.rs
+++ b/crates/cell/src/leader.rs
@@ -2,6 +2,7 @@
 
 mod adaptive_timeout;
 mod advice;
+pub mod carriers;
 mod heartbeat;
 mod orders;
 mod progress_writer;
@@ -13,6 +14,7 @@
 mod takeover;
 mod unreadable_jobs;
 mod vms;
+mod worker_calls;
 mod worker_link;
 
 use std::cell::Cell;
@@ -23,6 +25,8 @@
 use std::rc::Rc;
 
 use adaptive_timeout::AdaptiveTimeout;
+use carriers::CarrierLoad;
+use carriers::Carriers;
 use progress_writer::ProgressWriter;
 use sessions::Session;
 use slotmap::SecondaryMap;
@@ -45,6 +49,7 @@
 use syc_workspace::UNLIMITED;
 use tokio::sync::Notify;
 use unreadable_jobs::UnreadableJobs;
+use worker_calls::LineLimit;
 
 use crate::Node;
 use crate::PendingAnswer;
@@ -123,8 +128,13 @@
     advice_nodes: RefCell<AdviceNodes>,
     /// Adaptive slack beyond the expected duration of advice calls.
     advice_timeout: AdaptiveTimeout,
-    /// Clients for the other nodes that can call the advice service.
+    /// Clients for the other nodes, which call the advice service and workers on behalf of this one.
     advice_clients: RefCell<BTreeMap<SmolStr, Rc<PeerClient>>>,
+    /// Nodes through which calls to workers are relayed.
+    carriers: RefCell<Carriers>,
+    carrier_lines: LineLimit,
+    /// Wakes calls through carriers when one is lost.
+    carrier_lost: Notify,
     /// For each jobs partition, when the last read that reached its end was sent.
     jobs_read_at: RefCell<Vec<Millis>>,
     /// Where the store has submits and cancellations of each job; in several places if a submit was
@@ -185,6 +195,9 @@
             advice_nodes: RefCell::new(AdviceNodes::with_local(node.settings.name.clone(), now())),
             advice_timeout: AdaptiveTimeout::default(),
             advice_clients: RefCell::default(),
+            carriers: RefCell::new(Carriers::new(node.settings.files_limit)),
+            carrier_lines: LineLimit::default(),
+            carrier_lost: Notify::new(),
             jobs_read_at: RefCell::new(vec![Millis(0); partitions]),
             records_by_job: RefCell::default(),
             specs_to_remove: RefCell::default(),
@@ -417,6 +430,7 @@
     pub(crate) fn register_peer(&self, contact: &Contact) -> u32 {
         self.peer_heard_at.set(Some(now()));
         self.register_advice_node(contact);
+        self.register_carrier(contact);
         self.note_follower(contact);
         if let Some(day) = reported_anchor(now(), contact.day_ms) {
             let name = SmolStr::from(contact.node.as_str());
@@ -428,6 +442,21 @@
             .remote_nodes_before(&contact.node)
     }
 
+    /// Records that another node can relay calls to workers. One that follows another scheduler would send none of them.
+    fn register_carrier(&self, contact: &Contact) {
+        if contact.token != self.token {
+            return;
+        }
+        let name = SmolStr::from(contact.node.as_str());
+        let mut carriers = self.carriers.borrow_mut();
+        carriers.note_contact(&name, contact.files_limit, &contact.zone, now());
+    }
+
+    /// Returns how many workers are assigned to carriers.
+    pub(crate) fn carrier_load(&self) -> CarrierLoad {
+        self.carriers.borrow().load()
+    }
+
     /// Returns the agreed time of day, which decides when timed jobs are due.
     pub(crate) fn agreed_time(&self) -> AgreedTime {
         self.clock_agreement
--- a/crates/cell/src/leader/orders.rs
+++ b/crates/cell/src/leader/orders.rs
@@ -22,6 +22,7 @@
 use crate::ports::Platform;
 use crate::ports::StartCommand;
 use crate::ports::StopCommand;
+use crate::worker_command::WorkerCommand;
 
 /// Reason for not sending an order when a successor may have been chosen.
 pub(super) const POSSIBLY_SUPERSEDED: SmolStr =
@@ -67,7 +68,7 @@
         let (task, run) = (order.task, order.run);
         let leader = Rc::clone(self);
         actix_rt::spawn(async move {
-            let started = match &command {
+            let started = match command {
                 Some(command) => leader.send_start(&link, command).await,
                 None => Err(OrderError::NotSent(POSSIBLY_SUPERSEDED)),
             };
@@ -75,20 +76,17 @@
         });
     }
 
-    async fn send_start(
-        &self,
-        link: &WorkerLink,
-        command: &StartCommand,
-    ) -> Result<(), OrderError> {
+    async fn send_start(&self, link: &WorkerLink, command: StartCommand) -> Result<(), OrderError> {
         let sent_at = now();
+        let job = command.task.step.job;
+        let command = WorkerCommand::Start(command);
         let min_timeout_ms = self.node.settings.timing.order_timeout_ms;
         let start = async |timeout_ms| {
             self.ensure_active()?;
-            let platform = &self.node.platform;
-            platform.start(&link.address, command, timeout_ms).await
+            self.order_worker(&link.address, &command, timeout_ms).await
         };
         let started = link.send(OrderKind::Start, min_timeout_ms, start).await;
-        self.record_stage(command.task.step.job, Stage::Order, now().since(sent_at));
+        self.record_stage(job, Stage::Order, now().since(sent_at));
         started
     }
 
@@ -182,10 +180,10 @@
         command: PaceCommand,
     ) {
         let min_timeout_ms = self.node.settings.timing.order_timeout_ms;
+        let order = WorkerCommand::Pace(command);
         let pace = async |timeout_ms| {
             self.ensure_active()?;
-            let platform = &self.node.platform;
-            platform.pace(&link.address, &command, timeout_ms).await
+            self.order_worker(&link.address, &order, timeout_ms).await
         };
         let paced = link.send(OrderKind::Control, min_timeout_ms, pace).await;
         let accepted = match paced {
@@ -234,10 +232,10 @@
         command: StopCommand,
     ) {
         let min_timeout_ms = self.node.settings.timing.order_timeout_ms;
+        let order = WorkerCommand::Stop(command);
         let stop = async |timeout_ms| {
             self.ensure_active()?;
-            let platform = &self.node.platform;
-            platform.stop(&link.address, &command, timeout_ms).await
+            self.order_worker(&link.address, &order, timeout_ms).await
         };
         let stopped = link.send(OrderKind::Control, min_timeout_ms, stop).await;
         let accepted = match stopped {
--- a/crates/cell/src/leader/sessions.rs
+++ b/crates/cell/src/leader/sessions.rs
@@ -18,6 +18,7 @@
 use crate::ports::Renewal;
 use crate::ports::WorkerAddress;
 use crate::unreadable::Source;
+use crate::worker_command::WorkerCommand;
 
 /// Maximum time that a renewal waits until previously reported ends are written.
 const WRITE_WAIT_MS: u64 = 150;
@@ -66,6 +67,10 @@
         }));
         // A worker without a known address cannot be queried.
         let has_address = !link.address.address.is_empty();
+        if has_address {
+            let mut carriers = self.carriers.borrow_mut();
+            carriers.add_worker(&spec.id, &spec.zone, now());
+        }
         let session = renew_leases(Rc::clone(self), worker, Rc::clone(&link));
         let session = Session {
             link,
@@ -94,16 +99,27 @@
     }
 
     pub(super) fn detach(&self, worker: WorkerKey) {
-        if let Some(session) = self.sessions.borrow_mut().remove(worker) {
+        let removed = self.sessions.borrow_mut().remove(worker);
+        if let Some(session) = removed {
             let id = session.worker();
             log::worker_listed(id, "detached");
             session.abort();
+            self.remove_from_carriers(id);
             self.node
                 .unreadable
                 .forget(Source::WorkerAnswers, id.as_str());
         }
     }
 
+    /// Ends the assignment of a worker to a carrier, unless another session has the same id: without a start time, all
+    /// incarnations of a worker do.
+    fn remove_from_carriers(&self, id: &WorkerId) {
+        let sessions = self.sessions.borrow();
+        if !sessions.values().any(|session| session.worker() == id) {
+            self.carriers.borrow_mut().remove_worker(id);
+        }
+    }
+
     /// Returns how long the worker may hold a renewal open, waiting for a run to end.
     fn renewal_wait_ms(&self, worker: WorkerKey) -> u64 {
         let default_ms = self.node.settings.timing.renewal_wait_ms;
@@ -175,9 +191,9 @@
         };
         let answer_timeout = &link.answer_timeout;
         let slack_ms = leader.renewal_slack_ms(&link);
-        let platform = &leader.node.platform;
-        let renewed = platform
-            .renew(&link.address, &renewal, wait_ms + slack_ms)
+        let renewal = WorkerCommand::Renew(renewal);
+        let renewed = leader
+            .renew_worker(&link.address, &renewal, wait_ms + slack_ms)
             .await;
         let took_ms = now().since(sent_at);
         match renewed {
--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -9,6 +9,7 @@
 //! `leader` (what the scheduler does), on top of the I/O-free decisions of `syc-sched`.
 
 mod advice_query;
+mod carrier;
 mod claims;
 mod clock;
 pub mod clock_agreement;
@@ -21,12 +22,14 @@
 pub mod ports;
 mod queries;
 pub mod records;
+pub mod remote_clock;
 pub mod roster;
 mod settings;
 mod store_calls;
 mod submit;
 mod succession;
 mod unreadable;
+pub mod worker_command;
 
 pub use clock::WallClock;
 pub use clock::now;
@@ -34,6 +37,7 @@
 pub use configuration::Configuration;
 pub use configuration::Route;
 pub use configuration::SkippedWorkspace;
+pub use leader::carriers;
 pub use node::Node;
 pub use queries::PendingAnswer;
 pub use queries::StateAnswer;
--- a/crates/cell/src/log.rs
+++ b/crates/cell/src/log.rs
@@ -26,6 +26,7 @@
 
 use crate::Configuration;
 use crate::NodeSettings;
+use crate::leader::carriers::CarrierLoad;
 use crate::leader::retry_report::RetryReport;
 use crate::node::Holder;
 use crate::ports::AdviceError;
@@ -343,6 +344,28 @@
         .emit();
 }
 
+pub(crate) fn relaying_changed(
+    relaying: bool,
+    workers: usize,
+    files_limit: u64,
+    load: &CarrierLoad,
+) {
+    Line::new(catalogue::RELAYING_CHANGED)
+        .flag("relaying", relaying)
+        .number("workers", workers)
+        .number("files_limit", files_limit)
+        .number("carriers", load.carriers)
+        .number("relayed_workers", load.workers)
+        .emit();
+}
+
+pub(crate) fn carrier_changed(carrier: &str, usable: bool) {
+    Line::new(catalogue::CARRIER_CHANGED)
+        .text("carrier", carrier)
+        .flag("usable", usable)
+        .emit();
+}
+
 /// Logs a note of the scheduler.
 pub(crate) fn note(note: &Note) {
     match note {
--- a/crates/cell/src/node.rs
+++ b/crates/cell/src/node.rs
@@ -24,6 +24,7 @@
 
 use crate::Configuration;
 use crate::NodeSettings;
+use crate::carrier::RelayedCalls;
 use crate::claims;
 use crate::clock::now;
 use crate::clock::pause;
@@ -101,6 +102,8 @@
     /// Wall-clock time that the scheduler last reported.
     pub(crate) reported_time: Cell<Option<AgreedTime>>,
     pub(crate) unsent_replies: UnsentReplies,
+    /// Calls to workers in progress that this node makes on behalf of the scheduler.
+    pub(crate) relayed_calls: RelayedCalls,
 }
 
 impl<P> Node<P>
@@ -130,6 +133,7 @@
             claim_not_before: Cell::new(started_at),
             reported_time: Cell::new(None),
             unsent_replies: UnsentReplies::default(),
+            relayed_calls: RelayedCalls::default(),
             settings,
         });
         actix_rt::spawn(follow::follow_configuration(Rc::clone(&node)));
@@ -231,6 +235,10 @@
             readings.oldest_doubt_ms = counts.oldest_doubt_ms;
             readings.longest_silence_ms = counts.longest_silence_ms;
             readings.longest_lease_ms = counts.longest_lease_ms;
+            let carried = leader.carrier_load();
+            readings.carriers = carried.carriers;
+            readings.relayed_workers = carried.workers;
+            readings.most_relayed_workers = carried.most_workers;
             self.metrics.workspaces(&leader.workspace_readings());
         }
         self.metrics.page(&readings)
--- a/crates/cell/src/settings.rs
+++ b/crates/cell/src/settings.rs
@@ -35,6 +35,10 @@
     pub partitions: u32,
     /// Bandwidth of the node's link in megabits per second.
     pub link_mbps: f64,
+    /// Maximum number of open files of the process; 0 if unknown.
+    pub files_limit: u64,
+    /// Availability zone of the node; empty if unknown.
+    pub zone: SmolStr,
     /// Interval between heartbeats of a worker.
     pub worker_heartbeat_ms: u64,
     /// Duration of the maintenance of a VM.
--- a/crates/cell/src/succession.rs
+++ b/crates/cell/src/succession.rs
@@ -90,6 +90,7 @@
             heard_at_ms: 0,
             predecessor_incarnation: notice.predecessor_incarnation,
             elected: Some(elected.clone()),
+            ..Contact::default()
         });
         let timeout_ms = node.settings.timing.contact_timeout_ms;
         let reply = contact::call(&client, query, timeout_ms).await;
--- a/crates/cell/tests/cell/cluster.rs
+++ b/crates/cell/tests/cell/cluster.rs
@@ -62,6 +62,7 @@
     clocks: Vec<WallClock>,
     status_ms: u64,
     timing: Timing,
+    files_limit: u64,
     _system: actix_rt::SystemRunner,
 }
 
@@ -84,6 +85,16 @@
         cluster
     }
 
+    /// Starts nodes with this descriptor limit.
+    pub fn start_with_files_limit(nodes: usize, workers: usize, files_limit: u64) -> Self {
+        let mut cluster = Self::start(0, workers);
+        cluster.files_limit = files_limit;
+        for _ in 0..nodes {
+            cluster.add_node();
+        }
+        cluster
+    }
+
     /// Starts nodes with the given link bandwidths, without publishing a configuration.
     pub fn start_unconfigured(links_mbps: &[f64], timing: Timing) -> Self {
         let mut cluster = Self::start_with(0, 1, timing);
@@ -109,6 +120,7 @@
             clocks: Vec::new(),
             status_ms: STATUS_MS,
             timing,
+            files_limit: 0,
             _system: system,
         };
         for _ in 0..nodes {
@@ -135,6 +147,7 @@
         let platform = self.platform.for_node(&node_name(number));
         let timing = self.timing;
         let status_ms = self.status_ms;
+        let files_limit = self.files_limit;
         let arbiter = Arbiter::new();
         arbiter.spawn_fn(move || {
             let peers = TcpListener::bind("127.0.0.1:0").expect("a free port");
@@ -142,6 +155,7 @@
                 timing,
                 status_ms,
                 link_mbps,
+                files_limit,
                 wall_clock: clock,
                 ..settings(number, &peers)
             };
@@ -177,6 +191,12 @@
         receiver.recv_timeout(WAIT_LIMIT).expect("the node answers")
     }
 
+    /// Stops a node's process for a while, as a suspension of its VM does.
+    pub fn freeze(&self, number: usize, time: Duration) {
+        let arbiter = self.nodes[number].as_ref().expect("the node is up");
+        arbiter.spawn_fn(move || std::thread::sleep(time));
+    }
+
     /// Ends a node abruptly.
     pub fn kill(&mut self, number: usize) {
         let arbiter = self.nodes[number].take().expect("the node is up");
@@ -340,6 +360,8 @@
         status_ms: STATUS_MS,
         partitions: 4,
         link_mbps: LINK_MBPS,
+        files_limit: 0,
+        zone: SmolStr::default(),
         worker_heartbeat_ms: 1_500,
         maintenance_ms: 300,
         vm_order_pause_ms: 100,
--- a/crates/cell/tests/cell/fuzz.rs
+++ b/crates/cell/tests/cell/fuzz.rs
@@ -1,12 +1,16 @@
 //! Fuzzes the decoders of records in the store and of frames between nodes.
 
 use bytes::Bytes;
+use syc_cell::ports::OrderError;
 use syc_cell::ports::Record;
 use syc_cell::records;
 use syc_cell::records::DrainsRecord;
 use syc_cell::records::HolderRecord;
 use syc_cell::records::JobRecord;
 use syc_cell::records::RosterRecord;
+use syc_cell::worker_command::RelayedCall;
+use syc_cell::worker_command::read_reply;
+use syc_cell::worker_command::write_reply;
 use syc_fleet::SchedulerHarness;
 use syc_fleet::fuzz::mutated_bytes;
 use syc_fleet::fuzz::mutated_fields;
@@ -19,6 +23,7 @@
 use syc_sched::JobState;
 use syc_sched::Run;
 use syc_sched::Schedule;
+use syc_sched::StartRefusal;
 use syc_sched::StepProgress;
 use syc_sched::StepSpec;
 use syc_sched::UnitProgress;
@@ -42,10 +47,12 @@
 use syc_wire::cell::ContactReply;
 use syc_wire::cell::ElectedScheduler;
 use syc_wire::cell::StoredNotice;
+use syc_wire::worker_call::WorkerCall;
 
 use crate::cluster::job;
 use crate::cluster::step;
 use crate::cluster::worker;
+use crate::relaying;
 
 const JOB: u64 = 0x0a0b_0c0d_0e0f_0001;
 
@@ -281,6 +288,8 @@
             heard_at_ms: 11,
             predecessor_incarnation: 12,
             elected: Some(elected_scheduler()),
+            files_limit: 4_100,
+            zone: "zone".into(),
         }),
         CellBody::ContactReply(ContactReply {
             token: 7,
@@ -308,9 +317,24 @@
             value: Bytes::from_static(b"{}"),
             partition: 3,
         }),
+        CellBody::WorkerCall(WorkerCall::from(&relaying::relayed_start())),
+        CellBody::WorkerCallReply(write_reply(&Ok(relaying::renewed_answer()))),
+        CellBody::WorkerCallReply(write_reply(&Err(OrderError::Refused(StartRefusal::Late)))),
     ];
     let valid = bodies.map(|body| CellMessage::encode_body(body).to_vec());
-    let read = |frame: &[u8]| CellMessage::decode_body(frame).ok();
+    let read = |frame: &[u8]| {
+        let body = CellMessage::decode_body(frame).ok()?;
+        match &body {
+            CellBody::WorkerCall(call) => {
+                let _call = RelayedCall::try_from(call.clone()).ok()?;
+            }
+            CellBody::WorkerCallReply(reply) => {
+                let _answer = read_reply(reply.clone()).ok()?;
+            }
+            _other => {}
+        }
+        Some(body)
+    };
     random_bytes(read);
     mutated_bytes(&valid, read);
     frames_with_an_unknown_field(&valid, read);
--- a/crates/cell/tests/cell/main.rs
+++ b/crates/cell/tests/cell/main.rs
@@ -3,10 +3,12 @@
 //! No test asserts on elapsed time. Tests poll for the expected state and fail only after a timeout that is much longer
 //! than a correct node needs.
 
+mod carriers;
 mod clock_agreement;
 mod clocks;
 mod cluster;
 mod fuzz;
+mod relaying;
 mod roster;
 mod service;
 mod stages;
--- a/crates/fleet/src/shared.rs
+++ b/crates/fleet/src/shared.rs
@@ -50,6 +50,8 @@
     max_starts_in_flight: usize,
     /// Number of renewals sent to each worker.
     renewals: HashMap<WorkerId, u64>,
+    /// Number of calls from each node to each worker.
+    calls: HashMap<(SmolStr, WorkerId), u64>,
 }
 
 impl State {
@@ -76,6 +78,7 @@
             starts_in_flight: HashMap::new(),
             max_starts_in_flight: 0,
             renewals: HashMap::new(),
+            calls: HashMap::new(),
         }
     }
 }
@@ -112,6 +115,13 @@
         self.lock().renewals.get(id).copied().unwrap_or(0)
     }
 
+    /// Returns the number of calls from a node to a worker.
+    #[must_use]
+    pub fn calls_between(&self, node: &str, id: &WorkerId) -> u64 {
+        let link = (SmolStr::new(node), id.clone());
+        self.lock().calls.get(&link).copied().unwrap_or(0)
+    }
+
     /// Registers a worker.
     pub fn register(&self, spec: WorkerSpec) {
         let mut state = self.lock();
--- a/crates/fleet/src/shared/calls.rs
+++ b/crates/fleet/src/shared/calls.rs
@@ -78,6 +78,8 @@
         worker: &WorkerId,
         timeout_ms: u64,
     ) -> Result<(), OrderError> {
+        let link = (self.node.clone(), worker.clone());
+        *self.lock().calls.entry(link).or_default() += 1;
         pause(CALL_MS).await;
         if self.is_silent(worker) {
             pause(timeout_ms).await;
--- a/crates/net/src/peer.rs
+++ b/crates/net/src/peer.rs
@@ -16,6 +16,7 @@
 use futures_util::StreamExt;
 use thiserror::Error;
 use tokio::net::TcpStream;
+use tokio::sync::Mutex;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 use tokio_util::codec::Framed;
@@ -76,6 +77,10 @@
     address: SocketAddr,
     options: PeerOptions,
     link: RefCell<Option<Link>>,
+    /// Serializes connection attempts, so that concurrent calls share one connection.
+    connecting: Mutex<()>,
+    /// Number of connection attempts that failed.
+    failed_attempts: Cell<u64>,
     next_id: Cell<u64>,
     transferred_bytes: Rc<Cell<u64>>,
 }
@@ -88,6 +93,8 @@
             address,
             options,
             link: RefCell::new(None),
+            connecting: Mutex::new(()),
+            failed_attempts: Cell::new(0),
             next_id: Cell::new(1),
             transferred_bytes: Rc::new(Cell::new(0)),
         }
@@ -137,15 +144,31 @@
             .set(self.transferred_bytes.get() + frame_bytes as u64);
     }
 
+    /// Returns the open link, if there is one.
+    fn open_link(&self) -> Option<(mpsc::Sender<Bytes>, PendingCalls)> {
+        let link = self.link.borrow();
+        let link = link.as_ref().filter(|link| !link.outgoing.is_closed())?;
+        Some((link.outgoing.clone(), Rc::clone(&link.pending)))
+    }
+
     async fn connect(&self) -> Result<(mpsc::Sender<Bytes>, PendingCalls), CallError> {
-        if let Some(link) = self.link.borrow().as_ref()
-            && !link.outgoing.is_closed()
-        {
-            return Ok((link.outgoing.clone(), Rc::clone(&link.pending)));
+        if let Some(link) = self.open_link() {
+            return Ok(link);
+        }
+        let failed_before = self.failed_attempts.get();
+        let _connecting = self.connecting.lock().await;
+        if let Some(link) = self.open_link() {
+            return Ok(link);
+        }
+        if self.failed_attempts.get() != failed_before {
+            // Calls that waited for a failed attempt fail with it. If each made its own, the last would wait for the
+            // timeouts of all others.
+            return Err(CallError::NotSent);
         }
         let limit = Duration::from_millis(self.options.connect_timeout_ms);
         let connected = tokio::time::timeout(limit, TcpStream::connect(self.address)).await;
         let Ok(Ok(stream)) = connected else {
+            self.failed_attempts.set(failed_before + 1);
             return Err(CallError::NotSent);
         };
         let _ = stream.set_nodelay(true);
--- a/crates/net/tests/peer.rs
+++ b/crates/net/tests/peer.rs
@@ -74,3 +74,27 @@
     assert_eq!(outcome, Err(CallError::NoReply));
     assert!(cut.get());
 }
+
+/// Calls that begin together must share one connection: a scheduler that relays calls through hundreds of nodes would
+/// otherwise open one for each call.
+#[actix_rt::test]
+async fn concurrent_first_calls_open_one_connection() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("socket");
+    let address = listener.local_addr().expect("address");
+    listener.set_nonblocking(true).expect("socket");
+    let listener = tokio::net::TcpListener::from_std(listener).expect("socket");
+    let client = Rc::new(PeerClient::new(address, PeerOptions::default()));
+    for _ in 0..8 {
+        let client = Rc::clone(&client);
+        actix_rt::spawn(async move { client.call(b"hello", TIMEOUT_MS).await });
+    }
+    let (first, _address) = listener.accept().await.expect("link");
+    let mut received = 0;
+    while received < 8 * (syc_net::FRAME_OVERHEAD_BYTES + 5) {
+        first.readable().await.expect("frames");
+        let mut buffer = [0; 1_024];
+        received += first.try_read(&mut buffer).unwrap_or(0);
+    }
+    let second = tokio::time::timeout(std::time::Duration::ZERO, listener.accept()).await;
+    assert!(second.is_err(), "a second connection was opened");
+}
--- a/crates/obs/src/cell_metrics.rs
+++ b/crates/obs/src/cell_metrics.rs
@@ -87,6 +87,12 @@
     pub worker_connections_opened: u64,
     /// Connections to workers that it did not open, as too many were opened lately.
     pub worker_connections_withheld: u64,
+    /// Nodes that relay calls to workers for this scheduler.
+    pub carriers: usize,
+    /// Workers that they relay for.
+    pub relayed_workers: usize,
+    /// Workers of the one that relays for most.
+    pub most_relayed_workers: u64,
 }
 
 /// Largest number of workspaces whose use is shown.
@@ -112,6 +118,7 @@
     store_times: Histogram<f64>,
     unreadable: Counter<u64>,
     missing_runs: Counter<u64>,
+    worker_calls: Counter<u64>,
     worker_connections: WorkerConnections,
     workspace_cpu: Gauge<f64>,
     gauges: Gauges,
@@ -164,6 +171,11 @@
                 "syc_cell_missing_runs",
                 "Runs treated as ended because no worker held them.",
             ),
+            worker_calls: counter(
+                &meter,
+                "syc_cell_worker_calls",
+                "Calls to workers, by way and result.",
+            ),
             worker_connections: WorkerConnections::new(&meter),
             workspace_cpu: meter
                 .f64_gauge("syc_cell_workspace_cpu_cores")
@@ -211,6 +223,13 @@
         self.missing_runs.add(1, &[KeyValue::new("found", found)]);
     }
 
+    /// Counts a call to a worker: `direct`, `relayed` through another node, or `carried` for the scheduler.
+    pub fn worker_call(&self, way: &'static str, accepted: bool) {
+        let result = if accepted { "ok" } else { "failed" };
+        let labels = [KeyValue::new("way", way), KeyValue::new("result", result)];
+        self.worker_calls.add(1, &labels);
+    }
+
     /// Sets the use of workspaces. Only the first ones are shown.
     pub fn workspaces(&self, readings: &[WorkspaceReading]) {
         for reading in readings.iter().take(WORKSPACES_LIMIT) {
@@ -278,6 +297,9 @@
     jobs: Gauge<u64>,
     tasks: Gauge<u64>,
     workers: Gauge<u64>,
+    carriers: Gauge<u64>,
+    relayed_workers: Gauge<u64>,
+    most_relayed_workers: Gauge<u64>,
     doubtful: Gauge<u64>,
     held_ends: Gauge<u64>,
     oldest_doubt: Gauge<f64>,
@@ -330,6 +352,18 @@
                 "Tasks that wait, and runs that hold room.",
             ),
             workers: gauge("syc_cell_workers", "Workers by state."),
+            carriers: gauge(
+                "syc_cell_carriers",
+                "Nodes that relay calls to workers for this scheduler.",
+            ),
+            relayed_workers: gauge(
+                "syc_cell_relayed_workers",
+                "Workers that other nodes relay calls for.",
+            ),
+            most_relayed_workers: gauge(
+                "syc_cell_most_relayed_workers",
+                "Workers of the node that relays for most.",
+            ),
         }
     }
 
@@ -340,6 +374,11 @@
         self.jobs.record(to_u64(readings.open_jobs), &[]);
         self.doubtful.record(to_u64(readings.doubtful_runs), &[]);
         self.held_ends.record(to_u64(readings.held_ends), &[]);
+        self.carriers.record(to_u64(readings.carriers), &[]);
+        self.relayed_workers
+            .record(to_u64(readings.relayed_workers), &[]);
+        self.most_relayed_workers
+            .record(readings.most_relayed_workers, &[]);
         let times = [
             (&self.oldest_doubt, readings.oldest_doubt_ms),
             (&self.longest_silence, readings.longest_silence_ms),
--- a/crates/obs/src/events.rs
+++ b/crates/obs/src/events.rs
@@ -222,4 +222,8 @@
     WORKSPACE_CHANGED = 756, Info, "workspace changed";
     /// What is counted as occupied is not what the runs occupy.
     USAGE_WRONG = 757, Error, "usage wrong";
+    /// Calls to workers are relayed through other nodes, or no more.
+    RELAYING_CHANGED = 770, Info, "relaying of worker calls changed";
+    /// A node relays no calls for a while since it left some unanswered, or may again.
+    CARRIER_CHANGED = 771, Warn, "carrier changed";
 }
--- a/crates/wire/src/cell.rs
+++ b/crates/wire/src/cell.rs
@@ -1,16 +1,21 @@
-//! Messages between the nodes of a cell: contact with the scheduler, queries to it, calls for advice on its behalf, and
-//! relayed appends.
+//! Messages between the nodes of a cell: contact with the scheduler, queries to it, calls for advice and to workers on
+//! its behalf, and relayed appends.
 
 use bytes::Bytes;
 use prost::Message as _;
 
 use crate::DecodeError;
+use crate::worker_call::WorkerCall;
+use crate::worker_call::WorkerCallReply;
 
 /// A message: a call or its reply.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct CellMessage {
     /// The call or the reply.
-    #[prost(oneof = "CellBody", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12")]
+    #[prost(
+        oneof = "CellBody",
+        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14"
+    )]
     pub body: Option<CellBody>,
 }
 
@@ -53,6 +58,12 @@
     /// Reply to [`CellBody::StoredNotice`].
     #[prost(message, tag = "12")]
     NoticeReply(NoticeReply),
+    /// Asks a node to call a worker on behalf of the scheduler.
+    #[prost(message, tag = "13")]
+    WorkerCall(WorkerCall),
+    /// Reply to [`CellBody::WorkerCall`].
+    #[prost(message, tag = "14")]
+    WorkerCallReply(WorkerCallReply),
 }
 
 /// Reports to the scheduler that a node is alive.
@@ -85,6 +96,13 @@
     /// which ignore it.
     #[prost(message, optional, tag = "8")]
     pub elected: Option<ElectedScheduler>,
+    /// Maximum number of open files of the sender's process; 0 if unknown, and from earlier versions, which relay no
+    /// calls to workers.
+    #[prost(uint64, tag = "9")]
+    pub files_limit: u64,
+    /// Availability zone of the sender; empty if unknown, and from earlier versions.
+    #[prost(string, tag = "10")]
+    pub zone: String,
 }
 
 /// A scheduler that was elected, as it is named to nodes that may be unable to read its claim.
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -11,6 +11,7 @@
 mod message;
 mod request;
 mod state;
+pub mod worker_call;
 
 pub use error::DecodeError;
 pub use job::JobQuery;
