Let nodes with enough descriptors claim the role first

Cause: a node with fewer descriptors than a cell's workers need connections is as likely to become the scheduler as any other.

Change: the scheduler's heartbeats state the number of its workers. A node whose descriptor limit is under four times that number waits 500 ms longer before it claims, in addition to the existing delay of a slow link. A number or limit of 0, as from earlier versions, delays nothing.

--- a/crates/cell/src/claims.rs
+++ b/crates/cell/src/claims.rs
@@ -55,6 +55,8 @@
     configured_at: Option<Millis>,
     /// Time at which the newest record without the `proves` flag was read.
     unproven_seen_at: Option<Millis>,
+    /// Number of workers of the cell that a heartbeat last stated.
+    workers: u64,
 }
 
 /// Follows the claims and heartbeats, and claims the role when there is no scheduler.
@@ -181,6 +183,9 @@
         if read.released {
             self.released_token = token;
         }
+        if read.workers > 0 {
+            self.workers = read.workers;
+        }
         self.heartbeat_seen_at = now();
         self.holder = (!read.released).then_some(Holder {
             node: read.node,
@@ -211,7 +216,8 @@
 {
     let timing = &node.settings.timing;
     let jitter_ms = node.incarnation % timing.claim_jitter_ms.max(1);
-    let delay_ms = node.settings.claim_delay_ms();
+    let files_delay_ms = node.settings.files_claim_delay_ms(claims.workers);
+    let delay_ms = node.settings.claim_delay_ms() + files_delay_ms;
     let heartbeat_timeout_ms = match &claims.holder {
         None => 0,
         // An earlier process of this node held the role, and it has ended.
@@ -271,6 +277,7 @@
         token: 0,
         released: false,
         proves: true,
+        workers: 0,
     });
     let condition = Condition::EndsAt(end);
     match node
--- a/crates/cell/src/leader/heartbeat.rs
+++ b/crates/cell/src/leader/heartbeat.rs
@@ -93,6 +93,7 @@
             token: self.token,
             released,
             proves: true,
+            workers: u64::try_from(self.sessions.borrow().len()).unwrap_or(u64::MAX),
         }
     }
 
--- a/crates/cell/src/records.rs
+++ b/crates/cell/src/records.rs
@@ -86,6 +86,9 @@
     /// learned of the job.
     #[serde(default)]
     pub proves: bool,
+    /// Number of workers that the holder is connected to; 0 in claims, and from earlier versions.
+    #[serde(default)]
+    pub workers: u64,
 }
 
 /// Workers that may run tasks of a scheduler.
--- a/crates/cell/src/settings.rs
+++ b/crates/cell/src/settings.rs
@@ -10,6 +10,10 @@
 /// before other nodes suspect it to have failed.
 const FAST_LINK_MBPS: f64 = 100.0;
 
+/// Descriptors for each worker with which a node can be the scheduler without other nodes' help: with two connections to
+/// each, half of them remain.
+const FILES_PER_WORKER: u64 = 4;
+
 /// Minimum number of jobs partitions, so that up to this many nodes each have their own. The scheduler reads all of
 /// them.
 const MIN_JOB_PARTITIONS: u32 = 32;
@@ -70,6 +74,8 @@
     /// Additional election timeout of a node with a slow link. It is several times what another node needs to claim
     /// the role and have its claim read.
     pub slow_link_claim_delay_ms: u64,
+    /// Additional election timeout of a node with few descriptors for the cell's workers.
+    pub few_files_claim_delay_ms: u64,
     /// Interval between a node's contacts to the scheduler.
     pub contact_interval_ms: u64,
     /// A contact that is not answered within this time counts as missed.
@@ -121,6 +127,7 @@
             suspected_heartbeat_timeout_ms: 550,
             claim_jitter_ms: 90,
             slow_link_claim_delay_ms: 500,
+            few_files_claim_delay_ms: 500,
             contact_interval_ms: 150,
             contact_timeout_ms: 200,
             probe_interval_ms: 100,
@@ -163,6 +170,18 @@
         }
     }
 
+    /// Returns the delay that lets nodes with more descriptors claim first, in a cell with this many workers.
+    ///
+    /// A new scheduler calls the workers itself until it has heard of nodes that can relay its calls.
+    #[must_use]
+    pub const fn files_claim_delay_ms(&self, workers: u64) -> u64 {
+        if self.files_limit > 0 && self.files_limit < workers.saturating_mul(FILES_PER_WORKER) {
+            self.timing.few_files_claim_delay_ms
+        } else {
+            0
+        }
+    }
+
     /// Returns the number of partitions over which nodes distribute the jobs that they store.
     ///
     /// A partition handles one append at a time. With one partition for each of a few dozen nodes, a submit waits
--- a/crates/cell/tests/cell/fuzz.rs
+++ b/crates/cell/tests/cell/fuzz.rs
@@ -261,6 +261,7 @@
         token: 7,
         released: false,
         proves: true,
+        workers: 3_000,
     };
     fuzz(&values([records::holder(&holder)]), |value| {
         serde_json::from_slice::<HolderRecord>(value).ok()
--- a/crates/cell/tests/cell/takeover.rs
+++ b/crates/cell/tests/cell/takeover.rs
@@ -7,6 +7,7 @@
 use syc_cell::Timing;
 use syc_cell::now;
 use syc_cell::ports::Topic;
+use syc_cell::records::HolderRecord;
 use syc_fleet::SharedFaults;
 use syc_sched::JobSpec;
 use syc_sched::JobState;
@@ -143,6 +144,29 @@
     assert!(low_bandwidth.claim_delay_ms() > 2 * latest_high_bandwidth_claim_ms);
 }
 
+/// A scheduler without descriptors for its workers can neither be reached nor order anything.
+#[test]
+fn a_node_with_few_descriptors_lets_others_claim_first() {
+    let peers = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let with_limit = |files_limit| NodeSettings {
+        files_limit,
+        ..settings(0, &peers)
+    };
+    let small = with_limit(4_100);
+    let latest_other_claim_ms = 2 * small.timing.claim_jitter_ms;
+    assert!(small.files_claim_delay_ms(1_026) > latest_other_claim_ms);
+    assert_eq!(small.files_claim_delay_ms(1_025), 0);
+    assert_eq!(with_limit(0).files_claim_delay_ms(3_000), 0);
+}
+
+/// Heartbeats of earlier versions do not state the number of workers, and delay no claim.
+#[test]
+fn a_heartbeat_without_a_number_of_workers_states_none() {
+    let earlier = r#"{"node":"n","address":"a","incarnation":1,"token":2,"proves":true}"#;
+    let read: HolderRecord = serde_json::from_str(earlier).expect("a valid record");
+    assert_eq!(read.workers, 0);
+}
+
 /// All nodes wait for the first configuration. If a node with low bandwidth could claim the role as
 /// early as the others when it arrives, its reads and writes as the scheduler would take several
 /// times as long as the store needs.
