Let idle workers hold renewals open for two seconds where calls are relayed

Cause: an idle worker is asked for a renewal each second.

Change: a worker whose latest report is empty, and to which no order is under way, is asked to hold a renewal open for 2,000 ms in place of 1,000 ms, the longest that workers allow. Ends are still reported at once, and orders are calls of their own.

Result: a test that such renewals ask for 2,000 ms where calls are relayed, and for at most 1,000 ms elsewhere. The saved calls were not measured.

--- a/crates/cell/src/leader/sessions.rs
+++ b/crates/cell/src/leader/sessions.rs
@@ -26,6 +26,10 @@
 /// Backoff after a failed renewal; it doubles up to the limit.
 const RETRY_MS: u64 = 60;
 
+/// How long a worker that runs nothing holds a renewal open where calls are relayed: the longest that workers allow.
+/// Ends and starts are noticed as before, since a worker with an end answers at once and orders are calls of their own.
+const IDLE_WAIT_MS: u64 = 2_000;
+
 /// Maximum backoff after failed renewals.
 const MAX_RETRY_MS: u64 = 400;
 
@@ -121,8 +125,13 @@
     }
 
     /// Returns how long the worker may hold a renewal open, waiting for a run to end.
-    fn renewal_wait_ms(&self, worker: WorkerKey) -> u64 {
+    fn renewal_wait_ms(&self, worker: WorkerKey, link: &WorkerLink) -> u64 {
         let default_ms = self.node.settings.timing.renewal_wait_ms;
+        let default_ms = if link.is_idle() && self.carriers.borrow().is_relaying() {
+            default_ms.max(IDLE_WAIT_MS)
+        } else {
+            default_ms
+        };
         self.scheduler.borrow().renewal_wait_ms(worker, default_ms)
     }
 
@@ -176,7 +185,7 @@
         let lease_until_ms = lease_from.and_then(|from| link.lease_until_ms(from, lease_ms));
         let may_wait = is_answering && !has_unwritten;
         let wait_ms = if may_wait {
-            leader.renewal_wait_ms(worker)
+            leader.renewal_wait_ms(worker, &link)
         } else {
             0
         };
@@ -208,6 +217,7 @@
                     &renewed.skipped,
                 );
                 link.record_clock(renewed.clock_ms);
+                link.record_report(&renewed.report);
                 leader.apply(Event::Renewed {
                     worker,
                     sent_at,
--- a/crates/cell/src/leader/worker_link.rs
+++ b/crates/cell/src/leader/worker_link.rs
@@ -5,6 +5,7 @@
 
 use smol_str::SmolStr;
 use syc_sched::ClockReading;
+use syc_sched::WorkerReport;
 use syc_types::Millis;
 use tokio::sync::Semaphore;
 use tokio::sync::SemaphorePermit;
@@ -43,6 +44,8 @@
     pub(super) answer_timeout: AdaptiveTimeout,
     /// Last reading of the worker's clock.
     clock: Cell<Option<ClockReading>>,
+    /// Whether the latest report lists neither runs nor ends.
+    has_empty_report: Cell<bool>,
     starts: Semaphore,
     controls: Semaphore,
 }
@@ -53,6 +56,7 @@
             address,
             answer_timeout: AdaptiveTimeout::default(),
             clock: Cell::new(None),
+            has_empty_report: Cell::new(false),
             starts: Semaphore::new(MAX_CONCURRENT_STARTS),
             controls: Semaphore::new(MAX_CONCURRENT_CONTROLS),
         }
@@ -66,6 +70,17 @@
         }));
     }
 
+    /// Records whether a report lists neither runs nor ends.
+    pub(super) fn record_report(&self, report: &WorkerReport) {
+        let is_empty = report.running.is_empty() && report.ended.is_empty();
+        self.has_empty_report.set(is_empty);
+    }
+
+    /// Returns whether the worker runs nothing as far as is known.
+    pub(super) fn is_idle(&self) -> bool {
+        self.has_empty_report.get() && self.orders_in_flight() == 0
+    }
+
     /// Returns whether the worker's clock has been read.
     pub(super) const fn has_clock_reading(&self) -> bool {
         self.clock.get().is_some()
--- a/crates/cell/tests/cell/relaying.rs
+++ b/crates/cell/tests/cell/relaying.rs
@@ -452,3 +452,18 @@
     }
     assert_eq!(pair.carried(), before);
 }
+
+/// Renewals of thousands of idle workers are most of a carrier's calls.
+#[test]
+fn idle_workers_hold_renewals_longer_only_where_calls_are_relayed() {
+    let relaying = Cluster::start_with_files_limit(3, WORKERS, FILES_LIMIT);
+    let wait_ms = |cluster: &Cluster| cluster.platform.longest_wait_ms(&worker(0).id);
+    relaying.wait("a long renewal", || {
+        (wait_ms(&relaying) == 2_000).then_some(())
+    });
+    let usual = Cluster::start(1, 1);
+    let node = usual.scheduler();
+    usual.submit(node, 1, vec![step(2, 20)]);
+    usual.wait_for_state(node, 1, JobState::Completed);
+    assert!(wait_ms(&usual) <= 1_000);
+}
--- a/crates/fleet/src/shared.rs
+++ b/crates/fleet/src/shared.rs
@@ -50,6 +50,8 @@
     max_starts_in_flight: usize,
     /// Number of renewals sent to each worker.
     renewals: HashMap<WorkerId, u64>,
+    /// Longest wait that a renewal asked of each worker.
+    longest_waits_ms: HashMap<WorkerId, u64>,
     /// Number of calls from each node to each worker.
     calls: HashMap<(SmolStr, WorkerId), u64>,
 }
@@ -78,6 +80,7 @@
             starts_in_flight: HashMap::new(),
             max_starts_in_flight: 0,
             renewals: HashMap::new(),
+            longest_waits_ms: HashMap::new(),
             calls: HashMap::new(),
         }
     }
@@ -115,6 +118,13 @@
         self.lock().renewals.get(id).copied().unwrap_or(0)
     }
 
+    /// Returns the longest wait that a renewal asked of a worker.
+    #[must_use]
+    pub fn longest_wait_ms(&self, id: &WorkerId) -> u64 {
+        let state = self.lock();
+        state.longest_waits_ms.get(id).copied().unwrap_or(0)
+    }
+
     /// Returns the number of calls from a node to a worker.
     #[must_use]
     pub fn calls_between(&self, node: &str, id: &WorkerId) -> u64 {
--- a/crates/fleet/src/shared/calls.rs
+++ b/crates/fleet/src/shared/calls.rs
@@ -27,6 +27,14 @@
         }
     }
 
+    /// Counts a renewal and records the wait that it asks for.
+    pub(super) fn note_renewal(&self, worker: &WorkerId, wait_ms: u64) {
+        let mut state = self.lock();
+        *state.renewals.entry(worker.clone()).or_default() += 1;
+        let longest_ms = state.longest_waits_ms.entry(worker.clone()).or_default();
+        *longest_ms = (*longest_ms).max(wait_ms);
+    }
+
     /// Returns whether the next read of a full partition is never answered, and counts it.
     pub(super) fn take_unanswered_read(&self) -> bool {
         let faults = &mut self.lock().faults;
--- a/crates/fleet/src/shared/ports.rs
+++ b/crates/fleet/src/shared/ports.rs
@@ -204,7 +204,7 @@
         renewal: &Renewal,
         timeout_ms: u64,
     ) -> Result<RenewalReply, OrderError> {
-        *self.lock().renewals.entry(worker.id.clone()).or_default() += 1;
+        self.note_renewal(&worker.id, renewal.wait_ms);
         self.reach_worker(&worker.id, timeout_ms).await?;
         let began = now();
         let until = began.plus(renewal.wait_ms);
