--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -9,6 +9,7 @@
 //! `leader` (what the scheduler does), on top of the I/O-free decisions of `syc-sched`.
 
 mod advice_query;
+mod carrier;
 mod claims;
 mod clock;
 pub mod clock_agreement;
@@ -21,6 +22,7 @@
 pub mod ports;
 mod queries;
 pub mod records;
+pub mod remote_clock;
 pub mod roster;
 mod settings;
 pub mod shedding;
@@ -29,6 +31,7 @@
 mod submit_shedding;
 mod succession;
 mod unreadable;
+pub mod worker_command;
 
 pub use clock::WallClock;
 pub use clock::now;
@@ -36,6 +39,7 @@
 pub use configuration::Configuration;
 pub use configuration::Route;
 pub use configuration::SkippedWorkspace;
+pub use leader::carriers;
 pub use node::Node;
 pub use queries::PendingAnswer;
 pub use queries::StateAnswer;
--- a/crates/cell/src/succession.rs
+++ b/crates/cell/src/succession.rs
@@ -102,6 +102,7 @@
             heard_at_ms: 0,
             predecessor_incarnation: notice.predecessor_incarnation,
             elected: Some(elected.clone()),
+            ..Contact::default()
         });
         let timeout_ms = NOTICE_TIMEOUT_MS;
         let reply = contact::call(&client, query, timeout_ms).await;
--- a/crates/cell/tests/cell/main.rs
+++ b/crates/cell/tests/cell/main.rs
@@ -3,12 +3,14 @@
 //! No test asserts on elapsed time. Tests poll for the expected state and fail only after a timeout that is much longer
 //! than a correct node needs.
 
+mod carriers;
 mod clock_agreement;
 mod clocks;
 mod cluster;
 mod fake_scheduler;
 mod fuzz;
 mod rejections;
+mod relaying;
 mod roster;
 mod service;
 mod shedding;
