Learn the speeds of workers and the durations of runs, and place by them

Cause: a quarter of the workers may permanently run at less than half of the others' speed, 3% of the runs take seven times as long, and estimates are off by up to half. Placement went by best fit and took estimates as they are.

Change: `speed` estimates a relative speed for each worker from pairs of runs of the same step, `durations` keeps the ratio of actual to estimated run time by queue and step position, and `speed_placement` orders the workers that fit where at least three are known to be slow. Gangs wait for fast workers only while they end in time on them. `slowness` regards a slow worker's own speed. `Options::placement_by_speed` switches this off. The fleet model has a speed for each worker; the slowest member decides when a gang completes.

Evenly fast workers are served exactly as by best fit.

--- a/crates/cell/src/leader.rs
+++ b/crates/cell/src/leader.rs
@@ -37,6 +37,7 @@
 use syc_sched::JobId;
 use syc_sched::Options;
 use syc_sched::Scheduler;
+use syc_sched::SpeedCounts;
 use syc_sched::WorkerKey;
 use syc_sched::clock_drift_ms;
 use syc_types::Millis;
@@ -396,6 +397,20 @@
         self.scheduler.borrow().counts(now())
     }
 
+    /// Returns the number of workers by learned speed.
+    pub(crate) fn speed_counts(&self) -> SpeedCounts {
+        self.scheduler.borrow().speed_counts(now())
+    }
+
+    /// Returns the median error of the predicted run times by queue, in thousandths.
+    pub(crate) fn duration_errors(&self) -> Vec<(String, u64)> {
+        let errors = self.scheduler.borrow().duration_errors();
+        let named = errors.into_iter();
+        named
+            .map(|(queue, error)| (queue.to_string(), error))
+            .collect()
+    }
+
     /// Returns what the workspaces have running.
     pub(crate) fn workspace_readings(&self) -> Vec<WorkspaceReading> {
         let usages = self.scheduler.borrow().workspace_usage();
--- a/crates/cell/src/log/workers.rs
+++ b/crates/cell/src/log/workers.rs
@@ -21,6 +21,12 @@
             .number("steps", *steps)
             .display("least_step", least)
             .number("least_percent", *least_percent),
+        WorkerNote::SpeedChanged {
+            is_slow,
+            speed_percent,
+        } => Line::new(catalogue::WORKER_SPEED)
+            .flag("slow", *is_slow)
+            .number("speed_percent", *speed_percent),
         WorkerNote::Lost {
             reason,
             silent_ms,
--- a/crates/cell/src/node.rs
+++ b/crates/cell/src/node.rs
@@ -231,6 +231,12 @@
             readings.oldest_doubt_ms = counts.oldest_doubt_ms;
             readings.longest_silence_ms = counts.longest_silence_ms;
             readings.longest_lease_ms = counts.longest_lease_ms;
+            let speeds = leader.speed_counts();
+            readings.normal_speed_workers = speeds.normal;
+            readings.slow_workers = speeds.slow;
+            readings.unknown_speed_workers = speeds.unknown;
+            readings.longest_slow_ms = speeds.longest_slow_ms;
+            self.metrics.duration_errors(&leader.duration_errors());
             self.metrics.workspaces(&leader.workspace_readings());
         }
         self.metrics.page(&readings)
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -385,10 +385,11 @@
         self.expire_leases(now);
         self.end_stopped(now);
         self.end_incomplete_gangs(now);
-        let complete = self.complete_gangs();
+        let slowest = self.slowest_members();
         let mut finished = Vec::new();
         for worker in self.workers.values_mut() {
             let interfering_cpu_millis = worker.interfering_cpu_millis();
+            let speed_percent = worker.speed_percent;
             for (task, live) in &mut worker.runs {
                 if live.interference.exceeds_tail_limit(
                     &self.tail_latencies,
@@ -397,15 +398,17 @@
                 ) {
                     self.checker.tail_latency_exceeded(*task);
                 }
-                let waits = live.gang && !complete.contains(&(task.step, live.run));
+                let slowest_member = slowest.get(&(task.step, live.run));
+                let waits = live.gang && slowest_member.is_none();
                 if waits || live.stop_done_at.is_some() {
                     continue;
                 }
                 let worked_ms = passed_ms.min(now.since(live.started_at));
-                live.work_done_ms += worked_ms * u64::from(live.interference.pace_percent)
-                    / u64::from(FULL_SPEED_PERCENT);
-                // The first member's progress decides when the gang completes.
-                let decides = !live.gang || task.index == 0;
+                live.work_done_ms +=
+                    worked_ms * speed_percent * u64::from(live.interference.pace_percent)
+                        / u64::from(FULL_SPEED_PERCENT).pow(2);
+                // The progress of the slowest member decides when the gang completes, the first one among equals.
+                let decides = !live.gang || slowest_member == Some(&(speed_percent, task.index));
                 if decides && live.work_done_ms >= live.plan.work_ms {
                     finished.push((worker.id.clone(), *task, live.run, live.gang));
                 }
--- a/crates/fleet/src/fleet/ends.rs
+++ b/crates/fleet/src/fleet/ends.rs
@@ -101,6 +101,24 @@
         complete
     }
 
+    /// Returns the speed in percent and the index of the slowest member of each gang whose members are all running.
+    pub(super) fn slowest_members(&self) -> BTreeMap<(StepId, Run), (u64, u32)> {
+        let complete = self.complete_gangs();
+        let mut slowest = BTreeMap::new();
+        for worker in self.workers.values() {
+            for (task, live) in worker.runs.iter().filter(|(_, live)| live.gang) {
+                let gang = (task.step, live.run);
+                if !complete.contains(&gang) {
+                    continue;
+                }
+                let member = (worker.speed_percent, task.index);
+                let so_far = slowest.entry(gang).or_insert(member);
+                *so_far = member.min(*so_far);
+            }
+        }
+        slowest
+    }
+
     /// Returns the workers of each running gang that has members on several workers.
     #[must_use]
     pub fn spread_gangs(&self) -> Vec<BTreeSet<WorkerId>> {
--- a/crates/fleet/src/worker.rs
+++ b/crates/fleet/src/worker.rs
@@ -33,6 +33,8 @@
     pub(crate) previous_capacities: Vec<(Resources, Millis)>,
     /// Rate by which the worker's clock is slow, in thousandths.
     pub clock_slow_per_mille: u64,
+    /// Speed of its runs, in percent of the nominal one.
+    pub speed_percent: u64,
     pub(crate) token: u64,
     pub(crate) lease_until_ms: u64,
     pub(crate) runs: BTreeMap<TaskId, LiveRun>,
@@ -73,6 +75,7 @@
             capacity,
             previous_capacities: Vec::new(),
             clock_slow_per_mille,
+            speed_percent: 100,
             token: 0,
             lease_until_ms: 0,
             runs: BTreeMap::new(),
@@ -99,6 +102,7 @@
     pub fn restarted(&self, now: Millis) -> Self {
         Self {
             started_at: now,
+            speed_percent: self.speed_percent,
             ..Self::new(self.id.clone(), self.capacity, self.clock_slow_per_mille)
         }
     }
--- a/crates/obs/src/cell_metrics.rs
+++ b/crates/obs/src/cell_metrics.rs
@@ -71,6 +71,14 @@
     pub runs: usize,
     /// Workers that may get work.
     pub usable_workers: usize,
+    /// Workers whose learned speed is about that of the median worker, or higher.
+    pub normal_speed_workers: usize,
+    /// Workers that are permanently slow.
+    pub slow_workers: usize,
+    /// Workers about whose speed too little is known.
+    pub unknown_speed_workers: usize,
+    /// Longest time for which a worker has been permanently slow.
+    pub longest_slow_ms: u64,
     /// Workers that do not answer.
     pub silent_workers: usize,
     /// Tasks and gangs whose end is held while a later start of them may be carried out.
@@ -92,6 +100,9 @@
 /// Largest number of workspaces whose use is shown.
 const WORKSPACES_LIMIT: usize = 100;
 
+/// Largest number of queues whose prediction errors are shown.
+const QUEUES_LIMIT: usize = 100;
+
 /// What a workspace has running, in thousandths of a core.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct WorkspaceReading {
@@ -114,6 +125,7 @@
     missing_runs: Counter<u64>,
     worker_connections: WorkerConnections,
     workspace_cpu: Gauge<f64>,
+    duration_error: Gauge<f64>,
     gauges: Gauges,
 }
 
@@ -169,6 +181,10 @@
                 .f64_gauge("syc_cell_workspace_cpu_cores")
                 .with_description("Processor time that workspaces have running, and their caps.")
                 .build(),
+            duration_error: meter
+                .f64_gauge("syc_cell_duration_error_ratio")
+                .with_description("Median error of the predicted run times, by queue.")
+                .build(),
             gauges: Gauges::new(&meter),
             exporter,
         }
@@ -221,6 +237,15 @@
         }
     }
 
+    /// Sets the median error of the predicted run times of queues, in thousandths. Only the first ones are shown.
+    pub fn duration_errors(&self, errors: &[(String, u64)]) {
+        for (queue, error_permille) in errors.iter().take(QUEUES_LIMIT) {
+            let labels = [KeyValue::new("queue", queue.clone())];
+            self.duration_error
+                .record(from_thousandths(*error_permille), &labels);
+        }
+    }
+
     fn workspace_cores(&self, workspace: &str, kind: &'static str, cpu_millis: u64) {
         let labels = [
             KeyValue::new("workspace", workspace.to_owned()),
@@ -278,6 +303,8 @@
     jobs: Gauge<u64>,
     tasks: Gauge<u64>,
     workers: Gauge<u64>,
+    workers_by_speed: Gauge<u64>,
+    longest_slow: Gauge<f64>,
     doubtful: Gauge<u64>,
     held_ends: Gauge<u64>,
     oldest_doubt: Gauge<f64>,
@@ -330,6 +357,11 @@
                 "Tasks that wait, and runs that hold room.",
             ),
             workers: gauge("syc_cell_workers", "Workers by state."),
+            workers_by_speed: gauge("syc_cell_workers_by_speed", "Workers by learned speed."),
+            longest_slow: time(
+                "syc_cell_longest_slow",
+                "Longest time for which a worker has been permanently slow.",
+            ),
         }
     }
 
@@ -344,6 +376,7 @@
             (&self.oldest_doubt, readings.oldest_doubt_ms),
             (&self.longest_silence, readings.longest_silence_ms),
             (&self.longest_lease, readings.longest_lease_ms),
+            (&self.longest_slow, readings.longest_slow_ms),
         ];
         for (gauge, time_ms) in times {
             gauge.record(to_seconds(time_ms), &[]);
@@ -362,6 +395,15 @@
         for (state, count) in workers {
             self.workers.record(count, &[KeyValue::new("state", state)]);
         }
+        let by_speed = [
+            ("unknown", readings.unknown_speed_workers),
+            ("normal", readings.normal_speed_workers),
+            ("slow", readings.slow_workers),
+        ];
+        for (class, count) in by_speed {
+            let labels = [KeyValue::new("class", class)];
+            self.workers_by_speed.record(to_u64(count), &labels);
+        }
     }
 }
 
--- a/crates/obs/src/events.rs
+++ b/crates/obs/src/events.rs
@@ -222,4 +222,6 @@
     WORKSPACE_CHANGED = 756, Info, "workspace changed";
     /// What is counted as occupied is not what the runs occupy.
     USAGE_WRONG = 757, Error, "usage wrong";
+    /// A worker is permanently slower than most, or no longer is.
+    WORKER_SPEED = 764, Info, "learned speed of worker changed";
 }
--- a/crates/sched/src/advice.rs
+++ b/crates/sched/src/advice.rs
@@ -156,6 +156,14 @@
             .max(self.options.gang_advice_workers)
             .min(MAX_WORKERS_PER_CALL)
             .max(self.gang_call_size(job, step));
+        if self.gang_avoids_slow(job, step, now) {
+            // Slow workers are named only as far as there are not enough others.
+            for (fitting, key) in &mut unknown {
+                if self.is_slow_worker(*key) {
+                    *fitting = 0;
+                }
+            }
+        }
         let picked = largest_capacity(unknown, count, self.step_id(job, step));
         self.request_advice(job, step, policy, &picked, now);
     }
--- a/crates/sched/src/gang.rs
+++ b/crates/sched/src/gang.rs
@@ -26,7 +26,7 @@
 }
 
 /// Number of gang members that a worker can run.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 struct Offer {
     worker: WorkerKey,
     free: u32,
@@ -53,7 +53,7 @@
             return;
         }
         let candidates = self.gang_candidates(job_key, step_index, now);
-        let Some(plan) = self.plan_gang(job_key, step_index, &candidates) else {
+        let Some(plan) = self.plan_gang(job_key, step_index, &candidates, now) else {
             // Ending runs free capacity, so more workers are queried only if that cannot suffice.
             if !self.has_capacity_for_gang(job_key, step_index, &candidates) {
                 self.request_gang_advice(job_key, step_index, now);
@@ -166,13 +166,14 @@
         job_key: JobKey,
         step_index: usize,
         candidates: &[WorkerKey],
+        now: Millis,
     ) -> Option<Plan> {
         if self.jobs[job_key].steps[step_index].spec.same_rack
-            && let Some(plan) = self.plan_in_one_rack(job_key, step_index, candidates)
+            && let Some(plan) = self.plan_in_one_rack(job_key, step_index, candidates, now)
         {
             return Some(plan);
         }
-        self.plan_on(job_key, step_index, candidates)
+        self.plan_on(job_key, step_index, candidates, now)
     }
 
     fn plan_in_one_rack(
@@ -180,6 +181,7 @@
         job_key: JobKey,
         step_index: usize,
         candidates: &[WorkerKey],
+        now: Millis,
     ) -> Option<Plan> {
         let mut racks: Vec<_> = candidates
             .iter()
@@ -193,7 +195,7 @@
                 .copied()
                 .filter(|key| self.workers[*key].spec.rack == *rack)
                 .collect();
-            let plan = self.plan_on(job_key, step_index, &inside);
+            let plan = self.plan_on(job_key, step_index, &inside, now);
             if plan.is_some() {
                 return plan;
             }
@@ -206,31 +208,43 @@
         job_key: JobKey,
         step_index: usize,
         candidates: &[WorkerKey],
+        now: Millis,
     ) -> Option<Plan> {
-        let tasks = self.jobs[job_key].steps[step_index].spec.tasks;
-        let mut offers = self.offers(job_key, step_index, candidates);
-        let free: u32 = offers.iter().map(|offer| offer.free).sum();
-        let all: u32 = offers.iter().map(|offer| offer.with_preemption).sum();
-        if all < tasks {
-            return None;
+        let spec = &self.jobs[job_key].steps[step_index].spec;
+        let tasks = spec.tasks;
+        let offers = self.offers(job_key, step_index, candidates);
+        let has_slow = candidates.iter().any(|key| self.is_slow_worker(*key));
+        if !has_slow || !self.places_by_speed() || spec.long_running {
+            return plan_offers(tasks, offers);
         }
-        // Using few workers with much free capacity minimises the risk that the gang loses one.
-        offers.sort_by_key(|offer| std::cmp::Reverse((offer.free, offer.with_preemption)));
-        let preempts = free < tasks;
-        let mut left = tasks;
-        let mut workers = Vec::new();
-        for offer in &offers {
-            let count = offer.free.min(left);
-            left -= count;
-            workers.push((offer.worker, count));
+        let (slow, fast): (Vec<_>, Vec<_>) = offers
+            .into_iter()
+            .partition(|offer| self.is_slow_worker(offer.worker));
+        if free_members(&fast) >= tasks {
+            return plan_offers(tasks, fast);
         }
-        for (offer, (_, count)) in offers.iter().zip(&mut workers) {
-            let more = (offer.with_preemption - offer.free).min(left);
-            left -= more;
-            *count += more;
+        let avoids_slow = self.gang_avoids_slow(job_key, step_index, now);
+        if !avoids_slow && free_members(&slow) >= tasks {
+            return plan_offers(tasks, slow);
         }
-        workers.retain(|(_, count)| *count > 0);
-        Some(Plan { workers, preempts })
+        if avoids_slow && self.ends_in_time_on_fast(job_key, step_index, now) {
+            let could_hold = self.fast_members(job_key, step_index, candidates) >= tasks;
+            let plan = plan_offers(tasks, fast.clone());
+            if plan.is_some() || could_hold {
+                return plan;
+            }
+        }
+        plan_offers(tasks, [fast, slow].concat())
+    }
+
+    /// Returns how many members of a gang the candidates that are not slow could run if they were idle.
+    fn fast_members(&self, job_key: JobKey, step_index: usize, candidates: &[WorkerKey]) -> u32 {
+        let spec = &self.jobs[job_key].steps[step_index].spec;
+        let need = spec.reserved_resources();
+        let limit = spec.max_tasks_per_worker();
+        let fast = candidates.iter().filter(|key| !self.is_slow_worker(**key));
+        let members = fast.map(|key| fit_count(&self.workers[*key].spec.capacity, &need, limit));
+        members.fold(0, u32::saturating_add)
     }
 
     fn offers(&self, job_key: JobKey, step_index: usize, candidates: &[WorkerKey]) -> Vec<Offer> {
@@ -282,3 +296,34 @@
         }
     }
 }
+
+/// Returns the number of gang members for which there is room without preemption.
+fn free_members(offers: &[Offer]) -> u32 {
+    offers.iter().map(|offer| offer.free).sum()
+}
+
+/// Distributes the members of a gang over the workers that offer room, or returns `None` if there is not enough.
+fn plan_offers(tasks: u32, mut offers: Vec<Offer>) -> Option<Plan> {
+    let free = free_members(&offers);
+    let all: u32 = offers.iter().map(|offer| offer.with_preemption).sum();
+    if all < tasks {
+        return None;
+    }
+    // Using few workers with much free capacity minimises the risk that the gang loses one.
+    offers.sort_by_key(|offer| std::cmp::Reverse((offer.free, offer.with_preemption)));
+    let preempts = free < tasks;
+    let mut left = tasks;
+    let mut workers = Vec::new();
+    for offer in &offers {
+        let count = offer.free.min(left);
+        left -= count;
+        workers.push((offer.worker, count));
+    }
+    for (offer, (_, count)) in offers.iter().zip(&mut workers) {
+        let more = (offer.with_preemption - offer.free).min(left);
+        left -= more;
+        *count += more;
+    }
+    workers.retain(|(_, count)| *count > 0);
+    Some(Plan { workers, preempts })
+}
--- a/crates/sched/src/job.rs
+++ b/crates/sched/src/job.rs
@@ -28,6 +28,7 @@
 use crate::progress::StepProgress;
 use crate::progress::UnitProgress;
 use crate::retention::EndStamp;
+use crate::speed::StepTimes;
 use crate::unit::Unit;
 use crate::unit::UnitState;
 
@@ -79,6 +80,8 @@
     pub(crate) capped_since: Option<Millis>,
     /// Since when its next unit has waited for the cap, or for room and advice after that.
     pub(crate) claims_since: Option<Millis>,
+    /// Run times of its tasks, with which others of them are compared.
+    pub(crate) run_times: StepTimes,
 }
 
 impl Step {
@@ -97,6 +100,7 @@
             wait_log_count: 0,
             capped_since: None,
             claims_since: None,
+            run_times: StepTimes::default(),
         }
     }
 
--- a/crates/sched/src/note.rs
+++ b/crates/sched/src/note.rs
@@ -170,6 +170,13 @@
         /// Slowdown of that step, in percent.
         least_percent: u64,
     },
+    /// From what its runs show, the worker is permanently slower than most, or no longer is.
+    SpeedChanged {
+        /// Whether it is slow from now on.
+        is_slow: bool,
+        /// Its speed relative to the median worker, in percent.
+        speed_percent: u64,
+    },
     /// The worker is gone, and everything that ran on it has ended.
     Lost {
         /// Why it is considered gone.
--- a/crates/sched/src/options.rs
+++ b/crates/sched/src/options.rs
@@ -63,6 +63,8 @@
     pub gang_advice_workers: usize,
     /// Minimum number of workers in the first advice call for single tasks.
     pub task_advice_workers: usize,
+    /// Whether placement regards the learned speeds of workers where these differ clearly.
+    pub placement_by_speed: bool,
 }
 
 impl Options {
@@ -106,6 +108,7 @@
             vm_order_pause_ms: 3_500,
             gang_advice_workers: 36,
             task_advice_workers: 10,
+            placement_by_speed: true,
         }
     }
 }
--- a/crates/sched/src/placement.rs
+++ b/crates/sched/src/placement.rs
@@ -116,7 +116,8 @@
         !worker.may_take_start() && worker.breaker.is_healthy()
     }
 
-    /// Picks the worker with the best fit among those that have room for the task and may be sent another start.
+    /// Picks the worker with the best fit among those that have room for the task and may be sent another start. Where
+    /// workers differ clearly in speed, the task's slack decides which of them are compared first.
     fn pick_worker(
         &self,
         job: JobKey,
@@ -144,6 +145,7 @@
         candidates.retain(may_take_start);
         let need = spec.reserved_resources();
         let is_latency_bound = spec.tail_limit_ms.is_some();
+        let preference = self.speed_preference(job, step, now);
         candidates.into_iter().min_by_key(|key| {
             let worker = &self.workers[*key];
             // Runs with a latency limit disturb each other, so they are spread over workers.
@@ -153,6 +155,7 @@
                 0
             };
             (
+                preference.rank(worker.speed.is_slow()),
                 others,
                 leftover_permille(worker, &worker.available(), &need),
             )
--- a/crates/sched/src/reports.rs
+++ b/crates/sched/src/reports.rs
@@ -197,6 +197,7 @@
             self.recovery.worker_reported(&id);
         }
         self.adjust_backfill_pace(key, now);
+        self.learn_from_progress(key, now);
         self.check_slowness(key, now);
     }
 
--- a/crates/sched/src/run_ends.rs
+++ b/crates/sched/src/run_ends.rs
@@ -95,6 +95,9 @@
             _ => {}
         }
         let worker_id = worker.spec.id.clone();
+        if let (Some(RunEnd::Done), Some(held)) = (termination.end, &held) {
+            self.learn_from_end(key, task, held, now);
+        }
         self.quarantine_if_failing(key, now);
         let held_ms = held.as_ref().map(|held| now.since(held.held_since));
         let outcome = termination.outcome();
--- a/crates/sched/src/scheduler.rs
+++ b/crates/sched/src/scheduler.rs
@@ -26,6 +26,7 @@
 use crate::VmOperation;
 use crate::WorkerKey;
 use crate::consistency::ConsistencyCheck;
+use crate::durations::Durations;
 use crate::headroom::Headroom;
 use crate::ids::JobKey;
 use crate::job::Job;
@@ -38,6 +39,7 @@
 use crate::recovery::Recovery;
 use crate::retention::CellClock;
 use crate::run_ends::UnitRef;
+use crate::speed::SpeedComparison;
 use crate::stale_capacity::RegistrationReads;
 use crate::vms::VmInventory;
 use crate::worker::Worker;
@@ -106,6 +108,10 @@
     pub(crate) advice_slots: AdviceSlots,
     /// Limits retries of orders to all workers together.
     pub(crate) retry_budget: Budget,
+    /// Comparison of the learned speeds of the workers.
+    pub(crate) speeds: SpeedComparison,
+    /// Learned ratios of actual to estimated run times.
+    pub(crate) durations: Durations,
     pub(crate) actions: Vec<Action>,
     /// Number of workers examined so far for advice calls and placement.
     pub(crate) examined: Cell<u64>,
@@ -147,6 +153,8 @@
             pools: Pools::default(),
             advice_slots: AdviceSlots::UNBOUNDED,
             retry_budget: Budget::new(RETRY_BURST, RETRIES_PER_S),
+            speeds: SpeedComparison::default(),
+            durations: Durations::default(),
             actions: Vec::new(),
             examined: Cell::new(0),
         }
--- a/crates/sched/src/slowness.rs
+++ b/crates/sched/src/slowness.rs
@@ -17,6 +17,7 @@
 use crate::WorkerNote;
 use crate::job::Step;
 use crate::run_ends::UnitRef;
+use crate::speed::to_f64;
 use crate::worker::Phase;
 use crate::worker::WorkerRun;
 use crate::worker::fit_count;
@@ -139,7 +140,7 @@
         }
         let mut slow = BTreeMap::new();
         for (step, projections) in steps {
-            if let Some(log) = self.step_slowness(&projections) {
+            if let Some(log) = self.step_slowness(key, &projections) {
                 slow.insert(step, log);
             }
         }
@@ -181,7 +182,7 @@
 
     /// Returns the factor, as a logarithm, by which tasks of a step are slower on a worker than elsewhere. The fastest
     /// task counts, since a slow worker is slow for all of them.
-    fn step_slowness(&self, projections: &[RunProjection]) -> Option<f64> {
+    fn step_slowness(&self, worker: WorkerKey, projections: &[RunProjection]) -> Option<f64> {
         let place = projections.first()?.place;
         let of_step = &self.jobs[place.job].steps[place.step];
         if of_step.spec.data_rack.is_some() {
@@ -197,7 +198,19 @@
             .iter()
             .map(|projection| projection.total_ms)
             .min()?;
-        Some((to_f64(fastest_ms) / to_f64(median_ms.max(1))).ln())
+        let log = (to_f64(fastest_ms) / to_f64(median_ms.max(1))).ln();
+        Some(log + self.learned_slowness_log(worker))
+    }
+
+    /// Returns the logarithm of a permanently slow worker's speed, 0 for others. It is compared with its own speed, so
+    /// that it is not quarantined again and again.
+    fn learned_slowness_log(&self, key: WorkerKey) -> f64 {
+        let speed = &self.workers[key].speed;
+        if self.options.placement_by_speed && speed.is_slow() {
+            speed.relative_log().min(0.0)
+        } else {
+            0.0
+        }
     }
 
     /// Quarantines a slow worker for a while.
@@ -243,7 +256,13 @@
         let UnitRef { job, step, unit } = projection.place;
         let of_step = &self.jobs[job].steps[step];
         let median_ms = of_step.median_ms(&[unit]);
-        let total_ms = median_ms.unwrap_or(of_step.spec.estimate_ms);
+        let total_ms = median_ms.unwrap_or_else(|| {
+            if self.places_by_speed() {
+                self.expected_median_ms(job, step)
+            } else {
+                of_step.spec.estimate_ms
+            }
+        });
         total_ms * projection.elsewhere_percent / 100
     }
 
@@ -270,11 +289,3 @@
     let factor = std::time::Duration::from_secs(100).mul_f64(log.exp().clamp(0.0, 1_000.0));
     factor.as_secs()
 }
-
-#[expect(
-    clippy::cast_precision_loss,
-    reason = "times of runs are far below what a float holds exactly"
-)]
-const fn to_f64(time_ms: u64) -> f64 {
-    time_ms as f64
-}
--- a/crates/sched/src/tick.rs
+++ b/crates/sched/src/tick.rs
@@ -19,6 +19,7 @@
         self.discard_orphans(now);
         self.expire_misdirected(now);
         self.update_headroom_level();
+        self.compare_speeds(now);
         let mut keys: Vec<_> = self.workers.keys().collect();
         // The first worker may use up the retry budget of the cell, so the order rotates.
         let turn = usize::try_from(now.0).unwrap_or(0) % keys.len().max(1);
--- a/crates/sched/src/worker.rs
+++ b/crates/sched/src/worker.rs
@@ -21,6 +21,7 @@
 use crate::drain_record::DrainRecord;
 use crate::pacing::Backfill;
 use crate::pacing::PaceControl;
+use crate::speed::WorkerSpeed;
 use crate::stale_capacity::StaleCapacity;
 use crate::workspaces::RunOwner;
 
@@ -83,6 +84,8 @@
     pub(crate) long_running: bool,
     pub(crate) share: CpuShare,
     pub(crate) probation: Probation,
+    /// Whether it was compared with other runs to learn the speed of its worker.
+    pub(crate) is_compared: bool,
 }
 
 /// How a run is entitled to processor time.
@@ -142,6 +145,7 @@
             long_running: spec.long_running,
             share: CpuShare::of_step(spec),
             probation: Probation::without_crashes(),
+            is_compared: false,
         }
     }
 
@@ -293,10 +297,12 @@
     /// Controls the pace of the runs that fill unused processor time.
     pub(crate) pace: PaceControl,
     pub(crate) breaker: CircuitBreaker,
+    /// What has been learned about its speed. A new incarnation starts without any evidence.
+    pub(crate) speed: WorkerSpeed,
 }
 
 impl Worker {
-    pub(crate) const fn new(spec: WorkerSpec, now: Millis) -> Self {
+    pub(crate) fn new(spec: WorkerSpec, now: Millis) -> Self {
         Self {
             spec,
             registered: true,
@@ -328,6 +334,7 @@
             drain_record: DrainRecord::Incomplete,
             pace: PaceControl::new(),
             breaker: CircuitBreaker::new(),
+            speed: WorkerSpeed::default(),
         }
     }
 
--- a/crates/sched/tests/core/main.rs
+++ b/crates/sched/tests/core/main.rs
@@ -29,6 +29,7 @@
 mod silence;
 mod simulation;
 mod slow;
+mod speeds;
 mod spread;
 mod stale_capacity;
 mod succession;
--- a/crates/sched/tests/overload/main.rs
+++ b/crates/sched/tests/overload/main.rs
@@ -6,6 +6,7 @@
 
 mod replay;
 mod setup;
+mod uneven;
 
 use replay::Replay;
 use setup::BATCH;
--- a/crates/sched/tests/overload/replay.rs
+++ b/crates/sched/tests/overload/replay.rs
@@ -120,6 +120,10 @@
 impl Replay {
     pub fn new(seed: u64, setup: Setup, disruption: Option<Disruption>) -> Self {
         let now = Millis(1_000);
+        let options = Options {
+            placement_by_speed: setup.placement_by_speed,
+            ..Options::default()
+        };
         let mut replay = Self {
             rng: SmallRng::seed_from_u64(seed),
             due_jobs: vec![0.0; setup.kinds.len()],
@@ -127,7 +131,7 @@
             disruption,
             now,
             fleet: FleetModel::default(),
-            scheduler: Scheduler::new(Options::default()),
+            scheduler: Scheduler::new(options),
             advice_nodes: AdviceNodes::with_local(SmolStr::new_static("node-00"), now),
             advice: AdviceModel::default(),
             sessions: BTreeMap::new(),
@@ -140,9 +144,9 @@
         };
         for number in 0..replay.setup.workers {
             let id = WorkerId::new(format!("w-{number:03}"));
-            replay
-                .fleet
-                .add(WorkerModel::new(id.clone(), capacity(), 0));
+            let mut model = WorkerModel::new(id.clone(), capacity(), 0);
+            model.speed_percent = replay.speed_percent(number);
+            replay.fleet.add(model);
             let spec = WorkerSpec {
                 id,
                 service: ServiceName::new(SERVICE),
@@ -217,7 +221,8 @@
 
     fn submit_job(&mut self, index: usize, kind: &JobKind) {
         let id = JobId(u64::try_from(self.jobs.len()).unwrap_or(0) + 1);
-        let drawn = kind.sample(id, SERVICE, &mut self.rng);
+        let mut drawn = kind.sample(id, SERVICE, &mut self.rng);
+        self.distort_estimates(index, &mut drawn);
         for (step, work_ms) in drawn.work_ms.iter().enumerate() {
             for task in 0..drawn.spec.steps[step].tasks {
                 let step = StepId {
@@ -226,7 +231,7 @@
                     step: u16::try_from(step).unwrap_or(0),
                 };
                 let plan = TaskPlan {
-                    work_ms: *work_ms,
+                    work_ms: *work_ms * self.sample_tail_factor(),
                     failing_runs: 0,
                 };
                 self.fleet.plan_task(TaskId { step, index: task }, plan);
@@ -245,6 +250,51 @@
         self.apply(Event::JobStored { spec, age_ms: 0 });
     }
 
+    fn speed_percent(&self, worker: u64) -> u64 {
+        match self.setup.unevenness {
+            Some(uneven) if worker.is_multiple_of(uneven.slow_every) => uneven.slow_percent,
+            Some(uneven) => uneven.fast_percent,
+            None => 100,
+        }
+    }
+
+    fn distort_estimates(&mut self, kind: usize, drawn: &mut GeneratedJob) {
+        let Some(uneven) = self.setup.unevenness else {
+            return;
+        };
+        let deviation = uneven.job_deviation_percent;
+        let of_job = self.rng.random_range(100 - deviation..=100 + deviation);
+        for (step, work_ms) in drawn.spec.steps.iter_mut().zip(&drawn.work_ms) {
+            step.estimate_ms = work_ms * uneven.estimate_percent[kind] * of_job / 10_000;
+        }
+    }
+
+    fn sample_tail_factor(&mut self) -> u64 {
+        match self.setup.unevenness {
+            Some(uneven) if self.rng.random_bool(uneven.tail_share) => uneven.tail_factor,
+            _ => 1,
+        }
+    }
+
+    /// Returns the share of the workers whose speed is known, and the share for which it is within 10% of the true one.
+    /// Speeds are relative to the fast workers.
+    pub fn learned_speeds(&self) -> (f64, f64) {
+        let uneven = self.setup.unevenness.expect("workers differ");
+        let percent = |speed: u64| f64::from(u32::try_from(speed).expect("small"));
+        let mut known = 0;
+        let mut right = 0;
+        for (number, key) in (0..).zip(self.sessions.keys()) {
+            let Some(speed) = self.scheduler.learned_speed(*key) else {
+                continue;
+            };
+            let actual = percent(self.speed_percent(number)) / percent(uneven.fast_percent);
+            known += 1;
+            right += u32::from((speed / actual - 1.0).abs() <= 0.1);
+        }
+        let workers = f64::from(u32::try_from(self.sessions.len()).expect("few"));
+        (f64::from(known) / workers, f64::from(right) / workers)
+    }
+
     fn apply(&mut self, event: Event) {
         let actions = self.scheduler.handle(event, self.now);
         self.perform(actions);
--- a/crates/sched/tests/overload/setup.rs
+++ b/crates/sched/tests/overload/setup.rs
@@ -22,8 +22,38 @@
     pub kinds: Vec<JobKind>,
     pub load_until_ms: u64,
     pub end_ms: u64,
+    /// How far workers, run times and estimates differ; none if all workers are alike.
+    pub unevenness: Option<Unevenness>,
+    pub placement_by_speed: bool,
 }
 
+/// Workers of different speeds, runs that take far longer than others, and wrong estimates.
+#[derive(Debug, Clone, Copy)]
+pub struct Unevenness {
+    pub slow_percent: u64,
+    pub fast_percent: u64,
+    /// One worker in this many is slow.
+    pub slow_every: u64,
+    /// Share of the runs that take `tail_factor` times as long.
+    pub tail_share: f64,
+    pub tail_factor: u64,
+    /// Estimate of each kind in percent of the run time.
+    pub estimate_percent: [u64; 3],
+    /// Largest deviation of a job's estimate from that of its kind, in percent.
+    pub job_deviation_percent: u64,
+}
+
+/// A quarter of the workers permanently runs at less than half of the speed of the others.
+pub const UNEVEN: Unevenness = Unevenness {
+    slow_percent: 55,
+    fast_percent: 120,
+    slow_every: 4,
+    tail_share: 0.03,
+    tail_factor: 7,
+    estimate_percent: [70, 140, 120],
+    job_deviation_percent: 50,
+};
+
 /// A temporary disruption: there are no scheduling passes, and some nodes can't ask for advice.
 #[derive(Debug, Clone, Copy)]
 pub struct Disruption {
@@ -43,6 +73,27 @@
             kinds: vec![gangs(), batch(), lookups()],
             load_until_ms: 55_000,
             end_ms: 70_000,
+            unevenness: None,
+            placement_by_speed: true,
+        }
+    }
+
+    /// A smaller cell, with a load of about `load_percent` of its capacity.
+    pub fn small(load_percent: u32, unevenness: Option<Unevenness>) -> Self {
+        let workers = 120;
+        let large = Self::large();
+        let kinds = large.kinds.into_iter().map(|kind| JobKind {
+            jobs_per_s: kind.jobs_per_s * 120.0 / 350.0 * f64::from(load_percent)
+                / LARGE_LOAD_PERCENT,
+            ..kind
+        });
+        Self {
+            workers,
+            kinds: kinds.collect(),
+            load_until_ms: 30_000,
+            end_ms: 40_000,
+            unevenness,
+            ..Self::large()
         }
     }
 
@@ -59,10 +110,15 @@
             kinds: kinds.to_vec(),
             load_until_ms: 30_000,
             end_ms: 42_000,
+            unevenness: None,
+            placement_by_speed: true,
         }
     }
 }
 
+/// The load of the kinds of `Setup::large` on its workers, in percent of their capacity.
+const LARGE_LOAD_PERCENT: f64 = 97.0;
+
 /// The load of the kinds below on 540 workers, in percent of their capacity.
 const WIDE_LOAD_PERCENT: f64 = 87.0;
 
