--- a/crates/sched/tests/core/speeds.rs
+++ b/crates/sched/tests/core/speeds.rs
@@ -184,3 +184,26 @@
         assert_eq!(driver.start_all().len(), 8);
     }
 }
+
+/// A permanently slow worker must not be quarantined again and again, but it is if it becomes slower still.
+#[test_case(8_000, WORKERS; "as slow as ever")]
+#[test_case(32_000, WORKERS - 4; "far slower than usual")]
+fn a_slow_worker_is_compared_with_its_own_speed(slow_ms: u64, used: usize) {
+    let mut driver = with_slow_workers();
+    for id in 200..206 {
+        driver.submit(id, policy(0), vec![one_task_on_each()]);
+    }
+    let started = driver.start_all();
+    for after_ms in (0..=1_000).step_by(100) {
+        for (index, key) in driver.workers.clone().into_iter().enumerate() {
+            let whole_ms = if index < 4 { slow_ms } else { 4_000 };
+            let percent = u8::try_from(after_ms * 100 / whole_ms).expect("below 100");
+            let here = started.iter().filter(|start| start.worker == key);
+            let running: Vec<_> = here.map(|start| (start.task, start.run, percent)).collect();
+            driver.report_running(key, &running);
+        }
+        driver.advance(100);
+    }
+    driver.submit(300, policy(0), vec![one_task_on_each()]);
+    assert_eq!(driver.start_all().len(), used);
+}
