--- a/crates/cell/src/contact.rs
+++ b/crates/cell/src/contact.rs
@@ -27,8 +27,8 @@
 use crate::ports::Platform;
 use crate::ports::Record;
 use crate::queries;
-use crate::shedding::ShedView;
 use crate::remote_clock::RemoteClock;
+use crate::shedding::ShedView;
 use crate::succession;
 use crate::unreadable::Source;
 
--- a/crates/cell/src/node.rs
+++ b/crates/cell/src/node.rs
@@ -250,6 +250,12 @@
             readings.carriers = carried.carriers;
             readings.relayed_workers = carried.workers;
             readings.most_relayed_workers = carried.most_workers;
+            let speeds = leader.speed_counts();
+            readings.normal_speed_workers = speeds.normal;
+            readings.slow_workers = speeds.slow;
+            readings.unknown_speed_workers = speeds.unknown;
+            readings.longest_slow_ms = speeds.longest_slow_ms;
+            self.metrics.duration_errors(&leader.duration_errors());
             self.metrics.workspaces(&leader.workspace_readings());
             self.metrics.workspace_rates(&leader.rate_readings());
         }
--- a/crates/obs/src/events.rs
+++ b/crates/obs/src/events.rs
@@ -230,4 +230,6 @@
     RELAYING_CHANGED = 770, Info, "relaying of worker calls changed";
     /// A node relays no calls for a while since it left some unanswered, or may again.
     CARRIER_CHANGED = 771, Warn, "carrier changed";
+    /// A worker is permanently slower than most, or no longer is.
+    WORKER_SPEED = 764, Info, "learned speed of worker changed";
 }
--- a/crates/obs/tests/catalogues.rs
+++ b/crates/obs/tests/catalogues.rs
@@ -83,6 +83,7 @@
     cell.missing_run("no_run");
     cell.shed_decision("queue", "rejected", "wait");
     cell.worker_call("direct", true);
+    cell.duration_errors(&[("queue".to_owned(), 100)]);
     cell.workspaces(&[WorkspaceReading {
         name: "workspace".to_owned(),
         running_cpu_millis: 1,
--- a/crates/sched/src/options.rs
+++ b/crates/sched/src/options.rs
@@ -65,6 +65,8 @@
     pub task_advice_workers: usize,
     /// Whether jobs beyond the guaranteed rate of their workspace go after the others.
     pub guaranteed_rates: bool,
+    /// Whether placement regards the learned speeds of workers where these differ clearly.
+    pub placement_by_speed: bool,
 }
 
 impl Options {
@@ -109,6 +111,7 @@
             gang_advice_workers: 36,
             task_advice_workers: 10,
             guaranteed_rates: true,
+            placement_by_speed: true,
         }
     }
 }
