--- a/crates/cell/tests/cell/fake_scheduler.rs
+++ b/crates/cell/tests/cell/fake_scheduler.rs
@@ -105,6 +105,7 @@
         token,
         released: false,
         proves: true,
+        workers: 0,
     });
     platform.with_store(|store| append(store, &record))
 }
