Preempt only where it pays, and make stops visible

Stops are counted by reason and by priority of the beneficiary (syc_cell_stops_total), which the log states as for_priority. The fleet model knows what a stop costs.

--- a/crates/cell/src/leader.rs
+++ b/crates/cell/src/leader.rs
@@ -304,7 +304,8 @@
                     task,
                     run,
                     reason,
-                } => self.order_stop(worker, task, run, reason),
+                    for_priority,
+                } => self.order_stop(worker, (task, run), reason, for_priority),
                 Action::Pace {
                     worker,
                     task,
--- a/crates/cell/src/leader/orders.rs
+++ b/crates/cell/src/leader/orders.rs
@@ -209,15 +209,16 @@
     pub(super) fn order_stop(
         self: &Rc<Self>,
         worker: WorkerKey,
-        task: TaskId,
-        run: Run,
+        (task, run): (TaskId, Run),
         reason: StopReason,
+        for_priority: Option<u32>,
     ) {
         let Some(link) = self.link_to(worker) else {
             // The session has just ended, and the event that ended it also ended its runs.
             return;
         };
-        log::stop_ordered(task, run, &link.address.id, reason);
+        log::stop_ordered(task, run, &link.address.id, reason, for_priority);
+        self.node.metrics.stop(reason.as_str(), for_priority);
         let command = StopCommand {
             task,
             run,
--- a/crates/obs/src/cell_metrics.rs
+++ b/crates/obs/src/cell_metrics.rs
@@ -112,6 +112,7 @@
     store_times: Histogram<f64>,
     unreadable: Counter<u64>,
     missing_runs: Counter<u64>,
+    stops: Counter<u64>,
     worker_connections: WorkerConnections,
     workspace_cpu: Gauge<f64>,
     gauges: Gauges,
@@ -164,6 +165,11 @@
                 "syc_cell_missing_runs",
                 "Runs treated as ended because no worker held them.",
             ),
+            stops: counter(
+                &meter,
+                "syc_cell_stops",
+                "Orders to stop a run, by reason and by priority of the unit that room is made for.",
+            ),
             worker_connections: WorkerConnections::new(&meter),
             workspace_cpu: meter
                 .f64_gauge("syc_cell_workspace_cpu_cores")
@@ -211,6 +217,16 @@
         self.missing_runs.add(1, &[KeyValue::new("found", found)]);
     }
 
+    /// Counts an order to stop a run. A preemption makes room for a unit of a priority, of which few exist.
+    pub fn stop(&self, reason: &'static str, for_priority: Option<u32>) {
+        let priority = for_priority.map_or_else(|| "none".to_owned(), |number| number.to_string());
+        let labels = [
+            KeyValue::new("reason", reason),
+            KeyValue::new("for_priority", priority),
+        ];
+        self.stops.add(1, &labels);
+    }
+
     /// Sets the use of workspaces. Only the first ones are shown.
     pub fn workspaces(&self, readings: &[WorkspaceReading]) {
         for reading in readings.iter().take(WORKSPACES_LIMIT) {
--- a/crates/obs/tests/catalogues.rs
+++ b/crates/obs/tests/catalogues.rs
@@ -80,6 +80,7 @@
     cell.store_call("append", "ok", 1);
     cell.unreadable("workers", 1);
     cell.missing_run("no_run");
+    cell.stop("preempted", Some(0));
     cell.workspaces(&[WorkspaceReading {
         name: "workspace".to_owned(),
         running_cpu_millis: 1,
--- a/crates/sched/src/scheduler.rs
+++ b/crates/sched/src/scheduler.rs
@@ -35,6 +35,7 @@
 use crate::orphans::OrphanedRun;
 use crate::pacing::Interference;
 use crate::pools::Pools;
+use crate::preemption::Preemption;
 use crate::recovery::Recovery;
 use crate::retention::CellClock;
 use crate::run_ends::UnitRef;
@@ -98,6 +99,7 @@
     /// The wall clock, once it is known.
     pub(crate) wall_clock: Option<DayAnchor>,
     pub(crate) headroom: Headroom,
+    pub(crate) preemption: Preemption,
     pub(crate) workspaces: Workspaces,
     pub(crate) interference: Interference,
     pub(crate) vms: VmInventory,
@@ -140,6 +142,7 @@
             cell_clock: CellClock::default(),
             wall_clock: None,
             headroom: Headroom::default(),
+            preemption: Preemption::default(),
             workspaces: Workspaces::default(),
             interference: Interference::default(),
             vms: VmInventory::default(),
--- a/crates/sched/tests/core/driver.rs
+++ b/crates/sched/tests/core/driver.rs
@@ -171,6 +171,7 @@
                     task,
                     run,
                     reason,
+                    ..
                 } => self.stops.push(Stop {
                     worker,
                     task,
--- a/crates/sched/tests/overload/replay.rs
+++ b/crates/sched/tests/overload/replay.rs
@@ -14,6 +14,7 @@
 use syc_cell::ports::StartCommand;
 use syc_cell::ports::StopCommand;
 use syc_fleet::AdviceModel;
+use syc_fleet::FleetLimits;
 use syc_fleet::FleetModel;
 use syc_fleet::GeneratedJob;
 use syc_fleet::JobKind;
@@ -115,10 +116,17 @@
     pub stops: u64,
     /// Largest number of preemptions of one task.
     pub max_per_task: u32,
+    /// Number of units that runs were preempted for.
+    pub units: u64,
+    /// Number of reservations of such units that were released without a start.
+    pub unused_reservations: u64,
+    /// Processor time that stops cost, in seconds of a core.
+    pub lost_core_s: u64,
 }
 
 impl Replay {
     pub fn new(seed: u64, setup: Setup, disruption: Option<Disruption>) -> Self {
+        let options = setup.options;
         let now = Millis(1_000);
         let mut replay = Self {
             rng: SmallRng::seed_from_u64(seed),
@@ -127,7 +135,7 @@
             disruption,
             now,
             fleet: FleetModel::default(),
-            scheduler: Scheduler::new(Options::default()),
+            scheduler: Scheduler::new(options),
             advice_nodes: AdviceNodes::with_local(SmolStr::new_static("node-00"), now),
             advice: AdviceModel::default(),
             sessions: BTreeMap::new(),
@@ -138,6 +146,13 @@
             starts: 0,
             preempted: BTreeMap::new(),
         };
+        let cost = replay.setup.stop_cost;
+        replay.fleet.limits = FleetLimits {
+            stop_ms: cost.stop_ms,
+            restore_ms: cost.restore_ms,
+            checkpoint_interval_ms: cost.checkpoint_interval_ms,
+            ..FleetLimits::default()
+        };
         for number in 0..replay.setup.workers {
             let id = WorkerId::new(format!("w-{number:03}"));
             replay
@@ -368,6 +383,7 @@
                     task,
                     run,
                     reason,
+                    ..
                 } => {
                     if reason == StopReason::Preempted {
                         *self.preempted.entry(task).or_default() += 1;
@@ -491,7 +507,13 @@
 
     /// Returns the preemption counters.
     pub fn preemptions(&self) -> Preemptions {
+        let counts = self.scheduler.preemption_counts();
+        let workers = self.fleet.workers.values();
+        let lost_core_ms: u64 = workers.map(|worker| worker.lost_core_ms).sum();
         Preemptions {
+            units: counts.units,
+            unused_reservations: counts.unused_reservations,
+            lost_core_s: lost_core_ms / 1_000,
             starts: self.starts,
             stops: self.preempted.values().map(|times| u64::from(*times)).sum(),
             max_per_task: self.preempted.values().copied().max().unwrap_or(0),
--- a/crates/sched/tests/overload/setup.rs
+++ b/crates/sched/tests/overload/setup.rs
@@ -3,6 +3,7 @@
 use syc_fleet::JobKind;
 use syc_fleet::LogNormal;
 use syc_sched::AdvicePolicy;
+use syc_sched::Options;
 use syc_types::Resources;
 
 /// Index of the gangs among the kinds of request.
@@ -22,6 +23,20 @@
     pub kinds: Vec<JobKind>,
     pub load_until_ms: u64,
     pub end_ms: u64,
+    pub stop_cost: StopCost,
+    pub options: Options,
+}
+
+/// What a stop costs on the workers; with zeros, it is free.
+#[derive(Debug, Clone, Copy, Default)]
+#[expect(
+    clippy::struct_field_names,
+    reason = "each is a time and carries its unit"
+)]
+pub struct StopCost {
+    pub stop_ms: u64,
+    pub restore_ms: u64,
+    pub checkpoint_interval_ms: u64,
 }
 
 /// A temporary disruption: there are no scheduling passes, and some nodes can't ask for advice.
@@ -43,6 +58,8 @@
             kinds: vec![gangs(), batch(), lookups()],
             load_until_ms: 55_000,
             end_ms: 70_000,
+            stop_cost: StopCost::default(),
+            options: Options::default(),
         }
     }
 
@@ -59,6 +76,21 @@
             kinds: kinds.to_vec(),
             load_until_ms: 30_000,
             end_ms: 42_000,
+            stop_cost: StopCost::default(),
+            options: Options::default(),
+        }
+    }
+
+    /// Like `wide`, with stops that cost what was seen on deployments: 200 ms or more for the stop, 100 to 600 ms for the
+    /// restore, and up to a second of work.
+    pub fn with_costly_stops(load_percent: u32) -> Self {
+        Self {
+            stop_cost: StopCost {
+                stop_ms: 200,
+                restore_ms: 300,
+                checkpoint_interval_ms: 1_000,
+            },
+            ..Self::wide(load_percent)
         }
     }
 }
