--- a/crates/cell/src/claims.rs
+++ b/crates/cell/src/claims.rs
@@ -55,6 +55,8 @@
     configured_at: Option<Millis>,
     /// Time at which the newest record without the `proves` flag was read.
     unproven_seen_at: Option<Millis>,
+    /// Number of workers of the cell that a heartbeat last stated.
+    workers: u64,
 }
 
 /// Follows the claims and heartbeats, and claims the role when there is no scheduler.
@@ -181,6 +183,9 @@
         if read.released {
             self.released_token = token;
         }
+        if read.workers > 0 {
+            self.workers = read.workers;
+        }
         self.heartbeat_seen_at = now();
         self.holder = (!read.released).then_some(Holder {
             node: read.node,
@@ -204,24 +209,29 @@
     last_sign_at.max(configured_at)
 }
 
-/// Returns how long this node waits for a heartbeat before it claims the role.
+/// Returns how long this node waits for a heartbeat before it claims the role. It is longer while live schedulers are
+/// replaced one after the other, see [`syc_sched::ElectionBackoff`].
 fn election_timeout_ms<P>(node: &Rc<Node<P>>, claims: &ClaimLog) -> u64
 where
     P: Platform,
 {
     let timing = &node.settings.timing;
     let jitter_ms = node.incarnation % timing.claim_jitter_ms.max(1);
-    let delay_ms = node.settings.claim_delay_ms();
+    let files_delay_ms = node.settings.files_claim_delay_ms(claims.workers);
+    let delay_ms = node.settings.claim_delay_ms() + files_delay_ms;
+    let backoff_factor = node.election_backoff.borrow().timeout_factor(now());
     let heartbeat_timeout_ms = match &claims.holder {
         None => 0,
         // An earlier process of this node held the role, and it has ended.
         Some(holder) if is_own_predecessor(node, holder) => 0,
-        Some(_) if node.holder_suspected.get() => timing.suspected_heartbeat_timeout_ms,
+        Some(_) if node.holder_suspected.get() => {
+            timing.suspected_heartbeat_timeout_ms * backoff_factor
+        }
         // A slow store delays heartbeats of a scheduler that is alive.
         Some(_) if is_scheduler_reachable(node) => {
-            timing.heartbeat_timeout_ms * REACHABLE_TIMEOUT_FACTOR
+            timing.heartbeat_timeout_ms * REACHABLE_TIMEOUT_FACTOR.max(backoff_factor)
         }
-        Some(_) => timing.heartbeat_timeout_ms,
+        Some(_) => timing.heartbeat_timeout_ms * backoff_factor,
     };
     heartbeat_timeout_ms + jitter_ms + delay_ms
 }
@@ -271,6 +281,7 @@
         token: 0,
         released: false,
         proves: true,
+        workers: 0,
     });
     let condition = Condition::EndsAt(end);
     match node
@@ -278,7 +289,9 @@
         .await
     {
         Ok(appended) => {
-            log::claim_won(appended.offset + 1, claims.holder.as_ref(), silent_ms);
+            let timeout_factor = node.election_backoff.borrow().timeout_factor(now());
+            let before = claims.holder.as_ref();
+            log::claim_won(appended.offset + 1, before, silent_ms, timeout_factor);
             claims.apply(node, appended.offset, &record);
             claims.position = Some(appended.end);
             update_holder(node, claims);
--- a/crates/cell/src/contact.rs
+++ b/crates/cell/src/contact.rs
@@ -2,6 +2,7 @@
 //! no other. Notices to a scheduler that was replaced are sent in addition.
 
 use std::cell::Cell;
+use std::cell::RefCell;
 use std::rc::Rc;
 
 use bytes::Bytes;
@@ -18,6 +19,7 @@
 
 use crate::Node;
 use crate::advice_query;
+use crate::carrier;
 use crate::clock::now;
 use crate::clock::pause;
 use crate::log;
@@ -25,6 +27,8 @@
 use crate::ports::Platform;
 use crate::ports::Record;
 use crate::queries;
+use crate::remote_clock::RemoteClock;
+use crate::shedding::ShedView;
 use crate::succession;
 use crate::unreadable::Source;
 
@@ -39,7 +43,7 @@
 const HEALTHY_WITHIN_MS: u64 = 600;
 
 /// Consecutive unanswered calls after which the scheduler is suspected to have failed.
-const SUSPECTED_MISSES: u32 = 2;
+pub(crate) const SUSPECTED_MISSES: u32 = 2;
 
 /// Link to the node that is the scheduler.
 #[derive(Debug)]
@@ -50,10 +54,13 @@
     store_answers: Cell<bool>,
     /// Append time at the scheduler's node.
     append_ms: Cell<u64>,
+    /// The scheduler's newest view of the workspaces whose submits may be rejected.
+    shed_view: RefCell<Option<Rc<ShedView>>>,
     /// Time of the scheduler's last reply.
     answered_at: Cell<Millis>,
     /// Time of that reply on the scheduler's own clock.
     remote_answered_at: Cell<Millis>,
+    remote_clock: Cell<RemoteClock>,
     answers: Cell<bool>,
     /// Consecutive calls without an answer.
     misses: Cell<u32>,
@@ -67,8 +74,10 @@
             token: holder.token,
             store_answers: Cell::new(false),
             append_ms: Cell::new(0),
+            shed_view: RefCell::default(),
             answered_at: Cell::new(now()),
             remote_answered_at: Cell::new(Millis(0)),
+            remote_clock: Cell::default(),
             answers: Cell::new(true),
             misses: Cell::new(0),
         })
@@ -89,6 +98,28 @@
         self.append_ms.get()
     }
 
+    /// Returns the view of the workspaces whose submits may be rejected that the scheduler last sent.
+    pub(crate) fn shed_view(&self) -> Option<Rc<ShedView>> {
+        self.shed_view.borrow().clone()
+    }
+
+    fn set_shed_view(&self, reply: &ContactReply, sent_at: Millis) {
+        let view = reply.leading.then(|| ShedView::from_reply(reply, sent_at));
+        *self.shed_view.borrow_mut() = view.map(Rc::new);
+    }
+
+    /// Returns a time that the scheduler's clock has reached by `now`, or none if it has not told its time.
+    pub(crate) fn scheduler_time(&self, now: Millis) -> Option<Millis> {
+        self.remote_clock.get().earliest(now)
+    }
+
+    fn record_remote_time(&self, remote: Millis) {
+        self.remote_answered_at.set(remote);
+        let mut clock = self.remote_clock.get();
+        clock.record(remote, now());
+        self.remote_clock.set(clock);
+    }
+
     /// Makes a call that the scheduler's node may answer late. A timeout does not reset the link, because it does not
     /// show that the link is broken.
     pub(crate) async fn call_without_reset(
@@ -184,14 +215,21 @@
         heard_at_ms: link.remote_answered_at.get().0,
         predecessor_incarnation: 0,
         elected: None,
+        files_limit: node.settings.files_limit,
+        zone: node.settings.zone.to_string(),
     });
-    let timeout_ms = node.settings.timing.contact_timeout_ms;
-    let reply = link.call(query, timeout_ms).await;
+    let min_timeout_ms = node.settings.timing.contact_timeout_ms;
+    let mut timeout = node.contact_timeout.get();
+    let sent_at = now();
+    let reply = link.call(query, timeout.timeout_ms(min_timeout_ms)).await;
     if let Ok(CellBody::ContactReply(reply)) = &reply {
+        timeout.record_answer(now().since(sent_at), link.misses.get(), min_timeout_ms);
+        node.contact_timeout.set(timeout);
         let partitions = node.settings.job_partitions();
         node.partition.set(reply.partition % partitions);
         node.record_reported_time(reply);
         link.append_ms.set(reply.append_ms);
+        link.set_shed_view(reply, sent_at);
         succession::apply_reply(node, reply);
     }
     let (answers, store_answers) = match &reply {
@@ -207,7 +245,7 @@
         link.answered_at.set(now());
     }
     if let Ok(CellBody::ContactReply(reply)) = &reply {
-        link.remote_answered_at.set(Millis(reply.answered_at_ms));
+        link.record_remote_time(Millis(reply.answered_at_ms));
     }
     // Whether pending records can be relayed may have changed.
     node.submit_queue.decide_soon();
@@ -252,6 +290,7 @@
         CellBody::JobStateQuery(query) => queries::answer_state(node, &query),
         CellBody::PendingQuery(query) => queries::answer_pending(node, &query),
         CellBody::AdviceQuery(query) => advice_query::handle(node, query).await,
+        CellBody::WorkerCall(call) => carrier::handle(node, call).await,
         CellBody::StoredNotice(notice) => {
             let taken = record_stored_notice(node, notice);
             CellBody::NoticeReply(NoticeReply { taken })
@@ -307,7 +346,8 @@
     let unanswered = !store.answers && store.answered_ms > STORE_UNREACHABLE_MS;
     let cut_off_from_store = contact.store_answers && unanswered;
     let agreed = leader.as_ref().map(|leader| leader.agreed_time());
-    ContactReply {
+    let shed_view = leader.as_ref().and_then(|leader| leader.shed_view());
+    let mut reply = ContactReply {
         leading: leader.is_some() && !cut_off_from_store,
         token: leader.map_or(0, |leader| leader.token),
         store_answers: store.answers,
@@ -318,5 +358,10 @@
         answered_at_ms: now().0,
         incarnation: node.incarnation,
         elected: succession::newer_scheduler(node, contact.token),
+        ..ContactReply::default()
+    };
+    if let Some(view) = shed_view {
+        view.write_to(&mut reply, now());
     }
+    reply
 }
--- a/crates/cell/src/leader.rs
+++ b/crates/cell/src/leader.rs
@@ -2,6 +2,7 @@
 
 mod adaptive_timeout;
 mod advice;
+pub mod carriers;
 mod heartbeat;
 mod orders;
 mod progress_writer;
@@ -13,6 +14,7 @@
 mod takeover;
 mod unreadable_jobs;
 mod vms;
+mod worker_calls;
 mod worker_link;
 
 use std::cell::Cell;
@@ -23,11 +25,14 @@
 use std::rc::Rc;
 
 use adaptive_timeout::AdaptiveTimeout;
+use carriers::CarrierLoad;
+use carriers::Carriers;
 use progress_writer::ProgressWriter;
 use sessions::Session;
 use slotmap::SecondaryMap;
 use smol_str::SmolStr;
 use syc_net::PeerClient;
+use syc_obs::RateReading;
 use syc_obs::WorkspaceReading;
 use syc_sched::Action;
 use syc_sched::AdviceNodes;
@@ -37,6 +42,7 @@
 use syc_sched::JobId;
 use syc_sched::Options;
 use syc_sched::Scheduler;
+use syc_sched::SpeedCounts;
 use syc_sched::WorkerKey;
 use syc_sched::clock_drift_ms;
 use syc_types::Millis;
@@ -45,6 +51,7 @@
 use syc_workspace::UNLIMITED;
 use tokio::sync::Notify;
 use unreadable_jobs::UnreadableJobs;
+use worker_calls::LineLimit;
 
 use crate::Node;
 use crate::PendingAnswer;
@@ -60,6 +67,7 @@
 use crate::ports::Record;
 use crate::records;
 use crate::roster::Roster;
+use crate::shedding::ShedView;
 
 /// Minimum time between two scheduling passes, so that events in between share one pass.
 const SCHEDULE_INTERVAL_MS: u64 = 3;
@@ -84,6 +92,9 @@
 /// Time for which a node that gave up the role does not claim it again.
 const RECLAIM_DELAY_MS: u64 = 5_000;
 
+/// Maximum pause after a long scheduling pass.
+const MAX_SCHEDULE_PAUSE_MS: u64 = 100;
+
 /// A place in the store with a submit or a cancellation of a job.
 #[derive(Debug, Clone, PartialEq, Eq)]
 struct StoredRecord {
@@ -123,8 +134,13 @@
     advice_nodes: RefCell<AdviceNodes>,
     /// Adaptive slack beyond the expected duration of advice calls.
     advice_timeout: AdaptiveTimeout,
-    /// Clients for the other nodes that can call the advice service.
+    /// Clients for the other nodes, which call the advice service and workers on behalf of this one.
     advice_clients: RefCell<BTreeMap<SmolStr, Rc<PeerClient>>>,
+    /// Nodes through which calls to workers are relayed.
+    carriers: RefCell<Carriers>,
+    carrier_lines: LineLimit,
+    /// Wakes calls through carriers when one is lost.
+    carrier_lost: Notify,
     /// For each jobs partition, when the last read that reached its end was sent.
     jobs_read_at: RefCell<Vec<Millis>>,
     /// Where the store has submits and cancellations of each job; in several places if a submit was
@@ -148,6 +164,8 @@
     clock_agreement: RefCell<ClockAgreement>,
     /// When at least half of the workers were last answering.
     workers_heard_at: Cell<Millis>,
+    /// Workspaces that send more than their rate, computed at the last tick.
+    shed_view: RefCell<Option<Rc<ShedView>>>,
     tasks: RefCell<Vec<actix_rt::task::JoinHandle<()>>>,
 }
 
@@ -185,6 +203,9 @@
             advice_nodes: RefCell::new(AdviceNodes::with_local(node.settings.name.clone(), now())),
             advice_timeout: AdaptiveTimeout::default(),
             advice_clients: RefCell::default(),
+            carriers: RefCell::new(Carriers::new(node.settings.files_limit)),
+            carrier_lines: LineLimit::default(),
+            carrier_lost: Notify::new(),
             jobs_read_at: RefCell::new(vec![Millis(0); partitions]),
             records_by_job: RefCell::default(),
             specs_to_remove: RefCell::default(),
@@ -197,6 +218,7 @@
             heartbeat_notify: Notify::new(),
             clock_agreement: RefCell::new(ClockAgreement::resume(node.reported_time.get())),
             workers_heard_at: Cell::new(now()),
+            shed_view: RefCell::default(),
             tasks: RefCell::default(),
         });
         leader.update_agreed_time();
@@ -279,17 +301,22 @@
             if self.handing_over.get() {
                 continue;
             }
-            let slots = self.advice_nodes.borrow().slots(now());
+            let started_at = now();
+            let slots = self.advice_nodes.borrow().slots(started_at);
             let actions = {
                 let mut scheduler = self.scheduler.borrow_mut();
                 scheduler.set_advice_slots(slots);
-                scheduler.schedule(now())
+                scheduler.schedule(started_at)
             };
             self.perform(actions);
+            self.record_wait_errors();
             if self.scheduler.borrow().has_unrecorded_changes() {
                 self.progress_notify.notify_one();
             }
-            pause(SCHEDULE_INTERVAL_MS).await;
+            // Passes over a large backlog leave at least as much time to heartbeats, contacts and workers. Otherwise other
+            // nodes would take this one for failed.
+            let pass_ms = now().since(started_at);
+            pause(pass_ms.clamp(SCHEDULE_INTERVAL_MS, MAX_SCHEDULE_PAUSE_MS)).await;
         }
     }
 
@@ -378,6 +405,24 @@
             .all(|at| now.since(*at) < MAX_JOBS_READ_AGE_MS)
     }
 
+    /// Computes the view of the workspaces whose submits may be rejected. There is none before the jobs were loaded, and
+    /// once a successor may have been chosen.
+    pub(crate) fn update_shed_view(&self) {
+        let now = now();
+        let may_decide = self.loaded.get() && !self.handing_over.get() && !self.ended.get();
+        let may_decide = may_decide && self.lease_from(now).is_some();
+        let view = may_decide.then(|| ShedView {
+            computed_at: now,
+            rows: self.scheduler.borrow_mut().shed_rows(now),
+        });
+        *self.shed_view.borrow_mut() = view.map(Rc::new);
+    }
+
+    /// Returns the view of the workspaces whose submits may be rejected.
+    pub(crate) fn shed_view(&self) -> Option<Rc<ShedView>> {
+        self.shed_view.borrow().clone()
+    }
+
     /// Returns the number of jobs in a queue that have not started.
     pub(crate) fn pending_jobs(&self, queue: &str) -> PendingAnswer {
         if !self.loaded.get() || !self.knows_all_jobs() {
@@ -397,9 +442,23 @@
         self.scheduler.borrow().counts(now())
     }
 
+    /// Returns the number of workers by learned speed.
+    pub(crate) fn speed_counts(&self) -> SpeedCounts {
+        self.scheduler.borrow().speed_counts(now())
+    }
+
+    /// Returns the median error of the predicted run times by queue, in thousandths.
+    pub(crate) fn duration_errors(&self) -> Vec<(String, u64)> {
+        let errors = self.scheduler.borrow().duration_errors();
+        let named = errors.into_iter();
+        named
+            .map(|(queue, error)| (queue.to_string(), error))
+            .collect()
+    }
+
     /// Returns what the workspaces have running.
     pub(crate) fn workspace_readings(&self) -> Vec<WorkspaceReading> {
-        let usages = self.scheduler.borrow().workspace_usage();
+        let usages = self.scheduler.borrow().workspace_usage(now());
         let readings = usages.into_iter().map(|usage| {
             let cap = usage.cap.cpu_millis;
             WorkspaceReading {
@@ -411,6 +470,22 @@
         readings.collect()
     }
 
+    /// Returns how the workspaces use their rates. Those without a rate are left out.
+    pub(crate) fn rate_readings(&self) -> Vec<RateReading> {
+        let usages = self.scheduler.borrow().workspace_usage(now());
+        let limited = usages
+            .into_iter()
+            .filter(|usage| usage.rate_per_s.is_finite());
+        let readings = limited.map(|usage| RateReading {
+            name: usage.name.to_string(),
+            rate_per_s: usage.rate_per_s,
+            burst_left_jobs: usage.burst_left_jobs,
+            excess_jobs: usage.excess_jobs,
+            predicted_wait_ms: usage.predicted_wait_ms,
+        });
+        readings.collect()
+    }
+
     /// Records a contact from another node.
     ///
     /// Returns the jobs partition that node should write to. Nodes get distinct partitions as far
@@ -418,6 +493,7 @@
     pub(crate) fn register_peer(&self, contact: &Contact) -> u32 {
         self.peer_heard_at.set(Some(now()));
         self.register_advice_node(contact);
+        self.register_carrier(contact);
         self.note_follower(contact);
         if let Some(day) = reported_anchor(now(), contact.day_ms) {
             let name = SmolStr::from(contact.node.as_str());
@@ -429,6 +505,21 @@
             .remote_nodes_before(&contact.node)
     }
 
+    /// Records that another node can relay calls to workers. One that follows another scheduler would send none of them.
+    fn register_carrier(&self, contact: &Contact) {
+        if contact.token != self.token {
+            return;
+        }
+        let name = SmolStr::from(contact.node.as_str());
+        let mut carriers = self.carriers.borrow_mut();
+        carriers.note_contact(&name, contact.files_limit, &contact.zone, now());
+    }
+
+    /// Returns how many workers are assigned to carriers.
+    pub(crate) fn carrier_load(&self) -> CarrierLoad {
+        self.carriers.borrow().load()
+    }
+
     /// Returns the agreed time of day, which decides when timed jobs are due.
     pub(crate) fn agreed_time(&self) -> AgreedTime {
         self.clock_agreement
--- a/crates/cell/src/leader/sessions.rs
+++ b/crates/cell/src/leader/sessions.rs
@@ -18,6 +18,7 @@
 use crate::ports::Renewal;
 use crate::ports::WorkerAddress;
 use crate::unreadable::Source;
+use crate::worker_command::WorkerCommand;
 
 /// Maximum time that a renewal waits until previously reported ends are written.
 const WRITE_WAIT_MS: u64 = 150;
@@ -25,6 +26,10 @@
 /// Backoff after a failed renewal; it doubles up to the limit.
 const RETRY_MS: u64 = 60;
 
+/// How long a worker that runs nothing holds a renewal open where calls are relayed: the longest that workers allow.
+/// Ends and starts are noticed as before, since a worker with an end answers at once and orders are calls of their own.
+const IDLE_WAIT_MS: u64 = 2_000;
+
 /// Maximum backoff after failed renewals.
 const MAX_RETRY_MS: u64 = 400;
 
@@ -66,6 +71,10 @@
         }));
         // A worker without a known address cannot be queried.
         let has_address = !link.address.address.is_empty();
+        if has_address {
+            let mut carriers = self.carriers.borrow_mut();
+            carriers.add_worker(&spec.id, &spec.zone, now());
+        }
         let session = renew_leases(Rc::clone(self), worker, Rc::clone(&link));
         let session = Session {
             link,
@@ -94,19 +103,35 @@
     }
 
     pub(super) fn detach(&self, worker: WorkerKey) {
-        if let Some(session) = self.sessions.borrow_mut().remove(worker) {
+        let removed = self.sessions.borrow_mut().remove(worker);
+        if let Some(session) = removed {
             let id = session.worker();
             log::worker_listed(id, "detached");
             session.abort();
+            self.remove_from_carriers(id);
             self.node
                 .unreadable
                 .forget(Source::WorkerAnswers, id.as_str());
         }
     }
 
+    /// Ends the assignment of a worker to a carrier, unless another session has the same id: without a start time, all
+    /// incarnations of a worker do.
+    fn remove_from_carriers(&self, id: &WorkerId) {
+        let sessions = self.sessions.borrow();
+        if !sessions.values().any(|session| session.worker() == id) {
+            self.carriers.borrow_mut().remove_worker(id);
+        }
+    }
+
     /// Returns how long the worker may hold a renewal open, waiting for a run to end.
-    fn renewal_wait_ms(&self, worker: WorkerKey) -> u64 {
+    fn renewal_wait_ms(&self, worker: WorkerKey, link: &WorkerLink) -> u64 {
         let default_ms = self.node.settings.timing.renewal_wait_ms;
+        let default_ms = if link.is_idle() && self.carriers.borrow().is_relaying() {
+            default_ms.max(IDLE_WAIT_MS)
+        } else {
+            default_ms
+        };
         self.scheduler.borrow().renewal_wait_ms(worker, default_ms)
     }
 
@@ -160,7 +185,7 @@
         let lease_until_ms = lease_from.and_then(|from| link.lease_until_ms(from, lease_ms));
         let may_wait = is_answering && !has_unwritten;
         let wait_ms = if may_wait {
-            leader.renewal_wait_ms(worker)
+            leader.renewal_wait_ms(worker, &link)
         } else {
             0
         };
@@ -175,9 +200,9 @@
         };
         let answer_timeout = &link.answer_timeout;
         let slack_ms = leader.renewal_slack_ms(&link);
-        let platform = &leader.node.platform;
-        let renewed = platform
-            .renew(&link.address, &renewal, wait_ms + slack_ms)
+        let renewal = WorkerCommand::Renew(renewal);
+        let renewed = leader
+            .renew_worker(&link.address, &renewal, wait_ms + slack_ms)
             .await;
         let took_ms = now().since(sent_at);
         match renewed {
@@ -192,6 +217,7 @@
                     &renewed.skipped,
                 );
                 link.record_clock(renewed.clock_ms);
+                link.record_report(&renewed.report);
                 leader.apply(Event::Renewed {
                     worker,
                     sent_at,
--- a/crates/cell/src/log.rs
+++ b/crates/cell/src/log.rs
@@ -12,6 +12,7 @@
 use syc_sched::JobSpec;
 use syc_sched::JobState;
 use syc_sched::Note;
+use syc_sched::RateUseChange;
 use syc_sched::Run;
 use syc_sched::StartOrder;
 use syc_sched::StepId;
@@ -26,6 +27,7 @@
 
 use crate::Configuration;
 use crate::NodeSettings;
+use crate::leader::carriers::CarrierLoad;
 use crate::leader::retry_report::RetryReport;
 use crate::node::Holder;
 use crate::ports::AdviceError;
@@ -106,12 +108,23 @@
     Line::new(catalogue::WORKSPACE_CHANGED)
         .text("workspace", policy.name.as_str())
         .display("weight", policy.weight)
+        .display("rate_per_s", policy.rate_per_s)
+        .display("burst_jobs", policy.burst_jobs)
         .number("cap_cpu_millis", policy.cap.cpu_millis)
         .number("cap_memory_bytes", policy.cap.memory_bytes)
         .number("cap_accelerators", u64::from(policy.cap.accelerators))
         .emit();
 }
 
+fn rate_use_changed(change: &RateUseChange) {
+    Line::new(catalogue::WORKSPACE_RATE_USE)
+        .text("workspace", change.workspace.as_str())
+        .flag("beyond", change.is_beyond)
+        .display("rate_per_s", change.rate_per_s)
+        .display("burst_jobs", change.burst_jobs)
+        .emit();
+}
+
 pub(crate) fn job_id_taken(spec: &JobSpec) {
     let workspace = spec.workspace.as_ref().map_or("", WorkspaceName::as_str);
     Line::new(catalogue::JOB_ID_TAKEN)
@@ -128,11 +141,12 @@
         .emit();
 }
 
-pub(crate) fn claim_won(token: u64, before: Option<&Holder>, silent_ms: u64) {
+pub(crate) fn claim_won(token: u64, before: Option<&Holder>, silent_ms: u64, timeout_factor: u64) {
     Line::new(catalogue::HOLDER_CHOSEN)
         .number("token", token)
         .number("before", before.map_or(0, |before| before.token))
         .number("silent_ms", silent_ms)
+        .number("timeout_factor", timeout_factor)
         .emit();
 }
 
@@ -352,6 +366,28 @@
         .emit();
 }
 
+pub(crate) fn relaying_changed(
+    relaying: bool,
+    workers: usize,
+    files_limit: u64,
+    load: &CarrierLoad,
+) {
+    Line::new(catalogue::RELAYING_CHANGED)
+        .flag("relaying", relaying)
+        .number("workers", workers)
+        .number("files_limit", files_limit)
+        .number("carriers", load.carriers)
+        .number("relayed_workers", load.workers)
+        .emit();
+}
+
+pub(crate) fn carrier_changed(carrier: &str, usable: bool) {
+    Line::new(catalogue::CARRIER_CHANGED)
+        .text("carrier", carrier)
+        .flag("usable", usable)
+        .emit();
+}
+
 /// Logs a note of the scheduler.
 pub(crate) fn note(note: &Note) {
     match note {
@@ -383,6 +419,7 @@
             missing_ms,
         } => run_missing(*task, *run, worker.as_ref(), found, *missing_ms),
         Note::WorkspaceChanged(policy) => workspace_changed(policy),
+        Note::RateUseChanged(change) => rate_use_changed(change),
         Note::UsageWrong => Line::new(catalogue::USAGE_WRONG).emit(),
         Note::EndHeld {
             task,
--- a/crates/cell/src/node.rs
+++ b/crates/cell/src/node.rs
@@ -14,6 +14,8 @@
 use syc_obs::CellMetrics;
 use syc_obs::CellReadings;
 use syc_obs::flush_lines;
+use syc_sched::ContactTimeout;
+use syc_sched::ElectionBackoff;
 use syc_sched::Event;
 use syc_sched::Wave;
 use syc_types::DayAnchor;
@@ -24,6 +26,7 @@
 
 use crate::Configuration;
 use crate::NodeSettings;
+use crate::carrier::RelayedCalls;
 use crate::claims;
 use crate::clock::now;
 use crate::clock::pause;
@@ -38,6 +41,7 @@
 use crate::store_calls::StoreHealth;
 use crate::submit::SubmitQueue;
 use crate::submit::run_admission_timer;
+use crate::submit_shedding::SubmitsUnderWay;
 use crate::unreadable::Unreadable;
 
 /// Interval at which a planned stop checks whether the node is idle.
@@ -89,18 +93,25 @@
     pub(crate) link: RefCell<Option<Rc<HolderLink>>>,
     pub(crate) leader: RefCell<Option<Rc<Leader<P>>>>,
     pub(crate) submit_queue: SubmitQueue,
+    pub(crate) submits: Rc<SubmitsUnderWay>,
     /// Partition to which this node appends jobs.
     pub(crate) partition: Cell<u32>,
     /// Notifies that the scheduler changed or is suspected to have failed.
     pub(crate) holder_changed: Notify,
     /// Whether the holder's process is suspected to have ended.
     pub(crate) holder_suspected: Cell<bool>,
+    /// Timeout of contacts to the scheduler.
+    pub(crate) contact_timeout: Cell<ContactTimeout>,
+    /// Lengthens election timeouts while live schedulers are replaced one after the other.
+    pub(crate) election_backoff: RefCell<ElectionBackoff>,
     pub(crate) stopping: Cell<bool>,
     /// Earliest time for the next claim, set when this node gives up the role.
     pub(crate) claim_not_before: Cell<Millis>,
     /// Wall-clock time that the scheduler last reported.
     pub(crate) reported_time: Cell<Option<AgreedTime>>,
     pub(crate) unsent_replies: UnsentReplies,
+    /// Calls to workers in progress that this node makes on behalf of the scheduler.
+    pub(crate) relayed_calls: RelayedCalls,
 }
 
 impl<P> Node<P>
@@ -124,12 +135,16 @@
             leader: RefCell::default(),
             partition: Cell::new(0),
             submit_queue: SubmitQueue::new(),
+            submits: Rc::default(),
             holder_changed: Notify::new(),
             holder_suspected: Cell::new(false),
+            contact_timeout: Cell::default(),
+            election_backoff: RefCell::default(),
             stopping: Cell::new(false),
             claim_not_before: Cell::new(started_at),
             reported_time: Cell::new(None),
             unsent_replies: UnsentReplies::default(),
+            relayed_calls: RelayedCalls::default(),
             settings,
         });
         actix_rt::spawn(follow::follow_configuration(Rc::clone(&node)));
@@ -231,7 +246,18 @@
             readings.oldest_doubt_ms = counts.oldest_doubt_ms;
             readings.longest_silence_ms = counts.longest_silence_ms;
             readings.longest_lease_ms = counts.longest_lease_ms;
+            let carried = leader.carrier_load();
+            readings.carriers = carried.carriers;
+            readings.relayed_workers = carried.workers;
+            readings.most_relayed_workers = carried.most_workers;
+            let speeds = leader.speed_counts();
+            readings.normal_speed_workers = speeds.normal;
+            readings.slow_workers = speeds.slow;
+            readings.unknown_speed_workers = speeds.unknown;
+            readings.longest_slow_ms = speeds.longest_slow_ms;
+            self.metrics.duration_errors(&leader.duration_errors());
             self.metrics.workspaces(&leader.workspace_readings());
+            self.metrics.workspace_rates(&leader.rate_readings());
         }
         self.metrics.page(&readings)
     }
@@ -272,6 +298,7 @@
         if let Some(leader) = node.leader() {
             leader.update_agreed_time();
             leader.apply(Event::Ticked);
+            leader.update_shed_view();
             leader.request_leadership_proof();
             leader.hand_over_if_isolated();
         }
--- a/crates/cell/src/succession.rs
+++ b/crates/cell/src/succession.rs
@@ -24,6 +24,10 @@
 use crate::ports::Platform;
 use crate::unreadable::Source;
 
+/// Timeout of a notice to a scheduler that was replaced. It is longer than that of a contact, since a scheduler that was
+/// replaced because it answers late has to be recognized as alive.
+const NOTICE_TIMEOUT_MS: u64 = 800;
+
 impl Holder {
     pub(crate) const fn tenure(&self) -> Tenure {
         Tenure {
@@ -66,7 +70,14 @@
     let interval_ms = node.settings.timing.contact_interval_ms;
     let pending = PendingNotice::new(before_tenure, now(), interval_ms, node.incarnation);
     let elected = elected.to_wire();
-    let sending = send_notice(Rc::clone(node), client, notice, elected, pending);
+    let sending = send_notice(
+        Rc::clone(node),
+        client,
+        before_tenure,
+        notice,
+        elected,
+        pending,
+    );
     actix_rt::spawn(sending);
 }
 
@@ -74,6 +85,7 @@
 async fn send_notice<P>(
     node: Rc<Node<P>>,
     client: PeerClient,
+    before: Tenure,
     notice: SuccessionNotice,
     elected: ElectedScheduler,
     mut pending: PendingNotice,
@@ -90,13 +102,17 @@
             heard_at_ms: 0,
             predecessor_incarnation: notice.predecessor_incarnation,
             elected: Some(elected.clone()),
+            ..Contact::default()
         });
-        let timeout_ms = node.settings.timing.contact_timeout_ms;
+        let timeout_ms = NOTICE_TIMEOUT_MS;
         let reply = contact::call(&client, query, timeout_ms).await;
-        if let Ok(CellBody::ContactReply(reply)) = reply
-            && pending.is_confirmed_by(reply.token)
-        {
-            return;
+        if let Ok(CellBody::ContactReply(reply)) = reply {
+            if reply.incarnation == notice.predecessor_incarnation {
+                record_live_predecessor(&node, before);
+            }
+            if pending.is_confirmed_by(reply.token) {
+                return;
+            }
         }
         let Some(repeat_after_ms) = pending.repeat_after_ms(now()) else {
             return;
@@ -105,6 +121,21 @@
     }
 }
 
+/// Records that a replaced scheduler answers, so that its election may have been premature.
+fn record_live_predecessor<P>(node: &Node<P>, predecessor: Tenure)
+where
+    P: Platform,
+{
+    let mut backoff = node.election_backoff.borrow_mut();
+    let is_news = backoff.record_live_predecessor(predecessor, now());
+    if is_news {
+        let mut timeout = node.contact_timeout.get();
+        let min_timeout_ms = node.settings.timing.contact_timeout_ms;
+        timeout.record_unanswered(contact::SUSPECTED_MISSES, min_timeout_ms);
+        node.contact_timeout.set(timeout);
+    }
+}
+
 /// Returns the scheduler that this node knows, if it is newer than the one with this token.
 pub(crate) fn newer_scheduler<P>(node: &Node<P>, token: u64) -> Option<ElectedScheduler>
 where
--- a/crates/cell/tests/cell/fuzz.rs
+++ b/crates/cell/tests/cell/fuzz.rs
@@ -1,12 +1,17 @@
 //! Fuzzes the decoders of records in the store and of frames between nodes.
 
 use bytes::Bytes;
+use syc_cell::ports::OrderError;
 use syc_cell::ports::Record;
 use syc_cell::records;
 use syc_cell::records::DrainsRecord;
 use syc_cell::records::HolderRecord;
 use syc_cell::records::JobRecord;
 use syc_cell::records::RosterRecord;
+use syc_cell::shedding::ShedView;
+use syc_cell::worker_command::RelayedCall;
+use syc_cell::worker_command::read_reply;
+use syc_cell::worker_command::write_reply;
 use syc_fleet::SchedulerHarness;
 use syc_fleet::fuzz::mutated_bytes;
 use syc_fleet::fuzz::mutated_fields;
@@ -19,6 +24,7 @@
 use syc_sched::JobState;
 use syc_sched::Run;
 use syc_sched::Schedule;
+use syc_sched::StartRefusal;
 use syc_sched::StepProgress;
 use syc_sched::StepSpec;
 use syc_sched::UnitProgress;
@@ -26,6 +32,7 @@
 use syc_sched::WaveProgress;
 use syc_sched::WorkerSpec;
 use syc_types::CellTime;
+use syc_types::Millis;
 use syc_types::TimeOfDay;
 use syc_types::WorkerId;
 use syc_wire::Body;
@@ -41,11 +48,15 @@
 use syc_wire::cell::Contact;
 use syc_wire::cell::ContactReply;
 use syc_wire::cell::ElectedScheduler;
+use syc_wire::cell::SHED_ROWS_LIMIT;
+use syc_wire::cell::ShedRow;
 use syc_wire::cell::StoredNotice;
+use syc_wire::worker_call::WorkerCall;
 
 use crate::cluster::job;
 use crate::cluster::step;
 use crate::cluster::worker;
+use crate::relaying;
 
 const JOB: u64 = 0x0a0b_0c0d_0e0f_0001;
 
@@ -254,6 +265,7 @@
         token: 7,
         released: false,
         proves: true,
+        workers: 3_000,
     };
     fuzz(&values([records::holder(&holder)]), |value| {
         serde_json::from_slice::<HolderRecord>(value).ok()
@@ -269,6 +281,14 @@
     }
 }
 
+fn shed_row(workspace: &str) -> ShedRow {
+    ShedRow {
+        workspace: workspace.into(),
+        queue: "queue".into(),
+        wait_ms: 9_000,
+    }
+}
+
 #[test]
 fn frames_between_nodes() {
     let bodies = [
@@ -281,11 +301,15 @@
             heard_at_ms: 11,
             predecessor_incarnation: 12,
             elected: Some(elected_scheduler()),
+            files_limit: 4_100,
+            zone: "zone".into(),
         }),
         CellBody::ContactReply(ContactReply {
             token: 7,
             incarnation: 13,
             elected: Some(elected_scheduler()),
+            shed_rows: vec![shed_row("a"), shed_row("b")],
+            shed_rows_age_ms: 90,
             ..ContactReply::default()
         }),
         CellBody::AdviceQuery(AdviceQuery {
@@ -308,9 +332,28 @@
             value: Bytes::from_static(b"{}"),
             partition: 3,
         }),
+        CellBody::WorkerCall(WorkerCall::from(&relaying::relayed_start())),
+        CellBody::WorkerCallReply(write_reply(&Ok(relaying::renewed_answer()))),
+        CellBody::WorkerCallReply(write_reply(&Err(OrderError::Refused(StartRefusal::Late)))),
     ];
     let valid = bodies.map(|body| CellMessage::encode_body(body).to_vec());
-    let read = |frame: &[u8]| CellMessage::decode_body(frame).ok();
+    let read = |frame: &[u8]| {
+        let body = CellMessage::decode_body(frame).ok()?;
+        match &body {
+            CellBody::ContactReply(reply) => {
+                let view = ShedView::from_reply(reply, Millis(7));
+                assert!(view.rows.len() <= SHED_ROWS_LIMIT);
+            }
+            CellBody::WorkerCall(call) => {
+                let _call = RelayedCall::try_from(call.clone()).ok()?;
+            }
+            CellBody::WorkerCallReply(reply) => {
+                let _answer = read_reply(reply.clone()).ok()?;
+            }
+            _other => {}
+        }
+        Some(body)
+    };
     random_bytes(read);
     mutated_bytes(&valid, read);
     frames_with_an_unknown_field(&valid, read);
--- a/crates/obs/src/cell_metrics.rs
+++ b/crates/obs/src/cell_metrics.rs
@@ -71,6 +71,14 @@
     pub runs: usize,
     /// Workers that may get work.
     pub usable_workers: usize,
+    /// Workers whose learned speed is about that of the median worker, or higher.
+    pub normal_speed_workers: usize,
+    /// Workers that are permanently slow.
+    pub slow_workers: usize,
+    /// Workers about whose speed too little is known.
+    pub unknown_speed_workers: usize,
+    /// Longest time for which a worker has been permanently slow.
+    pub longest_slow_ms: u64,
     /// Workers that do not answer.
     pub silent_workers: usize,
     /// Tasks and gangs whose end is held while a later start of them may be carried out.
@@ -87,11 +95,20 @@
     pub worker_connections_opened: u64,
     /// Connections to workers that it did not open, as too many were opened lately.
     pub worker_connections_withheld: u64,
+    /// Nodes that relay calls to workers for this scheduler.
+    pub carriers: usize,
+    /// Workers that they relay for.
+    pub relayed_workers: usize,
+    /// Workers of the one that relays for most.
+    pub most_relayed_workers: u64,
 }
 
 /// Largest number of workspaces whose use is shown.
 const WORKSPACES_LIMIT: usize = 100;
 
+/// Largest number of queues whose prediction errors are shown.
+const QUEUES_LIMIT: usize = 100;
+
 /// What a workspace has running, in thousandths of a core.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct WorkspaceReading {
@@ -103,6 +120,21 @@
     pub cap_cpu_millis: Option<u64>,
 }
 
+/// How a workspace uses its guaranteed rate.
+#[derive(Debug, Clone, PartialEq)]
+pub struct RateReading {
+    /// Its name.
+    pub name: String,
+    /// Its guaranteed rate, in jobs a second.
+    pub rate_per_s: f64,
+    /// Jobs that it may send now before it is beyond its rate.
+    pub burst_left_jobs: f64,
+    /// Its waiting jobs that were submitted beyond its rate.
+    pub excess_jobs: u64,
+    /// Lower bound of the wait of its next job.
+    pub predicted_wait_ms: u64,
+}
+
 /// The metrics of one node of a cell.
 pub struct CellMetrics {
     exporter: Exporter,
@@ -113,8 +145,13 @@
     unreadable: Counter<u64>,
     missing_runs: Counter<u64>,
     stops: Counter<u64>,
+    shed_decisions: Counter<u64>,
+    worker_calls: Counter<u64>,
     worker_connections: WorkerConnections,
     workspace_cpu: Gauge<f64>,
+    workspace_rates: WorkspaceRates,
+    wait_errors: Histogram<f64>,
+    duration_error: Gauge<f64>,
     gauges: Gauges,
 }
 
@@ -170,11 +207,30 @@
                 "syc_cell_stops",
                 "Orders to stop a run, by reason and by priority of the unit that room is made for.",
             ),
+            shed_decisions: counter(
+                &meter,
+                "syc_cell_shed_decisions",
+                "Submits that load shedding considered, by queue, decision and reason.",
+            ),
+            worker_calls: counter(
+                &meter,
+                "syc_cell_worker_calls",
+                "Calls to workers, by way and result.",
+            ),
             worker_connections: WorkerConnections::new(&meter),
             workspace_cpu: meter
                 .f64_gauge("syc_cell_workspace_cpu_cores")
                 .with_description("Processor time that workspaces have running, and their caps.")
                 .build(),
+            workspace_rates: WorkspaceRates::new(&meter),
+            wait_errors: histogram(
+                "syc_cell_wait_error",
+                "Difference of predicted waits from those until the first start, by queue.",
+            ),
+            duration_error: meter
+                .f64_gauge("syc_cell_duration_error_ratio")
+                .with_description("Median error of the predicted run times, by queue.")
+                .build(),
             gauges: Gauges::new(&meter),
             exporter,
         }
@@ -227,6 +283,23 @@
         self.stops.add(1, &labels);
     }
 
+    /// Counts a submit of a job that would end too late for its caller. The queue is one of the configuration.
+    pub fn shed_decision(&self, queue: &str, decision: &'static str, reason: &'static str) {
+        let labels = [
+            KeyValue::new("queue", queue.to_owned()),
+            KeyValue::new("decision", decision),
+            KeyValue::new("reason", reason),
+        ];
+        self.shed_decisions.add(1, &labels);
+    }
+
+    /// Counts a call to a worker: `direct`, `relayed` through another node, or `carried` for the scheduler.
+    pub fn worker_call(&self, way: &'static str, accepted: bool) {
+        let result = if accepted { "ok" } else { "failed" };
+        let labels = [KeyValue::new("way", way), KeyValue::new("result", result)];
+        self.worker_calls.add(1, &labels);
+    }
+
     /// Sets the use of workspaces. Only the first ones are shown.
     pub fn workspaces(&self, readings: &[WorkspaceReading]) {
         for reading in readings.iter().take(WORKSPACES_LIMIT) {
@@ -237,6 +310,37 @@
         }
     }
 
+    /// Sets how workspaces use their rates. Only the first ones are shown.
+    pub fn workspace_rates(&self, readings: &[RateReading]) {
+        for reading in readings.iter().take(WORKSPACES_LIMIT) {
+            self.workspace_rates.set(reading);
+        }
+    }
+
+    /// Notes how far the wait of a job was from the predicted one.
+    pub fn wait_error(&self, queue: &str, predicted_ms: u64, seen_ms: u64) {
+        let direction = if predicted_ms > seen_ms {
+            "shorter"
+        } else {
+            "longer"
+        };
+        let labels = [
+            KeyValue::new("queue", queue.to_owned()),
+            KeyValue::new("seen", direction),
+        ];
+        let error_ms = predicted_ms.abs_diff(seen_ms);
+        self.wait_errors.record(to_seconds(error_ms), &labels);
+    }
+
+    /// Sets the median error of the predicted run times of queues, in thousandths. Only the first ones are shown.
+    pub fn duration_errors(&self, errors: &[(String, u64)]) {
+        for (queue, error_permille) in errors.iter().take(QUEUES_LIMIT) {
+            let labels = [KeyValue::new("queue", queue.clone())];
+            self.duration_error
+                .record(from_thousandths(*error_permille), &labels);
+        }
+    }
+
     fn workspace_cores(&self, workspace: &str, kind: &'static str, cpu_millis: u64) {
         let labels = [
             KeyValue::new("workspace", workspace.to_owned()),
@@ -294,6 +398,11 @@
     jobs: Gauge<u64>,
     tasks: Gauge<u64>,
     workers: Gauge<u64>,
+    carriers: Gauge<u64>,
+    relayed_workers: Gauge<u64>,
+    most_relayed_workers: Gauge<u64>,
+    workers_by_speed: Gauge<u64>,
+    longest_slow: Gauge<f64>,
     doubtful: Gauge<u64>,
     held_ends: Gauge<u64>,
     oldest_doubt: Gauge<f64>,
@@ -346,6 +455,23 @@
                 "Tasks that wait, and runs that hold room.",
             ),
             workers: gauge("syc_cell_workers", "Workers by state."),
+            carriers: gauge(
+                "syc_cell_carriers",
+                "Nodes that relay calls to workers for this scheduler.",
+            ),
+            relayed_workers: gauge(
+                "syc_cell_relayed_workers",
+                "Workers that other nodes relay calls for.",
+            ),
+            most_relayed_workers: gauge(
+                "syc_cell_most_relayed_workers",
+                "Workers of the node that relays for most.",
+            ),
+            workers_by_speed: gauge("syc_cell_workers_by_speed", "Workers by learned speed."),
+            longest_slow: time(
+                "syc_cell_longest_slow",
+                "Longest time for which a worker has been permanently slow.",
+            ),
         }
     }
 
@@ -356,10 +482,16 @@
         self.jobs.record(to_u64(readings.open_jobs), &[]);
         self.doubtful.record(to_u64(readings.doubtful_runs), &[]);
         self.held_ends.record(to_u64(readings.held_ends), &[]);
+        self.carriers.record(to_u64(readings.carriers), &[]);
+        self.relayed_workers
+            .record(to_u64(readings.relayed_workers), &[]);
+        self.most_relayed_workers
+            .record(readings.most_relayed_workers, &[]);
         let times = [
             (&self.oldest_doubt, readings.oldest_doubt_ms),
             (&self.longest_silence, readings.longest_silence_ms),
             (&self.longest_lease, readings.longest_lease_ms),
+            (&self.longest_slow, readings.longest_slow_ms),
         ];
         for (gauge, time_ms) in times {
             gauge.record(to_seconds(time_ms), &[]);
@@ -378,6 +510,59 @@
         for (state, count) in workers {
             self.workers.record(count, &[KeyValue::new("state", state)]);
         }
+        let by_speed = [
+            ("unknown", readings.unknown_speed_workers),
+            ("normal", readings.normal_speed_workers),
+            ("slow", readings.slow_workers),
+        ];
+        for (class, count) in by_speed {
+            let labels = [KeyValue::new("class", class)];
+            self.workers_by_speed.record(to_u64(count), &labels);
+        }
+    }
+}
+
+/// Gauges of the guaranteed rates of workspaces.
+struct WorkspaceRates {
+    rate: Gauge<f64>,
+    burst_left: Gauge<f64>,
+    excess_jobs: Gauge<u64>,
+    predicted_wait: Gauge<f64>,
+}
+
+impl WorkspaceRates {
+    fn new(meter: &Meter) -> Self {
+        let gauge = |name: &'static str, text: &'static str| {
+            let built = meter.f64_gauge(name).with_description(text);
+            built.build()
+        };
+        Self {
+            rate: gauge(
+                "syc_cell_workspace_rate_jobs_per_second",
+                "Guaranteed rates of workspaces.",
+            ),
+            burst_left: gauge(
+                "syc_cell_workspace_burst_left_jobs",
+                "Jobs that workspaces may send before they are beyond their rates.",
+            ),
+            excess_jobs: meter
+                .u64_gauge("syc_cell_workspace_excess_jobs")
+                .with_description("Waiting jobs submitted beyond the rates of workspaces.")
+                .build(),
+            predicted_wait: gauge(
+                "syc_cell_workspace_predicted_wait_seconds",
+                "Lower bounds of the wait of the next jobs of workspaces.",
+            ),
+        }
+    }
+
+    fn set(&self, reading: &RateReading) {
+        let labels = [KeyValue::new("workspace", reading.name.clone())];
+        self.rate.record(reading.rate_per_s, &labels);
+        self.burst_left.record(reading.burst_left_jobs, &labels);
+        self.excess_jobs.record(reading.excess_jobs, &labels);
+        let wait_s = to_seconds(reading.predicted_wait_ms);
+        self.predicted_wait.record(wait_s, &labels);
     }
 }
 
--- a/crates/sched/src/gang.rs
+++ b/crates/sched/src/gang.rs
@@ -26,7 +26,7 @@
 }
 
 /// Number of gang members that a worker can run.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 struct Offer {
     worker: WorkerKey,
     free: u32,
@@ -47,13 +47,16 @@
         if self.is_capped(job_key, step_index, now) {
             return;
         }
+        if self.jobs[job_key].is_excess && self.would_use_headroom(job_key, step_index) {
+            return;
+        }
         let needs_advice = self.jobs[job_key].spec.policy.advice.is_some();
         if needs_advice && self.jobs[job_key].steps[step_index].advice.call_count == 0 {
             self.request_gang_advice(job_key, step_index, now);
             return;
         }
         let candidates = self.gang_candidates(job_key, step_index, now);
-        let Some(plan) = self.plan_gang_soon(job_key, step_index, &candidates) else {
+        let Some(plan) = self.plan_gang_soon(job_key, step_index, &candidates, now) else {
             // Ending runs free capacity, so more workers are queried only if that cannot suffice.
             if !self.has_capacity_for_gang(job_key, step_index, &candidates) {
                 self.request_gang_advice(job_key, step_index, now);
@@ -179,14 +182,15 @@
         job_key: JobKey,
         step_index: usize,
         candidates: &[WorkerKey],
+        now: Millis,
     ) -> Option<Plan> {
         for within_ms in self.waiting_times_ms(job_key, step_index) {
-            let plan = self.plan_gang(job_key, step_index, candidates, within_ms);
+            let plan = self.plan_gang(job_key, step_index, candidates, within_ms, now);
             if let Some(plan) = plan.filter(|plan| !plan.preempts) {
                 return Some(plan);
             }
         }
-        self.plan_gang(job_key, step_index, candidates, self.time_of_stop_ms())
+        self.plan_gang(job_key, step_index, candidates, self.time_of_stop_ms(), now)
     }
 
     fn plan_gang(
@@ -195,13 +199,15 @@
         step_index: usize,
         candidates: &[WorkerKey],
         within_ms: u64,
+        now: Millis,
     ) -> Option<Plan> {
         if self.jobs[job_key].steps[step_index].spec.same_rack
-            && let Some(plan) = self.plan_in_one_rack(job_key, step_index, candidates, within_ms)
+            && let Some(plan) =
+                self.plan_in_one_rack(job_key, step_index, candidates, within_ms, now)
         {
             return Some(plan);
         }
-        self.plan_on(job_key, step_index, candidates, within_ms)
+        self.plan_on(job_key, step_index, candidates, within_ms, now)
     }
 
     fn plan_in_one_rack(
@@ -210,6 +216,7 @@
         step_index: usize,
         candidates: &[WorkerKey],
         within_ms: u64,
+        now: Millis,
     ) -> Option<Plan> {
         let mut racks: Vec<_> = candidates
             .iter()
@@ -223,7 +230,7 @@
                 .copied()
                 .filter(|key| self.workers[*key].spec.rack == *rack)
                 .collect();
-            let plan = self.plan_on(job_key, step_index, &inside, within_ms);
+            let plan = self.plan_on(job_key, step_index, &inside, within_ms, now);
             if plan.is_some() {
                 return plan;
             }
@@ -237,31 +244,43 @@
         step_index: usize,
         candidates: &[WorkerKey],
         within_ms: u64,
+        now: Millis,
     ) -> Option<Plan> {
-        let tasks = self.jobs[job_key].steps[step_index].spec.tasks;
-        let mut offers = self.offers(job_key, step_index, candidates, within_ms);
-        let free: u32 = offers.iter().map(|offer| offer.free).sum();
-        let all: u32 = offers.iter().map(|offer| offer.with_preemption).sum();
-        if all < tasks {
-            return None;
+        let spec = &self.jobs[job_key].steps[step_index].spec;
+        let tasks = spec.tasks;
+        let offers = self.offers(job_key, step_index, candidates, within_ms);
+        let has_slow = candidates.iter().any(|key| self.is_slow_worker(*key));
+        if !has_slow || !self.places_by_speed() || spec.long_running {
+            return plan_offers(tasks, offers);
         }
-        // Using few workers with much free capacity minimises the risk that the gang loses one.
-        offers.sort_by_key(|offer| std::cmp::Reverse((offer.free, offer.with_preemption)));
-        let preempts = free < tasks;
-        let mut left = tasks;
-        let mut workers = Vec::new();
-        for offer in &offers {
-            let count = offer.free.min(left);
-            left -= count;
-            workers.push((offer.worker, count));
+        let (slow, fast): (Vec<_>, Vec<_>) = offers
+            .into_iter()
+            .partition(|offer| self.is_slow_worker(offer.worker));
+        if free_members(&fast) >= tasks {
+            return plan_offers(tasks, fast);
         }
-        for (offer, (_, count)) in offers.iter().zip(&mut workers) {
-            let more = (offer.with_preemption - offer.free).min(left);
-            left -= more;
-            *count += more;
+        let avoids_slow = self.gang_avoids_slow(job_key, step_index, now);
+        if !avoids_slow && free_members(&slow) >= tasks {
+            return plan_offers(tasks, slow);
+        }
+        if avoids_slow && self.ends_in_time_on_fast(job_key, step_index, now) {
+            let could_hold = self.fast_members(job_key, step_index, candidates) >= tasks;
+            let plan = plan_offers(tasks, fast.clone());
+            if plan.is_some() || could_hold {
+                return plan;
+            }
         }
-        workers.retain(|(_, count)| *count > 0);
-        Some(Plan { workers, preempts })
+        plan_offers(tasks, [fast, slow].concat())
+    }
+
+    /// Returns how many members of a gang the candidates that are not slow could run if they were idle.
+    fn fast_members(&self, job_key: JobKey, step_index: usize, candidates: &[WorkerKey]) -> u32 {
+        let spec = &self.jobs[job_key].steps[step_index].spec;
+        let need = spec.reserved_resources();
+        let limit = spec.max_tasks_per_worker();
+        let fast = candidates.iter().filter(|key| !self.is_slow_worker(**key));
+        let members = fast.map(|key| fit_count(&self.workers[*key].spec.capacity, &need, limit));
+        members.fold(0, u32::saturating_add)
     }
 
     fn offers(
@@ -282,7 +301,7 @@
             let limit = limit.saturating_sub(worker.count_runs_of(id));
             let free = self.fits_by_itself(*key, &spec.reserved_resources(), limit, within_ms);
             let mut with_preemption = free;
-            while with_preemption < limit {
+            while self.may_preempt(job_key) && with_preemption < limit {
                 let more = spec
                     .reserved_resources()
                     .saturating_mul(with_preemption + 1);
@@ -333,3 +352,34 @@
         self.budget_allows(stops.len(), &demand).then_some(stops)
     }
 }
+
+/// Returns the number of gang members for which there is room without preemption.
+fn free_members(offers: &[Offer]) -> u32 {
+    offers.iter().map(|offer| offer.free).sum()
+}
+
+/// Distributes the members of a gang over the workers that offer room, or returns `None` if there is not enough.
+fn plan_offers(tasks: u32, mut offers: Vec<Offer>) -> Option<Plan> {
+    let free = free_members(&offers);
+    let all: u32 = offers.iter().map(|offer| offer.with_preemption).sum();
+    if all < tasks {
+        return None;
+    }
+    // Using few workers with much free capacity minimises the risk that the gang loses one.
+    offers.sort_by_key(|offer| std::cmp::Reverse((offer.free, offer.with_preemption)));
+    let preempts = free < tasks;
+    let mut left = tasks;
+    let mut workers = Vec::new();
+    for offer in &offers {
+        let count = offer.free.min(left);
+        left -= count;
+        workers.push((offer.worker, count));
+    }
+    for (offer, (_, count)) in offers.iter().zip(&mut workers) {
+        let more = (offer.with_preemption - offer.free).min(left);
+        left -= more;
+        *count += more;
+    }
+    workers.retain(|(_, count)| *count > 0);
+    Some(Plan { workers, preempts })
+}
--- a/crates/sched/src/job.rs
+++ b/crates/sched/src/job.rs
@@ -28,6 +28,7 @@
 use crate::progress::StepProgress;
 use crate::progress::UnitProgress;
 use crate::retention::EndStamp;
+use crate::speed::StepTimes;
 use crate::unit::Unit;
 use crate::unit::UnitState;
 
@@ -79,6 +80,8 @@
     pub(crate) capped_since: Option<Millis>,
     /// Since when its next unit has waited for the cap, or for room and advice after that.
     pub(crate) claims_since: Option<Millis>,
+    /// Run times of its tasks, with which others of them are compared.
+    pub(crate) run_times: StepTimes,
 }
 
 impl Step {
@@ -97,6 +100,7 @@
             wait_log_count: 0,
             capped_since: None,
             claims_since: None,
+            run_times: StepTimes::default(),
         }
     }
 
@@ -155,6 +159,10 @@
     pub(crate) inherited: bool,
     /// The workspace that it belongs to.
     pub(crate) workspace: Option<WorkspaceKey>,
+    /// Whether it was submitted beyond the guaranteed rate of its workspace.
+    pub(crate) is_excess: bool,
+    /// Lower bound of its wait, predicted when it arrived.
+    pub(crate) predicted_wait_ms: Option<u64>,
     /// Sequence number among the jobs added since this scheduler began; 0 for jobs that it restored.
     pub(crate) arrival_number: u64,
     /// When it ended, by the scheduler's clock.
@@ -187,6 +195,8 @@
             objective_ms,
             inherited: false,
             workspace: None,
+            is_excess: false,
+            predicted_wait_ms: None,
             arrival_number: 0,
             ended_at: None,
             end_stamp: None,
@@ -386,8 +396,10 @@
     crashes
 }
 
-/// Computes a job's objective from its declared run times.
-fn objective_ms(spec: &JobSpec) -> u64 {
+/// Returns a job's objective: the time from its acceptance within which it should end, computed from its declared run
+/// times.
+#[must_use]
+pub fn objective_ms(spec: &JobSpec) -> u64 {
     let chain_ms = std::time::Duration::from_millis(spec.longest_chain_ms());
     let stretched = chain_ms.mul_f64(spec.policy.stretch.clamp(0.0, 1_000.0));
     let stretched_ms = u64::try_from(stretched.as_millis()).unwrap_or(u64::MAX);
--- a/crates/sched/src/note.rs
+++ b/crates/sched/src/note.rs
@@ -2,6 +2,7 @@
 
 use smol_str::SmolStr;
 use syc_types::WorkerId;
+use syc_types::WorkspaceName;
 use syc_workspace::WorkspacePolicy;
 
 use crate::JobId;
@@ -22,6 +23,19 @@
     pub seen_ms: u64,
 }
 
+/// A workspace has begun or ended sending beyond its guaranteed rate.
+#[derive(Debug, Clone, PartialEq)]
+pub struct RateUseChange {
+    /// The workspace.
+    pub workspace: WorkspaceName,
+    /// Whether it sends beyond its rate.
+    pub is_beyond: bool,
+    /// Its guaranteed rate, in jobs a second.
+    pub rate_per_s: f64,
+    /// Jobs that it may send at once after a pause.
+    pub burst_jobs: f64,
+}
+
 /// A decision that is written to the log.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Note {
@@ -56,6 +70,8 @@
     },
     /// The policy of a workspace changed.
     WorkspaceChanged(WorkspacePolicy),
+    /// A workspace has begun or ended sending beyond its guaranteed rate.
+    RateUseChanged(RateUseChange),
     /// What workers or workspaces count as occupied differs from what runs and reservations occupy, which only a fault
     /// of the scheduler causes. Logged once.
     UsageWrong,
@@ -170,6 +186,13 @@
         /// Slowdown of that step, in percent.
         least_percent: u64,
     },
+    /// From what its runs show, the worker is permanently slower than most, or no longer is.
+    SpeedChanged {
+        /// Whether it is slow from now on.
+        is_slow: bool,
+        /// Its speed relative to the median worker, in percent.
+        speed_percent: u64,
+    },
     /// The worker is gone, and everything that ran on it has ended.
     Lost {
         /// Why it is considered gone.
--- a/crates/sched/src/options.rs
+++ b/crates/sched/src/options.rs
@@ -66,6 +66,10 @@
     pub gang_advice_workers: usize,
     /// Minimum number of workers in the first advice call for single tasks.
     pub task_advice_workers: usize,
+    /// Whether jobs beyond the guaranteed rate of their workspace go after the others.
+    pub guaranteed_rates: bool,
+    /// Whether placement regards the learned speeds of workers where these differ clearly.
+    pub placement_by_speed: bool,
 }
 
 impl Options {
@@ -110,6 +114,8 @@
             vm_order_pause_ms: 3_500,
             gang_advice_workers: 36,
             task_advice_workers: 10,
+            guaranteed_rates: true,
+            placement_by_speed: true,
         }
     }
 }
--- a/crates/sched/src/placement.rs
+++ b/crates/sched/src/placement.rs
@@ -26,9 +26,10 @@
     pub fn schedule(&mut self, now: Millis) -> Vec<Action> {
         self.measure_headroom(now);
         self.measure_workspaces();
+        self.recount_rates();
         let waiting = self.waiting_steps(now);
         self.begin_preemption_pass(&waiting, now);
-        for WaitingStep { job, step, .. } in waiting {
+        for WaitingStep { job, step, .. } in waiting.iter().copied() {
             if self.jobs[job].steps[step].spec.gang {
                 self.schedule_gang(job, step, now);
             } else {
@@ -36,6 +37,7 @@
             }
             self.log_waiting(job, step, now);
         }
+        self.refresh_forecast(&waiting, now);
         std::mem::take(&mut self.actions)
     }
 
@@ -75,7 +77,10 @@
             }
             let may_preempt =
                 preemptions < PREEMPTIONS_PER_PASS && !self.jobs[job].steps[step].spec.fills;
-            if may_preempt && self.preempt_for(UnitRef { job, step, unit }, &allowed, now) {
+            if may_preempt
+                && self.may_preempt(job)
+                && self.preempt_for(UnitRef { job, step, unit }, &allowed, now)
+            {
                 preemptions += 1;
                 continue;
             }
@@ -116,7 +121,8 @@
         !worker.may_take_start() && worker.breaker.is_healthy()
     }
 
-    /// Picks the worker with the best fit among those that have room for the task and may be sent another start.
+    /// Picks the worker with the best fit among those that have room for the task and may be sent another start. Where
+    /// workers differ clearly in speed, the task's slack decides which of them are compared first.
     fn pick_worker(
         &self,
         job: JobKey,
@@ -144,6 +150,7 @@
         candidates.retain(may_take_start);
         let need = spec.reserved_resources();
         let is_latency_bound = spec.tail_limit_ms.is_some();
+        let preference = self.speed_preference(job, step, now);
         candidates.into_iter().min_by_key(|key| {
             let worker = &self.workers[*key];
             // Runs with a latency limit disturb each other, so they are spread over workers.
@@ -153,6 +160,7 @@
                 0
             };
             (
+                preference.rank(worker.speed.is_slow()),
                 others,
                 leftover_permille(worker, &worker.available(), &need),
             )
@@ -228,6 +236,12 @@
         tasks < limit
     }
 
+    /// Returns whether the work of a job may preempt runs. Excess work waits for what ends by itself, so it never preempts
+    /// guaranteed work.
+    pub(crate) fn may_preempt(&self, job: JobKey) -> bool {
+        !self.jobs[job].is_excess
+    }
+
     /// Reserves resources for a unit.
     pub(crate) fn reserve(
         &mut self,
--- a/crates/sched/src/preemption.rs
+++ b/crates/sched/src/preemption.rs
@@ -11,7 +11,6 @@
 use syc_types::Millis;
 use syc_types::Resources;
 
-use crate::JobSpec;
 use crate::Run;
 use crate::Scheduler;
 use crate::StopReason;
@@ -21,11 +20,11 @@
 use crate::ids::JobKey;
 use crate::ids::WorkspaceKey;
 use crate::run_ends::UnitRef;
+use crate::run_times::chain_after_ms;
 use crate::stop_budget::StopBudget;
 use crate::waiting::EXPIRY_FACTOR;
 use crate::waiting::WaitingStep;
 use crate::worker::Phase;
-use crate::worker::Worker;
 use crate::worker::WorkerRun;
 use crate::worker::fit_count;
 use crate::workspaces::RunOwner;
@@ -33,9 +32,6 @@
 /// Time that a resumed run takes to restore its checkpoint: the middle of the 100 to 600 ms seen on deployments.
 const RESTORE_MS: u64 = 300;
 
-/// The speed of a run is known only once it has been observed for this long, because reports arrive with some delay.
-const MIN_OBSERVATION_MS: u64 = 200;
-
 /// Duration of a stop that is assumed until one has been measured.
 const INITIAL_STOP_MS: u64 = 300;
 
@@ -223,36 +219,6 @@
 }
 
 impl WorkerRun {
-    /// Returns the time until it is expected to end by itself: by its progress so far, or by the declared estimate before
-    /// there was any. Returns `None` if it is not expected to.
-    ///
-    /// This is the only place where preemption estimates durations.
-    fn expected_remaining_ms(&self, now: Millis) -> Option<u64> {
-        if self.long_running || self.fills() {
-            return None;
-        }
-        // A resumed run restores its checkpoint first, which says nothing about its speed.
-        let (from, from_percent) = match self.progress_baseline {
-            Some(baseline) if self.resumed => baseline,
-            _ => (self.held_since, if self.resumed { self.percent } else { 0 }),
-        };
-        let left_percent = u64::from(100 - self.percent.min(100));
-        let done_percent = u64::from(self.percent.saturating_sub(from_percent));
-        let observed_ms = self.percent_at.since(from);
-        if done_percent == 0 || observed_ms < MIN_OBSERVATION_MS {
-            // A worker that reports no progress is treated as if its runs never ended.
-            let known_at = if done_percent == 0 {
-                self.held_since
-            } else {
-                self.percent_at
-            };
-            let left_ms = self.estimate_ms * left_percent / 100;
-            return left_ms.checked_sub(now.since(known_at));
-        }
-        let total_ms = observed_ms * 100 / done_percent;
-        Some((total_ms * left_percent / 100).saturating_sub(now.since(self.percent_at)))
-    }
-
     /// Returns whether it is protected because it has not made up for an earlier stop yet: it has run as long as the stop
     /// and the restore took, or saved a new checkpoint.
     fn is_protected(&self, stop_ms: u64, now: Millis) -> bool {
@@ -303,7 +269,8 @@
         let of_job = &self.jobs[job];
         let passed_ms = now.since(of_job.objective_from(step));
         let expires_after_ms = of_job.objective_ms.saturating_mul(EXPIRY_FACTOR);
-        let used_ms = passed_ms.saturating_add(remaining_chain_ms(&of_job.spec, step));
+        let run_ms = self.expected_median_ms(job, step) + chain_after_ms(of_job, step);
+        let used_ms = passed_ms.saturating_add(run_ms);
         let is_long_running = of_job.steps[step].spec.long_running;
         let is_urgent = of_job.spec.policy.priority == URGENT_PRIORITY;
         Demand {
@@ -336,7 +303,7 @@
         if has_room(&Resources::ZERO) {
             return Some(Victims::default());
         }
-        let candidates = self.candidates_on(worker, demand);
+        let candidates = self.candidates_on(key, demand);
         if self.options.weigh_preemption {
             select_victims(candidates, has_room)
         } else {
@@ -348,26 +315,25 @@
     ///
     /// Members of gangs are never stopped: stopping one ends the whole gang, which needs room on all its workers at once
     /// to continue. Making room for single tasks would cost a gang's work again and again.
-    fn candidates_on(&self, worker: &Worker, demand: &Demand) -> Vec<Candidate> {
+    fn candidates_on(&self, key: WorkerKey, demand: &Demand) -> Vec<Candidate> {
         let now = self.preemption.pass.at;
         let stop_ms = self.preemption.stop_ms;
         let mut candidates = Vec::new();
-        for (name, run) in &worker.runs {
+        for (name, run) in &self.workers[key].runs {
             let is_preemptible = run.checkpointed && !run.gang && run.phase == Phase::Running;
             if !is_preemptible || run.priority <= demand.priority {
                 continue;
             }
             let mut loss = Loss::default();
             if self.options.weigh_preemption {
-                let ends_sooner = run
-                    .expected_remaining_ms(now)
-                    .is_some_and(|ms| ms <= stop_ms);
+                let left_ms = self.expected_remaining_ms(key, *name, now);
+                let ends_sooner = left_ms.is_some_and(|ms| ms <= stop_ms);
                 let is_preferred = self.is_preferred_victim(name.0);
                 let is_excluded = demand.is_expired || demand.is_restricted && !is_preferred;
                 if is_excluded || ends_sooner || run.is_protected(stop_ms, now) {
                     continue;
                 }
-                loss = self.loss_of(name.0, run, is_preferred);
+                loss = self.loss_of(run, name.0, left_ms, is_preferred);
             }
             candidates.push(Candidate {
                 name: *name,
@@ -379,7 +345,13 @@
     }
 
     /// Returns what is lost by stopping a run.
-    fn loss_of(&self, task: TaskId, run: &WorkerRun, is_preferred: bool) -> Loss {
+    fn loss_of(
+        &self,
+        run: &WorkerRun,
+        task: TaskId,
+        left_ms: Option<u64>,
+        is_preferred: bool,
+    ) -> Loss {
         let now = self.preemption.pass.at;
         let loss_ms = run.loss_ms(self.preemption.stop_ms, now);
         let cpu_time = loss_ms * run.resources.cpu_millis;
@@ -394,34 +366,33 @@
             RunOwner::Nobody | RunOwner::Unknown => false,
         };
         Loss {
-            missed_objectives: u32::from(self.would_miss_objective(task, run, loss_ms)),
+            missed_objectives: u32::from(self.would_miss_objective(task, left_ms, loss_ms)),
             within_share: u32::from(!is_over_share),
             cpu_time,
         }
     }
 
-    /// Returns whether a run is stopped before others, because its job has expired.
+    /// Returns whether a run is stopped before others, because its job has expired or is beyond the rate of its workspace.
     fn is_preferred_victim(&self, task: TaskId) -> bool {
         let Some((job, step, _unit, _member)) = self.locate_task(task) else {
             return false;
         };
         let job = &self.jobs[job];
         let passed_ms = self.preemption.pass.at.since(job.objective_from(step));
-        passed_ms > job.objective_ms.saturating_mul(EXPIRY_FACTOR)
+        job.is_excess || passed_ms > job.objective_ms.saturating_mul(EXPIRY_FACTOR)
     }
 
-    /// Returns whether a run would meet the objective of its job, but not if it is delayed.
-    fn would_miss_objective(&self, task: TaskId, run: &WorkerRun, delay_ms: u64) -> bool {
+    /// Returns whether a run that ends after `left_ms` would meet the objective of its job, but not if it is delayed.
+    fn would_miss_objective(&self, task: TaskId, left_ms: Option<u64>, delay_ms: u64) -> bool {
         let now = self.preemption.pass.at;
         let Some((job, step, _unit, _member)) = self.locate_task(task) else {
             return false;
         };
         let job = &self.jobs[job];
-        let Some(left_ms) = run.expected_remaining_ms(now) else {
+        let Some(left_ms) = left_ms else {
             return false;
         };
-        let later_ms = remaining_chain_ms(&job.spec, step).saturating_sub(run.estimate_ms);
-        let after_ms = now.since(job.objective_from(step)) + left_ms + later_ms;
+        let after_ms = now.since(job.objective_from(step)) + left_ms + chain_after_ms(job, step);
         after_ms <= job.objective_ms && after_ms + delay_ms > job.objective_ms
     }
 
@@ -432,13 +403,13 @@
             return freed;
         }
         let now = self.preemption.pass.at;
-        for run in self.workers[key].runs.values() {
+        for (name, run) in &self.workers[key].runs {
             let left_ms = if run.phase == Phase::Stopping {
                 let begun_ms = now.since(run.doubt_since);
                 run.stop_accepted_at
                     .map(|_| self.preemption.stop_ms.saturating_sub(begun_ms))
             } else {
-                run.expected_remaining_ms(now)
+                self.expected_remaining_ms(key, *name, now)
             };
             if left_ms.is_some_and(|ms| ms <= within_ms) {
                 freed = freed.saturating_add(&run.resources);
@@ -618,20 +589,3 @@
         }
     }
 }
-
-/// Returns the expected run time of a step and of the longest chain of steps that wait for it.
-fn remaining_chain_ms(spec: &JobSpec, step: usize) -> u64 {
-    let first = step % spec.steps.len().max(1);
-    let mut ends_ms: BTreeMap<usize, u64> = BTreeMap::new();
-    for (index, of_step) in spec.steps.iter().enumerate().skip(first) {
-        let before = of_step.after.iter().map(|after| usize::from(*after));
-        let before_ms = before
-            .filter_map(|after| ends_ms.get(&after))
-            .max()
-            .copied();
-        if let Some(begin_ms) = before_ms.or((index == first).then_some(0)) {
-            ends_ms.insert(index, begin_ms + of_step.estimate_ms);
-        }
-    }
-    ends_ms.into_values().max().unwrap_or(0)
-}
--- a/crates/sched/src/run_ends.rs
+++ b/crates/sched/src/run_ends.rs
@@ -95,6 +95,9 @@
             _ => {}
         }
         let worker_id = worker.spec.id.clone();
+        if let (Some(RunEnd::Done), Some(held)) = (termination.end, &held) {
+            self.learn_from_end(key, task, held, now);
+        }
         self.quarantine_if_failing(key, now);
         let stopped = held.as_ref().filter(|held| {
             let is_stopped = termination.end == Some(RunEnd::Stopped);
--- a/crates/sched/src/scheduler.rs
+++ b/crates/sched/src/scheduler.rs
@@ -26,6 +26,8 @@
 use crate::VmOperation;
 use crate::WorkerKey;
 use crate::consistency::ConsistencyCheck;
+use crate::durations::Durations;
+use crate::forecast::Forecast;
 use crate::headroom::Headroom;
 use crate::ids::JobKey;
 use crate::job::Job;
@@ -39,6 +41,7 @@
 use crate::recovery::Recovery;
 use crate::retention::CellClock;
 use crate::run_ends::UnitRef;
+use crate::speed::SpeedComparison;
 use crate::stale_capacity::RegistrationReads;
 use crate::vms::VmInventory;
 use crate::worker::Worker;
@@ -100,6 +103,7 @@
     pub(crate) wall_clock: Option<DayAnchor>,
     pub(crate) headroom: Headroom,
     pub(crate) preemption: Preemption,
+    pub(crate) forecast: Forecast,
     pub(crate) workspaces: Workspaces,
     pub(crate) interference: Interference,
     pub(crate) vms: VmInventory,
@@ -108,6 +112,10 @@
     pub(crate) advice_slots: AdviceSlots,
     /// Limits retries of orders to all workers together.
     pub(crate) retry_budget: Budget,
+    /// Comparison of the learned speeds of the workers.
+    pub(crate) speeds: SpeedComparison,
+    /// Learned ratios of actual to estimated run times.
+    pub(crate) durations: Durations,
     pub(crate) actions: Vec<Action>,
     /// Number of workers examined so far for advice calls and placement.
     pub(crate) examined: Cell<u64>,
@@ -143,6 +151,7 @@
             wall_clock: None,
             headroom: Headroom::default(),
             preemption: Preemption::default(),
+            forecast: Forecast::default(),
             workspaces: Workspaces::default(),
             interference: Interference::default(),
             vms: VmInventory::default(),
@@ -150,6 +159,8 @@
             pools: Pools::default(),
             advice_slots: AdviceSlots::UNBOUNDED,
             retry_budget: Budget::new(RETRY_BURST, RETRIES_PER_S),
+            speeds: SpeedComparison::default(),
+            durations: Durations::default(),
             actions: Vec::new(),
             examined: Cell::new(0),
         }
--- a/crates/sched/tests/overload/replay.rs
+++ b/crates/sched/tests/overload/replay.rs
@@ -155,9 +155,9 @@
         };
         for number in 0..replay.setup.workers {
             let id = WorkerId::new(format!("w-{number:03}"));
-            replay
-                .fleet
-                .add(WorkerModel::new(id.clone(), capacity(), 0));
+            let mut model = WorkerModel::new(id.clone(), capacity(), 0);
+            model.speed_percent = replay.speed_percent(number);
+            replay.fleet.add(model);
             let spec = WorkerSpec {
                 id,
                 service: ServiceName::new(SERVICE),
@@ -171,6 +171,10 @@
             };
             replay.apply(Event::WorkerListed(spec));
         }
+        if let Some(flood) = &replay.setup.flood {
+            let policies = flood.policies.clone();
+            replay.apply(Event::WorkspacesSet(policies));
+        }
         replay.scheduler.begin_recovery(now);
         replay
     }
@@ -222,6 +226,7 @@
         for index in 0..self.setup.kinds.len() {
             let kind = self.setup.kinds[index].clone();
             let rate = if kind.priority == 0 { load_factor } else { 1.0 } * kind.jobs_per_s;
+            let rate = rate * self.flood_factor(index);
             self.due_jobs[index] += rate * self.rng.random_range(0.0..=2.0) * TICK_S;
             while self.due_jobs[index] >= 1.0 {
                 self.due_jobs[index] -= 1.0;
@@ -230,9 +235,18 @@
         }
     }
 
+    fn flood_factor(&self, index: usize) -> f64 {
+        let flood = self.setup.flood.as_ref().filter(|_| index == 0);
+        let active = flood.filter(|flood| (flood.from_ms..flood.until_ms).contains(&self.now.0));
+        active.map_or(1.0, |flood| flood.factor)
+    }
+
     fn submit_job(&mut self, index: usize, kind: &JobKind) {
         let id = JobId(u64::try_from(self.jobs.len()).unwrap_or(0) + 1);
-        let drawn = kind.sample(id, SERVICE, &mut self.rng);
+        let mut drawn = kind.sample(id, SERVICE, &mut self.rng);
+        let flood = self.setup.flood.as_ref();
+        drawn.spec.workspace = flood.map(|flood| flood.policies[index].name.clone());
+        self.distort_estimates(index, &mut drawn);
         for (step, work_ms) in drawn.work_ms.iter().enumerate() {
             for task in 0..drawn.spec.steps[step].tasks {
                 let step = StepId {
@@ -241,7 +255,7 @@
                     step: u16::try_from(step).unwrap_or(0),
                 };
                 let plan = TaskPlan {
-                    work_ms: *work_ms,
+                    work_ms: *work_ms * self.sample_tail_factor(),
                     failing_runs: 0,
                 };
                 self.fleet.plan_task(TaskId { step, index: task }, plan);
@@ -260,6 +274,51 @@
         self.apply(Event::JobStored { spec, age_ms: 0 });
     }
 
+    fn speed_percent(&self, worker: u64) -> u64 {
+        match self.setup.unevenness {
+            Some(uneven) if worker.is_multiple_of(uneven.slow_every) => uneven.slow_percent,
+            Some(uneven) => uneven.fast_percent,
+            None => 100,
+        }
+    }
+
+    fn distort_estimates(&mut self, kind: usize, drawn: &mut GeneratedJob) {
+        let Some(uneven) = self.setup.unevenness else {
+            return;
+        };
+        let deviation = uneven.job_deviation_percent;
+        let of_job = self.rng.random_range(100 - deviation..=100 + deviation);
+        for (step, work_ms) in drawn.spec.steps.iter_mut().zip(&drawn.work_ms) {
+            step.estimate_ms = work_ms * uneven.estimate_percent[kind] * of_job / 10_000;
+        }
+    }
+
+    fn sample_tail_factor(&mut self) -> u64 {
+        match self.setup.unevenness {
+            Some(uneven) if self.rng.random_bool(uneven.tail_share) => uneven.tail_factor,
+            _ => 1,
+        }
+    }
+
+    /// Returns the share of the workers whose speed is known, and the share for which it is within 10% of the true one.
+    /// Speeds are relative to the fast workers.
+    pub fn learned_speeds(&self) -> (f64, f64) {
+        let uneven = self.setup.unevenness.expect("workers differ");
+        let percent = |speed: u64| f64::from(u32::try_from(speed).expect("small"));
+        let mut known = 0;
+        let mut right = 0;
+        for (number, key) in (0..).zip(self.sessions.keys()) {
+            let Some(speed) = self.scheduler.learned_speed(*key) else {
+                continue;
+            };
+            let actual = percent(self.speed_percent(number)) / percent(uneven.fast_percent);
+            known += 1;
+            right += u32::from((speed / actual - 1.0).abs() <= 0.1);
+        }
+        let workers = f64::from(u32::try_from(self.sessions.len()).expect("few"));
+        (f64::from(known) / workers, f64::from(right) / workers)
+    }
+
     fn apply(&mut self, event: Event) {
         let actions = self.scheduler.handle(event, self.now);
         self.perform(actions);
@@ -491,6 +550,21 @@
         f64::from(met) / f64::from(accepted)
     }
 
+    /// Returns the number of jobs of a kind that have not ended.
+    pub fn unended(&self, kind: usize) -> usize {
+        let of_kind = self.jobs.values().filter(|record| record.kind == kind);
+        of_kind
+            .filter(|record| record.ended_after_ms.is_none())
+            .count()
+    }
+
+    /// Returns the workspaces whose excess jobs are to be rejected.
+    pub fn shedding(&mut self) -> Vec<SmolStr> {
+        let rows = self.scheduler.shed_rows(self.now);
+        let names = rows.iter().map(|row| SmolStr::new(row.workspace.as_str()));
+        names.collect()
+    }
+
     /// Like `served`, for the largest tenth of a kind's jobs.
     pub fn served_of_largest(&self, kind: usize, from_ms: u64, until_ms: u64) -> f64 {
         let in_time = |record: &&JobRecord| {
--- a/crates/sched/tests/overload/setup.rs
+++ b/crates/sched/tests/overload/setup.rs
@@ -5,6 +5,7 @@
 use syc_sched::AdvicePolicy;
 use syc_sched::Options;
 use syc_types::Resources;
+use syc_workspace::WorkspacePolicy;
 
 /// Index of the gangs among the kinds of request.
 pub const GANGS: usize = 0;
@@ -25,6 +26,9 @@
     pub end_ms: u64,
     pub stop_cost: StopCost,
     pub options: Options,
+    /// How far workers, run times and estimates differ; none if all workers are alike.
+    pub unevenness: Option<Unevenness>,
+    pub flood: Option<Flood>,
 }
 
 /// What a stop costs on the workers; with zeros, it is free.
@@ -39,6 +43,43 @@
     pub checkpoint_interval_ms: u64,
 }
 
+/// Each kind of request is the load of one workspace, and the first floods.
+#[derive(Debug, Clone)]
+pub struct Flood {
+    pub policies: Vec<WorkspacePolicy>,
+    pub from_ms: u64,
+    pub until_ms: u64,
+    /// Factor by which the load of the first workspace increases.
+    pub factor: f64,
+}
+
+/// Workers of different speeds, runs that take far longer than others, and wrong estimates.
+#[derive(Debug, Clone, Copy)]
+pub struct Unevenness {
+    pub slow_percent: u64,
+    pub fast_percent: u64,
+    /// One worker in this many is slow.
+    pub slow_every: u64,
+    /// Share of the runs that take `tail_factor` times as long.
+    pub tail_share: f64,
+    pub tail_factor: u64,
+    /// Estimate of each kind in percent of the run time.
+    pub estimate_percent: [u64; 3],
+    /// Largest deviation of a job's estimate from that of its kind, in percent.
+    pub job_deviation_percent: u64,
+}
+
+/// A quarter of the workers permanently runs at less than half of the speed of the others.
+pub const UNEVEN: Unevenness = Unevenness {
+    slow_percent: 55,
+    fast_percent: 120,
+    slow_every: 4,
+    tail_share: 0.03,
+    tail_factor: 7,
+    estimate_percent: [70, 140, 120],
+    job_deviation_percent: 50,
+};
+
 /// A temporary disruption: there are no scheduling passes, and some nodes can't ask for advice.
 #[derive(Debug, Clone, Copy)]
 pub struct Disruption {
@@ -58,6 +99,70 @@
             kinds: vec![gangs(), batch(), lookups()],
             load_until_ms: 55_000,
             end_ms: 70_000,
+            flood: None,
+            unevenness: None,
+            stop_cost: StopCost::default(),
+            options: Options::default(),
+        }
+    }
+
+    /// A smaller cell, with a load of about `load_percent` of its capacity.
+    pub fn small(load_percent: u32, unevenness: Option<Unevenness>) -> Self {
+        let workers = 120;
+        let large = Self::large();
+        let kinds = large.kinds.into_iter().map(|kind| JobKind {
+            jobs_per_s: kind.jobs_per_s * 120.0 / 350.0 * f64::from(load_percent)
+                / LARGE_LOAD_PERCENT,
+            ..kind
+        });
+        Self {
+            workers,
+            kinds: kinds.collect(),
+            load_until_ms: 30_000,
+            end_ms: 40_000,
+            unevenness,
+            ..Self::large()
+        }
+    }
+
+    /// Three workspaces, each within its rate, until the first sends several times what all workers can do. Its requests
+    /// are urgent, as those of the second; those of the third are patient.
+    pub fn flooded() -> Self {
+        let weights = [("flooding", 10.0), ("urgent", 15.0), ("patient", 3.0)];
+        let policies = weights.map(|(name, weight)| {
+            let policy = WorkspacePolicy::unlimited(name.into()).with_weight(weight);
+            policy.with_rate(None, None)
+        });
+        Self {
+            workers: 20,
+            advice_nodes: 10,
+            kinds: vec![
+                JobKind {
+                    jobs_per_s: 6.7,
+                    work_ms: spread(800.0, 0.3, 1_500.0),
+                    tasks: spread(3.0, 0.5, 8.0),
+                    ..checks()
+                },
+                checks(),
+                JobKind {
+                    priority: 2,
+                    jobs_per_s: 1.3,
+                    tasks: spread(10.0, 0.5, 20.0),
+                    work_ms: spread(2_000.0, 0.3, 4_000.0),
+                    stretch: 2.0,
+                    objective_ms: 2_000,
+                    ..checks()
+                },
+            ],
+            load_until_ms: 30_000,
+            end_ms: 55_000,
+            flood: Some(Flood {
+                policies: policies.to_vec(),
+                from_ms: 8_000,
+                until_ms: 20_000,
+                factor: 16.0,
+            }),
+            unevenness: None,
             stop_cost: StopCost::default(),
             options: Options::default(),
         }
@@ -76,6 +181,8 @@
             kinds: kinds.to_vec(),
             load_until_ms: 30_000,
             end_ms: 42_000,
+            flood: None,
+            unevenness: None,
             stop_cost: StopCost::default(),
             options: Options::default(),
         }
@@ -95,6 +202,9 @@
     }
 }
 
+/// The load of the kinds of `Setup::large` on its workers, in percent of their capacity.
+const LARGE_LOAD_PERCENT: f64 = 97.0;
+
 /// The load of the kinds below on 540 workers, in percent of their capacity.
 const WIDE_LOAD_PERCENT: f64 = 87.0;
 
@@ -179,6 +289,26 @@
     }
 }
 
+/// Small urgent tasks that any worker may run.
+fn checks() -> JobKind {
+    JobKind {
+        queue: "checks",
+        jobs_per_s: 10.0,
+        tasks: spread(2.0, 0.5, 5.0),
+        cpu_millis: spread(4_000.0, 0.2, 6_000.0),
+        memory_mib: spread(4_000.0, 0.2, 8_000.0),
+        work_ms: spread(500.0, 0.3, 900.0),
+        gang_share: 0.0,
+        advice: AdvicePolicy {
+            decision_ms: 5.0,
+            per_worker_ms: 0.1,
+            validity_ms: 1_500,
+        },
+        allowed_per_mille: 1_000,
+        ..lookups()
+    }
+}
+
 fn wide_gangs() -> JobKind {
     JobKind {
         jobs_per_s: 9.15,
