--- a/crates/obs/src/events.rs
+++ b/crates/obs/src/events.rs
@@ -226,10 +226,10 @@
     WORKSPACE_RATE_USE = 758, Info, "use of workspace rate changed";
     /// A submit was rejected because its job would end too late for its caller.
     SUBMIT_SHED = 759, Warn, "submit shed";
+    /// A worker is permanently slower than most, or no longer is.
+    WORKER_SPEED = 764, Info, "learned speed of worker changed";
     /// Calls to workers are relayed through other nodes, or no more.
     RELAYING_CHANGED = 770, Info, "relaying of worker calls changed";
     /// A node relays no calls for a while since it left some unanswered, or may again.
     CARRIER_CHANGED = 771, Warn, "carrier changed";
-    /// A worker is permanently slower than most, or no longer is.
-    WORKER_SPEED = 764, Info, "learned speed of worker changed";
 }
