--- a/crates/cell/src/leader.rs
+++ b/crates/cell/src/leader.rs
@@ -331,8 +331,7 @@
                     task,
                     run,
                     reason,
-                    for_priority,
-                } => self.order_stop(worker, (task, run), reason, for_priority),
+                } => self.order_stop(worker, task, run, reason),
                 Action::Pace {
                     worker,
                     task,
--- a/crates/cell/src/leader/orders.rs
+++ b/crates/cell/src/leader/orders.rs
@@ -207,16 +207,15 @@
     pub(super) fn order_stop(
         self: &Rc<Self>,
         worker: WorkerKey,
-        (task, run): (TaskId, Run),
+        task: TaskId,
+        run: Run,
         reason: StopReason,
-        for_priority: Option<u32>,
     ) {
         let Some(link) = self.link_to(worker) else {
             // The session has just ended, and the event that ended it also ended its runs.
             return;
         };
-        log::stop_ordered(task, run, &link.address.id, reason, for_priority);
-        self.node.metrics.stop(reason.as_str(), for_priority);
+        log::stop_ordered(task, run, &link.address.id, reason);
         let command = StopCommand {
             task,
             run,
--- a/crates/cell/src/log.rs
+++ b/crates/cell/src/log.rs
@@ -282,23 +282,14 @@
         .number("connections_opened", order.connections_opened)
 }
 
-pub(crate) fn stop_ordered(
-    task: TaskId,
-    run: Run,
-    worker: &WorkerId,
-    reason: StopReason,
-    for_priority: Option<u32>,
-) {
-    let line = Line::new(catalogue::STOP_ORDERED)
+pub(crate) fn stop_ordered(task: TaskId, run: Run, worker: &WorkerId, reason: StopReason) {
+    Line::new(catalogue::STOP_ORDERED)
         .display("job", task.step.job)
         .display("task", task)
         .number("run", run.0)
         .text("worker", worker.as_str())
-        .text("reason", reason.as_str());
-    match for_priority {
-        Some(priority) => line.number("for_priority", priority).emit(),
-        None => line.emit(),
-    }
+        .text("reason", reason.as_str())
+        .emit();
 }
 
 pub(crate) fn advised(
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -53,11 +53,6 @@
     pub lease_ms: u64,
     /// Duration of a stop. The run makes no progress during it, but keeps its resources.
     pub stop_ms: u64,
-    /// Time that a run resumed from a checkpoint takes to restore it, without progress.
-    pub restore_ms: u64,
-    /// Work between two checkpoints of a run. What was done since the last one is lost with a stop. With 0, a stop saves
-    /// everything.
-    pub checkpoint_interval_ms: u64,
     /// Time that a gang member waits for the other members before it ends.
     pub gang_wait_ms: u64,
     /// Whether workers refuse starts that exceed their capacity.
@@ -69,8 +64,6 @@
         Self {
             lease_ms: u64::MAX,
             stop_ms: 0,
-            restore_ms: 0,
-            checkpoint_interval_ms: 0,
             gang_wait_ms: u64::MAX,
             admission_control: false,
         }
@@ -251,12 +244,6 @@
         let crashes_at = self.next_crash(command.task, now);
         let worker = self.workers.get_mut(id).ok_or(OrderError::Replaced)?;
         let work_done_ms = command.checkpoint.parse().unwrap_or(0);
-        let restore_ms = if work_done_ms > 0 {
-            self.limits.restore_ms
-        } else {
-            0
-        };
-        worker.lost_core_ms += restore_ms * step.resources.cpu_millis / 1_000;
         worker.runs.insert(
             command.task,
             LiveRun {
@@ -265,11 +252,8 @@
                 gang: step.gang,
                 long_running: step.long_running,
                 started_at: now,
-                works_from: now.plus(restore_ms),
                 stop_done_at: None,
                 work_done_ms,
-                restored_ms: work_done_ms,
-                checkpoint_interval_ms: self.limits.checkpoint_interval_ms,
                 plan,
                 checkpointed: step.checkpointed,
                 interference: RunInterference::of_step(&step),
@@ -305,11 +289,8 @@
             if is_in_service && live.stop_done_at.is_none() {
                 self.checker.interrupted(command.task, others);
             }
-            if live.stop_done_at.is_none() {
-                live.stop_done_at = Some(now.plus(self.limits.stop_ms));
-                let lost_ms = live.unsaved_ms() + self.limits.stop_ms;
-                worker.lost_core_ms += lost_ms * live.resources.cpu_millis / 1_000;
-            }
+            live.stop_done_at
+                .get_or_insert(now.plus(self.limits.stop_ms));
             self.end_stopped(now);
             return Ok(());
         }
@@ -422,7 +403,7 @@
                 if waits || live.stop_done_at.is_some() {
                     continue;
                 }
-                let worked_ms = passed_ms.min(now.since(live.works_from));
+                let worked_ms = passed_ms.min(now.since(live.started_at));
                 live.work_done_ms +=
                     worked_ms * speed_percent * u64::from(live.interference.pace_percent)
                         / u64::from(FULL_SPEED_PERCENT).pow(2);
--- a/crates/fleet/src/worker.rs
+++ b/crates/fleet/src/worker.rs
@@ -44,9 +44,6 @@
     /// Ends up to this number were reported before a lease expired, so their acknowledgement no longer counts.
     pub(crate) last_void_end: u64,
     pub(crate) last_end: u64,
-    /// Processor time that stops have cost so far, in milliseconds of a core: the work since the last checkpoint, the stop
-    /// itself and the restore.
-    pub lost_core_ms: u64,
 }
 
 #[derive(Debug, Clone)]
@@ -57,16 +54,10 @@
     /// Whether the task runs until it is stopped.
     pub(crate) long_running: bool,
     pub(crate) started_at: Millis,
-    /// Time from which it makes progress, after the restore.
-    pub(crate) works_from: Millis,
     /// Time at which the stop completes, if one was requested.
     pub(crate) stop_done_at: Option<Millis>,
     /// Work done by this run, plus the work that its checkpoint restored.
     pub(crate) work_done_ms: u64,
-    /// Work that its checkpoint restored.
-    pub(crate) restored_ms: u64,
-    /// Work between two checkpoints; 0 if a stop saves everything.
-    pub(crate) checkpoint_interval_ms: u64,
     pub(crate) plan: TaskPlan,
     pub(crate) checkpointed: bool,
     pub(crate) interference: RunInterference,
@@ -92,7 +83,6 @@
             ends: Vec::new(),
             last_void_end: 0,
             last_end: 0,
-            lost_core_ms: 0,
         }
     }
 
@@ -204,28 +194,6 @@
 }
 
 impl LiveRun {
-    /// Returns the work that its latest checkpoint holds.
-    const fn saved_ms(&self) -> u64 {
-        if self.checkpoint_interval_ms == 0 {
-            return self.work_done_ms;
-        }
-        let saved_ms = self.work_done_ms - self.work_done_ms % self.checkpoint_interval_ms;
-        if saved_ms > self.restored_ms {
-            saved_ms
-        } else {
-            self.restored_ms
-        }
-    }
-
-    /// Returns the work that a stop throws away.
-    pub(crate) const fn unsaved_ms(&self) -> u64 {
-        if self.checkpointed {
-            self.work_done_ms - self.saved_ms()
-        } else {
-            self.work_done_ms
-        }
-    }
-
     /// Returns the progress of the run. A long-running task is at 100 once it has started up.
     pub(crate) fn percent(&self) -> u8 {
         if self.long_running {
@@ -241,9 +209,8 @@
 }
 
 pub(crate) fn checkpoint_of(live: &LiveRun) -> SmolStr {
-    let saved_ms = live.saved_ms();
-    if live.checkpointed && saved_ms > 0 {
-        format_smolstr!("{saved_ms}")
+    if live.checkpointed && live.work_done_ms > 0 {
+        format_smolstr!("{}", live.work_done_ms)
     } else {
         SmolStr::default()
     }
--- a/crates/obs/src/cell_metrics.rs
+++ b/crates/obs/src/cell_metrics.rs
@@ -144,7 +144,6 @@
     store_times: Histogram<f64>,
     unreadable: Counter<u64>,
     missing_runs: Counter<u64>,
-    stops: Counter<u64>,
     shed_decisions: Counter<u64>,
     worker_calls: Counter<u64>,
     worker_connections: WorkerConnections,
@@ -202,11 +201,6 @@
                 "syc_cell_missing_runs",
                 "Runs treated as ended because no worker held them.",
             ),
-            stops: counter(
-                &meter,
-                "syc_cell_stops",
-                "Orders to stop a run, by reason and by priority of the unit that room is made for.",
-            ),
             shed_decisions: counter(
                 &meter,
                 "syc_cell_shed_decisions",
@@ -273,16 +267,6 @@
         self.missing_runs.add(1, &[KeyValue::new("found", found)]);
     }
 
-    /// Counts an order to stop a run. A preemption makes room for a unit of a priority, of which few exist.
-    pub fn stop(&self, reason: &'static str, for_priority: Option<u32>) {
-        let priority = for_priority.map_or_else(|| "none".to_owned(), |number| number.to_string());
-        let labels = [
-            KeyValue::new("reason", reason),
-            KeyValue::new("for_priority", priority),
-        ];
-        self.stops.add(1, &labels);
-    }
-
     /// Counts a submit of a job that would end too late for its caller. The queue is one of the configuration.
     pub fn shed_decision(&self, queue: &str, decision: &'static str, reason: &'static str) {
         let labels = [
--- a/crates/sched/src/action.rs
+++ b/crates/sched/src/action.rs
@@ -64,8 +64,6 @@
         run: Run,
         /// Reason, for the log.
         reason: StopReason,
-        /// Priority of the unit that it makes room for, if it is a preemption.
-        for_priority: Option<u32>,
     },
     /// Limit a run to a share of its full speed.
     Pace {
--- a/crates/sched/src/circuit_breaker.rs
+++ b/crates/sched/src/circuit_breaker.rs
@@ -239,7 +239,6 @@
             task: task_run.0,
             run: task_run.1,
             reason: StopReason::Probe,
-            for_priority: None,
         });
     }
 
--- a/crates/sched/src/gang.rs
+++ b/crates/sched/src/gang.rs
@@ -2,11 +2,11 @@
 
 use syc_types::Millis;
 
-use crate::Run;
 use crate::Scheduler;
-use crate::TaskId;
+use crate::StopReason;
 use crate::WorkerKey;
 use crate::ids::JobKey;
+use crate::placement::find_victims;
 use crate::run_ends::UnitRef;
 use crate::worker::fit_count;
 
@@ -56,28 +56,17 @@
             return;
         }
         let candidates = self.gang_candidates(job_key, step_index, now);
-        let Some(plan) = self.plan_gang_soon(job_key, step_index, &candidates, now) else {
+        let Some(plan) = self.plan_gang(job_key, step_index, &candidates, now) else {
             // Ending runs free capacity, so more workers are queried only if that cannot suffice.
             if !self.has_capacity_for_gang(job_key, step_index, &candidates) {
                 self.request_gang_advice(job_key, step_index, now);
             }
             return;
         };
-        let unit = UnitRef {
-            job: job_key,
-            step: step_index,
-            unit: 0,
-        };
-        let victims = if plan.preempts {
-            let Some(victims) = self.preemption_for_gang(unit, &plan, now) else {
-                return;
-            };
-            victims
-        } else {
-            Vec::new()
-        };
+        if plan.preempts {
+            self.preempt_for_gang(job_key, step_index, &plan, now);
+        }
         self.reserve(job_key, step_index, 0, plan.workers, now);
-        self.preempt_runs(unit, victims, now);
         self.start_reserved_gang(job_key, step_index, now);
     }
 
@@ -175,39 +164,19 @@
         candidates
     }
 
-    /// Plans a gang on free capacity, or on capacity that is expected to become free while the gang can wait. If there
-    /// is not enough of that, the plan stops runs.
-    fn plan_gang_soon(
-        &self,
-        job_key: JobKey,
-        step_index: usize,
-        candidates: &[WorkerKey],
-        now: Millis,
-    ) -> Option<Plan> {
-        for within_ms in self.waiting_times_ms(job_key, step_index) {
-            let plan = self.plan_gang(job_key, step_index, candidates, within_ms, now);
-            if let Some(plan) = plan.filter(|plan| !plan.preempts) {
-                return Some(plan);
-            }
-        }
-        self.plan_gang(job_key, step_index, candidates, self.time_of_stop_ms(), now)
-    }
-
     fn plan_gang(
         &self,
         job_key: JobKey,
         step_index: usize,
         candidates: &[WorkerKey],
-        within_ms: u64,
         now: Millis,
     ) -> Option<Plan> {
         if self.jobs[job_key].steps[step_index].spec.same_rack
-            && let Some(plan) =
-                self.plan_in_one_rack(job_key, step_index, candidates, within_ms, now)
+            && let Some(plan) = self.plan_in_one_rack(job_key, step_index, candidates, now)
         {
             return Some(plan);
         }
-        self.plan_on(job_key, step_index, candidates, within_ms, now)
+        self.plan_on(job_key, step_index, candidates, now)
     }
 
     fn plan_in_one_rack(
@@ -215,7 +184,6 @@
         job_key: JobKey,
         step_index: usize,
         candidates: &[WorkerKey],
-        within_ms: u64,
         now: Millis,
     ) -> Option<Plan> {
         let mut racks: Vec<_> = candidates
@@ -230,7 +198,7 @@
                 .copied()
                 .filter(|key| self.workers[*key].spec.rack == *rack)
                 .collect();
-            let plan = self.plan_on(job_key, step_index, &inside, within_ms, now);
+            let plan = self.plan_on(job_key, step_index, &inside, now);
             if plan.is_some() {
                 return plan;
             }
@@ -243,12 +211,11 @@
         job_key: JobKey,
         step_index: usize,
         candidates: &[WorkerKey],
-        within_ms: u64,
         now: Millis,
     ) -> Option<Plan> {
         let spec = &self.jobs[job_key].steps[step_index].spec;
         let tasks = spec.tasks;
-        let offers = self.offers(job_key, step_index, candidates, within_ms);
+        let offers = self.offers(job_key, step_index, candidates);
         let has_slow = candidates.iter().any(|key| self.is_slow_worker(*key));
         if !has_slow || !self.places_by_speed() || spec.long_running {
             return plan_offers(tasks, offers);
@@ -283,29 +250,23 @@
         members.fold(0, u32::saturating_add)
     }
 
-    fn offers(
-        &self,
-        job_key: JobKey,
-        step_index: usize,
-        candidates: &[WorkerKey],
-        within_ms: u64,
-    ) -> Vec<Offer> {
+    fn offers(&self, job_key: JobKey, step_index: usize, candidates: &[WorkerKey]) -> Vec<Offer> {
         let job = &self.jobs[job_key];
         let spec = &job.steps[step_index].spec;
-        let demand = self.demand_of(job_key, step_index);
+        let priority = job.spec.policy.priority;
         let limit = spec.max_tasks_per_worker();
         let id = self.step_id(job_key, step_index);
         let mut offers = Vec::new();
         for key in candidates {
             let worker = &self.workers[*key];
             let limit = limit.saturating_sub(worker.count_runs_of(id));
-            let free = self.fits_by_itself(*key, &spec.reserved_resources(), limit, within_ms);
+            let free = fit_count(&worker.available(), &spec.reserved_resources(), limit);
             let mut with_preemption = free;
             while self.may_preempt(job_key) && with_preemption < limit {
                 let more = spec
                     .reserved_resources()
                     .saturating_mul(with_preemption + 1);
-                if self.find_victims(*key, &more, &demand, within_ms).is_none() {
+                if find_victims(worker, &more, priority).is_none() {
                     break;
                 }
                 with_preemption += 1;
@@ -321,35 +282,21 @@
         offers
     }
 
-    /// Returns the runs to stop so that a plan has room for all members. Returns `None` if nothing is to be stopped for it
-    /// now: the gang waits for runs to end by themselves or for tickets, or the budget is spent.
-    fn preemption_for_gang(
-        &mut self,
-        unit: UnitRef,
-        plan: &Plan,
-        now: Millis,
-    ) -> Option<Vec<(WorkerKey, TaskId, Run)>> {
-        let UnitRef { job, step, .. } = unit;
-        let workers: Vec<_> = plan.workers.iter().map(|(key, _)| *key).collect();
-        let has_ticket = |key: &WorkerKey| self.has_ticket_after_stop(job, step, *key);
-        if !workers.iter().all(has_ticket) {
-            self.renew_tickets(job, step, &workers, now);
-            return None;
-        }
-        if self.options.weigh_preemption && self.is_earlier_run_held(unit) {
-            return None;
-        }
-        let demand = self.demand_of(job, step);
-        let need = self.jobs[job].steps[step].spec.reserved_resources();
+    fn preempt_for_gang(&mut self, job_key: JobKey, step_index: usize, plan: &Plan, now: Millis) {
+        let job = &self.jobs[job_key];
+        let need = job.steps[step_index].spec.reserved_resources();
+        let priority = job.spec.policy.priority;
         let mut stops = Vec::new();
         for (key, count) in &plan.workers {
             let needed = need.saturating_mul(*count);
-            let found = self.find_victims(*key, &needed, &demand, self.time_of_stop_ms());
-            for (task, run) in found.unwrap_or_default().runs {
+            let found = find_victims(&self.workers[*key], &needed, priority);
+            for (task, run) in found.unwrap_or_default() {
                 stops.push((*key, task, run));
             }
         }
-        self.budget_allows(stops.len(), &demand).then_some(stops)
+        for (worker, task, run) in stops {
+            self.stop_run(worker, task, run, StopReason::Preempted, now);
+        }
     }
 }
 
--- a/crates/sched/src/headroom.rs
+++ b/crates/sched/src/headroom.rs
@@ -9,7 +9,7 @@
 use crate::ids::JobKey;
 
 /// The priority of urgent work.
-pub(crate) const URGENT_PRIORITY: u32 = 0;
+const URGENT_PRIORITY: u32 = 0;
 
 /// Share of the usual demand of urgent work that is left free, in percent.
 const LEVEL_PERCENT: u64 = 40;
--- a/crates/sched/src/options.rs
+++ b/crates/sched/src/options.rs
@@ -50,9 +50,6 @@
     /// A worker that is still registered after this time has reported its capacity, since its registration would
     /// have expired otherwise.
     pub capacity_report_deadline_ms: u64,
-    /// Whether runs are stopped for more urgent work only where the unit can't wait for ends, can start then, and within a
-    /// budget, and those with the least loss first. If not, the largest runs are stopped whenever there is no room.
-    pub weigh_preemption: bool,
     /// Longest time for which capacity is reserved for a unit.
     pub reservation_limit_ms: u64,
     /// A task or gang avoids workers on which it failed. If no other worker has capacity, it waits this long
@@ -107,7 +104,6 @@
             quarantine_ms: 4_000,
             capacity_report_ttl_ms: 2_500,
             capacity_report_deadline_ms: 5_000,
-            weigh_preemption: true,
             reservation_limit_ms: 3_000,
             avoid_failed_workers_ms: 1_000,
             maintenance_ms: 2_000,
--- a/crates/sched/src/orders.rs
+++ b/crates/sched/src/orders.rs
@@ -182,14 +182,11 @@
         run_state.ordered_at = now;
         run_state.orders += 1;
         run_state.in_flight = true;
-        let is_preemption = reason == StopReason::Preempted;
-        let for_priority = run_state.preempted_for.filter(|_| is_preemption);
         self.actions.push(Action::Stop {
             worker: key,
             task,
             run,
             reason,
-            for_priority,
         });
     }
 
--- a/crates/sched/src/placement.rs
+++ b/crates/sched/src/placement.rs
@@ -7,6 +7,7 @@
 use crate::Action;
 use crate::Run;
 use crate::Scheduler;
+use crate::StopReason;
 use crate::TaskId;
 use crate::WorkerKey;
 use crate::crash_history::Probation;
@@ -15,6 +16,7 @@
 use crate::unit::Reservation;
 use crate::unit::UnitState;
 use crate::waiting::WaitingStep;
+use crate::worker::Phase;
 use crate::worker::Worker;
 use crate::worker::WorkerRun;
 
@@ -28,7 +30,6 @@
         self.measure_workspaces();
         self.recount_rates();
         let waiting = self.waiting_steps(now);
-        self.begin_preemption_pass(&waiting, now);
         for WaitingStep { job, step, .. } in waiting.iter().copied() {
             if self.jobs[job].steps[step].spec.gang {
                 self.schedule_gang(job, step, now);
@@ -79,7 +80,7 @@
                 preemptions < PREEMPTIONS_PER_PASS && !self.jobs[job].steps[step].spec.fills;
             if may_preempt
                 && self.may_preempt(job)
-                && self.preempt_for(UnitRef { job, step, unit }, &allowed, now)
+                && self.preempt_for(job, step, unit, &allowed, now)
             {
                 preemptions += 1;
                 continue;
@@ -214,7 +215,7 @@
 
     /// Returns whether a worker may run another task of a step. Its runs and the reservations for other units both
     /// count towards the limit.
-    pub(crate) fn is_below_task_limit(
+    fn is_below_task_limit(
         &self,
         worker: WorkerKey,
         job: JobKey,
@@ -242,6 +243,46 @@
         !self.jobs[job].is_excess
     }
 
+    /// Preempts less urgent runs on one worker and reserves the resources for a unit.
+    fn preempt_for(
+        &mut self,
+        job: JobKey,
+        step: usize,
+        unit: usize,
+        allowed: &[WorkerKey],
+        now: Millis,
+    ) -> bool {
+        let of_job = &self.jobs[job];
+        let priority = of_job.spec.policy.priority;
+        let need = of_job.steps[step].spec.reserved_resources();
+        let avoid = self.avoided_workers(job, step, unit, now);
+        let mut best: Option<(WorkerKey, Victims)> = None;
+        for key in allowed {
+            let worker = &self.workers[*key];
+            let avoided = avoid.contains(key) || !worker.may_take_start();
+            if avoided || !self.is_below_task_limit(*key, job, step, unit) {
+                continue;
+            }
+            let Some(victims) = find_victims(worker, &need, priority) else {
+                continue;
+            };
+            if best
+                .as_ref()
+                .is_none_or(|(_, least)| victims.len() < least.len())
+            {
+                best = Some((*key, victims));
+            }
+        }
+        let Some((worker, victims)) = best else {
+            return false;
+        };
+        for (task, run) in victims {
+            self.stop_run(worker, task, run, StopReason::Preempted, now);
+        }
+        self.reserve(job, step, unit, vec![(worker, 1)], now);
+        true
+    }
+
     /// Reserves resources for a unit.
     pub(crate) fn reserve(
         &mut self,
@@ -270,17 +311,12 @@
             until,
             suspected,
             isolated,
-            preempted: false,
         });
     }
 
     /// Releases the reservation of a unit and retracts its announced placement.
     pub(crate) fn release_reservation(&mut self, job: JobKey, step: usize, unit: usize) {
         self.retract_announcement(UnitRef { job, step, unit });
-        let reservation = &self.jobs[job].steps[step].units[unit].reservation;
-        if reservation.as_ref().is_some_and(|held| held.preempted) {
-            self.preemption.counts.unused_reservations += 1;
-        }
         self.drop_reservation(job, step, unit);
     }
 
@@ -453,12 +489,42 @@
             ..WorkerRun::starting(&of_step.spec, of_job.spec.policy.priority, now)
         };
         self.headroom.consume(held.resources.cpu_millis);
-        self.preemption.budget.record_start(now);
         self.workers[worker].insert(task, run, held);
         self.send_start(worker, task, run, ticket, 0, now);
     }
 }
 
+/// The runs to stop in order to make room.
+type Victims = Vec<(TaskId, Run)>;
+
+/// Selects the fewest checkpointed runs of lower urgency whose end makes room for `need`. The result is empty if
+/// nothing has to stop.
+///
+/// Members of gangs are never selected: stopping one ends the whole gang, which needs room on all its workers at once
+/// to continue. Making room for single tasks would cost a gang's work again and again.
+pub(crate) fn find_victims(worker: &Worker, need: &Resources, priority: u32) -> Option<Victims> {
+    let mut candidates: Vec<_> = worker
+        .runs
+        .iter()
+        .filter(|(_, of_run)| {
+            let is_preemptible = of_run.checkpointed && !of_run.gang;
+            of_run.phase == Phase::Running && is_preemptible && of_run.priority > priority
+        })
+        .collect();
+    candidates.sort_by_key(|(_, of_run)| std::cmp::Reverse(of_run.resources.cpu_millis));
+    let mut freed = Resources::ZERO;
+    let mut victims = Vec::new();
+    for (name, of_run) in candidates {
+        if need.fits_in(&worker.available_without(&freed)) {
+            break;
+        }
+        freed = freed.saturating_add(&of_run.resources);
+        victims.push(*name);
+    }
+    need.fits_in(&worker.available_without(&freed))
+        .then_some(victims)
+}
+
 fn is_outside_rack(worker: &Worker, rack: Option<&SmolStr>) -> bool {
     rack.is_some_and(|rack| worker.spec.rack.as_str() != rack.as_str())
 }
--- a/crates/sched/src/reports.rs
+++ b/crates/sched/src/reports.rs
@@ -271,13 +271,8 @@
         }
         let is_news = held_run.confirmed_at.is_none();
         held_run.confirmed_at.get_or_insert(now);
-        // The first checkpoint that is listed of a resumed run is the one that it resumed from.
-        let is_restored = held_run.resumed && !held_run.reported;
         held_run.record_progress(listed.percent, now);
         if held_run.checkpoint != listed.checkpoint {
-            if !is_restored {
-                held_run.checkpoint_at = Some(now);
-            }
             held_run.checkpoint = listed.checkpoint.clone();
         }
         self.update_load(key, listed);
--- a/crates/sched/src/run_ends.rs
+++ b/crates/sched/src/run_ends.rs
@@ -99,14 +99,6 @@
             self.learn_from_end(key, task, held, now);
         }
         self.quarantine_if_failing(key, now);
-        let stopped = held.as_ref().filter(|held| {
-            let is_stopped = termination.end == Some(RunEnd::Stopped);
-            is_stopped && held.phase == Phase::Stopping && held.stop_accepted_at.is_some()
-        });
-        if let Some(held) = stopped {
-            let took_ms = now.since(held.doubt_since).min(self.options.max_stop_ms);
-            self.preemption.record_stop(took_ms);
-        }
         let held_ms = held.as_ref().map(|held| now.since(held.held_since));
         let outcome = termination.outcome();
         let mut checkpoint = termination.checkpoint;
--- a/crates/sched/src/run_times.rs
+++ b/crates/sched/src/run_times.rs
@@ -277,9 +277,8 @@
         to_ms(self.expected_median(job, step) / speed)
     }
 
-    /// Returns the expected time until a run ends by itself: from its progress so far, or before there was any from the
-    /// learned run time of its step, or from the declared estimate if nothing is learned. Returns `None` for a run that
-    /// the worker does not hold or that is not expected to end.
+    /// Returns the expected time until a run ends, from its progress if that is known. Returns `None` for a run that
+    /// the worker does not hold or that does not end by itself.
     #[must_use]
     pub fn expected_remaining_ms(
         &self,
@@ -291,31 +290,16 @@
         if held.long_running || held.fills() {
             return None;
         }
-        // A resumed run restores its checkpoint first, which says nothing about its speed.
-        let (from, from_percent) = match held.progress_baseline {
-            Some(baseline) if held.resumed => baseline,
-            _ => (held.held_since, if held.resumed { held.percent } else { 0 }),
-        };
-        let left_percent = u64::from(100 - held.percent.min(100));
-        let done_percent = u64::from(held.percent.saturating_sub(from_percent));
-        let observed_ms = held.percent_at.since(from);
-        if done_percent == 0 || observed_ms < MIN_RUN_MS {
-            // A worker that reports no progress is treated as if its runs never ended.
-            let known_at = if done_percent == 0 {
-                held.held_since
-            } else {
-                held.percent_at
-            };
-            let whole_ms = self
-                .locate_task(task)
-                .map_or(held.estimate_ms, |(job, step, _unit, _member)| {
-                    self.expected_run_ms(job, step, worker)
-                });
-            let left_ms = whole_ms * left_percent / 100;
-            return left_ms.checked_sub(now.since(known_at));
+        if let Some(total_ms) = held.projected_run_ms(now) {
+            let since_ms = now.since(held.percent_at);
+            let left_ms = total_ms * u64::from(100 - held.percent.min(100)) / 100;
+            return Some(left_ms.saturating_sub(since_ms));
         }
-        let total_ms = observed_ms * 100 / done_percent;
-        Some((total_ms * left_percent / 100).saturating_sub(now.since(held.percent_at)))
+        let (job, step, _unit, _member) = self.locate_task(task)?;
+        let whole_ms = self.expected_run_ms(job, step, worker);
+        let left_ms = whole_ms * u64::from(100 - held.percent.min(100)) / 100;
+        let since = held.confirmed_at.unwrap_or(now).max(held.percent_at);
+        Some(left_ms.saturating_sub(now.since(since)))
     }
 
     /// Returns whether a task of a step that starts now ends within the job's objective, with a margin for the error
@@ -348,7 +332,7 @@
 }
 
 /// Returns the declared run time of the longest chain of steps after a step.
-pub(crate) fn chain_after_ms(job: &crate::job::Job, step: usize) -> u64 {
+fn chain_after_ms(job: &crate::job::Job, step: usize) -> u64 {
     let position = usize::from(position_of(job, step));
     let mut ends_ms = vec![None; job.spec.steps.len()];
     if let Some(end_ms) = ends_ms.get_mut(position) {
--- a/crates/sched/src/scheduler.rs
+++ b/crates/sched/src/scheduler.rs
@@ -37,7 +37,6 @@
 use crate::orphans::OrphanedRun;
 use crate::pacing::Interference;
 use crate::pools::Pools;
-use crate::preemption::Preemption;
 use crate::recovery::Recovery;
 use crate::retention::CellClock;
 use crate::run_ends::UnitRef;
@@ -102,7 +101,6 @@
     /// The wall clock, once it is known.
     pub(crate) wall_clock: Option<DayAnchor>,
     pub(crate) headroom: Headroom,
-    pub(crate) preemption: Preemption,
     pub(crate) forecast: Forecast,
     pub(crate) workspaces: Workspaces,
     pub(crate) interference: Interference,
@@ -150,7 +148,6 @@
             cell_clock: CellClock::default(),
             wall_clock: None,
             headroom: Headroom::default(),
-            preemption: Preemption::default(),
             forecast: Forecast::default(),
             workspaces: Workspaces::default(),
             interference: Interference::default(),
--- a/crates/sched/src/shares.rs
+++ b/crates/sched/src/shares.rs
@@ -32,7 +32,7 @@
 
     /// Returns the workspaces that count as over their share of the workers, by weight among those that run or wait for
     /// something.
-    pub(crate) fn over_share(&self, waiting: &BTreeSet<WorkspaceKey>) -> BTreeSet<WorkspaceKey> {
+    fn over_share(&self, waiting: &BTreeSet<WorkspaceKey>) -> BTreeSet<WorkspaceKey> {
         let mut weights = 0.0;
         for (key, workspace) in self.workspaces.iter() {
             if workspace.used != Resources::ZERO || waiting.contains(&key) {
--- a/crates/sched/src/unit.rs
+++ b/crates/sched/src/unit.rs
@@ -92,8 +92,6 @@
     pub(crate) suspected: bool,
     /// Whether the workers accept no other work meanwhile.
     pub(crate) isolated: bool,
-    /// Whether runs were stopped for it.
-    pub(crate) preempted: bool,
 }
 
 impl Reservation {
--- a/crates/sched/src/waiting.rs
+++ b/crates/sched/src/waiting.rs
@@ -28,7 +28,7 @@
 const CLAIM_LIMIT_MS: u64 = 2_500;
 
 /// A late job is still of partial value up to this many times its objective.
-pub(crate) const EXPIRY_FACTOR: u64 = 3;
+const EXPIRY_FACTOR: u64 = 3;
 
 /// Sort key of a waiting step; the least is served first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
--- a/crates/sched/src/worker.rs
+++ b/crates/sched/src/worker.rs
@@ -74,14 +74,8 @@
     /// Whether it resumed from a checkpoint, or may have.
     pub(crate) resumed: bool,
     pub(crate) checkpoint: SmolStr,
-    /// When a report first listed its latest checkpoint; none if it has saved none since it was started.
-    pub(crate) checkpoint_at: Option<Millis>,
-    /// Declared run time of its task.
-    pub(crate) estimate_ms: u64,
     pub(crate) ticket: SmolStr,
     pub(crate) priority: u32,
-    /// Priority of the unit that it is stopped for, if it is preempted.
-    pub(crate) preempted_for: Option<u32>,
     /// Whether it saves its progress, so that little is lost by stopping it.
     pub(crate) checkpointed: bool,
     /// Whether it is a member of a gang, whose runs end together.
@@ -144,11 +138,8 @@
             progress_baseline: None,
             resumed: false,
             checkpoint: SmolStr::default(),
-            checkpoint_at: None,
-            estimate_ms: spec.estimate_ms,
             ticket: SmolStr::default(),
             priority,
-            preempted_for: None,
             checkpointed: spec.checkpointed && !spec.long_running,
             gang: spec.gang,
             long_running: spec.long_running,
--- a/crates/sched/tests/core/driver.rs
+++ b/crates/sched/tests/core/driver.rs
@@ -171,7 +171,6 @@
                     task,
                     run,
                     reason,
-                    ..
                 } => self.stops.push(Stop {
                     worker,
                     task,
