--- a/crates/cell/src/carrier.rs
+++ b/crates/cell/src/carrier.rs
@@ -17,8 +17,8 @@
 use crate::worker_command::WorkerAnswer;
 use crate::worker_command::write_reply;
 
-/// Calls in progress per descriptor, as a divisor. A node relays for an eighth of its descriptor limit in workers, and
-/// each has one renewal and seldom more than one order in progress.
+/// Descriptors for each relayed call in progress. A node relays for at most an eighth of its descriptor limit in
+/// workers, and each has one renewal and seldom more than one order in progress.
 const FILES_PER_CALL: u64 = 4;
 
 /// Relayed calls in progress on this node.
@@ -72,8 +72,8 @@
         return not_sent("the carrier has too many calls in progress");
     };
     match scheduler_time(node, call.command.token()) {
-        // The knowledge of a node about the scheduler may be wrong, so it must not report the scheduler as fenced, which
-        // would end the role. Workers and the store do.
+        // The knowledge of a node about the scheduler may be wrong, so it must not report the scheduler as fenced,
+        // which would end the role. Workers and the store do.
         None => return not_sent("the carrier does not follow this scheduler"),
         Some(time) if time > Millis(call.valid_until_ms) => {
             return not_sent("the call reached the carrier too late");
--- a/crates/cell/src/contact.rs
+++ b/crates/cell/src/contact.rs
@@ -219,10 +219,11 @@
         zone: node.settings.zone.to_string(),
     });
     let min_timeout_ms = node.settings.timing.contact_timeout_ms;
-    let mut timeout = node.contact_timeout.get();
+    let timeout_ms = node.contact_timeout.get().timeout_ms(min_timeout_ms);
     let sent_at = now();
-    let reply = link.call(query, timeout.timeout_ms(min_timeout_ms)).await;
+    let reply = link.call(query, timeout_ms).await;
     if let Ok(CellBody::ContactReply(reply)) = &reply {
+        let mut timeout = node.contact_timeout.get();
         timeout.record_answer(now().since(sent_at), link.misses.get(), min_timeout_ms);
         node.contact_timeout.set(timeout);
         let partitions = node.settings.job_partitions();
--- a/crates/cell/src/leader.rs
+++ b/crates/cell/src/leader.rs
@@ -92,7 +92,7 @@
 /// Time for which a node that gave up the role does not claim it again.
 const RECLAIM_DELAY_MS: u64 = 5_000;
 
-/// Maximum pause after a long scheduling pass.
+/// Maximum pause after a scheduling pass, so that placement goes on even if each pass takes long.
 const MAX_SCHEDULE_PAUSE_MS: u64 = 100;
 
 /// A place in the store with a submit or a cancellation of a job.
@@ -313,8 +313,8 @@
             if self.scheduler.borrow().has_unrecorded_changes() {
                 self.progress_notify.notify_one();
             }
-            // Passes over a large backlog leave at least as much time to heartbeats, contacts and workers. Otherwise other
-            // nodes would take this one for failed.
+            // A pause as long as the pass, within bounds, leaves time for heartbeats, contacts and workers. Without it,
+            // other nodes would suspect this one to have failed while it works off a large backlog.
             let pass_ms = now().since(started_at);
             pause(pass_ms.clamp(SCHEDULE_INTERVAL_MS, MAX_SCHEDULE_PAUSE_MS)).await;
         }
@@ -404,8 +404,8 @@
             .all(|at| now.since(*at) < MAX_JOBS_READ_AGE_MS)
     }
 
-    /// Computes the view of the workspaces whose submits may be rejected. There is none before the jobs were loaded, and
-    /// once a successor may have been chosen.
+    /// Computes the view of the workspaces whose submits may be rejected. There is none before the jobs were loaded,
+    /// and once a successor may have been chosen.
     pub(crate) fn update_shed_view(&self) {
         let now = now();
         let may_decide = self.loaded.get() && !self.handing_over.get() && !self.ended.get();
@@ -504,7 +504,8 @@
             .remote_nodes_before(&contact.node)
     }
 
-    /// Records that another node can relay calls to workers. One that follows another scheduler would send none of them.
+    /// Records that another node can relay calls to workers. One that follows another scheduler would send none of
+    /// them.
     fn register_carrier(&self, contact: &Contact) {
         if contact.token != self.token {
             return;
--- a/crates/cell/src/leader/carriers.rs
+++ b/crates/cell/src/leader/carriers.rs
@@ -1,8 +1,8 @@
 //! Decides through which nodes the scheduler's calls to workers are relayed. Pure: no clock, no I/O.
 //!
-//! The load that this handles: a scheduler's node holds up to two connections to each worker, which with thousands of
-//! workers takes most of its descriptors. The assignment depends only on the names and zones of the nodes and workers,
-//! so a successor computes the same one and the carriers' connections stay in use.
+//! The load that this handles: a scheduler's node needs at least two connections to each worker, which with thousands
+//! of workers takes most of its descriptors. The assignment depends only on the names and zones of the nodes and
+//! workers, so a successor computes the same one and the carriers' connections stay in use.
 
 use std::collections::BTreeMap;
 
@@ -23,11 +23,12 @@
 /// difference, a worker that comes and goes would open connections to all workers each time.
 const RELAYING_END_PERCENT: u64 = 90;
 
-/// A node relays for at most this part of its descriptor limit, as a divisor, in workers. With renewals and orders, that
-/// is a quarter of its descriptors; callers, nodes and the store need the others.
+/// A node relays for at most this part of its descriptor limit, as a divisor, in workers. With renewals and orders,
+/// that is a quarter of its descriptors; callers, nodes and the store need the others.
 const WORKERS_DIVISOR: u64 = 8;
 
-/// A node that was not heard of for this long, when others were, relays no calls. It is several intervals between contacts.
+/// A node that was not heard of for this long, when others were, relays no calls. It is several intervals between
+/// contacts.
 const HEARD_WITHIN_MS: u64 = 1_000;
 
 /// Time for which the scheduler may hear of no node before all count as lost. A busy or frozen scheduler reads contacts
@@ -47,7 +48,7 @@
 /// called directly.
 const OFF_MS: u64 = 1_500;
 
-/// The latter time doubles with each further failure, up to this many times.
+/// The time for which such a worker is called directly doubles with each further failure, up to this many times.
 const MAX_DOUBLINGS: u32 = 4;
 
 /// How the next call to a worker is sent.
@@ -92,7 +93,7 @@
     heard_at: Millis,
     /// Consecutive calls without an answer.
     failures: u32,
-    /// Set while the node relays nothing because of them.
+    /// Set while the node relays nothing because of its failures.
     off_until: Option<Millis>,
 }
 
@@ -301,7 +302,8 @@
         }
     }
 
-    /// Records that a carrier left a call without an answer. Returns whether it relays nothing for a while because of it.
+    /// Records that a carrier left a call without an answer. Returns whether it relays nothing for a while because of
+    /// it.
     pub fn note_failure(&mut self, carrier: &SmolStr, worker: &WorkerId, now: Millis) -> bool {
         self.avoid_carrier(worker, now);
         let Some(node) = self.nodes.get_mut(carrier) else {
@@ -404,8 +406,8 @@
         candidates.collect()
     }
 
-    /// Assigns each worker to the usable node with room that scores highest for it. While no node is full, the loss of a
-    /// node moves only that node's workers.
+    /// Assigns each worker to the usable node with room that scores highest for it. While no node is full, the loss of
+    /// a node moves only that node's workers.
     fn assign(&mut self, now: Millis) {
         let mut candidates = self.candidates(now);
         let names = candidates.iter().map(|candidate| candidate.name.clone());
@@ -437,8 +439,8 @@
     Some(best.name.clone())
 }
 
-/// Scores a node for a worker (rendezvous hashing). It hashes digests rather than names, since an assignment of thousands
-/// of workers to hundreds of nodes scores each pair.
+/// Scores a node for a worker (rendezvous hashing). It hashes digests rather than names, since an assignment of
+/// thousands of workers to hundreds of nodes scores each pair.
 fn score(worker_digest: u64, node_digest: u64) -> u64 {
     let mut pair = [0; 16];
     pair[..8].copy_from_slice(&worker_digest.to_le_bytes());
--- a/crates/cell/src/leader/worker_calls.rs
+++ b/crates/cell/src/leader/worker_calls.rs
@@ -154,8 +154,8 @@
         answer
     }
 
-    /// Waits until a carrier is lost. Renewals are held open for seconds, and the ends that they would report should not
-    /// wait for the timeout.
+    /// Waits until a carrier is lost. Renewals are held open for seconds, and the ends that they would report should
+    /// not wait for the timeout.
     async fn wait_for_loss_of(&self, name: &str) {
         loop {
             self.carrier_lost.notified().await;
--- a/crates/cell/src/settings.rs
+++ b/crates/cell/src/settings.rs
@@ -10,8 +10,8 @@
 /// before other nodes suspect it to have failed.
 const FAST_LINK_MBPS: f64 = 100.0;
 
-/// Descriptors for each worker with which a node can be the scheduler without other nodes' help: with two connections to
-/// each, half of them remain.
+/// Descriptors for each worker with which a node can be the scheduler without other nodes' help: with two connections
+/// to each, half of them remain.
 const FILES_PER_WORKER: u64 = 4;
 
 /// Minimum number of jobs partitions, so that up to this many nodes each have their own. The scheduler reads all of
--- a/crates/cell/src/shedding.rs
+++ b/crates/cell/src/shedding.rs
@@ -23,7 +23,7 @@
 /// A job is no longer useful to its caller after this multiple of its objective.
 const USEFUL_OBJECTIVES: u64 = 3;
 
-/// Longest minimum wait before a retry. Jitter at most doubles it, to the longest `Retry-After` of 10 s.
+/// Largest `Retry-After` before jitter. Jitter at most doubles it, so callers are told to wait for at most 10 s.
 const MAX_BASE_RETRY_S: u64 = 5;
 
 /// Milliseconds per second.
@@ -134,7 +134,7 @@
 
 /// Decides whether the job of a submit would end too late.
 ///
-/// Jobs that run at set times are admitted, because the wait of today says nothing about theirs, and so are jobs that
+/// Jobs that run at set times are admitted, because the present wait says nothing about theirs, and so are jobs that
 /// run until they are cancelled and jobs without an objective.
 #[must_use]
 pub fn decide(view: &ShedView, store: StoreTimes, spec: &JobSpec, now: Millis) -> Decision {
--- a/crates/cell/src/submit.rs
+++ b/crates/cell/src/submit.rs
@@ -387,7 +387,13 @@
         match outcome {
             Outcome::Stored { partition } => {
                 let node = Rc::clone(self);
-                actix_rt::spawn(async move { node.notify_scheduler(partition, record).await });
+                let job = records::job_of_key(&record.key);
+                // Until the scheduler was notified, a retry at this node must not be rejected.
+                let submit = job.map(|id| self.submits.begin(id));
+                actix_rt::spawn(async move {
+                    node.notify_scheduler(partition, record).await;
+                    drop(submit);
+                });
             }
             Outcome::InDoubt => self.submits.note_in_doubt(),
             Outcome::Refused { .. } => {}
--- a/crates/cell/src/submit_shedding.rs
+++ b/crates/cell/src/submit_shedding.rs
@@ -28,9 +28,9 @@
 /// Largest part of a caller's own timeout that this wait may take, as its divisor.
 const TIMEOUT_DIVISOR: u64 = 4;
 
-/// Nothing is rejected for this long after an append of a job was in doubt, or the scheduler was not notified of one. An
-/// append may be carried out up to 3 s after it was sent, and the scheduler answers for unknown jobs if it has read all
-/// partitions within the last 2.5 s.
+/// Nothing is rejected for this long after an append of a job was in doubt, or the scheduler was not notified of one.
+/// An append may be carried out up to 3 s after it was sent, and the scheduler answers for unknown jobs if it has read
+/// all partitions within the last 2.5 s.
 const IN_DOUBT_HOLD_MS: u64 = 6_000;
 
 /// Submits that this node is handling.
--- a/crates/cell/src/succession.rs
+++ b/crates/cell/src/succession.rs
@@ -24,8 +24,8 @@
 use crate::ports::Platform;
 use crate::unreadable::Source;
 
-/// Timeout of a notice to a scheduler that was replaced. It is longer than that of a contact, since a scheduler that was
-/// replaced because it answers late has to be recognized as alive.
+/// Timeout of a notice to a scheduler that was replaced. It is longer than that of a contact, since a scheduler that
+/// was replaced because it answers late has to be recognized as alive.
 const NOTICE_TIMEOUT_MS: u64 = 800;
 
 impl Holder {
--- a/crates/cell/tests/cell/rejections.rs
+++ b/crates/cell/tests/cell/rejections.rs
@@ -115,6 +115,7 @@
     })
 }
 
+/// Guards against a rejected job that runs, and against a rejection that outlasts the overload.
 #[test]
 fn a_rejected_job_is_not_stored_and_may_be_accepted_later() {
     let cell = Overload::start();
@@ -161,6 +162,7 @@
     });
 }
 
+/// Without the scheduler's answer, the job may have been stored by another node.
 #[test]
 fn a_node_cut_off_from_the_scheduler_rejects_nothing() {
     let cell = Overload::start();
@@ -189,6 +191,7 @@
     }
 }
 
+/// With a slow store, an earlier attempt may be stored without the scheduler knowing of it yet.
 #[test]
 fn a_slow_store_at_the_scheduler_rejects_nothing() {
     let cell = Overload::start();
--- a/crates/cell/tests/cell/shedding.rs
+++ b/crates/cell/tests/cell/shedding.rs
@@ -64,6 +64,7 @@
     }
 }
 
+/// Guards against rejecting jobs that would end in time, and against accepting those that would not.
 #[test_case(0, None; "no wait")]
 #[test_case(USEFUL_WAIT_MS, None; "at the limit")]
 #[test_case(USEFUL_WAIT_MS + 1, Some(ShedReason::WaitAndRun); "beyond the limit")]
@@ -142,6 +143,7 @@
     }
 }
 
+/// Guards against rejecting jobs that the view does not apply to.
 #[test_case(&of_workspace(None); "no workspace")]
 #[test_case(&of_workspace(Some("b")); "workspace within its rate")]
 #[test_case(&of_other_queue(); "queue without a wait")]
@@ -184,6 +186,7 @@
     assert_eq!(retry_seconds(late_ms), expected);
 }
 
+/// Guards against a view that seems newer to a node than it is.
 #[test]
 fn a_view_survives_its_message_with_its_age() {
     let mut reply = ContactReply::default();
--- a/crates/sched/src/contact_timeout.rs
+++ b/crates/sched/src/contact_timeout.rs
@@ -17,8 +17,8 @@
 
 /// Estimates the timeout of contacts. It is kept when the scheduler changes, since the load is the same for the next.
 ///
-/// Unanswered contacts count only once the scheduler has proved to be alive. If they counted at once, a scheduler that has
-/// failed would be suspected later than necessary.
+/// Unanswered contacts count only once the scheduler has proved to be alive. If they counted at once, a scheduler that
+/// has failed would be suspected later than necessary.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct ContactTimeout {
     estimator: TimeoutEstimator,
--- a/crates/sched/src/durations.rs
+++ b/crates/sched/src/durations.rs
@@ -47,7 +47,7 @@
 #[derive(Debug, Clone)]
 struct Ratios {
     histogram: Histogram<u32>,
-    /// Errors of the predicted run times, in percent.
+    /// Errors of the predicted run times, in thousandths of the prediction.
     errors: Histogram<u32>,
     halved_at: Millis,
     current: Option<Ratio>,
--- a/crates/sched/src/election_backoff.rs
+++ b/crates/sched/src/election_backoff.rs
@@ -1,8 +1,8 @@
 //! Backoff of elections that replace schedulers which are alive.
 //!
 //! Load pattern: more work than the scheduler's node has processor time for. It answers other nodes and writes its
-//! heartbeats late, and is replaced although it is alive. Its successor inherits the load and a longer takeover. If each
-//! of them were replaced as fast as a failed scheduler, none would ever work off the backlog.
+//! heartbeats late, and is replaced although it is alive. Its successor inherits the load and a longer takeover. If
+//! each of them were replaced as fast as a failed scheduler, none would ever work off the backlog.
 
 use syc_types::Millis;
 
@@ -11,12 +11,12 @@
 /// After this time without another replacement of a live scheduler, elections are as fast as usual.
 const WINDOW_MS: u64 = 10_000;
 
-/// Replacements of live schedulers within the window that do not slow elections down. A single one is usually right: the
-/// scheduler was paused, or cut off from the store.
+/// Replacements of live schedulers within the window that do not slow elections down. A single one is usually right:
+/// the scheduler was paused, or cut off from the store.
 const FREE_REPLACEMENTS: u32 = 1;
 
-/// Maximum number of times that the timeouts are doubled. A scheduler that fails meanwhile must still be replaced within
-/// seconds.
+/// Maximum number of times that the timeouts are doubled. A scheduler that fails meanwhile must still be replaced
+/// within seconds.
 const DOUBLINGS_LIMIT: u32 = 2;
 
 /// Counts replacements of live schedulers, and lengthens the heartbeat timeouts while they follow each other.
@@ -29,8 +29,8 @@
 }
 
 impl ElectionBackoff {
-    /// Records that a replaced scheduler has answered, so that it was alive. Reports of the same one count once. Returns
-    /// whether it is the first report.
+    /// Records that a replaced scheduler has answered, so that it was alive. Reports of the same one count once.
+    /// Returns whether it is the first report.
     pub fn record_live_predecessor(&mut self, predecessor: Tenure, now: Millis) -> bool {
         if self.latest.is_some_and(|(known, _)| known == predecessor) {
             return false;
--- a/crates/sched/src/forecast.rs
+++ b/crates/sched/src/forecast.rs
@@ -1,12 +1,12 @@
 //! A lower bound of the time that a job submitted now would wait, for each workspace and queue.
 //!
-//! Load pattern: workspaces send more than the workers can process until the objectives of the jobs. The bound is the work
-//! that is served before such a job, divided by what the usable workers, and the cap of its workspace, can process.
-//! Running work and work that arrives later are left out, so a job hardly starts earlier than predicted. Run times are
-//! the declared ones.
+//! Load pattern: workspaces send more than the workers can process until the objectives of the jobs. The bound is the
+//! work that is served before such a job, divided by what the usable workers, and the cap of its workspace, can
+//! process. Running work and work that arrives later are left out, so a job hardly starts earlier than predicted. Run
+//! times are the declared ones.
 //!
-//! [`Forecast::refresh`] sees the waiting work in the order in which it is served and performs no I/O. Where there are no
-//! workspaces, nothing is computed.
+//! [`Forecast::refresh`] sees the waiting work in the order in which it is served and performs no I/O. Where there are
+//! no workspaces, nothing is computed.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -29,11 +29,12 @@
 /// A forecast that is older than this is not used, since the backlog may be gone.
 const MAX_AGE_MS: u64 = 1_000;
 
-/// A workspace sheds from a wait of this many objectives on: a job that ends after three times its objective is no longer
-/// useful to the caller.
+/// A workspace sheds from a wait of this many objectives on: a job that ends after three times its objective is no
+/// longer useful to the caller.
 const SHED_FROM_OBJECTIVES: u64 = 3;
 
-/// It stops shedding under this many objectives, so that shedding does not alternate with each forecast.
+/// It stops shedding once the wait is at most this many objectives, so that shedding does not alternate with each
+/// forecast.
 const SHED_UNTIL_OBJECTIVES: u64 = 2;
 
 /// Maximum number of rows told to the nodes. They are part of every answer to a contact.
@@ -64,10 +65,10 @@
     pub seen_ms: u64,
 }
 
-/// Workers that the same steps may run on: those of a service that have a label.
+/// Identifies the workers that a step may run on: those of a service, with the required label if there is one.
 type PoolId = (ServiceName, Option<SmolStr>);
 
-/// The jobs of a workspace in a queue.
+/// Identifies the jobs of a workspace in a queue.
 type FlowId = (WorkspaceKey, SmolStr);
 
 /// The workers of a pool, and the work that waits for them.
@@ -77,7 +78,7 @@
     cpu_millis: u64,
     /// What is available on each usable worker that has anything available.
     available: Vec<Resources>,
-    /// Useful work seen so far in the order of service, in core-milliseconds times 1,000.
+    /// Useful work added so far in the order of service, in thousandths of a core times milliseconds.
     work: u64,
     /// The work of each class and of the classes before it.
     work_by_class: BTreeMap<(bool, u32), u64>,
@@ -191,7 +192,8 @@
         let pool = self.pools.entry(pool_id.clone()).or_default();
         // Expired work is served after all useful work, so nothing waits for it.
         if !is_expired {
-            pool.work += need.cpu_millis.saturating_mul(task_ms);
+            let work = need.cpu_millis.saturating_mul(task_ms);
+            pool.work = pool.work.saturating_add(work);
             pool.work_by_class.insert((is_excess, priority), pool.work);
         }
         let Some(workspace) = waiting.workspace else {
@@ -199,7 +201,8 @@
         };
         let own = self.of_workspaces.entry(workspace).or_default();
         if !is_expired {
-            *own += step.spec.resources.cpu_millis.saturating_mul(task_ms);
+            let work = step.spec.resources.cpu_millis.saturating_mul(task_ms);
+            *own = own.saturating_add(work);
         }
         if is_excess {
             self.excess.insert((workspace, waiting.job));
@@ -214,7 +217,7 @@
             objectives_ms: 0,
             steps: 0,
         });
-        flow.objectives_ms += job.objective_ms;
+        flow.objectives_ms = flow.objectives_ms.saturating_add(job.objective_ms);
         flow.steps += 1;
         if unit_cpu(&unit) < unit_cpu(&flow.least_unit) {
             flow.least_unit = unit;
@@ -354,7 +357,7 @@
         let Some(workspace) = job.workspace else {
             return;
         };
-        // Jobs of a predecessor and timed ones wait for something else.
+        // Inherited jobs arrived under a predecessor, and timed ones also wait for their due time.
         let is_timed = job.steps.iter().any(|step| step.due_at.is_some());
         if job.inherited || is_timed || !self.forecast.is_current(now) {
             return;
@@ -386,8 +389,8 @@
         std::mem::take(&mut self.forecast.errors)
     }
 
-    /// Returns the number of waiting jobs of a workspace that are excess, and the longest predicted wait of a further job
-    /// among its queues.
+    /// Returns the number of waiting jobs of a workspace that are excess, and the longest predicted wait of a further
+    /// job among its queues.
     pub(crate) fn excess_and_wait_of(&self, key: WorkspaceKey, now: Millis) -> (u64, u64) {
         if !self.forecast.is_current(now) {
             return (0, 0);
--- a/crates/sched/src/headroom.rs
+++ b/crates/sched/src/headroom.rs
@@ -78,9 +78,10 @@
         self.headroom.free = free;
     }
 
-    /// Returns whether a unit that is not urgent, or is excess, would use up headroom. Tasks that fill unused processor time
-    /// do not, and neither do excess units that the whole capacity could not hold beside the headroom: they would never
-    /// start.
+    /// Returns whether a unit that is not urgent, or is excess, would use up headroom.
+    ///
+    /// Tasks that fill unused processor time do not. Excess units that the whole capacity could not hold beside the
+    /// headroom are exempt, since they would never start.
     pub(crate) fn would_use_headroom(&self, job: JobKey, step: usize) -> bool {
         let job = &self.jobs[job];
         let spec = &job.steps[step].spec;
--- a/crates/sched/src/placement.rs
+++ b/crates/sched/src/placement.rs
@@ -237,8 +237,8 @@
         tasks < limit
     }
 
-    /// Returns whether the work of a job may preempt runs. Excess work waits for what ends by itself, so it never preempts
-    /// guaranteed work.
+    /// Returns whether the work of a job may preempt runs. Excess work waits for what ends by itself, so it never
+    /// preempts guaranteed work.
     pub(crate) fn may_preempt(&self, job: JobKey) -> bool {
         !self.jobs[job].is_excess
     }
--- a/crates/sched/src/rates.rs
+++ b/crates/sched/src/rates.rs
@@ -1,8 +1,8 @@
 //! Guaranteed rates of workspaces: which jobs are within the rate of their workspace, and which are excess.
 //!
-//! Load pattern: several workspaces send many times their usual load for some seconds. Each workspace is entitled to what
-//! it sends within its rate, whatever the others send. A token bucket for each workspace is filled at its rate; a job that
-//! finds it empty is excess and gets only the remaining capacity, see [`crate::waiting`].
+//! Load pattern: several workspaces send many times their usual load for some seconds. Each workspace is entitled to
+//! what it sends within its rate, whatever the others send. A token bucket for each workspace is filled at its rate; a
+//! job that finds it empty is excess and gets only the remaining capacity, see [`crate::waiting`].
 //!
 //! The marks are not stored. A successor recomputes them from the acceptance times of the jobs that it loads.
 
@@ -141,7 +141,7 @@
     /// order or before their rates.
     pub(crate) fn recount_rates(&mut self) {
         let to_recount = std::mem::take(&mut self.workspaces.to_recount);
-        if to_recount.is_empty() {
+        if to_recount.is_empty() || !self.options.guaranteed_rates {
             return;
         }
         for (key, jobs) in self.jobs_by_workspace(&to_recount) {
--- a/crates/sched/src/speed.rs
+++ b/crates/sched/src/speed.rs
@@ -23,7 +23,8 @@
 /// Minimum weight of the samples for an estimate, after ageing. A run weighs at most 1, so a single one never decides.
 const MIN_WEIGHT: f64 = 2.1;
 
-/// Bound of a sample as the logarithm of a factor. Longer runs say nothing more about the worker.
+/// Largest absolute value of a sample: the logarithm of a factor of about 8. Runs that take even longer say nothing
+/// more about the worker.
 const SAMPLE_LOG_LIMIT: f64 = 2.1;
 
 /// A worker becomes slow below this share of the median speed, and is no longer slow above the other.
@@ -36,8 +37,8 @@
 /// Minimum number of workers with an estimate for a median to compare with.
 const MIN_KNOWN_WORKERS: usize = 5;
 
-/// Minimum number of members of a group with an estimate, their minimum share of all members in percent, and the largest
-/// factor between any two of them, for a new member to start with the speed of the group.
+/// Minimum number of members of a group with an estimate, their minimum share of all members in percent, and the
+/// largest factor between any two of them, for a new member to start with the speed of the group.
 const MIN_GROUP_MEMBERS: usize = 3;
 const GROUP_KNOWN_PERCENT: usize = 90;
 const GROUP_SPREAD: f64 = 1.25;
@@ -45,8 +46,8 @@
 /// Time between two comparisons of all workers, each of which sorts the samples of every worker.
 const COMPARE_INTERVAL_MS: u64 = 1_000;
 
-/// Number of estimates in each comparison, since the speed of a worker depends on those of the others. With one every
-/// 2 s, 0.85 instead of 0.90 of the speeds were right after 10 s.
+/// Number of estimates in each comparison. Each estimate uses the speeds of the others, so the second one corrects what
+/// the first derived from outdated speeds.
 const PASSES: usize = 2;
 
 /// Minimum number of workers of a step with known run times for its expected run time.
@@ -62,8 +63,8 @@
 /// Weight of the comparison of two runs, so that all those of a run weigh 1.
 pub(crate) const PAIR_WEIGHT: f64 = 0.25;
 
-/// Weight of a sample that compares a run with what its queue takes for its estimate. Estimates of single jobs are off
-/// by up to half.
+/// Weight of a sample that compares a run with what its queue takes for its estimate. It is low, because the estimate
+/// of a single job may be far off.
 pub(crate) const QUEUE_WEIGHT: f64 = 0.25;
 
 /// Whether a worker is permanently slower than most.
@@ -314,8 +315,8 @@
 impl StepTimes {
     /// Adds the run time of a task on a worker, and returns the runs on other workers to compare it with.
     ///
-    /// They are spread over all known ones: the runs that ended last tend to be those on slow workers, which would only be
-    /// compared with each other.
+    /// They are spread over all known ones: the runs that ended last tend to be those on slow workers, which would only
+    /// be compared with each other.
     pub(crate) fn add(&mut self, worker: WorkerKey, log: f64) -> Vec<Peer> {
         self.times.retain(|time| time.worker != worker);
         let known = self.times.len();
--- a/crates/sched/src/waiting.rs
+++ b/crates/sched/src/waiting.rs
@@ -38,8 +38,8 @@
     /// Late work that is still of value keeps its position. If it were served after all work that is not late,
     /// it would expire while waiting.
     is_expired: bool,
-    /// Whether its workspace submitted it beyond its guaranteed rate. What a workspace submits within its rate goes before
-    /// that, whatever its priority.
+    /// Whether its workspace submitted it beyond its guaranteed rate. What a workspace submits within its rate goes
+    /// before that, whatever its priority.
     is_excess: bool,
     priority: u32,
     due_at: Millis,
--- a/crates/sched/src/workspaces.rs
+++ b/crates/sched/src/workspaces.rs
@@ -44,9 +44,9 @@
     UnreportedWorkers,
 }
 
-/// Excess work that has waited for this long has claims like guaranteed work: a steady stream of small guaranteed tasks
-/// could keep an excess gang from starting for ever. Floods of 8 to 18 s have been observed, and the guaranteed work of a
-/// workspace is not held up by its own excess work within one.
+/// Excess work that has waited for this long has claims like guaranteed work. Otherwise, a steady stream of small
+/// guaranteed tasks could keep an excess gang from ever starting. It is longer than a short flood, during which the
+/// excess work of a workspace must not hold up its guaranteed work.
 const EXCESS_CLAIM_MS: u64 = 20_000;
 
 /// A step whose next unit waits for the cap of its workspace, and what the unit needs.
--- a/crates/sched/tests/core/rates.rs
+++ b/crates/sched/tests/core/rates.rs
@@ -43,6 +43,7 @@
     }
 }
 
+/// Guards against a flood of urgent jobs that holds up what other workspaces send within their rates.
 #[test]
 fn excess_work_waits_for_less_urgent_guaranteed_work() {
     let mut driver = with_rates(1);
@@ -60,6 +61,7 @@
     assert_eq!(serve_all(&mut driver), [5, 7, 6], "one token a second");
 }
 
+/// Guards against rates that apply where no workspaces are configured.
 #[test]
 fn work_of_no_workspace_is_guaranteed() {
     let mut driver = with_rates(1);
@@ -114,6 +116,7 @@
     assert_eq!(serve_all(&mut driver), [1, 2, 4, 5, 3]);
 }
 
+/// Guards against excess work that stops what others run.
 #[test]
 fn only_guaranteed_work_preempts() {
     let mut driver = with_rates(4);
@@ -167,6 +170,7 @@
     assert!(rows.is_empty(), "the forecast is too old");
 }
 
+/// Guards against rejections by the rate alone, while workers are free.
 #[test]
 fn nothing_sheds_while_capacity_is_free() {
     let mut driver = with_rates(64);
--- a/crates/sched/tests/core/speeds.rs
+++ b/crates/sched/tests/core/speeds.rs
@@ -67,6 +67,7 @@
     percent(driver, key).is_some_and(|percent| percent < 75)
 }
 
+/// Guards against slow workers that are not recognized although other workers run the same step.
 #[test]
 fn speeds_are_learned_from_tasks_of_one_step() {
     let driver = with_slow_workers();
@@ -78,7 +79,7 @@
     assert_eq!(driver.scheduler.speed_counts(driver.now).slow, 4);
 }
 
-/// The first member to start is not where a gang is slow.
+/// All members of a gang end with the slowest one, so their run times would count against workers that are not slow.
 #[test]
 fn gangs_say_nothing_about_their_members() {
     let mut driver = Driver::new(WORKERS, 8);
@@ -90,6 +91,7 @@
     assert_eq!(driver.scheduler.speed_counts(driver.now).unknown, WORKERS);
 }
 
+/// Guards against a slowdown of all workers that makes every worker count as slow.
 #[test]
 fn if_all_workers_become_slower_none_is_slow() {
     let mut driver = Driver::new(WORKERS, 8);
--- a/crates/workspace/src/policy.rs
+++ b/crates/workspace/src/policy.rs
@@ -19,8 +19,7 @@
 /// Seconds of its guaranteed rate that a workspace may send at once by default.
 const DEFAULT_BURST_S: f64 = 5.0;
 
-/// Smallest default burst, so that a workspace with a low rate can send a handful of jobs at once. Callers of a small
-/// workspace come in groups, and a rate measured over a few seconds says little about them.
+/// Smallest default burst. Callers with a low rate also send several jobs at once, and these should be guaranteed.
 const MIN_DEFAULT_BURST_JOBS: f64 = 20.0;
 
 /// Cap, weight and guaranteed rate of a workspace.
@@ -34,7 +33,7 @@
     pub cap: Resources,
     /// Jobs a second that are served before the excess jobs of others; infinite for all jobs.
     pub rate_per_s: f64,
-    /// Jobs beyond the rate that it may send at once after a pause.
+    /// Jobs that it may send at once after a pause: the capacity of its token bucket.
     pub burst_jobs: f64,
 }
 
@@ -64,8 +63,8 @@
     /// Sets the guaranteed rate and the burst.
     ///
     /// A missing rate, or one that is not positive, is the weight in jobs a second. A missing burst, or one that is not
-    /// positive, is five seconds of the rate, but at least twenty jobs. No burst is less than one job, since a bucket that
-    /// never holds a whole token would guarantee nothing.
+    /// positive, is five seconds of the rate, but at least twenty jobs. No burst is less than one job, since a bucket
+    /// that never holds a whole token would guarantee nothing.
     #[must_use]
     pub fn with_rate(self, rate_per_s: Option<f64>, burst_jobs: Option<f64>) -> Self {
         let rate_per_s = positive(rate_per_s).unwrap_or(self.weight);
