Assign workers to carriers by what changed

Cause: whenever a node or a worker came or went, at most every 250 ms, the scheduler scored every worker against every node: 3.6 million scores for 6,150 workers and 584 nodes, in one piece, beside which no contact, renewal or order was handled. The cost grows with workers times nodes.

Change: the loss of a node assigns its workers anew, a node that joined is compared with each worker's own carrier, and only the carriers of the worker's zone are looked at while one of them has room. While no node is full, the assignment stays that of rendezvous hashing, so a successor computes the same one.

Test: 300 nodes, 3,000 workers, one node lost and back. Before, each change cost an assignment of all; now under a twentieth of one.

--- a/crates/cell/src/leader/carriers.rs
+++ b/crates/cell/src/leader/carriers.rs
@@ -27,8 +27,7 @@
 /// that is a quarter of its descriptors; callers, nodes and the store need the others.
 const WORKERS_DIVISOR: u64 = 8;
 
-/// A node that was not heard of for this long, when others were, relays no calls. It is several intervals between
-/// contacts.
+/// A node whose contact is late by this long, when others were heard of, relays no calls.
 const HEARD_WITHIN_MS: u64 = 1_000;
 
 /// Time for which the scheduler may hear of no node before all count as lost. A busy or frozen scheduler reads contacts
@@ -102,20 +101,23 @@
         self.files_limit / WORKERS_DIVISOR
     }
 
-    /// Returns whether the node may relay calls. `newest_at` is when any node was last heard of.
-    fn is_usable(&self, newest_at: Millis, now: Millis) -> bool {
-        let is_heard = newest_at.since(self.heard_at) <= HEARD_WITHIN_MS
-            && now.since(newest_at) <= ALL_SILENT_MS;
-        is_heard && self.max_workers() > 0 && self.off_until.is_none_or(|until| until <= now)
+    fn is_off(&self, now: Millis) -> bool {
+        self.off_until.is_some_and(|until| now < until)
     }
 }
 
+/// How well a carrier suits a worker: whether it is in the same zone, then the score of the pair. The greatest suits
+/// best.
+type Fitness = (bool, u64);
+
 /// How a worker is called.
 #[derive(Debug)]
 struct WorkerRoute {
     zone: Zone,
     digest: u64,
     carrier: Option<SmolStr>,
+    /// How well that carrier suits it.
+    fitness: Fitness,
     /// Whether the next call goes directly.
     is_next_direct: bool,
     /// Consecutive failed calls through carriers.
@@ -124,15 +126,79 @@
     direct_until: Millis,
 }
 
-/// A carrier with room for more workers, during an assignment.
+/// A carrier, during an assignment.
 #[derive(Debug)]
 struct Candidate {
     name: SmolStr,
     zone: Zone,
     digest: u64,
+    /// Further workers that it can relay for.
     room: u64,
 }
 
+impl Candidate {
+    fn new(name: &SmolStr, node: &Carrier) -> Self {
+        Self {
+            name: name.clone(),
+            zone: node.zone.clone(),
+            digest: node.digest,
+            room: node.max_workers(),
+        }
+    }
+
+    fn fitness(&self, route: &WorkerRoute) -> Fitness {
+        (self.zone == route.zone, score(route.digest, self.digest))
+    }
+}
+
+/// The carriers of an assignment, by zone.
+#[derive(Debug, Default)]
+struct Candidates {
+    by_zone: BTreeMap<Zone, Vec<Candidate>>,
+    /// Number of comparisons of a worker with a carrier so far.
+    comparisons: u64,
+}
+
+impl Candidates {
+    fn add(&mut self, candidate: Candidate) {
+        let of_zone = self.by_zone.entry(candidate.zone.clone()).or_default();
+        of_zone.push(candidate);
+    }
+
+    /// Takes room for a worker at the carrier that suits it best.
+    fn take_best(&mut self, route: &WorkerRoute) -> Option<(SmolStr, Fitness)> {
+        let comparisons = &mut self.comparisons;
+        let near = self.by_zone.get_mut(&route.zone);
+        let near = near.and_then(|of_zone| take_best(of_zone.iter_mut(), route, comparisons));
+        near.or_else(|| take_best(self.by_zone.values_mut().flatten(), route, comparisons))
+    }
+}
+
+/// Takes room for a worker at the one of these carriers that suits it best.
+fn take_best<'a, I>(
+    candidates: I,
+    route: &WorkerRoute,
+    comparisons: &mut u64,
+) -> Option<(SmolStr, Fitness)>
+where
+    I: Iterator<Item = &'a mut Candidate>,
+{
+    let mut best: Option<(Fitness, &mut Candidate)> = None;
+    for candidate in candidates {
+        if candidate.room == 0 {
+            continue;
+        }
+        *comparisons += 1;
+        let fitness = candidate.fitness(route);
+        if best.as_ref().is_none_or(|(most, _)| fitness > *most) {
+            best = Some((fitness, candidate));
+        }
+    }
+    let (fitness, candidate) = best?;
+    candidate.room -= 1;
+    Some((candidate.name.clone(), fitness))
+}
+
 /// The nodes that relay calls, and for which workers.
 #[derive(Debug)]
 pub struct Carriers {
@@ -142,14 +208,16 @@
     nodes: BTreeMap<SmolStr, Carrier>,
     /// When any node was last heard of.
     newest_at: Millis,
+    /// Longest interval between two contacts of a node.
+    contact_interval_ms: u64,
     workers: BTreeMap<WorkerId, WorkerRoute>,
     /// Workers of each carrier of the last assignment.
     loads: BTreeMap<SmolStr, u64>,
     checked_at: Option<Millis>,
-    workers_changed: bool,
     /// Whether a node was lost since the last call of [`Self::take_lost`].
     has_lost: bool,
     changes: Vec<CarrierChange>,
+    comparisons: u64,
 }
 
 impl Carriers {
@@ -161,12 +229,13 @@
             is_relaying: false,
             nodes: BTreeMap::new(),
             newest_at: Millis(0),
+            contact_interval_ms: 0,
             workers: BTreeMap::new(),
             loads: BTreeMap::new(),
             checked_at: None,
-            workers_changed: false,
             has_lost: false,
             changes: Vec::new(),
+            comparisons: 0,
         }
     }
 
@@ -192,6 +261,12 @@
         }
     }
 
+    /// Returns the number of comparisons of a worker with a carrier so far, which is what assignments cost.
+    #[must_use]
+    pub const fn comparisons(&self) -> u64 {
+        self.comparisons
+    }
+
     /// Returns the changes since the last call.
     pub fn take_changes(&mut self) -> Vec<CarrierChange> {
         std::mem::take(&mut self.changes)
@@ -227,21 +302,17 @@
             zone: zone.clone(),
             digest: name_digest(id.as_str()),
             carrier: None,
+            fitness: Fitness::default(),
             is_next_direct: false,
             failures: 0,
             direct_until: Millis(0),
         };
         if self.is_relaying {
             let mut candidates = self.candidates(now);
-            for candidate in &mut candidates {
-                let load = self.loads.get(&candidate.name).copied().unwrap_or(0);
-                candidate.room = candidate.room.saturating_sub(load);
-            }
-            route.carrier = take_best(&mut candidates, &route);
-            self.count(route.carrier.as_ref());
+            self.assign(&mut route, &mut candidates);
+            self.comparisons += candidates.comparisons;
         }
         self.workers.insert(id.clone(), route);
-        self.workers_changed = true;
     }
 
     /// Removes a worker.
@@ -249,7 +320,6 @@
         let Some(removed) = self.workers.remove(id) else {
             return;
         };
-        self.workers_changed = true;
         let load = removed.carrier.and_then(|name| self.loads.get_mut(&name));
         if let Some(load) = load {
             *load = load.saturating_sub(1);
@@ -268,11 +338,11 @@
         if std::mem::take(&mut route.is_next_direct) || now < route.direct_until {
             return Route::Direct;
         }
+        let Some(route) = self.workers.get(worker) else {
+            return Route::Direct;
+        };
         let carrier = route.carrier.as_ref();
-        let usable = carrier.filter(|name| {
-            let carrier = self.nodes.get(*name);
-            carrier.is_some_and(|carrier| carrier.is_usable(self.newest_at, now))
-        });
+        let usable = carrier.filter(|name| self.is_usable(name, now));
         usable.map_or(Route::Direct, |name| Route::Through(name.clone()))
     }
 
@@ -280,7 +350,19 @@
     #[must_use]
     pub fn is_usable(&self, name: &str, now: Millis) -> bool {
         let node = self.nodes.get(name);
-        node.is_some_and(|node| node.is_usable(self.newest_at, now))
+        node.is_some_and(|node| self.may_relay(node, now))
+    }
+
+    /// Sets the longest interval between two contacts of a node.
+    pub const fn set_contact_interval_ms(&mut self, interval_ms: u64) {
+        self.contact_interval_ms = interval_ms;
+    }
+
+    fn may_relay(&self, node: &Carrier, now: Millis) -> bool {
+        let heard_within_ms = HEARD_WITHIN_MS + self.contact_interval_ms;
+        let is_heard = self.newest_at.since(node.heard_at) <= heard_within_ms
+            && now.since(self.newest_at) <= ALL_SILENT_MS + self.contact_interval_ms;
+        is_heard && node.max_workers() > 0 && !node.is_off(now)
     }
 
     /// Returns whether a carrier was lost since the last call, so that calls through it should not be waited for.
@@ -309,7 +391,7 @@
         let Some(node) = self.nodes.get_mut(carrier) else {
             return false;
         };
-        if node.off_until.is_some_and(|until| now < until) {
+        if node.is_off(now) {
             // Calls that were in progress when the node was taken off.
             return false;
         }
@@ -358,14 +440,76 @@
         }
         self.checked_at = Some(now);
         self.note_returns(now);
-        let mut carriers = self.loads.keys();
-        self.has_lost |= carriers.any(|name| !self.is_usable(name, now));
-        let usable = self.nodes.iter();
-        let usable = usable.filter(|(_, node)| node.is_usable(self.newest_at, now));
-        if has_begun || self.workers_changed || !usable.map(|(name, _)| name).eq(self.loads.keys())
-        {
-            self.assign(now);
+        if has_begun {
+            self.assign_all(now);
+        } else {
+            self.follow_nodes(now);
+        }
+    }
+
+    /// Moves the workers of carriers that were lost, and those that a new carrier suits better.
+    ///
+    /// The cost grows with the workers and the changed carriers. Assigning every worker anew would grow with all workers
+    /// times all carriers, several times a second while nodes come and go.
+    fn follow_nodes(&mut self, now: Millis) {
+        let loads = std::mem::take(&mut self.loads);
+        let (kept, lost): (BTreeMap<_, _>, BTreeMap<_, _>) = loads
+            .into_iter()
+            .partition(|(name, _)| self.is_usable(name, now));
+        self.loads = kept;
+        self.has_lost |= !lost.is_empty();
+        let mut workers = std::mem::take(&mut self.workers);
+        let mut joined = self.joined(now);
+        if !joined.by_zone.is_empty() {
+            for route in workers.values_mut() {
+                self.move_if_better(route, &mut joined);
+            }
+        }
+        let mut candidates = self.candidates(now);
+        for route in workers.values_mut() {
+            let is_lost = |name: &SmolStr| lost.contains_key(name);
+            if route.carrier.as_ref().is_none_or(is_lost) {
+                self.assign(route, &mut candidates);
+            }
+        }
+        self.comparisons += joined.comparisons + candidates.comparisons;
+        self.workers = workers;
+    }
+
+    /// Adds the nodes that may relay calls since the last assignment, and returns them.
+    fn joined(&mut self, now: Millis) -> Candidates {
+        let mut joined = Candidates::default();
+        for (name, node) in &self.nodes {
+            if self.may_relay(node, now) && !self.loads.contains_key(name) {
+                joined.add(Candidate::new(name, node));
+            }
+        }
+        for candidate in joined.by_zone.values().flatten() {
+            self.loads.insert(candidate.name.clone(), 0);
         }
+        joined
+    }
+
+    /// Moves a worker to a new carrier that suits it better than its own.
+    fn move_if_better(&mut self, route: &mut WorkerRoute, joined: &mut Candidates) {
+        let current = route.fitness;
+        let comparisons = &mut joined.comparisons;
+        let of_zone = joined.by_zone.get_mut(&route.zone);
+        let of_zone = of_zone.map_or(&mut [][..], Vec::as_mut_slice);
+        *comparisons += u64::try_from(of_zone.len()).unwrap_or(u64::MAX);
+        let better = of_zone.iter_mut();
+        let better = better.filter(|candidate| candidate.fitness(route) > current);
+        let Some((name, fitness)) = take_best(better, route, comparisons) else {
+            return;
+        };
+        let load = route.carrier.as_ref();
+        let load = load.and_then(|carrier| self.loads.get_mut(carrier));
+        if let Some(load) = load {
+            *load = load.saturating_sub(1);
+        }
+        self.count(&name);
+        route.carrier = Some(name);
+        route.fitness = fitness;
     }
 
     /// Returns whether two connections to each worker would take more than half of the descriptors.
@@ -394,49 +538,51 @@
         }
     }
 
-    fn candidates(&self, now: Millis) -> Vec<Candidate> {
-        let usable = self.nodes.iter();
-        let usable = usable.filter(|(_, node)| node.is_usable(self.newest_at, now));
-        let candidates = usable.map(|(name, node)| Candidate {
-            name: name.clone(),
-            zone: node.zone.clone(),
-            digest: node.digest,
-            room: node.max_workers(),
-        });
-        candidates.collect()
+    /// Returns the nodes that may relay calls, with the room that they have left.
+    fn candidates(&self, now: Millis) -> Candidates {
+        let mut candidates = Candidates::default();
+        for (name, node) in &self.nodes {
+            if !self.may_relay(node, now) {
+                continue;
+            }
+            let load = self.loads.get(name).copied().unwrap_or(0);
+            let mut candidate = Candidate::new(name, node);
+            candidate.room = candidate.room.saturating_sub(load);
+            candidates.add(candidate);
+        }
+        candidates
     }
 
-    /// Assigns each worker to the usable node with room that scores highest for it. While no node is full, the loss of
-    /// a node moves only that node's workers.
-    fn assign(&mut self, now: Millis) {
+    /// Assigns each worker to the usable node with room that suits it best. While no node is full, the loss of a node
+    /// moves only that node's workers.
+    fn assign_all(&mut self, now: Millis) {
+        self.loads.clear();
         let mut candidates = self.candidates(now);
-        let names = candidates.iter().map(|candidate| candidate.name.clone());
-        self.loads = names.map(|name| (name, 0)).collect();
-        self.workers_changed = false;
+        for candidate in candidates.by_zone.values().flatten() {
+            self.loads.insert(candidate.name.clone(), 0);
+        }
         let mut workers = std::mem::take(&mut self.workers);
         for route in workers.values_mut() {
-            route.carrier = take_best(&mut candidates, route);
-            self.count(route.carrier.as_ref());
+            self.assign(route, &mut candidates);
         }
+        self.comparisons += candidates.comparisons;
         self.workers = workers;
     }
 
-    fn count(&mut self, carrier: Option<&SmolStr>) {
-        if let Some(name) = carrier {
-            *self.loads.entry(name.clone()).or_default() += 1;
+    /// Assigns a worker to the candidate that suits it best.
+    fn assign(&mut self, route: &mut WorkerRoute, candidates: &mut Candidates) {
+        let best = candidates.take_best(route);
+        let (carrier, fitness) = best.unzip();
+        if let Some(name) = &carrier {
+            self.count(name);
         }
+        route.carrier = carrier;
+        route.fitness = fitness.unwrap_or_default();
     }
-}
 
-/// Takes room for a worker at the best candidate: those in its zone first, then the highest score.
-fn take_best(candidates: &mut [Candidate], route: &WorkerRoute) -> Option<SmolStr> {
-    let with_room = candidates.iter_mut().filter(|candidate| candidate.room > 0);
-    let best = with_room.max_by_key(|candidate| {
-        let is_near = candidate.zone == route.zone;
-        (is_near, score(route.digest, candidate.digest))
-    })?;
-    best.room -= 1;
-    Some(best.name.clone())
+    fn count(&mut self, name: &SmolStr) {
+        *self.loads.entry(name.clone()).or_default() += 1;
+    }
 }
 
 /// Scores a node for a worker (rendezvous hashing). It hashes digests rather than names, since an assignment of
--- a/crates/cell/tests/cell/carriers.rs
+++ b/crates/cell/tests/cell/carriers.rs
@@ -262,3 +262,31 @@
         assert!(earliest <= remote);
     }
 }
+
+/// In a large cell some node comes or goes all the time. Assigning every worker anew each time took the scheduler's
+/// processor time.
+#[test]
+fn a_change_of_one_node_costs_no_assignment_of_all_workers() {
+    let nodes: Vec<_> = (0..300).collect();
+    let workers = 3_000;
+    let mut carriers = carriers(&nodes, 4_096, workers);
+    let before = routes(&mut carriers, workers, NOW);
+    let all = carriers.comparisons();
+    let later = NOW.plus(1_100);
+    hear(&mut carriers, &nodes[1..], 4_096, later);
+    let _without = routes(&mut carriers, workers, later);
+    let loss = carriers.comparisons() - all;
+    assert!(
+        loss < all / 20,
+        "{loss} comparisons for a loss, {all} for all"
+    );
+    let returned = later.plus(250);
+    hear(&mut carriers, &nodes, 4_096, returned);
+    let after = routes(&mut carriers, workers, returned);
+    let both = carriers.comparisons() - all;
+    assert!(
+        both < all / 20,
+        "{both} comparisons for a loss and a return"
+    );
+    assert_eq!(before, after);
+}
