Keep most nodes informed through the scheduler, and bound their contacts

Cause: every node held a read of the claims, which each heartbeat of the scheduler ended, and one of the configuration: some five reads a second a node, so the calls to the store grew with the number of nodes times the heartbeats. Every node contacted the scheduler every 150 ms, 3,900 contacts a second at 584 nodes, and each contact went through all nodes: the list of nodes for advice and its clients, the median of all clocks, and each order the sorted followers. So the scheduler's processor time grew with the square of the nodes.

Change: contact plans (pure, sched::contact_plan). Ten candidates, the nodes with the best links and most descriptors over all zones, follow the store and contact the scheduler as before. All others are told of claims and configuration versions in the replies to their contacts, whose interval grows with their number, and fetch a new configuration from the scheduler's node. A node whose scheduler does not answer, does not lead, or is not answered by the store follows the store again. Informed nodes count among the followers of a scheduler but are no evidence that it may stay in office until they have looked for a successor themselves. Candidates claim in their order, others half a second later. A cell of up to eleven nodes works as before. What goes through all nodes is done once a tick.

Tests: contacts and readers at 9 to 1,168 nodes; candidates lost, scheduler paused; sixteen nodes with real frames: reads counted, a new configuration, refused nodes, the scheduler lost, all candidates lost.

--- a/crates/cell/src/claims.rs
+++ b/crates/cell/src/claims.rs
@@ -34,6 +34,9 @@
 /// Factor for the heartbeat timeout while the scheduler answers calls of this node.
 const REACHABLE_TIMEOUT_FACTOR: u64 = 4;
 
+/// Interval at which a node that the scheduler keeps informed checks whether it still does.
+const INFORMED_POLL_MS: u64 = 200;
+
 /// Shortest wait of a read for new records.
 const MIN_POLL_MS: u64 = 20;
 
@@ -69,7 +72,13 @@
         ..ClaimLog::default()
     };
     loop {
-        poll_claims(&node, &mut claims).await;
+        if node.is_informed() {
+            claims.rely_on_scheduler(&node);
+            wait_while_informed(&node).await;
+        } else {
+            poll_claims(&node, &mut claims).await;
+            node.has_looked_for_claims.set(true);
+        }
         claims.record_configured(&node);
         claims.take_report(&node);
         update_holder(&node, &claims);
@@ -79,12 +88,23 @@
     }
 }
 
+/// Waits until something may have changed for a node that the scheduler keeps informed.
+async fn wait_while_informed<P>(node: &Node<P>)
+where
+    P: Platform,
+{
+    tokio::select! {
+        () = pause(INFORMED_POLL_MS) => {}
+        () = node.holder_changed.notified() => {}
+    }
+}
+
 async fn poll_claims<P>(node: &Rc<Node<P>>, claims: &mut ClaimLog)
 where
     P: Platform,
 {
     let Some(from) = claims.position else {
-        match node.newest(Topic::Holders, 0).await {
+        match node.newest_claim().await {
             Ok(newest) => {
                 for (offset, record) in &newest.records {
                     claims.apply(node, *offset, record);
@@ -132,6 +152,17 @@
             .is_none_or(|at| now().since(at) > UNPROVEN_HOLDER_MS)
     }
 
+    /// Forgets the position in the store. A node that is no longer kept informed looks for the newest claim first, and
+    /// waits for a heartbeat from then on.
+    fn rely_on_scheduler<P>(&mut self, node: &Node<P>)
+    where
+        P: Platform,
+    {
+        node.has_looked_for_claims.set(false);
+        self.position = None;
+        self.heartbeat_seen_at = now();
+    }
+
     fn record_configured<P>(&mut self, node: &Node<P>)
     where
         P: Platform,
@@ -216,9 +247,6 @@
     P: Platform,
 {
     let timing = &node.settings.timing;
-    let jitter_ms = node.incarnation % timing.claim_jitter_ms.max(1);
-    let files_delay_ms = node.settings.files_claim_delay_ms(claims.workers);
-    let delay_ms = node.settings.claim_delay_ms() + files_delay_ms;
     let backoff_factor = node.election_backoff.borrow().timeout_factor(now());
     let heartbeat_timeout_ms = match &claims.holder {
         None => 0,
@@ -233,7 +261,25 @@
         }
         Some(_) => timing.heartbeat_timeout_ms * backoff_factor,
     };
-    heartbeat_timeout_ms + jitter_ms + delay_ms
+    heartbeat_timeout_ms + claim_delay_ms(node, claims.workers)
+}
+
+/// Returns how long this node leaves the role to others that suit it better.
+///
+/// The last scheduler named the candidates, in an order. Without that, a node judges by its own link and descriptors.
+fn claim_delay_ms<P>(node: &Node<P>, workers: u64) -> u64
+where
+    P: Platform,
+{
+    let settings = &node.settings;
+    let timing = &settings.timing;
+    let jitter_up_to = |limit_ms: u64| node.incarnation % limit_ms.max(1);
+    let order_ms = match node.candidate_rank.get() {
+        None => settings.files_claim_delay_ms(workers) + jitter_up_to(timing.claim_jitter_ms),
+        Some(0) => timing.other_claim_delay_ms + jitter_up_to(timing.other_claim_jitter_ms),
+        Some(rank) => timing.candidate_spacing_ms * u64::from(rank - 1),
+    };
+    settings.claim_delay_ms() + order_ms
 }
 
 /// Returns whether the scheduler's last reply was recent and reported that the store answers it.
--- a/crates/cell/src/contact.rs
+++ b/crates/cell/src/contact.rs
@@ -1,11 +1,17 @@
 //! Calls between the nodes of a cell. Every node exchanges periodic contacts with the scheduler's node, and with
 //! no other. Notices to a scheduler that was replaced are sent in addition.
+//!
+//! The scheduler states in its replies when a node makes the next contact and whether it keeps that node informed of
+//! claims and configurations, see [`syc_sched::ContactPlans`].
 
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::rc::Rc;
 
 use bytes::Bytes;
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
 use syc_net::CallError;
 use syc_net::PeerClient;
 use syc_net::PeerOptions;
@@ -22,6 +28,7 @@
 use crate::carrier;
 use crate::clock::now;
 use crate::clock::pause;
+use crate::configuration_relay;
 use crate::log;
 use crate::node::Holder;
 use crate::ports::Platform;
@@ -42,6 +49,19 @@
 /// A scheduler counts as healthy for this long after its last reply. This covers a few contacts.
 const HEALTHY_WITHIN_MS: u64 = 600;
 
+/// Where contacts are rarer, it counts as healthy until the next contact is late by this much.
+const CONTACT_LATE_MS: u64 = 450;
+
+/// Longest time until the next contact that a scheduler may state.
+const MAX_CONTACT_INTERVAL_MS: u64 = 5_000;
+
+/// Divisor of the jitter of the time until the next contact. Without jitter, all nodes that began at the same time, with
+/// the election, would make their contacts at the same time.
+const CONTACT_JITTER_DIVISOR: u64 = 4;
+
+/// A node vouches for the store if its latest answer is not older than this.
+const FRESH_ANSWER_MS: u64 = 1_000;
+
 /// Consecutive unanswered calls after which the scheduler is suspected to have failed.
 pub(crate) const SUSPECTED_MISSES: u32 = 2;
 
@@ -62,6 +82,10 @@
     remote_answered_at: Cell<Millis>,
     remote_clock: Cell<RemoteClock>,
     answers: Cell<bool>,
+    /// Whether the scheduler keeps this node informed of claims and configurations.
+    informs: Cell<bool>,
+    /// Time between two contacts that the scheduler stated; 0 if it stated none.
+    stated_interval_ms: Cell<u64>,
     /// Consecutive calls without an answer.
     misses: Cell<u32>,
 }
@@ -79,6 +103,8 @@
             remote_answered_at: Cell::new(Millis(0)),
             remote_clock: Cell::default(),
             answers: Cell::new(true),
+            informs: Cell::new(false),
+            stated_interval_ms: Cell::new(0),
             misses: Cell::new(0),
         })
     }
@@ -90,7 +116,29 @@
 
     /// Returns whether the scheduler has replied recently and reported that the store answers it.
     pub(crate) fn is_healthy(&self) -> bool {
-        self.can_relay() && now().since(self.answered_at.get()) < HEALTHY_WITHIN_MS
+        let within_ms = HEALTHY_WITHIN_MS.max(self.stated_interval_ms.get() + CONTACT_LATE_MS);
+        self.can_relay() && now().since(self.answered_at.get()) < within_ms
+    }
+
+    /// Returns whether the scheduler keeps this node informed of claims and configurations.
+    pub(crate) fn is_informing(&self) -> bool {
+        self.informs.get() && self.is_healthy()
+    }
+
+    /// Returns the time until the next contact. A scheduler that did not answer is contacted at the shortest interval.
+    fn next_contact_ms(&self, min_interval_ms: u64, rng: &mut SmallRng) -> u64 {
+        let stated_ms = self.stated_interval_ms.get();
+        if self.misses.get() > 0 || stated_ms <= min_interval_ms {
+            return min_interval_ms;
+        }
+        let jitter_ms = stated_ms / CONTACT_JITTER_DIVISOR;
+        rng.random_range(stated_ms - jitter_ms..=stated_ms)
+    }
+
+    fn record_plan(&self, reply: &ContactReply) {
+        self.informs.set(reply.leading && reply.informs);
+        let interval_ms = reply.next_contact_ms.min(MAX_CONTACT_INTERVAL_MS);
+        self.stated_interval_ms.set(interval_ms);
     }
 
     /// Returns the append time that the scheduler's node last reported.
@@ -171,18 +219,40 @@
 where
     P: Platform,
 {
+    let min_interval_ms = node.settings.timing.contact_interval_ms;
+    let mut rng = SmallRng::from_os_rng();
     loop {
-        let link = current_link(&node);
-        if let Some(link) = link {
-            contact_scheduler(&node, &link).await;
-        }
+        let Some(link) = current_link(&node) else {
+            wait_for_change(&node, min_interval_ms).await;
+            continue;
+        };
+        contact_scheduler(&node, &link).await;
+        // A contact soon after the first look for claims tells the scheduler that this node would know of a successor.
+        let was_informed = !node.has_looked_for_claims.get();
+        let next_contact_ms = if was_informed && !node.is_informed() {
+            min_interval_ms
+        } else {
+            link.next_contact_ms(min_interval_ms, &mut rng)
+        };
         tokio::select! {
-            () = pause(node.settings.timing.contact_interval_ms) => {}
-            () = node.holder_changed.notified() => {}
+            () = wait_for_change(&node, next_contact_ms) => {}
+            // The scheduler's process has ended, or its node closed the connection.
+            () = link.client.closed() => pause(min_interval_ms.min(next_contact_ms)).await,
         }
     }
 }
 
+/// Waits for this time, or until the scheduler has changed or is suspected to have failed.
+async fn wait_for_change<P>(node: &Node<P>, limit_ms: u64)
+where
+    P: Platform,
+{
+    tokio::select! {
+        () = pause(limit_ms) => {}
+        () = node.holder_changed.notified() => {}
+    }
+}
+
 /// Returns the link to the scheduler. Creates a new one if the scheduler has changed.
 fn current_link<P>(node: &Rc<Node<P>>) -> Option<Rc<HolderLink>>
 where
@@ -209,7 +279,7 @@
     let query = CellBody::Contact(Contact {
         node: node.settings.name.to_string(),
         address: node.settings.peer_address.to_string(),
-        store_answers: node.store_answers(),
+        store_answers: node.store_answers() && node.store_view().answered_ms < FRESH_ANSWER_MS,
         token: link.token,
         day_ms: node.read_wall_clock().day.0,
         heard_at_ms: link.remote_answered_at.get().0,
@@ -217,6 +287,8 @@
         elected: None,
         files_limit: node.settings.files_limit,
         zone: node.settings.zone.to_string(),
+        has_fast_link: node.settings.has_fast_link(),
+        is_informed: !node.has_looked_for_claims.get(),
     });
     let min_timeout_ms = node.settings.timing.contact_timeout_ms;
     let timeout_ms = node.contact_timeout.get().timeout_ms(min_timeout_ms);
@@ -231,6 +303,13 @@
         node.record_reported_time(reply);
         link.append_ms.set(reply.append_ms);
         link.set_shed_view(reply, sent_at);
+        link.record_plan(reply);
+        if reply.leading {
+            node.candidate_rank.set(Some(reply.candidate_rank));
+        }
+        if reply.configuration_version > node.configuration_version() {
+            node.configuration_wanted.notify_one();
+        }
         succession::apply_reply(node, reply);
     }
     let (answers, store_answers) = match &reply {
@@ -241,6 +320,7 @@
     if link.answers.replace(answers) != answers {
         let silent_ms = now().since(link.answered_at.get());
         log::scheduler_health(answers, link.token, silent_ms);
+        node.holder_changed.notify_waiters();
     }
     if answers {
         link.answered_at.set(now());
@@ -292,6 +372,9 @@
         CellBody::PendingQuery(query) => queries::answer_pending(node, &query),
         CellBody::AdviceQuery(query) => advice_query::handle(node, query).await,
         CellBody::WorkerCall(call) => carrier::handle(node, call).await,
+        CellBody::ConfigurationQuery(query) => {
+            CellBody::ConfigurationReply(configuration_relay::answer(node, query))
+        }
         CellBody::StoredNotice(notice) => {
             let taken = record_stored_notice(node, notice);
             CellBody::NoticeReply(NoticeReply { taken })
@@ -337,10 +420,10 @@
     succession::apply_notice(node, contact);
     let leader = node.leader();
     let is_notice = contact.predecessor_incarnation != 0;
-    let partition = leader
+    let plan = leader
         .as_ref()
         .filter(|_| !is_notice)
-        .map_or(0, |leader| leader.register_peer(contact));
+        .map(|leader| leader.register_peer(contact));
     // A scheduler that is cut off from the store can't record ended runs. A node that the store answers should replace
     // it without waiting for the full heartbeat timeout.
     let store = node.store_view();
@@ -352,13 +435,17 @@
         leading: leader.is_some() && !cut_off_from_store,
         token: leader.map_or(0, |leader| leader.token),
         store_answers: store.answers,
-        partition,
+        partition: plan.map_or(0, |plan| 1 + plan.index),
         day_ms: agreed.map_or(0, |agreed| agreed.anchor.day_at(now()).0),
         day_clocks: agreed.map_or(0, |agreed| agreed.clocks),
         append_ms: node.submit_queue.append_ms(),
         answered_at_ms: now().0,
         incarnation: node.incarnation,
         elected: succession::newer_scheduler(node, contact.token),
+        next_contact_ms: plan.map_or(0, |plan| plan.interval_ms),
+        candidate_rank: plan.map_or(0, |plan| plan.candidate_rank),
+        informs: plan.is_some_and(|plan| !plan.follows_store),
+        configuration_version: node.configuration_version(),
         ..ContactReply::default()
     };
     if let Some(view) = shed_view {
--- a/crates/cell/src/follow.rs
+++ b/crates/cell/src/follow.rs
@@ -9,6 +9,7 @@
 use crate::Node;
 use crate::clock::now;
 use crate::clock::pause;
+use crate::configuration_relay;
 use crate::log;
 use crate::node::PublishedWave;
 use crate::ports::Newest;
@@ -23,6 +24,9 @@
 /// Longest wait of a read for new records. Its answer also shows that the connection still works.
 const LONG_POLL_MS: u64 = 800;
 
+/// Interval at which a node that the scheduler keeps informed checks whether it still does.
+const INFORMED_POLL_MS: u64 = 200;
+
 /// Delay after a failed read.
 const RETRY_MS: u64 = 100;
 
@@ -33,6 +37,11 @@
 {
     let mut position = None;
     loop {
+        if node.is_informed() && node.configuration().is_some() {
+            follow_scheduler(&node).await;
+            position = None;
+            continue;
+        }
         position = match position {
             None => read_newest(&node).await,
             Some(from) => read_next(&node, from).await,
@@ -43,6 +52,25 @@
     }
 }
 
+/// Waits for a newer configuration at the scheduler's node, and applies it.
+///
+/// If the scheduler does not send it, it is read from the store.
+async fn follow_scheduler<P>(node: &Rc<Node<P>>)
+where
+    P: Platform,
+{
+    tokio::select! {
+        () = node.configuration_wanted.notified() => {}
+        () = pause(INFORMED_POLL_MS) => return,
+    }
+    match configuration_relay::query(node).await {
+        Some(record) => apply_record(node, &record),
+        None => {
+            read_newest(node).await;
+        }
+    }
+}
+
 async fn read_newest<P>(node: &Node<P>) -> Option<u64>
 where
     P: Platform,
@@ -104,7 +132,9 @@
     };
     node.unreadable.forget(Source::Operators, &record.key);
     match published {
-        Published::Configuration(configuration) => apply_configuration(node, configuration),
+        Published::Configuration(configuration) => {
+            apply_configuration(node, configuration, record);
+        }
         Published::Wave(wave) => record_wave(node, wave),
         Published::Other => {}
     }
@@ -130,7 +160,7 @@
     }
 }
 
-fn apply_configuration<P>(node: &Node<P>, mut configuration: Configuration)
+fn apply_configuration<P>(node: &Node<P>, mut configuration: Configuration, record: &Record)
 where
     P: Platform,
 {
@@ -147,6 +177,7 @@
             configuration.keep_skipped_workspaces(&current);
         }
         *node.configuration.borrow_mut() = Some(Rc::new(configuration));
+        *node.configuration_record.borrow_mut() = Some(record.clone());
         if let Some(leader) = node.leader() {
             leader.apply_standby();
             leader.apply_workspaces();
--- a/crates/cell/src/leader.rs
+++ b/crates/cell/src/leader.rs
@@ -5,6 +5,7 @@
 pub mod carriers;
 mod heartbeat;
 mod orders;
+mod peers;
 mod progress_writer;
 mod readers;
 pub(crate) mod retry_report;
@@ -25,7 +26,6 @@
 use std::rc::Rc;
 
 use adaptive_timeout::AdaptiveTimeout;
-use carriers::CarrierLoad;
 use carriers::Carriers;
 use progress_writer::ProgressWriter;
 use sessions::Session;
@@ -37,6 +37,7 @@
 use syc_sched::Action;
 use syc_sched::AdviceNodes;
 use syc_sched::Authority;
+use syc_sched::ContactPlans;
 use syc_sched::Counts;
 use syc_sched::Event;
 use syc_sched::JobId;
@@ -47,7 +48,6 @@
 use syc_sched::clock_drift_ms;
 use syc_types::Millis;
 use syc_types::WorkspaceName;
-use syc_wire::cell::Contact;
 use syc_workspace::UNLIMITED;
 use tokio::sync::Notify;
 use unreadable_jobs::UnreadableJobs;
@@ -60,7 +60,6 @@
 use crate::clock::pause;
 use crate::clock_agreement::AgreedTime;
 use crate::clock_agreement::ClockAgreement;
-use crate::clock_agreement::reported_anchor;
 use crate::log;
 use crate::ports::Condition;
 use crate::ports::Platform;
@@ -162,6 +161,10 @@
     heartbeat_accepted: Cell<bool>,
     heartbeat_notify: Notify,
     clock_agreement: RefCell<ClockAgreement>,
+    /// Agreed time of day as of the last tick.
+    agreed_time: Cell<AgreedTime>,
+    /// How the other nodes contact this one.
+    contact_plans: RefCell<ContactPlans>,
     /// When at least half of the workers were last answering.
     workers_heard_at: Cell<Millis>,
     /// Workspaces that send more than their rate, computed at the last tick.
@@ -185,6 +188,9 @@
         scheduler.set_elected_at(now());
         scheduler.require_leadership_proof();
         scheduler.set_predecessors_require_proof(predecessors_require_proof);
+        let mut clock_agreement = ClockAgreement::resume(node.reported_time.get());
+        let agreed_time = clock_agreement.update(node.read_wall_clock());
+        let contact_plans = ContactPlans::new(node.settings.timing.contact_interval_ms);
         let leader = Rc::new(Self {
             node: Rc::clone(node),
             token,
@@ -216,7 +222,9 @@
             authority: RefCell::new(Authority::new(options.authority_ms)),
             heartbeat_accepted: Cell::new(false),
             heartbeat_notify: Notify::new(),
-            clock_agreement: RefCell::new(ClockAgreement::resume(node.reported_time.get())),
+            clock_agreement: RefCell::new(clock_agreement),
+            agreed_time: Cell::new(agreed_time),
+            contact_plans: RefCell::new(contact_plans),
             workers_heard_at: Cell::new(now()),
             shed_view: RefCell::default(),
             tasks: RefCell::default(),
@@ -485,67 +493,6 @@
         readings.collect()
     }
 
-    /// Records a contact from another node.
-    ///
-    /// Returns the jobs partition that node should write to. Nodes get distinct partitions as far
-    /// as there are enough.
-    pub(crate) fn register_peer(&self, contact: &Contact) -> u32 {
-        self.peer_heard_at.set(Some(now()));
-        self.register_advice_node(contact);
-        self.register_carrier(contact);
-        self.note_follower(contact);
-        if let Some(day) = reported_anchor(now(), contact.day_ms) {
-            let name = SmolStr::from(contact.node.as_str());
-            self.clock_agreement.borrow_mut().report(name, day);
-        }
-        1 + self
-            .advice_nodes
-            .borrow()
-            .remote_nodes_before(&contact.node)
-    }
-
-    /// Records that another node can relay calls to workers. One that follows another scheduler would send none of
-    /// them.
-    fn register_carrier(&self, contact: &Contact) {
-        if contact.token != self.token {
-            return;
-        }
-        let name = SmolStr::from(contact.node.as_str());
-        let mut carriers = self.carriers.borrow_mut();
-        carriers.note_contact(&name, contact.files_limit, &contact.zone, now());
-    }
-
-    /// Returns how many workers are assigned to carriers.
-    pub(crate) fn carrier_load(&self) -> CarrierLoad {
-        self.carriers.borrow().load()
-    }
-
-    /// Returns the agreed time of day, which decides when timed jobs are due.
-    pub(crate) fn agreed_time(&self) -> AgreedTime {
-        self.clock_agreement
-            .borrow_mut()
-            .update(self.node.read_wall_clock())
-    }
-
-    /// Passes the agreed time of day to the scheduler.
-    pub(crate) fn update_agreed_time(&self) {
-        let agreed = self.agreed_time();
-        self.scheduler.borrow_mut().set_wall_clock(agreed.anchor);
-    }
-
-    /// Records that another node follows this scheduler.
-    ///
-    /// The contact may have been queued here while this node was paused, so it counts as of the
-    /// last answer that the other node received.
-    fn note_follower(&self, contact: &Contact) {
-        if contact.token != self.token {
-            return;
-        }
-        let name = SmolStr::from(contact.node.as_str());
-        let heard_at = Millis(contact.heard_at_ms).min(now());
-        self.authority.borrow_mut().note_follower(&name, heard_at);
-    }
-
     /// Records that the store accepted an append sent at `sent_at` under this fencing token.
     fn note_append_accepted(&self, sent_at: Millis) {
         self.authority.borrow_mut().note_append(sent_at);
--- a/crates/cell/src/leader/advice.rs
+++ b/crates/cell/src/leader/advice.rs
@@ -45,10 +45,9 @@
         let name = SmolStr::from(contact.node.as_str());
         let mut advice_nodes = self.advice_nodes.borrow_mut();
         let is_new = advice_nodes.note_heartbeat(&name, now());
-        let mut clients = self.advice_clients.borrow_mut();
-        clients.retain(|name, _| advice_nodes.has_node(name));
         if is_new {
             let client = PeerClient::new(address, contact::peer_options());
+            let mut clients = self.advice_clients.borrow_mut();
             clients.insert(name, Rc::new(client));
         }
     }
--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -14,6 +14,7 @@
 mod clock;
 pub mod clock_agreement;
 mod configuration;
+mod configuration_relay;
 mod contact;
 mod follow;
 mod leader;
--- a/crates/cell/src/node.rs
+++ b/crates/cell/src/node.rs
@@ -38,6 +38,7 @@
 use crate::leader::Leader;
 use crate::log;
 use crate::ports::Platform;
+use crate::ports::Record;
 use crate::store_calls::StoreHealth;
 use crate::submit::SubmitQueue;
 use crate::submit::run_admission_timer;
@@ -47,6 +48,9 @@
 /// Interval at which a planned stop checks whether the node is idle.
 const IDLE_POLL_MS: u64 = 50;
 
+/// Longest interval between probes of an unavailable store.
+const MAX_PROBE_INTERVAL_MS: u64 = 1_600;
+
 /// The node that holds the scheduler role.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Holder {
@@ -84,6 +88,15 @@
     /// Identifies this run of the process.
     pub(crate) incarnation: u64,
     pub(crate) configuration: RefCell<Option<Rc<Configuration>>>,
+    /// Record of the configuration in force, as operators published it.
+    pub(crate) configuration_record: RefCell<Option<Record>>,
+    /// Notifies that the scheduler has a newer configuration than this node.
+    pub(crate) configuration_wanted: Notify,
+    /// Whether this node has looked for claims in the store since it last relied on the scheduler to learn of them.
+    pub(crate) has_looked_for_claims: Cell<bool>,
+    /// Position among the candidates for the scheduler role, from 1, that a scheduler last stated; 0 if it stated that
+    /// this node is none.
+    pub(crate) candidate_rank: Cell<Option<u32>>,
     /// Waves of VM maintenance that operators have published.
     pub(crate) waves: RefCell<Vec<PublishedWave>>,
     pub(crate) store: StoreHealth,
@@ -127,6 +140,10 @@
             unreadable: Unreadable::default(),
             incarnation: rand::rngs::SmallRng::from_os_rng().random_range(1..=u64::from(u32::MAX)),
             configuration: RefCell::default(),
+            configuration_record: RefCell::default(),
+            configuration_wanted: Notify::new(),
+            has_looked_for_claims: Cell::new(false),
+            candidate_rank: Cell::new(None),
             waves: RefCell::default(),
             store: StoreHealth::new(started_at),
             holder: RefCell::default(),
@@ -164,6 +181,12 @@
         self.configuration.borrow().clone()
     }
 
+    /// Returns the version of the configuration in force; 0 if there is none.
+    pub(crate) fn configuration_version(&self) -> u64 {
+        let configuration = self.configuration.borrow();
+        configuration.as_ref().map_or(0, |current| current.version)
+    }
+
     /// Returns whether workers of a service may be used. Without a configuration, all may.
     pub(crate) fn allows_service(&self, service: &ServiceName) -> bool {
         let configuration = self.configuration();
@@ -184,6 +207,13 @@
         self.store_answers() || can_relay
     }
 
+    /// Returns whether the scheduler keeps this node informed of claims and configurations, so that this node need not
+    /// follow the store itself.
+    pub(crate) fn is_informed(&self) -> bool {
+        let link = self.link.borrow();
+        link.as_ref().is_some_and(|link| link.is_informing())
+    }
+
     /// Returns whether this node is the scheduler and has loaded the state of its predecessor.
     #[must_use]
     pub fn is_scheduler(&self) -> bool {
@@ -297,6 +327,7 @@
         pause(node.settings.timing.tick_interval_ms).await;
         if let Some(leader) = node.leader() {
             leader.update_agreed_time();
+            leader.review_peers();
             leader.apply(Event::Ticked);
             leader.update_shed_view();
             leader.request_leadership_proof();
@@ -307,16 +338,28 @@
 }
 
 /// Probes the store while it is unavailable, so that its recovery is noticed quickly.
+///
+/// A node that the scheduler keeps informed stores jobs through it, so it probes ever less often. Hundreds of nodes that
+/// the store turns away would otherwise add to its load.
 async fn run_store_probe<P>(node: Rc<Node<P>>)
 where
     P: Platform,
 {
+    let min_interval_ms = node.settings.timing.probe_interval_ms;
+    let mut interval_ms = min_interval_ms;
     loop {
-        pause(node.settings.timing.probe_interval_ms).await;
+        pause(interval_ms).await;
         node.update_store_health("review", "silent");
-        if !node.store_answers() {
-            node.probe().await;
+        if node.store_answers() {
+            interval_ms = min_interval_ms;
+            continue;
         }
+        node.probe().await;
+        interval_ms = if node.is_informed() {
+            (2 * interval_ms).min(MAX_PROBE_INTERVAL_MS)
+        } else {
+            min_interval_ms
+        };
     }
 }
 
--- a/crates/cell/src/settings.rs
+++ b/crates/cell/src/settings.rs
@@ -76,7 +76,14 @@
     pub slow_link_claim_delay_ms: u64,
     /// Additional election timeout of a node with few descriptors for the cell's workers.
     pub few_files_claim_delay_ms: u64,
-    /// Interval between a node's contacts to the scheduler.
+    /// Additional election timeout of a node that the last scheduler named as no candidate.
+    pub other_claim_delay_ms: u64,
+    /// Upper bound of the jitter of such a node. There may be hundreds, so it is longer than that of candidates.
+    pub other_claim_jitter_ms: u64,
+    /// Time by which the election timeout of each candidate exceeds that of the one before. It is what a claim needs to
+    /// be read by the others.
+    pub candidate_spacing_ms: u64,
+    /// Shortest interval between a node's contacts to the scheduler.
     pub contact_interval_ms: u64,
     /// A contact that is not answered within this time counts as missed.
     pub contact_timeout_ms: u64,
@@ -128,6 +135,9 @@
             claim_jitter_ms: 90,
             slow_link_claim_delay_ms: 500,
             few_files_claim_delay_ms: 500,
+            other_claim_delay_ms: 500,
+            other_claim_jitter_ms: 1_000,
+            candidate_spacing_ms: 10,
             contact_interval_ms: 150,
             contact_timeout_ms: 200,
             probe_interval_ms: 100,
@@ -163,13 +173,19 @@
     /// and would suspect it to have failed.
     #[must_use]
     pub fn claim_delay_ms(&self) -> u64 {
-        if self.link_mbps < FAST_LINK_MBPS {
-            self.timing.slow_link_claim_delay_ms
-        } else {
+        if self.has_fast_link() {
             0
+        } else {
+            self.timing.slow_link_claim_delay_ms
         }
     }
 
+    /// Returns whether the node's link is fast enough to read the state of a predecessor without delay.
+    #[must_use]
+    pub fn has_fast_link(&self) -> bool {
+        self.link_mbps >= FAST_LINK_MBPS
+    }
+
     /// Returns the delay that lets nodes with more descriptors claim first, in a cell with this many workers.
     ///
     /// A new scheduler calls the workers itself until it has heard of nodes that can relay its calls.
--- a/crates/cell/src/store_calls.rs
+++ b/crates/cell/src/store_calls.rs
@@ -360,6 +360,16 @@
         outcome
     }
 
+    /// Reads the newest claim or heartbeat. It is a single small record, so the timeout is that of other short calls.
+    pub(crate) async fn newest_claim(&self) -> Result<Newest, ReadError> {
+        let started_at = now();
+        let min_ms = self.settings.timing.store_timeout_ms;
+        let call = self.platform.newest(Topic::Holders, 0);
+        let outcome = read_with_timeout(self.store.latency_timeout_ms(min_ms), call).await;
+        self.record_read("newest", &outcome, started_at);
+        outcome
+    }
+
     /// Probes the store. Long polls would notice its recovery too late.
     pub(crate) async fn probe(&self) {
         let started_at = now();
--- a/crates/cell/tests/cell/fuzz.rs
+++ b/crates/cell/tests/cell/fuzz.rs
@@ -45,6 +45,8 @@
 use syc_wire::cell::AllowedWorker;
 use syc_wire::cell::CellBody;
 use syc_wire::cell::CellMessage;
+use syc_wire::cell::ConfigurationQuery;
+use syc_wire::cell::ConfigurationReply;
 use syc_wire::cell::Contact;
 use syc_wire::cell::ContactReply;
 use syc_wire::cell::ElectedScheduler;
@@ -303,6 +305,8 @@
             elected: Some(elected_scheduler()),
             files_limit: 4_100,
             zone: "zone".into(),
+            has_fast_link: true,
+            is_informed: true,
         }),
         CellBody::ContactReply(ContactReply {
             token: 7,
@@ -310,8 +314,17 @@
             elected: Some(elected_scheduler()),
             shed_rows: vec![shed_row("a"), shed_row("b")],
             shed_rows_age_ms: 90,
+            next_contact_ms: 600,
+            candidate_rank: 2,
+            informs: true,
+            configuration_version: 4,
             ..ContactReply::default()
         }),
+        CellBody::ConfigurationQuery(ConfigurationQuery { known_version: 3 }),
+        CellBody::ConfigurationReply(ConfigurationReply {
+            key: "config".into(),
+            value: Bytes::from_static(b"{}"),
+        }),
         CellBody::AdviceQuery(AdviceQuery {
             job: JOB,
             step: 1,
--- a/crates/cell/tests/cell/main.rs
+++ b/crates/cell/tests/cell/main.rs
@@ -9,6 +9,7 @@
 mod cluster;
 mod fake_scheduler;
 mod fuzz;
+mod informed;
 mod rejections;
 mod relaying;
 mod roster;
--- a/crates/fleet/src/shared.rs
+++ b/crates/fleet/src/shared.rs
@@ -43,6 +43,8 @@
     /// Number of answered reads of a full partition, by topic and partition.
     full_reads: HashMap<(Topic, u32), u64>,
     refused_full_reads: u64,
+    /// Number of reads of the store by each node.
+    reads_by_node: HashMap<SmolStr, u64>,
     /// Number of replies that contained a corrupt clock.
     corrupt_clocks_returned: u64,
     /// Number of start commands in flight to each worker.
@@ -76,6 +78,7 @@
             advice_calls: 0,
             full_reads: HashMap::new(),
             refused_full_reads: 0,
+            reads_by_node: HashMap::new(),
             corrupt_clocks_returned: 0,
             starts_in_flight: HashMap::new(),
             max_starts_in_flight: 0,
@@ -112,6 +115,12 @@
         }
     }
 
+    /// Returns the number of reads of the store by a node.
+    #[must_use]
+    pub fn store_reads_by(&self, node: &str) -> u64 {
+        self.lock().reads_by_node.get(node).copied().unwrap_or(0)
+    }
+
     /// Returns the number of renewals sent to a worker.
     #[must_use]
     pub fn renewals_of(&self, id: &WorkerId) -> u64 {
--- a/crates/fleet/src/shared/calls.rs
+++ b/crates/fleet/src/shared/calls.rs
@@ -35,6 +35,15 @@
         *longest_ms = (*longest_ms).max(wait_ms);
     }
 
+    /// Counts a read of the store by this node.
+    pub(super) fn count_read(&self) {
+        *self
+            .lock()
+            .reads_by_node
+            .entry(self.node.clone())
+            .or_default() += 1;
+    }
+
     /// Returns whether the next read of a full partition is never answered, and counts it.
     pub(super) fn take_unanswered_read(&self) -> bool {
         let faults = &mut self.lock().faults;
--- a/crates/fleet/src/shared/ports.rs
+++ b/crates/fleet/src/shared/ports.rs
@@ -94,6 +94,7 @@
         from: u64,
         wait_ms: u64,
     ) -> Result<Page, ReadError> {
+        self.count_read();
         if self.reach_store().await {
             return Err(ReadError::Unavailable(SmolStr::new_static("refused")));
         }
@@ -123,6 +124,7 @@
     }
 
     async fn newest(&self, topic: Topic, partition: u32) -> Result<Newest, ReadError> {
+        self.count_read();
         if self.reach_store().await {
             return Err(ReadError::Unavailable(SmolStr::new_static("refused")));
         }
--- a/crates/net/src/peer.rs
+++ b/crates/net/src/peer.rs
@@ -111,6 +111,14 @@
         self.link.borrow_mut().take();
     }
 
+    /// Waits until the link that is open now closes. Without an open link, it waits forever.
+    pub async fn closed(&self) {
+        match self.open_link() {
+            Some((outgoing, _pending)) => outgoing.closed().await,
+            None => std::future::pending().await,
+        }
+    }
+
     /// Sends `payload` and waits up to `timeout_ms` for the reply.
     ///
     /// # Errors
--- a/crates/sched/src/advice_nodes.rs
+++ b/crates/sched/src/advice_nodes.rs
@@ -9,7 +9,7 @@
 use smol_str::SmolStr;
 use syc_types::Millis;
 
-/// A node without a heartbeat for this long gets no calls. Heartbeats arrive several times a second.
+/// A node gets no calls if its heartbeat is late by this long.
 const HEARTBEAT_TIMEOUT_MS: u64 = 1_200;
 
 /// A node without a heartbeat for this long is removed.
@@ -76,8 +76,9 @@
         }
     }
 
-    fn is_available(&self, now: Millis) -> bool {
-        let heard = self.is_local || now.since(self.last_heard_at) < HEARTBEAT_TIMEOUT_MS;
+    fn is_available(&self, heartbeat_interval_ms: u64, now: Millis) -> bool {
+        let timeout_ms = heartbeat_interval_ms + HEARTBEAT_TIMEOUT_MS;
+        let heard = self.is_local || now.since(self.last_heard_at) < timeout_ms;
         heard && self.backoff_until <= now
     }
 
@@ -111,6 +112,8 @@
 #[derive(Debug, Clone, Default)]
 pub struct AdviceNodes {
     nodes: BTreeMap<SmolStr, AdviceNode>,
+    /// Longest interval between two heartbeats of a node.
+    heartbeat_interval_ms: u64,
 }
 
 impl AdviceNodes {
@@ -119,14 +122,12 @@
     pub fn with_local(node: SmolStr, now: Millis) -> Self {
         Self {
             nodes: BTreeMap::from([(node, AdviceNode::new(true, now))]),
+            heartbeat_interval_ms: 0,
         }
     }
 
     /// Records a heartbeat of another node. Returns whether the node is new.
     pub fn note_heartbeat(&mut self, node: &SmolStr, now: Millis) -> bool {
-        self.nodes.retain(|_, node_state| {
-            node_state.is_local || now.since(node_state.last_heard_at) < FORGET_AFTER_MS
-        });
         if let Some(node_state) = self.nodes.get_mut(node) {
             node_state.last_heard_at = now;
             return false;
@@ -135,20 +136,18 @@
         true
     }
 
-    /// Returns whether a node is known.
-    #[must_use]
-    pub fn has_node(&self, node: &str) -> bool {
-        self.nodes.contains_key(node)
+    /// Sets the longest interval between two heartbeats of a node.
+    pub const fn set_heartbeat_interval_ms(&mut self, interval_ms: u64) {
+        self.heartbeat_interval_ms = interval_ms;
     }
 
-    /// Counts the remote nodes whose names sort before the given one.
-    #[must_use]
-    pub fn remote_nodes_before(&self, node: &str) -> u32 {
-        let before = self.nodes.iter().take_while(|(name, _)| *name != node);
-        let others = before
-            .filter(|(_, node_state)| !node_state.is_local)
-            .count();
-        u32::try_from(others).unwrap_or(u32::MAX)
+    /// Removes the nodes that were silent for long, and returns their names.
+    pub fn remove_silent(&mut self, now: Millis) -> Vec<SmolStr> {
+        let is_silent = |_: &SmolStr, node: &mut AdviceNode| {
+            !node.is_local && now.since(node.last_heard_at) >= FORGET_AFTER_MS
+        };
+        let silent = self.nodes.extract_if(.., is_silent);
+        silent.map(|(name, _)| name).collect()
     }
 
     /// Returns the free slots of all available nodes.
@@ -198,7 +197,8 @@
 
     fn available(&self, now: Millis) -> impl Iterator<Item = (&SmolStr, &AdviceNode)> {
         let nodes = self.nodes.iter();
-        nodes.filter(move |(_, node_state)| node_state.is_available(now))
+        nodes
+            .filter(move |(_, node_state)| node_state.is_available(self.heartbeat_interval_ms, now))
     }
 
     /// Returns how many of the available nodes make only short calls. These are the first ones by name.
--- a/crates/sched/src/authority.rs
+++ b/crates/sched/src/authority.rs
@@ -10,7 +10,8 @@
 //! - while the store accepts no appends, nodes that still follow this scheduler. Each reports the last answer of this
 //!   node that it received, and its evidence is dated by that answer. Half of the nodes that were in contact when the
 //!   store last answered must report, since a node that is cut off from the store together with this one cannot know of
-//!   a successor.
+//!   a successor. A node that learns of successors from this scheduler alone can't know of one either, so it counts among
+//!   the nodes, but its reports are no evidence.
 
 use std::collections::BTreeMap;
 
@@ -27,8 +28,16 @@
     validity_ms: u64,
     /// When the latest append that the store accepted was sent.
     last_append_sent_at: Option<Millis>,
-    /// When the latest answer of this node that each follower received was sent.
-    followers: BTreeMap<SmolStr, Millis>,
+    followers: BTreeMap<SmolStr, Follower>,
+}
+
+/// A node that follows this scheduler.
+#[derive(Debug, Clone, Copy, Default)]
+struct Follower {
+    /// When the latest answer of this node was sent that it received.
+    seen_at: Millis,
+    /// The same, of the answers that it received while it looked for a successor in the store itself.
+    acked_at: Millis,
 }
 
 impl Authority {
@@ -46,18 +55,30 @@
     pub fn note_append(&mut self, sent_at: Millis) {
         self.last_append_sent_at = self.last_append_sent_at.max(Some(sent_at));
         self.followers
-            .retain(|_, acked_at| sent_at.since(*acked_at) < FOLLOWER_TIMEOUT_MS);
+            .retain(|_, follower| sent_at.since(follower.seen_at) < FOLLOWER_TIMEOUT_MS);
     }
 
     /// Records that another node follows this scheduler and received an answer that was sent at `answered_at`.
     pub fn note_follower(&mut self, node: &SmolStr, answered_at: Millis) {
-        let acked_at = self.followers.entry(node.clone()).or_default();
-        *acked_at = (*acked_at).max(answered_at);
+        let follower = self.note_informed(node, answered_at);
+        follower.acked_at = follower.acked_at.max(answered_at);
+    }
+
+    /// Records the same of a node that learns of successors from this scheduler alone.
+    pub fn note_informed_follower(&mut self, node: &SmolStr, answered_at: Millis) {
+        self.note_informed(node, answered_at);
+    }
+
+    fn note_informed(&mut self, node: &SmolStr, answered_at: Millis) -> &mut Follower {
+        let follower = self.followers.entry(node.clone()).or_default();
+        follower.seen_at = follower.seen_at.max(answered_at);
+        follower
     }
 
     /// Returns the date of the latest evidence.
     fn evidence_at(&self) -> Option<Millis> {
-        let mut acked_at: Vec<_> = self.followers.values().copied().collect();
+        let acked_at = self.followers.values().map(|follower| follower.acked_at);
+        let mut acked_at: Vec<_> = acked_at.collect();
         acked_at.sort_unstable();
         // At least half of the followers received an answer that was sent at this time or later.
         let half_acked_at = acked_at.get(acked_at.len() / 2).copied();
@@ -82,6 +103,12 @@
     /// expired.
     #[must_use]
     pub fn lease_start(&self, decided_at: Millis, now: Millis) -> Option<Millis> {
+        // While the store accepts appends, the followers need not be looked at. There are many, and orders ask often.
+        let by_append = self.last_append_sent_at;
+        let by_append = by_append.map(|sent_at| sent_at.plus(self.validity_ms));
+        if by_append.is_some_and(|expires_at| now.max(decided_at) < expires_at) {
+            return Some(decided_at);
+        }
         let expires_at = self.expires_at().filter(|expires_at| now < *expires_at)?;
         Some(decided_at.min(expires_at))
     }
--- a/crates/sched/tests/core/authority.rs
+++ b/crates/sched/tests/core/authority.rs
@@ -95,3 +95,28 @@
     let now = Millis(34_000);
     assert_eq!(authority.lease_start(now, now), Some(now));
 }
+
+/// Nodes that learn of successors from this scheduler alone would keep it in office beside its successor.
+#[test]
+fn nodes_that_rely_on_the_scheduler_are_no_evidence() {
+    let mut authority = authority_with_followers(4, Millis(10_000));
+    for number in 0..4 {
+        authority.note_informed_follower(&node(number), Millis(12_000));
+    }
+    assert!(authority.is_expired(Millis(13_000)));
+}
+
+/// The others may follow a successor, or be unable to know of one.
+#[test]
+fn nodes_that_rely_on_the_scheduler_count_among_its_followers() {
+    let mut authority = authority_with_followers(2, Millis(10_000));
+    for number in 2..6 {
+        authority.note_informed_follower(&node(number), Millis(10_000));
+    }
+    for number in 0..2 {
+        authority.note_follower(&node(number), Millis(12_000));
+    }
+    assert!(authority.is_expired(Millis(13_000)));
+    authority.note_follower(&node(2), Millis(12_000));
+    assert!(!authority.is_expired(Millis(14_999)));
+}
--- a/crates/sched/tests/core/main.rs
+++ b/crates/sched/tests/core/main.rs
@@ -4,6 +4,7 @@
 mod authority;
 mod caps;
 mod consistency;
+mod contact_plan;
 mod contact_timeout;
 mod counts;
 mod crashes;
--- a/crates/wire/src/cell.rs
+++ b/crates/wire/src/cell.rs
@@ -17,7 +17,7 @@
     /// The call or the reply.
     #[prost(
         oneof = "CellBody",
-        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14"
+        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16"
     )]
     pub body: Option<CellBody>,
 }
@@ -67,6 +67,12 @@
     /// Reply to [`CellBody::WorkerCall`].
     #[prost(message, tag = "14")]
     WorkerCallReply(WorkerCallReply),
+    /// Asks for the configuration in force.
+    #[prost(message, tag = "15")]
+    ConfigurationQuery(ConfigurationQuery),
+    /// Reply to [`CellBody::ConfigurationQuery`].
+    #[prost(message, tag = "16")]
+    ConfigurationReply(ConfigurationReply),
 }
 
 /// Reports to the scheduler that a node is alive.
@@ -106,6 +112,14 @@
     /// Availability zone of the sender; empty if unknown, and from earlier versions.
     #[prost(string, tag = "10")]
     pub zone: String,
+    /// Whether the sender's link is fast enough to read the state of a predecessor without delay; false from earlier
+    /// versions.
+    #[prost(bool, tag = "11")]
+    pub has_fast_link: bool,
+    /// Whether the sender relies on the scheduler to learn of a successor, and has not looked for one in the store
+    /// itself since. False from earlier versions, which follow the store all the time.
+    #[prost(bool, tag = "12")]
+    pub is_informed: bool,
 }
 
 /// A scheduler that was elected, as it is named to nodes that may be unable to read its claim.
@@ -167,6 +181,21 @@
     /// Age of these rows, in milliseconds.
     #[prost(uint64, tag = "12")]
     pub shed_rows_age_ms: u64,
+    /// Time until the calling node's next contact, in milliseconds; 0 from earlier versions, which leave it to the
+    /// node.
+    #[prost(uint64, tag = "13")]
+    pub next_contact_ms: u64,
+    /// Position of the calling node among the candidates for the scheduler role, from 1; 0 if it is none, and from
+    /// earlier versions.
+    #[prost(uint32, tag = "14")]
+    pub candidate_rank: u32,
+    /// Whether the calling node need not follow the claims and the configuration in the store while the replying node
+    /// answers it. False from earlier versions.
+    #[prost(bool, tag = "15")]
+    pub informs: bool,
+    /// Version of the configuration in force at the replying node; 0 if there is none, and from earlier versions.
+    #[prost(uint64, tag = "16")]
+    pub configuration_version: u64,
 }
 
 /// A workspace that sends more than its rate, and a queue in which its jobs wait too long.
@@ -183,6 +212,25 @@
     pub wait_ms: u64,
 }
 
+/// Asks for the configuration in force. Earlier versions send an empty reply.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct ConfigurationQuery {
+    /// Version of the configuration in force at the asking node; 0 if there is none.
+    #[prost(uint64, tag = "1")]
+    pub known_version: u64,
+}
+
+/// Reply to [`ConfigurationQuery`]: the record as operators published it.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct ConfigurationReply {
+    /// Key of the record; empty if the replying node has no newer configuration or can't send it.
+    #[prost(string, tag = "1")]
+    pub key: String,
+    /// Value of the record.
+    #[prost(bytes = "bytes", tag = "2")]
+    pub value: Bytes,
+}
+
 /// Queries a job's state.
 #[derive(Clone, PartialEq, Eq, prost::Message)]
 pub struct JobStateQuery {
