Read the state ahead of a takeover, hand over to a candidate that has, and log whole jobs

Causes, each of which grows with the cell: - A takeover read 6,150 workers, page by page, after its election: 265 to 350 ms. Now the first two candidates read everything as soon as the scheduler is suspected, yields or announces a planned stop, and read only what was appended since after their election. Now it waits for the progress of its own time; and it goes on as usual until a candidate has read ahead. - A notice of a stored job that met no scheduler was lost, and the job waited for the next read of its partition, 1.6 s. Notices are now repeated, to whoever is the scheduler, for 3 s. - A scheduler that the store turns away while it serves others kept the role until its heartbeats were missed. It now says so in its replies, and the first candidate claims at once. - The log's budget took lines about single runs at random, so no job could be followed. Beyond 800 such lines a second, a share of the jobs is logged whole, and what went wrong is always logged. A takeover has no line for each worker.

Tests: a planned stop whose successor has read ahead; records read ahead are replaced and removed by later ones; a scheduler that the store refuses alone is replaced although heartbeat timeouts are ten minutes; whole jobs in the log. The flush of a planned stop has no test of its own.

--- a/crates/cell/src/claims.rs
+++ b/crates/cell/src/claims.rs
@@ -252,6 +252,8 @@
         None => 0,
         // An earlier process of this node held the role, and it has ended.
         Some(holder) if is_own_predecessor(node, holder) => 0,
+        // It told that it can't do its work, and nobody else will.
+        Some(_) if node.holder_yields.get() => 0,
         Some(_) if node.holder_suspected.get() => {
             timing.suspected_heartbeat_timeout_ms * backoff_factor
         }
@@ -277,7 +279,14 @@
     let order_ms = match node.candidate_rank.get() {
         None => settings.files_claim_delay_ms(workers) + jitter_up_to(timing.claim_jitter_ms),
         Some(0) => timing.other_claim_delay_ms + jitter_up_to(timing.other_claim_jitter_ms),
-        Some(rank) => timing.candidate_spacing_ms * u64::from(rank - 1),
+        Some(rank) => {
+            let preparation_ms = if node.has_read_ahead() || node.is_reading_ahead.get() {
+                0
+            } else {
+                timing.unprepared_claim_delay_ms
+            };
+            timing.candidate_spacing_ms * u64::from(rank - 1) + preparation_ms
+        }
     };
     settings.claim_delay_ms() + order_ms
 }
@@ -362,6 +371,7 @@
     }
     node.holder.borrow_mut().clone_from(&claims.holder);
     node.holder_suspected.set(false);
+    node.holder_yields.set(false);
     if let (Some(before), Some(elected)) = (&known, &claims.holder) {
         succession::notify_predecessor(node, before, elected);
     }
--- a/crates/cell/src/contact.rs
+++ b/crates/cell/src/contact.rs
@@ -114,6 +114,11 @@
         self.store_answers.get() && self.answers.get()
     }
 
+    /// Returns whether the scheduler answered the latest contact.
+    pub(crate) const fn answers(&self) -> bool {
+        self.answers.get()
+    }
+
     /// Returns whether the scheduler has replied recently and reported that the store answers it.
     pub(crate) fn is_healthy(&self) -> bool {
         let within_ms = HEALTHY_WITHIN_MS.max(self.stated_interval_ms.get() + CONTACT_LATE_MS);
@@ -236,6 +241,7 @@
         };
         tokio::select! {
             () = wait_for_change(&node, next_contact_ms) => {}
+            () = node.contact_wanted.notified() => {}
             // The scheduler's process has ended, or its node closed the connection.
             () = link.client.closed() => pause(min_interval_ms.min(next_contact_ms)).await,
         }
@@ -289,6 +295,7 @@
         zone: node.settings.zone.to_string(),
         has_fast_link: node.settings.has_fast_link(),
         is_informed: !node.has_looked_for_claims.get(),
+        has_read_ahead: node.has_read_ahead(),
     });
     let min_timeout_ms = node.settings.timing.contact_timeout_ms;
     let timeout_ms = node.contact_timeout.get().timeout_ms(min_timeout_ms);
@@ -307,6 +314,9 @@
         if reply.leading {
             node.candidate_rank.set(Some(reply.candidate_rank));
         }
+        if reply.hands_over_soon && !node.has_read_ahead() {
+            node.read_ahead_wanted.notify_one();
+        }
         if reply.configuration_version > node.configuration_version() {
             node.configuration_wanted.notify_one();
         }
@@ -348,8 +358,17 @@
         Err(CallError::NoReply) => link.misses.get() + 1,
     };
     link.misses.set(misses);
+    // A scheduler that has ended its role states no token.
+    let yields = matches!(
+        reply,
+        Ok(CellBody::ContactReply(reply)) if !reply.leading && reply.token == link.token
+    );
+    if node.holder_yields.replace(yields) != yields && yields {
+        node.holder_changed.notify_waiters();
+    }
     let suspected = misses >= SUSPECTED_MISSES;
     if node.holder_suspected.replace(suspected) != suspected && suspected {
+        node.read_ahead_wanted.notify_one();
         node.holder_changed.notify_waiters();
     }
 }
@@ -433,7 +452,7 @@
     let shed_view = leader.as_ref().and_then(|leader| leader.shed_view());
     let mut reply = ContactReply {
         leading: leader.is_some() && !cut_off_from_store,
-        token: leader.map_or(0, |leader| leader.token),
+        token: leader.as_ref().map_or(0, |leader| leader.token),
         store_answers: store.answers,
         partition: plan.map_or(0, |plan| 1 + plan.index),
         day_ms: agreed.map_or(0, |agreed| agreed.anchor.day_at(now()).0),
@@ -446,6 +465,9 @@
         candidate_rank: plan.map_or(0, |plan| plan.candidate_rank),
         informs: plan.is_some_and(|plan| !plan.follows_store),
         configuration_version: node.configuration_version(),
+        hands_over_soon: leader
+            .as_ref()
+            .is_some_and(|leader| leader.hands_over_soon()),
         ..ContactReply::default()
     };
     if let Some(view) = shed_view {
--- a/crates/cell/src/leader.rs
+++ b/crates/cell/src/leader.rs
@@ -3,6 +3,7 @@
 mod adaptive_timeout;
 mod advice;
 pub mod carriers;
+mod handover;
 mod heartbeat;
 mod orders;
 mod peers;
@@ -13,6 +14,7 @@
 mod sessions;
 mod stages;
 mod takeover;
+pub mod task_lines;
 mod unreadable_jobs;
 mod vms;
 mod worker_calls;
@@ -49,6 +51,7 @@
 use syc_types::Millis;
 use syc_types::WorkspaceName;
 use syc_workspace::UNLIMITED;
+use task_lines::TaskLines;
 use tokio::sync::Notify;
 use unreadable_jobs::UnreadableJobs;
 use worker_calls::LineLimit;
@@ -84,10 +87,6 @@
 /// measured from when the read was sent.
 const MAX_JOBS_READ_AGE_MS: u64 = 2_500;
 
-/// A scheduler hands over its role after hearing no other node for this long, or hearing fewer than
-/// half of the workers for this long beyond their answer timeout.
-const ISOLATION_TIMEOUT_MS: u64 = 1_500;
-
 /// Time for which a node that gave up the role does not claim it again.
 const RECLAIM_DELAY_MS: u64 = 5_000;
 
@@ -113,9 +112,15 @@
     scheduler: RefCell<Scheduler>,
     /// Jobs with records that this node cannot read.
     unreadable_jobs: UnreadableJobs,
+    /// Whether this node had read the state in the store ahead of its election.
+    had_read_ahead: Cell<bool>,
     /// Whether jobs and workers have been loaded from the store.
     loaded: Cell<bool>,
     ended: Cell<bool>,
+    /// Whether the role will be handed over as soon as a candidate is prepared.
+    hands_over_soon: Cell<bool>,
+    /// Notifies that a candidate has read the state that a takeover needs.
+    successor_prepared: Notify,
     /// Whether the role is being handed over; no new tasks are started then.
     handing_over: Cell<bool>,
     started_at: Millis,
@@ -138,6 +143,7 @@
     /// Nodes through which calls to workers are relayed.
     carriers: RefCell<Carriers>,
     carrier_lines: LineLimit,
+    task_lines: RefCell<TaskLines>,
     /// Wakes calls through carriers when one is lost.
     carrier_lost: Notify,
     /// For each jobs partition, when the last read that reached its end was sent.
@@ -196,8 +202,11 @@
             token,
             scheduler: RefCell::new(scheduler),
             unreadable_jobs: UnreadableJobs::default(),
+            had_read_ahead: Cell::new(false),
             loaded: Cell::new(false),
             ended: Cell::new(false),
+            hands_over_soon: Cell::new(false),
+            successor_prepared: Notify::new(),
             handing_over: Cell::new(false),
             started_at: now(),
             progress: ProgressWriter::default(),
@@ -211,6 +220,7 @@
             advice_clients: RefCell::default(),
             carriers: RefCell::new(Carriers::new(node.settings.files_limit)),
             carrier_lines: LineLimit::default(),
+            task_lines: RefCell::default(),
             carrier_lost: Notify::new(),
             jobs_read_at: RefCell::new(vec![Millis(0); partitions]),
             records_by_job: RefCell::default(),
@@ -279,16 +289,6 @@
         }
     }
 
-    /// Hands over the role: writes pending progress, then records in the store that the role is
-    /// free.
-    pub(crate) async fn hand_over(self: &Rc<Self>, reason: &'static str) {
-        if self.handing_over.replace(true) || self.ended.get() {
-            return;
-        }
-        self.flush_progress().await;
-        self.release(reason).await;
-    }
-
     /// Passes an event to the scheduler and performs the resulting actions.
     pub(crate) fn apply(self: &Rc<Self>, event: Event) {
         if self.ended.get() {
@@ -360,7 +360,7 @@
                 Action::DeleteJob(id) => self.progress_to_remove.borrow_mut().push(id),
                 Action::Note(note) => {
                     self.record_note_metrics(&note);
-                    log::note(&note);
+                    self.log_note(&note);
                 }
             }
         }
@@ -439,6 +439,11 @@
         PendingAnswer::Known(u64::try_from(jobs).unwrap_or(u64::MAX))
     }
 
+    /// Returns whether this node had read the state in the store ahead of its election.
+    pub(crate) const fn had_read_ahead(&self) -> bool {
+        self.had_read_ahead.get()
+    }
+
     /// Returns whether jobs and workers have been loaded from the store.
     pub(crate) const fn is_loaded(&self) -> bool {
         self.loaded.get()
@@ -503,47 +508,6 @@
     fn lease_from(&self, decided_at: Millis) -> Option<Millis> {
         self.authority.borrow().lease_start(decided_at, now())
     }
-
-    /// Returns whether fewer than half of the workers have answered for longer than they are given
-    /// to answer.
-    ///
-    /// That time adapts to how fast workers answer. With a fixed time, nodes kept handing over the
-    /// role when all workers were slow.
-    fn is_isolated_from_workers(&self, now: Millis) -> bool {
-        if self.scheduler.borrow().half_of_workers_respond() {
-            self.workers_heard_at.set(now);
-            return false;
-        }
-        now.since(self.workers_heard_at.get()) > ISOLATION_TIMEOUT_MS + self.median_slack_ms()
-    }
-
-    /// Hands over the role if this node appears isolated while the store, and therefore other
-    /// nodes, may be reachable.
-    pub(crate) fn hand_over_if_isolated(self: &Rc<Self>) {
-        if self.authority.borrow().is_expired(now()) {
-            self.step_down("isolated");
-            return;
-        }
-        if !self.loaded.get() || self.handing_over.get() || !self.node.store_answers() {
-            return;
-        }
-        let now = now();
-        let isolated_from_nodes = self
-            .peer_heard_at
-            .get()
-            .is_some_and(|at| now.since(at) > ISOLATION_TIMEOUT_MS);
-        let isolated_from_workers = self.is_isolated_from_workers(now);
-        if !isolated_from_nodes && !isolated_from_workers {
-            return;
-        }
-        let leader = Rc::clone(self);
-        let reason = if isolated_from_nodes {
-            "cut_off_from_nodes"
-        } else {
-            "cut_off_from_workers"
-        };
-        actix_rt::spawn(async move { leader.hand_over(reason).await });
-    }
 }
 
 fn options<P>(node: &Node<P>) -> Options
--- a/crates/cell/src/leader/orders.rs
+++ b/crates/cell/src/leader/orders.rs
@@ -51,7 +51,9 @@
             // The session has just ended, and the event that ended it also ended its runs.
             return;
         };
-        log::run_ordered(&order, &link.address.id, self.token);
+        if self.logs_runs_of(order.task.step.job) {
+            log::run_ordered(&order, &link.address.id, self.token);
+        }
         self.record_room_stage(&order);
         let lease_from = self.lease_from(order.decided_at);
         let lease_until_ms = lease_from.and_then(|from| link.lease_until_ms(from, lease_ms));
@@ -215,7 +217,9 @@
             // The session has just ended, and the event that ended it also ended its runs.
             return;
         };
-        log::stop_ordered(task, run, &link.address.id, reason);
+        if self.logs_runs_of(task.step.job) {
+            log::stop_ordered(task, run, &link.address.id, reason);
+        }
         let command = StopCommand {
             task,
             run,
--- a/crates/cell/src/leader/peers.rs
+++ b/crates/cell/src/leader/peers.rs
@@ -22,6 +22,9 @@
     pub(crate) fn register_peer(&self, contact: &Contact) -> ContactPlan {
         self.peer_heard_at.set(Some(now()));
         let name = SmolStr::from(contact.node.as_str());
+        if contact.has_read_ahead && self.hands_over_soon() {
+            self.successor_prepared.notify_one();
+        }
         self.register_advice_node(contact);
         self.register_carrier(&name, contact);
         self.note_follower(&name, contact);
--- a/crates/cell/src/leader/progress_writer.rs
+++ b/crates/cell/src/leader/progress_writer.rs
@@ -23,6 +23,7 @@
 use crate::ports::Record;
 use crate::ports::Topic;
 use crate::records;
+use crate::stored_state::PROGRESS_PARTITIONS;
 
 /// Producer name of progress records.
 const PRODUCER: &str = "scheduler";
@@ -33,16 +34,15 @@
 /// Delay before a failed append is retried.
 const RETRY_MS: u64 = 50;
 
+/// Interval at which a handover checks whether pending progress is written.
+const FLUSH_POLL_MS: u64 = 5;
+
 /// Interval for removing records of ended jobs; nothing waits for it.
 const REMOVE_INTERVAL_MS: u64 = 500;
 
 /// Maximum time to write pending progress before handing over the role.
 const FINAL_WRITE_TIMEOUT_MS: u64 = 600;
 
-/// Partitions of the progress topic. If one rejects appends, the other is used; a successor fences
-/// and reads both.
-pub(super) const PROGRESS_PARTITIONS: u32 = 2;
-
 /// Rejected appends before switching to the other partition.
 const MAX_REFUSALS: u32 = 2;
 
@@ -56,6 +56,10 @@
 pub(super) struct ProgressWriter {
     current: Cell<u32>,
     states: [PartitionState; 2],
+    /// Number of batches begun that had all changes of their time.
+    complete_begun: Cell<u64>,
+    /// Number of the latest such batch that is written.
+    complete_written: Cell<u64>,
 }
 
 /// Write state of one progress partition.
@@ -171,6 +175,8 @@
         // A worker is removed from the roster only after all conclusions about its runs are stored:
         // a successor that does not know the worker cannot reach them again.
         let is_last_batch = changed_jobs.len() < MAX_BATCH_JOBS;
+        let complete_begun = self.progress.complete_begun.get() + u64::from(is_last_batch);
+        self.progress.complete_begun.set(complete_begun);
         let roster = if is_last_batch {
             self.roster.pending_change(self.token)
         } else {
@@ -216,6 +222,9 @@
             let wave = progress.number;
             self.apply(Event::WaveRecorded { wave, change });
         }
+        if is_last_batch {
+            self.progress.complete_written.set(complete_begun);
+        }
         self.progress_written.notify_waiters();
         true
     }
@@ -352,12 +361,19 @@
             .collect()
     }
 
-    /// Waits until pending progress is written, up to a time limit.
+    /// Waits until the progress that is pending now is written, up to a time limit.
+    ///
+    /// What changes after that need not be: workers report ends again that were not acknowledged. On a large cell, some
+    /// progress is pending at any time.
     pub(super) async fn flush_progress(self: &Rc<Self>) {
         let until = now().plus(FINAL_WRITE_TIMEOUT_MS);
+        let enough = self.progress.complete_begun.get() + 1;
         while now() < until && self.scheduler.borrow().has_unrecorded_changes() {
+            if self.progress.complete_written.get() >= enough {
+                return;
+            }
             self.progress_notify.notify_one();
-            pause(RETRY_MS / 5).await;
+            pause(FLUSH_POLL_MS).await;
         }
     }
 }
--- a/crates/cell/src/leader/sessions.rs
+++ b/crates/cell/src/leader/sessions.rs
@@ -64,7 +64,10 @@
     P: Platform,
 {
     pub(super) fn attach(self: &Rc<Self>, worker: WorkerKey, spec: &WorkerSpec) {
-        log::worker_listed(&spec.id, "listed");
+        // A takeover states the number of workers that it loads.
+        if self.loaded.get() {
+            log::worker_listed(&spec.id, "listed");
+        }
         let link = Rc::new(WorkerLink::new(WorkerAddress {
             id: spec.id.clone(),
             address: spec.address.clone(),
--- a/crates/cell/src/leader/stages.rs
+++ b/crates/cell/src/leader/stages.rs
@@ -1,4 +1,4 @@
-//! Metrics of the time jobs spend in each stage, by queue.
+//! Metrics of the time jobs spend in each stage, by queue, and the log lines about single runs.
 
 use syc_obs::Stage;
 use syc_sched::JobId;
@@ -6,9 +6,14 @@
 use syc_sched::Run;
 use syc_sched::StartOrder;
 
+use crate::clock::now;
 use crate::leader::Leader;
+use crate::log;
 use crate::ports::Platform;
 
+/// Ends of runs that are no failure.
+const USUAL_ENDS: [&str; 2] = ["done", "stopped"];
+
 impl<P> Leader<P>
 where
     P: Platform,
@@ -54,4 +59,21 @@
             _ => {}
         }
     }
+
+    /// Returns whether lines about single runs of a job are written now.
+    pub(super) fn logs_runs_of(&self, job: JobId) -> bool {
+        self.task_lines.borrow_mut().admits(job, now())
+    }
+
+    /// Logs a note of the scheduler. Runs that went as usual are logged of a share of the jobs only.
+    pub(super) fn log_note(&self, note: &Note) {
+        let usual_run = match note {
+            Note::RunEnded { task, end, .. } if USUAL_ENDS.contains(end) => Some(task),
+            Note::Adopted { task, .. } => Some(task),
+            _ => None,
+        };
+        if usual_run.is_none_or(|task| self.logs_runs_of(task.step.job)) {
+            log::note(note);
+        }
+    }
 }
--- a/crates/cell/src/leader/takeover.rs
+++ b/crates/cell/src/leader/takeover.rs
@@ -28,7 +28,6 @@
 use crate::clock::pause;
 use crate::follow;
 use crate::leader::Leader;
-use crate::leader::progress_writer::PROGRESS_PARTITIONS;
 use crate::leader::progress_writer::remove_ended_jobs;
 use crate::leader::progress_writer::write_progress;
 use crate::leader::readers;
@@ -42,6 +41,8 @@
 use crate::records;
 use crate::records::JobRecord;
 use crate::records::read_job;
+use crate::stored_state::PROGRESS_PARTITIONS;
+use crate::stored_state::StoredState;
 use crate::unreadable::Source;
 
 /// Delay before a failed step is retried.
@@ -52,7 +53,7 @@
 
 /// The state that predecessors left in the store.
 #[derive(Debug)]
-struct StoredState {
+struct LoadedRecords {
     progress: Vec<Newest>,
     jobs: Vec<Newest>,
     workers: Newest,
@@ -78,6 +79,7 @@
         progress_records,
         fenced_ms,
         read_ms,
+        read_ahead: leader.had_read_ahead.get(),
     };
     log::state_loaded(leader.token, &loaded);
     leader.spawn(readers::follow_workers(
@@ -99,19 +101,21 @@
 }
 
 /// Reads everything concurrently. Predecessors are fenced, so they record no further ends meanwhile.
-async fn read_stored_state<P>(leader: &Leader<P>) -> StoredState
+async fn read_stored_state<P>(leader: &Leader<P>) -> LoadedRecords
 where
     P: Platform,
 {
     let partitions = leader.node.settings.job_partitions();
-    let all_jobs = read_partitions(leader, Topic::Jobs, partitions);
-    let all_progress = read_partitions(leader, Topic::Progress, PROGRESS_PARTITIONS);
-    let workers = read_with_retries(leader, Topic::Workers, 0);
+    let ahead = &leader.node.take_read_ahead().await;
+    leader.had_read_ahead.set(!ahead.is_empty());
+    let all_jobs = read_partitions(leader, Topic::Jobs, partitions, ahead);
+    let all_progress = read_partitions(leader, Topic::Progress, PROGRESS_PARTITIONS, ahead);
+    let workers = read_partition(leader, Topic::Workers, 0, ahead);
     // Caps may have fallen since this node last reached the store.
-    let published = read_with_retries(leader, Topic::Operators, 0);
+    let published = read_partition(leader, Topic::Operators, 0, ahead);
     let (progress, workers, jobs, published) =
         join4(all_progress, workers, all_jobs, published).await;
-    StoredState {
+    LoadedRecords {
         progress,
         jobs,
         workers,
@@ -119,14 +123,38 @@
     }
 }
 
-async fn read_partitions<P>(leader: &Leader<P>, topic: Topic, count: u32) -> Vec<Newest>
+async fn read_partitions<P>(
+    leader: &Leader<P>,
+    topic: Topic,
+    count: u32,
+    ahead: &StoredState,
+) -> Vec<Newest>
 where
     P: Platform,
 {
-    let reads = (0..count).map(|partition| read_with_retries(leader, topic, partition));
+    let reads = (0..count).map(|partition| read_partition(leader, topic, partition, ahead));
     join_all(reads).await
 }
 
+/// Reads a partition. Of what was read ahead, only what follows is read, unless that fails.
+async fn read_partition<P>(
+    leader: &Leader<P>,
+    topic: Topic,
+    partition: u32,
+    ahead: &StoredState,
+) -> Newest
+where
+    P: Platform,
+{
+    if let Some(ahead) = ahead.take(topic, partition) {
+        let caught_up = leader.node.catch_up(topic, partition, ahead).await;
+        if let Ok(newest) = caught_up {
+            return newest;
+        }
+    }
+    read_with_retries(leader, topic, partition).await
+}
+
 /// Reads a partition, retrying until it answers. Only this partition is read again, not the others.
 ///
 /// An unanswered read is kept open alongside the next, and the first answer wins. A store that was
@@ -162,7 +190,7 @@
 }
 
 /// Restores the scheduler from the stored state. Returns the number of jobs with progress.
-fn restore_all<P>(leader: &Rc<Leader<P>>, stored: &StoredState) -> usize
+fn restore_all<P>(leader: &Rc<Leader<P>>, stored: &LoadedRecords) -> usize
 where
     P: Platform,
 {
@@ -202,7 +230,7 @@
 
 /// Restores listed workers and the roster of a predecessor. Returns the workers of the roster that
 /// are not listed; they are queried for running tasks all the same.
-fn restore_workers<P>(leader: &Rc<Leader<P>>, stored: &StoredState) -> Vec<WorkerId>
+fn restore_workers<P>(leader: &Rc<Leader<P>>, stored: &LoadedRecords) -> Vec<WorkerId>
 where
     P: Platform,
 {
--- a/crates/cell/src/log.rs
+++ b/crates/cell/src/log.rs
@@ -171,6 +171,8 @@
     pub(crate) progress_records: usize,
     pub(crate) fenced_ms: u64,
     pub(crate) read_ms: u64,
+    /// Whether most of the state had been read ahead of the election.
+    pub(crate) read_ahead: bool,
 }
 
 pub(crate) fn state_loaded(token: u64, loaded: &LoadedState) {
@@ -181,6 +183,14 @@
         .number("progress_records", loaded.progress_records)
         .number("fenced_ms", loaded.fenced_ms)
         .number("read_ms", loaded.read_ms)
+        .flag("read_ahead", loaded.read_ahead)
+        .emit();
+}
+
+pub(crate) fn state_read_ahead(rank: u32, took_ms: u64) {
+    Line::new(catalogue::STATE_READ_AHEAD)
+        .number("rank", rank)
+        .number("took_ms", took_ms)
         .emit();
 }
 
--- a/crates/cell/src/node.rs
+++ b/crates/cell/src/node.rs
@@ -40,6 +40,8 @@
 use crate::ports::Platform;
 use crate::ports::Record;
 use crate::store_calls::StoreHealth;
+use crate::stored_state;
+use crate::stored_state::ReadAhead;
 use crate::submit::SubmitQueue;
 use crate::submit::run_admission_timer;
 use crate::submit_shedding::SubmitsUnderWay;
@@ -90,6 +92,16 @@
     pub(crate) configuration: RefCell<Option<Rc<Configuration>>>,
     /// Record of the configuration in force, as operators published it.
     pub(crate) configuration_record: RefCell<Option<Record>>,
+    /// State that was read ahead of a takeover.
+    pub(crate) read_ahead: RefCell<Option<ReadAhead>>,
+    /// Whether such state is being read.
+    pub(crate) is_reading_ahead: Cell<bool>,
+    /// Notifies that it was read, or that this failed.
+    pub(crate) read_ahead_done: Notify,
+    /// Notifies that the scheduler role may become free.
+    pub(crate) read_ahead_wanted: Notify,
+    /// Asks for a contact to the scheduler without delay.
+    pub(crate) contact_wanted: Notify,
     /// Notifies that the scheduler has a newer configuration than this node.
     pub(crate) configuration_wanted: Notify,
     /// Whether this node has looked for claims in the store since it last relied on the scheduler to learn of them.
@@ -113,6 +125,8 @@
     pub(crate) holder_changed: Notify,
     /// Whether the holder's process is suspected to have ended.
     pub(crate) holder_suspected: Cell<bool>,
+    /// Whether the scheduler said that the store answers other nodes but not its own.
+    pub(crate) holder_yields: Cell<bool>,
     /// Timeout of contacts to the scheduler.
     pub(crate) contact_timeout: Cell<ContactTimeout>,
     /// Lengthens election timeouts while live schedulers are replaced one after the other.
@@ -141,6 +155,11 @@
             incarnation: rand::rngs::SmallRng::from_os_rng().random_range(1..=u64::from(u32::MAX)),
             configuration: RefCell::default(),
             configuration_record: RefCell::default(),
+            read_ahead: RefCell::default(),
+            is_reading_ahead: Cell::new(false),
+            read_ahead_done: Notify::new(),
+            read_ahead_wanted: Notify::new(),
+            contact_wanted: Notify::new(),
             configuration_wanted: Notify::new(),
             has_looked_for_claims: Cell::new(false),
             candidate_rank: Cell::new(None),
@@ -155,6 +174,7 @@
             submits: Rc::default(),
             holder_changed: Notify::new(),
             holder_suspected: Cell::new(false),
+            holder_yields: Cell::new(false),
             contact_timeout: Cell::default(),
             election_backoff: RefCell::default(),
             stopping: Cell::new(false),
@@ -167,6 +187,7 @@
         actix_rt::spawn(follow::follow_configuration(Rc::clone(&node)));
         actix_rt::spawn(claims::follow_claims(Rc::clone(&node)));
         actix_rt::spawn(contact::run_contact_loop(Rc::clone(&node)));
+        actix_rt::spawn(stored_state::run_read_ahead(Rc::clone(&node)));
         actix_rt::spawn(tick(Rc::clone(&node)));
         actix_rt::spawn(run_store_probe(Rc::clone(&node)));
         actix_rt::spawn(run_admission_timer(Rc::clone(&node)));
@@ -220,6 +241,12 @@
         self.leader().is_some_and(|leader| leader.is_loaded())
     }
 
+    /// Returns whether this node is the scheduler and had read the state of its predecessor ahead of its election.
+    #[must_use]
+    pub fn has_taken_over_prepared(&self) -> bool {
+        self.leader().is_some_and(|leader| leader.had_read_ahead())
+    }
+
     /// Returns the scheduler if this node holds the role.
     pub(crate) fn leader(&self) -> Option<Rc<Leader<P>>> {
         self.leader.borrow().clone()
@@ -301,7 +328,7 @@
         self.submit_queue.stop_by(answer_by);
         log::stopping(self.leader.borrow().is_some());
         if let Some(leader) = self.leader() {
-            leader.hand_over("planned_stop").await;
+            leader.hand_over_to_prepared("planned_stop").await;
         }
     }
 
--- a/crates/cell/src/settings.rs
+++ b/crates/cell/src/settings.rs
@@ -83,6 +83,8 @@
     /// Time by which the election timeout of each candidate exceeds that of the one before. It is what a claim needs to
     /// be read by the others.
     pub candidate_spacing_ms: u64,
+    /// Additional election timeout of a candidate that has not read the state ahead, so that one that has goes first.
+    pub unprepared_claim_delay_ms: u64,
     /// Shortest interval between a node's contacts to the scheduler.
     pub contact_interval_ms: u64,
     /// A contact that is not answered within this time counts as missed.
@@ -138,6 +140,7 @@
             other_claim_delay_ms: 500,
             other_claim_jitter_ms: 1_000,
             candidate_spacing_ms: 10,
+            unprepared_claim_delay_ms: 50,
             contact_interval_ms: 150,
             contact_timeout_ms: 200,
             probe_interval_ms: 100,
--- a/crates/cell/src/submit.rs
+++ b/crates/cell/src/submit.rs
@@ -44,6 +44,12 @@
 /// in time.
 const REPLY_MARGIN_MS: u64 = 100;
 
+/// How long a node tries to notify the scheduler of a stored record. By then, a scheduler has read it in the store.
+const NOTICE_LIMIT_MS: u64 = 3_000;
+
+/// Pause before the notice is repeated.
+const NOTICE_PAUSE_MS: u64 = 100;
+
 /// Outcome of storing a submitted record.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum StoreOutcome {
@@ -258,28 +264,46 @@
         })
     }
 
+    /// Notifies the scheduler of a stored record, also one that is elected meanwhile.
+    ///
+    /// A scheduler finds a record in the store by itself, but reads each partition only once in a while. Without
+    /// repeats, the jobs of the moments around an election would wait for that.
     async fn notify_scheduler(&self, partition: u32, record: Record) {
+        let until = now().plus(NOTICE_LIMIT_MS);
+        loop {
+            if self.send_notice(partition, &record).await {
+                return;
+            }
+            self.submits.note_in_doubt();
+            if now() >= until {
+                return;
+            }
+            self.contact_wanted.notify_one();
+            tokio::select! {
+                () = self.holder_changed.notified() => {}
+                () = pause(NOTICE_PAUSE_MS) => {}
+            }
+        }
+    }
+
+    /// Tells the scheduler of a stored record. Returns whether it knows it.
+    async fn send_notice(&self, partition: u32, record: &Record) -> bool {
         if let Some(leader) = self.leader() {
-            leader.apply_job_record(partition, &record);
-            return;
+            leader.apply_job_record(partition, record);
+            return true;
         }
         let link = self.link.borrow().clone();
-        let Some(link) = link else {
-            self.submits.note_in_doubt();
-            return;
+        let Some(link) = link.filter(|link| link.answers()) else {
+            return false;
         };
         let notice = CellBody::StoredNotice(StoredNotice {
             key: record.key.to_string(),
-            value: record.value,
+            value: record.value.clone(),
             partition,
         });
         let timeout_ms = self.settings.timing.peer_timeout_ms;
         let reply = link.call(notice, timeout_ms).await;
-        let notified = matches!(&reply, Ok(CellBody::NoticeReply(reply)) if reply.taken);
-        if !notified {
-            // The scheduler still finds the record in the store, but does not know of it until then.
-            self.submits.note_in_doubt();
-        }
+        matches!(&reply, Ok(CellBody::NoticeReply(reply)) if reply.taken)
     }
 
     /// Stores a record that another node relayed and notifies the scheduler, if this node still holds the role.
--- a/crates/cell/tests/cell/fuzz.rs
+++ b/crates/cell/tests/cell/fuzz.rs
@@ -307,6 +307,7 @@
             zone: "zone".into(),
             has_fast_link: true,
             is_informed: true,
+            has_read_ahead: true,
         }),
         CellBody::ContactReply(ContactReply {
             token: 7,
@@ -318,6 +319,7 @@
             candidate_rank: 2,
             informs: true,
             configuration_version: 4,
+            hands_over_soon: true,
             ..ContactReply::default()
         }),
         CellBody::ConfigurationQuery(ConfigurationQuery { known_version: 3 }),
--- a/crates/cell/tests/cell/main.rs
+++ b/crates/cell/tests/cell/main.rs
@@ -19,6 +19,7 @@
 mod store;
 mod succession;
 mod takeover;
+mod task_lines;
 mod unreadable;
 mod vms;
 mod workers;
--- a/crates/cell/tests/cell/takeover.rs
+++ b/crates/cell/tests/cell/takeover.rs
@@ -6,6 +6,9 @@
 use syc_cell::NodeSettings;
 use syc_cell::Timing;
 use syc_cell::now;
+use syc_cell::ports::Newest;
+use syc_cell::ports::Page;
+use syc_cell::ports::Record;
 use syc_cell::ports::Topic;
 use syc_cell::records::HolderRecord;
 use syc_fleet::SharedFaults;
@@ -236,3 +239,83 @@
         others.find(|number| cluster.on(*number, |node| async move { node.is_scheduler() }))
     });
 }
+
+/// Reading thousands of workers took longer than the election.
+#[test]
+fn a_planned_stop_waits_for_a_candidate_that_has_read_the_state_ahead() {
+    let cluster = Cluster::start(3, 2);
+    let first = cluster.scheduler();
+    cluster.submit(first, 1, vec![step(1, 20)]);
+    cluster.wait_for_state(first, 1, JobState::Completed);
+    cluster.on(first, |node| async move {
+        node.begin_stop(now().plus(5_000)).await;
+    });
+    cluster.submit(first, 2, vec![step(1, 20)]);
+    let second = cluster.scheduler();
+    let was_ahead = cluster.on(second, |node| async move { node.has_taken_over_prepared() });
+    assert!(
+        was_ahead,
+        "the successor read everything after its election"
+    );
+    cluster.wait_for_state(second, 2, JobState::Completed);
+    cluster.assert_no_violations();
+}
+
+/// A scheduler that the store turned away kept the role until its heartbeats were missed.
+#[test]
+fn a_scheduler_that_the_store_refuses_alone_yields_without_a_timeout() {
+    let timing = Timing {
+        heartbeat_timeout_ms: 600_000,
+        suspected_heartbeat_timeout_ms: 600_000,
+        ..Timing::default()
+    };
+    let cluster = Cluster::start_with(3, 2, timing);
+    let first = cluster.scheduler();
+    cluster.submit(first, 1, vec![step(1, 20)]);
+    cluster.wait_for_state(first, 1, JobState::Completed);
+    cluster.platform.set_faults(SharedFaults {
+        refused_nodes: [node_name(first).into()].into(),
+        ..SharedFaults::default()
+    });
+    let second = cluster.wait("another scheduler", || {
+        let mut nodes = cluster.live_nodes().into_iter();
+        nodes.find(|node| {
+            let is_scheduler = cluster.on(*node, |node| async move { node.is_scheduler() });
+            *node != first && is_scheduler
+        })
+    });
+    cluster.submit(second, 2, vec![step(1, 20)]);
+    cluster.wait_for_state(second, 2, JobState::Completed);
+    cluster.assert_no_violations();
+}
+
+fn record(key: &str, value: &str) -> Record {
+    Record {
+        key: key.into(),
+        value: value.to_owned().into(),
+    }
+}
+
+/// What was read ahead must come to the same as reading everything later.
+#[test]
+fn records_read_ahead_are_replaced_and_removed_by_later_ones() {
+    let mut newest = Newest {
+        records: vec![(3, record("a", "1")), (4, record("b", "1"))],
+        read_from: 5,
+    };
+    newest.extend(Page {
+        first: 5,
+        end: 8,
+        records: vec![record("b", ""), record("a", "2"), record("c", "1")],
+    });
+    let expected = vec![(6, record("a", "2")), (7, record("c", "1"))];
+    assert_eq!(newest.records, expected);
+    assert_eq!(newest.read_from, 8);
+    let unchanged = newest.clone();
+    newest.extend(Page {
+        first: 8,
+        end: 8,
+        records: Vec::new(),
+    });
+    assert_eq!(newest, unchanged);
+}
--- a/crates/obs/src/events.rs
+++ b/crates/obs/src/events.rs
@@ -232,4 +232,6 @@
     RELAYING_CHANGED = 770, Info, "relaying of worker calls changed";
     /// A node relays no calls for a while since it left some unanswered, or may again.
     CARRIER_CHANGED = 771, Warn, "carrier changed";
+    /// A candidate has read what a takeover needs.
+    STATE_READ_AHEAD = 772, Info, "state read ahead";
 }
--- a/crates/wire/src/cell.rs
+++ b/crates/wire/src/cell.rs
@@ -120,6 +120,9 @@
     /// itself since. False from earlier versions, which follow the store all the time.
     #[prost(bool, tag = "12")]
     pub is_informed: bool,
+    /// Whether the sender has read the state that a takeover needs; false from earlier versions.
+    #[prost(bool, tag = "13")]
+    pub has_read_ahead: bool,
 }
 
 /// A scheduler that was elected, as it is named to nodes that may be unable to read its claim.
@@ -196,6 +199,9 @@
     /// Version of the configuration in force at the replying node; 0 if there is none, and from earlier versions.
     #[prost(uint64, tag = "16")]
     pub configuration_version: u64,
+    /// Whether the replying scheduler hands over its role soon; false from earlier versions.
+    #[prost(bool, tag = "17")]
+    pub hands_over_soon: bool,
 }
 
 /// A workspace that sends more than its rate, and a queue in which its jobs wait too long.
