--- a/crates/bench/src/bin/syc-slopes/main.rs
+++ b/crates/bench/src/bin/syc-slopes/main.rs
@@ -1,7 +1,7 @@
 //! Measures what a daemon costs as workers, tasks, peers and starts grow.
 //!
 //! Each point runs real daemon processes against stand-ins in this process, on loopback, and reads
-//! from the system what the daemons used. The slopes feed `docs/CAPACITY.md`.
+//! from the system what the daemons used. The slopes feed `docs/CAPACITY-DAEMON.md`.
 
 mod fit;
 mod point;
