--- a/crates/cell/src/configuration_relay.rs
+++ b/crates/cell/src/configuration_relay.rs
@@ -19,7 +19,7 @@
 /// Answers with the configuration in force if the asking node has an older one.
 ///
 /// A node with a slow link sends none, so that the others read the store, which is faster.
-pub(crate) fn answer<P>(node: &Node<P>, query: ConfigurationQuery) -> ConfigurationReply
+pub(crate) fn answer<P>(node: &Node<P>, query: &ConfigurationQuery) -> ConfigurationReply
 where
     P: Platform,
 {
--- a/crates/cell/src/contact.rs
+++ b/crates/cell/src/contact.rs
@@ -392,7 +392,7 @@
         CellBody::AdviceQuery(query) => advice_query::handle(node, query).await,
         CellBody::WorkerCall(call) => carrier::handle(node, call).await,
         CellBody::ConfigurationQuery(query) => {
-            CellBody::ConfigurationReply(configuration_relay::answer(node, query))
+            CellBody::ConfigurationReply(configuration_relay::answer(node, &query))
         }
         CellBody::StoredNotice(notice) => {
             let taken = record_stored_notice(node, notice);
--- a/crates/wire/src/cell.rs
+++ b/crates/wire/src/cell.rs
@@ -76,6 +76,10 @@
 }
 
 /// Reports to the scheduler that a node is alive.
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "each is a statement of its own, and a message has no type for two of them"
+)]
 #[derive(Clone, PartialEq, Eq, prost::Message)]
 pub struct Contact {
     /// The node's name.
@@ -143,6 +147,10 @@
 }
 
 /// Reply to [`Contact`].
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "each is a statement of its own, and a message has no type for two of them"
+)]
 #[derive(Clone, PartialEq, Eq, prost::Message)]
 pub struct ContactReply {
     /// Whether the replying node is the scheduler.
