--- a/crates/cell/src/claims.rs
+++ b/crates/cell/src/claims.rs
@@ -280,7 +280,7 @@
         None => settings.files_claim_delay_ms(workers) + jitter_up_to(timing.claim_jitter_ms),
         Some(0) => timing.other_claim_delay_ms + jitter_up_to(timing.other_claim_jitter_ms),
         Some(rank) => {
-            let preparation_ms = if node.has_read_ahead() || node.is_reading_ahead.get() {
+            let preparation_ms = if node.read_ahead.is_begun() {
                 0
             } else {
                 timing.unprepared_claim_delay_ms
--- a/crates/cell/src/contact.rs
+++ b/crates/cell/src/contact.rs
@@ -295,7 +295,7 @@
         zone: node.settings.zone.to_string(),
         has_fast_link: node.settings.has_fast_link(),
         is_informed: !node.has_looked_for_claims.get(),
-        has_read_ahead: node.has_read_ahead(),
+        has_read_ahead: node.read_ahead.is_done(),
     });
     let min_timeout_ms = node.settings.timing.contact_timeout_ms;
     let timeout_ms = node.contact_timeout.get().timeout_ms(min_timeout_ms);
@@ -314,8 +314,8 @@
         if reply.leading {
             node.candidate_rank.set(Some(reply.candidate_rank));
         }
-        if reply.hands_over_soon && !node.has_read_ahead() {
-            node.read_ahead_wanted.notify_one();
+        if reply.hands_over_soon && !node.read_ahead.is_done() {
+            node.read_ahead.request();
         }
         if reply.configuration_version > node.configuration_version() {
             node.configuration_wanted.notify_one();
@@ -368,7 +368,7 @@
     }
     let suspected = misses >= SUSPECTED_MISSES;
     if node.holder_suspected.replace(suspected) != suspected && suspected {
-        node.read_ahead_wanted.notify_one();
+        node.read_ahead.request();
         node.holder_changed.notify_waiters();
     }
 }
--- a/crates/cell/src/leader/carriers.rs
+++ b/crates/cell/src/leader/carriers.rs
@@ -4,14 +4,19 @@
 //! of workers takes most of its descriptors. The assignment depends only on the names and zones of the nodes and
 //! workers, so a successor computes the same one and the carriers' connections stay in use.
 
+mod assignment;
+
 use std::collections::BTreeMap;
 
+use assignment::Candidate;
+use assignment::Candidates;
+use assignment::Fitness;
+use assignment::take_best;
 use smol_str::SmolStr;
 use syc_types::Millis;
 use syc_types::WorkerId;
 use syc_types::Zone;
 use syc_types::hash::name_digest;
-use xxhash_rust::xxh3::xxh3_64;
 
 /// Connections to each worker that the scheduler's node would hold without carriers: one for renewals, one for orders.
 const CONNECTIONS_PER_WORKER: u64 = 2;
@@ -106,10 +111,6 @@
     }
 }
 
-/// How well a carrier suits a worker: whether it is in the same zone, then the score of the pair. The greatest suits
-/// best.
-type Fitness = (bool, u64);
-
 /// How a worker is called.
 #[derive(Debug)]
 struct WorkerRoute {
@@ -126,79 +127,6 @@
     direct_until: Millis,
 }
 
-/// A carrier, during an assignment.
-#[derive(Debug)]
-struct Candidate {
-    name: SmolStr,
-    zone: Zone,
-    digest: u64,
-    /// Further workers that it can relay for.
-    room: u64,
-}
-
-impl Candidate {
-    fn new(name: &SmolStr, node: &Carrier) -> Self {
-        Self {
-            name: name.clone(),
-            zone: node.zone.clone(),
-            digest: node.digest,
-            room: node.max_workers(),
-        }
-    }
-
-    fn fitness(&self, route: &WorkerRoute) -> Fitness {
-        (self.zone == route.zone, score(route.digest, self.digest))
-    }
-}
-
-/// The carriers of an assignment, by zone.
-#[derive(Debug, Default)]
-struct Candidates {
-    by_zone: BTreeMap<Zone, Vec<Candidate>>,
-    /// Number of comparisons of a worker with a carrier so far.
-    comparisons: u64,
-}
-
-impl Candidates {
-    fn add(&mut self, candidate: Candidate) {
-        let of_zone = self.by_zone.entry(candidate.zone.clone()).or_default();
-        of_zone.push(candidate);
-    }
-
-    /// Takes room for a worker at the carrier that suits it best.
-    fn take_best(&mut self, route: &WorkerRoute) -> Option<(SmolStr, Fitness)> {
-        let comparisons = &mut self.comparisons;
-        let near = self.by_zone.get_mut(&route.zone);
-        let near = near.and_then(|of_zone| take_best(of_zone.iter_mut(), route, comparisons));
-        near.or_else(|| take_best(self.by_zone.values_mut().flatten(), route, comparisons))
-    }
-}
-
-/// Takes room for a worker at the one of these carriers that suits it best.
-fn take_best<'a, I>(
-    candidates: I,
-    route: &WorkerRoute,
-    comparisons: &mut u64,
-) -> Option<(SmolStr, Fitness)>
-where
-    I: Iterator<Item = &'a mut Candidate>,
-{
-    let mut best: Option<(Fitness, &mut Candidate)> = None;
-    for candidate in candidates {
-        if candidate.room == 0 {
-            continue;
-        }
-        *comparisons += 1;
-        let fitness = candidate.fitness(route);
-        if best.as_ref().is_none_or(|(most, _)| fitness > *most) {
-            best = Some((fitness, candidate));
-        }
-    }
-    let (fitness, candidate) = best?;
-    candidate.room -= 1;
-    Some((candidate.name.clone(), fitness))
-}
-
 /// The nodes that relay calls, and for which workers.
 #[derive(Debug)]
 pub struct Carriers {
@@ -338,12 +266,9 @@
         if std::mem::take(&mut route.is_next_direct) || now < route.direct_until {
             return Route::Direct;
         }
-        let Some(route) = self.workers.get(worker) else {
-            return Route::Direct;
-        };
-        let carrier = route.carrier.as_ref();
+        let carrier = route.carrier.clone();
         let usable = carrier.filter(|name| self.is_usable(name, now));
-        usable.map_or(Route::Direct, |name| Route::Through(name.clone()))
+        usable.map_or(Route::Direct, Route::Through)
     }
 
     /// Returns whether calls may go through a node.
@@ -584,12 +509,3 @@
         *self.loads.entry(name.clone()).or_default() += 1;
     }
 }
-
-/// Scores a node for a worker (rendezvous hashing). It hashes digests rather than names, since an assignment of
-/// thousands of workers to hundreds of nodes scores each pair.
-fn score(worker_digest: u64, node_digest: u64) -> u64 {
-    let mut pair = [0; 16];
-    pair[..8].copy_from_slice(&worker_digest.to_le_bytes());
-    pair[8..].copy_from_slice(&node_digest.to_le_bytes());
-    xxh3_64(&pair)
-}
--- a/crates/cell/src/leader/takeover.rs
+++ b/crates/cell/src/leader/takeover.rs
@@ -106,7 +106,7 @@
     P: Platform,
 {
     let partitions = leader.node.settings.job_partitions();
-    let ahead = &leader.node.take_read_ahead().await;
+    let ahead = &leader.node.read_ahead.take().await;
     leader.had_read_ahead.set(!ahead.is_empty());
     let all_jobs = read_partitions(leader, Topic::Jobs, partitions, ahead);
     let all_progress = read_partitions(leader, Topic::Progress, PROGRESS_PARTITIONS, ahead);
--- a/crates/cell/src/node.rs
+++ b/crates/cell/src/node.rs
@@ -92,14 +92,7 @@
     pub(crate) configuration: RefCell<Option<Rc<Configuration>>>,
     /// Record of the configuration in force, as operators published it.
     pub(crate) configuration_record: RefCell<Option<Record>>,
-    /// State that was read ahead of a takeover.
-    pub(crate) read_ahead: RefCell<Option<ReadAhead>>,
-    /// Whether such state is being read.
-    pub(crate) is_reading_ahead: Cell<bool>,
-    /// Notifies that it was read, or that this failed.
-    pub(crate) read_ahead_done: Notify,
-    /// Notifies that the scheduler role may become free.
-    pub(crate) read_ahead_wanted: Notify,
+    pub(crate) read_ahead: ReadAhead,
     /// Asks for a contact to the scheduler without delay.
     pub(crate) contact_wanted: Notify,
     /// Notifies that the scheduler has a newer configuration than this node.
@@ -155,10 +148,7 @@
             incarnation: rand::rngs::SmallRng::from_os_rng().random_range(1..=u64::from(u32::MAX)),
             configuration: RefCell::default(),
             configuration_record: RefCell::default(),
-            read_ahead: RefCell::default(),
-            is_reading_ahead: Cell::new(false),
-            read_ahead_done: Notify::new(),
-            read_ahead_wanted: Notify::new(),
+            read_ahead: ReadAhead::default(),
             contact_wanted: Notify::new(),
             configuration_wanted: Notify::new(),
             has_looked_for_claims: Cell::new(false),
--- a/crates/cell/src/shedding.rs
+++ b/crates/cell/src/shedding.rs
@@ -13,7 +13,7 @@
 use syc_wire::cell::ContactReply;
 use syc_wire::cell::SHED_ROWS_LIMIT;
 
-/// A view older than this is not acted on. It covers six contacts.
+/// A view older than this is not acted on. It covers six contacts, or one where contacts are rare.
 pub const MAX_VIEW_AGE_MS: u64 = 1_000;
 
 /// Append time from which the store counts as slow. With a slow store, a first attempt of the same job may still be on
--- a/crates/cell/src/stored_state.rs
+++ b/crates/cell/src/stored_state.rs
@@ -4,6 +4,7 @@
 //! candidate reads the state as soon as the role may become free, and after its election only what was appended since.
 //! Nothing that was read ahead is acted on before that.
 
+use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::rc::Rc;
@@ -11,6 +12,7 @@
 
 use futures_util::future::try_join_all;
 use syc_types::Millis;
+use tokio::sync::Notify;
 
 use crate::Node;
 use crate::clock::now;
@@ -43,13 +45,55 @@
     partitions: RefCell<HashMap<(Topic, u32), Newest>>,
 }
 
-/// State that was read ahead of a takeover.
+/// State that was read, and when that began.
 #[derive(Debug)]
-pub(crate) struct ReadAhead {
+struct DatedState {
     began_at: Millis,
     state: StoredState,
 }
 
+/// The state that a node reads ahead of a takeover.
+#[derive(Debug, Default)]
+pub(crate) struct ReadAhead {
+    read: RefCell<Option<DatedState>>,
+    is_reading: Cell<bool>,
+    /// Notifies that a read has ended.
+    ended: Notify,
+    /// Notifies that the scheduler role may become free.
+    wanted: Notify,
+}
+
+impl ReadAhead {
+    /// Asks for the state, because the scheduler role may become free.
+    pub(crate) fn request(&self) {
+        self.wanted.notify_one();
+    }
+
+    /// Returns whether the state was read and can still be used.
+    pub(crate) fn is_done(&self) -> bool {
+        let read = self.read.borrow();
+        let began_at = read.as_ref().map(|read| read.began_at);
+        began_at.is_some_and(|at| now().since(at) < MAX_AGE_MS)
+    }
+
+    /// Returns whether the state was read or is being read.
+    pub(crate) fn is_begun(&self) -> bool {
+        self.is_reading.get() || self.is_done()
+    }
+
+    /// Takes the state, and waits for it if it is being read. It is empty if there is none, or if it is too old.
+    pub(crate) async fn take(&self) -> StoredState {
+        if self.is_reading.get() {
+            let limit = Duration::from_millis(PENDING_READ_LIMIT_MS);
+            let _ended = tokio::time::timeout(limit, self.ended.notified()).await;
+        }
+        let is_usable = self.is_done();
+        let read = self.read.borrow_mut().take();
+        let usable = read.filter(|_| is_usable);
+        usable.map(|read| read.state).unwrap_or_default()
+    }
+}
+
 impl StoredState {
     pub(crate) fn is_empty(&self) -> bool {
         self.partitions.borrow().is_empty()
@@ -94,7 +138,7 @@
 {
     let mut read_at = None;
     loop {
-        node.read_ahead_wanted.notified().await;
+        node.read_ahead.wanted.notified().await;
         let rank = node.candidate_rank.get().unwrap_or(0);
         let is_reader = (1..=READING_CANDIDATES).contains(&rank);
         let is_recent = read_at.is_some_and(|at: Millis| now().since(at) < READ_INTERVAL_MS);
@@ -103,14 +147,14 @@
         }
         let began_at = now();
         read_at = Some(began_at);
-        node.is_reading_ahead.set(true);
+        node.read_ahead.is_reading.set(true);
         if let Ok(state) = read_all(&node).await {
             log::state_read_ahead(rank, now().since(began_at));
-            *node.read_ahead.borrow_mut() = Some(ReadAhead { began_at, state });
+            *node.read_ahead.read.borrow_mut() = Some(DatedState { began_at, state });
             node.contact_wanted.notify_one();
         }
-        node.is_reading_ahead.set(false);
-        node.read_ahead_done.notify_waiters();
+        node.read_ahead.is_reading.set(false);
+        node.read_ahead.ended.notify_waiters();
     }
 }
 
@@ -136,28 +180,6 @@
 where
     P: Platform,
 {
-    /// Returns whether this node has read the state for a takeover ahead.
-    pub(crate) fn has_read_ahead(&self) -> bool {
-        let read_ahead = self.read_ahead.borrow();
-        let began_at = read_ahead.as_ref().map(|read_ahead| read_ahead.began_at);
-        began_at.is_some_and(|at| now().since(at) < MAX_AGE_MS)
-    }
-
-    /// Takes the state that was read ahead, and waits for it if it is being read. It is empty if there is none, or if it is
-    /// too old.
-    pub(crate) async fn take_read_ahead(&self) -> StoredState {
-        if self.is_reading_ahead.get() {
-            let limit = Duration::from_millis(PENDING_READ_LIMIT_MS);
-            let _done = tokio::time::timeout(limit, self.read_ahead_done.notified()).await;
-        }
-        let is_usable = self.has_read_ahead();
-        let read_ahead = self.read_ahead.borrow_mut().take();
-        let read_ahead = read_ahead.filter(|_| is_usable);
-        read_ahead
-            .map(|read_ahead| read_ahead.state)
-            .unwrap_or_default()
-    }
-
     /// Reads what was appended to a partition since these records were read.
     pub(crate) async fn catch_up(
         &self,
