--- a/crates/cell/src/stored_state.rs
+++ b/crates/cell/src/stored_state.rs
@@ -95,6 +95,7 @@
 }
 
 impl StoredState {
+    /// Returns whether nothing was read.
     pub(crate) fn is_empty(&self) -> bool {
         self.partitions.borrow().is_empty()
     }
