Let only candidates with fast links replace a yielding scheduler at once

Change: without a timeout, only candidates with fast links claim; others wait as for a suspected scheduler. The mend holds because a slow node's delay then counts from the same moment as that of the fast ones.

--- a/crates/cell/src/claims.rs
+++ b/crates/cell/src/claims.rs
@@ -252,8 +252,8 @@
         None => 0,
         // An earlier process of this node held the role, and it has ended.
         Some(holder) if is_own_predecessor(node, holder) => 0,
-        // It told that it can't do its work, and nobody else will.
-        Some(_) if node.holder_yields.get() => 0,
+        // It told that the store answers others but not its own node.
+        Some(_) if node.holder_yields.get() && may_replace_yielding(node) => 0,
         Some(_) if node.holder_suspected.get() => {
             timing.suspected_heartbeat_timeout_ms * backoff_factor
         }
@@ -266,6 +266,14 @@
     heartbeat_timeout_ms + claim_delay_ms(node, claims.workers)
 }
 
+fn may_replace_yielding<P>(node: &Node<P>) -> bool
+where
+    P: Platform,
+{
+    let has_fast_link = node.settings.has_fast_link();
+    syc_sched::may_replace_yielding(node.candidate_rank.get(), has_fast_link)
+}
+
 /// Returns how long this node leaves the role to others that suit it better.
 ///
 /// The last scheduler named the candidates, in an order. Without that, a node judges by its own link and descriptors.
--- a/crates/sched/src/contact_plan.rs
+++ b/crates/sched/src/contact_plan.rs
@@ -60,6 +60,15 @@
     pub index: u32,
 }
 
+/// Returns whether a node with this rank claims the role at once if the scheduler says that the store does not answer it.
+///
+/// Others wait as for a scheduler that is suspected to have failed. The candidates that suit the role best may be unable to
+/// hear the scheduler, and only notice by then that it does not answer.
+#[must_use]
+pub fn may_replace_yielding(candidate_rank: Option<u32>, has_fast_link: bool) -> bool {
+    has_fast_link && candidate_rank.is_some_and(|rank| rank > 0)
+}
+
 /// A node that contacts the scheduler.
 #[derive(Debug)]
 struct PlannedNode {
--- a/crates/sched/tests/core/contact_plan.rs
+++ b/crates/sched/tests/core/contact_plan.rs
@@ -7,6 +7,7 @@
 use syc_sched::ContactPlan;
 use syc_sched::ContactPlans;
 use syc_sched::NodeTraits;
+use syc_sched::may_replace_yielding;
 use syc_types::Millis;
 use syc_types::Zone;
 use test_case::test_case;
@@ -138,3 +139,17 @@
     let numbers: BTreeSet<_> = settled.iter().map(|(_, plan)| plan.index).collect();
     assert_eq!(numbers, (0..40).collect());
 }
+
+/// A scheduler that was cut off together with part of the cell could be heard by nodes with slow links only. One of them
+/// took the role, and took seconds to read the state, before the others had noticed.
+#[test_case(Some(1), true, true; "the first candidate")]
+#[test_case(Some(8), false, false; "a candidate with a slow link")]
+#[test_case(Some(0), true, false; "no candidate")]
+#[test_case(None, true, false; "a node without a rank")]
+fn only_candidates_with_fast_links_replace_a_yielding_scheduler(
+    rank: Option<u32>,
+    has_fast_link: bool,
+    expected: bool,
+) {
+    assert_eq!(may_replace_yielding(rank, has_fast_link), expected);
+}
