--- a/crates/cell/src/contact.rs
+++ b/crates/cell/src/contact.rs
@@ -15,6 +15,7 @@
 use syc_net::CallError;
 use syc_net::PeerClient;
 use syc_net::PeerOptions;
+use syc_sched::jittered_interval_ms;
 use syc_types::Millis;
 use syc_wire::cell::CellBody;
 use syc_wire::cell::CellMessage;
@@ -55,10 +56,6 @@
 /// Longest time until the next contact that a scheduler may state.
 const MAX_CONTACT_INTERVAL_MS: u64 = 5_000;
 
-/// Divisor of the jitter of the time until the next contact. Without jitter, all nodes that began at the same time, with
-/// the election, would make their contacts at the same time.
-const CONTACT_JITTER_DIVISOR: u64 = 4;
-
 /// A node vouches for the store if its latest answer is not older than this.
 const FRESH_ANSWER_MS: u64 = 1_000;
 
@@ -136,8 +133,7 @@
         if self.misses.get() > 0 || stated_ms <= min_interval_ms {
             return min_interval_ms;
         }
-        let jitter_ms = stated_ms / CONTACT_JITTER_DIVISOR;
-        rng.random_range(stated_ms - jitter_ms..=stated_ms)
+        jittered_interval_ms(stated_ms, rng.random())
     }
 
     fn record_plan(&self, reply: &ContactReply) {
--- a/crates/cell/src/leader.rs
+++ b/crates/cell/src/leader.rs
@@ -7,6 +7,7 @@
 mod heartbeat;
 mod orders;
 mod peers;
+pub mod progress_batches;
 mod progress_writer;
 mod readers;
 pub(crate) mod retry_report;
--- a/crates/cell/src/leader/progress_writer.rs
+++ b/crates/cell/src/leader/progress_writer.rs
@@ -15,6 +15,7 @@
 use crate::clock::pause;
 use crate::leader::Leader;
 use crate::leader::StoredRecord;
+use crate::leader::progress_batches::ProgressBatches;
 use crate::leader::retry_report::RetryReport;
 use crate::log;
 use crate::ports::AppendError;
@@ -56,10 +57,7 @@
 pub(super) struct ProgressWriter {
     current: Cell<u32>,
     states: [PartitionState; 2],
-    /// Number of batches begun that had all changes of their time.
-    complete_begun: Cell<u64>,
-    /// Number of the latest such batch that is written.
-    complete_written: Cell<u64>,
+    batches: Cell<ProgressBatches>,
 }
 
 /// Write state of one progress partition.
@@ -85,6 +83,18 @@
         &self.states[usize::from(partition > 0)]
     }
 
+    fn begin_batch(&self, is_complete: bool) {
+        let mut batches = self.batches.get();
+        batches.begin(is_complete);
+        self.batches.set(batches);
+    }
+
+    fn end_batch(&self, is_complete: bool) {
+        let mut batches = self.batches.get();
+        batches.end(is_complete);
+        self.batches.set(batches);
+    }
+
     /// Switches to the other partition unless it is blocked. Returns whether it switched.
     fn switch_partition(&self, in_doubt: bool) -> bool {
         let partition = self.current.get();
@@ -175,8 +185,6 @@
         // A worker is removed from the roster only after all conclusions about its runs are stored:
         // a successor that does not know the worker cannot reach them again.
         let is_last_batch = changed_jobs.len() < MAX_BATCH_JOBS;
-        let complete_begun = self.progress.complete_begun.get() + u64::from(is_last_batch);
-        self.progress.complete_begun.set(complete_begun);
         let roster = if is_last_batch {
             self.roster.pending_change(self.token)
         } else {
@@ -199,9 +207,11 @@
         }
         let started_at = now();
         let jobs_added = self.scheduler.borrow().jobs_added();
+        self.progress.begin_batch(is_last_batch);
         let Some(sent_at) = self.append_progress(&batch).await else {
             return false;
         };
+        self.progress.end_batch(is_last_batch);
         self.record_leadership_proof(jobs_added, sent_at);
         let written_ms = now().since(started_at);
         for (id, _change, progress) in &changed_jobs {
@@ -222,9 +232,6 @@
             let wave = progress.number;
             self.apply(Event::WaveRecorded { wave, change });
         }
-        if is_last_batch {
-            self.progress.complete_written.set(complete_begun);
-        }
         self.progress_written.notify_waiters();
         true
     }
@@ -367,9 +374,10 @@
     /// progress is pending at any time.
     pub(super) async fn flush_progress(self: &Rc<Self>) {
         let until = now().plus(FINAL_WRITE_TIMEOUT_MS);
-        let enough = self.progress.complete_begun.get() + 1;
-        while now() < until && self.scheduler.borrow().has_unrecorded_changes() {
-            if self.progress.complete_written.get() >= enough {
+        let enough = self.progress.batches.get().next_complete();
+        while now() < until {
+            let has_changes = self.scheduler.borrow().has_unrecorded_changes();
+            if self.progress.batches.get().is_written(enough, has_changes) {
                 return;
             }
             self.progress_notify.notify_one();
--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -42,6 +42,7 @@
 pub use configuration::Route;
 pub use configuration::SkippedWorkspace;
 pub use leader::carriers;
+pub use leader::progress_batches;
 pub use leader::task_lines;
 pub use node::Node;
 pub use queries::PendingAnswer;
--- a/crates/cell/tests/cell/main.rs
+++ b/crates/cell/tests/cell/main.rs
@@ -10,6 +10,8 @@
 mod fake_scheduler;
 mod fuzz;
 mod informed;
+mod notices;
+mod progress_batches;
 mod rejections;
 mod relaying;
 mod roster;
--- a/crates/cell/tests/cell/rejections.rs
+++ b/crates/cell/tests/cell/rejections.rs
@@ -57,6 +57,8 @@
             contacts: true,
             knowledge: Some(Knowledge::NoSuchJob),
             queried: Vec::new(),
+            notices_to_refuse: 0,
+            notices: 0,
         };
         let scheduler = FakeScheduler::start(&cluster.platform, answers);
         cluster.add_node();
--- a/crates/sched/src/contact_plan.rs
+++ b/crates/sched/src/contact_plan.rs
@@ -21,6 +21,10 @@
 /// Contacts a second that all nodes other than the candidates make together.
 const CONTACTS_PER_S: u64 = 900;
 
+/// Divisor of the jitter of the time until a contact. Without jitter, all nodes that began at the same time, with the
+/// election, would make their contacts at the same time.
+const JITTER_DIVISOR: u64 = 4;
+
 /// Shortest time between two plans.
 const PLAN_INTERVAL_MS: u64 = 250;
 
@@ -60,6 +64,14 @@
     pub index: u32,
 }
 
+/// Returns the time until a node's next contact, of which `draw` is a random number. The mean is the interval, so that
+/// jitter adds no contacts.
+#[must_use]
+pub const fn jittered_interval_ms(interval_ms: u64, draw: u64) -> u64 {
+    let jitter_ms = interval_ms / JITTER_DIVISOR;
+    interval_ms - jitter_ms / 2 + draw % (jitter_ms + 1)
+}
+
 /// Returns whether a node with this rank claims the role at once if the scheduler says that the store does not answer it.
 ///
 /// Others wait as for a scheduler that is suspected to have failed. The candidates that suit the role best may be unable to
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -85,6 +85,7 @@
 pub use contact_plan::ContactPlan;
 pub use contact_plan::ContactPlans;
 pub use contact_plan::NodeTraits;
+pub use contact_plan::jittered_interval_ms;
 pub use contact_plan::may_replace_yielding;
 pub use contact_timeout::ContactTimeout;
 pub use counts::Counts;
