--- a/crates/cell/src/claims.rs
+++ b/crates/cell/src/claims.rs
@@ -252,7 +252,7 @@
         None => 0,
         // An earlier process of this node held the role, and it has ended.
         Some(holder) if is_own_predecessor(node, holder) => 0,
-        // It told that the store answers others but not its own node.
+        // The scheduler reported that the store answers other nodes, but not its own.
         Some(_) if node.holder_yields.get() && may_replace_yielding(node) => 0,
         Some(_) if node.holder_suspected.get() => {
             timing.suspected_heartbeat_timeout_ms * backoff_factor
--- a/crates/cell/src/contact.rs
+++ b/crates/cell/src/contact.rs
@@ -56,7 +56,8 @@
 /// Longest time until the next contact that a scheduler may state.
 const MAX_CONTACT_INTERVAL_MS: u64 = 5_000;
 
-/// A node vouches for the store if its latest answer is not older than this.
+/// A node reports that the store answers only if the latest answer is not older than this. An informed node makes few
+/// calls, so it may not know.
 const FRESH_ANSWER_MS: u64 = 1_000;
 
 /// Consecutive unanswered calls after which the scheduler is suspected to have failed.
