review: a late renewal makes done tasks run again

Cause: an acknowledgement of ends names a minion by its id and not by its life. One that is carried out by the next life under the same id makes it forget ends that nobody has handled, and their runs are taken for lost. The stand-ins' minions can start again under their ids; a ledger judges TWICE.

--- a/review/standins-2/cases.rs
+++ b/review/standins-2/cases.rs
@@ -1,11 +1,12 @@
 //! The cases. Each returns 0 if the rule held, 1 if it was broken, and 2 if the case couldn't be run.
 
 use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant};
 
 use crate::ms;
-use crate::world::{Pool, Size, World, step, submission};
+use crate::world::{Pool, Size, World, register, step, submission};
 
 /// `finish_s` of the site.
 const FINISH_S: u64 = 14;
@@ -29,10 +30,13 @@
 /// Returns the case of a name.
 pub fn find(name: &str) -> Option<Case> {
     let pool = |service, kind, minions, cpu| Pool { service, kind, minions, cpu };
-    let case = |pools, run| Some(Case { size: Size { nodes: 3, pools }, run });
+    let case = |pools, run| {
+        let keeps_ids = name == "late-renewal";
+        Some(Case { size: Size { nodes: 3, pools, keeps_ids }, run })
+    };
     match name {
         "gone" => case(vec![pool("intake", "a", 20, 32_000)], gone),
-        "large" => case(vec![pool("intake", "a", 24, 64_000)], large),
+        "late-renewal" => case(vec![pool("intake", "a", 8, 32_000)], late_renewal),
         "idle-service" => case(vec![pool("intake", "a", 20, 32_000), pool("archive", "a", 1, 32_000)], idle_service),
         _ => None,
     }
@@ -125,7 +129,7 @@
     for time in 0..TIMES {
         for minion in &world.minions[time * count..(time + 1) * count] {
             if trouble {
-                minion.crash();
+                minion.lose();
             }
         }
         traffic.send(world, ms(1_000));
@@ -138,36 +142,69 @@
     verdict(world, is_lost)
 }
 
-/// One submission with many tasks, or as many tasks in submissions of a hundred.
-fn large(world: &mut World, trouble: bool) -> i32 {
-    const TASKS: usize = 10_000;
-    const TASKS_EACH: usize = 100;
-    const CPU: u64 = 60;
-    const WORK_MS: u64 = 20_000;
-    let mut traffic = Traffic::new("lookup", "intake");
-    traffic.send(world, ms(5_000));
-    let sizes = if trouble { vec![TASKS] } else { vec![TASKS_EACH; TASKS / TASKS_EACH] };
+/// Minions crash and start again under their ids, each while one renewal of its lease is held up, which the next life
+/// carries out.
+fn late_renewal(world: &mut World, trouble: bool) -> i32 {
+    const TASKS: usize = 150;
+    const CPU: u64 = 100;
+    // From 100 to 547 ms.
+    const WORK_MS: u64 = 100;
+    const SPREAD_MS: u64 = 3;
+    const DOWN_MS: u64 = 500;
+    const LATE_MS: u64 = 3_000;
+    const CRASHES: usize = 4;
+    let minions: Vec<_> = world.minions[..CRASHES].to_vec();
+    let journal = Arc::clone(&world.journal);
+    let store = Arc::clone(&world.store);
+    let trouble = thread::spawn(move || {
+        thread::sleep(ms(6_000));
+        for (number, minion) in minions.iter().enumerate() {
+            if !trouble {
+                continue;
+            }
+            minion.hold_up_renewal();
+            while !minion.has_held_up() {
+                thread::sleep(ms(5));
+            }
+            let held_up_at = Instant::now();
+            thread::sleep(ms(100));
+            let Some(renewal) = minion.crash() else { continue };
+            thread::sleep(ms(DOWN_MS));
+            minion.start_again();
+            register(&store, minion, 1_000_000 + number as u64);
+            thread::sleep(ms(LATE_MS).saturating_sub(held_up_at.elapsed()));
+            minion.carry_out_late(&renewal);
+            thread::sleep(ms(1_500));
+        }
+        journal.say("no more trouble");
+    });
     let mut ids = Vec::new();
-    for size in sizes {
+    let mut sent = 0;
+    let began = Instant::now();
+    while !trouble.is_finished() || began.elapsed() < ms(27_000) {
         let id = world.new_id();
-        let body = submission(WORK_MS, CPU, &[step(size, CPU, 64, WORK_MS, "")]);
-        if world.submit("batch", &id, &body) {
+        let body = submission(WORK_MS, CPU, &[step(TASKS, CPU, 64, 320, "")]);
+        let body = body.replace("work=", &format!("spread={SPREAD_MS} work="));
+        if world.submit("lookup", &id, &body) {
             ids.push(id);
         }
+        sent += 1;
+        thread::sleep((ms(125) * sent).saturating_sub(began.elapsed()));
     }
-    world.say_load(&format!("{} submissions with {TASKS} tasks in all accepted", ids.len()));
-    for _ in 0..6 {
-        traffic.send(world, ms(5_000));
-        world.say_load("under way");
-    }
-    finish(world);
-    let is_lost = traffic.is_lost(world);
+    world.say_load("end of the traffic");
+    thread::sleep(ms(5_000));
+    let (repeated, done) = world.ledger.repeated();
     let mut states: BTreeMap<String, usize> = BTreeMap::new();
     for id in &ids {
-        *states.entry(world.state_of("batch", id)).or_default() += 1;
+        *states.entry(world.state_of("lookup", id)).or_default() += 1;
     }
-    world.journal.say(&format!("the submissions with many tasks, by state: {states:?}"));
-    verdict(world, is_lost)
+    world.journal.say(&format!(
+        "submissions by state: {states:?}; {done} tasks have ended done, {repeated} of them were started again although that end was taken note of"
+    ));
+    if repeated > 0 {
+        world.journal.say("TWICE is broken");
+    }
+    i32::from(repeated > 0)
 }
 
 /// Urgent tasks that last fill one service but for a few cores. Another service is idle.
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -7,6 +7,7 @@
 mod cases;
 mod http;
 mod journal;
+mod ledger;
 mod minion;
 mod store;
 mod world;
--- a/review/standins-2/minion.rs
+++ b/review/standins-2/minion.rs
@@ -5,10 +5,11 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use crate::http::{NO_REPLY, Reply, Request, reply};
 use crate::journal::Journal;
+use crate::ledger::Ledger;
 use crate::ms;
 
 /// Longest lease.
@@ -34,10 +35,22 @@
     pub stop_at: Option<Instant>,
 }
 
-#[derive(Default)]
+/// One life of a minion.
 pub struct MinionState {
-    /// Whether it has crashed, for good.
+    /// Number of the life, from 0.
+    pub life: u32,
+    pub began: Instant,
+    pub born_ms: u128,
+    /// Whether it is lost for good.
+    pub is_gone: bool,
+    /// Whether it has crashed and not started again.
     pub is_down: bool,
+    /// Whether the next renewal that takes note of ends is held up.
+    pub holds_up: bool,
+    /// A renewal that was held up, and will be carried out late.
+    pub late: Option<String>,
+    /// When the lease had last lapsed.
+    pub lapsed_at: Option<Instant>,
     pub running: BTreeMap<String, Running>,
     pub ended: Vec<(u64, String, u64, &'static str)>,
     pub ends: u64,
@@ -48,10 +61,53 @@
     pub until_ms: u64,
 }
 
+impl MinionState {
+    pub fn new(life: u32) -> Self {
+        let born = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Self {
+            life,
+            began: Instant::now(),
+            born_ms: born.as_millis(),
+            is_gone: false,
+            is_down: false,
+            holds_up: false,
+            late: None,
+            lapsed_at: None,
+            running: BTreeMap::new(),
+            ended: Vec::new(),
+            ends: 0,
+            observed: 0,
+            over: HashMap::new(),
+            fence: 0,
+            until_ms: 0,
+        }
+    }
+
+    fn clock_ms(&self) -> u64 {
+        100_000 + self.began.elapsed().as_millis() as u64
+    }
+
+    fn extend(&mut self, until_ms: Option<u64>) {
+        let most = self.clock_ms() + HOLD_MAX_MS;
+        if let Some(until_ms) = until_ms {
+            self.until_ms = self.until_ms.max(until_ms.min(most));
+        }
+    }
+
+    fn refusal(&self, why: &str) -> Reply {
+        reply(409, format!("{{\"ClockMs\":{},\"Reason\":\"{why}\"}}", self.clock_ms()))
+    }
+
+    fn accepted(&self) -> Reply {
+        reply(200, format!("{{\"ClockMs\":{}}}", self.clock_ms()))
+    }
+}
+
 pub struct Minion {
     pub number: u32,
     pub address: SocketAddr,
-    pub began: Instant,
+    /// Whether it starts again under its id, and says when each life was born.
+    pub keeps_id: bool,
     pub cpu: u64,
     pub service: &'static str,
     pub kind: &'static str,
@@ -59,6 +115,7 @@
     pub news: Condvar,
     pub journal: Arc<Journal>,
     pub starts: Arc<AtomicU64>,
+    pub ledger: Arc<Ledger>,
 }
 
 pub fn text_field(body: &str, name: &str) -> String {
@@ -72,7 +129,8 @@
     digits.parse().ok()
 }
 
-/// A task's payload says how long it works and what it needs: `work=MS cpu=MILLIS`.
+/// A task's payload says how long it works and what it needs: `work=MS cpu=MILLIS`, with `spread=MS` so much longer for
+/// each index.
 pub fn word(spec: &str, name: &str) -> u64 {
     let mut words = spec.split(' ');
     words.find_map(|word| word.strip_prefix(name)?.strip_prefix('=')?.parse().ok()).unwrap_or(0)
@@ -84,34 +142,89 @@
     }
 
     /// Loses it for good: it answers nothing and reports nothing any more.
-    pub fn crash(&self) {
+    pub fn lose(&self) {
         let mut state = self.state.lock().unwrap();
         let tasks: Vec<_> = state.running.keys().collect();
         self.journal.note(&format!("minion {} is lost for good; it ran {tasks:?}", self.id()));
-        *state = MinionState { is_down: true, ..MinionState::default() };
+        *state = MinionState { is_gone: true, is_down: true, ..MinionState::new(state.life + 1) };
         drop(state);
         self.news.notify_all();
     }
 
-    pub fn entry(&self, sequence: u64) -> (String, String) {
-        let id = self.id();
-        let entry = format!(
-            "{{\"Service\":\"{}\",\"Address\":\"{}\",\"Zone\":\"z1\",\"Version\":\"1\",\"Slots\":8,\"State\":\"ready\",\"ColdLeftMs\":0,\"Sequence\":{sequence},\"Machine\":\"m-{}\",\"Capacity\":{{\"Cpu\":{},\"MemMb\":262144}},\"Labels\":[\"{}\",\"r1-{}\"]}}",
-            self.service, self.address, self.number, self.cpu, self.kind, self.number / 8
-        );
-        (id, entry)
+    /// Holds the next renewal up that takes note of ends.
+    pub fn hold_up_renewal(&self) {
+        self.state.lock().unwrap().holds_up = true;
     }
 
-    pub fn clock_ms(&self) -> u64 {
-        100_000 + self.began.elapsed().as_millis() as u64
+    pub fn has_held_up(&self) -> bool {
+        self.state.lock().unwrap().late.is_some()
     }
 
-    pub fn refusal(&self, why: &str) -> Reply {
-        reply(409, format!("{{\"ClockMs\":{},\"Reason\":\"{why}\"}}", self.clock_ms()))
+    /// Crashes it, and returns the renewal that it has not carried out.
+    pub fn crash(&self) -> Option<String> {
+        let mut state = self.state.lock().unwrap();
+        let late = state.late.take();
+        self.journal.note(&format!(
+            "minion {} crashes after {} ends, of which {} were taken note of; it runs {} tasks",
+            self.id(),
+            state.ends,
+            state.observed,
+            state.running.len()
+        ));
+        *state = MinionState { is_down: true, ..MinionState::new(state.life + 1) };
+        drop(state);
+        self.news.notify_all();
+        late
     }
 
-    pub fn accepted(&self) -> Reply {
-        reply(200, format!("{{\"ClockMs\":{}}}", self.clock_ms()))
+    pub fn start_again(&self) {
+        let mut state = self.state.lock().unwrap();
+        *state = MinionState::new(state.life);
+        self.journal.note(&format!("minion {} starts again under its id, born {}", self.id(), state.born_ms));
+    }
+
+    /// Carries a renewal out that a former life did not.
+    pub fn carry_out_late(&self, body: &str) {
+        let mut state = self.state.lock().unwrap();
+        let forgotten = state.ended.len();
+        let observed = number_field(body, "Observed").unwrap_or(0);
+        if state.is_down || number_field(body, "FencingToken").unwrap_or(0) < state.fence {
+            self.journal.note("the late renewal is refused");
+            return;
+        }
+        self.renew(&mut state, body);
+        self.journal.note(&format!(
+            "minion {} carries a renewal out late, with Observed {observed}: of its ends up to {}, {} are forgotten now",
+            self.id(),
+            state.ends,
+            forgotten - state.ended.len()
+        ));
+    }
+
+    fn renew(&self, state: &mut MinionState, body: &str) {
+        let observed = number_field(body, "Observed").unwrap_or(0);
+        state.observed = state.observed.max(observed);
+        for (number, task, _, how) in &state.ended {
+            if *number <= observed && *how == "done" {
+                self.ledger.noted(task, &self.id(), state.lapsed_at);
+            }
+        }
+        state.ended.retain(|(number, ..)| *number > observed);
+        state.extend(number_field(body, "DeadlineMs"));
+    }
+
+    fn birth(&self, state: &MinionState) -> String {
+        if self.keeps_id { format!(",\"born\":{}", state.born_ms) } else { String::new() }
+    }
+
+    pub fn entry(&self, sequence: u64) -> (String, String) {
+        let id = self.id();
+        let birth = self.birth(&self.state.lock().unwrap());
+        let entry = format!(
+            "{{\"Service\":\"{}\",\"Address\":\"{}\",\"Zone\":\"z1\",\"Version\":\"1\",\"Slots\":8,\"State\":\"ready\",\"ColdLeftMs\":0,\"Sequence\":{sequence},\"Machine\":\"m-{}\",\"Capacity\":{{\"Cpu\":{},\"MemMb\":262144}},\"Labels\":[\"{}\",\"r1-{}\"]{birth}}}",
+            self.service, self.address, self.number, self.cpu, self.kind, self.number / 8
+        );
+        (id, entry)
     }
 
     pub fn end(&self, state: &mut MinionState, task: String, how: &'static str) {
@@ -123,6 +236,9 @@
             let id = self.id();
             self.journal.note(&format!("minion {id}: {task} run {} ended {how}", running.run));
         }
+        if how == "done" {
+            self.ledger.ended_done(&task, &self.id());
+        }
         state.ended.push((state.ends, task, running.run, how));
     }
 
@@ -130,7 +246,10 @@
         let mut state = self.state.lock().unwrap();
         let now = Instant::now();
         let mut ends = Vec::new();
-        let lapsed = self.clock_ms() > state.until_ms;
+        let lapsed = state.clock_ms() > state.until_ms;
+        if lapsed {
+            state.lapsed_at = Some(now);
+        }
         for (task, running) in &state.running {
             if lapsed {
                 ends.push((task.clone(), "lapsed"));
@@ -150,13 +269,6 @@
         self.news.notify_all();
     }
 
-    pub fn extend(&self, state: &mut MinionState, until_ms: Option<u64>) {
-        let most = self.clock_ms() + HOLD_MAX_MS;
-        if let Some(until_ms) = until_ms {
-            state.until_ms = state.until_ms.max(until_ms.min(most));
-        }
-    }
-
     pub fn answer(&self, request: &Request) -> Reply {
         if request.method == "GET" && request.path == "/healthz" {
             return reply(200, "{}".into());
@@ -165,15 +277,18 @@
         let fence = number_field(&body, "FencingToken").unwrap_or(0);
         let mut state = self.state.lock().unwrap();
         if state.is_down {
+            let is_gone = state.is_gone;
             drop(state);
-            thread::sleep(SILENCE);
+            if is_gone {
+                thread::sleep(SILENCE);
+            }
             return NO_REPLY;
         }
         if request.headers.get("sycamorespur-expected-instance").is_some_and(|id| *id != self.id()) {
             return reply(421, "{}".into());
         }
         if fence < state.fence {
-            return self.refusal("fence");
+            return state.refusal("fence");
         }
         state.fence = fence;
         let task = text_field(&body, "Task");
@@ -182,21 +297,22 @@
             "/run-start" => {
                 let until_ms = number_field(&body, "DeadlineMs");
                 if state.running.get(&task).is_some_and(|running| running.run == run) {
-                    return self.accepted();
+                    return state.accepted();
                 }
                 if state.over.get(&task).is_some_and(|over| run <= *over) {
-                    self.extend(&mut state, until_ms);
-                    return self.refusal("old");
+                    state.extend(until_ms);
+                    return state.refusal("old");
                 }
-                if until_ms.is_none_or(|until_ms| until_ms <= self.clock_ms()) {
-                    return self.refusal("late");
+                if until_ms.is_none_or(|until_ms| until_ms <= state.clock_ms()) {
+                    return state.refusal("late");
                 }
-                self.extend(&mut state, until_ms);
+                state.extend(until_ms);
                 let spec = text_field(&body, "Spec");
+                let index: u64 = task.rsplit('.').next().and_then(|index| index.parse().ok()).unwrap_or(0);
                 let running = Running {
                     run,
                     began: Instant::now(),
-                    work: ms(word(&spec, "work")),
+                    work: ms(word(&spec, "work") + index * word(&spec, "spread")),
                     fails: run <= word(&spec, "fails"),
                     cpu: word(&spec, "cpu"),
                     is_quiet: word(&spec, "quiet") == 1,
@@ -206,8 +322,9 @@
                     self.journal.note(&format!("minion {}: starts {task} run {run}", self.id()));
                 }
                 self.starts.fetch_add(1, Ordering::Relaxed);
+                self.ledger.started(&task, run, &self.id());
                 state.running.insert(task, running);
-                self.accepted()
+                state.accepted()
             }
             "/run-stop" => {
                 let over = state.over.entry(task.clone()).or_default();
@@ -215,13 +332,19 @@
                 if let Some(running) = state.running.get_mut(&task).filter(|running| running.run <= run) {
                     running.stop_at.get_or_insert(Instant::now() + ms(STOP_MS / 10));
                 }
-                self.accepted()
+                state.accepted()
             }
             "/hold" => {
-                let observed = number_field(&body, "Observed").unwrap_or(0);
-                state.observed = state.observed.max(observed);
-                state.ended.retain(|(number, ..)| *number > observed);
-                self.extend(&mut state, number_field(&body, "DeadlineMs"));
+                let life = state.life;
+                if state.holds_up && number_field(&body, "Observed").unwrap_or(0) > 0 {
+                    state.holds_up = false;
+                    self.journal.note(&format!("minion {}: this renewal is held up: {body}", self.id()));
+                    state.late = Some(body);
+                    drop(state);
+                    thread::sleep(SILENCE);
+                    return NO_REPLY;
+                }
+                self.renew(&mut state, &body);
                 let until = Instant::now() + ms(number_field(&body, "WaitMs").unwrap_or(0).min(2_000));
                 while state.ended.is_empty() {
                     let left = until.saturating_duration_since(Instant::now());
@@ -229,7 +352,7 @@
                         break;
                     }
                     state = self.news.wait_timeout(state, left).unwrap().0;
-                    if state.is_down {
+                    if state.life != life {
                         return NO_REPLY;
                     }
                 }
@@ -249,9 +372,10 @@
                     .map(|(number, task, run, how)| format!("[{number},\"{task}\",{run},\"{how}\",\"\"]"))
                     .collect();
                 let (running, ended) = (running.join(","), ended.join(","));
-                reply(200, format!("{{\"ClockMs\":{},\"Running\":[{running}],\"Ended\":[{ended}]}}", self.clock_ms()))
+                let birth = self.birth(&state);
+                reply(200, format!("{{\"ClockMs\":{},\"Running\":[{running}],\"Ended\":[{ended}]{birth}}}", state.clock_ms()))
             }
-            "/pace" => self.accepted(),
+            "/pace" => state.accepted(),
             _ => reply(404, "{}".into()),
         }
     }
--- a/review/standins-2/world.rs
+++ b/review/standins-2/world.rs
@@ -11,7 +11,8 @@
 
 use crate::http::{call, listen, serve};
 use crate::journal::Journal;
-use crate::minion::{HOLD_MAX_MS, Minion, STOP_MS, number_field, text_field};
+use crate::ledger::Ledger;
+use crate::minion::{HOLD_MAX_MS, Minion, MinionState, STOP_MS, number_field, text_field};
 use crate::ms;
 use crate::store::{PARTS, Store};
 
@@ -32,6 +33,7 @@
     pub minions: Vec<Arc<Minion>>,
     pub nodes: Vec<Node>,
     pub starts: Arc<AtomicU64>,
+    pub ledger: Arc<Ledger>,
     repository: String,
     folder: String,
     next: u64,
@@ -48,6 +50,8 @@
 pub struct Size {
     pub nodes: u8,
     pub pools: Vec<Pool>,
+    /// Whether minions start again under their ids.
+    pub keeps_ids: bool,
 }
 
 pub const HOST: &str = "jobs.example";
@@ -74,6 +78,7 @@
         let answering = Arc::clone(&store);
         serve(listener, move |request| answering.answer(&request));
         let starts = Arc::new(AtomicU64::new(0));
+        let ledger = Arc::new(Ledger::new(Arc::clone(&journal)));
         let mut minions: Vec<Arc<Minion>> = Vec::new();
         for pool in &size.pools {
             for _ in 0..pool.minions {
@@ -81,14 +86,15 @@
                 let minion = Arc::new(Minion {
                     number: minions.len() as u32,
                     address: listener.local_addr().unwrap(),
-                    began: Instant::now(),
                     cpu: pool.cpu,
                     service: pool.service,
                     kind: pool.kind,
-                    state: Mutex::default(),
+                    keeps_id: size.keeps_ids,
+                    state: Mutex::new(MinionState::new(0)),
                     news: Condvar::new(),
                     journal: Arc::clone(&journal),
                     starts: Arc::clone(&starts),
+                    ledger: Arc::clone(&ledger),
                 });
                 let answering = Arc::clone(&minion);
                 serve(listener, move |request| answering.answer(&request));
@@ -157,7 +163,7 @@
             "{{\"Version\":3,\"Routes\":[{routes}],\"Services\":[{{\"Name\":\"intake\",\"AdmissionControl\":false}},{{\"Name\":\"archive\",\"AdmissionControl\":false}}],\"Limits\":{{\"MaxBodyBytes\":262144}}}}"
         );
         store.put("keyed.op", "config", &configuration);
-        Self { journal, store, minions, nodes, starts, repository: repository.to_owned(), folder: folder.to_owned(), next: 0x5c0e_7a21_0000_0001 }
+        Self { journal, store, minions, nodes, starts, ledger, repository: repository.to_owned(), folder: folder.to_owned(), next: 0x5c0e_7a21_0000_0001 }
     }
 
     pub fn start_node(&mut self, number: usize) {
