review: stand-ins in the first case's folder, steps no wider than the site's

Cause: files of the review stood beside its cases; cases 5 and 6 handed in steps of 150 and 314 tasks, where the site's largest has 60; the ledger of case 5 took a later life's end for that of a former life, which it could count as taken note of.

--- a/review/standins-2/cases.rs
+++ b/review/4/standins/cases.rs
@@ -18,6 +18,9 @@
 const SMALL_CPU: u64 = 500;
 const SMALL_MS: u64 = 640;
 
+/// Most tasks of a step on the site.
+const LARGEST_STEP: usize = 60;
+
 /// Tasks of a small submission.
 const SMALL_TASKS: usize = 2;
 
@@ -145,11 +148,10 @@
 /// Minions crash and start again under their ids, each while one renewal of its lease is held up, which the next life
 /// carries out.
 fn late_renewal(world: &mut World, trouble: bool) -> i32 {
-    const TASKS: usize = 150;
     const CPU: u64 = 100;
-    // From 100 to 547 ms.
+    // From 100 to 513 ms.
     const WORK_MS: u64 = 100;
-    const SPREAD_MS: u64 = 3;
+    const SPREAD_MS: u64 = 7;
     const DOWN_MS: u64 = 500;
     const LATE_MS: u64 = 3_000;
     const CRASHES: usize = 4;
@@ -183,13 +185,13 @@
     let began = Instant::now();
     while !trouble.is_finished() || began.elapsed() < ms(27_000) {
         let id = world.new_id();
-        let body = submission(WORK_MS, CPU, &[step(TASKS, CPU, 64, 320, "")]);
+        let body = submission(WORK_MS, CPU, &[step(LARGEST_STEP, CPU, 64, 300, "")]);
         let body = body.replace("work=", &format!("spread={SPREAD_MS} work="));
         if world.submit("lookup", &id, &body) {
             ids.push(id);
         }
         sent += 1;
-        thread::sleep((ms(125) * sent).saturating_sub(began.elapsed()));
+        thread::sleep((ms(50) * sent).saturating_sub(began.elapsed()));
     }
     world.say_load("end of the traffic");
     thread::sleep(ms(5_000));
@@ -210,19 +212,27 @@
 /// Urgent tasks that last fill one service but for a few cores. Another service is idle.
 fn idle_service(world: &mut World, trouble: bool) -> i32 {
     const URGENT_CPU: u64 = 2_000;
-    // Of 320 that the service has room for.
+    // Of 320 that the service has room for, in steps of at most `LARGEST_STEP`.
     let urgent = if trouble { 314 } else { 220 };
-    let first = world.new_id();
-    let tasks = [step(urgent, URGENT_CPU, 64, 1_000, ",\"LongRunning\":true,\"Image\":\"front\"")];
-    if !world.submit("serving", &first, &submission(600_000, URGENT_CPU, &tasks)) {
-        return 2;
+    let mut ids = Vec::new();
+    let mut left = urgent;
+    while left > 0 {
+        let id = world.new_id();
+        let count = left.min(LARGEST_STEP);
+        let tasks = [step(count, URGENT_CPU, 64, 1_000, ",\"LongRunning\":true,\"Image\":\"front\"")];
+        if !world.submit("serving", &id, &submission(600_000, URGENT_CPU, &tasks)) {
+            return 2;
+        }
+        ids.push(id);
+        left -= count;
     }
+    let at_work = |world: &World| ids.iter().map(|id| world.at_work(id)).sum::<usize>();
     let until = Instant::now() + ms(20_000);
-    while world.at_work(&first) < urgent && Instant::now() < until {
+    while at_work(world) < urgent && Instant::now() < until {
         thread::sleep(ms(100));
     }
-    world.say_load(&format!("{} of {urgent} urgent tasks that last are at work", world.at_work(&first)));
-    if world.at_work(&first) < urgent {
+    world.say_load(&format!("{} of {urgent} urgent tasks that last are at work, of {} submissions", at_work(world), ids.len()));
+    if at_work(world) < urgent {
         return 2;
     }
     thread::sleep(ms(8_000));
--- a/review/standins-2/minion.rs
+++ b/review/4/standins/minion.rs
@@ -206,7 +206,7 @@
         state.observed = state.observed.max(observed);
         for (number, task, _, how) in &state.ended {
             if *number <= observed && *how == "done" {
-                self.ledger.noted(task, &self.id(), state.lapsed_at);
+                self.ledger.noted(task, &self.id(), state.life, state.lapsed_at);
             }
         }
         state.ended.retain(|(number, ..)| *number > observed);
@@ -237,7 +237,7 @@
             self.journal.note(&format!("minion {id}: {task} run {} ended {how}", running.run));
         }
         if how == "done" {
-            self.ledger.ended_done(&task, &self.id());
+            self.ledger.ended_done(&task, &self.id(), state.life);
         }
         state.ended.push((state.ends, task, running.run, how));
     }
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
-rustc --edition 2024 -O -o target/review-2/standins review/standins-2/main.rs
+rustc --edition 2024 -O -o target/review-2/standins review/4/standins/main.rs
