Tell how old a node's configuration may be, and by which way it came

- Each node knows since when it has no evidence that its version is the newest one (sched::configuration_freshness).
Reads of the store count as of when they were sent; contacts and their replies carry the version and the age of the evidence behind it, so knowledge that is passed on does not look younger than it is.
- SYC0760 and SYC0761 say when a configuration may be old and when it no longer may, SYC0750 has the way and the time behind, and syc_cell_configuration_age_seconds is the age.

--- a/crates/cell/src/contact.rs
+++ b/crates/cell/src/contact.rs
@@ -293,6 +293,8 @@
         has_fast_link: node.settings.has_fast_link(),
         is_informed: !node.has_looked_for_claims.get(),
         has_read_ahead: node.read_ahead.is_done(),
+        configuration_version: node.configuration_version(),
+        configuration_age_ms: Some(node.configuration_age().unconfirmed_ms),
     });
     let min_timeout_ms = node.settings.timing.contact_timeout_ms;
     let timeout_ms = node.contact_timeout.get().timeout_ms(min_timeout_ms);
@@ -314,9 +316,7 @@
         if reply.hands_over_soon && !node.read_ahead.is_done() {
             node.read_ahead.request();
         }
-        if reply.configuration_version > node.configuration_version() {
-            node.configuration_wanted.notify_one();
-        }
+        note_configuration_of_scheduler(node, reply, sent_at);
         succession::apply_reply(node, reply);
     }
     let (answers, store_answers) = match &reply {
@@ -340,6 +340,22 @@
     update_suspicion(node, link, &reply);
 }
 
+/// Records which version of the configuration the scheduler's node has, and as of when it is the newest one.
+fn note_configuration_of_scheduler<P>(node: &Node<P>, reply: &ContactReply, sent_at: Millis)
+where
+    P: Platform,
+{
+    // Earlier versions do not state the age. They inform nodes only while the store answers them.
+    let unstated_ms = (reply.leading && reply.store_answers).then_some(0);
+    let Some(age_ms) = reply.configuration_age_ms.or(unstated_ms) else {
+        return;
+    };
+    let version = reply.configuration_version;
+    if node.hear_of_version(version, Millis(sent_at.0.saturating_sub(age_ms))) {
+        node.configuration_wanted.notify_one();
+    }
+}
+
 /// Updates whether the scheduler is suspected to have failed. It is if its process accepts no connections, does not
 /// hold the role, or gave no answer twice in a row.
 ///
@@ -462,6 +478,7 @@
         candidate_rank: plan.map_or(0, |plan| plan.candidate_rank),
         informs: plan.is_some_and(|plan| !plan.follows_store),
         configuration_version: node.configuration_version(),
+        configuration_age_ms: Some(node.configuration_age().unconfirmed_ms),
         hands_over_soon: leader
             .as_ref()
             .is_some_and(|leader| leader.hands_over_soon()),
--- a/crates/cell/src/follow.rs
+++ b/crates/cell/src/follow.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 
 use syc_sched::Wave;
+use syc_types::Millis;
 use syc_types::WorkspaceName;
 
 use crate::Configuration;
@@ -30,6 +31,42 @@
 /// Delay after a failed read.
 const RETRY_MS: u64 = 100;
 
+/// The way by which a node got a record that operators published.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Way {
+    /// A read of the store.
+    Store,
+    /// Another node.
+    Node,
+}
+
+impl Way {
+    /// Returns its name in log lines.
+    pub(crate) const fn as_str(self) -> &'static str {
+        match self {
+            Self::Store => "store",
+            Self::Node => "node",
+        }
+    }
+}
+
+impl<P> Node<P>
+where
+    P: Platform,
+{
+    /// Records that another node knew of no version newer than `version` at `at`. Returns whether this node is behind.
+    pub(crate) fn hear_of_version(&self, version: u64, at: Millis) -> bool {
+        let mut freshness = self.configuration_freshness.borrow_mut();
+        freshness.record_heard(version, at, now())
+    }
+
+    /// Records that the store had no newer configuration than the one in force at `at`.
+    fn confirm_configuration(&self, at: Millis) {
+        let mut freshness = self.configuration_freshness.borrow_mut();
+        freshness.record_confirmed(at);
+    }
+}
+
 /// Applies each configuration with a greater version as soon as it is in the store.
 pub(crate) async fn follow_configuration<P>(node: Rc<Node<P>>)
 where
@@ -64,7 +101,7 @@
         () = pause(INFORMED_POLL_MS) => return,
     }
     match configuration_relay::query(node).await {
-        Some(record) => apply_record(node, &record),
+        Some(record) => apply_record(node, &record, Way::Node),
         None => {
             read_newest(node).await;
         }
@@ -75,8 +112,10 @@
 where
     P: Platform,
 {
+    let sent_at = now();
     let newest = node.newest(Topic::Operators, 0).await.ok()?;
     apply_newest(node, &newest);
+    node.confirm_configuration(sent_at);
     Some(newest.read_from)
 }
 
@@ -86,7 +125,7 @@
     P: Platform,
 {
     for (_offset, record) in &newest.records {
-        apply_record(node, record);
+        apply_record(node, record, Way::Store);
     }
 }
 
@@ -95,11 +134,13 @@
 where
     P: Platform,
 {
+    let sent_at = now();
     match node.read(Topic::Operators, 0, from, LONG_POLL_MS).await {
         Ok(page) => {
             for record in &page.records {
-                apply_record(node, record);
+                apply_record(node, record, Way::Store);
             }
+            node.confirm_configuration(sent_at);
             let count = u64::try_from(page.records.len()).unwrap_or(0);
             Some(page.first + count)
         }
@@ -111,7 +152,7 @@
     }
 }
 
-fn apply_record<P>(node: &Node<P>, record: &Record)
+fn apply_record<P>(node: &Node<P>, record: &Record, way: Way)
 where
     P: Platform,
 {
@@ -133,7 +174,7 @@
     node.unreadable.forget(Source::Operators, &record.key);
     match published {
         Published::Configuration(configuration) => {
-            apply_configuration(node, configuration, record);
+            apply_configuration(node, configuration, record, way);
         }
         Published::Wave(wave) => record_wave(node, wave),
         Published::Other => {}
@@ -160,15 +201,23 @@
     }
 }
 
-fn apply_configuration<P>(node: &Node<P>, mut configuration: Configuration, record: &Record)
-where
+fn apply_configuration<P>(
+    node: &Node<P>,
+    mut configuration: Configuration,
+    record: &Record,
+    way: Way,
+) where
     P: Platform,
 {
     let current = node.configuration();
     let in_force = current.as_ref().map_or(0, |current| current.version);
     let newer = configuration.version > in_force;
-    log::configuration(&configuration, in_force, newer);
+    let behind_ms = node.configuration_age().behind_ms;
+    log::configuration(&configuration, in_force, newer, way, behind_ms);
     if newer {
+        let mut freshness = node.configuration_freshness.borrow_mut();
+        freshness.record_applied(configuration.version);
+        drop(freshness);
         for skipped in &configuration.skipped_workspaces {
             let name = skipped.name.as_ref().map_or("", WorkspaceName::as_str);
             node.report_unreadable(Source::Workspaces, name, &skipped.reason);
--- a/crates/cell/src/log.rs
+++ b/crates/cell/src/log.rs
@@ -7,6 +7,7 @@
 use syc_obs::Event;
 use syc_obs::Line;
 use syc_obs::catalogue;
+use syc_sched::ConfigurationAge;
 use syc_sched::Counts;
 use syc_sched::JobId;
 use syc_sched::JobSpec;
@@ -27,6 +28,7 @@
 
 use crate::Configuration;
 use crate::NodeSettings;
+use crate::follow::Way;
 use crate::leader::carriers::CarrierLoad;
 use crate::leader::retry_report::RetryReport;
 use crate::node::Holder;
@@ -95,12 +97,37 @@
         .emit();
 }
 
-pub(crate) fn configuration(seen: &Configuration, in_force: u64, applied: bool) {
+pub(crate) fn configuration(
+    seen: &Configuration,
+    in_force: u64,
+    applied: bool,
+    way: Way,
+    behind_ms: u64,
+) {
     Line::new(catalogue::CONFIGURATION_SEEN)
         .number("version", seen.version)
         .number("before", in_force)
         .number("routes", seen.routes.len())
         .flag("applied", applied)
+        .text("way", way.as_str())
+        .number("behind_ms", behind_ms)
+        .emit();
+}
+
+pub(crate) fn configuration_unconfirmed(age: &ConfigurationAge, informed: bool, store: bool) {
+    Line::new(catalogue::CONFIGURATION_UNCONFIRMED)
+        .number("version", age.version)
+        .number("newest_heard", age.newest_heard)
+        .number("behind_ms", age.behind_ms)
+        .number("unconfirmed_ms", age.unconfirmed_ms)
+        .flag("informed", informed)
+        .flag("store_answers", store)
+        .emit();
+}
+
+pub(crate) fn configuration_confirmed(age: &ConfigurationAge) {
+    Line::new(catalogue::CONFIGURATION_CONFIRMED)
+        .number("version", age.version)
         .emit();
 }
 
--- a/crates/cell/src/node.rs
+++ b/crates/cell/src/node.rs
@@ -14,6 +14,8 @@
 use syc_obs::CellMetrics;
 use syc_obs::CellReadings;
 use syc_obs::flush_lines;
+use syc_sched::ConfigurationAge;
+use syc_sched::ConfigurationFreshness;
 use syc_sched::ContactTimeout;
 use syc_sched::ElectionBackoff;
 use syc_sched::Event;
@@ -92,6 +94,7 @@
     pub(crate) configuration: RefCell<Option<Rc<Configuration>>>,
     /// Record of the configuration in force, as operators published it.
     pub(crate) configuration_record: RefCell<Option<Record>>,
+    pub(crate) configuration_freshness: RefCell<ConfigurationFreshness>,
     pub(crate) read_ahead: ReadAhead,
     /// Asks for a contact to the scheduler without delay.
     pub(crate) contact_wanted: Notify,
@@ -148,6 +151,7 @@
             incarnation: rand::rngs::SmallRng::from_os_rng().random_range(1..=u64::from(u32::MAX)),
             configuration: RefCell::default(),
             configuration_record: RefCell::default(),
+            configuration_freshness: RefCell::new(ConfigurationFreshness::new(started_at)),
             read_ahead: ReadAhead::default(),
             contact_wanted: Notify::new(),
             configuration_wanted: Notify::new(),
@@ -198,6 +202,25 @@
         configuration.as_ref().map_or(0, |current| current.version)
     }
 
+    /// Returns how current the configuration in force is.
+    pub(crate) fn configuration_age(&self) -> ConfigurationAge {
+        self.configuration_freshness.borrow().age(now())
+    }
+
+    /// Logs that the configuration in force may be old, or no longer may.
+    fn review_configuration(&self) {
+        let change = self.configuration_freshness.borrow_mut().take_change(now());
+        let Some(may_be_old) = change else {
+            return;
+        };
+        let age = self.configuration_age();
+        if may_be_old {
+            log::configuration_unconfirmed(&age, self.is_informed(), self.store_answers());
+        } else {
+            log::configuration_confirmed(&age);
+        }
+    }
+
     /// Returns whether workers of a service may be used. Without a configuration, all may.
     pub(crate) fn allows_service(&self, service: &ServiceName) -> bool {
         let configuration = self.configuration();
@@ -276,6 +299,7 @@
         };
         if let Some(configuration) = self.configuration() {
             readings.configuration = configuration.version;
+            readings.configuration_age_ms = self.configuration_age().unconfirmed_ms;
         }
         if let Some(holder) = self.holder.borrow().as_ref() {
             readings.token = holder.token;
@@ -342,6 +366,7 @@
 {
     loop {
         pause(node.settings.timing.tick_interval_ms).await;
+        node.review_configuration();
         if let Some(leader) = node.leader() {
             leader.update_agreed_time();
             leader.review_peers();
--- a/crates/cell/tests/cell/fuzz.rs
+++ b/crates/cell/tests/cell/fuzz.rs
@@ -308,6 +308,8 @@
             has_fast_link: true,
             is_informed: true,
             has_read_ahead: true,
+            configuration_version: 3,
+            configuration_age_ms: Some(40),
         }),
         CellBody::ContactReply(ContactReply {
             token: 7,
@@ -320,6 +322,7 @@
             informs: true,
             configuration_version: 4,
             hands_over_soon: true,
+            configuration_age_ms: Some(50),
             ..ContactReply::default()
         }),
         CellBody::ConfigurationQuery(ConfigurationQuery { known_version: 3 }),
--- a/crates/obs/src/cell_metrics.rs
+++ b/crates/obs/src/cell_metrics.rs
@@ -63,6 +63,8 @@
     pub token: u64,
     /// Version of the configuration in force.
     pub configuration: u64,
+    /// Time since there was evidence that this version is the newest one.
+    pub configuration_age_ms: u64,
     /// Jobs that have not ended.
     pub open_jobs: usize,
     /// Tasks that wait for a start.
@@ -379,6 +381,7 @@
     leading: Gauge<u64>,
     token: Gauge<u64>,
     configuration: Gauge<u64>,
+    configuration_age: Gauge<f64>,
     jobs: Gauge<u64>,
     tasks: Gauge<u64>,
     workers: Gauge<u64>,
@@ -433,6 +436,10 @@
                 "syc_cell_configuration_version",
                 "Version of the configuration in force here.",
             ),
+            configuration_age: time(
+                "syc_cell_configuration_age",
+                "Time since there was evidence that this version is the newest one.",
+            ),
             jobs: gauge("syc_cell_open_jobs", "Jobs that have not ended."),
             tasks: gauge(
                 "syc_cell_tasks",
@@ -475,6 +482,7 @@
             (&self.oldest_doubt, readings.oldest_doubt_ms),
             (&self.longest_silence, readings.longest_silence_ms),
             (&self.longest_lease, readings.longest_lease_ms),
+            (&self.configuration_age, readings.configuration_age_ms),
             (&self.longest_slow, readings.longest_slow_ms),
         ];
         for (gauge, time_ms) in times {
--- a/crates/obs/src/events.rs
+++ b/crates/obs/src/events.rs
@@ -226,6 +226,10 @@
     WORKSPACE_RATE_USE = 758, Info, "use of workspace rate changed";
     /// A submit was rejected because its job would end too late for its caller.
     SUBMIT_SHED = 759, Warn, "submit shed";
+    /// The configuration in force may not be the newest one.
+    CONFIGURATION_UNCONFIRMED = 760, Warn, "configuration may be old";
+    /// There is evidence again that the configuration in force is the newest one.
+    CONFIGURATION_CONFIRMED = 761, Info, "configuration confirmed again";
     /// A worker is permanently slower than most, or no longer is.
     WORKER_SPEED = 764, Info, "learned speed of worker changed";
     /// Calls to workers are relayed through other nodes, or no more.
--- a/crates/sched/tests/core/main.rs
+++ b/crates/sched/tests/core/main.rs
@@ -3,6 +3,7 @@
 mod advice;
 mod authority;
 mod caps;
+mod configuration_freshness;
 mod consistency;
 mod contact_plan;
 mod contact_timeout;
--- a/crates/wire/src/cell.rs
+++ b/crates/wire/src/cell.rs
@@ -127,6 +127,13 @@
     /// Whether the sender has read the state that a takeover needs; false from earlier versions.
     #[prost(bool, tag = "13")]
     pub has_read_ahead: bool,
+    /// Version of the configuration in force at the sender; 0 if there is none, and from earlier versions.
+    #[prost(uint64, tag = "14")]
+    pub configuration_version: u64,
+    /// Time since the sender last had evidence that this version is the newest one, in milliseconds; absent from
+    /// earlier versions.
+    #[prost(uint64, optional, tag = "15")]
+    pub configuration_age_ms: Option<u64>,
 }
 
 /// A scheduler that was elected, as it is named to nodes that may be unable to read its claim.
@@ -210,6 +217,10 @@
     /// Whether the replying scheduler hands over its role soon; false from earlier versions.
     #[prost(bool, tag = "17")]
     pub hands_over_soon: bool,
+    /// Time since the replying node last had evidence that its configuration is the newest one, in milliseconds; absent
+    /// from earlier versions.
+    #[prost(uint64, optional, tag = "18")]
+    pub configuration_age_ms: Option<u64>,
 }
 
 /// A workspace that sends more than its rate, and a queue in which its jobs wait too long.
