Reproduce a node behind the configuration, five ways

- candidates that the store refuses, or does not answer, stay at version 1 while the scheduler and the informed nodes have version 2;
- a scheduler that can't read configurations keeps itself and all informed nodes at version 1, while the candidates have version 2;
- nodes that the store refuses get nothing from a scheduler with a slow link.

The shared platform can make a topic unreadable for a node.

--- a/crates/cell/tests/cell/informed.rs
+++ b/crates/cell/tests/cell/informed.rs
@@ -1,5 +1,7 @@
 //! Nodes that the scheduler keeps informed, so that they need not follow the store themselves.
 
+use syc_cell::Timing;
+use syc_cell::ports::Topic;
 use syc_fleet::SharedFaults;
 use syc_sched::JobState;
 
@@ -96,6 +98,102 @@
     wait_for_version(&cluster, &informed, 2);
 }
 
+/// Returns the nodes that follow the store, without the scheduler.
+fn candidates(cluster: &Cluster, scheduler: usize) -> Vec<usize> {
+    let informed = informed_nodes(cluster, scheduler);
+    let mut nodes = cluster.live_nodes();
+    nodes.retain(|node| *node != scheduler && !informed.contains(node));
+    nodes
+}
+
+fn refuse(cluster: &Cluster, nodes: &[usize]) {
+    cluster.platform.set_faults(SharedFaults {
+        refused_nodes: nodes.iter().map(|node| node_name(*node).into()).collect(),
+        ..SharedFaults::default()
+    });
+}
+
+/// A node that followed the store got no configuration while the store refused it, although the scheduler had it.
+#[test]
+fn candidates_that_the_store_refuses_get_new_configurations() {
+    let cluster = Cluster::start(NODES, 2);
+    let scheduler = cluster.scheduler();
+    let candidates = candidates(&cluster, scheduler);
+    refuse(&cluster, &candidates);
+    cluster.platform.publish(configuration(2));
+    wait_for_version(&cluster, &candidates, 2);
+}
+
+/// A node whose calls to the store get no answer got no configuration either.
+#[test]
+fn candidates_that_the_store_does_not_answer_get_new_configurations() {
+    let cluster = Cluster::start(NODES, 2);
+    let scheduler = cluster.scheduler();
+    let candidates = candidates(&cluster, scheduler);
+    let names = candidates.iter().map(|node| node_name(*node).into());
+    cluster.platform.set_faults(SharedFaults {
+        partitioned_nodes: names.collect(),
+        ..SharedFaults::default()
+    });
+    // Reads that were sent before are still answered.
+    for node in &candidates {
+        cluster.wait("a node without the store", || {
+            let answers = cluster.on(*node, |node| async move { node.store_view().answers });
+            (!answers).then_some(())
+        });
+    }
+    cluster.platform.publish(configuration(2));
+    wait_for_version(&cluster, &candidates, 2);
+}
+
+/// The former scheduler followed the store that refused it, and stayed behind.
+#[test]
+fn former_scheduler_that_the_store_refuses_gets_new_configurations() {
+    // In so small a cell, each node follows the store.
+    let cluster = Cluster::start(3, 2);
+    let scheduler = cluster.scheduler();
+    refuse(&cluster, &[scheduler]);
+    cluster.wait("another scheduler", || {
+        let mut nodes = cluster.live_nodes().into_iter();
+        nodes.find(|node| {
+            let is_scheduler = cluster.on(*node, |node| async move { node.is_scheduler() });
+            *node != scheduler && is_scheduler
+        })
+    });
+    cluster.platform.publish(configuration(2));
+    wait_for_version(&cluster, &[scheduler], 2);
+}
+
+/// A scheduler that the store answers, but not with configurations, kept itself and all informed nodes behind.
+#[test]
+fn scheduler_that_can_not_read_configurations_gets_them_from_candidates() {
+    let cluster = Cluster::start(NODES, 2);
+    let scheduler = cluster.scheduler();
+    let informed = informed_nodes(&cluster, scheduler);
+    let unreadable = (node_name(scheduler).into(), Topic::Operators);
+    cluster.platform.set_faults(SharedFaults {
+        unreadable_topics: vec![unreadable],
+        ..SharedFaults::default()
+    });
+    cluster.platform.publish(configuration(2));
+    wait_for_version(&cluster, &[scheduler], 2);
+    wait_for_version(&cluster, &informed, 2);
+}
+
+/// A scheduler with a slow link left all nodes to the store, also those that the store refused.
+#[test]
+fn nodes_that_the_store_refuses_get_configurations_over_slow_links() {
+    let links_mbps = [10.0; NODES];
+    let cluster = Cluster::start_unconfigured(&links_mbps, Timing::default());
+    cluster.platform.publish(configuration(1));
+    let scheduler = cluster.scheduler();
+    let mut others = informed_nodes(&cluster, scheduler);
+    others.truncate(2);
+    refuse(&cluster, &others);
+    cluster.platform.publish(configuration(2));
+    wait_for_version(&cluster, &others, 2);
+}
+
 /// Without a scheduler that informs them, they have to follow the store again.
 #[test]
 fn informed_nodes_follow_the_successor_of_a_lost_scheduler() {
--- a/crates/fleet/src/shared/calls.rs
+++ b/crates/fleet/src/shared/calls.rs
@@ -140,6 +140,15 @@
         self.lock().faults.refused_nodes.contains(&self.node)
     }
 
+    /// Returns whether this node can't read a partition.
+    pub(super) fn is_unreadable(&self, topic: Topic, partition: u32) -> bool {
+        let faults = &self.lock().faults;
+        faults.unavailable_partitions.contains(&(topic, partition))
+            || faults
+                .unreadable_topics
+                .contains(&(self.node.clone(), topic))
+    }
+
     /// Waits for the duration of a call to the store, or forever if the node is partitioned from it. Returns whether
     /// the store refuses the call.
     pub(super) async fn reach_store(&self) -> bool {
--- a/crates/fleet/src/shared/faults.rs
+++ b/crates/fleet/src/shared/faults.rs
@@ -11,6 +11,8 @@
 pub struct SharedFaults {
     /// Nodes whose calls to the store are refused.
     pub refused_nodes: BTreeSet<SmolStr>,
+    /// Pairs of a node and a topic that the store does not let it read.
+    pub unreadable_topics: Vec<(SmolStr, Topic)>,
     /// Nodes whose calls to the store are neither executed nor answered.
     pub partitioned_nodes: BTreeSet<SmolStr>,
     /// Workers whose renewal replies contain `u64::MAX` as their clock.
--- a/crates/fleet/src/shared/ports.rs
+++ b/crates/fleet/src/shared/ports.rs
@@ -104,12 +104,7 @@
                 // Calls that were waiting when the refusal began are reset.
                 return Err(ReadError::Unavailable(SmolStr::new_static("reset")));
             }
-            if self
-                .lock()
-                .faults
-                .unavailable_partitions
-                .contains(&(topic, partition))
-            {
+            if self.is_unreadable(topic, partition) {
                 return Err(ReadError::Unavailable(SmolStr::new_static(
                     "partition unavailable",
                 )));
@@ -131,12 +126,9 @@
         if self.take_unanswered_read() {
             std::future::pending::<()>().await;
         }
+        let is_unreadable = self.is_unreadable(topic, partition);
         let mut state = self.lock();
-        if state
-            .faults
-            .unavailable_partitions
-            .contains(&(topic, partition))
-        {
+        if is_unreadable {
             state.refused_full_reads += 1;
             return Err(ReadError::Unavailable(SmolStr::new_static(
                 "partition unavailable",
