Fetch a newer configuration from the scheduler's node, whatever else a node follows

Cause: the role of a node chose the one way by which it learns of a configuration. Candidates and former schedulers read the store and passed over the newer version that the scheduler stated in each reply. While the store turned such a node away, or left its reads unanswered, it stayed behind. And a scheduler with a slow link left every node to the store, also those that the store did not serve.

Change: whoever hears of a newer version fetches it from the scheduler's node. One that follows the store gives the store 300 ms first, so that the store need not send each version twice. A query says whether the store serves the asking node; if it does not, a scheduler with a slow link sends too.

--- a/crates/cell/src/follow.rs
+++ b/crates/cell/src/follow.rs
@@ -10,7 +10,6 @@
 use crate::Node;
 use crate::clock::now;
 use crate::clock::pause;
-use crate::configuration_relay;
 use crate::log;
 use crate::node::PublishedWave;
 use crate::ports::Newest;
@@ -60,6 +59,26 @@
         freshness.record_heard(version, at, now())
     }
 
+    /// Returns whether this node has heard of a newer configuration than its own.
+    pub(crate) fn is_behind_configuration(&self) -> bool {
+        self.configuration_freshness.borrow().is_behind()
+    }
+
+    /// Returns how long to wait until another node is asked for its newer configuration.
+    pub(crate) fn configuration_fetch_delay_ms(&self) -> u64 {
+        let follows_store = !self.is_informed();
+        let freshness = self.configuration_freshness.borrow();
+        freshness.fetch_delay_ms(follows_store, now())
+    }
+
+    /// Returns whether this node need not look for configurations in the store, since the scheduler states the newest
+    /// version and had evidence of that lately.
+    fn leaves_configuration_to_scheduler(&self) -> bool {
+        let freshness = self.configuration_freshness.borrow();
+        let has_configuration = self.configuration.borrow().is_some();
+        has_configuration && self.is_informed()
+    }
+
     /// Records that the store had no newer configuration than the one in force at `at`.
     fn confirm_configuration(&self, at: Millis) {
         let mut freshness = self.configuration_freshness.borrow_mut();
@@ -74,8 +93,8 @@
 {
     let mut position = None;
     loop {
-        if node.is_informed() && node.configuration().is_some() {
-            follow_scheduler(&node).await;
+        if node.leaves_configuration_to_scheduler() {
+            pause(INFORMED_POLL_MS).await;
             position = None;
             continue;
         }
@@ -89,26 +108,8 @@
     }
 }
 
-/// Waits for a newer configuration at the scheduler's node, and applies it.
-///
-/// If the scheduler does not send it, it is read from the store.
-async fn follow_scheduler<P>(node: &Rc<Node<P>>)
-where
-    P: Platform,
-{
-    tokio::select! {
-        () = node.configuration_wanted.notified() => {}
-        () = pause(INFORMED_POLL_MS) => return,
-    }
-    match configuration_relay::query(node).await {
-        Some(record) => apply_record(node, &record, Way::Node),
-        None => {
-            read_newest(node).await;
-        }
-    }
-}
-
-async fn read_newest<P>(node: &Node<P>) -> Option<u64>
+/// Reads the newest records that operators published, and returns the position after them.
+pub(crate) async fn read_newest<P>(node: &Node<P>) -> Option<u64>
 where
     P: Platform,
 {
@@ -119,6 +120,14 @@
     Some(newest.read_from)
 }
 
+/// Applies a record that another node has sent.
+pub(crate) fn apply_from_node<P>(node: &Node<P>, record: &Record)
+where
+    P: Platform,
+{
+    apply_record(node, record, Way::Node);
+}
+
 /// Applies the newest records that operators published.
 pub(crate) fn apply_newest<P>(node: &Node<P>, newest: &Newest)
 where
--- a/crates/cell/src/node.rs
+++ b/crates/cell/src/node.rs
@@ -2,6 +2,7 @@
 
 use std::cell::Cell;
 use std::cell::RefCell;
+use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::rc::Rc;
 
@@ -34,6 +35,7 @@
 use crate::clock::pause;
 use crate::clock_agreement::AgreedTime;
 use crate::clock_agreement::reported_anchor;
+use crate::configuration_relay;
 use crate::contact;
 use crate::contact::HolderLink;
 use crate::follow;
@@ -95,10 +97,12 @@
     /// Record of the configuration in force, as operators published it.
     pub(crate) configuration_record: RefCell<Option<Record>>,
     pub(crate) configuration_freshness: RefCell<ConfigurationFreshness>,
+    /// Node that last told this one, the scheduler, of a newer configuration.
+    pub(crate) newer_peer: Cell<Option<SocketAddr>>,
     pub(crate) read_ahead: ReadAhead,
     /// Asks for a contact to the scheduler without delay.
     pub(crate) contact_wanted: Notify,
-    /// Notifies that the scheduler has a newer configuration than this node.
+    /// Notifies that another node has a newer configuration than this one.
     pub(crate) configuration_wanted: Notify,
     /// Whether this node has looked for claims in the store since it last relied on the scheduler to learn of them.
     pub(crate) has_looked_for_claims: Cell<bool>,
@@ -152,6 +156,7 @@
             configuration: RefCell::default(),
             configuration_record: RefCell::default(),
             configuration_freshness: RefCell::new(ConfigurationFreshness::new(started_at)),
+            newer_peer: Cell::new(None),
             read_ahead: ReadAhead::default(),
             contact_wanted: Notify::new(),
             configuration_wanted: Notify::new(),
@@ -179,6 +184,7 @@
             settings,
         });
         actix_rt::spawn(follow::follow_configuration(Rc::clone(&node)));
+        actix_rt::spawn(configuration_relay::run_fetch_loop(Rc::clone(&node)));
         actix_rt::spawn(claims::follow_claims(Rc::clone(&node)));
         actix_rt::spawn(contact::run_contact_loop(Rc::clone(&node)));
         actix_rt::spawn(stored_state::run_read_ahead(Rc::clone(&node)));
--- a/crates/cell/tests/cell/fuzz.rs
+++ b/crates/cell/tests/cell/fuzz.rs
@@ -325,7 +325,10 @@
             configuration_age_ms: Some(50),
             ..ContactReply::default()
         }),
-        CellBody::ConfigurationQuery(ConfigurationQuery { known_version: 3 }),
+        CellBody::ConfigurationQuery(ConfigurationQuery {
+            known_version: 3,
+            lacks_store: true,
+        }),
         CellBody::ConfigurationReply(ConfigurationReply {
             key: "config".into(),
             value: Bytes::from_static(b"{}"),
--- a/crates/wire/src/cell.rs
+++ b/crates/wire/src/cell.rs
@@ -243,6 +243,10 @@
     /// Version of the configuration in force at the asking node; 0 if there is none.
     #[prost(uint64, tag = "1")]
     pub known_version: u64,
+    /// Whether the asking node does not get it from the store; false from earlier versions, which read the store if the
+    /// asked node sends none.
+    #[prost(bool, tag = "2")]
+    pub lacks_store: bool,
 }
 
 /// Reply to [`ConfigurationQuery`]: the record as operators published it.
