Let a scheduler learn of a configuration from the nodes that contact it

What callers would see: all informed nodes, and the scheduler, serve an older version, with no log line that says so.

Cause: the scheduler reads the configuration from the store and from nowhere else. If the store answers it, but not this read, nobody tells it, and the nodes that it informs know no more than it does.

Change: a contact states the sender's version and how old the evidence behind it is. A scheduler that hears of a newer one asks that node. The evidence counts as of the scheduler's last reply that the sender had, since contacts queue while a scheduler is paused.

--- a/crates/cell/src/contact.rs
+++ b/crates/cell/src/contact.rs
@@ -356,6 +356,23 @@
     }
 }
 
+/// Records which version of the configuration a node has that contacts this scheduler.
+fn note_configuration_of_follower<P>(node: &Node<P>, contact: &Contact)
+where
+    P: Platform,
+{
+    let Some(age_ms) = contact.configuration_age_ms else {
+        return;
+    };
+    // The contact may have been queued here while this node was paused.
+    let sent_after = Millis(contact.heard_at_ms).min(now());
+    let at = Millis(sent_after.0.saturating_sub(age_ms));
+    if node.hear_of_version(contact.configuration_version, at) {
+        node.newer_peer.set(contact.address.parse().ok());
+        node.configuration_wanted.notify_one();
+    }
+}
+
 /// Updates whether the scheduler is suspected to have failed. It is if its process accepts no connections, does not
 /// hold the role, or gave no answer twice in a row.
 ///
@@ -460,6 +477,9 @@
     // it without waiting for the full heartbeat timeout.
     let store = node.store_view();
     let unanswered = !store.answers && store.answered_ms > STORE_UNREACHABLE_MS;
+    if leader.is_some() && !is_notice {
+        note_configuration_of_follower(node, contact);
+    }
     let cut_off_from_store = contact.store_answers && unanswered;
     let agreed = leader.as_ref().map(|leader| leader.agreed_time());
     let shed_view = leader.as_ref().and_then(|leader| leader.shed_view());
