--- a/crates/cell/src/follow.rs
+++ b/crates/cell/src/follow.rs
@@ -72,11 +72,9 @@
     }
 
     /// Returns whether this node need not look for configurations in the store, since the scheduler states the newest
-    /// version and had evidence of that lately.
+    /// version.
     fn leaves_configuration_to_scheduler(&self) -> bool {
-        let freshness = self.configuration_freshness.borrow();
-        let has_configuration = self.configuration.borrow().is_some();
-        has_configuration && self.is_informed()
+        self.is_informed() && self.configuration.borrow().is_some()
     }
 
     /// Records that the store had no newer configuration than the one in force at `at`.
