--- a/crates/cell/src/configuration_relay.rs
+++ b/crates/cell/src/configuration_relay.rs
@@ -86,7 +86,7 @@
 {
     pause(node.settings.timing.store_timeout_ms).await;
     if !fetch(node, true).await {
-        std::future::pending().await
+        std::future::pending::<()>().await;
     }
 }
 
@@ -112,12 +112,11 @@
         lacks_store,
     });
     let link = node.link.borrow().clone();
-    let reply = match link {
-        Some(link) => link.call_without_reset(query, QUERY_TIMEOUT_MS).await,
-        None => {
-            let client = PeerClient::new(node.newer_peer.take()?, peer_options());
-            contact::call(&client, query, QUERY_TIMEOUT_MS).await
-        }
+    let reply = if let Some(link) = link {
+        link.call_without_reset(query, QUERY_TIMEOUT_MS).await
+    } else {
+        let client = PeerClient::new(node.newer_peer.take()?, peer_options());
+        contact::call(&client, query, QUERY_TIMEOUT_MS).await
     };
     let Ok(CellBody::ConfigurationReply(reply)) = reply else {
         return None;
--- a/crates/cell/tests/cell/informed.rs
+++ b/crates/cell/tests/cell/informed.rs
@@ -89,11 +89,7 @@
     let cluster = Cluster::start(NODES, 2);
     let scheduler = cluster.scheduler();
     let informed = informed_nodes(&cluster, scheduler);
-    let names = informed.iter().map(|node| node_name(*node).into());
-    cluster.platform.set_faults(SharedFaults {
-        refused_nodes: names.collect(),
-        ..SharedFaults::default()
-    });
+    refuse(&cluster, &informed);
     cluster.platform.publish(configuration(2));
     wait_for_version(&cluster, &informed, 2);
 }
@@ -106,6 +102,16 @@
     nodes
 }
 
+fn wait_for_other_scheduler(cluster: &Cluster, former: usize) {
+    cluster.wait("another scheduler", || {
+        let mut nodes = cluster.live_nodes().into_iter();
+        nodes.find(|node| {
+            let is_scheduler = cluster.on(*node, |node| async move { node.is_scheduler() });
+            *node != former && is_scheduler
+        })
+    });
+}
+
 fn refuse(cluster: &Cluster, nodes: &[usize]) {
     cluster.platform.set_faults(SharedFaults {
         refused_nodes: nodes.iter().map(|node| node_name(*node).into()).collect(),
@@ -153,13 +159,7 @@
     let cluster = Cluster::start(3, 2);
     let scheduler = cluster.scheduler();
     refuse(&cluster, &[scheduler]);
-    cluster.wait("another scheduler", || {
-        let mut nodes = cluster.live_nodes().into_iter();
-        nodes.find(|node| {
-            let is_scheduler = cluster.on(*node, |node| async move { node.is_scheduler() });
-            *node != scheduler && is_scheduler
-        })
-    });
+    wait_for_other_scheduler(&cluster, scheduler);
     cluster.platform.publish(configuration(2));
     wait_for_version(&cluster, &[scheduler], 2);
 }
@@ -241,13 +241,7 @@
         refused_nodes: refused.collect(),
         ..SharedFaults::default()
     });
-    cluster.wait("another scheduler", || {
-        let mut nodes = cluster.live_nodes().into_iter();
-        nodes.find(|node| {
-            let is_scheduler = cluster.on(*node, |node| async move { node.is_scheduler() });
-            *node != scheduler && is_scheduler
-        })
-    });
+    wait_for_other_scheduler(&cluster, scheduler);
     for (id, node) in (1..).zip(informed) {
         cluster.submit(node, id, vec![step(1, 20)]);
         cluster.wait_for_state(node, id, JobState::Completed);
