--- a/crates/sched/src/configuration_freshness.rs
+++ b/crates/sched/src/configuration_freshness.rs
@@ -101,7 +101,7 @@
         }
     }
 
-    /// Returns whether there was no evidence for so long that the node should look at the store itself.
+    /// Returns whether there was no evidence for so long that the configuration may be old.
     #[must_use]
     pub fn is_unconfirmed(&self, now: Millis) -> bool {
         self.version > 0 && now.since(self.confirmed_at) >= UNCONFIRMED_MS
