Give the role up for silent workers only if another node reaches more of them

Callers saw accepted jobs that never started, for as long as the cell ran, once more than half of its workers were lost within a few seconds.

Cause: a scheduler that heard fewer than half of the workers in its list for 1.5 s took itself for cut off from them and gave the role up. Lost workers stay in that list until their leases have expired for certain, and a takeover holds inherited work back for as long. So the successor had the same workers silent, gave the role up before its takeover was complete, and so on: nothing but answers of a majority ended it.

Change: while most workers are silent, the scheduler has the candidates for its role query up to eight of the silent ones. It hands over only if one of them reaches more workers than it does itself, and only for workers that still do not answer a query of its own. The release names that node, which claims first. Where nobody reaches them, they are lost or cut off from all, and the scheduler stays. Comparisons become rarer while nothing changes. SYC0718 tells the outcome.

--- a/crates/cell/src/claims.rs
+++ b/crates/cell/src/claims.rs
@@ -5,6 +5,7 @@
 
 use std::rc::Rc;
 
+use smol_str::SmolStr;
 use syc_types::Millis;
 
 use crate::Node;
@@ -60,6 +61,8 @@
     unproven_seen_at: Option<Millis>,
     /// Number of workers of the cell that a heartbeat last stated.
     workers: u64,
+    /// Node that should take the released role; empty if any may.
+    successor: SmolStr,
 }
 
 /// Follows the claims and heartbeats, and claims the role when there is no scheduler.
@@ -217,6 +220,7 @@
         if read.workers > 0 {
             self.workers = read.workers;
         }
+        self.successor = read.successor;
         self.heartbeat_seen_at = now();
         self.holder = (!read.released).then_some(Holder {
             node: read.node,
@@ -263,7 +267,7 @@
         }
         Some(_) => timing.heartbeat_timeout_ms * backoff_factor,
     };
-    heartbeat_timeout_ms + claim_delay_ms(node, claims.workers)
+    heartbeat_timeout_ms + claim_delay_ms(node, claims)
 }
 
 fn may_replace_yielding<P>(node: &Node<P>) -> bool
@@ -276,16 +280,26 @@
 
 /// Returns how long this node leaves the role to others that suit it better.
 ///
-/// The last scheduler named the candidates, in an order. Without that, a node judges by its own link and descriptors.
-fn claim_delay_ms<P>(node: &Node<P>, workers: u64) -> u64
+/// A scheduler that is cut off from its workers names the node that reaches them. Else, the last scheduler named the
+/// candidates, in an order. Without that, a node judges by its own link and descriptors.
+fn claim_delay_ms<P>(node: &Node<P>, claims: &ClaimLog) -> u64
 where
     P: Platform,
 {
     let settings = &node.settings;
     let timing = &settings.timing;
+    let successor_ms = if claims.successor.is_empty() {
+        0
+    } else if claims.successor == settings.name {
+        return 0;
+    } else {
+        timing.other_claim_delay_ms
+    };
     let jitter_up_to = |limit_ms: u64| node.incarnation % limit_ms.max(1);
     let order_ms = match node.candidate_rank.get() {
-        None => settings.files_claim_delay_ms(workers) + jitter_up_to(timing.claim_jitter_ms),
+        None => {
+            settings.files_claim_delay_ms(claims.workers) + jitter_up_to(timing.claim_jitter_ms)
+        }
         Some(0) => timing.other_claim_delay_ms + jitter_up_to(timing.other_claim_jitter_ms),
         Some(rank) => {
             let preparation_ms = if node.read_ahead.is_begun() {
@@ -296,7 +310,7 @@
             timing.candidate_spacing_ms * u64::from(rank - 1) + preparation_ms
         }
     };
-    settings.claim_delay_ms() + order_ms
+    settings.claim_delay_ms() + order_ms + successor_ms
 }
 
 /// Returns whether the scheduler's last reply was recent and reported that the store answers it.
@@ -341,10 +355,8 @@
         node: node.settings.name.clone(),
         address: node.settings.peer_address.to_string().into(),
         incarnation: node.incarnation,
-        token: 0,
-        released: false,
         proves: true,
-        workers: 0,
+        ..HolderRecord::default()
     });
     let condition = Condition::EndsAt(end);
     match node
--- a/crates/cell/src/leader.rs
+++ b/crates/cell/src/leader.rs
@@ -20,6 +20,7 @@
 mod vms;
 mod worker_calls;
 mod worker_link;
+mod worker_reach;
 
 use std::cell::Cell;
 use std::cell::RefCell;
@@ -47,6 +48,7 @@
 use syc_sched::Options;
 use syc_sched::Scheduler;
 use syc_sched::SpeedCounts;
+use syc_sched::WorkerIsolation;
 use syc_sched::WorkerKey;
 use syc_sched::clock_drift_ms;
 use syc_types::Millis;
@@ -172,8 +174,9 @@
     agreed_time: Cell<AgreedTime>,
     /// How the other nodes contact this one.
     contact_plans: RefCell<ContactPlans>,
-    /// When at least half of the workers were last answering.
-    workers_heard_at: Cell<Millis>,
+    /// Determines when the workers that this node reaches are compared with those that others reach.
+    worker_isolation: RefCell<WorkerIsolation>,
+    is_comparing_reach: Cell<bool>,
     /// Workspaces that send more than their rate, computed at the last tick.
     shed_view: RefCell<Option<Rc<ShedView>>>,
     tasks: RefCell<Vec<actix_rt::task::JoinHandle<()>>>,
@@ -236,7 +239,8 @@
             clock_agreement: RefCell::new(clock_agreement),
             agreed_time: Cell::new(agreed_time),
             contact_plans: RefCell::new(contact_plans),
-            workers_heard_at: Cell::new(now()),
+            worker_isolation: RefCell::new(WorkerIsolation::new(now())),
+            is_comparing_reach: Cell::new(false),
             shed_view: RefCell::default(),
             tasks: RefCell::default(),
         });
--- a/crates/cell/src/leader/handover.rs
+++ b/crates/cell/src/leader/handover.rs
@@ -3,14 +3,13 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use syc_types::Millis;
+use smol_str::SmolStr;
 
 use crate::clock::now;
 use crate::leader::Leader;
 use crate::ports::Platform;
 
-/// A scheduler hands over its role after hearing no other node for this long, or hearing fewer than
-/// half of the workers for this long beyond their answer timeout.
+/// A scheduler hands over its role after hearing no other node for this long.
 const ISOLATION_TIMEOUT_MS: u64 = 1_500;
 
 /// How long a planned stop waits for a candidate to read the state that a takeover needs. Tasks are started meanwhile.
@@ -20,14 +19,19 @@
 where
     P: Platform,
 {
+    /// Hands over the role to any other node.
+    async fn hand_over(self: &Rc<Self>, reason: &'static str) {
+        self.hand_over_to(SmolStr::default(), reason).await;
+    }
+
     /// Hands over the role: writes pending progress, then records in the store that the role is
-    /// free.
-    pub(crate) async fn hand_over(self: &Rc<Self>, reason: &'static str) {
+    /// free, and which node should take it; any, if the name is empty.
+    pub(super) async fn hand_over_to(self: &Rc<Self>, successor: SmolStr, reason: &'static str) {
         if self.handing_over.replace(true) || self.ended.get() {
             return;
         }
         self.flush_progress().await;
-        self.release(reason).await;
+        self.release(successor, reason).await;
     }
 
     /// Hands over the role once a candidate has read the state that a takeover needs, or after a while. The scheduler goes
@@ -46,19 +50,6 @@
         self.hands_over_soon.get()
     }
 
-    /// Returns whether fewer than half of the workers have answered for longer than they are given
-    /// to answer.
-    ///
-    /// That time adapts to how fast workers answer. With a fixed time, nodes kept handing over the
-    /// role when all workers were slow.
-    fn is_isolated_from_workers(&self, now: Millis) -> bool {
-        if self.scheduler.borrow().half_of_workers_respond() {
-            self.workers_heard_at.set(now);
-            return false;
-        }
-        now.since(self.workers_heard_at.get()) > ISOLATION_TIMEOUT_MS + self.median_slack_ms()
-    }
-
     /// Hands over the role if this node appears isolated while the store, and therefore other
     /// nodes, may be reachable.
     pub(crate) fn hand_over_if_isolated(self: &Rc<Self>) {
@@ -69,21 +60,15 @@
         if !self.loaded.get() || self.handing_over.get() || !self.node.store_answers() {
             return;
         }
-        let now = now();
-        let isolated_from_nodes = self
+        let is_isolated_from_nodes = self
             .peer_heard_at
             .get()
-            .is_some_and(|at| now.since(at) > ISOLATION_TIMEOUT_MS);
-        let isolated_from_workers = self.is_isolated_from_workers(now);
-        if !isolated_from_nodes && !isolated_from_workers {
+            .is_some_and(|at| now().since(at) > ISOLATION_TIMEOUT_MS);
+        if !is_isolated_from_nodes {
+            self.compare_reach_if_due();
             return;
         }
         let leader = Rc::clone(self);
-        let reason = if isolated_from_nodes {
-            "cut_off_from_nodes"
-        } else {
-            "cut_off_from_workers"
-        };
-        actix_rt::spawn(async move { leader.hand_over(reason).await });
+        actix_rt::spawn(async move { leader.hand_over("cut_off_from_nodes").await });
     }
 }
--- a/crates/cell/src/leader/heartbeat.rs
+++ b/crates/cell/src/leader/heartbeat.rs
@@ -2,6 +2,7 @@
 
 use std::rc::Rc;
 
+use smol_str::SmolStr;
 use syc_types::Millis;
 
 use crate::clock::now;
@@ -33,7 +34,7 @@
 {
     let mut sequence = 0;
     loop {
-        let record = records::holder(&leader.holder_record(false));
+        let record = records::holder(&leader.holder_record());
         let condition = leader.producer_condition(PRODUCER, sequence);
         let sent_at = now();
         let appended = leader
@@ -85,22 +86,27 @@
         }
     }
 
-    fn holder_record(&self, released: bool) -> HolderRecord {
+    fn holder_record(&self) -> HolderRecord {
         HolderRecord {
             node: self.node.settings.name.clone(),
             address: self.node.settings.peer_address.to_string().into(),
             incarnation: self.node.incarnation,
             token: self.token,
-            released,
             proves: true,
             workers: u64::try_from(self.sessions.borrow().len()).unwrap_or(u64::MAX),
+            ..HolderRecord::default()
         }
     }
 
-    /// Steps down and records in the store that the role is free.
-    pub(super) async fn release(self: &Rc<Self>, reason: &'static str) {
+    /// Steps down and records in the store that the role is free, and which node should take it; any, if the name is
+    /// empty.
+    pub(super) async fn release(self: &Rc<Self>, successor: SmolStr, reason: &'static str) {
         self.step_down(reason);
-        let record = records::holder(&self.holder_record(true));
+        let record = records::holder(&HolderRecord {
+            released: true,
+            successor,
+            ..self.holder_record()
+        });
         let mut sequence = 0;
         for _ in 0..MAX_RELEASE_ATTEMPTS {
             let condition = self.producer_condition(RELEASE_PRODUCER, sequence);
--- a/crates/cell/src/leader/sessions.rs
+++ b/crates/cell/src/leader/sessions.rs
@@ -98,7 +98,7 @@
     }
 
     /// Returns how long to wait for the answer to a renewal beyond the wait it requests.
-    fn renewal_slack_ms(&self, link: &WorkerLink) -> u64 {
+    pub(super) fn renewal_slack_ms(&self, link: &WorkerLink) -> u64 {
         let settings = &self.node.settings;
         let min_slack_ms = settings.timing.renewal_slack_ms;
         link.answer_timeout
--- a/crates/cell/src/leader/worker_calls.rs
+++ b/crates/cell/src/leader/worker_calls.rs
@@ -126,15 +126,13 @@
         client: &Rc<PeerClient>,
         call: &RelayedCall,
     ) -> Result<WorkerAnswer, OrderError> {
-        let message = CellMessage::encode_body(CellBody::WorkerCall(WorkerCall::from(call)));
-        let wait_ms = call.timeout_ms + CARRIER_SLACK_MS;
         let worker = &call.worker.id;
         let reply = tokio::select! {
-            reply = client.call(&message, wait_ms) => reply,
+            reply = call_through(client, call) => reply,
             () = self.wait_for_loss_of(name) => Err(CallError::NoReply),
         };
         let answer = match reply {
-            Ok(reply) => read_carrier_reply(&reply),
+            Ok(answer) => answer,
             Err(error) => {
                 let is_off = self.carriers.borrow_mut().note_failure(name, worker, now());
                 if is_off {
@@ -195,6 +193,22 @@
     }
 }
 
+/// Sends a call to a worker through another node. Returns the answer of the worker, as that node reports it.
+///
+/// # Errors
+///
+/// Returns an error if the other node does not reply.
+pub(super) async fn call_through(
+    client: &PeerClient,
+    call: &RelayedCall,
+) -> Result<Result<WorkerAnswer, OrderError>, CallError> {
+    let message = CellMessage::encode_body(CellBody::WorkerCall(WorkerCall::from(call)));
+    let reply = client
+        .call(&message, call.timeout_ms + CARRIER_SLACK_MS)
+        .await?;
+    Ok(read_carrier_reply(&reply))
+}
+
 /// Decodes the reply of a carrier. The worker may have carried out a call whose reply can't be decoded.
 fn read_carrier_reply(reply: &[u8]) -> Result<WorkerAnswer, OrderError> {
     let in_doubt = |reason| OrderError::InDoubt(SmolStr::new_static(reason));
--- a/crates/cell/src/log.rs
+++ b/crates/cell/src/log.rs
@@ -14,6 +14,7 @@
 use syc_sched::JobState;
 use syc_sched::Note;
 use syc_sched::RateUseChange;
+use syc_sched::Reach;
 use syc_sched::Run;
 use syc_sched::StartOrder;
 use syc_sched::StepId;
@@ -22,6 +23,7 @@
 use syc_sched::VmNote;
 use syc_sched::VmOperation;
 use syc_sched::VmOrderAnswer;
+use syc_sched::WorkerCounts;
 use syc_types::WorkerId;
 use syc_types::WorkspaceName;
 use syc_workspace::WorkspacePolicy;
@@ -191,6 +193,32 @@
         .emit();
 }
 
+/// Comparison of the workers that a scheduler and other nodes reach.
+#[derive(Debug)]
+pub(crate) struct ReachComparison<'a> {
+    pub(crate) token: u64,
+    pub(crate) counts: WorkerCounts,
+    /// Number of nodes that were asked.
+    pub(crate) candidates: usize,
+    /// The one of them that reaches the most; empty if none replied.
+    pub(crate) best: &'a str,
+    pub(crate) reach: Reach,
+    pub(crate) hands_over: bool,
+}
+
+pub(crate) fn reach_compared(comparison: &ReachComparison<'_>) {
+    Line::new(catalogue::REACH_COMPARED)
+        .number("token", comparison.token)
+        .number("answering", comparison.counts.answering)
+        .number("silent", comparison.counts.silent)
+        .number("candidates", comparison.candidates)
+        .text("best", comparison.best)
+        .number("asked", comparison.reach.asked)
+        .number("reached", comparison.reach.reached)
+        .flag("hands_over", comparison.hands_over)
+        .emit();
+}
+
 /// State that a takeover loaded, and how long it took.
 #[derive(Debug)]
 pub(crate) struct LoadedState {
--- a/crates/cell/src/records.rs
+++ b/crates/cell/src/records.rs
@@ -82,6 +82,9 @@
     /// Whether the holder releases the role.
     #[serde(default)]
     pub released: bool,
+    /// Node that should take a released role, since it reaches the most workers; empty if any may.
+    #[serde(default, skip_serializing_if = "SmolStr::is_empty")]
+    pub successor: SmolStr,
     /// Whether the holder starts a job only after the store has accepted an append that was sent after the holder
     /// learned of the job.
     #[serde(default)]
--- a/crates/cell/tests/cell/fake_scheduler.rs
+++ b/crates/cell/tests/cell/fake_scheduler.rs
@@ -107,9 +107,8 @@
         address: address.to_string().into(),
         incarnation: u64::MAX,
         token,
-        released: false,
         proves: true,
-        workers: 0,
+        ..HolderRecord::default()
     });
     platform.with_store(|store| append(store, &record))
 }
--- a/crates/cell/tests/cell/fuzz.rs
+++ b/crates/cell/tests/cell/fuzz.rs
@@ -265,7 +265,8 @@
         address: "10.0.0.1:7000".into(),
         incarnation: 9,
         token: 7,
-        released: false,
+        released: true,
+        successor: "node-1".into(),
         proves: true,
         workers: 3_000,
     };
--- a/crates/obs/src/events.rs
+++ b/crates/obs/src/events.rs
@@ -148,6 +148,8 @@
     PROGRESS_MOVED = 716, Warn, "progress written elsewhere";
     /// A takeover waits for a partition of the store.
     TAKEOVER_WAITS = 717, Warn, "takeover waits";
+    /// Most workers are silent, and other nodes were asked to query some of them.
+    REACH_COMPARED = 718, Warn, "reach of workers compared";
     /// A submit was accepted.
     SUBMIT_ACCEPTED = 720, Info, "submit accepted";
     /// A submit was refused.
--- a/crates/sched/src/contact_plan.rs
+++ b/crates/sched/src/contact_plan.rs
@@ -153,6 +153,12 @@
         self.nodes.len()
     }
 
+    /// Returns the candidates for the scheduler role, the best first.
+    #[must_use]
+    pub fn candidates(&self) -> &[SmolStr] {
+        &self.candidates
+    }
+
     /// Returns the longest interval between two contacts of a node.
     #[must_use]
     pub const fn interval_ms(&self) -> u64 {
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -73,6 +73,7 @@
 mod waiting;
 mod worker;
 mod worker_clock;
+mod worker_isolation;
 mod worker_report;
 mod workspaces;
 
@@ -143,6 +144,9 @@
 pub use vm_operation::WaveProgress;
 pub use worker_clock::ClockReading;
 pub use worker_clock::clock_drift_ms;
+pub use worker_isolation::Reach;
+pub use worker_isolation::WorkerCounts;
+pub use worker_isolation::WorkerIsolation;
 pub use worker_report::EndReport;
 pub use worker_report::RunEnd;
 pub use worker_report::RunningReport;
--- a/crates/sched/src/scheduler.rs
+++ b/crates/sched/src/scheduler.rs
@@ -25,6 +25,7 @@
 use crate::Options;
 use crate::TaskId;
 use crate::VmOperation;
+use crate::WorkerCounts;
 use crate::WorkerKey;
 use crate::consistency::ConsistencyCheck;
 use crate::durations::Durations;
@@ -294,11 +295,22 @@
         self.examined.get()
     }
 
-    /// Returns whether at least half of the workers respond.
+    /// Counts the workers that answer and those that do not.
     #[must_use]
-    pub fn half_of_workers_respond(&self) -> bool {
+    pub fn worker_counts(&self) -> WorkerCounts {
         let silent = self.workers.values().filter(|worker| worker.silent);
-        silent.count() * 2 <= self.workers.len()
+        let silent = silent.count();
+        WorkerCounts {
+            answering: self.workers.len() - silent,
+            silent,
+        }
+    }
+
+    /// Returns whether a worker left its latest renewal unanswered.
+    #[must_use]
+    pub fn is_silent(&self, worker: WorkerKey) -> bool {
+        let worker = self.workers.get(worker);
+        worker.is_some_and(|worker| worker.silent)
     }
 
     /// Returns whether some progress has not been stored yet.
--- a/crates/sched/tests/core/main.rs
+++ b/crates/sched/tests/core/main.rs
@@ -42,3 +42,4 @@
 mod takeover_units;
 mod unanswered_orders;
 mod worker_clock;
+mod worker_isolation;
