Log how many schedulers were elected within the last minute

A cell whose role goes round showed that only to who counted SYC0711 over all nodes. It now carries `elections_last_minute`.

Two more tests of what may hand the role on: with all other nodes lost for good, the last one gives the role up once, claims it again and goes on; workers that answer 0.9 s late hand nothing on.

--- a/crates/cell/src/claims.rs
+++ b/crates/cell/src/claims.rs
@@ -20,6 +20,7 @@
 use crate::ports::ReadError;
 use crate::ports::Record;
 use crate::ports::Topic;
+use crate::recent_elections::RecentElections;
 use crate::records;
 use crate::records::HOLDER_KEY;
 use crate::records::HolderRecord;
@@ -63,6 +64,7 @@
     workers: u64,
     /// Node that should take the released role; empty if any may.
     successor: SmolStr,
+    elections: RecentElections,
 }
 
 /// Follows the claims and heartbeats, and claims the role when there is no scheduler.
@@ -221,6 +223,7 @@
             self.workers = read.workers;
         }
         self.successor = read.successor;
+        self.elections.record(token, now());
         self.heartbeat_seen_at = now();
         self.holder = (!read.released).then_some(Holder {
             node: read.node,
@@ -365,9 +368,15 @@
     {
         Ok(appended) => {
             let timeout_factor = node.election_backoff.borrow().timeout_factor(now());
-            let before = claims.holder.as_ref();
-            log::claim_won(appended.offset + 1, before, silent_ms, timeout_factor);
+            let before = claims.holder.as_ref().map_or(0, |before| before.token);
             claims.apply(node, appended.offset, &record);
+            log::claim_won(&log::Election {
+                token: appended.offset + 1,
+                before,
+                silent_ms,
+                timeout_factor,
+                elections: claims.elections.count(now()),
+            });
             claims.position = Some(appended.end);
             update_holder(node, claims);
         }
--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -22,6 +22,7 @@
 mod node;
 pub mod ports;
 mod queries;
+mod recent_elections;
 pub mod records;
 pub mod remote_clock;
 pub mod roster;
--- a/crates/cell/src/log.rs
+++ b/crates/cell/src/log.rs
@@ -170,12 +170,26 @@
         .emit();
 }
 
-pub(crate) fn claim_won(token: u64, before: Option<&Holder>, silent_ms: u64, timeout_factor: u64) {
+/// Election of this node.
+#[derive(Debug)]
+pub(crate) struct Election {
+    pub(crate) token: u64,
+    /// Token of the scheduler before, or 0 if the role was free.
+    pub(crate) before: u64,
+    /// For how long no heartbeat was seen.
+    pub(crate) silent_ms: u64,
+    pub(crate) timeout_factor: u64,
+    /// Elections within the last minute, including this one.
+    pub(crate) elections: usize,
+}
+
+pub(crate) fn claim_won(election: &Election) {
     Line::new(catalogue::HOLDER_CHOSEN)
-        .number("token", token)
-        .number("before", before.map_or(0, |before| before.token))
-        .number("silent_ms", silent_ms)
-        .number("timeout_factor", timeout_factor)
+        .number("token", election.token)
+        .number("before", election.before)
+        .number("silent_ms", election.silent_ms)
+        .number("timeout_factor", election.timeout_factor)
+        .number("elections_last_minute", election.elections)
         .emit();
 }
 
--- a/crates/cell/tests/cell/lost_workers.rs
+++ b/crates/cell/tests/cell/lost_workers.rs
@@ -202,3 +202,44 @@
     assert_eq!(before, token(&cluster));
     cluster.assert_no_violations();
 }
+
+/// Guards against a cell without a scheduler after all nodes but one are lost for good: the last one hears no other node.
+#[test]
+fn the_last_node_goes_on_without_the_others() {
+    let mut cluster = Cluster::start_with_files_limit(3, 3, FILES_LIMIT);
+    let number = cluster.scheduler();
+    cluster.submit(number, 1, vec![step(6, LONG_WORK_MS)]);
+    cluster.wait_for_state(number, 1, JobState::Running);
+    for other in cluster.live_nodes() {
+        if other != number {
+            cluster.kill(other);
+        }
+    }
+    lose(&cluster, &ids(0..2));
+    cluster.wait("the role to be given up", || {
+        let is_scheduler = cluster.on(number, |node| async move { node.is_scheduler() });
+        (!is_scheduler).then_some(())
+    });
+    cluster.submit(number, 2, vec![step(2, 20)]);
+    cluster.wait_for_state(number, 2, JobState::Completed);
+    cluster.wait_for_state(number, 1, JobState::Completed);
+    cluster.assert_no_violations();
+}
+
+/// Guards against elections because of workers that answer late.
+#[test]
+fn a_scheduler_stays_while_all_workers_are_slow_to_answer() {
+    let cluster = Cluster::start_with_files_limit(3, 4, FILES_LIMIT);
+    let number = cluster.scheduler();
+    let before = token(&cluster);
+    cluster.submit(number, 1, vec![step(8, 20)]);
+    cluster.wait_for_state(number, 1, JobState::Completed);
+    cluster.platform.set_faults(SharedFaults {
+        worker_reply_delay_ms: 900,
+        ..SharedFaults::default()
+    });
+    cluster.submit(number, 2, vec![step(8, LONG_WORK_MS)]);
+    cluster.wait_for_state(number, 2, JobState::Completed);
+    assert_eq!(before, token(&cluster));
+    cluster.assert_no_violations();
+}
