Do not count a worker as reached that its carrier could not connect to

Cause: the scheduler took every answer of a carrier but two kinds of error for an answer of the worker, and so `NoConnection`, which says that the carrier had no connection to it. Calls to that worker stayed with that carrier. Which errors are an answer is now said once, and the comparison of reach uses the same.

Test: only_answers_show_that_a_worker_is_reached; of its seven cases, the old expression has "no connection" wrong.

--- a/crates/cell/src/leader/worker_calls.rs
+++ b/crates/cell/src/leader/worker_calls.rs
@@ -146,9 +146,8 @@
                 });
             }
         };
-        let is_reached = !matches!(answer, Err(OrderError::NotSent(_) | OrderError::InDoubt(_)));
         let mut carriers = self.carriers.borrow_mut();
-        carriers.note_answer(name, worker, is_reached, now());
+        carriers.note_answer(name, worker, is_reached(&answer), now());
         answer
     }
 
@@ -209,6 +208,11 @@
     Ok(read_carrier_reply(&reply))
 }
 
+/// Returns whether a call has reached the worker, or another process at its address.
+pub(super) fn is_reached(answer: &Result<WorkerAnswer, OrderError>) -> bool {
+    answer.as_ref().err().is_none_or(OrderError::is_answer)
+}
+
 /// Decodes the reply of a carrier. The worker may have carried out a call whose reply can't be decoded.
 fn read_carrier_reply(reply: &[u8]) -> Result<WorkerAnswer, OrderError> {
     let in_doubt = |reason| OrderError::InDoubt(SmolStr::new_static(reason));
--- a/crates/cell/src/leader/worker_reach.rs
+++ b/crates/cell/src/leader/worker_reach.rs
@@ -11,13 +11,12 @@
 use crate::clock::now;
 use crate::leader::Leader;
 use crate::leader::worker_calls::call_through;
+use crate::leader::worker_calls::is_reached;
 use crate::log;
-use crate::ports::OrderError;
 use crate::ports::Platform;
 use crate::ports::Renewal;
 use crate::ports::WorkerAddress;
 use crate::worker_command::RelayedCall;
-use crate::worker_command::WorkerAnswer;
 use crate::worker_command::WorkerCommand;
 
 /// Largest number of workers that each of the other nodes is asked to query.
@@ -104,7 +103,7 @@
         let queries = workers.iter().zip(reached).map(|(worker, reached)| {
             let answer = query.send(&self.node.platform, &worker.address, worker.timeout_ms);
             async move {
-                let answers_here = reached == Some(true) && has_answered(&answer.await);
+                let answers_here = reached == Some(true) && is_reached(&answer.await);
                 reached.filter(|_| !answers_here)
             }
         });
@@ -173,7 +172,7 @@
         });
         let mut reached = Vec::with_capacity(workers.len());
         for answer in join_all(queries).await {
-            reached.push(answer.ok().map(|answer| has_answered(&answer)));
+            reached.push(answer.ok().map(|answer| is_reached(&answer)));
         }
         reached
     }
@@ -194,11 +193,3 @@
         reach
     }
 }
-
-/// Returns whether any process answered at the address of a worker.
-const fn has_answered(answer: &Result<WorkerAnswer, OrderError>) -> bool {
-    !matches!(
-        answer,
-        Err(OrderError::NotSent(_) | OrderError::NoConnection(_) | OrderError::InDoubt(_))
-    )
-}
--- a/crates/cell/src/ports.rs
+++ b/crates/cell/src/ports.rs
@@ -350,6 +350,17 @@
     InDoubt(SmolStr),
 }
 
+impl OrderError {
+    /// Returns whether a process at the worker's address has answered. Otherwise the caller may be cut off from it.
+    #[must_use]
+    pub const fn is_answer(&self) -> bool {
+        match self {
+            Self::Replaced | Self::Restarted | Self::Fenced | Self::Refused(_) => true,
+            Self::NotSent(_) | Self::NoConnection(_) | Self::InDoubt(_) => false,
+        }
+    }
+}
+
 /// Counts of connections to workers.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct ConnectionCounts {
--- a/crates/cell/tests/cell/relaying.rs
+++ b/crates/cell/tests/cell/relaying.rs
@@ -37,6 +37,7 @@
 use syc_wire::worker_call::WorkerAnswerBody;
 use syc_wire::worker_call::WorkerCall;
 use syc_wire::worker_call::WorkerCallReply;
+use test_case::test_case;
 
 use crate::cluster::Cluster;
 use crate::cluster::node_name;
@@ -467,3 +468,16 @@
     usual.wait_for_state(node, 1, JobState::Completed);
     assert!(wait_ms(&usual) <= 1_000);
 }
+
+/// Guards against a worker that its carrier cannot connect to counting as reached, so that its calls stay with that
+/// carrier.
+#[test_case(&OrderError::Replaced, true; "another incarnation")]
+#[test_case(&OrderError::Restarted, true; "restarted")]
+#[test_case(&OrderError::Fenced, true; "fenced")]
+#[test_case(&OrderError::Refused(StartRefusal::Late), true; "refused")]
+#[test_case(&OrderError::NotSent("a".into()), false; "not sent")]
+#[test_case(&OrderError::NoConnection("b".into()), false; "no connection")]
+#[test_case(&OrderError::InDoubt("c".into()), false; "in doubt")]
+fn only_answers_show_that_a_worker_is_reached(error: &OrderError, is_answer: bool) {
+    assert_eq!(error.is_answer(), is_answer);
+}
