--- a/crates/cell/src/leader.rs
+++ b/crates/cell/src/leader.rs
@@ -141,8 +141,8 @@
     advice_nodes: RefCell<AdviceNodes>,
     /// Adaptive slack beyond the expected duration of advice calls.
     advice_timeout: AdaptiveTimeout,
-    /// Clients for the other nodes, which call the advice service and workers on behalf of this one.
-    advice_clients: RefCell<BTreeMap<SmolStr, Rc<PeerClient>>>,
+    /// Clients for the other nodes, which make calls on behalf of this one.
+    peer_clients: RefCell<BTreeMap<SmolStr, Rc<PeerClient>>>,
     /// Nodes through which calls to workers are relayed.
     carriers: RefCell<Carriers>,
     carrier_lines: LineLimit,
@@ -221,7 +221,7 @@
             sessions: RefCell::default(),
             advice_nodes: RefCell::new(AdviceNodes::with_local(node.settings.name.clone(), now())),
             advice_timeout: AdaptiveTimeout::default(),
-            advice_clients: RefCell::default(),
+            peer_clients: RefCell::default(),
             carriers: RefCell::new(Carriers::new(node.settings.files_limit)),
             carrier_lines: LineLimit::default(),
             task_lines: RefCell::default(),
--- a/crates/cell/src/leader/advice.rs
+++ b/crates/cell/src/leader/advice.rs
@@ -47,7 +47,7 @@
         let is_new = advice_nodes.note_heartbeat(&name, now());
         if is_new {
             let client = PeerClient::new(address, contact::peer_options());
-            let mut clients = self.advice_clients.borrow_mut();
+            let mut clients = self.peer_clients.borrow_mut();
             clients.insert(name, Rc::new(client));
         }
     }
@@ -107,7 +107,7 @@
                 "no node is available for an advice call",
             )));
         };
-        let client = self.advice_clients.borrow().get(&name).cloned();
+        let client = self.peer_clients.borrow().get(&name).cloned();
         let sent_at = now();
         let advice = match client {
             None => {
--- a/crates/cell/src/leader/peers.rs
+++ b/crates/cell/src/leader/peers.rs
@@ -75,7 +75,7 @@
         let mut advice_nodes = self.advice_nodes.borrow_mut();
         advice_nodes.set_heartbeat_interval_ms(interval_ms);
         let silent = advice_nodes.remove_silent(now());
-        let mut clients = self.advice_clients.borrow_mut();
+        let mut clients = self.peer_clients.borrow_mut();
         for name in silent {
             clients.remove(&name);
         }
--- a/crates/cell/src/leader/worker_calls.rs
+++ b/crates/cell/src/leader/worker_calls.rs
@@ -99,7 +99,7 @@
         let carrier = match route {
             Route::Direct => None,
             Route::Through(name) => {
-                let client = self.advice_clients.borrow().get(&name).cloned();
+                let client = self.peer_clients.borrow().get(&name).cloned();
                 client.map(|client| (name, client))
             }
         };
--- a/crates/cell/src/leader/worker_reach.rs
+++ b/crates/cell/src/leader/worker_reach.rs
@@ -144,7 +144,7 @@
 
     fn candidate_clients(&self) -> Vec<(SmolStr, Rc<PeerClient>)> {
         let plans = self.contact_plans.borrow();
-        let clients = self.advice_clients.borrow();
+        let clients = self.peer_clients.borrow();
         let mut candidates = Vec::new();
         for name in plans.candidates() {
             if let Some(client) = clients.get(name) {
