Repeat a comparison of reach soon that no other node answered, and others after 4 s at most

A cut-off scheduler whose peers were too busy to reply would have waited up to 8 s for the next. Test: a_comparison_without_a_reply_is_repeated_soon.

--- a/crates/cell/src/leader.rs
+++ b/crates/cell/src/leader.rs
@@ -176,6 +176,7 @@
     contact_plans: RefCell<ContactPlans>,
     /// Determines when the workers that this node reaches are compared with those that others reach.
     worker_isolation: RefCell<WorkerIsolation>,
+    /// Whether such a comparison is in progress.
     is_comparing_reach: Cell<bool>,
     /// Workspaces that send more than their rate, computed at the last tick.
     shed_view: RefCell<Option<Rc<ShedView>>>,
--- a/crates/cell/src/leader/worker_reach.rs
+++ b/crates/cell/src/leader/worker_reach.rs
@@ -48,13 +48,14 @@
         }
         self.is_comparing_reach.set(true);
         let leader = Rc::clone(self);
-        // It hands over the role, which aborts the tasks of this tenure.
+        // Not one of the tasks of this tenure: they are aborted when the role is handed over.
         actix_rt::spawn(async move {
             leader.compare_reach().await;
             leader.is_comparing_reach.set(false);
         });
     }
 
+    /// Compares the reach, and hands over the role if another node reaches more workers.
     async fn compare_reach(self: &Rc<Self>) {
         let workers = self.workers_to_query();
         let candidates = self.candidate_clients();
@@ -71,6 +72,9 @@
                 best_reach = reach;
             }
         }
+        if best_reach.asked == 0 {
+            self.worker_isolation.borrow_mut().note_unanswered(now());
+        }
         let (successor, reached) = best;
         let reached = self.leave_out_answering(&workers, reached).await;
         if self.ended.get() || self.handing_over.get() {
@@ -154,7 +158,7 @@
         candidates
     }
 
-    /// Has another node query workers. Returns whether it reached each of them; nothing if the node did not reply.
+    /// Has another node query workers. Returns for each whether it was reached; nothing if the node did not reply.
     async fn query_through(
         &self,
         client: &PeerClient,
--- a/crates/sched/src/worker_isolation.rs
+++ b/crates/sched/src/worker_isolation.rs
@@ -16,7 +16,7 @@
 const MIN_INTERVAL_MS: u64 = 1_000;
 
 /// Longest interval between two comparisons.
-const MAX_INTERVAL_MS: u64 = 8_000;
+const MAX_INTERVAL_MS: u64 = 4_000;
 
 /// How many workers answer this node.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -108,4 +108,10 @@
         self.interval_ms = (2 * self.interval_ms).min(MAX_INTERVAL_MS);
         true
     }
+
+    /// Records that no other node replied, so that the latest comparison showed nothing.
+    pub fn note_unanswered(&mut self, now: Millis) {
+        self.next_at = Some(now.plus(MIN_INTERVAL_MS));
+        self.interval_ms = MIN_INTERVAL_MS;
+    }
 }
--- a/crates/sched/tests/core/worker_isolation.rs
+++ b/crates/sched/tests/core/worker_isolation.rs
@@ -15,7 +15,7 @@
     WorkerCounts { answering, silent }
 }
 
-/// Applies the rule until `until_ms`, with half of the workers or more silent from the start, and returns the times of the
+/// Applies the rule until `until_ms`, with more than half of the workers silent from the start, and returns the times of the
 /// comparisons.
 fn comparisons(isolation: &mut WorkerIsolation, counts: WorkerCounts, until_ms: u64) -> Vec<u64> {
     let mut times = Vec::new();
@@ -51,8 +51,8 @@
 #[test]
 fn comparisons_become_rarer_while_nothing_changes() {
     let mut isolation = WorkerIsolation::new(Millis(0));
-    let times = comparisons(&mut isolation, counts(22, 26), 40_000);
-    assert_eq!(times, [2_000, 3_000, 5_000, 9_000, 17_000, 25_000, 33_000]);
+    let times = comparisons(&mut isolation, counts(22, 26), 20_000);
+    assert_eq!(times, [2_000, 3_000, 5_000, 9_000, 13_000, 17_000]);
 }
 
 /// Guards against a scheduler that stays cut off for long, because it had found before that other workers were lost.
@@ -65,6 +65,16 @@
     assert!(isolation.is_comparison_due(counts(10, 38), || SLACK_MS, later));
 }
 
+/// Guards against a scheduler that stays cut off for long, because the other nodes were too busy to reply.
+#[test]
+fn a_comparison_without_a_reply_is_repeated_soon() {
+    let mut isolation = WorkerIsolation::new(Millis(0));
+    comparisons(&mut isolation, counts(0, 48), 13_100);
+    isolation.note_unanswered(Millis(13_100));
+    assert!(!isolation.is_comparison_due(counts(0, 48), || SLACK_MS, Millis(14_000)));
+    assert!(isolation.is_comparison_due(counts(0, 48), || SLACK_MS, Millis(14_100)));
+}
+
 /// Guards against comparisons while workers are only slow: they are given longer to answer.
 #[test]
 fn workers_that_are_given_longer_are_compared_later() {
