--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -127,6 +127,7 @@
 pub use spec::AdvicePolicy;
 pub use spec::JobSpec;
 pub use spec::QueuePolicy;
+pub use spec::STEPS_LIMIT;
 pub use spec::Schedule;
 pub use spec::SpecFinding;
 pub use spec::StepSpec;
--- a/crates/sched/src/spec.rs
+++ b/crates/sched/src/spec.rs
@@ -20,6 +20,15 @@
 /// Maximum number of steps of a job, over all occurrences.
 pub const STEPS_LIMIT: usize = 1_000;
 
+/// Maximum number of violations that are returned.
+const FINDINGS_LIMIT: usize = 20;
+
+/// Bytes of a step's record without its texts and dependencies.
+const STEP_RECORD_BYTES: usize = 400;
+
+/// Bytes of a dependency of a step, in memory and in its record.
+const AFTER_BYTES: usize = 8;
+
 /// One step of a job: identical tasks that become ready together.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default)]
@@ -241,9 +250,29 @@
         })
     }
 
-    /// Validates the job and returns all violations.
+    /// Returns about how many bytes it takes while it is being stored: itself, and as a record.
+    #[must_use]
+    pub fn stored_bytes(&self) -> usize {
+        let mut bytes = 2 * self.payload.len();
+        for step in &self.steps {
+            let texts = step.image.len()
+                + step.data_rack.as_ref().map_or(0, SmolStr::len)
+                + step.required_label.as_ref().map_or(0, SmolStr::len);
+            bytes += size_of::<StepSpec>() + STEP_RECORD_BYTES;
+            bytes += 2 * texts + AFTER_BYTES * step.after.len();
+        }
+        bytes
+    }
+
+    /// Validates the job and returns its violations, the first ones if there are many.
     #[must_use]
     pub fn findings(&self) -> Vec<SpecFinding> {
+        let mut findings = self.all_findings();
+        findings.truncate(FINDINGS_LIMIT);
+        findings
+    }
+
+    fn all_findings(&self) -> Vec<SpecFinding> {
         let mut findings = Vec::new();
         if self.steps.is_empty() || self.steps.len() > STEPS_LIMIT {
             findings.push(SpecFinding::new(None, "a job must have 1 to 1,000 steps"));
