Bound what all clients together make a process hold

Callers saw a node that ran out of memory, or 503 for as long as a crowd stayed. The cause: connections were counted, but not what each made the process hold, and nothing ended a body, an answer or a link that stood still.

Now every listener (callers, readiness, metrics, other nodes; the daemon's callers, control and peers) takes its connections' memory out of one Intake. A listener at its limit closes the connection that has stood still longest. A request, or an answer that nobody reads, has 15 s. The codec gets one request at a time; the kernel keeps 16 KB of a connection.

--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -17,6 +17,7 @@
 mod configuration_relay;
 mod contact;
 mod follow;
+mod intake_log;
 mod leader;
 mod log;
 mod node;
--- a/crates/cell/src/node.rs
+++ b/crates/cell/src/node.rs
@@ -10,6 +10,7 @@
 use rand::Rng;
 use rand::SeedableRng;
 use smol_str::SmolStr;
+use syc_net::Intake;
 use syc_net::UnsentReplies;
 use syc_net::serve_peers;
 use syc_obs::CellMetrics;
@@ -39,6 +40,8 @@
 use crate::contact;
 use crate::contact::HolderLink;
 use crate::follow;
+use crate::intake_log;
+use crate::intake_log::IntakeLog;
 use crate::leader::Leader;
 use crate::log;
 use crate::ports::Platform;
@@ -89,6 +92,10 @@
     pub settings: NodeSettings,
     /// Metrics of this node.
     pub metrics: CellMetrics,
+    /// Bound on what clients and other nodes make the process hold.
+    pub intake: Intake,
+    /// Refusals that were already logged.
+    pub(crate) intake_log: IntakeLog,
     /// Unreadable input that was already logged.
     pub(crate) unreadable: Unreadable,
     /// Identifies this run of the process.
@@ -151,6 +158,8 @@
         let node = Rc::new(Self {
             platform,
             metrics: CellMetrics::new(),
+            intake: Intake::new(settings.intake),
+            intake_log: IntakeLog::default(),
             unreadable: Unreadable::default(),
             incarnation: rand::rngs::SmallRng::from_os_rng().random_range(1..=u64::from(u32::MAX)),
             configuration: RefCell::default(),
@@ -298,7 +307,11 @@
     #[must_use]
     pub fn metrics_page(&self) -> String {
         let connections = self.platform.connections();
+        let intake = self.intake.readings();
         let mut readings = CellReadings {
+            client_connections: intake.connections,
+            client_held_bytes: intake.pooled_bytes,
+            client_refusals: intake_log::refusals_by_reason(&intake.refusals),
             worker_connections_opened: connections.opened,
             worker_connections_withheld: connections.withheld,
             ..CellReadings::default()
@@ -373,6 +386,7 @@
     loop {
         pause(node.settings.timing.tick_interval_ms).await;
         node.review_configuration();
+        node.intake_log.review(&node.intake, now());
         if let Some(leader) = node.leader() {
             leader.update_agreed_time();
             leader.review_peers();
@@ -416,7 +430,9 @@
     P: Platform,
 {
     let unsent = node.unsent_replies.clone();
-    let served = serve_peers(listener, unsent, move |call: Bytes| {
+    let intake = node.intake.clone();
+    let max_links = intake.options().max_links();
+    let served = serve_peers(listener, max_links, intake, unsent, move |call: Bytes| {
         let node = Rc::clone(&node);
         async move { contact::handle_call(&node, &call).await }
     });
--- a/crates/cell/src/settings.rs
+++ b/crates/cell/src/settings.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use smol_str::SmolStr;
+use syc_net::IntakeOptions;
 
 use crate::WallClock;
 
@@ -41,6 +42,8 @@
     pub link_mbps: f64,
     /// Maximum number of open files of the process; 0 if unknown.
     pub files_limit: u64,
+    /// Limits of what clients and other nodes make the process hold.
+    pub intake: IntakeOptions,
     /// Availability zone of the node; empty if unknown.
     pub zone: SmolStr,
     /// Interval between heartbeats of a worker.
--- a/crates/cell/tests/cell/cluster.rs
+++ b/crates/cell/tests/cell/cluster.rs
@@ -18,6 +18,7 @@
 use syc_cell::WallClock;
 use syc_fleet::SharedPlatform;
 use syc_fleet::TaskPlan;
+use syc_net::IntakeOptions;
 use syc_sched::AdvicePolicy;
 use syc_sched::JobId;
 use syc_sched::JobSpec;
@@ -361,6 +362,7 @@
         partitions: 4,
         link_mbps: LINK_MBPS,
         files_limit: 0,
+        intake: IntakeOptions::default(),
         zone: SmolStr::default(),
         worker_heartbeat_ms: 1_500,
         maintenance_ms: 300,
--- a/crates/cell/tests/cell/fake_scheduler.rs
+++ b/crates/cell/tests/cell/fake_scheduler.rs
@@ -17,6 +17,7 @@
 use syc_cell::records;
 use syc_cell::records::HolderRecord;
 use syc_fleet::SharedPlatform;
+use syc_net::Intake;
 use syc_net::UnsentReplies;
 use syc_net::serve_peers;
 use syc_wire::cell::CellBody;
@@ -30,6 +31,9 @@
 
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(200);
 
+/// More links than any test opens.
+const MAX_LINKS: usize = 64;
+
 /// What the fake answers, and what it was asked.
 #[derive(Debug, Clone)]
 pub struct Answers {
@@ -74,6 +78,8 @@
             });
             actix_rt::spawn(serve_peers(
                 listener,
+                MAX_LINKS,
+                Intake::default(),
                 UnsentReplies::default(),
                 move |call| {
                     let answers = Arc::clone(&served);
--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -96,6 +96,8 @@
     pub connections: usize,
     /// Size of a request's body.
     pub body_bytes: usize,
+    /// Memory that requests and responses in progress may take together, beyond 16 KB of each connection.
+    pub client_memory_bytes: usize,
     /// Requests that wait for an endpoint.
     pub queue_requests: usize,
     /// Appends a second to the log that all entry VMs together may sustain.
@@ -109,6 +111,7 @@
         Self {
             connections: 4_096,
             body_bytes: 1024 * 1024,
+            client_memory_bytes: 64 * 1024 * 1024,
             queue_requests: 1_024,
             appends_per_s: 18,
             snapshot_entries: 20_000,
--- a/crates/daemon/src/callers.rs
+++ b/crates/daemon/src/callers.rs
@@ -27,6 +27,7 @@
 use crate::http_body::json;
 use crate::http_body::read_json;
 use crate::http_body::refusal;
+use crate::http_body::unread;
 use crate::members;
 use crate::node::Node;
 use crate::requests;
@@ -146,7 +147,7 @@
     let limit = node.settings.limits.body_bytes;
     let body = match read_json::<SubmitBody>(request, limit).await {
         Ok(body) => body,
-        Err(error) => return refusal(StatusCode::BAD_REQUEST, &error),
+        Err(error) => return unread(&error),
     };
     let job_id = body.job_id.unwrap_or_else(|| JobId(Uuid::now_v7()));
     match home::submit(node, job_id, &body.spec).await {
--- a/crates/daemon/src/callers/request.rs
+++ b/crates/daemon/src/callers/request.rs
@@ -10,6 +10,7 @@
 use syc_api::ErrorBody;
 use syc_api::Outcome;
 use syc_net::BodyError;
+use syc_net::Refusal as Refused;
 use syc_net::read_body;
 use syc_route::created_at;
 use syc_types::CallerId;
@@ -58,6 +59,8 @@
     let body = body.map_err(|error| match error {
         BodyError::TooLarge => too_large(),
         BodyError::Incomplete => head.judge(bad("body_cut", "the body was cut")),
+        BodyError::Refused(Refused::TooSlow) => head.judge(slow_body()),
+        BodyError::Refused(_) => head.judge(no_memory()),
     })?;
     let request = CallerRequest {
         id: head.id,
--- a/crates/daemon/src/control_drain.rs
+++ b/crates/daemon/src/control_drain.rs
@@ -17,7 +17,7 @@
 
 use crate::http_body::json;
 use crate::http_body::read_json;
-use crate::http_body::refusal;
+use crate::http_body::unread;
 use crate::node::Node;
 
 /// Largest body of a drain.
@@ -30,7 +30,7 @@
 pub async fn answer(node: &Rc<Node>, request: &mut Request) -> Response<BoxBody> {
     let body = match read_json::<DrainBody>(request, BODY_LIMIT_BYTES).await {
         Ok(body) => body,
-        Err(error) => return refusal(StatusCode::BAD_REQUEST, &error),
+        Err(error) => return unread(&error),
     };
     let actor = &body.actor;
     emit(catalogue::DRAIN_ASKED, format_args!("actor={actor}"));
--- a/crates/daemon/src/control_publish.rs
+++ b/crates/daemon/src/control_publish.rs
@@ -22,6 +22,7 @@
 use crate::http_body::json;
 use crate::http_body::read_json;
 use crate::http_body::refusal;
+use crate::http_body::unread;
 use crate::node::Node;
 use crate::publish;
 
@@ -41,7 +42,7 @@
 pub async fn answer(node: &Rc<Node>, request: &mut Request) -> Response<BoxBody> {
     let unchecked = match read_json::<Unchecked>(request, DOCUMENT_LIMIT_BYTES).await {
         Ok(unchecked) => unchecked,
-        Err(error) => return refusal(StatusCode::BAD_REQUEST, &error),
+        Err(error) => return unread(&error),
     };
     let body = match check(unchecked) {
         Ok(body) => body,
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -22,6 +22,7 @@
 use crate::control;
 use crate::follower;
 use crate::home_run;
+use crate::intake_log;
 use crate::log_writer::LogWriter;
 use crate::members;
 use crate::members::Members;
@@ -36,6 +37,9 @@
 /// intents and withdrawals are appended after that.
 const HANDOVER_WAIT_MS: u64 = 3_000;
 
+/// Open connections of operators' tools.
+const CONTROL_CONNECTIONS: usize = 64;
+
 /// How often a planned stop looks whether requests are still in progress.
 const DRAIN_CHECK: Duration = Duration::from_millis(20);
 
@@ -117,27 +121,33 @@
         let failed = |address: SmolStr| |source| StartError::Listen { address, source };
 
         let state = Rc::clone(&node);
+        let intake = node.intake.clone();
         let options = HttpOptions {
             max_connections: node.settings.limits.connections,
             ..HttpOptions::default()
         };
-        let callers = HttpListener::start(listeners.callers, options, move |request| {
-            callers::answer(Rc::clone(&state), request)
-        })
-        .map_err(failed(listen.callers))?;
+        let callers =
+            HttpListener::start_bounded(listeners.callers, options, &intake, move |request| {
+                callers::answer(Rc::clone(&state), request)
+            })
+            .map_err(failed(listen.callers))?;
 
         let state = Rc::clone(&node);
-        let options = HttpOptions::default();
-        let control = HttpListener::start(listeners.control, options, move |request| {
-            control::answer(Rc::clone(&state), request)
-        })
-        .map_err(failed(listen.control))?;
+        let options = HttpOptions {
+            max_connections: CONTROL_CONNECTIONS,
+            ..HttpOptions::default()
+        };
+        let control =
+            HttpListener::start_bounded(listeners.control, options, &intake, move |request| {
+                control::answer(Rc::clone(&state), request)
+            })
+            .map_err(failed(listen.control))?;
 
         let state = Rc::clone(&node);
         let unsent = UnsentReplies::default();
-        let serving = serve_peers(listeners.peers, unsent.clone(), move |payload| {
-            peers::answer(Rc::clone(&state), payload)
-        });
+        let max_links = intake.options().max_links();
+        let handler = move |payload| peers::answer(Rc::clone(&state), payload);
+        let serving = serve_peers(listeners.peers, max_links, intake, unsent.clone(), handler);
         let tasks = vec![
             actix_rt::spawn(async move {
                 let _stopped = serving.await;
@@ -148,6 +158,7 @@
             actix_rt::spawn(members_run::watch_vms(Rc::clone(&node))),
             actix_rt::spawn(owner::run(Rc::clone(&node))),
             actix_rt::spawn(requests::run(Rc::clone(&node))),
+            actix_rt::spawn(intake_log::run(Rc::clone(&node))),
         ];
         let listen = &node.settings.listen;
         emit(
--- a/crates/daemon/src/http_body.rs
+++ b/crates/daemon/src/http_body.rs
@@ -11,6 +11,12 @@
 use syc_net::json_response;
 use syc_net::read_body;
 
+/// Code of the error of a body that there is no memory for.
+const MEMORY_FULL: &str = "memory_full";
+
+/// Time after which a caller may come back whose body was refused.
+const MEMORY_RETRY_MS: u64 = 500;
+
 /// Makes the response of an error.
 pub fn refusal(status: StatusCode, error: &ErrorBody) -> Response<BoxBody> {
     let mut response = json(status, error);
@@ -30,6 +36,16 @@
     json_response(status, serde_json::to_string(value).unwrap_or_default())
 }
 
+/// Makes the response to a request whose body [`read_json`] did not read.
+pub fn unread(error: &ErrorBody) -> Response<BoxBody> {
+    let status = if error.code == MEMORY_FULL {
+        StatusCode::SERVICE_UNAVAILABLE
+    } else {
+        StatusCode::BAD_REQUEST
+    };
+    refusal(status, error)
+}
+
 /// Reads a request's JSON body.
 pub async fn read_json<T>(request: &mut Request, limit_bytes: usize) -> Result<T, ErrorBody>
 where
@@ -42,6 +58,11 @@
                 ErrorBody::not_run("body_too_large", "the body is too large", None)
             }
             BodyError::Incomplete => ErrorBody::not_run("body_cut", "the body was cut", None),
+            BodyError::Refused(_) => ErrorBody::not_run(
+                MEMORY_FULL,
+                "too much is being sent to this daemon",
+                Some(MEMORY_RETRY_MS),
+            ),
         })?;
     serde_json::from_slice(&body)
         .map_err(|source| ErrorBody::not_run("body_malformed", &source.to_string(), None))
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -20,6 +20,7 @@
 mod home_place;
 mod home_run;
 mod http_body;
+mod intake_log;
 mod log_writer;
 mod log_writer_task;
 mod members;
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -8,6 +8,7 @@
 
 use syc_config::Document;
 use syc_config::Inventory;
+use syc_config::Limits;
 use syc_config::Settings;
 use syc_config::effective_inventory;
 use syc_coord::ConfigStore;
@@ -19,6 +20,8 @@
 use syc_coord::snapshot::SnapshotPart;
 use syc_coord::snapshot::SnapshotProgress;
 use syc_member::View;
+use syc_net::Intake;
+use syc_net::IntakeOptions;
 use syc_platform::http::HttpPlatform;
 use syc_types::MemberId;
 use syc_types::Millis;
@@ -82,6 +85,8 @@
     pub owner: Owner,
     /// The request path's state.
     pub requests: Requests,
+    /// Bound on what clients and other daemons make this one hold.
+    pub intake: Intake,
     /// Whether a planned stop has begun.
     pub draining: Cell<bool>,
     /// Whether it leaves its homes to others: it starts nothing new.
@@ -108,6 +113,15 @@
     pub log_writer: LogWriter,
 }
 
+/// Returns the bound for these limits. Other daemons and operators have connections of their own beside the callers'.
+fn intake_options(limits: &Limits) -> IntakeOptions {
+    IntakeOptions {
+        pool_bytes: limits.client_memory_bytes,
+        max_connections: limits.connections.saturating_mul(2),
+        ..IntakeOptions::default()
+    }
+}
+
 impl Node {
     /// Puts a node together.
     pub fn new(parts: NodeParts) -> Rc<Self> {
@@ -137,6 +151,7 @@
             jobs_wake: Notify::new(),
             owner: Owner::new(parts.settings.timing.lease_ms),
             requests,
+            intake: Intake::new(intake_options(&parts.settings.limits)),
             draining: Cell::new(false),
             handing_over: Cell::new(false),
             placements: Cell::new(0),
--- a/crates/net/src/http.rs
+++ b/crates/net/src/http.rs
@@ -2,15 +2,20 @@
 
 use std::cell::Cell;
 use std::cell::RefCell;
+use std::convert::Infallible;
 use std::net::TcpListener;
 use std::rc::Rc;
 use std::rc::Weak;
 use std::time::Duration;
 
+use actix_http::ConnectionType;
 use actix_http::HttpService;
+use actix_http::Payload;
 use actix_http::Request;
 use actix_http::Response;
+use actix_http::body::BodySize;
 use actix_http::body::BoxBody;
+use actix_http::body::MessageBody;
 use actix_service::Service;
 use actix_service::ServiceFactory;
 use actix_service::fn_service;
@@ -20,14 +25,24 @@
 
 use crate::connection::CloseSignal;
 use crate::connection::Connection;
+use crate::connection::LINGER;
+use crate::intake::Intake;
+use crate::intake::ListenerKey;
+use crate::intake::Release;
+use crate::intake::Share;
+use crate::receive_buffer::limit_receive_buffer;
 
-/// Number of connections above the limit whose requests still get an error response.
-const MAX_REJECTED_CONNECTIONS: usize = 64;
+/// Number of closed connections whose signals are kept before they are dropped together.
+const SPARE_SIGNALS: usize = 64;
+
+/// Bytes of responses to pipelined requests after which no further request is handled until they are written.
+const WRITE_BUFFER_BYTES: usize = 4 * 1024;
 
 /// Limits of an [`HttpListener`].
 #[derive(Debug, Clone, Copy)]
 pub struct HttpOptions {
-    /// Maximum number of open connections. A few more are accepted and marked [`OverLimit`]; any others are closed.
+    /// Maximum number of open connections. At the limit, a connection that stands still is closed for a new one. If
+    /// there is none, a few more are accepted and marked [`OverLimit`]; any others are closed.
     pub max_connections: usize,
     /// Timeout for receiving the head of a request.
     pub head_timeout_ms: u64,
@@ -55,9 +70,10 @@
     request.conn_data::<OverLimit>().is_some()
 }
 
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct Shared {
-    open_connections: Cell<usize>,
+    intake: Intake,
+    key: ListenerKey,
     stop_accepting: Notify,
     shutting_down: Cell<bool>,
     close_signals: RefCell<Vec<Weak<CloseSignal>>>,
@@ -71,7 +87,8 @@
 }
 
 impl HttpListener {
-    /// Accepts connections on `listener` and passes each request to `handler`.
+    /// Accepts connections on `listener` and passes each request to `handler`. Its clients have an [`Intake`] of their
+    /// own.
     ///
     /// Must be called on an actix arbiter.
     ///
@@ -83,13 +100,38 @@
         options: HttpOptions,
         handler: F,
     ) -> std::io::Result<Self>
+    where
+        F: Fn(Request) -> R + Clone + 'static,
+        R: Future<Output = Response<BoxBody>> + 'static,
+    {
+        Self::start_bounded(listener, options, &Intake::default(), handler)
+    }
+
+    /// Like [`Self::start`], with the bound that its clients share with those of other listeners.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the listener can't be registered with the runtime.
+    pub fn start_bounded<F, R>(
+        listener: TcpListener,
+        options: HttpOptions,
+        intake: &Intake,
+        handler: F,
+    ) -> std::io::Result<Self>
     where
         F: Fn(Request) -> R + Clone + 'static,
         R: Future<Output = Response<BoxBody>> + 'static,
     {
         listener.set_nonblocking(true)?;
+        limit_receive_buffer(&listener)?;
         let listener = tokio::net::TcpListener::from_std(listener)?;
-        let shared = Rc::new(Shared::default());
+        let shared = Rc::new(Shared {
+            intake: intake.clone(),
+            key: intake.add_listener(options.max_connections, Release::AtOnce),
+            stop_accepting: Notify::new(),
+            shutting_down: Cell::new(false),
+            close_signals: RefCell::default(),
+        });
         let accept_loop = accept_loop(listener, options, handler, Rc::clone(&shared));
         Ok(Self {
             accept_task: actix_rt::spawn(accept_loop),
@@ -100,7 +142,7 @@
     /// Returns the number of open connections.
     #[must_use]
     pub fn open_connections(&self) -> usize {
-        self.shared.open_connections.get()
+        self.shared.intake.open_connections(self.shared.key)
     }
 
     /// Starts a graceful shutdown.
@@ -121,6 +163,7 @@
 impl Drop for HttpListener {
     fn drop(&mut self) {
         self.accept_task.abort();
+        self.shared.intake.remove_listener(self.shared.key);
     }
 }
 
@@ -133,14 +176,14 @@
     F: Fn(Request) -> R + Clone + 'static,
     R: Future<Output = Response<BoxBody>> + 'static,
 {
-    let respond = move |request: Request| {
-        let response = handler(request);
-        async move { Ok::<_, std::convert::Infallible>(response.await) }
-    };
+    let respond = move |request: Request| respond(request, &handler);
     let factory = HttpService::build()
         .keep_alive(Duration::from_millis(options.keep_alive_ms))
         .client_request_timeout(Duration::from_millis(options.head_timeout_ms))
+        .client_disconnect_timeout(LINGER)
+        .h1_write_buffer_size(WRITE_BUFFER_BYTES)
         .on_connect_ext(|connection: &Connection, data| {
+            data.insert(Rc::clone(connection.share()));
             if connection.over_limit {
                 data.insert(OverLimit);
             }
@@ -151,14 +194,15 @@
     };
     let service = Rc::new(service);
     let serve = |stream: TcpStream| {
-        let Some(connection) = admit(stream, options, &shared) else {
+        let Some((connection, signal)) = admit(stream, &shared) else {
             return;
         };
-        let open = OpenConnection::new(&shared);
         let service = Rc::clone(&service);
         actix_rt::spawn(async move {
-            let _closed = service.call((connection, None)).await;
-            drop(open);
+            tokio::select! {
+                _closed = service.call((connection, None)) => {}
+                () = signal.aborted() => {}
+            }
         });
     };
     loop {
@@ -180,44 +224,66 @@
     }
 }
 
-/// Guard that counts a connection as open.
-struct OpenConnection(Rc<Shared>);
-
-impl OpenConnection {
-    fn new(shared: &Rc<Shared>) -> Self {
-        shared
-            .open_connections
-            .set(shared.open_connections.get() + 1);
-        Self(Rc::clone(shared))
+/// Has the handler answer a request, and tells the connection's share how far the request is.
+fn respond<F, R>(
+    mut request: Request,
+    handler: &F,
+) -> impl Future<Output = Result<Response<BoxBody>, Infallible>> + use<F, R>
+where
+    F: Fn(Request) -> R,
+    R: Future<Output = Response<BoxBody>>,
+{
+    let share = connection_share(&request);
+    if let Some(share) = &share {
+        let has_body = !matches!(request.payload(), Payload::None);
+        share.begin_request(has_body);
+    }
+    let response = handler(request);
+    async move {
+        let mut response = response.await;
+        if let Some(share) = share {
+            finish_response(&share, &mut response);
+        }
+        Ok(response)
     }
 }
 
-impl Drop for OpenConnection {
-    fn drop(&mut self) {
-        self.0
-            .open_connections
-            .set(self.0.open_connections.get() - 1);
+/// Tells the share of a connection that its request is answered. A response that the process has no memory for ends the
+/// connection.
+fn finish_response(share: &Share, response: &mut Response<BoxBody>) {
+    let size = match response.body().size() {
+        BodySize::Sized(bytes) => usize::try_from(bytes).unwrap_or(usize::MAX),
+        BodySize::None | BodySize::Stream => 0,
+    };
+    if share.refusal().is_some() {
+        let head = response.head_mut();
+        head.set_connection_type(ConnectionType::Close);
+    }
+    if share.answered(size).is_err() {
+        share.abort();
     }
 }
 
-fn admit(stream: TcpStream, options: HttpOptions, shared: &Rc<Shared>) -> Option<Connection> {
-    let open = shared.open_connections.get();
-    if open >= options.max_connections + MAX_REJECTED_CONNECTIONS {
-        return None;
-    }
+/// Returns the share of the connection on which a request was received.
+pub(crate) fn connection_share(request: &Request) -> Option<Rc<Share>> {
+    request.conn_data::<Rc<Share>>().cloned()
+}
+
+fn admit(stream: TcpStream, shared: &Rc<Shared>) -> Option<(Connection, Rc<CloseSignal>)> {
     let _ = stream.set_nodelay(true);
-    let close_signal = Rc::new(CloseSignal::default());
+    let signal = Rc::new(CloseSignal::default());
+    let admitted = shared.intake.admit(shared.key, &signal);
+    let over_limit = admitted.is_none();
+    let share = admitted.or_else(|| shared.intake.admit_rejected(shared.key, &signal))?;
     if shared.shutting_down.get() {
-        close_signal.request();
+        signal.request();
     }
+    let open = shared.intake.open_connections(shared.key);
     let mut close_signals = shared.close_signals.borrow_mut();
-    if close_signals.len() >= 2 * open + MAX_REJECTED_CONNECTIONS {
+    if close_signals.len() >= 2 * open + SPARE_SIGNALS {
         close_signals.retain(|signal| signal.strong_count() > 0);
     }
-    close_signals.push(Rc::downgrade(&close_signal));
-    Some(Connection::new(
-        stream,
-        close_signal,
-        open >= options.max_connections,
-    ))
+    close_signals.push(Rc::downgrade(&signal));
+    let connection = Connection::new(stream, Rc::clone(&signal), share, over_limit);
+    Some((connection, signal))
 }
--- a/crates/net/src/peer.rs
+++ b/crates/net/src/peer.rs
@@ -4,14 +4,10 @@
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::net::TcpListener;
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Buf;
-use bytes::BufMut;
 use bytes::Bytes;
-use bytes::BytesMut;
 use futures_util::SinkExt;
 use futures_util::StreamExt;
 use thiserror::Error;
@@ -20,19 +16,11 @@
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 use tokio_util::codec::Framed;
-use tokio_util::codec::LengthDelimitedCodec;
 
-/// Size of the correlation id before each payload.
-const CORRELATION_ID_BYTES: usize = 8;
-
-/// Size of the length prefix of each frame.
-const LENGTH_PREFIX_BYTES: usize = 4;
-
-/// Size of the header before each payload.
-pub const FRAME_OVERHEAD_BYTES: usize = CORRELATION_ID_BYTES + LENGTH_PREFIX_BYTES;
-
-/// Maximum size of a frame.
-const MAX_FRAME_BYTES: usize = 8 * 1024 * 1024;
+use crate::frame::FRAME_OVERHEAD_BYTES;
+use crate::frame::codec;
+use crate::frame::decode_frame;
+use crate::frame::encode_frame;
 
 /// Limits of a [`PeerClient`].
 #[derive(Debug, Clone, Copy)]
@@ -215,109 +203,3 @@
     frames.close();
     pending.borrow_mut().clear();
 }
-
-/// Counts received calls whose replies have not been passed to the operating system yet.
-#[derive(Debug, Clone, Default)]
-pub struct UnsentReplies(Rc<Cell<usize>>);
-
-impl UnsentReplies {
-    /// Returns the number of unsent replies; a planned stop waits until it is zero.
-    #[must_use]
-    pub fn count(&self) -> usize {
-        self.0.get()
-    }
-
-    fn track(&self) -> UnsentReply {
-        self.0.set(self.0.get() + 1);
-        UnsentReply(Rc::clone(&self.0))
-    }
-}
-
-/// Guard that counts one reply as unsent until it is sent or its link is lost.
-#[derive(Debug)]
-struct UnsentReply(Rc<Cell<usize>>);
-
-impl Drop for UnsentReply {
-    fn drop(&mut self) {
-        self.0.set(self.0.get() - 1);
-    }
-}
-
-/// Accepts links on `listener` and replies to each call with the result of `handler`, until the future is dropped.
-///
-/// `unsent` counts the received calls whose replies have not been sent.
-///
-/// # Errors
-///
-/// Fails if the listener can't be registered with the runtime.
-pub async fn serve_peers<F, R>(
-    listener: TcpListener,
-    unsent: UnsentReplies,
-    handler: F,
-) -> std::io::Result<()>
-where
-    F: Fn(Bytes) -> R + Clone + 'static,
-    R: Future<Output = Bytes> + 'static,
-{
-    listener.set_nonblocking(true)?;
-    let listener = tokio::net::TcpListener::from_std(listener)?;
-    loop {
-        let Ok((stream, _address)) = listener.accept().await else {
-            actix_rt::time::sleep(Duration::from_millis(10)).await;
-            continue;
-        };
-        let _ = stream.set_nodelay(true);
-        actix_rt::spawn(serve_link(stream, unsent.clone(), handler.clone()));
-    }
-}
-
-async fn serve_link<F, R>(stream: TcpStream, unsent: UnsentReplies, handler: F)
-where
-    F: Fn(Bytes) -> R + Clone + 'static,
-    R: Future<Output = Bytes> + 'static,
-{
-    let (mut sink, mut source) = Framed::new(stream, codec()).split();
-    let (replies, mut outgoing) = mpsc::unbounded_channel::<(Bytes, UnsentReply)>();
-    let writer = actix_rt::spawn(async move {
-        while let Some((reply, unsent_reply)) = outgoing.recv().await {
-            if sink.send(reply).await.is_err() {
-                break;
-            }
-            drop(unsent_reply);
-        }
-    });
-    while let Some(Ok(received)) = source.next().await {
-        let Some((id, payload)) = decode_frame(received) else {
-            break;
-        };
-        let replies = replies.clone();
-        let unsent_reply = unsent.track();
-        let response = handler(payload);
-        actix_rt::spawn(async move {
-            let reply = encode_frame(id, &response.await);
-            let _ = replies.send((reply, unsent_reply));
-        });
-    }
-    writer.abort();
-}
-
-fn codec() -> LengthDelimitedCodec {
-    LengthDelimitedCodec::builder()
-        .max_frame_length(MAX_FRAME_BYTES)
-        .new_codec()
-}
-
-fn encode_frame(id: u64, payload: &[u8]) -> Bytes {
-    let mut frame = BytesMut::with_capacity(CORRELATION_ID_BYTES + payload.len());
-    frame.put_u64(id);
-    frame.put_slice(payload);
-    frame.freeze()
-}
-
-fn decode_frame(mut frame: BytesMut) -> Option<(u64, Bytes)> {
-    if frame.len() < CORRELATION_ID_BYTES {
-        return None;
-    }
-    let id = frame.get_u64();
-    Some((id, frame.freeze()))
-}
--- a/crates/net/tests/peer.rs
+++ b/crates/net/tests/peer.rs
@@ -6,6 +6,7 @@
 
 use bytes::Bytes;
 use syc_net::CallError;
+use syc_net::Intake;
 use syc_net::PeerClient;
 use syc_net::PeerOptions;
 use syc_net::UnsentReplies;
@@ -23,14 +24,15 @@
     let received = Rc::new(Notify::new());
     let release = Rc::new(Notify::new());
     let signals = (Rc::clone(&received), Rc::clone(&release));
-    let serving = serve_peers(listener, unsent.clone(), move |payload: Bytes| {
+    let handler = move |payload: Bytes| {
         let (received, release) = (Rc::clone(&signals.0), Rc::clone(&signals.1));
         async move {
             received.notify_one();
             release.notified().await;
             payload
         }
-    });
+    };
+    let serving = serve_peers(listener, 8, Intake::default(), unsent.clone(), handler);
     actix_rt::spawn(serving);
     let client = Rc::new(PeerClient::new(address, PeerOptions::default()));
     let caller = Rc::clone(&client);
--- a/crates/obs/src/cell_metrics.rs
+++ b/crates/obs/src/cell_metrics.rs
@@ -9,6 +9,8 @@
 use opentelemetry::metrics::Histogram;
 use opentelemetry::metrics::Meter;
 
+use crate::client_metrics::ClientMetrics;
+use crate::client_metrics::REFUSAL_REASONS;
 use crate::exporter::Exporter;
 
 /// Bounds of the buckets of waiting times, in seconds.
@@ -57,6 +59,12 @@
 /// What a node reads off its own state when it is scraped.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct CellReadings {
+    /// Open connections of clients and other nodes.
+    pub client_connections: usize,
+    /// Bytes that they hold of what they have in common.
+    pub client_held_bytes: usize,
+    /// How often they were refused, by reason.
+    pub client_refusals: [(&'static str, u64); REFUSAL_REASONS],
     /// Whether it is the scheduler.
     pub leading: bool,
     /// Fencing token of the scheduler that it believes in.
@@ -149,6 +157,7 @@
     shed_decisions: Counter<u64>,
     worker_calls: Counter<u64>,
     worker_connections: WorkerConnections,
+    clients: ClientMetrics,
     workspace_cpu: Gauge<f64>,
     workspace_rates: WorkspaceRates,
     wait_errors: Histogram<f64>,
@@ -214,6 +223,7 @@
                 "Calls to workers, by way and result.",
             ),
             worker_connections: WorkerConnections::new(&meter),
+            clients: ClientMetrics::new(&meter),
             workspace_cpu: meter
                 .f64_gauge("syc_cell_workspace_cpu_cores")
                 .with_description("Processor time that workspaces have running, and their caps.")
@@ -341,6 +351,7 @@
     pub fn page(&self, readings: &CellReadings) -> String {
         self.gauges.set(readings);
         self.worker_connections.set(readings);
+        self.clients.set(readings);
         self.exporter.page()
     }
 }
--- a/crates/obs/src/events.rs
+++ b/crates/obs/src/events.rs
@@ -240,4 +240,6 @@
     CARRIER_CHANGED = 771, Warn, "carrier changed";
     /// A candidate has read what a takeover needs.
     STATE_READ_AHEAD = 772, Info, "state read ahead";
+    /// Clients were refused for what they made the process hold.
+    CLIENTS_REFUSED = 780, Warn, "clients refused";
 }
--- a/crates/obs/src/lib.rs
+++ b/crates/obs/src/lib.rs
@@ -1,6 +1,7 @@
 //! What operators can see: numbered log events and metrics.
 
 mod cell_metrics;
+mod client_metrics;
 mod events;
 mod exporter;
 mod lines;
