Close a connection after a response to a body that was not read

What such a connection went on to send was counted as the head of a next request, though it was dropped. It is now read for a second and closed, as a refused one. Metrics and log of both programs take the reasons of refusals from one place.

--- a/crates/cell/src/intake_log.rs
+++ b/crates/cell/src/intake_log.rs
@@ -33,8 +33,8 @@
         self.logged.set(readings.refusals);
         self.logged_at.set(Some(now));
         let mut line = Line::new(catalogue::CLIENTS_REFUSED);
-        let reasons = refusals_by_reason(&readings.refusals);
-        for ((reason, count), (_, before)) in reasons.into_iter().zip(refusals_by_reason(&before)) {
+        let reasons = readings.refusals.by_reason();
+        for ((reason, count), (_, before)) in reasons.into_iter().zip(before.by_reason()) {
             line = line.number(reason, count - before);
         }
         line.number("connections", readings.connections)
@@ -43,13 +43,3 @@
             .emit();
     }
 }
-
-/// Returns the counts with the names that logs and metrics have for them.
-pub(crate) const fn refusals_by_reason(counts: &RefusalCounts) -> [(&'static str, u64); 4] {
-    [
-        ("memory", counts.memory),
-        ("too_slow", counts.too_slow),
-        ("displaced", counts.displaced),
-        ("too_many_connections", counts.too_many_connections),
-    ]
-}
--- a/crates/cell/src/node.rs
+++ b/crates/cell/src/node.rs
@@ -15,6 +15,7 @@
 use syc_net::serve_peers;
 use syc_obs::CellMetrics;
 use syc_obs::CellReadings;
+use syc_obs::ClientReadings;
 use syc_obs::flush_lines;
 use syc_sched::ConfigurationAge;
 use syc_sched::ConfigurationFreshness;
@@ -40,7 +41,6 @@
 use crate::contact;
 use crate::contact::HolderLink;
 use crate::follow;
-use crate::intake_log;
 use crate::intake_log::IntakeLog;
 use crate::leader::Leader;
 use crate::log;
@@ -309,9 +309,11 @@
         let connections = self.platform.connections();
         let intake = self.intake.readings();
         let mut readings = CellReadings {
-            client_connections: intake.connections,
-            client_held_bytes: intake.pooled_bytes,
-            client_refusals: intake_log::refusals_by_reason(&intake.refusals),
+            clients: ClientReadings {
+                connections: intake.connections,
+                held_bytes: intake.pooled_bytes,
+                refusals: intake.refusals.by_reason(),
+            },
             worker_connections_opened: connections.opened,
             worker_connections_withheld: connections.withheld,
             ..CellReadings::default()
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -7,6 +7,7 @@
 
 use syc_coord::AuditTrail;
 use syc_coord::TaskState;
+use syc_obs::ClientReadings;
 use syc_obs::Metrics;
 use syc_obs::Readings;
 use syc_types::JobId;
@@ -79,7 +80,13 @@
 }
 
 fn readings(node: &Rc<Node>) -> Readings {
+    let intake = node.intake.readings();
     let mut readings = Readings {
+        clients: ClientReadings {
+            connections: intake.connections,
+            held_bytes: intake.pooled_bytes,
+            refusals: intake.refusals.by_reason(),
+        },
         epoch: node.view.borrow().epoch.0,
         members: node.view.borrow().members.len() as u64,
         acting: members::may_act(node),
--- a/crates/net/src/connection.rs
+++ b/crates/net/src/connection.rs
@@ -35,7 +35,7 @@
 /// otherwise keep the connection open.
 const CLOSE_GRACE: Duration = Duration::from_millis(20);
 
-/// Time for which a refused connection is still read, so that the client can read the response and is not reset.
+/// Time for which a connection is still read after a response to a request of which not all was read, so that the client can read the response and is not reset.
 pub(crate) const LINGER: Duration = Duration::from_secs(1);
 
 /// Requests to a connection from its listener or from the process's intake.
@@ -144,7 +144,7 @@
 /// response is still written before the connection closes.
 ///
 /// It passes on as many bytes at a time as its [`Share`] allows, and pauses reading while a response is awaited or not
-/// read. A refused connection reports end of file too, or is read for [`LINGER`] if a response says that it was refused.
+/// read. A refused connection reports end of file too, or is read for [`LINGER`] after a response that says so.
 #[derive(Debug)]
 pub(crate) struct Connection {
     stream: Take<TcpStream>,
@@ -313,9 +313,9 @@
         }
     }
 
-    /// Decides what becomes of a refused connection: whether it reports end of file, or is read for a while.
-    fn poll_refused(&mut self, cx: &mut Context<'_>) -> Poll<()> {
-        if self.share.has_answered_refusal() {
+    /// Decides what becomes of a connection that is closing: whether it reports end of file, or is read for a while.
+    fn poll_closing(&mut self, cx: &mut Context<'_>) -> Poll<()> {
+        if self.share.is_lingering() {
             return self.linger_timer.poll(cx, LINGER);
         }
         if self.share.awaits_refusal_answer() {
@@ -332,7 +332,7 @@
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         self.limit_receive_time(cx);
-        if self.share.refusal().is_some() && self.poll_refused(cx).is_ready() {
+        if self.share.phase() == Phase::Closing && self.poll_closing(cx).is_ready() {
             return Poll::Ready(Ok(()));
         }
         let Some(window_bytes) = self.share.window() else {
--- a/crates/net/src/http.rs
+++ b/crates/net/src/http.rs
@@ -255,7 +255,7 @@
         BodySize::Sized(bytes) => usize::try_from(bytes).unwrap_or(usize::MAX),
         BodySize::None | BodySize::Stream => 0,
     };
-    if share.refusal().is_some() {
+    if share.begin_response() {
         let head = response.head_mut();
         head.set_connection_type(ConnectionType::Close);
     }
--- a/crates/net/src/intake.rs
+++ b/crates/net/src/intake.rs
@@ -119,10 +119,15 @@
 }
 
 impl RefusalCounts {
-    /// Returns the number of refusals for any reason.
+    /// Returns the counts with the names that logs and metrics have for the reasons.
     #[must_use]
-    pub const fn total(&self) -> u64 {
-        self.memory + self.too_slow + self.displaced + self.too_many_connections
+    pub const fn by_reason(&self) -> [(&'static str, u64); 4] {
+        [
+            ("memory", self.memory),
+            ("too_slow", self.too_slow),
+            ("displaced", self.displaced),
+            ("too_many_connections", self.too_many_connections),
+        ]
     }
 
     const fn count(&mut self, refusal: Refusal) {
--- a/crates/net/src/intake/options.rs
+++ b/crates/net/src/intake/options.rs
@@ -65,7 +65,8 @@
     pub fn for_process(memory_mb: usize, files: usize) -> Self {
         let memory_bytes = memory_mb.saturating_mul(MEGABYTE);
         let by_memory = memory_bytes / CONNECTIONS_DIVISOR / CONNECTION_BYTES;
-        let by_files = files.saturating_sub(RESERVED_FILES) * INBOUND_PERCENT / 100;
+        let sockets = files.saturating_sub(RESERVED_FILES);
+        let by_files = sockets.saturating_mul(INBOUND_PERCENT) / 100;
         Self {
             pool_bytes: memory_bytes / POOL_DIVISOR,
             max_connections: by_memory.min(by_files).max(MIN_CONNECTIONS),
@@ -76,7 +77,7 @@
     /// Returns how many links of other nodes may be open, out of all connections.
     #[must_use]
     pub const fn max_links(&self) -> usize {
-        self.max_connections * LINKS_PERCENT / 100
+        self.max_connections.saturating_mul(LINKS_PERCENT) / 100
     }
 
     /// Returns by how many connections, which are answered that they are too many, a limit may be exceeded.
--- a/crates/net/src/intake/share.rs
+++ b/crates/net/src/intake/share.rs
@@ -50,7 +50,9 @@
     /// Whether a body is being read whose length is known.
     is_length_known: Cell<bool>,
     is_write_blocked: Cell<bool>,
-    has_answered_refusal: Cell<bool>,
+    /// Whether the body of the request in progress has not been read.
+    is_body_unread: Cell<bool>,
+    is_lingering: Cell<bool>,
     /// Bytes of the response in progress that were not passed to the kernel.
     unsent_bytes: Cell<usize>,
 }
@@ -67,7 +69,8 @@
             is_reading_body: Cell::new(false),
             is_length_known: Cell::new(false),
             is_write_blocked: Cell::new(false),
-            has_answered_refusal: Cell::new(false),
+            is_body_unread: Cell::new(false),
+            is_lingering: Cell::new(false),
             unsent_bytes: Cell::new(0),
         }
     }
@@ -118,9 +121,9 @@
         self.is_reading_body.get()
     }
 
-    /// Returns whether the refused request has got a response that says so.
-    pub(crate) fn has_answered_refusal(&self) -> bool {
-        self.has_answered_refusal.get()
+    /// Returns whether the last response was written on a connection that still receives, for a while, what nobody reads.
+    pub(crate) fn is_lingering(&self) -> bool {
+        self.is_lingering.get()
     }
 
     /// Returns how many bytes may be passed on now, or `None` if nothing more may be read until the response is ready.
@@ -168,6 +171,7 @@
     /// Notes that the head of a request has arrived.
     pub(crate) fn begin_request(&self, has_body: bool) {
         self.head_bytes.set(0);
+        self.is_body_unread.set(has_body);
         if has_body {
             self.window_bytes.set(CHUNKED_WINDOW_BYTES);
         } else {
@@ -193,6 +197,7 @@
     pub(crate) fn end_body(&self, is_complete: bool) {
         self.is_reading_body.set(false);
         self.is_length_known.set(false);
+        self.is_body_unread.set(!is_complete);
         if is_complete {
             self.begin_handling();
         }
@@ -203,11 +208,21 @@
         self.set_phase(Phase::Handling);
     }
 
-    /// Notes that a response of this size is ready, and the request is forgotten.
+    /// Notes that a response is ready. Returns whether the connection has to close after it: the request was refused, or
+    /// a part of it has not been read.
+    pub(crate) fn begin_response(&self) -> bool {
+        let closes = self.refusal().is_some() || self.is_body_unread.get();
+        if closes {
+            self.is_lingering.set(true);
+            self.intake.begin_closing(self.key);
+        }
+        closes
+    }
+
+    /// Notes the size of a response, and that its request is forgotten.
     pub(crate) fn answered(&self, response_bytes: usize) -> Result<(), PoolExhausted> {
         self.window_bytes.set(HEAD_WINDOW_BYTES);
         self.is_reading_body.set(false);
-        self.has_answered_refusal.set(self.refusal().is_some());
         self.head_bytes.set(self.ahead_bytes.replace(0));
         self.unsent_bytes.set(response_bytes);
         self.set_phase(Phase::Idle);
--- a/crates/obs/src/cell_metrics.rs
+++ b/crates/obs/src/cell_metrics.rs
@@ -10,7 +10,7 @@
 use opentelemetry::metrics::Meter;
 
 use crate::client_metrics::ClientMetrics;
-use crate::client_metrics::REFUSAL_REASONS;
+use crate::client_metrics::ClientReadings;
 use crate::exporter::Exporter;
 
 /// Bounds of the buckets of waiting times, in seconds.
@@ -59,12 +59,8 @@
 /// What a node reads off its own state when it is scraped.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct CellReadings {
-    /// Open connections of clients and other nodes.
-    pub client_connections: usize,
-    /// Bytes that they hold of what they have in common.
-    pub client_held_bytes: usize,
-    /// How often they were refused, by reason.
-    pub client_refusals: [(&'static str, u64); REFUSAL_REASONS],
+    /// What clients and other nodes make it hold.
+    pub clients: ClientReadings,
     /// Whether it is the scheduler.
     pub leading: bool,
     /// Fencing token of the scheduler that it believes in.
@@ -351,7 +347,7 @@
     pub fn page(&self, readings: &CellReadings) -> String {
         self.gauges.set(readings);
         self.worker_connections.set(readings);
-        self.clients.set(readings);
+        self.clients.set(&readings.clients);
         self.exporter.page()
     }
 }
--- a/crates/obs/src/client_metrics.rs
+++ b/crates/obs/src/client_metrics.rs
@@ -7,10 +7,19 @@
 use opentelemetry::metrics::Gauge;
 use opentelemetry::metrics::Meter;
 
-use crate::CellReadings;
-
 /// Number of reasons for which clients are refused.
-pub(crate) const REFUSAL_REASONS: usize = 4;
+const REFUSAL_REASONS: usize = 4;
+
+/// What clients make a process hold at present, and how often they were refused so far.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct ClientReadings {
+    /// Open connections.
+    pub connections: usize,
+    /// Memory that they hold of what they have in common.
+    pub held_bytes: usize,
+    /// Refusals, by reason.
+    pub refusals: [(&'static str, u64); REFUSAL_REASONS],
+}
 
 /// Connections and memory of clients, and refusals, of which the process knows the sums.
 pub(crate) struct ClientMetrics {
@@ -28,30 +37,28 @@
         };
         Self {
             connections: gauge(
-                "syc_cell_client_connections",
-                "Open connections of clients and other nodes.",
+                "syc_client_connections",
+                "Open connections at all addresses.",
             ),
             held_bytes: gauge(
-                "syc_cell_client_held_bytes",
+                "syc_client_held_bytes",
                 "Memory that they hold of what they have in common.",
             ),
             refusals: meter
-                .u64_counter("syc_cell_client_refusals")
+                .u64_counter("syc_client_refusals")
                 .with_description("Connections and requests that were refused, by reason.")
                 .build(),
             counted: Cell::default(),
         }
     }
 
-    pub(crate) fn set(&self, readings: &CellReadings) {
+    pub(crate) fn set(&self, readings: &ClientReadings) {
         let to_u64 = |count: usize| u64::try_from(count).unwrap_or(u64::MAX);
-        self.connections
-            .record(to_u64(readings.client_connections), &[]);
-        self.held_bytes
-            .record(to_u64(readings.client_held_bytes), &[]);
-        let sums = readings.client_refusals.map(|(_, sum)| sum);
+        self.connections.record(to_u64(readings.connections), &[]);
+        self.held_bytes.record(to_u64(readings.held_bytes), &[]);
+        let sums = readings.refusals.map(|(_, sum)| sum);
         let before = self.counted.replace(sums);
-        for ((reason, sum), before) in readings.client_refusals.into_iter().zip(before) {
+        for ((reason, sum), before) in readings.refusals.into_iter().zip(before) {
             if reason.is_empty() {
                 continue;
             }
--- a/crates/obs/src/lib.rs
+++ b/crates/obs/src/lib.rs
@@ -12,6 +12,7 @@
 pub use cell_metrics::RateReading;
 pub use cell_metrics::Stage;
 pub use cell_metrics::WorkspaceReading;
+pub use client_metrics::ClientReadings;
 pub use events::ALL;
 pub use events::Event;
 pub use events::catalogue;
--- a/crates/obs/src/metrics.rs
+++ b/crates/obs/src/metrics.rs
@@ -14,6 +14,8 @@
 use syc_types::Class;
 use syc_types::Resources;
 
+use crate::client_metrics::ClientMetrics;
+use crate::client_metrics::ClientReadings;
 use crate::events;
 use crate::exporter::Exporter;
 
@@ -29,6 +31,8 @@
 /// What a daemon reads off its own state when it is scraped.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Readings {
+    /// What clients and other daemons make it hold.
+    pub clients: ClientReadings,
     /// Number of its view.
     pub epoch: u64,
     /// Members of its view.
@@ -71,6 +75,7 @@
     waiting: Waiting,
     state: State,
     totals: Totals,
+    clients: ClientMetrics,
 }
 
 impl fmt::Debug for Metrics {
@@ -95,6 +100,7 @@
             waiting: Waiting::new(&meter),
             state: State::new(&meter),
             totals: Totals::new(&meter),
+            clients: ClientMetrics::new(&meter),
         }
     }
 
@@ -115,6 +121,7 @@
     pub fn page(&self, readings: &Readings) -> String {
         self.state.set(readings);
         self.totals.set(readings);
+        self.clients.set(&readings.clients);
         self.exporter.page()
     }
 }
