Give links of other nodes a limit by descriptors alone

Each node of a cell keeps a link to the scheduler's. With a limit by memory a VM of 160 MB would have had 366 places for the links of 583 others, and closed links that are in use. Callers keep their limit by memory. Empty lines before a head no longer count as its end: each pair of them cost a turn of the connection's task.

--- a/crates/cell/src/node.rs
+++ b/crates/cell/src/node.rs
@@ -433,7 +433,7 @@
 {
     let unsent = node.unsent_replies.clone();
     let intake = node.intake.clone();
-    let max_links = intake.options().max_links();
+    let max_links = intake.options().max_links;
     let served = serve_peers(listener, max_links, intake, unsent, move |call: Bytes| {
         let node = Rc::clone(&node);
         async move { contact::handle_call(&node, &call).await }
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -145,7 +145,7 @@
 
         let state = Rc::clone(&node);
         let unsent = UnsentReplies::default();
-        let max_links = intake.options().max_links();
+        let max_links = intake.options().max_links;
         let handler = move |payload| peers::answer(Rc::clone(&state), payload);
         let serving = serve_peers(listeners.peers, max_links, intake, unsent.clone(), handler);
         let tasks = vec![
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -118,6 +118,8 @@
     IntakeOptions {
         pool_bytes: limits.client_memory_bytes,
         max_connections: limits.connections.saturating_mul(2),
+        max_callers: limits.connections,
+        max_links: limits.connections,
         ..IntakeOptions::default()
     }
 }
--- a/crates/net/src/head_scanner.rs
+++ b/crates/net/src/head_scanner.rs
@@ -3,8 +3,10 @@
 /// Where a stream stands with respect to empty lines, which end heads.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 enum Line {
-    /// The line has content.
+    /// No line of a head has begun. Empty lines before it end nothing.
     #[default]
+    Start,
+    /// The line has content.
     Content,
     /// The line is empty so far.
     Empty,
@@ -29,8 +31,9 @@
                 }
                 (b'\n', Line::Empty | Line::CarriageReturn) => {
                     ended += 1;
-                    Line::Empty
+                    Line::Start
                 }
+                (b'\r' | b'\n', Line::Start) => Line::Start,
                 (b'\r', Line::Empty) => Line::CarriageReturn,
                 _ => Line::Content,
             };
--- a/crates/net/src/intake/options.rs
+++ b/crates/net/src/intake/options.rs
@@ -1,6 +1,6 @@
 //! Limits of an [`Intake`](super::Intake), and how they follow from those of the process.
 
-/// Part of the process's memory, as a divisor, that open connections may take beside what they hold of the pool.
+/// Part of the process's memory, as a divisor, that callers' connections may take beside what they hold of the pool.
 const CONNECTIONS_DIVISOR: usize = 4;
 
 /// Part of the process's memory, as a divisor, that the pool takes. More than half is left for the process's own work.
@@ -18,7 +18,7 @@
 const INBOUND_PERCENT: usize = 45;
 
 /// Share of the connections, in percent, that other nodes may take. Each of them keeps one to the scheduler's node.
-const LINKS_PERCENT: usize = 45;
+const LINKS_PERCENT: usize = 70;
 
 /// Fewest connections that the limits allow, however small the process.
 const MIN_CONNECTIONS: usize = 32;
@@ -39,6 +39,10 @@
     pub pool_bytes: usize,
     /// Open connections at all listeners together.
     pub max_connections: usize,
+    /// Those of callers among them.
+    pub max_callers: usize,
+    /// Links of other nodes among them.
+    pub max_links: usize,
     /// Time that a request may take from its first byte to its last.
     pub receive_timeout_ms: u64,
     /// Time for which a client may read nothing of its response.
@@ -52,6 +56,8 @@
         Self {
             pool_bytes: 64 * MEGABYTE,
             max_connections: 8_192,
+            max_callers: 8_192,
+            max_links: 4_096,
             receive_timeout_ms: 15_000,
             write_timeout_ms: 15_000,
             stall_ms: 1_000,
@@ -67,19 +73,16 @@
         let by_memory = memory_bytes / CONNECTIONS_DIVISOR / CONNECTION_BYTES;
         let sockets = files.saturating_sub(RESERVED_FILES);
         let by_files = sockets.saturating_mul(INBOUND_PERCENT) / 100;
+        let max_connections = by_files.max(MIN_CONNECTIONS);
         Self {
             pool_bytes: memory_bytes / POOL_DIVISOR,
-            max_connections: by_memory.min(by_files).max(MIN_CONNECTIONS),
+            max_connections,
+            max_callers: by_memory.clamp(MIN_CONNECTIONS, max_connections),
+            max_links: max_connections.saturating_mul(LINKS_PERCENT) / 100,
             ..Self::default()
         }
     }
 
-    /// Returns how many links of other nodes may be open, out of all connections.
-    #[must_use]
-    pub const fn max_links(&self) -> usize {
-        self.max_connections.saturating_mul(LINKS_PERCENT) / 100
-    }
-
     /// Returns by how many connections, which are answered that they are too many, a limit may be exceeded.
     pub(crate) fn rejected_connections(max_connections: usize) -> usize {
         (max_connections / REJECTED_DIVISOR).clamp(1, MAX_REJECTED)
