--- a/crates/obs/src/client_metrics.rs
+++ b/crates/obs/src/client_metrics.rs
@@ -59,9 +59,6 @@
         let sums = readings.refusals.map(|(_, sum)| sum);
         let before = self.counted.replace(sums);
         for ((reason, sum), before) in readings.refusals.into_iter().zip(before) {
-            if reason.is_empty() {
-                continue;
-            }
             let labels = [KeyValue::new("reason", reason)];
             self.refusals.add(sum.saturating_sub(before), &labels);
         }
