--- a/crates/obs/src/cell_metrics.rs
+++ b/crates/obs/src/cell_metrics.rs
@@ -9,6 +9,7 @@
 use opentelemetry::metrics::Histogram;
 use opentelemetry::metrics::Meter;
 
+use crate::client_metrics::CELL_CLIENTS;
 use crate::client_metrics::ClientMetrics;
 use crate::client_metrics::ClientReadings;
 use crate::exporter::Exporter;
@@ -219,7 +220,7 @@
                 "Calls to workers, by way and result.",
             ),
             worker_connections: WorkerConnections::new(&meter),
-            clients: ClientMetrics::new(&meter),
+            clients: ClientMetrics::new(&meter, CELL_CLIENTS),
             workspace_cpu: meter
                 .f64_gauge("syc_cell_workspace_cpu_cores")
                 .with_description("Processor time that workspaces have running, and their caps.")
--- a/crates/obs/src/client_metrics.rs
+++ b/crates/obs/src/client_metrics.rs
@@ -21,6 +21,28 @@
     pub refusals: [(&'static str, u64); REFUSAL_REASONS],
 }
 
+/// Names of the metrics of one program.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct ClientMetricNames {
+    connections: &'static str,
+    held_bytes: &'static str,
+    refusals: &'static str,
+}
+
+/// Names of the metrics of a node of a cell.
+pub(crate) const CELL_CLIENTS: ClientMetricNames = ClientMetricNames {
+    connections: "syc_cell_client_connections",
+    held_bytes: "syc_cell_client_held_bytes",
+    refusals: "syc_cell_client_refusals",
+};
+
+/// Names of the metrics of a daemon.
+pub(crate) const DAEMON_CLIENTS: ClientMetricNames = ClientMetricNames {
+    connections: "syc_client_connections",
+    held_bytes: "syc_client_held_bytes",
+    refusals: "syc_client_refusals",
+};
+
 /// Connections and memory of clients, and refusals, of which the process knows the sums.
 pub(crate) struct ClientMetrics {
     connections: Gauge<u64>,
@@ -31,21 +53,18 @@
 }
 
 impl ClientMetrics {
-    pub(crate) fn new(meter: &Meter) -> Self {
+    pub(crate) fn new(meter: &Meter, names: ClientMetricNames) -> Self {
         let gauge = |name: &'static str, text: &'static str| {
             meter.u64_gauge(name).with_description(text).build()
         };
         Self {
-            connections: gauge(
-                "syc_client_connections",
-                "Open connections at all addresses.",
-            ),
+            connections: gauge(names.connections, "Open connections at all addresses."),
             held_bytes: gauge(
-                "syc_client_held_bytes",
+                names.held_bytes,
                 "Memory that they hold of what they have in common.",
             ),
             refusals: meter
-                .u64_counter("syc_client_refusals")
+                .u64_counter(names.refusals)
                 .with_description("Connections and requests that were refused, by reason.")
                 .build(),
             counted: Cell::default(),
--- a/crates/obs/src/metrics.rs
+++ b/crates/obs/src/metrics.rs
@@ -16,6 +16,7 @@
 
 use crate::client_metrics::ClientMetrics;
 use crate::client_metrics::ClientReadings;
+use crate::client_metrics::DAEMON_CLIENTS;
 use crate::events;
 use crate::exporter::Exporter;
 
@@ -100,7 +101,7 @@
             waiting: Waiting::new(&meter),
             state: State::new(&meter),
             totals: Totals::new(&meter),
-            clients: ClientMetrics::new(&meter),
+            clients: ClientMetrics::new(&meter, DAEMON_CLIENTS),
         }
     }
 
