--- a/crates/net/src/body.rs
+++ b/crates/net/src/body.rs
@@ -55,9 +55,7 @@
     if declared_bytes.is_some_and(|bytes| bytes > limit_bytes) {
         return Err(BodyError::TooLarge);
     }
-    let Some(share) = connection_share(request) else {
-        return Err(BodyError::Incomplete);
-    };
+    let share = connection_share(request).unwrap_or_else(Share::detached);
     let reader = BodyReader {
         share: &share,
         declared_bytes,
--- a/crates/net/src/intake/share.rs
+++ b/crates/net/src/intake/share.rs
@@ -9,6 +9,7 @@
 use super::Phase;
 use super::PoolExhausted;
 use super::Refusal;
+use super::Release;
 use super::ShareKey;
 use crate::body_blocks::BodyBlocks;
 use crate::connection::CloseSignal;
@@ -75,6 +76,13 @@
         }
     }
 
+    /// Returns the share of a request that came over no connection, with an intake of its own.
+    pub(crate) fn detached() -> Rc<Self> {
+        let intake = Intake::default();
+        let listener = intake.add_listener(1, Release::AtOnce);
+        intake.open(listener, &Rc::default())
+    }
+
     pub(crate) fn options(&self) -> IntakeOptions {
         self.intake.options()
     }
