Name and split what a newcomer stumbles over in the bound on clients

CloseSignal holds the body too and is ConnectionControl; what a link holds is a module of its own. The comments on phases and on uncounted replies of links say what the code does.

--- a/crates/net/src/connection.rs
+++ b/crates/net/src/connection.rs
@@ -38,9 +38,10 @@
 /// Time for which a connection is still read after a response to a request of which not all was read, so that the client can read the response and is not reset.
 pub(crate) const LINGER: Duration = Duration::from_secs(1);
 
-/// Requests to a connection from its listener or from the process's intake.
+/// What a connection shares with its listener, with the process's intake, which may refuse it, and with the reader of its
+/// body.
 #[derive(Debug, Default)]
-pub(crate) struct CloseSignal {
+pub(crate) struct ConnectionControl {
     requested: Cell<bool>,
     refusal: Cell<Option<Refusal>>,
     /// The body of the request in progress, as far as it has arrived.
@@ -51,7 +52,7 @@
     is_reading_paused: Cell<bool>,
 }
 
-impl CloseSignal {
+impl ConnectionControl {
     /// Requests that the connection close once it is idle.
     pub(crate) fn request(&self) {
         self.requested.set(true);
@@ -148,7 +149,7 @@
 #[derive(Debug)]
 pub(crate) struct Connection {
     stream: Take<TcpStream>,
-    close_signal: Rc<CloseSignal>,
+    close_signal: Rc<ConnectionControl>,
     share: Rc<Share>,
     in_progress: bool,
     /// Timer of the grace period while it runs.
@@ -177,7 +178,7 @@
     /// Wraps a newly accepted stream.
     pub(crate) fn new(
         stream: TcpStream,
-        close_signal: Rc<CloseSignal>,
+        close_signal: Rc<ConnectionControl>,
         share: Rc<Share>,
         over_limit: bool,
     ) -> Self {
--- a/crates/net/src/http.rs
+++ b/crates/net/src/http.rs
@@ -23,8 +23,8 @@
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 
-use crate::connection::CloseSignal;
 use crate::connection::Connection;
+use crate::connection::ConnectionControl;
 use crate::connection::LINGER;
 use crate::intake::Intake;
 use crate::intake::ListenerKey;
@@ -76,7 +76,7 @@
     key: ListenerKey,
     stop_accepting: Notify,
     shutting_down: Cell<bool>,
-    close_signals: RefCell<Vec<Weak<CloseSignal>>>,
+    close_signals: RefCell<Vec<Weak<ConnectionControl>>>,
 }
 
 /// A running HTTP listener. It stops accepting connections when dropped.
@@ -269,9 +269,9 @@
     request.conn_data::<Rc<Share>>().cloned()
 }
 
-fn admit(stream: TcpStream, shared: &Rc<Shared>) -> Option<(Connection, Rc<CloseSignal>)> {
+fn admit(stream: TcpStream, shared: &Rc<Shared>) -> Option<(Connection, Rc<ConnectionControl>)> {
     let _ = stream.set_nodelay(true);
-    let signal = Rc::new(CloseSignal::default());
+    let signal = Rc::new(ConnectionControl::default());
     let admitted = shared.intake.admit(shared.key, &signal);
     let over_limit = admitted.is_none();
     let share = admitted.or_else(|| shared.intake.admit_rejected(shared.key, &signal))?;
--- a/crates/net/src/intake.rs
+++ b/crates/net/src/intake.rs
@@ -25,7 +25,7 @@
 use slotmap::SlotMap;
 use slotmap::new_key_type;
 
-use crate::connection::CloseSignal;
+use crate::connection::ConnectionControl;
 
 /// Bytes that a connection may hold without taking any from the pool. An ordinary request fits in.
 const FREE_BYTES: usize = 16 * 1024;
@@ -49,7 +49,7 @@
     Handling,
     /// The client does not read its response.
     Blocked,
-    /// It was refused, and is about to close.
+    /// It was refused, or a part of its request was not read, and it is about to close.
     Closing,
 }
 
@@ -83,7 +83,7 @@
     phase: Phase,
     held_bytes: usize,
     progress_at: Instant,
-    signal: Rc<CloseSignal>,
+    signal: Rc<ConnectionControl>,
 }
 
 impl Entry {
@@ -91,7 +91,8 @@
         self.held_bytes.saturating_sub(FREE_BYTES)
     }
 
-    /// Returns whether it may be refused although a response may be expected on it.
+    /// Returns whether it may be refused for what others need: nothing has been done about its request yet, or its client
+    /// does not read the response.
     const fn is_refusable(&self) -> bool {
         matches!(self.phase, Phase::Receiving | Phase::Blocked)
     }
@@ -166,7 +167,7 @@
 struct State {
     options: IntakeOptions,
     pooled_bytes: Cell<usize>,
-    /// Those of them that refused connections still hold.
+    /// Those of them that refused connections hold until they are closed.
     leaving_bytes: Cell<usize>,
     entries: RefCell<SlotMap<ShareKey, Entry>>,
     listeners: RefCell<SlotMap<ListenerKey, ListenerState>>,
@@ -233,7 +234,7 @@
     pub(crate) fn admit(
         &self,
         listener: ListenerKey,
-        signal: &Rc<CloseSignal>,
+        signal: &Rc<ConnectionControl>,
     ) -> Option<Rc<Share>> {
         if self.is_full(listener) && !self.displace(listener) {
             self.count(Refusal::TooManyConnections);
@@ -246,7 +247,7 @@
     pub(crate) fn admit_rejected(
         &self,
         listener: ListenerKey,
-        signal: &Rc<CloseSignal>,
+        signal: &Rc<ConnectionControl>,
     ) -> Option<Rc<Share>> {
         if !self.has_place_for_rejected(listener) {
             return None;
@@ -266,7 +267,7 @@
             && open < self.0.options.max_connections + all_rejected
     }
 
-    fn open(&self, listener: ListenerKey, signal: &Rc<CloseSignal>) -> Rc<Share> {
+    fn open(&self, listener: ListenerKey, signal: &Rc<ConnectionControl>) -> Rc<Share> {
         let release = {
             let listeners = self.0.listeners.borrow();
             let state = listeners.get(listener);
@@ -423,7 +424,7 @@
     }
 
     /// Marks a connection as about to close. Returns what it was doing; `None` if it was closing already.
-    fn begin_closing(&self, key: ShareKey) -> Option<(Phase, Rc<CloseSignal>)> {
+    fn begin_closing(&self, key: ShareKey) -> Option<(Phase, Rc<ConnectionControl>)> {
         let mut entries = self.0.entries.borrow_mut();
         let entry = entries.get_mut(key)?;
         if entry.phase == Phase::Closing {
--- a/crates/net/src/intake/share.rs
+++ b/crates/net/src/intake/share.rs
@@ -12,7 +12,7 @@
 use super::Release;
 use super::ShareKey;
 use crate::body_blocks::BodyBlocks;
-use crate::connection::CloseSignal;
+use crate::connection::ConnectionControl;
 
 /// Bytes that are passed to the HTTP codec at a time while it is in a head.
 const HEAD_WINDOW_BYTES: usize = 4 * 1024;
@@ -36,11 +36,13 @@
 const BUFFER_GROWTH: usize = 2;
 
 /// Share of one connection. Dropping it gives everything back.
+///
+/// A request goes through `begin_request`, `begin_body` and `end_body` if it has a body, `begin_response` and `answered`.
 #[derive(Debug)]
 pub(crate) struct Share {
     intake: Intake,
     key: ShareKey,
-    signal: Rc<CloseSignal>,
+    signal: Rc<ConnectionControl>,
     /// Bytes passed on at a time.
     window_bytes: Cell<usize>,
     /// Bytes of a head that has not ended.
@@ -59,7 +61,7 @@
 }
 
 impl Share {
-    pub(super) const fn new(intake: Intake, key: ShareKey, signal: Rc<CloseSignal>) -> Self {
+    pub(super) const fn new(intake: Intake, key: ShareKey, signal: Rc<ConnectionControl>) -> Self {
         Self {
             intake,
             key,
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -11,6 +11,7 @@
 mod head_scanner;
 pub mod http;
 mod intake;
+mod link_load;
 pub mod peer;
 mod peer_listener;
 mod receive_buffer;
--- a/crates/net/src/peer_listener.rs
+++ b/crates/net/src/peer_listener.rs
@@ -4,7 +4,6 @@
 use std::net::TcpListener;
 use std::rc::Rc;
 use std::time::Duration;
-use std::time::Instant;
 
 use bytes::Bytes;
 use bytes::BytesMut;
@@ -13,14 +12,13 @@
 use futures_util::stream::SplitSink;
 use futures_util::stream::SplitStream;
 use tokio::net::TcpStream;
-use tokio::sync::Notify;
 use tokio::sync::mpsc;
 use tokio_util::codec::Decoder;
 use tokio_util::codec::Encoder;
 use tokio_util::codec::Framed;
 use tokio_util::codec::LengthDelimitedCodec;
 
-use crate::connection::CloseSignal;
+use crate::connection::ConnectionControl;
 use crate::frame::LENGTH_PREFIX_BYTES;
 use crate::frame::codec;
 use crate::frame::decode_frame;
@@ -30,15 +28,10 @@
 use crate::intake::Phase;
 use crate::intake::Refusal;
 use crate::intake::Release;
-use crate::intake::Share;
+use crate::link_load::LinkLoad;
+use crate::link_load::PendingCall;
 use crate::receive_buffer::limit_receive_buffer;
 
-/// Most calls of one link that are handled at a time. Further ones wait in the kernel.
-const MAX_CALLS: usize = 1_024;
-
-/// Memory that handling a call takes beside its payload.
-const CALL_BYTES: usize = 4 * 1024;
-
 /// Counts received calls whose replies have not been passed to the operating system yet.
 #[derive(Debug, Clone, Default)]
 pub struct UnsentReplies(Rc<Cell<usize>>);
@@ -97,7 +90,7 @@
             actix_rt::time::sleep(Duration::from_millis(10)).await;
             continue;
         };
-        let signal = Rc::new(CloseSignal::default());
+        let signal = Rc::new(ConnectionControl::default());
         let Some(share) = registration.intake.admit(registration.key, &signal) else {
             continue;
         };
@@ -126,114 +119,6 @@
     }
 }
 
-/// What a link makes the process hold.
-#[derive(Debug)]
-struct LinkLoad {
-    share: Rc<Share>,
-    /// The frame that is being received.
-    frame_bytes: Cell<usize>,
-    /// When its first byte was seen.
-    frame_began: Cell<Option<Instant>>,
-    /// Calls that are being handled, and replies that were not sent.
-    calls_bytes: Cell<usize>,
-    calls: Cell<usize>,
-    call_ended: Notify,
-}
-
-impl LinkLoad {
-    fn new(share: Rc<Share>) -> Self {
-        Self {
-            share,
-            frame_bytes: Cell::new(0),
-            frame_began: Cell::new(None),
-            calls_bytes: Cell::new(0),
-            calls: Cell::new(0),
-            call_ended: Notify::new(),
-        }
-    }
-
-    /// Notes that bytes of a frame have arrived. Returns whether the process has memory for it.
-    fn receive(&self, frame_bytes: usize) -> bool {
-        self.share.set_phase(Phase::Receiving);
-        let began = self.frame_began.get().unwrap_or_else(Instant::now);
-        self.frame_began.set(Some(began));
-        self.frame_bytes.set(frame_bytes);
-        self.update()
-    }
-
-    /// Returns for how long a frame has been incomplete.
-    fn receiving_time(&self) -> Duration {
-        let began = self.frame_began.get();
-        began.map_or(Duration::ZERO, |began| began.elapsed())
-    }
-
-    fn received(&self) {
-        self.frame_bytes.set(0);
-        self.frame_began.set(None);
-        let _has_memory = self.update();
-        self.update_phase();
-    }
-
-    fn update_phase(&self) {
-        let is_idle = self.calls.get() == 0;
-        self.share.set_phase(if is_idle {
-            Phase::Idle
-        } else {
-            Phase::Handling
-        });
-    }
-
-    /// Returns whether the process has memory for what the link holds.
-    fn update(&self) -> bool {
-        let held_bytes = self.frame_bytes.get() + self.calls_bytes.get();
-        self.share.hold(held_bytes).is_ok()
-    }
-
-    /// Waits until another call may be handled.
-    async fn wait_for_place(&self) {
-        while self.calls.get() >= MAX_CALLS {
-            self.call_ended.notified().await;
-        }
-    }
-}
-
-/// Guard that counts a call until its reply is sent.
-#[derive(Debug)]
-struct PendingCall {
-    load: Rc<LinkLoad>,
-    bytes: usize,
-}
-
-impl PendingCall {
-    fn new(load: &Rc<LinkLoad>, payload_bytes: usize) -> Self {
-        let mut call = Self {
-            load: Rc::clone(load),
-            bytes: 0,
-        };
-        load.calls.set(load.calls.get() + 1);
-        call.set_bytes(CALL_BYTES + payload_bytes);
-        load.update_phase();
-        call
-    }
-
-    /// Sets what the call takes. There is always memory for what is already there.
-    fn set_bytes(&mut self, bytes: usize) {
-        let others = self.load.calls_bytes.get() - self.bytes;
-        self.bytes = bytes;
-        self.load.calls_bytes.set(others + bytes);
-        let _has_memory = self.load.update();
-    }
-}
-
-impl Drop for PendingCall {
-    fn drop(&mut self) {
-        self.set_bytes(0);
-        self.load.calls.set(self.load.calls.get() - 1);
-        self.load.update_phase();
-        self.load.call_ended.notify_one();
-    }
-}
-
 /// Frames of a link, as far as the process has memory for them.
 #[derive(Debug)]
 struct BoundedCodec {
@@ -249,7 +134,7 @@
     fn decode(&mut self, src: &mut BytesMut) -> std::io::Result<Option<BytesMut>> {
         if src.len() > self.seen_bytes {
             // The prefix is no longer there once the size is known.
-            let frame_bytes = match self.load.frame_bytes.get() {
+            let frame_bytes = match self.load.known_frame_bytes() {
                 0 => src.first_chunk().map_or(0, |prefix| announced(*prefix)),
                 known_bytes => known_bytes,
             };
--- a/crates/net/tests/intake.rs
+++ b/crates/net/tests/intake.rs
@@ -22,6 +22,17 @@
 /// Memory of which a body of the largest size takes more than half.
 const SMALL_POOL_BYTES: usize = 64 * 1024;
 
+/// Limits with a pool of that size.
+const SMALL_POOL: IntakeOptions = IntakeOptions {
+    pool_bytes: SMALL_POOL_BYTES,
+    max_connections: 8,
+    max_callers: 8,
+    max_links: 8,
+    receive_timeout_ms: 15_000,
+    write_timeout_ms: 15_000,
+    stall_ms: 1_000,
+};
+
 /// A server that answers with the length of the body.
 struct Server {
     address: SocketAddr,
@@ -50,11 +61,15 @@
         TcpStream::connect(self.address).await.expect("connection")
     }
 
-    /// Waits until the process holds this much of the pool.
-    async fn wait_for_pooled(&self, bytes: usize) {
-        while self.intake.readings().pooled_bytes < bytes {
+    /// Sends the largest body but for its last byte.
+    async fn hold_most_of_the_pool(&self) -> TcpStream {
+        let mut stream = self.connect().await;
+        let unfinished = whole(BODY_LIMIT_BYTES);
+        send(&mut stream, &unfinished[..unfinished.len() - 1]).await;
+        while self.intake.readings().pooled_bytes < SMALL_POOL_BYTES / 2 {
             tokio::task::yield_now().await;
         }
+        stream
     }
 }
 
@@ -100,15 +115,8 @@
 
 #[actix_rt::test]
 async fn unfinished_body_keeps_a_later_one_from_being_read() {
-    let options = IntakeOptions {
-        pool_bytes: SMALL_POOL_BYTES,
-        ..IntakeOptions::default()
-    };
-    let server = Server::start(options, 8);
-    let mut first = server.connect().await;
-    let unfinished = whole(BODY_LIMIT_BYTES);
-    send(&mut first, &unfinished[..unfinished.len() - 1]).await;
-    server.wait_for_pooled(SMALL_POOL_BYTES / 2).await;
+    let server = Server::start(SMALL_POOL, 8);
+    let mut first = server.hold_most_of_the_pool().await;
     let mut second = server.connect().await;
     send(&mut second, &whole(BODY_LIMIT_BYTES)).await;
     let answer = read_response(&mut second, "65536").await;
@@ -120,15 +128,8 @@
 
 #[actix_rt::test]
 async fn small_request_is_refused_while_others_use_up_the_pool() {
-    let options = IntakeOptions {
-        pool_bytes: SMALL_POOL_BYTES,
-        ..IntakeOptions::default()
-    };
-    let server = Server::start(options, 8);
-    let mut first = server.connect().await;
-    let unfinished = whole(BODY_LIMIT_BYTES);
-    send(&mut first, &unfinished[..unfinished.len() - 1]).await;
-    server.wait_for_pooled(SMALL_POOL_BYTES / 2).await;
+    let server = Server::start(SMALL_POOL, 8);
+    let _first = server.hold_most_of_the_pool().await;
     let mut second = server.connect().await;
     send(&mut second, &whole(1_000)).await;
     let answer = read_response(&mut second, "1000").await;
