--- a/crates/cell/src/node.rs
+++ b/crates/cell/src/node.rs
@@ -388,6 +388,7 @@
     loop {
         pause(node.settings.timing.tick_interval_ms).await;
         node.review_configuration();
+        node.intake.sweep();
         node.intake_log.review(&node.intake, now());
         if let Some(leader) = node.leader() {
             leader.update_agreed_time();
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -40,6 +40,9 @@
 /// Open connections of operators' tools.
 const CONTROL_CONNECTIONS: usize = 64;
 
+/// Interval at which requests that take too long are looked for.
+const SWEEP_INTERVAL_MS: u64 = 250;
+
 /// How often a planned stop looks whether requests are still in progress.
 const DRAIN_CHECK: Duration = Duration::from_millis(20);
 
@@ -159,6 +162,7 @@
             actix_rt::spawn(owner::run(Rc::clone(&node))),
             actix_rt::spawn(requests::run(Rc::clone(&node))),
             actix_rt::spawn(intake_log::run(Rc::clone(&node))),
+            actix_rt::spawn(node.intake.clone().run_sweeps(SWEEP_INTERVAL_MS)),
         ];
         let listen = &node.settings.listen;
         emit(
--- a/crates/net/src/connection.rs
+++ b/crates/net/src/connection.rs
@@ -164,8 +164,6 @@
     head_scanner: HeadScanner,
     /// Bytes that were read and not passed on: they would complete another request.
     ahead: BytesMut,
-    /// Runs while a request is incomplete.
-    receive_timer: LazyTimer,
     /// Runs while the client does not read its response.
     write_timer: LazyTimer,
     /// Runs after a refusal.
@@ -193,7 +191,6 @@
             passed_heads: 0,
             head_scanner: HeadScanner::default(),
             ahead: BytesMut::new(),
-            receive_timer: LazyTimer::default(),
             write_timer: LazyTimer::default(),
             linger_timer: LazyTimer::default(),
             over_limit,
@@ -302,18 +299,6 @@
         self.pause_for_reader(cx)
     }
 
-    /// Refuses a request that takes too long to arrive.
-    fn limit_receive_time(&mut self, cx: &mut Context<'_>) {
-        if self.share.phase() != Phase::Receiving {
-            self.receive_timer.clear();
-            return;
-        }
-        let limit = Duration::from_millis(self.share.options().receive_timeout_ms);
-        if self.receive_timer.poll(cx, limit).is_ready() {
-            self.share.refuse(Refusal::TooSlow);
-        }
-    }
-
     /// Decides what becomes of a connection that is closing: whether it reports end of file, or is read for a while.
     fn poll_closing(&mut self, cx: &mut Context<'_>) -> Poll<()> {
         if self.share.is_lingering() {
@@ -332,7 +317,6 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        self.limit_receive_time(cx);
         if self.share.phase() == Phase::Closing && self.poll_closing(cx).is_ready() {
             return Poll::Ready(Ok(()));
         }
--- a/crates/net/src/http.rs
+++ b/crates/net/src/http.rs
@@ -38,6 +38,12 @@
 /// Bytes of responses to pipelined requests after which no further request is handled until they are written.
 const WRITE_BUFFER_BYTES: usize = 4 * 1024;
 
+/// Bytes that the kernel keeps for a connection before its client has to wait.
+const RECEIVE_BUFFER_BYTES: usize = 16 * 1024;
+
+/// Interval of the sweeps of a listener's own intake.
+const SWEEP_INTERVAL_MS: u64 = 1_000;
+
 /// Limits of an [`HttpListener`].
 #[derive(Debug, Clone, Copy)]
 pub struct HttpOptions {
@@ -104,10 +110,13 @@
         F: Fn(Request) -> R + Clone + 'static,
         R: Future<Output = Response<BoxBody>> + 'static,
     {
-        Self::start_bounded(listener, options, &Intake::default(), handler)
+        let intake = Intake::default();
+        actix_rt::spawn(intake.clone().run_sweeps(SWEEP_INTERVAL_MS));
+        Self::start_bounded(listener, options, &intake, handler)
     }
 
-    /// Like [`Self::start`], with the bound that its clients share with those of other listeners.
+    /// Like [`Self::start`], with the bound that its clients share with those of other listeners. The caller has the
+    /// intake swept.
     ///
     /// # Errors
     ///
@@ -123,7 +132,7 @@
         R: Future<Output = Response<BoxBody>> + 'static,
     {
         listener.set_nonblocking(true)?;
-        limit_receive_buffer(&listener)?;
+        limit_receive_buffer(&listener, RECEIVE_BUFFER_BYTES)?;
         let listener = tokio::net::TcpListener::from_std(listener)?;
         let shared = Rc::new(Shared {
             intake: intake.clone(),
--- a/crates/net/src/intake.rs
+++ b/crates/net/src/intake.rs
@@ -83,6 +83,8 @@
     phase: Phase,
     held_bytes: usize,
     progress_at: Instant,
+    /// When the first byte of the request arrived that is being received.
+    receiving_since: Instant,
     signal: Rc<ConnectionControl>,
 }
 
@@ -171,6 +173,8 @@
     leaving_bytes: Cell<usize>,
     entries: RefCell<SlotMap<ShareKey, Entry>>,
     listeners: RefCell<SlotMap<ListenerKey, ListenerState>>,
+    /// Time of the last sweep or admission. Reading the clock for each part of a request would cost more than it tells.
+    now: Cell<Instant>,
     refusals: Cell<RefusalCounts>,
 }
 
@@ -190,6 +194,7 @@
             leaving_bytes: Cell::new(0),
             entries: RefCell::default(),
             listeners: RefCell::default(),
+            now: Cell::new(Instant::now()),
             refusals: Cell::default(),
         }))
     }
@@ -211,6 +216,38 @@
         }
     }
 
+    /// Refuses requests that take too long to arrive. Times are only as exact as the interval of these calls.
+    pub fn sweep(&self) {
+        let now = Instant::now();
+        self.0.now.set(now);
+        let limit = Duration::from_millis(self.0.options.receive_timeout_ms);
+        let mut slow = Vec::new();
+        for (key, entry) in self.0.entries.borrow().iter() {
+            if entry.phase != Phase::Receiving {
+                continue;
+            }
+            if now.duration_since(entry.receiving_since) >= limit {
+                slow.push(key);
+            }
+        }
+        for key in slow {
+            self.refuse(key, Refusal::TooSlow);
+        }
+    }
+
+    /// Sweeps at an interval for as long as anybody uses this intake.
+    pub async fn run_sweeps(self, interval_ms: u64) {
+        let state = Rc::downgrade(&self.0);
+        drop(self);
+        loop {
+            actix_rt::time::sleep(Duration::from_millis(interval_ms)).await;
+            let Some(state) = state.upgrade() else {
+                return;
+            };
+            Self(state).sweep();
+        }
+    }
+
     pub(crate) fn add_listener(&self, max_connections: usize, release: Release) -> ListenerKey {
         let state = ListenerState {
             max_connections,
@@ -236,6 +273,7 @@
         listener: ListenerKey,
         signal: &Rc<ConnectionControl>,
     ) -> Option<Rc<Share>> {
+        self.0.now.set(Instant::now());
         if self.is_full(listener) && !self.displace(listener) {
             self.count(Refusal::TooManyConnections);
             return None;
@@ -278,7 +316,8 @@
             release,
             phase: Phase::Idle,
             held_bytes: 0,
-            progress_at: Instant::now(),
+            progress_at: self.0.now.get(),
+            receiving_since: self.0.now.get(),
             signal: Rc::clone(signal),
         };
         let key = self.0.entries.borrow_mut().insert(entry);
@@ -331,7 +370,7 @@
     /// has been so for long enough.
     fn displace(&self, listener: ListenerKey) -> bool {
         let stalled_for = Duration::from_millis(self.0.options.stall_ms);
-        let now = Instant::now();
+        let now = self.0.now.get();
         let victim = {
             let entries = self.0.entries.borrow();
             let stalled = entries.iter().filter(|(_, entry)| {
@@ -460,8 +499,12 @@
         if let Some(entry) = self.0.entries.borrow_mut().get_mut(key)
             && entry.phase != Phase::Closing
         {
+            let now = self.0.now.get();
+            if phase == Phase::Receiving && entry.phase != Phase::Receiving {
+                entry.receiving_since = now;
+            }
             entry.phase = phase;
-            entry.progress_at = Instant::now();
+            entry.progress_at = now;
         }
     }
 
--- a/crates/net/src/link_load.rs
+++ b/crates/net/src/link_load.rs
@@ -2,8 +2,6 @@
 
 use std::cell::Cell;
 use std::rc::Rc;
-use std::time::Duration;
-use std::time::Instant;
 
 use tokio::sync::Notify;
 
@@ -22,8 +20,6 @@
     pub(crate) share: Rc<Share>,
     /// The frame that is being received.
     frame_bytes: Cell<usize>,
-    /// When its first byte was seen.
-    frame_began: Cell<Option<Instant>>,
     /// Calls that are being handled, and replies that were not sent.
     calls_bytes: Cell<usize>,
     calls: Cell<usize>,
@@ -35,7 +31,6 @@
         Self {
             share,
             frame_bytes: Cell::new(0),
-            frame_began: Cell::new(None),
             calls_bytes: Cell::new(0),
             calls: Cell::new(0),
             call_ended: Notify::new(),
@@ -45,8 +40,6 @@
     /// Notes that bytes of a frame have arrived. Returns whether the process has memory for it.
     pub(crate) fn receive(&self, frame_bytes: usize) -> bool {
         self.share.set_phase(Phase::Receiving);
-        let began = self.frame_began.get().unwrap_or_else(Instant::now);
-        self.frame_began.set(Some(began));
         self.frame_bytes.set(frame_bytes);
         self.update()
     }
@@ -55,26 +48,21 @@
         self.frame_bytes.get()
     }
 
-    /// Returns for how long a frame has been incomplete.
-    pub(crate) fn receiving_time(&self) -> Duration {
-        let began = self.frame_began.get();
-        began.map_or(Duration::ZERO, |began| began.elapsed())
-    }
-
     pub(crate) fn received(&self) {
         self.frame_bytes.set(0);
-        self.frame_began.set(None);
         let _has_memory = self.update();
         self.update_phase();
     }
 
     pub(crate) fn update_phase(&self) {
-        let is_idle = self.calls.get() == 0;
-        self.share.set_phase(if is_idle {
-            Phase::Idle
-        } else {
+        let phase = if self.frame_bytes.get() > 0 {
+            Phase::Receiving
+        } else if self.calls.get() > 0 {
             Phase::Handling
-        });
+        } else {
+            Phase::Idle
+        };
+        self.share.set_phase(phase);
     }
 
     /// Returns whether the process has memory for what the link holds.
--- a/crates/net/src/peer_listener.rs
+++ b/crates/net/src/peer_listener.rs
@@ -1,8 +1,10 @@
 //! Listener for links of other nodes, whose calls are answered within the process's [`Intake`].
 
 use std::cell::Cell;
+use std::future::poll_fn;
 use std::net::TcpListener;
 use std::rc::Rc;
+use std::task::Poll;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -10,7 +12,6 @@
 use futures_util::SinkExt;
 use futures_util::StreamExt;
 use futures_util::stream::SplitSink;
-use futures_util::stream::SplitStream;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 use tokio_util::codec::Decoder;
@@ -32,6 +33,9 @@
 use crate::link_load::PendingCall;
 use crate::receive_buffer::limit_receive_buffer;
 
+/// Bytes that the kernel keeps for a link before its peer has to wait. Nodes send each other states of megabytes.
+const RECEIVE_BUFFER_BYTES: usize = 64 * 1024;
+
 /// Counts received calls whose replies have not been passed to the operating system yet.
 #[derive(Debug, Clone, Default)]
 pub struct UnsentReplies(Rc<Cell<usize>>);
@@ -79,7 +83,7 @@
     R: Future<Output = Bytes> + 'static,
 {
     listener.set_nonblocking(true)?;
-    limit_receive_buffer(&listener)?;
+    limit_receive_buffer(&listener, RECEIVE_BUFFER_BYTES)?;
     let listener = tokio::net::TcpListener::from_std(listener)?;
     let registration = Registration {
         key: intake.add_listener(max_links, Release::OnClose),
@@ -189,7 +193,11 @@
     let (replies, outgoing) = mpsc::unbounded_channel::<QueuedReply>();
     let writing = send_replies(sink, outgoing, &load);
     let reading = async {
-        while let Some(received) = next_frame(&mut source, &load).await {
+        loop {
+            load.wait_for_place().await;
+            let Some(Ok(received)) = source.next().await else {
+                break;
+            };
             let Some((id, payload)) = decode_frame(received) else {
                 break;
             };
@@ -215,40 +223,23 @@
     }
 }
 
-/// Returns the next frame; `None` if there is none, or it takes too long to arrive.
-async fn next_frame(source: &mut SplitStream<Link>, load: &LinkLoad) -> Option<BytesMut> {
-    load.wait_for_place().await;
-    let limit = Duration::from_millis(load.share.options().receive_timeout_ms);
-    loop {
-        let received = tokio::time::timeout(limit, source.next()).await;
-        match received {
-            Ok(frame) => return frame?.ok(),
-            Err(_elapsed) if load.receiving_time() >= limit => {
-                load.share.refuse(Refusal::TooSlow);
-                return None;
-            }
-            // A link may be idle for any time.
-            Err(_elapsed) => {}
-        }
-    }
-}
-
 /// Sends replies until the peer has not read any for too long.
 async fn send_replies(
     mut sink: SplitSink<Link, Bytes>,
     mut outgoing: mpsc::UnboundedReceiver<QueuedReply>,
     load: &LinkLoad,
 ) {
-    let options = load.share.options();
-    let patience = Duration::from_millis(options.stall_ms);
-    let limit = Duration::from_millis(options.write_timeout_ms);
+    let limit = Duration::from_millis(load.share.options().write_timeout_ms);
     while let Some(reply) = outgoing.recv().await {
         let mut sending = std::pin::pin!(sink.send(reply.frame.clone()));
-        let mut sent = tokio::time::timeout(patience, &mut sending).await;
-        if sent.is_err() {
-            load.share.set_phase(Phase::Blocked);
-            sent = tokio::time::timeout(limit, &mut sending).await;
-        }
+        // A timer is needed only if the peer does not take the reply at once.
+        let sent = match poll_fn(|cx| Poll::Ready(sending.as_mut().poll(cx))).await {
+            Poll::Ready(sent) => Ok(sent),
+            Poll::Pending => {
+                load.share.set_phase(Phase::Blocked);
+                tokio::time::timeout(limit, &mut sending).await
+            }
+        };
         match sent {
             Ok(Ok(())) => load.update_phase(),
             Ok(Err(_)) => return,
--- a/crates/net/tests/intake.rs
+++ b/crates/net/tests/intake.rs
@@ -22,6 +22,9 @@
 /// Memory of which a body of the largest size takes more than half.
 const SMALL_POOL_BYTES: usize = 64 * 1024;
 
+/// Interval of the server's sweeps.
+const SWEEP_INTERVAL_MS: u64 = 10;
+
 /// Limits with a pool of that size.
 const SMALL_POOL: IntakeOptions = IntakeOptions {
     pool_bytes: SMALL_POOL_BYTES,
@@ -45,6 +48,7 @@
         let socket = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let address = socket.local_addr().expect("an address");
         let intake = Intake::new(options);
+        actix_rt::spawn(intake.clone().run_sweeps(SWEEP_INTERVAL_MS));
         let limits = HttpOptions {
             max_connections,
             ..HttpOptions::default()
