Review case 7: a late copy of a start runs a task again on a minion's next life

Cause: an order is bound to a life of a minion only once the minion has heard of it. A life that no scheduler has called yet carries out a start order that was meant for the former one, though the end of that run is known.

--- a/review/standin-3/main.rs
+++ b/review/standin-3/main.rs
@@ -3,14 +3,15 @@
 //! Exit codes: 0 the rule held, 1 it was broken, 2 the case couldn't run.
 
 mod cell;
-mod failing;
 mod flapping;
 mod http;
 mod json;
 mod judge;
-mod large;
-mod long;
+mod links;
+mod many;
 mod minion;
+mod proxy;
+mod reborn;
 mod record;
 mod store;
 mod weekly;
@@ -36,10 +37,10 @@
     });
     let has_trouble = trouble != "0";
     let outcome = match case.as_str() {
-        "large" => large::run(directory, &record, has_trouble),
-        "failing" => failing::run(directory, &record, has_trouble),
-        "long" => long::run(directory, &record, has_trouble),
+        "links" => links::run(directory, &record, has_trouble),
+        "many" => many::run(directory, &record, has_trouble),
         "flapping" => flapping::run(directory, &record, has_trouble),
+        "reborn" => reborn::run(directory, &record, has_trouble),
         "weekly" => weekly::run(directory, &record, has_trouble),
         _ => Err("there is no such case".to_owned()),
     };
--- a/review/standin-3/record.rs
+++ b/review/standin-3/record.rs
@@ -27,6 +27,10 @@
     submissions: HashMap<String, Submission>,
     /// When the first task of each occurrence of a submission started.
     occurrences: HashMap<(String, u64), u64>,
+    /// When an end as done of each task was taken note of.
+    noted: HashMap<String, u64>,
+    /// Starts of tasks of which a run had ended as done, which was taken note of.
+    started_after_done: Vec<String>,
 }
 
 /// The record of a run.
@@ -49,6 +53,8 @@
                 lines: 0,
                 submissions: HashMap::new(),
                 occurrences: HashMap::new(),
+                noted: HashMap::new(),
+                started_after_done: Vec::new(),
             })),
         }
     }
@@ -76,6 +82,12 @@
         let submission = state.submissions.entry(id_of(task)).or_default();
         submission.first_start_ms.get_or_insert(now_ms);
         submission.running += 1;
+        if let Some(at_ms) = state.noted.get(task) {
+            let text = format!(
+                "{task} run {run} started on {minion} at {now_ms}, though its end as done was noted at {at_ms}"
+            );
+            state.started_after_done.push(text);
+        }
         let occurrence = task.split('.').nth(1).and_then(|number| number.parse().ok());
         let occurrence = (id_of(task), occurrence.unwrap_or(0));
         state.occurrences.entry(occurrence).or_insert(now_ms);
@@ -100,6 +112,21 @@
         change(state.submissions.entry(id.to_owned()).or_default());
     }
 
+    /// Records that `Observed` has reached an end as done.
+    pub fn noted(&self, minion: &str, task: &str, run: u64) {
+        let now_ms = self.now_ms();
+        let mut state = self.shared.lock().unwrap();
+        state.noted.entry(task.to_owned()).or_insert(now_ms);
+        self.run_line(
+            &mut state,
+            &format!("the end of {task} run {run} on {minion} is taken note of"),
+        );
+    }
+
+    pub fn started_after_done(&self) -> Vec<String> {
+        self.shared.lock().unwrap().started_after_done.clone()
+    }
+
     pub fn first_start_of_occurrence(&self, id: &str, occurrence: u64) -> Option<u64> {
         let state = self.shared.lock().unwrap();
         state.occurrences.get(&(id.to_owned(), occurrence)).copied()
