Give no work to a VM whose maintenance a predecessor had ordered

Callers saw tasks that last ended by the scheduler while another of their step was away (AVAIL).

Cause: a successor repeats the maintenance orders that a predecessor may have given, after a pause of 3.5 s in which they may still be carried out. In that pause it took the VMs as any other: it started tasks on them, and ended these with the order. The next evacuation, 10 ms later, still counted them as in service.

Change: workers on VMs whose order is being stored or is under way are evacuated and get no new work, also in the pause. successor_starts_nothing_on_a_vm_whose_maintenance_was_ordered fails before.

--- a/crates/sched/src/maintenance.rs
+++ b/crates/sched/src/maintenance.rs
@@ -228,6 +228,7 @@
             return;
         }
         self.request_vm_list(now);
+        self.keep_ordered_vms_clear(now);
         if !self.vms.can_order(now) {
             return;
         }
@@ -243,6 +244,20 @@
         self.maintenance.active = waves;
     }
 
+    /// Gives no work to VMs that are about to go down. Orders of a predecessor are repeated only after a pause, and may be
+    /// carried out before.
+    fn keep_ordered_vms_clear(&mut self, now: Millis) {
+        let waves = self.maintenance.active.values();
+        let phases = waves.flat_map(|wave| &wave.phases);
+        let is_ordered =
+            |phase: &VmPhase| matches!(phase, VmPhase::Recording(_) | VmPhase::Ordered { .. });
+        let ordered = phases.filter(|(_, phase)| is_ordered(phase));
+        let ordered: Vec<_> = ordered.filter_map(|(vm, _)| self.worker_on(vm)).collect();
+        for worker in ordered {
+            self.evacuate_worker(worker, now);
+        }
+    }
+
     fn advance_wave(&mut self, wave: &mut ActiveWave, now: Millis) {
         let vms: Vec<_> = wave.phases.keys().cloned().collect();
         for vm in vms {
--- a/crates/sched/tests/core/maintenance.rs
+++ b/crates/sched/tests/core/maintenance.rs
@@ -142,6 +142,27 @@
     assert_eq!(ordered(&mut driver), [vm(1)]);
 }
 
+// Guards against tasks that a successor starts on a VM which it then takes down (AVAIL): the order of the predecessor is
+// repeated only after a pause.
+#[test]
+fn successor_starts_nothing_on_a_vm_whose_maintenance_was_ordered() {
+    let mut driver = Driver::new(2, 4);
+    driver.scheduler.restore_wave(WaveProgress {
+        number: WAVE,
+        ordered: vec![vm(1)],
+        ..WaveProgress::default()
+    });
+    driver.apply(Event::WavePublished {
+        wave: wave(2, 1),
+        age_ms: 0,
+    });
+    pass(&mut driver, 2, &[], 300);
+    driver.submit(1, policy(0), vec![step(2, 3)]);
+    let started = driver.settle();
+    let places: Vec<_> = started.iter().map(|start| start.worker).collect();
+    assert_eq!(places, [driver.workers[0]]);
+}
+
 /// The predecessor may have ended between storing the completion of a wave and reporting it.
 #[test]
 fn successor_reports_a_completed_wave_again() {
