Acknowledge no end, and start nothing elsewhere, while a start may be carried out late

The first copy had been repeated under the same number and carried out; its end was acknowledged, and with that nothing remembered the copy.

Cause: a start counted as over with its run. It is over when its answer is known, when its worker lists the run and no other copy was sent, or when no call that old is carried out any more. The same holds for runs that failed without an attempt left, of cancelled jobs, and that were refused, stopped or lost and began again elsewhere.

Change: sched::unsettled_starts keeps each copy until then. Meanwhile ends of its task that count are stored and shown, and not acknowledged; the task is started on the same worker only; starts without an answer fit on their worker together; a start is repeated once the store has that it is in doubt, so that a successor knows. A successor holds the ends of units of which a start may have been given and not stored. syc_cell_late_start_tasks counts such tasks.

Tests that were changed, as strict as before: where a start gets no answer, the store takes that before the order is repeated (record() in fixtures); an end is still shown at once, and its acknowledgement is now asserted to be missing before the bound on late calls and to come with it; a task behind a worker that takes no orders waits for that bound, which is longer than the leases; the plant of ignored leases ignores late calls as well, as these would hide it.

--- a/crates/cell/src/leader/takeover.rs
+++ b/crates/cell/src/leader/takeover.rs
@@ -441,5 +441,6 @@
         state: progress.state,
         workspace: progress.workspace.clone(),
         ended_at: progress.ended_at_cell_ms,
+        starts_in_doubt: progress.starts_in_doubt.clone(),
     })
 }
--- a/crates/cell/src/node.rs
+++ b/crates/cell/src/node.rs
@@ -334,6 +334,7 @@
             readings.usable_workers = counts.usable_workers;
             readings.silent_workers = counts.silent_workers;
             readings.held_ends = counts.held_ends;
+            readings.late_start_tasks = counts.late_start_tasks;
             readings.doubtful_runs = counts.doubtful_runs;
             readings.oldest_doubt_ms = counts.oldest_doubt_ms;
             readings.longest_silence_ms = counts.longest_silence_ms;
--- a/crates/cell/tests/cell/fuzz.rs
+++ b/crates/cell/tests/cell/fuzz.rs
@@ -24,6 +24,7 @@
 use syc_sched::JobState;
 use syc_sched::Run;
 use syc_sched::Schedule;
+use syc_sched::StartInDoubtProgress;
 use syc_sched::StartRefusal;
 use syc_sched::StepProgress;
 use syc_sched::StepSpec;
@@ -146,6 +147,7 @@
         last_failed: Run(2),
         checkpoint: "c".into(),
         workers: vec![worker(0).id],
+        unanswered_until_cell_ms: Some(CellTime(86_400_000)),
         ..UnitProgress::default()
     };
     let done = UnitProgress {
@@ -165,6 +167,14 @@
             },
             StepProgress::default(),
         ],
+        starts_in_doubt: vec![StartInDoubtProgress {
+            occurrence: 0,
+            step: 0,
+            index: 0,
+            run: Run(1),
+            worker: worker(0).id,
+            until_cell_ms: CellTime(86_400_000),
+        }],
         workspace: Some("a".into()),
         ended_at_ms: TimeOfDay(0),
         ended_at_cell_ms: None,
--- a/crates/obs/src/cell_metrics.rs
+++ b/crates/obs/src/cell_metrics.rs
@@ -90,6 +90,8 @@
     pub silent_workers: usize,
     /// Tasks and gangs whose end is held while a later start of them may be carried out.
     pub held_ends: usize,
+    /// Tasks with a start that got no answer and may still be carried out.
+    pub late_start_tasks: usize,
     /// Runs whose latest order has no answer yet.
     pub doubtful_runs: usize,
     /// Time for which the oldest of these has been in doubt.
@@ -450,6 +452,7 @@
     longest_slow: Gauge<f64>,
     doubtful: Gauge<u64>,
     held_ends: Gauge<u64>,
+    late_start_tasks: Gauge<u64>,
     oldest_doubt: Gauge<f64>,
     longest_silence: Gauge<f64>,
     longest_lease: Gauge<f64>,
@@ -473,6 +476,10 @@
                 "syc_cell_held_ends",
                 "Ends that are not shown while a later start may be carried out.",
             ),
+            late_start_tasks: gauge(
+                "syc_cell_late_start_tasks",
+                "Tasks with a start that got no answer and may still be carried out.",
+            ),
             oldest_doubt: time(
                 "syc_cell_oldest_doubt",
                 "Time for which the oldest run has been in doubt.",
@@ -531,6 +538,8 @@
         self.jobs.record(to_u64(readings.open_jobs), &[]);
         self.doubtful.record(to_u64(readings.doubtful_runs), &[]);
         self.held_ends.record(to_u64(readings.held_ends), &[]);
+        self.late_start_tasks
+            .record(to_u64(readings.late_start_tasks), &[]);
         self.carriers.record(to_u64(readings.carriers), &[]);
         self.relayed_workers
             .record(to_u64(readings.relayed_workers), &[]);
--- a/crates/sched/src/counts.rs
+++ b/crates/sched/src/counts.rs
@@ -25,6 +25,8 @@
     pub workers: usize,
     /// Tasks and gangs whose end is held because a later start of them may still be carried out.
     pub held_ends: usize,
+    /// Tasks with a start that got no answer and may still be carried out.
+    pub late_start_tasks: usize,
     /// Runs whose latest order has not been answered yet, so that it is unknown whether they run.
     pub doubtful_runs: usize,
     /// Time since the oldest unanswered order.
@@ -104,6 +106,7 @@
             open_jobs: self.open_jobs.len(),
             workers: self.workers.len(),
             held_ends: self.held_ends.len(),
+            late_start_tasks: self.unsettled_starts.tasks_in_doubt(),
             ..Counts::default()
         };
         for key in &self.open_jobs {
--- a/crates/sched/src/gang.rs
+++ b/crates/sched/src/gang.rs
@@ -44,6 +44,10 @@
             self.start_reserved_gang(job_key, step_index, now);
             return;
         }
+        // A late start of a member would run beside the next one, wherever that is.
+        if self.has_unsettled_start(job_key, step_index, 0) {
+            return;
+        }
         if self.is_capped(job_key, step_index, now) {
             return;
         }
@@ -85,7 +89,9 @@
             }
             let worker = &self.workers[*key];
             has_capacity &= !reservation.isolated || !worker.has_run_on_probation();
-            has_capacity &= need.saturating_mul(*count).fits_in(&worker.free());
+            let all = need.saturating_mul(*count);
+            has_capacity &= all.fits_in(&worker.free());
+            has_capacity &= all.fits_in(&self.room_of_next_life(worker));
             if !self.has_ticket(job_key, step_index, *key, now) {
                 stale.push(*key);
             }
@@ -260,6 +266,8 @@
         for key in candidates {
             let worker = &self.workers[*key];
             let limit = limit.saturating_sub(worker.count_runs_of(id));
+            let next_life = self.room_of_next_life(worker);
+            let limit = fit_count(&next_life, &spec.reserved_resources(), limit);
             let free = fit_count(&worker.available(), &spec.reserved_resources(), limit);
             let mut with_preemption = free;
             while self.may_preempt(job_key) && with_preemption < limit {
--- a/crates/sched/src/job.rs
+++ b/crates/sched/src/job.rs
@@ -289,6 +289,7 @@
             },
             state: self.state,
             steps: Vec::new(),
+            starts_in_doubt: Vec::new(),
             workspace: self.spec.workspace.clone(),
             ended_at_ms: self
                 .end_stamp
--- a/crates/sched/src/job_lifecycle.rs
+++ b/crates/sched/src/job_lifecycle.rs
@@ -40,7 +40,10 @@
         if let Some(progress) = progress {
             job.restore(progress);
         }
-        self.insert_open_job(job, now);
+        let key = self.insert_open_job(job, now);
+        if let Some(progress) = progress {
+            self.restore_starts_in_doubt(self.jobs[key].id(), &progress.starts_in_doubt, now);
+        }
     }
 
     pub(crate) fn add_job(&mut self, spec: JobSpec, age_ms: u64, now: Millis) {
@@ -178,7 +181,9 @@
                 });
             }
             let job = &self.jobs[key];
-            let progress = job.progress(|worker| self.recorded_name_of(worker));
+            let mut progress = job.progress(|worker| self.recorded_name_of(worker));
+            progress.starts_in_doubt = self.starts_in_doubt_of(job.id(), now);
+            self.mark_unanswered_starts(key, &mut progress, now);
             records.push((job.id(), job.latest_change, progress));
         }
         records
--- a/crates/sched/src/misdirected.rs
+++ b/crates/sched/src/misdirected.rs
@@ -69,7 +69,7 @@
             self.recovery.await_next_life(&worker.spec.id, capacity);
         }
         self.lose_runs(key, WriteOffReason::Restarted, now);
-        self.detach(key);
+        self.detach(key, now);
         self.resolve_misdirected(now);
     }
 
--- a/crates/sched/src/options.rs
+++ b/crates/sched/src/options.rs
@@ -10,6 +10,8 @@
     pub lease_bound_ms: u64,
     /// The same bound if the worker's clock may have restarted, in which case the worker grants its longest lease.
     pub max_lease_ms: u64,
+    /// Longest time between giving up the answer to a call and the moment at which a worker carries the call out.
+    pub late_call_ms: u64,
     /// Time for which a predecessor may keep sending orders after its successor was elected.
     pub authority_ms: u64,
     /// Time after a successful write to the store for which the scheduler may start newly learned jobs.
@@ -21,6 +23,9 @@
     /// An unanswered start or stop order is sent again after this time, which is longer than an answer takes
     /// over a busy link.
     pub order_retry_ms: u64,
+    /// A start order without an answer is sent again once the store has that it is in doubt. If the store takes longer
+    /// than this, it is stopped instead.
+    pub doubt_record_limit_ms: u64,
     /// The lease of a worker is withheld once a start or stop has been in doubt for longer than this. All other
     /// runs on the worker are lost with the lease, so the limit is longer than a few lost answers in a row take.
     pub in_doubt_limit_ms: u64,
@@ -86,11 +91,13 @@
         Self {
             lease_bound_ms: 6_500,
             max_lease_ms: 10_500,
+            late_call_ms: 12_500,
             authority_ms: 3_000,
             proof_validity_ms: 1_000,
             max_stop_ms: 900,
             ended_job_retention_ms: 120_000,
             order_retry_ms: 300,
+            doubt_record_limit_ms: 1_500,
             in_doubt_limit_ms: 5_000,
             order_failures_limit: 5,
             max_retry_delay_ms: 1_000,
--- a/crates/sched/src/orders.rs
+++ b/crates/sched/src/orders.rs
@@ -25,6 +25,7 @@
         answer: StartAnswer,
         now: Millis,
     ) {
+        self.settle_start(key, task, run, answer, now);
         let Some(worker) = self.workers.get_mut(key) else {
             return;
         };
@@ -143,6 +144,9 @@
         let Some((job, step, unit, _member)) = self.locate_task(task) else {
             return;
         };
+        let room = self.jobs[job].steps[step].spec.reserved_resources();
+        let id = &self.workers[key].spec.id;
+        self.unsettled_starts.sent(task, run, id, room);
         let job = &self.jobs[job];
         let ready_at = job.steps[step].ready_at.unwrap_or(now);
         self.actions.push(Action::Start(StartOrder {
--- a/crates/sched/src/placement.rs
+++ b/crates/sched/src/placement.rs
@@ -27,6 +27,7 @@
     /// Runs a scheduling pass over every waiting task and returns the actions to perform.
     pub fn schedule(&mut self, now: Millis) -> Vec<Action> {
         self.held_tasks = None;
+        self.room_in_doubt = self.unsettled_starts.room_in_doubt();
         self.measure_headroom(now);
         self.measure_workspaces();
         self.recount_rates();
@@ -64,7 +65,18 @@
             if self.would_use_headroom(job, step) {
                 break;
             }
-            let fitting = self.fitting_workers(job, step, unit, &allowed, now);
+            let has_unsettled_start = self.has_unsettled_start(job, step, unit);
+            let beside_unsettled = if has_unsettled_start {
+                self.workers_beside_unsettled(job, step, unit, &allowed)
+            } else {
+                Vec::new()
+            };
+            let allowed = if has_unsettled_start {
+                &beside_unsettled
+            } else {
+                &allowed
+            };
+            let fitting = self.fitting_workers(job, step, unit, allowed, now);
             if self.jobs[job].steps[step].units[unit].crashes() > 0 && !fitting.is_empty() {
                 self.place_suspect(UnitRef { job, step, unit }, &fitting, now);
                 continue;
@@ -81,11 +93,14 @@
                 preemptions < PREEMPTIONS_PER_PASS && !self.jobs[job].steps[step].spec.fills;
             if may_preempt
                 && self.may_preempt(job)
-                && self.preempt_for(job, step, unit, &allowed, now)
+                && self.preempt_for(job, step, unit, allowed, now)
             {
                 preemptions += 1;
                 continue;
             }
+            if has_unsettled_start {
+                continue;
+            }
             // Units of a step have the same needs, so if one does not fit, neither does the next, unless this one
             // avoids workers on which it failed.
             if self.jobs[job].steps[step].units[unit]
@@ -169,6 +184,21 @@
         })
     }
 
+    /// Returns the allowed workers on which a task with an unsettled start may be started.
+    fn workers_beside_unsettled(
+        &self,
+        job: JobKey,
+        step: usize,
+        unit: usize,
+        allowed: &[WorkerKey],
+    ) -> Vec<WorkerKey> {
+        let id = self.step_id(job, step);
+        let task = self.jobs[job].steps[step].task_at(id, unit, 0);
+        let allowed = allowed.iter().copied();
+        let may_start = |key: &WorkerKey| self.may_start_beside_unsettled(task, *key);
+        allowed.filter(may_start).collect()
+    }
+
     /// Returns the allowed workers that have room for a unit's task and may run it.
     fn fitting_workers(
         &self,
@@ -187,6 +217,9 @@
             if !need.fits_in(&worker.available()) || avoid.contains(key) {
                 continue;
             }
+            if !self.fits_on_next_life(worker, job, step, unit) {
+                continue;
+            }
             // With two suspects on one worker, the next crash would not show which of them caused it.
             if is_suspected && worker.has_suspect() {
                 continue;
@@ -198,6 +231,13 @@
         fitting
     }
 
+    /// Returns whether the next life of a worker would have room for a unit's task beside the starts that it may carry out
+    /// late. The room of the task's own starts is counted already, and a worker runs a task once.
+    fn fits_on_next_life(&self, worker: &Worker, job: JobKey, step: usize, unit: usize) -> bool {
+        let need = self.jobs[job].steps[step].spec.reserved_resources();
+        need.fits_in(&self.room_of_next_life(worker)) || self.has_unsettled_start(job, step, unit)
+    }
+
     /// Returns the workers that a unit avoids for now because it failed on them.
     pub(crate) fn avoided_workers(
         &self,
@@ -260,7 +300,9 @@
         let mut best: Option<(WorkerKey, Victims)> = None;
         for key in allowed {
             let worker = &self.workers[*key];
-            let avoided = avoid.contains(key) || !worker.may_take_start();
+            let avoided = avoid.contains(key)
+                || !worker.may_take_start()
+                || !self.fits_on_next_life(worker, job, step, unit);
             if avoided || !self.is_below_task_limit(*key, job, step, unit) {
                 continue;
             }
@@ -378,7 +420,9 @@
         let isolated = reservation.isolated;
         let usable = self.may_use_reserved(worker, isolated, now);
         let is_clear = usable && !(isolated && self.workers[worker].has_run_on_probation());
-        let has_room = is_clear && need.fits_in(&self.workers[worker].free());
+        let has_room = is_clear
+            && need.fits_in(&self.workers[worker].free())
+            && self.fits_on_next_life(&self.workers[worker], job, step, unit);
         let fits = has_room && self.cap_allows_start(job, step);
         if fits && self.is_below_task_limit(worker, job, step, unit) {
             if !self.has_ticket(job, step, worker, now) {
@@ -430,10 +474,10 @@
             return;
         }
         let id = self.step_id(job_key, step_index);
-        for member in 0..workers.len() {
+        for (member, worker) in workers.iter().enumerate() {
             let task = self.jobs[job_key].steps[step_index].task_at(id, unit_index, member);
             // An earlier run of the task is still being stopped on some worker and has to end first.
-            if self.is_held(task) {
+            if self.is_held(task) || !self.may_start_beside_unsettled(task, *worker) {
                 return;
             }
         }
--- a/crates/sched/src/predecessor_placement.rs
+++ b/crates/sched/src/predecessor_placement.rs
@@ -1,6 +1,7 @@
 //! The workers on which the members of a unit are placed, as recorded for a successor and as restored from a
 //! predecessor.
 
+use syc_types::CellTime;
 use syc_types::WorkerId;
 
 use crate::Run;
@@ -18,6 +19,8 @@
     pub(crate) accounted: Run,
     /// Names of the workers whose members are not known to have ended, by member.
     pub(crate) workers: Vec<Option<WorkerId>>,
+    /// Until when that start may be carried out, in cell time; none if it had an answer.
+    pub(crate) unanswered_until: Option<CellTime>,
 }
 
 impl PredecessorPlacement {
@@ -26,6 +29,7 @@
         run: Run(0),
         accounted: Run(0),
         workers: Vec::new(),
+        unanswered_until: None,
     };
 
     /// Restores what a predecessor recorded about a unit.
@@ -36,6 +40,7 @@
             run: kept.last_started,
             accounted: kept.last_accounted,
             workers: workers.collect(),
+            unanswered_until: kept.unanswered_until_cell_ms,
         }
     }
 
--- a/crates/sched/src/progress.rs
+++ b/crates/sched/src/progress.rs
@@ -11,7 +11,10 @@
 use syc_types::WorkerId;
 use syc_types::WorkspaceName;
 
+use crate::JobId;
 use crate::Run;
+use crate::StepId;
+use crate::TaskId;
 
 /// State of a job as reported to its submitter.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -66,6 +69,9 @@
     /// The workspace that the job belongs to; none if it belongs to none, or an earlier version wrote the record.
     #[serde(rename = "o", skip_serializing_if = "Option::is_none")]
     pub workspace: Option<WorkspaceName>,
+    /// Start orders that got no answer and may still be carried out.
+    #[serde(rename = "u", skip_serializing_if = "Vec::is_empty")]
+    pub starts_in_doubt: Vec<StartInDoubtProgress>,
     /// When the job ended, by the clock of the node that wrote the record; for display and for earlier versions.
     #[serde(skip_serializing_if = "is_no_day")]
     pub ended_at_ms: TimeOfDay,
@@ -74,6 +80,44 @@
     pub ended_at_cell_ms: Option<CellTime>,
 }
 
+/// A stored start order that got no answer and may still be carried out.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StartInDoubtProgress {
+    /// Occurrence of the job's schedule.
+    #[serde(rename = "o", default, skip_serializing_if = "is_zero_u32")]
+    pub occurrence: u32,
+    /// Index of the step in the job.
+    #[serde(rename = "s")]
+    pub step: u16,
+    /// Index of the task in the step.
+    #[serde(rename = "i")]
+    pub index: u32,
+    /// Number of the run.
+    #[serde(rename = "r")]
+    pub run: Run,
+    /// The life of a worker that it was meant for; empty if that is not known.
+    #[serde(rename = "w")]
+    pub worker: WorkerId,
+    /// Until when it may be carried out, in cell time.
+    #[serde(rename = "b")]
+    pub until_cell_ms: CellTime,
+}
+
+impl StartInDoubtProgress {
+    /// Returns the task, given its job.
+    pub(crate) const fn task(&self, job: JobId) -> TaskId {
+        let step = StepId {
+            job,
+            occurrence: self.occurrence,
+            step: self.step,
+        };
+        TaskId {
+            step,
+            index: self.index,
+        }
+    }
+}
+
 /// Stored progress of a step.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default)]
@@ -126,6 +170,9 @@
     /// Number of unrecorded starts that may have crashed their workers.
     #[serde(rename = "p", skip_serializing_if = "is_zero_u32")]
     pub possible_crashes: u32,
+    /// Until when the latest start may be carried out, in cell time; none if it had an answer when this was written.
+    #[serde(rename = "q", skip_serializing_if = "Option::is_none")]
+    pub unanswered_until_cell_ms: Option<CellTime>,
 }
 
 impl UnitProgress {
--- a/crates/sched/src/recovery.rs
+++ b/crates/sched/src/recovery.rs
@@ -236,6 +236,8 @@
             detached: Vec::new(),
             adopted: self.recovery.adopted,
         };
+        self.restore_unanswered_starts(now);
+        self.assume_unrecorded_starts(now);
         self.assume_recorded_placements(now);
         self.hold_exhausted_units(now);
         self.try_complete_recovery(now);
--- a/crates/sched/src/reports.rs
+++ b/crates/sched/src/reports.rs
@@ -95,16 +95,18 @@
         let is_known_idle = worker.runs_known && has_all_ends;
         let is_recorded_idle = worker.silent && worker.drain_record == DrainRecord::Recorded;
         if lapsed || worker.spec.draining && (is_known_idle || is_recorded_idle) {
-            self.detach(key);
+            self.detach(key, now);
         }
     }
 
-    pub(crate) fn detach(&mut self, key: WorkerKey) {
+    pub(crate) fn detach(&mut self, key: WorkerKey, now: Millis) {
         let Some(worker) = self.workers.remove(key) else {
             return;
         };
         self.worker_keys.remove(&worker.spec.id);
         let id = worker.spec.id;
+        let late_until = now.plus(self.options.late_call_ms);
+        self.unsettled_starts.life_ended(&id, late_until);
         self.recovery.worker_gone(&id);
         self.actions.push(Action::Detach { worker: key });
         let is_kept = !worker.runs_known && self.recovery.keep_in_roster(&id);
@@ -146,8 +148,10 @@
             return;
         }
         self.record_worker_crash(key, now);
+        let id = self.workers[key].spec.id.clone();
+        self.unsettled_starts.worker_replaced(&id);
         self.lose_runs(key, WriteOffReason::Replaced, now);
-        self.detach(key);
+        self.detach(key, now);
     }
 
     /// Treats everything that ran on a worker as ended without a result.
@@ -218,6 +222,7 @@
             }
         }
         self.end_missing_runs(key, sent_at, report, now);
+        self.unsettled_starts.worker_reported(&id, sent_at);
         let mut was_last = false;
         if !report.has_more_ends {
             self.workers[key].all_ends_reported_at = now;
@@ -272,6 +277,7 @@
             return;
         }
         worker.handled_end = ended.number;
+        self.settle_by_end(key, ended);
         let job_id = ended.task.step.job;
         if self.hold_orphan(key, RunReport::Ended(ended.clone()), now) {
             self.workers[key].remove(ended.task, ended.run);
@@ -280,11 +286,14 @@
             if let Some(held) = self.workers[key].runs.get(&(ended.task, ended.run)) {
                 self.clear_step(ended.task, held.held_since);
             } else {
+                self.unsettled_starts
+                    .inherited_run_listed(ended.task, ended.run);
                 self.note_listed_end(key, ended, now);
             }
             self.end_run(key, ended.task, ended.run, RunTermination::from(ended), now);
         }
         let is_done = ended.end == RunEnd::Done;
+        let settles = self.scope_of_end(ended);
         let change = if self.is_end_withheld(ended.task, is_done, now) {
             UNKNOWN_CHANGE
         } else {
@@ -297,12 +306,15 @@
                 job: job_id,
                 task: ended.task,
                 is_done,
+                settles,
                 change,
             });
     }
 
     fn handle_reported_run(&mut self, key: WorkerKey, listed: &RunningReport, now: Millis) {
         let worker = &mut self.workers[key];
+        let id = &worker.spec.id;
+        self.unsettled_starts.listed(listed.task, listed.run, id);
         let Some(held_run) = worker.runs.get_mut(&(listed.task, listed.run)) else {
             self.adopt_or_stop(key, listed, now);
             return;
@@ -426,6 +438,8 @@
         if self.hold_orphan(key, RunReport::Running(listed.clone()), now) {
             return;
         }
+        self.unsettled_starts
+            .inherited_run_listed(listed.task, listed.run);
         if self.adopt(key, listed.task, listed.run) {
             let worker = self.workers[key].spec.id.clone();
             self.recovery.adopted += 1;
--- a/crates/sched/src/retention.rs
+++ b/crates/sched/src/retention.rs
@@ -21,6 +21,7 @@
 use crate::QueuePolicy;
 use crate::Schedule;
 use crate::Scheduler;
+use crate::StartInDoubtProgress;
 use crate::job::Job;
 
 /// A job that had ended before this scheduler took over.
@@ -34,6 +35,8 @@
     pub workspace: Option<WorkspaceName>,
     /// When it ended, in cell time; none if an earlier version wrote the record.
     pub ended_at: Option<CellTime>,
+    /// Start orders that may still be carried out.
+    pub starts_in_doubt: Vec<StartInDoubtProgress>,
 }
 
 /// When the end of a job was first written to a record.
@@ -80,6 +83,7 @@
             }
             let shown_at = job.ended_at.map_or(latest, |at| visible_by(&stamps, at));
             self.insert_ended_job(job, shown_at, now);
+            self.restore_starts_in_doubt(job.id, &job.starts_in_doubt, now);
         }
     }
 
--- a/crates/sched/src/retries.rs
+++ b/crates/sched/src/retries.rs
@@ -68,6 +68,11 @@
             self.send_stop(key, task, run, StopReason::Unwanted, now);
             return;
         }
+        let has_recorded_doubt = self.has_recorded_doubt(task, run_state.doubt_change);
+        let waits_long = now.since(run_state.doubt_since) > self.options.doubt_record_limit_ms;
+        if !has_recorded_doubt && !waits_long {
+            return;
+        }
         let is_over_cap = self.is_over_cap(run_state.owner);
         let Some(run_state) = self.workers[key].runs.get_mut(&task_run) else {
             return;
@@ -75,6 +80,7 @@
         // A start would set a lease, and a run whose capacity is gone, or that its workspace's cap no longer allows,
         // must not be started.
         if withholds_lease
+            || !has_recorded_doubt
             || is_overcommitted
             || is_over_cap
             || run_state.orders >= self.options.start_attempts_limit
@@ -91,4 +97,11 @@
         let ticket = run_state.ticket.clone();
         self.send_start(key, task, run, ticket, retries, now);
     }
+
+    /// Returns whether the store has that the earlier copies of a start are in doubt. A successor that didn't know of them
+    /// would take a repeated start for the only copy.
+    fn has_recorded_doubt(&self, task: TaskId, change: u64) -> bool {
+        let key = self.job_keys.get(&task.step.job);
+        key.is_none_or(|key| self.jobs[*key].recorded_change >= change)
+    }
 }
--- a/crates/sched/src/scheduler.rs
+++ b/crates/sched/src/scheduler.rs
@@ -12,6 +12,7 @@
 use syc_retry::Budget;
 use syc_types::DayAnchor;
 use syc_types::Millis;
+use syc_types::Resources;
 use syc_types::WorkerId;
 use syc_types::WorkspaceName;
 use syc_workspace::may_access;
@@ -44,6 +45,7 @@
 use crate::run_ends::UnitRef;
 use crate::speed::SpeedComparison;
 use crate::stale_capacity::RegistrationReads;
+use crate::unsettled_starts::UnsettledStarts;
 use crate::vms::VmInventory;
 use crate::worker::Worker;
 use crate::workspaces::Workspaces;
@@ -93,6 +95,11 @@
     pub(crate) recent_silences: VecDeque<Millis>,
     /// Runs whose start may have reached an incarnation of the worker that is not registered yet.
     pub(crate) misdirected: Vec<MisdirectedRun>,
+    /// Start orders that may still be carried out.
+    pub(crate) unsettled_starts: UnsettledStarts,
+    /// What starts without an answer may take of each worker's next life, by the worker's name, as of the beginning of the
+    /// scheduling pass.
+    pub(crate) room_in_doubt: BTreeMap<SmolStr, Resources>,
     /// Units that have ended, of which a later start may still be carried out.
     pub(crate) held_ends: Vec<UnitRef>,
     pub(crate) consistency: ConsistencyCheck,
@@ -146,6 +153,8 @@
             jobs_read_at: Millis(u64::MAX),
             recent_silences: VecDeque::new(),
             misdirected: Vec::new(),
+            unsettled_starts: UnsettledStarts::default(),
+            room_in_doubt: BTreeMap::new(),
             held_ends: Vec::new(),
             consistency: ConsistencyCheck::default(),
             write_offs: WriteOffMemory::default(),
@@ -333,6 +342,7 @@
             jobs,
             job_keys,
             orphans,
+            unsettled_starts,
             ..
         } = self;
         let Some(worker) = workers.get_mut(worker) else {
@@ -349,7 +359,7 @@
             // The job was removed, so its ends need not be kept.
             u64::MAX
         };
-        worker.advance_acknowledged(recorded);
+        worker.advance_acknowledged(recorded, unsettled_starts);
         let has_unacknowledged = !worker.unacknowledged.is_empty();
         (worker.next_acknowledgement(), has_unacknowledged)
     }
--- a/crates/sched/src/tick.rs
+++ b/crates/sched/src/tick.rs
@@ -18,6 +18,8 @@
         self.try_complete_recovery(now);
         self.discard_orphans(now);
         self.expire_misdirected(now);
+        let max_lease_ms = self.options.max_lease_ms;
+        self.unsettled_starts.expire(max_lease_ms, now);
         self.update_headroom_level();
         self.log_rates(now);
         self.compare_speeds(now);
--- a/crates/sched/src/worker.rs
+++ b/crates/sched/src/worker.rs
@@ -24,6 +24,7 @@
 use crate::pacing::PaceControl;
 use crate::speed::WorkerSpeed;
 use crate::stale_capacity::StaleCapacity;
+use crate::unsettled_starts::UnsettledStarts;
 use crate::workspaces::RunOwner;
 
 /// The phase of a run on a worker.
@@ -60,6 +61,8 @@
     pub(crate) start_copies: u32,
     /// Whether the latest order is still unanswered.
     pub(crate) in_flight: bool,
+    /// The change of the job's progress that includes the latest doubt about a start; 0 if there was none.
+    pub(crate) doubt_change: u64,
     /// Start of the current doubt about whether it runs. Only meaningful while the run is in doubt.
     pub(crate) doubt_since: Millis,
     /// When the worker first confirmed that it runs.
@@ -130,6 +133,7 @@
             orders: 1,
             start_copies: 1,
             in_flight: true,
+            doubt_change: 0,
             doubt_since: now,
             confirmed_at: None,
             reported: false,
@@ -226,6 +230,15 @@
     }
 }
 
+/// The tasks that an end counts for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum EndScope {
+    /// The task itself.
+    Task,
+    /// All tasks of the step: they are members of one gang, or that is not known any more.
+    Step,
+}
+
 /// An end that the worker has to keep until the store has it.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct UnacknowledgedEnd {
@@ -234,10 +247,23 @@
     pub(crate) task: TaskId,
     /// Whether the run ended as done.
     pub(crate) is_done: bool,
+    /// Of which tasks no start may be carried out after the end is acknowledged; none if the end does not count.
+    pub(crate) settles: Option<EndScope>,
     /// The change of the job's progress that includes the end.
     pub(crate) change: u64,
 }
 
+impl UnacknowledgedEnd {
+    /// Returns whether a start that it counts for may still be carried out.
+    fn awaits_starts(&self, unsettled: &UnsettledStarts) -> bool {
+        match self.settles {
+            None => false,
+            Some(EndScope::Task) => unsettled.may_start_late(self.task),
+            Some(EndScope::Step) => unsettled.may_start_step_late(self.task.step),
+        }
+    }
+}
+
 /// A worker.
 #[derive(Debug, Clone)]
 #[expect(
@@ -483,13 +509,14 @@
         }
     }
 
-    /// Advances the acknowledgement to the last end before the first one that the store does not have yet.
-    pub(crate) fn advance_acknowledged<F>(&mut self, recorded: F)
+    /// Advances the acknowledgement to the last end before the first one that the store does not have yet, or of whose
+    /// task a start may still be carried out.
+    pub(crate) fn advance_acknowledged<F>(&mut self, recorded: F, unsettled: &UnsettledStarts)
     where
         F: Fn(JobId) -> u64,
     {
         while let Some(first) = self.unacknowledged.front() {
-            if recorded(first.job) < first.change {
+            if recorded(first.job) < first.change || first.awaits_starts(unsettled) {
                 break;
             }
             self.acknowledged = first.number;
--- a/crates/sched/tests/core/caps.rs
+++ b/crates/sched/tests/core/caps.rs
@@ -151,6 +151,7 @@
         run: start.run,
         answer: StartAnswer::InDoubt,
     });
+    driver.record();
     driver.set_caps(&[("a", 2)]);
     driver.advance(Options::default().order_retry_ms * 2);
     driver.apply(Event::Ticked);
--- a/crates/sched/tests/core/driver.rs
+++ b/crates/sched/tests/core/driver.rs
@@ -529,6 +529,22 @@
         }
     }
 
+    /// Lets the time pass after which no call without an answer is carried out any more.
+    pub fn pass_late_calls(&mut self) {
+        self.advance(Options::default().late_call_ms);
+        self.apply(Event::Ticked);
+    }
+
+    /// Gives up waiting for the answer to a start order.
+    pub fn start_unanswered(&mut self, start: &StartOrder) {
+        self.apply(Event::StartAnswered {
+            worker: start.worker,
+            task: start.task,
+            run: start.run,
+            answer: StartAnswer::InDoubt,
+        });
+    }
+
     pub fn state(&self, id: u64) -> Option<JobState> {
         self.scheduler.state_of(JobId(id))
     }
--- a/crates/sched/tests/core/expired_leases.rs
+++ b/crates/sched/tests/core/expired_leases.rs
@@ -127,6 +127,10 @@
     driver.report_running(second.worker, &[]);
     driver.record();
     assert_eq!(driver.state(1), Some(JobState::Completed));
+    driver.start_unanswered(&second);
+    let acknowledged = driver.scheduler.acknowledged_ends(first.worker);
+    assert_eq!(acknowledged, (0, true), "the next life may carry it out");
+    driver.pass_late_calls();
     let acknowledged = driver.scheduler.acknowledged_ends(first.worker);
     assert_eq!(acknowledged, (1, false));
 }
@@ -147,6 +151,8 @@
     driver.report_running(second.worker, &[]);
     driver.apply(Event::Ticked);
     driver.record();
+    driver.start_unanswered(&second);
+    driver.pass_late_calls();
     let acknowledged = driver.scheduler.acknowledged_ends(first.worker);
     assert_eq!(acknowledged, (1, false), "kept for good");
 }
--- a/crates/sched/tests/core/former_life_calls.rs
+++ b/crates/sched/tests/core/former_life_calls.rs
@@ -138,6 +138,7 @@
     while driver.starts.is_empty() {
         driver.advance(TICK_MS);
         driver.report_running(start.worker, &[]);
+        driver.record();
         driver.apply(Event::Ticked);
         driver.schedule();
     }
--- a/crates/sched/tests/core/late_starts.rs
+++ b/crates/sched/tests/core/late_starts.rs
@@ -110,6 +110,7 @@
     driver.record();
     assert!(driver.scheduler.is_recovered());
     assert_eq!(driver.state(1), Some(JobState::Completed));
+    driver.pass_late_calls();
     assert_eq!(driver.scheduler.acknowledged_ends(ended), (1, false));
 }
 
@@ -552,6 +553,7 @@
     driver.record();
     assert!(driver.scheduler.is_recovered());
     assert_eq!(driver.state(1), Some(JobState::Completed));
+    driver.pass_late_calls();
     assert_eq!(driver.scheduler.acknowledged_ends(at), (1, false));
 }
 
--- a/crates/sched/tests/core/main.rs
+++ b/crates/sched/tests/core/main.rs
@@ -47,6 +47,7 @@
 mod takeover_units;
 mod takeover_workers;
 mod unanswered_orders;
+mod unsettled_starts;
 mod withheld_leases;
 mod worker_clock;
 mod worker_isolation;
--- a/crates/sched/tests/core/pending_completion.rs
+++ b/crates/sched/tests/core/pending_completion.rs
@@ -238,6 +238,7 @@
     driver.schedule();
     let second = driver.starts.remove(0);
     assert_eq!(second.run, Run(2));
+    driver.start_unanswered(&second);
     let listed = EndReport {
         number: 1,
         task: first.task,
--- a/crates/sched/tests/core/repeated_starts.rs
+++ b/crates/sched/tests/core/repeated_starts.rs
@@ -35,6 +35,7 @@
         answer,
     };
     driver.apply(answered(StartAnswer::InDoubt));
+    driver.record();
     while driver.starts.is_empty() {
         driver.advance(TICK_MS);
         driver.apply(Event::Ticked);
--- a/crates/sched/tests/core/silence.rs
+++ b/crates/sched/tests/core/silence.rs
@@ -60,6 +60,7 @@
         run: first.run,
         answer: StartAnswer::InDoubt,
     });
+    driver.record();
     driver.advance(Options::default().order_retry_ms);
     driver.apply(Event::Ticked);
     let again: Vec<_> = driver.starts.iter().map(|s| (s.run, s.retries)).collect();
@@ -81,6 +82,7 @@
     for _ in 0..Options::default().start_attempts_limit {
         driver.advance(Options::default().max_retry_delay_ms);
         driver.apply(doubt.clone());
+        driver.record();
         driver.apply(Event::Ticked);
     }
     assert_eq!(driver.starts.len(), 4, "the same order is sent four times");
--- a/crates/sched/tests/core/takeover_workers.rs
+++ b/crates/sched/tests/core/takeover_workers.rs
@@ -33,6 +33,7 @@
     driver.schedule();
     let start = driver.starts.remove(0);
     answer(&mut driver, &start, StartAnswer::InDoubt);
+    driver.record();
     driver.advance(Options::default().order_retry_ms);
     driver.apply(Event::Ticked);
     let copy = driver.starts.remove(0);
--- a/crates/sched/tests/schedules/main.rs
+++ b/crates/sched/tests/schedules/main.rs
@@ -83,6 +83,21 @@
     ..CUT_RESTARTS
 };
 
+/// Workers start again under their names, and lives that nobody has called carry out starts that were meant for former ones,
+/// whether or not another copy was carried out.
+const LATE_STARTS: Profile = Profile {
+    worker_restarts: 8,
+    calls_outlive_lives: true,
+    copies_outlive_lives: true,
+    late_per_mille: 100,
+    ..Profile::FAULT_FREE
+};
+
+const LATE_STARTS_AROUND_TAKEOVERS: Profile = Profile {
+    scheduler_crashes: 8,
+    ..LATE_STARTS
+};
+
 /// Caps of workspaces rise and fall.
 const CAPS: Profile = Profile {
     cap_changes: 20,
@@ -211,7 +226,44 @@
     assert_seeds_are_sound(profile);
 }
 
+/// Tasks ran again after their acknowledged ends, beside a later run, or more often than their attempts allow.
+#[test_case(LATE_STARTS; "in office")]
+#[test_case(LATE_STARTS_AROUND_TAKEOVERS; "across takeovers")]
+#[test_case(Profile { lost_per_mille: 60, ..LATE_STARTS }; "and answers are lost")]
+#[test_case(Profile { partitions: 4, ..LATE_STARTS }; "and workers are cut off")]
+#[test_case(Profile { store_pauses: 4, ..LATE_STARTS_AROUND_TAKEOVERS }; "across takeovers while the store pauses")]
+#[test_case(Profile { gang_workload: true, ..LATE_STARTS }; "of gangs")]
+fn late_starts_on_unheard_lives_violate_no_invariant(profile: Profile) {
+    assert_seeds_are_sound(profile);
+}
+
+/// The scheduler deliberately takes each call as carried out by when its answer is given up, which the checker must detect.
+#[test_case(LATE_STARTS; "in office")]
+#[test_case(LATE_STARTS_AROUND_TAKEOVERS; "across takeovers")]
+fn checker_detects_late_starts_that_are_not_waited_for(profile: Profile) {
+    let options = Options {
+        late_call_ms: 0,
+        ..Options::default()
+    };
+    let mut started_again = 0;
+    for seed in 1..=SEEDS {
+        let mut simulation = Simulation::new(seed, profile, options);
+        simulation.run();
+        let faults = simulation.faults();
+        let is_late_start = |fault: &&Violation| {
+            matches!(
+                fault,
+                Violation::ConcurrentRuns(_) | Violation::StartedAfterDone(_)
+            )
+        };
+        started_again += faults.iter().filter(is_late_start).count();
+    }
+    assert!(started_again > 0, "the checker reported no late start");
+}
+
 /// Prints which of many schedules violate an invariant or end a job in an unexpected state. Run manually.
+#[test_case(LATE_STARTS; "late starts")]
+#[test_case(LATE_STARTS_AROUND_TAKEOVERS; "late starts across takeovers")]
 #[test_case(COPIES; "copies")]
 #[test_case(Profile { schedulers_per_cut: 1, ..COPIES }; "copies and a scheduler crashes")]
 #[test_case(Profile { lives_per_cut: 2, ..COPIES }; "copies twice")]
@@ -572,6 +624,7 @@
     let options = Options {
         lease_bound_ms: 0,
         authority_ms: 0,
+        late_call_ms: 0,
         ..Options::default()
     };
     let mut running_twice = 0;
--- a/crates/sched/tests/schedules/simulation.rs
+++ b/crates/sched/tests/schedules/simulation.rs
@@ -589,6 +589,7 @@
                 state: progress.state,
                 workspace: progress.workspace.clone(),
                 ended_at: progress.ended_at_cell_ms,
+                starts_in_doubt: progress.starts_in_doubt.clone(),
             })
         });
         let ended: Vec<_> = ended.collect();
--- a/crates/sched/tests/takeovers/chains.rs
+++ b/crates/sched/tests/takeovers/chains.rs
@@ -443,6 +443,7 @@
                 state: ended.state,
                 workspace: ended.workspace.clone(),
                 ended_at: ended.ended_at_cell_ms,
+                starts_in_doubt: ended.starts_in_doubt.clone(),
             };
             node.scheduler.restore_ended_jobs(&[ended], self.now);
         }
--- a/crates/sched/tests/takeovers/succession.rs
+++ b/crates/sched/tests/takeovers/succession.rs
@@ -256,6 +256,7 @@
                     state: stored.state,
                     workspace: stored.workspace.clone(),
                     ended_at: stored.ended_at_cell_ms,
+                    starts_in_doubt: stored.starts_in_doubt.clone(),
                 };
                 node.scheduler.restore_ended_jobs(&[ended], now);
             }
