Store no start on an unknown worker for each waiting task

After a takeover, the record of a job named each task whose turn had come as one that the predecessor may have started: 5,000 entries for a step of 5,000 tasks, where a store takes 256 KB a record. A job of that width could then store nothing.

Cause: stores starts in doubt with their job, the assumed ones on unknown workers too.

Change: those are kept in memory only, so the next successor does not learn of them from the record. record_after_a_takeover_does_not_grow_with_the_waiting_tasks fails before (5,000 entries).

--- a/crates/sched/src/unsettled_starts.rs
+++ b/crates/sched/src/unsettled_starts.rs
@@ -294,11 +294,13 @@
         in_flight.map(|(task, start)| (task, start.run))
     }
 
-    /// Returns the orders of a job that got no answer.
+    /// Returns the orders of a job that got no answer, but for those to unknown workers.
     pub(crate) fn in_doubt_of(&self, job: JobId) -> impl Iterator<Item = StartInDoubt<'_>> {
         let of_job = self.by_task.range(tasks_of_job(job));
         of_job.flat_map(|(task, starts)| {
-            let in_doubt = starts.iter().filter_map(|start| {
+            // One entry for each waiting task of a wide step would make the record too long.
+            let on_worker = starts.iter().filter(|start| !start.is_anywhere());
+            let in_doubt = on_worker.filter_map(|start| {
                 Some(StartInDoubt {
                     task: *task,
                     run: start.run,
--- a/crates/sched/tests/core/unsettled_starts.rs
+++ b/crates/sched/tests/core/unsettled_starts.rs
@@ -265,3 +265,19 @@
     started.extend(driver.settle());
     assert_eq!(started.len(), 1, "its next life runs nothing");
 }
+
+// Guards against a progress record beyond what a store takes: after a takeover it named each waiting task of a wide step.
+#[test]
+fn record_after_a_takeover_does_not_grow_with_the_waiting_tasks() {
+    let mut driver = Driver::with_untried_workers(1, 4);
+    let spec = job(1, policy(0), vec![step(5_000, 4)], Schedule::default());
+    let now = driver.now;
+    driver.scheduler.restore_job(spec, None, 0, now);
+    driver.scheduler.begin_recovery(now);
+    driver.report_running(driver.workers[0], &[]);
+    assert_eq!(driver.settle().len(), 1);
+    let stored = driver.stored_progress.values().next();
+    let stored = stored.expect("a record of the start");
+    let entries = stored.starts_in_doubt.len();
+    assert!(entries <= 1, "{entries} entries for one start");
+}
